--- a/hornbeamglade/bench/loadsite.py
+++ b/hornbeamglade/bench/loadsite.py
@@ -19,8 +19,8 @@
 from hornbeamglade.bench import loadprocesses
 from hornbeamglade.configuration import documents, documentyaml, head
 from hornbeamglade.core import clocks, codederrors
-from hornbeamglade.platform import contract
 from hornbeamglade.standins import platform as standinplatform
+from hornbeamglade.store import contract
 from hornbeamglade.teams import identity
 
 SITE = "bench"
@@ -145,7 +145,7 @@
                 leaving=False,
             )
             instances.append(instance)
-        self._platform.platform.set_instances(instances)
+        standinplatform.set_instances(self._platform.platform, instances)
         for instance in instances:
             path = self._folder / f"{instance.name}.yaml"
             path.write_text(yaml.safe_dump(self._node_settings(instance)), encoding="utf-8")
--- a/hornbeamglade/callers/application.py
+++ b/hornbeamglade/callers/application.py
@@ -19,6 +19,7 @@
     "/healthz": "health",
     "/readyz": "ready",
     "/status": "status",
+    "/members": "members",
 }
 _NOT_PASSED_BACK = frozenset(("x-request-id", "date", "server"))
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
--- a/hornbeamglade/capacity/measuringclaims.py
+++ b/hornbeamglade/capacity/measuringclaims.py
@@ -7,7 +7,8 @@
 from hornbeamglade.configuration import head
 from hornbeamglade.core import clocks, codederrors
 from hornbeamglade.leases import leaseholder, leasevalues
-from hornbeamglade.platform import memory, wire
+from hornbeamglade.platform import storebodies
+from hornbeamglade.store import memory
 
 GROUP = "claims"
 _REQUEST_COUNTS = (10, 20, 40, 80)
@@ -85,11 +86,8 @@
 def _scan_bytes(requests: int) -> float:
     platform = memory.MemoryPlatform()
     _serve(platform, requests)
-    rows = [
-        wire.RowBody(key=row.key, value=row.value, version=row.version)
-        for row in platform.scan(claimvalues.ROW_PREFIX)
-    ]
-    return float(len(wire.RowsBody(rows=rows).model_dump_json()))
+    rows = tuple(map(storebodies.Row.of_row, platform.scan(claimvalues.ROW_PREFIX)))
+    return float(len(storebodies.Rows(rows=rows, ver=requests).model_dump_json()))
 
 
 def _renewals(pools: int) -> float:
--- a/hornbeamglade/capacity/measuringmembership.py
+++ b/hornbeamglade/capacity/measuringmembership.py
@@ -6,8 +6,9 @@
 from hornbeamglade.capacity import fits, gauges, samplemesh, samplesite, slopes
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec
-from hornbeamglade.membership import ownership
-from hornbeamglade.platform import wire
+from hornbeamglade.membership import ownership, registry
+from hornbeamglade.platform import storebodies
+from hornbeamglade.store import memory
 
 GROUP = "membership"
 _NODE_COUNTS = (45, 90, 180, 360)
@@ -68,7 +69,7 @@
         carrier,
         [fits.Point(size, _frame_us(size)) for size in _OWNED_COUNTS],
     )
-    lists = "platform/httpadapter.py, platform/wire.py"
+    lists = "membership/registry.py, platform/storebodies.py"
     yield _slope(
         "membership.list_bytes",
         "bytes of the body of the platform's instance list",
@@ -168,8 +169,13 @@
 
 
 def _list_body(nodes: int) -> bytes:
-    bodies = [wire.InstanceBody.of(instance) for instance in samplesite.instances(nodes)]
-    return wire.InstancesBody(instances=bodies).model_dump_json().encode()
+    table = memory.MemoryPlatform(counts_together=True)
+    nodes_list = registry.Registry(table)
+    for instance in samplesite.instances(nodes):
+        nodes_list.register(instance)
+    listed = table.snapshot(registry.TABLE)
+    rows = tuple(map(storebodies.Row.of_row, listed.rows))
+    return storebodies.Rows(rows=rows, ver=listed.version).model_dump_json().encode()
 
 
 def _list_us(nodes: int) -> float:
@@ -177,8 +183,8 @@
     body = _list_body(nodes)
 
     def take() -> None:
-        listed = wire.InstancesBody.model_validate_json(body)
-        mesh.peering.heartbeats.listed(tuple(each.to_instance() for each in listed.instances))
+        listed = storebodies.Rows.model_validate_json(body)
+        mesh.peering.heartbeats.listed(registry.instances(row.to_row() for row in listed.rows))
 
     took = gauges.cpu_us(take)
     mesh.close()
--- a/hornbeamglade/capacity/measuringteams.py
+++ b/hornbeamglade/capacity/measuringteams.py
@@ -10,7 +10,7 @@
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import applying, digestbook, inflight, replicabook, runtime, siteview
-from hornbeamglade.platform import memory
+from hornbeamglade.store import memory
 from hornbeamglade.teams import limits, shares
 
 GROUP = "teams"
--- a/hornbeamglade/capacity/samplemesh.py
+++ b/hornbeamglade/capacity/samplemesh.py
@@ -9,7 +9,7 @@
 from hornbeamglade.grants import deskset
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.node import digestbook, inflight, peering, replicabook, settings
-from hornbeamglade.platform import contract, memory
+from hornbeamglade.store import contract, memory
 from hornbeamglade.teams import limits, shares
 
 TICK_S = 0.1
--- a/hornbeamglade/capacity/samplesite.py
+++ b/hornbeamglade/capacity/samplesite.py
@@ -8,7 +8,7 @@
 from hornbeamglade.configuration import documents, documentyaml, following, models
 from hornbeamglade.fairness import queuesettings
 from hornbeamglade.grants import deskset
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 SITE = "sample"
 POOLS = 3
--- a/hornbeamglade/claims/claimsettlement.py
+++ b/hornbeamglade/claims/claimsettlement.py
@@ -18,7 +18,7 @@
 import threading
 
 from hornbeamglade.claims import claimrecords, claimvalues, groupcommit
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/claims/claimstore.py
+++ b/hornbeamglade/claims/claimstore.py
@@ -45,7 +45,7 @@
     groupcommit,
 )
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 MAX_WRITES_PER_CLAIM = 3
 OBJECT_PREFIX = "claim-answers/"
@@ -64,7 +64,7 @@
     Examples
     ========
 
-    >>> from hornbeamglade.platform import memory
+    >>> from hornbeamglade.store import memory
     >>> platform = memory.MemoryPlatform()
     >>> settings = claimsettings.ClaimSettings()
     >>> store = ClaimStore(platform, platform, clocks.SystemClock(), "n1", settings)
--- a/hornbeamglade/claims/claimsweep.py
+++ b/hornbeamglade/claims/claimsweep.py
@@ -12,7 +12,7 @@
 import random
 
 from hornbeamglade.claims import claimrecords, claimsettings, claimvalues, groupcommit
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 PART_DIGITS = 3
 SCAN_LIMIT = 1000
--- a/hornbeamglade/claims/groupcommit.py
+++ b/hornbeamglade/claims/groupcommit.py
@@ -21,7 +21,7 @@
 import dataclasses
 import threading
 
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 DEFAULT_MAX_UNITS = 64
 
--- a/hornbeamglade/cli/config.py
+++ b/hornbeamglade/cli/config.py
@@ -24,7 +24,9 @@
     headrecords,
 )
 from hornbeamglade.core import clocks, codederrors
-from hornbeamglade.platform import contract, httpadapter
+from hornbeamglade.membership import registry
+from hornbeamglade.platform import storeclient
+from hornbeamglade.store import contract
 
 ASK_AGAIN_S = 0.2
 HISTORY_LIMIT = 20
@@ -224,14 +226,14 @@
 
 
 def _asked(platform_url: str) -> tuple[int, tuple[configstatus.NodeRevision, ...]]:
-    platform = httpadapter.HttpPlatform(platform_url)
+    platform = storeclient.StoreClient(platform_url)
     newest = _reached(head.ConfigurationHead(platform, platform, clocks.SystemClock()).newest())
-    instances = _reached(platform.list())
+    instances = _reached(registry.Registry(platform).list())
     return (newest.revision if newest else 0), configstatus.ask(instances)
 
 
 def _head(platform_url: str) -> head.ConfigurationHead:
-    platform = httpadapter.HttpPlatform(platform_url)
+    platform = storeclient.StoreClient(platform_url)
     return head.ConfigurationHead(platform, platform, clocks.SystemClock())
 
 
--- a/hornbeamglade/cli/configstatus.py
+++ b/hornbeamglade/cli/configstatus.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from hornbeamglade.observability import statusreading
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/cli/main.py
+++ b/hornbeamglade/cli/main.py
@@ -1,39 +1,44 @@
 """The ``hornbeamglade`` command."""
 
+import importlib
+
 import click
 
-from hornbeamglade.cli import (
-    bench,
-    benchall,
-    benchrecovery,
-    benchtraffic,
-    capacity,
-    codedgroup,
-    config,
-    demo,
-    node,
-    spec,
-    standin,
-    status,
-    team,
-)
-
-
-@click.group(cls=codedgroup.CodedGroup)
-def main() -> None:
-    """Serve language-model generations on crowded engines."""
+from hornbeamglade.cli import codedgroup
+
+_MODULE_BY_COMMAND = {
+    "bench": "benchgroup",
+    "capacity": "capacity",
+    "config": "config",
+    "demo": "demo",
+    "entry": "entry",
+    "node": "node",
+    "spec": "spec",
+    "standin": "standin",
+    "status": "status",
+    "team": "team",
+}
+
+
+class _LazyGroup(codedgroup.CodedGroup):
+    """Imports a command when it is used.
 
+    Guards an entry instance's memory and its time to start: with the benches and the
+    stand-ins that other commands import, both are twice as large.
+    """
 
-bench.bench.add_command(benchall.bench_all)
-bench.bench.add_command(benchrecovery.bench_recovery)
-bench.bench.add_command(benchtraffic.bench_load)
-bench.bench.add_command(benchtraffic.bench_relay)
-main.add_command(bench.bench)
-main.add_command(capacity.capacity)
-main.add_command(config.config)
-main.add_command(demo.demo)
-main.add_command(node.node)
-main.add_command(spec.spec)
-main.add_command(standin.standin)
-main.add_command(status.status)
-main.add_command(team.team)
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted(_MODULE_BY_COMMAND)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Return a command, or None when there is none of that name."""
+        module = _MODULE_BY_COMMAND.get(cmd_name)
+        if module is None:
+            return None
+        return getattr(importlib.import_module(f"hornbeamglade.cli.{module}"), cmd_name)
+
+
+@click.group(cls=_LazyGroup)
+def main() -> None:
+    """Serve language-model generations on crowded engines."""
--- a/hornbeamglade/cli/status.py
+++ b/hornbeamglade/cli/status.py
@@ -2,8 +2,10 @@
 
 import click
 
+from hornbeamglade.membership import registry
 from hornbeamglade.observability import statusreading, statustable
-from hornbeamglade.platform import contract, httpadapter
+from hornbeamglade.platform import storeclient
+from hornbeamglade.store import contract
 
 
 @click.command()
@@ -41,7 +43,7 @@
 
 
 def _listed(platform_url: str) -> tuple[str, ...]:
-    instances = httpadapter.HttpPlatform(platform_url).list()
+    instances = registry.Registry(storeclient.StoreClient(platform_url)).list()
     if isinstance(instances, contract.Unavailable):
         raise click.ClickException(f"The platform gave no list: {instances.reason}")
     return tuple(instance.address for instance in instances)
--- a/hornbeamglade/configuration/follower.py
+++ b/hornbeamglade/configuration/follower.py
@@ -16,7 +16,7 @@
 
 from hornbeamglade.configuration import documents, following, headcontent, headrecords
 from hornbeamglade.core import clocks, codederrors
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 POLL_S = 1.0
 JOIN_S = 10.0
--- a/hornbeamglade/configuration/head.py
+++ b/hornbeamglade/configuration/head.py
@@ -19,7 +19,7 @@
 
 from hornbeamglade.configuration import documentdiff, documents, headcontent, headrecords
 from hornbeamglade.core import clocks, codederrors
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 ATTEMPTS = 3
 RETRY_PAUSE_S = 0.2
--- a/hornbeamglade/configuration/headcontent.py
+++ b/hornbeamglade/configuration/headcontent.py
@@ -2,7 +2,7 @@
 
 from hornbeamglade.configuration import documentdelta, documents, headrecords
 from hornbeamglade.core import clocks, codederrors
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 ATTEMPTS = 3
 RETRY_PAUSE_S = 0.2
--- /dev/null
+++ b/hornbeamglade/entry/callershandler.py
@@ -0,0 +1,185 @@
+"""Answers routed requests: decides where they go and says what came of them."""
+
+import asyncio
+import dataclasses
+import http
+
+from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.grants import grantanswers
+from hornbeamglade.http1 import serverside
+from hornbeamglade.observability import logs, metrics
+from hornbeamglade.routed import (
+    attemptlog,
+    callrouter,
+    dialect,
+    ownanswers,
+    plainexchange,
+    retrybudget,
+    streamrun,
+    views,
+)
+from hornbeamglade.routes import models
+
+UNREAD_RETRY_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandlerParts:
+    """What routed requests are answered with.
+
+    :param words: how requests and answers are written.
+    :param current: the configuration in force.
+    :param plain: gets whole answers.
+    :param runs: what streamed answers work with.
+    :param budgets: bounds what is sent again.
+    :param metrics: the instance's instruments.
+    :param clock: monotonic time.
+    """
+
+    words: dialect.Dialect
+    current: views.Views
+    plain: plainexchange.PlainExchange
+    runs: streamrun.RunParts
+    budgets: retrybudget.RetryBudgets
+    metrics: metrics.NodeMetrics
+    clock: clocks.Clock
+
+
+class CallersHandler(serverside.Handler):
+    """Answers callers.
+
+    :param parts: what it works with.
+    """
+
+    def __init__(self, parts: HandlerParts) -> None:
+        self._parts = parts
+
+    def limits(self) -> serverside.ConnectionLimits:
+        """Return the limits of the configuration in force."""
+        view = self._parts.current.routes
+        return serverside.ConnectionLimits() if view is None else view.limits
+
+    def refused(self, status: http.HTTPStatus, reason: str) -> None:
+        """Note a request that could not be read."""
+        self._parts.metrics.refusals.add(labels=("request_unreadable", ""))
+        logs.decided("-", "read", "refused", status=status.value, reason=logs.slug(reason))
+
+    def failed(self, error: Exception) -> None:
+        """Note an error of this instance's own."""
+        self._parts.metrics.refusals.add(labels=("internal_error", ""))
+        logs.failed("caller", error)
+
+    async def handle(self, exchange: serverside.Exchange) -> None:
+        """Answer one request."""
+        parts = self._parts
+        call = parts.words.call(exchange.request)
+        if isinstance(call, outcomes.Refusal):
+            await self._refuse(exchange, call, "-", "")
+            return
+        routed = callrouter.route(call, parts.current.routes)
+        if isinstance(routed, outcomes.Refusal):
+            await self._refuse(exchange, routed, call.request_id, "")
+            return
+        await self._answer(exchange, routed)
+
+    async def _answer(self, exchange: serverside.Exchange, routed: callrouter.RoutedCall) -> None:
+        parts = self._parts
+        parts.budgets.requested(routed.service.name, parts.clock.now())
+        log = attemptlog.AttemptLog()
+        run = self._make_run(exchange, routed, log)
+        try:
+            async with asyncio.timeout(max(0.0, routed.ends_at - parts.clock.now())):
+                answer = await (parts.plain.answer(routed, log) if run is None else run.answer())
+        except TimeoutError:
+            answer = _timed_out(routed, log)
+            if exchange.is_answered:
+                exchange.abort()
+                answer = run.streamed(is_whole=False)
+        except asyncio.CancelledError:
+            self._note(routed, log, "caller_left", 0)
+            raise
+        if isinstance(answer, streamrun.Streamed):
+            self._note_stream(routed, log, answer)
+        elif isinstance(answer, outcomes.Refusal):
+            left_s = routed.ends_at - parts.clock.now()
+            refusal = grantanswers.sent_away(left_s, answer)
+            team = "" if routed.team is None else routed.team.name
+            self._note(routed, log, refusal.code, refusal.http_status)
+            await self._refuse(exchange, refusal, routed.call.request_id, team)
+        else:
+            self._note(routed, log, "answered", answer.status)
+            await exchange.answer(answer.status, answer.fields, answer.body)
+
+    def _make_run(
+        self,
+        exchange: serverside.Exchange,
+        routed: callrouter.RoutedCall,
+        log: attemptlog.AttemptLog,
+    ) -> streamrun.StreamRun | None:
+        """Return the run of a request for an engine's stream; None for a plain one."""
+        if routed.route.kind is models.RouteKind.STREAM and routed.service.engine is not None:
+            return streamrun.StreamRun(routed, exchange, log, self._parts.runs)
+        return None
+
+    async def _refuse(
+        self, exchange: serverside.Exchange, refusal: outcomes.Refusal, request_id: str, team: str
+    ) -> None:
+        self._parts.metrics.refusals.add(labels=(refusal.code, team))
+        if request_id == "-" or refusal.http_status in (401, 404):
+            logs.decided(request_id, "route", refusal.code, status=refusal.http_status)
+        await ownanswers.refuse(exchange, refusal, request_id)
+
+    def _note(
+        self,
+        routed: callrouter.RoutedCall,
+        log: attemptlog.AttemptLog,
+        outcome: str,
+        status: int,
+        **more: logs.FieldValue,
+    ) -> None:
+        """Write the line that says how a request ended, and by what it was decided."""
+        service = routed.service.name
+        self._parts.metrics.requests.add(labels=(service, outcome))
+        seconds = self._parts.clock.now() - routed.call.arrived_at
+        self._parts.metrics.call_s.record(seconds, (service,))
+        logs.decided(
+            routed.call.request_id,
+            "answer",
+            outcome,
+            status=status,
+            route=routed.route.name,
+            service=service,
+            team="" if routed.team is None else routed.team.name,
+            revision=routed.revision,
+            attempts=log.sent,
+            replica=",".join([*log.tried, *filter(None, (log.under_way,))])[:100] or "-",
+            run=log.run.value,
+            seconds=round(seconds, 4),
+            **more,
+        )
+
+    def _note_stream(
+        self,
+        routed: callrouter.RoutedCall,
+        log: attemptlog.AttemptLog,
+        streamed: streamrun.Streamed,
+    ) -> None:
+        first_s = streamed.first_event_s
+        self._note(
+            routed,
+            log,
+            "streamed" if streamed.is_whole else "broken_off",
+            http.HTTPStatus.OK.value,
+            events=streamed.events,
+            moves=streamed.moves,
+            first_s=None if first_s is None else round(first_s, 4),
+            gap_s=round(streamed.longest_gap_s, 4),
+        )
+
+
+def _timed_out(routed: callrouter.RoutedCall, log: attemptlog.AttemptLog) -> outcomes.Refusal:
+    if log.run is outcomes.RunStatus.NOT_RUN:
+        detail = f"no replica of {routed.service.name} could take the request in time"
+        return outcomes.Refusal("not_started_in_time", 503, detail, retry_after_s=UNREAD_RETRY_S)
+    detail = f"the answer took longer than the {routed.route.timeout_s:g} s of its route"
+    return outcomes.Refusal("answer_too_late", 504, detail, outcomes.RunStatus.UNKNOWN)
--- /dev/null
+++ b/hornbeamglade/entry/following.py
@@ -0,0 +1,186 @@
+"""The configuration and the list of replicas as this instance believes them."""
+
+import collections.abc
+import json
+
+from hornbeamglade.core import clocks, codederrors
+from hornbeamglade.entry import sharing
+from hornbeamglade.exchange import messages
+from hornbeamglade.observability import logs
+from hornbeamglade.platform import manifest, replicarows, tables
+from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.replicas import replicalist
+from hornbeamglade.routed import views
+from hornbeamglade.store import contract
+
+STORE = "store"
+PEER = "peer"
+
+Told = contract.Snapshot | contract.Changes | contract.Unavailable
+ListChanged = collections.abc.Callable[[tuple[replicalist.ListChange, ...]], None]
+
+
+class Following:
+    """Takes what the store and other instances tell; to be used on the event loop only.
+
+    Explanation
+    ===========
+
+    Neither belief ever goes back: a configuration is taken only when its revision is
+    higher than that in force, a list only when its version is. One that cannot be read
+    leaves the former in force.
+
+    :param current: the configuration in force; written here.
+    :param replicas: the list; written here.
+    :param clock: monotonic time.
+    :param list_changed: told of each change of the list.
+    :param configured: called when another configuration is in force.
+    """
+
+    def __init__(
+        self,
+        current: views.Views,
+        replicas: replicalist.ReplicaList,
+        clock: clocks.Clock,
+        list_changed: ListChanged,
+        configured: collections.abc.Callable[[], None],
+    ) -> None:
+        self._current = current
+        self._replicas = replicas
+        self._clock = clock
+        self._list_changed = list_changed
+        self._configured = configured
+        self._document = b""
+        self._row_by_key: dict[str, contract.Row] = {}
+        self._reached_by_table: dict[str, bool] = {}
+        self.problem: str | None = None
+        self.heard_at_by_table: dict[str, float] = {}
+
+    def versions(self) -> sharing.Versions:
+        """Return what this instance has."""
+        route_view = self._current.routes
+        revision = 0 if route_view is None else route_view.revision
+        return sharing.Versions(revision, self._replicas.version)
+
+    def read(self, subject: messages.Subject) -> bytes | None:
+        """Return a document for another instance, or None."""
+        if subject is messages.Subject.CONFIGURATION:
+            return self._document or None
+        rows = [[row.key, row.value, row.version] for row in self._row_by_key.values()]
+        return json.dumps(rows).encode()
+
+    def take(self, subject: messages.Subject, version: int, document: bytes) -> None:
+        """Take a document of another instance."""
+        if subject is messages.Subject.CONFIGURATION:
+            self._take_configuration(document, PEER)
+            return
+        rows = tuple(contract.Row(*row) for row in json.loads(document))
+        self._take_snapshot(contract.Snapshot(rows, version), PEER)
+
+    def configuration_told(self, outcome: Told) -> None:
+        """Take an outcome of following the table of the configuration."""
+        if not self._is_heard(tables.CONFIGURATION, outcome):
+            return
+        rows = outcome.rows if isinstance(outcome, contract.Snapshot) else outcome.present
+        row = tables.configuration_row(rows)
+        if row is not None:
+            self._take_configuration(row.value.encode(), STORE)
+
+    def replicas_told(self, outcome: Told) -> None:
+        """Take an outcome of following the table of replicas."""
+        if not self._is_heard(tables.REPLICAS, outcome):
+            return
+        if isinstance(outcome, contract.Snapshot):
+            self._take_snapshot(outcome, STORE)
+        elif outcome.newest > self._replicas.version:
+            self._take_changes(outcome)
+
+    def _is_heard(self, table: str, outcome: Told) -> bool:
+        """Note whether the store answers; tell whether it has."""
+        is_reached = not isinstance(outcome, contract.Unavailable)
+        was_reached = self._reached_by_table.get(table)
+        if was_reached is not is_reached:
+            self._reached_by_table[table] = is_reached
+            before = "unknown" if was_reached is None else _reached(was_reached)
+            reason = outcome.reason if isinstance(outcome, contract.Unavailable) else "answered"
+            logs.state_changed(
+                "store", before, _reached(is_reached), table=table, reason=logs.slug(reason)
+            )
+        if is_reached:
+            self.heard_at_by_table[table] = self._clock.now()
+        return is_reached
+
+    def _take_configuration(self, document: bytes, source: str) -> None:
+        try:
+            configuration = manifest.decode(document)
+        except codederrors.CodedError as error:
+            self._note_problem(error)
+            return
+        before = self.versions().configuration
+        if configuration.revision <= before:
+            return
+        self.problem = None
+        self._document = document
+        self._current.routes = views.RouteView(configuration)
+        logs.state_changed("config", str(before), str(configuration.revision), source=source)
+        self._configured()
+
+    def _note_problem(self, error: codederrors.CodedError) -> None:
+        logs.state_changed(
+            "config_problem", self.problem or "none", error.code, reason=logs.slug(error.detail)
+        )
+        self.problem = error.code
+
+    def _take_snapshot(self, snapshot: contract.Snapshot, source: str) -> None:
+        if snapshot.version < self._replicas.version:
+            return
+        changes = self._replicas.replace(self._decoded(snapshot.rows), snapshot.version)
+        self._row_by_key = {row.key: row for row in snapshot.rows}
+        self._report(changes, source)
+
+    def _take_changes(self, changes: contract.Changes) -> None:
+        for row in changes.present:
+            self._row_by_key[row.key] = row
+        for key in changes.gone:
+            self._row_by_key.pop(key, None)
+        made = self._replicas.update(
+            self._decoded(changes.present),
+            [replicarows.replica_id(key) for key in changes.gone],
+            changes.newest,
+        )
+        self._report(made, STORE)
+
+    def _decoded(
+        self, rows: collections.abc.Iterable[contract.Row]
+    ) -> list[replicamodels.Replica]:
+        """Return the entries that can be read; the others are named in the log."""
+        replicas = []
+        for row in rows:
+            try:
+                replicas.append(replicarows.decode(row))
+            except codederrors.CodedError as error:
+                logs.state_changed(
+                    "replica_entry", "unread", error.code, reason=logs.slug(error.detail)
+                )
+        return replicas
+
+    def _report(self, changes: tuple[replicalist.ListChange, ...], source: str) -> None:
+        for change in changes:
+            if change.what != "changed":
+                logs.state_changed(
+                    "replica",
+                    "listed" if change.what != "added" else "unknown",
+                    change.what,
+                    replica=change.replica.id,
+                    service=change.replica.service,
+                    address=change.replica.address,
+                    domain=change.replica.failure_domain,
+                    sequence=self._replicas.version,
+                    source=source,
+                )
+        if changes:
+            self._list_changed(changes)
+
+
+def _reached(is_reached: bool) -> str:
+    return "reached" if is_reached else "lost"
--- /dev/null
+++ b/hornbeamglade/entry/instance.py
@@ -0,0 +1,357 @@
+"""One entry instance: its parts and how they hang together."""
+
+import collections.abc
+import hashlib
+import json
+import random
+
+from hornbeamglade.admission import (
+    margincontrol,
+    promptbacklog,
+    replicaadmission,
+    tokenledger,
+)
+from hornbeamglade.core import clocks
+from hornbeamglade.engines import models as enginemodels
+from hornbeamglade.engines import reportpoller
+from hornbeamglade.entry import (
+    callershandler,
+    controlhandler,
+    directory,
+    following,
+    peering,
+    settings,
+    sharing,
+)
+from hornbeamglade.exchange import codec
+from hornbeamglade.fairness import queuesettings
+from hornbeamglade.grants import deskset, grantseeker
+from hornbeamglade.http1 import clientpool
+from hornbeamglade.lengths import lengthmodel
+from hornbeamglade.membership import draining, introduction
+from hornbeamglade.membership import view as membershipview
+from hornbeamglade.node import digestbook
+from hornbeamglade.observability import logs, metrics
+from hornbeamglade.platform import enginecalls, requestdialect
+from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.replicas import replicalist
+from hornbeamglade.routed import (
+    enginebook,
+    handover,
+    plainexchange,
+    replicaload,
+    retrybudget,
+    runregistry,
+    sending,
+    streamrun,
+    views,
+)
+from hornbeamglade.routing import candidates
+from hornbeamglade.store import contract
+
+TICK_S = 0.05
+REPORT_LAG_S = 0.5
+"""How old an engine's report is when it comes, as measured on the operators' engines."""
+
+ANNOUNCED_S = 2.0
+"""A planned stop is told to callers for so long: the time for which they keep an answer of
+the directory."""
+
+STOP_MARGIN_S = 0.4
+DEPARTED_S = 12.0
+"""Longer than a replica serves on that was taken from the list without a word."""
+
+HORIZONS = (0, 100, 250, 500)
+EXPECTED_ANSWER_TOKENS = 400
+PLACEMENT_S = 0.35
+"""What a request that was just placed adds to an engine's wait: the time to read a prompt
+of some 2,500 tokens."""
+
+COMPARED_ENGINES = 8
+"""Engines of other owners that a request compares. Their word is half a second old at most
+and their owners grant what is really free, so few of many requests are sent away."""
+
+
+class EntryInstance(controlhandler.Answers):
+    """The parts of one entry instance, on one event loop.
+
+    :param told: its settings.
+    :param clock: monotonic and wall time.
+    """
+
+    def __init__(self, told: settings.Settings, clock: clocks.Clock) -> None:
+        self._told = told
+        self._clock = clock
+        self.incarnation = int(clock.wall() * 1000)
+        self.instruments = metrics.NodeMetrics()
+        rng = random.Random(self.incarnation ^ hash(told.name))
+        self._views = views.Views()
+        self._replicas = replicalist.ReplicaList()
+        self._lengths = lengthmodel.LengthModel()
+        self._desks = deskset.DeskSet(clock, self._lengths)
+        digests = digestbook.DigestBook(clock)
+        self.following = following.Following(
+            self._views, self._replicas, clock, self._list_changed, self._configured
+        )
+        documents = sharing.SharedDocuments(
+            self.following.versions, self.following.read, self.following.take, clock
+        )
+        exchange = f"{told.host}:{told.exchange_ports[0]}"
+        self.identity = membershipview.Identity(
+            told.name, told.failure_domain, told.listen.callers, exchange
+        )
+        self.peering = peering.Peering(
+            self.identity,
+            self.incarnation,
+            exchange_keys(told.store),
+            clock,
+            self._desks,
+            digests,
+            self._owned_places,
+            documents,
+            _member_changed,
+            lambda replica_id: self._engine_leaves(replica_id, "peer"),
+            _message_failed,
+        )
+        self._pool = clientpool.ClientPool(clock)
+        self._words = requestdialect.PlatformDialect()
+        self._sender = sending.Sender(self._pool, self._words, clock)
+        self._loads = replicaload.ReplicaLoads(clock, rng)
+        self._budgets = retrybudget.RetryBudgets(_budget(told))
+        engine_calls = enginecalls.EngineCalls(self._pool)
+        self._registry = runregistry.RunRegistry()
+        book = enginebook.EngineBook(self._replicas, self._desks, digests, self.peering.owned)
+        seeker = grantseeker.GrantSeeker(
+            clock,
+            self._desks,
+            self.peering.grants,
+            self.peering,
+            rng,
+            candidates.RoutingSettings(
+                failure_domain=told.failure_domain,
+                expected_answer_tokens=EXPECTED_ANSWER_TOKENS,
+                samples=COMPARED_ENGINES,
+                prefill_tokens_per_s=promptbacklog.PromptSettings().tokens_per_s,
+                placement_s=PLACEMENT_S,
+            ),
+        )
+        moves = handover.HandoverParts(engine_calls, seeker, self.peering.turns, book, clock)
+        runs = streamrun.RunParts(
+            self._sender, seeker, book, moves, self._registry, self._budgets, self._learn, clock
+        )
+        plain = plainexchange.PlainExchange(
+            self._replicas, self._sender, self._loads, self._budgets, clock
+        )
+        self.callers = callershandler.CallersHandler(
+            callershandler.HandlerParts(
+                self._words, self._views, plain, runs, self._budgets, self.instruments, clock
+            )
+        )
+        self.poller = reportpoller.ReportPoller(
+            engine_calls, self._owned_engines, self._reported, clock
+        )
+        self.draining = draining.Draining(
+            ANNOUNCED_S, spread_s=0.0, hard_limit_s=told.bounds.stop_s - STOP_MARGIN_S
+        )
+        self._report_count_by_replica: dict[str, int] = {}
+        self._departed_at_by_replica: dict[str, float] = {}
+        self._leaving: set[str] = set()
+
+    def is_ready(self) -> bool:
+        """Tell whether the instance takes callers."""
+        return self._views.routes is not None and not self.is_leaving
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.draining.step(self._clock.now(), 1).phase is not draining.Phase.SERVING
+
+    def addresses(self, failure_domain: str, region: str) -> tuple[str, ...]:
+        """Return where a caller is to connect."""
+        return directory.addresses(
+            self.peering.heartbeats.members(),
+            self._told.name,
+            self.is_ready(),
+            failure_domain,
+            region,
+            self._told.region_by_failure_domain,
+        )
+
+    def metrics(self) -> bytes:
+        """Return the instruments in text."""
+        return self.instruments.exposition()
+
+    def members(self) -> bytes:
+        """Return the instances that this one knows, for one that starts."""
+        return introduction.page(self.peering.heartbeats.members())
+
+    def status(self) -> bytes:
+        """Return the status page as JSON."""
+        versions = self.following.versions()
+        page = {
+            "name": self._told.name,
+            "failure_domain": self._told.failure_domain,
+            "state": "ready" if self.is_ready() else "unready",
+            "config_revision": versions.configuration,
+            "config_problem": self.following.problem,
+            "list_version": versions.replicas,
+        }
+        return json.dumps(page).encode()
+
+    def tick(self) -> None:
+        """Do what is due; several times a second."""
+        self.peering.tick()
+        self._desks.settle()
+
+    def tidy(self) -> None:
+        """Forget what is gone; every second or so."""
+        present = self._replicas.by_id
+        self._pool.forget(frozenset(each.address for each in present.values()))
+        self._loads.forget(present)
+        self._forget_departed()
+        # Killed instances come back under their names: their part is not given away.
+        self._budgets.share_slack(len(self.peering.heartbeats.members()))
+
+    def _forget_departed(self) -> None:
+        now = self._clock.now()
+        for replica_id in tuple(self._replicas.departed_by_id):
+            since = self._departed_at_by_replica.setdefault(replica_id, now)
+            if now - since > DEPARTED_S:
+                self._replicas.forget_departed(replica_id)
+                del self._departed_at_by_replica[replica_id]
+
+    def introduced(self, listed: tuple[contract.Instance, ...]) -> None:
+        """Take the instances' own list of themselves."""
+        self.peering.heartbeats.listed(listed)
+
+    def _engines(self) -> collections.abc.Iterator[replicamodels.Replica]:
+        view = self._views.routes
+        if view is None:
+            return
+        for name, service in view.configuration.service_by_name.items():
+            if service.engine is not None:
+                yield from self._replicas.of_service(name)
+
+    def _owned_places(self) -> collections.abc.Iterator[replicamodels.Replica]:
+        """Return what has an owner: runs leave an engine in turn also when it is not listed."""
+        yield from self._engines()
+        yield from self._replicas.departed_by_id.values()
+
+    def _owned_engines(self) -> list[replicamodels.Replica]:
+        owned = self.peering.owned()
+        return [replica for replica in self._engines() if replica.id in owned]
+
+    def _configured(self) -> None:
+        view = self._views.routes
+        configuration = view.configuration
+        self.instruments.config_revision.set(configuration.revision)
+        self.peering.names.services.replace(route.name for route in configuration.routes)
+        self.peering.names.teams.replace(["", *(team.name for team in configuration.teams)])
+        self._take_engines()
+
+    def _list_changed(self, changes: tuple[replicalist.ListChange, ...]) -> None:
+        self._take_engines()
+        for change in changes:
+            if change.what in ("leaving", "gone"):
+                self._engine_leaves(change.replica.id, "list")
+            elif change.what == "added":
+                # An entry that lapsed while the store was away, of an engine that lives.
+                self._leaving.discard(change.replica.id)
+
+    def _take_engines(self) -> None:
+        view = self._views.routes
+        if view is None:
+            return
+        engines = list(self._engines())
+        self.peering.names.replicas.replace(engine.id for engine in engines)
+        service_by_name = view.configuration.service_by_name
+        self._desks.configure(
+            {engine.id: _desk_spec(service_by_name[engine.service].engine) for engine in engines}
+        )
+        self.peering.update_owners()
+
+    def _reported(
+        self, replica: replicamodels.Replica, report: enginemodels.EngineReport | None
+    ) -> None:
+        """Take what an owned engine says of itself."""
+        if report is None:
+            return
+        count = self._report_count_by_replica.get(replica.id, 0) + 1
+        self._report_count_by_replica[replica.id] = count
+        load = tokenledger.LoadView(
+            sequence=count,
+            age_s=REPORT_LAG_S,
+            capacity_tokens=report.memory_tokens,
+            used_tokens=report.used_tokens,
+        )
+        leaving = report.is_leaving or not self._replicas.is_usable(replica.id)
+        self._desks.change(replica.id, lambda desk, now: desk.reported(load, leaving, now))
+        if report.is_leaving and replica.id not in self._leaving:
+            self._engine_leaves(replica.id, "report")
+            self.peering.heartbeats.announce()
+
+    def _engine_leaves(self, replica_id: str, source: str) -> None:
+        """Take the word that an engine is about to stop, and move its runs away.
+
+        Explanation
+        ===========
+
+        The platform's list tells it first. While the store is away only the engine's own
+        report does, half a second later; its owner then tells the other instances.
+        """
+        if replica_id in self._leaving:
+            return
+        self._leaving.add(replica_id)
+        runs = self._registry.count(replica_id)
+        logs.state_changed(
+            "engine", "serving", "leaving", replica=replica_id, source=source, count=runs
+        )
+        self._desks.leave(replica_id)
+        self._registry.replica_leaves(replica_id)
+
+    def _learn(self, service: str, team: str, tokens: int, is_cut: bool) -> None:
+        self._desks.learn(service, team, tokens, censored=is_cut)
+
+
+def exchange_keys(store: str) -> codec.KeyRing:
+    """Return the keys that sign what instances exchange.
+
+    Explanation
+    ===========
+
+    The platform hands out no secret, and the ports between instances are open to them
+    only. The key is made from the address of the store that they share: it keeps frames
+    of another deployment apart, and no more.
+    """
+    return codec.KeyRing(1, {1: hashlib.blake2b(store.encode(), digest_size=32).digest()})
+
+
+def _budget(told: settings.Settings) -> retrybudget.BudgetSettings:
+    return retrybudget.BudgetSettings(told.budget.ratio, told.budget.slack, told.budget.window_s)
+
+
+def _desk_spec(engine) -> deskset.DeskSpec:
+    return deskset.DeskSpec(
+        memory_tokens=engine.memory_tokens,
+        admission=replicaadmission.AdmissionSettings(
+            horizons=HORIZONS,
+            max_running=engine.slots,
+            margin=margincontrol.MarginSettings(start=1.0, least=0.7),
+        ),
+        queue=queuesettings.WaitingSettings(min_retry_s=0.3, max_retry_s=3.0),
+    )
+
+
+def _member_changed(change: membershipview.StateChange) -> None:
+    before = "unknown" if change.before is None else change.before.name.lower()
+    logs.state_changed(
+        "member",
+        before,
+        change.member.state.name.lower(),
+        node=change.member.identity.name,
+        incarnation=change.member.incarnation,
+    )
+
+
+def _message_failed(error: Exception, where: str) -> None:
+    logs.failed(where, error)
--- /dev/null
+++ b/hornbeamglade/entry/peering.py
@@ -0,0 +1,183 @@
+"""What an entry instance exchanges with the others: heartbeats, grants, turns, documents."""
+
+import collections.abc
+import random
+
+from hornbeamglade.core import clocks
+from hornbeamglade.entry import sharing
+from hornbeamglade.exchange import (
+    asyncasks,
+    asyncudp,
+    codec,
+    grantserver,
+    messages,
+    transport,
+)
+from hornbeamglade.grants import deskset, grantfinder, remotedesk, turntaker
+from hornbeamglade.membership import heartbeats, ownership
+from hornbeamglade.membership import view as membershipview
+from hornbeamglade.node import digestbook
+from hornbeamglade.replicas import models as replicamodels
+
+MOST_ROOM_TOKENS = 2**31 - 1
+
+Engines = collections.abc.Callable[[], collections.abc.Iterable[replicamodels.Replica]]
+
+
+class Peering(grantfinder.Owners):
+    """One instance's side of the exchange; to be used on its event loop only.
+
+    :param identity: this instance, as the others know it.
+    :param incarnation: this run of it; grows with each start.
+    :param keys: sign and check what is exchanged.
+    :param clock: monotonic and wall time.
+    :param desks: this instance's desks.
+    :param digests: takes what owners say.
+    :param engines: returns the engines of the platform's list.
+    :param documents: what instances read from one another.
+    :param changed: told of each change of an instance's state.
+    :param leaves: told of each engine that its owner says is about to stop.
+    :param failed: told of an error that a message caused here.
+    """
+
+    def __init__(
+        self,
+        identity: membershipview.Identity,
+        incarnation: int,
+        keys: codec.KeyRing,
+        clock: clocks.Clock,
+        desks: deskset.DeskSet,
+        digests: digestbook.DigestBook,
+        engines: Engines,
+        documents: sharing.SharedDocuments,
+        changed: collections.abc.Callable[[membershipview.StateChange], None],
+        leaves: collections.abc.Callable[[str], None],
+        failed: transport.Failed,
+    ) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._desks = desks
+        self._digests = digests
+        self._engines = engines
+        self._documents = documents
+        self._changed = changed
+        self._leaves = leaves
+        self._ownership = ownership.Ownership()
+        self.codec = codec.Codec(identity.name, incarnation, keys, clock)
+        self.transport = asyncudp.AsyncUdpTransport(self.codec, self._handle, failed)
+        self.grants = asyncasks.AsyncGrantClient(incarnation, self.transport, clock)
+        self.names = remotedesk.AskNames()
+        desk = remotedesk.RemoteDesk(desks, clock, self.names)
+        self._server = grantserver.GrantServer(desk, self.transport, clock)
+        desk.connect(self._server.push)
+        self.turns = turntaker.TurnTaker(identity.name, self, self.transport, clock)
+        self.heartbeats = heartbeats.Heartbeats(
+            identity,
+            incarnation,
+            self.transport,
+            clock,
+            random.Random(incarnation),
+            self._digest,
+        )
+
+    async def listen(self) -> None:
+        """Begin to receive."""
+        await self.transport.listen(transport.Endpoint.parse(self._identity.exchange))
+
+    def owner(self, replica: str) -> transport.Peer | None:
+        """Return the owner of a replica, or None when it is this instance."""
+        name = self._ownership.owner(replica)
+        if name is None or name == self._identity.name:
+            return None
+        return self.heartbeats.peer(name)
+
+    def owned(self) -> frozenset[str]:
+        """Return the replicas that this instance owns now."""
+        return self._ownership.owned_by(self._identity.name)
+
+    def unanswered(self, owner: str) -> None:
+        """Note that an owner left an ask unanswered."""
+        self.heartbeats.unanswered(owner)
+
+    def tick(self) -> None:
+        """Send what is due and take note of what changed; several times a second."""
+        for change in self.heartbeats.tick():
+            self._changed(change)
+            if change.member.state is messages.NodeState.GONE:
+                self._server.holder_gone(change.member.identity.name)
+        self._server.tick()
+        self.grants.tick()
+        self.turns.tick()
+        self.update_owners()
+        ask = self._documents.due(self.heartbeats.live(), self._identity.name)
+        if ask is not None:
+            peer = self.heartbeats.peer(ask.node)
+            if peer is not None:
+                self.transport.send(peer, ask.message)
+
+    def update_owners(self) -> None:
+        """Share the engines of the list among the instances that live."""
+        members = self.heartbeats.owners()
+        nodes = [
+            ownership.Place(each.identity.name, each.identity.failure_domain) for each in members
+        ]
+        engines = [ownership.Place(each.id, each.failure_domain) for each in self._engines()]
+        moves = self._ownership.update(engines, nodes)
+        if not moves:
+            return
+        self._desks.own(self.owned())
+        for move in moves:
+            peer = None if move.after is None else self.heartbeats.peer(move.after)
+            if peer is not None and move.after != self._identity.name:
+                self.grants.redirect(move.replica, peer)
+
+    def _digest(self) -> heartbeats.Digest:
+        owned = self.owned()
+        states = self._desks.states()
+        replicas = tuple(
+            _replica_digest(state) for name, state in sorted(states.items()) if name in owned
+        )
+        versions = self._documents.versions()
+        return heartbeats.Digest(versions.configuration, replicas, versions.replicas)
+
+    def _handle(
+        self, message: messages.Message, sender: codec.Sender, source: transport.Endpoint
+    ) -> None:
+        peer = transport.Peer(sender.name, source)
+        if isinstance(message, messages.Heartbeat):
+            # A heartbeat that was overtaken must not put older figures back.
+            if self.heartbeats.heard(message, sender, source):
+                self._digests.hear(sender.name, message.replicas)
+                self._hear_leaving(message.replicas)
+        elif isinstance(message, messages.GrantAsk):
+            self._server.asked(message, sender, source)
+        elif isinstance(message, messages.GrantAnswer):
+            self.grants.answered(message, sender, source)
+        elif isinstance(message, messages.Progress):
+            self._server.progressed(message, sender, source)
+        elif isinstance(message, messages.MoveTurn):
+            self.turns.heard(message, sender, source)
+        elif isinstance(message, messages.ConfigAsk):
+            offer = self._documents.asked(message)
+            if offer is not None:
+                self.transport.send(peer, offer)
+        elif isinstance(message, messages.ConfigOffer):
+            ask = self._documents.offered(message)
+            if ask is not None:
+                self.transport.send(peer, ask)
+
+    def _hear_leaving(self, digests: tuple[messages.ReplicaDigest, ...]) -> None:
+        for digest in digests:
+            name = self.names.replicas.find(digest.replica) if digest.leaving else None
+            if name is not None:
+                self._leaves(name)
+
+
+def _replica_digest(state: deskset.DeskState) -> messages.ReplicaDigest:
+    return messages.ReplicaDigest(
+        replica=messages.key_hash(state.replica),
+        room_tokens=max(0, min(MOST_ROOM_TOKENS, int(state.room_tokens))),
+        queued=state.waiting,
+        expected_wait_ms=int(state.expected_wait_s * 1000),
+        leaving=state.leaving,
+    )
--- /dev/null
+++ b/hornbeamglade/entry/sharing.py
@@ -0,0 +1,178 @@
+"""What instances read from one another when the platform's store turns some of them away.
+
+Explanation
+===========
+
+Each heartbeat tells the revision of the configuration and the version of the list of
+replicas that its sender has. An instance that stays behind for longer than the store's
+own way takes asks an instance that is ahead for the whole document, chunk by chunk. Both
+documents are the store's own rows, so the receiver takes them as if it had read them, and
+only when they are newer than what it has.
+"""
+
+import collections.abc
+import dataclasses
+import zlib
+
+from hornbeamglade.core import clocks
+from hornbeamglade.exchange import configchunks, messages
+from hornbeamglade.membership import view as membershipview
+
+BEHIND_S = 0.3
+"""The store tells a change to all instances within some ten milliseconds of one another."""
+
+ASK_AGAIN_S = 0.25
+MAX_DOCUMENT_BYTES = 16_777_216
+
+_SUBJECTS = (messages.Subject.CONFIGURATION, messages.Subject.REPLICAS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Versions:
+    """What an instance has.
+
+    :param configuration: the revision in force, or 0.
+    :param replicas: the version of the list of replicas, or 0.
+    """
+
+    configuration: int = 0
+    replicas: int = 0
+
+    def of(self, subject: messages.Subject) -> int:
+        """Return the version of one document."""
+        if subject is messages.Subject.CONFIGURATION:
+            return self.configuration
+        return self.replicas
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A question to send.
+
+    :param node: the instance that is asked.
+    :param message: the question.
+    """
+
+    node: str
+    message: messages.ConfigAsk
+
+
+@dataclasses.dataclass(slots=True)
+class _Pursuit:
+    """A newer document that this instance wants."""
+
+    version: int
+    since: float
+    assembly: configchunks.Assembly | None = None
+    asked_at: float = float("-inf")
+
+
+Take = collections.abc.Callable[[messages.Subject, int, bytes], None]
+Read = collections.abc.Callable[[messages.Subject], bytes | None]
+
+
+class SharedDocuments:
+    """Both documents of one instance, as the others may read them.
+
+    :param versions: returns what this instance has.
+    :param read: returns a document as it is in force, or None.
+    :param take: called with a document that was read from another instance.
+    :param clock: monotonic time.
+    """
+
+    def __init__(
+        self,
+        versions: collections.abc.Callable[[], Versions],
+        read: Read,
+        take: Take,
+        clock: clocks.Clock,
+    ) -> None:
+        self.versions = versions
+        self._read = read
+        self._take = take
+        self._clock = clock
+        self._pursuit_by_subject: dict[messages.Subject, _Pursuit] = {}
+        self._offers_by_subject: dict[
+            messages.Subject, tuple[int, tuple[messages.ConfigOffer, ...]]
+        ] = {}
+
+    def due(self, live: tuple[membershipview.Member, ...], own_name: str) -> Ask | None:
+        """Return a question that is due, given the instances that live."""
+        for subject in _SUBJECTS:
+            ask = self._due(subject, live, own_name)
+            if ask is not None:
+                return ask
+        return None
+
+    def asked(self, ask: messages.ConfigAsk) -> messages.ConfigOffer | None:
+        """Return the chunk that another instance asks for, or None."""
+        offers = self._offers(ask.subject)
+        if offers is None or offers[0] != ask.revision or ask.chunk >= len(offers[1]):
+            return None
+        return offers[1][ask.chunk]
+
+    def offered(self, offer: messages.ConfigOffer) -> messages.ConfigAsk | None:
+        """Take a chunk; return the question for the next one, or None at the end."""
+        pursuit = self._pursuit_by_subject.get(offer.subject)
+        if pursuit is None or pursuit.assembly is None or pursuit.version != offer.revision:
+            return None
+        document = pursuit.assembly.add(offer)
+        if document is None:
+            pursuit.asked_at = self._clock.now()
+            return pursuit.assembly.next_ask()
+        del self._pursuit_by_subject[offer.subject]
+        self._take(offer.subject, offer.revision, _inflated(document))
+        return None
+
+    def _due(
+        self,
+        subject: messages.Subject,
+        live: tuple[membershipview.Member, ...],
+        own_name: str,
+    ) -> Ask | None:
+        now = self._clock.now()
+        ahead = [
+            (_told(member, subject), member.identity.name)
+            for member in live
+            if member.heartbeat is not None and member.identity.name != own_name
+        ]
+        version, node = max(ahead, default=(0, ""))
+        if version <= self.versions().of(subject):
+            self._pursuit_by_subject.pop(subject, None)
+            return None
+        pursuit = self._pursuit_by_subject.get(subject)
+        if pursuit is None:
+            pursuit = self._pursuit_by_subject[subject] = _Pursuit(version, now)
+        if now - pursuit.since < BEHIND_S or now - pursuit.asked_at < ASK_AGAIN_S:
+            return None
+        if pursuit.assembly is None or pursuit.version != version:
+            pursuit.version = version
+            pursuit.assembly = configchunks.Assembly(version, subject)
+        pursuit.asked_at = now
+        question = pursuit.assembly.next_ask()
+        return None if question is None else Ask(node, question)
+
+    def _offers(
+        self, subject: messages.Subject
+    ) -> tuple[int, tuple[messages.ConfigOffer, ...]] | None:
+        version = self.versions().of(subject)
+        made = self._offers_by_subject.get(subject)
+        if made is not None and made[0] == version:
+            return made
+        document = self._read(subject)
+        if document is None:
+            return None
+        offers = configchunks.split(version, zlib.compress(document), subject)
+        self._offers_by_subject[subject] = (version, offers)
+        return self._offers_by_subject[subject]
+
+
+def _told(member: membershipview.Member, subject: messages.Subject) -> int:
+    if subject is messages.Subject.CONFIGURATION:
+        return member.heartbeat.config_revision
+    return member.heartbeat.list_version
+
+
+def _inflated(document: bytes) -> bytes:
+    # A peer with a fault must not fill this instance's memory by a few bytes.
+    return zlib.decompressobj().decompress(document, MAX_DOCUMENT_BYTES)
--- a/hornbeamglade/exchange/asks.py
+++ b/hornbeamglade/exchange/asks.py
@@ -145,6 +145,14 @@
         ask = self._ask_by_number.get(number)
         return ask.outcome if ask else None
 
+    def owner(self, number: int) -> str:
+        """Return the name of the node that an ask goes to."""
+        return self._ask_by_number[number].peer.name
+
+    def was_heard(self, number: int) -> bool:
+        """Tell whether the owner has answered the ask at all."""
+        return self._ask_by_number[number].state is not _State.UNANSWERED
+
     def wake_at(self, number: int) -> float:
         """Return when :meth:`due` wants to be called next for an open ask."""
         ask = self._ask_by_number[number]
--- /dev/null
+++ b/hornbeamglade/exchange/asyncudp.py
@@ -0,0 +1,66 @@
+"""Datagrams between nodes on an event loop."""
+
+import asyncio
+
+from hornbeamglade.core import codederrors
+from hornbeamglade.exchange import codec, messages, transport
+
+
+class AsyncUdpTransport(transport.Transport, asyncio.DatagramProtocol):
+    """One UDP socket of an event loop; to be used on the loop's thread only.
+
+    :param frames: this node's codec.
+    :param handler: called with each message, its sender and the endpoint it came from;
+        it must not block.
+    :param failed: told of an error that a message caused here.
+    """
+
+    def __init__(
+        self, frames: codec.Codec, handler: transport.Handler, failed: transport.Failed
+    ) -> None:
+        self._codec = frames
+        self._handler = handler
+        self._failed = failed
+        self._socket: asyncio.DatagramTransport | None = None
+        self.traffic = transport.Counts()
+
+    async def listen(self, endpoint: transport.Endpoint) -> transport.Endpoint:
+        """Bind the socket; return where it receives."""
+        loop = asyncio.get_running_loop()
+        address = (endpoint.host, endpoint.port)
+        self._socket, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        host, port = self._socket.get_extra_info("sockname")[:2]
+        return transport.Endpoint(host, port)
+
+    def close(self) -> None:
+        """Stop receiving and close the socket."""
+        if self._socket is not None:
+            self._socket.close()
+
+    def send(self, peer: transport.Peer, message: messages.Message) -> None:
+        """Send ``message`` to ``peer``; lost before :meth:`listen`."""
+        if self._socket is None or self._socket.is_closing():
+            return
+        frame = self._codec.encode(peer.name, message)
+        self._socket.sendto(frame, (peer.endpoint.host, peer.endpoint.port))
+        self.traffic.bytes_out += len(frame)
+        self.traffic.messages_out += 1
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take one datagram."""
+        self.traffic.bytes_in += len(data)
+        self.traffic.messages_in += 1
+        outcome = self._codec.decode(data)
+        if isinstance(outcome, codec.Dropped):
+            return
+        try:
+            self._handler(outcome.message, outcome.sender, transport.Endpoint(*addr))
+        except codederrors.InvariantError:
+            raise
+        except Exception as error:  # noqa: BLE001
+            # The socket goes on: a node that no longer hears looks dead to all.
+            self._failed(error, type(outcome.message).__name__)
+
+    def error_received(self, exc: Exception) -> None:
+        """Count an earlier datagram that met a closed port; the socket is still good."""
+        self.traffic.send_failures += 1
--- a/hornbeamglade/exchange/configchunks.py
+++ b/hornbeamglade/exchange/configchunks.py
@@ -17,11 +17,16 @@
 MAX_DOCUMENT_BYTES = messages.MAX_CHUNKS * messages.MAX_CHUNK_BYTES
 
 
-def split(revision: int, document: bytes) -> tuple[messages.ConfigOffer, ...]:
+def split(
+    revision: int,
+    document: bytes,
+    subject: messages.Subject = messages.Subject.CONFIGURATION,
+) -> tuple[messages.ConfigOffer, ...]:
     """Cut a document into offers.
 
     :param revision: the revision of the document.
     :param document: its bytes, at most :data:`MAX_DOCUMENT_BYTES`.
+    :param subject: which document it is.
     :raises CodedError: ``config_document_too_large`` when it is larger.
 
     Examples
@@ -38,7 +43,7 @@
     parts = [document[start : start + size] for start in range(0, len(document), size)] or [b""]
     digest = hashlib.sha256(document).digest()
     return tuple(
-        messages.ConfigOffer(revision, digest, chunk, len(parts), part)
+        messages.ConfigOffer(revision, digest, chunk, len(parts), part, subject)
         for chunk, part in enumerate(parts)
     )
 
@@ -56,12 +61,16 @@
     1500
     """
 
-    def __init__(self, revision: int) -> None:
+    def __init__(
+        self, revision: int, subject: messages.Subject = messages.Subject.CONFIGURATION
+    ) -> None:
         """Begin with nothing.
 
         :param revision: the wanted revision; offers of others are ignored.
+        :param subject: which document it is.
         """
         self._revision = revision
+        self._subject = subject
         self._source: tuple[bytes, int] | None = None
         self._content_by_chunk: dict[int, bytes] = {}
 
@@ -70,14 +79,14 @@
         chunks = self._source[1] if self._source else 1
         missing = (chunk for chunk in range(chunks) if chunk not in self._content_by_chunk)
         chunk = next(missing, None)
-        return None if chunk is None else messages.ConfigAsk(self._revision, chunk)
+        return None if chunk is None else messages.ConfigAsk(self._revision, chunk, self._subject)
 
     def add(self, offer: messages.ConfigOffer) -> bytes | None:
         """Take one chunk.
 
         :returns: the whole document once it is complete and matches its digest.
         """
-        if offer.revision != self._revision:
+        if (offer.revision, offer.subject) != (self._revision, self._subject):
             return None
         source = (offer.digest, offer.chunks)
         # Guards against a mix of two documents, when peers disagree about what
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -16,6 +16,7 @@
     configHint @9 :ConfigHint;
     configAsk @10 :ConfigAsk;
     configOffer @11 :ConfigOffer;
+    moveTurn @12 :MoveTurn;
   }
 }
 
@@ -31,6 +32,7 @@
   demands @8 :List(TeamDemand);
   rumours @9 :List(Rumour);
   refutation @10 :UInt32;
+  listVersion @11 :UInt64;
 }
 
 struct ReplicaDigest {
@@ -65,6 +67,7 @@
   maxTokens @6 :UInt32;
   weight @7 :Float32;
   deadlineMs @8 :UInt32;
+  produced @9 :UInt32;
 }
 
 struct GrantAnswer {
@@ -95,9 +98,17 @@
   revision @0 :UInt64;
 }
 
+struct MoveTurn {
+  kind @0 :UInt8;
+  replica @1 :UInt64;
+  run @2 :UInt64;
+  tokens @3 :UInt32;
+}
+
 struct ConfigAsk {
   revision @0 :UInt64;
   chunk @1 :UInt16;
+  subject @2 :UInt8;
 }
 
 struct ConfigOffer {
@@ -106,4 +117,5 @@
   chunk @2 :UInt16;
   chunks @3 :UInt16;
   content @4 :Data;
+  subject @5 :UInt8;
 }
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -136,6 +136,8 @@
         :data:`DEMANDS_EVERY` divides; none in the others.
     :param rumours: recent changes of state of other nodes.
     :param refutation: grows each time the sender hears that it is held for dead.
+    :param list_version: the version of the platform's list of replicas that the sender
+        has, or 0.
     """
 
     state: NodeState
@@ -149,6 +151,7 @@
     demands: tuple[TeamDemand, ...] = ()
     rumours: tuple[Rumour, ...] = ()
     refutation: int = 0
+    list_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,6 +167,8 @@
     :param max_tokens: the caller's bound on the answer, or None.
     :param weight: the team's share when the owner divides a crowded replica.
     :param deadline_ms: milliseconds that the request may still queue.
+    :param produced: tokens of the answer that a run has already, which is to go on at
+        this replica; 0 for a new one.
     """
 
     ask: int
@@ -175,6 +180,7 @@
     max_tokens: int | None
     weight: float
     deadline_ms: int
+    produced: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -230,6 +236,38 @@
     returned: tuple[GrantReturn, ...] = ()
 
 
+class TurnKind(enum.IntEnum):
+    """What a message says of a run's turn to leave a replica."""
+
+    ASK = 0
+    GO = 1
+    DONE = 2
+    WAIT = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveTurn:
+    """The order in which runs leave a replica that is about to stop.
+
+    :param kind: asked by a run's node; given, or put off, by the replica's owner; done with.
+    :param replica: :func:`key_hash` of the replica's name.
+    :param run: :func:`key_hash` of the request's id.
+    :param tokens: memory that the run holds, as its node asks.
+    """
+
+    kind: TurnKind
+    replica: int
+    run: int
+    tokens: int = 0
+
+
+class Subject(enum.IntEnum):
+    """What nodes read from one another when the platform's store turns them away."""
+
+    CONFIGURATION = 0
+    REPLICAS = 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigHint:
     """A newer configuration revision exists; the recipient should read it."""
@@ -243,10 +281,12 @@
 
     :param revision: the revision wanted.
     :param chunk: the chunk wanted, from 0.
+    :param subject: which document is meant.
     """
 
     revision: int
     chunk: int
+    subject: Subject = Subject.CONFIGURATION
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -258,6 +298,7 @@
     :param chunk: the place of this chunk, from 0.
     :param chunks: how many chunks the document has.
     :param content: this chunk's bytes.
+    :param subject: which document it belongs to.
     """
 
     revision: int
@@ -265,6 +306,9 @@
     chunk: int
     chunks: int
     content: bytes
+    subject: Subject = Subject.CONFIGURATION
 
 
-Message = Heartbeat | GrantAsk | GrantAnswer | Progress | ConfigHint | ConfigAsk | ConfigOffer
+Message = (
+    Heartbeat | GrantAsk | GrantAnswer | Progress | MoveTurn | ConfigHint | ConfigAsk | ConfigOffer
+)
--- a/hornbeamglade/exchange/transport.py
+++ b/hornbeamglade/exchange/transport.py
@@ -90,6 +90,18 @@
         """Send ``message``; losses are not reported."""
 
 
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """What a transport of an event loop has carried since its start."""
+
+    bytes_in: int = 0
+    bytes_out: int = 0
+    messages_in: int = 0
+    messages_out: int = 0
+    send_failures: int = 0
+
+
+Failed = collections.abc.Callable[[Exception, str], None]
 Handler = collections.abc.Callable[[messages.Message, codec.Sender, Endpoint], None]
 
 
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -75,6 +75,7 @@
     builder.beat = message.beat
     builder.refutation = message.refutation
     builder.configRevision = message.config_revision
+    builder.listVersion = message.list_version
     builder.failureDomain = checked_name(message.failure_domain)
     builder.address = checked_name(message.address)
     builder.exchange = checked_name(message.exchange)
@@ -112,6 +113,7 @@
         beat=reader.beat,
         refutation=reader.refutation,
         config_revision=reader.configRevision,
+        list_version=reader.listVersion,
         failure_domain=checked_name(reader.failureDomain),
         address=checked_name(reader.address),
         exchange=checked_name(reader.exchange),
@@ -150,6 +152,7 @@
     builder.maxTokens = _clip(message.max_tokens or 0)
     builder.weight = message.weight
     builder.deadlineMs = _clip(message.deadline_ms)
+    builder.produced = _clip(message.produced)
 
 
 def _read_ask(reader: _Reader) -> messages.GrantAsk:
@@ -166,6 +169,7 @@
         max_tokens=reader.maxTokens or None,
         weight=weight,
         deadline_ms=reader.deadlineMs,
+        produced=reader.produced,
     )
 
 
@@ -216,6 +220,19 @@
     )
 
 
+def _fill_turn(builder: _Builder, message: messages.MoveTurn) -> None:
+    builder.kind = int(message.kind)
+    builder.replica = message.replica
+    builder.run = message.run
+    builder.tokens = _clip(message.tokens)
+
+
+def _read_turn(reader: _Reader) -> messages.MoveTurn:
+    return messages.MoveTurn(
+        messages.TurnKind(reader.kind), reader.replica, reader.run, reader.tokens
+    )
+
+
 def _fill_hint(builder: _Builder, message: messages.ConfigHint) -> None:
     builder.revision = message.revision
 
@@ -227,10 +244,11 @@
 def _fill_config_ask(builder: _Builder, message: messages.ConfigAsk) -> None:
     builder.revision = message.revision
     builder.chunk = message.chunk
+    builder.subject = int(message.subject)
 
 
 def _read_config_ask(reader: _Reader) -> messages.ConfigAsk:
-    return messages.ConfigAsk(reader.revision, reader.chunk)
+    return messages.ConfigAsk(reader.revision, reader.chunk, messages.Subject(reader.subject))
 
 
 def _fill_offer(builder: _Builder, message: messages.ConfigOffer) -> None:
@@ -240,6 +258,7 @@
     builder.chunk = message.chunk
     builder.chunks = message.chunks
     builder.content = message.content
+    builder.subject = int(message.subject)
 
 
 def _read_offer(reader: _Reader) -> messages.ConfigOffer:
@@ -250,7 +269,10 @@
         raise ValueError("digest of a wrong length")
     if not reader.chunk < reader.chunks <= messages.MAX_CHUNKS:
         raise ValueError("chunk out of bounds")
-    return messages.ConfigOffer(reader.revision, digest, reader.chunk, reader.chunks, content)
+    subject = messages.Subject(reader.subject)
+    return messages.ConfigOffer(
+        reader.revision, digest, reader.chunk, reader.chunks, content, subject
+    )
 
 
 class _Form(typing.NamedTuple):
@@ -267,6 +289,7 @@
     _Form(messages.GrantAsk, "grantAsk", _fill_ask, _read_ask),
     _Form(messages.GrantAnswer, "grantAnswer", _fill_answer, _read_answer),
     _Form(messages.Progress, "progress", _fill_progress, _read_progress),
+    _Form(messages.MoveTurn, "moveTurn", _fill_turn, _read_turn),
     _Form(messages.ConfigHint, "configHint", _fill_hint, _read_hint),
     _Form(messages.ConfigAsk, "configAsk", _fill_config_ask, _read_config_ask),
     _Form(messages.ConfigOffer, "configOffer", _fill_offer, _read_offer),
--- a/hornbeamglade/grants/deskset.py
+++ b/hornbeamglade/grants/deskset.py
@@ -147,6 +147,16 @@
         self._tell(settled)
         return answer
 
+    def take_in(
+        self, replica: str, work: outcomes.Work, produced: int
+    ) -> replicadesk.Granted | outcomes.Refusal:
+        """Ask for a run that goes on from another replica; answered at once."""
+        with self._lock:
+            desk = self._desk(replica)
+            if desk is None:
+                return _unknown_replica(replica)
+            return desk.take_in(work, produced, self._clock.now())
+
     def progress(self, replica: str, request_id: str, produced: int) -> None:
         """Note how many tokens a running request has produced."""
         with self._lock:
@@ -231,7 +241,7 @@
         room_tokens=_room(desk, now),
         running=desk.running_count,
         waiting=desk.waiting_count,
-        expected_wait_s=desk.queue.expected_wait_s(now),
+        expected_wait_s=desk.expected_wait_s(now),
         leaving=desk.leaving,
     )
 
--- /dev/null
+++ b/hornbeamglade/grants/grantanswers.py
@@ -0,0 +1,74 @@
+"""What an owner's answers, and its silence, mean to the node that asked."""
+
+import dataclasses
+
+from hornbeamglade.core import outcomes
+from hornbeamglade.exchange import messages
+
+NO_REPLICA_RETRY_S = 2.0
+OWNER_SILENT = "owner_silent"
+TEAM_CODES = frozenset(("team_queue_full",))
+"""Refusals that are a team's own doing; they bear the same status at every owner."""
+
+TEAM_STATUS = 429
+MILLISECONDS = 1000
+
+
+def message(
+    work: outcomes.Work, replica: str, weight: float, wait_s: float, produced: int = 0
+) -> messages.GrantAsk:
+    """Return the ask for one replica.
+
+    :param wait_s: seconds that the request may still queue.
+    :param produced: tokens that a run has which is to go on there; 0 for a new one.
+    """
+    return messages.GrantAsk(
+        ask=0,
+        replica=messages.key_hash(replica),
+        service=messages.key_hash(work.service),
+        team=messages.key_hash(work.team),
+        priority=work.priority,
+        prompt_tokens=work.prompt_tokens,
+        max_tokens=work.max_tokens,
+        weight=weight,
+        deadline_ms=max(0, int(wait_s * MILLISECONDS)),
+        produced=produced,
+    )
+
+
+def refused_there(replica: str, answer: messages.GrantAnswer) -> outcomes.Refusal:
+    """Return the refusal that an owner gave."""
+    retry_after_s = answer.retry_after_ms / MILLISECONDS or None
+    detail = f"replica {replica} takes no more work now"
+    status = TEAM_STATUS if answer.code in TEAM_CODES else 503
+    return outcomes.Refusal(answer.code, status, detail, retry_after_s=retry_after_s)
+
+
+def no_answer(replica: str, owner: str) -> outcomes.Refusal:
+    """Return the refusal that stands for an owner's silence."""
+    detail = f"node {owner}, which admits to replica {replica}, did not answer"
+    return outcomes.Refusal(OWNER_SILENT, 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
+
+
+def gave_up(replica: str) -> outcomes.Refusal:
+    """Return the refusal of a request whose wait is over."""
+    detail = f"the request could not start on replica {replica} in time"
+    return outcomes.Refusal("queue_timeout", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
+
+
+def soonest(refused: list[outcomes.Refusal]) -> outcomes.Refusal:
+    """Return the refusal with the earliest time to come back."""
+    if not refused:
+        detail = "no replica that could serve the request is in use"
+        return outcomes.Refusal("no_replica", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
+    return min(refused, key=lambda each: each.retry_after_s or NO_REPLICA_RETRY_S)
+
+
+def sent_away(wait_s: float, refusal: outcomes.Refusal) -> outcomes.Refusal:
+    """Return a refusal whose time to come back lies within the caller's wait.
+
+    :param wait_s: what is left of the caller's time.
+    """
+    if refusal.retry_after_s is None:
+        return refusal
+    return dataclasses.replace(refusal, retry_after_s=min(refusal.retry_after_s, wait_s / 3))
--- a/hornbeamglade/grants/grantfinder.py
+++ b/hornbeamglade/grants/grantfinder.py
@@ -24,24 +24,17 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import asks, grantclient, messages, transport
-from hornbeamglade.grants import deskset, replicadesk
+from hornbeamglade.grants import deskset, grantanswers, replicadesk
 from hornbeamglade.routing import candidates, placements
 from hornbeamglade.routing import choice as choicelib
 
 LINK_CHECK_S = 0.25
-NO_REPLICA_RETRY_S = 2.0
-OWNER_SILENT = "owner_silent"
-TRANSIENT_CODES = frozenset((OWNER_SILENT, replicadesk.OWNER_MOVED))
-TEAM_CODES = frozenset(("team_queue_full",))
-"""Refusals that are a team's own doing; they bear the same status at every owner."""
-
-TEAM_STATUS = 429
+TRANSIENT_CODES = frozenset((grantanswers.OWNER_SILENT, replicadesk.OWNER_MOVED))
 SILENT_PAUSE_S = 0.2
 AT_ONCE_S = 0.06
 """An ask for a grant at once waits for one round trip, and hardly in a queue."""
 
 ROOMY_ASKS = 2
-MILLISECONDS = 1000
 
 
 class Owners(abc.ABC):
@@ -210,7 +203,7 @@
             refused.append(answer)
             if wish.is_gone() or self._clock.now() >= wish.deadline:
                 break
-        return _soonest(refused)
+        return grantanswers.soonest(refused)
 
     def find_room(self, wish: Wish, known: Known, waits_at: str | None) -> Grant | None:
         """Ask replicas that seem to have room for a grant at once.
@@ -303,7 +296,7 @@
         if answer is not None:
             return answer
         self._desks.finish(replica, wish.grant_id)
-        return _gave_up(replica)
+        return grantanswers.gave_up(replica)
 
     def _await_desk(
         self, wish: Wish, wait: _Wait, elsewhere: _Elsewhere
@@ -317,7 +310,8 @@
         self, wish: Wish, replica: str, owner: transport.Peer, known: Known | None
     ) -> Grant | outcomes.Refusal:
         elsewhere = _Elsewhere(self, wish, replica, known)
-        message = _message(wish, replica, self._clock.now())
+        wait_s = wish.deadline - self._clock.now()
+        message = grantanswers.message(wish.work, replica, wish.weight, wait_s)
         answer = self._client.ask(owner, message, elsewhere.waits_on)
         if elsewhere.grant is not None:
             if isinstance(answer, messages.GrantAnswer):
@@ -326,11 +320,11 @@
         if isinstance(answer, messages.GrantAnswer):
             if answer.kind is messages.GrantKind.GRANTED:
                 return self._activate(Grant(replica, wish.grant_id, self, answer.ask))
-            return _refused_there(replica, answer)
+            return grantanswers.refused_there(replica, answer)
         if isinstance(answer, asks.NoAnswer):
             self._owners.unanswered(owner.name)
-            return _no_answer(replica, owner.name)
-        return _gave_up(replica)
+            return grantanswers.no_answer(replica, owner.name)
+        return grantanswers.gave_up(replica)
 
     def _activate(self, grant: Grant) -> Grant:
         with self._lock:
@@ -341,42 +335,3 @@
         tokens = candidates.needed_tokens(work, self._settings)
         with self._lock:
             self._placements.placed(grant.replica, tokens, self._clock.now())
-
-
-def _message(wish: Wish, replica: str, now: float) -> messages.GrantAsk:
-    return messages.GrantAsk(
-        ask=0,
-        replica=messages.key_hash(replica),
-        service=messages.key_hash(wish.work.service),
-        team=messages.key_hash(wish.work.team),
-        priority=wish.work.priority,
-        prompt_tokens=wish.work.prompt_tokens,
-        max_tokens=wish.work.max_tokens,
-        weight=wish.weight,
-        deadline_ms=max(0, int((wish.deadline - now) * MILLISECONDS)),
-    )
-
-
-def _refused_there(replica: str, answer: messages.GrantAnswer) -> outcomes.Refusal:
-    retry_after_s = answer.retry_after_ms / MILLISECONDS or None
-    detail = f"replica {replica} takes no more work now"
-    status = TEAM_STATUS if answer.code in TEAM_CODES else 503
-    return outcomes.Refusal(answer.code, status, detail, retry_after_s=retry_after_s)
-
-
-def _no_answer(replica: str, owner: str) -> outcomes.Refusal:
-    detail = f"node {owner}, which admits to replica {replica}, did not answer"
-    return outcomes.Refusal(OWNER_SILENT, 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
-
-
-def _gave_up(replica: str) -> outcomes.Refusal:
-    detail = f"the request could not start on replica {replica} in time"
-    return outcomes.Refusal("queue_timeout", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
-
-
-def _soonest(refused: list[outcomes.Refusal]) -> outcomes.Refusal:
-    """Return the refusal with the earliest time to come back."""
-    if not refused:
-        detail = "no replica that could serve the request is in use"
-        return outcomes.Refusal("no_replica", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
-    return min(refused, key=lambda each: each.retry_after_s or NO_REPLICA_RETRY_S)
--- /dev/null
+++ b/hornbeamglade/grants/grantseeker.py
@@ -0,0 +1,311 @@
+"""Find a replica for a request and get its owner's grant, from a task of an event loop.
+
+Explanation
+===========
+
+The counterpart of :mod:`hornbeamglade.grants.grantfinder` for the routed path; the order
+of replicas, the desks and what is asked are the same. Here a wait costs no thread, so a
+request asks every replica that seems to have room before it queues anywhere.
+
+A node that owns a replica may have died or be cut off, while the replica itself serves.
+Where no owner of the replicas left answers, the request goes to the best of them without
+a grant: the engine's own queue takes it in, and a refusal would be false while there is
+room.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import random
+
+from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.exchange import asks, asyncasks, messages
+from hornbeamglade.grants import deskset, grantanswers, grantfinder, replicadesk
+from hornbeamglade.observability import logs
+from hornbeamglade.routing import candidates, placements
+from hornbeamglade.routing import choice as choicelib
+
+AT_ONCE_S = 0.06
+"""An ask for a grant at once waits for one round trip, and hardly in a queue."""
+
+ROOMY_ASKS = 3
+LOOK_AGAIN_S = 0.1
+"""While it waits in one queue, a request looks for room elsewhere this often."""
+
+Known = collections.abc.Callable[[], collections.abc.Sequence[candidates.Candidate]]
+
+
+@dataclasses.dataclass(slots=True)
+class Grant:
+    """Permission to run one request on one replica, until it is released.
+
+    :param replica: the replica's id.
+    :param grant_id: what the grant was given for.
+    :param number: the ask's number at a remote owner; None when this node is the owner.
+    :param is_bound: False for a request that goes on without a grant.
+    :param produced: tokens of the answer so far.
+    """
+
+    replica: str
+    grant_id: str
+    number: int | None = None
+    is_bound: bool = True
+    produced: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """A request that looks for a replica.
+
+    :param work: what is known of the request.
+    :param weight: the team's share.
+    :param deadline: monotonic seconds at which its wait ends.
+    :param known: returns the replicas that may serve it, as this node knows them now.
+    :param attempt: distinguishes several tries of one request at the same desk.
+    :param produced: tokens that its run has, when it goes on from another replica.
+    """
+
+    work: outcomes.Work
+    weight: float
+    deadline: float
+    known: Known
+    attempt: int = 1
+    produced: int = 0
+
+    @property
+    def grant_id(self) -> str:
+        """Name the grant of this attempt."""
+        return f"{self.work.request_id}.{self.attempt}"
+
+
+class GrantSeeker:
+    """The asking side of grants, of one node's event loop.
+
+    :param clock: monotonic time.
+    :param desks: this node's own desks.
+    :param client: asks other owners.
+    :param owners: who owns which replica.
+    :param rng: breaks ties between replicas.
+    :param settings: rates of the routing choice.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        desks: deskset.DeskSet,
+        client: asyncasks.AsyncGrantClient,
+        owners: grantfinder.Owners,
+        rng: random.Random,
+        settings: candidates.RoutingSettings,
+    ) -> None:
+        self._clock = clock
+        self._desks = desks
+        self._client = client
+        self._owners = owners
+        self._rng = rng
+        self._settings = settings
+        self._placements = placements.Placements(settings)
+        self._active: set[str] = set()
+
+    async def find(self, wish: Wish) -> Grant | outcomes.Refusal:
+        """Get a grant, or the refusal that the caller is to hear at once.
+
+        Cancelling gives up whatever was asked for.
+        """
+        refused: list[outcomes.Refusal] = []
+        grant = await self.find_room(wish, refused)
+        if grant is not None:
+            return grant
+        for replica in self._ordered(wish):
+            answer = await self._queue_at(wish, replica)
+            if isinstance(answer, Grant):
+                return answer
+            refused.append(answer)
+            if self._clock.now() >= wish.deadline:
+                break
+        silent = [each for each in refused if each.code == grantanswers.OWNER_SILENT]
+        if silent and len(silent) == len(refused):
+            return self._without_grant(wish) or grantanswers.soonest(refused)
+        return grantanswers.soonest(refused)
+
+    async def find_room(
+        self, wish: Wish, refused: list[outcomes.Refusal] | None = None
+    ) -> Grant | None:
+        """Ask replicas that seem to have room for a grant at once.
+
+        :param refused: takes the refusals.
+        """
+        needed = candidates.needed_tokens(wish.work, self._settings) + wish.produced
+        for replica in self._roomy(wish, needed)[:ROOMY_ASKS]:
+            answer = await self._ask(wish, replica, 0.0)
+            if isinstance(answer, Grant):
+                return answer
+            if refused is not None:
+                refused.append(answer)
+        return None
+
+    async def find_near(self, wish: Wish, failure_domain: str) -> Grant | None:
+        """Ask replicas with room for a run that goes on there, the nearest first.
+
+        :param failure_domain: where the run's memory is; a copy to another one takes
+            twice as long.
+        """
+        needed = wish.work.prompt_tokens + wish.produced
+        choices = [each for each in self._choices(wish) if each.candidate.room_tokens > 0]
+        choices.sort(
+            key=lambda each: (
+                each.candidate.room_tokens < needed,
+                each.candidate.failure_domain != failure_domain,
+                -each.candidate.room_tokens,
+            )
+        )
+        for choice in choices[:ROOMY_ASKS]:
+            answer = await self._ask(wish, choice.candidate.replica, 0.0)
+            if isinstance(answer, Grant):
+                return answer
+        return None
+
+    def progress(self, grant: Grant, produced: int) -> None:
+        """Note how far a granted request has come."""
+        grant.produced = produced
+        if not grant.is_bound:
+            return
+        if grant.number is None:
+            self._desks.progress(grant.replica, grant.grant_id, produced)
+        else:
+            self._client.note(grant.number, produced)
+
+    def release(self, grant: Grant) -> None:
+        """Give a grant back to its owner; idempotent."""
+        if grant.grant_id not in self._active:
+            return
+        self._active.discard(grant.grant_id)
+        if grant.number is None:
+            self._desks.finish(grant.replica, grant.grant_id)
+        else:
+            self._client.close(grant.number)
+
+    @property
+    def active_count(self) -> int:
+        """How many grants this node holds."""
+        return len(self._active)
+
+    def _ordered(self, wish: Wish) -> list[str]:
+        choices = self._choices(wish)
+        return [each.candidate.replica for each in choices]
+
+    def _roomy(self, wish: Wish, needed: int) -> list[str]:
+        crowded = {each.replica for each in wish.known() if each.queued}
+        return [
+            each.candidate.replica
+            for each in self._choices(wish)
+            if each.candidate.room_tokens >= needed and each.candidate.replica not in crowded
+        ]
+
+    def _choices(self, wish: Wish) -> tuple[choicelib.Choice, ...]:
+        current = self._placements.applied(wish.known(), self._clock.now())
+        return choicelib.order(wish.work, current, self._rng, self._settings)
+
+    async def _queue_at(self, wish: Wish, replica: str) -> Grant | outcomes.Refusal:
+        """Wait in one replica's queue, and go elsewhere when there is room first."""
+        here = asyncio.ensure_future(self._ask(wish, replica, wish.deadline - self._clock.now()))
+        elsewhere: Grant | None = None
+        try:
+            while not here.done() and elsewhere is None:
+                await asyncio.wait((here,), timeout=LOOK_AGAIN_S)
+                if not here.done():
+                    elsewhere = await self.find_room(wish)
+            if here.done() and isinstance(here.result(), Grant):
+                if elsewhere is not None:
+                    self.release(elsewhere)
+                return here.result()
+            return elsewhere or here.result()
+        finally:
+            if not here.done():
+                here.cancel()
+
+    async def _ask(self, wish: Wish, replica: str, wait_s: float) -> Grant | outcomes.Refusal:
+        """Ask the owner of one replica.
+
+        :param wait_s: seconds that the request may queue there; 0 asks for a grant at once.
+        """
+        owner = self._owners.owner(replica)
+        if owner is None:
+            answer = await self._ask_here(wish, replica, wait_s)
+        else:
+            message = grantanswers.message(
+                wish.work, replica, wish.weight, max(wait_s, AT_ONCE_S), wish.produced
+            )
+            answer = await self._ask_there(wish, replica, owner.name, message)
+        self._log(wish, replica, wait_s, answer)
+        if isinstance(answer, Grant):
+            self._active.add(answer.grant_id)
+            tokens = candidates.needed_tokens(wish.work, self._settings)
+            self._placements.placed(replica, tokens, self._clock.now())
+        return answer
+
+    def _log(
+        self, wish: Wish, replica: str, wait_s: float, answer: Grant | outcomes.Refusal
+    ) -> None:
+        known = next((each for each in wish.known() if each.replica == replica), None)
+        logs.decided(
+            wish.work.request_id,
+            "placed",
+            "granted" if isinstance(answer, Grant) else answer.code,
+            replica=replica,
+            owner="-" if known is None else known.owner or "self",
+            room=0 if known is None else known.room_tokens,
+            queued=0 if known is None else known.queued,
+            age_s=None if known is None else round(known.report_age_s, 3),
+            tokens=wish.work.prompt_tokens,
+            produced=wish.produced,
+            wait_s=round(wait_s, 3),
+        )
+
+    async def _ask_here(self, wish: Wish, replica: str, wait_s: float) -> Grant | outcomes.Refusal:
+        work = dataclasses.replace(wish.work, request_id=f"{wish.grant_id}@{replica}")
+        grant = Grant(replica, work.request_id)
+        if wish.produced:
+            answer = self._desks.take_in(replica, work, wish.produced)
+            return grant if isinstance(answer, replicadesk.Granted) else answer
+        settled: asyncio.Future[replicadesk.Settled] = asyncio.get_running_loop().create_future()
+        deadline = self._clock.now() + wait_s
+        answer = self._desks.ask(replica, work, wish.weight, deadline, settled.set_result)
+        if isinstance(answer, replicadesk.Granted):
+            return grant
+        if isinstance(answer, outcomes.Refusal):
+            return answer
+        try:
+            async with asyncio.timeout(max(0.0, wait_s)):
+                later = (await settled).answer
+        except TimeoutError:
+            later = grantanswers.gave_up(replica)
+        except asyncio.CancelledError:
+            self._desks.finish(replica, work.request_id)
+            raise
+        if isinstance(later, replicadesk.Granted):
+            return grant
+        self._desks.finish(replica, work.request_id)
+        return later
+
+    async def _ask_there(
+        self, wish: Wish, replica: str, owner: str, message: messages.GrantAsk
+    ) -> Grant | outcomes.Refusal:
+        peer = self._owners.owner(replica)
+        if peer is None:
+            return await self._ask_here(wish, replica, message.deadline_ms / 1000)
+        answer = await self._client.ask(peer, message)
+        if isinstance(answer, messages.GrantAnswer):
+            if answer.kind is messages.GrantKind.GRANTED:
+                return Grant(replica, f"{wish.grant_id}@{replica}", answer.ask)
+            return grantanswers.refused_there(replica, answer)
+        if isinstance(answer, asks.NoAnswer):
+            self._owners.unanswered(owner)
+            return grantanswers.no_answer(replica, owner)
+        return grantanswers.gave_up(replica)
+
+    def _without_grant(self, wish: Wish) -> Grant | None:
+        ordered = self._ordered(wish)
+        if not ordered:
+            return None
+        return Grant(ordered[0], f"{wish.grant_id}@{ordered[0]}", is_bound=False)
--- a/hornbeamglade/grants/remotedesk.py
+++ b/hornbeamglade/grants/remotedesk.py
@@ -68,10 +68,13 @@
             return _answer(ask.ask, _names_unknown())
         with self._lock:
             self._asked_by_key[key] = asked
-        deadline = self._clock.now() + ask.deadline_ms / MILLISECONDS
-        answer = self._desks.ask(
-            asked.replica, asked.work, ask.weight, deadline, self._notify(key)
-        )
+        if ask.produced:
+            answer = self._desks.take_in(asked.replica, asked.work, ask.produced)
+        else:
+            deadline = self._clock.now() + ask.deadline_ms / MILLISECONDS
+            answer = self._desks.ask(
+                asked.replica, asked.work, ask.weight, deadline, self._notify(key)
+            )
         if isinstance(answer, outcomes.Refusal):
             self._forget(key)
         return _answer(ask.ask, answer)
--- a/hornbeamglade/grants/replicadesk.py
+++ b/hornbeamglade/grants/replicadesk.py
@@ -17,7 +17,7 @@
 
 import dataclasses
 
-from hornbeamglade.admission import policies, tokenledger
+from hornbeamglade.admission import policies, promptbacklog, tokenledger
 from hornbeamglade.core import outcomes
 from hornbeamglade.fairness import waiting
 
@@ -31,6 +31,11 @@
 reports that are 5 s late an engine must still get work."""
 
 
+TAKE_IN_SHARE = 0.97
+"""A run from elsewhere may fill memory to this share: the rest is a few hundred tokens of
+growth, until another run ends."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
     """The request may start on the replica now."""
@@ -79,6 +84,7 @@
         self.replica = replica
         self.admission = admission
         self.queue = queue
+        self.prompts = promptbacklog.PromptBacklog()
         self.leaving = False
         self._reported_at: float | None = None
         self._heard_at: float | None = None
@@ -118,9 +124,35 @@
         if self._is_silent(now):
             return _replica_silent(self.replica)
         if self._may_grant(now) and not self._ask_by_waiting and self.admission.fits(work, now):
-            return self._grant(work, now)
+            return self._start(work, now)
         return self._enqueue(work, weight, now, deadline)
 
+    def take_in(
+        self, work: outcomes.Work, produced: int, now: float
+    ) -> Granted | outcomes.Refusal:
+        """Answer for a run that goes on here from another replica; idempotent.
+
+        Explanation
+        ===========
+
+        Such a run is refused or admitted at once, by the memory held now: what it has
+        is lost if it waits, while growth that does not fit later costs one preemption.
+
+        :param work: what is known of the request.
+        :param produced: tokens of its answer so far.
+        """
+        if work.request_id in self._running:
+            return Granted(work.request_id, self.replica)
+        if self.leaving:
+            return _replica_leaving(self.replica)
+        ledger = self.admission.ledger
+        needed = ledger.footprint(work.prompt_tokens) + produced
+        held = ledger.own + ledger.others
+        if held + needed > ledger.capacity * TAKE_IN_SHARE or self.admission.is_at_bound():
+            return _no_room(self.replica)
+        self.adopt(work, produced, now)
+        return Granted(work.request_id, self.replica)
+
     def progress(self, request_id: str, produced: int, now: float) -> None:
         """Note how many tokens a running request has produced so far."""
         stream = self.admission.ledger.stream_by_id.get(request_id)
@@ -159,7 +191,7 @@
             if work is None:
                 break
             del self._ask_by_waiting[work.request_id]
-            settled.append(Settled(work.request_id, self._grant(work, now)))
+            settled.append(Settled(work.request_id, self._start(work, now)))
         return tuple(settled)
 
     def leave(self) -> tuple[Settled, ...]:
@@ -202,6 +234,10 @@
         """How many requests wait."""
         return len(self._ask_by_waiting)
 
+    def expected_wait_s(self, now: float) -> float:
+        """Return the seconds until a request that asks now would begin to be read."""
+        return self.queue.expected_wait_s(now) + self.prompts.wait_s(now)
+
     def _refuse_waiting(self, refusal: outcomes.Refusal) -> tuple[Settled, ...]:
         told = tuple(self._displaced)
         self._displaced = []
@@ -231,6 +267,11 @@
         self._running.add(work.request_id)
         return Granted(work.request_id, self.replica)
 
+    def _start(self, work: outcomes.Work, now: float) -> Granted:
+        """Grant a request whose prompt is to be read here."""
+        self.prompts.add(work.prompt_tokens, now)
+        return self._grant(work, now)
+
     def _enqueue(
         self, work: outcomes.Work, weight: float, now: float, deadline: float
     ) -> Waiting | outcomes.Refusal:
@@ -252,6 +293,11 @@
     return outcomes.Refusal(OWNER_MOVED, 503, detail, retry_after_s=LEAVING_RETRY_S)
 
 
+def _no_room(replica: str) -> outcomes.Refusal:
+    detail = f"replica {replica} has no memory for a run that comes from another one"
+    return outcomes.Refusal("no_room", 503, detail, retry_after_s=LEAVING_RETRY_S)
+
+
 def _replica_silent(replica: str) -> outcomes.Refusal:
     detail = f"replica {replica} has not reported for {REPORT_LIFE_S:g} s"
     return outcomes.Refusal("replica_silent", 503, detail, retry_after_s=LEAVING_RETRY_S)
--- /dev/null
+++ b/hornbeamglade/grants/turntaker.py
@@ -0,0 +1,122 @@
+"""Waiting for a run's turn to leave a replica, and giving turns as its owner."""
+
+import asyncio
+
+from hornbeamglade.core import clocks
+from hornbeamglade.exchange import codec, messages, transport
+from hornbeamglade.grants import grantfinder, moveturns
+
+ASK_AGAIN_S = 0.04
+SILENT_S = 0.13
+"""An owner answers each ask; one that left three unanswered is not waited for."""
+
+SETTLE_S = moveturns.COLLECT_S + 0.001
+
+
+class TurnTaker:
+    """Both sides of turns, of one node's event loop.
+
+    :param name: this node's name.
+    :param owners: who owns which replica.
+    :param sender: carries the messages.
+    :param clock: monotonic time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        owners: grantfinder.Owners,
+        sender: transport.Transport,
+        clock: clocks.Clock,
+    ) -> None:
+        self._name = name
+        self._owners = owners
+        self._transport = sender
+        self._clock = clock
+        self._turns = moveturns.MoveTurns()
+        self._peer_by_holder: dict[str, transport.Peer] = {}
+        self._go_by_run: dict[tuple[int, int], asyncio.Event] = {}
+        self._heard_at_by_run: dict[tuple[int, int], float] = {}
+
+    async def take(self, replica: str, request_id: str, tokens: int) -> None:
+        """Wait for a run's turn; end it with :meth:`done`, also when cancelled.
+
+        Returns without a turn when the replica's owner is silent: its runs would be lost
+        for want of someone to order them.
+        """
+        run = (messages.key_hash(replica), messages.key_hash(request_id))
+        go = self._go_by_run.setdefault(run, asyncio.Event())
+        self._heard_at_by_run[run] = self._clock.now()
+        while not go.is_set():
+            owner = self._owners.owner(replica)
+            if owner is None:
+                self._asked(run, self._name, tokens)
+            else:
+                ask = messages.MoveTurn(messages.TurnKind.ASK, *run, tokens)
+                self._transport.send(owner, ask)
+            try:
+                async with asyncio.timeout(ASK_AGAIN_S):
+                    await go.wait()
+            except TimeoutError:
+                if owner is not None and self._is_silent(run):
+                    return
+
+    def done(self, replica: str, request_id: str) -> None:
+        """End a run's turn, or its wait for one; idempotent."""
+        run = (messages.key_hash(replica), messages.key_hash(request_id))
+        if self._go_by_run.pop(run, None) is None:
+            return
+        self._heard_at_by_run.pop(run, None)
+        owner = self._owners.owner(replica)
+        if owner is None:
+            self._done(run)
+            return
+        # Said twice: when it is lost, the next run waits for the turn to lapse.
+        for _ in range(2):
+            self._transport.send(owner, messages.MoveTurn(messages.TurnKind.DONE, *run))
+
+    def heard(
+        self, turn: messages.MoveTurn, origin: codec.Sender, source: transport.Endpoint
+    ) -> None:
+        """Take a message from the transport."""
+        run = (turn.replica, turn.run)
+        if turn.kind is messages.TurnKind.ASK:
+            peer = transport.Peer(origin.name, source)
+            self._peer_by_holder[origin.name] = peer
+            self._asked(run, origin.name, turn.tokens)
+            self._transport.send(peer, messages.MoveTurn(messages.TurnKind.WAIT, *run))
+        elif turn.kind is messages.TurnKind.DONE:
+            self._done(run)
+        elif run in self._go_by_run:
+            self._heard_at_by_run[run] = self._clock.now()
+            if turn.kind is messages.TurnKind.GO:
+                self._go_by_run[run].set()
+
+    def tick(self) -> None:
+        """Give the turns that are due; called several times a second."""
+        if self._turns.is_idle:
+            return
+        for turn in self._turns.due(self._clock.now()):
+            run = (int(turn.replica), int(turn.run.id))
+            if turn.run.holder == self._name:
+                if run in self._go_by_run:
+                    self._go_by_run[run].set()
+            else:
+                peer = self._peer_by_holder[turn.run.holder]
+                self._transport.send(peer, messages.MoveTurn(messages.TurnKind.GO, *run))
+
+    def _asked(self, run: tuple[int, int], holder: str, tokens: int) -> None:
+        replica, run_id = run
+        is_first = self._turns.is_idle
+        asked = moveturns.Run(str(run_id), holder, tokens)
+        self._turns.ask(str(replica), asked, self._clock.now())
+        if is_first:
+            asyncio.get_running_loop().call_later(SETTLE_S, self.tick)
+
+    def _done(self, run: tuple[int, int]) -> None:
+        replica, run_id = run
+        self._turns.done(str(replica), str(run_id), self._clock.now())
+        self.tick()
+
+    def _is_silent(self, run: tuple[int, int]) -> bool:
+        return self._clock.now() - self._heard_at_by_run[run] > SILENT_S
--- /dev/null
+++ b/hornbeamglade/http1/strictness.py
@@ -0,0 +1,60 @@
+"""Heads of requests that two readers may understand differently.
+
+Explanation
+===========
+
+Guards against request smuggling: a backend server that reads the end of a body, or
+the name of a field, elsewhere than this node does would take part of one caller's
+body for a request of its own. The parser accepts some of these forms (folded fields,
+bare line feeds, a length beside chunks) for the sake of old senders, so they are
+refused before it sees them.
+
+References
+==========
+
+- RFC 9112, sections 2.2, 5.1, 5.2 and 6.3
+"""
+
+import re
+
+HEAD_END = b"\r\n\r\n"
+
+_BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+_BARE_RETURN = re.compile(rb"\r(?!\n)")
+_FOLDED = re.compile(rb"\n[ \t]")
+_SPACE_BEFORE_COLON = re.compile(rb"\n[^:\r\n]*[ \t]:")
+_LENGTH = re.compile(rb"\ncontent-length:[ \t]*([^\r\n]*)", re.IGNORECASE)
+_TRANSFER = re.compile(rb"\ntransfer-encoding:[ \t]*([^\r\n]*)", re.IGNORECASE)
+_HOST = re.compile(rb"\nhost:", re.IGNORECASE)
+
+
+def complaint(head: bytes) -> str | None:
+    r"""Return why a request's head is ambiguous, or None.
+
+    :param head: from the request line to the empty line.
+
+    Examples
+    ========
+
+    >>> complaint(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n") is None
+    True
+    >>> complaint(b"GET / HTTP/1.1\r\nHost : a\r\n\r\n")
+    'a space stands before a colon'
+    """
+    if _BARE_LINE_FEED.search(head) or _BARE_RETURN.search(head):
+        return "a line does not end with CR LF"
+    if _FOLDED.search(head):
+        return "a field is folded"
+    if _SPACE_BEFORE_COLON.search(head):
+        return "a space stands before a colon"
+    if len(_HOST.findall(head)) > 1:
+        return "the host is given twice"
+    lengths = _LENGTH.findall(head)
+    if len(lengths) > 1 or any(not length.strip().isdigit() for length in lengths):
+        return "the length of the body is not one number"
+    transfers = _TRANSFER.findall(head)
+    if lengths and transfers:
+        return "a length stands beside a transfer encoding"
+    if transfers and [each.strip().lower() for each in transfers] != [b"chunked"]:
+        return "the transfer encoding is not plain chunked"
+    return None
--- a/hornbeamglade/leases/leaseholder.py
+++ b/hornbeamglade/leases/leaseholder.py
@@ -34,7 +34,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.leases import leaserecords, leasevalues
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 ROW_PREFIX = "leases/"
 CLOCK_DRIFT = 0.01
@@ -68,7 +68,7 @@
     Examples
     ========
 
-    >>> from hornbeamglade.platform import memory
+    >>> from hornbeamglade.store import memory
     >>> clock = clocks.ManualClock()
     >>> table = memory.MemoryPlatform(clock)
     >>> first = LeaseHolder(table, clock, "pool-a", "n1", term_s=10.0)
--- a/hornbeamglade/localsite/localsite.py
+++ b/hornbeamglade/localsite/localsite.py
@@ -15,7 +15,7 @@
 from hornbeamglade.configuration import documents, documentyaml, head
 from hornbeamglade.core import clocks, codederrors
 from hornbeamglade.localsite import localcaller
-from hornbeamglade.platform import httpadapter
+from hornbeamglade.platform import storeclient
 from hornbeamglade.teams import identity
 
 SITE = "local"
@@ -171,9 +171,9 @@
         """Wait for a state; the generous bound only ends a wait in vain."""
         loadprocesses.wait_until(condition, what, (), timeout_s)
 
-    def platform(self) -> httpadapter.HttpPlatform:
+    def platform(self) -> storeclient.StoreClient:
         """Return a client of the platform."""
-        return httpadapter.HttpPlatform(f"http://{self.address_by_name[PLATFORM]}")
+        return storeclient.StoreClient(f"http://{self.address_by_name[PLATFORM]}")
 
     def apply(self, base: dict[str, typing.Any], based_on: int = 0, change_id: str = "c1") -> int:
         """Apply a configuration and return its revision."""
@@ -266,6 +266,9 @@
             "exchange": self._exchange_by_node.get(name, FREE),
             "platform": f"http://{platform}",
             "exchange_keys": [{"id": 1, "secret": EXCHANGE_SECRET}],
+            "seeds": [
+                self.address_by_name[peer] for peer in self._exchange_by_node if peer != name
+            ],
             "threads": 64,
         } | self.shape.node_settings
 
--- a/hornbeamglade/membership/heartbeats.py
+++ b/hornbeamglade/membership/heartbeats.py
@@ -9,7 +9,7 @@
 from hornbeamglade.exchange import codec, messages, transport
 from hornbeamglade.membership import dissemination
 from hornbeamglade.membership import view as membership_view
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,10 +19,12 @@
     :param config_revision: the configuration revision in force.
     :param replicas: the replicas it owns; the first :data:`messages.MAX_REPLICAS
         <hornbeamglade.exchange.messages.MAX_REPLICAS>` are sent.
+    :param list_version: the version of the platform's list of replicas, or 0.
     """
 
     config_revision: int = 0
     replicas: tuple[messages.ReplicaDigest, ...] = ()
+    list_version: int = 0
 
 
 class Heartbeats:
@@ -105,9 +107,17 @@
         with self._lock:
             self._view.leave()
             self._members = self._view.members(self._clock.now())
-        heartbeat = self._heartbeat(False)
         # Everyone is told at once, also at large sizes: a planned stop is rare, and
         # each node that does not know of it sends one more caller or ask here.
+        self.announce()
+
+    def announce(self) -> None:
+        """Send a heartbeat to all now, since what it tells cannot wait for its turn."""
+        with self._lock:
+            # What a second heartbeat of one beat tells is not taken.
+            self._view.beat()
+        self._told_demands = ()
+        heartbeat = self._heartbeat(False)
         for member in self._members:
             self._send_to(member, heartbeat)
 
@@ -187,6 +197,7 @@
             replicas=digest.replicas[: messages.MAX_REPLICAS],
             demands=self._told_demands,
             rumours=rumours,
+            list_version=digest.list_version,
         )
 
     def _send_to(self, member: membership_view.Member, heartbeat: messages.Heartbeat) -> None:
--- a/hornbeamglade/membership/view.py
+++ b/hornbeamglade/membership/view.py
@@ -33,7 +33,7 @@
 
 from hornbeamglade.exchange import codec, messages
 from hornbeamglade.membership import standing
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 FORGET_AFTER_S = 600.0
 
--- a/hornbeamglade/node/daemon.py
+++ b/hornbeamglade/node/daemon.py
@@ -13,7 +13,7 @@
 from hornbeamglade.core import clocks, codederrors, outcomes
 from hornbeamglade.grants import deskset, grantfinder
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.membership import draining
+from hornbeamglade.membership import draining, introduction, registry
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import (
     applying,
@@ -35,8 +35,9 @@
     upkeep,
 )
 from hornbeamglade.observability import logs, metrics
-from hornbeamglade.platform import countedplatform, httpadapter
+from hornbeamglade.platform import storeclient
 from hornbeamglade.routing import candidates
+from hornbeamglade.store import contract, countedstore
 from hornbeamglade.teams import limits, shares
 
 TICK_S = 0.1
@@ -63,8 +64,8 @@
         self._clock = clock
         self.incarnation = int(clock.wall() * 1000)
         self._metrics = metrics.NodeMetrics()
-        self._platform = countedplatform.CountedPlatform(
-            httpadapter.HttpPlatform(told.platform), self._metrics.platform_outcomes
+        self._platform = countedstore.CountedStore(
+            storeclient.StoreClient(told.platform), self._metrics.platform_outcomes
         )
         self._config = follower.Follower(
             self._platform, self._platform, clock, told.site, told.name
@@ -149,12 +150,15 @@
         self._applier = applying.Applier(
             self._parts.views, self._book, self._desks, self._in_flight, beats
         )
-        self._upkeep = upkeep.Upkeep(self._platform, clock, self._rng, beats, self._config)
+        self._registry = registry.Registry(self._platform)
+        listed = introduction.Introduction(self._registry, told.seeds)
+        self._upkeep = upkeep.Upkeep(self._platform, listed, clock, self._rng, beats, self._config)
         self._draining: draining.Draining | None = None
         self._broken: str | None = None
         self._cut = 0
         self._problem = "none"
         self._is_listener_closed = False
+        self._is_registered = False
         self._loops = (
             periodic.Periodic("ticks", TICK_S, self._tick, self._failed),
             periodic.Periodic("reports", REPORT_S, self._report, self._failed),
@@ -180,6 +184,7 @@
         """Begin to serve."""
         # The list comes first: placed without its peers, a node would take the whole
         # limit of each team for itself.
+        self._register()
         self._upkeep.read_instances()
         self._config.on_adopted = self._applier.apply
         self._config.poll()
@@ -190,6 +195,17 @@
         self._server.start(self._application)
         logs.state_changed("node", "starting", "serving", node=self._told.name)
 
+    def _register(self) -> None:
+        """Write this node's row, so that the others find it."""
+        if self._is_registered or self._draining is not None:
+            return
+        told = self._told
+        exchange = str(self.peering.transport.endpoint)
+        own = contract.Instance(
+            told.name, told.failure_domain, self._server.address, exchange, False
+        )
+        self._is_registered = isinstance(self._registry.register(own), contract.Committed)
+
     def leave(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
         if self._draining is not None:
@@ -234,6 +250,7 @@
             # The operator's hard limit: what still runs ends with the process.
             return EXIT_CUT
         self._server.stop()
+        self._registry.withdraw(self._told.name)
         for loop in self._loops:
             loop.stop()
         self._poller.stop()
@@ -253,6 +270,7 @@
             self._placing.step(view)
 
     def _report(self) -> None:
+        self._register()
         self._parts.finder.report()
         self._claims.settle()
         self._senders.sweep()
--- a/hornbeamglade/node/pages.py
+++ b/hornbeamglade/node/pages.py
@@ -6,7 +6,7 @@
 
 from hornbeamglade.callers import application, problems
 from hornbeamglade.core import outcomes
-from hornbeamglade.membership import addresses
+from hornbeamglade.membership import addresses, introduction
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import runtime, siteview
 from hornbeamglade.observability import metrics, statuspage
@@ -49,6 +49,9 @@
             return problems.Response(200, headers, self._parts.metrics.exposition())
         if name == "status":
             return problems.Response(200, (JSON_TYPE,), self._status().model_dump_json().encode())
+        if name == "members":
+            body = introduction.page(self._members())
+            return problems.Response(200, (JSON_TYPE,), body)
         if name == "health":
             return _json({"status": "ok"})
         return self._readiness()
--- a/hornbeamglade/node/placing.py
+++ b/hornbeamglade/node/placing.py
@@ -13,7 +13,7 @@
 from hornbeamglade.membership import ownership
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import siteview
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 CALLERS = 4
 POOL_PREFIX = "pool:"
--- a/hornbeamglade/node/settings.py
+++ b/hornbeamglade/node/settings.py
@@ -49,6 +49,8 @@
     :param exchange: ``ip:port`` (UDP) for the other nodes.
     :param platform: base URL of the operator's platform.
     :param exchange_keys: the newest first; the first signs, all are accepted.
+    :param seeds: ``ip:port`` for callers of nodes that may be up; one of them is asked for
+        the others while the platform's store is away.
     :param threads: caller connections served at once.
     :param hard_stop_s: a planned stop cuts streams after so long; None never does.
     :param log: path for structured logs; None writes to standard error.
@@ -63,6 +65,7 @@
     exchange: Address
     platform: Annotated[str, pydantic.Field(pattern=r"^https?://")]
     exchange_keys: Annotated[tuple[ExchangeKey, ...], pydantic.Field(min_length=1, max_length=2)]
+    seeds: tuple[Address, ...] = ()
     threads: Annotated[int, pydantic.Field(ge=8, le=4096)] = inflight.DEFAULT_THREADS
     hard_stop_s: Annotated[float, pydantic.Field(gt=0)] | None = None
     log: str | None = None
--- a/hornbeamglade/node/upkeep.py
+++ b/hornbeamglade/node/upkeep.py
@@ -6,7 +6,7 @@
 from hornbeamglade.configuration import follower
 from hornbeamglade.core import clocks
 from hornbeamglade.membership import dissemination, heartbeats
-from hornbeamglade.platform import contract, countedplatform
+from hornbeamglade.store import contract, countedstore
 
 LIST_S = 1.0
 LONG_LIST_S = 30.0
@@ -19,6 +19,7 @@
     """Calls to the platform whose rate falls with the number of nodes.
 
     :param platform: the operator's platform.
+    :param instances: the nodes' own list of themselves.
     :param clock: monotonic and wall time.
     :param rng: chooses the part of the claims to sweep.
     :param beats: takes the list; knows how many nodes there are.
@@ -27,13 +28,15 @@
 
     def __init__(
         self,
-        platform: countedplatform.CountedPlatform,
+        platform: countedstore.CountedStore,
+        instances: contract.InstanceList,
         clock: clocks.Clock,
         rng: random.Random,
         beats: heartbeats.Heartbeats,
         config: follower.Follower,
     ) -> None:
         self._platform = platform
+        self._instances = instances
         self._clock = clock
         self._rng = rng
         self._beats = beats
@@ -52,7 +55,7 @@
             return
         is_mesh = len(self._beats.members()) <= dissemination.MESH_BOUND
         self._list_due_at = now + (LIST_S if is_mesh else LONG_LIST_S)
-        listed = self._platform.list()
+        listed = self._instances.list()
         if isinstance(listed, contract.Unavailable):
             return
         self._beats.listed(listed)
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -16,6 +16,7 @@
 import queue
 import re
 import threading
+import traceback
 import typing
 
 import eliot
@@ -23,42 +24,60 @@
 from hornbeamglade.observability import metricsinstruments
 
 MESSAGE_TYPE = "hornbeamglade:state_changed"
+DECISION_TYPE = "hornbeamglade:decided"
 WITHHELD = "[withheld]"
 MAX_QUEUED_LINES = 1000
 
 LOGGED_FIELDS = frozenset(
     {
         "address",
+        "age_s",
         "attempts",
         "change_id",
         "code",
         "count",
+        "domain",
+        "events",
         "failure_domain",
         "fencing",
+        "first_s",
+        "gap_s",
         "incarnation",
+        "moves",
         "node",
         "operation",
         "outcome",
         "owner",
         "pool",
+        "produced",
+        "queued",
         "priority",
         "provisional",
         "reason",
         "replica",
         "request_id",
         "revision",
+        "room",
+        "route",
         "run",
         "seconds",
         "sequence",
         "service",
         "signal",
+        "source",
+        "status",
         "streams",
+        "table",
         "team",
+        "tokens",
+        "wait_s",
         "waiting",
     }
 )
 
-_IDENTIFIER = re.compile(r"[\w.:/@\[\]+-]{1,100}", re.ASCII)
+MAX_IDENTIFIER = 100
+_IDENTIFIER = re.compile(r"[\w.:/@\[\]+,-]{1,100}", re.ASCII)
+_NOT_IN_IDENTIFIER = re.compile(r"[^\w.:/@\[\]+,-]+", re.ASCII)
 
 FieldValue = str | int | float | bool | None
 
@@ -84,6 +103,34 @@
     return True
 
 
+def decided(request_id: str, decision: str, outcome: str, **fields: FieldValue) -> None:
+    """Write a line on a decision that touches a request.
+
+    :param request_id: the caller's id of the request.
+    :param decision: what was decided, such as ``routed`` or ``resumed``.
+    :param outcome: what came of it.
+    :param fields: its inputs, by the names in ``LOGGED_FIELDS``.
+    """
+    shown = {name: _shown(name, value) for name, value in fields.items()}
+    shown |= {
+        "request_id": _identifier(request_id),
+        "decision": _identifier(decision),
+        "outcome": _identifier(outcome),
+    }
+    eliot.log_message(message_type=DECISION_TYPE, **shown)
+
+
+def failed(where: str, error: Exception) -> None:
+    """Write a line on an error of this process's own.
+
+    :param where: what was being done.
+    :param error: what was raised; its type and place are shown, not its text.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{frames[-1].filename.rsplit('/', 1)[-1]}:{frames[-1].lineno}" if frames else "-"
+    state_changed("internal_error", "none", type(error).__name__, operation=where, reason=place)
+
+
 def _shown(name: str, value: FieldValue) -> FieldValue:
     """Return what a line may show of a field.
 
@@ -99,6 +146,18 @@
     return _identifier(value)
 
 
+def slug(text: str) -> str:
+    """Return a text of this process's own as an identifier that a line may show.
+
+    Examples
+    ========
+
+    >>> slug("routes.0.prefix: Field required")
+    'routes.0.prefix:_Field_required'
+    """
+    return _NOT_IN_IDENTIFIER.sub("_", text)[:MAX_IDENTIFIER] or "-"
+
+
 def _identifier(value: object) -> str:
     if isinstance(value, str) and _IDENTIFIER.fullmatch(value):
         return value
@@ -173,9 +232,10 @@
         """Do nothing: the writing thread flushes."""
 
     def _deliver(self, message: dict[str, typing.Any]) -> None:
-        if message.get("message_type") != MESSAGE_TYPE:
+        kind = message.get("message_type")
+        if kind not in (MESSAGE_TYPE, DECISION_TYPE):
             return
-        if self._changes is not None:
+        if kind == MESSAGE_TYPE and self._changes is not None:
             self._changes.add(labels=(message["subject"],))
         self._destination(message | {"logged_by": self._node})
 
--- a/hornbeamglade/placement/rolloutrun.py
+++ b/hornbeamglade/placement/rolloutrun.py
@@ -28,7 +28,7 @@
     rollout,
     virtualengines,
 )
-from hornbeamglade.platform import memory
+from hornbeamglade.store import memory
 
 STREAMS = 29
 MEDIAN_TOKENS = 100.0
--- a/hornbeamglade/platform/__init__.py
+++ b/hornbeamglade/platform/__init__.py
@@ -1,35 +1,4 @@
-"""The operator's platform: transactional table, object store, instance list."""
+"""The operators' platform: its names, formats and calls, decoded into our types.
 
-from hornbeamglade.platform.contract import (
-    Committed,
-    Condition,
-    Conflict,
-    Delete,
-    Found,
-    Instance,
-    InstanceList,
-    Missing,
-    ObjectStore,
-    Put,
-    Row,
-    Table,
-    Unavailable,
-    Unknown,
-)
-
-__all__ = [
-    "Committed",
-    "Condition",
-    "Conflict",
-    "Delete",
-    "Found",
-    "Instance",
-    "InstanceList",
-    "Missing",
-    "ObjectStore",
-    "Put",
-    "Row",
-    "Table",
-    "Unavailable",
-    "Unknown",
-]
+Nothing here decides anything, and nothing outside of it knows the platform's names.
+"""
--- /dev/null
+++ b/hornbeamglade/platform/manifest.py
@@ -0,0 +1,168 @@
+"""The operator's manifest, decoded into a configuration of routes."""
+
+import collections.abc
+import typing
+
+import pydantic
+
+from hornbeamglade.core import codederrors
+from hornbeamglade.routes import models
+
+CONFIG_INVALID = "config_invalid"
+
+_MS = 1000.0
+_BITS = 8
+_MEGA = 1_000_000
+
+_KIND_BY_NAME = {
+    "idempotent": models.RouteKind.IDEMPOTENT,
+    "non_idempotent": models.RouteKind.SINGLE,
+    "streaming": models.RouteKind.STREAM,
+}
+
+
+class _Body(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+
+class _Backend(_Body):
+    service: str
+    weight: typing.Annotated[int, pydantic.Field(ge=0)]
+
+
+class _Route(_Body):
+    name: str
+    host: str
+    prefix: typing.Annotated[str, pydantic.Field(pattern=r"^/(.*/)?$")]
+    route_kind: typing.Literal["idempotent", "non_idempotent", "streaming"]
+    timeout_ms: typing.Annotated[float, pydantic.Field(gt=0)]
+    # The time within which an answer earns its full benefit; no bound on the answer.
+    goal_ms: typing.Annotated[float, pydantic.Field(gt=0)]
+    # A rank: 0 is the most urgent.
+    priority: int = 5
+    service: str | None = None
+    backends: tuple[_Backend, ...] = ()
+    # Replicas that one request may be sent to, the first included.
+    max_attempts: typing.Annotated[int, pydantic.Field(ge=1)] = 1
+    public: bool = False
+    resumable: bool = False
+    gap_goal_ms: float | None = None
+
+
+class _Engine(_Body):
+    slots: typing.Annotated[int, pydantic.Field(ge=1)]
+    kv_capacity_tokens: typing.Annotated[int, pydantic.Field(ge=1)]
+    kv_bytes: int = 0
+    link_mbps: float = 0.0
+    moves: bool = False
+    backups: bool = False
+    # Tokens that one event of a stream holds.
+    stride: typing.Annotated[int, pydantic.Field(ge=1)] = 1
+    handle_s: float = 0.0
+
+
+class _Service(_Body):
+    name: str
+    health_path: str
+    max_connections: typing.Annotated[int, pydantic.Field(ge=1)]
+    engine: _Engine | None = None
+
+
+class _Limits(_Body):
+    max_header_bytes: typing.Annotated[int, pydantic.Field(ge=1)]
+    max_body_bytes: typing.Annotated[int, pydantic.Field(ge=0)]
+    header_timeout_ms: typing.Annotated[float, pydantic.Field(gt=0)]
+    idle_timeout_ms: typing.Annotated[float, pydantic.Field(gt=0)]
+
+
+class _Tenant(_Body):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    # Replaces the rank of the route.
+    priority: int | None = None
+
+
+class _Manifest(_Body):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits
+    tenants: tuple[_Tenant, ...] = ()
+
+
+def decode(document: bytes) -> models.Configuration:
+    """Read a manifest.
+
+    :param document: JSON.
+    :raises CodedError: ``config_invalid``, naming the first offending field and value.
+    """
+    try:
+        manifest = _Manifest.model_validate_json(document)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        where = ".".join(str(part) for part in first["loc"]) or "document"
+        detail = f"{where}: {first['msg']}, not {first['input']!r:.80}"
+        raise codederrors.CodedError(CONFIG_INVALID, detail) from error
+    services = {service.name: _service(service) for service in manifest.services}
+    return models.Configuration(
+        revision=manifest.version,
+        routes=tuple(_route(route, services) for route in manifest.routes),
+        service_by_name=services,
+        limits=_limits(manifest.limits),
+        teams=tuple(_team(tenant) for tenant in manifest.tenants),
+    )
+
+
+def _route(route: _Route, services: collections.abc.Container[str]) -> models.Route:
+    splits = tuple(models.Split(each.service, each.weight) for each in route.backends)
+    if not splits and route.service is not None:
+        splits = (models.Split(route.service, 1),)
+    if not sum(split.weight for split in splits):
+        detail = f"route {route.name}: no service takes its requests"
+        raise codederrors.CodedError(CONFIG_INVALID, detail)
+    for split in splits:
+        if split.service not in services:
+            detail = f"route {route.name}: there is no service {split.service!r}"
+            raise codederrors.CodedError(CONFIG_INVALID, detail)
+    return models.Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=_KIND_BY_NAME[route.route_kind],
+        splits=splits,
+        timeout_s=route.timeout_ms / _MS,
+        goal_s=route.goal_ms / _MS,
+        urgency=route.priority,
+        max_attempts=route.max_attempts,
+        gap_goal_s=None if route.gap_goal_ms is None else route.gap_goal_ms / _MS,
+        is_public=route.public,
+        is_resumable=route.resumable,
+    )
+
+
+def _service(service: _Service) -> models.Service:
+    engine = service.engine
+    traits = engine and models.EngineTraits(
+        slots=engine.slots,
+        memory_tokens=engine.kv_capacity_tokens,
+        token_bytes=engine.kv_bytes,
+        link_bytes_per_s=engine.link_mbps * _MEGA / _BITS,
+        can_move=engine.moves,
+        can_back_up=engine.backups,
+        tokens_per_event=engine.stride,
+        copy_life_s=engine.handle_s,
+    )
+    return models.Service(service.name, service.health_path, service.max_connections, traits)
+
+
+def _limits(limits: _Limits) -> models.CallerLimits:
+    return models.CallerLimits(
+        head_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        head_s=limits.header_timeout_ms / _MS,
+        idle_s=limits.idle_timeout_ms / _MS,
+    )
+
+
+def _team(tenant: _Tenant) -> models.Team:
+    return models.Team(tenant.name, frozenset(tenant.api_keys), tenant.priority)
--- /dev/null
+++ b/hornbeamglade/platform/requestdialect.py
@@ -0,0 +1,172 @@
+"""Headers of requests and answers on the platform, decoded into our types."""
+
+import re
+
+from hornbeamglade.core import outcomes
+from hornbeamglade.http1 import clientside, fields, serverside
+from hornbeamglade.routed import calls, dialect
+
+REQUEST_INVALID = "request_invalid"
+DEFAULT_DEADLINE_S = 60.0
+"""For a caller that does not say how long it waits; the route's own bound is shorter."""
+
+_MS = 1000
+
+_REQUEST_ID = b"attempt-id"
+_TIME_LEFT = b"deadline-ms"
+_KEY = b"authorization"
+_LAST_EVENT = b"last-event-id"
+_MODEL = b"model"
+# Two numbers: tokens of the prompt, and the bound on those of the answer.
+_TOKENS = b"token-usage"
+# The prompt's parts in order, as ID:TOKENS.
+_PARTS = b"prompt-prefix"
+# The caller's estimate of the answer's tokens.
+_LENGTH_ESTIMATE = b"length-hint"
+
+_SEAL = b"response-seal"
+_NOT_RUN = b"not-executed"
+_LOAD = b"replica-load"
+_MISDIRECTED = 421
+
+# The system's own to set, whatever a caller sends.
+_RESERVED = frozenset(
+    (
+        b"authorization",
+        b"content-length",
+        b"deadline-ms",
+        b"expect",
+        b"expect-instance",
+        b"expect-version",
+        b"hold",
+        b"pin-ms",
+        b"request-priority",
+        b"tenant",
+    )
+)
+_RESERVED_BEGINNING = b"kv-"
+
+_DIGITS = re.compile(rb"[0-9]{1,12}", re.ASCII)
+
+
+class PlatformDialect(dialect.Dialect):
+    """The platform's headers."""
+
+    def call(self, request: serverside.Request) -> calls.Call | outcomes.Refusal:
+        """Read a caller's request."""
+        request_ids = fields.values(request.fields, _REQUEST_ID)
+        if len(request_ids) != 1 or not request_ids[0]:
+            return _invalid("the request has no single id")
+        time_left = fields.value(request.fields, _TIME_LEFT)
+        if time_left is not None and not _DIGITS.fullmatch(time_left):
+            return _invalid("the time left is not a number of milliseconds")
+        remaining_s = DEFAULT_DEADLINE_S if time_left is None else int(time_left) / _MS
+        try:
+            generation = _generation(request.fields)
+        except ValueError as error:
+            return _invalid(str(error))
+        return calls.Call(
+            request_id=_text(request_ids[0]),
+            host=_text(fields.value(request.fields, b"host") or b""),
+            method=request.method,
+            target=request.target,
+            fields=_passed_on(request.fields),
+            body=request.body,
+            arrived_at=request.arrived_at,
+            deadline=request.arrived_at + remaining_s,
+            authorization=_optional_text(request.fields, _KEY),
+            generation=generation,
+            last_event_id=_optional_text(request.fields, _LAST_EVENT),
+        )
+
+    def dispatch_fields(self, call: calls.Call, dispatch: calls.Dispatch) -> fields.Fields:
+        """Return the fields with which a request goes to a replica."""
+        sent = [(b"Deadline-Ms", b"%d" % max(1, int(dispatch.remaining_s * _MS)))]
+        sent.append((b"Expect-Instance", dispatch.replica_id.encode()))
+        if dispatch.team is not None:
+            sent.append((b"Tenant", dispatch.team.encode()))
+        if dispatch.urgency is not None:
+            sent.append((b"Request-Priority", b"%d" % dispatch.urgency))
+        if dispatch.backup_at is not None:
+            sent.append((b"Kv-Backup", dispatch.backup_at.encode()))
+        if dispatch.copy is not None:
+            source = f"{dispatch.copy.held_at}/{dispatch.copy.name}"
+            sent.append((b"Kv-From", source.encode()))
+        if dispatch.last_event_id is None:
+            return (*call.fields, *sent)
+        sent.append((b"Last-Event-Id", dispatch.last_event_id.encode()))
+        return (*fields.without(call.fields, (_LAST_EVENT,)), *sent)
+
+    def answer_head(self, head: clientside.Head) -> calls.AnswerHead:
+        """Read the head of a replica's answer."""
+        is_marked = fields.value(head.fields, _NOT_RUN) is not None
+        encoding = fields.value(head.fields, b"content-encoding")
+        return calls.AnswerHead(
+            status=head.status,
+            fields=fields.without(fields.end_to_end(head.fields), (b"content-length",)),
+            request_id=_optional_text(head.fields, _REQUEST_ID),
+            is_sealed=fields.value(head.fields, _SEAL) is not None,
+            is_not_run=is_marked or head.status == _MISDIRECTED,
+            is_encoded=encoding not in (None, b"identity"),
+            load=_load(fields.value(head.fields, _LOAD)),
+        )
+
+
+def _passed_on(request_fields: fields.Fields) -> fields.Fields:
+    return tuple(
+        field
+        for field in fields.without(fields.end_to_end(request_fields), _RESERVED)
+        if not field[0].lower().startswith(_RESERVED_BEGINNING)
+    )
+
+
+def _generation(request_fields: fields.Fields) -> calls.Generation | None:
+    usage = fields.value(request_fields, _TOKENS)
+    if usage is None:
+        return None
+    counts = usage.split(b",")
+    if len(counts) != 2 or not all(_DIGITS.fullmatch(each.strip()) for each in counts):
+        raise ValueError("the numbers of tokens cannot be read")
+    estimate = fields.value(request_fields, _LENGTH_ESTIMATE)
+    is_number = estimate is not None and _DIGITS.fullmatch(estimate)
+    return calls.Generation(
+        model=_text(fields.value(request_fields, _MODEL) or b""),
+        prompt_tokens=int(counts[0]),
+        max_tokens=int(counts[1]),
+        parts=_parts(fields.value(request_fields, _PARTS)),
+        # An estimate only: one that cannot be read is left out.
+        expected_tokens=int(estimate) if is_number else None,
+    )
+
+
+def _parts(listed: bytes | None) -> tuple[calls.PromptPart, ...]:
+    if not listed:
+        return ()
+    parts = []
+    for entry in listed.split(b","):
+        name, _, tokens = entry.strip().partition(b":")
+        if not _DIGITS.fullmatch(tokens):
+            raise ValueError("the parts of the prompt cannot be read")
+        parts.append(calls.PromptPart(_text(name), int(tokens)))
+    return tuple(parts)
+
+
+def _load(told: bytes | None) -> calls.Load | None:
+    numbers = [] if told is None else [each.strip() for each in told.split(b",")]
+    if len(numbers) != 3 or not all(_DIGITS.fullmatch(each) for each in numbers):
+        return None
+    running, waiting, slots = (int(each) for each in numbers)
+    return calls.Load(running, waiting, slots)
+
+
+def _invalid(detail: str) -> outcomes.Refusal:
+    return outcomes.Refusal(REQUEST_INVALID, 400, detail)
+
+
+def _text(value: bytes) -> str:
+    return value.decode("latin-1")
+
+
+def _optional_text(all_fields: fields.Fields, name: bytes) -> str | None:
+    value = fields.value(all_fields, name)
+    return None if value is None else _text(value)
--- /dev/null
+++ b/hornbeamglade/platform/storebodies.py
@@ -0,0 +1,137 @@
+"""Validated models of the bodies of the platform's metadata store."""
+
+import base64
+import binascii
+import typing
+
+import pydantic
+
+from hornbeamglade.store import contract
+
+
+class _Body(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+
+class Name(_Body):
+    """Where a row lies: three texts of at most 200 bytes each."""
+
+    table: str
+    part: str = ""
+    key: str
+
+    @classmethod
+    def of(cls, key: str) -> "Name":
+        """Return the place of one of our keys: its first segment is the table.
+
+        Examples
+        ========
+
+        >>> Name.of("leases/pool:drafts")
+        Name(table='leases', part='', key='pool:drafts')
+        """
+        table, _, rest = key.partition("/")
+        return cls(table=table, key=rest)
+
+    def whole(self) -> str:
+        """Return our key."""
+        return f"{self.table}/{self.key}" if self.key else self.table
+
+
+class Row(Name):
+    """A row as it is read."""
+
+    # Absent in a feed's row that is marked as deleted.
+    value: str = ""
+    # The number of the transaction that wrote the row, from one counter for all tables.
+    ver: int
+    deleted: bool = False
+
+    @classmethod
+    def of_row(cls, row: contract.Row) -> "Row":
+        """Return the body for a row of the contract."""
+        return cls(**dict(Name.of(row.key)), value=coded(row.value), ver=row.version)
+
+    def to_row(self) -> contract.Row:
+        """Return the row as a value of the contract.
+
+        :raises ValueError: when its value is not base64 of a text.
+        """
+        return contract.Row(self.whole(), text(self.value), self.ver)
+
+
+class Rows(_Body):
+    """The answer of a read or of a feed."""
+
+    rows: tuple[Row, ...]
+    # The newest version of the whole store as of the answer.
+    ver: int
+    truncated: bool = False
+
+
+class Expected(Name):
+    """A row that must be at a version; 0 means that it does not exist."""
+
+    ver: int
+
+
+class Write(Name):
+    """A row to write."""
+
+    value: str
+
+
+class Transaction(_Body):
+    """A change that is made as a whole or not at all."""
+
+    expected: tuple[Expected, ...]
+    writes: tuple[Write, ...]
+    remove: tuple[Name, ...]
+
+    @classmethod
+    def of(
+        cls,
+        conditions: tuple[contract.Condition, ...],
+        writes: tuple[contract.Put | contract.Delete, ...],
+    ) -> "Transaction":
+        """Return the body for values of the contract."""
+        puts = [write for write in writes if isinstance(write, contract.Put)]
+        deletes = [write for write in writes if isinstance(write, contract.Delete)]
+        return cls(
+            expected=tuple(
+                Expected(**dict(Name.of(each.key)), ver=each.version) for each in conditions
+            ),
+            writes=tuple(Write(**dict(Name.of(put.key)), value=coded(put.value)) for put in puts),
+            remove=tuple(Name.of(delete.key) for delete in deletes),
+        )
+
+
+class Committed(_Body):
+    """The answer to a change that was made."""
+
+    ver: int
+
+
+class Conflict(_Body):
+    """The answer to a change whose condition did not hold: the rows as they are."""
+
+    rows: tuple[Row, ...] = ()
+
+
+def coded(value: str) -> str:
+    """Return a text as the store keeps it."""
+    return base64.b64encode(value.encode()).decode()
+
+
+def text(value: str) -> str:
+    """Return a text that the store keeps.
+
+    :raises ValueError: when it is not base64 of a text.
+    """
+    try:
+        return base64.b64decode(value, validate=True).decode()
+    except binascii.Error as error:
+        raise ValueError(str(error)) from error
+
+
+Body = typing.TypeVar("Body", bound=_Body)
--- /dev/null
+++ b/hornbeamglade/routed/callrouter.py
@@ -0,0 +1,62 @@
+"""Route, team and service of a request, or the refusal that its caller gets."""
+
+import dataclasses
+
+from hornbeamglade.core import outcomes
+from hornbeamglade.routed import calls, views
+from hornbeamglade.routes import models, splits
+
+NO_CONFIGURATION = "no_configuration"
+NO_CONFIGURATION_RETRY_S = 0.3
+"""A node learns the configuration within a few hundred milliseconds of reaching the
+store or a peer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutedCall:
+    """A request and where it goes.
+
+    :param call: the request.
+    :param route: its route.
+    :param service: the service that takes it.
+    :param team: its caller's team, or None when no key is needed.
+    :param revision: of the configuration that decided.
+    """
+
+    call: calls.Call
+    route: models.Route
+    service: models.Service
+    team: models.Team | None
+    revision: int
+
+    @property
+    def urgency(self) -> int:
+        """Its rank, 0 first; the team's goes before the route's."""
+        if self.team is not None and self.team.urgency is not None:
+            return self.team.urgency
+        return self.route.urgency
+
+    @property
+    def ends_at(self) -> float:
+        """Monotonic seconds at which it must have its final answer."""
+        return min(self.call.deadline, self.call.arrived_at + self.route.timeout_s)
+
+
+def route(call: calls.Call, view: views.RouteView | None) -> RoutedCall | outcomes.Refusal:
+    """Find out where a request goes.
+
+    :param view: the configuration in force, or None before the first one.
+    """
+    if view is None:
+        detail = "this node does not know the configuration yet"
+        return outcomes.Refusal(
+            NO_CONFIGURATION, 503, detail, retry_after_s=NO_CONFIGURATION_RETRY_S
+        )
+    found = view.table.find(call.host, call.target.decode("latin-1"))
+    if found is None:
+        return outcomes.Refusal("no_route", 404, "no route begins this host and path")
+    team = view.keys.identify(call.authorization)
+    if team is None and view.keys.is_needed and not found.is_public:
+        return outcomes.Refusal("key_unknown", 401, "no team holds this key")
+    service = view.configuration.service_by_name[splits.service(found, call.request_id)]
+    return RoutedCall(call, found, service, team, view.revision)
--- /dev/null
+++ b/hornbeamglade/routed/enginebook.py
@@ -0,0 +1,89 @@
+"""What this node knows of the engines of a service, as the routing choice wants it."""
+
+import collections.abc
+
+from hornbeamglade.grants import deskset
+from hornbeamglade.node import digestbook
+from hornbeamglade.replicas import models, replicalist
+from hornbeamglade.routing import candidates as candidatelib
+
+UNKNOWN_ROOM_TOKENS = 0
+
+
+class EngineBook:
+    """Joins the platform's list with what the engines' owners say.
+
+    :param replicas: the list.
+    :param desks: this node's own desks.
+    :param digests: what other owners said.
+    :param owned: returns the engines that this node owns.
+    """
+
+    def __init__(
+        self,
+        replicas: replicalist.ReplicaList,
+        desks: deskset.DeskSet,
+        digests: digestbook.DigestBook,
+        owned: collections.abc.Callable[[], collections.abc.Container[str]],
+    ) -> None:
+        self._replicas = replicas
+        self._desks = desks
+        self._digests = digests
+        self._owned = owned
+
+    def replica(self, replica_id: str) -> models.Replica | None:
+        """Return a replica of the list, or None when it is gone."""
+        return self._replicas.by_id.get(replica_id)
+
+    def is_usable(self, replica_id: str) -> bool:
+        """Tell whether an engine may get new work."""
+        return self._replicas.is_usable(replica_id)
+
+    def candidates(
+        self, service: str, excluded: collections.abc.Container[str]
+    ) -> tuple[candidatelib.Candidate, ...]:
+        """Return the engines of a service that may get work.
+
+        :param excluded: engines that are out of the question for this request.
+        """
+        # A desk stays after its replica has gone over to another owner. What it says is
+        # that of a full engine, and the request would go anywhere but there.
+        owned = self._owned()
+        state_by_replica = {
+            name: state for name, state in self._desks.states().items() if name in owned
+        }
+        return tuple(
+            self._candidate(replica, state_by_replica.get(replica.id))
+            for replica in self._replicas.of_service(service)
+            if not replica.is_leaving and replica.id not in excluded
+        )
+
+    def _candidate(
+        self, replica: models.Replica, state: deskset.DeskState | None
+    ) -> candidatelib.Candidate:
+        if state is not None:
+            return candidatelib.Candidate(
+                replica=replica.id,
+                owner="",
+                local=True,
+                room_tokens=int(state.room_tokens),
+                queued=state.waiting,
+                expected_wait_s=state.expected_wait_s,
+                report_age_s=0.0,
+                failure_domain=replica.failure_domain,
+                leaving=state.leaving,
+            )
+        heard = self._digests.newest(replica.id)
+        digest = None if heard is None else heard.digest
+        return candidatelib.Candidate(
+            replica=replica.id,
+            owner="" if heard is None else heard.owner,
+            local=False,
+            room_tokens=UNKNOWN_ROOM_TOKENS if digest is None else digest.room_tokens,
+            queued=0 if digest is None else digest.queued,
+            expected_wait_s=0.0 if digest is None else digest.expected_wait_ms / 1000,
+            report_age_s=self._digests.age_s(heard),
+            failure_domain=replica.failure_domain,
+            leaving=digest is not None and digest.leaving,
+            ejected=digest is not None and digest.ejected,
+        )
--- /dev/null
+++ b/hornbeamglade/routed/enginework.py
@@ -0,0 +1,35 @@
+"""A routed request as the engines' desks see it."""
+
+from hornbeamglade.configuration import models
+from hornbeamglade.core import outcomes
+from hornbeamglade.routed import callrouter, calls
+
+QUEUE_GOALS = 2.5
+"""A request waits for an engine for so many times the time to its first event that is on
+time. It is late by then but still wanted; much later its caller gives up, and the wait
+would only have kept it from coming back."""
+
+QUEUE_SHARE = 0.6
+"""Of the caller's time left, for a short request: the rest is for its run."""
+
+NO_GENERATION = calls.Generation("", 0, 0)
+
+
+def work(routed: callrouter.RoutedCall) -> outcomes.Work:
+    """Return what the desks decide by."""
+    generation = routed.call.generation or NO_GENERATION
+    return outcomes.Work(
+        request_id=routed.call.request_id,
+        service=routed.route.name,
+        team="" if routed.team is None else routed.team.name,
+        # The desks' larger priority is the more urgent.
+        priority=max(0, models.HIGHEST_PRIORITY - routed.urgency),
+        prompt_tokens=generation.prompt_tokens,
+        max_tokens=generation.max_tokens or None,
+    )
+
+
+def queue_deadline(routed: callrouter.RoutedCall, now: float) -> float:
+    """Return the monotonic seconds until which a request waits for an engine."""
+    by_goal = routed.call.arrived_at + QUEUE_GOALS * routed.route.goal_s
+    return min(by_goal, now + QUEUE_SHARE * (routed.ends_at - now))
--- /dev/null
+++ b/hornbeamglade/routed/handover.py
@@ -0,0 +1,183 @@
+"""Moving one run to another engine while its stream goes on.
+
+Explanation
+===========
+
+The run's memory is copied first while the run goes on, which takes some tenths of a
+second. Then the run is stopped, the little that is new is copied, and the run goes on at
+the other engine: the stream pauses for some 40 ms. Weighed against stopping first: the
+pause is then as long as the copy, and longer than a steady stream may pause.
+
+A run is stopped only when its copy is there, and only at its turn
+(:mod:`hornbeamglade.grants.moveturns`): what is copied last would else wait behind the
+copies of other runs with its stream stopped.
+"""
+
+import asyncio
+import dataclasses
+
+from hornbeamglade.core import clocks
+from hornbeamglade.engines import control, models
+from hornbeamglade.grants import grantseeker, turntaker
+from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.routed import calls, enginebook
+
+COPY_TIMEOUT_S = 2.5
+"""Longer than any notice of a stop: an engine that is gone resets the call."""
+
+LAST_COPY_TIMEOUT_S = 0.8
+ROOM_AGAIN_S = 0.1
+TRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Destination:
+    """Where a run can go on.
+
+    :param replica: the engine.
+    :param copy: the run's memory.
+    :param grant: leave to run there, or None at the engine that it was stopped at.
+    """
+
+    replica: replicamodels.Replica
+    copy: calls.Copy
+    grant: grantseeker.Grant | None
+
+
+class Handover:
+    """One run's move.
+
+    :param source: the engine that it leaves.
+    :param request_id: the run.
+    :param wish: asks for room elsewhere.
+    :param parts: what it works with.
+    """
+
+    def __init__(
+        self,
+        source: replicamodels.Replica,
+        request_id: str,
+        wish: grantseeker.Wish,
+        parts: "HandoverParts",
+    ) -> None:
+        self._source = source
+        self._request_id = request_id
+        self._wish = wish
+        self._parts = parts
+        self.destination: Destination | None = None
+        self.has_stopped_run = False
+        self.outcome = "begun"
+
+    async def run(self, produced: int) -> None:
+        """Move the run; what came of it is in the attributes.
+
+        :param produced: tokens of the answer so far.
+        """
+        tokens = self._wish.work.prompt_tokens + produced
+        wish = dataclasses.replace(self._wish, produced=max(1, produced))
+        turns = self._parts.turns
+        try:
+            await turns.take(self._source.id, self._request_id, tokens)
+            await self._copy_and_stop(wish)
+        finally:
+            turns.done(self._source.id, self._request_id)
+
+    def abandon(self) -> None:
+        """Give back what a move that is not used has taken."""
+        destination, self.destination = self.destination, None
+        if destination is None:
+            return
+        if destination.grant is not None:
+            self._parts.seeker.release(destination.grant)
+        self._parts.drop(self._source.address, destination.copy.name)
+
+    async def _copy_and_stop(self, wish: grantseeker.Wish) -> None:
+        for attempt in range(TRIES):
+            attempted = dataclasses.replace(wish, attempt=wish.attempt + attempt)
+            target = await self._find_room(attempted)
+            if target is None:
+                self.outcome = "no_room"
+                return
+            grant, replica = target
+            made = await self._copy(replica, is_last=False)
+            if isinstance(made, models.CopyFailed):
+                self._parts.seeker.release(grant)
+                self.outcome = made.code
+                if made.code in ("no_run", "no_answer"):
+                    return
+                continue
+            copy = calls.Copy(self._source.address, made.name)
+            self.destination = Destination(replica, copy, grant)
+            if await self._stop(replica):
+                return
+
+    async def _stop(self, replica: replicamodels.Replica) -> bool:
+        """Stop the run and copy what is new; return whether the move is at its end."""
+        made = await self._copy(replica, is_last=True)
+        if isinstance(made, models.CopyMade):
+            self.has_stopped_run = True
+            self.outcome = "moved"
+            return True
+        self.outcome = f"stop_{made.code}"
+        if made.name is None:
+            # The run was not stopped: it goes on, and another engine may be tried.
+            if made.code in ("busy", "no_room"):
+                self.abandon()
+                return False
+            return True
+        # The run was stopped, and its memory is where it was: it can only go on there.
+        self.abandon()
+        self.has_stopped_run = True
+        copy = calls.Copy(self._source.address, made.name)
+        self.destination = Destination(self._source, copy, None)
+        return True
+
+    async def _find_room(
+        self, wish: grantseeker.Wish
+    ) -> tuple[grantseeker.Grant, replicamodels.Replica] | None:
+        while self._parts.clock.now() < wish.deadline:
+            grant = await self._parts.seeker.find_near(wish, self._source.failure_domain)
+            if grant is not None:
+                replica = self._parts.book.replica(grant.replica)
+                if replica is not None:
+                    return grant, replica
+                self._parts.seeker.release(grant)
+            await asyncio.sleep(ROOM_AGAIN_S)
+        return None
+
+    async def _copy(
+        self, to: replicamodels.Replica, *, is_last: bool
+    ) -> models.CopyMade | models.CopyFailed:
+        timeout_s = LAST_COPY_TIMEOUT_S if is_last else COPY_TIMEOUT_S
+        return await self._parts.engines.copy_run(
+            self._source.address,
+            self._request_id,
+            to.address,
+            is_last=is_last,
+            timeout_s=timeout_s,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandoverParts:
+    """What moves work with.
+
+    :param engines: calls to engines.
+    :param seeker: asks for room.
+    :param turns: turns to leave a replica.
+    :param book: the engines that there are.
+    :param clock: monotonic time.
+    """
+
+    engines: control.EngineControl
+    seeker: grantseeker.GrantSeeker
+    turns: turntaker.TurnTaker
+    book: enginebook.EngineBook
+    clock: clocks.Clock
+    tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+
+    def drop(self, address: str, name: str) -> None:
+        """Free a copy in the background."""
+        task = asyncio.ensure_future(self.engines.drop_copy(address, name))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/hornbeamglade/routed/plainexchange.py
@@ -0,0 +1,151 @@
+"""A request whose answer is passed on when it is whole."""
+
+from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.replicas import replicalist
+from hornbeamglade.routed import (
+    attemptlog,
+    callrouter,
+    calls,
+    ownanswers,
+    replicaload,
+    retrybudget,
+    sending,
+)
+
+MAX_CONTACTS = 4
+"""Replicas that one request turns to, unreachable ones included."""
+
+NO_REPLICA_RETRY_S = 0.4
+FULL_RETRY_S = 0.15
+
+
+class PlainExchange:
+    """Gets a whole answer, at another replica where that is safe.
+
+    Explanation
+    ===========
+
+    A request is sent again only when it did not run, or may run twice. Its caller gets
+    a replica's own failure as it is, once no further attempt is allowed.
+
+    :param replicas: the replicas that there are.
+    :param sender: sends attempts.
+    :param loads: chooses among replicas.
+    :param budgets: bounds what is sent again.
+    :param clock: monotonic time.
+    """
+
+    def __init__(
+        self,
+        replicas: replicalist.ReplicaList,
+        sender: sending.Sender,
+        loads: replicaload.ReplicaLoads,
+        budgets: retrybudget.RetryBudgets,
+        clock: clocks.Clock,
+    ) -> None:
+        self._replicas = replicas
+        self._sender = sender
+        self._loads = loads
+        self._budgets = budgets
+        self._clock = clock
+
+    async def answer(
+        self, routed: callrouter.RoutedCall, log: attemptlog.AttemptLog
+    ) -> ownanswers.Answer | outcomes.Refusal:
+        """Return what the caller gets.
+
+        :param log: takes the attempts, for a caller whose time ends meanwhile.
+        """
+        best: ownanswers.Answer | None = None
+        while True:
+            replica = self._choose(routed, log)
+            if replica is None:
+                return best or _none_left(routed, log)
+            if log.sent and not self._budgets.spend(routed.service.name, self._clock.now()):
+                return best or _failed(routed, log)
+            answer = await self._attempt(routed, replica, log)
+            if isinstance(answer, ownanswers.Answer):
+                if not self._is_worth_another(routed, answer, log):
+                    return answer
+                best = answer
+            elif not self._may_go_on(routed, log):
+                return best or _failed(routed, log)
+
+    def _choose(
+        self, routed: callrouter.RoutedCall, log: attemptlog.AttemptLog
+    ) -> replicamodels.Replica | None:
+        if len(log.tried) >= MAX_CONTACTS:
+            return None
+        usable = [
+            replica
+            for replica in self._replicas.of_service(routed.service.name)
+            if not replica.is_leaving and replica.id not in log.tried
+        ]
+        return self._loads.choose(usable)
+
+    async def _attempt(
+        self,
+        routed: callrouter.RoutedCall,
+        replica: replicamodels.Replica,
+        log: attemptlog.AttemptLog,
+    ) -> ownanswers.Answer | sending.Failed:
+        team = None if routed.team is None else routed.team.name
+        dispatch = calls.Dispatch(replica.id, team, routed.ends_at - self._clock.now())
+        outcome: ownanswers.Answer | sending.Failed | None = None
+        load = None
+        self._loads.started(replica.id)
+        log.begin(replica.id)
+        try:
+            begun = await self._sender.begin(routed, replica, dispatch)
+            if isinstance(begun, sending.Begun):
+                load = begun.head.load
+                outcome = await self._finish(begun)
+            else:
+                outcome = begun
+        finally:
+            failed = not isinstance(outcome, ownanswers.Answer) or outcome.status >= 500
+            self._loads.ended(replica.id, failed, load)
+        if isinstance(outcome, sending.Failed):
+            was_sent = outcome.code != "not_connected"
+            log.note(replica.id, outcome.run, was_sent)
+        else:
+            log.note(replica.id, outcomes.RunStatus.RAN, True)
+        return outcome
+
+    async def _finish(self, begun: sending.Begun) -> ownanswers.Answer | sending.Failed:
+        body = await self._sender.whole_body(begun)
+        if isinstance(body, sending.Failed):
+            return body
+        head = begun.head
+        if head.is_not_run:
+            return sending.Failed("replica_refused", outcomes.RunStatus.NOT_RUN)
+        if not head.is_sealed or head.is_encoded:
+            return sending.Failed("answer_not_proved", outcomes.RunStatus.UNKNOWN)
+        return ownanswers.Answer(head.status, head.fields, body)
+
+    def _is_worth_another(
+        self, routed: callrouter.RoutedCall, answer: ownanswers.Answer, log: attemptlog.AttemptLog
+    ) -> bool:
+        """Tell whether a replica's own failure is worth another attempt."""
+        return answer.status >= 500 and self._may_go_on(routed, log)
+
+    def _may_go_on(self, routed: callrouter.RoutedCall, log: attemptlog.AttemptLog) -> bool:
+        if not log.may_have_run:
+            return True
+        return routed.route.is_repeatable and log.sent < routed.route.max_attempts
+
+
+def _failed(routed: callrouter.RoutedCall, log: attemptlog.AttemptLog) -> outcomes.Refusal:
+    if log.may_have_run:
+        detail = f"no replica of {routed.service.name} gave a whole answer"
+        return outcomes.Refusal("no_answer", 502, detail, outcomes.RunStatus.UNKNOWN)
+    detail = f"the replicas of {routed.service.name} that were asked took no work"
+    return outcomes.Refusal("replicas_full", 503, detail, retry_after_s=FULL_RETRY_S)
+
+
+def _none_left(routed: callrouter.RoutedCall, log: attemptlog.AttemptLog) -> outcomes.Refusal:
+    if log.tried:
+        return _failed(routed, log)
+    detail = f"no replica of {routed.service.name} is in use"
+    return outcomes.Refusal("no_replica", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
--- /dev/null
+++ b/hornbeamglade/routed/replicaload.py
@@ -0,0 +1,100 @@
+"""What this node knows of how busy the replicas of plain services are."""
+
+import collections.abc
+import dataclasses
+import random
+
+from hornbeamglade.core import clocks
+from hornbeamglade.replicas import models
+from hornbeamglade.routed import calls
+
+LOAD_LIFE_S = 1.0
+"""A replica's word of its load counts for so long: by then most of the requests that it
+spoke of have ended, as a plain request runs for a tenth of a second."""
+
+FAILURE_HALF_LIFE_S = 3.0
+FAILURE_WEIGHT = 4.0
+"""A replica that fails every request counts as busy as one with four slots' worth more of
+requests each slot: it is chosen only when the others are that much fuller, and for the
+probe that finds it well again."""
+
+SMOOTHING = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    outstanding: int = 0
+    told: calls.Load | None = None
+    told_at: float = 0.0
+    own_when_told: int = 0
+    failing: float = 0.0
+    failing_at: float = 0.0
+
+    def others(self, now: float) -> float:
+        """Return what callers of other nodes are thought to have there."""
+        if self.told is None or now - self.told_at > LOAD_LIFE_S:
+            return 0.0
+        others = self.told.running + self.told.waiting - self.own_when_told
+        return max(0.0, others) * (1.0 - (now - self.told_at) / LOAD_LIFE_S)
+
+    def failures(self, now: float) -> float:
+        """Return the share of late requests that failed, fading with time."""
+        return self.failing * 0.5 ** ((now - self.failing_at) / FAILURE_HALF_LIFE_S)
+
+
+class ReplicaLoads:
+    """Chooses replicas of plain services by what is outstanding at them.
+
+    :param clock: monotonic time.
+    :param rng: breaks ties, so that nodes don't all choose the same replica.
+    """
+
+    def __init__(self, clock: clocks.Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._record_by_id: dict[str, _Record] = {}
+
+    def choose(self, replicas: collections.abc.Sequence[models.Replica]) -> models.Replica | None:
+        """Return the least busy of some replicas, or None when there is none."""
+        if not replicas:
+            return None
+        now = self._clock.now()
+        return min(replicas, key=lambda each: (self._business(each, now), self._rng.random()))
+
+    def started(self, replica_id: str) -> None:
+        """Count a request to a replica."""
+        self._record(replica_id).outstanding += 1
+
+    def ended(self, replica_id: str, failed: bool, load: calls.Load | None) -> None:
+        """Count a request out.
+
+        :param failed: whether the replica failed it.
+        :param load: what the replica said of itself, or None.
+        """
+        now = self._clock.now()
+        record = self._record(replica_id)
+        record.outstanding -= 1
+        if load is not None:
+            # The request that carried this word is still counted in it.
+            record.told = load
+            record.told_at = now
+            record.own_when_told = record.outstanding + 1
+        before = record.failures(now)
+        record.failing = before + SMOOTHING * (float(failed) - before)
+        record.failing_at = now
+
+    def forget(self, present: collections.abc.Container[str]) -> None:
+        """Drop what is known of replicas that are gone."""
+        for replica_id in list(self._record_by_id):
+            if replica_id not in present and not self._record_by_id[replica_id].outstanding:
+                del self._record_by_id[replica_id]
+
+    def _business(self, replica: models.Replica, now: float) -> float:
+        record = self._record_by_id.get(replica.id)
+        if record is None:
+            return 0.0
+        used = (record.outstanding + record.others(now)) / max(1, replica.slots)
+        return used + FAILURE_WEIGHT * record.failures(now)
+
+    def _record(self, replica_id: str) -> _Record:
+        return self._record_by_id.setdefault(replica_id, _Record())
--- /dev/null
+++ b/hornbeamglade/routed/streamrun.py
@@ -0,0 +1,405 @@
+"""One streamed answer, over every replica that its run visits."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.grants import grantseeker
+from hornbeamglade.http1 import clientside, serverside
+from hornbeamglade.observability import logs
+from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.routed import (
+    attemptlog,
+    callrouter,
+    calls,
+    enginebook,
+    enginework,
+    eventrelay,
+    handover,
+    ownanswers,
+    retrybudget,
+    runregistry,
+    sending,
+)
+
+MAX_CONTACTS = 4
+HANDOVER_WAIT_S = 2.0
+"""Once its stream is closed, a run waits for its move to come to an end; that takes a
+few hundredths of a second, or the engine is gone and the move ends with it."""
+
+FULL_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunParts:
+    """What streamed answers work with.
+
+    :param sender: sends attempts.
+    :param seeker: asks for room at engines.
+    :param book: the engines that there are.
+    :param moves: what moves work with.
+    :param registry: which run is where.
+    :param budgets: bounds what is sent again.
+    :param learn: told the length of each answer: route, team, tokens, whether it was cut.
+    :param clock: monotonic time.
+    """
+
+    sender: sending.Sender
+    seeker: grantseeker.GrantSeeker
+    book: enginebook.EngineBook
+    moves: handover.HandoverParts
+    registry: runregistry.RunRegistry
+    budgets: retrybudget.RetryBudgets
+    learn: collections.abc.Callable[[str, str, int, bool], None]
+    clock: clocks.Clock
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Streamed:
+    """A stream was begun.
+
+    :param is_whole: whether it came to its end.
+    :param events: events that were passed on.
+    :param moves: how often its run went on at another engine.
+    :param first_event_s: seconds to its first event, or None.
+    :param longest_gap_s: the longest pause between events.
+    """
+
+    is_whole: bool
+    events: int
+    moves: int
+    first_event_s: float | None
+    longest_gap_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Place:
+    """Where the run is now.
+
+    :param replica: the engine.
+    :param grant: leave to run there, or None.
+    :param begun: its answer there, or None before its head.
+    """
+
+    replica: replicamodels.Replica
+    grant: grantseeker.Grant | None
+    begun: sending.Begun | None = None
+
+
+class StreamRun(runregistry.Run):
+    """Answers one request with a stream of events.
+
+    Explanation
+    ===========
+
+    A request that may not run twice is sent once. When its engine is about to stop, the
+    run is moved (:mod:`hornbeamglade.routed.handover`) and its stream goes on from the
+    copy of its memory: that is the same run, so no event is made anew. Only a request
+    that may be repeated is run again after its stream was lost, from the last event that
+    its caller has.
+
+    :param routed: the request.
+    :param exchange: the caller's.
+    :param log: its attempts.
+    :param parts: what it works with.
+    """
+
+    def __init__(
+        self,
+        routed: callrouter.RoutedCall,
+        exchange: serverside.Exchange,
+        log: attemptlog.AttemptLog,
+        parts: RunParts,
+    ) -> None:
+        self._routed = routed
+        self._exchange = exchange
+        self._log = log
+        self._parts = parts
+        self._relay = eventrelay.EventRelay(exchange, parts.clock, routed.call.last_event_id)
+        self._place: _Place | None = None
+        self._start: eventrelay.AnswerStart | None = None
+        self._first_event = asyncio.Event()
+        self._handover: handover.Handover | None = None
+        self._handover_task: asyncio.Task[None] | None = None
+        self._asks = 0
+        self._moves = 0
+
+    async def answer(self) -> outcomes.Refusal | ownanswers.Answer | Streamed:
+        """Answer the request.
+
+        :returns: what the caller gets in place of a stream, or what became of it.
+        """
+        is_whole = False
+        try:
+            answer = await self._begin()
+            if not isinstance(answer, sending.Begun):
+                return answer
+            is_whole = await self._stream()
+            if not is_whole and not self._relay.has_begun:
+                return self._failed()
+            if not is_whole:
+                self._exchange.abort()
+            return self.streamed(is_whole)
+        finally:
+            self._end(is_whole)
+
+    def streamed(self, is_whole: bool) -> Streamed:
+        """Return what became of the stream so far."""
+        relay = self._relay
+        first_s = None
+        if relay.first_at is not None:
+            first_s = relay.first_at - self._routed.call.arrived_at
+        return Streamed(is_whole, relay.count, self._moves, first_s, relay.longest_gap_s)
+
+    def replica_leaves(self) -> None:
+        """Begin to move to another engine, if the run is worth it."""
+        place = self._place
+        engine = self._routed.service.engine
+        if place is None or engine is None or not engine.can_move:
+            return
+        if self._handover_task is not None and not self._handover_task.done():
+            return
+        self._handover_task = asyncio.ensure_future(self._move_away(place))
+
+    async def _begin(self) -> sending.Begun | outcomes.Refusal | ownanswers.Answer:
+        """Send the request until a replica answers it with a stream."""
+        while True:
+            refusal = await self._find_place()
+            if refusal is not None:
+                return refusal
+            begun = await self._send_to_place(None)
+            if isinstance(begun, sending.Begun) and _is_stream(begun):
+                return begun
+            answer = await self._not_streamed(begun)
+            if answer is not None:
+                return answer
+
+    async def _find_place(self) -> outcomes.Refusal | None:
+        """Get leave to run at an engine; return the refusal when there is none."""
+        log, routed = self._log, self._routed
+        now = self._parts.clock.now()
+        if len(log.tried) >= MAX_CONTACTS:
+            return self._failed()
+        if log.sent and not self._parts.budgets.spend(routed.service.name, now):
+            return self._failed()
+        wish = self._wish(enginework.queue_deadline(routed, now), frozenset(log.tried))
+        grant = await self._parts.seeker.find(wish)
+        if isinstance(grant, outcomes.Refusal):
+            return self._failed() if log.may_have_run else grant
+        replica = self._parts.book.replica(grant.replica)
+        if replica is None:
+            self._parts.seeker.release(grant)
+            return self._failed()
+        self._place = _Place(replica, grant)
+        return None
+
+    def _wish(self, deadline: float, excluded: frozenset[str]) -> grantseeker.Wish:
+        service = self._routed.service.name
+        self._asks += handover.TRIES
+        return grantseeker.Wish(
+            work=enginework.work(self._routed),
+            weight=1.0,
+            deadline=deadline,
+            known=lambda: self._parts.book.candidates(service, excluded),
+            attempt=self._asks,
+        )
+
+    async def _send_to_place(self, copy: calls.Copy | None) -> sending.Begun | sending.Failed:
+        """Send the request to where it has leave to run."""
+        place, routed = self._place, self._routed
+        dispatch = calls.Dispatch(
+            replica_id=place.replica.id,
+            team=None if routed.team is None else routed.team.name,
+            remaining_s=routed.ends_at - self._parts.clock.now(),
+            urgency=min(routed.urgency, 9),
+            last_event_id=self._relay.last_id,
+            copy=copy,
+        )
+        self._log.begin(place.replica.id)
+        begun = await self._parts.sender.begin(routed, place.replica, dispatch)
+        if isinstance(begun, sending.Failed):
+            self._log.note(place.replica.id, begun.run, begun.code != "not_connected")
+            return begun
+        place.begun = begun
+        self._log.answered()
+        self._parts.registry.enter(place.replica.id, self)
+        if self._start is None or not self._relay.has_begun:
+            self._start = eventrelay.AnswerStart(begun.head.status, begun.head.fields)
+        if not self._parts.book.is_usable(place.replica.id):
+            self.replica_leaves()
+        return begun
+
+    async def _not_streamed(
+        self, begun: sending.Begun | sending.Failed
+    ) -> outcomes.Refusal | ownanswers.Answer | None:
+        """Deal with an attempt that gave no stream; None when another may be made."""
+        place = self._place
+        if isinstance(begun, sending.Failed):
+            self._leave_place()
+            return None if self._may_run_again() else self._failed()
+        body = await self._parts.sender.whole_body(begun)
+        place.begun = None
+        self._leave_place()
+        if begun.head.is_not_run:
+            self._log.note(place.replica.id, outcomes.RunStatus.NOT_RUN, True)
+            return None
+        self._log.note(place.replica.id, outcomes.RunStatus.RAN, True)
+        if isinstance(body, sending.Failed):
+            return None if self._may_run_again() else self._failed()
+        if begun.head.status >= 500 and self._may_run_again():
+            return None
+        if not begun.head.is_sealed or begun.head.is_encoded:
+            return self._failed()
+        return ownanswers.Answer(begun.head.status, begun.head.fields, body)
+
+    async def _stream(self) -> bool:
+        """Pass events on until the answer is whole; False when it cannot be."""
+        while True:
+            ended = await self._pass_on()
+            if ended is None:
+                return True
+            logs.decided(
+                self._routed.call.request_id,
+                "stream_lost",
+                ended.code,
+                replica=self._place.replica.id,
+                events=self._relay.count,
+            )
+            self._log.note(self._place.replica.id, outcomes.RunStatus.RAN, True)
+            if not await self._go_on():
+                return False
+
+    async def _pass_on(self) -> clientside.Lost | None:
+        """Pass events on; None at the end of the whole answer."""
+        connection = self._place.begun.connection
+        self._relay.start_connection()
+        while True:
+            piece = await connection.piece()
+            if isinstance(piece, clientside.Lost):
+                return piece
+            if isinstance(piece, clientside.End):
+                if await self._relay.finish(self._start):
+                    return None
+                return clientside.Lost("torn_event")
+            if not await self._relay.take(piece, self._start):
+                return clientside.Lost("event_missing")
+            self._note_progress()
+
+    def _note_progress(self) -> None:
+        if self._relay.count:
+            self._first_event.set()
+        grant = self._place.grant
+        if grant is not None:
+            self._parts.seeker.progress(grant, self._produced())
+
+    def _produced(self) -> int:
+        engine = self._routed.service.engine
+        return self._relay.count * (1 if engine is None else engine.tokens_per_event)
+
+    async def _go_on(self) -> bool:
+        """Continue the stream at another replica; return whether it does."""
+        destination = await self._destination()
+        self._leave_place()
+        if destination is not None:
+            return await self._resume(destination)
+        if not self._may_run_again():
+            return False
+        return isinstance(await self._begin(), sending.Begun)
+
+    async def _destination(self) -> handover.Destination | None:
+        """Return where the run's memory is, once its move has come to an end."""
+        task = self._handover_task
+        if task is None or self._handover is None:
+            return None
+        if not task.done():
+            await asyncio.wait((task,), timeout=HANDOVER_WAIT_S)
+        destination, self._handover.destination = self._handover.destination, None
+        return destination
+
+    async def _resume(self, destination: handover.Destination) -> bool:
+        self._place = _Place(destination.replica, destination.grant)
+        self._handover = None
+        self._handover_task = None
+        self._parts.budgets.note(self._routed.service.name, self._parts.clock.now())
+        begun = await self._send_to_place(destination.copy)
+        is_resumed = isinstance(begun, sending.Begun) and _is_stream(begun)
+        logs.decided(
+            self._routed.call.request_id,
+            "resumed",
+            "ok" if is_resumed else "failed",
+            replica=destination.replica.id,
+            events=self._relay.count,
+        )
+        if is_resumed:
+            self._moves += 1
+            return True
+        if isinstance(begun, sending.Begun):
+            self._parts.sender.close(begun)
+            self._place.begun = None
+        self._leave_place()
+        return self._may_run_again() and isinstance(await self._begin(), sending.Begun)
+
+    async def _move_away(self, place: _Place) -> None:
+        """Move the run to another engine before its own stops."""
+        # Memory of a run that has not begun cannot be copied.
+        await self._first_event.wait()
+        wish = self._wish(
+            self._parts.clock.now() + handover.COPY_TIMEOUT_S, frozenset((place.replica.id,))
+        )
+        self._handover = handover.Handover(
+            place.replica, self._routed.call.request_id, wish, self._parts.moves
+        )
+        await self._handover.run(self._produced())
+        logs.decided(
+            self._routed.call.request_id,
+            "handover",
+            self._handover.outcome,
+            replica=place.replica.id,
+            events=self._relay.count,
+        )
+
+    def _may_run_again(self) -> bool:
+        if not self._log.may_have_run:
+            return True
+        route = self._routed.route
+        return route.is_repeatable and self._log.sent < route.max_attempts
+
+    def _failed(self) -> outcomes.Refusal:
+        service = self._routed.service.name
+        if self._log.may_have_run:
+            detail = f"no replica of {service} gave a whole answer"
+            return outcomes.Refusal("no_answer", 502, detail, outcomes.RunStatus.UNKNOWN)
+        detail = f"the replicas of {service} that were asked took no work"
+        return outcomes.Refusal("replicas_full", 503, detail, retry_after_s=FULL_RETRY_S)
+
+    def _leave_place(self) -> None:
+        """Give up where the run was: its connection and its grant."""
+        place, self._place = self._place, None
+        if place is None:
+            return
+        self._parts.registry.leave(place.replica.id, self)
+        if place.begun is not None:
+            self._parts.sender.close(place.begun)
+        if place.grant is not None:
+            self._parts.seeker.release(place.grant)
+
+    def _end(self, is_whole: bool) -> None:
+        """Give back all that the run holds, however it ended."""
+        if self._handover_task is not None:
+            self._handover_task.cancel()
+        if self._handover is not None:
+            self._handover.abandon()
+        place = self._place
+        if is_whole and place is not None and place.begun is not None:
+            self._parts.sender.finished(place.begun)
+            place.begun = None
+        self._leave_place()
+        work = enginework.work(self._routed)
+        if self._produced():
+            self._parts.learn(work.service, work.team, self._produced(), not is_whole)
+
+
+def _is_stream(begun: sending.Begun) -> bool:
+    head = begun.head
+    return head.status == 200 and head.is_sealed and not head.is_encoded
--- /dev/null
+++ b/hornbeamglade/routed/views.py
@@ -0,0 +1,33 @@
+"""What a routed request is decided by: the configuration and the list, as they are now."""
+
+import dataclasses
+
+from hornbeamglade.http1 import serverside
+from hornbeamglade.routes import models, routetable, teamkeys
+
+
+class RouteView:
+    """One revision of the configuration, indexed for requests.
+
+    :param configuration: the revision.
+    """
+
+    def __init__(self, configuration: models.Configuration) -> None:
+        self.configuration = configuration
+        self.revision = configuration.revision
+        self.table = routetable.RouteTable(configuration.routes)
+        self.keys = teamkeys.TeamKeys(configuration.teams)
+        limits = configuration.limits
+        self.limits = serverside.ConnectionLimits(
+            limits.head_bytes, limits.body_bytes, limits.head_s, limits.idle_s
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Views:
+    """What is in force; replaced as a whole, so that a request sees one revision.
+
+    :param routes: None until a revision is known.
+    """
+
+    routes: RouteView | None = None
--- /dev/null
+++ b/hornbeamglade/routes/splits.py
@@ -0,0 +1,33 @@
+"""Which service of a split route a request goes to."""
+
+import hashlib
+
+from hornbeamglade.routes import models
+
+_HASH_BYTES = 8
+_HASH_RANGE = 2 ** (8 * _HASH_BYTES)
+
+
+def service(route: models.Route, request_id: str) -> str:
+    """Return the service for a request; the same request always goes to the same one.
+
+    Examples
+    ========
+
+    >>> splits = (models.Split("old", 90), models.Split("new", 10))
+    >>> kind = models.RouteKind.IDEMPOTENT
+    >>> route = models.Route("r", "a.example", "/", kind, splits, 1.0, 0.5, 0, 1)
+    >>> chosen = [service(route, str(number)) for number in range(1000)]
+    >>> 870 < chosen.count("old") < 930
+    True
+    """
+    if len(route.splits) == 1:
+        return route.splits[0].service
+    digest = hashlib.blake2b(request_id.encode(), digest_size=_HASH_BYTES).digest()
+    total = sum(split.weight for split in route.splits)
+    left = int.from_bytes(digest, "big") / _HASH_RANGE * total
+    for split in route.splits:
+        left -= split.weight
+        if left < 0:
+            return split.service
+    return route.splits[-1].service
--- /dev/null
+++ b/hornbeamglade/routes/teamkeys.py
@@ -0,0 +1,42 @@
+"""Which team holds a caller's key."""
+
+import collections.abc
+
+from hornbeamglade.routes import models
+
+_SCHEME = "bearer "
+
+
+class TeamKeys:
+    """The keys of one revision.
+
+    :param teams: all teams.
+
+    Examples
+    ========
+
+    >>> keys = TeamKeys((models.Team("clinic", frozenset(("k1",))),))
+    >>> keys.identify("Bearer k1").name
+    'clinic'
+    >>> keys.identify("Bearer k2") is None
+    True
+    """
+
+    def __init__(self, teams: collections.abc.Iterable[models.Team]) -> None:
+        known = tuple(teams)
+        self._team_by_key = {key: team for team in known for key in team.keys}
+        self._is_needed = bool(known)
+
+    @property
+    def is_needed(self) -> bool:
+        """Whether requests to routes that are not public need a key.
+
+        A revision whose teams hold no key at all lets nobody in.
+        """
+        return self._is_needed
+
+    def identify(self, authorization: str | None) -> models.Team | None:
+        """Return the team of an ``Authorization`` value, or None when nobody holds the key."""
+        if authorization is None or authorization[: len(_SCHEME)].lower() != _SCHEME:
+            return None
+        return self._team_by_key.get(authorization[len(_SCHEME) :].strip())
--- a/hornbeamglade/standins/platform.py
+++ b/hornbeamglade/standins/platform.py
@@ -3,14 +3,14 @@
 Explanation
 ===========
 
-It speaks ``docs/PROTOCOLS.md``. ``/standin`` calls work also while it is told
-to be down. A write whose answer is to be lost takes effect, then the
-connection is closed without a byte.
+It speaks the protocol of the platform's metadata store. Beside it, tests and the demo
+have ``PUT /standin/instances`` and ``PUT /standin/faults``, which work also while it is
+told to be down. A write whose answer is to be lost takes effect, then the connection is
+closed without a byte.
 """
 
 import collections.abc
 import dataclasses
-import hashlib
 import http
 import signal
 import threading
@@ -20,20 +20,49 @@
 import pydantic
 
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import contract, memory, wire
+from hornbeamglade.membership import registry
+from hornbeamglade.platform import storebodies
+from hornbeamglade.store import contract, memory
 
 THREADS = 32
 KEPT_CONNECTIONS = 1000
-DEFAULT_SCAN_LIMIT = 1000
+MAX_ROWS = 500
 STOP_TIMEOUT_S = 1.0
 STOP_POLL_S = 0.05
 
 
+class InstanceBody(pydantic.BaseModel):
+    """One node that the stand-in is told to list."""
+
+    name: str
+    failure_domain: str
+    address: str
+    exchange: str
+    leaving: bool
+
+
+class InstancesBody(pydantic.BaseModel):
+    """The nodes that the stand-in is told to list, in place of the former ones."""
+
+    instances: list[InstanceBody]
+
+
+class FaultsBody(pydantic.BaseModel):
+    """The faults that the stand-in may be told to show; absent ones are off."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    down: bool = False
+    store_down: bool = False
+    delay_s: float = pydantic.Field(default=0.0, ge=0)
+    lose_answers: bool = False
+    lag_s: float = pydantic.Field(default=0.0, ge=0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
     status: http.HTTPStatus
     body: bytes = b""
-    etag: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +71,7 @@
 
 
 _Reply = _Answer | _NoAnswer
+_Call = collections.abc.Callable[[str, dict[str, str], bytes], _Reply]
 
 
 def _json(body: pydantic.BaseModel, status: http.HTTPStatus = http.HTTPStatus.OK) -> _Answer:
@@ -51,6 +81,7 @@
 _UNAVAILABLE = _Answer(http.HTTPStatus.SERVICE_UNAVAILABLE)
 _NOT_FOUND = _Answer(http.HTTPStatus.NOT_FOUND)
 _BAD_REQUEST = _Answer(http.HTTPStatus.BAD_REQUEST)
+_GONE = _Answer(http.HTTPStatus.GONE)
 _OK = _Answer(http.HTTPStatus.OK)
 
 
@@ -59,111 +90,125 @@
 
     def __init__(self, platform: memory.MemoryPlatform) -> None:
         self._platform = platform
+        self._call_by_route: dict[tuple[str, str], _Call] = {
+            ("GET", "/v1/rows-get"): self._rows,
+            ("GET", "/v1/rows-feed"): self._feed,
+            ("POST", "/v1/rows-tx"): self._transact,
+            ("GET", "/v1/blob-get"): self._get_object,
+            ("PUT", "/v1/blob-put"): self._put_object,
+            ("PUT", "/standin/instances"): self._set_instances,
+            ("PUT", "/standin/faults"): self._set_faults,
+        }
 
     def answer(self, method: str, target: str, body: bytes) -> _Reply:
         """Return the reply to one request."""
         path, _, query = target.partition("?")
-        _, first, rest = path.split("/", 2) if path.count("/") > 1 else ("", path[1:], "")
-        call = self._call_by_route().get((method, first))
+        pieces = path.split("/", 3)
+        call = self._call_by_route.get((method, "/".join(pieces[:3])))
         if call is None:
             return _NOT_FOUND
+        value_by_name = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         try:
-            return call(rest, query, body)
-        except ValueError:  # pydantic's and unicode's errors included
+            return call(pieces[3] if len(pieces) > 3 else "", value_by_name, body)
+        except (ValueError, KeyError):  # pydantic's and unicode's errors included
             return _BAD_REQUEST
 
-    def _call_by_route(
-        self,
-    ) -> dict[tuple[str, str], collections.abc.Callable[[str, str, bytes], _Reply]]:
-        return {
-            ("GET", "table"): self._table_read,
-            ("POST", "table"): self._transact,
-            ("GET", "objects"): self._get_object,
-            ("PUT", "objects"): self._put_object,
-            ("GET", "instances"): self._instances,
-            ("PUT", "standin"): self._standin,
-        }
-
-    def _table_read(self, rest: str, query: str, _body: bytes) -> _Reply:
-        if rest == "scan":
-            return self._scan(query)
-        if not rest.startswith("rows/"):
-            return _NOT_FOUND
-        match self._platform.read(urllib.parse.unquote(rest.removeprefix("rows/"))):
-            case contract.Found(row):
-                return _json(_row_body(row))
-            case contract.Missing():
-                return _NOT_FOUND
-            case contract.Unavailable():
-                return _UNAVAILABLE
-
-    def _scan(self, query: str) -> _Reply:
-        value_by_name = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-        limit = int(value_by_name.get("limit", DEFAULT_SCAN_LIMIT))
-        rows = self._platform.scan(value_by_name.get("prefix", ""), limit)
-        if isinstance(rows, contract.Unavailable):
+    def _rows(self, _rest: str, asked: dict[str, str], _body: bytes) -> _Reply:
+        table = self._platform.snapshot(asked["table"])
+        if isinstance(table, contract.Unavailable):
             return _UNAVAILABLE
-        return _json(wire.RowsBody(rows=[_row_body(row) for row in rows]))
-
-    def _transact(self, rest: str, _query: str, body: bytes) -> _Reply:
-        if rest != "transact":
-            return _NOT_FOUND
-        asked = wire.TransactBody.model_validate_json(body)
-        conditions = tuple(contract.Condition(c.key, c.version) for c in asked.conditions)
-        writes = tuple(write.to_write() for write in asked.writes)
-        match self._platform.transact(conditions, writes):
-            case contract.Committed(version_by_key):
-                return _json(wire.CommittedBody(versions=version_by_key))
-            case contract.Conflict(key):
-                return _json(wire.ConflictBody(conflict=key), http.HTTPStatus.CONFLICT)
+        limit = min(int(asked.get("limit", MAX_ROWS)), MAX_ROWS)
+        first, end = asked.get("from", ""), asked.get("to")
+        rows = [
+            row
+            for row in map(storebodies.Row.of_row, table.rows)
+            if row.part == asked["part"] and row.key >= first and (end is None or row.key < end)
+        ]
+        shown = tuple(rows[:limit])
+        return _json(storebodies.Rows(rows=shown, ver=table.version, truncated=len(rows) > limit))
+
+    def _feed(self, _rest: str, asked: dict[str, str], _body: bytes) -> _Reply:
+        after, wait_s = int(asked["after_revision"]), int(asked["wait_ms"]) / 1000
+        changes = self._platform.changes(asked["table"], after, wait_s)
+        if isinstance(changes, contract.Unavailable):
+            return _UNAVAILABLE
+        if isinstance(changes, contract.HistoryLost):
+            return _GONE
+        gone = tuple(
+            storebodies.Row(**dict(storebodies.Name.of(key)), ver=changes.newest, deleted=True)
+            for key in changes.gone
+        )
+        present = tuple(map(storebodies.Row.of_row, changes.present))
+        return _json(storebodies.Rows(rows=present + gone, ver=changes.version))
+
+    def _transact(self, _rest: str, _asked: dict[str, str], body: bytes) -> _Reply:
+        transaction = storebodies.Transaction.model_validate_json(body)
+        conditions = tuple(
+            contract.Condition(each.whole(), each.ver) for each in transaction.expected
+        )
+        puts = tuple(
+            contract.Put(write.whole(), storebodies.text(write.value))
+            for write in transaction.writes
+        )
+        deletes = tuple(contract.Delete(name.whole()) for name in transaction.remove)
+        match self._platform.transact(conditions, puts + deletes):
+            case contract.Committed():
+                return _json(storebodies.Committed(ver=self._platform.revision))
+            case contract.Conflict():
+                return self._conflict(conditions)
             case contract.Unavailable():
                 return _UNAVAILABLE
             case contract.Unknown():
                 return _NoAnswer()
 
-    def _get_object(self, rest: str, _query: str, _body: bytes) -> _Reply:
-        match self._platform.get(urllib.parse.unquote(rest)):
+    def _conflict(self, conditions: tuple[contract.Condition, ...]) -> _Reply:
+        found = [self._platform.read(condition.key) for condition in conditions]
+        rows = tuple(
+            storebodies.Row.of_row(each.row) for each in found if isinstance(each, contract.Found)
+        )
+        return _json(storebodies.Conflict(rows=rows), http.HTTPStatus.PRECONDITION_FAILED)
+
+    def _get_object(self, name: str, _asked: dict[str, str], _body: bytes) -> _Reply:
+        match self._platform.get(urllib.parse.unquote(name)):
             case contract.Found(row):
-                body = row.value.encode()
-                return _Answer(http.HTTPStatus.OK, body, _etag(body))
+                return _Answer(http.HTTPStatus.OK, row.value.encode())
             case contract.Missing():
                 return _NOT_FOUND
             case contract.Unavailable():
                 return _UNAVAILABLE
 
-    def _put_object(self, rest: str, _query: str, body: bytes) -> _Reply:
-        match self._platform.put(urllib.parse.unquote(rest), body.decode()):
+    def _put_object(self, name: str, _asked: dict[str, str], body: bytes) -> _Reply:
+        match self._platform.put(urllib.parse.unquote(name), body.decode()):
             case contract.Committed():
-                return _Answer(http.HTTPStatus.OK, etag=_etag(body))
+                return _OK
             case contract.Unavailable():
                 return _UNAVAILABLE
             case contract.Unknown():
                 return _NoAnswer()
 
-    def _instances(self, _rest: str, _query: str, _body: bytes) -> _Reply:
-        instances = self._platform.list()
-        if isinstance(instances, contract.Unavailable):
-            return _UNAVAILABLE
-        return _json(wire.InstancesBody(instances=[wire.InstanceBody.of(i) for i in instances]))
-
-    def _standin(self, rest: str, _query: str, body: bytes) -> _Reply:
-        if rest == "instances":
-            listed = wire.InstancesBody.model_validate_json(body)
-            self._platform.set_instances(i.to_instance() for i in listed.instances)
-            return _OK
-        if rest == "faults":
-            faults = wire.FaultsBody.model_validate_json(body)
-            self._platform.set_faults(memory.Faults(**faults.model_dump()))
-            return _OK
-        return _NOT_FOUND
-
+    def _set_instances(self, _rest: str, _asked: dict[str, str], body: bytes) -> _Reply:
+        told = InstancesBody.model_validate_json(body).instances
+        set_instances(self._platform, [contract.Instance(**each.model_dump()) for each in told])
+        return _OK
 
-def _row_body(row: contract.Row) -> wire.RowBody:
-    return wire.RowBody(key=row.key, value=row.value, version=row.version)
+    def _set_faults(self, _rest: str, _asked: dict[str, str], body: bytes) -> _Reply:
+        faults = FaultsBody.model_validate_json(body)
+        self._platform.set_faults(memory.Faults(**faults.model_dump()))
+        return _OK
 
 
-def _etag(body: bytes) -> str:
-    return f'"{hashlib.sha256(body).hexdigest()}"'
+def set_instances(
+    platform: memory.MemoryPlatform, instances: collections.abc.Iterable[contract.Instance]
+) -> None:
+    """Have a platform list these nodes in place of the former ones."""
+    nodes = registry.Registry(platform)
+    told = tuple(instances)
+    listed = nodes.list()
+    former = listed if not isinstance(listed, contract.Unavailable) else ()
+    for name in {each.name for each in former} - {each.name for each in told}:
+        nodes.withdraw(name)
+    for each in told:
+        nodes.register(each)
 
 
 class _Gateway(cheroot.server.Gateway):
@@ -179,8 +224,6 @@
             return
         request.status = f"{reply.status.value} {reply.status.phrase}".encode()
         request.outheaders = [(b"Content-Length", str(len(reply.body)).encode())]
-        if reply.etag is not None:
-            request.outheaders.append((b"ETag", reply.etag.encode()))
         request.ensure_headers_sent()
         request.write(reply.body)
 
@@ -193,7 +236,9 @@
     """
 
     def __init__(self, bind: str, platform: memory.MemoryPlatform | None = None) -> None:
-        self.platform = platform or memory.MemoryPlatform(clocks.SystemClock())
+        self.platform = platform or memory.MemoryPlatform(
+            clocks.SystemClock(), counts_together=True
+        )
         host, _, port = bind.rpartition(":")
         self._http = cheroot.server.HTTPServer((host, int(port)), _Gateway, minthreads=THREADS)
         self._http.calls = _Calls(self.platform)
--- a/hornbeamglade/platform/contract.py
+++ b/hornbeamglade/store/contract.py
@@ -139,6 +139,53 @@
         """Write one object; idempotent for content named by its digest."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """A table as of one moment.
+
+    :param rows: all its rows.
+    :param version: the store's newest version then; changes are followed from there.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What has changed in a table since a version.
+
+    :param present: rows that were written, in order.
+    :param gone: keys of rows that were deleted.
+    :param version: the version up to which this is complete.
+    :param newest: the version of the newest of these changes, or 0 when there is none.
+    """
+
+    present: tuple[Row, ...]
+    gone: tuple[str, ...]
+    version: int
+    newest: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The changes since a version are no longer kept: read a snapshot."""
+
+
+class Feed(abc.ABC):
+    """Follows the changes of a table."""
+
+    @abc.abstractmethod
+    def snapshot(self, table: str) -> Snapshot | Unavailable:
+        """Read a table as of one moment (linearizable)."""
+
+    @abc.abstractmethod
+    def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Changes | HistoryLost | Unavailable:
+        """Wait up to ``wait_s`` seconds for changes after a version."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Instance:
     """One entry of the platform's lagging list.
--- a/hornbeamglade/platform/countedplatform.py
+++ b/hornbeamglade/store/countedstore.py
@@ -3,7 +3,7 @@
 import collections.abc
 import typing
 
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 _Outcome = typing.TypeVar("_Outcome")
 LISTED = "Listed"
@@ -16,10 +16,10 @@
         """Count one call under ``(operation, outcome)``."""
 
 
-class CountedPlatform(contract.Table, contract.ObjectStore, contract.InstanceList):
+class CountedStore(contract.Table, contract.ObjectStore):
     """Passes every call on and counts what came of it.
 
-    :param platform: a platform that is table, object store and instance list.
+    :param platform: a platform that is table and object store.
     :param counter: counts by operation and outcome, the outcome by its type's name.
     """
 
@@ -55,10 +55,6 @@
         """Write one object."""
         return self._counted("put", self._platform.put(key, value))
 
-    def list(self) -> tuple[contract.Instance, ...] | contract.Unavailable:
-        """Read the list of instances."""
-        return self._counted("list", self._platform.list())
-
     def _counted(self, operation: str, outcome: _Outcome) -> _Outcome:
         is_sequence = isinstance(outcome, collections.abc.Sequence)
         name = LISTED if is_sequence else type(outcome).__name__
