--- a/hornbeamglade/platform/memory.py
+++ b/hornbeamglade/store/memory.py
@@ -9,29 +9,30 @@
 lost may also take effect later than the next read.
 """
 
-import collections
-import collections.abc
 import dataclasses
 import threading
 
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 Write = contract.Put | contract.Delete
 
+MAX_HISTORY = 10_000
+"""Changes kept for those that follow."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Faults:
     """What is wrong with the platform now.
 
     :param down: every call is refused and takes no effect.
-    :param store_down: the same of the table and the objects; the list answers.
+    :param store_down: the same; kept apart for those that count outages of the store.
     :param lose_answers: writes take effect and answer ``Unknown``.
     :param lose_writes: writes take no effect and answer ``Unknown``.
     :param stall_writes: writes answer ``Unknown`` and take effect (if their
         conditions still hold) only at :meth:`MemoryPlatform.deliver_stalled`.
     :param delay_s: seconds that each call takes.
-    :param lag_s: seconds by which the list of instances lags.
+    :param lag_s: seconds after which a feed shows a change.
     """
 
     down: bool = False
@@ -43,16 +44,27 @@
     lag_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    """A row was written, or deleted when ``row`` is None."""
+
+    revision: int
+    key: str
+    row: contract.Row | None
+    made_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Stalled:
     conditions: tuple[contract.Condition, ...]
     writes: tuple[Write, ...]
 
 
-class MemoryPlatform(contract.Table, contract.ObjectStore, contract.InstanceList):
-    """Table, object store and instance list held in memory; thread-safe.
+class MemoryPlatform(contract.Table, contract.ObjectStore, contract.Feed):
+    """Table, feeds and object store held in memory; thread-safe.
 
-    :param clock: turns the lag of the list and the delay of calls.
+    :param clock: turns the lag of feeds and the delay of calls.
+    :param counts_together: whether all rows take their versions from one counter.
 
     Examples
     ========
@@ -65,13 +77,18 @@
     Conflict(key='heads/a')
     """
 
-    def __init__(self, clock: clocks.Clock | None = None) -> None:
+    def __init__(
+        self, clock: clocks.Clock | None = None, *, counts_together: bool = False
+    ) -> None:
         self._clock = clock or clocks.SystemClock()
+        self._counts_together = counts_together
         self._lock = threading.Lock()
+        self._changed = threading.Condition(self._lock)
+        self._revision = 0
+        self._kept_after = 0
+        self._history: list[_Change] = []
         self._row_by_key: dict[str, contract.Row] = {}
         self._object_by_key: dict[str, str] = {}
-        self._instance_lists: collections.deque[tuple[float, tuple[contract.Instance, ...]]]
-        self._instance_lists = collections.deque([(float("-inf"), ())])
         self._stalled: list[_Stalled] = []
         self._faults = Faults()
         self._transaction_count = 0
@@ -125,16 +142,56 @@
             if faults.lose_writes:
                 return contract.Unknown("lost before its effect")
             outcome = self._apply(conditions, writes)
+            self._changed.notify_all()
         if faults.lose_answers:
             return contract.Unknown("answer lost")
         return outcome
 
+    @property
+    def revision(self) -> int:
+        """The number of the newest transaction that took effect."""
+        return self._revision
+
+    def snapshot(self, table: str) -> contract.Snapshot | contract.Unavailable:
+        """Read a table as of one moment."""
+        if refusal := self._refusal():
+            return refusal
+        with self._lock:
+            keys = sorted(key for key in self._row_by_key if _is_in(key, table))
+            return contract.Snapshot(tuple(self._row_by_key[key] for key in keys), self._revision)
+
+    def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> contract.Changes | contract.HistoryLost | contract.Unavailable:
+        """Wait up to ``wait_s`` seconds for changes of a table."""
+        if refusal := self._refusal():
+            return refusal
+        with self._changed:
+            if after < self._kept_after:
+                return contract.HistoryLost()
+            self._changed.wait_for(lambda: self._news(table, after), wait_s)
+            news = self._news(table, after)
+            change_by_key = {change.key: change for change in news}
+            present = tuple(each.row for each in change_by_key.values() if each.row is not None)
+            gone = tuple(each.key for each in change_by_key.values() if each.row is None)
+            # What a lagging feed does not show yet must be asked for again.
+            shown = self._revision if not self._faults.lag_s else after
+            newest = max((change.revision for change in news), default=0)
+            return contract.Changes(present, gone, max(shown, newest), newest)
+
+    def forget_history(self) -> None:
+        """Drop the history of all changes so far."""
+        with self._lock:
+            self._kept_after = self._revision + 1
+            self._history.clear()
+
     def deliver_stalled(self) -> None:
         """Let the stalled transactions take effect, in order, where they still can."""
         with self._lock:
             stalled, self._stalled = self._stalled, []
             for transaction in stalled:
                 self._apply(transaction.conditions, transaction.writes)
+            self._changed.notify_all()
 
     def get(self, key: str) -> contract.ReadOutcome:
         """Read one object."""
@@ -161,26 +218,11 @@
             return contract.Unknown("answer lost")
         return contract.Committed({})
 
-    def list(self) -> tuple[contract.Instance, ...] | contract.Unavailable:
-        """Read the list of instances as it stood ``lag_s`` ago."""
-        if refusal := self._refusal(is_store=False):
-            return refusal
-        seen_at = self._clock.now() - self._faults.lag_s
-        with self._lock:
-            past = [instances for since, instances in self._instance_lists if since <= seen_at]
-        return past[-1]
-
-    def set_instances(self, instances: collections.abc.Iterable[contract.Instance]) -> None:
-        """Replace the list of instances as of now."""
-        with self._lock:
-            self._instance_lists.append((self._clock.now(), tuple(instances)))
-
-    def _refusal(self, *, is_store: bool = True) -> contract.Unavailable | None:
+    def _refusal(self) -> contract.Unavailable | None:
         faults = self._faults
         if faults.delay_s:
             self._clock.sleep(faults.delay_s)
-        is_down = faults.down or (is_store and faults.store_down)
-        return contract.Unavailable("down") if is_down else None
+        return contract.Unavailable("down") if faults.down or faults.store_down else None
 
     def _apply(
         self,
@@ -191,15 +233,35 @@
             if self._version(condition.key) != condition.version:
                 return contract.Conflict(condition.key)
         version_by_key = {}
+        self._revision += 1
         for write in writes:
             if isinstance(write, contract.Delete):
                 self._row_by_key.pop(write.key, None)
+                self._history.append(_Change(self._revision, write.key, None, self._clock.now()))
                 continue
-            version = self._version(write.key) + 1
-            self._row_by_key[write.key] = contract.Row(write.key, write.value, version)
+            next_version = self._version(write.key) + 1
+            version = self._revision if self._counts_together else next_version
+            row = contract.Row(write.key, write.value, version)
+            self._row_by_key[write.key] = row
+            self._history.append(_Change(self._revision, write.key, row, self._clock.now()))
             version_by_key[write.key] = version
+        del self._history[:-MAX_HISTORY]
+        if self._history and len(self._history) == MAX_HISTORY:
+            self._kept_after = max(self._kept_after, self._history[0].revision - 1)
         return contract.Committed(version_by_key)
 
+    def _news(self, table: str, after: int) -> list[_Change]:
+        seen_at = self._clock.now() - self._faults.lag_s
+        return [
+            change
+            for change in self._history
+            if change.revision > after and _is_in(change.key, table) and change.made_at <= seen_at
+        ]
+
     def _version(self, key: str) -> int:
         row = self._row_by_key.get(key)
         return 0 if row is None else row.version
+
+
+def _is_in(key: str, table: str) -> bool:
+    return key == table or key.startswith(f"{table}/")
--- /dev/null
+++ b/hornbeamglade/store/tablefollower.py
@@ -0,0 +1,81 @@
+"""Follows the changes of one table of the store, on a thread of its own."""
+
+import collections.abc
+import random
+import threading
+
+from hornbeamglade.core import clocks
+from hornbeamglade.store import contract
+
+WAIT_S = 2.0
+"""How long the store holds a question for changes. An open connection may go silent
+without an end; a shorter wait finds that sooner and costs a call each."""
+
+RETRY_S = 0.25
+"""Pause after a failed call. Changes must be in force within two seconds of the store's
+return, and each call is paid for, a refused one too."""
+
+Told = contract.Snapshot | contract.Changes | contract.Unavailable
+
+
+class TableFollower:
+    """Reads a table once, and then its changes, for as long as it runs.
+
+    Explanation
+    ===========
+
+    A history that the store no longer keeps is answered by reading the table anew. The
+    receiver gets every outcome, failures included: how old its knowledge is, is for it
+    to judge.
+
+    :param feed: the store.
+    :param table: the table's name.
+    :param told: called on the follower's thread with each outcome.
+    :param clock: lets pauses pass.
+    :param rng: spreads the pauses of many nodes.
+    """
+
+    def __init__(
+        self,
+        feed: contract.Feed,
+        table: str,
+        told: collections.abc.Callable[[Told], None],
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._feed = feed
+        self._table = table
+        self._told = told
+        self._clock = clock
+        self._rng = rng
+        self._stopping = threading.Event()
+        self._version: int | None = None
+        self._thread = threading.Thread(target=self._run, name=f"follow-{table}", daemon=True)
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Have the thread end after the call that is under way."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            if not self.step():
+                self._stopping.wait(RETRY_S * (0.75 + 0.5 * self._rng.random()))
+
+    def step(self) -> bool:
+        """Make one call; return whether it gave something."""
+        if self._version is None:
+            outcome = self._feed.snapshot(self._table)
+        else:
+            outcome = self._feed.changes(self._table, self._version, WAIT_S)
+        if isinstance(outcome, contract.HistoryLost):
+            self._version = None
+            return True
+        self._told(outcome)
+        if isinstance(outcome, contract.Unavailable):
+            return False
+        self._version = max(outcome.version, self._version or 0)
+        return True
--- a/tests/claims/test_claimstore.py
+++ b/tests/claims/test_claimstore.py
@@ -4,7 +4,7 @@
 
 from hornbeamglade import claims
 from hornbeamglade.core import clocks, codederrors, outcomes
-from hornbeamglade.platform import memory
+from hornbeamglade.store import memory
 
 SETTINGS = claims.ClaimSettings(inline_bytes=4)
 KEY = claims.ClaimKey("front-desk", "counter", "hold-17")
--- a/tests/claims/test_claimstore_machine.py
+++ b/tests/claims/test_claimstore_machine.py
@@ -13,8 +13,8 @@
 
 from hornbeamglade import claims
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import memory
-from tests.platform import interruption
+from hornbeamglade.store import memory
+from tests.store import interruption
 
 SETTINGS = claims.ClaimSettings(
     dispatch_within_s=5.0, in_progress_s=20.0, retention_s=100.0, inline_bytes=4
--- a/tests/claims/test_claimsweep.py
+++ b/tests/claims/test_claimsweep.py
@@ -3,7 +3,7 @@
 from hornbeamglade import claims
 from hornbeamglade.claims import claimsweep
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import memory
+from hornbeamglade.store import memory
 
 SETTINGS = claims.ClaimSettings()
 
--- a/tests/claims/test_groupcommit.py
+++ b/tests/claims/test_groupcommit.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hornbeamglade.claims import groupcommit
-from hornbeamglade.platform import contract, memory
+from hornbeamglade.store import contract, memory
 
 
 class GatedTable(memory.MemoryPlatform):
--- a/tests/cli/test_config.py
+++ b/tests/cli/test_config.py
@@ -5,9 +5,9 @@
 import pytest
 
 from hornbeamglade.cli import main
-from hornbeamglade.platform import contract, memory
 from hornbeamglade.standins import httpserver
 from hornbeamglade.standins import platform as platformstandin
+from hornbeamglade.store import contract, memory
 from tests.configuration import samples
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
@@ -132,10 +132,10 @@
     node.start()
     leaving = contract.Instance("n0", "a", "127.0.0.1:9", "127.0.0.1:9", True)
     staying = contract.Instance("n1", "a", node.address, node.address, False)
-    platform.platform.set_instances([leaving, staying])
+    platformstandin.set_instances(platform.platform, [leaving, staying])
     waited = run("config", "status", *at(platform), "--wait", "20", "--json")
     other = contract.Instance("n2", "a", node.address, node.address, False)
-    platform.platform.set_instances([staying, other])
+    platformstandin.set_instances(platform.platform, [staying, other])
     lagging = run("config", "status", *at(platform), "--wait", "0.1")
     node.stop()
     assert (waited.exit_code, json.loads(waited.output)["everywhere"]) == (0, True)
--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -4,7 +4,7 @@
 
 from hornbeamglade.configuration import documentdelta, follower, following, head, headrecords
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import contract, memory
+from hornbeamglade.store import contract, memory
 from tests.configuration import samples
 
 BOUND_S = 10.0
--- a/tests/configuration/test_head.py
+++ b/tests/configuration/test_head.py
@@ -8,7 +8,7 @@
 
 from hornbeamglade.configuration import head, headrecords
 from hornbeamglade.core import clocks, codederrors
-from hornbeamglade.platform import contract, memory
+from hornbeamglade.store import contract, memory
 from tests.configuration import samples
 
 WELL = memory.Faults()
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -28,6 +28,7 @@
     demands=strategies.lists(_DEMANDS, max_size=8).map(tuple),
     rumours=strategies.lists(_RUMOURS, max_size=6).map(tuple),
     refutation=_U32,
+    list_version=_U64,
 )
 _ASKS = strategies.builds(
     messages.GrantAsk,
@@ -40,6 +41,7 @@
     max_tokens=strategies.none() | strategies.integers(1, 2**32 - 1),
     weight=strategies.floats(0, 100, width=32),
     deadline_ms=_U32,
+    produced=_U32,
 )
 _ANSWERS = strategies.builds(
     messages.GrantAnswer,
@@ -63,13 +65,18 @@
     chunk=strategies.integers(0, 4),
     chunks=strategies.integers(5, messages.MAX_CHUNKS),
     content=_CONTENT,
+    subject=strategies.sampled_from(messages.Subject),
+)
+_TURNS = strategies.builds(
+    messages.MoveTurn, strategies.sampled_from(messages.TurnKind), _U64, _U64, _U32
 )
 MESSAGES = (
     _HEARTBEATS
     | _ASKS
     | _ANSWERS
     | _PROGRESS
+    | _TURNS
     | strategies.builds(messages.ConfigHint, _U64)
-    | strategies.builds(messages.ConfigAsk, _U64, _U16)
+    | strategies.builds(messages.ConfigAsk, _U64, _U16, strategies.sampled_from(messages.Subject))
     | _OFFERS
 )
--- a/tests/leases/test_leaseholder.py
+++ b/tests/leases/test_leaseholder.py
@@ -4,7 +4,7 @@
 
 from hornbeamglade import leases
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import contract, memory
+from hornbeamglade.store import contract, memory
 
 TERM_S = 10.0
 
--- a/tests/leases/test_leaseholder_machine.py
+++ b/tests/leases/test_leaseholder_machine.py
@@ -11,8 +11,8 @@
 
 from hornbeamglade import leases
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import memory
-from tests.platform import interruption
+from hornbeamglade.store import memory
+from tests.store import interruption
 
 TERM_S = 10.0
 MARGIN_S = 1.0
--- a/tests/membership/test_dissemination.py
+++ b/tests/membership/test_dissemination.py
@@ -6,7 +6,7 @@
 from hornbeamglade.exchange import codec, messages
 from hornbeamglade.membership import dissemination
 from hornbeamglade.membership import view as membership_view
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 State = messages.NodeState
 IP_AND_UDP_HEADER_BYTES = 28
--- a/tests/membership/test_heartbeats.py
+++ b/tests/membership/test_heartbeats.py
@@ -5,7 +5,7 @@
 from hornbeamglade.exchange import codec, messages, transport
 from hornbeamglade.membership import heartbeats
 from hornbeamglade.membership import view as membership_view
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 from tests.exchange import lossynetwork
 
 State = messages.NodeState
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -4,7 +4,7 @@
 
 from hornbeamglade.exchange import codec, messages
 from hornbeamglade.membership import view as membership_view
-from hornbeamglade.platform import contract
+from hornbeamglade.store import contract
 
 State = messages.NodeState
 OWN = membership_view.Identity("a", "d1", "10.0.0.1:80", "10.0.0.1:7000")
--- a/tests/node/fakeparts.py
+++ b/tests/node/fakeparts.py
@@ -9,7 +9,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.node import generationsource, onceonly, requestscope
 from hornbeamglade.observability import metrics
-from hornbeamglade.platform import memory
+from hornbeamglade.store import memory
 from hornbeamglade.streams import generationstream
 from hornbeamglade.teams import limits
 
--- a/tests/placement/test_engines.py
+++ b/tests/placement/test_engines.py
@@ -12,8 +12,8 @@
 from hornbeamglade.configuration import models
 from hornbeamglade.core import clocks
 from hornbeamglade.placement import placementvalues
-from hornbeamglade.platform import memory
 from hornbeamglade.standins import engine
+from hornbeamglade.store import memory
 from tests.backends import scripted
 
 WAIT_S = 20.0
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -7,7 +7,7 @@
 from hornbeamglade import leases, placement
 from hornbeamglade.core import clocks
 from hornbeamglade.placement import virtualengines
-from hornbeamglade.platform import memory
+from hornbeamglade.store import memory
 from tests.placement import fakes
 
 OLD = fakes.state("draft@1")
--- a/tests/placement/test_placer_machine.py
+++ b/tests/placement/test_placer_machine.py
@@ -13,9 +13,9 @@
 from hornbeamglade import leases, placement
 from hornbeamglade.core import clocks
 from hornbeamglade.placement import virtualengines
-from hornbeamglade.platform import memory
+from hornbeamglade.store import memory
 from tests.placement import fakes
-from tests.platform import interruption
+from tests.store import interruption
 
 NODES = ("n1", "n2")
 ENGINES = ("e0", "e1", "e2", "e3")
--- a/tests/platform/test_httpadapter.py
+++ b/tests/platform/test_storeclient.py
@@ -1,11 +1,12 @@
-"""What the adapter says of a write when the answer is late, lost or malformed."""
+"""What the client says of a write when the answer is late, lost or malformed."""
 
 import socket
 import threading
 
 import pytest
 
-from hornbeamglade.platform import contract, httpadapter
+from hornbeamglade.platform import storeclient
+from hornbeamglade.store import contract
 
 TRICKLED_BYTES = 150
 WRITE = ((contract.Condition("a", 0),), (contract.Put("a", "1"),))
@@ -55,7 +56,7 @@
     def start(answer, trickle=False):
         server = RawServer(answer, trickle)
         started.append(server)
-        server.client = httpadapter.HttpPlatform(server.url, timeout_s=0.2)
+        server.client = storeclient.StoreClient(server.url, timeout_s=0.2)
         return server
 
     yield start
@@ -70,7 +71,7 @@
 def test_no_connection_means_no_effect():
     with socket.create_server(("127.0.0.1", 0)) as closed:
         port = closed.getsockname()[1]
-    client = httpadapter.HttpPlatform(f"http://127.0.0.1:{port}")
+    client = storeclient.StoreClient(f"http://127.0.0.1:{port}")
     assert isinstance(client.transact(*WRITE), contract.Unavailable)
 
 
@@ -80,8 +81,9 @@
         b"",
         answer(b"500 Internal Server Error", b""),
         answer(b"200 OK", b"{"),
-        answer(b"200 OK", b'{"versions":{"other":1}}'),
-        answer(b"409 Conflict", b'{"conflict":"other"}'),
+        answer(b"200 OK", b'{"now_ms":1}'),
+        answer(b"412 Precondition Failed", b"{"),
+        answer(b"412 Precondition Failed", b'{"rows":[]}'),
         b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{}",
     ],
 )
@@ -89,9 +91,33 @@
     assert isinstance(raw_server(raw).client.transact(*WRITE), contract.Unknown)
 
 
-def test_row_of_another_key_is_not_taken(raw_server):
-    server = raw_server(answer(b"200 OK", b'{"key":"b","value":"1","version":1}'))
-    assert isinstance(server.client.read("a"), contract.Unavailable)
+def test_row_of_another_table_is_not_taken(raw_server):
+    """An answer to another call comes where that of a read is due.
+
+    Taken for it, the rows of one table would be believed to be those of another.
+    """
+    row = b'{"table":"b","part":"","key":"x","value":"MQ==","ver":1}'
+    server = raw_server(answer(b"200 OK", b'{"rows":[%s],"ver":1}' % row))
+    assert isinstance(server.client.read("a/x"), contract.Unavailable)
+    assert isinstance(server.client.snapshot("a"), contract.Unavailable)
+
+
+def test_value_that_is_no_text_is_not_taken(raw_server):
+    row = b'{"table":"a","part":"","key":"x","value":"!!","ver":1}'
+    server = raw_server(answer(b"200 OK", b'{"rows":[%s],"ver":1}' % row))
+    assert isinstance(server.client.read("a/x"), contract.Unavailable)
+    assert isinstance(server.client.changes("a", 0, 0.0), contract.Unavailable)
+
+
+@pytest.mark.parametrize("status", [b"429 Too Many Requests", b"503 Service Unavailable"])
+def test_refused_write_took_no_effect(raw_server, status):
+    """The store turns calls away beyond its rates, or while it is busy.
+
+    Called unknown, each such write would be looked up by another call.
+    """
+    assert isinstance(
+        raw_server(answer(status, b"")).client.transact(*WRITE), contract.Unavailable
+    )
 
 
 def test_trickling_answer_is_given_up(raw_server):
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -3,8 +3,10 @@
 import pytest
 import urllib3
 
-from hornbeamglade.platform import contract, httpadapter, memory
+from hornbeamglade.membership import registry
+from hornbeamglade.platform import storeclient
 from hornbeamglade.standins import platform as standin
+from hornbeamglade.store import contract, memory
 
 KEY = "claims/a b/ü%2F?#"
 
@@ -19,7 +21,7 @@
 
 @pytest.fixture
 def client(server):
-    return httpadapter.HttpPlatform(f"http://{server.address}", timeout_s=5.0)
+    return storeclient.StoreClient(f"http://{server.address}", timeout_s=5.0)
 
 
 def put_new(client, key=KEY):
@@ -34,6 +36,31 @@
     assert client.read("none") == contract.Missing("none")
 
 
+def test_changes_are_followed_from_a_snapshot(client):
+    put_new(client, "nodes/a")
+    start = client.snapshot("nodes")
+    assert [row.key for row in start.rows] == ["nodes/a"]
+    assert client.changes("nodes", start.version, 0.05) == contract.Changes((), (), start.version)
+    put_new(client, "nodes/b")
+    client.transact((), (contract.Delete("nodes/a"),))
+    changes = client.changes("nodes", start.version, 5.0)
+    assert ([row.key for row in changes.present], changes.gone) == (["nodes/b"], ("nodes/a",))
+
+
+def test_history_that_is_gone_is_said_to_be(server, client):
+    put_new(client, "nodes/a")
+    server.platform.forget_history()
+    assert client.changes("nodes", 0, 0.0) == contract.HistoryLost()
+
+
+def test_scan_reads_beyond_one_page(client):
+    for start in range(0, 600, 60):
+        puts = tuple(contract.Put(f"many/{start + n:04d}", "v") for n in range(60))
+        client.transact((), puts)
+    assert len(client.scan("many/")) == 600
+    assert len(client.scan("many/", limit=510)) == 510
+
+
 def test_conflict_names_the_key(client):
     put_new(client)
     assert put_new(client) == contract.Conflict(KEY)
@@ -53,14 +80,14 @@
     url = f"http://{server.address}/standin/instances"
     assert urllib3.request("PUT", url, body=body).status == 200
     entry = contract.Instance("n1", "fd1", "127.0.0.1:1", "127.0.0.1:2", True)
-    assert client.list() == (entry,)
+    assert registry.Registry(client).list() == (entry,)
 
 
 def test_faults_are_set_by_the_standin_call(server, client):
     url = f"http://{server.address}/standin/faults"
     assert urllib3.request("PUT", url, body='{"down":true}').status == 200
     assert isinstance(put_new(client), contract.Unavailable)
-    assert isinstance(client.list(), contract.Unavailable)
+    assert isinstance(registry.Registry(client).list(), contract.Unavailable)
     assert urllib3.request("PUT", url, body="{}").status == 200
     assert client.read(KEY) == contract.Missing(KEY)
 
@@ -74,5 +101,5 @@
 
 
 def test_bad_request_is_refused(server):
-    url = f"http://{server.address}/table/transact"
+    url = f"http://{server.address}/v1/rows-tx"
     assert urllib3.request("POST", url, body='{"writes":[{}]}').status == 400
--- a/tests/platform/interruption.py
+++ b/tests/store/interruption.py
@@ -1,6 +1,6 @@
 """What state machines need to let things happen at each call of the table."""
 
-from hornbeamglade.platform import contract, memory
+from hornbeamglade.store import contract, memory
 
 FAULTS_BY_EVENT = {
     "heal": memory.Faults(),
--- a/tests/platform/test_memory.py
+++ b/tests/store/test_memory.py
@@ -1,7 +1,7 @@
 """MemoryPlatform keeps the contract at its weakest."""
 
 from hornbeamglade.core import clocks
-from hornbeamglade.platform import contract, memory
+from hornbeamglade.store import contract, memory
 
 
 def put_new(platform, key="a", value="1"):
@@ -49,13 +49,32 @@
     assert isinstance(platform.read("a"), contract.Found)
 
 
-def test_instance_list_lags():
+def test_feed_lags():
+    """The nodes' list of themselves is followed by a feed, which may be late."""
     clock = clocks.ManualClock()
     platform = memory.MemoryPlatform(clock)
     platform.set_faults(memory.Faults(lag_s=5.0))
-    entry = contract.Instance("n1", "fd1", "127.0.0.1:1", "127.0.0.1:2", False)
-    platform.set_instances([entry])
+    put_new(platform, "instances/n1")
     clock.advance(4.0)
-    assert platform.list() == ()
+    assert platform.changes("instances", 0, 0.0) == contract.Changes((), (), 0)
     clock.advance(1.0)
-    assert platform.list() == (entry,)
+    row = contract.Row("instances/n1", "1", 1)
+    assert platform.changes("instances", 0, 0.0) == contract.Changes((row,), (), 1, 1)
+
+
+def test_feed_shows_the_newest_of_each_row_and_what_was_deleted():
+    platform = memory.MemoryPlatform(clocks.ManualClock(), counts_together=True)
+    put_new(platform, "a/1")
+    put_new(platform, "a/2")
+    put_new(platform, "b/1")
+    platform.transact((), (contract.Put("a/1", "2"), contract.Delete("a/2")))
+    changes = platform.changes("a", 1, 0.0)
+    assert changes == contract.Changes((contract.Row("a/1", "2", 4),), ("a/2",), 4, 4)
+    assert platform.snapshot("b") == contract.Snapshot((contract.Row("b/1", "1", 3),), 4)
+
+
+def test_history_that_is_gone_is_said_to_be():
+    platform = memory.MemoryPlatform(clocks.ManualClock(), counts_together=True)
+    put_new(platform, "a/1")
+    platform.forget_history()
+    assert platform.changes("a", 0, 0.0) == contract.HistoryLost()
