--- a/hornbeamglade/cli/entry.py
+++ b/hornbeamglade/cli/entry.py
@@ -6,7 +6,7 @@
 import click
 
 from hornbeamglade.core import codederrors
-from hornbeamglade.entry import daemon, settings
+from hornbeamglade.entry import daemon
 
 EXIT_BAD_SETTINGS = 2
 
@@ -23,8 +23,8 @@
         click.echo("settings_unreadable: no settings file is named", err=True)
         sys.exit(EXIT_BAD_SETTINGS)
     try:
-        loaded = settings.load(path)
+        code = daemon.run(path, metrics_port)
     except codederrors.CodedError as error:
         click.echo(str(error), err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
-    sys.exit(daemon.run(loaded, metrics_port))
+        code = EXIT_BAD_SETTINGS
+    sys.exit(code)
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -6,7 +6,7 @@
 import sys
 import threading
 
-from hornbeamglade.core import clocks
+from hornbeamglade.core import clocks, codederrors
 from hornbeamglade.entry import controlhandler, instance, settings
 from hornbeamglade.http1 import serverside
 from hornbeamglade.membership import draining, introduction, registry
@@ -29,11 +29,15 @@
 class Daemon:
     """Runs one entry instance.
 
-    :param told: its settings.
+    :param path: its settings file.
     :param metrics_port: where its instruments are read, or None.
+    :raises CodedError: when the settings cannot be used.
     """
 
-    def __init__(self, told: settings.Settings, metrics_port: int | None) -> None:
+    def __init__(self, path: str, metrics_port: int | None) -> None:
+        text = settings.read(path)
+        told = settings.parse(text, path)
+        self._path = path
         self._told = told
         self._metrics_port = metrics_port
         self._clock = clocks.SystemClock()
@@ -44,14 +48,22 @@
         self._callers = serverside.CallersServer(self.instance.callers, self._clock)
         self._stopping: asyncio.Event | None = None
         self._stopped = threading.Event()
+        self._settings_text = text
+        self._settings_problem: str | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def name(self) -> str:
+        """The instance's name."""
+        return self._told.name
+
     async def run(self) -> int:
         """Serve until a planned stop is done; return the exit code."""
         loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.instance.peering.listen()
         self._follow(loop)
         self._tasks = [
@@ -121,13 +133,31 @@
         while True:
             await asyncio.sleep(TIDY_EVERY_S)
             self.instance.tidy()
+            # The file may change without a signal.
+            self._reload()
+
+    def _reload(self) -> None:
+        """Read the settings anew; a file that cannot be read leaves the former in force."""
+        try:
+            text = settings.read(self._path)
+            if text == self._settings_text:
+                return
+            self._settings_text = text
+            told = settings.parse(text, self._path)
+        except codederrors.CodedError as error:
+            if error.code != self._settings_problem:
+                reason = logs.slug(error.detail)
+                logs.state_changed("settings", "in_force", error.code, reason=reason)
+            self._settings_problem = error.code
+            return
+        self._settings_problem = None
+        self.instance.take_settings(told)
+        logs.state_changed("settings", "in_force", "changed", node=told.name)
 
     async def _leave(self) -> None:
         """Stop as planned: told to all first, and with nothing under way cut off."""
         logs.state_changed("node", "serving", "leaving", node=self._told.name)
-        stop = self.instance.draining
-        stop.request(self._clock.now())
-        self.instance.peering.heartbeats.leave()
+        stop = self.instance.leave()
         self._callers.leave()
         self._stopped.set()
         threading.Thread(
@@ -145,16 +175,17 @@
         logs.state_changed("node", "leaving", "stopped", count=status.cut)
 
 
-def run(told: settings.Settings, metrics_port: int | None) -> int:
+def run(path: str, metrics_port: int | None) -> int:
     """Run one entry instance until its planned stop is done; return the exit code.
 
-    :param told: its settings.
+    :param path: its settings file.
     :param metrics_port: where its instruments are read, or None.
+    :raises CodedError: when the settings cannot be used.
     """
-    daemon = Daemon(told, metrics_port)
+    daemon = Daemon(path, metrics_port)
     instruments = daemon.instance.instruments
     writer = logs.LogWriter(
-        sys.stdout, told.name, instruments.state_changes, instruments.log_lines_dropped
+        sys.stdout, daemon.name, instruments.state_changes, instruments.log_lines_dropped
     )
     writer.start()
     code = asyncio.run(daemon.run())
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -150,9 +150,7 @@
         self.poller = reportpoller.ReportPoller(
             engine_calls, self._owned_engines, self._reported, clock
         )
-        self.draining = draining.Draining(
-            ANNOUNCED_S, spread_s=0.0, hard_limit_s=told.bounds.stop_s - STOP_MARGIN_S
-        )
+        self.draining: draining.Draining | None = None
         self._report_count_by_replica: dict[str, int] = {}
         self._departed_at_by_replica: dict[str, float] = {}
         self._leaving: set[str] = set()
@@ -164,7 +162,23 @@
     @property
     def is_leaving(self) -> bool:
         """Whether a planned stop has begun."""
-        return self.draining.step(self._clock.now(), 1).phase is not draining.Phase.SERVING
+        return self.draining is not None
+
+    def leave(self) -> draining.Draining:
+        """Begin a planned stop, and tell the others; return its course."""
+        limit_s = self._told.bounds.stop_s - STOP_MARGIN_S
+        self.draining = draining.Draining(ANNOUNCED_S, spread_s=0.0, hard_limit_s=limit_s)
+        self.draining.request(self._clock.now())
+        self.peering.heartbeats.leave()
+        return self.draining
+
+    def take_settings(self, told: settings.Settings) -> None:
+        """Take settings that were changed while the instance runs.
+
+        What it is called and where it listens stays until its next start.
+        """
+        self._told = told
+        self._budgets.use(_budget(told))
 
     def addresses(self, failure_domain: str, region: str) -> tuple[str, ...]:
         """Return where a caller is to connect."""
--- a/hornbeamglade/entry/settings.py
+++ b/hornbeamglade/entry/settings.py
@@ -87,16 +87,27 @@
     region_by_failure_domain: dict[str, str] = {}
 
 
-def load(path: str) -> Settings:
-    """Read and check a settings file.
+def read(path: str) -> str:
+    """Return the text of a settings file.
 
-    :param path: a YAML file.
+    :raises CodedError: ``settings_unreadable``, naming the file.
+    """
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise codederrors.CodedError("settings_unreadable", f"{path}: {error}") from error
+
+
+def parse(text: str, path: str) -> Settings:
+    """Check the text of a settings file.
+
+    :param path: the file, for messages.
     :raises CodedError: ``settings_unreadable`` or ``settings_invalid``, naming the file,
         the field and the value.
     """
     try:
-        document = yaml.safe_load(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError as error:
         raise codederrors.CodedError("settings_unreadable", f"{path}: {error}") from error
     try:
         return Settings.model_validate(document)
--- a/hornbeamglade/routed/retrybudget.py
+++ b/hornbeamglade/routed/retrybudget.py
@@ -75,6 +75,13 @@
         self._requests_by_service: dict[str, _Window] = {}
         self._retries_by_service: dict[str, _Window] = {}
 
+    def use(self, settings: BudgetSettings) -> None:
+        """Take another bound; what was counted stays."""
+        if settings.window_s != self._settings.window_s:
+            self._requests_by_service.clear()
+            self._retries_by_service.clear()
+        self._settings = settings
+
     def share_slack(self, nodes: int) -> None:
         """Note how many nodes there may be."""
         self._nodes = max(1, nodes)
