--- a/hornbeamglade/cli/standin.py
+++ b/hornbeamglade/cli/standin.py
@@ -3,7 +3,7 @@
 import click
 
 from hornbeamglade.routing import prefixes
-from hornbeamglade.standins import engine, enginesettings, plainservice
+from hornbeamglade.standins import engine, enginesettings, plainservice, routed
 from hornbeamglade.standins import platform as platformstandin
 
 
@@ -72,3 +72,13 @@
 def service(bind: str, threads: int) -> None:
     """Run a plain service that counts its runs."""
     plainservice.run(plainservice.PlainSettings(bind=bind, threads=threads))
+
+
+@standin.command("routed")
+@click.option("--bind", default="127.0.0.1:0", show_default=True, help="ip:port to listen on.")
+@click.option("--id", "replica_id", required=True, help="The server's id in the list.")
+@click.option("--events", default=0, show_default=True, help="Of each stream; 0: plain service.")
+@click.option("--gap", "gap_s", default=0.01, show_default=True, help="Seconds between events.")
+def routed_server(bind: str, replica_id: str, events: int, gap_s: float) -> None:
+    """Run a backend server behind routes, a plain one or a model engine."""
+    routed.run(bind, replica_id, events, gap_s)
--- a/hornbeamglade/entry/directory.py
+++ b/hornbeamglade/entry/directory.py
@@ -8,8 +8,8 @@
 enough of them for one to fail. An instance that has come back is one address among
 others, so it gets its part of new connections and no more.
 
-Named are instances that live, don't leave, and know a configuration. One that was listed
-but never heard of may be long gone; it is named only when there is no other.
+Named are instances that live, don't leave, and know a configuration and the replicas.
+One that was listed but never heard of may be long gone, and is not named.
 """
 
 from hornbeamglade.exchange import messages
@@ -58,4 +58,4 @@
 def _is_ready(member: view.Member) -> bool:
     if member.state is not messages.NodeState.LIVE or member.heartbeat is None:
         return False
-    return member.heartbeat.config_revision > 0
+    return member.heartbeat.config_revision > 0 and member.heartbeat.list_version > 0
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -120,8 +120,8 @@
         self._budgets = retrybudget.RetryBudgets(_budget(told))
         engine_calls = enginecalls.EngineCalls(self._pool)
         self._registry = runregistry.RunRegistry()
-        book = enginebook.EngineBook(self._replicas, self._desks, digests, self.peering.owned)
-        seeker = grantseeker.GrantSeeker(
+        self.book = enginebook.EngineBook(self._replicas, self._desks, digests, self.peering.owned)
+        self.seeker = grantseeker.GrantSeeker(
             clock,
             self._desks,
             self.peering.grants,
@@ -135,9 +135,18 @@
                 placement_s=PLACEMENT_S,
             ),
         )
-        moves = handover.HandoverParts(engine_calls, seeker, self.peering.turns, book, clock)
+        moves = handover.HandoverParts(
+            engine_calls, self.seeker, self.peering.turns, self.book, clock
+        )
         runs = streamrun.RunParts(
-            self._sender, seeker, book, moves, self._registry, self._budgets, self._learn, clock
+            self._sender,
+            self.seeker,
+            self.book,
+            moves,
+            self._registry,
+            self._budgets,
+            self._learn,
+            clock,
         )
         plain = plainexchange.PlainExchange(
             self._replicas, self._sender, self._loads, self._budgets, clock
@@ -157,7 +166,9 @@
 
     def is_ready(self) -> bool:
         """Tell whether the instance takes callers."""
-        return self._views.routes is not None and not self.is_leaving
+        # Without the list every request would be told that no replica is in use.
+        knows_all = self._views.routes is not None and self._replicas.version > 0
+        return knows_all and not self.is_leaving
 
     @property
     def is_leaving(self) -> bool:
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -105,11 +105,20 @@
             if isinstance(raw, clientside.Lost):
                 return Failed(raw.code, outcomes.RunStatus.UNKNOWN)
             head = self._words.answer_head(raw)
-            if head.request_id == call.request_id:
+            if _is_for(call, head):
                 return Begun(connection, raw, head)
+            if head.request_id is None:
+                break
             # A late answer to an earlier request stands where this one's is due. Taken
             # for it, it would give one caller the answer of another.
             stray = await connection.body(MAX_BODY_BYTES)
             if isinstance(stray, clientside.Lost) or not connection.skip_answer():
                 break
         return Failed("crossed_answer", outcomes.RunStatus.UNKNOWN)
+
+
+def _is_for(call: calls.Call, head: calls.AnswerHead) -> bool:
+    if head.request_id is None:
+        # A refusal may bear no id; it gives the caller nothing of another request.
+        return head.is_not_run
+    return head.request_id == call.request_id
--- /dev/null
+++ b/tests/entry/site.py
@@ -0,0 +1,236 @@
+"""Entry instances on one event loop, with stand-in engines and a store in memory."""
+
+import asyncio
+import json
+import socket
+
+from hornbeamglade.core import clocks
+from hornbeamglade.entry import instance, settings
+from hornbeamglade.http1 import serverside
+from hornbeamglade.membership import registry
+from hornbeamglade.standins import routed
+from hornbeamglade.store import contract, memory
+from tests import eventloop
+from tests.http1 import raw
+
+HOST = "mail.example"
+KEY = "k1"
+STORE = "127.0.0.1:1"
+
+
+def free_port(kind):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name, kind, service, **changes):
+    told = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "route_kind": kind,
+        "timeout_ms": 20000,
+        "goal_ms": 5000,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+    }
+    return told | changes
+
+
+def manifest(version=1, **changes):
+    engine = {
+        "slots": 8,
+        "kv_capacity_tokens": routed.MEMORY_TOKENS,
+        "kv_bytes": 1000,
+        "link_mbps": 24000.0,
+        "moves": True,
+        "backups": True,
+        "stride": 1,
+        "handle_s": 5.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("draft", "streaming", "llm", max_attempts=1),
+            route("tag", "streaming", "llm", resumable=True),
+            route("list", "idempotent", "web"),
+            route("hold", "non_idempotent", "web", max_attempts=1),
+            route("quick", "idempotent", "web", timeout_ms=80),
+        ],
+        "services": [
+            {"name": "llm", "health_path": "/h", "max_connections": 50, "engine": engine},
+            {"name": "web", "health_path": "/h", "max_connections": 50},
+        ],
+        "limits": {
+            "max_header_bytes": 4000,
+            "max_body_bytes": 100000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "clinic", "api_keys": [KEY]}],
+    } | changes
+
+
+def entry(server, service, domain="a", state="ready"):
+    return json.dumps(
+        {
+            "service": service,
+            "address": server.address,
+            "zone": domain,
+            "slots": 8,
+            "state": state,
+        }
+    )
+
+
+class Node:
+    """One instance and its caller's side."""
+
+    def __init__(self, number):
+        ports = free_port(socket.SOCK_DGRAM)
+        callers = f"127.0.0.1:{free_port(socket.SOCK_STREAM)}"
+        self.told = settings.Settings(
+            name=f"entry-{number}",
+            host="127.0.0.1",
+            failure_domain="ab"[number % 2],
+            region="r",
+            listen=settings.Listen(callers=callers, readiness=callers),
+            exchange_ports=(ports, ports),
+            store=STORE,
+            budget=settings.Budget(ratio=0.2, slack=50, window_s=10),
+            bounds=settings.Bounds(stop_s=8, address_ttl_s=5),
+        )
+        self.instance = instance.EntryInstance(self.told, clocks.SystemClock())
+        self._server = serverside.CallersServer(self.instance.callers, clocks.SystemClock())
+        self._tasks = []
+
+    async def start(self):
+        await self.instance.peering.listen()
+        host, _, port = self.told.listen.callers.rpartition(":")
+        self.address = await self._server.listen(host, int(port))
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._tick()),
+            loop.create_task(self.instance.poller.run()),
+        ]
+
+    async def _tick(self):
+        while True:
+            self.instance.tick()
+            await asyncio.sleep(0.02)
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        self._server.stop_listening()
+        for connection in tuple(self._server.connections):
+            connection.abort()
+        self.instance.peering.transport.close()
+
+    async def ask(self, path, *, request_id="r1", key=KEY, more="", body=b"body"):
+        """Send one request on a connection of its own; return the raw client."""
+        client = await raw.RawClient.connect(self.address)
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {request_id}\r\n"
+            f"Authorization: Bearer {key}\r\nContent-Length: {len(body)}\r\n{more}\r\n"
+        )
+        await client.send(head.encode() + body)
+        return client
+
+
+USAGE = "Model: m\r\nToken-Usage: 100,50\r\n"
+
+
+class Site:
+    """Nodes, engines and plain servers that know one another.
+
+    :param nodes: how many instances.
+    :param engines: how many engines.
+    :param events: events of each stream.
+    """
+
+    def __init__(self, nodes=1, engines=2, services=2, events=30, gap_s=0.01):
+        self.store = memory.MemoryPlatform(clocks.SystemClock(), counts_together=True)
+        self.engines = [routed.RoutedStandin(f"e{n}", events, gap_s) for n in range(engines)]
+        self.services = [routed.RoutedStandin(f"s{n}") for n in range(services)]
+        self.nodes = [Node(number) for number in range(nodes)]
+
+    async def start(self):
+        for server in (*self.engines, *self.services):
+            await server.start()
+        self.put("op/config", json.dumps(manifest()))
+        for number, server in enumerate(self.engines):
+            self.put(f"servers/{server.replica_id}", entry(server, "llm", "ab"[number % 2]))
+        for server in self.services:
+            self.put(f"servers/{server.replica_id}", entry(server, "web"))
+        listed = registry.Registry(self.store)
+        for node in self.nodes:
+            await node.start()
+            identity = node.instance.identity
+            listed.register(
+                contract.Instance(
+                    identity.name,
+                    identity.failure_domain,
+                    identity.address,
+                    identity.exchange,
+                    False,
+                )
+            )
+        for node in self.nodes:
+            node.instance.introduced(listed.list())
+        self.tell()
+        await eventloop.until(self._is_settled)
+
+    def put(self, key, value):
+        self.store.transact((), (contract.Put(key, value),))
+
+    def delete(self, key):
+        self.store.transact((), (contract.Delete(key),))
+
+    def tell(self, *nodes):
+        """Have nodes, by default all, read the store."""
+        for node in nodes or self.nodes:
+            following = node.instance.following
+            following.configuration_told(self.store.snapshot("op"))
+            following.replicas_told(self.store.snapshot("servers"))
+
+    def leave(self, number):
+        """Have an engine announce that it stops."""
+        server = self.engines[number]
+        server.is_leaving = True
+        self.put(
+            f"servers/{server.replica_id}", entry(server, "llm", "ab"[number % 2], "draining")
+        )
+        self.tell()
+
+    async def stop(self):
+        for node in self.nodes:
+            await node.stop()
+        for server in (*self.engines, *self.services):
+            await server.stop()
+
+    def _is_settled(self):
+        """Tell whether each node knows the others, and every engine has room."""
+        views = [node.instance.peering.heartbeats.live() for node in self.nodes]
+        heard = all(len(view) == len(self.nodes) for view in views)
+        return heard and all(self._knows_room(node) for node in self.nodes)
+
+    def _knows_room(self, node):
+        known = node.instance.book.candidates("llm", ())
+        return len(known) == len(self.engines) and all(each.room_tokens for each in known)
+
+
+def play(test, **shape):
+    """Run ``test`` with a started site."""
+
+    async def main():
+        site = Site(**shape)
+        try:
+            await site.start()
+            return await test(site)
+        finally:
+            await site.stop()
+
+    return eventloop.run(main())
--- /dev/null
+++ b/tests/entry/test_following.py
@@ -0,0 +1,131 @@
+"""What an instance believes of the configuration and the list, and what it logs of it."""
+
+import json
+
+import pytest
+
+from hornbeamglade.core import clocks
+from hornbeamglade.entry import following
+from hornbeamglade.exchange import messages
+from hornbeamglade.replicas import replicalist
+from hornbeamglade.routed import views
+from hornbeamglade.store import contract
+from tests.entry import site
+
+CONFIGURATION, REPLICAS = messages.Subject.CONFIGURATION, messages.Subject.REPLICAS
+
+
+class Server:
+    """What an entry of the list needs of a server."""
+
+    address = "10.0.0.1:80"
+
+
+def row(name, version, state="ready"):
+    return contract.Row(f"servers/{name}", site.entry(Server, "web", "a", state), version)
+
+
+def config(version, **changes):
+    return contract.Row("op/config", json.dumps(site.manifest(version, **changes)), version)
+
+
+class Believer:
+    """A follower, with what it told and logged."""
+
+    def __init__(self):
+        self.told = []
+        self.configured = 0
+        self.views = views.Views()
+        self.list = replicalist.ReplicaList()
+        self.following = following.Following(
+            self.views, self.list, clocks.ManualClock(), self.told.extend, self._configure
+        )
+
+    def _configure(self):
+        self.configured += 1
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    written = []
+
+    def state_changed(subject, before, after, **fields):
+        written.append((subject, before, after, fields))
+
+    monkeypatch.setattr(following.logs, "state_changed", state_changed)
+    return written
+
+
+def test_changes_of_the_list_are_taken_and_logged(lines):
+    believer = Believer()
+    believer.following.replicas_told(contract.Snapshot((row("a", 1), row("b", 2)), 2))
+    believer.following.replicas_told(
+        contract.Changes((row("a", 3, "draining"),), ("servers/b",), 4, 4)
+    )
+    assert [(each.replica.id, each.what) for each in believer.told] == [
+        ("a", "added"),
+        ("b", "added"),
+        ("a", "leaving"),
+        ("b", "gone"),
+    ]
+    assert [line[2] for line in lines if line[0] == "replica"] == [
+        "added",
+        "added",
+        "leaving",
+        "gone",
+    ]
+
+
+def test_entry_that_cannot_be_read_hides_no_other(lines):
+    believer = Believer()
+    broken = contract.Row("servers/x", "{}", 1)
+    believer.following.replicas_told(contract.Snapshot((broken, row("a", 2)), 2))
+    assert list(believer.list.by_id) == ["a"]
+    assert ("replica_entry", "unread", "replica_entry_invalid") in [line[:3] for line in lines]
+
+
+def test_outage_and_return_of_the_store_are_logged_once(lines):
+    believer = Believer()
+    for outcome in (
+        contract.Unavailable("status 503"),
+        contract.Unavailable("status 503"),
+        contract.Snapshot((), 1),
+        contract.Changes((), (), 2),
+    ):
+        believer.following.replicas_told(outcome)
+    states = [line[:3] for line in lines if line[0] == "store"]
+    assert states == [("store", "unknown", "lost"), ("store", "lost", "reached")]
+
+
+def test_document_of_a_peer_is_taken_like_the_stores_own(lines):
+    ahead, behind = Believer(), Believer()
+    ahead.following.configuration_told(contract.Snapshot((config(3),), 9))
+    ahead.following.replicas_told(contract.Snapshot((row("a", 7),), 9))
+    for subject, version in ((CONFIGURATION, 3), (REPLICAS, 9)):
+        behind.following.take(subject, version, ahead.following.read(subject))
+    assert behind.following.versions() == ahead.following.versions()
+    assert (list(behind.list.by_id), behind.configured) == (["a"], 1)
+    assert behind.following.read(REPLICAS) == ahead.following.read(REPLICAS)
+
+
+def test_late_document_of_a_peer_changes_nothing(lines):
+    believer = Believer()
+    believer.following.configuration_told(contract.Snapshot((config(3),), 9))
+    believer.following.replicas_told(contract.Changes((row("a", 12),), (), 12, 12))
+    believer.following.take(CONFIGURATION, 2, config(2).value.encode())
+    believer.following.take(REPLICAS, 11, b"[]")
+    assert believer.following.versions().configuration == 3
+    assert list(believer.list.by_id) == ["a"]
+
+
+def test_bad_configuration_is_logged_once_with_its_field(lines):
+    believer = Believer()
+    believer.following.configuration_told(contract.Snapshot((config(1),), 1))
+    bad = contract.Row("op/config", json.dumps(site.manifest(2, routes=[{}])), 2)
+    for _ in range(2):
+        believer.following.configuration_told(contract.Changes((bad,), (), 2, 2))
+    problems = [line for line in lines if line[0] == "config_problem" and line[1] != line[2]]
+    assert len(problems) == 1
+    assert "routes.0.name" in problems[0][3]["reason"]
+    believer.following.configuration_told(contract.Changes((config(3),), (), 3, 3))
+    assert (believer.following.problem, believer.following.versions().configuration) == (None, 3)
--- /dev/null
+++ b/tests/entry/test_streams.py
@@ -0,0 +1,237 @@
+"""Streams through entry instances, while engines leave, die and misbehave."""
+
+import asyncio
+
+import pytest
+
+from hornbeamglade.standins import routedfaults, routedruns
+from tests import eventloop
+from tests.entry import site as entrysite
+
+EVENTS = 30
+
+
+def whole(request_id, first=1):
+    numbers = range(first, EVENTS + 1)
+    return b"".join(routedruns.event(request_id, number) for number in numbers)
+
+
+def ran(site):
+    return [ran.request_id for engine in site.engines for ran in engine.ledger]
+
+
+def runs_at(site, request_id):
+    return [engine for engine in site.engines if request_id in engine.run_by_id]
+
+
+async def begun(site, path="/draft/1", request_id="r1", node=0):
+    """Ask for a stream; return the client once some events have been made."""
+    client = await site.nodes[node].ask(path, request_id=request_id, more=entrysite.USAGE)
+    await eventloop.until(
+        lambda: any(engine.run_by_id[request_id].made > 5 for engine in runs_at(site, request_id))
+    )
+    return client
+
+
+def test_stream_comes_whole_under_the_teams_name():
+    async def test(site):
+        client = await site.nodes[0].ask("/draft/1", more=entrysite.USAGE)
+        return await client.answer(), [each for e in site.engines for each in e.ledger]
+
+    (status, fields, body), ledger = entrysite.play(test)
+    assert (status, body) == (200, whole("r1"))
+    assert fields["content-type"] == "text/event-stream"
+    assert [(each.team, each.body) for each in ledger] == [("clinic", "body")]
+    assert "authorization" not in ledger[0].names
+
+
+@pytest.mark.parametrize("nodes", [1, 2])
+def test_run_goes_on_elsewhere_when_its_engine_is_to_stop(nodes):
+    """An engine is reclaimed in the middle of a draft.
+
+    The list says that it stops; two seconds later it is gone, and the clerk would have
+    half a draft. Its run is moved first, and no event is made or sent twice.
+    """
+
+    async def test(site):
+        client = await begun(site)
+        source = runs_at(site, "r1")[0]
+        site.leave(site.engines.index(source))
+        await eventloop.until(lambda: source.run_by_id["r1"].is_stopped)
+        await source.stop()
+        return await client.answer(), ran(site)
+
+    (status, _, body), runs = entrysite.play(test, nodes=nodes)
+    assert (status, body, runs) == (200, whole("r1"), ["r1"])
+
+
+def test_run_leaves_also_on_the_engines_own_word():
+    """The store is away while an engine is reclaimed: only the engine's report says so."""
+
+    async def test(site):
+        client = await begun(site)
+        source = runs_at(site, "r1")[0]
+        source.is_leaving = True
+        await eventloop.until(lambda: source.run_by_id["r1"].is_stopped)
+        await source.stop()
+        return await client.answer()
+
+    _, _, body = entrysite.play(test, nodes=2, gap_s=0.04)
+    assert body == whole("r1")
+
+
+def test_run_leaves_an_engine_that_is_taken_off_the_list_without_a_word():
+    async def test(site):
+        client = await begun(site)
+        source = runs_at(site, "r1")[0]
+        site.delete(f"servers/{source.replica_id}")
+        site.tell()
+        await eventloop.until(lambda: source.run_by_id["r1"].is_stopped)
+        await source.stop()
+        return await client.answer()
+
+    _, _, body = entrysite.play(test, nodes=2)
+    assert body == whole("r1")
+
+
+def test_all_runs_of_an_engine_leave_in_turn():
+    """Eight drafts run at an engine that is to stop, at the streams of two nodes."""
+
+    async def test(site):
+        names = [f"r{number}" for number in range(6)]
+        clients = []
+        for number, name in enumerate(names):
+            clients.append(await begun(site, request_id=name, node=number % 2))
+        site.leave(0)
+        await eventloop.until(
+            lambda: all(run.is_stopped or not run.is_alive for run in runs(site.engines[0]))
+        )
+        await site.engines[0].stop()
+        return [await client.answer() for client in clients], sorted(ran(site))
+
+    def runs(engine):
+        return engine.run_by_id.values()
+
+    answers, order = entrysite.play(test, nodes=2, gap_s=0.05)
+    assert [body for _, _, body in answers] == [whole(f"r{number}") for number in range(6)]
+    assert order == [f"r{number}" for number in range(6)]
+
+
+def test_run_goes_on_where_it_was_when_there_is_room_nowhere():
+    async def test(site):
+        client = await begun(site)
+        source = runs_at(site, "r1")[0]
+        for engine in site.engines:
+            engine.faults = routedfaults.RoutedFaults(no_room=True)
+        site.leave(site.engines.index(source))
+        return await client.answer(), ran(site)
+
+    (_, _, body), runs = entrysite.play(test, gap_s=0.03)
+    assert (body, runs) == (whole("r1"), ["r1"])
+
+
+def test_draft_whose_engine_dies_is_seen_to_be_torn():
+    """An engine crashes without a word in the middle of a draft.
+
+    The draft may not run twice: it cannot be whole any more, and must not look so.
+    """
+
+    async def test(site):
+        client = await begun(site)
+        await runs_at(site, "r1")[0].stop()
+        await client.head()
+        try:
+            rest = await client.reader.read()
+        except ConnectionError:
+            rest = b""
+        return rest, ran(site)
+
+    rest, runs = entrysite.play(test)
+    assert not rest.endswith(b"0\r\n\r\n")
+    assert runs == ["r1"]
+
+
+def test_tag_whose_engine_dies_goes_on_in_another_run():
+    """The same with a request that may be repeated: it goes on after the last event."""
+
+    async def test(site):
+        client = await begun(site, "/tag/1")
+        await runs_at(site, "r1")[0].stop()
+        return await client.answer(), ran(site)
+
+    (_, _, body), runs = entrysite.play(test)
+    assert (body, runs) == (whole("r1"), ["r1", "r1"])
+
+
+def test_stream_that_breaks_in_the_middle_of_an_event_goes_on_with_that_event():
+    async def test(site):
+        for engine in site.engines:
+            engine.faults = routedfaults.RoutedFaults(die_after_events=7)
+        client = await site.nodes[0].ask("/tag/1", more=entrysite.USAGE)
+        await eventloop.until(lambda: len(ran(site)) == 1)
+        for engine in site.engines:
+            if "r1" not in engine.run_by_id:
+                engine.faults = routedfaults.RoutedFaults()
+        return await client.answer()
+
+    _, _, body = entrysite.play(test)
+    assert body == whole("r1")
+
+
+def test_caller_that_leaves_ends_its_run():
+    async def test(site):
+        client = await begun(site)
+        engine = runs_at(site, "r1")[0]
+        client.close()
+        await eventloop.until(lambda: not engine.run_by_id["r1"].is_alive)
+        await eventloop.until(lambda: not site.nodes[0].instance.seeker.active_count)
+        return engine.run_by_id["r1"].made
+
+    assert entrysite.play(test, gap_s=0.05) < EVENTS
+
+
+def test_caller_that_resumes_gets_the_rest_only():
+    async def test(site):
+        more = entrysite.USAGE + "Last-Event-Id: 12\r\n"
+        client = await site.nodes[0].ask("/tag/1", more=more)
+        return await client.answer()
+
+    _, _, body = entrysite.play(test)
+    assert body == whole("r1", 13)
+
+
+def test_stream_without_proof_is_not_passed_on():
+    async def test(site):
+        for engine in site.engines:
+            engine.faults = routedfaults.RoutedFaults(unproved=True)
+        client = await site.nodes[0].ask("/draft/1", more=entrysite.USAGE)
+        return await client.answer(), ran(site)
+
+    (status, _, _), runs = entrysite.play(test)
+    assert (status, runs) == (502, ["r1"])
+
+
+def test_full_engines_are_told_as_not_run_with_a_time_to_come_back():
+    async def test(site):
+        for engine in site.engines:
+            engine.faults = routedfaults.RoutedFaults(refuse=True)
+        client = await site.nodes[0].ask("/draft/1", more=entrysite.USAGE)
+        return await client.answer(), ran(site)
+
+    (status, fields, _), runs = entrysite.play(test)
+    assert (status, runs) == (503, [])
+    assert float(fields["retry-after"]) > 0
+
+
+def test_grants_of_ended_streams_are_given_back():
+    async def test(site):
+        clients = [
+            await site.nodes[n % 2].ask("/draft/1", request_id=f"r{n}", more=entrysite.USAGE)
+            for n in range(8)
+        ]
+        await asyncio.gather(*(client.answer() for client in clients))
+        await eventloop.until(
+            lambda: not any(node.instance.seeker.active_count for node in site.nodes)
+        )
+
+    entrysite.play(test, nodes=2)
--- /dev/null
+++ b/tests/failures/test_entry.py
@@ -0,0 +1,215 @@
+"""Entry instances as processes: stops, signals, settings, and logs that nobody reads."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+import urllib3
+import yaml
+
+from hornbeamglade.platform import storeclient
+from hornbeamglade.store import contract
+from tests.entry import site as entrysite
+
+TIMEOUT_S = 30.0
+HEADERS = {"Host": entrysite.HOST, "Authorization": f"Bearer {entrysite.KEY}"}
+
+
+def until(condition):
+    ends_at = time.monotonic() + TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < ends_at
+        time.sleep(0.02)
+
+
+class Processes:
+    """A store, one plain server, one engine and entry instances as processes."""
+
+    def __init__(self, folder):
+        self._folder = folder
+        self._started = []
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=20)
+
+    def start(self, *arguments, **options):
+        command = [sys.executable, "-m", "hornbeamglade", *arguments]
+        options = {"stdout": subprocess.PIPE} | options
+        process = subprocess.Popen(command, text=True, **options)
+        self._started.append(process)
+        return process
+
+    def standin(self, *arguments):
+        process = self.start("standin", *arguments, "--bind", "127.0.0.1:0")
+        return process, process.stdout.readline().strip()
+
+    def set_up(self):
+        _, self.store = self.standin("platform")
+        _, self.web = self.standin("routed", "--id", "w0")
+        self.engine, engine_address = self.standin(
+            "routed", "--id", "e0", "--events", "60", "--gap", "0.03"
+        )
+        self.client = storeclient.StoreClient(self.store)
+        self.put("op/config", json.dumps(entrysite.manifest()))
+        for name, service, address in (("w0", "web", self.web), ("e0", "llm", engine_address)):
+            server = type("Server", (), {"address": address})
+            self.put(f"servers/{name}", entrysite.entry(server, service))
+
+    def put(self, key, value):
+        outcome = self.client.transact((), (contract.Put(key, value),))
+        assert isinstance(outcome, contract.Committed)
+
+    def settings(self, number, **changes):
+        port = entrysite.free_port(socket.SOCK_DGRAM)
+        addresses = [f"127.0.0.1:{entrysite.free_port(socket.SOCK_STREAM)}" for _ in range(2)]
+        told = {
+            "name": f"entry-{number}",
+            "host": "127.0.0.1",
+            "failure_domain": "a",
+            "region": "r",
+            "listen": {"callers": addresses[0], "readiness": addresses[1]},
+            "exchange_ports": [port, port],
+            "store": self.store,
+            "budget": {"ratio": 0.2, "slack": 50, "window_s": 10},
+            "bounds": {"stop_s": 8, "address_ttl_s": 5},
+        }
+        path = self._folder / f"entry-{number}.yaml"
+        told |= changes
+        path.write_text(yaml.safe_dump(told), encoding="utf-8")
+        return path, [told["listen"]["callers"], told["listen"]["readiness"]]
+
+    def entry(self, number=0, *, log=None, **changes):
+        path, addresses = self.settings(number, **changes)
+        stream = log or (self._folder / f"entry-{number}.log").open("w")
+        process = self.start("entry", "--settings", str(path), stdout=stream)
+        until(lambda: self.is_ready(addresses[1]))
+        return process, path, addresses
+
+    def is_ready(self, address):
+        try:
+            return self.http.request("GET", f"http://{address}/v1/readyz").status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def ask(self, address, path="/list/1", request_id="r1", **options):
+        headers = HEADERS | {"Attempt-Id": request_id, "Deadline-Ms": "20000"}
+        if path.startswith("/draft"):
+            headers |= {"Model": "m", "Token-Usage": "100,50"}
+        url = f"http://{address}{path}"
+        return self.http.request("POST", url, headers=headers, body=b"body", **options)
+
+    def log(self, number=0):
+        text = (self._folder / f"entry-{number}.log").read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    def stop(self):
+        for process in reversed(self._started):
+            process.kill()
+            process.wait()
+
+
+@pytest.fixture
+def processes(tmp_path):
+    started = Processes(tmp_path)
+    try:
+        started.set_up()
+        yield started
+    finally:
+        started.stop()
+
+
+def test_planned_stop_finishes_what_is_under_way(processes):
+    """An instance is stopped while it streams a draft, and its caller keeps reading.
+
+    The platform sends SIGTERM and kills eight seconds later. The draft must come to its
+    end, a request on an open connection must still be answered, and the instance must no
+    longer call itself ready.
+    """
+    process, _, addresses = processes.entry()
+    stream = processes.ask(addresses[0], "/draft/1", preload_content=False)
+    pieces = stream.stream()
+    first = next(pieces)
+    process.send_signal(signal.SIGTERM)
+    until(lambda: not processes.is_ready(addresses[1]))
+    late = processes.ask(addresses[0], request_id="r2")
+    rest = b"".join(pieces)
+    assert (first + rest).count(b"data: r1.") == 60
+    assert (late.status, late.headers["Connection"]) == (200, "close")
+    assert process.wait(TIMEOUT_S) == 0
+    states = [line["after"] for line in processes.log() if line.get("subject") == "node"]
+    assert states == ["serving", "leaving", "stopped"]
+
+
+def test_settings_change_with_and_without_a_signal_and_cut_nothing(processes):
+    process, path, addresses = processes.entry()
+    stream = processes.ask(addresses[0], "/draft/1", preload_content=False)
+    told = yaml.safe_load(path.read_text())
+    path.write_text(yaml.safe_dump(told | {"budget": told["budget"] | {"slack": 7}}))
+    process.send_signal(signal.SIGHUP)
+    until(lambda: [line for line in processes.log() if line.get("subject") == "settings"])
+    path.write_text("name: [")
+    until(lambda: len([line for line in processes.log() if line.get("subject") == "settings"]) > 1)
+    body = b"".join(stream.stream())
+    assert body.count(b"data: r1.") == 60
+    after = [line["after"] for line in processes.log() if line.get("subject") == "settings"]
+    assert after == ["changed", "settings_unreadable"]
+    assert process.poll() is None
+
+
+def test_log_that_nobody_reads_stops_nothing(processes):
+    """The reader of an instance's output stands still.
+
+    A pipe holds 64 KiB; what comes after must be dropped, not waited for.
+    """
+    _, _, addresses = processes.entry(log=subprocess.PIPE)
+    statuses = {
+        processes.ask(addresses[0], request_id=f"request-{number}").status for number in range(600)
+    }
+    assert statuses == {200}
+
+
+def test_instance_starts_before_its_store_and_serves_once_that_is_there(processes):
+    port = entrysite.free_port(socket.SOCK_STREAM)
+    path, addresses = processes.settings(0, store=f"127.0.0.1:{port}")
+    log = (path.parent / "entry-0.log").open("w")
+    processes.start("entry", "--settings", str(path), stdout=log)
+    until(lambda: "serving" in [line.get("after") for line in processes.log()])
+    refused = processes.ask(addresses[0])
+    assert (refused.status, json.loads(refused.data)["code"]) == (503, "no_configuration")
+    assert float(refused.headers["Retry-After"]) > 0
+    store = processes.start("standin", "platform", "--bind", f"127.0.0.1:{port}")
+    store.stdout.readline()
+    processes.client = storeclient.StoreClient(f"127.0.0.1:{port}")
+    processes.put("op/config", json.dumps(entrysite.manifest()))
+    server = type("Server", (), {"address": processes.web})
+    processes.put("servers/w0", entrysite.entry(server, "web"))
+    until(lambda: processes.ask(addresses[0]).status == 200)
+
+
+def test_instance_learns_from_its_seed_while_the_store_is_away(processes):
+    """An instance is started while the store is down, beside one that knows everything."""
+    control = f"127.0.0.1:{entrysite.free_port(socket.SOCK_STREAM)}"
+    callers = f"127.0.0.1:{entrysite.free_port(socket.SOCK_STREAM)}"
+    ready = f"127.0.0.1:{entrysite.free_port(socket.SOCK_STREAM)}"
+    listen = {"callers": callers, "readiness": ready, "control": control}
+    processes.entry(0, listen=listen)
+    url = f"http://{processes.store}/standin/faults"
+    assert processes.http.request("PUT", url, body='{"down":true}').status == 200
+    _, _, addresses = processes.entry(1, seeds=[control])
+    answer = processes.ask(addresses[0])
+    assert answer.status == 200
+    sources = [line["source"] for line in processes.log(1) if line.get("subject") == "config"]
+    assert sources == ["peer"]
+
+
+@pytest.mark.parametrize("text", ["name: [", "name: entry-0"])
+def test_bad_settings_end_the_start_with_a_coded_error(tmp_path, text):
+    path = tmp_path / "entry.yaml"
+    path.write_text(text)
+    command = [sys.executable, "-m", "hornbeamglade", "entry", "--settings", str(path)]
+    ended = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert ended.returncode == 2
+    assert ended.stderr.startswith("settings_")
+    assert str(path) in ended.stderr
--- /dev/null
+++ b/tests/grants/test_grantseeker.py
@@ -0,0 +1,235 @@
+"""Asking for a grant from an event loop: here, there, and of owners that are silent."""
+
+import asyncio
+import random
+
+from hornbeamglade.admission import replicaadmission, tokenledger
+from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.exchange import asyncasks, asyncudp, codec, grantserver, transport
+from hornbeamglade.fairness import queuesettings
+from hornbeamglade.grants import deskset, grantfinder, grantseeker, remotedesk, replicadesk
+from hornbeamglade.lengths import lengthmodel
+from hornbeamglade.routing import candidates
+from tests import eventloop
+
+KEYS = codec.KeyRing(1, {1: b"sixteen bytes at least"})
+SPEC = deskset.DeskSpec(
+    10_000, replicaadmission.AdmissionSettings(max_running=2), queuesettings.WaitingSettings()
+)
+
+
+class Node(grantfinder.Owners):
+    """One node's desks and both sides of its exchange."""
+
+    def __init__(self, name, owned):
+        self.name = name
+        self.clock = clocks.SystemClock()
+        self.owner_by_replica = {}
+        self.silent = []
+        self.desks = deskset.DeskSet(self.clock, lengthmodel.LengthModel())
+        self.desks.configure(dict.fromkeys(("e0", "e1"), SPEC))
+        self.desks.own(frozenset(owned))
+        for replica in owned:
+            self.report(replica)
+        frames = codec.Codec(name, 1, KEYS, self.clock)
+        self.transport = asyncudp.AsyncUdpTransport(frames, self._handle, self._failed)
+        self.client = asyncasks.AsyncGrantClient(1, self.transport, self.clock)
+        names = remotedesk.AskNames()
+        names.replicas.replace(("e0", "e1"))
+        names.services.replace(("draft",))
+        names.teams.replace(("clinic",))
+        desk = remotedesk.RemoteDesk(self.desks, self.clock, names)
+        self.server = grantserver.GrantServer(desk, self.transport, self.clock)
+        desk.connect(self.server.push)
+        self.seeker = grantseeker.GrantSeeker(
+            self.clock,
+            self.desks,
+            self.client,
+            self,
+            random.Random(1),
+            candidates.RoutingSettings(),
+        )
+
+    def report(self, replica):
+        load = tokenledger.LoadView(1, 0.0, 10_000, 0)
+        self.desks.change(replica, lambda desk, now: desk.reported(load, False, now))
+
+    def owner(self, replica):
+        return self.owner_by_replica.get(replica)
+
+    def unanswered(self, owner):
+        self.silent.append(owner)
+
+    def _handle(self, message, sender, source):
+        for taken in (self.server.asked, self.client.answered, self.server.progressed):
+            try:
+                taken(message, sender, source)
+                return
+            except AttributeError:
+                continue
+
+    def _failed(self, error, where):
+        raise error
+
+
+def candidate(replica, room=9_000, queued=0):
+    return candidates.Candidate(replica, "", False, room, queued, 0.0, 0.0, "a")
+
+
+def wish(name, node, *known, wait_s=5.0, produced=0):
+    work = outcomes.Work(name, "draft", "clinic", 1, 500, 100)
+    deadline = node.clock.now() + wait_s
+    return grantseeker.Wish(work, 1.0, deadline, lambda: known, produced=produced)
+
+
+def play(test):
+    async def main():
+        here, there = Node("n0", ["e0"]), Node("n1", ["e1"])
+        endpoint = transport.Endpoint("127.0.0.1", 0)
+        await here.transport.listen(endpoint)
+        at = await there.transport.listen(endpoint)
+        here.owner_by_replica["e1"] = transport.Peer("n1", at)
+        try:
+            return await test(here, there)
+        finally:
+            here.transport.close()
+            there.transport.close()
+
+    return eventloop.run(main())
+
+
+def running(node, replica):
+    return node.desks.states()[replica].running
+
+
+def test_grant_is_given_here_and_given_back():
+    async def test(here, _there):
+        grant = await here.seeker.find(wish("r1", here, candidate("e0")))
+        held = running(here, "e0")
+        here.seeker.release(grant)
+        here.seeker.release(grant)
+        return grant.replica, held, running(here, "e0"), here.seeker.active_count
+
+    assert play(test) == ("e0", 1, 0, 0)
+
+
+def test_grant_is_given_by_another_owner_and_given_back():
+    async def test(here, there):
+        grant = await here.seeker.find(wish("r1", here, candidate("e1")))
+        held = running(there, "e1")
+        here.seeker.release(grant)
+        await eventloop.until(lambda: running(there, "e1") == 0)
+        return grant.replica, held
+
+    assert play(test) == ("e1", 1)
+
+
+def test_request_waits_for_room_and_gets_it():
+    async def test(here, _there):
+        first = [await here.seeker.find(wish(f"r{n}", here, candidate("e0"))) for n in (1, 2)]
+        waiting = asyncio.ensure_future(here.seeker.find(wish("r3", here, candidate("e0"))))
+        await eventloop.until(lambda: here.desks.states()["e0"].waiting)
+        here.seeker.release(first[0])
+        return (await waiting).replica
+
+    assert play(test) == "e0"
+
+
+def test_waiting_request_goes_where_room_comes_first():
+    """A request waits for one engine while another one becomes free."""
+
+    async def test(here, there):
+        for number in (1, 2):
+            await here.seeker.find(wish(f"r{number}", here, candidate("e0")))
+        full = [await there.seeker.find(wish(f"s{n}", there, candidate("e1"))) for n in (1, 2)]
+        both = (candidate("e0"), candidate("e1"))
+        waiting = asyncio.ensure_future(here.seeker.find(wish("r3", here, *both)))
+        await asyncio.sleep(0.3)
+        there.seeker.release(full[0])
+        grant = await waiting
+        await eventloop.until(lambda: not here.desks.states()["e0"].waiting)
+        return grant.replica
+
+    assert play(test) == "e1"
+
+
+def test_refusal_after_the_wait_says_when_to_come_back():
+    async def test(here, _there):
+        for number in (1, 2):
+            await here.seeker.find(wish(f"r{number}", here, candidate("e0")))
+        return await here.seeker.find(wish("r3", here, candidate("e0"), wait_s=0.2))
+
+    refusal = play(test)
+    assert isinstance(refusal, outcomes.Refusal)
+    assert refusal.retry_after_s > 0
+
+
+def test_silent_owner_is_passed_over():
+    async def test(here, there):
+        there.transport.close()
+        both = (candidate("e1", room=9_500), candidate("e0", room=5_000))
+        grant = await here.seeker.find(wish("r1", here, *both))
+        return grant.replica, here.silent
+
+    assert play(test) == ("e0", ["n1"])
+
+
+def test_engine_whose_owner_is_silent_is_used_without_a_grant():
+    """The node that admits to the only engine dies.
+
+    The engine serves: a refusal would be false while it has room.
+    """
+
+    async def test(here, there):
+        there.transport.close()
+        grant = await here.seeker.find(wish("r1", here, candidate("e1")))
+        here.seeker.release(grant)
+        return grant.replica, grant.is_bound
+
+    assert play(test) == ("e1", False)
+
+
+def test_no_engine_at_all_is_refused():
+    async def test(here, _there):
+        return await here.seeker.find(wish("r1", here))
+
+    assert play(test).code == "no_replica"
+
+
+def test_cancelled_wait_leaves_nothing_behind():
+    async def test(here, there):
+        for number in (1, 2):
+            await there.seeker.find(wish(f"s{number}", there, candidate("e1")))
+        waiting = asyncio.ensure_future(here.seeker.find(wish("r1", here, candidate("e1"))))
+        await eventloop.until(lambda: there.desks.states()["e1"].waiting)
+        waiting.cancel()
+        await eventloop.until(lambda: not there.desks.states()["e1"].waiting)
+        return here.seeker.active_count
+
+    assert play(test) == 0
+
+
+def test_run_that_goes_on_is_taken_in_by_the_memory_that_is_held():
+    async def test(here, there):
+        near = await here.seeker.find_near(
+            wish("r1", here, candidate("e0"), candidate("e1"), produced=300), "a"
+        )
+        too_large = await here.seeker.find_near(
+            wish("r2", here, candidate("e0"), candidate("e1"), produced=9_400), "a"
+        )
+        return near is not None, too_large
+
+    assert play(test) == (True, None)
+
+
+def test_desk_takes_a_run_in_once_and_never_when_it_leaves():
+    clock = clocks.ManualClock()
+    desks = deskset.DeskSet(clock, lengthmodel.LengthModel())
+    desks.configure({"e0": SPEC})
+    work = outcomes.Work("r1", "draft", "clinic", 1, 500, 100)
+    assert desks.take_in("e0", work, 40) == replicadesk.Granted("r1", "e0")
+    assert desks.take_in("e0", work, 40) == replicadesk.Granted("r1", "e0")
+    assert desks.states()["e0"].running == 1
+    desks.leave("e0")
+    other = outcomes.Work("r2", "draft", "clinic", 1, 500, 100)
+    assert desks.take_in("e0", other, 1).code == "replica_leaving"
--- /dev/null
+++ b/tests/http1/test_serverside.py
@@ -0,0 +1,262 @@
+"""Connections of callers, met with raw bytes."""
+
+import asyncio
+
+import pytest
+
+from hornbeamglade.core import clocks
+from hornbeamglade.http1 import serverside
+from tests import eventloop
+from tests.http1 import raw
+
+GET = b"GET /a?b=%20c HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Recorder(serverside.Handler):
+    """Echoes bodies; waits, fails or streams when the target says so."""
+
+    def __init__(self, limits=None):
+        self.requests = []
+        self.refusals = []
+        self.failures = []
+        self.cancelled = asyncio.Event()
+        self._limits = limits or serverside.ConnectionLimits()
+
+    def limits(self):
+        return self._limits
+
+    def refused(self, status, reason):
+        self.refusals.append(int(status))
+
+    def failed(self, error):
+        self.failures.append(error)
+
+    async def handle(self, exchange):
+        self.requests.append(exchange.request)
+        target = exchange.request.target
+        if target == b"/wait":
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                self.cancelled.set()
+                raise
+        if target == b"/fault":
+            raise ValueError("a fault of the handler")
+        if target in (b"/stream", b"/torn"):
+            await exchange.begin(200, ())
+            await exchange.send(b"one")
+            if target == b"/torn":
+                exchange.abort()
+                return
+            await exchange.finish()
+            return
+        await exchange.answer(200, ((b"X-Own", b"1"),), exchange.request.body)
+
+
+async def serve(handler):
+    server = serverside.CallersServer(handler, clocks.SystemClock())
+    return server, await server.listen("127.0.0.1", 0)
+
+
+def exchange(*sent, handler=None, answers=1):
+    """Send bytes on one connection; return the handler and the answers."""
+
+    async def main():
+        recorder = handler or Recorder()
+        server, address = await serve(recorder)
+        client = await raw.RawClient.connect(address)
+        for data in sent:
+            await client.send(data)
+            await asyncio.sleep(0)
+        got = [await client.answer() for _ in range(answers)]
+        client.close()
+        server.stop_listening()
+        return recorder, got
+
+    return eventloop.run(main())
+
+
+def test_request_comes_as_it_was_sent():
+    sent = b"PUT /a?b=%20c HTTP/1.1\r\nHost: x\r\nX-Odd-Case: V\r\nContent-Length: 3\r\n\r\nabc"
+    recorder, _ = exchange(sent)
+    request = recorder.requests[0]
+    assert (request.method, request.target, request.body) == (b"PUT", b"/a?b=%20c", b"abc")
+    assert (b"X-Odd-Case", b"V") in request.fields
+
+
+def test_body_in_chunks_is_put_together():
+    sent = b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    recorder, got = exchange(sent, b"3\r\nabc\r\n", b"2\r\nde\r\n0\r\n\r\n")
+    assert recorder.requests[0].body == b"abcde"
+    assert got[0][2] == b"abcde"
+
+
+def test_requests_on_one_connection_are_answered_in_order():
+    _, got = exchange(GET + GET.replace(b"/a", b"/b"), answers=2)
+    assert [status for status, _, _ in got] == [200, 200]
+
+
+def test_answer_without_length_is_sent_in_chunks():
+    _, got = exchange(b"GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert got[0][2] == b"one"
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 400 + b"\r\n\r\n", 431),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nX: " + b"a" * 400, 431),
+        (b"GET / HTTP/1.1\r\nHost : x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n\r\n", 400),
+        (b"nonsense\r\n\r\n", 400),
+    ],
+)
+def test_bad_request_gets_its_status_and_ends_the_connection(sent, status):
+    async def main():
+        recorder = Recorder(serverside.ConnectionLimits(head_bytes=300, body_bytes=10))
+        server, address = await serve(recorder)
+        client = await raw.RawClient.connect(address)
+        await client.send(sent)
+        got = await client.answer()
+        is_closed = await client.is_closed()
+        server.stop_listening()
+        return recorder, got[0], is_closed
+
+    recorder, got, is_closed = eventloop.run(main())
+    assert (got, is_closed, recorder.requests) == (status, True, [])
+    assert recorder.refusals == [status]
+
+
+@pytest.mark.parametrize(
+    "sent", [b"GET / HT", b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab"]
+)
+def test_slow_request_is_told_so(sent):
+    """A caller begins a request and sends no more of it.
+
+    Its connection would hold memory and a descriptor for good, and a thousand such
+    callers all of them.
+    """
+
+    async def main():
+        recorder = Recorder(serverside.ConnectionLimits(head_s=0.05, idle_s=0.05))
+        server, address = await serve(recorder)
+        client = await raw.RawClient.connect(address)
+        await client.send(sent)
+        got = await client.answer()
+        server.stop_listening()
+        return got[0], await client.is_closed()
+
+    assert eventloop.run(main()) == (408, True)
+
+
+def test_idle_connection_is_closed_without_a_word():
+    async def main():
+        server, address = await serve(Recorder(serverside.ConnectionLimits(idle_s=0.05)))
+        client = await raw.RawClient.connect(address)
+        is_closed = await client.is_closed()
+        server.stop_listening()
+        return is_closed
+
+    assert eventloop.run(main())
+
+
+def test_caller_that_leaves_ends_the_work_for_it():
+    """A clerk closes the page while the answer is being made.
+
+    The close arrives at the node, which waits for a replica: unless the wait is
+    cancelled the replica works on for nobody.
+    """
+
+    async def main():
+        recorder = Recorder()
+        server, address = await serve(recorder)
+        client = await raw.RawClient.connect(address)
+        await client.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+        await eventloop.until(lambda: recorder.requests)
+        client.close()
+        await recorder.cancelled.wait()
+        await eventloop.until(lambda: not server.connections)
+        server.stop_listening()
+
+    eventloop.run(main())
+
+
+def test_torn_answer_does_not_look_whole():
+    async def main():
+        server, address = await serve(Recorder())
+        client = await raw.RawClient.connect(address)
+        await client.send(b"GET /torn HTTP/1.1\r\nHost: x\r\n\r\n")
+        await client.head()
+        rest = b""
+        try:
+            rest = await client.reader.read()
+        except ConnectionError:
+            pass
+        server.stop_listening()
+        return rest
+
+    assert not eventloop.run(main()).endswith(b"0\r\n\r\n")
+
+
+def test_fault_of_the_handler_ends_one_connection_only():
+    async def main():
+        recorder = Recorder()
+        server, address = await serve(recorder)
+        broken = await raw.RawClient.connect(address)
+        await broken.send(b"GET /fault HTTP/1.1\r\nHost: x\r\n\r\n")
+        is_closed = await broken.is_closed()
+        other = await raw.RawClient.connect(address)
+        await other.send(GET)
+        got = await other.answer()
+        server.stop_listening()
+        return recorder, is_closed, got[0]
+
+    recorder, is_closed, status = eventloop.run(main())
+    assert (is_closed, status, len(recorder.failures)) == (True, 200, 1)
+
+
+def test_leaving_server_says_that_it_closes_and_serves_what_comes():
+    """An instance is stopped while a caller keeps its connection open.
+
+    Closed under a request that is on its way, the connection would cost the caller its
+    answer; told with the next answer, the caller goes elsewhere by itself.
+    """
+
+    async def main():
+        server, address = await serve(Recorder())
+        client = await raw.RawClient.connect(address)
+        await client.send(GET)
+        first = await client.answer()
+        server.leave()
+        await client.send(GET)
+        second = await client.answer()
+        is_closed = await client.is_closed()
+        late = await raw.RawClient.connect(address)
+        await late.send(GET)
+        third = await late.answer()
+        server.stop_listening()
+        return [got[1].get("connection") for got in (first, second, third)], is_closed
+
+    assert eventloop.run(main()) == ([None, "close", "close"], True)
+
+
+def test_only_idle_connections_are_closed_at_the_end():
+    async def main():
+        recorder = Recorder()
+        server, address = await serve(recorder)
+        idle = await raw.RawClient.connect(address)
+        begun = await raw.RawClient.connect(address)
+        await begun.send(b"GET /a HTTP/1.1\r\n")
+        busy = await raw.RawClient.connect(address)
+        await busy.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+        await eventloop.until(lambda: server.busy_count == 1 and len(server.connections) == 3)
+        await asyncio.sleep(0.02)
+        server.close_idle()
+        is_closed = await idle.is_closed()
+        await begun.send(b"Host: x\r\n\r\n")
+        got = await begun.answer()
+        server.stop_listening()
+        return is_closed, got[0], server.busy_count
+
+    assert eventloop.run(main()) == (True, 200, 1)
--- /dev/null
+++ b/tests/membership/test_registry.py
@@ -0,0 +1,33 @@
+"""The nodes' own list of themselves."""
+
+from hornbeamglade.membership import registry
+from hornbeamglade.store import contract, memory
+
+OWN = contract.Instance("n1", "a", "10.0.0.1:80", "10.0.0.1:72", False)
+
+
+def test_rows_are_written_replaced_and_taken_away():
+    nodes = registry.Registry(memory.MemoryPlatform())
+    moved = contract.Instance("n1", "b", "10.0.0.2:80", "10.0.0.2:72", True)
+    nodes.register(OWN)
+    nodes.register(moved)
+    assert nodes.list() == (moved,)
+    nodes.withdraw("n1")
+    nodes.withdraw("n1")
+    assert nodes.list() == ()
+
+
+def test_row_that_cannot_be_read_hides_no_other():
+    platform = memory.MemoryPlatform()
+    nodes = registry.Registry(platform)
+    nodes.register(OWN)
+    platform.transact((), (contract.Put("instances/n0", "{}"),))
+    assert nodes.list() == (OWN,)
+
+
+def test_outage_is_told():
+    platform = memory.MemoryPlatform()
+    platform.set_faults(memory.Faults(down=True))
+    nodes = registry.Registry(platform)
+    assert isinstance(nodes.list(), contract.Unavailable)
+    assert isinstance(nodes.register(OWN), contract.Unavailable)
--- /dev/null
+++ b/tests/platform/test_enginecalls.py
@@ -0,0 +1,97 @@
+"""Calls to engines beside their streams, against the stand-in and raw answers."""
+
+import pytest
+
+from hornbeamglade.core import clocks
+from hornbeamglade.engines import models
+from hornbeamglade.http1 import clientpool
+from hornbeamglade.platform import enginecalls
+from hornbeamglade.standins import routed, routedfaults, routedruns
+from tests import eventloop
+from tests.http1 import raw
+
+
+def calls():
+    return enginecalls.EngineCalls(clientpool.ClientPool(clocks.SystemClock()))
+
+
+def with_engines(test):
+    async def main():
+        source, target = routed.RoutedStandin("e1", events=9), routed.RoutedStandin("e2")
+        await source.start()
+        await target.start()
+        source.run_by_id["r1"] = routedruns.StandinRun("r1", 9, made=4)
+        try:
+            return await test(source, target, calls())
+        finally:
+            await source.stop()
+            await target.stop()
+
+    return eventloop.run(main())
+
+
+def copy(source, target, control, *, is_last):
+    return control.copy_run(source.address, "r1", target.address, is_last=is_last, timeout_s=5.0)
+
+
+def test_report_tells_memory_and_runs():
+    async def test(source, _target, control):
+        first = await control.report(source.address)
+        source.is_leaving = True
+        return first, await control.report(source.address)
+
+    first, second = with_engines(test)
+    assert first == models.EngineReport(30_000, 104, 0, (models.ReportedRun("r1", 104, 4),), False)
+    assert (second.is_leaving, second.leaves_in_s) == (True, 1.5)
+
+
+def test_run_is_copied_and_goes_on_until_the_last_copy():
+    async def test(source, target, control):
+        first = await copy(source, target, control, is_last=False)
+        goes_on = not source.run_by_id["r1"].is_stopped
+        last = await copy(source, target, control, is_last=True)
+        return first, goes_on, last, source.run_by_id["r1"].is_stopped
+
+    made = models.CopyMade("copy-r1", 4)
+    assert with_engines(test) == (made, True, made, True)
+
+
+def test_failed_copy_says_why_and_what_the_source_keeps():
+    async def test(source, target, control):
+        target.faults = routedfaults.RoutedFaults(no_room=True)
+        first = await copy(source, target, control, is_last=False)
+        last = await copy(source, target, control, is_last=True)
+        del source.run_by_id["r1"]
+        return first, last, await copy(source, target, control, is_last=False)
+
+    assert with_engines(test) == (
+        models.CopyFailed("no_room"),
+        models.CopyFailed("no_room", "copy-r1"),
+        models.CopyFailed("no_run"),
+    )
+
+
+def test_engine_that_is_gone_gives_nothing():
+    async def test(source, target, control):
+        await source.stop()
+        return (
+            await control.report(source.address),
+            await copy(source, target, control, is_last=False),
+        )
+
+    assert with_engines(test) == (None, models.CopyFailed("no_answer"))
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b'{"kv_used":1}', b'{"kv_used":1,"kv_total":2,"runs":[["a"]]}']
+)
+def test_malformed_report_is_none(body):
+    async def main():
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        server = raw.ScriptedServer(head + body)
+        address = await server.start()
+        got = await calls().report(address)
+        server.stop()
+        return got
+
+    assert eventloop.run(main()) is None
--- /dev/null
+++ b/tests/routed/fakes.py
@@ -0,0 +1,75 @@
+"""Parts of the routed path that tests put in place of others."""
+
+from hornbeamglade.http1 import serverside
+from hornbeamglade.routed import callrouter, calls
+from hornbeamglade.routes import models
+
+ENGINE = models.EngineTraits(8, 30_000, 1000, 3e9, True, True, 1, 5.0)
+HOST = "mail.example"
+
+
+class FakeExchange:
+    """A caller's side that keeps what is sent to it."""
+
+    def __init__(self):
+        self.status = None
+        self.fields = ()
+        self.body = b""
+        self.is_answered = False
+        self.is_finished = False
+        self.is_aborted = False
+
+    async def begin(self, status, fields):
+        self.status, self.fields, self.is_answered = status, fields, True
+
+    async def send(self, data):
+        self.body += data
+
+    async def finish(self):
+        self.is_finished = True
+
+    def abort(self):
+        self.is_aborted = True
+
+    async def answer(self, status, fields=(), body=b""):
+        await self.begin(status, fields)
+        self.body = body
+        self.is_finished = True
+
+
+def route(kind=models.RouteKind.IDEMPOTENT, **changes):
+    told = {
+        "name": "r",
+        "host": HOST,
+        "prefix": "/r/",
+        "kind": kind,
+        "splits": (models.Split("s", 1),),
+        "timeout_s": 30.0,
+        "goal_s": 10.0,
+        "urgency": 1,
+        "max_attempts": 2,
+    }
+    return models.Route(**(told | changes))
+
+
+def request(request_id="r1", target=b"/r/1", *more):
+    fields = ((b"Host", HOST.encode()), (b"Attempt-Id", request_id.encode()), *more)
+    return serverside.Request(b"POST", target, fields, b"body", 0.0)
+
+
+def routed(clock, found, service=None, request_id="r1", generation=None, last_event_id=None):
+    service = service or models.Service("s", "/healthz", 100, None)
+    call = calls.Call(
+        request_id,
+        HOST,
+        b"POST",
+        b"/r/1",
+        ((b"Host", HOST.encode()), (b"Attempt-Id", request_id.encode())),
+        b"body",
+        clock.now(),
+        clock.now() + found.timeout_s,
+        None,
+        generation,
+        last_event_id,
+    )
+    return callrouter.RoutedCall(call, found, service, None, 1)
--- /dev/null
+++ b/tests/routed/test_callrouter.py
@@ -0,0 +1,71 @@
+"""Route, team and service of a request."""
+
+import pytest
+
+from hornbeamglade.core import outcomes
+from hornbeamglade.platform import requestdialect
+from hornbeamglade.routed import callrouter, views
+from hornbeamglade.routes import models
+from tests.routed import fakes
+
+LIMITS = models.CallerLimits(1000, 1000, 1.0, 1.0)
+SERVICE = models.Service("s", "/healthz", 10, None)
+
+
+def view(*routes, teams=()):
+    configuration = models.Configuration(3, routes, {"s": SERVICE}, LIMITS, teams)
+    return views.RouteView(configuration)
+
+
+def ask(current, *fields, target=b"/r/1"):
+    call = requestdialect.PlatformDialect().call(fakes.request("r1", target, *fields))
+    return callrouter.route(call, current)
+
+
+def test_request_is_routed():
+    found = ask(view(fakes.route()))
+    assert (found.route.name, found.service, found.team, found.revision) == ("r", SERVICE, None, 3)
+
+
+def test_before_the_first_configuration_nothing_is_denied():
+    """A node has just started and knows no route.
+
+    A 404 would tell the caller that its route does not exist, and it would not come back.
+    """
+    refusal = ask(None)
+    assert (refusal.http_status, refusal.code) == (503, "no_configuration")
+    assert refusal.retry_after_s
+
+
+@pytest.mark.parametrize("target", [b"/", b"/r", b"/x/1"])
+def test_path_that_no_route_begins_is_not_found(target):
+    assert ask(view(fakes.route()), target=target).http_status == 404
+
+
+@pytest.mark.parametrize(
+    ("is_public", "fields", "status"),
+    [
+        (False, (), 401),
+        (False, ((b"Authorization", b"Bearer no"),), 401),
+        (False, ((b"Authorization", b"Bearer k1"),), None),
+        (True, (), None),
+        (True, ((b"Authorization", b"Bearer no"),), None),
+    ],
+)
+def test_key_is_needed_unless_the_route_is_public(is_public, fields, status):
+    teams = (models.Team("clinic", frozenset(("k1",))),)
+    found = ask(view(fakes.route(is_public=is_public), teams=teams), *fields)
+    assert (found.http_status if isinstance(found, outcomes.Refusal) else None) == status
+
+
+def test_team_urgency_goes_before_the_routes():
+    teams = (models.Team("clinic", frozenset(("k1",)), 4), models.Team("city", frozenset(("k2",))))
+    current = view(fakes.route(urgency=2), teams=teams)
+    ranks = [ask(current, (b"Authorization", f"Bearer {key}".encode())) for key in ("k1", "k2")]
+    assert [found.urgency for found in ranks] == [4, 2]
+
+
+def test_shorter_of_the_callers_and_the_routes_time_counts():
+    current = view(fakes.route(timeout_s=2.0))
+    assert ask(current, (b"Deadline-Ms", b"1500")).ends_at == 1.5
+    assert ask(current, (b"Deadline-Ms", b"2500")).ends_at == 2.0
--- /dev/null
+++ b/tests/routed/test_plainexchange.py
@@ -0,0 +1,227 @@
+"""Whole answers, from replicas that answer well, badly or not at all."""
+
+import random
+
+import pytest
+
+from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.http1 import clientpool
+from hornbeamglade.platform import requestdialect
+from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.replicas import replicalist
+from hornbeamglade.routed import (
+    attemptlog,
+    plainexchange,
+    replicaload,
+    retrybudget,
+    sending,
+)
+from hornbeamglade.routes import models
+from hornbeamglade.standins import routed, routedfaults
+from tests import eventloop
+from tests.routed import fakes
+
+SINGLE = models.RouteKind.SINGLE
+BUDGET = retrybudget.BudgetSettings(ratio=0.2, slack=10.0, window_s=10.0)
+
+
+class Site:
+    """Stand-in replicas and an exchange that knows them."""
+
+    def __init__(self, count, budget=BUDGET):
+        self.servers = [routed.RoutedStandin(f"i{n}") for n in range(count)]
+        self.list = replicalist.ReplicaList()
+        self.clock = clocks.SystemClock()
+        self.log = attemptlog.AttemptLog()
+        sender = sending.Sender(
+            clientpool.ClientPool(self.clock), requestdialect.PlatformDialect(), self.clock
+        )
+        loads = replicaload.ReplicaLoads(self.clock, random.Random(1))
+        budgets = retrybudget.RetryBudgets(budget)
+        self.exchange = plainexchange.PlainExchange(self.list, sender, loads, budgets, self.clock)
+
+    async def start(self):
+        for server in self.servers:
+            await server.start()
+        self.list.replace(
+            [
+                replicamodels.Replica(server.replica_id, "s", server.address, "a", 8)
+                for server in self.servers
+            ],
+            1,
+        )
+
+    def ran(self):
+        return sum(len(server.ledger) for server in self.servers)
+
+    async def stop(self):
+        for server in self.servers:
+            await server.stop()
+
+
+def ask(faults, kind=models.RouteKind.IDEMPOTENT, count=2, budget=BUDGET, **changes):
+    """Ask once where the first replica that is asked has faults; return answer and site."""
+
+    async def main():
+        site = Site(count, budget)
+        await site.start()
+        first = site.exchange._choose(fakes.routed(site.clock, fakes.route(kind)), site.log)
+        for server in site.servers:
+            if server.replica_id == first.id:
+                server.faults = routedfaults.RoutedFaults(**faults)
+        # The same choice is made again: nothing is outstanding anywhere.
+        site.exchange._loads._rng = random.Random(1)
+        call = fakes.routed(site.clock, fakes.route(kind, **changes))
+        answer = await site.exchange.answer(call, site.log)
+        await site.stop()
+        return answer, site
+
+    return eventloop.run(main())
+
+
+def test_answer_comes_whole_and_as_it_is():
+    answer, site = ask({})
+    assert answer.status == 200
+    assert answer.body.endswith(b":r1")
+    assert site.ran() == 1
+
+
+@pytest.mark.parametrize(
+    "fault", ["torn", "reset", "unproved", "fail"], ids=lambda fault: f"{fault}"
+)
+def test_repeatable_request_gets_its_answer_elsewhere(fault):
+    answer, site = ask({fault: True})
+    assert (answer.status, site.ran(), site.log.sent) == (200, 2, 2)
+
+
+@pytest.mark.parametrize("fault", ["torn", "reset", "unproved"])
+def test_single_request_is_never_run_again(fault):
+    """A reservation is made, and its answer is lost on the way.
+
+    Sent to a second replica it would be made twice; told "not run" it would be sent again.
+    """
+    refusal, site = ask({fault: True}, SINGLE)
+    assert isinstance(refusal, outcomes.Refusal)
+    assert (refusal.http_status, refusal.run) == (502, outcomes.RunStatus.UNKNOWN)
+    assert site.ran() == 1
+
+
+def test_replicas_own_failure_of_a_single_request_is_passed_on():
+    answer, site = ask({"fail": True}, SINGLE)
+    assert (answer.status, site.ran()) == (500, 1)
+    assert dict(answer.fields)[b"Response-Seal"]
+
+
+def test_replicas_own_failure_is_passed_on_when_no_attempt_is_left():
+    answer, site = ask({"fail": True}, max_attempts=1)
+    assert (answer.status, site.ran()) == (500, 1)
+
+
+def test_refusal_as_not_run_lets_a_single_request_go_on():
+    answer, site = ask({"refuse": True}, SINGLE)
+    assert (answer.status, site.ran(), site.log.sent) == (200, 1, 2)
+
+
+def test_all_replicas_full_is_told_as_not_run():
+    async def main():
+        site = Site(2)
+        await site.start()
+        for server in site.servers:
+            server.faults = routedfaults.RoutedFaults(refuse=True)
+        refusal = await site.exchange.answer(
+            fakes.routed(site.clock, fakes.route(SINGLE)), site.log
+        )
+        await site.stop()
+        return refusal, site.ran()
+
+    refusal, ran = eventloop.run(main())
+    assert (refusal.http_status, refusal.run) == (503, outcomes.RunStatus.NOT_RUN)
+    assert refusal.retry_after_s
+    assert ran == 0
+
+
+def test_stray_answer_of_another_request_is_passed_over():
+    """A late answer to another request comes first on the connection."""
+    answer, site = ask({"stray": True}, SINGLE)
+    assert answer.body.endswith(b":r1")
+    assert site.ran() == 1
+
+
+def test_second_answer_spoils_no_later_request():
+    async def main():
+        site = Site(1)
+        await site.start()
+        site.servers[0].faults = routedfaults.RoutedFaults(extra=True)
+        bodies = []
+        for name in ("r1", "r2", "r3"):
+            call = fakes.routed(site.clock, fakes.route(), request_id=name)
+            answer = await site.exchange.answer(call, attemptlog.AttemptLog())
+            bodies.append(answer.body)
+        await site.stop()
+        return bodies
+
+    assert eventloop.run(main()) == [b"i0:r1", b"i0:r2", b"i0:r3"]
+
+
+def test_replica_at_a_reused_address_refuses_and_another_answers():
+    """A replica's address belongs to another service by now.
+
+    It says that it is not the one that is meant, and runs nothing.
+    """
+
+    async def main():
+        site = Site(2)
+        await site.start()
+        site.servers[0].replica_id = "someone-else"
+        answers = []
+        for name in ("r1", "r2", "r3", "r4"):
+            call = fakes.routed(site.clock, fakes.route(SINGLE), request_id=name)
+            answers.append(await site.exchange.answer(call, attemptlog.AttemptLog()))
+        await site.stop()
+        return [answer.body for answer in answers], len(site.servers[0].ledger)
+
+    bodies, ran = eventloop.run(main())
+    assert (bodies, ran) == ([f"i1:r{n}".encode() for n in (1, 2, 3, 4)], 0)
+
+
+def test_no_more_is_sent_than_the_budget_allows():
+    """Every replica of a service fails at once.
+
+    Sent on by every node, the requests of its callers would come twice as often.
+    """
+    none_left = retrybudget.BudgetSettings(ratio=0.0, slack=0.0, window_s=10.0)
+    answer, site = ask({"fail": True}, budget=none_left)
+    assert (answer.status, site.ran()) == (500, 1)
+
+
+def test_leaving_and_unlisted_replicas_get_nothing():
+    async def main():
+        site = Site(2)
+        await site.start()
+        replicas = list(site.list.by_id.values())
+        leaving = replicamodels.Replica("i0", "s", replicas[0].address, "a", 8, True)
+        site.list.update([leaving], ["i1"], 2)
+        refusal = await site.exchange.answer(fakes.routed(site.clock, fakes.route()), site.log)
+        await site.stop()
+        return refusal, site.ran()
+
+    refusal, ran = eventloop.run(main())
+    assert (refusal.code, refusal.http_status, ran) == ("no_replica", 503, 0)
+
+
+def test_unreachable_replica_costs_no_attempt():
+    async def main():
+        site = Site(2)
+        await site.start()
+        await site.servers[0].stop()
+        answers = [
+            await site.exchange.answer(
+                fakes.routed(site.clock, fakes.route(SINGLE), request_id=f"r{n}"),
+                attemptlog.AttemptLog(),
+            )
+            for n in range(4)
+        ]
+        await site.stop()
+        return [answer.status for answer in answers]
+
+    assert eventloop.run(main()) == [200] * 4
--- /dev/null
+++ b/tests/routed/test_retrybudget.py
@@ -0,0 +1,57 @@
+"""The bound on attempts beyond the first holds in every window, over all nodes."""
+
+import hypothesis
+from hypothesis import strategies
+
+from hornbeamglade.routed import retrybudget
+
+SETTINGS = retrybudget.BudgetSettings(ratio=0.2, slack=12.0, window_s=10.0)
+NODES = 3
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["request", "retry"]),
+        strategies.integers(0, NODES - 1),
+        strategies.floats(0.0, 1.5),
+    ),
+    max_size=300,
+)
+
+
+@hypothesis.given(_STEPS)
+@hypothesis.settings(max_examples=60)
+def test_every_window_keeps_the_bound(steps):
+    budgets = [retrybudget.RetryBudgets(SETTINGS) for _ in range(NODES)]
+    for budget in budgets:
+        budget.share_slack(NODES)
+    now = 0.0
+    requests, retries = [], []
+    for what, node, pause_s in steps:
+        now += pause_s
+        if what == "request":
+            budgets[node].requested("s", now)
+            requests.append(now)
+        elif budgets[node].spend("s", now):
+            retries.append(now)
+    for end in retries:
+        start = end - SETTINGS.window_s
+        spent = sum(start < at <= end for at in retries)
+        # A window's own requests, or those of the one before it, whichever are more.
+        counts = [
+            sum(start - back < at <= end - back for at in requests)
+            for back in (0.0, SETTINGS.window_s / 2, SETTINGS.window_s)
+        ]
+        assert spent <= SETTINGS.ratio * max(counts) + SETTINGS.slack + 1e-6
+
+
+def test_moved_runs_are_counted_though_they_are_not_refused():
+    budget = retrybudget.RetryBudgets(SETTINGS)
+    budget.share_slack(12)
+    budget.note("s", 1.0)
+    assert not budget.spend("s", 1.0)
+
+
+def test_another_bound_is_taken_at_once():
+    budget = retrybudget.RetryBudgets(SETTINGS)
+    assert budget.spend("s", 1.0)
+    budget.use(retrybudget.BudgetSettings(0.0, 0.0, 10.0))
+    assert not budget.spend("s", 1.0)
