A resume that loses its connection unanswered is told as lost

Cause: on a busy machine the killed engine's listening socket takes the resuming connection before it closes. The offer then ends as Lost, which has no port_closed; reading it raised, and the caller was told internal_error, run unknown, after five tokens. Ruled out: the relay's own count of tokens (the error names the handler, not the stream). Conclusion: only an outcome of the kind that can bear the mark is asked for it.

--- a/hornbeamglade/backends/generations.py
+++ b/hornbeamglade/backends/generations.py
@@ -140,7 +140,7 @@
     if isinstance(link, outcomes.CrossedAnswer):
         return link
     if not isinstance(link, links.Link):
-        if link.port_closed:
+        if isinstance(link, outcomes.NotRun) and link.port_closed:
             return outcomes.PortClosed()
         return outcomes.Lost(link.reason, core_outcomes.RunStatus.RAN)
     status = link.response.status
--- a/tests/backends/test_generations.py
+++ b/tests/backends/test_generations.py
@@ -209,6 +209,16 @@
     assert generations.resume(backend.address, "r1", 3, PATIENT) == outcomes.PortClosed()
 
 
+def test_resume_whose_connection_closes_without_an_answer_is_lost():
+    # A clerk's draft stops with "internal error" and its run unknown. Order: the engine
+    # is killed, and the resuming connection is taken from its queue before its port
+    # closes. Cause: such a loss was read as if no connection had been made.
+    with scripted.server(b"") as address:
+        outcome = generations.resume(address, "r1", 3, PATIENT)
+    assert isinstance(outcome, outcomes.Lost)
+    assert outcome.run is core_outcomes.RunStatus.RAN
+
+
 def test_remote_cancel_of_a_stream_whose_link_is_lost(start_engine):
     backend = start_engine()
     backend.faults(die_after_tokens=2)
