At large sites few instances follow the store and tell the others

Ruled out: longer waits alone (a silent connection would keep a change out for as long); one follower (its loss is noticed in seconds); word of mouth in sampled heartbeats alone (4 exchanges a second reach 82 instances in 2 to 4 s, the bound is 3 s). Now 11 of 82 follow, each instance is told by two of them, hints go out at the change and each second, and one that hears of no follower that reaches the store for 2.2 s follows itself. The list is read twice at the start and then each 60 s; who starts tells all.

--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -4,12 +4,11 @@
 import random
 import signal
 import sys
-import threading
 
 from hornbeamglade.core import clocks, codederrors
-from hornbeamglade.entry import controlhandler, instance, settings
+from hornbeamglade.entry import controlhandler, instance, registration, settings
 from hornbeamglade.http1 import serverside
-from hornbeamglade.membership import draining, introduction, registry
+from hornbeamglade.membership import draining, registry
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import storeclient, tables
 from hornbeamglade.store import contract, tablefollower
@@ -18,8 +17,10 @@
 """The store answers within some ten milliseconds; one that does not is slow or away, and
 another call is the better use of the time."""
 
-REGISTER_EVERY_S = 0.5
-LIST_EVERY_S = 5.0
+LONE_RETRY_S = 2.0
+"""Pause after a failed call of an instance that follows the store only for want of others
+to tell it: at a large site nearly all do so while the store is away."""
+
 ADDRESS_TTL_S = 2.0
 STOP_POLL_S = 0.05
 TIDY_EVERY_S = 1.0
@@ -43,11 +44,23 @@
         self._clock = clocks.SystemClock()
         self.instance = instance.EntryInstance(told, self._clock)
         self._store = storeclient.StoreClient(told.store, STORE_TIMEOUT_S)
-        self._registry = registry.Registry(self._store)
+        identity = self.instance.identity
+        self._registration = registration.Registration(
+            contract.Instance(
+                identity.name, identity.failure_domain, identity.address, identity.exchange, False
+            ),
+            registry.Registry(self._store),
+            told.seeds,
+            self._introduced,
+            self._clock,
+        )
         self._rng = random.Random(self.instance.incarnation)
         self._callers = serverside.CallersServer(self.instance.callers, self._clock)
+        self._followers = tuple(
+            self._follower(table) for table in (tables.CONFIGURATION, tables.REPLICAS)
+        )
+        self._loop: asyncio.AbstractEventLoop | None = None
         self._stopping: asyncio.Event | None = None
-        self._stopped = threading.Event()
         self._settings_text = text
         self._settings_problem: str | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -59,13 +72,13 @@
 
     async def run(self) -> int:
         """Serve until a planned stop is done; return the exit code."""
-        loop = asyncio.get_running_loop()
+        self._loop = loop = asyncio.get_running_loop()
         self._stopping = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.instance.peering.listen()
-        self._follow(loop)
+        self._registration.start()
         self._tasks = [
             loop.create_task(self._tick()),
             loop.create_task(self._tidy()),
@@ -77,40 +90,32 @@
         await self._leave()
         return EXIT_OK
 
-    def _follow(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Follow the store, on threads of its own."""
-        following = self.instance.following
-        for table, told in (
-            (tables.CONFIGURATION, following.configuration_told),
-            (tables.REPLICAS, following.replicas_told),
-        ):
-            tablefollower.TableFollower(
-                self._store,
-                table,
-                lambda outcome, told=told: loop.call_soon_threadsafe(told, outcome),
-                self._clock,
-                self._rng,
-            ).start()
-        threading.Thread(
-            target=self._introduce, args=(loop,), name="registry", daemon=True
-        ).start()
-
-    def _introduce(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Write this instance's row, and read those of the others now and then."""
-        identity = self.instance.identity
-        own = contract.Instance(
-            identity.name, identity.failure_domain, identity.address, identity.exchange, False
+    def _follower(self, table: str) -> tablefollower.TableFollower:
+        """Return what follows one table, on a thread of its own."""
+        return tablefollower.TableFollower(
+            self._store,
+            table,
+            lambda outcome: self._loop.call_soon_threadsafe(
+                self.instance.store_told, table, outcome
+            ),
+            self._clock,
+            self._rng,
+            self._retry_s,
         )
-        listing = introduction.Introduction(self._registry, self._told.seeds)
-        is_registered = False
-        while not self._stopped.is_set():
-            if not is_registered:
-                is_registered = isinstance(self._registry.register(own), contract.Committed)
-            listed = listing.list()
-            is_listed = not isinstance(listed, contract.Unavailable)
-            if is_listed:
-                loop.call_soon_threadsafe(self.instance.introduced, listed)
-            self._stopped.wait(LIST_EVERY_S if is_registered and is_listed else REGISTER_EVERY_S)
+
+    def _retry_s(self) -> float:
+        return LONE_RETRY_S if self.instance.watch.is_on_its_own else tablefollower.RETRY_S
+
+    def _introduced(self, listed: tuple[contract.Instance, ...]) -> None:
+        self._loop.call_soon_threadsafe(self.instance.introduced, listed)
+
+    def _follow(self) -> None:
+        """Follow the store, or leave it to others, as this instance's part is now."""
+        for follower in self._followers:
+            if self.instance.watch.is_following:
+                follower.start()
+            else:
+                follower.pause()
 
     async def _listen(self) -> None:
         told = self._told.listen
@@ -127,6 +132,7 @@
     async def _tick(self) -> None:
         while True:
             self.instance.tick()
+            self._follow()
             await asyncio.sleep(instance.TICK_S)
 
     async def _tidy(self) -> None:
@@ -159,10 +165,7 @@
         logs.state_changed("node", "serving", "leaving", node=self._told.name)
         stop = self.instance.leave()
         self._callers.leave()
-        self._stopped.set()
-        threading.Thread(
-            target=self._registry.withdraw, args=(self._told.name,), daemon=True
-        ).start()
+        self._registration.withdraw()
         while True:
             status = stop.step(self._clock.now(), self._callers.busy_count)
             if status.phase is draining.Phase.CLOSING:
--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -11,7 +11,10 @@
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.replicas import replicalist
 from hornbeamglade.routed import views
-from hornbeamglade.store import contract
+from hornbeamglade.store import contract, tablefollower
+
+REACHED_S = tablefollower.WAIT_S + 1.5
+"""A question is held by the store for the wait, and answered within a second of its end."""
 
 STORE = "store"
 PEER = "peer"
@@ -62,11 +65,21 @@
         revision = 0 if route_view is None else route_view.revision
         return sharing.Versions(revision, self._replicas.version)
 
+    def is_reached(self) -> bool:
+        """Tell whether the store answers this instance, as far as it has tried."""
+        now = self._clock.now()
+        heard = self.heard_at_by_table
+        return all(
+            self._reached_by_table.get(table, False) and now - heard[table] < REACHED_S
+            for table in (tables.CONFIGURATION, tables.REPLICAS)
+        )
+
     def read(self, subject: messages.Subject) -> bytes | None:
         """Return a document for another instance, or None."""
         if subject is messages.Subject.CONFIGURATION:
             return self._document or None
-        rows = [[row.key, row.value, row.version] for row in self._row_by_key.values()]
+        # In order, so that instances with the same list have the same bytes of it.
+        rows = [[row.key, row.value, row.version] for _, row in sorted(self._row_by_key.items())]
         return json.dumps(rows).encode()
 
     def take(self, subject: messages.Subject, version: int, document: bytes) -> None:
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -22,8 +22,9 @@
     peering,
     settings,
     sharing,
+    storewatch,
 )
-from hornbeamglade.exchange import codec
+from hornbeamglade.exchange import codec, messages
 from hornbeamglade.fairness import queuesettings
 from hornbeamglade.grants import deskset, grantseeker
 from hornbeamglade.http1 import clientpool
@@ -32,7 +33,7 @@
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestbook
 from hornbeamglade.observability import logs, metrics
-from hornbeamglade.platform import enginecalls, requestdialect
+from hornbeamglade.platform import enginecalls, requestdialect, tables
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.replicas import replicalist
 from hornbeamglade.routed import (
@@ -72,7 +73,7 @@
 and their owners grant what is really free, so few of many requests are sent away."""
 
 
-class EntryInstance(controlhandler.Answers):
+class EntryInstance(controlhandler.Answers, peering.News):
     """The parts of one entry instance, on one event loop.
 
     :param told: its settings.
@@ -93,6 +94,9 @@
         self.following = following.Following(
             self._views, self._replicas, clock, self._list_changed, self._configured
         )
+        self.watch = storewatch.StoreWatch(
+            told.name, self._held_versions, self.following.is_reached, clock
+        )
         documents = sharing.SharedDocuments(
             self.following.versions, self.following.read, self.following.take, clock
         )
@@ -109,9 +113,7 @@
             digests,
             self._owned_places,
             documents,
-            _member_changed,
-            lambda replica_id: self._engine_leaves(replica_id, "peer"),
-            _message_failed,
+            self,
         )
         self._pool = clientpool.ClientPool(clock)
         self._words = requestdialect.PlatformDialect()
@@ -163,6 +165,7 @@
         self._report_count_by_replica: dict[str, int] = {}
         self._departed_at_by_replica: dict[str, float] = {}
         self._leaving: set[str] = set()
+        self._has_been_introduced = False
 
     def is_ready(self) -> bool:
         """Tell whether the instance takes callers."""
@@ -227,6 +230,44 @@
         """Do what is due; several times a second."""
         self.peering.tick()
         self._desks.settle()
+        self.pass_on()
+
+    def store_told(self, table: str, outcome: following.Told) -> None:
+        """Take an outcome of following a table of the store."""
+        if table == tables.CONFIGURATION:
+            self.following.configuration_told(outcome)
+        else:
+            self.following.replicas_told(outcome)
+        self.pass_on()
+
+    def pass_on(self) -> None:
+        """Tell others what is new in the store, where that is this instance's part."""
+        live = tuple(each.identity.name for each in self.peering.heartbeats.live())
+        for hint in self.watch.tick(live):
+            self.peering.send(hint.node, hint.message)
+
+    def member_changed(self, change: membershipview.StateChange) -> None:
+        """Log a change of an instance's state."""
+        before = "unknown" if change.before is None else change.before.name.lower()
+        logs.state_changed(
+            "member",
+            before,
+            change.member.state.name.lower(),
+            node=change.member.identity.name,
+            incarnation=change.member.incarnation,
+        )
+
+    def engine_leaves(self, replica_id: str) -> None:
+        """Take an owner's word that an engine is about to stop."""
+        self._engine_leaves(replica_id, "peer")
+
+    def hinted(self, hint: messages.ConfigHint) -> None:
+        """Take a hint of an instance that follows the store."""
+        self.watch.heard(hint)
+
+    def message_failed(self, error: Exception, where: str) -> None:
+        """Log an error that a message caused here."""
+        logs.failed(where, error)
 
     def tidy(self) -> None:
         """Forget what is gone; every second or so."""
@@ -248,6 +289,15 @@
     def introduced(self, listed: tuple[contract.Instance, ...]) -> None:
         """Take the instances' own list of themselves."""
         self.peering.heartbeats.listed(listed)
+        if not self._has_been_introduced:
+            # At large sites it would take minutes until each had heard of this one.
+            self._has_been_introduced = True
+            self.peering.heartbeats.announce()
+        self.watch.introduced()
+
+    def _held_versions(self) -> tuple[int, int]:
+        versions = self.following.versions()
+        return versions.configuration, versions.replicas
 
     def _engines(self) -> collections.abc.Iterator[replicamodels.Replica]:
         view = self._views.routes
@@ -365,18 +415,3 @@
         ),
         queue=queuesettings.WaitingSettings(min_retry_s=0.3, max_retry_s=3.0),
     )
-
-
-def _member_changed(change: membershipview.StateChange) -> None:
-    before = "unknown" if change.before is None else change.before.name.lower()
-    logs.state_changed(
-        "member",
-        before,
-        change.member.state.name.lower(),
-        node=change.member.identity.name,
-        incarnation=change.member.incarnation,
-    )
-
-
-def _message_failed(error: Exception, where: str) -> None:
-    logs.failed(where, error)
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -1,5 +1,6 @@
 """What an entry instance exchanges with the others: heartbeats, grants, turns, documents."""
 
+import abc
 import collections.abc
 import random
 
@@ -24,6 +25,26 @@
 Engines = collections.abc.Callable[[], collections.abc.Iterable[replicamodels.Replica]]
 
 
+class News(abc.ABC):
+    """Told of what other instances do and say."""
+
+    @abc.abstractmethod
+    def member_changed(self, change: membershipview.StateChange) -> None:
+        """Take a change of an instance's state."""
+
+    @abc.abstractmethod
+    def engine_leaves(self, replica_id: str) -> None:
+        """Take an owner's word that an engine is about to stop."""
+
+    @abc.abstractmethod
+    def hinted(self, hint: messages.ConfigHint) -> None:
+        """Take a hint of an instance that follows the store."""
+
+    @abc.abstractmethod
+    def message_failed(self, error: Exception, where: str) -> None:
+        """Take an error that a message caused here."""
+
+
 class Peering(grantfinder.Owners):
     """One instance's side of the exchange; to be used on its event loop only.
 
@@ -35,9 +56,7 @@
     :param digests: takes what owners say.
     :param engines: returns the engines of the platform's list.
     :param documents: what instances read from one another.
-    :param changed: told of each change of an instance's state.
-    :param leaves: told of each engine that its owner says is about to stop.
-    :param failed: told of an error that a message caused here.
+    :param news: told of what the others do and say.
     """
 
     def __init__(
@@ -50,9 +69,7 @@
         digests: digestbook.DigestBook,
         engines: Engines,
         documents: sharing.SharedDocuments,
-        changed: collections.abc.Callable[[membershipview.StateChange], None],
-        leaves: collections.abc.Callable[[str], None],
-        failed: transport.Failed,
+        news: News,
     ) -> None:
         self._identity = identity
         self._clock = clock
@@ -60,11 +77,10 @@
         self._digests = digests
         self._engines = engines
         self._documents = documents
-        self._changed = changed
-        self._leaves = leaves
+        self._news = news
         self._ownership = ownership.Ownership()
         self.codec = codec.Codec(identity.name, incarnation, keys, clock)
-        self.transport = asyncudp.AsyncUdpTransport(self.codec, self._handle, failed)
+        self.transport = asyncudp.AsyncUdpTransport(self.codec, self._handle, news.message_failed)
         self.grants = asyncasks.AsyncGrantClient(incarnation, self.transport, clock)
         self.names = remotedesk.AskNames()
         desk = remotedesk.RemoteDesk(desks, clock, self.names)
@@ -102,7 +118,7 @@
     def tick(self) -> None:
         """Send what is due and take note of what changed; several times a second."""
         for change in self.heartbeats.tick():
-            self._changed(change)
+            self._news.member_changed(change)
             if change.member.state is messages.NodeState.GONE:
                 self._server.holder_gone(change.member.identity.name)
         self._server.tick()
@@ -111,9 +127,13 @@
         self.update_owners()
         ask = self._documents.due(self.heartbeats.live(), self._identity.name)
         if ask is not None:
-            peer = self.heartbeats.peer(ask.node)
-            if peer is not None:
-                self.transport.send(peer, ask.message)
+            self.send(ask.node, ask.message)
+
+    def send(self, node: str, message: messages.Message) -> None:
+        """Send a message to an instance, if it is known where it is."""
+        peer = self.heartbeats.peer(node)
+        if peer is not None:
+            self.transport.send(peer, message)
 
     def update_owners(self) -> None:
         """Share the engines of the list among the instances that live."""
@@ -157,6 +177,10 @@
             self._server.progressed(message, sender, source)
         elif isinstance(message, messages.MoveTurn):
             self.turns.heard(message, sender, source)
+        elif isinstance(message, messages.ConfigHint):
+            self._news.hinted(message)
+            for due in self._documents.hinted(sender.name, message):
+                self.transport.send(peer, due.message)
         elif isinstance(message, messages.ConfigAsk):
             offer = self._documents.asked(message)
             if offer is not None:
@@ -170,7 +194,7 @@
         for digest in digests:
             name = self.names.replicas.find(digest.replica) if digest.leaving else None
             if name is not None:
-                self._leaves(name)
+                self._news.engine_leaves(name)
 
 
 def _replica_digest(state: deskset.DeskState) -> messages.ReplicaDigest:
--- /dev/null
+++ b/hornbeamglade/entry/registration.py
@@ -0,0 +1,80 @@
+"""Keeps an instance in the instances' own list, and reads the list now and then."""
+
+import collections.abc
+import threading
+
+from hornbeamglade.core import clocks
+from hornbeamglade.membership import dissemination, introduction, registry
+from hornbeamglade.store import contract
+
+FIRST_S = 0.5
+"""Pause between tries until the instance is in the list and has read it once."""
+
+AGAIN_S = 2.0
+"""Instances of a site that starts as a whole write their rows within a second or two of
+one another."""
+
+LIST_S = 5.0
+LONG_LIST_S = 60.0
+"""The list only introduces: an instance that comes tells the others itself. Each reading
+is paid for, and a long list is many bytes."""
+
+Introduced = collections.abc.Callable[[tuple[contract.Instance, ...]], None]
+
+
+class Registration:
+    """Works on a thread of its own until :meth:`withdraw`.
+
+    :param own: this instance's row.
+    :param rows: the list in the store.
+    :param seeds: addresses of instances that may be up.
+    :param introduced: called on that thread with each list.
+    :param clock: monotonic time.
+    """
+
+    def __init__(
+        self,
+        own: contract.Instance,
+        rows: registry.Registry,
+        seeds: tuple[str, ...],
+        introduced: Introduced,
+        clock: clocks.Clock,
+    ) -> None:
+        self._own = own
+        self._rows = rows
+        self._listing = introduction.Introduction(rows, seeds)
+        self._introduced = introduced
+        self._clock = clock
+        self._is_registered = False
+        self._lists_read = 0
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Begin."""
+        threading.Thread(target=self._run, name="registration", daemon=True).start()
+
+    def withdraw(self) -> None:
+        """Stop, and take the row away; on a thread of its own, as the store may be slow."""
+        self._stopping.set()
+        threading.Thread(
+            target=self._rows.withdraw, args=(self._own.name,), name="withdrawal", daemon=True
+        ).start()
+
+    def step(self) -> float:
+        """Do what is due; return the seconds until the next step."""
+        if not self._is_registered:
+            outcome = self._rows.register(self._own)
+            self._is_registered = isinstance(outcome, contract.Committed)
+        listed = self._listing.list()
+        if not isinstance(listed, contract.Unavailable):
+            self._lists_read += 1
+            self._introduced(listed)
+            if len(listed) > dissemination.MESH_BOUND and self._lists_read > 1:
+                return LONG_LIST_S if self._is_registered else FIRST_S
+        if not self._is_registered or not self._lists_read:
+            return FIRST_S
+        return AGAIN_S if self._lists_read == 1 else LIST_S
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            self._stopping.wait(self.step())
--- a/hornbeamglade/entry/sharing.py
+++ b/hornbeamglade/entry/sharing.py
@@ -5,9 +5,10 @@
 
 Each heartbeat tells the revision of the configuration and the version of the list of
 replicas that its sender has. An instance that stays behind for longer than the store's
-own way takes asks an instance that is ahead for the whole document, chunk by chunk. Both
-documents are the store's own rows, so the receiver takes them as if it had read them, and
-only when they are newer than what it has.
+own way takes asks an instance that is ahead for the whole document, chunk by chunk; one
+that has others follow the store for it asks at once. Both documents are the store's own
+rows, so the receiver takes them as if it had read them, and only when they are newer than
+what it has.
 """
 
 import collections.abc
@@ -63,6 +64,7 @@
 
     version: int
     since: float
+    hinted_by: str | None = None
     assembly: configchunks.Assembly | None = None
     asked_at: float = float("-inf")
 
@@ -104,6 +106,21 @@
                 return ask
         return None
 
+    def hinted(self, node: str, hint: messages.ConfigHint) -> tuple[Ask, ...]:
+        """Take a hint of an instance that follows the store; return what to ask it."""
+        now = self._clock.now()
+        had = self.versions()
+        due = []
+        for subject in _SUBJECTS:
+            version = _hinted(hint, subject)
+            if version <= had.of(subject):
+                continue
+            pursuit = self._pursuit_by_subject.get(subject)
+            if pursuit is None or pursuit.version < version:
+                pursuit = self._pursuit_by_subject[subject] = _Pursuit(version, now, node)
+                due.append(self._question(pursuit, subject, version, node))
+        return tuple(each for each in due if each is not None)
+
     def asked(self, ask: messages.ConfigAsk) -> messages.ConfigOffer | None:
         """Return the chunk that another instance asks for, or None."""
         offers = self._offers(ask.subject)
@@ -131,24 +148,34 @@
         own_name: str,
     ) -> Ask | None:
         now = self._clock.now()
+        pursuit = self._pursuit_by_subject.get(subject)
         ahead = [
             (_told(member, subject), member.identity.name)
             for member in live
             if member.heartbeat is not None and member.identity.name != own_name
         ]
+        names = {member.identity.name for member in live}
+        if pursuit is not None and pursuit.hinted_by in names:
+            ahead.append((pursuit.version, pursuit.hinted_by))
         version, node = max(ahead, default=(0, ""))
         if version <= self.versions().of(subject):
             self._pursuit_by_subject.pop(subject, None)
             return None
-        pursuit = self._pursuit_by_subject.get(subject)
         if pursuit is None:
             pursuit = self._pursuit_by_subject[subject] = _Pursuit(version, now)
-        if now - pursuit.since < BEHIND_S or now - pursuit.asked_at < ASK_AGAIN_S:
+        if pursuit.hinted_by is None and now - pursuit.since < BEHIND_S:
             return None
+        if now - pursuit.asked_at < ASK_AGAIN_S:
+            return None
+        return self._question(pursuit, subject, version, node)
+
+    def _question(
+        self, pursuit: _Pursuit, subject: messages.Subject, version: int, node: str
+    ) -> Ask | None:
         if pursuit.assembly is None or pursuit.version != version:
             pursuit.version = version
             pursuit.assembly = configchunks.Assembly(version, subject)
-        pursuit.asked_at = now
+        pursuit.asked_at = self._clock.now()
         question = pursuit.assembly.next_ask()
         return None if question is None else Ask(node, question)
 
@@ -173,6 +200,10 @@
     return member.heartbeat.list_version
 
 
+def _hinted(hint: messages.ConfigHint, subject: messages.Subject) -> int:
+    return hint.revision if subject is messages.Subject.CONFIGURATION else hint.list_version
+
+
 def _inflated(document: bytes) -> bytes:
     # A peer with a fault must not fill this instance's memory by a few bytes.
     return zlib.decompressobj().decompress(document, MAX_DOCUMENT_BYTES)
--- /dev/null
+++ b/hornbeamglade/entry/storewatch.py
@@ -0,0 +1,148 @@
+"""Whether this instance follows the store itself, and whom it tells what is new there.
+
+Explanation
+===========
+
+At sites where a few instances follow the store for all
+(:mod:`hornbeamglade.membership.followers`), a follower sends each instance that it tells
+a hint each :data:`HINT_EVERY_S`, and several at each change. A hint names the versions
+that its sender has, and says whether the store answers it. An instance that hears of no
+follower that reaches the store is on its own: it follows the store itself until it hears
+of one again.
+"""
+
+import collections.abc
+import dataclasses
+
+from hornbeamglade.core import clocks
+from hornbeamglade.exchange import messages
+from hornbeamglade.membership import followers
+from hornbeamglade.observability import logs
+
+HINT_EVERY_S = 1.0
+LEFT_ALONE_S = 2.2
+"""Two hints are missing, of each of two followers. A change must be in force within 3 s,
+and an instance on its own reads it in some hundredths of a second."""
+
+CHANGE_HINTS = 3
+CHANGE_HINT_EVERY_S = 0.2
+"""A change is told this often: one datagram may be lost, and the next regular hint comes
+too late to matter."""
+
+ALONE_AT_LEAST_S = 5.0
+"""One lost hint more or less must not have it begin and end all the time: each beginning
+costs a reading of the whole tables."""
+
+BEGIN_S = 1.0
+"""An instance that starts waits so long for the list of the others, which tells it
+whether it follows at all."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hint:
+    """A hint to send.
+
+    :param node: the recipient's name.
+    :param message: what it is told.
+    """
+
+    node: str
+    message: messages.ConfigHint
+
+
+class StoreWatch:
+    """One instance's part in following the store; to be used on the event loop only.
+
+    :param name: this instance's name.
+    :param versions: returns the configuration's revision and the list's version here.
+    :param reached: returns whether the store answers this instance.
+    :param clock: monotonic time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        versions: collections.abc.Callable[[], tuple[int, int]],
+        reached: collections.abc.Callable[[], bool],
+        clock: clocks.Clock,
+    ) -> None:
+        self._name = name
+        self._versions = versions
+        self._reached = reached
+        self._clock = clock
+        self._nodes: tuple[str, ...] = ()
+        self._told: tuple[str, ...] = ()
+        self._is_chosen = False
+        self._begins_at = clock.now() + BEGIN_S
+        self._heard_at = clock.now()
+        self._alone_until = float("-inf")
+        self._hint_at = clock.now()
+        self._hinted_versions = (0, 0)
+        self._change_hints = 0
+        self.is_following = False
+
+    def introduced(self) -> None:
+        """Note that the list of the others was read."""
+        self._begins_at = min(self._begins_at, self._clock.now())
+
+    def heard(self, hint: messages.ConfigHint) -> None:
+        """Take a hint: a follower lives."""
+        if hint.is_reached:
+            self._heard_at = self._clock.now()
+
+    def tick(self, nodes: tuple[str, ...]) -> tuple[Hint, ...]:
+        """Return the hints that are due; whether to follow is then in ``is_following``.
+
+        :param nodes: names of the instances that live, in order.
+        """
+        now = self._clock.now()
+        if nodes != self._nodes:
+            self._choose(nodes)
+        self._decide(now)
+        return self._hints(now)
+
+    @property
+    def is_on_its_own(self) -> bool:
+        """Whether it follows only for want of a follower that reaches the store."""
+        return self.is_following and not self._is_chosen
+
+    def _choose(self, nodes: tuple[str, ...]) -> None:
+        chosen = followers.chosen(nodes)
+        self._nodes = nodes
+        self._is_chosen = self._name in chosen or not nodes
+        self._told = ()
+        if self._is_chosen:
+            self._told = tuple(
+                node for node in nodes if self._name in followers.tellers(node, chosen)
+            )
+
+    def _decide(self, now: float) -> None:
+        if now < self._begins_at:
+            return
+        if now - self._heard_at > LEFT_ALONE_S:
+            self._alone_until = now + ALONE_AT_LEAST_S
+        if self._is_chosen:
+            self._heard_at = now
+        is_following = self._is_chosen or now < self._alone_until
+        if is_following is not self.is_following:
+            self.is_following = is_following
+            logs.state_changed(
+                "follower",
+                "no" if is_following else "yes",
+                "yes" if is_following else "no",
+                reason="chosen" if self._is_chosen else "alone" if is_following else "told",
+                count=len(self._nodes),
+            )
+
+    def _hints(self, now: float) -> tuple[Hint, ...]:
+        versions = self._versions()
+        if versions != self._hinted_versions:
+            self._hinted_versions = versions
+            self._change_hints = CHANGE_HINTS
+            self._hint_at = now
+        if not self._told or now < self._hint_at:
+            return ()
+        self._change_hints = max(0, self._change_hints - 1)
+        self._hint_at = now + (CHANGE_HINT_EVERY_S if self._change_hints else HINT_EVERY_S)
+        message = messages.ConfigHint(*versions, self._reached())
+        return tuple(Hint(node, message) for node in self._told)
--- a/hornbeamglade/exchange/codec.py
+++ b/hornbeamglade/exchange/codec.py
@@ -130,7 +130,7 @@
     >>> a = Codec("a", 1, ring, clocks.ManualClock())
     >>> b = Codec("b", 1, ring, clocks.ManualClock())
     >>> b.decode(a.encode("b", messages.ConfigHint(7))).message
-    ConfigHint(revision=7)
+    ConfigHint(revision=7, list_version=0, is_reached=False)
     >>> b.decode(b"noise")
     Dropped(reason='truncated')
     """
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -96,6 +96,8 @@
 
 struct ConfigHint {
   revision @0 :UInt64;
+  listVersion @1 :UInt64;
+  isReached @2 :Bool;
 }
 
 struct MoveTurn {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -270,9 +270,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigHint:
-    """A newer configuration revision exists; the recipient should read it."""
+    """What the sender has of the platform's store; the recipient reads what is newer.
+
+    :param revision: the configuration's revision.
+    :param list_version: the version of the list of replicas, or 0.
+    :param is_reached: whether the store answers the sender.
+    """
 
     revision: int
+    list_version: int = 0
+    is_reached: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -235,10 +235,12 @@
 
 def _fill_hint(builder: _Builder, message: messages.ConfigHint) -> None:
     builder.revision = message.revision
+    builder.listVersion = message.list_version
+    builder.isReached = message.is_reached
 
 
 def _read_hint(reader: _Reader) -> messages.ConfigHint:
-    return messages.ConfigHint(reader.revision)
+    return messages.ConfigHint(reader.revision, reader.listVersion, reader.isReached)
 
 
 def _fill_config_ask(builder: _Builder, message: messages.ConfigAsk) -> None:
--- /dev/null
+++ b/hornbeamglade/membership/followers.py
@@ -0,0 +1,66 @@
+"""Which nodes follow the platform's store on behalf of the others.
+
+Explanation
+===========
+
+Up to :data:`dissemination.MESH_BOUND <hornbeamglade.membership.dissemination.MESH_BOUND>`
+nodes each follows the store itself. Above, one in :data:`NODES_A_FOLLOWER` does, and tells
+the others what is new: the store is paid by the call, and a call of each node for each
+change is most of what a large site would spend there. Every node comes to the same choice
+from the nodes that it believes live; where beliefs differ, a node is told by one follower
+less, or follows for nobody.
+
+Weighed against *one follower*: its loss would leave all others behind for as long as it
+takes to notice. Each node is told by two.
+"""
+
+import collections.abc
+import heapq
+import math
+
+from hornbeamglade.membership import dissemination, rendezvous
+
+NODES_A_FOLLOWER = 8
+"""Each node is told by two followers, so a follower tells 16 nodes: in each second that is
+the traffic of heartbeats among 16 nodes, the largest site where each tells all."""
+
+TELLERS = 2
+
+_KEY = "followers of the store"
+
+
+def chosen(nodes: collections.abc.Sequence[str]) -> frozenset[str]:
+    """Return the nodes that follow the store.
+
+    :param nodes: names of the nodes that live.
+
+    Examples
+    ========
+
+    >>> sorted(chosen(["a", "b"]))
+    ['a', 'b']
+    >>> len(chosen([f"n{number}" for number in range(82)]))
+    11
+    """
+    if len(nodes) <= dissemination.MESH_BOUND:
+        return frozenset(nodes)
+    return frozenset(_best(_KEY, nodes, math.ceil(len(nodes) / NODES_A_FOLLOWER)))
+
+
+def tellers(node: str, followers: collections.abc.Iterable[str]) -> tuple[str, ...]:
+    """Return the followers that tell a node what is new; none if it is one itself.
+
+    Examples
+    ========
+
+    >>> tellers("a", ["a", "b"])
+    ()
+    >>> len(tellers("z", ["a", "b", "c"]))
+    2
+    """
+    among = tuple(followers)
+    return () if node in among else tuple(_best(node, among, TELLERS))
+
+
+def _best(key: str, nodes: collections.abc.Iterable[str], count: int) -> list[str]:
+    return heapq.nlargest(count, nodes, key=lambda node: (rendezvous.score(key, node), node))
--- a/hornbeamglade/store/tablefollower.py
+++ b/hornbeamglade/store/tablefollower.py
@@ -33,6 +33,7 @@
     :param told: called on the follower's thread with each outcome.
     :param clock: lets pauses pass.
     :param rng: spreads the pauses of many nodes.
+    :param retry_s: the pause after a failed call.
     """
 
     def __init__(
@@ -42,28 +43,39 @@
         told: collections.abc.Callable[[Told], None],
         clock: clocks.Clock,
         rng: random.Random,
+        retry_s: collections.abc.Callable[[], float] = lambda: RETRY_S,
     ) -> None:
         self._feed = feed
         self._table = table
         self._told = told
         self._clock = clock
         self._rng = rng
+        self._retry_s = retry_s
         self._stopping = threading.Event()
+        self._wanted = threading.Event()
         self._version: int | None = None
         self._thread = threading.Thread(target=self._run, name=f"follow-{table}", daemon=True)
 
     def start(self) -> None:
         """Begin to follow."""
-        self._thread.start()
+        self._wanted.set()
+        if not self._thread.is_alive():
+            self._thread.start()
+
+    def pause(self) -> None:
+        """Make no more calls after the one that is under way, until the next start."""
+        self._wanted.clear()
 
     def stop(self) -> None:
         """Have the thread end after the call that is under way."""
         self._stopping.set()
+        self._wanted.set()
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            if not self.step():
-                self._stopping.wait(RETRY_S * (0.75 + 0.5 * self._rng.random()))
+            self._wanted.wait()
+            if not self._stopping.is_set() and not self.step():
+                self._stopping.wait(self._retry_s() * (0.75 + 0.5 * self._rng.random()))
 
     def step(self) -> bool:
         """Make one call; return whether it gave something."""
--- a/tests/entry/test_sharing.py
+++ b/tests/entry/test_sharing.py
@@ -107,3 +107,31 @@
     ahead.held[CONFIGURATION] = (2, random.Random(5).randbytes(4_000))
     pursue(clock, behind, ahead)
     assert behind.held == ahead.held
+
+
+def hint(holder):
+    versions = holder.documents.versions()
+    return messages.ConfigHint(versions.configuration, versions.replicas, True)
+
+
+def test_what_a_follower_hints_at_is_asked_for_at_once():
+    """A key is taken away at a site where few follow the store.
+
+    An instance that first gave its own way to the store time would serve it longer.
+    """
+    _, behind, ahead = pair()
+    ahead.held = {CONFIGURATION: (7, b"{}"), REPLICAS: (41, b"[]")}
+    for ask in behind.documents.hinted("b", hint(ahead)):
+        behind.documents.offered(ahead.documents.asked(ask.message))
+    assert behind.held == ahead.held
+    assert behind.documents.hinted("b", hint(ahead)) == ()
+
+
+def test_a_follower_that_died_after_its_hint_is_not_asked_again():
+    clock, behind, ahead = pair()
+    ahead.held[CONFIGURATION] = (7, b"{}")
+    behind.documents.hinted("gone", hint(ahead))
+    clock.advance(sharing.BEHIND_S + sharing.ASK_AGAIN_S)
+    behind.documents.due((member(ahead),), "a")
+    clock.advance(sharing.BEHIND_S)
+    assert behind.documents.due((member(ahead),), "a").node == "b"
--- /dev/null
+++ b/tests/entry/test_storewatch.py
@@ -0,0 +1,117 @@
+"""Following the store by few instances, in virtual time."""
+
+import random
+
+import pytest
+
+from hornbeamglade.core import clocks
+from hornbeamglade.entry import storewatch
+from hornbeamglade.membership import followers
+
+TICK_S = 0.05
+CONFIG_BOUND_S = 3.0
+
+
+class Site:
+    """Watches of many instances; followers see each change, the others what they are told."""
+
+    def __init__(self, count, lose=0.0):
+        self.clock = clocks.ManualClock(100.0)
+        self.names = tuple(f"entry-{number:02}" for number in range(count))
+        self.dead = set()
+        self.unreached = set()
+        self.lose = lose
+        self.store = (1, 1)
+        self.held = dict.fromkeys(self.names, (1, 1))
+        self.followed_at = {}
+        self.rng = random.Random(7)
+        self.watch_by_name = {name: self._watch(name) for name in self.names}
+        for watch in self.watch_by_name.values():
+            watch.introduced()
+
+    def _watch(self, name):
+        return storewatch.StoreWatch(
+            name, lambda: self.held[name], lambda: name not in self.unreached, self.clock
+        )
+
+    def run(self, seconds):
+        for _ in range(round(seconds / TICK_S)):
+            self.clock.advance(TICK_S)
+            for name in self.names:
+                if name not in self.dead:
+                    self._step(name)
+
+    def _step(self, name):
+        watch = self.watch_by_name[name]
+        if watch.is_following and name not in self.unreached:
+            self.held[name] = self.store
+        for hint in watch.tick(self.names):
+            if hint.node not in self.dead and self.rng.random() >= self.lose:
+                self.watch_by_name[hint.node].heard(hint.message)
+                told = (hint.message.revision, hint.message.list_version)
+                self.held[hint.node] = max(self.held[hint.node], told)
+
+    def following(self):
+        return {name for name in self.names if self.watch_by_name[name].is_following}
+
+
+def test_few_follow_at_a_large_site_and_all_at_a_small_one():
+    large, small = Site(40), Site(6)
+    large.run(10)
+    small.run(10)
+    assert large.following() == set(followers.chosen(large.names))
+    assert small.following() == set(small.names)
+
+
+@pytest.mark.parametrize("lose", [0.0, 0.05])
+def test_a_change_is_everywhere_within_its_bound(lose):
+    """A key is taken away while a link loses one datagram in twenty."""
+    site = Site(40, lose)
+    site.run(10)
+    site.store = (2, 1)
+    site.run(CONFIG_BOUND_S / 2)
+    assert set(site.held.values()) == {(2, 1)}
+
+
+def test_an_instance_whose_followers_die_follows_itself_in_time():
+    """All followers are killed at the moment of a change.
+
+    Nobody tells the others of it, and nobody tells them that nobody does.
+    """
+    site = Site(40)
+    site.run(10)
+    site.dead = site.following()
+    site.store = (2, 1)
+    site.run(CONFIG_BOUND_S)
+    alive = [name for name in site.names if name not in site.dead]
+    assert {site.held[name] for name in alive} == {(2, 1)}
+
+
+def test_followers_that_the_store_turns_away_are_not_relied_on():
+    site = Site(40)
+    site.run(10)
+    site.unreached = site.following()
+    site.run(CONFIG_BOUND_S)
+    assert site.following() == set(site.names)
+
+
+def test_an_instance_on_its_own_leaves_it_to_followers_again():
+    site = Site(40)
+    site.run(10)
+    chosen = site.following()
+    site.unreached = set(chosen)
+    site.run(5)
+    site.unreached = set()
+    site.run(2 * storewatch.ALONE_AT_LEAST_S)
+    assert site.following() == chosen
+
+
+def test_an_instance_waits_for_the_list_of_the_others_before_it_follows():
+    """82 instances start at once; each would read the whole tables before it knows them."""
+    clock = clocks.ManualClock()
+    watch = storewatch.StoreWatch("a", lambda: (0, 0), lambda: False, clock)
+    watch.tick(("a",))
+    assert not watch.is_following
+    clock.advance(storewatch.BEGIN_S)
+    watch.tick(("a",))
+    assert watch.is_following
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -76,7 +76,7 @@
     | _ANSWERS
     | _PROGRESS
     | _TURNS
-    | strategies.builds(messages.ConfigHint, _U64)
+    | strategies.builds(messages.ConfigHint, _U64, _U64, strategies.booleans())
     | strategies.builds(messages.ConfigAsk, _U64, _U16, strategies.sampled_from(messages.Subject))
     | _OFFERS
 )
--- /dev/null
+++ b/tests/membership/test_followers.py
@@ -0,0 +1,47 @@
+"""Who follows the store, and who tells whom."""
+
+import collections
+
+import pytest
+
+from hornbeamglade.membership import dissemination, followers
+
+
+def names(count):
+    return [f"entry-{number:03}" for number in range(count)]
+
+
+def test_all_follow_up_to_the_bound_of_the_mesh():
+    nodes = names(dissemination.MESH_BOUND)
+    assert followers.chosen(nodes) == frozenset(nodes)
+
+
+@pytest.mark.parametrize("count", [17, 82, 360])
+def test_each_node_is_told_by_two_and_no_follower_by_far_the_most(count):
+    """A follower that tells far more nodes than the others is late with a change.
+
+    The last of its nodes would still send requests by the former configuration.
+    """
+    nodes = names(count)
+    chosen = followers.chosen(nodes)
+    told = collections.Counter()
+    for node in nodes:
+        tellers = followers.tellers(node, chosen)
+        assert len(tellers) == (0 if node in chosen else followers.TELLERS)
+        assert set(tellers) <= chosen
+        told.update(tellers)
+    mean = sum(told.values()) / len(chosen)
+    assert max(told.values()) < 2.5 * mean
+
+
+def test_the_loss_of_a_follower_changes_one_place():
+    """A follower is killed among 82 nodes.
+
+    Were all chosen anew, all would read the whole tables at once.
+    """
+    nodes = names(82)
+    before = followers.chosen(nodes)
+    lost = min(before)
+    after = followers.chosen([node for node in nodes if node != lost])
+    assert len(after - before) <= 1
+    assert before - {lost} <= after
--- a/tests/store/test_tablefollower.py
+++ b/tests/store/test_tablefollower.py
@@ -1,5 +1,6 @@
 """Following a table through outages and lost history."""
 
+import queue
 import random
 
 from hornbeamglade.core import clocks
@@ -65,3 +66,43 @@
     following.step()
     assert isinstance(told[1], contract.Unavailable)
     assert told[2].present == (contract.Row("t/a", "1", 1),)
+
+
+class GatedFeed(contract.Feed):
+    """Answers one question at a time, when the test lets it."""
+
+    def __init__(self):
+        self.asked = queue.Queue()
+        self.answers = queue.Queue()
+        self.is_paused = False
+        self.asked_while_paused = 0
+
+    def snapshot(self, table):
+        return contract.Snapshot((), 3)
+
+    def changes(self, table, after, wait_s):
+        self.asked_while_paused += self.is_paused
+        self.asked.put(after)
+        return self.answers.get(timeout=30)
+
+
+def test_paused_follower_makes_no_calls_and_goes_on_from_its_place():
+    """Most nodes of a large site leave the store to a few, and take over when those die."""
+    feed = GatedFeed()
+    told = queue.Queue()
+    following = tablefollower.TableFollower(
+        feed, "t", told.put, clocks.ManualClock(), random.Random(1)
+    )
+    following.start()
+    assert feed.asked.get(timeout=30) == 3
+    following.pause()
+    feed.is_paused = True
+    feed.answers.put(contract.Changes((), (), 5, 5))
+    assert isinstance(told.get(timeout=30), contract.Snapshot)
+    assert told.get(timeout=30).version == 5
+    feed.is_paused = False
+    following.start()
+    assert feed.asked.get(timeout=30) == 5
+    assert not feed.asked_while_paused
+    following.stop()
+    feed.answers.put(contract.Unavailable("over"))
