An engine that nobody admits to is used without a grant by both faces

The owner of the only engine is killed; the nodes agree on the next one 2.96 to 3.04 s later, and the caller waits 3 s for room. Until then asks go unanswered, or to a node that does not know of its duty yet. The routed face went on without a grant for silent owners already, not for moved ones. Now both do: at once for a caller on the event loop, after one second for a caller on a thread. The new tests fail without the change.

--- a/hornbeamglade/grants/grantanswers.py
+++ b/hornbeamglade/grants/grantanswers.py
@@ -4,12 +4,17 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.exchange import messages
+from hornbeamglade.grants import replicadesk
 
 NO_REPLICA_RETRY_S = 2.0
 OWNER_SILENT = "owner_silent"
 TEAM_CODES = frozenset(("team_queue_full",))
 """Refusals that are a team's own doing; they bear the same status at every owner."""
 
+UNOWNED_CODES = frozenset((OWNER_SILENT, replicadesk.OWNER_MOVED))
+"""Refusals that say nothing of the replica: nobody admits to it just now. Its owner was
+killed or cut off, and the nodes agree on another one some three seconds later."""
+
 TEAM_STATUS = 429
 MILLISECONDS = 1000
 
@@ -71,6 +76,11 @@
     return min(refused, key=lambda each: each.retry_after_s or NO_REPLICA_RETRY_S)
 
 
+def is_unowned(refused: list[outcomes.Refusal]) -> bool:
+    """Tell whether all that refused did so only because nobody admits to their replicas."""
+    return bool(refused) and all(each.code in UNOWNED_CODES for each in refused)
+
+
 def sent_away(wait_s: float, refusal: outcomes.Refusal) -> outcomes.Refusal:
     """Return a refusal whose time to come back lies within the caller's wait.
 
--- a/hornbeamglade/grants/grantfinder.py
+++ b/hornbeamglade/grants/grantfinder.py
@@ -29,8 +29,12 @@
 from hornbeamglade.routing import choice as choicelib
 
 LINK_CHECK_S = 0.25
-TRANSIENT_CODES = frozenset((grantanswers.OWNER_SILENT, replicadesk.OWNER_MOVED))
 SILENT_PAUSE_S = 0.2
+UNOWNED_S = 1.0
+"""A request waits so long for somebody to admit to its replicas; then it goes to the best
+of them without a grant, where the engine's own queue takes it in. Sent away, it would come
+back to replicas with room. Much sooner, one lost datagram or two would do."""
+
 AT_ONCE_S = 0.06
 """An ask for a grant at once waits for one round trip, and hardly in a queue."""
 
@@ -180,21 +184,40 @@
         :param wish: who asks.
         :param known: returns the replicas that may serve it, as this node knows them.
         """
+        begun_at = self._clock.now()
         while True:
-            answer = self._find_once(wish, known)
-            if isinstance(answer, Grant) or answer.code not in TRANSIENT_CODES:
+            refused: list[outcomes.Refusal] = []
+            grant = self._find_once(wish, known, refused)
+            if grant is not None:
+                return grant
+            answer = grantanswers.soonest(refused)
+            if answer.code not in grantanswers.UNOWNED_CODES:
                 return answer
+            now = self._clock.now()
+            if grantanswers.is_unowned(refused) and now - begun_at >= UNOWNED_S:
+                return self._without_grant(wish, known) or answer
             # An owner that has just died or changed is replaced within seconds; the
             # caller's wait is not over, so the request stays instead of being sent away.
-            if wish.is_gone() or self._clock.now() + SILENT_PAUSE_S >= wish.deadline:
+            if wish.is_gone() or now + SILENT_PAUSE_S >= wish.deadline:
                 return answer
             self._clock.sleep(SILENT_PAUSE_S)
 
-    def _find_once(self, wish: Wish, known: Known) -> Grant | outcomes.Refusal:
+    def _without_grant(self, wish: Wish, known: Known) -> Grant | None:
+        ordered = self._ordered(wish.work, known)
+        if not ordered:
+            return None
+        return self._activate(Grant(ordered[0].candidate.replica, wish.grant_id, self, None))
+
+    def _find_once(
+        self, wish: Wish, known: Known, refused: list[outcomes.Refusal]
+    ) -> Grant | None:
+        """Ask every replica once.
+
+        :param refused: takes the refusals.
+        """
         grant = self.find_room(wish, known, None)
         if grant is not None:
             return grant
-        refused: list[outcomes.Refusal] = []
         for choice in self._ordered(wish.work, known):
             answer = self._ask(wish, choice.candidate.replica, known)
             if isinstance(answer, Grant):
@@ -203,7 +226,7 @@
             refused.append(answer)
             if wish.is_gone() or self._clock.now() >= wish.deadline:
                 break
-        return grantanswers.soonest(refused)
+        return None
 
     def find_room(self, wish: Wish, known: Known, waits_at: str | None) -> Grant | None:
         """Ask replicas that seem to have room for a grant at once.
--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/grantseeker.py
@@ -134,8 +134,7 @@
             refused.append(answer)
             if self._clock.now() >= wish.deadline:
                 break
-        silent = [each for each in refused if each.code == grantanswers.OWNER_SILENT]
-        if silent and len(silent) == len(refused):
+        if grantanswers.is_unowned(refused):
             return self._without_grant(wish) or grantanswers.soonest(refused)
         return grantanswers.soonest(refused)
 
--- a/tests/grants/test_grantfinder.py
+++ b/tests/grants/test_grantfinder.py
@@ -199,3 +199,21 @@
     asking.desks.settle()
     assert asking.told["r1"] == []
     assert asking.desks.states()["e2"].waiting == 1
+
+
+@pytest.mark.parametrize("answer", [asks.NoAnswer("n2"), refused("owner_moved")])
+def test_an_engine_that_nobody_admits_to_is_used_without_a_grant(answer):
+    """The node that admits to both engines is killed, and a caller asks another node.
+
+    Until the nodes agree on a new owner, some three seconds, asks go unanswered or to a
+    node that does not know of its duty yet. The caller was told to come back though both
+    engines stood idle.
+    """
+    site = Site(remote={"e1", "e2"}, e1=answer, e2=answer)
+    begun = site.asking.clock.now()
+    grant = site.find()
+    assert (grant.replica, grant.number) == ("e1", None)
+    waited_s = site.asking.clock.now() - begun
+    assert grantfinder.UNOWNED_S <= waited_s <= grantfinder.UNOWNED_S + 0.2
+    grant.release()
+    assert (site.held(), site.client.calls) == (0, [])
--- a/tests/grants/test_grantseeker.py
+++ b/tests/grants/test_grantseeker.py
@@ -190,6 +190,23 @@
     assert play(test) == ("e1", False)
 
 
+def test_engine_whose_owner_knows_nothing_of_its_duty_is_used_without_a_grant():
+    """The node that admits to the only engine dies, and another one is to follow it.
+
+    That one has not noticed yet, and sends asks away: callers were refused while the
+    engine had room.
+    """
+
+    async def test(here, there):
+        there.desks.own(frozenset())
+        there.desks.configure({})
+        there.desks.configure({"e1": SPEC})
+        grant = await here.seeker.find(wish("r1", here, candidate("e1")))
+        return grant.replica, grant.is_bound
+
+    assert play(test) == ("e1", False)
+
+
 def test_no_engine_at_all_is_refused():
     async def test(here, _there):
         return await here.seeker.find(wish("r1", here))
