A leaving instance takes no request that it would cut

Ruled out: callers' addresses (the directory leaves the instance out at once; callers keep an answer for up to three times its life); closing the listener early (cuts the callers that would have been served). Now the chance that an answer outlasts the time left decides, from the lengths learned and the pace of streams seen; a request that is not taken is refused before anything was sent.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -12,6 +12,7 @@
     attemptlog,
     callrouter,
     dialect,
+    leavingwork,
     ownanswers,
     plainexchange,
     retrybudget,
@@ -32,6 +33,7 @@
     :param plain: gets whole answers.
     :param runs: what streamed answers work with.
     :param budgets: bounds what is sent again.
+    :param leaving: decides on requests that come during a planned stop.
     :param metrics: the instance's instruments.
     :param clock: monotonic time.
     """
@@ -41,6 +43,7 @@
     plain: plainexchange.PlainExchange
     runs: streamrun.RunParts
     budgets: retrybudget.RetryBudgets
+    leaving: leavingwork.LeavingWork
     metrics: metrics.NodeMetrics
     clock: clocks.Clock
 
@@ -84,8 +87,12 @@
 
     async def _answer(self, exchange: serverside.Exchange, routed: callrouter.RoutedCall) -> None:
         parts = self._parts
-        parts.budgets.requested(routed.service.name, parts.clock.now())
         log = attemptlog.AttemptLog()
+        refusal = parts.leaving.refusal(routed, parts.clock.now())
+        if refusal is not None:
+            await self._send_away(exchange, routed, log, refusal)
+            return
+        parts.budgets.requested(routed.service.name, parts.clock.now())
         run = self._make_run(exchange, routed, log)
         try:
             async with asyncio.timeout(max(0.0, routed.ends_at - parts.clock.now())):
@@ -101,15 +108,25 @@
         if isinstance(answer, streamrun.Streamed):
             self._note_stream(routed, log, answer)
         elif isinstance(answer, outcomes.Refusal):
-            left_s = routed.ends_at - parts.clock.now()
-            refusal = grantanswers.sent_away(left_s, answer)
-            team = "" if routed.team is None else routed.team.name
-            self._note(routed, log, refusal.code, refusal.http_status)
-            await self._refuse(exchange, refusal, routed.call.request_id, team)
+            await self._send_away(exchange, routed, log, answer)
         else:
             self._note(routed, log, "answered", answer.status)
             await exchange.answer(answer.status, answer.fields, answer.body)
 
+    async def _send_away(
+        self,
+        exchange: serverside.Exchange,
+        routed: callrouter.RoutedCall,
+        log: attemptlog.AttemptLog,
+        refusal: outcomes.Refusal,
+    ) -> None:
+        """Refuse a routed request, with a time to come back that its caller can wait for."""
+        left_s = routed.ends_at - self._parts.clock.now()
+        refusal = grantanswers.sent_away(left_s, refusal)
+        team = "" if routed.team is None else routed.team.name
+        self._note(routed, log, refusal.code, refusal.http_status)
+        await self._refuse(exchange, refusal, routed.call.request_id, team)
+
     def _make_run(
         self,
         exchange: serverside.Exchange,
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -39,11 +39,13 @@
 from hornbeamglade.routed import (
     enginebook,
     handover,
+    leavingwork,
     plainexchange,
     replicaload,
     retrybudget,
     runregistry,
     sending,
+    streampace,
     streamrun,
     views,
 )
@@ -145,6 +147,8 @@
         moves = handover.HandoverParts(
             engine_calls, self.seeker, self.peering.turns, self.book, clock
         )
+        pace = streampace.StreamPace()
+        self._leaving_work = leavingwork.LeavingWork(pace, self._outlasts)
         runs = streamrun.RunParts(
             self._sender,
             self.seeker,
@@ -153,6 +157,7 @@
             self._registry,
             self._budgets,
             self._learn,
+            pace,
             clock,
         )
         plain = plainexchange.PlainExchange(
@@ -160,7 +165,14 @@
         )
         self.callers = callershandler.CallersHandler(
             callershandler.HandlerParts(
-                self._words, self._views, plain, runs, self._budgets, self.instruments, clock
+                self._words,
+                self._views,
+                plain,
+                runs,
+                self._budgets,
+                self._leaving_work,
+                self.instruments,
+                clock,
             )
         )
         self.poller = reportpoller.ReportPoller(
@@ -186,8 +198,10 @@
     def leave(self) -> draining.Draining:
         """Begin a planned stop, and tell the others; return its course."""
         limit_s = self._told.bounds.stop_s - STOP_MARGIN_S
+        now = self._clock.now()
         self.draining = draining.Draining(ANNOUNCED_S, spread_s=0.0, hard_limit_s=limit_s)
-        self.draining.request(self._clock.now())
+        self.draining.request(now)
+        self._leaving_work.ends_at = now + limit_s
         self.peering.heartbeats.leave()
         return self.draining
 
@@ -391,6 +405,9 @@
         self._desks.leave(replica_id)
         self._registry.replica_leaves(replica_id)
 
+    def _outlasts(self, service: str, team: str, tokens: float) -> float:
+        return self._lengths.table(service, team).at(tokens)
+
     def _learn(self, service: str, team: str, tokens: int, is_cut: bool) -> None:
         self._desks.learn(service, team, tokens, censored=is_cut)
 
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -21,6 +21,7 @@
     retrybudget,
     runregistry,
     sending,
+    streampace,
 )
 
 MAX_CONTACTS = 4
@@ -42,6 +43,7 @@
     :param registry: which run is where.
     :param budgets: bounds what is sent again.
     :param learn: told the length of each answer: route, team, tokens, whether it was cut.
+    :param pace: learns how long a token takes.
     :param clock: monotonic time.
     """
 
@@ -52,6 +54,7 @@
     registry: runregistry.RunRegistry
     budgets: retrybudget.RetryBudgets
     learn: collections.abc.Callable[[str, str, int, bool], None]
+    pace: streampace.StreamPace
     clock: clocks.Clock
 
 
@@ -395,9 +398,17 @@
             self._parts.sender.finished(place.begun)
             place.begun = None
         self._leave_place()
+        self._learn(is_whole)
+
+    def _learn(self, is_whole: bool) -> None:
         work = enginework.work(self._routed)
-        if self._produced():
-            self._parts.learn(work.service, work.team, self._produced(), not is_whole)
+        produced = self._produced()
+        if not produced:
+            return
+        self._parts.learn(work.service, work.team, produced, not is_whole)
+        relay = self._relay
+        later = produced - produced // relay.count
+        self._parts.pace.observe(self._routed.service.name, later, relay.last_at - relay.first_at)
 
 
 def _is_stream(begun: sending.Begun) -> bool:
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -1,6 +1,7 @@
 """Streams through entry instances, while engines leave, die and misbehave."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -235,3 +236,24 @@
         )
 
     entrysite.play(test, nodes=2)
+
+
+def test_leaving_instance_refuses_a_draft_that_would_be_cut():
+    """A caller with an old address asks an instance that stops for a long draft.
+
+    The process would end before the draft: it was begun, and cut in the middle. Its
+    caller is sent to another instance at once, and no engine has seen the request.
+    """
+
+    async def test(site):
+        site.nodes[0].instance.leave()
+        usage = "Model: m\r\nToken-Usage: 100,5000\r\n"
+        client = await site.nodes[0].ask("/draft/1", more=usage)
+        long = await client.answer()
+        client = await site.nodes[0].ask("/draft/1", request_id="r2", more=entrysite.USAGE)
+        return long, await client.answer(), ran(site)
+
+    (status, fields, body), short, runs = entrysite.play(test)
+    assert (status, json.loads(body)["code"]) == (503, "node_leaving")
+    assert float(fields["retry-after"]) < 0.1
+    assert (short[0], runs) == (200, ["r2"])
--- a/tests/routed/fakes.py
+++ b/tests/routed/fakes.py
@@ -1,5 +1,6 @@
 """Parts of the routed path that tests put in place of others."""
 
+from hornbeamglade.core import clocks
 from hornbeamglade.http1 import serverside
 from hornbeamglade.routed import callrouter, calls
 from hornbeamglade.routes import models
@@ -73,3 +74,16 @@
         last_event_id,
     )
     return callrouter.RoutedCall(call, found, service, None, 1)
+
+
+def routed_call(**changes):
+    """Return a plain request that needs no room anywhere."""
+    return routed(clocks.ManualClock(), route(**changes))
+
+
+def routed_draft(max_tokens=4000):
+    """Return a request for an engine's stream of the route ``draft``."""
+    service = models.Service("s", "/healthz", 100, ENGINE)
+    found = route(models.RouteKind.STREAM, name="draft", goal_s=1.0)
+    generation = calls.Generation("m", 3000, max_tokens)
+    return routed(clocks.ManualClock(), found, service, generation=generation)
--- /dev/null
+++ b/tests/routed/test_leavingwork.py
@@ -0,0 +1,51 @@
+"""What a stopping instance takes: only what ends before its process does."""
+
+import pytest
+
+from hornbeamglade.lengths import lengthmodel
+from hornbeamglade.routed import leavingwork, streampace
+from tests.routed import fakes
+
+ENDS_AT = 108.0
+
+
+def work(*lengths, ends_at=ENDS_AT):
+    """Return the decision of an instance that has seen answers of some lengths."""
+    model = lengthmodel.LengthModel()
+    for tokens in lengths:
+        model.observe("draft", "clinic", tokens)
+    pace = streampace.StreamPace()
+    return leavingwork.LeavingWork(
+        pace, lambda route, team, tokens: model.table(route, team).at(tokens), ends_at
+    )
+
+
+def test_an_instance_that_serves_takes_everything():
+    assert work(ends_at=None).refusal(fakes.routed_draft(), 100.0) is None
+
+
+def test_a_draft_that_would_be_cut_is_refused_at_once():
+    """A caller with an old address asks for a draft six seconds after the signal.
+
+    Drafts take ten seconds and the process ends in two: its caller got a third of the
+    draft, and a connection that closed.
+    """
+    refusal = work(*[900] * 200).refusal(fakes.routed_draft(), 106.0)
+    assert (refusal.code, refusal.http_status) == ("node_leaving", 503)
+    assert refusal.retry_after_s == leavingwork.RETRY_S
+
+
+@pytest.mark.parametrize(("now", "is_taken"), [(100.0, True), (107.5, False)])
+def test_a_short_answer_is_taken_while_there_is_time(now, is_taken):
+    refusal = work(*[30] * 200).refusal(fakes.routed_draft(), now)
+    assert (refusal is None) is is_taken
+
+
+def test_the_callers_bound_on_an_answer_counts():
+    assert work(*[900] * 200).refusal(fakes.routed_draft(max_tokens=40), 104.0) is None
+
+
+@pytest.mark.parametrize(("now", "is_taken"), [(107.0, True), (107.9, False)])
+def test_a_plain_request_is_taken_until_its_answer_would_be_late(now, is_taken):
+    refusal = work().refusal(fakes.routed_call(goal_s=0.3), now)
+    assert (refusal is None) is is_taken
