While all instances leave, drafts that may well end in time are taken

Cause: six instances stopped one second apart all leave for four seconds; each refused every draft, which was lost with its caller's second try.

--- a/hornbeamglade/entry/directory.py
+++ b/hornbeamglade/entry/directory.py
@@ -55,6 +55,11 @@
     return tuple(member.identity.address for member in near[:MOST])
 
 
+def has_others_ready(members: tuple[view.Member, ...], own_name: str) -> bool:
+    """Tell whether another instance than the answering one takes callers."""
+    return any(_is_ready(each) for each in members if each.identity.name != own_name)
+
+
 def _is_ready(member: view.Member) -> bool:
     if member.state is not messages.NodeState.LIVE or member.heartbeat is None:
         return False
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -148,7 +148,7 @@
             engine_calls, self.seeker, self.peering.turns, self.book, clock
         )
         pace = streampace.StreamPace()
-        self._leaving_work = leavingwork.LeavingWork(pace, self._outlasts)
+        self._leaving_work = leavingwork.LeavingWork(pace, self._outlasts, self._are_others_ready)
         runs = streamrun.RunParts(
             self._sender,
             self.seeker,
@@ -405,6 +405,9 @@
         self._desks.leave(replica_id)
         self._registry.replica_leaves(replica_id)
 
+    def _are_others_ready(self) -> bool:
+        return directory.has_others_ready(self.peering.heartbeats.members(), self._told.name)
+
     def _outlasts(self, service: str, team: str, tokens: float) -> float:
         return self._lengths.table(service, team).at(tokens)
 
--- a/hornbeamglade/routed/leavingwork.py
+++ b/hornbeamglade/routed/leavingwork.py
@@ -8,6 +8,9 @@
 begun three seconds before the end is cut in the middle, and its caller cannot have it run
 again. Refused before it is sent, it runs whole at another instance.
 
+While all instances stop at once, there is none to send it to. Then it is taken if it may well
+end in time, and else asked to come back when the first of them has started again.
+
 Weighed against taking whatever comes until the end: at a stop of 8 s, two to four drafts were
 cut at each instance. Against refusing all from the signal on: callers whose short requests
 would have been answered in time come back for nothing.
@@ -23,13 +26,23 @@
 RETRY_S = 0.05
 """Other instances take the request at once."""
 
+ALL_LEAVING_RETRY_S = 3.0
+"""Instances that are stopped in turn overlap by less than this before the first is back."""
+
 CUT_CHANCE = 0.1
 """A request is taken when it ends in time with nine chances in ten: a refusal costs its
 caller some hundredths of a second, a cut the whole answer."""
 
+ALL_LEAVING_CUT_CHANCE = 0.6
+"""With nowhere else to go, an answer on time with two chances in five is worth more to its
+caller than one that is late by seconds for certain."""
+
 Outlasts = collections.abc.Callable[[str, str, float], float]
 """Returns the chance that an answer of a route and team is longer than some tokens."""
 
+OthersReady = collections.abc.Callable[[], bool]
+"""Tells whether another instance takes requests."""
+
 
 @dataclasses.dataclass(slots=True)
 class LeavingWork:
@@ -37,29 +50,37 @@
 
     :param pace: seconds that a token takes.
     :param outlasts: what was learned of lengths.
+    :param others_ready: tells whether another instance takes requests.
     :param ends_at: monotonic seconds at which the process ends, or None while it serves.
     """
 
     pace: streampace.StreamPace
     outlasts: Outlasts
+    others_ready: OthersReady
     ends_at: float | None = None
 
     def refusal(self, routed: callrouter.RoutedCall, now: float) -> outcomes.Refusal | None:
         """Return the refusal of a request that would be cut off, or None to take it."""
-        if self.ends_at is None or self._ends_in_time(routed, self.ends_at - now):
+        if self.ends_at is None:
+            return None
+        has_others = self.others_ready()
+        bearable = CUT_CHANCE if has_others else ALL_LEAVING_CUT_CHANCE
+        if self._cut_chance(routed, self.ends_at - now) <= bearable:
             return None
         detail = "this node stops before the answer would be whole"
-        return outcomes.Refusal(LEAVING, 503, detail, retry_after_s=RETRY_S)
+        retry_s = RETRY_S if has_others else ALL_LEAVING_RETRY_S
+        return outcomes.Refusal(LEAVING, 503, detail, retry_after_s=retry_s)
 
-    def _ends_in_time(self, routed: callrouter.RoutedCall, left_s: float) -> bool:
+    def _cut_chance(self, routed: callrouter.RoutedCall, left_s: float) -> float:
+        """Return the chance that a request does not end within ``left_s``."""
         left_s -= routed.route.goal_s
         if left_s <= 0.0:
-            return False
+            return 1.0
         generation = routed.call.generation
         if generation is None or routed.service.engine is None:
-            return True
+            return 0.0
         tokens = left_s / self.pace.seconds_per_token(routed.service.name)
         if generation.max_tokens and generation.max_tokens <= tokens:
-            return True
+            return 0.0
         team = "" if routed.team is None else routed.team.name
-        return self.outlasts(routed.route.name, team, tokens) <= CUT_CHANCE
+        return self.outlasts(routed.route.name, team, tokens)
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -253,7 +253,7 @@
         client = await site.nodes[0].ask("/draft/1", request_id="r2", more=entrysite.USAGE)
         return long, await client.answer(), ran(site)
 
-    (status, fields, body), short, runs = entrysite.play(test)
+    (status, fields, body), short, runs = entrysite.play(test, nodes=2)
     assert (status, json.loads(body)["code"]) == (503, "node_leaving")
     assert float(fields["retry-after"]) < 0.1
     assert (short[0], runs) == (200, ["r2"])
--- a/tests/routed/test_leavingwork.py
+++ b/tests/routed/test_leavingwork.py
@@ -9,14 +9,17 @@
 ENDS_AT = 108.0
 
 
-def work(*lengths, ends_at=ENDS_AT):
+def work(*lengths, ends_at=ENDS_AT, others_ready=True):
     """Return the decision of an instance that has seen answers of some lengths."""
     model = lengthmodel.LengthModel()
     for tokens in lengths:
         model.observe("draft", "clinic", tokens)
     pace = streampace.StreamPace()
     return leavingwork.LeavingWork(
-        pace, lambda route, team, tokens: model.table(route, team).at(tokens), ends_at
+        pace,
+        lambda route, team, tokens: model.table(route, team).at(tokens),
+        lambda: others_ready,
+        ends_at,
     )
 
 
@@ -49,3 +52,17 @@
 def test_a_plain_request_is_taken_until_its_answer_would_be_late(now, is_taken):
     refusal = work().refusal(fakes.routed_call(goal_s=0.3), now)
     assert (refusal is None) is is_taken
+
+
+@pytest.mark.parametrize(("now", "is_taken"), [(101.0, True), (105.0, False)])
+def test_with_nowhere_else_to_go_a_draft_is_taken_that_may_well_end(now, is_taken):
+    """Six instances are stopped one second after the other; for four seconds all leave.
+
+    Refused by all of them, every draft of those seconds was lost: its caller comes back
+    once, to another instance that leaves.
+    """
+    lengths = [200, 400, 900, 900] * 50
+    refusal = work(*lengths, others_ready=False).refusal(fakes.routed_draft(), now)
+    assert (refusal is None) is is_taken
+    assert is_taken or refusal.retry_after_s == leavingwork.ALL_LEAVING_RETRY_S
+    assert work(*lengths).refusal(fakes.routed_draft(), now) is not None
