Logs tell each failed attempt, what was believed and how old it was; explain; metrics of the routed path

- a line for each attempt that failed, with the load that chose its replica, the load's age and the budget left; the last line of a request bears the version and age of the list
- hornbeamglade explain ID FILE... prints one request's story from several logs, with the changes of state that explain it, and what the logs cannot tell
- metrics: placement, retries and what the budget denied, moves, broken streams, age of the list, usable replicas, calls to the store; plain and streamed answers apart
- a replica that comes to be avoided for its failures is told

Found on the way, with a test that failed first: an instance that leaves was not among those that live, stopped following the store and was told nothing for 2.2 s; a replica that left in that time went on getting its requests.

--- /dev/null
+++ b/hornbeamglade/cli/explain.py
@@ -0,0 +1,25 @@
+"""``hornbeamglade explain``: the story of one request, from logs."""
+
+import sys
+
+import click
+
+from hornbeamglade.observability import logstory
+
+EXIT_UNKNOWN = 1
+
+
+@click.command()
+@click.argument("request_id")
+@click.argument("files", nargs=-1, required=True, type=click.File(errors="replace"))
+def explain(request_id: str, files: tuple[click.utils.LazyFile, ...]) -> None:
+    """Tell what became of a request and why, from the logs of one or more instances.
+
+    FILES are what instances wrote to standard output, in any order; - is standard input.
+    Ends with 1 when no line names the request.
+    """
+    lines = [line for file in files for line in logstory.parse(file)]
+    story = logstory.find(request_id, lines)
+    click.echo(story.text())
+    if not story.lines:
+        sys.exit(EXIT_UNKNOWN)
--- a/hornbeamglade/cli/main.py
+++ b/hornbeamglade/cli/main.py
@@ -12,6 +12,7 @@
     "config": "config",
     "demo": "demo",
     "entry": "entry",
+    "explain": "explain",
     "node": "node",
     "spec": "spec",
     "standin": "standin",
--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -1,6 +1,7 @@
 """Answers routed requests: decides where they go and says what came of them."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import http
 
@@ -34,6 +35,7 @@
     :param runs: what streamed answers work with.
     :param budgets: bounds what is sent again.
     :param leaving: decides on requests that come during a planned stop.
+    :param belief: returns how far the list of replicas can be trusted.
     :param metrics: the instance's instruments.
     :param clock: monotonic time.
     """
@@ -44,6 +46,7 @@
     runs: streamrun.RunParts
     budgets: retrybudget.RetryBudgets
     leaving: leavingwork.LeavingWork
+    belief: collections.abc.Callable[[], views.Belief]
     metrics: metrics.NodeMetrics
     clock: clocks.Clock
 
@@ -156,9 +159,12 @@
     ) -> None:
         """Write the line that says how a request ended, and by what it was decided."""
         service = routed.service.name
+        belief = self._parts.belief()
         self._parts.metrics.requests.add(labels=(service, outcome))
         seconds = self._parts.clock.now() - routed.call.arrived_at
-        self._parts.metrics.call_s.record(seconds, (service,))
+        is_stream = routed.route.kind is models.RouteKind.STREAM
+        times = self._parts.metrics.routed.stream_s if is_stream else self._parts.metrics.call_s
+        times.record(seconds, (service,))
         logs.decided(
             routed.call.request_id,
             "answer",
@@ -171,6 +177,8 @@
             attempts=log.sent,
             replica=",".join([*log.tried, *filter(None, (log.under_way,))])[:100] or "-",
             run=log.run.value,
+            list_version=belief.list_version,
+            belief_age_s=None if belief.age_s is None else round(belief.age_s, 3),
             seconds=round(seconds, 4),
             **more,
         )
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -9,9 +9,9 @@
 from hornbeamglade.entry import controlhandler, instance, registration, settings
 from hornbeamglade.http1 import serverside
 from hornbeamglade.membership import draining, registry
-from hornbeamglade.observability import logs, metrics
+from hornbeamglade.observability import logs, metricsregistry
 from hornbeamglade.platform import storeclient, tables
-from hornbeamglade.store import contract, tablefollower
+from hornbeamglade.store import contract, countedstore, tablefollower
 
 STORE_TIMEOUT_S = 1.0
 """The store answers within some ten milliseconds; one that does not is slow or away, and
@@ -43,7 +43,10 @@
         self._metrics_port = metrics_port
         self._clock = clocks.SystemClock()
         self.instance = instance.EntryInstance(told, self._clock)
-        self._store = storeclient.StoreClient(told.store, STORE_TIMEOUT_S)
+        self._store = countedstore.CountedStore(
+            storeclient.StoreClient(told.store, STORE_TIMEOUT_S),
+            self.instance.instruments.platform_outcomes,
+        )
         identity = self.instance.identity
         self._registration = registration.Registration(
             contract.Instance(
@@ -55,6 +58,7 @@
             self._clock,
         )
         self._rng = random.Random(self.instance.incarnation)
+        self.instance.count_connections(lambda: len(self._callers.connections))
         self._callers = serverside.CallersServer(self.instance.callers, self._clock)
         self._followers = tuple(
             self._follower(table) for table in (tables.CONFIGURATION, tables.REPLICAS)
@@ -119,7 +123,9 @@
 
     async def _listen(self) -> None:
         told = self._told.listen
-        control = controlhandler.ControlHandler(self.instance, ADDRESS_TTL_S, metrics.CONTENT_TYPE)
+        control = controlhandler.ControlHandler(
+            self.instance, ADDRESS_TTL_S, metricsregistry.CONTENT_TYPE
+        )
         host, _, port = told.callers.rpartition(":")
         await self._callers.listen(host, int(port))
         addresses = [told.readiness, told.directory, told.control]
--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -56,6 +56,7 @@
         self._document = b""
         self._row_by_key: dict[str, contract.Row] = {}
         self._reached_by_table: dict[str, bool] = {}
+        self._confirmed_at: float | None = None
         self.problem: str | None = None
         self.heard_at_by_table: dict[str, float] = {}
 
@@ -65,6 +66,18 @@
         revision = 0 if route_view is None else route_view.revision
         return sharing.Versions(revision, self._replicas.version)
 
+    def belief(self) -> views.Belief:
+        """Return what this instance believes of the replicas, and how old that is."""
+        heard_at = self.heard_at_by_table.get(tables.REPLICAS)
+        times = [each for each in (heard_at, self._confirmed_at) if each is not None]
+        age_s = self._clock.now() - max(times) if times else None
+        return views.Belief(self._replicas.version, age_s)
+
+    def hinted(self, hint: messages.ConfigHint) -> None:
+        """Take the word of a follower: its list is as new as the store's."""
+        if hint.is_reached and hint.list_version <= self._replicas.version:
+            self._confirmed_at = self._clock.now()
+
     def is_reached(self) -> bool:
         """Tell whether the store answers this instance, as far as it has tried."""
         now = self._clock.now()
@@ -87,6 +100,7 @@
         if subject is messages.Subject.CONFIGURATION:
             self._take_configuration(document, PEER)
             return
+        self._confirmed_at = self._clock.now()
         rows = tuple(contract.Row(*row) for row in json.loads(document))
         self._take_snapshot(contract.Snapshot(rows, version), PEER)
 
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -121,7 +121,12 @@
         self._words = requestdialect.PlatformDialect()
         self._sender = sending.Sender(self._pool, self._words, clock)
         self._loads = replicaload.ReplicaLoads(clock, rng)
-        self._budgets = retrybudget.RetryBudgets(_budget(told))
+        self._budgets = retrybudget.RetryBudgets(
+            _budget(told),
+            lambda service, outcome: self.instruments.routed.retries.add(
+                labels=(service, outcome)
+            ),
+        )
         engine_calls = enginecalls.EngineCalls(self._pool)
         self._registry = runregistry.RunRegistry()
         rates = candidates.RoutingSettings(
@@ -158,6 +163,7 @@
             self._budgets,
             self._learn,
             pace,
+            self.instruments,
             clock,
         )
         plain = plainexchange.PlainExchange(
@@ -171,6 +177,7 @@
                 runs,
                 self._budgets,
                 self._leaving_work,
+                self.following.belief,
                 self.instruments,
                 clock,
             )
@@ -183,6 +190,7 @@
         self._departed_at_by_replica: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._has_been_introduced = False
+        self._count_connections: collections.abc.Callable[[], int] = lambda: 0
 
     def is_ready(self) -> bool:
         """Tell whether the instance takes callers."""
@@ -226,8 +234,27 @@
 
     def metrics(self) -> bytes:
         """Return the instruments in text."""
+        self._measure()
         return self.instruments.exposition()
 
+    def count_connections(self, count: collections.abc.Callable[[], int]) -> None:
+        """Take what tells how many connections of callers are open."""
+        self._count_connections = count
+
+    def _measure(self) -> None:
+        """Set the gauges of what is believed now."""
+        routed = self.instruments.routed
+        age_s = self.following.belief().age_s
+        routed.belief_age_s.set(-1.0 if age_s is None else age_s)
+        routed.is_store_reached.set(float(self.following.is_reached()))
+        routed.caller_connections.set(self._count_connections())
+        self.instruments.streams_in_flight.set(self.seeker.active_count, ("all",))
+        view = self._views.routes
+        for name in () if view is None else view.configuration.service_by_name:
+            usable = [each for each in self._replicas.of_service(name) if not each.is_leaving]
+            routed.usable_replicas.set(len(usable), (name,))
+            routed.budget_left.set(self._budgets.left(name, self._clock.now()), (name,))
+
     def members(self) -> bytes:
         """Return the instances that this one knows, for one that starts."""
         return introduction.page(self.peering.heartbeats.members())
@@ -283,6 +310,7 @@
     def hinted(self, hint: messages.ConfigHint) -> None:
         """Take a hint of an instance that follows the store."""
         self.watch.heard(hint)
+        self.following.hinted(hint)
 
     def message_failed(self, error: Exception, where: str) -> None:
         """Log an error that a message caused here."""
--- a/hornbeamglade/entry/storewatch.py
+++ b/hornbeamglade/entry/storewatch.py
@@ -109,7 +109,9 @@
     def _choose(self, nodes: tuple[str, ...]) -> None:
         chosen = followers.chosen(nodes)
         self._nodes = nodes
-        self._is_chosen = self._name in chosen or not nodes
+        # An instance that leaves is no more among them: nobody tells it anything, and it
+        # serves its callers for some seconds yet.
+        self._is_chosen = self._name in chosen or self._name not in nodes
         self._told = ()
         if self._is_chosen:
             self._told = tuple(
--- a/hornbeamglade/node/pages.py
+++ b/hornbeamglade/node/pages.py
@@ -9,7 +9,7 @@
 from hornbeamglade.membership import addresses, introduction
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import runtime, siteview
-from hornbeamglade.observability import metrics, statuspage
+from hornbeamglade.observability import metricsregistry, statuspage
 
 JSON_TYPE = ("Content-Type", "application/json")
 NOT_READY_RETRY_S = 2.0
@@ -45,7 +45,7 @@
         if name in ("models", "addresses"):
             return self._for_team(name, request)
         if name == "metrics":
-            headers = (("Content-Type", metrics.CONTENT_TYPE),)
+            headers = (("Content-Type", metricsregistry.CONTENT_TYPE),)
             return problems.Response(200, headers, self._parts.metrics.exposition())
         if name == "status":
             return problems.Response(200, (JSON_TYPE,), self._status().model_dump_json().encode())
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -1,12 +1,13 @@
-"""Log lines for changes of state, as JSON, one a line.
+"""Log lines for decisions on requests and changes of state, as JSON, one a line.
 
 Explanation
 ===========
 
-What happens often is counted (:mod:`hornbeamglade.observability.metrics`); a
-line is written only when something changes state, such as a node's readiness,
-a lease or the configuration in force. Nothing here is called per token, nor
-per request that goes well.
+A line is written for each decision that touches a request, with what decided it, and
+whenever this process comes to believe something else: a node's readiness, a replica's
+entry, the configuration in force. Nothing here is called per token. Lines on requests are
+bounded (:mod:`hornbeamglade.observability.logbudget`); what is left out is counted, and
+said in a line of its own.
 
 A line never carries a key, a prompt or a body. Only the fields named in
 ``LOGGED_FIELDS`` are written, and only as identifiers or numbers: free text is
@@ -16,23 +17,28 @@
 import queue
 import re
 import threading
+import time
 import traceback
 import typing
 
 import eliot
 
-from hornbeamglade.observability import metricsinstruments
+from hornbeamglade.observability import logbudget, metricsinstruments
 
 MESSAGE_TYPE = "hornbeamglade:state_changed"
 DECISION_TYPE = "hornbeamglade:decided"
 WITHHELD = "[withheld]"
 MAX_QUEUED_LINES = 1000
+TELL_GAPS_S = 1.0
+"""Lines that are missing are told this often."""
 
 LOGGED_FIELDS = frozenset(
     {
         "address",
         "age_s",
         "attempts",
+        "belief_age_s",
+        "budget",
         "change_id",
         "code",
         "count",
@@ -43,6 +49,9 @@
         "first_s",
         "gap_s",
         "incarnation",
+        "list_version",
+        "load",
+        "load_age_s",
         "moves",
         "node",
         "operation",
@@ -179,7 +188,8 @@
     :param stream: a text stream, such as ``sys.stderr`` or an open file.
     :param node: the node's name, put on every line.
     :param changes: counts each change by subject before its line is queued.
-    :param drops: counts lines that found the queue full.
+    :param drops: counts lines that found the queue full, or were beyond the bound.
+    :param budget: bounds the lines on requests.
     """
 
     def __init__(
@@ -188,7 +198,11 @@
         node: str,
         changes: metricsinstruments.Counter | None = None,
         drops: metricsinstruments.Counter | None = None,
+        budget: logbudget.LineBudget | None = None,
     ) -> None:
+        self._budget = budget or logbudget.LineBudget()
+        self._missing = 0
+        self._told_at = 0.0
         self._stream = stream
         self._node = node
         self._changes = changes
@@ -226,8 +240,7 @@
         try:
             self._lines.put_nowait(line)
         except queue.Full:
-            if self._drops is not None:
-                self._drops.add()
+            self._drop()
 
     def flush(self) -> None:
         """Do nothing: the writing thread flushes."""
@@ -238,8 +251,28 @@
             return
         if kind == MESSAGE_TYPE and self._changes is not None:
             self._changes.add(labels=(message["subject"],))
+        now = time.monotonic()
+        self._tell_gaps(message, now)
+        if kind == DECISION_TYPE and not self._budget.take(now):
+            self._drop()
+            return
         self._destination(message | {"logged_by": self._node})
 
+    def _drop(self) -> None:
+        self._missing += 1
+        if self._drops is not None:
+            self._drops.add()
+
+    def _tell_gaps(self, message: dict[str, typing.Any], now: float) -> None:
+        """Say how many lines are missing, so that nobody takes the log for whole."""
+        if not self._missing or now - self._told_at < TELL_GAPS_S or self._lines.full():
+            return
+        self._told_at = now
+        missing, self._missing = self._missing, 0
+        told = {"subject": "log", "before": "whole", "after": "lines_missing", "count": missing}
+        kept = {"timestamp": message["timestamp"], "message_type": MESSAGE_TYPE}
+        self._destination(kept | told | {"logged_by": self._node})
+
     def _write_lines(self) -> None:
         while (line := self._lines.get()) is not None:
             try:
--- a/hornbeamglade/observability/metrics.py
+++ b/hornbeamglade/observability/metrics.py
@@ -1,93 +1,17 @@
-"""The metrics of an entry node and their exposition in text."""
+"""The instruments of an entry node."""
 
-import collections.abc
-import typing
-
-import prometheus_client
-from prometheus_client import core as prometheuscore
-
-from hornbeamglade.observability import metricsinstruments, metricsprocess, metricsstream
-
-PREFIX = "hornbeamglade_"
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+from hornbeamglade.observability import (
+    metricsprocess,
+    metricsregistry,
+    metricsrouted,
+    metricsstream,
+)
 
 # The pace of the engines is a token every 25 to 30 ms: the bounds are close there.
 GAP_BOUNDS_S = (
     *(0.005, 0.01, 0.02, 0.025, 0.03, 0.035, 0.04, 0.05, 0.075, 0.1),
     *(0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0),
 )
-WAIT_BOUNDS_S = (
-    *(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5),
-    *(5.0, 10.0, 30.0, 60.0, 300.0, 900.0),
-)
-
-
-_Instrument = typing.TypeVar("_Instrument", bound=metricsinstruments.Instrument)
-
-
-class Registry:
-    """Named instruments and their exposition.
-
-    Examples
-    ========
-
-    >>> registry = Registry()
-    >>> drops = registry.counter("exchange_drops_total", "Dropped datagrams.", ("reason",))
-    >>> drops.add(labels=("too_old",))
-    >>> b'hornbeamglade_exchange_drops_total{reason="too_old"} 1.0' in registry.exposition()
-    True
-    """
-
-    def __init__(self) -> None:
-        self._instrument_by_name: dict[str, metricsinstruments.Instrument] = {}
-        self._exposed = prometheus_client.CollectorRegistry(auto_describe=False)
-        self._exposed.register(_Collector(self._instrument_by_name))
-
-    def counter(
-        self, name: str, help_text: str, label_names: metricsinstruments.Labels = ()
-    ) -> metricsinstruments.Counter:
-        """Add a counter; ``name`` goes without the common prefix."""
-        return self._add(metricsinstruments.Counter(PREFIX + name, help_text, label_names))
-
-    def gauge(
-        self, name: str, help_text: str, label_names: metricsinstruments.Labels = ()
-    ) -> metricsinstruments.Gauge:
-        """Add a gauge; ``name`` goes without the common prefix."""
-        return self._add(metricsinstruments.Gauge(PREFIX + name, help_text, label_names))
-
-    def histogram(
-        self,
-        name: str,
-        help_text: str,
-        label_names: metricsinstruments.Labels = (),
-        *,
-        bounds_s: tuple[float, ...] = WAIT_BOUNDS_S,
-    ) -> metricsinstruments.Histogram:
-        """Add a histogram of seconds; ``name`` goes without the common prefix."""
-        return self._add(
-            metricsinstruments.Histogram(PREFIX + name, help_text, label_names, bounds_s=bounds_s)
-        )
-
-    def exposition(self) -> bytes:
-        """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._exposed)
-
-    def _add(self, instrument: _Instrument) -> _Instrument:
-        if instrument.name in self._instrument_by_name:
-            raise ValueError(f"the metric {instrument.name} exists already")
-        self._instrument_by_name[instrument.name] = instrument
-        return instrument
-
-
-class _Collector:
-    """Hands the instruments to the exposition library at each scrape."""
-
-    def __init__(self, instrument_by_name: dict[str, metricsinstruments.Instrument]) -> None:
-        self._instrument_by_name = instrument_by_name
-
-    def collect(self) -> collections.abc.Iterator[prometheuscore.Metric]:
-        for instrument in list(self._instrument_by_name.values()):
-            yield instrument.family()
 
 
 class NodeMetrics:
@@ -116,10 +40,11 @@
 
     def __init__(self, stall_threshold_s: float = metricsstream.DEFAULT_STALL_THRESHOLD_S) -> None:
         self._stall_threshold_s = stall_threshold_s
-        self.registry = Registry()
+        self.registry = metricsregistry.Registry()
         self._add_stream_instruments()
         self._add_request_instruments()
         self._add_node_instruments()
+        self.routed = metricsrouted.RoutedMetrics(self.registry)
 
     def _add_stream_instruments(self) -> None:
         add = self.registry.histogram
@@ -207,15 +132,25 @@
         gaps = self.token_gap_s.series((service,))
         return metricsstream.StreamTimes(started, gaps, self._stall_threshold_s)
 
-    def stream_finished(self, service: str, times: metricsstream.StreamTimes, now: float) -> None:
-        """Merge a stream's times; call once, however the stream ended."""
+    def stream_finished(
+        self,
+        service: str,
+        times: metricsstream.StreamTimes,
+        now: float,
+        *,
+        tokens_per_event: int = 1,
+    ) -> None:
+        """Merge a stream's times; call once, however the stream ended.
+
+        :param tokens_per_event: tokens that each recorded event holds.
+        """
         times.finish(now)
         if times.time_to_first_token_s is None:
             return
         labels = (service,)
         self.time_to_first_token_s.record(times.time_to_first_token_s, labels)
         self.stall_s.record(times.stall_s, labels)
-        self.tokens.add(times.tokens, labels)
+        self.tokens.add(times.tokens * tokens_per_event, labels)
 
     def exposition(self) -> bytes:
         """Return all metrics in text, the process's use read anew."""
--- /dev/null
+++ b/hornbeamglade/observability/metricsrouted.py
@@ -0,0 +1,58 @@
+"""What entry instances measure beside the streams and requests of all nodes."""
+
+from hornbeamglade.observability import metricsinstruments, metricsregistry
+
+
+class RoutedMetrics:
+    """Instruments of the routed path.
+
+    Labels are names of services and codes of this program, so that the number of series
+    is bounded by the configuration.
+
+    :param registry: what exposes them.
+
+    Examples
+    ========
+
+    >>> routed = RoutedMetrics(metricsregistry.Registry())
+    >>> routed.retries.add(labels=("mail", "made"))
+    >>> routed.retries.value(("mail", "made"))
+    1
+    """
+
+    def __init__(self, registry: metricsregistry.Registry) -> None:
+        self.placement_s: metricsinstruments.Histogram = registry.histogram(
+            "placement_seconds",
+            "From a request's wish for an engine to its leave to run there, waits included.",
+            ("service", "outcome"),
+        )
+        self.retries: metricsinstruments.Counter = registry.counter(
+            "retries_total",
+            "Attempts beyond a request's first: made, denied by the budget, or resumed runs.",
+            ("service", "outcome"),
+        )
+        self.moves: metricsinstruments.Counter = registry.counter(
+            "moves_total", "Runs that were to leave their engine, by outcome.", ("outcome",)
+        )
+        self.broken_streams: metricsinstruments.Counter = registry.counter(
+            "broken_streams_total", "Connections to engines lost in a stream.", ("service", "code")
+        )
+        self.stream_s: metricsinstruments.Histogram = registry.histogram(
+            "stream_seconds", "From a streamed request to the end of its answer.", ("service",)
+        )
+        self.belief_age_s: metricsinstruments.Gauge = registry.gauge(
+            "belief_age_seconds",
+            "Seconds since the list of replicas was last confirmed; -1 before the first time.",
+        )
+        self.usable_replicas: metricsinstruments.Gauge = registry.gauge(
+            "usable_replicas", "Replicas that may get new work.", ("service",)
+        )
+        self.budget_left: metricsinstruments.Gauge = registry.gauge(
+            "retry_budget_left", "Attempts beyond the first that may still be made.", ("service",)
+        )
+        self.is_store_reached: metricsinstruments.Gauge = registry.gauge(
+            "store_reached", "1 while the platform's store answers this instance, else 0."
+        )
+        self.caller_connections: metricsinstruments.Gauge = registry.gauge(
+            "caller_connections", "Open connections of callers."
+        )
--- a/hornbeamglade/routed/eventrelay.py
+++ b/hornbeamglade/routed/eventrelay.py
@@ -4,6 +4,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.http1 import fields, serverside
+from hornbeamglade.observability import metricsstream
 from hornbeamglade.routed import eventsplit
 
 
@@ -36,11 +37,17 @@
     :param exchange: the caller's.
     :param clock: monotonic time.
     :param last_id: the event that the caller has already, when it resumes a stream.
+    :param times: records when events pass, or None.
     """
 
     def __init__(
-        self, exchange: serverside.Exchange, clock: clocks.Clock, last_id: str | None
+        self,
+        exchange: serverside.Exchange,
+        clock: clocks.Clock,
+        last_id: str | None,
+        times: metricsstream.StreamTimes | None = None,
     ) -> None:
+        self._times = times
         self._exchange = exchange
         self._clock = clock
         self._splitter = eventsplit.EventSplitter()
@@ -82,6 +89,8 @@
 
     def _note(self, event: eventsplit.Event) -> None:
         now = self._clock.now()
+        if self._times is not None:
+            self._times.token(now)
         if self.first_at is None:
             self.first_at = now
         if self.last_at is not None:
--- a/hornbeamglade/routed/handover.py
+++ b/hornbeamglade/routed/handover.py
@@ -56,6 +56,8 @@
     :param request_id: the run.
     :param wish: asks for room elsewhere.
     :param parts: what it works with.
+
+    Its ``turn_s`` is how long it waited for its turn, or None while it has had none.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.destination: Destination | None = None
         self.has_stopped_run = False
         self.outcome = "begun"
+        self.turn_s: float | None = None
 
     async def run(self, produced: int) -> None:
         """Move the run; what came of it is in the attributes.
@@ -86,8 +89,10 @@
         if target is None:
             self.outcome = "no_room"
             return
+        found_at = self._parts.clock.now()
         try:
             await turns.take(self._source.id, self._request_id, tokens)
+            self.turn_s = self._parts.clock.now() - found_at
             await self._copy_and_stop(wish, target)
         finally:
             turns.done(self._source.id, self._request_id)
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -1,6 +1,7 @@
 """A request whose answer is passed on when it is whole."""
 
 from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.observability import logs
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.replicas import replicalist
 from hornbeamglade.routed import (
@@ -91,7 +92,9 @@
         log: attemptlog.AttemptLog,
     ) -> ownanswers.Answer | sending.Failed:
         team = None if routed.team is None else routed.team.name
-        dispatch = calls.Dispatch(replica.id, team, routed.ends_at - self._clock.now())
+        begun_at = self._clock.now()
+        known = self._loads.known(replica)
+        dispatch = calls.Dispatch(replica.id, team, routed.ends_at - begun_at)
         outcome: ownanswers.Answer | sending.Failed | None = None
         load = None
         self._loads.started(replica.id)
@@ -111,8 +114,34 @@
             log.note(replica.id, outcome.run, was_sent)
         else:
             log.note(replica.id, outcomes.RunStatus.RAN, True)
+        if failed:
+            self._tell_failure(routed, replica, known, outcome, begun_at)
         return outcome
 
+    def _tell_failure(
+        self,
+        routed: callrouter.RoutedCall,
+        replica: replicamodels.Replica,
+        known: replicaload.Known,
+        outcome: ownanswers.Answer | sending.Failed,
+        begun_at: float,
+    ) -> None:
+        """Write the line on an attempt that may lead to another one."""
+        now = self._clock.now()
+        is_answer = isinstance(outcome, ownanswers.Answer)
+        logs.decided(
+            routed.call.request_id,
+            "attempt",
+            "replica_error" if is_answer else outcome.code,
+            status=outcome.status if is_answer else None,
+            replica=replica.id,
+            run="ran" if is_answer else outcome.run.value,
+            load=round(known.business, 3),
+            load_age_s=None if known.age_s is None else round(known.age_s, 3),
+            budget=round(self._budgets.left(routed.service.name, now), 1),
+            seconds=round(now - begun_at, 4),
+        )
+
     async def _finish(self, begun: sending.Begun) -> ownanswers.Answer | sending.Failed:
         body = await self._sender.whole_body(begun)
         if isinstance(body, sending.Failed):
--- a/hornbeamglade/routed/replicaload.py
+++ b/hornbeamglade/routed/replicaload.py
@@ -5,6 +5,7 @@
 import random
 
 from hornbeamglade.core import clocks
+from hornbeamglade.observability import logs
 from hornbeamglade.replicas import models
 from hornbeamglade.routed import calls
 
@@ -19,6 +20,9 @@
 probe that finds it well again."""
 
 SMOOTHING = 0.2
+DOUBTED = 0.5
+TRUSTED = 0.2
+"""A replica is told as doubted, and as trusted again, at these shares of failures."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +33,7 @@
     own_when_told: int = 0
     failing: float = 0.0
     failing_at: float = 0.0
+    is_doubted: bool = False
 
     def others(self, now: float) -> float:
         """Return what callers of other nodes are thought to have there."""
@@ -42,6 +47,18 @@
         return self.failing * 0.5 ** ((now - self.failing_at) / FAILURE_HALF_LIFE_S)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """What a choice goes by, for the log.
+
+    :param business: share of its slots that are thought to be used, failures added.
+    :param age_s: seconds since the replica's own word, or None when it gave none.
+    """
+
+    business: float
+    age_s: float | None
+
+
 class ReplicaLoads:
     """Chooses replicas of plain services by what is outstanding at them.
 
@@ -61,6 +78,13 @@
         now = self._clock.now()
         return min(replicas, key=lambda each: (self._business(each, now), self._rng.random()))
 
+    def known(self, replica: models.Replica) -> Known:
+        """Return what a choice of the replica goes by now."""
+        now = self._clock.now()
+        record = self._record_by_id.get(replica.id)
+        has_word = record is not None and record.told is not None
+        return Known(self._business(replica, now), now - record.told_at if has_word else None)
+
     def started(self, replica_id: str) -> None:
         """Count a request to a replica."""
         self._record(replica_id).outstanding += 1
@@ -82,6 +106,7 @@
         before = record.failures(now)
         record.failing = before + SMOOTHING * (float(failed) - before)
         record.failing_at = now
+        _tell_trust(replica_id, record)
 
     def forget(self, present: collections.abc.Container[str]) -> None:
         """Drop what is known of replicas that are gone."""
@@ -98,3 +123,15 @@
 
     def _record(self, replica_id: str) -> _Record:
         return self._record_by_id.setdefault(replica_id, _Record())
+
+
+def _tell_trust(replica_id: str, record: _Record) -> None:
+    """Write a line when a replica comes to be avoided for its failures, or is no more."""
+    is_doubted = record.failing > (TRUSTED if record.is_doubted else DOUBTED)
+    if is_doubted is record.is_doubted:
+        return
+    record.is_doubted = is_doubted
+    before, after = ("trusted", "doubted") if is_doubted else ("doubted", "trusted")
+    logs.state_changed(
+        "replica_trust", before, after, replica=replica_id, load=round(record.failing, 3)
+    )
--- a/hornbeamglade/routed/retrybudget.py
+++ b/hornbeamglade/routed/retrybudget.py
@@ -11,10 +11,15 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 
 BUCKETS = 10
 
+Told = collections.abc.Callable[[str, str], None]
+"""Called with a service and what became of one more attempt: ``made``, ``denied`` or, for a
+run that goes on elsewhere, ``resumed``."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BudgetSettings:
@@ -55,6 +60,7 @@
     """The budget of each service, at one node.
 
     :param settings: the operator's bound.
+    :param told: hears of each attempt beyond a first one.
 
     Examples
     ========
@@ -69,7 +75,10 @@
     True
     """
 
-    def __init__(self, settings: BudgetSettings) -> None:
+    def __init__(
+        self, settings: BudgetSettings, told: Told = lambda _service, _outcome: None
+    ) -> None:
+        self._told = told
         self._settings = settings
         self._nodes = 1
         self._requests_by_service: dict[str, _Window] = {}
@@ -90,16 +99,22 @@
         """Count a request's first attempt."""
         self._window(self._requests_by_service, service).add(1, now)
 
-    def spend(self, service: str, now: float) -> bool:
-        """Take one more attempt from the budget; return whether there was one."""
+    def left(self, service: str, now: float) -> float:
+        """Return how many more attempts the budget allows; below 0 when it is overdrawn."""
         settings = self._settings
         retries = self._window(self._retries_by_service, service)
         requests = self._window(self._requests_by_service, service).total(now, BUCKETS)
         allowed = settings.ratio * requests + settings.slack / self._nodes
         # One bucket more: the operator's window may begin anywhere in the oldest one.
-        if retries.total(now, BUCKETS + 1) + 1 > allowed:
+        return allowed - retries.total(now, BUCKETS + 1)
+
+    def spend(self, service: str, now: float) -> bool:
+        """Take one more attempt from the budget; return whether there was one."""
+        if self.left(service, now) < 1.0:
+            self._told(service, "denied")
             return False
-        retries.add(1, now)
+        self._told(service, "made")
+        self._window(self._retries_by_service, service).add(1, now)
         return True
 
     def note(self, service: str, now: float) -> None:
@@ -108,6 +123,7 @@
         A run that goes on at another engine is lost otherwise; such attempts are few, and
         what they take is missing for others.
         """
+        self._told(service, "resumed")
         self._window(self._retries_by_service, service).add(1, now)
 
     def _window(self, by_service: dict[str, _Window], service: str) -> _Window:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -7,7 +7,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.grants import grantseeker
 from hornbeamglade.http1 import clientside, serverside
-from hornbeamglade.observability import logs
+from hornbeamglade.observability import logs, metrics
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     attemptlog,
@@ -44,6 +44,7 @@
     :param budgets: bounds what is sent again.
     :param learn: told the length of each answer: route, team, tokens, whether it was cut.
     :param pace: learns how long a token takes.
+    :param metrics: the node's instruments.
     :param clock: monotonic time.
     """
 
@@ -55,6 +56,7 @@
     budgets: retrybudget.RetryBudgets
     learn: collections.abc.Callable[[str, str, int, bool], None]
     pace: streampace.StreamPace
+    metrics: metrics.NodeMetrics
     clock: clocks.Clock
 
 
@@ -119,7 +121,10 @@
         self._exchange = exchange
         self._log = log
         self._parts = parts
-        self._relay = eventrelay.EventRelay(exchange, parts.clock, routed.call.last_event_id)
+        self._times = parts.metrics.stream_times(routed.service.name, routed.call.arrived_at)
+        self._relay = eventrelay.EventRelay(
+            exchange, parts.clock, routed.call.last_event_id, self._times
+        )
         self._place: _Place | None = None
         self._start: eventrelay.AnswerStart | None = None
         self._first_event = asyncio.Event()
@@ -188,6 +193,11 @@
             return self._failed()
         wish = self._wish(enginework.queue_deadline(routed, now), frozenset(log.tried))
         grant = await self._parts.seeker.find(wish)
+        is_refused = isinstance(grant, outcomes.Refusal)
+        self._parts.metrics.routed.placement_s.record(
+            self._parts.clock.now() - now,
+            (routed.service.name, "refused" if is_refused else "granted"),
+        )
         if isinstance(grant, outcomes.Refusal):
             return self._failed() if log.may_have_run else grant
         replica = self._parts.book.replica(grant.replica)
@@ -238,6 +248,7 @@
     ) -> outcomes.Refusal | ownanswers.Answer | None:
         """Deal with an attempt that gave no stream; None when another may be made."""
         place = self._place
+        self._tell_attempt(begun)
         if isinstance(begun, sending.Failed):
             self._leave_place()
             return None if self._may_run_again() else self._failed()
@@ -256,6 +267,20 @@
             return self._failed()
         return ownanswers.Answer(begun.head.status, begun.head.fields, body)
 
+    def _tell_attempt(self, begun: sending.Begun | sending.Failed) -> None:
+        """Write the line on an attempt that gave no stream."""
+        is_failed = isinstance(begun, sending.Failed)
+        service = self._routed.service.name
+        logs.decided(
+            self._routed.call.request_id,
+            "attempt",
+            begun.code if is_failed else "not_a_stream",
+            status=None if is_failed else begun.head.status,
+            replica=self._place.replica.id,
+            run=begun.run.value if is_failed else "not_run" if begun.head.is_not_run else "ran",
+            budget=round(self._parts.budgets.left(service, self._parts.clock.now()), 1),
+        )
+
     async def _stream(self) -> bool:
         """Pass events on until the answer is whole; False when it cannot be."""
         while True:
@@ -269,6 +294,8 @@
                 replica=self._place.replica.id,
                 events=self._relay.count,
             )
+            labels = (self._routed.service.name, ended.code)
+            self._parts.metrics.routed.broken_streams.add(labels=labels)
             self._log.note(self._place.replica.id, outcomes.RunStatus.RAN, True)
             if not await self._go_on():
                 return False
@@ -354,12 +381,14 @@
             place.replica, self._routed.call.request_id, wish, self._parts.moves
         )
         await self._handover.run(self._produced())
+        self._parts.metrics.routed.moves.add(labels=(self._handover.outcome,))
         logs.decided(
             self._routed.call.request_id,
             "handover",
             self._handover.outcome,
             replica=place.replica.id,
             events=self._relay.count,
+            wait_s=None if self._handover.turn_s is None else round(self._handover.turn_s, 3),
         )
 
     def _may_run_again(self) -> bool:
@@ -406,6 +435,12 @@
         if not produced:
             return
         self._parts.learn(work.service, work.team, produced, not is_whole)
+        self._parts.metrics.stream_finished(
+            self._routed.service.name,
+            self._times,
+            self._parts.clock.now(),
+            tokens_per_event=self._routed.service.engine.tokens_per_event,
+        )
         relay = self._relay
         later = produced - produced // relay.count
         self._parts.pace.observe(self._routed.service.name, later, relay.last_at - relay.first_at)
--- a/hornbeamglade/routed/views.py
+++ b/hornbeamglade/routed/views.py
@@ -23,6 +23,18 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Belief:
+    """How far this node's list of replicas can be trusted.
+
+    :param list_version: its version.
+    :param age_s: seconds since something confirmed it, or None when nothing has.
+    """
+
+    list_version: int
+    age_s: float | None
+
+
 @dataclasses.dataclass(slots=True)
 class Views:
     """What is in force; replaced as a whole, so that a request sees one revision.
--- a/hornbeamglade/store/countedstore.py
+++ b/hornbeamglade/store/countedstore.py
@@ -16,10 +16,10 @@
         """Count one call under ``(operation, outcome)``."""
 
 
-class CountedStore(contract.Table, contract.ObjectStore):
+class CountedStore(contract.Table, contract.ObjectStore, contract.Feed):
     """Passes every call on and counts what came of it.
 
-    :param platform: a platform that is table and object store.
+    :param platform: a platform that is table, object store and feed.
     :param counter: counts by operation and outcome, the outcome by its type's name.
     """
 
@@ -55,6 +55,16 @@
         """Write one object."""
         return self._counted("put", self._platform.put(key, value))
 
+    def snapshot(self, table: str) -> contract.Snapshot | contract.Unavailable:
+        """Read a table as of one moment."""
+        return self._counted("snapshot", self._platform.snapshot(table))
+
+    def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> contract.Changes | contract.HistoryLost | contract.Unavailable:
+        """Wait for changes after a version."""
+        return self._counted("changes", self._platform.changes(table, after, wait_s))
+
     def _counted(self, operation: str, outcome: _Outcome) -> _Outcome:
         is_sequence = isinstance(outcome, collections.abc.Sequence)
         name = LISTED if is_sequence else type(outcome).__name__
--- a/tests/docs/test_operating.py
+++ b/tests/docs/test_operating.py
@@ -8,7 +8,7 @@
 
 from hornbeamglade.configuration import documents, documentyaml, models
 from hornbeamglade.node import settings
-from hornbeamglade.observability import metrics
+from hornbeamglade.observability import metrics, metricsregistry
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs"
 PAGE = (DOCS / "OPERATING.md").read_text(encoding="utf-8")
@@ -120,5 +120,5 @@
 
 
 def test_every_metric_is_named():
-    named = set(re.findall(rf"`({metrics.PREFIX}\w+)`", PAGE))
+    named = set(re.findall(rf"`({metricsregistry.PREFIX}\w+)`", PAGE))
     assert named == set(metrics.NodeMetrics().registry._instrument_by_name)
--- a/tests/entry/test_storewatch.py
+++ b/tests/entry/test_storewatch.py
@@ -115,3 +115,21 @@
     clock.advance(storewatch.BEGIN_S)
     watch.tick(("a",))
     assert watch.is_following
+
+
+@pytest.mark.parametrize("count", [6, 40])
+def test_an_instance_that_leaves_goes_on_following(count):
+    """An instance stops as planned and serves its callers for some seconds more.
+
+    The others no longer count it among those that live, so nobody tells it anything. It
+    stopped following the store as well, and for two seconds went on sending requests to
+    a replica that had announced its stop.
+    """
+    site = Site(count)
+    site.run(10)
+    leaver = site.names[3]
+    watch = site.watch_by_name[leaver]
+    others = tuple(name for name in site.names if name != leaver)
+    watch.tick(others)
+    assert watch.is_following
+    assert watch.tick(others) == ()
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -7,7 +7,8 @@
 import pytest
 
 import hornbeamglade
-from hornbeamglade.observability import logs, metrics, metricsinstruments
+from hornbeamglade.core import clocks
+from hornbeamglade.observability import logbudget, logs, metrics, metricsinstruments
 
 _KEY = "sk-lakeside-6f2a"
 _PROMPT = "Dear Mrs Nowak, your court notice"
@@ -106,6 +107,37 @@
     assert changes.value(("node",)) == logs.MAX_QUEUED_LINES + 10
 
 
+def _counted_writer(stream, budget):
+    drops = metricsinstruments.Counter("drops_total", "Drops.")
+    return logs.LogWriter(stream, "entry-1", None, drops, budget), drops
+
+
+def test_lines_on_requests_are_bounded_and_the_missing_ones_are_told(monkeypatch):
+    """A crowd comes, and each request writes its lines.
+
+    Unbounded, they cost more than the answers. Bounded without a word, an operator looks
+    for a request's lines and takes their absence for a request that never came.
+    """
+    _discard_lines_kept_from_before()
+    clock = clocks.ManualClock(50.0)
+    monkeypatch.setattr(logs.time, "monotonic", clock.now)
+    stream = io.StringIO()
+    writer, drops = _counted_writer(stream, logbudget.LineBudget(per_s=1.0, burst=3.0))
+    writer.start()
+    for number in range(10):
+        logs.decided(f"r{number}", "answer", "answered")
+    logs.state_changed("node", "a", "b")
+    clock.advance(logs.TELL_GAPS_S)
+    logs.decided("late", "answer", "answered")
+    writer.stop()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    told = [line for line in lines if line.get("subject") == "log"]
+    written = [line["request_id"] for line in lines if "request_id" in line]
+    assert written == ["r0", "r1", "r2", "late"]
+    assert sum(line["count"] for line in told) == drops.value() == 7
+    assert any(line.get("subject") == "node" for line in lines)
+
+
 def _imported(path):
     for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
         if isinstance(node, ast.Import):
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -3,7 +3,12 @@
 
 import pytest
 
-from hornbeamglade.observability import metrics, metricsinstruments, metricsstream
+from hornbeamglade.observability import (
+    metrics,
+    metricsinstruments,
+    metricsregistry,
+    metricsstream,
+)
 
 
 def _sample(text, name):
@@ -11,7 +16,7 @@
 
 
 def test_buckets_are_cumulative_and_end_in_the_count():
-    registry = metrics.Registry()
+    registry = metricsregistry.Registry()
     gaps = registry.histogram("gap_seconds", "Gaps.", ("service",), bounds_s=(0.03, 0.1, 1.0))
     gaps.series(("draft",)).record_many([0.026, 0.026, 0.05, 7.0])
     lines = _sample(registry.exposition(), "hornbeamglade_gap_seconds")
@@ -111,7 +116,7 @@
 
 
 def test_a_metric_is_named_once():
-    registry = metrics.Registry()
+    registry = metricsregistry.Registry()
     registry.counter("drops_total", "Drops.")
     with pytest.raises(ValueError, match="exists already"):
         registry.gauge("drops_total", "Drops.")
