--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/grantseeker.py
@@ -280,6 +280,7 @@
             owner="-" if known is None else known.owner or "self",
             room=0 if known is None else known.room_tokens,
             queued=0 if known is None else known.queued,
+            expected_wait_s=None if known is None else round(known.expected_wait_s, 3),
             age_s=None if known is None else round(known.report_age_s, 3),
             tokens=wish.work.prompt_tokens,
             produced=wish.produced,
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -44,6 +44,7 @@
         "count",
         "domain",
         "events",
+        "expected_wait_s",
         "failure_domain",
         "fencing",
         "first_s",
