Engines that cannot be reached get nothing; an owner is told which engines will not do

Cause: a crowd of three times the usual traffic while two of six engines had crashed. Now a closed port, or a second report in a row that does not come, ends it for its owner and, by the next heartbeat, for all; an ask names the engines that will not do. Ruled out: the platform's own list (it lags by its heartbeats). The tests fail without the change.

--- a/hornbeamglade/engines/control.py
+++ b/hornbeamglade/engines/control.py
@@ -9,8 +9,8 @@
     """Reads reports and copies runs."""
 
     @abc.abstractmethod
-    async def report(self, address: str) -> models.EngineReport | None:
-        """Read an engine's report; None when it gives none in time.
+    async def report(self, address: str) -> models.EngineReport | models.ReportFailed:
+        """Read an engine's report.
 
         :param address: ``ip:port`` of the engine.
         """
--- a/hornbeamglade/engines/models.py
+++ b/hornbeamglade/engines/models.py
@@ -37,6 +37,17 @@
     leaves_in_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportFailed:
+    """An engine gave no report.
+
+    :param is_refused: whether nothing listens at its address; else it was silent, or what
+        it said could not be read.
+    """
+
+    is_refused: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CopyMade:
     """A run's memory is at another engine.
--- a/hornbeamglade/engines/reportpoller.py
+++ b/hornbeamglade/engines/reportpoller.py
@@ -12,7 +12,16 @@
 """A report is half a second old when it comes: read more often, it says little more, and
 each is paid for. Read once a second, a run that was preempted shows a second later."""
 
-Told = collections.abc.Callable[[replicamodels.Replica, models.EngineReport | None], None]
+LOST_AFTER = 2
+"""Reports in a row that do not come. One may be lost with a packet; by the second an engine
+without a word for more than a second is better left alone."""
+
+
+class Lost:
+    """An engine cannot be reached: nothing listens there, or it is silent."""
+
+
+Told = collections.abc.Callable[[replicamodels.Replica, models.EngineReport | Lost | None], None]
 Owned = collections.abc.Callable[[], collections.abc.Iterable[replicamodels.Replica]]
 
 
@@ -29,7 +38,8 @@
 
     :param engines: the calls.
     :param owned: returns the engines to read.
-    :param told: called with each report, or None for an engine that gave none.
+    :param told: called with each report, with None for one that did not come, and with
+        :class:`Lost` for an engine that cannot be reached.
     :param clock: monotonic time.
     """
 
@@ -41,16 +51,23 @@
         self._told = told
         self._clock = clock
         self._reading: set[str] = set()
+        self._missing_by_replica: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            for replica in tuple(self._owned()):
+            owned = tuple(self._owned())
+            self._forget({replica.id for replica in owned})
+            for replica in owned:
                 if replica.id not in self._reading:
                     self._begin(replica)
             await asyncio.sleep(PERIOD_S)
 
+    def _forget(self, owned: set[str]) -> None:
+        for replica_id in self._missing_by_replica.keys() - owned:
+            del self._missing_by_replica[replica_id]
+
     def _begin(self, replica: replicamodels.Replica) -> None:
         self._reading.add(replica.id)
         task = asyncio.ensure_future(self._read(replica))
@@ -59,6 +76,16 @@
 
     async def _read(self, replica: replicamodels.Replica) -> None:
         try:
-            self._told(replica, await self._engines.report(replica.address))
+            self._told(replica, self._judged(replica, await self._engines.report(replica.address)))
         finally:
             self._reading.discard(replica.id)
+
+    def _judged(
+        self, replica: replicamodels.Replica, report: models.EngineReport | models.ReportFailed
+    ) -> models.EngineReport | Lost | None:
+        if isinstance(report, models.EngineReport):
+            self._missing_by_replica.pop(replica.id, None)
+            return report
+        missing = self._missing_by_replica.get(replica.id, 0) + 1
+        self._missing_by_replica[replica.id] = missing
+        return Lost() if report.is_refused or missing >= LOST_AFTER else None
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -395,11 +395,18 @@
         self.peering.update_owners()
 
     def _reported(
-        self, replica: replicamodels.Replica, report: enginemodels.EngineReport | None
+        self,
+        replica: replicamodels.Replica,
+        report: enginemodels.EngineReport | reportpoller.Lost | None,
     ) -> None:
         """Take what an owned engine says of itself."""
         if report is None:
             return
+        if isinstance(report, reportpoller.Lost):
+            if self._desks.lost(replica.id):
+                logs.state_changed("engine", "reached", "unreached", replica=replica.id)
+                self.peering.heartbeats.announce()
+            return
         count = self._report_count_by_replica.get(replica.id, 0) + 1
         self._report_count_by_replica[replica.id] = count
         load = tokenledger.LoadView(
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -214,4 +214,5 @@
         queued=state.waiting,
         expected_wait_ms=int(state.expected_wait_s * 1000),
         leaving=state.leaving,
+        ejected=state.is_lost,
     )
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -69,6 +69,7 @@
   deadlineMs @8 :UInt32;
   produced @9 :UInt32;
   orOther @10 :Bool;
+  avoid @11 :List(UInt64);
 }
 
 struct GrantAnswer {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -19,6 +19,7 @@
 MAX_REPLICAS = 24
 MAX_DEMANDS = 12
 MAX_RUMOURS = 6
+MAX_AVOIDED = 8
 
 # Demands change slowly and are half of a heartbeat's bytes.
 DEMANDS_EVERY = 4
@@ -170,6 +171,8 @@
     :param produced: tokens of the answer that a run has already, which is to go on at
         this replica; 0 for a new one.
     :param or_other: another replica of the same service that the owner admits to will do.
+    :param avoid: :func:`key_hash` of the names of replicas that will not do, at most
+        :data:`MAX_AVOIDED`.
     """
 
     ask: int
@@ -183,6 +186,7 @@
     deadline_ms: int
     produced: int = 0
     or_other: bool = False
+    avoid: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -154,6 +154,10 @@
     builder.deadlineMs = _clip(message.deadline_ms)
     builder.produced = _clip(message.produced)
     builder.orOther = message.or_other
+    _checked_length(message.avoid, messages.MAX_AVOIDED)
+    avoid = builder.init("avoid", len(message.avoid))
+    for place, name_hash in enumerate(message.avoid):
+        avoid[place] = name_hash
 
 
 def _read_ask(reader: _Reader) -> messages.GrantAsk:
@@ -172,6 +176,7 @@
         deadline_ms=reader.deadlineMs,
         produced=reader.produced,
         or_other=reader.orOther,
+        avoid=tuple(reader.avoid)[: messages.MAX_AVOIDED],
     )
 
 
--- a/hornbeamglade/grants/deskset.py
+++ b/hornbeamglade/grants/deskset.py
@@ -27,6 +27,7 @@
     :param waiting: requests that wait.
     :param expected_wait_s: seconds until a request behind all others starts.
     :param leaving: whether the replica takes no new work.
+    :param is_lost: whether the replica cannot be reached just now.
     """
 
     replica: str
@@ -35,6 +36,7 @@
     waiting: int
     expected_wait_s: float
     leaving: bool
+    is_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,6 +209,15 @@
             settled = desk.leave() if desk is not None else ()
         self._tell(settled)
 
+    def lost(self, replica: str) -> bool:
+        """Give no more work to a replica that cannot be reached; return whether it is new."""
+        with self._lock:
+            desk = self._desk_by_replica.get(replica)
+            is_new = desk is not None and not desk.is_lost
+            settled = desk.lost(self._clock.now()) if is_new else ()
+        self._tell(settled)
+        return is_new
+
     def change(
         self, replica: str, act: collections.abc.Callable[[replicadesk.ReplicaDesk, float], None]
     ) -> None:
@@ -249,13 +260,14 @@
         waiting=desk.waiting_count,
         expected_wait_s=desk.expected_wait_s(now),
         leaving=desk.leaving,
+        is_lost=desk.is_lost,
     )
 
 
 def _room(desk: replicadesk.ReplicaDesk, now: float) -> float:
     # A replica that its owner has not heard of yet looks empty, and so does one whose
     # link has stalled: requests would be drawn to it and wait there while others have room.
-    if desk.admission.is_at_bound() or desk.is_quiet(now):
+    if desk.admission.is_at_bound() or desk.is_quiet(now) or desk.is_lost:
         return 0.0
     return desk.admission.room(now)
 
--- a/hornbeamglade/grants/grantanswers.py
+++ b/hornbeamglade/grants/grantanswers.py
@@ -1,5 +1,6 @@
 """What an owner's answers, and its silence, mean to the node that asked."""
 
+import collections.abc
 import dataclasses
 
 from hornbeamglade.core import outcomes
@@ -20,13 +21,20 @@
 
 
 def message(
-    work: outcomes.Work, replica: str, weight: float, wait_s: float, produced: int = 0
+    work: outcomes.Work,
+    replica: str,
+    weight: float,
+    wait_s: float,
+    produced: int = 0,
+    avoid: collections.abc.Iterable[str] = (),
 ) -> messages.GrantAsk:
     """Return the ask for one replica.
 
     :param wait_s: seconds that the request may still queue.
     :param produced: tokens that a run has which is to go on there; 0 for a new one.
+    :param avoid: replicas that will not do.
     """
+    avoided = sorted(messages.key_hash(each) for each in avoid)
     return messages.GrantAsk(
         ask=0,
         replica=messages.key_hash(replica),
@@ -39,6 +47,7 @@
         deadline_ms=max(0, int(wait_s * MILLISECONDS)),
         produced=produced,
         or_other=True,
+        avoid=tuple(avoided[: messages.MAX_AVOIDED]),
     )
 
 
--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/grantseeker.py
@@ -74,6 +74,7 @@
     :param known: returns the replicas that may serve it, as this node knows them now.
     :param attempt: distinguishes several tries of one request at the same desk.
     :param produced: tokens that its run has, when it goes on from another replica.
+    :param avoid: replicas that will not do.
     """
 
     work: outcomes.Work
@@ -82,6 +83,7 @@
     known: Known
     attempt: int = 1
     produced: int = 0
+    avoid: frozenset[str] = frozenset()
 
     @property
     def grant_id(self) -> str:
@@ -258,7 +260,12 @@
             answer = await self._ask_here(wish, replica, wait_s)
         else:
             message = grantanswers.message(
-                wish.work, replica, wish.weight, max(wait_s, AT_ONCE_S), wish.produced
+                wish.work,
+                replica,
+                wish.weight,
+                max(wait_s, AT_ONCE_S),
+                wish.produced,
+                wish.avoid,
             )
             answer = await self._ask_there(wish, replica, owner.name, message)
         self._log(wish, replica, wait_s, answer)
--- a/hornbeamglade/grants/remotedesk.py
+++ b/hornbeamglade/grants/remotedesk.py
@@ -11,6 +11,10 @@
 MILLISECONDS = 1000
 NAMES_UNKNOWN = "names_unknown"
 NAMES_RETRY_S = 0.5
+NONE_LEFT = "none_left"
+NONE_LEFT_RETRY_S = 0.5
+"""Engines that died are taken from the list, or report again, within a few of these."""
+
 ADOPTED_PROMPT_TOKENS = 256
 """What an adopted request's prompt counts as: progress reports do not say it, and
 the engine's own load report corrects the sum."""
@@ -84,7 +88,9 @@
             return _answer(ask.ask, _names_unknown())
         choices: collections.abc.Sequence[str] = ()
         if ask.or_other:
-            choices = self._others(asked.replica, asked.work)
+            choices = self._choices(ask, asked)
+            if not choices:
+                return _answer(ask.ask, _none_left())
         for replica in choices:
             if self._grant_at_once(key, ask, dataclasses.replace(asked, replica=replica)):
                 return _answer(ask.ask, replicadesk.Granted(asked.work.request_id, replica))
@@ -92,6 +98,11 @@
             asked = dataclasses.replace(asked, replica=choices[0])
         return self._ask_one(key, ask, asked)
 
+    def _choices(self, ask: messages.GrantAsk, asked: "_Asked") -> list[str]:
+        """Return this node's replicas that will do, the best first."""
+        others = self._others(asked.replica, asked.work) or (asked.replica,)
+        return [each for each in others if messages.key_hash(each) not in ask.avoid]
+
     def _grant_at_once(
         self, key: grantserver.GrantKey, ask: messages.GrantAsk, asked: "_Asked"
     ) -> bool:
@@ -197,6 +208,11 @@
     return outcomes.Refusal(NAMES_UNKNOWN, 503, detail, retry_after_s=NAMES_RETRY_S)
 
 
+def _none_left() -> outcomes.Refusal:
+    detail = "none of the replicas that this node admits to will do"
+    return outcomes.Refusal(NONE_LEFT, 503, detail, retry_after_s=NONE_LEFT_RETRY_S)
+
+
 def _answer(
     ask: int, answer: replicadesk.Granted | replicadesk.Waiting | outcomes.Refusal
 ) -> messages.GrantAnswer:
--- a/hornbeamglade/grants/replicadesk.py
+++ b/hornbeamglade/grants/replicadesk.py
@@ -86,6 +86,7 @@
         self.queue = queue
         self.prompts = promptbacklog.PromptBacklog()
         self.leaving = False
+        self.is_lost = False
         self._reported_at: float | None = None
         self._heard_at: float | None = None
         self._running: set[str] = set()
@@ -99,6 +100,7 @@
         :param leaving: whether the replica says that it leaves.
         """
         self.leaving = leaving
+        self.is_lost = False
         self._reported_at = now - view.age_s
         self._heard_at = now
         self.admission.report(view, now)
@@ -119,6 +121,8 @@
             return Waiting(work.request_id, self.replica)
         if self.leaving:
             return _replica_leaving(self.replica)
+        if self.is_lost:
+            return _replica_unreached(self.replica)
         # A replica that was told to leave may be cut off from its owner: without a
         # recent word of it, its grants would go on for as long as the cut lasts.
         if self._is_silent(now):
@@ -150,6 +154,8 @@
             return Granted(work.request_id, self.replica)
         if self.leaving:
             return _replica_leaving(self.replica)
+        if self.is_lost:
+            return _replica_unreached(self.replica)
         ledger = self.admission.ledger
         needed = ledger.footprint(work.prompt_tokens) + produced
         held = ledger.own + ledger.others
@@ -204,6 +210,17 @@
         self.leaving = True
         return self._refuse_waiting(_replica_leaving(self.replica))
 
+    def lost(self, now: float) -> tuple[Settled, ...]:
+        """Refuse everyone until the replica reports again: it cannot be reached.
+
+        Guards requests against an engine that has died: with nothing running it looks
+        emptier than all that live, and for seconds the platform's list says nothing.
+        """
+        if self.is_lost:
+            return ()
+        self.is_lost = True
+        return self._refuse_waiting(_replica_unreached(self.replica))
+
     def disown(self) -> tuple[Settled, ...]:
         """Send everyone that waits to the new owner: this node admits no more.
 
@@ -226,6 +243,7 @@
                 self._displaced.append(Settled(ask.work.request_id, answer))
         self._displaced += former._displaced
         self.leaving = former.leaving
+        self.is_lost = former.is_lost
         self._reported_at = former._reported_at
         self._heard_at = former._heard_at
 
@@ -261,7 +279,7 @@
         return self._heard_at is None or now - self._heard_at > QUIET_S
 
     def _may_grant(self, now: float) -> bool:
-        return self.has_recent_report(now) and not self.leaving
+        return self.has_recent_report(now) and not self.leaving and not self.is_lost
 
     def _is_silent(self, now: float) -> bool:
         """Tell whether the last word is too old; one who never spoke is waited for."""
@@ -308,6 +326,11 @@
     return outcomes.Refusal("replica_silent", 503, detail, retry_after_s=LEAVING_RETRY_S)
 
 
+def _replica_unreached(replica: str) -> outcomes.Refusal:
+    detail = f"replica {replica} cannot be reached by the node that admits to it"
+    return outcomes.Refusal("replica_unreached", 503, detail, retry_after_s=LEAVING_RETRY_S)
+
+
 def _replica_leaving(replica: str) -> outcomes.Refusal:
     detail = f"replica {replica} is leaving"
     return outcomes.Refusal("replica_leaving", 503, detail, retry_after_s=LEAVING_RETRY_S)
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -54,10 +54,12 @@
     :param code: a stable identifier: ``not_connected``, ``closed``, ``reset``,
         ``malformed`` or ``timeout``.
     :param sent: whether any byte of the request was offered to the server.
+    :param is_refused: whether the server's address answered that nothing listens there.
     """
 
     code: str
     sent: bool = True
+    is_refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -267,6 +269,8 @@
             _, protocol = await loop.create_connection(
                 lambda: ServerConnection(address, clock), host, int(port)
             )
+    except ConnectionRefusedError:
+        return Lost("not_connected", sent=False, is_refused=True)
     except (OSError, TimeoutError):
         return Lost("not_connected", sent=False)
     return protocol
--- a/hornbeamglade/platform/enginecalls.py
+++ b/hornbeamglade/platform/enginecalls.py
@@ -8,6 +8,7 @@
 
 from hornbeamglade.engines import control, models
 from hornbeamglade.http1 import clientpool, clientside
+from hornbeamglade.observability import logs
 
 REPORT_TIMEOUT_S = 0.6
 """A report takes a few milliseconds; its engine is held for silent after that."""
@@ -51,15 +52,19 @@
     def __init__(self, pool: clientpool.ClientPool) -> None:
         self._pool = pool
 
-    async def report(self, address: str) -> models.EngineReport | None:
+    async def report(self, address: str) -> models.EngineReport | models.ReportFailed:
         """Read an engine's report."""
         answer = await self._call(address, b"GET", b"/v1/report", b"", REPORT_TIMEOUT_S)
-        if answer is None or answer[0] != 200:
-            return None
+        if isinstance(answer, clientside.Lost):
+            return models.ReportFailed(answer.is_refused)
+        status, content = answer
+        if status != 200:
+            return models.ReportFailed(is_refused=False)
         try:
-            body = _Report.model_validate_json(answer[1])
-        except pydantic.ValidationError:
-            return None
+            body = _Report.model_validate_json(content)
+        except pydantic.ValidationError as error:
+            logs.failed("report", error)
+            return models.ReportFailed(is_refused=False)
         return models.EngineReport(
             memory_tokens=body.kv_total,
             used_tokens=body.kv_used,
@@ -75,7 +80,7 @@
         """Copy a run's memory to another engine."""
         body = json.dumps({"id": request_id, "to": to, "last": is_last}).encode()
         answer = await self._call(address, b"POST", b"/v1/kv-move", body, timeout_s)
-        if answer is None:
+        if isinstance(answer, clientside.Lost):
             return models.CopyFailed("no_answer")
         status, content = answer
         copy = _copy(content)
@@ -91,19 +96,19 @@
 
     async def _call(
         self, address: str, method: bytes, target: bytes, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes] | None:
+    ) -> tuple[int, bytes] | clientside.Lost:
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._exchange(address, method, target, body)
         except TimeoutError:
-            return None
+            return clientside.Lost("timeout")
 
     async def _exchange(
         self, address: str, method: bytes, target: bytes, body: bytes
-    ) -> tuple[int, bytes] | None:
+    ) -> tuple[int, bytes] | clientside.Lost:
         connection = await self._pool.acquire(address)
         if isinstance(connection, clientside.Lost):
-            return None
+            return connection
         head: clientside.Head | clientside.Lost | None = None
         content: bytes | clientside.Lost | None = None
         try:
@@ -115,9 +120,9 @@
         finally:
             whole = isinstance(content, bytes)
             self._pool.release(connection, typing.cast(clientside.Head, head) if whole else None)
-        if isinstance(head, clientside.Head) and isinstance(content, bytes):
-            return head.status, content
-        return None
+        if isinstance(head, clientside.Lost):
+            return head
+        return (head.status, content) if isinstance(content, bytes) else content
 
 
 def _copy(content: bytes) -> _Copy | None:
--- a/hornbeamglade/routed/enginebook.py
+++ b/hornbeamglade/routed/enginebook.py
@@ -72,7 +72,7 @@
             return ()
         here = [each for each in self.candidates(replica.service, ()) if each.local]
         here.sort(key=lambda each: candidatelib.stall_cost_s(work, each, self._settings))
-        return tuple(each.replica for each in here if not each.leaving)
+        return tuple(each.replica for each in here if not each.leaving and not each.ejected)
 
     def _candidate(
         self, replica: models.Replica, state: deskset.DeskState | None
@@ -88,6 +88,7 @@
                 report_age_s=0.0,
                 failure_domain=replica.failure_domain,
                 leaving=state.leaving,
+                ejected=state.is_lost,
             )
         heard = self._digests.newest(replica.id)
         digest = None if heard is None else heard.digest
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -216,6 +216,7 @@
             deadline=deadline,
             known=lambda: self._parts.book.candidates(service, excluded),
             attempt=self._asks,
+            avoid=excluded,
         )
 
     async def _send_to_place(self, copy: calls.Copy | None) -> sending.Begun | sending.Failed:
--- a/tests/docs/test_operating.py
+++ b/tests/docs/test_operations.py
@@ -11,7 +11,7 @@
 from hornbeamglade.observability import metrics, metricsregistry
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs"
-PAGE = (DOCS / "OPERATING.md").read_text(encoding="utf-8")
+PAGE = (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
 SETTINGS = "# node.yaml"
 BASE = "# base.yaml"
 OVERLAY = "# sites/"
--- /dev/null
+++ b/tests/engines/test_reportpoller.py
@@ -0,0 +1,58 @@
+"""Reading reports, and noticing an engine that gives none."""
+
+import asyncio
+
+from hornbeamglade.core import clocks
+from hornbeamglade.engines import control, models, reportpoller
+from hornbeamglade.replicas import models as replicamodels
+from tests import eventloop
+
+ENGINE = replicamodels.Replica("e1", "llm", "127.0.0.1:1", "a", 8)
+REPORT = models.EngineReport(1000, 0, 0, (), False)
+REFUSED = models.ReportFailed(is_refused=True)
+SILENT = models.ReportFailed(is_refused=False)
+
+
+class Engines(control.EngineControl):
+    """Answers in turn as told, the last answer for ever."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    async def report(self, address):
+        return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+
+    async def copy_run(self, address, request_id, to, *, is_last, timeout_s):
+        raise NotImplementedError
+
+    async def drop_copy(self, address, name):
+        raise NotImplementedError
+
+
+def told(monkeypatch, *answers):
+    """Return what the poller tells for a row of answers."""
+    monkeypatch.setattr(reportpoller, "PERIOD_S", 0.001)
+    heard = []
+
+    async def main():
+        poller = reportpoller.ReportPoller(
+            Engines(*answers),
+            lambda: (ENGINE,),
+            lambda _, it: heard.append(it),
+            clocks.SystemClock(),
+        )
+        task = asyncio.ensure_future(poller.run())
+        await eventloop.until(lambda: len(heard) >= len(answers))
+        task.cancel()
+
+    eventloop.run(main())
+    return [each if each in (None, REPORT) else "lost" for each in heard[: len(answers)]]
+
+
+def test_a_closed_port_is_the_end_of_an_engine_at_once(monkeypatch):
+    assert told(monkeypatch, REPORT, REFUSED, REPORT) == [REPORT, "lost", REPORT]
+
+
+def test_one_report_that_does_not_come_is_no_end(monkeypatch):
+    """A link loses a datagram, or an engine is slow: others rely on it all the same."""
+    assert told(monkeypatch, SILENT, REPORT, SILENT, SILENT) == [None, REPORT, None, "lost"]
--- a/tests/grants/test_remotedesk.py
+++ b/tests/grants/test_remotedesk.py
@@ -138,3 +138,16 @@
     assert answer.replica == messages.key_hash("engine-1")
     _, none = owner.ask(3, produced=40)
     assert (none.kind, none.code) == (KIND.REFUSED, "no_room")
+
+
+def test_an_engine_that_will_not_do_is_not_granted():
+    """A request was turned away by an engine that has died, and asks its owner again.
+
+    The owner does not know yet. It granted the same engine, as the emptiest of all, until
+    the request had no tries left.
+    """
+    owner = ChoosingOwner("engine-2", "engine-1")
+    _, answer = owner.ask(1, avoid=(messages.key_hash("engine-2"),))
+    assert answer.replica == messages.key_hash("engine-1")
+    _, none = owner.ask(2, avoid=(messages.key_hash("engine-1"), messages.key_hash("engine-2")))
+    assert (none.kind, none.code) == (KIND.REFUSED, remotedesk.NONE_LEFT)
--- a/tests/grants/test_replicadesk.py
+++ b/tests/grants/test_replicadesk.py
@@ -27,9 +27,12 @@
     desk.reported(view, leaving, now)
 
 
+def work(request_id, prompt=SMALL, team="clerks"):
+    return outcomes.Work(request_id, "chat", team, 0, prompt)
+
+
 def ask(desk, request_id, now=0.0, prompt=SMALL, team="clerks", weight=1.0, deadline=60.0):
-    work = outcomes.Work(request_id, "chat", team, 0, prompt)
-    return desk.ask(work, weight, now, deadline)
+    return desk.ask(work(request_id, prompt, team), weight, now, deadline)
 
 
 def answers(settled):
@@ -165,3 +168,30 @@
     desk.progress("long", 250, 1.0)
     desk.finish("long", 1.0)
     assert list(answers(desk.settle(1.0))) == ["short-2"]
+
+
+def test_an_engine_that_cannot_be_reached_gets_nothing_until_it_reports():
+    """An engine crashes and its memory looks empty: nothing of it is in use any more.
+
+    Every request went there first, met a closed port, and had one try less for the
+    engines that live. For three and a half seconds the platform lists it as before.
+    """
+    desk = make_desk()
+    ask(desk, "r1", prompt=HUGE)
+    ask(desk, "r2", prompt=HUGE)
+    assert answers(desk.lost(1.0))["r2"].code == "replica_unreached"
+    desk.finish("r1", 1.0)
+    assert ask(desk, "r3", now=1.0).code == "replica_unreached"
+    assert desk.ask_at_once(work("r4"), 1.0) is None
+    assert desk.take_in(work("r5"), 10, 1.0).code == "replica_unreached"
+    assert desk.is_lost
+    report(desk, 2.0)
+    assert isinstance(ask(desk, "r3", now=2.0), replicadesk.Granted)
+    assert not desk.is_lost
+
+
+def test_an_engine_that_leaves_and_ends_stays_one_that_leaves():
+    desk = make_desk()
+    report(desk, 1.0, leaving=True)
+    desk.lost(2.0)
+    assert ask(desk, "r1", now=2.0).code == "replica_leaving"
--- a/tests/platform/test_enginecalls.py
+++ b/tests/platform/test_enginecalls.py
@@ -79,13 +79,14 @@
             await copy(source, target, control, is_last=False),
         )
 
-    assert with_engines(test) == (None, models.CopyFailed("no_answer"))
+    refused = models.ReportFailed(is_refused=True)
+    assert with_engines(test) == (refused, models.CopyFailed("no_answer"))
 
 
 @pytest.mark.parametrize(
     "body", [b"", b"{", b'{"kv_used":1}', b'{"kv_used":1,"kv_total":2,"runs":[["a"]]}']
 )
-def test_malformed_report_is_none(body):
+def test_malformed_report_is_no_report(body):
     async def main():
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
         server = raw.ScriptedServer(head + body)
@@ -94,4 +95,4 @@
         server.stop()
         return got
 
-    assert eventloop.run(main()) is None
+    assert eventloop.run(main()) == models.ReportFailed(is_refused=False)
