--- a/hornbeamglade/cli/explain.py
+++ b/hornbeamglade/cli/explain.py
@@ -1,6 +1,7 @@
 """``hornbeamglade explain``: the story of one request, from logs."""
 
 import sys
+import typing
 
 import click
 
@@ -12,7 +13,7 @@
 @click.command()
 @click.argument("request_id")
 @click.argument("files", nargs=-1, required=True, type=click.File(errors="replace"))
-def explain(request_id: str, files: tuple[click.utils.LazyFile, ...]) -> None:
+def explain(request_id: str, files: tuple[typing.TextIO, ...]) -> None:
     """Tell what became of a request and why, from the logs of one or more instances.
 
     FILES are what instances wrote to standard output, in any order; - is standard input.
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -179,7 +179,8 @@
         pool = clientpool.ClientPool(clocks.SystemClock())
         return await pool.acquire(address), pool.open_count(address)
 
-    assert eventloop.run(main()) == (clientside.Lost("not_connected", sent=False), 0)
+    lost = clientside.Lost("not_connected", sent=False, is_refused=True)
+    assert eventloop.run(main()) == (lost, 0)
 
 
 def test_kept_connection_is_trusted_for_part_of_the_stated_time():
