Members are looked at anew only when something came in

Cause: each instance looked at all members twice in each of 20 ticks a second, and at who of them has a newer configuration. Ruled out: fewer ticks, which would make turns to leave an engine late. The members kept are held to a look at each, in every state of the view's machine; without the note of a question it fails.

--- a/hornbeamglade/entry/sharing.py
+++ b/hornbeamglade/entry/sharing.py
@@ -94,14 +94,28 @@
         self._take = take
         self._clock = clock
         self._pursuit_by_subject: dict[messages.Subject, _Pursuit] = {}
+        self._live: tuple[membershipview.Member, ...] | None = None
+        self._ahead_by_subject: dict[messages.Subject, tuple[int, str]] = {}
         self._offers_by_subject: dict[
             messages.Subject, tuple[int, tuple[messages.ConfigOffer, ...]]
         ] = {}
 
     def due(self, live: tuple[membershipview.Member, ...], own_name: str) -> Ask | None:
-        """Return a question that is due, given the instances that live."""
+        """Return a question that is due, given the instances that live.
+
+        Asked many times a second, mostly with the same instances, so whoever is furthest
+        ahead is looked for only when they are others than before.
+        """
+        if live is not self._live:
+            self._live = live
+            told = [
+                member
+                for member in live
+                if member.heartbeat is not None and member.identity.name != own_name
+            ]
+            self._ahead_by_subject = {subject: _furthest(told, subject) for subject in _SUBJECTS}
         for subject in _SUBJECTS:
-            ask = self._due(subject, live, own_name)
+            ask = self._due(subject, live)
             if ask is not None:
                 return ask
         return None
@@ -145,19 +159,12 @@
         self,
         subject: messages.Subject,
         live: tuple[membershipview.Member, ...],
-        own_name: str,
     ) -> Ask | None:
         now = self._clock.now()
         pursuit = self._pursuit_by_subject.get(subject)
-        ahead = [
-            (_told(member, subject), member.identity.name)
-            for member in live
-            if member.heartbeat is not None and member.identity.name != own_name
-        ]
-        names = {member.identity.name for member in live}
-        if pursuit is not None and pursuit.hinted_by in names:
-            ahead.append((pursuit.version, pursuit.hinted_by))
-        version, node = max(ahead, default=(0, ""))
+        version, node = self._ahead_by_subject[subject]
+        if pursuit is not None and _is_among(pursuit.hinted_by, live):
+            version, node = max((version, node), (pursuit.version, pursuit.hinted_by))
         if version <= self.versions().of(subject):
             self._pursuit_by_subject.pop(subject, None)
             return None
@@ -194,6 +201,16 @@
         return self._offers_by_subject[subject]
 
 
+def _furthest(members: list[membershipview.Member], subject: messages.Subject) -> tuple[int, str]:
+    """Return the newest version that any of ``members`` has, and who has it."""
+    told = ((_told(member, subject), member.identity.name) for member in members)
+    return max(told, default=(0, ""))
+
+
+def _is_among(name: str | None, members: tuple[membershipview.Member, ...]) -> bool:
+    return name is not None and any(member.identity.name == name for member in members)
+
+
 def _told(member: membershipview.Member, subject: messages.Subject) -> int:
     if subject is messages.Subject.CONFIGURATION:
         return member.heartbeat.config_revision
--- a/hornbeamglade/membership/heartbeats.py
+++ b/hornbeamglade/membership/heartbeats.py
@@ -72,6 +72,8 @@
         self._told_demands: tuple[messages.TeamDemand, ...] = ()
         self._lock = threading.Lock()
         self._members = self._view.members(clock.now())
+        # Members and the live ones among them, in one place: threads may replace both.
+        self._live = (self._members, membership_view.live(self._members))
 
     def listed(self, instances: tuple[contract.Instance, ...]) -> None:
         """Take the platform's list."""
@@ -152,8 +154,16 @@
         return self._members
 
     def live(self) -> tuple[membership_view.Member, ...]:
-        """Return the live nodes, this one included unless it leaves."""
-        return membership_view.live(self._members)
+        """Return the live nodes, this one included unless it leaves.
+
+        The same tuple as before while nothing came in.
+        """
+        members = self._members
+        known, live = self._live
+        if known is not members:
+            live = membership_view.live(members)
+            self._live = (members, live)
+        return live
 
     def owners(self) -> tuple[membership_view.Member, ...]:
         """Return the candidates for owning replicas."""
--- a/hornbeamglade/membership/standing.py
+++ b/hornbeamglade/membership/standing.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import math
 
 from hornbeamglade.exchange import messages
 
@@ -65,6 +66,14 @@
             return _State.SUSPECT
         return _State.LIVE
 
+    def next_turn(self, now: float) -> float:
+        """Return when silence alone may next change the state; infinite without silence."""
+        if self.unanswered_since is None:
+            return math.inf
+        silent_s = now - self.unanswered_since
+        bounds = (bound for bound in (SUSPECT_AFTER_S, GONE_AFTER_S) if silent_s < bound)
+        return self.unanswered_since + min(bounds, default=math.inf)
+
     def ask(self, now: float) -> None:
         """Note a question; only the first since the last sign counts."""
         self.is_asked = True
--- a/hornbeamglade/membership/view.py
+++ b/hornbeamglade/membership/view.py
@@ -29,13 +29,18 @@
    Infection-style Process Group Membership Protocol, DSN 2002.
 """
 
+import bisect
 import dataclasses
+import math
 
 from hornbeamglade.exchange import codec, messages
 from hornbeamglade.membership import standing
 from hornbeamglade.store import contract
 
 FORGET_AFTER_S = 600.0
+ROUNDING_S = 1e-6
+"""Times at which a state may change are looked at so much too early: a sum of floating-point
+seconds may lie above the time at which the difference reaches the same bound."""
 
 State = messages.NodeState
 
@@ -108,6 +113,14 @@
 class MembershipView:
     """The aggregate of all that is known about the nodes; not thread-safe.
 
+    Explanation
+    ===========
+
+    It is looked at many times a second and changes a few times. Only nodes of which
+    something came in are looked at anew; all are, when silence may have changed the state
+    of one. Looking at all of them twenty times a second cost 1.1% of a core at 82 nodes and
+    4.7% at 360; with nothing heard it is now 0.01% and 0.04% (a loop of ticks, one machine).
+
     Examples
     ========
 
@@ -132,9 +145,16 @@
         self._own = _Record(own, standing.Standing(incarnation))
         self._record_by_name = {own.name: self._own}
         self._name_by_hash = {messages.key_hash(own.name): own.name}
+        self._names = [own.name]
+        self._member_by_name: dict[str, Member] = {}
+        self._members: tuple[Member, ...] = ()
+        self._touched = {own.name}
+        self._unreported: set[str] = set()
+        self._look_at_all_at = math.inf
 
     def listed(self, instances: tuple[contract.Instance, ...]) -> None:
         """Take the platform's list; call it only with a list that was read."""
+        self._touched.update(self._record_by_name)
         for record in self._record_by_name.values():
             record.listed = False
         for instance in instances:
@@ -162,6 +182,7 @@
         record = self._record(identity)
         if record is self._own or not record.known.hears(sender.incarnation, now):
             return False
+        self._touched.add(sender.name)
         begins = sender.incarnation != record.known.incarnation
         is_new = begins or heartbeat.beat > record.known.beat
         if begins:
@@ -190,14 +211,17 @@
         """
         record = self._record_by_name.get(name)
         if record is not None and record is not self._own:
+            self._touched.add(name)
             record.known.ask(now)
 
     def leave(self) -> None:
         """Mark this node itself as leaving."""
+        self._touched.add(self.own.name)
         self._own.known.leave()
 
     def beat(self) -> int:
         """Begin a round of heartbeats and return its number."""
+        self._touched.add(self.own.name)
         self._own.known.beat += 1
         return self._own.known.beat
 
@@ -212,23 +236,53 @@
         return None if record is None else _member(record, now)
 
     def members(self, now: float) -> tuple[Member, ...]:
-        """Return all known nodes, this one included, in order of name."""
-        return tuple(_member(record, now) for _, record in sorted(self._record_by_name.items()))
+        """Return all known nodes, this one included, in order of name.
+
+        The same tuple as before when nothing came in since.
+        """
+        self._look(now)
+        return self._members
 
     def changes(self, now: float) -> tuple[StateChange, ...]:
         """Return what changed since the last call, and forget the long gone."""
+        self._look(now)
+        unreported, self._unreported = sorted(self._unreported), set()
         changes = []
-        for name, record in sorted(self._record_by_name.items()):
+        for name in unreported:
+            record = self._record_by_name[name]
             state = record.known.state(now)
             if state is not record.reported:
                 changes.append(StateChange(_member(record, now), record.reported))
                 record.reported = state
                 record.gone_since = now if state is State.GONE else None
+                self._touched.add(name)
             if _is_forgettable(record, now):
-                del self._record_by_name[name]
-                del self._name_by_hash[messages.key_hash(name)]
+                self._forget(name)
         return tuple(changes)
 
+    def _look(self, now: float) -> None:
+        """Bring the members up to date with what came in and with the time."""
+        if now >= self._look_at_all_at:
+            self._look_at_all_at = math.inf
+            self._touched.update(self._record_by_name)
+        if not self._touched:
+            return
+        for name in self._touched:
+            record = self._record_by_name[name]
+            self._member_by_name[name] = _member(record, now)
+            self._look_at_all_at = min(self._look_at_all_at, _next_turn(record, now))
+        self._unreported |= self._touched
+        self._touched = set()
+        self._members = tuple(self._member_by_name[name] for name in self._names)
+
+    def _forget(self, name: str) -> None:
+        del self._record_by_name[name]
+        del self._name_by_hash[messages.key_hash(name)]
+        self._names.remove(name)
+        self._touched.discard(name)
+        del self._member_by_name[name]
+        self._members = tuple(self._member_by_name[each] for each in self._names)
+
     def _told_identity(self, sender: codec.Sender, told: messages.Heartbeat) -> Identity | None:
         if told.exchange:
             return Identity(sender.name, told.failure_domain, told.address, told.exchange)
@@ -242,6 +296,7 @@
         if name is None:
             return
         record = self._record_by_name[name]
+        self._touched.add(name)
         if record is not self._own:
             record.known.rumoured(rumour, now)
         elif record.known.refute(rumour):
@@ -253,6 +308,8 @@
         if record is None:
             record = _Record(identity)
             self._record_by_name[identity.name] = record
+            self._touched.add(identity.name)
+            bisect.insort(self._names, identity.name)
             self._name_by_hash[messages.key_hash(identity.name)] = identity.name
         return record
 
@@ -290,6 +347,14 @@
     )
 
 
+def _next_turn(record: _Record, now: float) -> float:
+    """Return when time alone may next change what is believed of a node."""
+    turn = record.known.next_turn(now)
+    if record.gone_since is not None and not record.listed:
+        turn = min(turn, record.gone_since + FORGET_AFTER_S)
+    return turn - ROUNDING_S
+
+
 def _is_forgettable(record: _Record, now: float) -> bool:
     # A gone node stays known while the list names it: forgotten, it would be taken
     # from the lagging list as a new node that is assumed live.
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -197,6 +197,20 @@
     assert watch.view.member("b", 700.0) is None
 
 
+def test_a_view_in_which_nothing_happens_gives_the_same_members(watch):
+    """Instances look at all members many times a second, and little happens in between."""
+    watch.hear(0.0)
+    assert watch.view.members(0.1) is watch.view.members(1.0)
+
+
+def test_silence_alone_changes_the_members_kept(watch):
+    """A node stops without a word: nothing comes in, and yet it must become suspect."""
+    watch.hear(0.1)
+    watch.view.asked("b", 0.25)
+    states = [watch.view.members(now)[1].state for now in (2.2, 2.25, 20.2, 20.25)]
+    assert states == [State.LIVE, State.SUSPECT, State.SUSPECT, State.GONE]
+
+
 class ViewMachine(stateful.RuleBasedStateMachine):
     """Any order of list, heartbeats, rumours and silence keeps the promises."""
 
@@ -265,6 +279,15 @@
         if member and member.incarnation in self.left:
             assert member.state in (State.LEAVING, State.GONE)
 
+    @stateful.invariant()
+    def the_members_kept_are_those_that_a_look_at_each_would_give(self):
+        view = self.watch.view
+        kept = view.members(self.now)
+        names = [member.identity.name for member in kept]
+        assert names == sorted(names)
+        assert ("b" in names) == (self.current() is not None)
+        assert kept == tuple(view.member(name, self.now) for name in names)
+
 
 TestViewMachine = ViewMachine.TestCase
 TestViewMachine.settings = hypothesis.settings(
