In a crowd those who can be on time go first, at each engine past those who are late

Queues served in order: each request started when it had waited for as long as it may, all too late. An engine with room also turned newcomers away while late ones waited there, so that they queued elsewhere and became late too; and prompts went to engines faster than they were read, where no order of ours reaches them. Now a desk knows by when a request must start to be on time; those who can come first, by priority and team as before; a newcomer passes late ones; at most 0.8 s of prompts wait unread at an engine. Lines on requests without a key name the team - instead of a withheld one.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -172,7 +172,7 @@
             status=status,
             route=routed.route.name,
             service=service,
-            team="" if routed.team is None else routed.team.name,
+            team="-" if routed.team is None else routed.team.name,
             revision=routed.revision,
             attempts=log.sent,
             replica=",".join([*log.tried, *filter(None, (log.under_way,))])[:100] or "-",
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -211,7 +211,7 @@
     return messages.ReplicaDigest(
         replica=messages.key_hash(state.replica),
         room_tokens=max(0, min(MOST_ROOM_TOKENS, int(state.room_tokens))),
-        queued=state.waiting,
+        queued=state.ahead,
         expected_wait_ms=int(state.expected_wait_s * 1000),
         leaving=state.leaving,
         ejected=state.is_lost,
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -70,6 +70,7 @@
   produced @9 :UInt32;
   orOther @10 :Bool;
   avoid @11 :List(UInt64);
+  dueMs @12 :UInt32 = 0xffffffff;
 }
 
 struct GrantAnswer {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -173,6 +173,8 @@
     :param or_other: another replica of the same service that the owner admits to will do.
     :param avoid: :func:`key_hash` of the names of replicas that will not do, at most
         :data:`MAX_AVOIDED`.
+    :param due_ms: milliseconds until it must start to be on time; 0 for one that is late,
+        None without an aim.
     """
 
     ask: int
@@ -187,6 +189,7 @@
     produced: int = 0
     or_other: bool = False
     avoid: tuple[int, ...] = ()
+    due_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -22,6 +22,7 @@
 
 _MAX_U16 = 2**16 - 1
 _MAX_U32 = 2**32 - 1
+_NO_AIM = _MAX_U32
 
 # pycapnp makes its builder and reader classes at run time.
 _Builder = typing.Any
@@ -155,6 +156,7 @@
     builder.produced = _clip(message.produced)
     builder.orOther = message.or_other
     _checked_length(message.avoid, messages.MAX_AVOIDED)
+    builder.dueMs = _NO_AIM if message.due_ms is None else _clip(message.due_ms, _NO_AIM - 1)
     avoid = builder.init("avoid", len(message.avoid))
     for place, name_hash in enumerate(message.avoid):
         avoid[place] = name_hash
@@ -176,6 +178,7 @@
         deadline_ms=reader.deadlineMs,
         produced=reader.produced,
         or_other=reader.orOther,
+        due_ms=None if reader.dueMs == _NO_AIM else reader.dueMs,
         avoid=tuple(reader.avoid)[: messages.MAX_AVOIDED],
     )
 
--- a/hornbeamglade/fairness/flows.py
+++ b/hornbeamglade/fairness/flows.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 from hornbeamglade.core import outcomes
 
@@ -22,12 +23,14 @@
     :param work: the request.
     :param offered_at: when it began to wait, in seconds.
     :param deadline: when it must have started, in seconds.
+    :param due: when it must have started to be on time, in seconds; infinite without an aim.
     :param passes: how often smaller work has started before it while it was first.
     """
 
     work: outcomes.Work
     offered_at: float
     deadline: float
+    due: float = math.inf
     passes: int = 0
 
     @property
@@ -49,6 +52,18 @@
         """Return the oldest entry."""
         return self.entries[0]
 
+    def first(self, now: float) -> Entry:
+        """Return the oldest entry that can still be on time, or the oldest of all.
+
+        In a crowd that lasts, the oldest has waited for as long as a request may. Were it
+        served first, each would start when it is just too late, and none on time.
+        """
+        return next((entry for entry in self.entries if entry.due > now), self.entries[0])
+
+    def is_late(self, now: float) -> bool:
+        """Tell whether none of the entries can be on time any more."""
+        return self.first(now).due <= now
+
     def starved_s(self, now: float) -> float:
         """Return the seconds for which the head has waited without any start of its flow.
 
--- a/hornbeamglade/fairness/waiting.py
+++ b/hornbeamglade/fairness/waiting.py
@@ -4,9 +4,9 @@
 ===========
 
 Order: the highest priority class first, where a class that gets no service
-rises by one priority each ``ageing_s``; within a class the team with the least
-virtual time (tokens served per weight, [1]_); within a team's flow first in,
-first out.
+rises by one priority each ``ageing_s``; within a class those that can still be on
+time before those that are late; among them the team with the least virtual time
+(tokens served per weight, [1]_); within a team's flow first in, first out.
 
 What was weighed:
 
@@ -16,6 +16,8 @@
   is kept: work that fits may pass a head that does not, ``max_passes`` times.
   After that the head's room is left to grow until it fits or expires.
 - *Strict priorities* starve the lowest class; ageing bounds its wait.
+- *First in, first out* also makes all late where it could serve half on time: in a
+  crowd that lasts, each starts when it has waited for as long as it may.
 - *Refusing newcomers of a full queue* lets teams that came first hold all of
   it. The newest request of the team furthest above its weighted share gives
   way instead, when the newcomer's team is below its own.
@@ -28,6 +30,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from hornbeamglade.core import codederrors, outcomes
 from hornbeamglade.fairness import (
@@ -103,13 +106,19 @@
         return self._table.waiting(team)
 
     def offer(
-        self, work: outcomes.Work, weight: float, now: float, deadline: float
+        self,
+        work: outcomes.Work,
+        weight: float,
+        now: float,
+        deadline: float,
+        due: float = math.inf,
     ) -> Queued | outcomes.Refusal:
         """Let a request wait, or refuse it with its final answer.
 
         :param weight: the team's weight, above 0.
         :param now: seconds of the clock that ``deadline`` is on.
         :param deadline: when the request must have started.
+        :param due: when it must have started to be on time.
         :raises InvariantError: when the request waits already.
         """
         if work.request_id in self._table:
@@ -121,7 +130,7 @@
         victim = self._victim(work, weight)
         if victim is None and self._is_full():
             return self._refusal("queue_full", work, now)
-        entry = flows.Entry(work, now, deadline)
+        entry = flows.Entry(work, now, deadline, due)
         if self._is_hopeless(entry, self._join(entry, weight), now):
             return self._refusal("cannot_start_in_time", work, now)
         displaced = () if victim is None else (self._expire(victim, "displaced", now),)
@@ -141,11 +150,11 @@
         """
         passed: list[flows.Entry] = []
         for flow in self._ordered(now):
-            head = flow.head
+            head = flow.first(now)
             if head.deadline <= now:
                 continue
             if fits(head.work):
-                self._start(flow, passed, now)
+                self._start(flow, head, passed, now)
                 return head.work
             # Guard: without the bound, a stream of small requests keeps a large one from
             # ever starting; its caller sees it expire although capacity was served to
@@ -194,12 +203,23 @@
         self._table.remove(entry)
         return entry.work
 
+    def goes_first(self, due: float, now: float) -> bool:
+        """Tell whether a request that comes now would be the next to start.
+
+        :param due: when it must have started to be on time.
+        """
+        return not self._table or (due > now and not self.ahead(now))
+
+    def ahead(self, now: float) -> int:
+        """Return how many wait that can still be on time: a newcomer stands behind them."""
+        return sum(entry.due > now for entry in self._table.entries())
+
     def expected_wait_s(self, now: float) -> float:
-        """Return the expected seconds until a request behind all others starts."""
-        interval_s = self._rate.current_interval_s(now)
-        if interval_s is None:
-            return 0.0
-        return len(self) * interval_s
+        """Return the expected seconds until a newcomer that can be on time starts."""
+        return self.ahead(now) * self._interval_s(now)
+
+    def _interval_s(self, now: float) -> float:
+        return self._rate.current_interval_s(now) or 0.0
 
     def retry_after(self, now: float, request_id: str) -> float:
         """Return the seconds until the caller of a refused request may come back.
@@ -212,7 +232,7 @@
         that the queue needs to serve as many again.
         """
         settings = self._settings
-        drain_s = self.expected_wait_s(now)
+        drain_s = len(self) * self._interval_s(now)
         base_s = min(max(drain_s, settings.min_retry_s), settings.max_retry_s)
         return base_s * (1.0 + servicerate.jitter(request_id))
 
@@ -238,20 +258,23 @@
         top = max((flow.key.priority for flow in waiting), default=0)
         ageing_s = self._settings.ageing_s
 
-        def rank(flow: flows.Flow) -> tuple[int, float, float]:
+        def rank(flow: flows.Flow) -> tuple[int, bool, float, float]:
             aged = flow.aged_priority(now, ageing_s, top)
-            return (-aged, self._times.at(flow.key.team), -flow.starved_s(now))
+            at = self._times.at(flow.key.team)
+            return (-aged, flow.is_late(now), at, -flow.starved_s(now))
 
         return sorted(waiting, key=rank)
 
-    def _start(self, flow: flows.Flow, passed: list[flows.Entry], now: float) -> None:
+    def _start(
+        self, flow: flows.Flow, chosen: flows.Entry, passed: list[flows.Entry], now: float
+    ) -> None:
         for entry in passed:
             entry.passes += 1
         priority = flow.key.priority
         peers = [other.key.team for other in self._table.flows() if other.key.priority == priority]
         self._times.raise_floor(priority, peers)
-        work = flow.head.work
-        self._table.remove(flow.head)
+        work = chosen.work
+        self._table.remove(chosen)
         flow.last_start = now
         self._times.start(work.team, max(work.prompt_tokens, _MIN_CHARGE_TOKENS))
         self._rate.started(now)
--- a/hornbeamglade/grants/deskset.py
+++ b/hornbeamglade/grants/deskset.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import threading
 
 from hornbeamglade.admission import policies, replicaadmission
@@ -25,6 +26,7 @@
     :param room_tokens: memory that may still be planned, in tokens.
     :param running: grants held.
     :param waiting: requests that wait.
+    :param ahead: those of them that a newcomer stands behind.
     :param expected_wait_s: seconds until a request behind all others starts.
     :param leaving: whether the replica takes no new work.
     :param is_lost: whether the replica cannot be reached just now.
@@ -34,6 +36,7 @@
     room_tokens: float
     running: int
     waiting: int
+    ahead: int
     expected_wait_s: float
     leaving: bool
     is_lost: bool = False
@@ -124,7 +127,13 @@
         self._tell(settled)
 
     def ask(
-        self, replica: str, work: outcomes.Work, weight: float, deadline: float, notify: Notify
+        self,
+        replica: str,
+        work: outcomes.Work,
+        weight: float,
+        deadline: float,
+        notify: Notify,
+        due: float = math.inf,
     ) -> replicadesk.Granted | replicadesk.Waiting | outcomes.Refusal:
         """Ask for permission to start; ``notify`` hears the later answer, if any.
 
@@ -132,6 +141,7 @@
         :param work: what is known of the request.
         :param weight: the team's share.
         :param deadline: monotonic seconds of this node's clock.
+        :param due: when it must start to be on time, in the same seconds.
         """
         with self._lock:
             desk = self._desk(replica)
@@ -142,18 +152,23 @@
             # it: the request would wait there for nothing.
             if replica not in self._owned and not desk.has_recent_report(now):
                 return replicadesk.owner_moved(replica)
-            answer = desk.ask(work, weight, now, deadline)
+            answer = desk.ask(work, weight, now, deadline, due)
             if isinstance(answer, replicadesk.Waiting):
                 self._notify_by_request[work.request_id] = notify
             settled = desk.settle(now)
         self._tell(settled)
         return answer
 
-    def ask_at_once(self, replica: str, work: outcomes.Work) -> replicadesk.Granted | None:
-        """Ask for permission to start now at a replica that this node owns."""
+    def ask_at_once(
+        self, replica: str, work: outcomes.Work, due: float = math.inf
+    ) -> replicadesk.Granted | None:
+        """Ask for permission to start now at a replica that this node owns.
+
+        :param due: when it must start to be on time, monotonic seconds.
+        """
         with self._lock:
             desk = self._desk(replica) if replica in self._owned else None
-            return None if desk is None else desk.ask_at_once(work, self._clock.now())
+            return None if desk is None else desk.ask_at_once(work, self._clock.now(), due)
 
     def take_in(
         self, replica: str, work: outcomes.Work, produced: int
@@ -258,6 +273,7 @@
         room_tokens=_room(desk, now),
         running=desk.running_count,
         waiting=desk.waiting_count,
+        ahead=desk.ahead(now),
         expected_wait_s=desk.expected_wait_s(now),
         leaving=desk.leaving,
         is_lost=desk.is_lost,
--- a/hornbeamglade/grants/grantanswers.py
+++ b/hornbeamglade/grants/grantanswers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.exchange import messages
@@ -27,12 +28,14 @@
     wait_s: float,
     produced: int = 0,
     avoid: collections.abc.Iterable[str] = (),
+    due_s: float = math.inf,
 ) -> messages.GrantAsk:
     """Return the ask for one replica.
 
     :param wait_s: seconds that the request may still queue.
     :param produced: tokens that a run has which is to go on there; 0 for a new one.
     :param avoid: replicas that will not do.
+    :param due_s: seconds until it must start to be on time.
     """
     avoided = sorted(messages.key_hash(each) for each in avoid)
     return messages.GrantAsk(
@@ -48,6 +51,7 @@
         produced=produced,
         or_other=True,
         avoid=tuple(avoided[: messages.MAX_AVOIDED]),
+        due_ms=None if math.isinf(due_s) else max(0, int(due_s * MILLISECONDS)),
     )
 
 
--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/grantseeker.py
@@ -20,6 +20,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 import random
 
 from hornbeamglade.core import clocks, outcomes
@@ -75,6 +76,7 @@
     :param attempt: distinguishes several tries of one request at the same desk.
     :param produced: tokens that its run has, when it goes on from another replica.
     :param avoid: replicas that will not do.
+    :param due: monotonic seconds at which it must start to be on time.
     """
 
     work: outcomes.Work
@@ -84,6 +86,7 @@
     attempt: int = 1
     produced: int = 0
     avoid: frozenset[str] = frozenset()
+    due: float = math.inf
 
     @property
     def grant_id(self) -> str:
@@ -266,6 +269,7 @@
                 max(wait_s, AT_ONCE_S),
                 wish.produced,
                 wish.avoid,
+                wish.due - self._clock.now(),
             )
             answer = await self._ask_there(wish, replica, owner.name, message)
         self._log(wish, replica, wait_s, answer)
@@ -302,7 +306,9 @@
             return grant if isinstance(answer, replicadesk.Granted) else answer
         settled: asyncio.Future[replicadesk.Settled] = asyncio.get_running_loop().create_future()
         deadline = self._clock.now() + wait_s
-        answer = self._desks.ask(replica, work, wish.weight, deadline, settled.set_result)
+        answer = self._desks.ask(
+            replica, work, wish.weight, deadline, settled.set_result, wish.due
+        )
         if isinstance(answer, replicadesk.Granted):
             return grant
         if isinstance(answer, outcomes.Refusal):
--- a/hornbeamglade/grants/remotedesk.py
+++ b/hornbeamglade/grants/remotedesk.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import threading
 
 from hornbeamglade.core import clocks, outcomes
@@ -109,7 +110,7 @@
         if ask.produced:
             answer = self._desks.take_in(asked.replica, asked.work, ask.produced)
         else:
-            answer = self._desks.ask_at_once(asked.replica, asked.work)
+            answer = self._desks.ask_at_once(asked.replica, asked.work, self._due(ask))
         if not isinstance(answer, replicadesk.Granted):
             return False
         with self._lock:
@@ -126,12 +127,17 @@
         else:
             deadline = self._clock.now() + ask.deadline_ms / MILLISECONDS
             answer = self._desks.ask(
-                asked.replica, asked.work, ask.weight, deadline, self._notify(key)
+                asked.replica, asked.work, ask.weight, deadline, self._notify(key), self._due(ask)
             )
         if isinstance(answer, outcomes.Refusal):
             self._forget(key)
         return _answer(ask.ask, answer)
 
+    def _due(self, ask: messages.GrantAsk) -> float:
+        if ask.due_ms is None:
+            return math.inf
+        return self._clock.now() + ask.due_ms / MILLISECONDS
+
     def progress(self, key: grantserver.GrantKey, produced: int) -> None:
         """Note progress."""
         with self._lock:
--- a/hornbeamglade/grants/replicadesk.py
+++ b/hornbeamglade/grants/replicadesk.py
@@ -16,6 +16,7 @@
 """
 
 import dataclasses
+import math
 
 from hornbeamglade.admission import policies, promptbacklog, tokenledger
 from hornbeamglade.core import outcomes
@@ -31,6 +32,10 @@
 reports that are 5 s late an engine must still get work."""
 
 
+PROMPTS_AHEAD_S = 0.8
+"""So much of prompts may wait to be read at an engine. What waits there is out of reach: it
+is read in the order in which it came, late requests before those that could be on time."""
+
 TAKE_IN_SHARE = 0.97
 """A run from elsewhere may fill memory to this share: the rest is a few hundred tokens of
 growth, until another run ends."""
@@ -65,6 +70,7 @@
     work: outcomes.Work
     weight: float
     deadline: float
+    due: float
 
 
 class ReplicaDesk:
@@ -106,7 +112,12 @@
         self.admission.report(view, now)
 
     def ask(
-        self, work: outcomes.Work, weight: float, now: float, deadline: float
+        self,
+        work: outcomes.Work,
+        weight: float,
+        now: float,
+        deadline: float,
+        due: float = math.inf,
     ) -> Granted | Waiting | outcomes.Refusal:
         """Answer a request for permission to start; idempotent by request id.
 
@@ -114,6 +125,7 @@
         :param weight: the team's share when teams compete.
         :param now: monotonic seconds.
         :param deadline: when the caller's wait ends, in the same seconds.
+        :param due: when it must start to be on time.
         """
         if work.request_id in self._running:
             return Granted(work.request_id, self.replica)
@@ -127,14 +139,19 @@
         # recent word of it, its grants would go on for as long as the cut lasts.
         if self._is_silent(now):
             return _replica_silent(self.replica)
-        granted = self.ask_at_once(work, now)
-        return granted or self._enqueue(work, weight, now, deadline)
+        granted = self.ask_at_once(work, now, due)
+        return granted or self._enqueue(_Ask(work, weight, deadline, due), now)
+
+    def ask_at_once(
+        self, work: outcomes.Work, now: float, due: float = math.inf
+    ) -> Granted | None:
+        """Grant a request that may start now, ahead of none that can be on time; else None.
 
-    def ask_at_once(self, work: outcomes.Work, now: float) -> Granted | None:
-        """Grant a request that may start now, ahead of none that waits; else None."""
-        if self._may_grant(now) and not self._ask_by_waiting and self.admission.fits(work, now):
-            return self._start(work, now)
-        return None
+        :param due: when it must start to be on time.
+        """
+        if not self._may_start(now) or not self.queue.goes_first(due, now):
+            return None
+        return self._start(work, now) if self.admission.fits(work, now) else None
 
     def take_in(
         self, work: outcomes.Work, produced: int, now: float
@@ -197,7 +214,7 @@
         settled = self._displaced
         self._displaced = []
         settled += [self._refuse(each) for each in self.queue.expire(now)]
-        while self._ask_by_waiting and self._may_grant(now):
+        while self._ask_by_waiting and self._may_start(now):
             work = self.queue.take(lambda each: self.admission.fits(each, now), now)
             if work is None:
                 break
@@ -238,7 +255,7 @@
         for stream in tuple(former.admission.ledger.stream_by_id.values()):
             self.adopt(stream.work, stream.produced, now)
         for ask in former._ask_by_waiting.values():
-            answer = self._enqueue(ask.work, ask.weight, now, ask.deadline)
+            answer = self._enqueue(ask, now)
             if isinstance(answer, outcomes.Refusal):
                 self._displaced.append(Settled(ask.work.request_id, answer))
         self._displaced += former._displaced
@@ -257,6 +274,10 @@
         """How many requests wait."""
         return len(self._ask_by_waiting)
 
+    def ahead(self, now: float) -> int:
+        """Return how many of them a newcomer stands behind."""
+        return self.queue.ahead(now)
+
     def expected_wait_s(self, now: float) -> float:
         """Return the seconds until a request that asks now would begin to be read."""
         return self.queue.expected_wait_s(now) + self.prompts.wait_s(now)
@@ -281,6 +302,10 @@
     def _may_grant(self, now: float) -> bool:
         return self.has_recent_report(now) and not self.leaving and not self.is_lost
 
+    def _may_start(self, now: float) -> bool:
+        """Tell whether a new request may go to the replica, as far as its prompts are read."""
+        return self._may_grant(now) and self.prompts.wait_s(now) <= PROMPTS_AHEAD_S
+
     def _is_silent(self, now: float) -> bool:
         """Tell whether the last word is too old; one who never spoke is waited for."""
         return self._reported_at is not None and now - self._reported_at > REPORT_LIFE_S
@@ -295,15 +320,13 @@
         self.prompts.add(work.prompt_tokens, now)
         return self._grant(work, now)
 
-    def _enqueue(
-        self, work: outcomes.Work, weight: float, now: float, deadline: float
-    ) -> Waiting | outcomes.Refusal:
-        answer = self.queue.offer(work, weight, now, deadline)
+    def _enqueue(self, ask: _Ask, now: float) -> Waiting | outcomes.Refusal:
+        answer = self.queue.offer(ask.work, ask.weight, now, ask.deadline, ask.due)
         if isinstance(answer, outcomes.Refusal):
             return answer
-        self._ask_by_waiting[work.request_id] = _Ask(work, weight, deadline)
+        self._ask_by_waiting[ask.work.request_id] = ask
         self._displaced += [self._refuse(each) for each in answer.displaced]
-        return Waiting(work.request_id, self.replica)
+        return Waiting(ask.work.request_id, self.replica)
 
     def _refuse(self, expired: waiting.Expired) -> Settled:
         self._ask_by_waiting.pop(expired.work.request_id, None)
--- a/hornbeamglade/routed/enginebook.py
+++ b/hornbeamglade/routed/enginebook.py
@@ -83,7 +83,7 @@
                 owner="",
                 local=True,
                 room_tokens=int(state.room_tokens),
-                queued=state.waiting,
+                queued=state.ahead,
                 expected_wait_s=state.expected_wait_s,
                 report_age_s=0.0,
                 failure_domain=replica.failure_domain,
--- a/hornbeamglade/routed/enginework.py
+++ b/hornbeamglade/routed/enginework.py
@@ -1,5 +1,6 @@
 """A routed request as the engines' desks see it."""
 
+from hornbeamglade.admission import promptbacklog
 from hornbeamglade.configuration import models
 from hornbeamglade.core import outcomes
 from hornbeamglade.routed import callrouter, calls
@@ -29,6 +30,13 @@
     )
 
 
+def due(routed: callrouter.RoutedCall) -> float:
+    """Return the monotonic seconds by which a request must start to be on time."""
+    generation = routed.call.generation or NO_GENERATION
+    read_s = generation.prompt_tokens / promptbacklog.PromptSettings().tokens_per_s
+    return routed.call.arrived_at + routed.route.goal_s - read_s
+
+
 def queue_deadline(routed: callrouter.RoutedCall, now: float) -> float:
     """Return the monotonic seconds until which a request waits for an engine."""
     by_goal = routed.call.arrived_at + QUEUE_GOALS * routed.route.goal_s
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -217,6 +217,7 @@
             known=lambda: self._parts.book.candidates(service, excluded),
             attempt=self._asks,
             avoid=excluded,
+            due=enginework.due(self._routed),
         )
 
     async def _send_to_place(self, copy: calls.Copy | None) -> sending.Begun | sending.Failed:
--- a/tests/fairness/test_waiting.py
+++ b/tests/fairness/test_waiting.py
@@ -235,3 +235,18 @@
     fill(target, "a", 1)
     with pytest.raises(codederrors.InvariantError, match="request_queued_twice"):
         target.offer(work("a0-0"), 1.0, 0.0, FAR)
+
+
+def test_a_newcomer_passes_those_who_are_late_but_not_those_who_can_be_on_time():
+    """Engines crash while twice the usual letters come; each queue fills with late ones.
+
+    An engine with room turned away newcomers who could be on time, because late ones
+    waited there, and each newcomer queued somewhere else until it was late as well.
+    """
+    line = queue()
+    assert line.goes_first(due=0.0, now=1.0)
+    line.offer(work("late"), 1.0, 0.0, 60.0, due=1.0)
+    assert (line.ahead(0.5), line.goes_first(2.0, now=0.5)) == (1, False)
+    assert (line.ahead(1.0), line.goes_first(2.0, now=1.0)) == (0, True)
+    assert not line.goes_first(due=1.0, now=1.0)
+    assert line.expected_wait_s(1.0) == 0.0
--- a/tests/grants/test_replicadesk.py
+++ b/tests/grants/test_replicadesk.py
@@ -195,3 +195,19 @@
     report(desk, 1.0, leaving=True)
     desk.lost(2.0)
     assert ask(desk, "r1", now=2.0).code == "replica_leaving"
+
+
+def test_prompts_that_wait_to_be_read_hold_the_next_one_back():
+    """Half of the engines crash, and their callers come back to the others at once.
+
+    Memory took all their prompts in, and each stood for seconds behind those that had
+    come before, whether they could still be on time or not.
+    """
+    desk = make_desk()
+    desk.admission.ledger.capacity = 100_000
+    many = [ask(desk, f"r{number}", prompt=3000) for number in range(4)]
+    kinds = [type(answer) for answer in many]
+    granted, waits = replicadesk.Granted, replicadesk.Waiting
+    assert kinds == [granted, granted, waits, waits]
+    assert [each.request_id for each in desk.settle(0.1)] == ["r2"]
+    assert [each.request_id for each in desk.settle(0.5)] == ["r3"]
