A request that the limit of a planned stop cuts is told as such, with its events

Cause: an incident in which three instances were stopped while the store was silent. The logs told of three drafts whose callers had closed the connection 7.6 s after the signal; it was the end of the process that cancelled them, as a caller's close does. Ruled out: callers that left (their side saw the connection end). The line is now cut_by_stop and says how many events were passed on. The test fails without the change.

--- a/hornbeamglade/capacity/checksrouting.py
+++ b/hornbeamglade/capacity/checksrouting.py
@@ -62,8 +62,8 @@
             1.0,
             "ms",
             "node/peering.py (tick), membership/view.py (members)",
-            "all members are listed anew each tick, and the newest revision is sought each "
-            "half second",
+            "members are looked at anew when something came in of them, and the newest revision "
+            "is sought each half second",
         ),
         checkvalues.Check(
             "new owners after the loss of a failure domain",
--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -106,7 +106,7 @@
                 exchange.abort()
                 answer = run.streamed(is_whole=False)
         except asyncio.CancelledError:
-            self._note(routed, log, "caller_left", 0)
+            self._note_cut(routed, log, run)
             raise
         if isinstance(answer, streamrun.Streamed):
             self._note_stream(routed, log, answer)
@@ -183,6 +183,19 @@
             **more,
         )
 
+    def _note_cut(
+        self,
+        routed: callrouter.RoutedCall,
+        log: attemptlog.AttemptLog,
+        run: streamrun.StreamRun | None,
+    ) -> None:
+        """Note a request that ended without an answer, and who ended it."""
+        # A planned stop that reaches its limit ends what is under way as a caller's close
+        # does. Told as the caller's doing, it would send whoever looks for the cause astray.
+        is_over = self._parts.leaving.is_over(self._parts.clock.now())
+        events = None if run is None else run.streamed(is_whole=False).events
+        self._note(routed, log, "cut_by_stop" if is_over else "caller_left", 0, events=events)
+
     def _note_stream(
         self,
         routed: callrouter.RoutedCall,
--- a/hornbeamglade/routed/leavingwork.py
+++ b/hornbeamglade/routed/leavingwork.py
@@ -59,6 +59,10 @@
     others_ready: OthersReady
     ends_at: float | None = None
 
+    def is_over(self, now: float) -> bool:
+        """Tell whether the process ends: what is still under way is cut off by it."""
+        return self.ends_at is not None and now >= self.ends_at
+
     def refusal(self, routed: callrouter.RoutedCall, now: float) -> outcomes.Refusal | None:
         """Return the refusal of a request that would be cut off, or None to take it."""
         if self.ends_at is None:
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hornbeamglade.entry import settings
 from hornbeamglade.standins import routedfaults, routedruns
 from tests import eventloop
 from tests.entry import site as entrysite
@@ -257,3 +258,25 @@
     assert (status, json.loads(body)["code"]) == (503, "node_leaving")
     assert float(fields["retry-after"]) < 0.1
     assert (short[0], runs) == (200, ["r2"])
+
+
+@pytest.mark.parametrize(("stop_s", "told"), [(0.5, "cut_by_stop"), (8.0, "caller_left")])
+def test_a_draft_that_the_stop_cuts_is_not_told_as_its_callers_doing(stop_s, told):
+    """An instance reaches the limit of its planned stop while a draft is under way.
+
+    A citizen got half of a reply, and the log said that the clerk had closed the
+    connection: the stop ends what is left as a caller's close does.
+    """
+
+    async def test(site):
+        node = site.nodes[0]
+        bounds = settings.Bounds(stop_s=stop_s, address_ttl_s=5)
+        node.instance.take_settings(node.told.model_copy(update={"bounds": bounds}))
+        client = await begun(site)
+        node.instance.leave()
+        await asyncio.sleep(0.15)
+        client.close()
+        line = f'outcome="{told}"'.encode()
+        await eventloop.until(lambda: line in node.instance.metrics())
+
+    entrysite.play(test, gap_s=0.05)
--- a/tests/routed/test_leavingwork.py
+++ b/tests/routed/test_leavingwork.py
@@ -66,3 +66,8 @@
     assert (refusal is None) is is_taken
     assert is_taken or refusal.retry_after_s == leavingwork.ALL_LEAVING_RETRY_S
     assert work(*lengths).refusal(fakes.routed_draft(), now) is not None
+
+
+def test_what_is_under_way_is_cut_by_the_stop_only_at_its_limit():
+    assert not work(ends_at=None).is_over(200.0)
+    assert (work().is_over(ENDS_AT - 0.1), work().is_over(ENDS_AT)) == (False, True)
