Test of a caller that leaves while it waits for an engine's room

Seen to fail without the return of the place when the wait at the own desk is cancelled; the same at another owner's desk was not taken out for a trial.

--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hornbeamglade.entry import settings
-from hornbeamglade.standins import routedfaults, routedruns
+from hornbeamglade.standins import routed, routedfaults, routedruns
 from tests import eventloop
 from tests.entry import site as entrysite
 
@@ -26,6 +26,13 @@
     return [engine for engine in site.engines if request_id in engine.run_by_id]
 
 
+def waiting(site):
+    """Return how many wait for engines, by the word of the engines' owners."""
+    books = (node.instance.book for node in site.nodes)
+    known = (each for book in books for each in book.candidates("llm", frozenset()))
+    return sum(each.queued for each in known if not each.owner)
+
+
 async def begun(site, path="/draft/1", request_id="r1", node=0):
     """Ask for a stream; return the client once some events have been made."""
     client = await site.nodes[node].ask(path, request_id=request_id, more=entrysite.USAGE)
@@ -239,6 +246,33 @@
     entrysite.play(test, nodes=2)
 
 
+@pytest.mark.parametrize("node", [0, 1])
+def test_a_caller_that_leaves_while_it_waits_for_room_is_not_served_later(node):
+    """An engine is full, a clerk gives up, and then there is room.
+
+    Were the place in the queue kept, the engine would read a long prompt for nobody, in
+    the way of those who still wait. One of the two instances owns the engine.
+    """
+
+    async def test(site):
+        # So long that the second one waits on, and in time, until it is taken out.
+        patient = entrysite.route("draft", "streaming", "llm", goal_ms=60000, timeout_ms=90000)
+        site.put("op/config", json.dumps(entrysite.manifest(2, routes=[patient])))
+        site.tell()
+        usage = f"Model: m\r\nToken-Usage: {routed.MEMORY_TOKENS * 6 // 10},50\r\n"
+        first = await site.nodes[node].ask("/draft/1", request_id="r1", more=usage)
+        await eventloop.until(lambda: ran(site) == ["r1"])
+        second = await site.nodes[node].ask("/draft/1", request_id="r2", more=usage)
+        await eventloop.until(lambda: waiting(site) == 1)
+        second.close()
+        await eventloop.until(lambda: waiting(site) == 0)
+        is_first_alive = site.engines[0].run_by_id["r1"].is_alive
+        first.close()
+        return is_first_alive, ran(site)
+
+    assert entrysite.play(test, nodes=2, engines=1, gap_s=0.3) == (True, ["r1"])
+
+
 def test_leaving_instance_refuses_a_draft_that_would_be_cut():
     """A caller with an old address asks an instance that stops for a long draft.
 
