--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -75,7 +75,7 @@
 
     :param replica: :func:`key_hash` of the replica's name.
     :param room_tokens: tokens of memory that the owner would still admit.
-    :param queued: requests in the owner's queue for it.
+    :param queued: requests in its owner's queue that a newcomer stands behind.
     :param expected_wait_ms: milliseconds that a request asked for now would queue.
     :param leaving: the replica takes no new work.
     :param ejected: the owner holds it for failing.
--- a/hornbeamglade/routing/candidates.py
+++ b/hornbeamglade/routing/candidates.py
@@ -13,7 +13,7 @@
     :param owner: the node that admits to it.
     :param local: whether this node is the owner.
     :param room_tokens: tokens of engine memory that are free or not promised.
-    :param queued: requests that wait for it.
+    :param queued: requests that wait for it and that a newcomer stands behind.
     :param expected_wait_s: seconds until a request behind these starts.
     :param report_age_s: seconds since this was true.
     :param failure_domain: where the replica stands.
