--- a/hornbeamglade/engines/models.py
+++ b/hornbeamglade/engines/models.py
@@ -27,6 +27,7 @@
     :param runs: what it runs.
     :param is_leaving: whether it has been told to stop.
     :param leaves_in_s: seconds until it is gone, as of then, or None.
+    :param started_ms: Unix milliseconds of the start that it speaks of, or 0.
     """
 
     memory_tokens: int
@@ -35,6 +36,7 @@
     runs: tuple[ReportedRun, ...]
     is_leaving: bool
     leaves_in_s: float | None = None
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/engines/reportpoller.py
+++ b/hornbeamglade/engines/reportpoller.py
@@ -83,7 +83,13 @@
     def _judged(
         self, replica: replicamodels.Replica, report: models.EngineReport | models.ReportFailed
     ) -> models.EngineReport | Lost | None:
+        """Return what a report says of the start that was asked for."""
         if isinstance(report, models.EngineReport):
+            if replica.started_ms and report.started_ms < replica.started_ms:
+                return None
+            # Its server has started anew: what the list names is no more.
+            if report.started_ms > replica.started_ms > 0:
+                return Lost()
             self._missing_by_replica.pop(replica.id, None)
             return report
         missing = self._missing_by_replica.get(replica.id, 0) + 1
--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -16,6 +16,10 @@
 REACHED_S = tablefollower.WAIT_S + 1.5
 """A question is held by the store for the wait, and answered within a second of its end."""
 
+MAX_PROBLEMS = 100
+"""Entries of other writers that are told in the log at a time; any program may write to the
+list, and each line costs what a request's does."""
+
 STORE = "store"
 PEER = "peer"
 
@@ -55,6 +59,7 @@
         self._configured = configured
         self._document = b""
         self._row_by_key: dict[str, contract.Row] = {}
+        self._problem_by_key: dict[str, str] = {}
         self._reached_by_table: dict[str, bool] = {}
         self._confirmed_at: float | None = None
         self.problem: str | None = None
@@ -92,7 +97,10 @@
         if subject is messages.Subject.CONFIGURATION:
             return self._document or None
         # In order, so that instances with the same list have the same bytes of it.
-        rows = [[row.key, row.value, row.version] for _, row in sorted(self._row_by_key.items())]
+        rows = [
+            [row.key, row.value, row.version, row.problem]
+            for _, row in sorted(self._row_by_key.items())
+        ]
         return json.dumps(rows).encode()
 
     def take(self, subject: messages.Subject, version: int, document: bytes) -> None:
@@ -161,8 +169,11 @@
     def _take_snapshot(self, snapshot: contract.Snapshot, source: str) -> None:
         if snapshot.version < self._replicas.version:
             return
-        changes = self._replicas.replace(self._decoded(snapshot.rows), snapshot.version)
+        replicas, unread = self._decoded(snapshot.rows)
+        changes = self._replicas.replace(replicas, snapshot.version, unread)
         self._row_by_key = {row.key: row for row in snapshot.rows}
+        for key in self._problem_by_key.keys() - self._row_by_key.keys():
+            del self._problem_by_key[key]
         self._report(changes, source)
 
     def _take_changes(self, changes: contract.Changes) -> None:
@@ -170,26 +181,43 @@
             self._row_by_key[row.key] = row
         for key in changes.gone:
             self._row_by_key.pop(key, None)
-        made = self._replicas.update(
-            self._decoded(changes.present),
-            [replicarows.replica_id(key) for key in changes.gone],
-            changes.newest,
-        )
+            self._problem_by_key.pop(key, None)
+        replicas, unread = self._decoded(changes.present)
+        gone = [replicarows.server_name(key) for key in changes.gone]
+        made = self._replicas.update(replicas, gone, changes.newest, unread)
         self._report(made, STORE)
 
     def _decoded(
         self, rows: collections.abc.Iterable[contract.Row]
-    ) -> list[replicamodels.Replica]:
-        """Return the entries that can be read; the others are named in the log."""
-        replicas = []
+    ) -> tuple[list[replicamodels.Replica], list[str]]:
+        """Return the entries that can be read, and the names of those that cannot."""
+        replicas: list[replicamodels.Replica] = []
+        unread: list[str] = []
         for row in rows:
             try:
                 replicas.append(replicarows.decode(row))
+                self._note_entry(row.key, None)
             except codederrors.CodedError as error:
-                logs.state_changed(
-                    "replica_entry", "unread", error.code, reason=logs.slug(error.detail)
-                )
-        return replicas
+                unread.append(replicarows.server_name(row.key))
+                self._note_entry(row.key, error)
+        return replicas, unread
+
+    def _note_entry(self, key: str, error: codederrors.CodedError | None) -> None:
+        """Log whether an entry can be read, when that is news.
+
+        Another writer may write one bad entry again and again, or many: a line is written
+        when an entry's problem changes, and for a bounded number of entries at a time.
+        """
+        before = self._problem_by_key.get(key)
+        detail = None if error is None else error.detail
+        if before == detail or (before is None and len(self._problem_by_key) >= MAX_PROBLEMS):
+            return
+        if error is None:
+            del self._problem_by_key[key]
+            logs.state_changed("replica_entry", "unread", "read", replica=logs.slug(key))
+            return
+        self._problem_by_key[key] = error.detail
+        logs.state_changed("replica_entry", "unread", error.code, reason=logs.slug(error.detail))
 
     def _report(self, changes: tuple[replicalist.ListChange, ...], source: str) -> None:
         for change in changes:
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -378,6 +378,8 @@
         for change in changes:
             if change.what in ("leaving", "gone"):
                 self._engine_leaves(change.replica.id, "list")
+            elif change.what == "restarted":
+                self._engine_restarted(change.replica)
             elif change.what == "added":
                 # An entry that lapsed while the store was away, of an engine that lives.
                 self._leaving.discard(change.replica.id)
@@ -440,6 +442,16 @@
         self._desks.leave(replica_id)
         self._registry.replica_leaves(replica_id)
 
+    def _engine_restarted(self, former: replicamodels.Replica) -> None:
+        """Take the word that a server has started anew: its former start is no more.
+
+        Guards streams against waiting for events of a run that nobody makes any more, and
+        requests against connections that were kept to the former start: behind a cut
+        neither is reset.
+        """
+        self._pool.close_kept(former.address)
+        self._registry.replica_gone(former.id)
+
     def _are_others_ready(self) -> bool:
         return directory.has_others_ready(self.peering.heartbeats.members(), self._told.name)
 
--- a/hornbeamglade/http1/clientpool.py
+++ b/hornbeamglade/http1/clientpool.py
@@ -83,6 +83,11 @@
             else:
                 del self._kept_by_address[address]
 
+    def close_kept(self, address: str) -> None:
+        """Close the kept connections to a server that has started anew."""
+        for connection in self._kept_by_address.pop(address, ()):
+            connection.close()
+
     def _drop(self, address: str) -> None:
         self._open_by_address[address] -= 1
         if not self._open_by_address[address]:
--- a/hornbeamglade/platform/enginecalls.py
+++ b/hornbeamglade/platform/enginecalls.py
@@ -32,6 +32,7 @@
     queued: int = 0
     state: str = _READY
     leaves_ms: float | None = None
+    born: pydantic.StrictInt = 0
     # Each entry: id, tokens in memory, events made, priority.
     runs: tuple[tuple[str, int, int, int], ...] = ()
 
@@ -72,6 +73,7 @@
             runs=tuple(models.ReportedRun(run[0], run[1], run[2]) for run in body.runs),
             is_leaving=body.state != _READY,
             leaves_in_s=None if body.leaves_ms is None else body.leaves_ms / _MS,
+            started_ms=body.born,
         )
 
     async def copy_run(
--- a/hornbeamglade/platform/replicarows.py
+++ b/hornbeamglade/platform/replicarows.py
@@ -1,5 +1,16 @@
-"""Entries of the platform's list of servers, decoded into replicas."""
+"""Entries of the platform's list of servers, decoded into replicas.
 
+Explanation
+===========
+
+Other writers may leave entries in the list. An entry is read strictly: whatever misses a
+field, has one of another type, or names a state that the platform does not have, names no
+replica. Numbers that come as texts, and texts that would break a header or an address, are
+such cases too.
+"""
+
+import ipaddress
+import re
 import typing
 
 import pydantic
@@ -11,30 +22,60 @@
 ENTRY_INVALID = "replica_entry_invalid"
 
 _MS = 1000.0
+_MAX_PORT = 65_535
+# Goes out as the value of a header, which bears neither spaces nor line ends.
+_NAME = re.compile(r"[!-.0-~]{1,200}", re.ASCII)
+
+
+def _checked_address(address: str) -> str:
+    """Return an address that is ``ip:port``.
+
+    :raises ValueError: for any other text.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError("the port is none")
+    return address
 
 
 class _Entry(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True, strict=True)
+
+    service: typing.Annotated[str, pydantic.Field(min_length=1)]
+    address: typing.Annotated[str, pydantic.AfterValidator(_checked_address)]
+    zone: typing.Annotated[str, pydantic.Field(min_length=1)]
+    version: str
+    slots: typing.Annotated[int, pydantic.Field(ge=1)]
+    state: typing.Literal["ready", "draining"]
+    cold_remaining_ms: typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+    sequence: typing.Annotated[int, pydantic.Field(ge=0)]
+    # Unix milliseconds of the start that wrote the entry; not every platform tells them.
+    born: typing.Annotated[int, pydantic.Field(gt=0)] | None = None
 
-    service: str
-    address: str
-    zone: str
-    slots: typing.Annotated[int, pydantic.Field(ge=0)]
-    state: str
-    version: str = ""
-    cold_remaining_ms: float = 0.0
+    @pydantic.field_validator("born", mode="before")
+    @classmethod
+    def _is_told(cls, born: object) -> object:
+        if born is None:
+            raise ValueError("null is no time")
+        return born
 
 
-def replica_id(key: str) -> str:
-    """Return the id of the replica whose entry a row's key names."""
-    return key.rsplit("/", 1)[-1]
+def server_name(key: str) -> str:
+    """Return the name of the server whose entry a row's key names."""
+    return key.partition("/")[2]
 
 
 def decode(row: contract.Row) -> models.Replica:
-    """Read one entry; its key is the replica's id.
+    """Read one entry; its key is the server's name.
 
     :raises CodedError: ``replica_entry_invalid``, naming the entry, field and value.
     """
+    name = server_name(row.key)
+    if not _NAME.fullmatch(name):
+        raise codederrors.CodedError(ENTRY_INVALID, f"{row.key!r:.80}: key: no server's name")
+    if row.problem is not None:
+        raise codederrors.CodedError(ENTRY_INVALID, f"{row.key}: value: {row.problem}")
     try:
         entry = _Entry.model_validate_json(row.value)
     except pydantic.ValidationError as error:
@@ -42,14 +83,16 @@
         where = ".".join(str(part) for part in first["loc"]) or "entry"
         detail = f"{row.key}: {where}: {first['msg']}, not {first['input']!r:.80}"
         raise codederrors.CodedError(ENTRY_INVALID, detail) from error
+    started_ms = entry.born or 0
     return models.Replica(
-        id=replica_id(row.key),
+        id=models.replica_id(name, started_ms),
         service=entry.service,
         address=entry.address,
         failure_domain=entry.zone,
         slots=entry.slots,
-        # Only "ready" takes new work; a state that is not known here does not.
         is_leaving=entry.state != "ready",
         version=entry.version,
         warm_in_s=entry.cold_remaining_ms / _MS,
+        started_ms=started_ms,
+        name=name,
     )
--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -82,7 +82,7 @@
     def dispatch_fields(self, call: calls.Call, dispatch: calls.Dispatch) -> fields.Fields:
         """Return the fields with which a request goes to a replica."""
         sent = [(b"Deadline-Ms", b"%d" % max(1, int(dispatch.remaining_s * _MS)))]
-        sent.append((b"Expect-Instance", dispatch.replica_id.encode()))
+        sent.append((b"Expect-Instance", dispatch.replica_name.encode()))
         if dispatch.team is not None:
             sent.append((b"Tenant", dispatch.team.encode()))
         if dispatch.urgency is not None:
--- a/hornbeamglade/platform/storebodies.py
+++ b/hornbeamglade/platform/storebodies.py
@@ -55,9 +55,13 @@
     def to_row(self) -> contract.Row:
         """Return the row as a value of the contract.
 
-        :raises ValueError: when its value is not base64 of a text.
+        One whose value cannot be read says so: any program may write to a table, and a
+        row of another one must not keep this one from reading the rest.
         """
-        return contract.Row(self.whole(), text(self.value), self.ver)
+        try:
+            return contract.Row(self.whole(), text(self.value), self.ver)
+        except ValueError as error:
+            return contract.Row(self.whole(), "", self.ver, str(error))
 
 
 class Rows(_Body):
--- a/hornbeamglade/platform/storeclient.py
+++ b/hornbeamglade/platform/storeclient.py
@@ -108,10 +108,7 @@
             answer = self._rows(start.table, start.part, first, end, wanted)
             if isinstance(answer, contract.Unavailable):
                 return answer
-            try:
-                found += [row.to_row() for row in answer.rows]
-            except ValueError as error:
-                return contract.Unavailable(f"malformed row: {error}")
+            found += [row.to_row() for row in answer.rows]
             if not answer.truncated or not answer.rows or len(found) >= limit:
                 return tuple(found)
             first = answer.rows[-1].key + "\0"
@@ -243,25 +240,19 @@
         return None
 
 
-def _found(row: storebodies.Row) -> contract.ReadOutcome:
-    try:
-        return contract.Found(row.to_row())
-    except ValueError as error:
-        return contract.Unavailable(f"malformed row: {error}")
+def _found(body: storebodies.Row) -> contract.ReadOutcome:
+    row = body.to_row()
+    if row.problem is not None:
+        return contract.Unavailable(f"malformed row: {row.problem}")
+    return contract.Found(row)
 
 
-def _snapshot(body: storebodies.Rows) -> contract.Snapshot | contract.Unavailable:
-    try:
-        return contract.Snapshot(tuple(row.to_row() for row in body.rows), body.ver)
-    except ValueError as error:
-        return contract.Unavailable(f"malformed row: {error}")
+def _snapshot(body: storebodies.Rows) -> contract.Snapshot:
+    return contract.Snapshot(tuple(row.to_row() for row in body.rows), body.ver)
 
 
-def _changes(body: storebodies.Rows) -> contract.Changes | contract.Unavailable:
-    try:
-        present = tuple(row.to_row() for row in body.rows if not row.deleted)
-    except ValueError as error:
-        return contract.Unavailable(f"malformed row: {error}")
+def _changes(body: storebodies.Rows) -> contract.Changes:
+    present = tuple(row.to_row() for row in body.rows if not row.deleted)
     gone = tuple(row.whole() for row in body.rows if row.deleted)
     return contract.Changes(
         present, gone, body.ver, max((row.ver for row in body.rows), default=0)
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -81,7 +81,7 @@
 class Dispatch:
     """How one attempt is sent to a replica.
 
-    :param replica_id: the replica that is meant; any other refuses.
+    :param replica_name: what the server is called that is meant; any other refuses.
     :param team: the caller's team, or None when no key was needed.
     :param remaining_s: what is left of the caller's time.
     :param urgency: rank at the engine, 0 first, or None for a plain service.
@@ -90,7 +90,7 @@
     :param backup_at: ``ip:port`` of the engine that keeps a copy as it grows, or None.
     """
 
-    replica_id: str
+    replica_name: str
     team: str | None
     remaining_s: float
     urgency: int | None = None
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -94,7 +94,7 @@
         team = None if routed.team is None else routed.team.name
         begun_at = self._clock.now()
         known = self._loads.known(replica)
-        dispatch = calls.Dispatch(replica.id, team, routed.ends_at - begun_at)
+        dispatch = calls.Dispatch(replica.name, team, routed.ends_at - begun_at)
         outcome: ownanswers.Answer | sending.Failed | None = None
         load = None
         self._loads.started(replica.id)
--- a/hornbeamglade/routed/runregistry.py
+++ b/hornbeamglade/routed/runregistry.py
@@ -12,6 +12,10 @@
     def replica_leaves(self) -> None:
         """Note that its replica is about to stop."""
 
+    @abc.abstractmethod
+    def replica_gone(self) -> None:
+        """Note that its replica is no more."""
+
 
 class RunRegistry:
     """The runs of this node by replica."""
@@ -40,3 +44,8 @@
         """Tell a replica's runs that it is about to stop."""
         for run in tuple(self._runs_by_replica.get(replica_id, ())):
             run.replica_leaves()
+
+    def replica_gone(self, replica_id: str) -> None:
+        """Tell a replica's runs that it is no more."""
+        for run in tuple(self._runs_by_replica.get(replica_id, ())):
+            run.replica_gone()
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -170,6 +170,12 @@
             return
         self._handover_task = asyncio.ensure_future(self._move_away(place))
 
+    def replica_gone(self) -> None:
+        """Give up the stream from an engine that has started anew; it may go on elsewhere."""
+        place = self._place
+        if place is not None and place.begun is not None:
+            place.begun.connection.close()
+
     async def _begin(self) -> sending.Begun | outcomes.Refusal | ownanswers.Answer:
         """Send the request until a replica answers it with a stream."""
         while True:
@@ -224,7 +230,7 @@
         """Send the request to where it has leave to run."""
         place, routed = self._place, self._routed
         dispatch = calls.Dispatch(
-            replica_id=place.replica.id,
+            replica_name=place.replica.name,
             team=None if routed.team is None else routed.team.name,
             remaining_s=routed.ends_at - self._parts.clock.now(),
             urgency=min(routed.urgency, 9),
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -72,6 +72,7 @@
         self.faults = routedfaults.RoutedFaults()
         self.ledger: list[Ran] = []
         self.is_leaving = False
+        self.born = 0
         self.address = ""
         self.run_by_id: dict[str, routedruns.StandinRun] = {}
         self.copy_by_name: dict[str, routedruns.StandinCopy] = {}
@@ -290,6 +291,8 @@
             "state": "draining" if self.is_leaving else "ready",
             "runs": runs,
         }
+        if self.born:
+            report["born"] = self.born
         return report | ({"leaves_ms": 1500.0} if self.is_leaving else {})
 
     def _note(self, asked: _Asked) -> None:
--- a/hornbeamglade/store/contract.py
+++ b/hornbeamglade/store/contract.py
@@ -20,11 +20,13 @@
     :param key: the row's full key, segments separated by ``/``.
     :param value: a JSON document as text.
     :param version: a number that grows with every write of the row; from 1.
+    :param problem: why the value cannot be read as text, and is empty here; else None.
     """
 
     key: str
     value: str
     version: int
+    problem: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/engines/test_reportpoller.py
+++ b/tests/engines/test_reportpoller.py
@@ -1,6 +1,7 @@
 """Reading reports, and noticing an engine that gives none."""
 
 import asyncio
+import dataclasses
 
 from hornbeamglade.core import clocks
 from hornbeamglade.engines import control, models, reportpoller
@@ -29,7 +30,7 @@
         raise NotImplementedError
 
 
-def told(monkeypatch, *answers):
+def told(monkeypatch, *answers, engine=ENGINE):
     """Return what the poller tells for a row of answers."""
     monkeypatch.setattr(reportpoller, "PERIOD_S", 0.001)
     heard = []
@@ -37,7 +38,7 @@
     async def main():
         poller = reportpoller.ReportPoller(
             Engines(*answers),
-            lambda: (ENGINE,),
+            lambda: (engine,),
             lambda _, it: heard.append(it),
             clocks.SystemClock(),
         )
@@ -46,7 +47,9 @@
         task.cancel()
 
     eventloop.run(main())
-    return [each if each in (None, REPORT) else "lost" for each in heard[: len(answers)]]
+    return [
+        "lost" if isinstance(each, reportpoller.Lost) else each for each in heard[: len(answers)]
+    ]
 
 
 def test_a_closed_port_is_the_end_of_an_engine_at_once(monkeypatch):
@@ -56,3 +59,17 @@
 def test_one_report_that_does_not_come_is_no_end(monkeypatch):
     """A link loses a datagram, or an engine is slow: others rely on it all the same."""
     assert told(monkeypatch, SILENT, REPORT, SILENT, SILENT) == [None, REPORT, None, "lost"]
+
+
+def test_report_of_another_start_is_not_the_engines_word(monkeypatch):
+    """An engine has crashed and started again under its name; the list does not tell yet.
+
+    Its report would free the memory that runs of its former start are thought to hold, and
+    a late one of the former start would fill that of the new one.
+    """
+    former, present, next_one = (
+        dataclasses.replace(REPORT, started_ms=started) for started in (4, 5, 6)
+    )
+    engine = dataclasses.replace(ENGINE, id="e1@5", name="e1", started_ms=5)
+    heard = told(monkeypatch, former, present, next_one, REPORT, present, engine=engine)
+    assert heard == [None, present, "lost", None, present]
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -73,16 +73,18 @@
     } | changes
 
 
-def entry(server, service, domain="a", state="ready"):
-    return json.dumps(
-        {
-            "service": service,
-            "address": server.address,
-            "zone": domain,
-            "slots": 8,
-            "state": state,
-        }
-    )
+def entry(server, service, domain="a", state="ready", **more):
+    told = {
+        "service": service,
+        "address": server.address,
+        "zone": domain,
+        "version": "v1",
+        "slots": 8,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+    }
+    return json.dumps(told | more)
 
 
 class Node:
@@ -181,7 +183,7 @@
         for node in self.nodes:
             node.instance.introduced(listed.list())
         self.tell()
-        await eventloop.until(self._is_settled)
+        await eventloop.until(self.is_settled)
 
     def put(self, key, value):
         self.store.transact((), (contract.Put(key, value),))
@@ -211,7 +213,7 @@
         for server in (*self.engines, *self.services):
             await server.stop()
 
-    def _is_settled(self):
+    def is_settled(self):
         """Tell whether each node knows the others, and every engine has room."""
         views = [node.instance.peering.heartbeats.live() for node in self.nodes]
         heard = all(len(view) == len(self.nodes) for view in views)
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -2,7 +2,9 @@
 
 import json
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import following
@@ -84,6 +86,72 @@
     assert ("replica_entry", "unread", "replica_entry_invalid") in [line[:3] for line in lines]
 
 
+def test_entry_that_turns_bad_is_told_once_and_takes_its_replica_out(lines):
+    """Another program writes the same bad entry over a good one, again and again."""
+    believer = Believer()
+    believer.following.replicas_told(contract.Snapshot((row("a", 1), row("b", 2)), 2))
+    for version in range(3, 8):
+        bad = contract.Row("servers/a", "", version, "not UTF-8")
+        believer.following.replicas_told(contract.Changes((bad,), (), version, version))
+    assert list(believer.list.by_id) == ["b"]
+    told = [line for line in lines if line[0] == "replica_entry"]
+    assert [line[3]["reason"] for line in told] == ["servers/a:_value:_not_UTF-8"]
+    believer.following.replicas_told(contract.Changes((row("a", 8),), (), 8, 8))
+    assert sorted(believer.list.by_id) == ["a", "b"]
+    assert [line[:3] for line in lines if line[0] == "replica_entry"][1:] == [
+        ("replica_entry", "unread", "read")
+    ]
+
+
+def test_lines_on_bad_entries_are_bounded(lines):
+    believer = Believer()
+    rows = tuple(contract.Row(f"servers/x{n}", "{}", n) for n in range(1, 500))
+    believer.following.replicas_told(contract.Snapshot(rows, 500))
+    assert len([line for line in lines if line[0] == "replica_entry"]) == following.MAX_PROBLEMS
+
+
+def test_row_that_cannot_be_read_is_passed_on_to_peers_as_such(lines):
+    ahead, behind = Believer(), Believer()
+    bad = contract.Row("servers/x", "", 1, "not UTF-8")
+    ahead.following.replicas_told(contract.Snapshot((bad, row("a", 2)), 2))
+    behind.following.take(REPLICAS, 2, ahead.following.read(REPLICAS))
+    assert list(behind.list.by_id) == ["a"]
+    assert behind.following.read(REPLICAS) == ahead.following.read(REPLICAS)
+
+
+def test_configuration_that_is_no_text_leaves_the_former_in_force(lines):
+    believer = Believer()
+    believer.following.configuration_told(contract.Snapshot((config(1),), 1))
+    bad = contract.Row("op/config", "", 2, "not UTF-8")
+    believer.following.configuration_told(contract.Changes((bad,), (), 2, 2))
+    assert believer.following.versions().configuration == 1
+    assert believer.following.problem == "config_invalid"
+
+
+_VALUES = strategies.one_of(
+    strategies.text(max_size=20),
+    strategies.sampled_from(
+        [site.entry(Server, "web", born=5), site.entry(Server, "web", born=6)]
+    ),
+    strategies.sampled_from([site.entry(Server, "web", slots=True), "[]", "{}", "null"]),
+)
+
+
+@hypothesis.given(strategies.lists(strategies.tuples(strategies.sampled_from("ab"), _VALUES)))
+def test_nothing_but_good_rows_is_used_whatever_comes(rows):
+    believer = Believer()
+    newest = {"a": 0, "b": 0}
+    for version, (name, value) in enumerate(rows, 1):
+        made = contract.Row(f"servers/{name}", value, version)
+        believer.following.replicas_told(contract.Changes((made,), (), version, version))
+        for born in (5, 6):
+            if value == site.entry(Server, "web", born=born):
+                newest[name] = max(newest[name], born)
+        for each in believer.list.by_id.values():
+            assert each.started_ms == newest[each.name] > 0
+            assert each.address == Server.address
+
+
 def test_outage_and_return_of_the_store_are_logged_once(lines):
     believer = Believer()
     for outcome in (
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -103,6 +103,70 @@
     assert body == whole("r1")
 
 
+def test_engine_that_starts_anew_under_its_name_is_used_again():
+    """An engine is told to stop, and starts again in place some seconds later.
+
+    Held for the one that was to stop, it got no request any more from whoever had heard of
+    that, until its row was taken from the list.
+    """
+
+    async def test(site):
+        engine = site.engines[0]
+        engine.born = 5000
+        site.put("servers/e0", entrysite.entry(engine, "llm", born=5000))
+        engine.is_leaving = True
+        site.put("servers/e0", entrysite.entry(engine, "llm", state="draining", born=5000))
+        site.tell()
+        engine.born, engine.is_leaving = 6000, False
+        site.put("servers/e0", entrysite.entry(engine, "llm", born=6000))
+        site.tell()
+        await eventloop.until(site.is_settled)
+        client = await site.nodes[0].ask("/draft/1", more=entrysite.USAGE)
+        return await client.answer(), ran(site)
+
+    (status, _, body), runs = entrysite.play(test, nodes=2, engines=1)
+    assert (status, body, runs) == (200, whole("r1"), ["r1"])
+
+
+async def restarted(site, request_id):
+    """Have the list tell that the engine of a run has started anew; return the engine."""
+    engine = runs_at(site, request_id)[0]
+    number = site.engines.index(engine)
+    told = entrysite.entry(engine, "llm", "ab"[number % 2], born=7000)
+    engine.born = 7000
+    site.put(f"servers/{engine.replica_id}", told)
+    site.tell()
+    return engine
+
+
+def test_stream_from_an_engine_that_has_started_anew_ends_at_once():
+    """An engine crashes behind a cut and starts again: its connections are never reset.
+
+    The caller of a draft would wait for its next event until it gave up.
+    """
+
+    async def test(site):
+        client = await begun(site)
+        await restarted(site, "r1")
+        with pytest.raises((asyncio.IncompleteReadError, ValueError)):
+            await client.answer()
+        return runs_at(site, "r1")[0].run_by_id["r1"].made, ran(site)
+
+    made, runs = entrysite.play(test, gap_s=0.1)
+    assert (made < EVENTS, runs) == (True, ["r1"])
+
+
+def test_run_that_may_be_repeated_goes_on_when_its_engine_has_started_anew():
+    async def test(site):
+        client = await begun(site, path="/tag/1")
+        former = await restarted(site, "r1")
+        answer = await client.answer()
+        return answer, [engine is former for engine in runs_at(site, "r1")]
+
+    (status, _, body), runs = entrysite.play(test, gap_s=0.02)
+    assert (status, body, sorted(runs)) == (200, whole("r1"), [False, True])
+
+
 def test_all_runs_of_an_engine_leave_in_turn():
     """Eight drafts run at an engine that is to stop, at the streams of two nodes."""
 
--- a/tests/platform/test_replicarows.py
+++ b/tests/platform/test_replicarows.py
@@ -2,7 +2,9 @@
 
 import json
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from hornbeamglade.core import codederrors
 from hornbeamglade.platform import replicarows
@@ -28,11 +30,62 @@
 def test_entry_becomes_a_replica():
     replica = replicarows.decode(row())
     assert replica == models.Replica("i-1", "llm", "10.1.0.9:8080", "krk-a", 32, False, "v1", 0.5)
+    assert replica.name == "i-1"
 
 
-@pytest.mark.parametrize("state", ["draining", "leaving", "of_tomorrow"])
-def test_only_ready_takes_new_work(state):
-    assert replicarows.decode(row(state=state)).is_leaving
+def test_one_that_drains_takes_no_new_work():
+    assert replicarows.decode(row(state="draining")).is_leaving
+
+
+def test_start_is_part_of_the_id():
+    replica = replicarows.decode(row(born=1769769571006))
+    assert (replica.id, replica.name) == ("i-1@1769769571006", "i-1")
+    assert replica.started_ms == 1769769571006
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *(("state", each) for each in ("leaving", "of_tomorrow", "", 1, None)),
+        *(("slots", each) for each in ("4", 4.0, True, 0, -1, None)),
+        *(("address", each) for each in ("", "10.1.0.9", "h:80", "10.1.0.9:0", "10.1.0.9:+8")),
+        *(("cold_remaining_ms", each) for each in (-1, "5", None, True)),
+        *(("born", each) for each in ("1769769571006", 1.5, True, None, 0, -4)),
+        *(("zone", each) for each in ("", 7)),
+        ("service", ""),
+        ("version", 3),
+        ("sequence", "4"),
+    ],
+)
+def test_entry_of_another_writer_names_no_replica(field, value):
+    """Another program writes to the list, and what it means by a field is not known.
+
+    Taken as good, requests go to addresses that are none, or to servers that never asked.
+    """
+    with pytest.raises(codederrors.CodedError) as raised:
+        replicarows.decode(row(**{field: value}))
+    assert f"servers/i-1: {field}" in raised.value.detail
+
+
+@pytest.mark.parametrize("field", ENTRY)
+def test_entry_that_misses_a_field_names_no_replica(field):
+    told = {name: value for name, value in ENTRY.items() if name != field}
+    with pytest.raises(codederrors.CodedError):
+        replicarows.decode(contract.Row("servers/i-1", json.dumps(told), 9))
+
+
+@pytest.mark.parametrize("name", ["", "a/b", "a b", "a\r\nHost: x", "\u00e9", "a" * 201])
+def test_key_that_is_no_name_names_no_replica(name):
+    with pytest.raises(codederrors.CodedError):
+        replicarows.decode(contract.Row(f"servers/{name}", json.dumps(ENTRY), 9))
+
+
+@hypothesis.given(strategies.text())
+def test_any_text_names_a_replica_or_raises_its_code(text):
+    try:
+        replicarows.decode(contract.Row("servers/i-1", text, 9))
+    except codederrors.CodedError as error:
+        assert error.code == replicarows.ENTRY_INVALID
 
 
 def test_bad_entry_names_its_row_and_field():
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -102,11 +102,34 @@
     assert isinstance(server.client.snapshot("a"), contract.Unavailable)
 
 
-def test_value_that_is_no_text_is_not_taken(raw_server):
-    row = b'{"table":"a","part":"","key":"x","value":"!!","ver":1}'
+@pytest.mark.parametrize("value", [b"!!", b"/////w=="])
+def test_value_that_is_no_text_is_not_taken(raw_server, value):
+    row = b'{"table":"a","part":"","key":"x","value":"%s","ver":1}' % value
     server = raw_server(answer(b"200 OK", b'{"rows":[%s],"ver":1}' % row))
     assert isinstance(server.client.read("a/x"), contract.Unavailable)
-    assert isinstance(server.client.changes("a", 0, 0.0), contract.Unavailable)
+
+
+@pytest.mark.parametrize("value", [b"!!", b"/////w=="])
+def test_row_that_cannot_be_read_hides_no_other(raw_server, value):
+    """Another program writes bytes to a table that are no text.
+
+    Taken for an outage, an instance that starts never learned a replica, and one that
+    followed the table stood still at that row.
+    """
+    rows = (
+        b'{"table":"a","part":"","key":"x","value":"%s","ver":1}' % value,
+        b'{"table":"a","part":"","key":"y","value":"MQ==","ver":2}',
+    )
+    told = answer(b"200 OK", b'{"rows":[%s],"ver":2}' % b",".join(rows))
+    for read in (
+        raw_server(told).client.snapshot("a").rows,
+        raw_server(told).client.changes("a", 0, 0.0).present,
+        raw_server(told).client.scan("a/"),
+    ):
+        assert [(row.key, row.value, row.problem is None) for row in read] == [
+            ("a/x", "", False),
+            ("a/y", "1", True),
+        ]
 
 
 @pytest.mark.parametrize("status", [b"429 Too Many Requests", b"503 Service Unavailable"])
--- a/tests/replicas/test_replicalist.py
+++ b/tests/replicas/test_replicalist.py
@@ -2,11 +2,23 @@
 
 import dataclasses
 
+import hypothesis
+from hypothesis import strategies
+
 from hornbeamglade.replicas import models, replicalist
 
 
-def replica(name, *, leaving=False, service="llm"):
-    return models.Replica(name, service, f"10.0.0.1:{len(name)}", "a", 8, leaving)
+def replica(name, *, leaving=False, service="llm", started_ms=0):
+    return models.Replica(
+        models.replica_id(name, started_ms),
+        service,
+        f"10.0.0.1:{len(name)}",
+        "a",
+        8,
+        leaving,
+        started_ms=started_ms,
+        name=name,
+    )
 
 
 def changed(changes):
@@ -58,3 +70,75 @@
     known.replace([replica("b"), replica("a"), replica("c", service="web")], 1)
     assert [each.id for each in known.of_service("llm")] == ["a", "b"]
     assert known.of_service("none") == ()
+
+
+def test_server_that_starts_anew_is_another_replica():
+    """An engine that was told to stop comes back under its name.
+
+    Believed to be the same, it was never used again by whoever had heard of the stop.
+    """
+    known = replicalist.ReplicaList()
+    known.update([replica("a", started_ms=5, leaving=True)], [], 1)
+    changes = known.update([replica("a", started_ms=6)], [], 2)
+    assert changed(changes) == [("a@5", "restarted"), ("a@6", "added")]
+    assert (known.is_usable("a@5"), known.is_usable("a@6")) == (False, True)
+    assert known.departed_by_id == {}
+
+
+def test_entry_of_a_former_start_that_comes_late_changes_nothing():
+    known = replicalist.ReplicaList()
+    known.update([replica("a", started_ms=6)], [], 1)
+    assert known.update([replica("a", started_ms=5)], [], 2) == ()
+    assert known.replace([replica("a", started_ms=5)], 3) == ()
+    assert list(known.by_id) == ["a@6"]
+
+
+def test_entry_without_a_start_is_foreign_once_the_name_has_told_one():
+    known = replicalist.ReplicaList()
+    known.update([replica("a", started_ms=6)], [], 1)
+    assert changed(known.update([replica("a")], [], 2)) == [("a@6", "unread")]
+    assert changed(known.update([replica("a", started_ms=6)], [], 3)) == [("a@6", "added")]
+
+
+def test_replica_whose_entry_turns_bad_is_out_of_use_until_it_is_good_again():
+    known = replicalist.ReplicaList()
+    known.replace([replica("a"), replica("b")], 1)
+    assert changed(known.update([], [], 2, ["a"])) == [("a", "unread")]
+    assert (known.is_usable("a"), known.is_usable("b")) == (False, True)
+    assert known.departed_by_id == {}
+    assert changed(known.replace([replica("a"), replica("b")], 3)) == [("a", "added")]
+
+
+_ENTRIES = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just("good"), strategies.sampled_from("ab"), strategies.integers(0, 3)
+        ),
+        strategies.tuples(
+            strategies.sampled_from(["bad", "gone"]),
+            strategies.sampled_from("ab"),
+            strategies.just(0),
+        ),
+    ),
+    max_size=30,
+)
+
+
+@hypothesis.given(_ENTRIES)
+def test_no_belief_of_a_former_start_outlives_a_newer_one(entries):
+    """Entries of several starts and of other writers come in any order."""
+    known = replicalist.ReplicaList()
+    newest = {"a": 0, "b": 0}
+    for version, (what, name, started) in enumerate(entries, 1):
+        present = [replica(name, started_ms=started)] if what == "good" else []
+        gone = [name] if what == "gone" else []
+        known.update(present, gone, version, [name] if what == "bad" else [])
+        newest[name] = 0 if what == "gone" else max(newest[name], started)
+        of_name = [each for each in known.by_id.values() if each.name == name]
+        assert len(of_name) <= 1
+        if what != "good" or (newest[name] and not started):
+            assert not of_name
+        for each in known.by_id.values():
+            assert each.started_ms == newest[each.name]
+        listed = sorted(each.id for each in known.of_service("llm"))
+        assert listed == sorted(known.by_id)
