--- a/hornbeamglade/cli/main.py
+++ b/hornbeamglade/cli/main.py
@@ -13,6 +13,7 @@
     "demo": "demo",
     "entry": "entry",
     "explain": "explain",
+    "losses": "losses",
     "node": "node",
     "spec": "spec",
     "standin": "standin",
--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -160,6 +160,7 @@
         """Write the line that says how a request ended, and by what it was decided."""
         service = routed.service.name
         belief = self._parts.belief()
+        generation = routed.call.generation
         self._parts.metrics.requests.add(labels=(service, outcome))
         seconds = self._parts.clock.now() - routed.call.arrived_at
         is_stream = routed.route.kind is models.RouteKind.STREAM
@@ -179,6 +180,9 @@
             run=log.run.value,
             list_version=belief.list_version,
             belief_age_s=None if belief.age_s is None else round(belief.age_s, 3),
+            tokens=0 if generation is None else generation.prompt_tokens,
+            goal_s=routed.route.goal_s,
+            gap_goal_s=routed.route.gap_goal_s,
             seconds=round(seconds, 4),
             **more,
         )
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -89,7 +89,13 @@
             loop.create_task(self.instance.poller.run()),
         ]
         await self._listen()
-        logs.state_changed("node", "starting", "serving", node=self._told.name)
+        logs.state_changed(
+            "node",
+            "starting",
+            "serving",
+            node=self._told.name,
+            domain=self._told.failure_domain,
+        )
         await self._stopping.wait()
         await self._leave()
         return EXIT_OK
--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/grantseeker.py
@@ -287,6 +287,7 @@
             wish.work.request_id,
             "placed",
             "granted" if isinstance(answer, Grant) else answer.code,
+            service=wish.work.service,
             replica=answer.replica if isinstance(answer, Grant) else replica,
             owner="-" if known is None else known.owner or "self",
             room=0 if known is None else known.room_tokens,
--- a/hornbeamglade/routed/handover.py
+++ b/hornbeamglade/routed/handover.py
@@ -61,7 +61,8 @@
     :param wish: asks for room elsewhere.
     :param parts: what it works with.
 
-    Its ``turn_s`` is how long it waited for its turn, or None while it has had none.
+    Its ``room_s`` is how long it looked for room, ``turn_s`` how long it waited for its turn,
+    and ``copy_s`` how long its memory was being copied; None while it has not come to that.
     """
 
     def __init__(
@@ -81,7 +82,9 @@
         self.destination: Destination | None = None
         self.has_stopped_run = False
         self.outcome = "begun"
+        self.room_s: float | None = None
         self.turn_s: float | None = None
+        self._copying_since: float | None = None
 
     async def run(self, produced: int) -> None:
         """Move the run; what came of it is in the attributes.
@@ -91,19 +94,28 @@
         tokens = self._wish.work.prompt_tokens + produced
         wish = dataclasses.replace(self._wish, produced=max(1, produced))
         turns = self._parts.turns
+        begun_at = self._parts.clock.now()
         target = await self._find_room(wish)
+        self.room_s = self._parts.clock.now() - begun_at
         if target is None:
             self.outcome = "no_room"
             return
         found_at = self._parts.clock.now()
         try:
             await turns.take(self._source.id, self._request_id, tokens)
-            self.turn_s = self._parts.clock.now() - found_at
+            self._copying_since = self._parts.clock.now()
+            self.turn_s = self._copying_since - found_at
             await self._copy_and_stop(wish, target)
         finally:
             turns.done(self._source.id, self._request_id)
             self._release()
 
+    @property
+    def copy_s(self) -> float | None:
+        """Seconds since its memory began to be copied, or None before."""
+        since = self._copying_since
+        return None if since is None else self._parts.clock.now() - since
+
     def run_ended(self, task: asyncio.Task[None]) -> None:
         """Give up the move, as the run has ended or its caller has left.
 
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -396,7 +396,9 @@
             self._handover.outcome,
             replica=place.replica.id,
             events=self._relay.count,
-            wait_s=None if self._handover.turn_s is None else round(self._handover.turn_s, 3),
+            room_s=_rounded(self._handover.room_s),
+            wait_s=_rounded(self._handover.turn_s),
+            copy_s=_rounded(self._handover.copy_s),
         )
 
     def _may_run_again(self) -> bool:
@@ -457,3 +459,7 @@
 def _is_stream(begun: sending.Begun) -> bool:
     head = begun.head
     return head.status == 200 and head.is_sealed and not head.is_encoded
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- /dev/null
+++ b/tests/observability/test_losses.py
@@ -0,0 +1,132 @@
+"""What callers did not get, put down to causes, from lines of several instances."""
+
+import json
+
+import pytest
+
+from hornbeamglade.observability import logstory, losses, lossesplot
+
+Cause = losses.Cause
+
+
+def line(at, node, kind, **told):
+    return json.dumps(told | {"timestamp": at, "logged_by": node, "message_type": kind})
+
+
+def decided(at, decision, outcome, *, node="n1", request_id="r1", **told):
+    told |= {"request_id": request_id, "decision": decision, "outcome": outcome}
+    return line(at, node, logstory.DECISION_TYPE, **told)
+
+
+def leaving(at, node="n1"):
+    told = {"subject": "engine", "before": "serving", "after": "leaving", "replica": "e1"}
+    return line(at, node, logstory.STATE_TYPE, **told)
+
+
+def answer(at, outcome, **told):
+    return decided(at, "answer", outcome, **({"route": "draft", "goal_s": 1.8} | told))
+
+
+def found(*lines):
+    return losses.find(logstory.parse(lines))
+
+
+def causes(*lines):
+    return [loss.cause for loss in found(*lines).lost]
+
+
+PLACED = decided(1.0, "placed", "granted", replica="e1", tokens=3000, service="draft")
+LOST = decided(9.0, "stream_lost", "closed", replica="e1")
+BROKEN = answer(9.1, "broken_off", status=200, events=80, seconds=8.1)
+
+
+@pytest.mark.parametrize(
+    ("end", "cause"),
+    [
+        (answer(9.0, "cut_by_stop", status=0), Cause.INSTANCE_STOPPED),
+        (answer(9.0, "caller_left", status=0), Cause.CALLER_LEFT),
+        (answer(9.0, "no_answer", status=502), Cause.REPLICA_FAILED),
+        (answer(9.0, "answered", status=500, seconds=0.1), Cause.REPLICA_FAILED),
+        (answer(9.0, "answer_too_late", status=504), Cause.TOO_LATE),
+        (answer(9.0, "queue_timeout", status=503), Cause.REFUSED),
+        (answer(9.0, "streamed", status=200, first_s=1.9), Cause.LATE_START),
+        (
+            answer(9.0, "streamed", status=200, first_s=0.4, gap_s=0.3, gap_goal_s=0.18),
+            Cause.LATE_PACE,
+        ),
+        (answer(9.0, "answered", status=200, seconds=1.9), Cause.LATE_PLAIN),
+        (answer(9.0, "of_tomorrow", status=200), Cause.UNKNOWN),
+    ],
+)
+def test_end_names_the_cause(end, cause):
+    assert causes(PLACED, end) == [cause]
+
+
+@pytest.mark.parametrize(
+    "end",
+    [
+        answer(9.0, "streamed", status=200, first_s=0.4, gap_s=0.1, gap_goal_s=0.18),
+        answer(9.0, "answered", status=404, seconds=0.1),
+    ],
+)
+def test_whole_and_on_time_is_no_loss(end):
+    told = found(PLACED, end)
+    assert (told.requests, told.lost) == (1, ())
+
+
+def moved(**told):
+    return decided(9.05, "handover", "no_answer", replica="e1", **told)
+
+
+@pytest.mark.parametrize(
+    ("lines", "cause"),
+    [
+        ((), Cause.ENGINE_LOST),
+        ((leaving(7.5),), Cause.UNMOVED),
+        ((leaving(7.5), moved(room_s=1.2, wait_s=0.2, copy_s=0.1)), Cause.NO_ROOM),
+        ((leaving(7.5), moved(room_s=0.1, wait_s=1.2, copy_s=0.2)), Cause.NO_TURN),
+        ((leaving(7.5), moved(room_s=0.1, wait_s=0.2, copy_s=1.2)), Cause.COPY_LATE),
+        ((leaving(7.0, "n2"), leaving(8.7), moved(room_s=0.1, wait_s=0.2)), Cause.LEARNED_LATE),
+    ],
+)
+def test_run_that_is_lost_with_its_engine_is_put_down_to_the_longest_part(lines, cause):
+    """An engine stops, and one of its drafts does not get away in time.
+
+    Whoever is to mend it needs to know what took the time: learning, room, turn or copy.
+    """
+    assert causes(PLACED, *lines, LOST, BROKEN) == [cause]
+
+
+def test_stream_without_an_end_is_that_of_an_instance_that_vanished():
+    told = found(PLACED).lost
+    assert [(loss.cause, loss.tokens, loss.service) for loss in told] == [
+        (Cause.INSTANCE_VANISHED, 3000, "draft")
+    ]
+
+
+def test_groups_sum_to_the_whole():
+    other = answer(12.0, "queue_timeout", status=503, route="tag", seconds=2.0)
+    begun = line(0.5, "n1", logstory.STATE_TYPE, subject="node", after="serving", domain="d1")
+    told = found(begun, PLACED, LOST, BROKEN, other.replace("r1", "r2"))
+    groups = {
+        "cause": losses.by_cause(told.lost),
+        "service": losses.by_service(told.lost),
+        "domain": losses.by_domain(told),
+        "window": losses.by_window(told),
+    }
+    for rows in groups.values():
+        assert sum(row.count for row in rows) == len(told.lost) == 2
+        assert sum(row.seconds for row in rows) == pytest.approx(10.1)
+    assert {row.key for row in groups["domain"]} == {"d1"}
+    assert [row.key for row in groups["window"]] == ["0008.0", "0010.0"]
+
+
+@pytest.mark.parametrize("lines", [(), (PLACED, LOST, BROKEN)])
+def test_plot_is_drawn(lines, tmp_path):
+    lossesplot.plot(found(*lines), tmp_path / "losses.png")
+    assert (tmp_path / "losses.png").stat().st_size
+
+
+def test_broken_fields_are_no_numbers():
+    end = answer(9.0, "streamed", status=200, first_s="soon", gap_s=True, goal_s=None)
+    assert causes(PLACED, end) == []
