--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -18,6 +18,7 @@
 from hornbeamglade.membership import heartbeats, ownership
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestbook
+from hornbeamglade.observability import logs
 from hornbeamglade.replicas import models as replicamodels
 
 MOST_ROOM_TOKENS = 2**31 - 1
@@ -191,6 +192,8 @@
             self._news.hinted(message)
             for due in self._documents.hinted(sender.name, message):
                 self.transport.send(peer, due.message)
+        elif isinstance(message, messages.Outrun):
+            self._rise_above(message.incarnation)
         elif isinstance(message, messages.ConfigAsk):
             offer = self._documents.asked(message)
             if offer is not None:
@@ -200,6 +203,15 @@
             if ask is not None:
                 self.transport.send(peer, ask)
 
+    def _rise_above(self, incarnation: int) -> None:
+        """Go on under a higher incarnation than one that another instance knows."""
+        risen = self.codec.rise_above(incarnation)
+        if risen <= incarnation:
+            return
+        self.grants.rise_to(risen)
+        self.heartbeats.rise_to(risen)
+        logs.state_changed("incarnation", "outrun", "raised", incarnation=risen)
+
     def _hear_leaving(self, digests: tuple[messages.ReplicaDigest, ...]) -> None:
         for digest in digests:
             name = self.names.replicas.find(digest.replica) if digest.leaving else None
--- a/hornbeamglade/exchange/asks.py
+++ b/hornbeamglade/exchange/asks.py
@@ -127,6 +127,10 @@
         self._returns: list[_Return] = []
         self._report_at = 0.0
 
+    def rise_to(self, incarnation: int) -> None:
+        """Go on under another incarnation; answers to asks under the former one are void."""
+        self._incarnation = incarnation
+
     def open(self, owner: transport.Peer, ask: messages.GrantAsk, now: float) -> int:
         """Begin to ask ``owner``.
 
--- a/hornbeamglade/exchange/asyncasks.py
+++ b/hornbeamglade/exchange/asyncasks.py
@@ -22,6 +22,10 @@
         self._clock = clock
         self._answered_by_number: dict[int, asyncio.Event] = {}
 
+    def rise_to(self, incarnation: int) -> None:
+        """Go on under another incarnation."""
+        self._tracker.rise_to(incarnation)
+
     async def ask(
         self, owner: transport.Peer, ask: messages.GrantAsk
     ) -> messages.GrantAnswer | asks.NoAnswer | None:
--- a/hornbeamglade/exchange/asyncudp.py
+++ b/hornbeamglade/exchange/asyncudp.py
@@ -52,6 +52,12 @@
         self.traffic.messages_in += 1
         outcome = self._codec.decode(data)
         if isinstance(outcome, codec.Dropped):
+            outrun = outcome.outrun_by
+            if outrun is not None:
+                self.send(
+                    transport.Peer(outrun.name, transport.Endpoint(*addr)),
+                    messages.Outrun(outrun.incarnation),
+                )
             return
         try:
             self._handler(outcome.message, outcome.sender, transport.Endpoint(*addr))
--- a/hornbeamglade/exchange/codec.py
+++ b/hornbeamglade/exchange/codec.py
@@ -115,9 +115,12 @@
     """A frame that was not taken.
 
     :param reason: a stable identifier, counted in ``dropped_by_reason``.
+    :param outrun_by: the sender, with the higher incarnation that it is to be told of;
+        else None.
     """
 
     reason: str
+    outrun_by: Sender | None = None
 
 
 class Codec:
@@ -163,6 +166,23 @@
         self._lock = threading.Lock()
         self.dropped_by_reason: collections.Counter[str] = collections.Counter()
 
+    def rise_above(self, incarnation: int) -> int:
+        """Go on under a higher incarnation than one that others know; return it.
+
+        Explanation
+        ===========
+
+        An incarnation is the time of day at a node's start. When that was set back since
+        the start before, it is lower than the former one, and everyone who heard that one
+        drops this node's frames: unheard for 90 s, it asked owners in vain and took its
+        own engines for its alone.
+        """
+        with self._lock:
+            # A late frame of a former run is answered with this run's own incarnation.
+            if incarnation > self._incarnation:
+                self._incarnation = incarnation + 1
+            return self._incarnation
+
     def use_keys(self, keys: KeyRing) -> None:
         """Replace the valid keys, at a step of a rotation."""
         self._keys = keys
@@ -222,7 +242,11 @@
         except Exception:
             return Dropped(MALFORMED)
         with self._lock:
-            reason = self._guard.admit(stamp, self._clock.now(), self._clock.wall())
+            now, wall = self._clock.now(), self._clock.wall()
+            reason = self._guard.admit(stamp, now, wall)
+            outrun = self._guard.outruns(stamp, now, wall)
+        if outrun is not None:
+            return Dropped(reason, Sender(stamp.sender, outrun))
         if reason is not None:
             return Dropped(reason)
         return Decoded(message, Sender(stamp.sender, stamp.incarnation))
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -17,9 +17,14 @@
     configAsk @10 :ConfigAsk;
     configOffer @11 :ConfigOffer;
     moveTurn @12 :MoveTurn;
+    outrun @13 :Outrun;
   }
 }
 
+struct Outrun {
+  incarnation @0 :UInt64;
+}
+
 struct Heartbeat {
   state @0 :UInt8;
   wantsAnswer @1 :Bool;
--- a/hornbeamglade/exchange/grantclient.py
+++ b/hornbeamglade/exchange/grantclient.py
@@ -27,6 +27,11 @@
         self._lock = threading.Lock()
         self._event_by_number: dict[int, threading.Event] = {}
 
+    def rise_to(self, incarnation: int) -> None:
+        """Go on under another incarnation."""
+        with self._lock:
+            self._tracker.rise_to(incarnation)
+
     def ask(
         self,
         owner: transport.Peer,
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -328,6 +328,28 @@
     subject: Subject = Subject.CONFIGURATION
 
 
+MAX_INCARNATION = 2**62
+"""Far beyond any time in milliseconds: nobody is raised above it by a word that is wrong."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outrun:
+    """The recipient's frames are dropped: a higher incarnation of it was heard before.
+
+    :param incarnation: the highest one known.
+    """
+
+    incarnation: int
+
+
 Message = (
-    Heartbeat | GrantAsk | GrantAnswer | Progress | MoveTurn | ConfigHint | ConfigAsk | ConfigOffer
+    Heartbeat
+    | GrantAsk
+    | GrantAnswer
+    | Progress
+    | MoveTurn
+    | ConfigHint
+    | ConfigAsk
+    | ConfigOffer
+    | Outrun
 )
--- a/hornbeamglade/exchange/replay.py
+++ b/hornbeamglade/exchange/replay.py
@@ -23,7 +23,9 @@
 A sender that is silent for :data:`FORGET_AFTER_S` is forgotten. This is safe, as
 everything recorded before is stale by then, and it is needed: a node that
 comes back under its old name with its clock a little behind has a lower
-incarnation, and would otherwise never be heard again.
+incarnation, and would otherwise never be heard again. It need not wait for that: who drops
+its frames tells it which incarnation it is known under
+(:class:`hornbeamglade.exchange.messages.Outrun`), and it goes on above that one.
 
 References
 ==========
@@ -36,6 +38,9 @@
 MAX_SKEW_S = 30.0
 MAX_FLIGHT_S = 10.0
 FORGET_AFTER_S = 3 * MAX_SKEW_S
+TELL_EVERY_S = 0.5
+"""A sender that was outrun hears of it so often at most; a datagram may be lost."""
+
 WINDOW = 1024
 MAX_SENDERS = 2048
 
@@ -71,6 +76,7 @@
     seen: int
     elapsed_s: float
     heard_at: float
+    told_at: float = float("-inf")
 
 
 class ReplayGuard:
@@ -106,6 +112,20 @@
             return self._begin(stamp, now, wall)
         return _advance(window, stamp, now)
 
+    def outruns(self, stamp: Stamp, now: float, wall: float) -> int | None:
+        """Return the incarnation that a frame's sender must go above, or None.
+
+        A frame that is not fresh is one that was recorded, and is not answered; nor is more
+        than one frame of a sender in :data:`TELL_EVERY_S`.
+        """
+        window = self._window_by_sender.get(stamp.sender)
+        if window is None or stamp.incarnation >= window.incarnation:
+            return None
+        if abs(wall - stamp.wall_s) > MAX_SKEW_S or now - window.told_at < TELL_EVERY_S:
+            return None
+        window.told_at = now
+        return window.incarnation
+
     def _begin(self, stamp: Stamp, now: float, wall: float) -> str | None:
         # Guards against a recorded frame of a dead node that is played to a
         # node started since, which would show as that node coming to life:
--- a/hornbeamglade/exchange/transport.py
+++ b/hornbeamglade/exchange/transport.py
@@ -177,6 +177,9 @@
         self._count(bytes_in=len(frame), messages_in=1)
         outcome = self._codec.decode(frame)
         if isinstance(outcome, codec.Dropped):
+            outrun = outcome.outrun_by
+            if outrun is not None:
+                self.send(Peer(outrun.name, source), messages.Outrun(outrun.incarnation))
             return
         try:
             self._handler(outcome.message, outcome.sender, source)
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -289,6 +289,16 @@
     )
 
 
+def _fill_outrun(builder: _Builder, message: messages.Outrun) -> None:
+    builder.incarnation = message.incarnation
+
+
+def _read_outrun(reader: _Reader) -> messages.Outrun:
+    if reader.incarnation > messages.MAX_INCARNATION:
+        raise ValueError("no incarnation")
+    return messages.Outrun(reader.incarnation)
+
+
 class _Form(typing.NamedTuple):
     """How one message is written and read."""
 
@@ -307,6 +317,7 @@
     _Form(messages.ConfigHint, "configHint", _fill_hint, _read_hint),
     _Form(messages.ConfigAsk, "configAsk", _fill_config_ask, _read_config_ask),
     _Form(messages.ConfigOffer, "configOffer", _fill_offer, _read_offer),
+    _Form(messages.Outrun, "outrun", _fill_outrun, _read_outrun),
 )
 _FORM_BY_TYPE = {form.message_type: form for form in _FORMS}
 _FORM_BY_FIELD = {form.field: form for form in _FORMS}
--- a/hornbeamglade/membership/heartbeats.py
+++ b/hornbeamglade/membership/heartbeats.py
@@ -104,6 +104,13 @@
         with self._lock:
             self._view.asked(name, self._clock.now())
 
+    def rise_to(self, incarnation: int) -> None:
+        """Go on under another incarnation, and tell everyone."""
+        with self._lock:
+            self._view.rise_to(incarnation)
+            self._members = self._view.members(self._clock.now())
+        self.announce()
+
     def leave(self) -> None:
         """Announce that this node leaves, now and in all later heartbeats."""
         with self._lock:
--- a/hornbeamglade/membership/view.py
+++ b/hornbeamglade/membership/view.py
@@ -152,6 +152,15 @@
         self._unreported: set[str] = set()
         self._look_at_all_at = math.inf
 
+    def rise_to(self, incarnation: int) -> None:
+        """Give this node another incarnation; a mark of leaving stays."""
+        own = self._own.known
+        is_leaving = own.left_incarnation == own.incarnation
+        own.incarnation = incarnation
+        if is_leaving:
+            own.leave()
+        self._touched.add(self.own.name)
+
     def listed(self, instances: tuple[contract.Instance, ...]) -> None:
         """Take the platform's list; call it only with a list that was read."""
         self._touched.update(self._record_by_name)
--- a/hornbeamglade/node/peering.py
+++ b/hornbeamglade/node/peering.py
@@ -17,6 +17,7 @@
 from hornbeamglade.membership import heartbeats, ownership, teamdemands
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestbook, inflight, replicabook, settings
+from hornbeamglade.observability import logs
 
 MILLISECONDS = 1000
 PEERS_AFTER_S = 1.5
@@ -221,6 +222,8 @@
             self._server.progressed(message, sender, source)
         elif isinstance(message, messages.ConfigHint):
             self._config.hint(message.revision, sender.name)
+        elif isinstance(message, messages.Outrun):
+            self._rise_above(message.incarnation)
         elif isinstance(message, messages.ConfigAsk):
             self._offer_chunk(message, transport.Peer(sender.name, source))
         elif isinstance(message, messages.ConfigOffer):
@@ -234,6 +237,15 @@
         if ask.chunk < len(offers):
             self.transport.send(peer, offers[ask.chunk])
 
+    def _rise_above(self, incarnation: int) -> None:
+        """Go on under a higher incarnation than one that another node knows."""
+        risen = self.codec.rise_above(incarnation)
+        if risen <= incarnation:
+            return
+        self.grants.rise_to(risen)
+        self.heartbeats.rise_to(risen)
+        logs.state_changed("incarnation", "outrun", "raised", incarnation=risen)
+
     def _hear_closings(self, digests: tuple[messages.ReplicaDigest, ...]) -> None:
         """Close replicas that this node owns and another node is about to change.
 
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -90,7 +90,8 @@
 class Node:
     """One instance and its caller's side."""
 
-    def __init__(self, number):
+    def __init__(self, number, clock=None):
+        clock = clock or clocks.SystemClock()
         ports = free_port(socket.SOCK_DGRAM)
         callers = f"127.0.0.1:{free_port(socket.SOCK_STREAM)}"
         self.told = settings.Settings(
@@ -104,8 +105,8 @@
             budget=settings.Budget(ratio=0.2, slack=50, window_s=10),
             bounds=settings.Bounds(stop_s=8, address_ttl_s=5),
         )
-        self.instance = instance.EntryInstance(self.told, clocks.SystemClock())
-        self._server = serverside.CallersServer(self.instance.callers, clocks.SystemClock())
+        self.instance = instance.EntryInstance(self.told, clock)
+        self._server = serverside.CallersServer(self.instance.callers, clock)
         self._tasks = []
 
     async def start(self):
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -83,4 +83,5 @@
     | strategies.builds(messages.ConfigHint, _U64, _U64, strategies.booleans())
     | strategies.builds(messages.ConfigAsk, _U64, _U16, strategies.sampled_from(messages.Subject))
     | _OFFERS
+    | strategies.builds(messages.Outrun, strategies.integers(0, messages.MAX_INCARNATION))
 )
--- a/tests/exchange/test_codec.py
+++ b/tests/exchange/test_codec.py
@@ -147,3 +147,20 @@
     )
     frame = make(name, incarnation=2**63).encode(name, report)
     assert make(name).decode(frame).message == report
+
+
+def test_node_that_was_outrun_is_named_and_heard_once_it_has_risen():
+    """A node starts again while its time of day is behind that of its start before.
+
+    Its incarnation is the lower one, and everyone who knew it dropped all that it sent.
+    """
+    peer, former, again = make("b"), make("a", incarnation=9), make("a", incarnation=4)
+    peer.decode(former.encode("b", HINT))
+    dropped = peer.decode(again.encode("b", HINT))
+    assert dropped.outrun_by == codec.Sender("a", 9)
+    assert again.rise_above(9) == 10
+    assert peer.decode(again.encode("b", HINT)) == codec.Decoded(HINT, codec.Sender("a", 10))
+
+
+def test_late_frame_of_a_former_run_raises_nobody():
+    assert make("a", incarnation=9).rise_above(9) == 9
