--- a/hornbeamglade/bench/loadprocesses.py
+++ b/hornbeamglade/bench/loadprocesses.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+import typing
 
 from hornbeamglade.core import codederrors
 
@@ -33,10 +34,15 @@
     :param name: for messages and its log's file name.
     :param module_arguments: what follows ``python -m``.
     :param folder: where its standard error goes.
+    :param output: where its standard output goes; None to read it here.
     """
 
     def __init__(
-        self, name: str, module_arguments: collections.abc.Sequence[str], folder: pathlib.Path
+        self,
+        name: str,
+        module_arguments: collections.abc.Sequence[str],
+        folder: pathlib.Path,
+        output: typing.BinaryIO | None = None,
     ) -> None:
         self.name = name
         self._log = folder / f"{name}.log"
@@ -44,7 +50,7 @@
             self._process = subprocess.Popen(
                 [sys.executable, "-m", *module_arguments],
                 stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE,
+                stdout=output or subprocess.PIPE,
                 stderr=log,
             )
 
--- a/hornbeamglade/cli/main.py
+++ b/hornbeamglade/cli/main.py
@@ -15,6 +15,7 @@
     "explain": "explain",
     "losses": "losses",
     "node": "node",
+    "soak": "soak",
     "spec": "spec",
     "standin": "standin",
     "status": "status",
--- /dev/null
+++ b/hornbeamglade/cli/soak.py
@@ -0,0 +1,74 @@
+"""``hornbeamglade soak``: hurt a small site at random and hold it to its promises."""
+
+import collections.abc
+import pathlib
+import sys
+import tempfile
+
+import click
+
+from hornbeamglade.soak import running, seeds
+
+EXIT_BROKEN = 1
+
+
+@click.command()
+@click.option("--seeds", "told", default="1", show_default=True, help="Such as 3 or 1-50 or 2,9.")
+@click.option("--seconds", default=12.0, show_default=True, help="How long faults begin.")
+@click.option("--kept", is_flag=True, help="Play the seeds that have failed before, too.")
+@click.option(
+    "--folder", type=click.Path(path_type=pathlib.Path), help="Keeps each seed's logs here."
+)
+def soak(told: str, seconds: float, kept: bool, folder: pathlib.Path | None) -> None:
+    """Play seeds, one after the other; the exit code is 1 when a promise was broken."""
+    chosen = _seeds(told)
+    if kept:
+        chosen += [seed for seed in seeds.CAUSE_BY_SEED if seed not in chosen]
+    failed = [seed for seed in chosen if not _is_kept(seed, seconds, folder)]
+    click.echo(f"{len(chosen)} seeds, {len(failed)} with a broken promise: {failed or 'none'}")
+    sys.exit(EXIT_BROKEN if failed else 0)
+
+
+def _is_kept(seed: int, seconds: float, folder: pathlib.Path | None) -> bool:
+    """Play a seed and tell what came of it; return whether all promises were kept."""
+    with tempfile.TemporaryDirectory(prefix="hornbeamglade-soak-") as scratch:
+        place = pathlib.Path(scratch) if folder is None else folder / f"seed-{seed}"
+        place.mkdir(parents=True, exist_ok=True)
+        verdict = running.run(seed, seconds, place)
+    statuses = ", ".join(
+        f"{status or 'none'}: {count}" for status, count in sorted(verdict.count_by_status.items())
+    )
+    click.echo(f"seed {seed}: {verdict.requests} requests ({statuses})")
+    if verdict.broken:
+        click.echo("  faults: " + "; ".join(verdict.faults))
+    for each in verdict.broken:
+        click.echo(f"  BROKEN {each.promise} {each.request_id} {each.detail}")
+    return not verdict.broken
+
+
+def _seeds(told: str) -> list[int]:
+    """Read numbers and ranges of them.
+
+    :raises BadParameter: when they cannot be read.
+
+    Examples
+    ========
+
+    >>> _seeds("1-3,9")
+    [1, 2, 3, 9]
+    """
+    found: list[int] = []
+    for part in told.split(","):
+        first, _, last = part.partition("-")
+        try:
+            found += _span(int(first), int(last or first))
+        except ValueError as error:
+            detail = f"{part!r} is no seed and no range"
+            raise click.BadParameter(detail, param_hint="--seeds") from error
+    return found
+
+
+def _span(first: int, last: int) -> collections.abc.Iterable[int]:
+    if last < first:
+        raise ValueError("the range is empty")
+    return range(first, last + 1)
--- a/hornbeamglade/cli/standin.py
+++ b/hornbeamglade/cli/standin.py
@@ -1,5 +1,7 @@
 """``hornbeamglade standin``: the stand-ins for what hornbeamglade meets outside."""
 
+import pathlib
+
 import click
 
 from hornbeamglade.routing import prefixes
@@ -79,6 +81,15 @@
 @click.option("--id", "replica_id", required=True, help="The server's id in the list.")
 @click.option("--events", default=0, show_default=True, help="Of each stream; 0: plain service.")
 @click.option("--gap", "gap_s", default=0.01, show_default=True, help="Seconds between events.")
-def routed_server(bind: str, replica_id: str, events: int, gap_s: float) -> None:
+@click.option("--born", default=0, show_default=True, help="Unix ms of its start; 0: untold.")
+@click.option("--ledger", type=click.Path(path_type=pathlib.Path), help="File of what was run.")
+def routed_server(
+    bind: str,
+    replica_id: str,
+    events: int,
+    gap_s: float,
+    born: int,
+    ledger: pathlib.Path | None,
+) -> None:
     """Run a backend server behind routes, a plain one or a model engine."""
-    routed.run(bind, replica_id, events, gap_s)
+    routed.run(bind, replica_id, events, gap_s, born, ledger)
--- a/hornbeamglade/localsite/passthrough.py
+++ b/hornbeamglade/localsite/passthrough.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import threading
+import time
 
 _PIECE_BYTES = 65_536
 _LINGER_NONE = struct.pack("ii", 1, 0)
@@ -25,9 +26,12 @@
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
+        self.delay_s = 0.0
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._open = threading.Event()
         self._open.set()
+        self._requests_open = threading.Event()
+        self._requests_open.set()
         self._unstalled = threading.Event()
         self._stalled: frozenset[socket.socket] = frozenset()
         self._sockets: set[socket.socket] = set()
@@ -45,6 +49,16 @@
         """Keep back what the server sends, on new connections too."""
         self._open.clear()
 
+    def hold_requests(self) -> None:
+        """Keep back what clients send, on new connections too."""
+        self._requests_open.clear()
+
+    def retarget(self, target: str) -> None:
+        """Pass new connections on to another server; those that stand are reset."""
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self.cut()
+
     def stall(self) -> None:
         """Keep back both directions of the connections that stand; new ones pass."""
         with self._lock:
@@ -52,8 +66,12 @@
 
     def release(self) -> None:
         """Pass on what was kept back."""
+        self.delay_s = 0.0
         self._open.set()
-        self._unstalled.set()
+        self._requests_open.set()
+        unstalled, self._unstalled = self._unstalled, threading.Event()
+        self._stalled = frozenset()
+        unstalled.set()
 
     def cut(self) -> None:
         """Reset the connections that stand; new ones pass unless ``refuse`` is set."""
@@ -92,11 +110,16 @@
     def _pass(self, source: socket.socket, sink: socket.socket, is_answer: bool) -> None:
         try:
             while piece := source.recv(_PIECE_BYTES):
+                unstalled = self._unstalled
                 if source in self._stalled:
-                    self._unstalled.wait()
+                    unstalled.wait()
                 if is_answer and not self._open.is_set():
                     self.answers_held += 1
                     self._open.wait()
+                if not is_answer:
+                    self._requests_open.wait()
+                if self.delay_s:
+                    time.sleep(self.delay_s)
                 sink.sendall(piece)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
@@ -112,6 +135,7 @@
     def __init__(self, *names: str) -> None:
         self._names = frozenset(names)
         self.link_by_name: dict[str, PassThrough] = {}
+        self._moved: set[str] = set()
 
     def route(self, name: str, address: str) -> str:
         """Return the address under which a process is reached."""
@@ -119,8 +143,15 @@
             return address
         if name not in self.link_by_name:
             self.link_by_name[name] = PassThrough(address)
+        elif name in self._moved:
+            self._moved.discard(name)
+            self.link_by_name[name].retarget(address)
         return self.link_by_name[name].address
 
+    def retarget(self, name: str) -> None:
+        """Have the next route to a process lead to its new address."""
+        self._moved.add(name)
+
     def __getitem__(self, name: str) -> PassThrough:
         """Return the link before a process."""
         return self.link_by_name[name]
--- /dev/null
+++ b/hornbeamglade/localsite/routedsite.py
@@ -0,0 +1,337 @@
+"""Start, watch and hurt the processes of a small site of entry instances.
+
+Explanation
+===========
+
+The counterpart of :mod:`hornbeamglade.localsite.localsite` for routed requests: a store,
+engines, plain servers and entry instances as processes on loopback. A server's entry in the
+list is written here, as servers write their own on the platform.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import socket
+import time
+import typing
+
+import urllib3
+import yaml
+
+from hornbeamglade.bench import loadprocesses
+from hornbeamglade.core import codederrors
+from hornbeamglade.platform import storeclient
+from hornbeamglade.standins import operatordocuments
+from hornbeamglade.store import contract
+
+STORE = "store"
+FREE = "127.0.0.1:0"
+READY_TIMEOUT_S = 30.0
+STOP_S = 8.0
+RETRY_SLACK = 50
+DOMAINS = ("a", "b")
+LASTING_PORTS = (20_000, 30_000)
+"""Below those that systems hand out to outgoing connections, which begin at 32,768."""
+
+Route = collections.abc.Callable[[str, str], str]
+"""Returns the address under which a process is reached, by its name and its own address."""
+
+
+def direct(_name: str, address: str) -> str:
+    """Leave a link as it is."""
+    return address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """What a site is made of.
+
+    :param instances: entry instances.
+    :param engines: stand-in engines.
+    :param services: stand-in plain servers.
+    :param events: events of each stream.
+    :param gap_s: seconds between events.
+    :param route: gives the address under which the store and servers are reached.
+    :param entry_module: what runs an instance, after ``python -m``.
+    """
+
+    instances: int = 3
+    engines: int = 3
+    services: int = 2
+    events: int = 40
+    gap_s: float = 0.03
+    route: Route = direct
+    entry_module: tuple[str, ...] = ("hornbeamglade",)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Server:
+    """One run of a backend server.
+
+    :param replica_id: its name in the list.
+    :param service: what it serves.
+    :param failure_domain: where it is said to stand.
+    :param address: under which instances reach it.
+    :param born: Unix milliseconds of its start.
+    """
+
+    replica_id: str
+    service: str
+    failure_domain: str
+    address: str
+    born: int
+
+
+class RoutedSite:
+    """A running site; to be used as a context manager.
+
+    :param shape: what it is made of.
+    :param folder: for settings files, logs and ledgers.
+    """
+
+    def __init__(self, shape: Shape, folder: pathlib.Path) -> None:
+        self.shape = shape
+        self.folder = folder
+        self.child_by_name: dict[str, loadprocesses.Child] = {}
+        self.server_by_place: dict[str, Server] = {}
+        self.address_by_name: dict[str, str] = {}
+        self._settings_by_instance: dict[str, dict[str, typing.Any]] = {}
+        self._runs_by_place: dict[str, int] = {}
+        self._version = 0
+        self._stack = contextlib.ExitStack()
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=8)
+
+    def __enter__(self) -> typing.Self:
+        """Start everything and wait until the instances take callers."""
+        try:
+            address = self.start(STORE, "hornbeamglade", "standin", "platform", "--bind", FREE)
+            self.address_by_name[STORE] = address
+            for number in range(self.shape.engines):
+                self.start_server(f"engine-{number}")
+            for number in range(self.shape.services):
+                self.start_server(f"service-{number}")
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        """Stop everything that was started; nothing else is ever signalled."""
+        for child in self.child_by_name.values():
+            child.send(signal.SIGCONT)
+            child.send(signal.SIGKILL)
+        self._stack.close()
+
+    def start_instances(self) -> None:
+        """Start all instances and wait until each takes callers."""
+        for number in range(self.shape.instances):
+            self.start_instance(f"entry-{number}")
+        for name in self.instance_names:
+            self.await_ready(name)
+
+    @property
+    def instance_names(self) -> tuple[str, ...]:
+        """The names of the entry instances."""
+        return tuple(f"entry-{number}" for number in range(self.shape.instances))
+
+    @property
+    def store(self) -> str:
+        """The address under which instances reach the store."""
+        return self.shape.route(STORE, self.address_by_name[STORE])
+
+    def start(self, name: str, *arguments: str) -> str:
+        """Start a process that prints its address once it listens; return that."""
+        child = loadprocesses.Child(name, arguments, self.folder)
+        self._keep(name, child)
+        return child.first_line()
+
+    def start_instance(self, name: str) -> None:
+        """Start an entry instance, also one that has run before."""
+        settings = self._settings_by_instance.setdefault(name, self._settings(name))
+        path = self.write_settings(name, settings)
+        log = (self.folder / f"{name}.out").open("ab")
+        self._stack.callback(log.close)
+        arguments = (*self.shape.entry_module, "entry", "--settings", str(path))
+        self._keep(name, loadprocesses.Child(name, arguments, self.folder, output=log))
+
+    def write_settings(self, name: str, settings: dict[str, typing.Any]) -> pathlib.Path:
+        """Write an instance's settings file, also while it runs."""
+        self._settings_by_instance[name] = settings
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        return path
+
+    def settings(self, name: str) -> dict[str, typing.Any]:
+        """Return an instance's settings as they are."""
+        return self._settings_by_instance[name]
+
+    def callers_address(self, name: str) -> str:
+        """Return where an instance takes callers."""
+        return self._settings_by_instance[name]["listen"]["callers"]
+
+    def directory_address(self, name: str) -> str:
+        """Return where an instance says where to connect."""
+        return self._settings_by_instance[name]["listen"]["directory"]
+
+    def start_server(self, place: str, *, keeps_name: bool = False) -> Server:
+        """Start a backend server and list it.
+
+        :param place: ``engine-N`` or ``service-N``.
+        :param keeps_name: whether it is listed under the name of the one before it.
+        """
+        run = self._runs_by_place.get(place, 0) + (0 if keeps_name else 1)
+        self._runs_by_place[place] = run
+        replica_id = f"{place}.{run}"
+        born = time.time_ns() // 1_000_000
+        is_engine = place.startswith("engine")
+        events = str(self.shape.events if is_engine else 0)
+        options = ("--id", replica_id, "--events", events, "--gap", str(self.shape.gap_s))
+        options += ("--born", str(born))
+        ledger = ("--ledger", str(self.folder / "ledger.jsonl"))
+        address = self.start(
+            place, "hornbeamglade", "standin", "routed", "--bind", FREE, *options, *ledger
+        )
+        self.address_by_name[place] = address
+        number = int(place.rpartition("-")[2])
+        kind = operatordocuments.ENGINE_SERVICE if is_engine else operatordocuments.PLAIN_SERVICE
+        server = Server(
+            replica_id,
+            kind,
+            DOMAINS[number % len(DOMAINS)],
+            self.shape.route(place, address),
+            born,
+        )
+        self.server_by_place[place] = server
+        self.list_server(server)
+        return server
+
+    def list_server(self, server: Server, *, is_leaving: bool = False) -> bool:
+        """Write a server's entry; return whether the store took it."""
+        told = operatordocuments.entry(
+            server.service,
+            server.address,
+            server.failure_domain,
+            is_leaving=is_leaving,
+            born=server.born,
+        )
+        return self.write((contract.Put(f"servers/{server.replica_id}", told),))
+
+    def write_entry(self, name: str, value: str) -> bool:
+        """Write an entry as another program might; return whether the store took it."""
+        return self.write((contract.Put(f"servers/{name}", value),))
+
+    def unlist_server(self, server: Server) -> bool:
+        """Take a server's entry away; return whether the store took it."""
+        return self.write((contract.Delete(f"servers/{server.replica_id}"),))
+
+    def configure(
+        self, keys_by_team: collections.abc.Mapping[str, collections.abc.Sequence[str]]
+    ) -> bool:
+        """Write the next version of the manifest; return whether the store took it."""
+        self._version += 1
+        document = operatordocuments.manifest(self._version, keys_by_team)
+        return self.write((contract.Put("op/config", document),))
+
+    def write(self, writes: tuple[contract.Put | contract.Delete, ...]) -> bool:
+        """Write to the store, past whatever stands between it and the instances."""
+        client = storeclient.StoreClient(self.address_by_name[STORE])
+        return isinstance(client.transact((), writes), contract.Committed)
+
+    def faults(self, name: str, **faults: typing.Any) -> None:
+        """Set a stand-in's faults; those that are not named are off."""
+        self.tell(name, "/standin/faults", faults)
+
+    def tell(self, name: str, path: str, body: dict[str, typing.Any]) -> None:
+        """Put something to a stand-in.
+
+        :raises CodedError: ``local_standin``, when it does not take it.
+        """
+        url = f"http://{self.address_by_name[name]}{path}"
+        try:
+            answer = self._http.request("PUT", url, body=json.dumps(body))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise codederrors.CodedError("local_standin", f"{name}{path}: {error}") from error
+        if answer.status >= 300:
+            detail = f"{name}{path}: {answer.status} {answer.data[:200]!r}"
+            raise codederrors.CodedError("local_standin", detail)
+
+    def is_ready(self, name: str) -> bool:
+        """Tell whether an instance says that it takes callers."""
+        address = self._settings_by_instance[name]["listen"]["readiness"]
+        url = f"http://{address}/v1/readyz"
+        try:
+            return self._http.request("GET", url, timeout=1.0).status == 200
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+
+    def await_ready(self, name: str) -> None:
+        """Wait until an instance takes callers; the bound only ends a wait in vain."""
+        child = self.child_by_name[name]
+        loadprocesses.wait_until(
+            lambda: self.is_ready(name), f"{name} to be ready", (child,), READY_TIMEOUT_S
+        )
+
+    def ledger(self) -> tuple[dict[str, typing.Any], ...]:
+        """Return all that backend servers have run, those that are gone included."""
+        path = self.folder / "ledger.jsonl"
+        lines = path.read_text(encoding="utf-8").splitlines() if path.exists() else ()
+        return tuple(json.loads(line) for line in lines)
+
+    def copies(self, place: str) -> tuple[str, ...]:
+        """Return the copies of runs that an engine holds; none when it does not answer."""
+        url = f"http://{self.address_by_name[place]}/standin/copies"
+        try:
+            return tuple(self._http.request("GET", url, timeout=1.0).json())
+        except (urllib3.exceptions.HTTPError, OSError):
+            return ()
+
+    def _keep(self, name: str, child: loadprocesses.Child) -> None:
+        former = self.child_by_name.get(name)
+        if former is not None:
+            former.stop()
+        self.child_by_name[name] = child
+        self._stack.callback(child.stop)
+
+    def _settings(self, name: str) -> dict[str, typing.Any]:
+        ports = [_lasting_port() for _ in range(4)]
+        callers, readiness, directory, control = (f"127.0.0.1:{port}" for port in ports)
+        exchange = _lasting_port(socket.SOCK_DGRAM)
+        number = int(name.rpartition("-")[2])
+        return {
+            "name": name,
+            "host": "127.0.0.1",
+            "failure_domain": DOMAINS[number % len(DOMAINS)],
+            "region": "r",
+            "listen": {
+                "callers": callers,
+                "readiness": readiness,
+                "directory": directory,
+                "control": control,
+            },
+            "exchange_ports": [exchange, exchange],
+            "seeds": [],
+            "store": self.store,
+            "budget": {"ratio": 0.2, "slack": RETRY_SLACK, "window_s": 10},
+            "bounds": {"stop_s": STOP_S, "address_ttl_s": 5},
+            "region_by_failure_domain": dict.fromkeys(DOMAINS, "r"),
+        }
+
+
+def _lasting_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """Return a free port that no outgoing connection is given by chance.
+
+    Guards an instance that is started again: were its port one of those that the system
+    hands out, a caller's connection might hold it by then.
+    """
+    while True:
+        port = random.randrange(*LASTING_PORTS)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
--- /dev/null
+++ b/hornbeamglade/soak/checks.py
@@ -0,0 +1,181 @@
+"""The promises, held against what callers saw and what backend servers ran."""
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+from hornbeamglade.soak import stage
+from hornbeamglade.standins import operatordocuments, routedcaller
+
+NOT_RUN = frozenset((408, 421, 429, 503))
+"""Statuses that promise that the request has not run and never will."""
+
+DENIED = frozenset((400, 401, 403, 404, 413, 431))
+RESERVED = frozenset(("authorization", "hold", "pin-ms", "kv-backup"))
+
+LEAST_SERVED = 0.2
+"""Share of requests that are served in a run of many faults; below it the run shows little,
+and something keeps the instances from serving."""
+
+KEY_BOUND_S = 5.0
+"""A key that was taken away is refused by then, where the store could be reached."""
+
+Ran = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that was not kept.
+
+    :param promise: its name.
+    :param request_id: the request that shows it, or an empty text.
+    :param detail: what was seen.
+    """
+
+    promise: str
+    request_id: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Evidence:
+    """All that a run left behind.
+
+    :param seen: what callers saw.
+    :param ran: what backend servers ran.
+    :param done: what was done to the site.
+    :param taken_at_by_key: when the store took the word that a key is no longer valid.
+    :param given_at_by_key: when it took the word of a new one.
+    :param events: events of a whole stream.
+    """
+
+    seen: tuple[routedcaller.Seen, ...]
+    ran: tuple[Ran, ...]
+    done: tuple[stage.Done, ...]
+    taken_at_by_key: dict[str, float]
+    given_at_by_key: dict[str, float]
+    events: int
+
+    def ran_by_id(self) -> dict[str, list[Ran]]:
+        """Return the runs of each request."""
+        found: dict[str, list[Ran]] = collections.defaultdict(list)
+        for each in self.ran:
+            found[each["request_id"]].append(each)
+        return found
+
+
+def broken(evidence: Evidence) -> tuple[Broken, ...]:
+    """Return every promise that was not kept."""
+    ran_by_id = evidence.ran_by_id()
+    found: list[Broken] = []
+    for seen in evidence.seen:
+        found += _of_answer(seen, evidence.events)
+        found += _of_runs(seen, ran_by_id.get(seen.request_id, []))
+        found += _of_key(seen, evidence)
+    found += _of_keys_that_come_back(evidence)
+    found += _of_strangers(evidence)
+    found += _of_service(evidence)
+    return tuple(found)
+
+
+def _of_answer(seen: routedcaller.Seen, whole_events: int) -> collections.abc.Iterator[Broken]:
+    """Return what is wrong with an answer by itself."""
+    if seen.status is None:
+        return
+    if seen.is_sealed and seen.status == 200 and seen.is_stream:
+        yield from _of_stream(seen, whole_events)
+    elif seen.is_sealed and seen.is_whole:
+        _, _, request_id = seen.body.decode("latin-1").rpartition(":")
+        if request_id != seen.request_id:
+            yield Broken("own_answer", seen.request_id, f"got {seen.body[:60]!r}")
+    elif seen.status == 200 and not seen.is_sealed:
+        yield Broken("proved_answer", seen.request_id, "a success without its replica's proof")
+    if seen.status == 404 or (seen.status in DENIED - {401} and seen.is_whole):
+        yield Broken("not_denied", seen.request_id, f"status {seen.status}")
+
+
+def _of_stream(seen: routedcaller.Seen, whole_events: int) -> collections.abc.Iterator[Broken]:
+    expected = [(number, f"{seen.request_id}.{number}") for number in range(1, whole_events + 1)]
+    if list(seen.events) != expected[: len(seen.events)]:
+        yield Broken("events_in_order", seen.request_id, f"{len(seen.events)} events")
+    if seen.is_whole and len(seen.events) != whole_events:
+        yield Broken("whole_only_when_whole", seen.request_id, f"{len(seen.events)} events")
+
+
+def _of_runs(seen: routedcaller.Seen, ran: list[Ran]) -> collections.abc.Iterator[Broken]:
+    """Return what is wrong with how often and how a request was run."""
+    terms = operatordocuments.TERMS_BY_ROUTE[seen.route]
+    is_single = terms.kind == "non_idempotent" or (seen.is_stream and not terms.is_resumable)
+    if len(ran) > (1 if is_single else terms.max_attempts):
+        yield Broken("run_as_often_as_allowed", seen.request_id, f"{len(ran)} runs")
+    if seen.status in NOT_RUN and not seen.is_sealed and ran:
+        yield Broken("not_run_is_true", seen.request_id, f"status {seen.status}, but it ran")
+    for each in ran:
+        if each["team"] != stage.team_of(seen.key):
+            yield Broken("own_team", seen.request_id, f"ran for {each['team']!r}")
+        if RESERVED & set(each["names"]):
+            yield Broken("nothing_reserved_passes", seen.request_id, str(each["names"]))
+        if each["body"] != seen.request_id or each["target"] != f"/{seen.route}/1?q=2":
+            yield Broken("passes_unchanged", seen.request_id, f"{each['target']} {each['body']}")
+
+
+def _of_key(seen: routedcaller.Seen, evidence: Evidence) -> collections.abc.Iterator[Broken]:
+    """Return whether a key was refused that is valid, or the other way round."""
+    taken_at = evidence.taken_at_by_key.get(seen.key)
+    given_at = evidence.given_at_by_key.get(seen.key)
+    was_always_valid = taken_at is None and given_at is None
+    if seen.status == 401 and was_always_valid:
+        yield Broken("valid_key_is_let_in", seen.request_id, seen.key)
+    if taken_at is None or seen.status != 200:
+        return
+    since = taken_at + KEY_BOUND_S
+    if seen.sent_at > since and not _was_out_of_touch(evidence.done, taken_at, seen.sent_at):
+        yield Broken("taken_key_is_refused", seen.request_id, seen.key)
+
+
+def _was_out_of_touch(
+    done: collections.abc.Iterable[stage.Done], began_at: float, ended_at: float
+) -> bool:
+    """Tell whether the store, an instance or the links between were hurt meanwhile."""
+    return any(
+        (each.where == "store" or each.where.startswith("entry-"))
+        and each.began_at < ended_at
+        and each.ended_at > began_at
+        for each in done
+    )
+
+
+def _of_keys_that_come_back(evidence: Evidence) -> collections.abc.Iterator[Broken]:
+    """Return whether an instance let a key in that it had refused before, in one life."""
+    by_place: dict[tuple[str, str], list[routedcaller.Seen]] = collections.defaultdict(list)
+    for seen in evidence.seen:
+        if seen.key in evidence.taken_at_by_key:
+            by_place[seen.address, seen.key].append(seen)
+    starts = [each.began_at for each in evidence.done if _ends_a_life(each)]
+    for (_, key), all_seen in by_place.items():
+        refused = [each for each in all_seen if each.status == 401]
+        for first in sorted(refused, key=lambda each: each.ended_at)[:1]:
+            for later in all_seen:
+                was_restarted = any(first.sent_at < at < later.ended_at for at in starts)
+                if later.sent_at > first.ended_at and later.status == 200 and not was_restarted:
+                    yield Broken("configuration_never_goes_back", later.request_id, key)
+
+
+def _ends_a_life(done: stage.Done) -> bool:
+    return done.what in ("InstanceKilled", "InstanceStopped")
+
+
+def _of_strangers(evidence: Evidence) -> collections.abc.Iterator[Broken]:
+    """Return runs of requests that no caller sent."""
+    asked = {seen.request_id for seen in evidence.seen}
+    for each in evidence.ran:
+        if each["request_id"] not in asked:
+            yield Broken("nothing_unasked_runs", each["request_id"], each["replica_id"])
+
+
+def _of_service(evidence: Evidence) -> collections.abc.Iterator[Broken]:
+    """Return whether the instances served next to nothing."""
+    served = sum(seen.status == 200 and seen.is_whole for seen in evidence.seen)
+    if served < LEAST_SERVED * len(evidence.seen):
+        yield Broken("serves", "", f"{served} of {len(evidence.seen)} requests")
--- /dev/null
+++ b/hornbeamglade/soak/faults.py
@@ -0,0 +1,319 @@
+"""The kinds of faults, each inflicted from outside the process that it hits."""
+
+import abc
+import dataclasses
+import signal
+import time
+
+from hornbeamglade.localsite import passthrough, routedsite
+from hornbeamglade.soak import skewedentry, stage
+
+EXIT_S = 12.0
+"""An instance that is told to stop has eight seconds; the platform would kill it then."""
+
+NOTICE_S = 1.5
+"""How long an engine serves on that was told to stop, as on the operators' platform."""
+
+POLL_S = 0.05
+
+
+class Fault(abc.ABC):
+    """One thing that goes wrong, or one piece of planned work.
+
+    :param where: the part of the site that it hits.
+    """
+
+    def __init__(self, where: str) -> None:
+        self.where = where
+
+    @property
+    def what(self) -> str:
+        """The fault's name."""
+        return type(self).__name__
+
+    @abc.abstractmethod
+    def begin(self, hit: stage.Stage) -> None:
+        """Let it begin."""
+
+    @abc.abstractmethod
+    def end(self, hit: stage.Stage) -> None:
+        """Let it be over; the part works as before afterwards."""
+
+
+class InstanceKilled(Fault):
+    """An instance is killed and started again."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Kill it."""
+        hit.site.child_by_name[self.where].send(signal.SIGKILL)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Start it again."""
+        hit.site.start_instance(self.where)
+
+
+class InstanceStopped(Fault):
+    """An instance is told to stop, and started again once it has."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Tell it to stop."""
+        hit.site.child_by_name[self.where].send(signal.SIGTERM)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Wait for its end, as the platform does, and start it again."""
+        child = hit.site.child_by_name[self.where]
+        until = time.monotonic() + EXIT_S
+        while not child.ended() and time.monotonic() < until:
+            time.sleep(POLL_S)
+        hit.site.start_instance(self.where)
+
+
+class InstancePaused(Fault):
+    """An instance stands still for a while."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Halt it."""
+        hit.site.child_by_name[self.where].send(signal.SIGSTOP)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Let it go on."""
+        hit.site.child_by_name[self.where].send(signal.SIGCONT)
+
+
+class InstanceReloaded(Fault):
+    """An instance's settings change, and it is told so."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Change its settings."""
+        settings = hit.site.settings(self.where)
+        slack = settings["budget"]["slack"] + 1
+        hit.site.write_settings(
+            self.where, settings | {"budget": settings["budget"] | {"slack": slack}}
+        )
+        hit.site.child_by_name[self.where].send(signal.SIGHUP)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Tell it once more."""
+        hit.site.child_by_name[self.where].send(signal.SIGHUP)
+
+
+@dataclasses.dataclass
+class ClockMoved(Fault):
+    """An instance's wall clock steps, and steps back.
+
+    :param where: the instance.
+    :param seconds: how far.
+    """
+
+    where: str
+    seconds: float
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Move it."""
+        self._path(hit).write_text(str(self.seconds), encoding="ascii")
+
+    def end(self, hit: stage.Stage) -> None:
+        """Move it back."""
+        self._path(hit).unlink(missing_ok=True)
+
+    def _path(self, hit: stage.Stage):
+        return skewedentry.path_for(hit.site.folder / f"{self.where}.yaml")
+
+
+class ServerKilled(Fault):
+    """A backend server dies without a word; its entry goes some seconds later."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Kill it."""
+        hit.site.child_by_name[self.where].send(signal.SIGKILL)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Take its entry away, and start another in its place."""
+        _replace(hit, self.where)
+
+
+class ServerStartsAgain(Fault):
+    """A backend server dies and starts again under its name; it holds nothing of before."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Kill it."""
+        hit.site.child_by_name[self.where].send(signal.SIGKILL)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Start it again under its name."""
+        hit.links.retarget(self.where)
+        hit.site.start_server(self.where, keeps_name=True)
+
+
+@dataclasses.dataclass
+class EntryOverwritten(Fault):
+    """Another program writes over a server's entry, and leaves one of its own.
+
+    :param where: the server.
+    :param value: what it writes.
+    """
+
+    where: str
+    value: str
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Write both."""
+        hit.site.write_entry(hit.site.server_by_place[self.where].replica_id, self.value)
+        hit.site.write_entry(f"stray-{self.where}", self.value)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Let the server write its entry again."""
+        hit.site.list_server(hit.site.server_by_place[self.where])
+
+
+class ServerLeaves(Fault):
+    """A backend server is told to stop at short notice."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Have it say that it leaves, and be gone after its notice."""
+        server = hit.site.server_by_place[self.where]
+        hit.site.tell(self.where, "/standin/leave", {})
+        if hit.site.list_server(server, is_leaving=True):
+            hit.left_at_by_replica[server.replica_id] = time.monotonic()
+        time.sleep(NOTICE_S)
+        hit.site.child_by_name[self.where].send(signal.SIGKILL)
+        hit.site.unlist_server(server)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Start another in its place."""
+        _replace(hit, self.where)
+
+
+class ServerPaused(Fault):
+    """A backend server stands still for a while."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Halt it."""
+        hit.site.child_by_name[self.where].send(signal.SIGSTOP)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Let it go on."""
+        hit.site.child_by_name[self.where].send(signal.SIGCONT)
+
+
+@dataclasses.dataclass
+class ServerMisbehaves(Fault):
+    """A backend server answers wrongly.
+
+    :param where: the server.
+    :param how: a member of its faults.
+    """
+
+    where: str
+    how: str
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Have it do wrong."""
+        hit.site.faults(self.where, **{self.how: True})
+
+    def end(self, hit: stage.Stage) -> None:
+        """Have it do right."""
+        hit.site.faults(self.where)
+
+
+@dataclasses.dataclass
+class StoreFails(Fault):
+    """The store is away, slow, or loses its answers.
+
+    :param where: the store.
+    :param how: a member of its faults.
+    :param value: what that is set to.
+    """
+
+    where: str
+    how: str
+    value: bool | float
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Let it fail."""
+        hit.site.faults(self.where, **{self.how: self.value})
+
+    def end(self, hit: stage.Stage) -> None:
+        """Let it work."""
+        hit.site.faults(self.where)
+
+
+class LinkFault(Fault):
+    """A fault of the link before the store or a server."""
+
+    def link(self, hit: stage.Stage) -> passthrough.PassThrough:
+        """Return the link that it hits."""
+        return hit.links[self.where]
+
+    def end(self, hit: stage.Stage) -> None:
+        """Let the link work as before."""
+        self.link(hit).release()
+
+
+class LinkReset(LinkFault):
+    """The connections over a link are reset."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Reset them."""
+        self.link(hit).cut()
+
+
+class LinkDelayed(LinkFault):
+    """All that goes over a link comes later."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Delay it."""
+        self.link(hit).delay_s = 0.15
+
+
+class AnswersHeld(LinkFault):
+    """Only one way of a link works: requests pass, answers do not."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Hold answers."""
+        self.link(hit).hold()
+
+
+class RequestsHeld(LinkFault):
+    """Only the other way of a link works."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Hold requests."""
+        self.link(hit).hold_requests()
+
+
+class LinkSilent(LinkFault):
+    """The connections that stand go silent without a reset; new ones work."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Silence them."""
+        self.link(hit).stall()
+
+
+class KeyTaken(Fault):
+    """A key is taken from its team."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Take it."""
+        hit.take_key(self.where)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Leave it so: no key is given twice."""
+
+
+class KeyGiven(Fault):
+    """A team gets another key."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Give it."""
+        hit.give_key(self.where)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Leave it so."""
+
+
+def _replace(hit: stage.Stage, place: str) -> routedsite.Server:
+    """Take a server's entry away, which may be gone already, and start another run of it."""
+    hit.site.unlist_server(hit.site.server_by_place[place])
+    hit.links.retarget(place)
+    return hit.site.start_server(place)
--- /dev/null
+++ b/hornbeamglade/soak/stage.py
@@ -0,0 +1,97 @@
+"""The site that a soak plays on, and a record of what was done to it."""
+
+import collections
+import dataclasses
+import pathlib
+import threading
+import time
+
+from hornbeamglade.localsite import passthrough, routedsite
+
+KEYS_A_TEAM = 3
+TEAMS = ("clinic", "court", "office")
+MODULE = ("hornbeamglade.soak.skewedentry",)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """Something that was done to a part of the site.
+
+    :param what: the fault's name.
+    :param where: the part's name.
+    :param began_at: seconds of the machine's steady clock.
+    :param ended_at: the same; infinite while it lasts.
+    """
+
+    what: str
+    where: str
+    began_at: float
+    ended_at: float = float("inf")
+
+
+class Stage:
+    """The site, its links, its keys and its history; safe to use from several threads.
+
+    :param seed: names the run.
+    :param folder: for the processes' files.
+    """
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self.seed = seed
+        self._lock = threading.Lock()
+        names = ("store", *(f"engine-{n}" for n in range(3)), *(f"service-{n}" for n in range(2)))
+        self.links = passthrough.PassThroughs(*names)
+        shape = routedsite.Shape(route=self.links.route, entry_module=MODULE)
+        self.site = routedsite.RoutedSite(shape, folder)
+        self.keys_by_team = {
+            team: [f"{team}-{number}" for number in range(KEYS_A_TEAM)] for team in TEAMS
+        }
+        self.taken_at_by_key: dict[str, float] = {}
+        self.given_at_by_key: dict[str, float] = {}
+        self.left_at_by_replica: dict[str, float] = {}
+        self._done: list[Done] = []
+
+    def begin(self, what: str, where: str) -> None:
+        """Note that something begins."""
+        with self._lock:
+            self._done.append(Done(what, where, time.monotonic()))
+
+    def end(self, what: str, where: str) -> None:
+        """Note that it ends."""
+        now = time.monotonic()
+        with self._lock:
+            self._done = [
+                dataclasses.replace(each, ended_at=now)
+                if (each.what, each.where) == (what, where) and each.ended_at == float("inf")
+                else each
+                for each in self._done
+            ]
+
+    def history(self) -> tuple[Done, ...]:
+        """Return all that was done, in order."""
+        with self._lock:
+            return tuple(self._done)
+
+    def take_key(self, key: str) -> None:
+        """Take a key from its team."""
+        team = team_of(key)
+        self.keys_by_team[team] = [each for each in self.keys_by_team[team] if each != key]
+        if self.site.configure(self.keys_by_team):
+            self.taken_at_by_key[key] = time.monotonic()
+
+    def give_key(self, key: str) -> None:
+        """Give a new key to its team."""
+        self.keys_by_team[team_of(key)].append(key)
+        if self.site.configure(self.keys_by_team):
+            self.given_at_by_key[key] = time.monotonic()
+
+    def keys(self) -> tuple[str, ...]:
+        """Return every key that was ever given out."""
+        held = collections.ChainMap(self.taken_at_by_key, self.given_at_by_key)
+        all_held = {key for keys in self.keys_by_team.values() for key in keys}
+        return tuple(sorted(all_held | set(held)))
+
+
+def team_of(key: str) -> str:
+    """Return the team that holds a key."""
+    return key.rpartition("-")[0]
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -15,9 +15,11 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
 import signal
 import socket
 import struct
+import time
 
 import h11
 
@@ -38,6 +40,8 @@
     :param team: the team that it was said to come from, or an empty text.
     :param names: of all its headers, in lower case.
     :param body: its body.
+    :param at: seconds of the machine's steady clock at which it came.
+    :param replica_id: where it ran.
     """
 
     request_id: str
@@ -45,6 +49,8 @@
     team: str
     names: tuple[str, ...]
     body: str
+    at: float
+    replica_id: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,10 +71,19 @@
     :param replica_id: its id.
     :param events: events of each stream; 0 makes it a plain service.
     :param gap_s: seconds between events.
+    :param ledger_path: a file to which each run is added before it begins, so that what a
+        killed server ran is known; None for none.
     """
 
-    def __init__(self, replica_id: str, events: int = 0, gap_s: float = 0.01) -> None:
+    def __init__(
+        self,
+        replica_id: str,
+        events: int = 0,
+        gap_s: float = 0.01,
+        ledger_path: pathlib.Path | None = None,
+    ) -> None:
         self.replica_id = replica_id
+        self._ledger_path = ledger_path
         self.faults = routedfaults.RoutedFaults()
         self.ledger: list[Ran] = []
         self.is_leaving = False
@@ -76,6 +91,7 @@
         self.address = ""
         self.run_by_id: dict[str, routedruns.StandinRun] = {}
         self.copy_by_name: dict[str, routedruns.StandinCopy] = {}
+        self._sent_to_by_copy: dict[str, str] = {}
         self.connections = 0
         self._events = events
         self._gap_s = gap_s
@@ -171,14 +187,19 @@
         if path == "/standin/leave":
             self.is_leaving = True
             return 200, {}
+        if path == "/standin/copies":
+            return 200, sorted(self.copy_by_name)
         if path == "/standin/copy":
             return self._take_copy(json.loads(asked.body))
+        if path == "/standin/drop":
+            self.copy_by_name.pop(json.loads(asked.body)["name"], None)
+            return 200, {}
         if path == "/v1/report":
             return 200, self._report()
         if path == "/v1/kv-move":
             return await self._move(json.loads(asked.body))
         if path.startswith("/v1/kv-handle/"):
-            return 200, {}
+            return await self._drop_copy(path.rpartition("/")[2])
         return None
 
     async def _plain(
@@ -269,6 +290,7 @@
                 self.copy_by_name[name] = routedruns.StandinCopy(name, run.request_id, run.made)
                 return 503, {"handle": name}
             return 503, {}
+        self._sent_to_by_copy[name] = order["to"]
         return 200, {"handle": name, "created": run.made}
 
     def _take_copy(self, copy: dict) -> tuple[int, object]:
@@ -278,6 +300,14 @@
         self.copy_by_name[name] = routedruns.StandinCopy(name, copy["id"], copy["made"])
         return 200, {}
 
+    async def _drop_copy(self, name: str) -> tuple[int, object]:
+        """Free a copy here, and where it was sent."""
+        self.copy_by_name.pop(name, None)
+        sent_to = self._sent_to_by_copy.pop(name, None)
+        if sent_to is not None:
+            await _tell(sent_to, "/standin/drop", {"name": name})
+        return 200, {}
+
     def _report(self) -> dict[str, object]:
         runs = [
             [run.request_id, PROMPT_TOKENS + run.made, run.made, 5]
@@ -296,15 +326,19 @@
         return report | ({"leaves_ms": 1500.0} if self.is_leaving else {})
 
     def _note(self, asked: _Asked) -> None:
-        self.ledger.append(
-            Ran(
-                asked.request_id,
-                asked.target,
-                asked.value_by_name.get("tenant", ""),
-                tuple(asked.value_by_name),
-                asked.body.decode("latin-1"),
-            )
+        ran = Ran(
+            asked.request_id,
+            asked.target,
+            asked.value_by_name.get("tenant", ""),
+            tuple(asked.value_by_name),
+            asked.body.decode("latin-1"),
+            time.monotonic(),
+            self.replica_id,
         )
+        self.ledger.append(ran)
+        if self._ledger_path is not None:
+            with self._ledger_path.open("a", encoding="utf-8") as ledger:
+                ledger.write(json.dumps(dataclasses.asdict(ran)) + "\n")
 
     def _proof(self, asked: _Asked) -> dict[str, str]:
         told = {"Attempt-Id": asked.request_id, "Replica-Load": "1,0,8"}
@@ -367,12 +401,23 @@
     await standin.stop()
 
 
-def run(bind: str, replica_id: str, events: int, gap_s: float) -> None:
+def run(
+    bind: str,
+    replica_id: str,
+    events: int,
+    gap_s: float,
+    born: int = 0,
+    ledger_path: pathlib.Path | None = None,
+) -> None:
     """Serve until SIGTERM or SIGINT.
 
     :param bind: ``ip:port``; port 0 takes a free one.
     :param replica_id: the server's id.
     :param events: events of each stream; 0 makes it a plain service.
     :param gap_s: seconds between events.
+    :param born: Unix milliseconds of its start, or 0 to tell none.
+    :param ledger_path: a file that keeps what was run, or None.
     """
-    asyncio.run(_run(RoutedStandin(replica_id, events, gap_s), bind))
+    standin = RoutedStandin(replica_id, events, gap_s, ledger_path)
+    standin.born = born
+    asyncio.run(_run(standin, bind))
