--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -9,15 +9,14 @@
     margincontrol,
     promptbacklog,
     replicaadmission,
-    tokenledger,
 )
 from hornbeamglade.core import clocks
-from hornbeamglade.engines import models as enginemodels
 from hornbeamglade.engines import reportpoller
 from hornbeamglade.entry import (
     callershandler,
     controlhandler,
     directory,
+    enginewatch,
     following,
     peering,
     settings,
@@ -53,9 +52,6 @@
 from hornbeamglade.store import contract
 
 TICK_S = 0.05
-REPORT_LAG_S = 0.5
-"""How old an engine's report is when it comes, as measured on the operators' engines."""
-
 ANNOUNCED_S = 2.0
 """A planned stop is told to callers for so long: the time for which they keep an answer of
 the directory."""
@@ -182,13 +178,18 @@
                 clock,
             )
         )
+        self._engine_watch = enginewatch.EngineWatch(
+            self._replicas,
+            self._desks,
+            self._registry,
+            self._pool,
+            self.peering.heartbeats.announce,
+        )
         self.poller = reportpoller.ReportPoller(
-            engine_calls, self._owned_engines, self._reported, clock
+            engine_calls, self._owned_engines, self._engine_watch.reported, clock
         )
         self.draining: draining.Draining | None = None
-        self._report_count_by_replica: dict[str, int] = {}
         self._departed_at_by_replica: dict[str, float] = {}
-        self._leaving: set[str] = set()
         self._has_been_introduced = False
         self._count_connections: collections.abc.Callable[[], int] = lambda: 0
 
@@ -292,20 +293,9 @@
         for hint in self.watch.tick(live):
             self.peering.send(hint.node, hint.message)
 
-    def member_changed(self, change: membershipview.StateChange) -> None:
-        """Log a change of an instance's state."""
-        before = "unknown" if change.before is None else change.before.name.lower()
-        logs.state_changed(
-            "member",
-            before,
-            change.member.state.name.lower(),
-            node=change.member.identity.name,
-            incarnation=change.member.incarnation,
-        )
-
     def engine_leaves(self, replica_id: str) -> None:
         """Take an owner's word that an engine is about to stop."""
-        self._engine_leaves(replica_id, "peer")
+        self._engine_watch.leaves(replica_id, enginewatch.PEER)
 
     def hinted(self, hint: messages.ConfigHint) -> None:
         """Take a hint of an instance that follows the store."""
@@ -322,6 +312,7 @@
         self._pool.forget(frozenset(each.address for each in present.values()))
         self._loads.forget(present)
         self._forget_departed()
+        self._engine_watch.forget_absent()
         # An instance may have come back under its name in another failure domain.
         self.peering.update_owners()
         # Killed instances come back under their names: their part is not given away.
@@ -377,12 +368,11 @@
         self._take_engines()
         for change in changes:
             if change.what in ("leaving", "gone"):
-                self._engine_leaves(change.replica.id, "list")
+                self._engine_watch.leaves(change.replica.id, enginewatch.LIST)
             elif change.what == "restarted":
-                self._engine_restarted(change.replica)
+                self._engine_watch.restarted(change.replica)
             elif change.what == "added":
-                # An entry that lapsed while the store was away, of an engine that lives.
-                self._leaving.discard(change.replica.id)
+                self._engine_watch.added(change.replica.id)
 
     def _take_engines(self) -> None:
         view = self._views.routes
@@ -396,62 +386,6 @@
         )
         self.peering.update_owners()
 
-    def _reported(
-        self,
-        replica: replicamodels.Replica,
-        report: enginemodels.EngineReport | reportpoller.Lost | None,
-    ) -> None:
-        """Take what an owned engine says of itself."""
-        if report is None:
-            return
-        if isinstance(report, reportpoller.Lost):
-            if self._desks.lost(replica.id):
-                logs.state_changed("engine", "reached", "unreached", replica=replica.id)
-                self.peering.heartbeats.announce()
-            return
-        count = self._report_count_by_replica.get(replica.id, 0) + 1
-        self._report_count_by_replica[replica.id] = count
-        load = tokenledger.LoadView(
-            sequence=count,
-            age_s=REPORT_LAG_S,
-            capacity_tokens=report.memory_tokens,
-            used_tokens=report.used_tokens,
-        )
-        leaving = report.is_leaving or not self._replicas.is_usable(replica.id)
-        self._desks.change(replica.id, lambda desk, now: desk.reported(load, leaving, now))
-        if report.is_leaving and replica.id not in self._leaving:
-            self._engine_leaves(replica.id, "report")
-            self.peering.heartbeats.announce()
-
-    def _engine_leaves(self, replica_id: str, source: str) -> None:
-        """Take the word that an engine is about to stop, and move its runs away.
-
-        Explanation
-        ===========
-
-        The platform's list tells it first. While the store is away only the engine's own
-        report does, half a second later; its owner then tells the other instances.
-        """
-        if replica_id in self._leaving:
-            return
-        self._leaving.add(replica_id)
-        runs = self._registry.count(replica_id)
-        logs.state_changed(
-            "engine", "serving", "leaving", replica=replica_id, source=source, count=runs
-        )
-        self._desks.leave(replica_id)
-        self._registry.replica_leaves(replica_id)
-
-    def _engine_restarted(self, former: replicamodels.Replica) -> None:
-        """Take the word that a server has started anew: its former start is no more.
-
-        Guards streams against waiting for events of a run that nobody makes any more, and
-        requests against connections that were kept to the former start: behind a cut
-        neither is reset.
-        """
-        self._pool.close_kept(former.address)
-        self._registry.replica_gone(former.id)
-
     def _are_others_ready(self) -> bool:
         return directory.has_others_ready(self.peering.heartbeats.members(), self._told.name)
 
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -15,7 +15,7 @@
     transport,
 )
 from hornbeamglade.grants import deskset, grantfinder, remotedesk, turntaker
-from hornbeamglade.membership import heartbeats, ownership
+from hornbeamglade.membership import heartbeats, membershiplog, ownership
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestbook
 from hornbeamglade.observability import logs
@@ -29,10 +29,6 @@
 class News(abc.ABC):
     """Told of what other instances do and say."""
 
-    @abc.abstractmethod
-    def member_changed(self, change: membershipview.StateChange) -> None:
-        """Take a change of an instance's state."""
-
     @abc.abstractmethod
     def engine_leaves(self, replica_id: str) -> None:
         """Take an owner's word that an engine is about to stop."""
@@ -124,7 +120,7 @@
         """Send what is due and take note of what changed; several times a second."""
         changes = self.heartbeats.tick()
         for change in changes:
-            self._news.member_changed(change)
+            membershiplog.member_changed(change)
             if change.member.state is messages.NodeState.GONE:
                 self._server.holder_gone(change.member.identity.name)
         self._server.tick()
--- a/hornbeamglade/node/daemon.py
+++ b/hornbeamglade/node/daemon.py
@@ -13,8 +13,7 @@
 from hornbeamglade.core import clocks, codederrors, outcomes
 from hornbeamglade.grants import deskset, grantfinder
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.membership import draining, introduction, registry
-from hornbeamglade.membership import view as membershipview
+from hornbeamglade.membership import draining, introduction, membershiplog, registry
 from hornbeamglade.node import (
     applying,
     deadlines,
@@ -90,7 +89,7 @@
             self._config,
             self._in_flight,
             lambda: self._placing.closed(),
-            self._member_changed,
+            membershiplog.member_changed,
             self._failed,
         )
         self._placing = placing.Placing(
@@ -292,16 +291,6 @@
         for reason, count in dict(self.peering.codec.dropped_by_reason).items():
             self._metrics.exchange_drops.set_total(count, (reason,))
 
-    def _member_changed(self, change: membershipview.StateChange) -> None:
-        before = "unknown" if change.before is None else change.before.name.lower()
-        logs.state_changed(
-            "member",
-            before,
-            change.member.state.name.lower(),
-            node=change.member.identity.name,
-            incarnation=change.member.incarnation,
-        )
-
     def _unready(self) -> str | None:
         if self._draining is not None:
             return LEAVING_CODE
--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -87,8 +87,6 @@
             sent.append((b"Tenant", dispatch.team.encode()))
         if dispatch.urgency is not None:
             sent.append((b"Request-Priority", b"%d" % dispatch.urgency))
-        if dispatch.backup_at is not None:
-            sent.append((b"Kv-Backup", dispatch.backup_at.encode()))
         if dispatch.copy is not None:
             source = f"{dispatch.copy.held_at}/{dispatch.copy.name}"
             sent.append((b"Kv-From", source.encode()))
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -87,7 +87,6 @@
     :param urgency: rank at the engine, 0 first, or None for a plain service.
     :param last_event_id: the run goes on after this event, or None for a new run.
     :param copy: the memory that a run goes on from, or None.
-    :param backup_at: ``ip:port`` of the engine that keeps a copy as it grows, or None.
     """
 
     replica_name: str
@@ -96,7 +95,6 @@
     urgency: int | None = None
     last_event_id: str | None = None
     copy: Copy | None = None
-    backup_at: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform/test_requestdialect.py
+++ b/tests/platform/test_requestdialect.py
@@ -97,9 +97,8 @@
 
 def test_dispatch_says_what_is_left_and_who_is_meant():
     call = WORDS.call(request((b"Last-Event-Id", b"3")))
-    dispatch = calls.Dispatch(
-        "i-1", "clinic", 1.2345, 2, "9", calls.Copy("10.0.0.1:80", "h1"), "10.0.0.2:80"
-    )
+    copy = calls.Copy("10.0.0.1:80", "h1")
+    dispatch = calls.Dispatch("i-1", "clinic", 1.2345, 2, "9", copy)
     value_by_name = dict(WORDS.dispatch_fields(call, dispatch))
     assert value_by_name == {
         b"Host": b"a.example",
@@ -108,7 +107,6 @@
         b"Expect-Instance": b"i-1",
         b"Tenant": b"clinic",
         b"Request-Priority": b"2",
-        b"Kv-Backup": b"10.0.0.2:80",
         b"Kv-From": b"10.0.0.1:80/h1",
         b"Last-Event-Id": b"9",
     }
