--- a/hornbeamglade/exchange/codec.py
+++ b/hornbeamglade/exchange/codec.py
@@ -134,8 +134,8 @@
     >>> b = Codec("b", 1, ring, clocks.ManualClock())
     >>> b.decode(a.encode("b", messages.ConfigHint(7))).message
     ConfigHint(revision=7, list_version=0, is_reached=False)
-    >>> b.decode(b"noise")
-    Dropped(reason='truncated')
+    >>> b.decode(b"noise").reason
+    'truncated'
     """
 
     def __init__(
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -83,8 +83,8 @@
     Examples
     ========
 
-    >>> make(3, 5.0) == make(3, 5.0) or [each.at_s for each in make(3, 5.0)]
-    [1.59, 2.14, 3.24, 4.32]
+    >>> [each.at_s for each in make(3, 5.0)]
+    [1.69, 1.7]
     """
     rng = random.Random(seed)
     keys = _key_changes(rng)
