--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -15,10 +15,9 @@
     transport,
 )
 from hornbeamglade.grants import deskset, grantfinder, remotedesk, turntaker
-from hornbeamglade.membership import heartbeats, membershiplog, ownership
+from hornbeamglade.membership import heartbeats, membershiplog, ownership, rising
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestbook
-from hornbeamglade.observability import logs
 from hornbeamglade.replicas import models as replicamodels
 
 MOST_ROOM_TOKENS = 2**31 - 1
@@ -189,7 +188,7 @@
             for due in self._documents.hinted(sender.name, message):
                 self.transport.send(peer, due.message)
         elif isinstance(message, messages.Outrun):
-            self._rise_above(message.incarnation)
+            rising.rise_above(message.incarnation, self.codec, self.grants, self.heartbeats)
         elif isinstance(message, messages.ConfigAsk):
             offer = self._documents.asked(message)
             if offer is not None:
@@ -199,15 +198,6 @@
             if ask is not None:
                 self.transport.send(peer, ask)
 
-    def _rise_above(self, incarnation: int) -> None:
-        """Go on under a higher incarnation than one that another instance knows."""
-        risen = self.codec.rise_above(incarnation)
-        if risen <= incarnation:
-            return
-        self.grants.rise_to(risen)
-        self.heartbeats.rise_to(risen)
-        logs.state_changed("incarnation", "outrun", "raised", incarnation=risen)
-
     def _hear_leaving(self, digests: tuple[messages.ReplicaDigest, ...]) -> None:
         for digest in digests:
             name = self.names.replicas.find(digest.replica) if digest.leaving else None
--- a/hornbeamglade/exchange/asks.py
+++ b/hornbeamglade/exchange/asks.py
@@ -26,6 +26,7 @@
 resends at the owner, for each of its askers, and the owner is the crowded side.
 """
 
+import abc
 import collections.abc
 import dataclasses
 import enum
@@ -95,7 +96,15 @@
     grant: messages.GrantProgress | messages.GrantReturn
 
 
-class AskTracker:
+class Asker(abc.ABC):
+    """Whatever names this node's incarnation in what it asks."""
+
+    @abc.abstractmethod
+    def rise_to(self, incarnation: int) -> None:
+        """Go on under another incarnation."""
+
+
+class AskTracker(Asker):
     """All asks and grants of one incarnation of a node.
 
     Examples
--- a/hornbeamglade/exchange/asyncasks.py
+++ b/hornbeamglade/exchange/asyncasks.py
@@ -8,7 +8,7 @@
 _SHORTEST_WAIT_S = 0.001
 
 
-class AsyncGrantClient:
+class AsyncGrantClient(asks.Asker):
     """Asks over a transport; the counterpart of ``GrantClient`` for an event loop.
 
     :param incarnation: this node's incarnation.
--- a/hornbeamglade/exchange/grantclient.py
+++ b/hornbeamglade/exchange/grantclient.py
@@ -10,7 +10,7 @@
 _WANTED_EVERY_S = 0.5
 
 
-class GrantClient:
+class GrantClient(asks.Asker):
     """Blocking asks over a transport; safe to use from several threads.
 
     Explanation
--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -24,8 +24,8 @@
 
 from hornbeamglade.bench import loadprocesses
 from hornbeamglade.core import codederrors
-from hornbeamglade.platform import storeclient
-from hornbeamglade.standins import operatordocuments
+from hornbeamglade.platform import storeclient, tables
+from hornbeamglade.standins import operatordocuments, routedcaller
 from hornbeamglade.store import contract
 
 STORE = "store"
@@ -218,15 +218,15 @@
             is_leaving=is_leaving,
             born=server.born,
         )
-        return self.write((contract.Put(f"servers/{server.replica_id}", told),))
+        return self.write((contract.Put(f"{tables.REPLICAS}/{server.replica_id}", told),))
 
     def write_entry(self, name: str, value: str) -> bool:
         """Write an entry as another program might; return whether the store took it."""
-        return self.write((contract.Put(f"servers/{name}", value),))
+        return self.write((contract.Put(f"{tables.REPLICAS}/{name}", value),))
 
     def unlist_server(self, server: Server) -> bool:
         """Take a server's entry away; return whether the store took it."""
-        return self.write((contract.Delete(f"servers/{server.replica_id}"),))
+        return self.write((contract.Delete(f"{tables.REPLICAS}/{server.replica_id}"),))
 
     def configure(
         self, keys_by_team: collections.abc.Mapping[str, collections.abc.Sequence[str]]
@@ -234,7 +234,7 @@
         """Write the next version of the manifest; return whether the store took it."""
         self._version += 1
         document = operatordocuments.manifest(self._version, keys_by_team)
-        return self.write((contract.Put("op/config", document),))
+        return self.write((contract.Put(tables.CONFIGURATION_KEY, document),))
 
     def write(self, writes: tuple[contract.Put | contract.Delete, ...]) -> bool:
         """Write to the store, past whatever stands between it and the instances."""
@@ -262,7 +262,7 @@
     def is_ready(self, name: str) -> bool:
         """Tell whether an instance says that it takes callers."""
         address = self._settings_by_instance[name]["listen"]["readiness"]
-        url = f"http://{address}/v1/readyz"
+        url = f"http://{address}{routedcaller.READY_PATH}"
         try:
             return self._http.request("GET", url, timeout=1.0).status == 200
         except (urllib3.exceptions.HTTPError, OSError):
--- /dev/null
+++ b/hornbeamglade/membership/rising.py
@@ -0,0 +1,20 @@
+"""What a node does that was told that others know it under a higher incarnation."""
+
+from hornbeamglade.exchange import asks, codec
+from hornbeamglade.membership import heartbeats
+from hornbeamglade.observability import logs
+
+
+def rise_above(
+    incarnation: int, frames: codec.Codec, asker: asks.Asker, beats: heartbeats.Heartbeats
+) -> None:
+    """Go on above an incarnation that others know, with all that names the own one.
+
+    :param incarnation: what a peer told; nothing changes when this node is above it.
+    """
+    risen = frames.rise_above(incarnation)
+    if risen <= incarnation:
+        return
+    asker.rise_to(risen)
+    beats.rise_to(risen)
+    logs.state_changed("incarnation", "outrun", "raised", incarnation=risen)
--- a/hornbeamglade/node/peering.py
+++ b/hornbeamglade/node/peering.py
@@ -14,10 +14,9 @@
     transport,
 )
 from hornbeamglade.grants import deskset, grantfinder, remotedesk
-from hornbeamglade.membership import heartbeats, ownership, teamdemands
+from hornbeamglade.membership import heartbeats, ownership, rising, teamdemands
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestbook, inflight, replicabook, settings
-from hornbeamglade.observability import logs
 
 MILLISECONDS = 1000
 PEERS_AFTER_S = 1.5
@@ -223,7 +222,7 @@
         elif isinstance(message, messages.ConfigHint):
             self._config.hint(message.revision, sender.name)
         elif isinstance(message, messages.Outrun):
-            self._rise_above(message.incarnation)
+            rising.rise_above(message.incarnation, self.codec, self.grants, self.heartbeats)
         elif isinstance(message, messages.ConfigAsk):
             self._offer_chunk(message, transport.Peer(sender.name, source))
         elif isinstance(message, messages.ConfigOffer):
@@ -237,15 +236,6 @@
         if ask.chunk < len(offers):
             self.transport.send(peer, offers[ask.chunk])
 
-    def _rise_above(self, incarnation: int) -> None:
-        """Go on under a higher incarnation than one that another node knows."""
-        risen = self.codec.rise_above(incarnation)
-        if risen <= incarnation:
-            return
-        self.grants.rise_to(risen)
-        self.heartbeats.rise_to(risen)
-        logs.state_changed("incarnation", "outrun", "raised", incarnation=risen)
-
     def _hear_closings(self, digests: tuple[messages.ReplicaDigest, ...]) -> None:
         """Close replicas that this node owns and another node is about to change.
 
--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -12,7 +12,6 @@
 """Statuses that promise that the request has not run and never will."""
 
 DENIED = frozenset((400, 401, 403, 404, 413, 431))
-RESERVED = frozenset(("authorization", "hold", "pin-ms", "kv-backup"))
 
 LEAST_SERVED = 0.2
 """Share of requests that are served in a run of many faults; below it the run shows little,
@@ -114,7 +113,7 @@
     for each in ran:
         if each["team"] != stage.team_of(seen.key):
             yield Broken("own_team", seen.request_id, f"ran for {each['team']!r}")
-        if RESERVED & set(each["names"]):
+        if routedcaller.RESERVED & set(each["names"]):
             yield Broken("nothing_reserved_passes", seen.request_id, str(each["names"]))
         if each["body"] != seen.request_id or each["target"] != f"/{seen.route}/1?q=2":
             yield Broken("passes_unchanged", seen.request_id, f"{each['target']} {each['body']}")
--- a/hornbeamglade/standins/routedcaller.py
+++ b/hornbeamglade/standins/routedcaller.py
@@ -19,6 +19,10 @@
 
 from hornbeamglade.standins import operatordocuments
 
+RESERVED = frozenset(("authorization", "hold", "pin-ms", "kv-backup"))
+"""Fields in lower case that a caller's request never brings to a replica."""
+
+READY_PATH = "/v1/readyz"
 CONNECT_S = 2.0
 READ_S = 25.0
 DEADLINE_MS = 20_000
