--- a/hornbeamglade/exchange/codec.py
+++ b/hornbeamglade/exchange/codec.py
@@ -244,7 +244,8 @@
         with self._lock:
             now, wall = self._clock.now(), self._clock.wall()
             reason = self._guard.admit(stamp, now, wall)
-            outrun = self._guard.outruns(stamp, now, wall)
+            is_old = reason == replay.OLD_INCARNATION
+            outrun = self._guard.outruns(stamp, now, wall) if is_old else None
         if outrun is not None:
             return Dropped(reason, Sender(stamp.sender, outrun))
         if reason is not None:
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -173,8 +173,7 @@
         """Have it say that it leaves, and be gone after its notice."""
         server = hit.site.server_by_place[self.where]
         hit.site.tell(self.where, "/standin/leave", {})
-        if hit.site.list_server(server, is_leaving=True):
-            hit.left_at_by_replica[server.replica_id] = time.monotonic()
+        hit.site.list_server(server, is_leaving=True)
         time.sleep(NOTICE_S)
         hit.site.child_by_name[self.where].send(signal.SIGKILL)
         hit.site.unlist_server(server)
--- a/hornbeamglade/soak/stage.py
+++ b/hornbeamglade/soak/stage.py
@@ -48,7 +48,6 @@
         }
         self.taken_at_by_key: dict[str, float] = {}
         self.given_at_by_key: dict[str, float] = {}
-        self.left_at_by_replica: dict[str, float] = {}
         self._done: list[Done] = []
 
     def begin(self, what: str, where: str) -> None:
