An idle instance ticks four times a second; queued log lines go out in one call

Change: ticks every 50 ms only while a request waits at a desk, a run waits for its turn, a newer document is wanted or a change is being told; else every 250 ms, a whole part of the heartbeats' periods. Asks, grants and moves are driven by events as before.

--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -142,7 +142,7 @@
         while True:
             self.instance.tick()
             self._follow()
-            await asyncio.sleep(instance.TICK_S)
+            await asyncio.sleep(self.instance.tick_s)
 
     async def _tidy(self) -> None:
         while True:
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -52,6 +52,10 @@
 from hornbeamglade.store import contract
 
 TICK_S = 0.05
+IDLE_TICK_S = 0.25
+"""Pause between ticks while nothing is under way; a whole part of the heartbeats' periods. At
+a large site nearly all instances idle, and ticks are most of what they then cost."""
+
 ANNOUNCED_S = 2.0
 """A planned stop is told to callers for so long: the time for which they keep an answer of
 the directory."""
@@ -273,6 +277,12 @@
         }
         return json.dumps(page).encode()
 
+    @property
+    def tick_s(self) -> float:
+        """Seconds until the next tick is due."""
+        is_idle = self.peering.is_idle and not self.watch.is_telling
+        return IDLE_TICK_S if is_idle and not self._desks.is_waited_at else TICK_S
+
     def tick(self) -> None:
         """Do what is due; several times a second."""
         self.peering.tick()
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -115,6 +115,11 @@
         """Note that an owner left an ask unanswered."""
         self.heartbeats.unanswered(owner)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing that is under way here has another step within a tick."""
+        return self.turns.is_idle and not self._documents.is_behind
+
     def tick(self) -> None:
         """Send what is due and take note of what changed; several times a second."""
         changes = self.heartbeats.tick()
--- a/hornbeamglade/entry/sharing.py
+++ b/hornbeamglade/entry/sharing.py
@@ -100,6 +100,11 @@
             messages.Subject, tuple[int, tuple[messages.ConfigOffer, ...]]
         ] = {}
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether it wants a newer document."""
+        return bool(self._pursuit_by_subject)
+
     def due(self, live: tuple[membershipview.Member, ...], own_name: str) -> Ask | None:
         """Return a question that is due, given the instances that live.
 
--- a/hornbeamglade/entry/storewatch.py
+++ b/hornbeamglade/entry/storewatch.py
@@ -101,6 +101,11 @@
         self._decide(now)
         return self._hints(now)
 
+    @property
+    def is_telling(self) -> bool:
+        """Whether hints of a change are still to be sent."""
+        return bool(self._told) and self._change_hints > 0
+
     @property
     def is_on_its_own(self) -> bool:
         """Whether it follows only for want of a follower that reaches the store."""
--- a/hornbeamglade/grants/deskset.py
+++ b/hornbeamglade/grants/deskset.py
@@ -208,6 +208,11 @@
         with self._lock:
             self._lengths.observe(service, team, tokens, censored)
 
+    @property
+    def is_waited_at(self) -> bool:
+        """Whether any request waits at a desk."""
+        return bool(self._notify_by_request)
+
     def settle(self) -> None:
         """Grant and refuse by the passage of time; called several times a second."""
         with self._lock:
--- a/hornbeamglade/grants/turntaker.py
+++ b/hornbeamglade/grants/turntaker.py
@@ -92,6 +92,11 @@
             if turn.kind is messages.TurnKind.GO:
                 self._go_by_run[run].set()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no run waits here for a turn that this node gives."""
+        return self._turns.is_idle
+
     def tick(self) -> None:
         """Give the turns that are due; called several times a second."""
         if self._turns.is_idle:
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -280,9 +280,25 @@
 
     def _write_lines(self) -> None:
         while (line := self._lines.get()) is not None:
+            # A start or a change of the list queues hundreds: one call takes them all.
+            lines, is_last = self._queued_after(line)
             try:
-                self._stream.write(line)
+                self._stream.write("".join(lines))
                 self._stream.flush()
             except (OSError, ValueError):
                 if self._drops is not None:
-                    self._drops.add()
+                    self._drops.add(len(lines))
+            if is_last:
+                return
+
+    def _queued_after(self, line: str) -> tuple[list[str], bool]:
+        """Return a line and all that are queued behind it, and whether that is the end."""
+        lines = [line]
+        while True:
+            try:
+                following = self._lines.get_nowait()
+            except queue.Empty:
+                return lines, False
+            if following is None:
+                return lines, True
+            lines.append(following)
--- /dev/null
+++ b/tests/entry/test_ticks.py
@@ -0,0 +1,73 @@
+"""How often an instance ticks."""
+
+import math
+
+from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.entry import instance, storewatch
+from hornbeamglade.exchange import messages
+from hornbeamglade.grants import replicadesk
+from hornbeamglade.membership import followers
+from tests.entry import site as entrysite
+
+
+def test_an_idle_instance_ticks_seldom_and_one_with_a_queue_often():
+    """Hundreds of instances idle between requests, and each tick costs all of them.
+
+    A request that waits at a desk must still be refused or granted within a tick of its time.
+    """
+    node = entrysite.Node(0)
+    desks = node.instance._desks
+    desks.configure({"e1": instance._desk_spec(_Engine())})
+    desks.own(frozenset(("e1",)))
+    assert node.instance.tick_s == instance.IDLE_TICK_S
+    deadline = clocks.SystemClock().now() + 60
+    told = []
+    # More of them than the engine takes at a time.
+    answers = [desks.ask("e1", _work(number), 1.0, deadline, told.append) for number in range(12)]
+    waiting = [one.request_id for one in answers if isinstance(one, replicadesk.Waiting)]
+    assert waiting
+    assert node.instance.tick_s == instance.TICK_S
+    for number in range(12):
+        desks.finish("e1", f"r{number}")
+    assert node.instance.tick_s == instance.IDLE_TICK_S
+
+
+def test_an_instance_that_wants_a_newer_document_ticks_often():
+    """A chunk of a document is lost: it must be asked for again within a tick of its time."""
+    node = entrysite.Node(0)
+    hint = messages.ConfigHint(5, 9, True)
+    assert node.instance.tick_s == instance.IDLE_TICK_S
+    node.instance.peering._documents.hinted("entry-1", hint)
+    assert node.instance.tick_s == instance.TICK_S
+
+
+def test_an_instance_that_tells_nobody_of_changes_idles_after_one():
+    """Nearly all instances of a large site are told of changes and tell nobody.
+
+    Counted as having hints to send, all of them ticked at the fast pace for good.
+    """
+    clock = clocks.ManualClock()
+    versions = [(0, 0)]
+    nodes = tuple(f"n{number:02}" for number in range(60))
+    chosen = followers.chosen(nodes)
+    told = next(node for node in nodes if node not in chosen)
+    watch = storewatch.StoreWatch(told, lambda: versions[0], lambda: True, clock)
+    watch.tick(nodes)
+    versions[0] = (4, 9)
+    watch.tick(nodes)
+    assert not watch.is_telling
+
+
+class _Engine:
+    memory_tokens = 1_000_000
+    slots = 4
+
+
+def _work(number):
+    return outcomes.Work(f"r{number}", "llm", "t", priority=1, prompt_tokens=10, max_tokens=10)
+
+
+def test_idle_ticks_meet_the_periods_of_heartbeats():
+    """A heartbeat sent a tick late each time would look like one that was lost."""
+    for period_s in (0.5, 1.0):
+        assert math.isclose(period_s % instance.IDLE_TICK_S, 0.0)
