--- /dev/null
+++ b/hornbeamglade/bench/pairedtrials.py
@@ -0,0 +1,207 @@
+"""Variants of the policy, played on the same days and seeds, and compared in pairs.
+
+Explanation
+===========
+
+A day's luck moves its figures by far more than most changes of policy do. Two variants that
+meet the same day with the same seed share that luck, so the mean of their differences says
+more than the difference of their means; its standard error says how much.
+"""
+
+import abc
+import collections.abc
+import concurrent.futures
+import dataclasses
+import math
+import statistics
+
+from hornbeamglade.core import codederrors
+from hornbeamglade.platform import dayreports
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Play:
+    """One day, played once.
+
+    :param variant: the variant's name.
+    :param day: the day's name or file.
+    :param seed: its luck.
+    """
+
+    variant: str
+    day: str
+    seed: int
+
+
+class Player(abc.ABC):
+    """Plays days."""
+
+    @abc.abstractmethod
+    def play(self, play: Play) -> dayreports.DayOutcome:
+        """Play a day to its end.
+
+        :raises CodedError: when it has no result.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Comparison:
+    """One variant against the first one, over the plays that both ended.
+
+    :param variant: its name.
+    :param pairs: how many days and seeds both have.
+    :param worth: its mean worth.
+    :param difference: the mean of the paired differences of worth.
+    :param error: the standard error of that mean; infinite with fewer than two pairs.
+    :param lost: requests a day that nobody served.
+    :param late: requests a day that were answered too late.
+    :param unserved_by_end: requests a day that nobody served, by how their last try ended.
+    :param broken: plays that broke a rule or ended with a fault, with what.
+    """
+
+    variant: str
+    pairs: int
+    worth: float
+    difference: float
+    error: float
+    lost: float
+    late: float
+    unserved_by_end: dict[str, float]
+    broken: tuple[tuple[Play, tuple[str, ...]], ...]
+
+
+Outcomes = dict[Play, dayreports.DayOutcome]
+Failures = dict[Play, codederrors.CodedError]
+
+
+def plan(
+    variants: collections.abc.Sequence[str],
+    days: collections.abc.Sequence[str],
+    seeds: collections.abc.Sequence[int],
+) -> tuple[Play, ...]:
+    """Return all plays, those of one pair next to each other.
+
+    Beside each other they share also what else the machine does.
+
+    Examples
+    ========
+
+    >>> [play.variant for play in plan(["old", "new"], ["quiet"], [1, 2])]
+    ['old', 'new', 'old', 'new']
+    """
+    return tuple(
+        Play(variant, day, seed) for seed in seeds for day in days for variant in variants
+    )
+
+
+def run(
+    plays: collections.abc.Iterable[Play],
+    player: Player,
+    at_once: int,
+    ended: collections.abc.Callable[[Play], None] = lambda play: None,
+) -> tuple[Outcomes, Failures]:
+    """Play all, a few at a time; a play without a result ends no other.
+
+    :param at_once: how many are played beside each other.
+    :param ended: told of each play that has ended, on some thread.
+    """
+    outcomes: Outcomes = {}
+    failures: Failures = {}
+
+    def one(play: Play) -> None:
+        try:
+            outcomes[play] = player.play(play)
+        except codederrors.CodedError as error:
+            failures[play] = error
+        ended(play)
+
+    with concurrent.futures.ThreadPoolExecutor(at_once) as crew:
+        for future in [crew.submit(one, play) for play in plays]:
+            future.result()
+    return outcomes, failures
+
+
+def compare(variants: collections.abc.Sequence[str], outcomes: Outcomes) -> tuple[Comparison, ...]:
+    """Compare each variant with the first one.
+
+    Examples
+    ========
+
+    >>> def outcome(worth):
+    ...     return dayreports.DayOutcome(worth, {}, (), {})
+    >>> outcomes = {
+    ...     Play("old", "d", 1): outcome(0.50), Play("new", "d", 1): outcome(0.52),
+    ...     Play("old", "d", 2): outcome(0.60), Play("new", "d", 2): outcome(0.64),
+    ... }
+    >>> new = compare(["old", "new"], outcomes)[1]
+    >>> new.pairs, round(new.difference, 3), round(new.error, 3)
+    (2, 0.03, 0.01)
+    """
+    return tuple(_comparison(variants[0], variant, outcomes) for variant in variants)
+
+
+def _comparison(first: str, variant: str, outcomes: Outcomes) -> Comparison:
+    pairs = [
+        (outcomes[base], outcome)
+        for play, outcome in outcomes.items()
+        if play.variant == variant
+        and (base := dataclasses.replace(play, variant=first)) in outcomes
+    ]
+    own = [outcome for _, outcome in pairs]
+    differences = [outcome.worth - base.worth for base, outcome in pairs]
+    ends = {end for outcome in own for end in outcome.unserved_by_end}
+    return Comparison(
+        variant,
+        len(pairs),
+        _mean(outcome.worth for outcome in own),
+        _mean(differences),
+        _standard_error(differences),
+        _mean(outcome.lost for outcome in own),
+        _mean(outcome.late for outcome in own),
+        {
+            end: _mean(outcome.unserved_by_end.get(end, 0) for outcome in own)
+            for end in sorted(ends)
+        },
+        tuple(
+            (play, outcome.broken)
+            for play, outcome in outcomes.items()
+            if play.variant == variant and outcome.broken
+        ),
+    )
+
+
+def _mean(values: collections.abc.Iterable[float]) -> float:
+    told = list(values)
+    return statistics.fmean(told) if told else math.nan
+
+
+def _standard_error(differences: collections.abc.Sequence[float]) -> float:
+    if len(differences) < 2:
+        return math.inf
+    return statistics.stdev(differences) / math.sqrt(len(differences))
+
+
+HEADS = ("variant", "pairs", "worth", "difference", "error", "lost a day", "late a day")
+
+
+def table(comparisons: collections.abc.Iterable[Comparison]) -> str:
+    """Return comparisons as a table, with the ends of unserved requests below."""
+    rows = [" | ".join(HEADS), " | ".join("---" for _ in HEADS)]
+    notes = []
+    for each in comparisons:
+        figures = (
+            str(each.pairs),
+            f"{each.worth:.3f}",
+            f"{each.difference:+.4f}",
+            f"{each.error:.4f}",
+            f"{each.lost:.1f}",
+            f"{each.late:.1f}",
+        )
+        rows.append(" | ".join((each.variant, *figures)))
+        ends = ", ".join(f"{end} {count:.1f}" for end, count in each.unserved_by_end.items())
+        notes.append(f"{each.variant}: unserved a day: {ends or 'none'}")
+        notes += [
+            f"{each.variant}: {play.day}, seed {play.seed}: {', '.join(broken)}"
+            for play, broken in each.broken
+        ]
+    return "\n".join((*rows, "", *notes))
--- /dev/null
+++ b/hornbeamglade/cli/benchdays.py
@@ -0,0 +1,92 @@
+"""``hornbeamglade bench days``: variants of the policy, paired on the operators' bench."""
+
+import pathlib
+import tempfile
+
+import click
+
+from hornbeamglade.bench import pairedtrials, trialfolders
+from hornbeamglade.entry import policysettings
+
+TEMPLATE = "deploy/settings.yaml"
+BASE = "base"
+
+
+@click.command("days")
+@click.argument("program", type=click.Path(exists=True, dir_okay=False, resolve_path=True))
+@click.argument("site", type=click.Path(exists=True, dir_okay=False, resolve_path=True))
+@click.option("--day", "days", multiple=True, required=True, help="A day of the site's file.")
+@click.option("--seed", "seeds", multiple=True, type=int, required=True)
+@click.option(
+    "--variant",
+    "told",
+    multiple=True,
+    metavar="NAME: {FIELD: VALUE}",
+    help="Values of the policy, such as 'far: {placement_s: 0.5}'.",
+)
+@click.option("--why", required=True, help="What the plays are for; kept in the journal.")
+@click.option("--at-once", type=click.IntRange(1, 8), default=2, show_default=True)
+@click.option("--no-cpu", is_flag=True, help="Processor time is not counted.")
+@click.option("--small", is_flag=True, help="Small twins of large days.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keeps reports and logs here.")
+def bench_days(
+    program: str,
+    site: str,
+    days: tuple[str, ...],
+    seeds: tuple[int, ...],
+    told: tuple[str, ...],
+    why: str,
+    at_once: int,
+    no_cpu: bool,
+    small: bool,
+    keep: str | None,
+) -> None:
+    """Play days of SITE with the bench PROGRAM, by the committed code and by its variants.
+
+    Prints the paired table against the code as it is. Each play's entry in the journal is
+    brought back, also when plays have failed. Ends with 1 when a play broke a rule or had no
+    result.
+    """
+    variant_by_name = {BASE: policysettings.Policy()}
+    for text in told:
+        name, chosen = policysettings.parse_variant(text)
+        variant_by_name[name] = chosen
+    options = [*(["--no-cpu"] if no_cpu else []), *(["--small"] if small else [])]
+    # Bench programs may hide the folder for temporary files from the processes that they play.
+    with tempfile.TemporaryDirectory(prefix="hornbeamglade-days-", dir=".") as scratch:
+        failed = _play(
+            pathlib.Path(keep or scratch).resolve(),
+            (program, site, why, options, at_once),
+            variant_by_name,
+            pairedtrials.plan(tuple(variant_by_name), days, seeds),
+        )
+    if failed:
+        raise click.ClickException("A play broke a rule or had no result.")
+
+
+def _play(
+    kept: pathlib.Path,
+    how: tuple[str, str, str, list[str], int],
+    variant_by_name: dict[str, policysettings.Policy],
+    plays: tuple[pairedtrials.Play, ...],
+) -> bool:
+    program, site, why, options, at_once = how
+    root = pathlib.Path.cwd()
+    folder_by_variant = {name: kept / name for name in variant_by_name}
+    for name, chosen in variant_by_name.items():
+        text = policysettings.as_template(chosen)
+        trialfolders.prepare(root, folder_by_variant[name], text, TEMPLATE)
+    player = trialfolders.FolderPlayer(program, site, folder_by_variant, why, options)
+    try:
+        outcomes, failures = pairedtrials.run(plays, player, at_once, _ended)
+    finally:
+        trialfolders.bring_back(root, folder_by_variant.values())
+    comparisons = pairedtrials.compare(tuple(variant_by_name), outcomes)
+    click.echo(pairedtrials.table(comparisons))
+    for play, error in failures.items():
+        click.echo(f"{play.variant}: {play.day}, seed {play.seed}: {error}")
+    return bool(failures) or any(each.broken for each in comparisons)
+
+
+def _ended(play: pairedtrials.Play) -> None:
+    click.echo(f"played: {play.variant}, {play.day}, seed {play.seed}", err=True)
--- a/hornbeamglade/cli/benchgroup.py
+++ b/hornbeamglade/cli/benchgroup.py
@@ -1,10 +1,11 @@
 """``hornbeamglade bench``: the group of all benches."""
 
 from hornbeamglade.cli import bench as benchlib
-from hornbeamglade.cli import benchall, benchrecovery, benchtraffic
+from hornbeamglade.cli import benchall, benchdays, benchrecovery, benchtraffic
 
 bench = benchlib.bench
 bench.add_command(benchall.bench_all)
+bench.add_command(benchdays.bench_days)
 bench.add_command(benchrecovery.bench_recovery)
 bench.add_command(benchtraffic.bench_load)
 bench.add_command(benchtraffic.bench_relay)
--- a/hornbeamglade/entry/enginewatch.py
+++ b/hornbeamglade/entry/enginewatch.py
@@ -35,6 +35,7 @@
     :param registry: which run is where.
     :param pool: the connections that are kept.
     :param announce: tells the other instances at once what this one knows of its engines.
+    :param moves_runs: whether runs leave an engine that is about to stop.
     """
 
     def __init__(
@@ -44,12 +45,14 @@
         registry: runregistry.RunRegistry,
         pool: clientpool.ClientPool,
         announce: collections.abc.Callable[[], None],
+        moves_runs: bool = True,
     ) -> None:
         self._replicas = replicas
         self._desks = desks
         self._registry = registry
         self._pool = pool
         self._announce = announce
+        self._moves_runs = moves_runs
         self._report_count_by_replica: dict[str, int] = {}
         self._leaving: set[str] = set()
 
@@ -93,7 +96,8 @@
             "engine", "serving", "leaving", replica=replica_id, source=source, count=runs
         )
         self._desks.leave(replica_id)
-        self._registry.replica_leaves(replica_id)
+        if self._moves_runs:
+            self._registry.replica_leaves(replica_id)
 
     def added(self, replica_id: str) -> None:
         """Take the word that a replica is in the list, perhaps once more.
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -19,6 +19,7 @@
     enginewatch,
     following,
     peering,
+    policysettings,
     settings,
     sharing,
     storewatch,
@@ -48,6 +49,7 @@
     streamrun,
     views,
 )
+from hornbeamglade.routes import models as routemodels
 from hornbeamglade.routing import candidates
 from hornbeamglade.store import contract
 
@@ -64,16 +66,6 @@
 DEPARTED_S = 12.0
 """Longer than a replica serves on that was taken from the list without a word."""
 
-HORIZONS = (0, 100, 250, 500)
-EXPECTED_ANSWER_TOKENS = 400
-PLACEMENT_S = 0.35
-"""What a request that was just placed adds to an engine's wait: the time to read a prompt
-of some 2,500 tokens."""
-
-COMPARED_ENGINES = 8
-"""Engines of other owners that a request compares. Their word is half a second old at most
-and their owners grant what is really free, so few of many requests are sent away."""
-
 
 class EntryInstance(controlhandler.Answers, peering.News):
     """The parts of one entry instance, on one event loop.
@@ -132,10 +124,10 @@
         rates = candidates.RoutingSettings(
             failure_domain=told.failure_domain,
             usable_s=digestbook.UNKNOWN_AGE_S,
-            expected_answer_tokens=EXPECTED_ANSWER_TOKENS,
-            samples=COMPARED_ENGINES,
+            expected_answer_tokens=told.policy.expected_answer_tokens,
+            samples=told.policy.compared_engines,
             prefill_tokens_per_s=promptbacklog.PromptSettings().tokens_per_s,
-            placement_s=PLACEMENT_S,
+            placement_s=told.policy.placement_s,
         )
         self.book = enginebook.EngineBook(
             self._replicas, self._desks, digests, self.peering.owned, rates
@@ -188,6 +180,7 @@
             self._registry,
             self._pool,
             self.peering.heartbeats.announce,
+            told.policy.moves_runs,
         )
         self.poller = reportpoller.ReportPoller(
             engine_calls, self._owned_engines, self._engine_watch.reported, clock
@@ -393,7 +386,10 @@
         self.peering.names.replicas.replace(engine.id for engine in engines)
         service_by_name = view.configuration.service_by_name
         self._desks.configure(
-            {engine.id: _desk_spec(service_by_name[engine.service].engine) for engine in engines}
+            {
+                engine.id: _desk_spec(service_by_name[engine.service].engine, self._told.policy)
+                for engine in engines
+            }
         )
         self.peering.update_owners()
 
@@ -424,13 +420,19 @@
     return retrybudget.BudgetSettings(told.budget.ratio, told.budget.slack, told.budget.window_s)
 
 
-def _desk_spec(engine) -> deskset.DeskSpec:
+def _desk_spec(
+    engine: routemodels.EngineTraits, chosen: policysettings.Policy
+) -> deskset.DeskSpec:
     return deskset.DeskSpec(
         memory_tokens=engine.memory_tokens,
         admission=replicaadmission.AdmissionSettings(
-            horizons=HORIZONS,
+            horizons=chosen.horizons,
             max_running=engine.slots,
-            margin=margincontrol.MarginSettings(start=1.0, least=0.7),
+            margin=margincontrol.MarginSettings(
+                start=chosen.margin_start, least=chosen.margin_least
+            ),
+        ),
+        queue=queuesettings.WaitingSettings(
+            min_retry_s=chosen.least_retry_s, max_retry_s=chosen.most_retry_s
         ),
-        queue=queuesettings.WaitingSettings(min_retry_s=0.3, max_retry_s=3.0),
     )
--- a/hornbeamglade/entry/settings.py
+++ b/hornbeamglade/entry/settings.py
@@ -8,6 +8,7 @@
 
 from hornbeamglade.configuration import models as configurationmodels
 from hornbeamglade.core import codederrors
+from hornbeamglade.entry import policysettings
 
 Address = configurationmodels.Address
 Positive = typing.Annotated[float, pydantic.Field(gt=0)]
@@ -74,6 +75,7 @@
     :param budget: bound on attempts beyond the first.
     :param bounds: times.
     :param region_by_failure_domain: every failure domain and its region.
+    :param policy: what decisions go by, where it differs from the usual.
     """
 
     name: str
@@ -87,6 +89,7 @@
     budget: Budget
     bounds: Bounds
     region_by_failure_domain: dict[str, str] = {}
+    policy: policysettings.Policy = policysettings.Policy()
 
 
 def read(path: str) -> str:
--- /dev/null
+++ b/tests/bench/test_pairedtrials.py
@@ -0,0 +1,82 @@
+"""Paired trials of variants."""
+
+import math
+import threading
+
+from hornbeamglade.bench import pairedtrials
+from hornbeamglade.core import codederrors
+from hornbeamglade.platform import dayreports
+
+
+def outcome(worth, lost=0, broken=()):
+    kinds = {"draft": dayreports.KindOutcome(10, 1, lost)}
+    return dayreports.DayOutcome(worth, kinds, broken, {"503": lost})
+
+
+class Player(pairedtrials.Player):
+    def __init__(self, worth):
+        self.worth = worth
+        self.running = 0
+        self.most = 0
+        self.lock = threading.Lock()
+
+    def play(self, play):
+        with self.lock:
+            self.running += 1
+            self.most = max(self.most, self.running)
+        try:
+            return outcome(self.worth(play))
+        finally:
+            with self.lock:
+                self.running -= 1
+
+
+def test_luck_that_both_variants_share_does_not_count():
+    """Days differ by half of their worth, the variants by a hundredth.
+
+    Compared by their means, the error would be forty times what is looked for.
+    """
+
+    def worth(play):
+        return 0.1 * play.seed + (0.01 if play.variant == "new" else 0.0)
+
+    plays = pairedtrials.plan(["old", "new"], ["a"], [1, 2, 3, 4])
+    outcomes, failures = pairedtrials.run(plays, Player(worth), at_once=2)
+    assert not failures
+    new = pairedtrials.compare(["old", "new"], outcomes)[1]
+    assert new.pairs == 4
+    assert math.isclose(new.difference, 0.01)
+    assert new.error < 1e-9
+
+
+def test_no_more_plays_beside_each_other_than_asked_for():
+    player = Player(lambda play: 0.5)
+    pairedtrials.run(pairedtrials.plan(["old"], ["a"], range(12)), player, at_once=2)
+    assert player.most <= 2
+
+
+def test_a_play_without_result_leaves_its_pair_out_and_ends_no_other():
+    """The machine runs out of memory in one play of twenty.
+
+    The other nineteen must still count, and the table must not pair what has no partner.
+    """
+
+    class Failing(Player):
+        def play(self, play):
+            if play.variant == "new" and play.seed == 2:
+                raise codederrors.CodedError("day_without_result", "exit code 137")
+            return super().play(play)
+
+    plays = pairedtrials.plan(["old", "new"], ["a"], [1, 2, 3])
+    outcomes, failures = pairedtrials.run(plays, Failing(lambda play: 0.5), at_once=1)
+    assert [each.seed for each in failures] == [2]
+    assert pairedtrials.compare(["old", "new"], outcomes)[1].pairs == 2
+
+
+def test_the_table_names_broken_rules_with_day_and_seed():
+    play = pairedtrials.Play("old", "crowd", 7)
+    comparisons = pairedtrials.compare(["old"], {play: outcome(0.0, 3, ("TWICE",))})
+    text = pairedtrials.table(comparisons)
+    assert "old: crowd, seed 7: TWICE" in text
+    assert "old: unserved a day: 503 3.0" in text
+    assert "inf" in text
--- /dev/null
+++ b/tests/bench/test_trialfolders.py
@@ -0,0 +1,111 @@
+"""Clones of the repository in which a bench program plays."""
+
+import json
+import os
+import pathlib
+import stat
+import subprocess
+
+import pytest
+from click import testing
+
+from hornbeamglade.bench import trialfolders
+from hornbeamglade.cli import main
+from hornbeamglade.core import codederrors
+
+# Plays a day: its worth is 0.5, and 0.1 more where the policy moves no runs.
+PROGRAM = """\
+#!/usr/bin/env python3
+import json, pathlib, sys
+words = sys.argv[1:]
+day, seed = words[2], words[words.index("--seed") + 1]
+name = pathlib.Path.cwd().name
+pathlib.Path("journal").mkdir(exist_ok=True)
+entry = {"why": words[words.index("--why") + 1], "words": words}
+pathlib.Path("journal", f"{name}-{day}-{seed}.json").write_text(json.dumps(entry))
+if day == "broken":
+    sys.exit("no memory")
+still = "moves_runs" in pathlib.Path("deploy/settings.yaml").read_text()
+report = {"G": 0.6 if still else 0.5, "classes": [], "breaks": {}, "fault": None}
+pathlib.Path(words[words.index("--report") + 1]).write_text(json.dumps(report))
+"""
+
+
+def git(folder, *words):
+    names = {"GIT_AUTHOR_NAME": "a", "GIT_AUTHOR_EMAIL": "a@x", "GIT_COMMITTER_NAME": "a"}
+    environment = {**os.environ, **names, "GIT_COMMITTER_EMAIL": "a@x"}
+    subprocess.run(["git", *words], cwd=folder, check=True, capture_output=True, env=environment)
+
+
+@pytest.fixture
+def repository(tmp_path, monkeypatch):
+    root = tmp_path / "repository"
+    (root / "deploy").mkdir(parents=True)
+    (root / "deploy" / "settings.yaml").write_text("name: x\n")
+    (root / ".gitignore").write_text("hornbeamglade-days-*/\n")
+    git(root, "init", "-q")
+    git(root, "add", "-A")
+    git(root, "commit", "-qm", "begin")
+    program = tmp_path / "program"
+    program.write_text(PROGRAM)
+    program.chmod(program.stat().st_mode | stat.S_IXUSR)
+    (tmp_path / "site.toml").write_text("")
+    monkeypatch.chdir(root)
+    return root
+
+
+def days(repository, *words):
+    program, site = repository.parent / "program", repository.parent / "site.toml"
+    told = ["bench", "days", str(program), str(site), "--why", "a trial", *words]
+    return testing.CliRunner().invoke(main.main, told)
+
+
+def test_variants_are_paired_and_every_entry_of_the_journal_is_kept(repository):
+    done = days(
+        *(repository, "--day", "quiet", "--seed", "1", "--seed", "2", "--no-cpu"),
+        *("--variant", "still: {moves_runs: false}"),
+    )
+    assert done.exit_code == 0, done.output
+    assert "still | 2 | 0.600 | +0.1000 | 0.0000" in done.output
+    kept = sorted(path.name for path in (repository / "journal").iterdir())
+    assert kept == [f"{name}-quiet-{seed}.json" for name in ("base", "still") for seed in (1, 2)]
+    entry = json.loads((repository / "journal" / kept[0]).read_text())
+    assert entry["why"] == "a trial (base)"
+    assert "--no-cpu" in entry["words"]
+    assert [path.name for path in repository.iterdir() if "hornbeamglade-days" in path.name] == []
+
+
+def test_the_entries_of_plays_that_failed_are_kept_too(repository):
+    """All plays of a round fail, and its scratch folders are removed with their entries.
+
+    Failed trials count like others: an account without them tells of half of the tries.
+    """
+    done = days(repository, "--day", "broken", "--seed", "1")
+    assert done.exit_code == 1
+    assert "day_without_result" in done.output
+    assert "no memory" in done.output
+    assert (repository / "journal" / "base-broken-1.json").exists()
+
+
+def test_code_that_is_not_committed_is_not_played(repository):
+    """A figure of code that nobody can look up says nothing later."""
+    pathlib.Path("deploy", "settings.yaml").write_text("name: y\n")
+    done = days(repository, "--day", "quiet", "--seed", "1")
+    assert done.exit_code == 2
+    assert done.output.startswith("tree_not_committed")
+
+
+@pytest.mark.parametrize(
+    "variant", ["far", "a: {b: 1}", "a: {placement_s: -1}", "1: {}", "a: [", "a: {}\nb: {}"]
+)
+def test_a_variant_that_cannot_be_read_has_a_code(repository, variant):
+    done = days(repository, "--day", "quiet", "--seed", "1", "--variant", variant)
+    assert done.exit_code == 2
+    assert done.output.startswith("variant_invalid")
+
+
+def test_a_program_that_cannot_be_started_is_told(repository):
+    player = trialfolders.FolderPlayer("./missing", "site", {"base": repository}, "why")
+    with pytest.raises(codederrors.CodedError) as told:
+        player.play(trialfolders.pairedtrials.Play("base", "quiet", 1))
+    assert told.value.code == trialfolders.NO_RESULT
--- /dev/null
+++ b/tests/platform/test_dayreports.py
@@ -0,0 +1,40 @@
+"""Reports of played days."""
+
+import json
+
+import pytest
+
+from hornbeamglade.core import codederrors
+from hornbeamglade.platform import dayreports
+
+
+def report(**changes):
+    kind = {"name": "draft", "n": 50, "not_owed": 5, "late": 3, "refused": 1, "failed": 4}
+    told = {
+        "G": 0.5,
+        "classes": [kind],
+        "breaks": {},
+        "fault": None,
+        "unserved_by": [["503", 5, ["a line"]]],
+    }
+    return json.dumps(told | changes).encode()
+
+
+def test_a_report_tells_worth_and_what_callers_got():
+    outcome = dayreports.decode(report())
+    assert outcome.worth == 0.5
+    assert outcome.by_kind == {"draft": dayreports.KindOutcome(45, 3, 5)}
+    assert (outcome.late, outcome.lost, outcome.broken) == (3, 5, ())
+    assert outcome.unserved_by_end == {"503": 5}
+
+
+def test_broken_rules_and_faults_are_told():
+    outcome = dayreports.decode(report(breaks={"TWICE": [1]}, fault="memory"))
+    assert outcome.broken == ("TWICE", "fault: memory")
+
+
+@pytest.mark.parametrize("document", [b"", b"[]", b"{}", report(G="much"), report(classes=3)])
+def test_what_is_no_report_has_a_code(document):
+    with pytest.raises(codederrors.CodedError) as told:
+        dayreports.decode(document)
+    assert told.value.code == dayreports.REPORT_INVALID
