What opens a pack imports next to nothing itself

Cause: before the pack is open, modules are found the long way; its own values were data classes, which bring some forty modules.

--- a/hornbeamglade/packed/importer.py
+++ b/hornbeamglade/packed/importer.py
@@ -2,11 +2,13 @@
 
 import importlib.machinery
 import marshal
-import types
-import typing
 
 from hornbeamglade.packed import packfile
 
+# The types of modules and of code, without the module that names them.
+_Module = type(marshal)
+_Code = type((lambda: None).__code__)
+
 
 class PackImporter:
     """A finder and loader in one, for ``sys.meta_path``.
@@ -18,7 +20,7 @@
         self._module_by_name = module_by_name
 
     def find_spec(
-        self, name: str, path: typing.Any = None, target: types.ModuleType | None = None
+        self, name: str, path: object = None, target: object = None
     ) -> importlib.machinery.ModuleSpec | None:
         """Return where a module of the pack comes from, or None for any other."""
         module = self._module_by_name.get(name)
@@ -36,11 +38,11 @@
     def create_module(self, spec: importlib.machinery.ModuleSpec) -> None:
         """Leave making the module to the import system."""
 
-    def exec_module(self, module: types.ModuleType) -> None:
+    def exec_module(self, module: _Module) -> None:
         """Run a module's code."""
         exec(self.get_code(module.__spec__.name), module.__dict__)
 
-    def get_code(self, name: str) -> types.CodeType:
+    def get_code(self, name: str) -> _Code:
         """Return a module's code.
 
         :raises ImportError: when the pack does not hold it, or was closed.
--- a/hornbeamglade/packed/packfile.py
+++ b/hornbeamglade/packed/packfile.py
@@ -10,9 +10,11 @@
 Code of one version of the interpreter means nothing to another, and the paths of modules
 outside the program's own folder are those of the machine that packed them. A pack says for
 which interpreter it was made, and is not used by any other.
+
+What is imported before a pack is open is found the long way, so this module and the importer
+need next to nothing: their values are plain classes with slots.
 """
 
-import dataclasses
 import importlib.util
 import marshal
 import os
@@ -21,7 +23,6 @@
 FORMAT = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
 class PackedModule:
     """One module of a pack.
 
@@ -30,19 +31,26 @@
     :param code: its code, marshalled.
     """
 
-    path: str
-    search_paths: tuple[str, ...] | None
-    code: bytes | memoryview
+    __slots__ = ("code", "path", "search_paths")
+
+    def __init__(
+        self, path: str, search_paths: tuple[str, ...] | None, code: bytes | memoryview
+    ) -> None:
+        self.path = path
+        self.search_paths = search_paths
+        self.code = code
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
 class Unusable:
     """A pack cannot be used.
 
     :param reason: why, in a few words.
     """
 
-    reason: str
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
 
 
 def made_for() -> tuple[int, bytes, str]:
