After a loss of power an instance reads the list of instances once, and writes nothing

Cause: each start made three calls for the list of instances (write, read, read again after 2 s): of 504 calls before the first request at 84 instances 252, and as many after each loss of all. The writes go one after another in one part of the store (200 a second), so at 195 instances the last has read the list a second late.

Change: only at the first start of the whole site all register before they read; later an instance reads first. A row that stands as it should is not written, and then those of all others stand too. An instance that comes to a running site registers and reads at once again. Ruled out: reading once at the first start (of two that start together neither would know the other when one datagram is lost). Tests: calls after a loss of power, two that come together, a row of a former run elsewhere.

--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -55,6 +55,7 @@
             told.seeds,
             self._introduced,
             self._clock,
+            told.is_first_start,
         )
         self._rng = random.Random(self.instance.incarnation)
         self.instance.count_connections(lambda: len(self._callers.connections))
--- a/hornbeamglade/entry/registration.py
+++ b/hornbeamglade/entry/registration.py
@@ -25,11 +25,20 @@
 class Registration:
     """Works on a thread of its own until :meth:`withdraw`.
 
+    Explanation
+    ===========
+
+    At the first start of a site all register and then read the list, so of any two at least
+    one finds the other. An instance that starts later reads first: after a loss of power its
+    row is still there, like those of all others, and one call in place of three is what a
+    site of hundreds then makes for each; the store takes their writes one after another.
+
     :param own: this instance's row.
     :param rows: the list in the store.
     :param seeds: addresses of instances that may be up.
     :param introduced: called on that thread with each list.
     :param clock: monotonic time.
+    :param is_first_start: whether the whole site starts for the first time.
     """
 
     def __init__(
@@ -39,13 +48,16 @@
         seeds: tuple[str, ...],
         introduced: Introduced,
         clock: clocks.Clock,
+        is_first_start: bool = False,
     ) -> None:
         self._own = own
         self._rows = rows
-        self._listing = introduction.Introduction(rows, seeds)
+        self._seeds = introduction.Seeds(seeds)
+        self._registers_first = is_first_start
         self._introduced = introduced
         self._clock = clock
         self._is_registered = False
+        self._was_listed = False
         self._lists_read = 0
         self._stopping = threading.Event()
 
@@ -62,18 +74,33 @@
 
     def step(self) -> float:
         """Do what is due; return the seconds until the next step."""
-        if not self._is_registered:
-            outcome = self._rows.register(self._own)
-            self._is_registered = isinstance(outcome, contract.Committed)
-        listed = self._listing.list()
-        if not isinstance(listed, contract.Unavailable):
-            self._lists_read += 1
-            self._introduced(listed)
-            if len(listed) > dissemination.MESH_BOUND and self._lists_read > 1:
-                return LONG_LIST_S if self._is_registered else FIRST_S
-        if not self._is_registered or not self._lists_read:
-            return FIRST_S
-        return AGAIN_S if self._lists_read == 1 else LIST_S
+        if not self._is_registered and self._registers_first:
+            self._register()
+        listed = self._rows.list()
+        if isinstance(listed, contract.Unavailable):
+            self._registers_first = False
+            known = self._seeds.known()
+            if known:
+                self._introduced(known)
+            return FIRST_S if not self._lists_read else LIST_S
+        self._lists_read += 1
+        self._introduced(listed)
+        if not self._is_registered and not self._is_found(listed):
+            self._register()
+            # Whoever registered since the list was read is not in it.
+            return 0.0 if self._is_registered else FIRST_S
+        if self._lists_read == 1 and not self._was_listed:
+            return AGAIN_S
+        return LONG_LIST_S if len(listed) > dissemination.MESH_BOUND else LIST_S
+
+    def _register(self) -> None:
+        outcome = self._rows.register(self._own)
+        self._is_registered = isinstance(outcome, contract.Committed)
+
+    def _is_found(self, listed: tuple[contract.Instance, ...]) -> bool:
+        """Note whether the row of a former run stands as it should."""
+        self._is_registered = self._was_listed = self._own in listed
+        return self._was_listed
 
     def _run(self) -> None:
         while not self._stopping.is_set():
--- a/hornbeamglade/entry/settings.py
+++ b/hornbeamglade/entry/settings.py
@@ -75,6 +75,7 @@
     :param budget: bound on attempts beyond the first.
     :param bounds: times.
     :param region_by_failure_domain: every failure domain and its region.
+    :param is_first_start: whether the whole site starts for the first time.
     :param policy: what decisions go by, where it differs from the usual.
     """
 
@@ -89,6 +90,7 @@
     budget: Budget
     bounds: Bounds
     region_by_failure_domain: dict[str, str] = {}
+    is_first_start: bool = False
     policy: policysettings.Policy = policysettings.Policy()
 
 
--- a/hornbeamglade/membership/introduction.py
+++ b/hornbeamglade/membership/introduction.py
@@ -62,19 +62,33 @@
 
     def __init__(self, listed: contract.InstanceList, seeds: tuple[str, ...]) -> None:
         self._listed = listed
-        self._seeds = seeds
-        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        self._seeds = Seeds(seeds)
 
     def list(self) -> tuple[contract.Instance, ...] | contract.Unavailable:
         """Return the nodes that are listed, or those that a seed knows."""
         listed = self._listed.list()
         if not isinstance(listed, contract.Unavailable):
             return listed
-        for seed in self._seeds:
-            known = self._ask(seed)
+        return self._seeds.known() or listed
+
+
+class Seeds:
+    """Nodes that may be up, and know others while the store is away.
+
+    :param addresses: ``ip:port`` of each.
+    """
+
+    def __init__(self, addresses: tuple[str, ...]) -> None:
+        self._addresses = addresses
+        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+
+    def known(self) -> tuple[contract.Instance, ...]:
+        """Return the nodes that the first seed that answers knows; none when none does."""
+        for address in self._addresses:
+            known = self._ask(address)
             if known:
                 return known
-        return listed
+        return ()
 
     def _ask(self, seed: str) -> tuple[contract.Instance, ...]:
         """Return the nodes that a seed knows; none when it does not answer."""
--- a/tests/entry/test_registration.py
+++ b/tests/entry/test_registration.py
@@ -10,13 +10,15 @@
     return contract.Instance(name, "d", "10.0.0.1:80", "10.0.0.1:7200", False)
 
 
-def make(others=0):
+def make(others=0, is_first_start=True):
     platform = memory.MemoryPlatform(clocks.ManualClock())
     rows = registry.Registry(platform)
     for number in range(others):
         rows.register(row(f"other-{number}"))
     told = []
-    kept = registration.Registration(row("own"), rows, (), told.append, clocks.ManualClock())
+    kept = registration.Registration(
+        row("own"), rows, (), told.append, clocks.ManualClock(), is_first_start
+    )
     return platform, kept, told
 
 
@@ -46,3 +48,62 @@
     platform.set_faults(memory.Faults(down=True))
     assert kept.step() > registration.FIRST_S
     assert len(told) == 1
+
+
+def test_an_instance_that_comes_to_a_running_site_registers_and_reads_again():
+    """Two instances are added at the same moment, and each reads the list before the other.
+
+    Without a second reading after it has registered, neither would know the other for a minute.
+    """
+    platform, kept, told = make(others=dissemination.MESH_BOUND, is_first_start=False)
+    assert kept.step() == 0.0
+    registry.Registry(platform).register(row("other-late"))
+    assert kept.step() == registration.LONG_LIST_S
+    assert {"own", "other-late"} <= {each.name for each in told[-1]}
+
+
+class CountedRows(registry.Registry):
+    """Counts what is asked of the store."""
+
+    def __init__(self, table):
+        super().__init__(table)
+        self.calls = []
+
+    def list(self):
+        self.calls.append("list")
+        return super().list()
+
+    def register(self, instance):
+        self.calls.append("register")
+        return super().register(instance)
+
+
+def test_after_a_loss_of_power_one_call_is_enough():
+    """All of 195 instances lose power and start again within a second.
+
+    Their rows are all there. Three calls of each are 585 at once, and the store makes the
+    writes of one table one after another: the last knew the others a second late.
+    """
+    platform = memory.MemoryPlatform(clocks.ManualClock())
+    rows = CountedRows(platform)
+    for number in range(30):
+        registry.Registry(platform).register(row(f"other-{number}"))
+    registry.Registry(platform).register(row("own"))
+    told = []
+    kept = registration.Registration(row("own"), rows, (), told.append, clocks.ManualClock())
+    assert kept.step() == registration.LONG_LIST_S
+    assert rows.calls == ["list"]
+    assert len(told[0]) == 31
+
+
+def test_a_row_of_a_former_run_elsewhere_is_replaced():
+    """An instance comes back under its name on another machine.
+
+    Its former row would send the others, and callers, to an address where nobody is.
+    """
+    platform, _, _ = make()
+    rows = registry.Registry(platform)
+    rows.register(contract.Instance("own", "d", "10.0.0.9:80", "10.0.0.9:7200", False))
+    kept = registration.Registration(row("own"), rows, (), print, clocks.ManualClock())
+    kept.step()
+    assert rows.list() == (row("own"),)
