Callers that come before the first configuration wait for it for half a second

No line told of it: refusals before a route is known were logged for 401 and 404 only.

Change: such a request waits until configuration and list are known, 0.5 s at most, and is refused then as before; each refusal before a route has its line; ticks stay fast until all is known, since idle ticks had made an instance take note of the others up to 0.25 s later.

--- a/hornbeamglade/capacity/page.py
+++ b/hornbeamglade/capacity/page.py
@@ -8,16 +8,34 @@
     losses,
     pagetables,
     slopes,
+    sweeppage,
     targetsize,
 )
+from hornbeamglade.platform import sweeptables
 
 _SIZES = (targetsize.TODAY, targetsize.ONE_REGION, targetsize.TARGET)
 
 _INTRODUCTION = """\
 # Capacity at the target size
 
-Made by `hornbeamglade capacity page --slopes docs/capacity-slopes.json`; the slopes by
-`hornbeamglade capacity measure --out docs/capacity-slopes.json`. Don't edit it by hand.
+Made by `hornbeamglade capacity page --slopes docs/capacity-slopes.json --sweep
+docs/capacity-sweep.txt`. Don't edit it by hand. The first section is about entry instances on
+the operators' platform, from what their bench prints of one day at several sizes; all others
+are about the nodes that serve the chat interface, from slopes measured by `hornbeamglade
+capacity measure --out docs/capacity-slopes.json`.
+
+"""
+
+_SWEEP = """\
+## Entry instances
+
+One day, played whole at several numbers of instances and as many engines and callers for each.
+Of each quantity the middle instance's figure and the busiest one's, the power of the number of
+instances to which the busiest one's grows, and where that leads. A power near 0 does not grow.
+"""
+
+_SLOPES = """\
+## Nodes of the chat interface
 
 Every figure is a slope, measured here over at least four sizes, carried to the
 target size. What was measured and how well its line holds (R²) stands at the end;
@@ -105,16 +123,22 @@
 """
 
 
-def markdown(measured: slopes.SlopeSet) -> str:
+def markdown(measured: slopes.SlopeSet, sweep: sweeptables.Sweep) -> str:
     """Return the page.
 
     :param measured: all slopes.
+    :param sweep: one day at several sizes.
     :raises CodedError: ``capacity_slope_missing`` when one was not measured.
     """
     size = targetsize.TARGET
     found = checks.all_checks(measured, size)
     lines = [
         *_INTRODUCTION.splitlines(),
+        *_SWEEP.splitlines(),
+        "",
+        *sweeppage.markdown(sweep).splitlines(),
+        "",
+        *_SLOPES.splitlines(),
         f"{measured.machine}.",
         "",
         *_BUDGET.splitlines(),
--- a/hornbeamglade/cli/capacity.py
+++ b/hornbeamglade/cli/capacity.py
@@ -6,6 +6,7 @@
 
 from hornbeamglade.capacity import measurement, page, slopes
 from hornbeamglade.core import codederrors
+from hornbeamglade.platform import sweeptables
 
 _FILE = click.Path(dir_okay=False, path_type=pathlib.Path)
 
@@ -33,9 +34,11 @@
 
 @capacity.command("page")
 @click.option("--slopes", "path", type=_FILE, required=True)
-def print_page(path: pathlib.Path) -> None:
+@click.option("--sweep", "sweep_path", type=_FILE, required=True, help="What the bench printed.")
+def print_page(path: pathlib.Path, sweep_path: pathlib.Path) -> None:
     """Print docs/CAPACITY.md."""
     try:
-        click.echo(page.markdown(slopes.read(path)), nl=False)
+        sweep = sweeptables.decode(sweep_path.read_text(encoding="utf-8"))
+        click.echo(page.markdown(slopes.read(path), sweep), nl=False)
     except codederrors.CodedError as error:
         raise click.ClickException(str(error)) from error
--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -6,6 +6,7 @@
 import http
 
 from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.entry import beginning
 from hornbeamglade.grants import grantanswers
 from hornbeamglade.http1 import serverside
 from hornbeamglade.observability import logs, metrics
@@ -30,6 +31,7 @@
     """What routed requests are answered with.
 
     :param words: how requests and answers are written.
+    :param beginning: has callers wait for the first configuration.
     :param current: the configuration in force.
     :param plain: gets whole answers.
     :param runs: what streamed answers work with.
@@ -41,6 +43,7 @@
     """
 
     words: dialect.Dialect
+    beginning: beginning.Beginning
     current: views.Views
     plain: plainexchange.PlainExchange
     runs: streamrun.RunParts
@@ -80,11 +83,13 @@
         parts = self._parts
         call = parts.words.call(exchange.request)
         if isinstance(call, outcomes.Refusal):
-            await self._refuse(exchange, call, "-", "")
+            await self._refuse_unrouted(exchange, call, "-")
             return
+        if not parts.beginning.is_over:
+            await parts.beginning.wait()
         routed = callrouter.route(call, parts.current.routes)
         if isinstance(routed, outcomes.Refusal):
-            await self._refuse(exchange, routed, call.request_id, "")
+            await self._refuse_unrouted(exchange, routed, call.request_id)
             return
         await self._answer(exchange, routed)
 
@@ -141,12 +146,17 @@
             return streamrun.StreamRun(routed, exchange, log, self._parts.runs)
         return None
 
+    async def _refuse_unrouted(
+        self, exchange: serverside.Exchange, refusal: outcomes.Refusal, request_id: str
+    ) -> None:
+        """Refuse a request of which no route is known."""
+        logs.decided(request_id, "route", refusal.code, status=refusal.http_status)
+        await self._refuse(exchange, refusal, request_id, "")
+
     async def _refuse(
         self, exchange: serverside.Exchange, refusal: outcomes.Refusal, request_id: str, team: str
     ) -> None:
         self._parts.metrics.refusals.add(labels=(refusal.code, team))
-        if request_id == "-" or refusal.http_status in (401, 404):
-            logs.decided(request_id, "route", refusal.code, status=refusal.http_status)
         await ownanswers.refuse(exchange, refusal, request_id)
 
     def _note(
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -13,6 +13,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.engines import reportpoller
 from hornbeamglade.entry import (
+    beginning,
     callershandler,
     controlhandler,
     directory,
@@ -81,6 +82,7 @@
         self.instruments = metrics.NodeMetrics()
         rng = random.Random(self.incarnation ^ hash(told.name))
         self._views = views.Views()
+        self._beginning = beginning.Beginning()
         self._replicas = replicalist.ReplicaList()
         self._lengths = lengthmodel.LengthModel()
         self._desks = deskset.DeskSet(clock, self._lengths)
@@ -164,6 +166,7 @@
         self.callers = callershandler.CallersHandler(
             callershandler.HandlerParts(
                 self._words,
+                self._beginning,
                 self._views,
                 plain,
                 runs,
@@ -192,9 +195,16 @@
 
     def is_ready(self) -> bool:
         """Tell whether the instance takes callers."""
+        return self._knows_all and not self.is_leaving
+
+    @property
+    def _knows_all(self) -> bool:
         # Without the list every request would be told that no replica is in use.
-        knows_all = self._views.routes is not None and self._replicas.version > 0
-        return knows_all and not self.is_leaving
+        return self._views.routes is not None and self._replicas.version > 0
+
+    def _look_whether_begun(self) -> None:
+        if self._knows_all:
+            self._beginning.end()
 
     @property
     def is_leaving(self) -> bool:
@@ -273,11 +283,12 @@
     @property
     def tick_s(self) -> float:
         """Seconds until the next tick is due."""
-        is_idle = self.peering.is_idle and not self.watch.is_telling
+        is_idle = self.peering.is_idle and not self.watch.is_telling and self._beginning.is_over
         return IDLE_TICK_S if is_idle and not self._desks.is_waited_at else TICK_S
 
     def tick(self) -> None:
         """Do what is due; several times a second."""
+        self._look_whether_begun()
         self.peering.tick()
         self.poller.tick()
         self._desks.settle()
@@ -338,6 +349,7 @@
             self._has_been_introduced = True
             self.peering.heartbeats.announce()
         self.watch.introduced()
+        self.pass_on()
 
     def _held_versions(self) -> tuple[int, int]:
         versions = self.following.versions()
@@ -379,6 +391,7 @@
                 self._engine_watch.added(change.replica.id)
 
     def _take_engines(self) -> None:
+        self._look_whether_begun()
         view = self._views.routes
         if view is None:
             return
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -14,6 +14,7 @@
 )
 from hornbeamglade.core import codederrors
 from hornbeamglade.membership import dissemination
+from hornbeamglade.platform import sweeptables
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs"
 
@@ -23,10 +24,15 @@
     return slopes.read(DOCS / "capacity-slopes.json")
 
 
-def test_the_page_is_the_one_that_its_slopes_give(measured):
+@pytest.fixture(scope="module")
+def sweep():
+    return sweeptables.decode((DOCS / "capacity-sweep.txt").read_text(encoding="utf-8"))
+
+
+def test_the_page_is_the_one_that_its_slopes_give(measured, sweep):
     # Readers trust a figure that no run gave. Order: the arithmetic or the slopes
     # change, the page is not made anew. Cause: nothing ties the page to its source.
-    assert (DOCS / "CAPACITY.md").read_text(encoding="utf-8") == page.markdown(measured)
+    assert (DOCS / "CAPACITY.md").read_text(encoding="utf-8") == page.markdown(measured, sweep)
 
 
 def test_every_slope_has_four_sizes_and_a_module_that_exists(measured):
@@ -53,13 +59,13 @@
     assert slopes.read(path) == measured
 
 
-def test_a_missing_slope_is_an_error_and_no_zero(measured):
+def test_a_missing_slope_is_an_error_and_no_zero(measured, sweep):
     # A page without the load polls would show a node within its budget. Cause: a
     # group of slopes was left out and its costs counted as nothing.
     left = dict(measured.slope_by_key)
     del left["processes.cores.owned"]
     with pytest.raises(codederrors.CodedError, match="processes.cores.owned"):
-        page.markdown(dataclasses.replace(measured, slope_by_key=left))
+        page.markdown(dataclasses.replace(measured, slope_by_key=left), sweep)
 
 
 def test_the_data_path_is_no_control(measured):
--- a/tests/entry/test_calls.py
+++ b/tests/entry/test_calls.py
@@ -1,5 +1,6 @@
 """Plain requests through an entry instance."""
 
+import asyncio
 import json
 
 import pytest
@@ -131,3 +132,42 @@
         return status, page["config_revision"], page["config_problem"]
 
     assert entrysite.play(test, engines=0) == (200, 1, "config_invalid")
+
+
+def begins(told_after_s):
+    """Return the answer to a request that comes before the instance knows anything."""
+
+    async def main():
+        site = entrysite.Site(engines=0)
+        try:
+            for server in site.services:
+                await server.start()
+                site.put(f"servers/{server.replica_id}", entrysite.entry(server, "web"))
+            site.put("op/config", json.dumps(entrysite.manifest()))
+            await site.nodes[0].start()
+            loop = asyncio.get_running_loop()
+            if told_after_s is not None:
+                loop.call_later(told_after_s, site.tell)
+            client = await site.nodes[0].ask("/list/1")
+            return await client.answer()
+        finally:
+            await site.stop()
+
+    return eventloop.run(main())
+
+
+def test_a_caller_that_comes_just_before_the_configuration_is_served():
+    """All instances lose power; a clerk's client had no connection, and tries its last time.
+
+    An instance listens again, and learns the configuration a moment later. Sent away at once,
+    the clerk has no answer, though nothing was missing any more.
+    """
+    status, _, body = begins(0.1)
+    assert (status, body[-2:]) == (200, b"r1")
+
+
+def test_a_caller_of_an_instance_that_learns_nothing_is_sent_away_soon():
+    """An instance is cut off when it starts: its callers must go to others, not wait."""
+    status, fields, body = begins(None)
+    assert (status, json.loads(body)["run"]) == (503, "not_run")
+    assert float(fields["retry-after"]) > 0
--- a/tests/entry/test_ticks.py
+++ b/tests/entry/test_ticks.py
@@ -10,12 +10,23 @@
 from tests.entry import site as entrysite
 
 
+def begun_node():
+    node = entrysite.Node(0)
+    node.instance._beginning.end()
+    return node
+
+
+def test_an_instance_that_knows_nothing_yet_ticks_often():
+    """Callers wait for the first configuration; a slow tick would have them wait longer."""
+    assert entrysite.Node(0).instance.tick_s == instance.TICK_S
+
+
 def test_an_idle_instance_ticks_seldom_and_one_with_a_queue_often():
     """Hundreds of instances idle between requests, and each tick costs all of them.
 
     A request that waits at a desk must still be refused or granted within a tick of its time.
     """
-    node = entrysite.Node(0)
+    node = begun_node()
     desks = node.instance._desks
     desks.configure({"e1": instance._desk_spec(_Engine(), policysettings.Policy())})
     desks.own(frozenset(("e1",)))
@@ -34,7 +45,7 @@
 
 def test_an_instance_that_wants_a_newer_document_ticks_often():
     """A chunk of a document is lost: it must be asked for again within a tick of its time."""
-    node = entrysite.Node(0)
+    node = begun_node()
     hint = messages.ConfigHint(5, 9, True)
     assert node.instance.tick_s == instance.IDLE_TICK_S
     node.instance.peering._documents.hinted("entry-1", hint)
