--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -1,15 +1,9 @@
 """One entry instance: its parts and how they hang together."""
 
 import collections.abc
-import hashlib
 import json
 import random
 
-from hornbeamglade.admission import (
-    margincontrol,
-    promptbacklog,
-    replicaadmission,
-)
 from hornbeamglade.core import clocks
 from hornbeamglade.engines import reportpoller
 from hornbeamglade.entry import (
@@ -19,14 +13,13 @@
     directory,
     enginewatch,
     following,
+    partsettings,
     peering,
-    policysettings,
     settings,
     sharing,
     storewatch,
 )
-from hornbeamglade.exchange import codec, messages
-from hornbeamglade.fairness import queuesettings
+from hornbeamglade.exchange import messages
 from hornbeamglade.grants import deskset, grantseeker
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.lengths import lengthmodel
@@ -50,8 +43,6 @@
     streamrun,
     views,
 )
-from hornbeamglade.routes import models as routemodels
-from hornbeamglade.routing import candidates
 from hornbeamglade.store import contract
 
 TICK_S = 0.05
@@ -103,7 +94,7 @@
         self.peering = peering.Peering(
             self.identity,
             self.incarnation,
-            exchange_keys(told.store),
+            partsettings.exchange_keys(told.store),
             clock,
             self._desks,
             digests,
@@ -116,21 +107,14 @@
         self._sender = sending.Sender(self._pool, self._words, clock)
         self._loads = replicaload.ReplicaLoads(clock, rng)
         self._budgets = retrybudget.RetryBudgets(
-            _budget(told),
+            partsettings.budget(told),
             lambda service, outcome: self.instruments.routed.retries.add(
                 labels=(service, outcome)
             ),
         )
         engine_calls = enginecalls.EngineCalls(self._pool)
         self._registry = runregistry.RunRegistry()
-        rates = candidates.RoutingSettings(
-            failure_domain=told.failure_domain,
-            usable_s=digestbook.UNKNOWN_AGE_S,
-            expected_answer_tokens=told.policy.expected_answer_tokens,
-            samples=told.policy.compared_engines,
-            prefill_tokens_per_s=promptbacklog.PromptSettings().tokens_per_s,
-            placement_s=told.policy.placement_s,
-        )
+        rates = partsettings.routing(told)
         self.book = enginebook.EngineBook(
             self._replicas, self._desks, digests, self.peering.owned, rates
         )
@@ -227,7 +211,7 @@
         What it is called and where it listens stays until its next start.
         """
         self._told = told
-        self._budgets.use(_budget(told))
+        self._budgets.use(partsettings.budget(told))
 
     def addresses(self, failure_domain: str, region: str) -> tuple[str, ...]:
         """Return where a caller is to connect."""
@@ -400,7 +384,9 @@
         service_by_name = view.configuration.service_by_name
         self._desks.configure(
             {
-                engine.id: _desk_spec(service_by_name[engine.service].engine, self._told.policy)
+                engine.id: partsettings.desk(
+                    service_by_name[engine.service].engine, self._told.policy
+                )
                 for engine in engines
             }
         )
@@ -414,38 +400,3 @@
 
     def _learn(self, service: str, team: str, tokens: int, is_cut: bool) -> None:
         self._desks.learn(service, team, tokens, censored=is_cut)
-
-
-def exchange_keys(store: str) -> codec.KeyRing:
-    """Return the keys that sign what instances exchange.
-
-    Explanation
-    ===========
-
-    The platform hands out no secret, and the ports between instances are open to them
-    only. The key is made from the address of the store that they share: it keeps frames
-    of another deployment apart, and no more.
-    """
-    return codec.KeyRing(1, {1: hashlib.blake2b(store.encode(), digest_size=32).digest()})
-
-
-def _budget(told: settings.Settings) -> retrybudget.BudgetSettings:
-    return retrybudget.BudgetSettings(told.budget.ratio, told.budget.slack, told.budget.window_s)
-
-
-def _desk_spec(
-    engine: routemodels.EngineTraits, chosen: policysettings.Policy
-) -> deskset.DeskSpec:
-    return deskset.DeskSpec(
-        memory_tokens=engine.memory_tokens,
-        admission=replicaadmission.AdmissionSettings(
-            horizons=chosen.horizons,
-            max_running=engine.slots,
-            margin=margincontrol.MarginSettings(
-                start=chosen.margin_start, least=chosen.margin_least
-            ),
-        ),
-        queue=queuesettings.WaitingSettings(
-            min_retry_s=chosen.least_retry_s, max_retry_s=chosen.most_retry_s
-        ),
-    )
--- /dev/null
+++ b/hornbeamglade/entry/partsettings.py
@@ -0,0 +1,60 @@
+"""What the parts of an instance are set by, from its settings and the configuration."""
+
+import hashlib
+
+from hornbeamglade.admission import margincontrol, promptbacklog, replicaadmission
+from hornbeamglade.entry import policysettings, settings
+from hornbeamglade.exchange import codec
+from hornbeamglade.fairness import queuesettings
+from hornbeamglade.grants import deskset
+from hornbeamglade.node import digestbook
+from hornbeamglade.routed import retrybudget
+from hornbeamglade.routes import models
+from hornbeamglade.routing import candidates
+
+
+def routing(told: settings.Settings) -> candidates.RoutingSettings:
+    """Return what the choice of an engine goes by."""
+    return candidates.RoutingSettings(
+        failure_domain=told.failure_domain,
+        usable_s=digestbook.UNKNOWN_AGE_S,
+        expected_answer_tokens=told.policy.expected_answer_tokens,
+        samples=told.policy.compared_engines,
+        prefill_tokens_per_s=promptbacklog.PromptSettings().tokens_per_s,
+        placement_s=told.policy.placement_s,
+    )
+
+
+def budget(told: settings.Settings) -> retrybudget.BudgetSettings:
+    """Return the bound on attempts beyond the first."""
+    return retrybudget.BudgetSettings(told.budget.ratio, told.budget.slack, told.budget.window_s)
+
+
+def desk(engine: models.EngineTraits, policy: policysettings.Policy) -> deskset.DeskSpec:
+    """Return what an engine's desk is made from."""
+    return deskset.DeskSpec(
+        memory_tokens=engine.memory_tokens,
+        admission=replicaadmission.AdmissionSettings(
+            horizons=policy.horizons,
+            max_running=engine.slots,
+            margin=margincontrol.MarginSettings(
+                start=policy.margin_start, least=policy.margin_least
+            ),
+        ),
+        queue=queuesettings.WaitingSettings(
+            min_retry_s=policy.least_retry_s, max_retry_s=policy.most_retry_s
+        ),
+    )
+
+
+def exchange_keys(store: str) -> codec.KeyRing:
+    """Return the keys that sign what instances exchange.
+
+    Explanation
+    ===========
+
+    The platform hands out no secret, and the ports between instances are open to them
+    only. The key is made from the address of the store that they share: it keeps frames
+    of another deployment apart, and no more.
+    """
+    return codec.KeyRing(1, {1: hashlib.blake2b(store.encode(), digest_size=32).digest()})
--- a/tests/entry/test_ticks.py
+++ b/tests/entry/test_ticks.py
@@ -3,7 +3,7 @@
 import math
 
 from hornbeamglade.core import clocks, outcomes
-from hornbeamglade.entry import instance, policysettings, storewatch
+from hornbeamglade.entry import instance, partsettings, policysettings, storewatch
 from hornbeamglade.exchange import messages
 from hornbeamglade.grants import replicadesk
 from hornbeamglade.membership import followers
@@ -28,7 +28,7 @@
     """
     node = begun_node()
     desks = node.instance._desks
-    desks.configure({"e1": instance._desk_spec(_Engine(), policysettings.Policy())})
+    desks.configure({"e1": partsettings.desk(_Engine(), policysettings.Policy())})
     desks.own(frozenset(("e1",)))
     assert node.instance.tick_s == instance.IDLE_TICK_S
     deadline = clocks.SystemClock().now() + 60
