--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -213,6 +213,7 @@
         self._changes = changes
         self._drops = drops
         self._lines: queue.Queue[str | None] = queue.Queue(MAX_QUEUED_LINES)
+        self._in_hand = 0
         self._destination = eliot.FileDestination(file=self)
         self._thread = threading.Thread(target=self._write_lines, name="logs", daemon=True)
         self._running = False
@@ -242,6 +243,10 @@
         """
         if isinstance(line, bytes):
             raise TypeError("the log is a text stream")
+        # Lines that the thread holds while its reader stands still take memory too.
+        if self._lines.qsize() + self._in_hand >= MAX_QUEUED_LINES:
+            self._drop()
+            return
         try:
             self._lines.put_nowait(line)
         except queue.Full:
@@ -282,12 +287,14 @@
         while (line := self._lines.get()) is not None:
             # A start or a change of the list queues hundreds: one call takes them all.
             lines, is_last = self._queued_after(line)
+            self._in_hand = len(lines)
             try:
                 self._stream.write("".join(lines))
                 self._stream.flush()
             except (OSError, ValueError):
                 if self._drops is not None:
                     self._drops.add(len(lines))
+            self._in_hand = 0
             if is_last:
                 return
 
@@ -302,3 +309,4 @@
             if following is None:
                 return lines, True
             lines.append(following)
+            self._in_hand = len(lines)
