--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -1,5 +1,8 @@
 """An entry instance's settings, checked with the offending field."""
 
+import pathlib
+import re
+
 import pytest
 import yaml
 
@@ -59,3 +62,47 @@
     with pytest.raises(codederrors.CodedError) as raised:
         settings.read(str(tmp_path / "none.yaml"))
     assert (raised.value.code, "none.yaml" in raised.value.detail) == ("settings_unreadable", True)
+
+
+TEMPLATE = pathlib.Path(__file__).parents[2] / "deploy" / "settings.yaml"
+VALUES = {
+    "node_name": '"entry-0"',
+    "ip": "10.0.0.1",
+    "zone": '"a"',
+    "region": '"r"',
+    "internal_ports": "[7200, 7215]",
+    "seeds": '["10.0.0.2:90", "10.0.0.3:90"]',
+    "platform.address": '"10.9.0.1:70"',
+    "bounds.retry_budget_ratio": "0.25",
+    "bounds.retry_budget_slack": "430",
+    "bounds.budget_window_s": "10",
+    "bounds.grace_s": "8",
+    "bounds.ttl_max_s": "5",
+    "zones": '{"a": "r"}',
+    "bootstrap": "false",
+}
+
+
+def deployed():
+    """Return the text of an instance's settings as the deployment writes them."""
+    text = TEMPLATE.read_text(encoding="utf-8").replace("{{ip|json}}", '"10.0.0.1"')
+    for name, value in VALUES.items():
+        text = text.replace(f"{{{{{name}|json}}}}", value).replace(f"{{{{{name}}}}}", value)
+    return re.sub(r"\{\{listen\.\w+\|json\}\}", '"10.0.0.1:81"', text)
+
+
+def test_no_half_written_file_changes_what_an_instance_goes_by():
+    """The settings of all instances change, and each reads its file while it is written.
+
+    Cut after `slack: 4`, the file is good YAML, and a bound of 4 in place of 430 would refuse
+    retries for a second at the worst moment. Whatever is cut must be refused, or be the same
+    in all that takes effect while an instance runs.
+    """
+    text = deployed()
+    whole = settings.parse(text, "entry.yaml")
+    for end in range(len(text)):
+        try:
+            told = settings.parse(text[:end], "entry.yaml")
+        except codederrors.CodedError:
+            continue
+        assert (told.budget, told.policy) == (whole.budget, whole.policy)
