--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -18,9 +18,10 @@
 """The store answers within some ten milliseconds; one that does not is slow or away, and
 another call is the better use of the time."""
 
-LONE_RETRY_S = 2.0
+LONE_RETRY_S = 6.0
 """Pause after a failed call of an instance that follows the store only for want of others
-to tell it: at a large site nearly all do so while the store is away."""
+to tell it: at a large site nearly all do so while the store is away, and those that are to
+follow it look for its return four times a second."""
 
 ADDRESS_TTL_S = 2.0
 STOP_POLL_S = 0.05
--- a/hornbeamglade/entry/storewatch.py
+++ b/hornbeamglade/entry/storewatch.py
@@ -29,9 +29,10 @@
 """A change is told this often: one datagram may be lost, and the next regular hint comes
 too late to matter."""
 
-ALONE_AT_LEAST_S = 5.0
+ALONE_AT_LEAST_S = 1.0
 """One lost hint more or less must not have it begin and end all the time: each beginning
-costs a reading of the whole tables."""
+costs a reading of the whole tables. But after an outage of the store every instance of a site
+is on its own, and each further second is paid for by all."""
 
 BEGIN_S = 1.0
 """An instance that starts waits so long for the list of the others, which tells it
--- a/tests/entry/test_storewatch.py
+++ b/tests/entry/test_storewatch.py
@@ -106,6 +106,24 @@
     assert site.following() == chosen
 
 
+def test_after_an_outage_of_the_store_few_follow_it_again_within_seconds():
+    """The store is away for eight seconds, and every instance is on its own.
+
+    At 195 instances each change of the list was then read by all of them for five seconds
+    more: 7,144 calls on one day, dearer than anything but the machines.
+    """
+    site = Site(195)
+    site.run(10)
+    chosen = site.following()
+    site.unreached = set(site.names)
+    site.run(8)
+    assert site.following() == set(site.names)
+    site.unreached = set()
+    site.run(storewatch.ALONE_AT_LEAST_S + 1.5 * storewatch.HINT_EVERY_S)
+    assert site.following() == chosen
+    assert storewatch.ALONE_AT_LEAST_S <= storewatch.HINT_EVERY_S
+
+
 def test_an_instance_waits_for_the_list_of_the_others_before_it_follows():
     """82 instances start at once; each would read the whole tables before it knows them."""
     clock = clocks.ManualClock()
