--- a/hornbeamglade/cli/benchdays.py
+++ b/hornbeamglade/cli/benchdays.py
@@ -1,5 +1,6 @@
 """``hornbeamglade bench days``: variants of the policy, paired on the operators' bench."""
 
+import dataclasses
 import pathlib
 import tempfile
 
@@ -12,6 +13,24 @@
 BASE = "base"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Trial:
+    """How variants are played.
+
+    :param program: the bench program's path.
+    :param site: the path of the site's file.
+    :param why: what the plays are for.
+    :param options: further options of the program.
+    :param at_once: how many plays run beside each other.
+    """
+
+    program: str
+    site: str
+    why: str
+    options: tuple[str, ...]
+    at_once: int
+
+
 @click.command("days")
 @click.argument("program", type=click.Path(exists=True, dir_okay=False, resolve_path=True))
 @click.argument("site", type=click.Path(exists=True, dir_okay=False, resolve_path=True))
@@ -51,12 +70,13 @@
     for text in told:
         name, chosen = policysettings.parse_variant(text)
         variant_by_name[name] = chosen
-    options = [*(["--no-cpu"] if no_cpu else []), *(["--small"] if small else [])]
+    flags = {"--no-cpu": no_cpu, "--small": small}
+    options = tuple(flag for flag, is_set in flags.items() if is_set)
     # Bench programs may hide the folder for temporary files from the processes that they play.
     with tempfile.TemporaryDirectory(prefix="hornbeamglade-days-", dir=".") as scratch:
         failed = _play(
             pathlib.Path(keep or scratch).resolve(),
-            (program, site, why, options, at_once),
+            _Trial(program, site, why, options, at_once),
             variant_by_name,
             pairedtrials.plan(tuple(variant_by_name), days, seeds),
         )
@@ -66,19 +86,20 @@
 
 def _play(
     kept: pathlib.Path,
-    how: tuple[str, str, str, list[str], int],
+    trial: _Trial,
     variant_by_name: dict[str, policysettings.Policy],
     plays: tuple[pairedtrials.Play, ...],
 ) -> bool:
-    program, site, why, options, at_once = how
     root = pathlib.Path.cwd()
     folder_by_variant = {name: kept / name for name in variant_by_name}
     for name, chosen in variant_by_name.items():
         text = policysettings.as_template(chosen)
         trialfolders.prepare(root, folder_by_variant[name], text, TEMPLATE)
-    player = trialfolders.FolderPlayer(program, site, folder_by_variant, why, options)
+    player = trialfolders.FolderPlayer(
+        trial.program, trial.site, folder_by_variant, trial.why, trial.options
+    )
     try:
-        outcomes, failures = pairedtrials.run(plays, player, at_once, _ended)
+        outcomes, failures = pairedtrials.run(plays, player, trial.at_once, _ended)
     finally:
         trialfolders.bring_back(root, folder_by_variant.values())
     comparisons = pairedtrials.compare(tuple(variant_by_name), outcomes)
--- a/hornbeamglade/routed/handover.py
+++ b/hornbeamglade/routed/handover.py
@@ -12,10 +12,10 @@
 (:mod:`hornbeamglade.grants.moveturns`): what is copied last would else wait behind the
 copies of other runs with its stream stopped. It looks for room before its turn, so that no
 turn is spent on looking. The engine that it goes to takes in one copy at a time, too: where
-several engines stop at once, runs of all of them meet there, and two in three streams that
-shared a destination's link with another stood still for longer than a steady stream may.
-Whoever waits for the second turn holds the first one, never the other way round, so no two
-wait for each other.
+several engines stop at once, runs of all of them meet there, and most streams that share a
+destination's link with another stand still for longer than a steady stream may. Whoever waits
+for the second turn holds the first one, never the other way round, so no two wait for each
+other.
 
 A run may end, or lose its caller, while it is copied. An engine goes on with a copy whose
 call is given up, and keeps it for some ten seconds under a name that nobody was told. So a
--- a/hornbeamglade/routed/leavingwork.py
+++ b/hornbeamglade/routed/leavingwork.py
@@ -11,8 +11,8 @@
 While all instances stop at once, there is none to send it to. Then, soon after the signal, it
 is taken if it may well end in time, and else asked to come back when the first of them has
 started again. Later only what is nearly sure to end in time is taken, whoever else is there:
-two overlapping rounds of stops had every instance of a site leave for seconds, and of the
-drafts that each took on two chances in five three were cut in the middle.
+where two rounds of stops overlap, every instance of a site leaves for seconds, and drafts that
+each takes on two chances in five are mostly cut in the middle.
 
 Weighed against taking whatever comes until the end: at a stop of 8 s, two to four drafts were
 cut at each instance. Against refusing all from the signal on: callers whose short requests
--- a/tests/entry/test_storewatch.py
+++ b/tests/entry/test_storewatch.py
@@ -110,7 +110,7 @@
     """The store is away for eight seconds, and every instance is on its own.
 
     At 195 instances each change of the list was then read by all of them for five seconds
-    more: 7,144 calls on one day, dearer than anything but the machines.
+    more, and those calls were dearer than anything but the machines.
     """
     site = Site(195)
     site.run(10)
