--- a/hornbeamglade/entry/registration.py
+++ b/hornbeamglade/entry/registration.py
@@ -82,7 +82,7 @@
             known = self._seeds.known()
             if known:
                 self._introduced(known)
-            return FIRST_S if not self._lists_read else LIST_S
+            return LIST_S if self._is_registered and self._lists_read else FIRST_S
         self._lists_read += 1
         self._introduced(listed)
         if not self._is_registered and not self._is_found(listed):
--- a/tests/entry/test_registration.py
+++ b/tests/entry/test_registration.py
@@ -107,3 +107,16 @@
     kept = registration.Registration(row("own"), rows, (), print, clocks.ManualClock())
     kept.step()
     assert rows.list() == (row("own"),)
+
+
+def test_an_instance_that_could_not_register_tries_again_soon():
+    """The store fails between an instance's first reading and its registration.
+
+    Nobody but those that it has heard of knows it: its next try must not wait for as long as
+    a later reading of the list.
+    """
+    platform, kept, _ = make(others=2, is_first_start=False)
+    kept._rows.register = lambda own: contract.Unavailable("away")
+    assert kept.step() == registration.FIRST_S
+    platform.set_faults(memory.Faults(down=True))
+    assert kept.step() == registration.FIRST_S
