platform: take only the newest state of a row from a feed

A row that is deleted and written again between two calls of a feed is named twice in one answer. Both states were taken, the deletion always after the write, so a row that exists was held for gone.

--- a/hornbeamglade/platform/storeclient.py
+++ b/hornbeamglade/platform/storeclient.py
@@ -252,8 +252,10 @@
 
 
 def _changes(body: storebodies.Rows) -> contract.Changes:
-    present = tuple(row.to_row() for row in body.rows if not row.deleted)
-    gone = tuple(row.whole() for row in body.rows if row.deleted)
+    # A row that changed twice is named twice; only its newest state holds.
+    newest_by_key = {row.whole(): row for row in sorted(body.rows, key=lambda row: row.ver)}
+    present = tuple(row.to_row() for row in newest_by_key.values() if not row.deleted)
+    gone = tuple(key for key, row in newest_by_key.items() if row.deleted)
     return contract.Changes(
         present, gone, body.ver, max((row.ver for row in body.rows), default=0)
     )
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -1,5 +1,6 @@
 """What the client says of a write when the answer is late, lost or malformed."""
 
+import json
 import socket
 import threading
 
@@ -151,3 +152,30 @@
     server = raw_server(b"HTTP/1.1 200 OK\r\nX-Long: ", trickle=True)
     assert isinstance(server.client.transact(*WRITE), contract.Unknown)
     assert not server.client_waited
+
+
+def feed_answer(*rows):
+    """Return a feed's answer that names one row in several states."""
+    body = json.dumps({"rows": rows, "ver": 9}).encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    return head.encode() + body
+
+
+def state(key, ver, *, deleted=False):
+    return {"table": "op", "part": "", "key": key, "value": "", "ver": ver, "deleted": deleted}
+
+
+@pytest.mark.parametrize("is_reversed", [False, True])
+def test_of_several_states_of_a_row_the_newest_counts(raw_server, is_reversed):
+    """Guards against a row that was deleted and written again between two calls of a feed."""
+    rows = [
+        state("again", 3, deleted=True),
+        state("again", 5),
+        state("over", 4),
+        state("over", 6, deleted=True),
+    ]
+    server = raw_server(feed_answer(*(reversed(rows) if is_reversed else rows)))
+    changes = server.client.changes("op", 1, 0.01)
+    assert [(row.key, row.version) for row in changes.present] == [("op/again", 5)]
+    assert changes.gone == ("op/over",)
+    assert changes.newest == 6
