entry: keep new work from evacuated failure domains

Change: the operator's rows become a state of evacuated domains as of a version of the store; of two states the one with the higher version holds, whichever way it came. Followers tell it in their hints, all instances in their heartbeats, so those that the store turns away and those that start meanwhile know it too; an instance takes no callers before it does. An evacuated replica gets no plain request, no grant, no queued request, no run or copy from elsewhere; who waits for it is refused and goes to another one at once. What runs there goes on to its end. Shown in /status, the metric evacuated_domains and one log line a change.

Tests: older words, overlapping domains, a row that vanishes with the store's history, an instance without the store, one that starts, a queue, runs under way, a copy that waits.

--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -8,8 +8,9 @@
 from hornbeamglade.exchange import messages
 from hornbeamglade.observability import logs
 from hornbeamglade.platform import manifest, replicarows, tables
+from hornbeamglade.replicas import availability, replicalist
+from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
-from hornbeamglade.replicas import replicalist
 from hornbeamglade.routed import views
 from hornbeamglade.store import contract, tablefollower
 
@@ -33,30 +34,34 @@
     Explanation
     ===========
 
-    Neither belief ever goes back: a configuration is taken only when its revision is
-    higher than that in force, a list only when its version is. One that cannot be read
-    leaves the former in force.
+    No belief ever goes back: a configuration is taken only when its revision is
+    higher than that in force, a list or the evacuations only when their version is. One
+    that cannot be read leaves the former in force.
 
     :param current: the configuration in force; written here.
-    :param replicas: the list; written here.
+    :param available: the list and the evacuations; written here.
     :param clock: monotonic time.
     :param list_changed: told of each change of the list.
     :param configured: called when another configuration is in force.
+    :param evacuated: called when an evacuation has begun or ended.
     """
 
     def __init__(
         self,
         current: views.Views,
-        replicas: replicalist.ReplicaList,
+        available: availability.Availability,
         clock: clocks.Clock,
         list_changed: ListChanged,
         configured: collections.abc.Callable[[], None],
+        evacuated: collections.abc.Callable[[], None],
     ) -> None:
         self._current = current
-        self._replicas = replicas
+        self._available = available
+        self._replicas = available.replicas
         self._clock = clock
         self._list_changed = list_changed
         self._configured = configured
+        self._evacuated = evacuated
         self._document = b""
         self._row_by_key: dict[str, contract.Row] = {}
         self._problem_by_key: dict[str, str] = {}
@@ -82,6 +87,7 @@
         """Take the word of a follower: its list is as new as the store's."""
         if hint.is_reached and hint.list_version <= self._replicas.version:
             self._confirmed_at = self._clock.now()
+        self.take_evacuations(hint.evacuations, PEER)
 
     def is_reached(self) -> bool:
         """Tell whether the store answers this instance, as far as it has tried."""
@@ -116,6 +122,7 @@
         """Take an outcome of following the table of the configuration."""
         if not self._is_heard(tables.CONFIGURATION, outcome):
             return
+        self._take_evacuation_rows(outcome)
         rows = outcome.rows if isinstance(outcome, contract.Snapshot) else outcome.present
         row = tables.configuration_row(rows)
         if row is not None:
@@ -130,6 +137,33 @@
         elif outcome.newest > self._replicas.version:
             self._take_changes(outcome)
 
+    def take_evacuations(self, state: evacuationlib.Evacuations, source: str) -> None:
+        """Take a state of the evacuations; an older one changes nothing.
+
+        :param source: where it comes from, for the log.
+        """
+        changed = self._available.take_evacuations(state)
+        for domain in sorted(changed):
+            names = ("serving", "evacuated")
+            before, after = names if domain in state.domains else reversed(names)
+            logs.state_changed(
+                "evacuation", before, after, domain=domain, sequence=state.version, source=source
+            )
+        if changed:
+            self._evacuated()
+
+    def _take_evacuation_rows(self, outcome: contract.Snapshot | contract.Changes) -> None:
+        if isinstance(outcome, contract.Snapshot):
+            domains = tables.evacuated_domains(row.key for row in outcome.rows)
+            state = evacuationlib.Evacuations(outcome.version, domains)
+        else:
+            state = self._available.evacuations.updated(
+                tables.evacuated_domains(row.key for row in outcome.present),
+                tables.evacuated_domains(outcome.gone),
+                outcome.newest,
+            )
+        self.take_evacuations(state, STORE)
+
     def _is_heard(self, table: str, outcome: Told) -> bool:
         """Note whether the store answers; tell whether it has."""
         is_reached = not isinstance(outcome, contract.Unavailable)
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -28,8 +28,9 @@
 from hornbeamglade.node import digestbook
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import enginecalls, requestdialect, tables
+from hornbeamglade.replicas import availability, replicalist
+from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
-from hornbeamglade.replicas import replicalist
 from hornbeamglade.routed import (
     enginebook,
     handover,
@@ -75,14 +76,24 @@
         self._views = views.Views()
         self._beginning = beginning.Beginning()
         self._replicas = replicalist.ReplicaList()
+        self._available = availability.Availability(self._replicas)
         self._lengths = lengthmodel.LengthModel()
-        self._desks = deskset.DeskSet(clock, self._lengths)
+        self._desks = deskset.DeskSet(clock, self._lengths, self._available)
         digests = digestbook.DigestBook(clock)
         self.following = following.Following(
-            self._views, self._replicas, clock, self._list_changed, self._configured
+            self._views,
+            self._available,
+            clock,
+            self._list_changed,
+            self._configured,
+            self._evacuations_changed,
         )
         self.watch = storewatch.StoreWatch(
-            told.name, self._held_versions, self.following.is_reached, clock
+            told.name,
+            self._held_versions,
+            lambda: self._available.evacuations,
+            self.following.is_reached,
+            clock,
         )
         documents = sharing.SharedDocuments(
             self.following.versions, self.following.read, self.following.take, clock
@@ -100,6 +111,7 @@
             digests,
             self._owned_places,
             documents,
+            lambda: self._available.evacuations,
             self,
         )
         self._pool = clientpool.ClientPool(clock)
@@ -116,7 +128,7 @@
         self._registry = runregistry.RunRegistry()
         rates = partsettings.routing(told)
         self.book = enginebook.EngineBook(
-            self._replicas, self._desks, digests, self.peering.owned, rates
+            self._available, self._desks, digests, self.peering.owned, rates
         )
         self.peering.offer_others(self.book.owned_like)
         self.seeker = grantseeker.GrantSeeker(
@@ -150,7 +162,7 @@
             clock,
         )
         plain = plainexchange.PlainExchange(
-            self._replicas, self._sender, self._loads, self._budgets, clock
+            self._available, self._sender, self._loads, self._budgets, clock
         )
         self.callers = callershandler.CallersHandler(
             callershandler.HandlerParts(
@@ -188,8 +200,10 @@
 
     @property
     def _knows_all(self) -> bool:
-        # Without the list every request would be told that no replica is in use.
-        return self._views.routes is not None and self._replicas.version > 0
+        # Without the list every request would be told that no replica is in use, and without
+        # the evacuations some would go where nothing may go.
+        has_list = self._replicas.version > 0 and self._available.evacuations.is_known
+        return self._views.routes is not None and has_list
 
     def _look_whether_begun(self) -> None:
         if self._knows_all:
@@ -245,11 +259,11 @@
         routed.belief_age_s.set(-1.0 if age_s is None else age_s)
         routed.is_store_reached.set(float(self.following.is_reached()))
         routed.caller_connections.set(self._count_connections())
+        routed.evacuated_domains.set(len(self._available.evacuations.domains))
         self.instruments.streams_in_flight.set(self.seeker.active_count, ("all",))
         view = self._views.routes
         for name in () if view is None else view.configuration.service_by_name:
-            usable = [each for each in self._replicas.of_service(name) if not each.is_leaving]
-            routed.usable_replicas.set(len(usable), (name,))
+            routed.usable_replicas.set(len(self._available.usable(name)), (name,))
             routed.budget_left.set(self._budgets.left(name, self._clock.now()), (name,))
 
     def members(self) -> bytes:
@@ -266,6 +280,7 @@
             "config_revision": versions.configuration,
             "config_problem": self.following.problem,
             "list_version": versions.replicas,
+            "evacuated": sorted(self._available.evacuations.domains),
         }
         return json.dumps(page).encode()
 
@@ -306,6 +321,10 @@
         self.watch.heard(hint)
         self.following.hinted(hint)
 
+    def evacuations_heard(self, state: evacuationlib.Evacuations) -> None:
+        """Take the evacuated failure domains as another instance knows them."""
+        self.following.take_evacuations(state, following.PEER)
+
     def message_failed(self, error: Exception, where: str) -> None:
         """Log an error that a message caused here."""
         logs.failed(where, error)
@@ -369,6 +388,12 @@
         self.peering.names.teams.replace(["", *(team.name for team in configuration.teams)])
         self._take_engines()
 
+    def _evacuations_changed(self) -> None:
+        # Those that wait for an evacuated engine are refused, and go to another at once.
+        self._desks.settle()
+        self._look_whether_begun()
+        self.pass_on()
+
     def _list_changed(self, changes: tuple[replicalist.ListChange, ...]) -> None:
         self._take_engines()
         for change in changes:
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -18,6 +18,7 @@
 from hornbeamglade.membership import heartbeats, membershiplog, ownership, rising
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestbook
+from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 
 MOST_ROOM_TOKENS = 2**31 - 1
@@ -36,6 +37,10 @@
     def hinted(self, hint: messages.ConfigHint) -> None:
         """Take a hint of an instance that follows the store."""
 
+    @abc.abstractmethod
+    def evacuations_heard(self, state: evacuationlib.Evacuations) -> None:
+        """Take the evacuated failure domains as another instance knows them."""
+
     @abc.abstractmethod
     def message_failed(self, error: Exception, where: str) -> None:
         """Take an error that a message caused here."""
@@ -52,6 +57,7 @@
     :param digests: takes what owners say.
     :param engines: returns the engines of the platform's list.
     :param documents: what instances read from one another.
+    :param evacuations: returns the evacuated failure domains as this instance knows them.
     :param news: told of what the others do and say.
     """
 
@@ -65,6 +71,7 @@
         digests: digestbook.DigestBook,
         engines: Engines,
         documents: sharing.SharedDocuments,
+        evacuations: collections.abc.Callable[[], evacuationlib.Evacuations],
         news: News,
     ) -> None:
         self._identity = identity
@@ -73,6 +80,7 @@
         self._digests = digests
         self._engines = engines
         self._documents = documents
+        self._evacuations = evacuations
         self._news = news
         self._ownership = ownership.Ownership()
         self.codec = codec.Codec(identity.name, incarnation, keys, clock)
@@ -169,7 +177,9 @@
             _replica_digest(state) for name, state in sorted(states.items()) if name in owned
         )
         versions = self._documents.versions()
-        return heartbeats.Digest(versions.configuration, replicas, versions.replicas)
+        return heartbeats.Digest(
+            versions.configuration, replicas, versions.replicas, self._evacuations()
+        )
 
     def _handle(
         self, message: messages.Message, sender: codec.Sender, source: transport.Endpoint
@@ -180,6 +190,7 @@
             if self.heartbeats.heard(message, sender, source):
                 self._digests.hear(sender.name, message.replicas)
                 self._hear_leaving(message.replicas)
+                self._news.evacuations_heard(message.evacuations)
         elif isinstance(message, messages.GrantAsk):
             self._server.asked(message, sender, source)
         elif isinstance(message, messages.GrantAnswer):
--- a/hornbeamglade/entry/storewatch.py
+++ b/hornbeamglade/entry/storewatch.py
@@ -18,6 +18,7 @@
 from hornbeamglade.exchange import messages
 from hornbeamglade.membership import followers
 from hornbeamglade.observability import logs
+from hornbeamglade.replicas import evacuations as evacuationlib
 
 HINT_EVERY_S = 1.0
 LEFT_ALONE_S = 2.2
@@ -56,6 +57,7 @@
 
     :param name: this instance's name.
     :param versions: returns the configuration's revision and the list's version here.
+    :param evacuations: returns the evacuated failure domains as they are known here.
     :param reached: returns whether the store answers this instance.
     :param clock: monotonic time.
     """
@@ -64,11 +66,13 @@
         self,
         name: str,
         versions: collections.abc.Callable[[], tuple[int, int]],
+        evacuations: collections.abc.Callable[[], evacuationlib.Evacuations],
         reached: collections.abc.Callable[[], bool],
         clock: clocks.Clock,
     ) -> None:
         self._name = name
         self._versions = versions
+        self._evacuations = evacuations
         self._reached = reached
         self._clock = clock
         self._nodes: tuple[str, ...] = ()
@@ -78,7 +82,7 @@
         self._heard_at = clock.now()
         self._alone_until = float("-inf")
         self._hint_at = clock.now()
-        self._hinted_versions = (0, 0)
+        self._hinted: tuple[tuple[int, int], frozenset[str]] = ((0, 0), frozenset())
         self._change_hints = 0
         self.is_following = False
 
@@ -143,14 +147,14 @@
             )
 
     def _hints(self, now: float) -> tuple[Hint, ...]:
-        versions = self._versions()
-        if versions != self._hinted_versions:
-            self._hinted_versions = versions
+        versions, evacuations = self._versions(), self._evacuations()
+        if (versions, evacuations.domains) != self._hinted:
+            self._hinted = (versions, evacuations.domains)
             self._change_hints = CHANGE_HINTS
             self._hint_at = now
         if not self._told or now < self._hint_at:
             return ()
         self._change_hints = max(0, self._change_hints - 1)
         self._hint_at = now + (CHANGE_HINT_EVERY_S if self._change_hints else HINT_EVERY_S)
-        message = messages.ConfigHint(*versions, self._reached())
+        message = messages.ConfigHint(*versions, self._reached(), evacuations)
         return tuple(Hint(node, message) for node in self._told)
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -38,6 +38,12 @@
   rumours @9 :List(Rumour);
   refutation @10 :UInt32;
   listVersion @11 :UInt64;
+  evacuations @12 :Evacuations;
+}
+
+struct Evacuations {
+  version @0 :UInt64;
+  domains @1 :List(Text);
 }
 
 struct ReplicaDigest {
@@ -107,6 +113,7 @@
   revision @0 :UInt64;
   listVersion @1 :UInt64;
   isReached @2 :Bool;
+  evacuations @3 :Evacuations;
 }
 
 struct MoveTurn {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -14,12 +14,16 @@
 import enum
 import hashlib
 
+from hornbeamglade.replicas import evacuations as evacuationlib
+
 MAX_NAME_BYTES = 64
 # A heartbeat at all its bounds fits one datagram.
 MAX_REPLICAS = 24
 MAX_DEMANDS = 12
 MAX_RUMOURS = 6
 MAX_AVOIDED = 8
+MAX_EVACUATED = 8
+"""Failure domains in one state of the evacuations."""
 
 # Demands change slowly and are half of a heartbeat's bytes.
 DEMANDS_EVERY = 4
@@ -139,6 +143,7 @@
     :param refutation: grows each time the sender hears that it is held for dead.
     :param list_version: the version of the platform's list of replicas that the sender
         has, or 0.
+    :param evacuations: the evacuated failure domains as the sender knows them.
     """
 
     state: NodeState
@@ -153,6 +158,7 @@
     rumours: tuple[Rumour, ...] = ()
     refutation: int = 0
     list_version: int = 0
+    evacuations: evacuationlib.Evacuations = evacuationlib.Evacuations()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -287,11 +293,13 @@
     :param revision: the configuration's revision.
     :param list_version: the version of the list of replicas, or 0.
     :param is_reached: whether the store answers the sender.
+    :param evacuations: the evacuated failure domains.
     """
 
     revision: int
     list_version: int = 0
     is_reached: bool = False
+    evacuations: evacuationlib.Evacuations = evacuationlib.Evacuations()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -17,6 +17,7 @@
 import capnp
 
 from hornbeamglade.exchange import messages
+from hornbeamglade.replicas import evacuations
 
 SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("exchange.capnp")))
 
@@ -77,6 +78,7 @@
     builder.refutation = message.refutation
     builder.configRevision = message.config_revision
     builder.listVersion = message.list_version
+    _fill_evacuations(builder, message.evacuations)
     builder.failureDomain = checked_name(message.failure_domain)
     builder.address = checked_name(message.address)
     builder.exchange = checked_name(message.exchange)
@@ -115,6 +117,7 @@
         refutation=reader.refutation,
         config_revision=reader.configRevision,
         list_version=reader.listVersion,
+        evacuations=_read_evacuations(reader),
         failure_domain=checked_name(reader.failureDomain),
         address=checked_name(reader.address),
         exchange=checked_name(reader.exchange),
@@ -131,6 +134,23 @@
     )
 
 
+def _fill_evacuations(builder: _Builder, state: evacuations.Evacuations) -> None:
+    # A state that is cut short would end an evacuation; without one the recipient keeps its own.
+    if not state.is_known or len(state.domains) > messages.MAX_EVACUATED:
+        return
+    form = builder.init("evacuations")
+    form.version = state.version
+    form.domains = [checked_name(each) for each in sorted(state.domains)]
+
+
+def _read_evacuations(reader: _Reader) -> evacuations.Evacuations:
+    form = reader.evacuations
+    _checked_length(form.domains, messages.MAX_EVACUATED)
+    return evacuations.Evacuations(
+        form.version, frozenset(checked_name(each) for each in form.domains)
+    )
+
+
 def _read_digest(reader: _Reader) -> messages.ReplicaDigest:
     return messages.ReplicaDigest(
         replica=reader.replica,
@@ -249,10 +269,13 @@
     builder.revision = message.revision
     builder.listVersion = message.list_version
     builder.isReached = message.is_reached
+    _fill_evacuations(builder, message.evacuations)
 
 
 def _read_hint(reader: _Reader) -> messages.ConfigHint:
-    return messages.ConfigHint(reader.revision, reader.listVersion, reader.isReached)
+    return messages.ConfigHint(
+        reader.revision, reader.listVersion, reader.isReached, _read_evacuations(reader)
+    )
 
 
 def _fill_config_ask(builder: _Builder, message: messages.ConfigAsk) -> None:
--- a/hornbeamglade/grants/deskset.py
+++ b/hornbeamglade/grants/deskset.py
@@ -10,6 +10,7 @@
 from hornbeamglade.fairness import queuesettings, waiting
 from hornbeamglade.grants import replicadesk
 from hornbeamglade.lengths import lengthmodel
+from hornbeamglade.replicas import startgate
 
 Notify = collections.abc.Callable[[replicadesk.Settled], None]
 
@@ -57,10 +58,15 @@
     queue: queuesettings.WaitingSettings
     policy: str = "probabilistic"
 
-    def make(self, replica: str, lengths: lengthmodel.LengthModel) -> replicadesk.ReplicaDesk:
+    def make(
+        self,
+        replica: str,
+        lengths: lengthmodel.LengthModel,
+        gate: startgate.StartGate | None = None,
+    ) -> replicadesk.ReplicaDesk:
         """Make an empty desk."""
         return replicadesk.ReplicaDesk(
-            replica, self._policy(lengths), waiting.WaitingQueue(self.queue)
+            replica, self._policy(lengths), waiting.WaitingQueue(self.queue), gate
         )
 
     def _policy(self, lengths: lengthmodel.LengthModel) -> policies.AdmissionPolicy:
@@ -83,11 +89,18 @@
 
     :param clock: monotonic time.
     :param lengths: what was learned of answer lengths; guarded by the same lock.
+    :param gate: may keep requests from a replica that has room.
     """
 
-    def __init__(self, clock: clocks.Clock, lengths: lengthmodel.LengthModel) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        lengths: lengthmodel.LengthModel,
+        gate: startgate.StartGate | None = None,
+    ) -> None:
         self._clock = clock
         self._lengths = lengths
+        self._gate = gate
         self._lock = threading.RLock()
         self._spec_by_replica: dict[str, DeskSpec] = {}
         self._owned: frozenset[str] = frozenset()
@@ -109,7 +122,7 @@
                     settled += desk.leave()
                     del self._desk_by_replica[name]
                 elif spec != self._spec_by_replica[name]:
-                    successor = spec.make(name, self._lengths)
+                    successor = spec.make(name, self._lengths, self._gate)
                     successor.take_over(desk, now)
                     self._desk_by_replica[name] = successor
             self._spec_by_replica = dict(spec_by_replica)
@@ -266,7 +279,7 @@
         desk = self._desk_by_replica.get(replica)
         spec = self._spec_by_replica.get(replica)
         if desk is None and spec is not None:
-            desk = spec.make(replica, self._lengths)
+            desk = spec.make(replica, self._lengths, self._gate)
             self._desk_by_replica[replica] = desk
         return desk
 
@@ -296,6 +309,8 @@
     # link has stalled: requests would be drawn to it and wait there while others have room.
     if desk.admission.is_at_bound() or desk.is_quiet(now) or desk.is_lost:
         return 0.0
+    if desk.gate.refusal(desk.replica, now) is not None:
+        return 0.0
     return desk.admission.room(now)
 
 
--- a/hornbeamglade/grants/replicadesk.py
+++ b/hornbeamglade/grants/replicadesk.py
@@ -22,6 +22,7 @@
 from hornbeamglade.admission import policies, promptbacklog, tokenledger
 from hornbeamglade.core import outcomes
 from hornbeamglade.fairness import waiting
+from hornbeamglade.replicas import startgate
 
 LEAVING_RETRY_S = 1.0
 OWNER_MOVED = "owner_moved"
@@ -83,6 +84,7 @@
     :param replica: the replica's name.
     :param admission: what fits into the replica's memory.
     :param queue: those that wait, in fair order.
+    :param gate: may keep requests from a replica that has room.
     """
 
     def __init__(
@@ -90,10 +92,12 @@
         replica: str,
         admission: policies.AdmissionPolicy,
         queue: waiting.WaitingQueue,
+        gate: startgate.StartGate | None = None,
     ) -> None:
         self.replica = replica
         self.admission = admission
         self.queue = queue
+        self.gate = gate or startgate.OpenGate()
         self.prompts = promptbacklog.PromptBacklog()
         self.leaving = False
         self.is_lost = False
@@ -144,6 +148,10 @@
         # recent word of it, its grants would go on for as long as the cut lasts.
         if self._is_silent(now):
             return _replica_silent(self.replica)
+        # Waiting here would be in vain while others may take it.
+        closed = self.gate.refusal(self.replica, now)
+        if closed is not None:
+            return closed
         granted = self.ask_at_once(work, now, due)
         return granted or self._enqueue(_Ask(work, weight, deadline, due), now)
 
@@ -178,6 +186,9 @@
             return _replica_leaving(self.replica)
         if self.is_lost:
             return _replica_unreached(self.replica)
+        closed = self.gate.refusal(self.replica, now)
+        if closed is not None:
+            return closed
         ledger = self.admission.ledger
         needed = ledger.footprint(work.prompt_tokens) + produced
         held = ledger.own + ledger.others
@@ -185,6 +196,7 @@
             return _no_room(self.replica)
         self.adopt(work, produced, now)
         self._taken_in_at.append(now)
+        self.gate.started(self.replica, now)
         return Granted(work.request_id, self.replica)
 
     def taken_in_lately(self, now: float) -> int:
@@ -232,6 +244,9 @@
                 break
             del self._ask_by_waiting[work.request_id]
             settled.append(Settled(work.request_id, self._start(work, now)))
+        closed = self.gate.refusal(self.replica, now) if self._ask_by_waiting else None
+        if closed is not None:
+            settled += self._refuse_waiting(closed)
         return tuple(settled)
 
     def leave(self) -> tuple[Settled, ...]:
@@ -316,7 +331,9 @@
 
     def _may_start(self, now: float) -> bool:
         """Tell whether a new request may go to the replica, as far as its prompts are read."""
-        return self._may_grant(now) and self.prompts.wait_s(now) <= PROMPTS_AHEAD_S
+        if not self._may_grant(now) or self.prompts.wait_s(now) > PROMPTS_AHEAD_S:
+            return False
+        return self.gate.refusal(self.replica, now) is None
 
     def _is_silent(self, now: float) -> bool:
         """Tell whether the last word is too old; one who never spoke is waited for."""
@@ -330,6 +347,7 @@
     def _start(self, work: outcomes.Work, now: float) -> Granted:
         """Grant a request whose prompt is to be read here."""
         self.prompts.add(work.prompt_tokens, now)
+        self.gate.started(self.replica, now)
         return self._grant(work, now)
 
     def _enqueue(self, ask: _Ask, now: float) -> Waiting | outcomes.Refusal:
--- a/hornbeamglade/membership/heartbeats.py
+++ b/hornbeamglade/membership/heartbeats.py
@@ -9,6 +9,7 @@
 from hornbeamglade.exchange import codec, messages, transport
 from hornbeamglade.membership import dissemination
 from hornbeamglade.membership import view as membership_view
+from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.store import contract
 
 
@@ -20,11 +21,13 @@
     :param replicas: the replicas it owns; the first :data:`messages.MAX_REPLICAS
         <hornbeamglade.exchange.messages.MAX_REPLICAS>` are sent.
     :param list_version: the version of the platform's list of replicas, or 0.
+    :param evacuations: the evacuated failure domains.
     """
 
     config_revision: int = 0
     replicas: tuple[messages.ReplicaDigest, ...] = ()
     list_version: int = 0
+    evacuations: evacuationlib.Evacuations = evacuationlib.Evacuations()
 
 
 class Heartbeats:
@@ -215,6 +218,7 @@
             demands=self._told_demands,
             rumours=rumours,
             list_version=digest.list_version,
+            evacuations=digest.evacuations,
         )
 
     def _send_to(self, member: membership_view.Member, heartbeat: messages.Heartbeat) -> None:
--- a/hornbeamglade/observability/metricsrouted.py
+++ b/hornbeamglade/observability/metricsrouted.py
@@ -47,6 +47,9 @@
         self.usable_replicas: metricsinstruments.Gauge = registry.gauge(
             "usable_replicas", "Replicas that may get new work.", ("service",)
         )
+        self.evacuated_domains: metricsinstruments.Gauge = registry.gauge(
+            "evacuated_domains", "Failure domains that get no new work, by the operator's word."
+        )
         self.budget_left: metricsinstruments.Gauge = registry.gauge(
             "retry_budget_left", "Attempts beyond the first that may still be made.", ("service",)
         )
--- a/hornbeamglade/routed/enginebook.py
+++ b/hornbeamglade/routed/enginebook.py
@@ -5,7 +5,7 @@
 from hornbeamglade.core import outcomes
 from hornbeamglade.grants import deskset
 from hornbeamglade.node import digestbook
-from hornbeamglade.replicas import models, replicalist
+from hornbeamglade.replicas import availability, models
 from hornbeamglade.routing import candidates as candidatelib
 
 UNKNOWN_ROOM_TOKENS = 0
@@ -14,7 +14,7 @@
 class EngineBook:
     """Joins the platform's list with what the engines' owners say.
 
-    :param replicas: the list.
+    :param available: the list, and which of it may get new work.
     :param desks: this node's own desks.
     :param digests: what other owners said.
     :param owned: returns the engines that this node owns.
@@ -23,13 +23,14 @@
 
     def __init__(
         self,
-        replicas: replicalist.ReplicaList,
+        available: availability.Availability,
         desks: deskset.DeskSet,
         digests: digestbook.DigestBook,
         owned: collections.abc.Callable[[], collections.abc.Container[str]],
         settings: candidatelib.RoutingSettings,
     ) -> None:
-        self._replicas = replicas
+        self._available = available
+        self._replicas = available.replicas
         self._desks = desks
         self._digests = digests
         self._owned = owned
@@ -40,9 +41,13 @@
         return self._replicas.by_id.get(replica_id)
 
     def is_usable(self, replica_id: str) -> bool:
-        """Tell whether an engine may get new work."""
+        """Tell whether an engine is listed and does not leave; it may be evacuated."""
         return self._replicas.is_usable(replica_id)
 
+    def is_evacuated(self, replica: models.Replica) -> bool:
+        """Tell whether the operator keeps new work from an engine's failure domain."""
+        return self._available.is_evacuated(replica)
+
     def candidates(
         self, service: str, excluded: collections.abc.Container[str]
     ) -> tuple[candidatelib.Candidate, ...]:
@@ -58,8 +63,8 @@
         }
         return tuple(
             self._candidate(replica, state_by_replica.get(replica.id))
-            for replica in self._replicas.of_service(service)
-            if not replica.is_leaving and replica.id not in excluded
+            for replica in self._available.usable(service)
+            if replica.id not in excluded
         )
 
     def owned_like(self, replica_id: str, work: outcomes.Work) -> tuple[str, ...]:
--- a/hornbeamglade/routed/handover.py
+++ b/hornbeamglade/routed/handover.py
@@ -177,6 +177,11 @@
 
     async def _move_to(self, grant: grantseeker.Grant, replica: replicamodels.Replica) -> bool:
         """Copy the run to one engine and stop it; return whether the move has ended."""
+        if self._parts.book.is_evacuated(replica):
+            # It may have waited for its turns for seconds since the engine let it in.
+            self._release()
+            self.outcome = "evacuated"
+            return self._has_ended
         if self._copying_since is None:
             self._copying_since = self._parts.clock.now()
             self.turn_s = self._copying_since - self._found_at
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -2,8 +2,8 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.observability import logs
+from hornbeamglade.replicas import availability
 from hornbeamglade.replicas import models as replicamodels
-from hornbeamglade.replicas import replicalist
 from hornbeamglade.routed import (
     attemptlog,
     callrouter,
@@ -30,7 +30,7 @@
     A request is sent again only when it did not run, or may run twice. Its caller gets
     a replica's own failure as it is, once no further attempt is allowed.
 
-    :param replicas: the replicas that there are.
+    :param available: the replicas that may get new work.
     :param sender: sends attempts.
     :param loads: chooses among replicas.
     :param budgets: bounds what is sent again.
@@ -39,13 +39,13 @@
 
     def __init__(
         self,
-        replicas: replicalist.ReplicaList,
+        available: availability.Availability,
         sender: sending.Sender,
         loads: replicaload.ReplicaLoads,
         budgets: retrybudget.RetryBudgets,
         clock: clocks.Clock,
     ) -> None:
-        self._replicas = replicas
+        self._available = available
         self._sender = sender
         self._loads = loads
         self._budgets = budgets
@@ -80,8 +80,8 @@
             return None
         usable = [
             replica
-            for replica in self._replicas.of_service(routed.service.name)
-            if not replica.is_leaving and replica.id not in log.tried
+            for replica in self._available.usable(routed.service.name)
+            if replica.id not in log.tried
         ]
         return self._loads.choose(usable)
 
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -352,6 +352,9 @@
             return None
         if not task.done():
             await asyncio.wait((task,), timeout=HANDOVER_WAIT_S)
+        reached = self._handover.destination
+        if reached is not None and self._parts.book.is_evacuated(reached.replica):
+            self._handover.abandon()
         destination, self._handover.destination = self._handover.destination, None
         return destination
 
--- /dev/null
+++ b/tests/entry/test_evacuations.py
@@ -0,0 +1,161 @@
+"""Failure domains that are evacuated and taken back, at entry instances."""
+
+import asyncio
+import json
+
+from hornbeamglade.platform import tables
+from hornbeamglade.store import contract
+from tests import eventloop
+from tests.entry import site as entrysite
+
+KNOWN_WITHIN_S = 3.0
+
+
+def evacuate(site, domain):
+    site.put(f"op/evacuate/{domain}", "")
+
+
+def evacuated(node):
+    return json.loads(node.instance.status())["evacuated"]
+
+
+async def known_everywhere(site, domains):
+    """Wait until all instances know which domains are evacuated."""
+    async with asyncio.timeout(KNOWN_WITHIN_S):
+        await eventloop.until(lambda: all(evacuated(each) == domains for each in site.nodes))
+
+
+def engines_in(site, domain):
+    return site.engines["ab".index(domain) :: 2]
+
+
+def runs(engines):
+    return sum(len(engine.ledger) for engine in engines)
+
+
+async def streams(site, node=0, count=6, prefix="r"):
+    """Ask for several streams at once; return their statuses."""
+    clients = [
+        await site.nodes[node].ask("/draft/1", request_id=f"{prefix}{n}", more=entrysite.USAGE)
+        for n in range(count)
+    ]
+    return [(await client.answer())[0] for client in clients]
+
+
+def test_nothing_new_goes_to_an_evacuated_domain_until_it_is_taken_back():
+    async def test(site):
+        evacuate(site, "a")
+        site.tell()
+        first = await streams(site), runs(engines_in(site, "a"))
+        site.delete("op/evacuate/a")
+        site.tell()
+        second = await streams(site, prefix="s"), runs(engines_in(site, "a"))
+        return first, second
+
+    first, second = entrysite.play(test, engines=4)
+    assert first == ([200] * 6, 0)
+    assert second[0] == [200] * 6
+    assert second[1] > 0
+
+
+def test_instance_that_the_store_turns_away_learns_of_an_evacuation_from_others():
+    async def test(site):
+        evacuate(site, "a")
+        site.tell(site.nodes[0])
+        await known_everywhere(site, ["a"])
+        statuses = await streams(site, node=1)
+        return statuses, runs(engines_in(site, "a"))
+
+    assert entrysite.play(test, nodes=3, engines=4) == ([200] * 6, 0)
+
+
+def test_instance_that_starts_while_the_store_is_away_learns_of_an_evacuation_first():
+    """Guards against callers that are let in before the evacuations are known."""
+
+    async def test(site):
+        evacuate(site, "a")
+        site.tell(site.nodes[0], site.nodes[1])
+        await site.nodes[2].stop()
+        again = site.nodes[2] = entrysite.Node(2)
+        await again.start()
+        others = [node.instance.identity for node in site.nodes]
+        again.instance.introduced(
+            tuple(
+                contract.Instance(
+                    each.name, each.failure_domain, each.address, each.exchange, False
+                )
+                for each in others
+            )
+        )
+        await eventloop.until(again.instance.is_ready)
+        return evacuated(again)
+
+    assert entrysite.play(test, nodes=3) == ["a"]
+
+
+def test_overlapping_evacuations_are_kept_apart():
+    """One domain is taken back while another one is evacuated."""
+
+    async def test(site):
+        seen = []
+        for change in (
+            lambda: evacuate(site, "a"),
+            lambda: evacuate(site, "b"),
+            lambda: site.delete("op/evacuate/a"),
+            lambda: evacuate(site, "a"),
+        ):
+            change()
+            site.tell(site.nodes[0])
+            await eventloop.until(lambda: evacuated(site.nodes[1]) == evacuated(site.nodes[0]))
+            seen.append(evacuated(site.nodes[1]))
+        return seen
+
+    assert entrysite.play(test, nodes=2) == [["a"], ["a", "b"], ["b"], ["a", "b"]]
+
+
+def test_row_that_vanishes_with_the_stores_history_ends_its_evacuation():
+    """The row is taken back while the store is away, and the feed begins anew."""
+
+    async def test(site):
+        evacuate(site, "a")
+        site.tell()
+        site.delete("op/evacuate/a")
+        site.nodes[1].instance.store_told(tables.CONFIGURATION, contract.Unavailable("status 503"))
+        away = evacuated(site.nodes[1])
+        site.tell()
+        return away, evacuated(site.nodes[1])
+
+    assert entrysite.play(test, nodes=2) == (["a"], [])
+
+
+def test_request_that_waits_for_an_evacuated_engine_goes_to_another_at_once():
+    async def test(site):
+        first = [
+            await site.nodes[0].ask("/draft/1", request_id=f"r{n}", more=entrysite.USAGE)
+            for n in range(40)
+        ]
+        await eventloop.until(lambda: runs(site.engines) >= 16)
+        evacuate(site, "a")
+        site.tell()
+        before = runs(engines_in(site, "a"))
+        answers = [(await client.answer())[0] for client in first]
+        return answers, runs(engines_in(site, "a")) - before, runs(site.engines)
+
+    answers, later, ran = entrysite.play(test, engines=2, events=10)
+    assert later == 0
+    assert answers.count(200) == ran
+
+
+def test_what_runs_in_an_evacuated_domain_goes_on_to_its_end():
+    async def test(site):
+        clients = [
+            await site.nodes[0].ask("/draft/1", request_id=f"r{n}", more=entrysite.USAGE)
+            for n in range(6)
+        ]
+        await eventloop.until(lambda: runs(site.engines) == 6)
+        evacuate(site, "a")
+        site.tell()
+        statuses = [(await client.answer())[0] for client in clients]
+        return statuses, runs(site.engines)
+
+    assert entrysite.play(test, engines=4) == ([200] * 6, 6)
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -9,7 +9,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import following
 from hornbeamglade.exchange import messages
-from hornbeamglade.replicas import replicalist
+from hornbeamglade.replicas import availability, evacuations, replicalist
 from hornbeamglade.routed import views
 from hornbeamglade.store import contract
 from tests.entry import site
@@ -39,8 +39,15 @@
         self.configured = 0
         self.views = views.Views()
         self.list = replicalist.ReplicaList()
+        self.available = availability.Availability(self.list)
+        self.evacuated = []
         self.following = following.Following(
-            self.views, self.list, clocks.ManualClock(), self.told.extend, self._configure
+            self.views,
+            self.available,
+            clocks.ManualClock(),
+            self.told.extend,
+            self._configure,
+            lambda: self.evacuated.append(sorted(self.available.evacuations.domains)),
         )
 
     def _configure(self):
@@ -197,3 +204,28 @@
     assert "routes.0.name" in problems[0][3]["reason"]
     believer.following.configuration_told(contract.Changes((config(3),), (), 3, 3))
     assert (believer.following.problem, believer.following.versions().configuration) == (None, 3)
+
+
+def test_evacuations_are_taken_from_rows_and_logged_once(lines):
+    believer = Believer()
+    mark = contract.Row("op/evacuate/a", "", 3)
+    believer.following.configuration_told(contract.Snapshot((config(1), mark), 3))
+    believer.following.configuration_told(contract.Snapshot((config(1), mark), 4))
+    believer.following.configuration_told(contract.Changes((), ("op/evacuate/a",), 6, 6))
+    assert believer.evacuated == [["a"], []]
+    told = [line for line in lines if line[0] == "evacuation"]
+    assert [(line[1], line[2], line[3]["sequence"]) for line in told] == [
+        ("serving", "evacuated", 3),
+        ("evacuated", "serving", 6),
+    ]
+
+
+def test_evacuation_is_not_ended_by_a_peers_older_state(lines):
+    believer = Believer()
+    mark = contract.Row("op/evacuate/a", "", 5)
+    believer.following.configuration_told(contract.Changes((mark,), (), 5, 5))
+    for state in (evacuations.Evacuations(), evacuations.Evacuations(4)):
+        believer.following.hinted(messages.ConfigHint(1, 1, True, state))
+    assert believer.evacuated == [["a"]]
+    believer.following.hinted(messages.ConfigHint(1, 1, True, evacuations.Evacuations(6)))
+    assert believer.evacuated == [["a"], []]
--- a/tests/entry/test_storewatch.py
+++ b/tests/entry/test_storewatch.py
@@ -7,6 +7,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import storewatch
 from hornbeamglade.membership import followers
+from hornbeamglade.replicas import evacuations
 
 TICK_S = 0.05
 CONFIG_BOUND_S = 3.0
@@ -31,7 +32,11 @@
 
     def _watch(self, name):
         return storewatch.StoreWatch(
-            name, lambda: self.held[name], lambda: name not in self.unreached, self.clock
+            name,
+            lambda: self.held[name],
+            evacuations.Evacuations,
+            lambda: name not in self.unreached,
+            self.clock,
         )
 
     def run(self, seconds):
@@ -127,7 +132,9 @@
 def test_an_instance_waits_for_the_list_of_the_others_before_it_follows():
     """82 instances start at once; each would read the whole tables before it knows them."""
     clock = clocks.ManualClock()
-    watch = storewatch.StoreWatch("a", lambda: (0, 0), lambda: False, clock)
+    watch = storewatch.StoreWatch(
+        "a", lambda: (0, 0), evacuations.Evacuations, lambda: False, clock
+    )
     watch.tick(("a",))
     assert not watch.is_following
     clock.advance(storewatch.BEGIN_S)
--- a/tests/entry/test_ticks.py
+++ b/tests/entry/test_ticks.py
@@ -7,6 +7,7 @@
 from hornbeamglade.exchange import messages
 from hornbeamglade.grants import replicadesk
 from hornbeamglade.membership import followers
+from hornbeamglade.replicas import evacuations
 from tests.entry import site as entrysite
 
 
@@ -62,7 +63,9 @@
     nodes = tuple(f"n{number:02}" for number in range(60))
     chosen = followers.chosen(nodes)
     told = next(node for node in nodes if node not in chosen)
-    watch = storewatch.StoreWatch(told, lambda: versions[0], lambda: True, clock)
+    watch = storewatch.StoreWatch(
+        told, lambda: versions[0], evacuations.Evacuations, lambda: True, clock
+    )
     watch.tick(nodes)
     versions[0] = (4, 9)
     watch.tick(nodes)
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies
 
 from hornbeamglade.exchange import messages
+from hornbeamglade.replicas import evacuations
 
 _U16 = strategies.integers(0, 2**16 - 1)
 _U32 = strategies.integers(0, 2**32 - 1)
@@ -15,6 +16,11 @@
 )
 _DIGESTS = strategies.builds(messages.ReplicaDigest, _U64, _U32, _U16, _U32)
 _DEMANDS = strategies.builds(messages.TeamDemand, _U64, _U16, _U16)
+_EVACUATIONS = strategies.just(evacuations.Evacuations()) | strategies.builds(
+    evacuations.Evacuations,
+    strategies.integers(1, 2**64 - 1),
+    strategies.frozensets(_NAMES.filter(bool), max_size=messages.MAX_EVACUATED),
+)
 _HEARTBEATS = strategies.builds(
     messages.Heartbeat,
     state=strategies.sampled_from((messages.NodeState.LIVE, messages.NodeState.LEAVING)),
@@ -29,6 +35,7 @@
     rumours=strategies.lists(_RUMOURS, max_size=6).map(tuple),
     refutation=_U32,
     list_version=_U64,
+    evacuations=_EVACUATIONS,
 )
 _ASKS = strategies.builds(
     messages.GrantAsk,
@@ -80,7 +87,7 @@
     | _ANSWERS
     | _PROGRESS
     | _TURNS
-    | strategies.builds(messages.ConfigHint, _U64, _U64, strategies.booleans())
+    | strategies.builds(messages.ConfigHint, _U64, _U64, strategies.booleans(), _EVACUATIONS)
     | strategies.builds(messages.ConfigAsk, _U64, _U16, strategies.sampled_from(messages.Subject))
     | _OFFERS
     | strategies.builds(messages.Outrun, strategies.integers(0, messages.MAX_INCARNATION))
--- a/tests/routed/test_enginebook.py
+++ b/tests/routed/test_enginebook.py
@@ -6,7 +6,7 @@
 from hornbeamglade.grants import deskset
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.node import digestbook
-from hornbeamglade.replicas import models, replicalist
+from hornbeamglade.replicas import availability, models, replicalist
 from hornbeamglade.routed import enginebook
 from hornbeamglade.routing import candidates
 
@@ -26,7 +26,7 @@
     desks.configure(dict.fromkeys(("e0", "e1", "e2", "x0"), SPEC))
     desks.own(frozenset(owned))
     book = enginebook.EngineBook(
-        replicas,
+        availability.Availability(replicas),
         desks,
         digestbook.DigestBook(clock),
         lambda: owned,
--- a/tests/routed/test_handover.py
+++ b/tests/routed/test_handover.py
@@ -92,6 +92,12 @@
 
 
 class Book:
+    def __init__(self):
+        self.evacuated = set()
+
+    def is_evacuated(self, replica):
+        return replica.id in self.evacuated
+
     def replica(self, replica_id):
         return {each.id: each for each in (SOURCE, TARGET)}.get(replica_id)
 
@@ -102,8 +108,8 @@
     def __init__(self, limit_s=30.0):
         self.done = []
         self.engines, self.seeker = Engines(self.done), Seeker(self.done)
-        self.turns, clock = Turns(self.done), clocks.SystemClock()
-        parts = handover.HandoverParts(self.engines, self.seeker, self.turns, Book(), clock)
+        self.turns, self.book, clock = Turns(self.done), Book(), clocks.SystemClock()
+        parts = handover.HandoverParts(self.engines, self.seeker, self.turns, self.book, clock)
         work = outcomes.Work("r1", "draft", "clinic", 1, 500, 100)
         wish = grantseeker.Wish(work, 1.0, clock.now() + limit_s, tuple)
         self.handover = handover.Handover(SOURCE, "r1", wish, parts)
@@ -149,6 +155,22 @@
     assert eventloop.run(test()) == (0, "done")
 
 
+def test_nothing_is_copied_to_an_engine_that_is_evacuated_meanwhile():
+    """Guards against a copy to an engine that let the run in before its evacuation."""
+
+    async def test():
+        move = Move(limit_s=0.3)
+        move.turns.may_arrive.clear()
+        task = asyncio.ensure_future(move.run())
+        await eventloop.until(lambda: move.turns.arrivals)
+        move.book.evacuated.add(TARGET.id)
+        move.turns.may_arrive.set()
+        await task
+        return move.done.count("copy"), move.seeker.held
+
+    assert eventloop.run(test()) == (0, 0)
+
+
 def test_nothing_is_copied_to_an_engine_that_takes_in_another_run():
     """Five engines stop in the same second, and runs of three go to the same fourth.
 
--- a/tests/routed/test_plainexchange.py
+++ b/tests/routed/test_plainexchange.py
@@ -7,8 +7,8 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.platform import requestdialect
+from hornbeamglade.replicas import availability, replicalist
 from hornbeamglade.replicas import models as replicamodels
-from hornbeamglade.replicas import replicalist
 from hornbeamglade.routed import (
     attemptlog,
     plainexchange,
@@ -38,7 +38,10 @@
         )
         loads = replicaload.ReplicaLoads(self.clock, random.Random(1))
         budgets = retrybudget.RetryBudgets(budget)
-        self.exchange = plainexchange.PlainExchange(self.list, sender, loads, budgets, self.clock)
+        self.available = availability.Availability(self.list)
+        self.exchange = plainexchange.PlainExchange(
+            self.available, sender, loads, budgets, self.clock
+        )
 
     async def start(self):
         for server in self.servers:
