replicas: pace requests to cold replicas within the operator's bound

Cause: a replica that has just started bears cold_per_s requests a second, summed over all instances, and crashes above; nobody counted them. Each of 64 instances sees the new and empty replica at the same moment.

Change: an engine's owner takes a third of the bound for its grants; at plain services each instance spaces its own requests by the number of instances that there may be, from a random beginning. Beyond that requests go to other replicas, and where there is none their caller is told when to come back (replica_cold, replicas_cold). Cold is what the list says, and what stands in a failure domain whose evacuation has ended. Without an owner's grant nothing goes to a cold engine.

Tests: 6 to 195 instances, all eager, in every second of virtual time; two parts of a site that are cut off from each other; two owners at once.

--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -142,7 +142,7 @@
 
         :param source: where it comes from, for the log.
         """
-        changed = self._available.take_evacuations(state)
+        changed = self._available.take_evacuations(state, self._clock.now())
         for domain in sorted(changed):
             names = ("serving", "evacuated")
             before, after = names if domain in state.domains else reversed(names)
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -28,7 +28,7 @@
 from hornbeamglade.node import digestbook
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import enginecalls, requestdialect, tables
-from hornbeamglade.replicas import availability, replicalist
+from hornbeamglade.replicas import availability, replicalist, slowstart
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
@@ -76,7 +76,9 @@
         self._views = views.Views()
         self._beginning = beginning.Beginning()
         self._replicas = replicalist.ReplicaList()
-        self._available = availability.Availability(self._replicas)
+        self._available = availability.Availability(
+            self._replicas, slowstart.SlowStarts(rng), partsettings.cold_bound(told)
+        )
         self._lengths = lengthmodel.LengthModel()
         self._desks = deskset.DeskSet(clock, self._lengths, self._available)
         digests = digestbook.DigestBook(clock)
@@ -231,6 +233,7 @@
         """
         self._told = told
         self._budgets.use(partsettings.budget(told))
+        self._available.use_bound(partsettings.cold_bound(told))
 
     def addresses(self, failure_domain: str, region: str) -> tuple[str, ...]:
         """Return where a caller is to connect."""
@@ -339,7 +342,9 @@
         # An instance may have come back under its name in another failure domain.
         self.peering.update_owners()
         # Killed instances come back under their names: their part is not given away.
-        self._budgets.share_slack(len(self.peering.heartbeats.members()))
+        instances = len(self.peering.heartbeats.members())
+        self._budgets.share_slack(instances)
+        self._available.share_among(instances)
 
     def _forget_departed(self) -> None:
         now = self._clock.now()
@@ -384,6 +389,7 @@
         view = self._views.routes
         configuration = view.configuration
         self.instruments.config_revision.set(configuration.revision)
+        self._available.configure(configuration.service_by_name)
         self.peering.names.services.replace(route.name for route in configuration.routes)
         self.peering.names.teams.replace(["", *(team.name for team in configuration.teams)])
         self._take_engines()
@@ -395,6 +401,7 @@
         self.pass_on()
 
     def _list_changed(self, changes: tuple[replicalist.ListChange, ...]) -> None:
+        self._available.list_changed(changes, self._clock.now())
         self._take_engines()
         for change in changes:
             if change.what in ("leaving", "gone"):
--- a/hornbeamglade/entry/partsettings.py
+++ b/hornbeamglade/entry/partsettings.py
@@ -8,6 +8,7 @@
 from hornbeamglade.fairness import queuesettings
 from hornbeamglade.grants import deskset
 from hornbeamglade.node import digestbook
+from hornbeamglade.replicas import slowstart
 from hornbeamglade.routed import retrybudget
 from hornbeamglade.routes import models
 from hornbeamglade.routing import candidates
@@ -30,6 +31,11 @@
     return retrybudget.BudgetSettings(told.budget.ratio, told.budget.slack, told.budget.window_s)
 
 
+def cold_bound(told: settings.Settings) -> slowstart.Bound:
+    """Return the bound on requests to a cold replica."""
+    return slowstart.Bound(told.slow_start.overage, told.slow_start.tolerance)
+
+
 def desk(engine: models.EngineTraits, policy: policysettings.Policy) -> deskset.DeskSpec:
     """Return what an engine's desk is made from."""
     return deskset.DeskSpec(
--- a/hornbeamglade/entry/settings.py
+++ b/hornbeamglade/entry/settings.py
@@ -50,6 +50,17 @@
     window_s: Positive
 
 
+class SlowStart(_Section):
+    """The operator's bound on requests to a cold replica, over all instances.
+
+    :param overage: times the rate that the service's replicas bear.
+    :param tolerance: requests a second beyond that.
+    """
+
+    overage: Positive = 1.0
+    tolerance: NotNegative = 0.0
+
+
 class Bounds(_Section):
     """Times that the operator holds the system to, in seconds.
 
@@ -74,6 +85,7 @@
     :param store: address of the platform's store.
     :param budget: bound on attempts beyond the first.
     :param bounds: times.
+    :param slow_start: bound on requests to a cold replica.
     :param region_by_failure_domain: every failure domain and its region.
     :param is_first_start: whether the whole site starts for the first time.
     :param policy: what decisions go by, where it differs from the usual.
@@ -89,6 +101,7 @@
     store: Address
     budget: Budget
     bounds: Bounds
+    slow_start: SlowStart = SlowStart()
     region_by_failure_domain: dict[str, str] = {}
     is_first_start: bool = False
     policy: policysettings.Policy = policysettings.Policy()
--- a/hornbeamglade/platform/manifest.py
+++ b/hornbeamglade/platform/manifest.py
@@ -66,6 +66,9 @@
     health_path: str
     max_connections: typing.Annotated[int, pydantic.Field(ge=1)]
     engine: _Engine | None = None
+    cold_start_s: typing.Annotated[float, pydantic.Field(ge=0)] = 0.0
+    # 0 stands for no bound.
+    cold_per_s: typing.Annotated[float, pydantic.Field(ge=0)] = 0.0
 
 
 class _Limits(_Body):
@@ -152,7 +155,12 @@
         tokens_per_event=engine.stride,
         copy_life_s=engine.handle_s,
     )
-    return models.Service(service.name, service.health_path, service.max_connections, traits)
+    slow_start = None
+    if service.cold_per_s:
+        slow_start = models.SlowStart(service.cold_per_s, service.cold_start_s)
+    return models.Service(
+        service.name, service.health_path, service.max_connections, traits, slow_start
+    )
 
 
 def _limits(limits: _Limits) -> models.CallerLimits:
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -6,34 +6,81 @@
 A replica gets new work while it is listed, does not leave, and stands in a failure domain that
 is not evacuated. What runs at an evacuated replica goes on to its end: moving it would cost a
 copy of its memory and room at the replicas that are left, while the evacuated one serves on.
+
+A cold replica gets work at the pace that :mod:`hornbeamglade.replicas.slowstart` allows. It is
+cold for as long as its entry in the list says, and for a start's time after its failure domain
+is taken back.
 """
 
+import collections.abc
+
 from hornbeamglade.core import outcomes
+from hornbeamglade.observability import logs
 from hornbeamglade.replicas import evacuations as evacuationlib
-from hornbeamglade.replicas import models, replicalist, startgate
+from hornbeamglade.replicas import models, replicalist, slowstart, startgate
+from hornbeamglade.routes import models as routemodels
 
 EVACUATED_RETRY_S = 0.3
+LEAST_COLD_RETRY_S = 0.05
+
+ServiceByName = collections.abc.Mapping[str, routemodels.Service]
 
 
 class Availability(startgate.StartGate):
     """Joins the list of replicas with what the operator asks of failure domains.
 
     :param replicas: the list.
+    :param slow_starts: paces requests to cold replicas.
+    :param bound: the operator's bound on them.
     """
 
-    def __init__(self, replicas: replicalist.ReplicaList) -> None:
+    def __init__(
+        self,
+        replicas: replicalist.ReplicaList,
+        slow_starts: slowstart.SlowStarts,
+        bound: slowstart.Bound,
+    ) -> None:
         self.replicas = replicas
         self.evacuations = evacuationlib.Evacuations()
+        self._slow_starts = slow_starts
+        self._bound = bound
+        self._service_by_name: ServiceByName = {}
+        self._instances = 1
+
+    def configure(self, service_by_name: ServiceByName) -> None:
+        """Take the services of a configuration."""
+        self._service_by_name = service_by_name
+
+    def use_bound(self, bound: slowstart.Bound) -> None:
+        """Take another bound, for replicas that become cold from now on."""
+        self._bound = bound
+
+    def share_among(self, instances: int) -> None:
+        """Note how many instances there may be."""
+        self._instances = instances
 
-    def take_evacuations(self, state: evacuationlib.Evacuations) -> frozenset[str]:
+    def take_evacuations(self, state: evacuationlib.Evacuations, now: float) -> frozenset[str]:
         """Take a state of the evacuations; an older one changes nothing.
 
+        :param now: monotonic seconds.
         :returns: the failure domains whose evacuation has begun or ended by it.
         """
         before = self.evacuations
         self.evacuations = before.newer(state)
+        ended = before.domains - self.evacuations.domains
+        for replica in self.replicas.by_id.values():
+            if replica.failure_domain in ended:
+                self._begin_slowly(replica, None, "evacuation", now)
         return before.domains ^ self.evacuations.domains
 
+    def list_changed(
+        self, changes: collections.abc.Iterable[replicalist.ListChange], now: float
+    ) -> None:
+        """Take what the list says of replicas that are new or have changed."""
+        for change in changes:
+            if change.what in ("added", "changed") and change.replica.warm_in_s > 0.0:
+                self._begin_slowly(change.replica, change.replica.warm_in_s, "list", now)
+
     def is_evacuated(self, replica: models.Replica) -> bool:
         """Tell whether the operator keeps new work from a replica's failure domain."""
         return replica.failure_domain in self.evacuations.domains
@@ -46,13 +93,57 @@
         """Return the replicas of a service that may get new work."""
         return tuple(each for each in self.replicas.of_service(service) if self.accepts(each))
 
-    def refusal(self, replica_id: str, _now: float) -> outcomes.Refusal | None:
-        """Return the refusal of work for an evacuated replica, or None."""
+    def is_cold(self, replica_id: str, now: float) -> bool:
+        """Tell whether a replica is cold."""
+        return self._slow_starts.is_cold(replica_id, now)
+
+    def cold_wait_s(self, replica_id: str, now: float) -> float:
+        """Return the seconds until a request may go to a replica, by its slow start."""
+        return self._slow_starts.wait_s(replica_id, now)
+
+    def refusal(self, replica_id: str, now: float) -> outcomes.Refusal | None:
+        """Return the refusal of work for a replica that is evacuated or cold, or None."""
         replica = self.replicas.by_id.get(replica_id)
-        if replica is None or not self.is_evacuated(replica):
+        if replica is not None and self.is_evacuated(replica):
+            detail = f"the failure domain {replica.failure_domain} is evacuated"
+            return outcomes.Refusal(
+                "replica_evacuated", 503, detail, retry_after_s=EVACUATED_RETRY_S
+            )
+        wait_s = self.cold_wait_s(replica_id, now)
+        if wait_s <= 0.0:
             return None
-        detail = f"the failure domain {replica.failure_domain} is evacuated"
-        return outcomes.Refusal("replica_evacuated", 503, detail, retry_after_s=EVACUATED_RETRY_S)
+        detail = f"replica {replica_id} has just started and takes few requests yet"
+        retry_s = max(wait_s, LEAST_COLD_RETRY_S)
+        return outcomes.Refusal("replica_cold", 503, detail, retry_after_s=retry_s)
 
     def started(self, replica_id: str, now: float) -> None:
-        """Take no note: evacuations do not count requests."""
+        """Note that a request goes to a replica."""
+        self._slow_starts.started(replica_id, now)
+
+    def _begin_slowly(
+        self, replica: models.Replica, lasts_s: float | None, reason: str, now: float
+    ) -> None:
+        """Take a replica for cold.
+
+        :param lasts_s: for so long, or None for as long as its service's replicas are.
+        """
+        service = self._service_by_name.get(replica.service)
+        if service is None or service.slow_start is None:
+            return
+        if lasts_s is None:
+            lasts_s = service.slow_start.lasts_s
+        bound_per_s = self._bound.per_s(service.slow_start.requests_per_s)
+        if service.engine is not None:
+            interval_s = slowstart.owned_interval_s(bound_per_s)
+        else:
+            interval_s = slowstart.shared_interval_s(bound_per_s, self._instances)
+        if self._slow_starts.begin(replica.id, now + lasts_s, interval_s, now):
+            logs.state_changed(
+                "replica_start",
+                "warm",
+                "cold",
+                replica=replica.id,
+                reason=reason,
+                seconds=lasts_s,
+                interval_s=round(interval_s, 3),
+            )
--- a/hornbeamglade/routed/enginebook.py
+++ b/hornbeamglade/routed/enginebook.py
@@ -48,6 +48,10 @@
         """Tell whether the operator keeps new work from an engine's failure domain."""
         return self._available.is_evacuated(replica)
 
+    def is_cold(self, replica_id: str, now: float) -> bool:
+        """Tell whether an engine has just started and bears few requests."""
+        return self._available.is_cold(replica_id, now)
+
     def candidates(
         self, service: str, excluded: collections.abc.Container[str]
     ) -> tuple[candidatelib.Candidate, ...]:
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -62,7 +62,7 @@
         while True:
             replica = self._choose(routed, log)
             if replica is None:
-                return best or _none_left(routed, log)
+                return best or self._none_left(routed, log)
             if log.sent and not self._budgets.spend(routed.service.name, self._clock.now()):
                 return best or _failed(routed, log)
             answer = await self._attempt(routed, replica, log)
@@ -78,13 +78,29 @@
     ) -> replicamodels.Replica | None:
         if len(log.tried) >= MAX_CONTACTS:
             return None
+        now = self._clock.now()
         usable = [
             replica
             for replica in self._available.usable(routed.service.name)
-            if replica.id not in log.tried
+            if replica.id not in log.tried and not self._available.cold_wait_s(replica.id, now)
         ]
         return self._loads.choose(usable)
 
+    def _none_left(
+        self, routed: callrouter.RoutedCall, log: attemptlog.AttemptLog
+    ) -> outcomes.Refusal:
+        if log.tried:
+            return _failed(routed, log)
+        now = self._clock.now()
+        usable = self._available.usable(routed.service.name)
+        if not usable:
+            detail = f"no replica of {routed.service.name} is in use"
+            return outcomes.Refusal("no_replica", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
+        wait_s = min(self._available.cold_wait_s(replica.id, now) for replica in usable)
+        detail = f"the replicas of {routed.service.name} have just started and take few requests"
+        retry_s = max(wait_s, availability.LEAST_COLD_RETRY_S)
+        return outcomes.Refusal("replicas_cold", 503, detail, retry_after_s=retry_s)
+
     async def _attempt(
         self,
         routed: callrouter.RoutedCall,
@@ -98,6 +114,7 @@
         outcome: ownanswers.Answer | sending.Failed | None = None
         load = None
         self._loads.started(replica.id)
+        self._available.started(replica.id, begun_at)
         log.begin(replica.id)
         try:
             begun = await self._sender.begin(routed, replica, dispatch)
@@ -171,10 +188,3 @@
         return outcomes.Refusal("no_answer", 502, detail, outcomes.RunStatus.UNKNOWN)
     detail = f"the replicas of {routed.service.name} that were asked took no work"
     return outcomes.Refusal("replicas_full", 503, detail, retry_after_s=FULL_RETRY_S)
-
-
-def _none_left(routed: callrouter.RoutedCall, log: attemptlog.AttemptLog) -> outcomes.Refusal:
-    if log.tried:
-        return _failed(routed, log)
-    detail = f"no replica of {routed.service.name} is in use"
-    return outcomes.Refusal("no_replica", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -210,6 +210,9 @@
         if replica is None:
             self._parts.seeker.release(grant)
             return self._failed()
+        if not grant.is_bound and self._parts.book.is_cold(replica.id, self._parts.clock.now()):
+            # Nobody counts what goes there, and each instance would send its own crowd.
+            return self._failed()
         self._place = _Place(replica, grant)
         return None
 
--- a/hornbeamglade/routes/models.py
+++ b/hornbeamglade/routes/models.py
@@ -89,6 +89,18 @@
     copy_life_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlowStart:
+    """What a replica bears that has just started.
+
+    :param requests_per_s: from all callers together.
+    :param lasts_s: for so long after its start.
+    """
+
+    requests_per_s: float
+    lasts_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A set of replicas that serve the same.
@@ -97,12 +109,14 @@
     :param health_path: where a replica tells its health.
     :param max_connections: connections that a replica accepts from all callers.
     :param engine: set when its replicas are model engines.
+    :param slow_start: set when its replicas bear few requests after their start.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineTraits | None = None
+    slow_start: SlowStart | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -1,6 +1,7 @@
 """What an instance believes of the configuration and the list, and what it logs of it."""
 
 import json
+import random
 
 import hypothesis
 import pytest
@@ -9,7 +10,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import following
 from hornbeamglade.exchange import messages
-from hornbeamglade.replicas import availability, evacuations, replicalist
+from hornbeamglade.replicas import availability, evacuations, replicalist, slowstart
 from hornbeamglade.routed import views
 from hornbeamglade.store import contract
 from tests.entry import site
@@ -39,7 +40,9 @@
         self.configured = 0
         self.views = views.Views()
         self.list = replicalist.ReplicaList()
-        self.available = availability.Availability(self.list)
+        self.available = availability.Availability(
+            self.list, slowstart.SlowStarts(random.Random(1)), slowstart.Bound()
+        )
         self.evacuated = []
         self.following = following.Following(
             self.views,
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -76,6 +76,8 @@
     "bounds.retry_budget_ratio": "0.25",
     "bounds.retry_budget_slack": "430",
     "bounds.budget_window_s": "10",
+    "bounds.cold_overage": "1.5",
+    "bounds.cold_tolerance": "12",
     "bounds.grace_s": "8",
     "bounds.ttl_max_s": "5",
     "zones": '{"a": "r"}',
@@ -88,6 +90,7 @@
     text = TEMPLATE.read_text(encoding="utf-8").replace("{{ip|json}}", '"10.0.0.1"')
     for name, value in VALUES.items():
         text = text.replace(f"{{{{{name}|json}}}}", value).replace(f"{{{{{name}}}}}", value)
+    text = re.sub(r"\{\{[#/].*\}\}\n", "", text)
     return re.sub(r"\{\{listen\.\w+\|json\}\}", '"10.0.0.1:81"', text)
 
 
@@ -105,4 +108,5 @@
             told = settings.parse(text[:end], "entry.yaml")
         except codederrors.CodedError:
             continue
-        assert (told.budget, told.policy) == (whole.budget, whole.policy)
+        in_force = (told.budget, told.slow_start, told.policy)
+        assert in_force == (whole.budget, whole.slow_start, whole.policy)
--- a/tests/grants/test_replicadesk.py
+++ b/tests/grants/test_replicadesk.py
@@ -5,6 +5,7 @@
 from hornbeamglade.fairness import queuesettings, waiting
 from hornbeamglade.grants import replicadesk
 from hornbeamglade.lengths import lengthmodel
+from hornbeamglade.replicas import startgate
 
 MEMORY = 2000
 SMALL = 20
@@ -211,3 +212,36 @@
     assert kinds == [granted, granted, waits, waits]
     assert [each.request_id for each in desk.settle(0.1)] == ["r2"]
     assert [each.request_id for each in desk.settle(0.5)] == ["r3"]
+
+
+class PacedGate(startgate.StartGate):
+    """Lets so many requests start, and refuses the rest."""
+
+    def __init__(self, left):
+        self.left = left
+
+    def refusal(self, replica_id, now):
+        return None if self.left else outcomes.Refusal("replica_cold", 503, "", retry_after_s=0.1)
+
+    def started(self, replica_id, now):
+        self.left -= 1
+
+
+def test_what_the_gate_keeps_out_is_refused_and_not_queued():
+    """Guards requests against waiting for a cold replica while others have room."""
+    desk = make_desk()
+    desk.gate = PacedGate(1)
+    assert ask(desk, "r1") == replicadesk.Granted("r1", "e1")
+    assert ask(desk, "r2").code == "replica_cold"
+    assert desk.take_in(work("r3"), 5, 0.0).code == "replica_cold"
+    assert (desk.running_count, desk.waiting_count) == (1, 0)
+
+
+def test_those_that_wait_when_the_gate_closes_are_refused():
+    desk = make_desk()
+    ask(desk, "r1", prompt=HUGE)
+    ask(desk, "r2", prompt=HUGE)
+    desk.gate = PacedGate(0)
+    assert answers(desk.settle(0.1))["r2"].code == "replica_cold"
+    desk.finish("r1", 0.2)
+    assert (desk.running_count, desk.waiting_count) == (0, 0)
--- a/tests/replicas/test_availability.py
+++ b/tests/replicas/test_availability.py
@@ -1,6 +1,9 @@
 """Which replicas get new work, and what is told of those that do not."""
 
-from hornbeamglade.replicas import availability, evacuations, models, replicalist
+import random
+
+from hornbeamglade.replicas import availability, evacuations, models, replicalist, slowstart
+from hornbeamglade.routes import models as routemodels
 
 
 def available():
@@ -13,7 +16,9 @@
         ],
         1,
     )
-    return availability.Availability(listed)
+    return availability.Availability(
+        listed, slowstart.SlowStarts(random.Random(1)), slowstart.Bound()
+    )
 
 
 def ids(replicas):
@@ -23,22 +28,65 @@
 def test_evacuated_domain_gets_no_work_until_it_is_taken_back():
     known = available()
     assert ids(known.usable("llm")) == ["e0", "e1"]
-    assert known.take_evacuations(evacuations.Evacuations(5, frozenset("a"))) == {"a"}
+    assert known.take_evacuations(evacuations.Evacuations(5, frozenset("a")), 0.0) == {"a"}
     assert ids(known.usable("llm")) == ["e1"]
     assert known.refusal("e0", 0.0).code == "replica_evacuated"
     assert known.refusal("e1", 0.0) is None
-    assert known.take_evacuations(evacuations.Evacuations(9)) == {"a"}
+    assert known.take_evacuations(evacuations.Evacuations(9), 0.0) == {"a"}
     assert ids(known.usable("llm")) == ["e0", "e1"]
 
 
 def test_older_word_changes_nothing():
     known = available()
-    known.take_evacuations(evacuations.Evacuations(5, frozenset("a")))
-    assert not known.take_evacuations(evacuations.Evacuations(4))
+    known.take_evacuations(evacuations.Evacuations(5, frozenset("a")), 0.0)
+    assert not known.take_evacuations(evacuations.Evacuations(4), 0.0)
     assert ids(known.usable("llm")) == ["e1"]
 
 
 def test_two_domains_may_be_evacuated_at_once():
     known = available()
-    known.take_evacuations(evacuations.Evacuations(5, frozenset("ab")))
+    known.take_evacuations(evacuations.Evacuations(5, frozenset("ab")), 0.0)
     assert not known.usable("llm")
+
+
+def cold_site(engine):
+    """Return replicas of a service that bear ten requests a second after their start."""
+    known = available()
+    start = routemodels.SlowStart(requests_per_s=10.0, lasts_s=3.0)
+    known.configure({"llm": routemodels.Service("llm", "/h", 50, engine, start)})
+    return known
+
+
+def test_replica_is_cold_as_long_as_its_entry_says():
+    known = cold_site(None)
+    replica = models.Replica("e3", "llm", "10.0.0.9:1", "a", 8, warm_in_s=2.0)
+    known.list_changed(known.replicas.update([replica], [], 2), 10.0)
+    assert known.is_cold("e3", 11.9)
+    assert not known.is_cold("e3", 12.0)
+
+
+def test_replicas_are_cold_after_the_evacuation_of_their_domain():
+    known = cold_site(None)
+    known.take_evacuations(evacuations.Evacuations(5, frozenset("a")), 0.0)
+    known.take_evacuations(evacuations.Evacuations(6), 10.0)
+    assert [name for name in ("e0", "e1") if known.is_cold(name, 10.1)] == ["e0"]
+    assert not known.is_cold("e0", 13.0)
+
+
+def test_cold_replica_refuses_until_the_next_request_may_come():
+    known = cold_site(None)
+    replica = models.Replica("e3", "llm", "10.0.0.9:1", "a", 8, warm_in_s=30.0)
+    known.list_changed(known.replicas.update([replica], [], 2), 0.0)
+    first_at = known.cold_wait_s("e3", 0.0)
+    assert known.refusal("e3", first_at) is None
+    known.started("e3", first_at)
+    refusal = known.refusal("e3", first_at)
+    assert refusal.code == "replica_cold"
+    assert 0.0 < refusal.retry_after_s <= 30.0
+
+
+def test_service_without_a_bound_has_no_slow_start():
+    known = available()
+    replica = models.Replica("e3", "llm", "10.0.0.9:1", "a", 8, warm_in_s=30.0)
+    known.list_changed(known.replicas.update([replica], [], 2), 0.0)
+    assert not known.is_cold("e3", 0.1)
--- /dev/null
+++ b/tests/replicas/test_slowstart.py
@@ -0,0 +1,81 @@
+"""A crowd meets a cold replica, in virtual time."""
+
+import random
+
+import pytest
+
+from hornbeamglade.replicas import slowstart
+
+BOUND = slowstart.Bound(overage=1.5, tolerance=5)
+RATE_PER_S = 21.0
+STEP_S = 0.01
+COLD_S = 10.0
+
+
+def most_in_a_second(arrivals):
+    """Return the most arrivals in any second, wherever it begins."""
+    times = sorted(arrivals)
+    return max(sum(1 for each in times if begin <= each < begin + 1.0) for begin in times)
+
+
+def arrivals(believed, seed):
+    """Return when requests arrive, with all instances eager to send at every moment.
+
+    :param believed: how many instances there are, as each of them believes.
+    """
+    rng = random.Random(seed)
+    bound_per_s = BOUND.per_s(RATE_PER_S)
+    nodes = []
+    for count in believed:
+        node = slowstart.SlowStarts(rng)
+        node.begin("e0", COLD_S, slowstart.shared_interval_s(bound_per_s, count), 0.0)
+        nodes.append(node)
+    made = []
+    for step in range(int(COLD_S / STEP_S)):
+        now = step * STEP_S
+        for node in nodes:
+            if not node.wait_s("e0", now):
+                node.started("e0", now)
+                made.append(now)
+    return made
+
+
+@pytest.mark.parametrize("count", [6, 21, 64, 195])
+@pytest.mark.parametrize("seed", range(5))
+def test_all_instances_together_keep_to_the_bound_at_a_cold_replica(count, seed):
+    """Guards a new, empty replica against the requests of all instances at once."""
+    made = arrivals([count] * count, seed)
+    assert 0 < most_in_a_second(made) <= BOUND.per_s(RATE_PER_S)
+
+
+@pytest.mark.parametrize("count", [64, 195])
+@pytest.mark.parametrize("seed", range(5))
+def test_the_bound_holds_while_a_third_is_cut_off(count, seed):
+    """The two parts know of themselves only; both reach the replica."""
+    part = count // 3
+    believed = [part] * part + [count - part] * (count - part)
+    made = arrivals(believed, seed)
+    assert most_in_a_second(made) <= BOUND.per_s(RATE_PER_S)
+
+
+def test_two_owners_at_once_keep_to_the_bound():
+    """During a change of membership two instances may admit to one engine."""
+    bound_per_s = BOUND.per_s(RATE_PER_S)
+    made = []
+    for seed in (1, 2):
+        owner = slowstart.SlowStarts(random.Random(seed))
+        owner.begin("e0", COLD_S, slowstart.owned_interval_s(bound_per_s), 0.0)
+        for step in range(int(COLD_S / STEP_S)):
+            if not owner.wait_s("e0", step * STEP_S):
+                owner.started("e0", step * STEP_S)
+                made.append(step * STEP_S)
+    assert bound_per_s / 3 < most_in_a_second(made) <= bound_per_s
+
+
+def test_replica_is_warm_after_its_start():
+    node = slowstart.SlowStarts(random.Random(1))
+    node.begin("e0", 2.0, 5.0, 0.0)
+    assert node.is_cold("e0", 1.9)
+    assert node.wait_s("e0", 1.9) <= 0.1 + 1e-9
+    assert not node.is_cold("e0", 2.0)
+    assert node.wait_s("e0", 2.0) == 0.0
--- a/tests/routed/test_enginebook.py
+++ b/tests/routed/test_enginebook.py
@@ -1,12 +1,14 @@
 """What a node knows of the engines that it owns and of the others."""
 
+import random
+
 from hornbeamglade.admission import replicaadmission, tokenledger
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.fairness import queuesettings
 from hornbeamglade.grants import deskset
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.node import digestbook
-from hornbeamglade.replicas import availability, models, replicalist
+from hornbeamglade.replicas import availability, models, replicalist, slowstart
 from hornbeamglade.routed import enginebook
 from hornbeamglade.routing import candidates
 
@@ -26,7 +28,9 @@
     desks.configure(dict.fromkeys(("e0", "e1", "e2", "x0"), SPEC))
     desks.own(frozenset(owned))
     book = enginebook.EngineBook(
-        availability.Availability(replicas),
+        availability.Availability(
+            replicas, slowstart.SlowStarts(random.Random(1)), slowstart.Bound()
+        ),
         desks,
         digestbook.DigestBook(clock),
         lambda: owned,
--- a/tests/routed/test_plainexchange.py
+++ b/tests/routed/test_plainexchange.py
@@ -1,5 +1,6 @@
 """Whole answers, from replicas that answer well, badly or not at all."""
 
+import dataclasses
 import random
 
 import pytest
@@ -7,7 +8,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.platform import requestdialect
-from hornbeamglade.replicas import availability, replicalist
+from hornbeamglade.replicas import availability, replicalist, slowstart
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     attemptlog,
@@ -38,11 +39,21 @@
         )
         loads = replicaload.ReplicaLoads(self.clock, random.Random(1))
         budgets = retrybudget.RetryBudgets(budget)
-        self.available = availability.Availability(self.list)
+        self.available = availability.Availability(
+            self.list, slowstart.SlowStarts(random.Random(1)), slowstart.Bound()
+        )
         self.exchange = plainexchange.PlainExchange(
             self.available, sender, loads, budgets, self.clock
         )
 
+    def make_cold(self, replica_id):
+        """Have a replica bear one request in a minute."""
+        start = models.SlowStart(requests_per_s=0.25, lasts_s=60.0)
+        self.available.configure({"s": models.Service("s", "/h", 50, None, start)})
+        replica = dataclasses.replace(self.list.by_id[replica_id], warm_in_s=60.0)
+        changes = self.list.update([replica], [], self.list.version + 1)
+        self.available.list_changed(changes, self.clock.now())
+
     async def start(self):
         for server in self.servers:
             await server.start()
@@ -228,3 +239,33 @@
         return [answer.status for answer in answers]
 
     assert eventloop.run(main()) == [200] * 4
+
+
+def test_cold_replica_gets_few_requests_and_the_others_the_rest():
+    async def main():
+        site = Site(2)
+        await site.start()
+        site.make_cold("i0")
+        routes = [fakes.routed(site.clock, fakes.route()) for _ in range(30)]
+        answers = [await site.exchange.answer(each, attemptlog.AttemptLog()) for each in routes]
+        await site.stop()
+        return [each.status for each in answers], [len(each.ledger) for each in site.servers]
+
+    statuses, (cold, warm) = eventloop.run(main())
+    assert statuses == [200] * 30
+    assert cold <= 1
+    assert warm >= 29
+
+
+def test_caller_is_told_when_a_cold_replica_takes_a_request_again():
+    async def main():
+        site = Site(1)
+        await site.start()
+        site.make_cold("i0")
+        refusal = await site.exchange.answer(fakes.routed(site.clock, fakes.route()), site.log)
+        await site.stop()
+        return refusal, site.ran()
+
+    refusal, ran = eventloop.run(main())
+    assert (refusal.code, refusal.http_status, ran) == ("replicas_cold", 503, 0)
+    assert 0.0 < refusal.retry_after_s <= 60.0
