standins: wait for the watch of a caller's connection before reading on

The task that watches for a caller's leaving was cancelled and not awaited, so the next read of the connection sometimes met it (RuntimeError, connection closed, seen in one of three runs of the new evacuation tests). The test itself counted what was let in just before the evacuation.

--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -260,6 +260,8 @@
             return is_whole and not gone.done()
         finally:
             gone.cancel()
+            # A second reader is refused while the first one still waits.
+            await asyncio.wait((gone,))
             run.is_alive = False
 
     def _begin(self, asked: _Asked) -> routedruns.StandinRun | None:
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -9,6 +9,7 @@
 from tests.entry import site as entrysite
 
 KNOWN_WITHIN_S = 3.0
+IN_FORCE_S = 0.1
 
 
 def evacuate(site, domain):
@@ -137,6 +138,8 @@
         await eventloop.until(lambda: runs(site.engines) >= 16)
         evacuate(site, "a")
         site.tell()
+        # What was let in just before may still be on its way.
+        await asyncio.sleep(IN_FORCE_S)
         before = runs(engines_in(site, "a"))
         answers = [(await client.answer())[0] for client in first]
         return answers, runs(engines_in(site, "a")) - before, runs(site.engines)
