routed: serve requests only in the regions that their route and team allow

Change: decoded at the border; where both bind, their intersection holds, and an empty one is refused at once (no_replica). It holds for plain requests, grants, queues, moved runs and copies. An owner is not left the choice among its replicas for a request that is bound, and a grant elsewhere was never used. A failure domain whose region is not known is in no region. Request bodies go to no other instance, and the directory names those near its caller, so neither needs a change.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -77,7 +77,10 @@
         self._beginning = beginning.Beginning()
         self._replicas = replicalist.ReplicaList()
         self._available = availability.Availability(
-            self._replicas, slowstart.SlowStarts(rng), partsettings.cold_bound(told)
+            self._replicas,
+            slowstart.SlowStarts(rng),
+            partsettings.cold_bound(told),
+            told.region_by_failure_domain,
         )
         self._lengths = lengthmodel.LengthModel()
         self._desks = deskset.DeskSet(clock, self._lengths, self._available)
--- a/hornbeamglade/grants/grantanswers.py
+++ b/hornbeamglade/grants/grantanswers.py
@@ -29,6 +29,8 @@
     produced: int = 0,
     avoid: collections.abc.Iterable[str] = (),
     due_s: float = math.inf,
+    *,
+    or_other: bool = True,
 ) -> messages.GrantAsk:
     """Return the ask for one replica.
 
@@ -36,6 +38,7 @@
     :param produced: tokens that a run has which is to go on there; 0 for a new one.
     :param avoid: replicas that will not do.
     :param due_s: seconds until it must start to be on time.
+    :param or_other: whether another replica of its owner will do.
     """
     avoided = sorted(messages.key_hash(each) for each in avoid)
     return messages.GrantAsk(
@@ -49,7 +52,7 @@
         weight=weight,
         deadline_ms=max(0, int(wait_s * MILLISECONDS)),
         produced=produced,
-        or_other=True,
+        or_other=or_other,
         avoid=tuple(avoided[: messages.MAX_AVOIDED]),
         due_ms=None if math.isinf(due_s) else max(0, int(due_s * MILLISECONDS)),
     )
--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/grantseeker.py
@@ -77,6 +77,7 @@
     :param produced: tokens that its run has, when it goes on from another replica.
     :param avoid: replicas that will not do.
     :param due: monotonic seconds at which it must start to be on time.
+    :param is_bound: whether only known replicas will do: no owner may choose another one.
     """
 
     work: outcomes.Work
@@ -87,6 +88,7 @@
     produced: int = 0
     avoid: frozenset[str] = frozenset()
     due: float = math.inf
+    is_bound: bool = False
 
     @property
     def grant_id(self) -> str:
@@ -132,7 +134,7 @@
         grant = await self.find_room(wish, refused)
         if grant is not None:
             return grant
-        for replica in self._one_each(self._ordered(wish)):
+        for replica in self._one_each(self._ordered(wish), wish):
             answer = await self._queue_at(wish, replica)
             if isinstance(answer, Grant):
                 return answer
@@ -174,7 +176,8 @@
                 -each.room_tokens,
             ),
         )
-        for replica in self._one_each(each.replica for each in choices)[:OWNERS_ASKED]:
+        nearest = [each.replica for each in choices]
+        for replica in self._one_each(nearest, wish)[:OWNERS_ASKED]:
             answer = await self._ask(wish, replica, 0.0)
             if isinstance(answer, Grant):
                 return answer
@@ -212,15 +215,21 @@
     def _worth_asking(self, wish: Wish, needed: int) -> list[str]:
         """Return replicas that may have room, best first, one of each remote owner."""
         crowded = {each.replica for each in wish.known() if each.queued}
-        return self._one_each(
+        worth_asking = (
             each.candidate.replica
             for each in self._choices(wish)
             if each.candidate.report_age_s > TRUSTED_S
             or (each.candidate.room_tokens >= needed and each.candidate.replica not in crowded)
         )
+        return self._one_each(worth_asking, wish)
 
-    def _one_each(self, replicas: collections.abc.Iterable[str]) -> list[str]:
-        """Return replicas in order, the first of each remote owner and all of this node."""
+    def _one_each(self, replicas: collections.abc.Iterable[str], wish: Wish) -> list[str]:
+        """Return replicas in order, the first of each remote owner and all of this node.
+
+        All of them where an owner is not left the choice among its own.
+        """
+        if wish.is_bound:
+            return list(replicas)
         chosen = []
         owners = set()
         for replica in replicas:
@@ -270,6 +279,7 @@
                 wish.produced,
                 wish.avoid,
                 wish.due - self._clock.now(),
+                or_other=not wish.is_bound,
             )
             answer = await self._ask_there(wish, replica, owner.name, message)
         self._log(wish, replica, wait_s, answer)
--- a/hornbeamglade/platform/manifest.py
+++ b/hornbeamglade/platform/manifest.py
@@ -47,6 +47,8 @@
     public: bool = False
     resumable: bool = False
     gap_goal_ms: float | None = None
+    # Empty stands for all regions.
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Engine(_Body):
@@ -83,6 +85,7 @@
     api_keys: tuple[str, ...] = ()
     # Replaces the rank of the route.
     priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Manifest(_Body):
@@ -140,6 +143,7 @@
         gap_goal_s=None if route.gap_goal_ms is None else route.gap_goal_ms / _MS,
         is_public=route.public,
         is_resumable=route.resumable,
+        allowed_regions=frozenset(route.allowed_regions) or None,
     )
 
 
@@ -173,4 +177,9 @@
 
 
 def _team(tenant: _Tenant) -> models.Team:
-    return models.Team(tenant.name, frozenset(tenant.api_keys), tenant.priority)
+    return models.Team(
+        tenant.name,
+        frozenset(tenant.api_keys),
+        tenant.priority,
+        frozenset(tenant.allowed_regions) or None,
+    )
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -32,6 +32,7 @@
     :param replicas: the list.
     :param slow_starts: paces requests to cold replicas.
     :param bound: the operator's bound on them.
+    :param region_by_failure_domain: the region of each failure domain.
     """
 
     def __init__(
@@ -39,11 +40,13 @@
         replicas: replicalist.ReplicaList,
         slow_starts: slowstart.SlowStarts,
         bound: slowstart.Bound,
+        region_by_failure_domain: collections.abc.Mapping[str, str],
     ) -> None:
         self.replicas = replicas
         self.evacuations = evacuationlib.Evacuations()
         self._slow_starts = slow_starts
         self._bound = bound
+        self._region_by_failure_domain = region_by_failure_domain
         self._service_by_name: ServiceByName = {}
         self._instances = 1
 
@@ -89,9 +92,19 @@
         """Tell whether a replica may get new work."""
         return not replica.is_leaving and not self.is_evacuated(replica)
 
-    def usable(self, service: str) -> tuple[models.Replica, ...]:
-        """Return the replicas of a service that may get new work."""
-        return tuple(each for each in self.replicas.of_service(service) if self.accepts(each))
+    def usable(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> tuple[models.Replica, ...]:
+        """Return the replicas of a service that may get new work.
+
+        :param regions: where they may stand, or None for everywhere. A failure domain
+            whose region is not known is in none of them.
+        """
+        accepting = (each for each in self.replicas.of_service(service) if self.accepts(each))
+        if regions is None:
+            return tuple(accepting)
+        region_of = self._region_by_failure_domain.get
+        return tuple(each for each in accepting if region_of(each.failure_domain) in regions)
 
     def is_cold(self, replica_id: str, now: float) -> bool:
         """Tell whether a replica is cold."""
--- a/hornbeamglade/routed/callrouter.py
+++ b/hornbeamglade/routed/callrouter.py
@@ -36,6 +36,16 @@
             return self.team.urgency
         return self.route.urgency
 
+    @property
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Where it may be served, or None for everywhere; empty for nowhere.
+
+        Both the route's regions and the team's bind.
+        """
+        of_team = None if self.team is None else self.team.allowed_regions
+        bounds = [each for each in (self.route.allowed_regions, of_team) if each is not None]
+        return frozenset.intersection(*bounds) if bounds else None
+
     @property
     def ends_at(self) -> float:
         """Monotonic seconds at which it must have its final answer."""
--- a/hornbeamglade/routed/enginebook.py
+++ b/hornbeamglade/routed/enginebook.py
@@ -53,11 +53,15 @@
         return self._available.is_cold(replica_id, now)
 
     def candidates(
-        self, service: str, excluded: collections.abc.Container[str]
+        self,
+        service: str,
+        excluded: collections.abc.Container[str],
+        regions: frozenset[str] | None = None,
     ) -> tuple[candidatelib.Candidate, ...]:
         """Return the engines of a service that may get work.
 
         :param excluded: engines that are out of the question for this request.
+        :param regions: where they may stand, or None for everywhere.
         """
         # A desk stays after its replica has gone over to another owner. What it says is
         # that of a full engine, and the request would go anywhere but there.
@@ -67,7 +71,7 @@
         }
         return tuple(
             self._candidate(replica, state_by_replica.get(replica.id))
-            for replica in self._available.usable(service)
+            for replica in self._available.usable(service, regions)
             if replica.id not in excluded
         )
 
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -81,20 +81,23 @@
         now = self._clock.now()
         usable = [
             replica
-            for replica in self._available.usable(routed.service.name)
+            for replica in self._usable(routed)
             if replica.id not in log.tried and not self._available.cold_wait_s(replica.id, now)
         ]
         return self._loads.choose(usable)
 
+    def _usable(self, routed: callrouter.RoutedCall) -> tuple[replicamodels.Replica, ...]:
+        return self._available.usable(routed.service.name, routed.allowed_regions)
+
     def _none_left(
         self, routed: callrouter.RoutedCall, log: attemptlog.AttemptLog
     ) -> outcomes.Refusal:
         if log.tried:
             return _failed(routed, log)
         now = self._clock.now()
-        usable = self._available.usable(routed.service.name)
+        usable = self._usable(routed)
         if not usable:
-            detail = f"no replica of {routed.service.name} is in use"
+            detail = f"no replica of {routed.service.name} that may serve it is in use"
             return outcomes.Refusal("no_replica", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
         wait_s = min(self._available.cold_wait_s(replica.id, now) for replica in usable)
         detail = f"the replicas of {routed.service.name} have just started and take few requests"
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -218,15 +218,17 @@
 
     def _wish(self, deadline: float, excluded: frozenset[str]) -> grantseeker.Wish:
         service = self._routed.service.name
+        regions = self._routed.allowed_regions
         self._asks += handover.TRIES
         return grantseeker.Wish(
             work=enginework.work(self._routed),
             weight=1.0,
             deadline=deadline,
-            known=lambda: self._parts.book.candidates(service, excluded),
+            known=lambda: self._parts.book.candidates(service, excluded, regions),
             attempt=self._asks,
             avoid=excluded,
             due=enginework.due(self._routed),
+            is_bound=regions is not None,
         )
 
     async def _send_to_place(self, copy: calls.Copy | None) -> sending.Begun | sending.Failed:
--- a/hornbeamglade/routes/models.py
+++ b/hornbeamglade/routes/models.py
@@ -44,6 +44,7 @@
     :param max_attempts: replicas that one request may be sent to.
     :param is_public: whether no key is needed.
     :param is_resumable: whether a stream may go on in another run.
+    :param allowed_regions: where its requests may be served; None for everywhere.
     """
 
     name: str
@@ -58,6 +59,7 @@
     gap_goal_s: float | None = None
     is_public: bool = False
     is_resumable: bool = False
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -126,11 +128,13 @@
     :param name: its name.
     :param keys: the keys that it holds.
     :param urgency: replaces that of the route; None leaves it.
+    :param allowed_regions: where its requests may be served; None for everywhere.
     """
 
     name: str
     keys: frozenset[str]
     urgency: int | None = None
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -90,7 +90,7 @@
 class Node:
     """One instance and its caller's side."""
 
-    def __init__(self, number, clock=None):
+    def __init__(self, number, clock=None, region_by_failure_domain=None):
         clock = clock or clocks.SystemClock()
         ports = free_port(socket.SOCK_DGRAM)
         callers = f"127.0.0.1:{free_port(socket.SOCK_STREAM)}"
@@ -104,6 +104,7 @@
             store=STORE,
             budget=settings.Budget(ratio=0.2, slack=50, window_s=10),
             bounds=settings.Bounds(stop_s=8, address_ttl_s=5),
+            region_by_failure_domain=region_by_failure_domain or {},
         )
         self.instance = instance.EntryInstance(self.told, clock)
         self._server = serverside.CallersServer(self.instance.callers, clock)
@@ -149,13 +150,25 @@
     :param nodes: how many instances.
     :param engines: how many engines.
     :param events: events of each stream.
+    :param region_by_failure_domain: the regions of the failure domains ``a`` and ``b``.
     """
 
-    def __init__(self, nodes=1, engines=2, services=2, events=30, gap_s=0.01):
+    def __init__(
+        self,
+        nodes=1,
+        engines=2,
+        services=2,
+        events=30,
+        gap_s=0.01,
+        region_by_failure_domain=None,
+    ):
         self.store = memory.MemoryPlatform(clocks.SystemClock(), counts_together=True)
         self.engines = [routed.RoutedStandin(f"e{n}", events, gap_s) for n in range(engines)]
         self.services = [routed.RoutedStandin(f"s{n}") for n in range(services)]
-        self.nodes = [Node(number) for number in range(nodes)]
+        self.nodes = [
+            Node(number, region_by_failure_domain=region_by_failure_domain)
+            for number in range(nodes)
+        ]
 
     async def start(self):
         for server in (*self.engines, *self.services):
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -41,7 +41,10 @@
         self.views = views.Views()
         self.list = replicalist.ReplicaList()
         self.available = availability.Availability(
-            self.list, slowstart.SlowStarts(random.Random(1)), slowstart.Bound()
+            self.list,
+            slowstart.SlowStarts(random.Random(1)),
+            slowstart.Bound(),
+            {"a": "r", "b": "s"},
         )
         self.evacuated = []
         self.following = following.Following(
--- a/tests/replicas/test_availability.py
+++ b/tests/replicas/test_availability.py
@@ -17,7 +17,7 @@
         1,
     )
     return availability.Availability(
-        listed, slowstart.SlowStarts(random.Random(1)), slowstart.Bound()
+        listed, slowstart.SlowStarts(random.Random(1)), slowstart.Bound(), {"a": "r", "b": "s"}
     )
 
 
@@ -90,3 +90,18 @@
     replica = models.Replica("e3", "llm", "10.0.0.9:1", "a", 8, warm_in_s=30.0)
     known.list_changed(known.replicas.update([replica], [], 2), 0.0)
     assert not known.is_cold("e3", 0.1)
+
+
+def test_only_replicas_in_allowed_regions_are_usable():
+    known = available()
+    assert ids(known.usable("llm", frozenset("r"))) == ["e0"]
+    assert ids(known.usable("llm", frozenset("s"))) == ["e1"]
+    assert ids(known.usable("llm", frozenset())) == []
+    assert ids(known.usable("llm", frozenset("rs"))) == ["e0", "e1"]
+
+
+def test_failure_domain_of_no_known_region_is_in_none():
+    known = available()
+    known.replicas.update([models.Replica("e9", "llm", "10.0.0.9:1", "z", 8)], [], 2)
+    assert ids(known.usable("llm")) == ["e0", "e1", "e9"]
+    assert ids(known.usable("llm", frozenset("rs"))) == ["e0", "e1"]
--- a/tests/routed/test_enginebook.py
+++ b/tests/routed/test_enginebook.py
@@ -29,7 +29,10 @@
     desks.own(frozenset(owned))
     book = enginebook.EngineBook(
         availability.Availability(
-            replicas, slowstart.SlowStarts(random.Random(1)), slowstart.Bound()
+            replicas,
+            slowstart.SlowStarts(random.Random(1)),
+            slowstart.Bound(),
+            {"a": "r", "b": "s"},
         ),
         desks,
         digestbook.DigestBook(clock),
--- a/tests/routed/test_plainexchange.py
+++ b/tests/routed/test_plainexchange.py
@@ -40,7 +40,10 @@
         loads = replicaload.ReplicaLoads(self.clock, random.Random(1))
         budgets = retrybudget.RetryBudgets(budget)
         self.available = availability.Availability(
-            self.list, slowstart.SlowStarts(random.Random(1)), slowstart.Bound()
+            self.list,
+            slowstart.SlowStarts(random.Random(1)),
+            slowstart.Bound(),
+            {"a": "r", "b": "s"},
         )
         self.exchange = plainexchange.PlainExchange(
             self.available, sender, loads, budgets, self.clock
