grants: refuse asks that may only start now, instead of queueing them

Cause: a request asks up to four owners for a grant at once before it waits anywhere. An owner without room queued the ask; the asker waited 60 ms for nothing and took it back by another message.

Change: such an ask says so and is refused within a round trip; where the owner has changed it says that.

--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -82,6 +82,7 @@
   orOther @10 :Bool;
   avoid @11 :List(UInt64);
   dueMs @12 :UInt32 = 0xffffffff;
+  atOnce @13 :Bool;
 }
 
 struct GrantAnswer {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -181,6 +181,7 @@
         :data:`MAX_AVOIDED`.
     :param due_ms: milliseconds until it must start to be on time; 0 for one that is late,
         None without an aim.
+    :param at_once: whether it may only start now: it is refused rather than queued.
     """
 
     ask: int
@@ -196,6 +197,7 @@
     or_other: bool = False
     avoid: tuple[int, ...] = ()
     due_ms: int | None = None
+    at_once: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -175,6 +175,7 @@
     builder.deadlineMs = _clip(message.deadline_ms)
     builder.produced = _clip(message.produced)
     builder.orOther = message.or_other
+    builder.atOnce = message.at_once
     _checked_length(message.avoid, messages.MAX_AVOIDED)
     builder.dueMs = _NO_AIM if message.due_ms is None else _clip(message.due_ms, _NO_AIM - 1)
     avoid = builder.init("avoid", len(message.avoid))
@@ -198,6 +199,7 @@
         deadline_ms=reader.deadlineMs,
         produced=reader.produced,
         or_other=reader.orOther,
+        at_once=reader.atOnce,
         due_ms=None if reader.dueMs == _NO_AIM else reader.dueMs,
         avoid=tuple(reader.avoid)[: messages.MAX_AVOIDED],
     )
--- a/hornbeamglade/grants/deskset.py
+++ b/hornbeamglade/grants/deskset.py
@@ -161,9 +161,7 @@
             if desk is None:
                 return _unknown_replica(replica)
             now = self._clock.now()
-            # A node that owns the replica only in the asker's view reads no reports of
-            # it: the request would wait there for nothing.
-            if replica not in self._owned and not desk.has_recent_report(now):
+            if not self.admits_to(replica):
                 return replicadesk.owner_moved(replica)
             answer = desk.ask(work, weight, now, deadline, due)
             if isinstance(answer, replicadesk.Waiting):
@@ -172,6 +170,18 @@
         self._tell(settled)
         return answer
 
+    def admits_to(self, replica: str) -> bool:
+        """Tell whether this node may grant requests to a replica.
+
+        A node that owns the replica only in the asker's view reads no reports of it: the
+        request would wait there for nothing.
+        """
+        with self._lock:
+            desk = self._desk(replica)
+            if replica in self._owned:
+                return desk is not None
+            return desk is not None and desk.has_recent_report(self._clock.now())
+
     def ask_at_once(
         self, replica: str, work: outcomes.Work, due: float = math.inf
     ) -> replicadesk.Granted | None:
--- a/hornbeamglade/grants/grantanswers.py
+++ b/hornbeamglade/grants/grantanswers.py
@@ -10,6 +10,7 @@
 
 NO_REPLICA_RETRY_S = 2.0
 OWNER_SILENT = "owner_silent"
+NO_ROOM_NOW = "no_room_now"
 TEAM_CODES = frozenset(("team_queue_full",))
 """Refusals that are a team's own doing; they bear the same status at every owner."""
 
@@ -31,6 +32,7 @@
     due_s: float = math.inf,
     *,
     or_other: bool = True,
+    at_once: bool = False,
 ) -> messages.GrantAsk:
     """Return the ask for one replica.
 
@@ -39,6 +41,7 @@
     :param avoid: replicas that will not do.
     :param due_s: seconds until it must start to be on time.
     :param or_other: whether another replica of its owner will do.
+    :param at_once: whether it is to be refused rather than queued.
     """
     avoided = sorted(messages.key_hash(each) for each in avoid)
     return messages.GrantAsk(
@@ -53,6 +56,7 @@
         deadline_ms=max(0, int(wait_s * MILLISECONDS)),
         produced=produced,
         or_other=or_other,
+        at_once=at_once,
         avoid=tuple(avoided[: messages.MAX_AVOIDED]),
         due_ms=None if math.isinf(due_s) else max(0, int(due_s * MILLISECONDS)),
     )
@@ -78,6 +82,12 @@
     return outcomes.Refusal(OWNER_SILENT, 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
 
 
+def no_room_now(replica: str) -> outcomes.Refusal:
+    """Return the refusal of a request that may only start now."""
+    detail = f"replica {replica} has no room just now"
+    return outcomes.Refusal(NO_ROOM_NOW, 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
+
+
 def gave_up(replica: str) -> outcomes.Refusal:
     """Return the refusal of a request whose wait is over."""
     detail = f"the request could not start on replica {replica} in time"
--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/grantseeker.py
@@ -31,7 +31,7 @@
 from hornbeamglade.routing import choice as choicelib
 
 AT_ONCE_S = 0.06
-"""An ask for a grant at once waits for one round trip, and hardly in a queue."""
+"""An ask for a grant at once waits for one round trip."""
 
 OWNERS_ASKED = 4
 """Owners that are asked for a grant at once, one after the other, in a round: a request that
@@ -280,6 +280,7 @@
                 wish.avoid,
                 wish.due - self._clock.now(),
                 or_other=not wish.is_bound,
+                at_once=wait_s <= 0.0,
             )
             answer = await self._ask_there(wish, replica, owner.name, message)
         self._log(wish, replica, wait_s, answer)
@@ -315,6 +316,12 @@
         if wish.produced:
             answer = self._desks.take_in(replica, work, wish.produced)
             return grant if isinstance(answer, replicadesk.Granted) else answer
+        if wait_s <= 0.0:
+            if self._desks.ask_at_once(replica, work, wish.due) is not None:
+                return grant
+            if not self._desks.admits_to(replica):
+                return replicadesk.owner_moved(replica)
+            return grantanswers.no_room_now(replica)
         settled: asyncio.Future[replicadesk.Settled] = asyncio.get_running_loop().create_future()
         deadline = self._clock.now() + wait_s
         answer = self._desks.ask(
--- a/hornbeamglade/grants/remotedesk.py
+++ b/hornbeamglade/grants/remotedesk.py
@@ -7,7 +7,7 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import grantserver, hashednames, messages
-from hornbeamglade.grants import deskset, replicadesk
+from hornbeamglade.grants import deskset, grantanswers, replicadesk
 
 MILLISECONDS = 1000
 NAMES_UNKNOWN = "names_unknown"
@@ -95,6 +95,12 @@
         for replica in choices:
             if self._grant_at_once(key, ask, dataclasses.replace(asked, replica=replica)):
                 return _answer(ask.ask, replicadesk.Granted(asked.work.request_id, replica))
+        if ask.at_once and not ask.produced:
+            if not choices and self._grant_at_once(key, ask, asked):
+                return _answer(ask.ask, replicadesk.Granted(asked.work.request_id, asked.replica))
+            if not self._desks.admits_to(asked.replica):
+                return _answer(ask.ask, replicadesk.owner_moved(asked.replica))
+            return _answer(ask.ask, grantanswers.no_room_now(asked.replica))
         if choices:
             asked = dataclasses.replace(asked, replica=choices[0])
         return self._ask_one(key, ask, asked)
--- a/tests/grants/test_remotedesk.py
+++ b/tests/grants/test_remotedesk.py
@@ -6,7 +6,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import grantserver, messages
 from hornbeamglade.fairness import queuesettings
-from hornbeamglade.grants import deskset, remotedesk
+from hornbeamglade.grants import deskset, grantanswers, remotedesk, replicadesk
 from hornbeamglade.lengths import lengthmodel
 from tests.exchange import lossynetwork
 
@@ -54,6 +54,27 @@
     assert owner.held() == 0
 
 
+def test_an_ask_that_may_only_start_now_is_refused_and_not_queued():
+    """In a crowd each request asks several owners; queued, it would have to take each back."""
+    owner = Owner()
+    desks = owner.desks
+    now = dataclasses.replace(lossynetwork.make_ask(1), at_once=True)
+    assert not desks.states()["engine-1"].room_tokens
+    answer = owner.remote.ask(KEY, now)
+    assert (answer.kind, answer.code) == (KIND.REFUSED, grantanswers.NO_ROOM_NOW)
+    assert owner.held() == 0
+    report = tokenledger.LoadView(1, 0.0, 100_000, 0)
+    desks.change("engine-1", lambda desk, at: desk.reported(report, False, at))
+    assert owner.remote.ask(KEY, now).kind is KIND.GRANTED
+
+
+def test_an_ask_that_may_only_start_now_learns_that_the_owner_has_changed():
+    owner = Owner()
+    owner.desks.own(frozenset())
+    now = dataclasses.replace(lossynetwork.make_ask(1), at_once=True)
+    assert owner.remote.ask(KEY, now).code == replicadesk.OWNER_MOVED
+
+
 def test_a_returned_ask_frees_its_place():
     owner = Owner()
     owner.remote.ask(KEY, lossynetwork.make_ask(1))
