grants: let waiting requests look for room in turn

Change: one of those that wait looks each tenth of a second, in turn. The test's node hands messages on by their type.

--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/grantseeker.py
@@ -18,6 +18,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -132,7 +133,8 @@
         self._placements = placements.Placements(settings)
         self._backoff = ownerbackoff.OwnerBackoff(clock)
         self._active: set[str] = set()
-        self._waiting_count = 0
+        self._lookers: collections.deque[Wish] = collections.deque()
+        self._look_at = clock.now()
 
     async def find(self, wish: Wish) -> Grant | outcomes.Refusal:
         """Get a grant, or the refusal that the caller is to hear at once.
@@ -266,11 +268,11 @@
         """Wait in one replica's queue, and go elsewhere when there is room first."""
         here = asyncio.ensure_future(self._ask(wish, replica, wish.deadline - self._clock.now()))
         elsewhere: Grant | None = None
-        self._waiting_count += 1
+        self._lookers.append(wish)
         try:
             while not here.done() and elsewhere is None:
-                await asyncio.wait((here,), timeout=LOOK_AGAIN_S * self._waiting_count)
-                if not here.done():
+                await asyncio.wait((here,), timeout=LOOK_AGAIN_S)
+                if not here.done() and self._take_turn_to_look(wish):
                     elsewhere = await self.find_room(wish)
             if here.done() and isinstance(here.result(), Grant):
                 if elsewhere is not None:
@@ -278,10 +280,19 @@
                 return here.result()
             return elsewhere or here.result()
         finally:
-            self._waiting_count -= 1
+            self._lookers.remove(wish)
             if not here.done():
                 here.cancel()
 
+    def _take_turn_to_look(self, wish: Wish) -> bool:
+        """Tell whether it is the turn of a waiting request to look for room elsewhere."""
+        now = self._clock.now()
+        if self._lookers[0] is not wish or now < self._look_at:
+            return False
+        self._look_at = now + LOOK_AGAIN_S
+        self._lookers.rotate(-1)
+        return True
+
     async def _ask(self, wish: Wish, replica: str, wait_s: float) -> Grant | outcomes.Refusal:
         """Ask the owner of one replica.
 
--- a/tests/grants/test_grantseeker.py
+++ b/tests/grants/test_grantseeker.py
@@ -6,7 +6,14 @@
 
 from hornbeamglade.admission import replicaadmission, tokenledger
 from hornbeamglade.core import clocks, outcomes
-from hornbeamglade.exchange import asyncasks, asyncudp, codec, grantserver, transport
+from hornbeamglade.exchange import (
+    asyncasks,
+    asyncudp,
+    codec,
+    grantserver,
+    messages,
+    transport,
+)
 from hornbeamglade.fairness import queuesettings
 from hornbeamglade.grants import deskset, grantfinder, grantseeker, remotedesk, replicadesk
 from hornbeamglade.lengths import lengthmodel
@@ -62,12 +69,12 @@
         self.silent.append(owner)
 
     def _handle(self, message, sender, source):
-        for taken in (self.server.asked, self.client.answered, self.server.progressed):
-            try:
-                taken(message, sender, source)
-                return
-            except AttributeError:
-                continue
+        take_by_type = {
+            messages.GrantAsk: self.server.asked,
+            messages.GrantAnswer: self.client.answered,
+            messages.Progress: self.server.progressed,
+        }
+        take_by_type[type(message)](message, sender, source)
 
     def _failed(self, error, where):
         raise error
