soak: evacuate failure domains and check that nothing new runs there

A new kind of fault, a promise (nothing_new_when_evacuated, from what stand-in servers received) and its tests.

--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -86,6 +86,14 @@
     born: int
 
 
+def domain_of(place: str) -> str:
+    """Return the failure domain of a backend server.
+
+    :param place: ``engine-N`` or ``service-N``.
+    """
+    return DOMAINS[int(place.rpartition("-")[2]) % len(DOMAINS)]
+
+
 class RoutedSite:
     """A running site; to be used as a context manager.
 
@@ -196,12 +204,11 @@
             place, "hornbeamglade", "standin", "routed", "--bind", FREE, *options, *ledger
         )
         self.address_by_name[place] = address
-        number = int(place.rpartition("-")[2])
         kind = operatordocuments.ENGINE_SERVICE if is_engine else operatordocuments.PLAIN_SERVICE
         server = Server(
             replica_id,
             kind,
-            DOMAINS[number % len(DOMAINS)],
+            domain_of(place),
             self.shape.route(place, address),
             born,
         )
@@ -241,6 +248,14 @@
         client = storeclient.StoreClient(self.address_by_name[STORE])
         return isinstance(client.transact((), writes), contract.Committed)
 
+    def evacuate(self, domain: str) -> bool:
+        """Evacuate a failure domain; return whether the store took it."""
+        return self.write((contract.Put(tables.evacuation_key(domain), "{}"),))
+
+    def take_back(self, domain: str) -> bool:
+        """End a failure domain's evacuation; return whether the store took it."""
+        return self.write((contract.Delete(tables.evacuation_key(domain)),))
+
     def faults(self, name: str, **faults: typing.Any) -> None:
         """Set a stand-in's faults; those that are not named are off."""
         self.tell(name, "/standin/faults", faults)
--- a/hornbeamglade/platform/tables.py
+++ b/hornbeamglade/platform/tables.py
@@ -17,6 +17,11 @@
     return found[-1] if found else None
 
 
+def evacuation_key(domain: str) -> str:
+    """Return the key of the row by which the operator evacuates a failure domain."""
+    return _EVACUATION_PREFIX + domain
+
+
 def evacuated_domain(key: str) -> str | None:
     """Return the failure domain whose evacuation a row's key names, or None for other rows.
 
--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 
+from hornbeamglade.localsite import routedsite
 from hornbeamglade.soak import stage
 from hornbeamglade.standins import operatordocuments, routedcaller
 
@@ -20,6 +21,10 @@
 KEY_BOUND_S = 5.0
 """A key that was taken away is refused by then, where the store could be reached."""
 
+EVACUATED_BOUND_S = 5.0
+"""Nothing new runs in an evacuated failure domain after this, where the store and instances
+were well."""
+
 Ran = dict[str, typing.Any]
 
 
@@ -46,6 +51,7 @@
     :param done: what was done to the site.
     :param taken_at_by_key: when the store took the word that a key is no longer valid.
     :param given_at_by_key: when it took the word of a new one.
+    :param evacuated: which failure domains were evacuated, and when.
     :param events: events of a whole stream.
     """
 
@@ -54,6 +60,7 @@
     done: tuple[stage.Done, ...]
     taken_at_by_key: dict[str, float]
     given_at_by_key: dict[str, float]
+    evacuated: tuple[stage.Evacuated, ...]
     events: int
 
     def ran_by_id(self) -> dict[str, list[Ran]]:
@@ -74,6 +81,7 @@
         found += _of_key(seen, evidence)
     found += _of_keys_that_come_back(evidence)
     found += _of_strangers(evidence)
+    found += _of_evacuations(evidence)
     found += _of_service(evidence)
     return tuple(found)
 
@@ -173,6 +181,19 @@
             yield Broken("nothing_unasked_runs", each["request_id"], each["replica_id"])
 
 
+def _of_evacuations(evidence: Evidence) -> collections.abc.Iterator[Broken]:
+    """Return runs that began in a failure domain when it had been evacuated for long."""
+    for evacuated in evidence.evacuated:
+        since = evacuated.taken_at + EVACUATED_BOUND_S
+        for each in evidence.ran:
+            place = each["replica_id"].partition(".")[0]
+            is_there = routedsite.domain_of(place) == evacuated.domain
+            if not is_there or not since < each["at"] < evacuated.taken_back_at:
+                continue
+            if not _was_out_of_touch(evidence.done, evacuated.taken_at, each["at"]):
+                yield Broken("nothing_new_when_evacuated", each["request_id"], each["replica_id"])
+
+
 def _of_service(evidence: Evidence) -> collections.abc.Iterator[Broken]:
     """Return whether the instances served next to nothing."""
     served = sum(seen.status == 200 and seen.is_whole for seen in evidence.seen)
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -23,6 +23,9 @@
     :param where: the part of the site that it hits.
     """
 
+    lasts_more_s = 0.0
+    """What it lasts longer than the others."""
+
     def __init__(self, where: str) -> None:
         self.where = where
 
@@ -311,6 +314,20 @@
         """Leave it so."""
 
 
+class DomainEvacuated(Fault):
+    """The operator keeps new work from a failure domain for a while."""
+
+    lasts_more_s = 5.0
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Evacuate it."""
+        hit.evacuate(self.where)
+
+    def end(self, hit: stage.Stage) -> None:
+        """Take it back."""
+        hit.take_back(self.where)
+
+
 def _replace(hit: stage.Stage, place: str) -> routedsite.Server:
     """Take a server's entry away, which may be gone already, and start another run of it."""
     hit.site.unlist_server(hit.site.server_by_place[place])
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from hornbeamglade.localsite import routedsite
 from hornbeamglade.soak import faults, stage
 
 CALM_S = 1.0
@@ -63,6 +64,7 @@
     lambda rng: faults.StoreFails("store", "down", True),
     lambda rng: faults.StoreFails("store", "delay_s", 0.4),
     lambda rng: faults.StoreFails("store", "lose_answers", True),
+    _one(faults.DomainEvacuated, routedsite.DOMAINS),
     _one(faults.LinkReset, LINKS),
     _one(faults.LinkDelayed, LINKS),
     _one(faults.AnswersHeld, LINKS),
@@ -97,9 +99,9 @@
         if rng.random() < 0.15 and keys:
             planned.append(Planned(round(at_s, 2), 0.0, keys.pop()))
             continue
-        each = Planned(
-            round(at_s, 2), round(rng.uniform(0.3, LONGEST_S), 2), rng.choice(KINDS)(rng)
-        )
+        for_s = rng.uniform(0.3, LONGEST_S)
+        fault = rng.choice(KINDS)(rng)
+        each = Planned(round(at_s, 2), round(for_s + fault.lasts_more_s, 2), fault)
         if _may_begin(each, planned):
             planned.append(each)
 
@@ -118,5 +120,8 @@
     lasting = [each for each in planned if each.at_s + each.for_s + 0.5 > one.at_s]
     if any(each.fault.where == one.fault.where for each in lasting):
         return False
+    if one.fault.where in routedsite.DOMAINS:
+        # Two of them hold all plain services.
+        return all(each.fault.where not in routedsite.DOMAINS for each in lasting)
     hit = {each.fault.where for each in lasting} & set(INSTANCES)
     return one.fault.where not in INSTANCES or len(hit) < MOST_STOPPED
--- a/hornbeamglade/soak/running.py
+++ b/hornbeamglade/soak/running.py
@@ -78,6 +78,7 @@
             hit.history(),
             hit.taken_at_by_key,
             hit.given_at_by_key,
+            tuple(hit.evacuated),
             hit.site.shape.events,
         )
     )
--- a/hornbeamglade/soak/stage.py
+++ b/hornbeamglade/soak/stage.py
@@ -9,6 +9,7 @@
 from hornbeamglade.localsite import passthrough, routedsite
 
 KEYS_A_TEAM = 3
+TRY_AGAIN_S = 0.2
 TEAMS = ("clinic", "court", "office")
 MODULE = ("hornbeamglade.soak.skewedentry",)
 
@@ -29,6 +30,20 @@
     ended_at: float = float("inf")
 
 
+@dataclasses.dataclass(slots=True)
+class Evacuated:
+    """A failure domain that got nothing new for a while.
+
+    :param domain: its name.
+    :param taken_at: seconds of the machine's steady clock at which the store had taken it.
+    :param taken_back_at: when its end was about to be written; infinite while it lasts.
+    """
+
+    domain: str
+    taken_at: float
+    taken_back_at: float = float("inf")
+
+
 class Stage:
     """The site, its links, its keys and its history; safe to use from several threads.
 
@@ -48,6 +63,7 @@
         }
         self.taken_at_by_key: dict[str, float] = {}
         self.given_at_by_key: dict[str, float] = {}
+        self.evacuated: list[Evacuated] = []
         self._done: list[Done] = []
 
     def begin(self, what: str, where: str) -> None:
@@ -84,6 +100,19 @@
         if self.site.configure(self.keys_by_team):
             self.given_at_by_key[key] = time.monotonic()
 
+    def evacuate(self, domain: str) -> None:
+        """Evacuate a failure domain."""
+        if self.site.evacuate(domain):
+            self.evacuated.append(Evacuated(domain, time.monotonic()))
+
+    def take_back(self, domain: str) -> None:
+        """End a failure domain's evacuation, as soon as the store takes it."""
+        for each in self.evacuated:
+            if each.domain == domain:
+                each.taken_back_at = min(each.taken_back_at, time.monotonic())
+        while not self.site.take_back(domain):
+            time.sleep(TRY_AGAIN_S)
+
     def keys(self) -> tuple[str, ...]:
         """Return every key that was ever given out."""
         held = collections.ChainMap(self.taken_at_by_key, self.given_at_by_key)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hornbeamglade.localsite import routedsite
 from hornbeamglade.soak import checks, stage
 from hornbeamglade.standins import routedcaller
 
@@ -43,9 +44,15 @@
     return told | changes
 
 
-def broken(all_seen, all_ran, done=(), taken=None, given=None):
+def broken(all_seen, all_ran, done=(), taken=None, given=None, evacuated=()):
     evidence = checks.Evidence(
-        tuple(all_seen), tuple(all_ran), tuple(done), taken or {}, given or {}, EVENTS
+        tuple(all_seen),
+        tuple(all_ran),
+        tuple(done),
+        taken or {},
+        given or {},
+        tuple(evacuated),
+        EVENTS,
     )
     return [each.promise for each in checks.broken(evidence)]
 
@@ -101,3 +108,26 @@
     """The instances took no entry of the list, and a run of refusals alone broke nothing."""
     refused = seen(status=503, is_sealed=False, body=b"")
     assert broken([refused] * 10, []) == ["serves"]
+
+
+DOMAIN = routedsite.domain_of("service-0")
+
+
+@pytest.mark.parametrize(
+    ("at", "domain", "expected"),
+    [
+        (7.0, DOMAIN, ["nothing_new_when_evacuated"]),
+        (4.9, DOMAIN, []),
+        (9.1, DOMAIN, []),
+        (7.0, "another", []),
+    ],
+)
+def test_what_runs_in_an_evacuated_domain_after_the_bound_is_seen(at, domain, expected):
+    evacuated = stage.Evacuated(domain, taken_at=1.0, taken_back_at=9.0)
+    assert broken([seen(sent_at=at)], [ran(at=at)], evacuated=[evacuated]) == expected
+
+
+def test_an_instance_that_is_hurt_meanwhile_may_not_know_of_an_evacuation():
+    evacuated = stage.Evacuated(DOMAIN, taken_at=1.0, taken_back_at=9.0)
+    cut = stage.Done("InstancePaused", "entry-0", 5.0, 6.5)
+    assert broken([seen(sent_at=7.0)], [ran(at=7.0)], [cut], evacuated=[evacuated]) == []
