--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -110,6 +110,7 @@
         self._settings_by_instance: dict[str, dict[str, typing.Any]] = {}
         self._runs_by_place: dict[str, int] = {}
         self._version = 0
+        self._ports = LastingPorts()
         self._stack = contextlib.ExitStack()
         self._http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=8)
 
@@ -312,9 +313,9 @@
         self._stack.callback(child.stop)
 
     def _settings(self, name: str) -> dict[str, typing.Any]:
-        ports = [_lasting_port() for _ in range(4)]
+        ports = [self._ports.take() for _ in range(4)]
         callers, readiness, directory, control = (f"127.0.0.1:{port}" for port in ports)
-        exchange = _lasting_port(socket.SOCK_DGRAM)
+        exchange = self._ports.take(socket.SOCK_DGRAM)
         number = int(name.rpartition("-")[2])
         return {
             "name": name,
@@ -336,17 +337,31 @@
         }
 
 
-def _lasting_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Return a free port that no outgoing connection is given by chance.
+class LastingPorts:
+    """Free ports that no outgoing connection is given by chance, each given out once.
 
     Guards an instance that is started again: were its port one of those that the system
-    hands out, a caller's connection might hold it by then.
+    hands out, a caller's connection might hold it by then. And an instance against another
+    one that was given the same port before either listened.
     """
-    while True:
-        port = random.randrange(*LASTING_PORTS)
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
+
+    def __init__(self) -> None:
+        self._given: set[int] = set()
+
+    def take(self, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+        """Return a port for sockets of a kind."""
+        while True:
+            port = random.randrange(*LASTING_PORTS)
+            if port in self._given or not _is_free(port, kind):
                 continue
-        return port
+            self._given.add(port)
+            return port
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
