--- a/hornbeamglade/bench/policyrun.py
+++ b/hornbeamglade/bench/policyrun.py
@@ -7,10 +7,10 @@
 from hornbeamglade.admission import policies, replicaadmission
 from hornbeamglade.bench import (
     policyclairvoyant,
-    policydesks,
     policydispatch,
     policymetrics,
     policypool,
+    policyschedulers,
     policyworkload,
 )
 from hornbeamglade.core import codederrors
@@ -113,7 +113,7 @@
         return policydispatch.LeastOutstanding(scenario, pool, recorder)
     admission = _admission(scenario, policy, requests)
     queue = _FIRST_COME_FIRST if policy == "clairvoyant" else queuesettings.WaitingSettings()
-    return policydesks.DeskDispatcher(scenario, pool, recorder, admission, queue, seed)
+    return policyschedulers.SchedulerDispatcher(scenario, pool, recorder, admission, queue, seed)
 
 
 def _admission(
--- a/hornbeamglade/bench/policydesks.py
+++ b/hornbeamglade/bench/policyschedulers.py
@@ -1,4 +1,4 @@
-"""The system's own path in the bench: routing choice, owner's desk, admission."""
+"""The system's own path in the bench: routing choice, owner's scheduler, admission."""
 
 import collections
 import collections.abc
@@ -9,7 +9,7 @@
 from hornbeamglade.bench import policydispatch, policymetrics, policypool, policyworkload
 from hornbeamglade.core import outcomes
 from hornbeamglade.fairness import queuesettings, waiting
-from hornbeamglade.grants import replicadesk
+from hornbeamglade.grants import replicascheduler
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.routing import candidates, choice, outliers, placements
 
@@ -23,21 +23,21 @@
 AdmissionFactory = collections.abc.Callable[[lengthmodel.LengthModel], policies.AdmissionPolicy]
 
 
-class DeskDispatcher(policydispatch.Dispatcher):
+class SchedulerDispatcher(policydispatch.Dispatcher):
     """Chooses a replica by late digests; its owner admits or lets wait.
 
     Explanation
     ===========
 
     Six entry nodes choose, each by its own placements; a team's callers come
-    to two of them. Node i owns replica i and knows its desk as it is.
+    to two of them. Node i owns replica i and knows its scheduler as it is.
     Progress reaches the owner each second, as in the system. Digests of the
-    desks and load reports of the engines arrive with the scenario's lag. With
-    several owners a replica has a desk for each, blind to the others but for
+    schedulers and load reports of the engines arrive with the scenario's lag. With
+    several owners a replica has a scheduler for each, blind to the others but for
     the engine's reports.
 
-    :param admission: makes the admission of one desk.
-    :param queue: bounds of the desks' queues.
+    :param admission: makes the admission of one scheduler.
+    :param queue: bounds of the schedulers' queues.
     :param seed: of the routing choice's samples.
     """
 
@@ -59,11 +59,11 @@
         self._placements_by_node = [placements.Placements(self._settings) for _ in range(_NODES)]
         self._detector = outliers.OutlierDetector(outliers.OutlierSettings())
         self._detector.watch(list(self.replica_by_name))
-        self._desks_by_replica = {
-            name: self._new_desks(name, 0.0) for name in self.replica_by_name
+        self._schedulers_by_replica = {
+            name: self._new_schedulers(name, 0.0) for name in self.replica_by_name
         }
         self._request_by_id: dict[str, policyworkload.Request] = {}
-        self._desk_by_request: dict[str, replicadesk.ReplicaDesk] = {}
+        self._scheduler_by_request: dict[str, replicascheduler.ReplicaScheduler] = {}
         self._digests: collections.deque[tuple[float, list[candidates.Candidate]]]
         self._digests = collections.deque()
 
@@ -73,15 +73,15 @@
         self._request_by_id[work.request_id] = request
         node = self._node(work.team)
         for name in self._choices(work, node, now):
-            desk = self._rng.choice(self._desks_by_replica[name])
+            scheduler = self._rng.choice(self._schedulers_by_replica[name])
             weight = policyworkload.WEIGHT_BY_TEAM[work.team]
-            answer = desk.ask(work, weight, now, self.deadline(request))
+            answer = scheduler.ask(work, weight, now, self.deadline(request))
             if isinstance(answer, outcomes.Refusal):
                 continue
             needed = candidates.needed_tokens(work, self._settings)
             self._placements_by_node[node].placed(name, needed, now)
-            self._desk_by_request[work.request_id] = desk
-            if isinstance(answer, replicadesk.Granted):
+            self._scheduler_by_request[work.request_id] = scheduler
+            if isinstance(answer, replicascheduler.Granted):
                 self.replica_by_name[name].submit(request)
             return
         self._refuse(work.request_id, now)
@@ -93,10 +93,10 @@
         if served.produced > 1:
             between_s = (now - served.first_at) / (served.produced - 1)
             self._detector.succeeded(replica.name, between_s, now)
-        desk = self._desk_by_request.pop(work.request_id)
-        desk.finish(work.request_id, now)
+        scheduler = self._scheduler_by_request.pop(work.request_id)
+        scheduler.finish(work.request_id, now)
         del self._request_by_id[work.request_id]
-        self._settle(replica, desk, now)
+        self._settle(replica, scheduler, now)
 
     def lost(
         self, replica: policypool.Replica, served: list[policypool.Served], now: float
@@ -104,43 +104,47 @@
         """Place again what waited for the replica too."""
         waiting_ids = [
             settled.request_id
-            for desk in self._desks_by_replica[replica.name]
-            for settled in desk.leave()
+            for scheduler in self._schedulers_by_replica[replica.name]
+            for settled in scheduler.leave()
         ]
         super().lost(replica, served, now)
         for request_id in waiting_ids:
             self.offer(self._request_by_id[request_id], now)
 
     def back(self, replica: policypool.Replica, now: float) -> None:
-        """Open new desks."""
-        self._desks_by_replica[replica.name] = self._new_desks(replica.name, now)
+        """Open new schedulers."""
+        self._schedulers_by_replica[replica.name] = self._new_schedulers(replica.name, now)
 
     def turn(self, step: int, now: float) -> None:
         """Pass on reports, progress and digests when they are due."""
         for i, replica in enumerate(self.up()):
-            desks = self._desks_by_replica[replica.name]
+            schedulers = self._schedulers_by_replica[replica.name]
             for view in replica.reports(step, now):
-                for desk in desks:
-                    desk.reported(view, False, now)
+                for scheduler in schedulers:
+                    scheduler.reported(view, False, now)
             if (step + 6 * i) % _PROGRESS_EVERY_STEPS == 0:
                 self._report_progress(replica, now)
             if (step + i) % _SETTLE_EVERY_STEPS == 0:
-                for desk in desks:
-                    self._settle(replica, desk, now)
+                for scheduler in schedulers:
+                    self._settle(replica, scheduler, now)
         if step % _DIGEST_EVERY_STEPS == 0:
             self._digests.append((now, self._digest(now)))
             while len(self._digests) > 1 and self._is_due(self._digests[1][0], now):
                 self._digests.popleft()
 
-    def _new_desks(self, replica: str, now: float) -> list[replicadesk.ReplicaDesk]:
-        return [self._new_desk(replica, now) for _ in range(self.scenario.owners)]
+    def _new_schedulers(self, replica: str, now: float) -> list[replicascheduler.ReplicaScheduler]:
+        return [self._new_scheduler(replica, now) for _ in range(self.scenario.owners)]
 
-    def _new_desk(self, replica: str, now: float) -> replicadesk.ReplicaDesk:
+    def _new_scheduler(self, replica: str, now: float) -> replicascheduler.ReplicaScheduler:
         queue = waiting.WaitingQueue(self._queue_settings)
-        desk = replicadesk.ReplicaDesk(replica, self._admission(self._lengths), queue)
+        scheduler = replicascheduler.ReplicaScheduler(
+            replica, self._admission(self._lengths), queue
+        )
         # An owner grants nothing before it has heard of the replica.
-        desk.reported(tokenledger.LoadView(0, 0.0, self.scenario.capacity_tokens, 0), False, now)
-        return desk
+        scheduler.reported(
+            tokenledger.LoadView(0, 0.0, self.scenario.capacity_tokens, 0), False, now
+        )
+        return scheduler
 
     def _node(self, team: str) -> int:
         first = list(policyworkload.WEIGHT_BY_TEAM).index(team)
@@ -180,14 +184,14 @@
         return [self._candidate(replica, now) for replica in self.replica_by_name.values()]
 
     def _candidate(self, replica: policypool.Replica, now: float) -> candidates.Candidate:
-        desks = self._desks_by_replica[replica.name]
+        schedulers = self._schedulers_by_replica[replica.name]
         return candidates.Candidate(
             replica=replica.name,
             owner=replica.name,
             local=False,
-            room_tokens=int(min(desk.admission.room(now) for desk in desks)),
-            queued=sum(desk.waiting_count for desk in desks),
-            expected_wait_s=max(desk.queue.expected_wait_s(now) for desk in desks),
+            room_tokens=int(min(scheduler.admission.room(now) for scheduler in schedulers)),
+            queued=sum(scheduler.waiting_count for scheduler in schedulers),
+            expected_wait_s=max(scheduler.queue.expected_wait_s(now) for scheduler in schedulers),
             report_age_s=0.0,
             failure_domain=replica.domain,
             leaving=not replica.is_up,
@@ -200,13 +204,13 @@
 
     def _report_progress(self, replica: policypool.Replica, now: float) -> None:
         for request_id, served in replica.served_by_id.items():
-            desk = self._desk_by_request[request_id]
-            desk.progress(request_id, served.produced, now)
+            scheduler = self._scheduler_by_request[request_id]
+            scheduler.progress(request_id, served.produced, now)
 
     def _settle(
-        self, replica: policypool.Replica, desk: replicadesk.ReplicaDesk, now: float
+        self, replica: policypool.Replica, scheduler: replicascheduler.ReplicaScheduler, now: float
     ) -> None:
-        for settled in desk.settle(now):
+        for settled in scheduler.settle(now):
             if isinstance(settled.answer, outcomes.Refusal):
                 self._refuse(settled.request_id, now)
             else:
@@ -214,5 +218,5 @@
 
     def _refuse(self, request_id: str, now: float) -> None:
         self._request_by_id.pop(request_id, None)
-        self._desk_by_request.pop(request_id, None)
+        self._scheduler_by_request.pop(request_id, None)
         self.recorder.refused(now)
--- a/hornbeamglade/bench/recovery.py
+++ b/hornbeamglade/bench/recovery.py
@@ -215,8 +215,8 @@
 
 
 def _caller(site: _Site) -> recoverycallers.Caller:
-    book = recoverycallers.AddressBook(site.addresses(), localsite.TEAM_KEY)
-    return recoverycallers.Caller(book, localsite.TEAM_KEY)
+    catalog = recoverycallers.AddressBook(site.addresses(), localsite.TEAM_KEY)
+    return recoverycallers.Caller(catalog, localsite.TEAM_KEY)
 
 
 def _read_ledgers(
--- a/hornbeamglade/bench/recoverycallers.py
+++ b/hornbeamglade/bench/recoverycallers.py
@@ -131,12 +131,12 @@
 class Caller:
     """Sends requests and tells how they ended; safe to use from several threads.
 
-    :param book: the addresses to use.
+    :param catalog: the addresses to use.
     :param key: the team's key.
     """
 
-    def __init__(self, book: AddressBook, key: str) -> None:
-        self.book = book
+    def __init__(self, catalog: AddressBook, key: str) -> None:
+        self.catalog = catalog
         self._key = key
 
     def carry_out(self, call: Call) -> Record:
@@ -147,11 +147,11 @@
         """
         record = Record(call)
         raw = _hold(call, self._key) if call.is_hold else _generation(call, self._key)
-        for address in self.book.order():
+        for address in self.catalog.order():
             record.attempts += 1
             if self._attempt(address, raw, record):
                 break
-            self.book.failed(address)
+            self.catalog.failed(address)
         record.ended_at = time.monotonic()
         return record
 
--- a/hornbeamglade/bench/recoverytraffic.py
+++ b/hornbeamglade/bench/recoverytraffic.py
@@ -92,5 +92,5 @@
             self._records.append(record)
 
     def _refresh(self, caller: recoverycallers.Caller) -> None:
-        while not self._stopping.wait(caller.book.refresh()):
+        while not self._stopping.wait(caller.catalog.refresh()):
             pass
--- a/hornbeamglade/capacity/checks.py
+++ b/hornbeamglade/capacity/checks.py
@@ -92,7 +92,7 @@
             dissemination.SAMPLED_PERIOD_S,
             "s of processor",
             "node/applying.py (_place_teams), node/daemon.py (_tick)",
-            "heartbeats leave by the thread that places, and so do the settling of desks and "
+            "heartbeats leave by the thread that places, and so do the settling of schedulers and "
             "reports of progress; answers to other nodes' questions leave by another thread, "
             f"so the node isn't held for dead; {dutyvalues.place_passes_per_day(size):,.0f} "
             "times a day; place in pieces, and only the teams that are active here",
--- a/hornbeamglade/capacity/checksrouting.py
+++ b/hornbeamglade/capacity/checksrouting.py
@@ -2,7 +2,7 @@
 
 from hornbeamglade.capacity import checkvalues, dutyvalues, slopes, targetsize
 from hornbeamglade.exchange import asks
-from hornbeamglade.node import replicabook
+from hornbeamglade.node import replicacatalog
 from hornbeamglade.routing import candidates
 
 SMALL_POOL = 6
@@ -12,10 +12,10 @@
     measured: slopes.SlopeSet, size: targetsize.SiteSize
 ) -> tuple[checkvalues.Check, ...]:
     """Return the checks of how replicas are chosen and known."""
-    heard = checkvalues.heard_part(size.nodes, replicabook.REPORT_LIFE_S)
+    heard = checkvalues.heard_part(size.nodes, replicacatalog.REPORT_LIFE_S)
     routing = candidates.RoutingSettings()
     usable = checkvalues.heard_part(size.nodes, routing.usable_s)
-    looked_at = min(replicabook.LOOKED_AT, round(size.replicas_per_pool))
+    looked_at = min(replicacatalog.LOOKED_AT, round(size.replicas_per_pool))
     lost_us = measured.at("membership.domain_lost_us", size.nodes)
     tick_ms = measured.at("membership.tick_us", size.nodes) / checkvalues.MS
     return (
@@ -24,8 +24,8 @@
             dutyvalues.choice_s(measured, size) * checkvalues.MS,
             1.0,
             "ms",
-            "node/replicabook.py (candidates), routing/choice.py",
-            f"{replicabook.LOOKED_AT} of others are costed; the names of the whole pool are "
+            "node/replicacatalog.py (candidates), routing/choice.py",
+            f"{replicacatalog.LOOKED_AT} of others are costed; the names of the whole pool are "
             "still gone through",
         ),
         checkvalues.Check(
@@ -34,7 +34,7 @@
             100 * checkvalues.fewer_than(routing.samples, looked_at, usable),
             5.0,
             "%",
-            "node/replicabook.py (candidates) over membership/dissemination.py",
+            "node/replicacatalog.py (candidates) over membership/dissemination.py",
             f"the one that was heard of within {routing.usable_s:.0f} s, or one of the node's "
             "own, is then asked first, however many others are emptier; with none, any",
         ),
@@ -43,7 +43,7 @@
             100 * (1 - heard),
             5.0,
             "%",
-            "node/replicabook.py (takes_new_work) over membership/dissemination.py",
+            "node/replicacatalog.py (takes_new_work) over membership/dissemination.py",
             "an owner's digest comes by chance only; engines get work all the same, plain "
             "services don't, and status pages show these as leaving",
         ),
--- a/hornbeamglade/capacity/duties.py
+++ b/hornbeamglade/capacity/duties.py
@@ -106,16 +106,16 @@
     teams = min(size.teams, lengthmodel.LengthSettings().max_teams)
     return dutyvalues.Duty(
         "Grants, local and remote",
-        f"the desks of owned replicas, {size.streams_per_replica:.0f} grants each; answer "
+        f"the schedulers of owned replicas, {size.streams_per_replica:.0f} grants each; answer "
         f"lengths of up to {teams} teams a service",
         (
             dutyvalues.Cost(
-                "decisions at the desks",
-                ("grants.local_us", "grants.desk_bytes"),
+                "decisions at the schedulers",
+                ("grants.local_us", "grants.scheduler_bytes"),
                 cores=measured.at("grants.local_us", size.streams_per_replica)
                 * dutyvalues.MICROSECOND
                 * requests,
-                memory_bytes=measured.at("grants.desk_bytes", size.replicas_per_node),
+                memory_bytes=measured.at("grants.scheduler_bytes", size.replicas_per_node),
             ),
             dutyvalues.Cost(
                 f"remote grants, {REMOTE_SHARE:.0%} of requests",
--- a/hornbeamglade/capacity/losses.py
+++ b/hornbeamglade/capacity/losses.py
@@ -6,7 +6,7 @@
 from hornbeamglade.capacity import slopes, targetsize
 from hornbeamglade.exchange import asks, messages
 from hornbeamglade.membership import dissemination
-from hornbeamglade.node import replicabook
+from hornbeamglade.node import replicacatalog
 
 RACK_NODES = 8
 RACK_REPLICAS = 40
@@ -83,4 +83,4 @@
 
 
 ASK_WAIT_S = asks.ANSWER_BOUND_S
-DIGEST_LIFE_S = replicabook.REPORT_LIFE_S
+DIGEST_LIFE_S = replicacatalog.REPORT_LIFE_S
--- a/hornbeamglade/capacity/measuringconfiguration.py
+++ b/hornbeamglade/capacity/measuringconfiguration.py
@@ -16,9 +16,9 @@
 )
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import configchunks
-from hornbeamglade.grants import deskset
+from hornbeamglade.grants import schedulerset
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.node import digestbook, replicabook, siteview
+from hornbeamglade.node import digestcache, replicacatalog, siteview
 from hornbeamglade.teams import limits, shares
 
 GROUP = "configuration"
@@ -104,8 +104,8 @@
     after = _changed(before)
     delta = documentdelta.make(before, after)
     clock = clocks.ManualClock()
-    book = replicabook.ReplicaBook(clock, digestbook.DigestBook(clock))
-    desks = deskset.DeskSet(clock, lengthmodel.LengthModel())
+    catalog = replicacatalog.ReplicaCatalog(clock, digestcache.DigestCache(clock))
+    schedulers = schedulerset.SchedulerSet(clock, lengthmodel.LengthModel())
     team_limits = limits.TeamLimits(samplesite.node_name(0), shares.ShareSettings())
 
     def adopt() -> None:
@@ -113,8 +113,8 @@
         revision = documents.Revision(2, documents.digest(text), "c2", text)
         revision.verify()
         view = siteview.derive(following.InForce(revision, revision.effective(samplesite.SITE)))
-        book.configure(view.site.pool_by_name)
-        desks.configure({name: samplesite.desk_spec() for name in book.known_by_name})
+        catalog.configure(view.site.pool_by_name)
+        schedulers.configure({name: samplesite.scheduler_spec() for name in catalog.known_by_name})
         team_limits.configure(view.team_limits())
 
     return gauges.cpu_us(adopt)
--- a/hornbeamglade/capacity/measuringgrants.py
+++ b/hornbeamglade/capacity/measuringgrants.py
@@ -1,4 +1,4 @@
-"""Slopes of grants: at this node's desks, and between nodes."""
+"""Slopes of grants: at this node's schedulers, and between nodes."""
 
 import collections.abc
 import dataclasses
@@ -7,7 +7,7 @@
 from hornbeamglade.capacity import fits, gauges, samplesite, slopes
 from hornbeamglade.core import clocks, codederrors, outcomes
 from hornbeamglade.exchange import codec, grantclient, grantserver, messages, transport
-from hornbeamglade.grants import deskset, remotedesk, replicadesk
+from hornbeamglade.grants import remotescheduler, replicascheduler, schedulerset
 from hornbeamglade.lengths import lengthmodel
 
 GROUP = "grants"
@@ -15,10 +15,10 @@
 """The mean answer at the target size: 286 tokens of 26 ms."""
 
 _STREAM_COUNTS = (8, 16, 32, 60)
-_DESK_COUNTS = (2, 5, 10, 20)
+_SCHEDULER_COUNTS = (2, 5, 10, 20)
 _GRANT_COUNTS = (4, 8, 16, 32)
 _TEAM_COUNTS = (50, 100, 200, 400)
-_STREAMS_PER_DESK = 29
+_STREAMS_PER_SCHEDULER = 29
 _REPORTS_AFTER_END = 3
 _INCARNATION = 1_764_000_000_000
 _SECRET = b"a secret of the sample site"
@@ -27,27 +27,30 @@
 
 def measure() -> collections.abc.Iterator[slopes.Slope]:
     """Measure the group."""
-    desk = "grants/deskset.py, admission/replicaadmission.py"
+    scheduler = "grants/schedulerset.py, admission/replicaadmission.py"
     yield _slope(
         "grants.local_us",
-        "processor us of one request at its desk: ask, seven reports, finish",
+        "processor us of one request at its scheduler: ask, seven reports, finish",
         "streams running at the replica",
-        desk,
+        scheduler,
         [fits.Point(size, _local_us(size)) for size in _STREAM_COUNTS],
     )
     yield _slope(
         "grants.states_us",
-        "processor us to read the state of all desks (at each request and heartbeat)",
+        "processor us to read the state of all schedulers (at each request and heartbeat)",
         "replicas owned",
-        desk,
-        [fits.Point(size, gauges.cpu_us(_desks(size).states)) for size in _DESK_COUNTS],
+        scheduler,
+        [fits.Point(size, gauges.cpu_us(_schedulers(size).states)) for size in _SCHEDULER_COUNTS],
     )
     yield _slope(
-        "grants.desk_bytes",
-        f"bytes of the desks, {_STREAMS_PER_DESK} streams at each",
+        "grants.scheduler_bytes",
+        f"bytes of the schedulers, {_STREAMS_PER_SCHEDULER} streams at each",
         "replicas owned",
-        desk,
-        [fits.Point(size, gauges.held_bytes(lambda n=size: _desks(n))) for size in _DESK_COUNTS],
+        scheduler,
+        [
+            fits.Point(size, gauges.held_bytes(lambda n=size: _schedulers(n)))
+            for size in _SCHEDULER_COUNTS
+        ],
     )
     yield _slope(
         "lengths.team_bytes",
@@ -59,7 +62,7 @@
     # Each at another owner: with some hundred owners in sight, a node seldom has two
     # grants of one owner whose reports could share a frame.
     lives = [_lived(count) for count in _GRANT_COUNTS]
-    remote = "exchange/grantclient.py, exchange/grantserver.py, grants/remotedesk.py"
+    remote = "exchange/grantclient.py, exchange/grantserver.py, grants/remotescheduler.py"
     for key, cost, read in (
         ("grants.remote_bytes", "bytes of frames, both ways", lambda life: life.bytes),
         ("grants.remote_messages", "frames, both ways", lambda life: life.frames),
@@ -86,39 +89,41 @@
     return None
 
 
-def _report(desks: deskset.DeskSet, replicas: collections.abc.Iterable[str]) -> None:
-    """Give the desks a report of an idle replica, without which they grant nothing."""
+def _report(
+    schedulers: schedulerset.SchedulerSet, replicas: collections.abc.Iterable[str]
+) -> None:
+    """Give the schedulers a report of an idle replica, without which they grant nothing."""
     view = tokenledger.LoadView(1, 0.0, samplesite.MEMORY_TOKENS, 0, 0)
     for replica in replicas:
-        desks.change(replica, lambda desk, now: desk.reported(view, False, now))
+        schedulers.change(replica, lambda scheduler, now: scheduler.reported(view, False, now))
 
 
-def _desks(replicas: int, streams: int = _STREAMS_PER_DESK) -> deskset.DeskSet:
-    desks = deskset.DeskSet(clocks.ManualClock(), _lengths(50))
+def _schedulers(replicas: int, streams: int = _STREAMS_PER_SCHEDULER) -> schedulerset.SchedulerSet:
+    schedulers = schedulerset.SchedulerSet(clocks.ManualClock(), _lengths(50))
     names = [samplesite.replica_name(number) for number in range(replicas)]
-    desks.configure({name: samplesite.desk_spec() for name in names})
-    _report(desks, names)
+    schedulers.configure({name: samplesite.scheduler_spec() for name in names})
+    _report(schedulers, names)
     for name in names:
         for number in range(streams):
             work = dataclasses.replace(_work(number), request_id=f"{name}/{number}")
-            desks.ask(name, work, 1.0, 10.0, _ignore)
-            desks.progress(name, work.request_id, 100 + number)
-    return desks
+            schedulers.ask(name, work, 1.0, 10.0, _ignore)
+            schedulers.progress(name, work.request_id, 100 + number)
+    return schedulers
 
 
 def _local_us(streams: int) -> float:
-    desks = _desks(1, streams)
+    schedulers = _schedulers(1, streams)
     replica = samplesite.replica_name(0)
     work = _work(1_000_000)
 
     def serve() -> None:
-        answer = desks.ask(replica, work, 1.0, 10.0, _ignore)
-        if not isinstance(answer, replicadesk.Granted):
+        answer = schedulers.ask(replica, work, 1.0, 10.0, _ignore)
+        if not isinstance(answer, replicascheduler.Granted):
             raise codederrors.InvariantError("capacity_not_granted", repr(answer))
         for seconds in range(1, 8):
-            desks.progress(replica, work.request_id, 38 * seconds)
-        desks.finish(replica, work.request_id)
-        desks.learn(work.service, work.team, 286, censored=False)
+            schedulers.progress(replica, work.request_id, 38 * seconds)
+        schedulers.finish(replica, work.request_id)
+        schedulers.learn(work.service, work.team, 286, censored=False)
 
     return gauges.cpu_us(serve)
 
@@ -172,9 +177,9 @@
         asker, owner = (codec.Codec(name, _INCARNATION, ring, self._clock) for name in nodes)
         to_owner, to_asker = _Wire(asker, self), _Wire(owner, self)
         self._client = grantclient.GrantClient(_INCARNATION, to_owner, self._clock)
-        desk = self._desk()
-        self._server = grantserver.GrantServer(desk, to_asker, self._clock)
-        desk.connect(self._server.push)
+        scheduler = self._scheduler()
+        self._server = grantserver.GrantServer(scheduler, to_asker, self._clock)
+        scheduler.connect(self._server.push)
         to_owner.other, to_owner.handle = owner, self._at_owner
         to_asker.other, to_asker.handle = asker, self._client.answered
         self._peer = transport.Peer(nodes[1], _ENDPOINT)
@@ -183,15 +188,15 @@
         """Carry the grant through its life."""
         self.cpu_us = gauges.total_cpu_us(self._run)
 
-    def _desk(self) -> remotedesk.RemoteDesk:
-        desks = deskset.DeskSet(self._clock, lengthmodel.LengthModel())
-        desks.configure({self._replica: samplesite.desk_spec()})
-        _report(desks, (self._replica,))
-        names = remotedesk.AskNames()
+    def _scheduler(self) -> remotescheduler.RemoteScheduler:
+        schedulers = schedulerset.SchedulerSet(self._clock, lengthmodel.LengthModel())
+        schedulers.configure({self._replica: samplesite.scheduler_spec()})
+        _report(schedulers, (self._replica,))
+        names = remotescheduler.AskNames()
         names.replicas.replace((self._replica,))
         names.services.replace((self._work.service,))
         names.teams.replace((self._work.team,))
-        return remotedesk.RemoteDesk(desks, self._clock, names)
+        return remotescheduler.RemoteScheduler(schedulers, self._clock, names)
 
     def _run(self) -> None:
         number = self._ask()
--- a/hornbeamglade/capacity/measuringprocesses.py
+++ b/hornbeamglade/capacity/measuringprocesses.py
@@ -105,7 +105,7 @@
             (
                 "unseen.nodes",
                 "part of the replicas, all serving, of which a node has no fresh word",
-                "membership/dissemination.py, node/replicabook.py (takes_new_work)",
+                "membership/dissemination.py, node/replicacatalog.py (takes_new_work)",
                 lambda r: r.unseen,
             ),
         ),
--- a/hornbeamglade/capacity/measuringrouting.py
+++ b/hornbeamglade/capacity/measuringrouting.py
@@ -6,9 +6,9 @@
 from hornbeamglade.capacity import fits, gauges, samplesite, slopes
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import messages
-from hornbeamglade.grants import deskset
+from hornbeamglade.grants import schedulerset
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.node import digestbook, replicabook
+from hornbeamglade.node import digestcache, replicacatalog
 from hornbeamglade.routing import candidates, choice, placements, prefixes
 
 GROUP = "routing"
@@ -24,17 +24,20 @@
     """Measure the group."""
     yield _slope(
         "routing.choice_us",
-        f"processor us to choose a request's replica, {replicabook.LOOKED_AT} of others looked at",
+        f"processor us to choose a replica, {replicacatalog.LOOKED_AT} of others looked at",
         "replicas of the pool",
-        "node/replicabook.py, routing/choice.py",
+        "node/replicacatalog.py, routing/choice.py",
         [fits.Point(size, _choice_us(size)) for size in _POOL_SIZES],
     )
     yield _slope(
         "routing.known_bytes",
         "bytes held of the replicas' reports, digests and prefix indexes",
         "replicas of the site",
-        "node/replicabook.py, node/digestbook.py",
-        [fits.Point(size, gauges.held_bytes(lambda n=size: _book(n))) for size in _REPLICA_COUNTS],
+        "node/replicacatalog.py, node/digestcache.py",
+        [
+            fits.Point(size, gauges.held_bytes(lambda n=size: _catalog(n)))
+            for size in _REPLICA_COUNTS
+        ],
     )
     yield _slope(
         "routing.prefix_bytes",
@@ -49,24 +52,24 @@
     return slopes.Slope(key, GROUP, cost, over, mechanism, tuple(points))
 
 
-def _book(replicas: int) -> replicabook.ReplicaBook:
+def _catalog(replicas: int) -> replicacatalog.ReplicaCatalog:
     clock = clocks.ManualClock()
-    digests = digestbook.DigestBook(clock)
-    book = replicabook.ReplicaBook(clock, digests)
-    book.configure(samplesite.site(samplesite.Counts(replicas=replicas)).pool_by_name)
+    digests = digestcache.DigestCache(clock)
+    catalog = replicacatalog.ReplicaCatalog(clock, digests)
+    catalog.configure(samplesite.site(samplesite.Counts(replicas=replicas)).pool_by_name)
     for number in range(replicas):
         name = messages.key_hash(samplesite.replica_name(number))
         digest = messages.ReplicaDigest(name, 100_000 + number, number % 3, 0)
         digests.hear(samplesite.node_name(number // 5), (digest,))
-    for name in book.known_by_name:
+    for name in catalog.known_by_name:
         # Choices look at other replicas each time, so in the end at all.
-        book.prefix_sequence(name)
+        catalog.prefix_sequence(name)
     clock.advance(0.5)
-    return book
+    return catalog
 
 
 def _choice_us(pool_size: int) -> float:
-    book = _book(pool_size * samplesite.POOLS)
+    catalog = _catalog(pool_size * samplesite.POOLS)
     settings = candidates.RoutingSettings(failure_domain=samplesite.domain(0))
     placed = placements.Placements(settings)
     for number in range(_RECENT_PLACEMENTS):
@@ -77,19 +80,19 @@
     own = _own_states()
 
     def choose() -> None:
-        known = book.candidates("pool-0", prefix, frozenset(), own)
+        known = catalog.candidates("pool-0", prefix, frozenset(), own)
         choice.order(work, placed.applied(known, 0.5), rng, settings)
 
     return gauges.cpu_us(choose)
 
 
-def _own_states() -> dict[str, deskset.DeskState]:
-    """Return the desks of the pool's replicas that a node owns at the target size."""
+def _own_states() -> dict[str, schedulerset.SchedulerState]:
+    """Return the schedulers of the pool's replicas that a node owns at the target size."""
     names = [samplesite.replica_name(number * samplesite.POOLS) for number in range(_OWN_OF_POOL)]
-    desks = deskset.DeskSet(clocks.ManualClock(), lengthmodel.LengthModel())
-    desks.configure({name: samplesite.desk_spec() for name in names})
-    desks.own(frozenset(names))
-    return desks.states()
+    schedulers = schedulerset.SchedulerSet(clocks.ManualClock(), lengthmodel.LengthModel())
+    schedulers.configure({name: samplesite.scheduler_spec() for name in names})
+    schedulers.own(frozenset(names))
+    return schedulers.states()
 
 
 def _index(blocks: int) -> prefixes.PrefixIndex:
--- a/hornbeamglade/capacity/measuringstatus.py
+++ b/hornbeamglade/capacity/measuringstatus.py
@@ -61,9 +61,9 @@
     return runtime.Runtime(
         clock=mesh.clock,
         views=runtime.Views(mesh.config),
-        book=mesh.book,
-        desks=mesh.desks,
-        finder=None,
+        catalog=mesh.catalog,
+        schedulers=mesh.schedulers,
+        acquirer=None,
         once=None,
         in_flight=mesh.in_flight,
         budgets=runtime.Budgets(),
--- a/hornbeamglade/capacity/measuringteams.py
+++ b/hornbeamglade/capacity/measuringteams.py
@@ -6,10 +6,10 @@
 from hornbeamglade.configuration import follower
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import messages
-from hornbeamglade.grants import deskset
+from hornbeamglade.grants import schedulerset
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.membership import view as membershipview
-from hornbeamglade.node import applying, digestbook, inflight, replicabook, runtime, siteview
+from hornbeamglade.node import applying, digestcache, inflight, replicacatalog, runtime, siteview
 from hornbeamglade.store import memory
 from hornbeamglade.teams import limits, shares
 
@@ -88,8 +88,8 @@
     team_limits.configure(view.team_limits())
     applier = applying.Applier(
         views,
-        replicabook.ReplicaBook(clock, digestbook.DigestBook(clock)),
-        deskset.DeskSet(clock, lengthmodel.LengthModel()),
+        replicacatalog.ReplicaCatalog(clock, digestcache.DigestCache(clock)),
+        schedulerset.SchedulerSet(clock, lengthmodel.LengthModel()),
         inflight.InFlight(team_limits),
         beats,
     )
--- a/hornbeamglade/capacity/page.py
+++ b/hornbeamglade/capacity/page.py
@@ -100,7 +100,7 @@
   owns all replicas: it polls those beyond the link in vain (a second each, eight at once,
   `node/loadpoller.py`). An engine that never reported to its new owner looks empty there and
   is waited for; a request that asks for it goes on to look for room at others meanwhile
-  (`grants/grantfinder.py`). Requests that are not repeatable are refused as not run on the side
+  (`grants/grantacquirer.py`). Requests that are not repeatable are refused as not run on the side
   without the platform; the configuration there stays at its revision, so a change is **not** in
   force everywhere within 3 s until the link is back. Streams over the link stall, then resume
   or end, and both owners of a replica admit to it as long as both reach it: that costs
--- a/hornbeamglade/capacity/samplemesh.py
+++ b/hornbeamglade/capacity/samplemesh.py
@@ -6,9 +6,9 @@
 from hornbeamglade.configuration import follower
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, messages, transport
-from hornbeamglade.grants import deskset
+from hornbeamglade.grants import schedulerset
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.node import digestbook, inflight, peering, replicabook, settings
+from hornbeamglade.node import digestcache, inflight, peering, replicacatalog, settings
 from hornbeamglade.store import contract, memory
 from hornbeamglade.teams import limits, shares
 
@@ -24,13 +24,15 @@
     def __init__(self, nodes: int) -> None:
         self.clock = clocks.ManualClock()
         self._beat = 0
-        self.desks = deskset.DeskSet(self.clock, lengthmodel.LengthModel())
-        digests = digestbook.DigestBook(self.clock)
-        self.book = replicabook.ReplicaBook(self.clock, digests)
+        self.schedulers = schedulerset.SchedulerSet(self.clock, lengthmodel.LengthModel())
+        digests = digestcache.DigestCache(self.clock)
+        self.catalog = replicacatalog.ReplicaCatalog(self.clock, digests)
         counts = samplesite.Counts(replicas=REPLICAS_PER_NODE * nodes)
         site = samplesite.site(counts)
-        self.book.configure(site.pool_by_name)
-        self.desks.configure({name: samplesite.desk_spec() for name in self.book.known_by_name})
+        self.catalog.configure(site.pool_by_name)
+        self.schedulers.configure(
+            {name: samplesite.scheduler_spec() for name in self.catalog.known_by_name}
+        )
         self.platform = memory.MemoryPlatform(self.clock)
         told = settings_of_first()
         self.config = follower.Follower(
@@ -42,9 +44,9 @@
             address=told.callers,
             incarnation=INCARNATION,
             clock=self.clock,
-            desks=self.desks,
+            schedulers=self.schedulers,
             digests=digests,
-            book=self.book,
+            catalog=self.catalog,
             config=self.config,
             in_flight=self.in_flight,
             closed=frozenset,
--- a/hornbeamglade/capacity/samplesite.py
+++ b/hornbeamglade/capacity/samplesite.py
@@ -7,7 +7,7 @@
 from hornbeamglade.admission import replicaadmission
 from hornbeamglade.configuration import documents, documentyaml, following, models
 from hornbeamglade.fairness import queuesettings
-from hornbeamglade.grants import deskset
+from hornbeamglade.grants import schedulerset
 from hornbeamglade.store import contract
 
 SITE = "sample"
@@ -94,9 +94,9 @@
     )
 
 
-def desk_spec() -> deskset.DeskSpec:
-    """Return what every replica's desk is made from."""
-    return deskset.DeskSpec(
+def scheduler_spec() -> schedulerset.SchedulerSpec:
+    """Return what every replica's scheduler is made from."""
+    return schedulerset.SchedulerSpec(
         MEMORY_TOKENS, replicaadmission.AdmissionSettings(), queuesettings.WaitingSettings()
     )
 
--- a/hornbeamglade/entry/enginewatch.py
+++ b/hornbeamglade/entry/enginewatch.py
@@ -5,7 +5,7 @@
 from hornbeamglade.admission import tokenledger
 from hornbeamglade.engines import models as enginemodels
 from hornbeamglade.engines import reportpoller
-from hornbeamglade.grants import deskset
+from hornbeamglade.grants import schedulerset
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.observability import logs
 from hornbeamglade.replicas import models as replicamodels
@@ -31,7 +31,7 @@
     instances.
 
     :param replicas: the platform's list.
-    :param desks: this instance's desks.
+    :param schedulers: this instance's schedulers.
     :param registry: which run is where.
     :param pool: the connections that are kept.
     :param announce: tells the other instances at once what this one knows of its engines.
@@ -41,14 +41,14 @@
     def __init__(
         self,
         replicas: replicalist.ReplicaList,
-        desks: deskset.DeskSet,
+        schedulers: schedulerset.SchedulerSet,
         registry: runregistry.RunRegistry,
         pool: clientpool.ClientPool,
         announce: collections.abc.Callable[[], None],
         moves_runs: bool = True,
     ) -> None:
         self._replicas = replicas
-        self._desks = desks
+        self._schedulers = schedulers
         self._registry = registry
         self._pool = pool
         self._announce = announce
@@ -65,7 +65,7 @@
         if report is None:
             return
         if isinstance(report, reportpoller.Lost):
-            if self._desks.lost(replica.id):
+            if self._schedulers.lost(replica.id):
                 logs.state_changed("engine", "reached", "unreached", replica=replica.id)
                 self._announce()
             return
@@ -78,7 +78,9 @@
             used_tokens=report.used_tokens,
         )
         leaving = report.is_leaving or not self._replicas.is_usable(replica.id)
-        self._desks.change(replica.id, lambda desk, now: desk.reported(load, leaving, now))
+        self._schedulers.change(
+            replica.id, lambda scheduler, now: scheduler.reported(load, leaving, now)
+        )
         if report.is_leaving and replica.id not in self._leaving:
             self.leaves(replica.id, REPORT)
             self._announce()
@@ -95,7 +97,7 @@
         logs.state_changed(
             "engine", "serving", "leaving", replica=replica_id, source=source, count=runs
         )
-        self._desks.leave(replica_id)
+        self._schedulers.leave(replica_id)
         if self._moves_runs:
             self._registry.replica_leaves(replica_id)
 
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -20,19 +20,19 @@
     storewatch,
 )
 from hornbeamglade.exchange import messages
-from hornbeamglade.grants import deskset, grantseeker
+from hornbeamglade.grants import asyncgrantacquirer, schedulerset
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.membership import draining, introduction
 from hornbeamglade.membership import view as membershipview
-from hornbeamglade.node import digestbook
+from hornbeamglade.node import digestcache
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import enginecalls, requestdialect, tables
 from hornbeamglade.replicas import availability, replicalist, slowstart
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
-    enginebook,
+    enginecatalog,
     handover,
     leavingwork,
     plainexchange,
@@ -83,8 +83,8 @@
             told.region_by_failure_domain,
         )
         self._lengths = lengthmodel.LengthModel()
-        self._desks = deskset.DeskSet(clock, self._lengths, self._available)
-        digests = digestbook.DigestBook(clock)
+        self._schedulers = schedulerset.SchedulerSet(clock, self._lengths, self._available)
+        digests = digestcache.DigestCache(clock)
         self.following = following.Following(
             self._views,
             self._available,
@@ -112,7 +112,7 @@
             self.incarnation,
             partsettings.exchange_keys(told.store),
             clock,
-            self._desks,
+            self._schedulers,
             digests,
             self._owned_places,
             documents,
@@ -132,13 +132,13 @@
         engine_calls = enginecalls.EngineCalls(self._pool)
         self._registry = runregistry.RunRegistry()
         rates = partsettings.routing(told)
-        self.book = enginebook.EngineBook(
-            self._available, self._desks, digests, self.peering.owned, rates
+        self.catalog = enginecatalog.EngineCatalog(
+            self._available, self._schedulers, digests, self.peering.owned, rates
         )
-        self.peering.offer_others(self.book.owned_like)
-        self.seeker = grantseeker.GrantSeeker(
+        self.peering.offer_others(self.catalog.owned_like)
+        self.acquirer = asyncgrantacquirer.AsyncGrantAcquirer(
             clock,
-            self._desks,
+            self._schedulers,
             self.peering.grants,
             self.peering,
             rng,
@@ -146,9 +146,9 @@
         )
         moves = handover.HandoverParts(
             engine_calls,
-            self.seeker,
+            self.acquirer,
             self.peering.turns,
-            self.book,
+            self.catalog,
             clock,
             told.policy.arrivals_in_turn,
         )
@@ -156,8 +156,8 @@
         self._leaving_work = leavingwork.LeavingWork(pace, self._outlasts, self._are_others_ready)
         runs = streamrun.RunParts(
             self._sender,
-            self.seeker,
-            self.book,
+            self.acquirer,
+            self.catalog,
             moves,
             self._registry,
             self._budgets,
@@ -185,7 +185,7 @@
         )
         self._engine_watch = enginewatch.EngineWatch(
             self._replicas,
-            self._desks,
+            self._schedulers,
             self._registry,
             self._pool,
             self.peering.heartbeats.announce,
@@ -266,7 +266,7 @@
         routed.is_store_reached.set(float(self.following.is_reached()))
         routed.caller_connections.set(self._count_connections())
         routed.evacuated_domains.set(len(self._available.evacuations.domains))
-        self.instruments.streams_in_flight.set(self.seeker.active_count, ("all",))
+        self.instruments.streams_in_flight.set(self.acquirer.active_count, ("all",))
         view = self._views.routes
         for name in () if view is None else view.configuration.service_by_name:
             routed.usable_replicas.set(len(self._available.usable(name)), (name,))
@@ -294,14 +294,14 @@
     def tick_s(self) -> float:
         """Seconds until the next tick is due."""
         is_idle = self.peering.is_idle and not self.watch.is_telling and self._beginning.is_over
-        return IDLE_TICK_S if is_idle and not self._desks.is_waited_at else TICK_S
+        return IDLE_TICK_S if is_idle and not self._schedulers.is_waited_at else TICK_S
 
     def tick(self) -> None:
         """Do what is due; several times a second."""
         self._look_whether_begun()
         self.peering.tick()
         self.poller.tick()
-        self._desks.settle()
+        self._schedulers.settle()
         self.pass_on()
 
     def store_told(self, table: str, outcome: following.Told) -> None:
@@ -399,7 +399,7 @@
 
     def _evacuations_changed(self) -> None:
         # Those that wait for an evacuated engine are refused, and go to another at once.
-        self._desks.settle()
+        self._schedulers.settle()
         self._look_whether_begun()
         self.pass_on()
 
@@ -422,9 +422,9 @@
         engines = list(self._engines())
         self.peering.names.replicas.replace(engine.id for engine in engines)
         service_by_name = view.configuration.service_by_name
-        self._desks.configure(
+        self._schedulers.configure(
             {
-                engine.id: partsettings.desk(
+                engine.id: partsettings.scheduler(
                     service_by_name[engine.service].engine, self._told.policy
                 )
                 for engine in engines
@@ -439,4 +439,4 @@
         return self._lengths.table(service, team).at(tokens)
 
     def _learn(self, service: str, team: str, tokens: int, is_cut: bool) -> None:
-        self._desks.learn(service, team, tokens, censored=is_cut)
+        self._schedulers.learn(service, team, tokens, censored=is_cut)
--- a/hornbeamglade/entry/partsettings.py
+++ b/hornbeamglade/entry/partsettings.py
@@ -6,8 +6,8 @@
 from hornbeamglade.entry import policysettings, settings
 from hornbeamglade.exchange import codec
 from hornbeamglade.fairness import queuesettings
-from hornbeamglade.grants import deskset
-from hornbeamglade.node import digestbook
+from hornbeamglade.grants import schedulerset
+from hornbeamglade.node import digestcache
 from hornbeamglade.replicas import slowstart
 from hornbeamglade.routed import retrybudget
 from hornbeamglade.routes import models
@@ -18,7 +18,7 @@
     """Return what the choice of an engine goes by."""
     return candidates.RoutingSettings(
         failure_domain=told.failure_domain,
-        usable_s=digestbook.UNKNOWN_AGE_S,
+        usable_s=digestcache.UNKNOWN_AGE_S,
         expected_answer_tokens=told.policy.expected_answer_tokens,
         samples=told.policy.compared_engines,
         prefill_tokens_per_s=promptbacklog.PromptSettings().tokens_per_s,
@@ -36,9 +36,11 @@
     return slowstart.Bound(told.slow_start.overage, told.slow_start.tolerance)
 
 
-def desk(engine: models.EngineTraits, policy: policysettings.Policy) -> deskset.DeskSpec:
-    """Return what an engine's desk is made from."""
-    return deskset.DeskSpec(
+def scheduler(
+    engine: models.EngineTraits, policy: policysettings.Policy
+) -> schedulerset.SchedulerSpec:
+    """Return what an engine's scheduler is made from."""
+    return schedulerset.SchedulerSpec(
         memory_tokens=engine.memory_tokens,
         admission=replicaadmission.AdmissionSettings(
             horizons=policy.horizons,
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -14,10 +14,10 @@
     messages,
     transport,
 )
-from hornbeamglade.grants import deskset, grantfinder, remotedesk, turntaker
+from hornbeamglade.grants import grantacquirer, remotescheduler, schedulerset, turntaker
 from hornbeamglade.membership import heartbeats, membershiplog, ownership, rising
 from hornbeamglade.membership import view as membershipview
-from hornbeamglade.node import digestbook
+from hornbeamglade.node import digestcache
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 
@@ -46,14 +46,14 @@
         """Take an error that a message caused here."""
 
 
-class Peering(grantfinder.Owners):
+class Peering(grantacquirer.Owners):
     """One instance's side of the exchange; to be used on its event loop only.
 
     :param identity: this instance, as the others know it.
     :param incarnation: this run of it; grows with each start.
     :param keys: sign and check what is exchanged.
     :param clock: monotonic and wall time.
-    :param desks: this instance's desks.
+    :param schedulers: this instance's schedulers.
     :param digests: takes what owners say.
     :param engines: returns the engines of the platform's list.
     :param documents: what instances read from one another.
@@ -67,8 +67,8 @@
         incarnation: int,
         keys: codec.KeyRing,
         clock: clocks.Clock,
-        desks: deskset.DeskSet,
-        digests: digestbook.DigestBook,
+        schedulers: schedulerset.SchedulerSet,
+        digests: digestcache.DigestCache,
         engines: Engines,
         documents: sharing.SharedDocuments,
         evacuations: collections.abc.Callable[[], evacuationlib.Evacuations],
@@ -76,7 +76,7 @@
     ) -> None:
         self._identity = identity
         self._clock = clock
-        self._desks = desks
+        self._schedulers = schedulers
         self._digests = digests
         self._engines = engines
         self._documents = documents
@@ -86,10 +86,10 @@
         self.codec = codec.Codec(identity.name, incarnation, keys, clock)
         self.transport = asyncudp.AsyncUdpTransport(self.codec, self._handle, news.message_failed)
         self.grants = asyncasks.AsyncGrantClient(incarnation, self.transport, clock)
-        self.names = remotedesk.AskNames()
-        self._desk = remotedesk.RemoteDesk(desks, clock, self.names)
-        self._server = grantserver.GrantServer(self._desk, self.transport, clock)
-        self._desk.connect(self._server.push)
+        self.names = remotescheduler.AskNames()
+        self._scheduler = remotescheduler.RemoteScheduler(schedulers, clock, self.names)
+        self._server = grantserver.GrantServer(self._scheduler, self.transport, clock)
+        self._scheduler.connect(self._server.push)
         self.turns = turntaker.TurnTaker(identity.name, self, self.transport, clock)
         self.heartbeats = heartbeats.Heartbeats(
             identity,
@@ -104,9 +104,9 @@
         """Begin to receive."""
         await self.transport.listen(transport.Endpoint.parse(self._identity.exchange))
 
-    def offer_others(self, others: remotedesk.Others) -> None:
+    def offer_others(self, others: remotescheduler.Others) -> None:
         """Take what finds other engines for asks that leave the choice to this instance."""
-        self._desk.offer_others(others)
+        self._scheduler.offer_others(others)
 
     def owner(self, replica: str) -> transport.Peer | None:
         """Return the owner of a replica, or None when it is this instance."""
@@ -164,7 +164,7 @@
         moves = self._ownership.update(engines, nodes)
         if not moves:
             return
-        self._desks.own(self.owned())
+        self._schedulers.own(self.owned())
         for move in moves:
             peer = None if move.after is None else self.heartbeats.peer(move.after)
             if peer is not None and move.after != self._identity.name:
@@ -172,7 +172,7 @@
 
     def _digest(self) -> heartbeats.Digest:
         owned = self.owned()
-        states = self._desks.states()
+        states = self._schedulers.states()
         replicas = tuple(
             _replica_digest(state) for name, state in sorted(states.items()) if name in owned
         )
@@ -221,7 +221,7 @@
                 self._news.engine_leaves(name)
 
 
-def _replica_digest(state: deskset.DeskState) -> messages.ReplicaDigest:
+def _replica_digest(state: schedulerset.SchedulerState) -> messages.ReplicaDigest:
     return messages.ReplicaDigest(
         replica=messages.key_hash(state.replica),
         room_tokens=max(0, min(MOST_ROOM_TOKENS, int(state.room_tokens))),
--- a/hornbeamglade/exchange/grantserver.py
+++ b/hornbeamglade/exchange/grantserver.py
@@ -3,11 +3,11 @@
 Explanation
 ===========
 
-The desk decides; this module makes its decisions safe against a network that
+The scheduler decides; this module makes its decisions safe against a network that
 loses, doubles and reorders:
 
 - The answer to an ask is remembered, so a repeated ask gets the same answer and
-  the desk sees it once.
+  the scheduler sees it once.
 - An ask that was returned is remembered as such for :data:`REMEMBER_S`, so a delayed
   copy of it isn't granted to nobody. The codec lets no frame live longer than
   :data:`replay.MAX_FLIGHT_S <hornbeamglade.exchange.replay.MAX_FLIGHT_S>`, a third of that.
@@ -16,8 +16,8 @@
   a node's lapse at once by :meth:`GrantServer.holder_gone`.
 
 An owner that is new, or that let a grant lapse whose holder was merely cut off,
-hears of running requests that it did not admit; they are offered to the desk by
-:meth:`GrantDesk.adopt` so that it can count their memory.
+hears of running requests that it did not admit; they are offered to the scheduler by
+:meth:`GrantScheduler.adopt` so that it can count their memory.
 """
 
 import abc
@@ -51,7 +51,7 @@
     ask: int
 
 
-class GrantDesk(abc.ABC):
+class GrantScheduler(abc.ABC):
     """Decides on asks for the replicas that this node owns; thread-safe.
 
     Explanation
@@ -79,7 +79,7 @@
 
     @abc.abstractmethod
     def adopt(self, key: GrantKey, progress: messages.GrantProgress) -> None:
-        """Count a running request that this desk did not admit."""
+        """Count a running request that this scheduler did not admit."""
 
 
 class _Phase(enum.Enum):
@@ -99,17 +99,19 @@
 
 
 class GrantServer:
-    """Dispatches asks and progress to a desk; safe to use from several threads.
+    """Dispatches asks and progress to a scheduler; safe to use from several threads.
 
     Explanation
     ===========
 
-    Its lock guards the records only and is never held while the desk or the
+    Its lock guards the records only and is never held while the scheduler or the
     transport is called, so no order of locks between them can deadlock.
     """
 
-    def __init__(self, desk: GrantDesk, sender: transport.Transport, clock: clocks.Clock) -> None:
-        self._desk = desk
+    def __init__(
+        self, scheduler: GrantScheduler, sender: transport.Transport, clock: clocks.Clock
+    ) -> None:
+        self._scheduler = scheduler
         self._transport = sender
         self._clock = clock
         self._lock = threading.Lock()
@@ -156,7 +158,7 @@
         """Send the answer that a queued ask was waiting for.
 
         :returns: False when the ask has ended meanwhile; then nothing is sent and
-            the desk has been, or is about to be, told so.
+            the scheduler has been, or is about to be, told so.
         """
         with self._lock:
             record = self._record_by_key.get(key)
@@ -190,19 +192,19 @@
                 del self._incarnation_by_holder[holder]
 
     def _decide(self, key: GrantKey, ask: messages.GrantAsk) -> messages.GrantAnswer:
-        answer = self._desk.ask(key, ask)
+        answer = self._scheduler.ask(key, ask)
         with self._lock:
             record = self._record_by_key[key]
             if record.phase is _Phase.ASKING:
-                # A push that came while the desk was returning is newer than "queued".
+                # A push that came while the scheduler was returning is newer than "queued".
                 record.answer = record.answer or answer
                 refused = _is_refused(record.answer)
                 record.phase = _Phase.REFUSED if refused else _Phase.OPEN
                 return record.answer
             if record.phase is _Phase.REFUSED:
                 return record.answer
-        # The ask was returned while the desk decided: free what it just gave.
-        self._desk.returned(key, 0)
+        # The ask was returned while the scheduler decided: free what it just gave.
+        self._scheduler.returned(key, 0)
         return _refusal(ask.ask, RETURNED)
 
     def _returned(self, key: GrantKey, peer: transport.Peer, grant: messages.GrantReturn) -> None:
@@ -218,7 +220,7 @@
                 record.phase = _Phase.RETURNED
                 record.heard_at = self._clock.now()
         if was_open:
-            self._desk.returned(key, grant.produced)
+            self._scheduler.returned(key, grant.produced)
 
     def _advanced(
         self, key: GrantKey, peer: transport.Peer, grant: messages.GrantProgress
@@ -235,9 +237,9 @@
             else:
                 return
         if known:
-            self._desk.progress(key, grant.produced)
+            self._scheduler.progress(key, grant.produced)
         else:
-            self._desk.adopt(key, grant)
+            self._scheduler.adopt(key, grant)
 
     def _lapse_former_runs(self, origin: codec.Sender) -> None:
         with self._lock:
@@ -262,7 +264,7 @@
                 record.phase = _Phase.LAPSED
                 record.heard_at = self._clock.now()
         for key in lapsed:
-            self._desk.lapse(key)
+            self._scheduler.lapse(key)
 
     def _reply(self, key: GrantKey, peer: transport.Peer, answer: messages.GrantAnswer) -> None:
         addressed = dataclasses.replace(answer, ask=key.ask, incarnation=key.incarnation)
--- a/hornbeamglade/grants/grantseeker.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -3,8 +3,8 @@
 Explanation
 ===========
 
-The counterpart of :mod:`hornbeamglade.grants.grantfinder` for the routed path; the order
-of replicas, the desks and what is asked are the same. Here a wait costs no thread, so a
+The counterpart of :mod:`hornbeamglade.grants.grantacquirer` for the routed path; the order
+of replicas, the schedulers and what is asked are the same. Here a wait costs no thread, so a
 request asks every replica that seems to have room before it queues anywhere.
 
 A remote owner is left the choice among all its replicas that will do: it knows them as
@@ -27,11 +27,11 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import asks, asyncasks, messages
 from hornbeamglade.grants import (
-    deskset,
+    grantacquirer,
     grantanswers,
-    grantfinder,
     ownerbackoff,
-    replicadesk,
+    replicascheduler,
+    schedulerset,
 )
 from hornbeamglade.observability import logs
 from hornbeamglade.routing import candidates, placements
@@ -74,14 +74,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Wish:
+class PlacementRequest:
     """A request that looks for a replica.
 
     :param work: what is known of the request.
     :param weight: the team's share.
     :param deadline: monotonic seconds at which its wait ends.
     :param known: returns the replicas that may serve it, as this node knows them now.
-    :param attempt: distinguishes several tries of one request at the same desk.
+    :param attempt: distinguishes several tries of one request at the same scheduler.
     :param produced: tokens that its run has, when it goes on from another replica.
     :param avoid: replicas that will not do.
     :param due: monotonic seconds at which it must start to be on time.
@@ -104,11 +104,11 @@
         return f"{self.work.request_id}.{self.attempt}"
 
 
-class GrantSeeker:
+class AsyncGrantAcquirer:
     """The asking side of grants, of one node's event loop.
 
     :param clock: monotonic time.
-    :param desks: this node's own desks.
+    :param schedulers: this node's own schedulers.
     :param client: asks other owners.
     :param owners: who owns which replica.
     :param rng: breaks ties between replicas.
@@ -118,14 +118,14 @@
     def __init__(
         self,
         clock: clocks.Clock,
-        desks: deskset.DeskSet,
+        schedulers: schedulerset.SchedulerSet,
         client: asyncasks.AsyncGrantClient,
-        owners: grantfinder.Owners,
+        owners: grantacquirer.Owners,
         rng: random.Random,
         settings: candidates.RoutingSettings,
     ) -> None:
         self._clock = clock
-        self._desks = desks
+        self._schedulers = schedulers
         self._client = client
         self._owners = owners
         self._rng = rng
@@ -133,43 +133,43 @@
         self._placements = placements.Placements(settings)
         self._backoff = ownerbackoff.OwnerBackoff(clock)
         self._active: set[str] = set()
-        self._lookers: collections.deque[Wish] = collections.deque()
+        self._lookers: collections.deque[PlacementRequest] = collections.deque()
         self._look_at = clock.now()
 
-    async def find(self, wish: Wish) -> Grant | outcomes.Refusal:
+    async def find(self, placement: PlacementRequest) -> Grant | outcomes.Refusal:
         """Get a grant, or the refusal that the caller is to hear at once.
 
         Cancelling gives up whatever was asked for.
         """
         refused: list[outcomes.Refusal] = []
-        grant = await self.find_room(wish, refused)
+        grant = await self.find_room(placement, refused)
         if grant is not None:
             return grant
-        for replica in self._one_each(self._ordered(wish), wish):
-            answer = await self._queue_at(wish, replica)
+        for replica in self._one_each(self._ordered(placement), placement):
+            answer = await self._queue_at(placement, replica)
             if isinstance(answer, Grant):
                 return answer
             refused.append(answer)
-            if self._clock.now() >= wish.deadline:
+            if self._clock.now() >= placement.deadline:
                 break
         if grantanswers.is_unowned(refused):
-            return self._without_grant(wish) or grantanswers.soonest(refused)
+            return self._without_grant(placement) or grantanswers.soonest(refused)
         return grantanswers.soonest(refused)
 
     async def find_room(
-        self, wish: Wish, refused: list[outcomes.Refusal] | None = None
+        self, placement: PlacementRequest, refused: list[outcomes.Refusal] | None = None
     ) -> Grant | None:
         """Ask replicas that seem to have room for a grant at once.
 
         :param refused: takes the refusals.
         """
-        needed = candidates.needed_tokens(wish.work, self._settings) + wish.produced
+        needed = candidates.needed_tokens(placement.work, self._settings) + placement.produced
         asked_count = 0
-        for replica in self._worth_asking(wish, needed):
+        for replica in self._worth_asking(placement, needed):
             owner = self._owners.owner(replica)
             if owner is not None and not self._backoff.may_ask(owner.name, needed):
                 continue
-            answer = await self._ask(wish, replica, 0.0)
+            answer = await self._ask(placement, replica, 0.0)
             if isinstance(answer, Grant):
                 return answer
             if owner is not None and answer.code == grantanswers.NO_ROOM_NOW:
@@ -181,15 +181,15 @@
                 break
         return None
 
-    async def find_near(self, wish: Wish, failure_domain: str) -> Grant | None:
+    async def find_near(self, placement: PlacementRequest, failure_domain: str) -> Grant | None:
         """Ask replicas with room for a run that goes on there, the nearest first.
 
         :param failure_domain: where the run's memory is; a copy to another one takes
             twice as long.
         """
-        needed = wish.work.prompt_tokens + wish.produced
+        needed = placement.work.prompt_tokens + placement.produced
         choices = sorted(
-            (each.candidate for each in self._choices(wish)),
+            (each.candidate for each in self._choices(placement)),
             key=lambda each: (
                 each.room_tokens < needed,
                 each.failure_domain != failure_domain,
@@ -197,8 +197,8 @@
             ),
         )
         nearest = [each.replica for each in choices]
-        for replica in self._one_each(nearest, wish)[:OWNERS_ASKED]:
-            answer = await self._ask(wish, replica, 0.0)
+        for replica in self._one_each(nearest, placement)[:OWNERS_ASKED]:
+            answer = await self._ask(placement, replica, 0.0)
             if isinstance(answer, Grant):
                 return answer
         return None
@@ -209,7 +209,7 @@
         if not grant.is_bound:
             return
         if grant.number is None:
-            self._desks.progress(grant.replica, grant.grant_id, produced)
+            self._schedulers.progress(grant.replica, grant.grant_id, produced)
         else:
             self._client.note(grant.number, produced)
 
@@ -219,7 +219,7 @@
             return
         self._active.discard(grant.grant_id)
         if grant.number is None:
-            self._desks.finish(grant.replica, grant.grant_id)
+            self._schedulers.finish(grant.replica, grant.grant_id)
         else:
             self._client.close(grant.number)
 
@@ -228,27 +228,29 @@
         """How many grants this node holds."""
         return len(self._active)
 
-    def _ordered(self, wish: Wish) -> list[str]:
-        choices = self._choices(wish)
+    def _ordered(self, placement: PlacementRequest) -> list[str]:
+        choices = self._choices(placement)
         return [each.candidate.replica for each in choices]
 
-    def _worth_asking(self, wish: Wish, needed: int) -> list[str]:
+    def _worth_asking(self, placement: PlacementRequest, needed: int) -> list[str]:
         """Return replicas that may have room, best first, one of each remote owner."""
-        crowded = {each.replica for each in wish.known() if each.queued}
+        crowded = {each.replica for each in placement.known() if each.queued}
         worth_asking = (
             each.candidate.replica
-            for each in self._choices(wish)
+            for each in self._choices(placement)
             if each.candidate.report_age_s > TRUSTED_S
             or (each.candidate.room_tokens >= needed and each.candidate.replica not in crowded)
         )
-        return self._one_each(worth_asking, wish)
+        return self._one_each(worth_asking, placement)
 
-    def _one_each(self, replicas: collections.abc.Iterable[str], wish: Wish) -> list[str]:
+    def _one_each(
+        self, replicas: collections.abc.Iterable[str], placement: PlacementRequest
+    ) -> list[str]:
         """Return replicas in order, the first of each remote owner and all of this node.
 
         All of them where an owner is not left the choice among its own.
         """
-        if wish.is_bound:
+        if placement.is_bound:
             return list(replicas)
         chosen = []
         owners = set()
@@ -260,107 +262,121 @@
                 owners.add(owner.name)
         return chosen
 
-    def _choices(self, wish: Wish) -> tuple[choicelib.Choice, ...]:
-        current = self._placements.applied(wish.known(), self._clock.now())
-        return choicelib.order(wish.work, current, self._rng, self._settings)
+    def _choices(self, placement: PlacementRequest) -> tuple[choicelib.Choice, ...]:
+        current = self._placements.applied(placement.known(), self._clock.now())
+        return choicelib.order(placement.work, current, self._rng, self._settings)
 
-    async def _queue_at(self, wish: Wish, replica: str) -> Grant | outcomes.Refusal:
+    async def _queue_at(
+        self, placement: PlacementRequest, replica: str
+    ) -> Grant | outcomes.Refusal:
         """Wait in one replica's queue, and go elsewhere when there is room first."""
-        here = asyncio.ensure_future(self._ask(wish, replica, wish.deadline - self._clock.now()))
+        here = asyncio.ensure_future(
+            self._ask(placement, replica, placement.deadline - self._clock.now())
+        )
         elsewhere: Grant | None = None
-        self._lookers.append(wish)
+        self._lookers.append(placement)
         try:
             while not here.done() and elsewhere is None:
                 await asyncio.wait((here,), timeout=LOOK_AGAIN_S)
-                if not here.done() and self._take_turn_to_look(wish):
-                    elsewhere = await self.find_room(wish)
+                if not here.done() and self._take_turn_to_look(placement):
+                    elsewhere = await self.find_room(placement)
             if here.done() and isinstance(here.result(), Grant):
                 if elsewhere is not None:
                     self.release(elsewhere)
                 return here.result()
             return elsewhere or here.result()
         finally:
-            self._lookers.remove(wish)
+            self._lookers.remove(placement)
             if not here.done():
                 here.cancel()
 
-    def _take_turn_to_look(self, wish: Wish) -> bool:
+    def _take_turn_to_look(self, placement: PlacementRequest) -> bool:
         """Tell whether it is the turn of a waiting request to look for room elsewhere."""
         now = self._clock.now()
-        if self._lookers[0] is not wish or now < self._look_at:
+        if self._lookers[0] is not placement or now < self._look_at:
             return False
         self._look_at = now + LOOK_AGAIN_S
         self._lookers.rotate(-1)
         return True
 
-    async def _ask(self, wish: Wish, replica: str, wait_s: float) -> Grant | outcomes.Refusal:
+    async def _ask(
+        self, placement: PlacementRequest, replica: str, wait_s: float
+    ) -> Grant | outcomes.Refusal:
         """Ask the owner of one replica.
 
         :param wait_s: seconds that the request may queue there; 0 asks for a grant at once.
         """
         owner = self._owners.owner(replica)
         if owner is None:
-            answer = await self._ask_here(wish, replica, wait_s)
+            answer = await self._ask_here(placement, replica, wait_s)
         else:
             message = grantanswers.message(
-                wish.work,
+                placement.work,
                 replica,
-                wish.weight,
+                placement.weight,
                 max(wait_s, AT_ONCE_S),
-                wish.produced,
-                wish.avoid,
-                wish.due - self._clock.now(),
-                or_other=not wish.is_bound,
+                placement.produced,
+                placement.avoid,
+                placement.due - self._clock.now(),
+                or_other=not placement.is_bound,
                 at_once=wait_s <= 0.0,
             )
-            answer = await self._ask_there(wish, replica, owner.name, message)
-        self._log(wish, replica, wait_s, answer)
+            answer = await self._ask_there(placement, replica, owner.name, message)
+        self._log(placement, replica, wait_s, answer)
         if isinstance(answer, Grant):
             if owner is not None:
                 self._backoff.granted(owner.name)
             self._active.add(answer.grant_id)
-            tokens = candidates.needed_tokens(wish.work, self._settings)
+            tokens = candidates.needed_tokens(placement.work, self._settings)
             self._placements.placed(answer.replica, tokens, self._clock.now())
         return answer
 
     def _log(
-        self, wish: Wish, replica: str, wait_s: float, answer: Grant | outcomes.Refusal
+        self,
+        placement: PlacementRequest,
+        replica: str,
+        wait_s: float,
+        answer: Grant | outcomes.Refusal,
     ) -> None:
-        known = next((each for each in wish.known() if each.replica == replica), None)
+        known = next((each for each in placement.known() if each.replica == replica), None)
         logs.decided(
-            wish.work.request_id,
+            placement.work.request_id,
             "placed",
             "granted" if isinstance(answer, Grant) else answer.code,
-            service=wish.work.service,
+            service=placement.work.service,
             replica=answer.replica if isinstance(answer, Grant) else replica,
             owner="-" if known is None else known.owner or "self",
             room=0 if known is None else known.room_tokens,
             queued=0 if known is None else known.queued,
             expected_wait_s=None if known is None else round(known.expected_wait_s, 3),
             age_s=None if known is None else round(known.report_age_s, 3),
-            tokens=wish.work.prompt_tokens,
-            produced=wish.produced,
+            tokens=placement.work.prompt_tokens,
+            produced=placement.produced,
             wait_s=round(wait_s, 3),
         )
 
-    async def _ask_here(self, wish: Wish, replica: str, wait_s: float) -> Grant | outcomes.Refusal:
-        work = dataclasses.replace(wish.work, request_id=f"{wish.grant_id}@{replica}")
+    async def _ask_here(
+        self, placement: PlacementRequest, replica: str, wait_s: float
+    ) -> Grant | outcomes.Refusal:
+        work = dataclasses.replace(placement.work, request_id=f"{placement.grant_id}@{replica}")
         grant = Grant(replica, work.request_id)
-        if wish.produced:
-            answer = self._desks.take_in(replica, work, wish.produced)
-            return grant if isinstance(answer, replicadesk.Granted) else answer
+        if placement.produced:
+            answer = self._schedulers.take_in(replica, work, placement.produced)
+            return grant if isinstance(answer, replicascheduler.Granted) else answer
         if wait_s <= 0.0:
-            if self._desks.ask_at_once(replica, work, wish.due) is not None:
+            if self._schedulers.ask_at_once(replica, work, placement.due) is not None:
                 return grant
-            if not self._desks.admits_to(replica):
-                return replicadesk.owner_moved(replica)
+            if not self._schedulers.admits_to(replica):
+                return replicascheduler.owner_moved(replica)
             return grantanswers.no_room_now(replica)
-        settled: asyncio.Future[replicadesk.Settled] = asyncio.get_running_loop().create_future()
+        settled: asyncio.Future[replicascheduler.Settled] = (
+            asyncio.get_running_loop().create_future()
+        )
         deadline = self._clock.now() + wait_s
-        answer = self._desks.ask(
-            replica, work, wish.weight, deadline, settled.set_result, wish.due
+        answer = self._schedulers.ask(
+            replica, work, placement.weight, deadline, settled.set_result, placement.due
         )
-        if isinstance(answer, replicadesk.Granted):
+        if isinstance(answer, replicascheduler.Granted):
             return grant
         if isinstance(answer, outcomes.Refusal):
             return answer
@@ -370,39 +386,41 @@
         except TimeoutError:
             later = grantanswers.gave_up(replica)
         except asyncio.CancelledError:
-            self._desks.finish(replica, work.request_id)
+            self._schedulers.finish(replica, work.request_id)
             raise
-        if isinstance(later, replicadesk.Granted):
+        if isinstance(later, replicascheduler.Granted):
             return grant
-        self._desks.finish(replica, work.request_id)
+        self._schedulers.finish(replica, work.request_id)
         return later
 
     async def _ask_there(
-        self, wish: Wish, replica: str, owner: str, message: messages.GrantAsk
+        self, placement: PlacementRequest, replica: str, owner: str, message: messages.GrantAsk
     ) -> Grant | outcomes.Refusal:
         peer = self._owners.owner(replica)
         if peer is None:
-            return await self._ask_here(wish, replica, message.deadline_ms / 1000)
+            return await self._ask_here(placement, replica, message.deadline_ms / 1000)
         answer = await self._client.ask(peer, message)
         if isinstance(answer, messages.GrantAnswer):
             if answer.kind is messages.GrantKind.GRANTED:
-                return self._granted_there(wish, answer)
+                return self._granted_there(placement, answer)
             return grantanswers.refused_there(replica, answer)
         if isinstance(answer, asks.NoAnswer):
             self._owners.unanswered(owner)
             return grantanswers.no_answer(replica, owner)
         return grantanswers.gave_up(replica)
 
-    def _granted_there(self, wish: Wish, answer: messages.GrantAnswer) -> Grant | outcomes.Refusal:
-        for each in wish.known():
+    def _granted_there(
+        self, placement: PlacementRequest, answer: messages.GrantAnswer
+    ) -> Grant | outcomes.Refusal:
+        for each in placement.known():
             if messages.key_hash(each.replica) == answer.replica:
-                return Grant(each.replica, f"{wish.grant_id}@{each.replica}", answer.ask)
+                return Grant(each.replica, f"{placement.grant_id}@{each.replica}", answer.ask)
         # An engine that this node has not heard of yet, or that has refused the request.
         self._client.close(answer.ask)
         return grantanswers.unfit(answer.replica)
 
-    def _without_grant(self, wish: Wish) -> Grant | None:
-        ordered = self._ordered(wish)
+    def _without_grant(self, placement: PlacementRequest) -> Grant | None:
+        ordered = self._ordered(placement)
         if not ordered:
             return None
-        return Grant(ordered[0], f"{wish.grant_id}@{ordered[0]}", is_bound=False)
+        return Grant(ordered[0], f"{placement.grant_id}@{ordered[0]}", is_bound=False)
--- a/hornbeamglade/grants/grantfinder.py
+++ b/hornbeamglade/grants/grantacquirer.py
@@ -24,7 +24,7 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import asks, grantclient, messages, transport
-from hornbeamglade.grants import deskset, grantanswers, replicadesk
+from hornbeamglade.grants import grantanswers, replicascheduler, schedulerset
 from hornbeamglade.routing import candidates, placements
 from hornbeamglade.routing import choice as choicelib
 
@@ -65,7 +65,7 @@
     __slots__ = ("_finder", "_number", "produced", "replica", "request_id")
 
     def __init__(
-        self, replica: str, request_id: str, finder: "GrantFinder", number: int | None
+        self, replica: str, request_id: str, finder: "GrantAcquirer", number: int | None
     ) -> None:
         self.replica = replica
         self.request_id = request_id
@@ -85,25 +85,25 @@
 
 @dataclasses.dataclass(slots=True)
 class _Wait:
-    """A request that waits for the answer of a local desk."""
+    """A request that waits for the answer of a local scheduler."""
 
     answered: threading.Event = dataclasses.field(default_factory=threading.Event)
-    answer: replicadesk.Granted | outcomes.Refusal | None = None
+    answer: replicascheduler.Granted | outcomes.Refusal | None = None
 
-    def notify(self, settled: replicadesk.Settled) -> None:
+    def notify(self, settled: replicascheduler.Settled) -> None:
         self.answer = settled.answer
         self.answered.set()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Wish:
+class PlacementRequest:
     """A request that looks for a replica.
 
     :param work: what is known of the request.
     :param weight: the team's share.
     :param deadline: monotonic seconds at which its wait ends.
     :param is_gone: whether its caller has left.
-    :param attempt: distinguishes several tries of one request at the same desk.
+    :param attempt: distinguishes several tries of one request at the same scheduler.
     """
 
     work: outcomes.Work
@@ -128,10 +128,14 @@
     """
 
     def __init__(
-        self, finder: "GrantFinder", wish: Wish, waits_at: str, known: Known | None
+        self,
+        finder: "GrantAcquirer",
+        placement: PlacementRequest,
+        waits_at: str,
+        known: Known | None,
     ) -> None:
         self._finder = finder
-        self._wish = wish
+        self._placement = placement
         self._waits_at = waits_at
         self._known = known
         self._asked = False
@@ -139,20 +143,20 @@
 
     def waits_on(self) -> bool:
         """Look once; tell whether the request still waits where it stands."""
-        if self._wish.is_gone():
+        if self._placement.is_gone():
             return False
         # The first look comes before the owner has answered at all.
         if self._known is not None and self._asked and self.grant is None:
-            self.grant = self._finder.find_room(self._wish, self._known, self._waits_at)
+            self.grant = self._finder.find_room(self._placement, self._known, self._waits_at)
         self._asked = True
         return self.grant is None
 
 
-class GrantFinder:
+class GrantAcquirer:
     """The asking side of grants, of one node.
 
     :param clock: monotonic time.
-    :param desks: this node's own desks.
+    :param schedulers: this node's own schedulers.
     :param client: asks other owners.
     :param owners: who owns which replica.
     :param rng: breaks ties between replicas.
@@ -162,14 +166,14 @@
     def __init__(
         self,
         clock: clocks.Clock,
-        desks: deskset.DeskSet,
+        schedulers: schedulerset.SchedulerSet,
         client: grantclient.GrantClient,
         owners: Owners,
         rng: random.Random,
         settings: candidates.RoutingSettings,
     ) -> None:
         self._clock = clock
-        self._desks = desks
+        self._schedulers = schedulers
         self._client = client
         self._owners = owners
         self._rng = rng
@@ -178,16 +182,16 @@
         self._lock = threading.Lock()
         self._active_by_id: dict[str, Grant] = {}
 
-    def find(self, wish: Wish, known: Known) -> Grant | outcomes.Refusal:
+    def find(self, placement: PlacementRequest, known: Known) -> Grant | outcomes.Refusal:
         """Get a grant, or the refusal that the caller is to hear at once.
 
-        :param wish: who asks.
+        :param placement: who asks.
         :param known: returns the replicas that may serve it, as this node knows them.
         """
         begun_at = self._clock.now()
         while True:
             refused: list[outcomes.Refusal] = []
-            grant = self._find_once(wish, known, refused)
+            grant = self._find_once(placement, known, refused)
             if grant is not None:
                 return grant
             answer = grantanswers.soonest(refused)
@@ -195,58 +199,60 @@
                 return answer
             now = self._clock.now()
             if grantanswers.is_unowned(refused) and now - begun_at >= UNOWNED_S:
-                return self._without_grant(wish, known) or answer
+                return self._without_grant(placement, known) or answer
             # An owner that has just died or changed is replaced within seconds; the
             # caller's wait is not over, so the request stays instead of being sent away.
-            if wish.is_gone() or now + SILENT_PAUSE_S >= wish.deadline:
+            if placement.is_gone() or now + SILENT_PAUSE_S >= placement.deadline:
                 return answer
             self._clock.sleep(SILENT_PAUSE_S)
 
-    def _without_grant(self, wish: Wish, known: Known) -> Grant | None:
-        ordered = self._ordered(wish.work, known)
+    def _without_grant(self, placement: PlacementRequest, known: Known) -> Grant | None:
+        ordered = self._ordered(placement.work, known)
         if not ordered:
             return None
-        return self._activate(Grant(ordered[0].candidate.replica, wish.grant_id, self, None))
+        return self._activate(Grant(ordered[0].candidate.replica, placement.grant_id, self, None))
 
     def _find_once(
-        self, wish: Wish, known: Known, refused: list[outcomes.Refusal]
+        self, placement: PlacementRequest, known: Known, refused: list[outcomes.Refusal]
     ) -> Grant | None:
         """Ask every replica once.
 
         :param refused: takes the refusals.
         """
-        grant = self.find_room(wish, known, None)
+        grant = self.find_room(placement, known, None)
         if grant is not None:
             return grant
-        for choice in self._ordered(wish.work, known):
-            answer = self._ask(wish, choice.candidate.replica, known)
+        for choice in self._ordered(placement.work, known):
+            answer = self._ask(placement, choice.candidate.replica, known)
             if isinstance(answer, Grant):
-                self._note_placed(answer, wish.work)
+                self._note_placed(answer, placement.work)
                 return answer
             refused.append(answer)
-            if wish.is_gone() or self._clock.now() >= wish.deadline:
+            if placement.is_gone() or self._clock.now() >= placement.deadline:
                 break
         return None
 
-    def find_room(self, wish: Wish, known: Known, waits_at: str | None) -> Grant | None:
+    def find_room(
+        self, placement: PlacementRequest, known: Known, waits_at: str | None
+    ) -> Grant | None:
         """Ask replicas that seem to have room for a grant at once.
 
         :param waits_at: the replica in whose queue the request stands, if any.
         """
-        needed = candidates.needed_tokens(wish.work, self._settings)
+        needed = candidates.needed_tokens(placement.work, self._settings)
         roomy = [
             each.candidate.replica
-            for each in self._ordered(wish.work, known)
+            for each in self._ordered(placement.work, known)
             if each.candidate.room_tokens >= needed and not each.candidate.queued
         ]
         now = self._clock.now()
-        brief = dataclasses.replace(wish, deadline=min(wish.deadline, now + AT_ONCE_S))
+        brief = dataclasses.replace(placement, deadline=min(placement.deadline, now + AT_ONCE_S))
         for replica in roomy[:ROOMY_ASKS]:
             if replica == waits_at:
                 continue
             answer = self._ask(brief, replica, None)
             if isinstance(answer, Grant):
-                self._note_placed(answer, wish.work)
+                self._note_placed(answer, placement.work)
                 return answer
         return None
 
@@ -260,8 +266,8 @@
             if self._active_by_id.pop(grant.request_id, None) is None:
                 return
         if grant.number is None:
-            self._desks.progress(grant.replica, grant.request_id, grant.produced)
-            self._desks.finish(grant.replica, grant.request_id)
+            self._schedulers.progress(grant.replica, grant.request_id, grant.produced)
+            self._schedulers.finish(grant.replica, grant.request_id)
         else:
             self._client.note(grant.number, grant.produced)
             self._client.close(grant.number)
@@ -272,7 +278,7 @@
             active = tuple(self._active_by_id.values())
         for grant in active:
             if grant.number is None:
-                self._desks.progress(grant.replica, grant.request_id, grant.produced)
+                self._schedulers.progress(grant.replica, grant.request_id, grant.produced)
             else:
                 self._client.note(grant.number, grant.produced)
 
@@ -287,7 +293,9 @@
             current = self._placements.applied(present, self._clock.now())
             return choicelib.order(work, current, self._rng, self._settings)
 
-    def _ask(self, wish: Wish, replica: str, known: Known | None) -> Grant | outcomes.Refusal:
+    def _ask(
+        self, placement: PlacementRequest, replica: str, known: Known | None
+    ) -> Grant | outcomes.Refusal:
         """Ask the owner of one replica.
 
         :param known: what to look for room in while the request waits; None asks for
@@ -295,46 +303,48 @@
         """
         owner = self._owners.owner(replica)
         if owner is None:
-            return self._ask_here(wish, replica, known)
-        return self._ask_there(wish, replica, owner, known)
+            return self._ask_here(placement, replica, known)
+        return self._ask_there(placement, replica, owner, known)
 
-    def _ask_here(self, wish: Wish, replica: str, known: Known | None) -> Grant | outcomes.Refusal:
-        work = dataclasses.replace(wish.work, request_id=wish.grant_id)
+    def _ask_here(
+        self, placement: PlacementRequest, replica: str, known: Known | None
+    ) -> Grant | outcomes.Refusal:
+        work = dataclasses.replace(placement.work, request_id=placement.grant_id)
         wait = _Wait()
-        deadline = self._clock.now() if known is None else wish.deadline
-        answer = self._desks.ask(replica, work, wish.weight, deadline, wait.notify)
-        elsewhere = _Elsewhere(self, wish, replica, known)
-        if isinstance(answer, replicadesk.Waiting):
+        deadline = self._clock.now() if known is None else placement.deadline
+        answer = self._schedulers.ask(replica, work, placement.weight, deadline, wait.notify)
+        elsewhere = _Elsewhere(self, placement, replica, known)
+        if isinstance(answer, replicascheduler.Waiting):
             try:
-                answer = self._await_desk(wish, wait, elsewhere)
+                answer = self._await_scheduler(placement, wait, elsewhere)
             except BaseException:
                 # Its place in the queue would be granted later and never given back.
-                self._desks.finish(replica, wish.grant_id)
+                self._schedulers.finish(replica, placement.grant_id)
                 raise
         if elsewhere.grant is not None:
-            self._desks.finish(replica, wish.grant_id)
+            self._schedulers.finish(replica, placement.grant_id)
             return elsewhere.grant
-        if isinstance(answer, replicadesk.Granted):
-            return self._activate(Grant(replica, wish.grant_id, self, None))
+        if isinstance(answer, replicascheduler.Granted):
+            return self._activate(Grant(replica, placement.grant_id, self, None))
         if answer is not None:
             return answer
-        self._desks.finish(replica, wish.grant_id)
+        self._schedulers.finish(replica, placement.grant_id)
         return grantanswers.gave_up(replica)
 
-    def _await_desk(
-        self, wish: Wish, wait: _Wait, elsewhere: _Elsewhere
-    ) -> replicadesk.Granted | outcomes.Refusal | None:
+    def _await_scheduler(
+        self, placement: PlacementRequest, wait: _Wait, elsewhere: _Elsewhere
+    ) -> replicascheduler.Granted | outcomes.Refusal | None:
         while not wait.answered.wait(LINK_CHECK_S):
-            if not elsewhere.waits_on() or self._clock.now() >= wish.deadline:
+            if not elsewhere.waits_on() or self._clock.now() >= placement.deadline:
                 return None
         return wait.answer
 
     def _ask_there(
-        self, wish: Wish, replica: str, owner: transport.Peer, known: Known | None
+        self, placement: PlacementRequest, replica: str, owner: transport.Peer, known: Known | None
     ) -> Grant | outcomes.Refusal:
-        elsewhere = _Elsewhere(self, wish, replica, known)
-        wait_s = wish.deadline - self._clock.now()
-        message = grantanswers.message(wish.work, replica, wish.weight, wait_s)
+        elsewhere = _Elsewhere(self, placement, replica, known)
+        wait_s = placement.deadline - self._clock.now()
+        message = grantanswers.message(placement.work, replica, placement.weight, wait_s)
         answer = self._client.ask(owner, message, elsewhere.waits_on)
         if elsewhere.grant is not None:
             if isinstance(answer, messages.GrantAnswer):
@@ -342,7 +352,7 @@
             return elsewhere.grant
         if isinstance(answer, messages.GrantAnswer):
             if answer.kind is messages.GrantKind.GRANTED:
-                return self._activate(Grant(replica, wish.grant_id, self, answer.ask))
+                return self._activate(Grant(replica, placement.grant_id, self, answer.ask))
             return grantanswers.refused_there(replica, answer)
         if isinstance(answer, asks.NoAnswer):
             self._owners.unanswered(owner.name)
--- a/hornbeamglade/grants/grantanswers.py
+++ b/hornbeamglade/grants/grantanswers.py
@@ -6,7 +6,7 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.exchange import messages
-from hornbeamglade.grants import replicadesk
+from hornbeamglade.grants import replicascheduler
 
 NO_REPLICA_RETRY_S = 2.0
 OWNER_SILENT = "owner_silent"
@@ -14,7 +14,7 @@
 TEAM_CODES = frozenset(("team_queue_full",))
 """Refusals that are a team's own doing; they bear the same status at every owner."""
 
-UNOWNED_CODES = frozenset((OWNER_SILENT, replicadesk.OWNER_MOVED))
+UNOWNED_CODES = frozenset((OWNER_SILENT, replicascheduler.OWNER_MOVED))
 """Refusals that say nothing of the replica: nobody admits to it just now. Its owner was
 killed or cut off, and the nodes agree on another one some three seconds later."""
 
--- a/hornbeamglade/grants/remotedesk.py
+++ b/hornbeamglade/grants/remotescheduler.py
@@ -1,4 +1,4 @@
-"""The owner's answer to asks of other nodes: its own desks behind the exchange."""
+"""The owner's answer to asks of other nodes: its own schedulers behind the exchange."""
 
 import collections.abc
 import dataclasses
@@ -7,7 +7,7 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import grantserver, hashednames, messages
-from hornbeamglade.grants import deskset, grantanswers, replicadesk
+from hornbeamglade.grants import grantanswers, replicascheduler, schedulerset
 
 MILLISECONDS = 1000
 NAMES_UNKNOWN = "names_unknown"
@@ -46,16 +46,18 @@
     work: outcomes.Work
 
 
-class RemoteDesk(grantserver.GrantDesk):
-    """Let other nodes ask at this node's desks.
+class RemoteScheduler(grantserver.GrantScheduler):
+    """Let other nodes ask at this node's schedulers.
 
-    :param desks: this node's desks.
+    :param schedulers: this node's schedulers.
     :param clock: monotonic time.
     :param names: kept up to date by the caller.
     """
 
-    def __init__(self, desks: deskset.DeskSet, clock: clocks.Clock, names: AskNames) -> None:
-        self._desks = desks
+    def __init__(
+        self, schedulers: schedulerset.SchedulerSet, clock: clocks.Clock, names: AskNames
+    ) -> None:
+        self._schedulers = schedulers
         self._clock = clock
         self._names = names
         self._lock = threading.Lock()
@@ -75,7 +77,7 @@
         self._others = others
 
     def ask(self, key: grantserver.GrantKey, ask: messages.GrantAsk) -> messages.GrantAnswer:
-        """Ask the desk of the replica, or those of all that will do.
+        """Ask the scheduler of the replica, or those of all that will do.
 
         Explanation
         ===========
@@ -94,12 +96,14 @@
                 return _answer(ask.ask, _none_left())
         for replica in choices:
             if self._grant_at_once(key, ask, dataclasses.replace(asked, replica=replica)):
-                return _answer(ask.ask, replicadesk.Granted(asked.work.request_id, replica))
+                return _answer(ask.ask, replicascheduler.Granted(asked.work.request_id, replica))
         if ask.at_once and not ask.produced:
             if not choices and self._grant_at_once(key, ask, asked):
-                return _answer(ask.ask, replicadesk.Granted(asked.work.request_id, asked.replica))
-            if not self._desks.admits_to(asked.replica):
-                return _answer(ask.ask, replicadesk.owner_moved(asked.replica))
+                return _answer(
+                    ask.ask, replicascheduler.Granted(asked.work.request_id, asked.replica)
+                )
+            if not self._schedulers.admits_to(asked.replica):
+                return _answer(ask.ask, replicascheduler.owner_moved(asked.replica))
             return _answer(ask.ask, grantanswers.no_room_now(asked.replica))
         if choices:
             asked = dataclasses.replace(asked, replica=choices[0])
@@ -113,17 +117,17 @@
             # Guards streams against a pause: where several engines stop at once, the emptiest
             # one would take in runs of all, and the last part of one run's memory, copied
             # while its stream stands still, waits there behind the whole of another's.
-            choices.sort(key=self._desks.taken_in_lately)
+            choices.sort(key=self._schedulers.taken_in_lately)
         return choices
 
     def _grant_at_once(
         self, key: grantserver.GrantKey, ask: messages.GrantAsk, asked: "_Asked"
     ) -> bool:
         if ask.produced:
-            answer = self._desks.take_in(asked.replica, asked.work, ask.produced)
+            answer = self._schedulers.take_in(asked.replica, asked.work, ask.produced)
         else:
-            answer = self._desks.ask_at_once(asked.replica, asked.work, self._due(ask))
-        if not isinstance(answer, replicadesk.Granted):
+            answer = self._schedulers.ask_at_once(asked.replica, asked.work, self._due(ask))
+        if not isinstance(answer, replicascheduler.Granted):
             return False
         with self._lock:
             self._asked_by_key[key] = asked
@@ -135,10 +139,10 @@
         with self._lock:
             self._asked_by_key[key] = asked
         if ask.produced:
-            answer = self._desks.take_in(asked.replica, asked.work, ask.produced)
+            answer = self._schedulers.take_in(asked.replica, asked.work, ask.produced)
         else:
             deadline = self._clock.now() + ask.deadline_ms / MILLISECONDS
-            answer = self._desks.ask(
+            answer = self._schedulers.ask(
                 asked.replica, asked.work, ask.weight, deadline, self._notify(key), self._due(ask)
             )
         if isinstance(answer, outcomes.Refusal):
@@ -155,26 +159,26 @@
         with self._lock:
             asked = self._asked_by_key.get(key)
         if asked is not None:
-            self._desks.progress(asked.replica, asked.work.request_id, produced)
+            self._schedulers.progress(asked.replica, asked.work.request_id, produced)
 
     def returned(self, key: grantserver.GrantKey, produced: int) -> None:
         """Take a grant back, and learn from the length of its answer."""
         with self._lock:
             asked = self._asked_by_key.get(key)
         if asked is not None and produced:
-            self._desks.progress(asked.replica, asked.work.request_id, produced)
+            self._schedulers.progress(asked.replica, asked.work.request_id, produced)
         if asked is not None and produced and asked.work.service:
             # Whether the answer was whole is not reported: most are, and the few
             # that were cut make lengths look a little shorter than they are.
             work = asked.work
-            self._desks.learn(work.service, work.team, produced, censored=False)
+            self._schedulers.learn(work.service, work.team, produced, censored=False)
         self.lapse(key)
 
     def lapse(self, key: grantserver.GrantKey) -> None:
         """Free what an ask held or queued for."""
         asked = self._forget(key)
         if asked is not None:
-            self._desks.finish(asked.replica, asked.work.request_id)
+            self._schedulers.finish(asked.replica, asked.work.request_id)
 
     def adopt(self, key: grantserver.GrantKey, progress: messages.GrantProgress) -> None:
         """Count a running request that another owner admitted."""
@@ -184,7 +188,9 @@
         work = outcomes.Work(_grant_id(key), "", "", 0, ADOPTED_PROMPT_TOKENS)
         with self._lock:
             self._asked_by_key[key] = _Asked(replica, work)
-        self._desks.change(replica, lambda desk, now: desk.adopt(work, progress.produced, now))
+        self._schedulers.change(
+            replica, lambda scheduler, now: scheduler.adopt(work, progress.produced, now)
+        )
 
     def _asked(self, key: grantserver.GrantKey, ask: messages.GrantAsk) -> _Asked | None:
         replica = self._names.replicas.find(ask.replica)
@@ -204,8 +210,8 @@
         )
         return _Asked(replica, work)
 
-    def _notify(self, key: grantserver.GrantKey) -> deskset.Notify:
-        def notify(settled: replicadesk.Settled) -> None:
+    def _notify(self, key: grantserver.GrantKey) -> schedulerset.Notify:
+        def notify(settled: replicascheduler.Settled) -> None:
             if isinstance(settled.answer, outcomes.Refusal):
                 self._forget(key)
             self._push(key, _answer(key.ask, settled.answer))
@@ -232,10 +238,10 @@
 
 
 def _answer(
-    ask: int, answer: replicadesk.Granted | replicadesk.Waiting | outcomes.Refusal
+    ask: int, answer: replicascheduler.Granted | replicascheduler.Waiting | outcomes.Refusal
 ) -> messages.GrantAnswer:
     if not isinstance(answer, outcomes.Refusal):
-        is_granted = isinstance(answer, replicadesk.Granted)
+        is_granted = isinstance(answer, replicascheduler.Granted)
         kind = messages.GrantKind.GRANTED if is_granted else messages.GrantKind.QUEUED
         return messages.GrantAnswer(ask, kind, replica=messages.key_hash(answer.replica))
     retry_after_ms = int((answer.retry_after_s or 0) * MILLISECONDS)
--- a/hornbeamglade/grants/replicadesk.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -78,7 +78,7 @@
     due: float
 
 
-class ReplicaDesk:
+class ReplicaScheduler:
     """Admit requests to one replica, in fair order, within its memory.
 
     :param replica: the replica's name.
@@ -273,8 +273,8 @@
         """
         return self._refuse_waiting(owner_moved(self.replica))
 
-    def take_over(self, former: "ReplicaDesk", now: float) -> None:
-        """Go on from a desk that had other settings: its grants and its queue.
+    def take_over(self, former: "ReplicaScheduler", now: float) -> None:
+        """Go on from a scheduler that had other settings: its grants and its queue.
 
         Those that wait are offered again in the order in which they came; one that
         is refused now hears of it with the next ``settle``.
--- a/hornbeamglade/grants/deskset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -1,4 +1,4 @@
-"""All desks of one node, safe to use from any thread."""
+"""All schedulers of one node, safe to use from any thread."""
 
 import collections.abc
 import dataclasses
@@ -8,11 +8,11 @@
 from hornbeamglade.admission import policies, replicaadmission
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.fairness import queuesettings, waiting
-from hornbeamglade.grants import replicadesk
+from hornbeamglade.grants import replicascheduler
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.replicas import startgate
 
-Notify = collections.abc.Callable[[replicadesk.Settled], None]
+Notify = collections.abc.Callable[[replicascheduler.Settled], None]
 
 NOT_OWNER_RETRY_S = 0.5
 PRESENT_MEMORY = "present_memory"
@@ -20,8 +20,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeskState:
-    """What a desk tells of itself to routing, other nodes and operators.
+class SchedulerState:
+    """What a scheduler tells of itself to routing, other nodes and operators.
 
     :param replica: the replica's name.
     :param room_tokens: memory that may still be planned, in tokens.
@@ -44,8 +44,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeskSpec:
-    """What a replica's desk is made from.
+class SchedulerSpec:
+    """What a replica's scheduler is made from.
 
     :param memory_tokens: the replica's memory, until a report tells it.
     :param admission: horizons, bounds and margins.
@@ -63,9 +63,9 @@
         replica: str,
         lengths: lengthmodel.LengthModel,
         gate: startgate.StartGate | None = None,
-    ) -> replicadesk.ReplicaDesk:
-        """Make an empty desk."""
-        return replicadesk.ReplicaDesk(
+    ) -> replicascheduler.ReplicaScheduler:
+        """Make an empty scheduler."""
+        return replicascheduler.ReplicaScheduler(
             replica, self._policy(lengths), waiting.WaitingQueue(self.queue), gate
         )
 
@@ -77,13 +77,13 @@
         return replicaadmission.ReplicaAdmission(self.memory_tokens, lengths, self.admission)
 
 
-class DeskSet:
-    """The desks of the replicas that this node may own.
+class SchedulerSet:
+    """The schedulers of the replicas that this node may own.
 
     Explanation
     ===========
 
-    One lock guards all desks: at 20 requests and 150 progress reports a second
+    One lock guards all schedulers: at 20 requests and 150 progress reports a second
     the decisions take a few milliseconds of each second. Those who wait are told
     through a callback, outside the lock.
 
@@ -102,29 +102,29 @@
         self._lengths = lengths
         self._gate = gate
         self._lock = threading.RLock()
-        self._spec_by_replica: dict[str, DeskSpec] = {}
+        self._spec_by_replica: dict[str, SchedulerSpec] = {}
         self._owned: frozenset[str] = frozenset()
-        self._desk_by_replica: dict[str, replicadesk.ReplicaDesk] = {}
+        self._scheduler_by_replica: dict[str, replicascheduler.ReplicaScheduler] = {}
         self._notify_by_request: dict[str, Notify] = {}
 
-    def configure(self, spec_by_replica: dict[str, DeskSpec]) -> None:
+    def configure(self, spec_by_replica: dict[str, SchedulerSpec]) -> None:
         """Take the replicas of a revision; those that are gone refuse whoever waits.
 
-        Desks are made when they are first asked for, since of many replicas a node
+        Schedulers are made when they are first asked for, since of many replicas a node
         owns few.
         """
         with self._lock:
             now = self._clock.now()
             settled = []
-            for name, desk in tuple(self._desk_by_replica.items()):
+            for name, scheduler in tuple(self._scheduler_by_replica.items()):
                 spec = spec_by_replica.get(name)
                 if spec is None:
-                    settled += desk.leave()
-                    del self._desk_by_replica[name]
+                    settled += scheduler.leave()
+                    del self._scheduler_by_replica[name]
                 elif spec != self._spec_by_replica[name]:
                     successor = spec.make(name, self._lengths, self._gate)
-                    successor.take_over(desk, now)
-                    self._desk_by_replica[name] = successor
+                    successor.take_over(scheduler, now)
+                    self._scheduler_by_replica[name] = successor
             self._spec_by_replica = dict(spec_by_replica)
         self._tell(settled)
 
@@ -132,11 +132,14 @@
         """Take the replicas that this node owns now, and give up the others."""
         with self._lock:
             for replica in replicas:
-                self._desk(replica)
+                self._scheduler(replica)
             lost = self._owned - replicas
             self._owned = replicas
-            desks = (self._desk_by_replica[name] for name in lost & self._desk_by_replica.keys())
-            settled = [each for desk in desks for each in desk.disown()]
+            schedulers = (
+                self._scheduler_by_replica[name]
+                for name in lost & self._scheduler_by_replica.keys()
+            )
+            settled = [each for scheduler in schedulers for each in scheduler.disown()]
         self._tell(settled)
 
     def ask(
@@ -147,7 +150,7 @@
         deadline: float,
         notify: Notify,
         due: float = math.inf,
-    ) -> replicadesk.Granted | replicadesk.Waiting | outcomes.Refusal:
+    ) -> replicascheduler.Granted | replicascheduler.Waiting | outcomes.Refusal:
         """Ask for permission to start; ``notify`` hears the later answer, if any.
 
         :param replica: the replica's name.
@@ -157,16 +160,16 @@
         :param due: when it must start to be on time, in the same seconds.
         """
         with self._lock:
-            desk = self._desk(replica)
-            if desk is None:
+            scheduler = self._scheduler(replica)
+            if scheduler is None:
                 return _unknown_replica(replica)
             now = self._clock.now()
             if not self.admits_to(replica):
-                return replicadesk.owner_moved(replica)
-            answer = desk.ask(work, weight, now, deadline, due)
-            if isinstance(answer, replicadesk.Waiting):
+                return replicascheduler.owner_moved(replica)
+            answer = scheduler.ask(work, weight, now, deadline, due)
+            if isinstance(answer, replicascheduler.Waiting):
                 self._notify_by_request[work.request_id] = notify
-            settled = desk.settle(now)
+            settled = scheduler.settle(now)
         self._tell(settled)
         return answer
 
@@ -177,55 +180,57 @@
         request would wait there for nothing.
         """
         with self._lock:
-            desk = self._desk(replica)
+            scheduler = self._scheduler(replica)
             if replica in self._owned:
-                return desk is not None
-            return desk is not None and desk.has_recent_report(self._clock.now())
+                return scheduler is not None
+            return scheduler is not None and scheduler.has_recent_report(self._clock.now())
 
     def ask_at_once(
         self, replica: str, work: outcomes.Work, due: float = math.inf
-    ) -> replicadesk.Granted | None:
+    ) -> replicascheduler.Granted | None:
         """Ask for permission to start now at a replica that this node owns.
 
         :param due: when it must start to be on time, monotonic seconds.
         """
         with self._lock:
-            desk = self._desk(replica) if replica in self._owned else None
-            return None if desk is None else desk.ask_at_once(work, self._clock.now(), due)
+            scheduler = self._scheduler(replica) if replica in self._owned else None
+            return (
+                None if scheduler is None else scheduler.ask_at_once(work, self._clock.now(), due)
+            )
 
     def take_in(
         self, replica: str, work: outcomes.Work, produced: int
-    ) -> replicadesk.Granted | outcomes.Refusal:
+    ) -> replicascheduler.Granted | outcomes.Refusal:
         """Ask for a run that goes on from another replica; answered at once."""
         with self._lock:
-            desk = self._desk(replica)
-            if desk is None:
+            scheduler = self._scheduler(replica)
+            if scheduler is None:
                 return _unknown_replica(replica)
-            return desk.take_in(work, produced, self._clock.now())
+            return scheduler.take_in(work, produced, self._clock.now())
 
     def taken_in_lately(self, replica: str) -> int:
         """Return how many runs a replica took in from others within a notice of a stop."""
         with self._lock:
-            desk = self._desk_by_replica.get(replica)
-            return 0 if desk is None else desk.taken_in_lately(self._clock.now())
+            scheduler = self._scheduler_by_replica.get(replica)
+            return 0 if scheduler is None else scheduler.taken_in_lately(self._clock.now())
 
     def progress(self, replica: str, request_id: str, produced: int) -> None:
         """Note how many tokens a running request has produced."""
         with self._lock:
-            desk = self._desk_by_replica.get(replica)
-            if desk is not None:
-                desk.progress(request_id, produced, self._clock.now())
+            scheduler = self._scheduler_by_replica.get(replica)
+            if scheduler is not None:
+                scheduler.progress(request_id, produced, self._clock.now())
 
     def finish(self, replica: str, request_id: str) -> None:
         """Take back a grant or a place in the queue, and serve whoever is next."""
         with self._lock:
             self._notify_by_request.pop(request_id, None)
-            desk = self._desk_by_replica.get(replica)
-            if desk is None:
+            scheduler = self._scheduler_by_replica.get(replica)
+            if scheduler is None:
                 return
             now = self._clock.now()
-            desk.finish(request_id, now)
-            settled = desk.settle(now)
+            scheduler.finish(request_id, now)
+            settled = scheduler.settle(now)
         self._tell(settled)
 
     def learn(self, service: str, team: str, tokens: int, *, censored: bool) -> None:
@@ -239,7 +244,7 @@
 
     @property
     def is_waited_at(self) -> bool:
-        """Whether any request waits at a desk."""
+        """Whether any request waits at a scheduler."""
         return bool(self._notify_by_request)
 
     def settle(self) -> None:
@@ -247,58 +252,66 @@
         with self._lock:
             now = self._clock.now()
             settled = [
-                each for desk in self._desk_by_replica.values() for each in desk.settle(now)
+                each
+                for scheduler in self._scheduler_by_replica.values()
+                for each in scheduler.settle(now)
             ]
         self._tell(settled)
 
     def leave(self, replica: str) -> None:
         """Give no more work to a replica that leaves."""
         with self._lock:
-            desk = self._desk_by_replica.get(replica)
-            settled = desk.leave() if desk is not None else ()
+            scheduler = self._scheduler_by_replica.get(replica)
+            settled = scheduler.leave() if scheduler is not None else ()
         self._tell(settled)
 
     def lost(self, replica: str) -> bool:
         """Give no more work to a replica that cannot be reached; return whether it is new."""
         with self._lock:
-            desk = self._desk_by_replica.get(replica)
-            is_new = desk is not None and not desk.is_lost
-            settled = desk.lost(self._clock.now()) if is_new else ()
+            scheduler = self._scheduler_by_replica.get(replica)
+            is_new = scheduler is not None and not scheduler.is_lost
+            settled = scheduler.lost(self._clock.now()) if is_new else ()
         self._tell(settled)
         return is_new
 
     def change(
-        self, replica: str, act: collections.abc.Callable[[replicadesk.ReplicaDesk, float], None]
+        self,
+        replica: str,
+        act: collections.abc.Callable[[replicascheduler.ReplicaScheduler, float], None],
     ) -> None:
-        """Apply ``act`` to a desk under the lock; nothing when there is none.
+        """Apply ``act`` to a scheduler under the lock; nothing when there is none.
 
-        :param act: called with the desk and the clock's now.
+        :param act: called with the scheduler and the clock's now.
         """
         with self._lock:
-            desk = self._desk(replica)
-            if desk is not None:
-                act(desk, self._clock.now())
+            scheduler = self._scheduler(replica)
+            if scheduler is not None:
+                act(scheduler, self._clock.now())
 
-    def states(self) -> dict[str, DeskState]:
-        """Return the state of every desk by replica."""
-        return self.states_of(self._desk_by_replica)
+    def states(self) -> dict[str, SchedulerState]:
+        """Return the state of every scheduler by replica."""
+        return self.states_of(self._scheduler_by_replica)
 
-    def states_of(self, replicas: collections.abc.Iterable[str]) -> dict[str, DeskState]:
-        """Return the states of some replicas' desks, of those that there are."""
+    def states_of(self, replicas: collections.abc.Iterable[str]) -> dict[str, SchedulerState]:
+        """Return the states of some replicas' schedulers, of those that there are."""
         with self._lock:
             now = self._clock.now()
-            desks = ((name, self._desk_by_replica.get(name)) for name in tuple(replicas))
-            return {name: _state(desk, now) for name, desk in desks if desk is not None}
-
-    def _desk(self, replica: str) -> replicadesk.ReplicaDesk | None:
-        desk = self._desk_by_replica.get(replica)
+            schedulers = ((name, self._scheduler_by_replica.get(name)) for name in tuple(replicas))
+            return {
+                name: _state(scheduler, now)
+                for name, scheduler in schedulers
+                if scheduler is not None
+            }
+
+    def _scheduler(self, replica: str) -> replicascheduler.ReplicaScheduler | None:
+        scheduler = self._scheduler_by_replica.get(replica)
         spec = self._spec_by_replica.get(replica)
-        if desk is None and spec is not None:
-            desk = spec.make(replica, self._lengths, self._gate)
-            self._desk_by_replica[replica] = desk
-        return desk
+        if scheduler is None and spec is not None:
+            scheduler = spec.make(replica, self._lengths, self._gate)
+            self._scheduler_by_replica[replica] = scheduler
+        return scheduler
 
-    def _tell(self, settled: collections.abc.Iterable[replicadesk.Settled]) -> None:
+    def _tell(self, settled: collections.abc.Iterable[replicascheduler.Settled]) -> None:
         for each in settled:
             with self._lock:
                 notify = self._notify_by_request.pop(each.request_id, None)
@@ -306,27 +319,27 @@
                 notify(each)
 
 
-def _state(desk: replicadesk.ReplicaDesk, now: float) -> DeskState:
-    return DeskState(
-        replica=desk.replica,
-        room_tokens=_room(desk, now),
-        running=desk.running_count,
-        waiting=desk.waiting_count,
-        ahead=desk.ahead(now),
-        expected_wait_s=desk.expected_wait_s(now),
-        leaving=desk.leaving,
-        is_lost=desk.is_lost,
+def _state(scheduler: replicascheduler.ReplicaScheduler, now: float) -> SchedulerState:
+    return SchedulerState(
+        replica=scheduler.replica,
+        room_tokens=_room(scheduler, now),
+        running=scheduler.running_count,
+        waiting=scheduler.waiting_count,
+        ahead=scheduler.ahead(now),
+        expected_wait_s=scheduler.expected_wait_s(now),
+        leaving=scheduler.leaving,
+        is_lost=scheduler.is_lost,
     )
 
 
-def _room(desk: replicadesk.ReplicaDesk, now: float) -> float:
+def _room(scheduler: replicascheduler.ReplicaScheduler, now: float) -> float:
     # A replica that its owner has not heard of yet looks empty, and so does one whose
     # link has stalled: requests would be drawn to it and wait there while others have room.
-    if desk.admission.is_at_bound() or desk.is_quiet(now) or desk.is_lost:
+    if scheduler.admission.is_at_bound() or scheduler.is_quiet(now) or scheduler.is_lost:
         return 0.0
-    if desk.gate.refusal(desk.replica, now) is not None:
+    if scheduler.gate.refusal(scheduler.replica, now) is not None:
         return 0.0
-    return desk.admission.room(now)
+    return scheduler.admission.room(now)
 
 
 def _unknown_replica(replica: str) -> outcomes.Refusal:
--- a/hornbeamglade/grants/turntaker.py
+++ b/hornbeamglade/grants/turntaker.py
@@ -5,7 +5,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, messages, transport
-from hornbeamglade.grants import grantfinder, moveturns
+from hornbeamglade.grants import grantacquirer, moveturns
 
 ASK_AGAIN_S = 0.04
 SILENT_S = 0.13
@@ -33,7 +33,7 @@
     def __init__(
         self,
         name: str,
-        owners: grantfinder.Owners,
+        owners: grantacquirer.Owners,
         sender: transport.Transport,
         clock: clocks.Clock,
     ) -> None:
--- a/hornbeamglade/node/applying.py
+++ b/hornbeamglade/node/applying.py
@@ -6,10 +6,10 @@
 from hornbeamglade.admission import margincontrol, replicaadmission
 from hornbeamglade.configuration import models
 from hornbeamglade.fairness import queuesettings
-from hornbeamglade.grants import deskset
+from hornbeamglade.grants import schedulerset
 from hornbeamglade.membership import addresses, heartbeats
 from hornbeamglade.membership import view as membershipview
-from hornbeamglade.node import inflight, replicabook, runtime, siteview
+from hornbeamglade.node import inflight, replicacatalog, runtime, siteview
 from hornbeamglade.observability import logs
 
 
@@ -25,8 +25,8 @@
     """Configures every part by a newer revision, then has requests judged by it.
 
     :param views: holds the view that requests are judged by.
-    :param book: what is known of replicas.
-    :param desks: this node's desks.
+    :param catalog: what is known of replicas.
+    :param schedulers: this node's schedulers.
     :param in_flight: the teams' limits.
     :param beats: knows the nodes.
     """
@@ -34,14 +34,14 @@
     def __init__(
         self,
         views: runtime.Views,
-        book: replicabook.ReplicaBook,
-        desks: deskset.DeskSet,
+        catalog: replicacatalog.ReplicaCatalog,
+        schedulers: schedulerset.SchedulerSet,
         in_flight: inflight.InFlight,
         beats: heartbeats.Heartbeats,
     ) -> None:
         self._views = views
-        self._book = book
-        self._desks = desks
+        self._catalog = catalog
+        self._schedulers = schedulers
         self._in_flight = in_flight
         self._beats = beats
         self._lock = threading.Lock()
@@ -55,8 +55,8 @@
             if view is None:
                 return
             before = self.revision
-            self._book.configure(view.site.pool_by_name)
-            self._desks.configure(desk_specs(view.site))
+            self._catalog.configure(view.site.pool_by_name)
+            self._schedulers.configure(scheduler_specs(view.site))
             with self._in_flight.lock:
                 self._in_flight.team_limits.configure(view.team_limits())
             self._place_teams(view)
@@ -89,23 +89,23 @@
         self._placed = seen
 
 
-def desk_specs(site: models.SiteConfiguration) -> dict[str, deskset.DeskSpec]:
-    """Return what the desks of a site's engines are made from, by replica.
+def scheduler_specs(site: models.SiteConfiguration) -> dict[str, schedulerset.SchedulerSpec]:
+    """Return what the schedulers of a site's engines are made from, by replica.
 
     :param site: the site's configuration.
     """
     return {
-        name: _desk_spec(pool, replica.memory_tokens)
+        name: _scheduler_spec(pool, replica.memory_tokens)
         for pool in site.pool_by_name.values()
         for name, replica in pool.replica_by_name.items()
         if replica.memory_tokens is not None
     }
 
 
-def _desk_spec(pool: models.Pool, memory_tokens: int) -> deskset.DeskSpec:
+def _scheduler_spec(pool: models.Pool, memory_tokens: int) -> schedulerset.SchedulerSpec:
     margin = margincontrol.MarginSettings(start=pool.admission.overflow_z)
     queue = pool.queue
-    return deskset.DeskSpec(
+    return schedulerset.SchedulerSpec(
         memory_tokens,
         replicaadmission.AdmissionSettings(margin=margin),
         queuesettings.WaitingSettings(
--- a/hornbeamglade/node/daemon.py
+++ b/hornbeamglade/node/daemon.py
@@ -11,13 +11,13 @@
 from hornbeamglade.claims import claimstore
 from hornbeamglade.configuration import follower
 from hornbeamglade.core import clocks, codederrors, outcomes
-from hornbeamglade.grants import deskset, grantfinder
+from hornbeamglade.grants import grantacquirer, schedulerset
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.membership import draining, introduction, membershiplog, registry
 from hornbeamglade.node import (
     applying,
     deadlines,
-    digestbook,
+    digestcache,
     handlers,
     inflight,
     loadpoller,
@@ -26,7 +26,7 @@
     peering,
     periodic,
     placing,
-    replicabook,
+    replicacatalog,
     runtime,
     settings,
     siteview,
@@ -73,9 +73,9 @@
         self._senders = slowsenders.SlowSenders(clock)
         self._server = server.CallersServer(told.callers, told.threads, self._senders)
         lengths = lengthmodel.LengthModel()
-        self._desks = deskset.DeskSet(clock, lengths)
-        digests = digestbook.DigestBook(clock)
-        self._book = replicabook.ReplicaBook(clock, digests)
+        self._schedulers = schedulerset.SchedulerSet(clock, lengths)
+        digests = digestcache.DigestCache(clock)
+        self._catalog = replicacatalog.ReplicaCatalog(clock, digests)
         team_limits = limits.TeamLimits(told.name, shares.ShareSettings())
         self._in_flight = inflight.InFlight(team_limits, told.threads)
         self.peering = peering.Peering(
@@ -83,9 +83,9 @@
             self._server.address,
             self.incarnation,
             clock,
-            self._desks,
+            self._schedulers,
             digests,
-            self._book,
+            self._catalog,
             self._config,
             self._in_flight,
             lambda: self._placing.closed(),
@@ -107,9 +107,9 @@
             told.name,
             upkeep.CLAIM_SETTINGS,
         )
-        finder = grantfinder.GrantFinder(
+        acquirer = grantacquirer.GrantAcquirer(
             clock,
-            self._desks,
+            self._schedulers,
             self.peering.grants,
             self.peering,
             self._rng,
@@ -118,9 +118,9 @@
         self._parts = runtime.Runtime(
             clock=clock,
             views=runtime.Views(self._config),
-            book=self._book,
-            desks=self._desks,
-            finder=finder,
+            catalog=self._catalog,
+            schedulers=self._schedulers,
+            acquirer=acquirer,
             once=onceonly.OnceOnly(self._claims),
             in_flight=self._in_flight,
             budgets=runtime.Budgets(),
@@ -143,11 +143,11 @@
             handlers.NodeHandlers(self._parts, own_pages, self._failed)
         )
         self._poller = loadpoller.LoadPoller(
-            clock, self._book, self._desks, self.peering.owned, self._failed
+            clock, self._catalog, self._schedulers, self.peering.owned, self._failed
         )
         beats = self.peering.heartbeats
         self._applier = applying.Applier(
-            self._parts.views, self._book, self._desks, self._in_flight, beats
+            self._parts.views, self._catalog, self._schedulers, self._in_flight, beats
         )
         self._registry = registry.Registry(self._platform)
         listed = introduction.Introduction(self._registry, told.seeds)
@@ -261,7 +261,7 @@
         self._applier.apply()
         self._applier.follow_members()
         self.peering.tick()
-        self._desks.settle()
+        self._schedulers.settle()
 
     def _place_models(self) -> None:
         view = self._parts.views.current()
@@ -270,7 +270,7 @@
 
     def _report(self) -> None:
         self._register()
-        self._parts.finder.report()
+        self._parts.acquirer.report()
         self._claims.settle()
         self._senders.sweep()
         self._parts.deadlines.sweep()
@@ -286,7 +286,7 @@
 
     def _report_metrics(self) -> None:
         self._metrics.streams_in_flight.set(self._in_flight.count, (ALL_SERVICES,))
-        waiting = sum(state.waiting for state in self._desks.states().values())
+        waiting = sum(state.waiting for state in self._schedulers.states().values())
         self._metrics.requests_waiting.set(waiting, (ALL_SERVICES,))
         for reason, count in dict(self.peering.codec.dropped_by_reason).items():
             self._metrics.exchange_drops.set_total(count, (reason,))
--- a/hornbeamglade/node/delivery.py
+++ b/hornbeamglade/node/delivery.py
@@ -224,12 +224,12 @@
         scope.parts.metrics.stream_finished(scope.service_name, self._times, now)
         tokens = self._state.next_offset
         if tokens:
-            scope.parts.desks.learn(
+            scope.parts.schedulers.learn(
                 scope.service_name, scope.team, tokens, censored=not self._is_whole
             )
         mean_gap_s = _mean_gap_s(self._times, now, scope.started)
         if self._is_whole:
-            scope.parts.book.succeeded(self._source.target.replica, mean_gap_s)
+            scope.parts.catalog.succeeded(self._source.target.replica, mean_gap_s)
 
 
 def _refusal(state: generationstream.GenerationStream, code: str, detail: str) -> outcomes.Refusal:
--- a/hornbeamglade/node/digestbook.py
+++ b/hornbeamglade/node/digestcache.py
@@ -22,7 +22,7 @@
     heard_at: float
 
 
-class DigestBook:
+class DigestCache:
     """The newest digest of each replica.
 
     :param clock: monotonic time.
--- a/hornbeamglade/node/generationhandler.py
+++ b/hornbeamglade/node/generationhandler.py
@@ -9,7 +9,7 @@
 from hornbeamglade.callers import application, generationcalls, problems
 from hornbeamglade.configuration import models
 from hornbeamglade.core import outcomes
-from hornbeamglade.grants import grantfinder
+from hornbeamglade.grants import grantacquirer
 from hornbeamglade.node import (
     attempts,
     delivery,
@@ -151,7 +151,7 @@
             self._excluded.add(grant.replica)
         return answer
 
-    def _find(self, attempt: int) -> grantfinder.Grant | outcomes.Refusal:
+    def _find(self, attempt: int) -> grantacquirer.Grant | outcomes.Refusal:
         team = self._view.site.team_by_name[self._scope.team]
         work = outcomes.Work(
             request_id=self._scope.request_id,
@@ -162,22 +162,24 @@
             max_tokens=self._call.max_tokens,
             prefix=self._prefix,
         )
-        wish = grantfinder.Wish(
+        placement = grantacquirer.PlacementRequest(
             work, team.weight, self._queue_ends, self._request.link.is_gone, attempt
         )
-        return self._parts.finder.find(wish, self._candidates)
+        return self._parts.acquirer.find(placement, self._candidates)
 
     def _candidates(self) -> tuple:
         pool = self._scope.service.pool
         states = {
             name: state
-            for name, state in self._parts.desks.states().items()
-            if self._parts.finder.is_local(name)
+            for name, state in self._parts.schedulers.states().items()
+            if self._parts.acquirer.is_local(name)
         }
-        known = self._parts.book.candidates(pool, self._prefix, frozenset(self._excluded), states)
+        known = self._parts.catalog.candidates(
+            pool, self._prefix, frozenset(self._excluded), states
+        )
         probe = None
         if self._scope.dispatch.is_repeatable:
-            probe = self._parts.book.probe_due(pool)
+            probe = self._parts.catalog.probe_due(pool)
         if probe is None:
             return known
         return tuple(
@@ -185,8 +187,8 @@
             for each in known
         )
 
-    def _use(self, grant: grantfinder.Grant) -> application.Answer | attempts.Failed:
-        known = self._parts.book.known_by_name.get(grant.replica)
+    def _use(self, grant: grantacquirer.Grant) -> application.Answer | attempts.Failed:
+        known = self._parts.catalog.known_by_name.get(grant.replica)
         if known is None:
             return attempts.Failed(
                 attempts.unanswered_refusal("replica_gone", "the replica was removed"),
@@ -214,7 +216,7 @@
         )
         opened = self._open(target)
         if isinstance(opened, generations.Opened):
-            self._parts.book.expect_prefix(grant.replica, self._prefix)
+            self._parts.catalog.expect_prefix(grant.replica, self._prefix)
             return self._first_event(target, opened.stream)
         return self._not_opened(target, opened)
 
@@ -246,7 +248,7 @@
         if isinstance(outcome, backendoutcomes.NotRun):
             self._scope.dispatch.not_run()
             if not outcome.refused_by_server:
-                self._parts.book.failed(target.replica)
+                self._parts.catalog.failed(target.replica)
             return attempts.Failed(
                 attempts.unanswered_refusal("backend_refused", outcome.reason), may_repeat=True
             )
@@ -255,7 +257,7 @@
             detail = outcome.body.decode("utf-8", "replace")[:500]
             refusal = outcomes.Refusal("backend_rejected", outcome.status, detail)
             return attempts.Failed(refusal, may_repeat=False)
-        self._parts.book.failed(target.replica)
+        self._parts.catalog.failed(target.replica)
         if isinstance(outcome, backendoutcomes.CrossedAnswer):
             return self._maybe_ran("answer_crossed", "the answer carried another request's id")
         return self._maybe_ran("backend_lost", outcome.reason)
@@ -313,7 +315,7 @@
                 "first_token_timeout", 504, detail, retry_after_s=attempts.FAILED_RETRY_S
             )
             return attempts.Failed(refusal, may_repeat=False)
-        self._parts.book.failed(target.replica)
+        self._parts.catalog.failed(target.replica)
         return self._maybe_ran("backend_lost", str(event))
 
     def _whole(
@@ -331,5 +333,5 @@
             answer.close()
             return whole.refusal
         answer.abandon()
-        self._parts.book.failed(target.replica)
+        self._parts.catalog.failed(target.replica)
         return attempts.Failed(whole.refusal, may_repeat=self._scope.dispatch.is_repeatable)
--- a/hornbeamglade/node/loadpoller.py
+++ b/hornbeamglade/node/loadpoller.py
@@ -16,8 +16,8 @@
 from hornbeamglade.admission import tokenledger
 from hornbeamglade.backends import loadreports
 from hornbeamglade.core import clocks
-from hornbeamglade.grants import deskset
-from hornbeamglade.node import replicabook
+from hornbeamglade.grants import schedulerset
+from hornbeamglade.node import replicacatalog
 from hornbeamglade.routing import prefixes
 
 READ_TIMEOUT_S = 1.0
@@ -28,8 +28,8 @@
     """Polls owned replicas.
 
     :param clock: monotonic time.
-    :param book: takes the reports.
-    :param desks: take the reports of engines.
+    :param catalog: takes the reports.
+    :param schedulers: take the reports of engines.
     :param owned: names the replicas that this node owns now.
     :param failed: told of an error in taking a report.
     """
@@ -37,14 +37,14 @@
     def __init__(
         self,
         clock: clocks.Clock,
-        book: replicabook.ReplicaBook,
-        desks: deskset.DeskSet,
+        catalog: replicacatalog.ReplicaCatalog,
+        schedulers: schedulerset.SchedulerSet,
         owned: Callable[[], frozenset[str]],
         failed: Callable[[Exception, str], None],
     ) -> None:
         self._clock = clock
-        self._book = book
-        self._desks = desks
+        self._catalog = catalog
+        self._schedulers = schedulers
         self._owned = owned
         self._failed = failed
         self._lock = threading.Lock()
@@ -55,7 +55,7 @@
     def poll(self) -> None:
         """Begin to read every owned replica that is not being read already."""
         for name in self._owned():
-            known = self._book.known_by_name.get(name)
+            known = self._catalog.known_by_name.get(name)
             if known is not None and self._begin(name):
                 self._pool.submit(self._read, known)
 
@@ -70,7 +70,7 @@
             self._busy.add(name)
             return True
 
-    def _read(self, known: replicabook.Known) -> None:
+    def _read(self, known: replicacatalog.Known) -> None:
         try:
             reader = self._reader(known.replica.address)
             report = reader.load()
@@ -86,14 +86,14 @@
 
     def _take(
         self,
-        known: replicabook.Known,
+        known: replicacatalog.Known,
         report: loadreports.LoadReport,
         reader: loadreports.ReportReader,
     ) -> None:
-        self._book.reported(known.name, report)
+        self._catalog.reported(known.name, report)
         if known.replica.memory_tokens is None:
             return
-        leaving = report.leaving or self._book.is_closed(known.name)
+        leaving = report.leaving or self._catalog.is_closed(known.name)
         view = tokenledger.LoadView(
             report.sequence,
             report.age_s,
@@ -101,15 +101,17 @@
             report.used_tokens,
             report.preemptions,
         )
-        self._desks.change(known.name, lambda desk, now: desk.reported(view, leaving, now))
+        self._schedulers.change(
+            known.name, lambda scheduler, now: scheduler.reported(view, leaving, now)
+        )
         if leaving:
-            self._desks.leave(known.name)
+            self._schedulers.leave(known.name)
         self._read_events(known.name, reader)
 
     def _read_events(self, name: str, reader: loadreports.ReportReader) -> None:
-        events = reader.cache_events(self._book.prefix_sequence(name))
+        events = reader.cache_events(self._catalog.prefix_sequence(name))
         if isinstance(events, loadreports.CacheEvents):
-            self._book.cache_events(name, [_event(each) for each in events.events])
+            self._catalog.cache_events(name, [_event(each) for each in events.events])
 
     def _reader(self, address: str) -> loadreports.ReportReader:
         with self._lock:
--- a/hornbeamglade/node/peering.py
+++ b/hornbeamglade/node/peering.py
@@ -13,10 +13,10 @@
     messages,
     transport,
 )
-from hornbeamglade.grants import deskset, grantfinder, remotedesk
+from hornbeamglade.grants import grantacquirer, remotescheduler, schedulerset
 from hornbeamglade.membership import heartbeats, ownership, rising, teamdemands
 from hornbeamglade.membership import view as membershipview
-from hornbeamglade.node import digestbook, inflight, replicabook, settings
+from hornbeamglade.node import digestcache, inflight, replicacatalog, settings
 
 MILLISECONDS = 1000
 PEERS_AFTER_S = 1.5
@@ -25,16 +25,16 @@
 DIGEST_PREFIX = "sha256-"
 
 
-class Peering(grantfinder.Owners):
+class Peering(grantacquirer.Owners):
     """One node's side of the exchange.
 
     :param told: the node's settings.
     :param address: where callers are served, as bound.
     :param incarnation: this run of the node; grows with each start.
     :param clock: the node's clock.
-    :param desks: this node's desks.
+    :param schedulers: this node's schedulers.
     :param digests: takes what owners say.
-    :param book: what is known of replicas.
+    :param catalog: what is known of replicas.
     :param config: the configuration's follower.
     :param in_flight: what teams have in flight, and their shares of limits.
     :param closed: replicas that placement on this node is about to change.
@@ -48,9 +48,9 @@
         address: str,
         incarnation: int,
         clock: clocks.Clock,
-        desks: deskset.DeskSet,
-        digests: digestbook.DigestBook,
-        book: replicabook.ReplicaBook,
+        schedulers: schedulerset.SchedulerSet,
+        digests: digestcache.DigestCache,
+        catalog: replicacatalog.ReplicaCatalog,
         config: follower.Follower,
         in_flight: inflight.InFlight,
         closed: Callable[[], frozenset[str]],
@@ -58,9 +58,9 @@
         failed: Callable[[Exception, str], None],
     ) -> None:
         self._name = told.name
-        self._desks = desks
+        self._schedulers = schedulers
         self._digests = digests
-        self._book = book
+        self._catalog = catalog
         self._config = config
         self._changed = changed
         self._closed = closed
@@ -70,7 +70,7 @@
         self._behind_since: float | None = None
         self._follow_due_at = clock.now()
         self._owners_seen: tuple[membershipview.Identity, ...] | None = None
-        self._replicas_seen: dict[str, replicabook.Known] | None = None
+        self._replicas_seen: dict[str, replicacatalog.Known] | None = None
         self._failed = failed
         self._ownership = ownership.Ownership()
         self._assembly: configchunks.Assembly | None = None
@@ -79,11 +79,11 @@
         endpoint = transport.Endpoint.parse(told.exchange)
         self.transport = transport.UdpTransport(endpoint, self.codec, self._handle)
         self.grants = grantclient.GrantClient(incarnation, self.transport, clock)
-        self._names = remotedesk.AskNames()
+        self._names = remotescheduler.AskNames()
         self._named_revision = 0
-        desk = remotedesk.RemoteDesk(desks, clock, self._names)
-        self._server = grantserver.GrantServer(desk, self.transport, clock)
-        desk.connect(self._server.push)
+        scheduler = remotescheduler.RemoteScheduler(schedulers, clock, self._names)
+        self._server = grantserver.GrantServer(scheduler, self.transport, clock)
+        scheduler.connect(self._server.push)
         identity = membershipview.Identity(
             told.name, told.failure_domain, address, str(self.transport.endpoint)
         )
@@ -148,7 +148,7 @@
 
     def _update_owners(self) -> None:
         owners = tuple(member.identity for member in self.heartbeats.owners())
-        known_by_name = self._book.known_by_name
+        known_by_name = self._catalog.known_by_name
         if owners == self._owners_seen and known_by_name is self._replicas_seen:
             return
         self._owners_seen = owners
@@ -159,7 +159,7 @@
             for known in known_by_name.values()
         ]
         moves = self._ownership.update(replicas, nodes)
-        self._desks.own(self.owned())
+        self._schedulers.own(self.owned())
         for move in moves:
             peer = None if move.after is None else self.heartbeats.peer(move.after)
             if peer is not None and move.after != self._name:
@@ -167,15 +167,15 @@
 
     def _digest(self) -> heartbeats.Digest:
         owned = self.owned()
-        states = self._desks.states()
+        states = self._schedulers.states()
         replicas = tuple(
-            _replica_digest(state, self._book)
+            _replica_digest(state, self._catalog)
             for name, state in sorted(states.items())
             if name in owned
         )
         plain = tuple(
             messages.ReplicaDigest(
-                messages.key_hash(name), 0, 0, 0, not self._book.takes_new_work(name)
+                messages.key_hash(name), 0, 0, 0, not self._catalog.takes_new_work(name)
             )
             for name in sorted(owned - states.keys())
         )
@@ -248,8 +248,8 @@
 
     def close(self, replica: str) -> None:
         """Keep new work from a replica that this node owns."""
-        self._book.close(replica)
-        self._desks.leave(replica)
+        self._catalog.close(replica)
+        self._schedulers.leave(replica)
 
     def _demands(self) -> tuple[messages.TeamDemand, ...]:
         told = self._in_flight.tell_shares(messages.MAX_DEMANDS)
@@ -308,13 +308,13 @@
 
 
 def _replica_digest(
-    state: deskset.DeskState, book: replicabook.ReplicaBook
+    state: schedulerset.SchedulerState, catalog: replicacatalog.ReplicaCatalog
 ) -> messages.ReplicaDigest:
     return messages.ReplicaDigest(
         replica=messages.key_hash(state.replica),
         room_tokens=max(0, min(MOST_ROOM_TOKENS, int(state.room_tokens))),
         queued=state.waiting,
         expected_wait_ms=int(state.expected_wait_s * MILLISECONDS),
-        leaving=state.leaving or not book.takes_new_work(state.replica),
-        ejected=book.is_ejected(state.replica),
+        leaving=state.leaving or not catalog.takes_new_work(state.replica),
+        ejected=catalog.is_ejected(state.replica),
     )
--- a/hornbeamglade/node/plainhandler.py
+++ b/hornbeamglade/node/plainhandler.py
@@ -9,7 +9,7 @@
 from hornbeamglade.callers import application, problems
 from hornbeamglade.configuration import models
 from hornbeamglade.core import outcomes
-from hornbeamglade.node import attempts, onceonly, replicabook, requestscope, runtime, siteview
+from hornbeamglade.node import attempts, onceonly, replicacatalog, requestscope, runtime, siteview
 from hornbeamglade.teams import limits
 
 MAX_ATTEMPTS = 3
@@ -144,18 +144,18 @@
         finally:
             self._outstanding.end(known.name)
 
-    def _choose(self) -> replicabook.Known | None:
-        book = self._parts.book
+    def _choose(self) -> replicacatalog.Known | None:
+        catalog = self._parts.catalog
         pool = [
             known
-            for known in book.known_by_name.values()
+            for known in catalog.known_by_name.values()
             if known.pool == self._scope.service.pool
             and known.name not in self._excluded
-            and book.takes_new_work(known.name)
+            and catalog.takes_new_work(known.name)
         ]
-        usable = [known for known in pool if not book.is_ejected(known.name)] or pool
+        usable = [known for known in pool if not catalog.is_ejected(known.name)] or pool
         if self._scope.dispatch.is_repeatable:
-            probe = book.probe_due(self._scope.service.pool)
+            probe = catalog.probe_due(self._scope.service.pool)
             usable = [known for known in pool if known.name == probe] or usable
         if not usable:
             return None
@@ -163,7 +163,7 @@
         return known_by_name[self._outstanding.begin(tuple(known_by_name))]
 
     def _dispatch(
-        self, known: replicabook.Known, attempt: int
+        self, known: replicacatalog.Known, attempt: int
     ) -> problems.Response | attempts.Failed:
         service = self._scope.service
         started = self._parts.clock.now()
@@ -177,18 +177,18 @@
             cancellation=cancellation,
         )
         if isinstance(outcome, plaincalls.Answered):
-            self._parts.book.succeeded(known.name, self._parts.clock.now() - started)
+            self._parts.catalog.succeeded(known.name, self._parts.clock.now() - started)
             answer = problems.Response(outcome.status, outcome.headers, outcome.body)
             self._scope.dispatch.answered(answer)
             return answer
         if isinstance(outcome, backendoutcomes.NotRun):
             self._scope.dispatch.not_run()
             if not outcome.refused_by_server:
-                self._parts.book.failed(known.name)
+                self._parts.catalog.failed(known.name)
             return attempts.Failed(
                 attempts.unanswered_refusal("backend_refused", outcome.reason), may_repeat=True
             )
-        self._parts.book.failed(known.name)
+        self._parts.catalog.failed(known.name)
         if isinstance(outcome, backendoutcomes.CrossedAnswer):
             return self._maybe_ran("answer_crossed", "the answer carried another request's id")
         self._note_run(outcome.run)
--- a/hornbeamglade/node/replicabook.py
+++ b/hornbeamglade/node/replicacatalog.py
@@ -8,8 +8,8 @@
 from hornbeamglade.backends import loadreports
 from hornbeamglade.configuration import models
 from hornbeamglade.core import clocks
-from hornbeamglade.grants import deskset, replicadesk
-from hornbeamglade.node import digestbook
+from hornbeamglade.grants import replicascheduler, schedulerset
+from hornbeamglade.node import digestcache
 from hornbeamglade.routing import candidates as candidatelib
 from hornbeamglade.routing import outliers, prefixes
 
@@ -20,7 +20,7 @@
 CLOSED_LIFE_S = 20.0
 """Longer than placement's plans live, and its orders fly, after the last telling."""
 
-REPORT_LIFE_S = replicadesk.REPORT_LIFE_S
+REPORT_LIFE_S = replicascheduler.REPORT_LIFE_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,14 +37,14 @@
     replica: models.Replica
 
 
-class ReplicaBook:
+class ReplicaCatalog:
     """Addresses, reports, prefixes and standing of replicas.
 
     :param clock: monotonic time.
     :param digests: what other owners said.
     """
 
-    def __init__(self, clock: clocks.Clock, digests: digestbook.DigestBook) -> None:
+    def __init__(self, clock: clocks.Clock, digests: digestcache.DigestCache) -> None:
         self._clock = clock
         self._digests = digests
         self._lock = threading.Lock()
@@ -132,14 +132,14 @@
         pool: str,
         prefix: tuple[int, ...],
         excluded: frozenset[str],
-        state_by_replica: collections.abc.Mapping[str, deskset.DeskState],
+        state_by_replica: collections.abc.Mapping[str, schedulerset.SchedulerState],
     ) -> tuple[candidatelib.Candidate, ...]:
         """Return the replicas of a pool as the routing choice wants them.
 
         :param pool: the pool's name.
         :param prefix: the prompt's block hashes.
         :param excluded: replicas that failed this request already.
-        :param state_by_replica: this node's own desks.
+        :param state_by_replica: this node's own schedulers.
         """
         usable = [
             known for known in self._known_by_pool.get(pool, ()) if known.name not in excluded
@@ -191,7 +191,7 @@
         """Tell whether the newest word of a replica is that it leaves.
 
         Unlike :meth:`takes_new_work`, silence says nothing here: with many nodes most
-        owners are heard by chance only, and the owner's desk refuses in the end.
+        owners are heard by chance only, and the owner's scheduler refuses in the end.
         """
         report = self.report_by_replica.get(replica)
         heard = self._digests.newest(replica)
@@ -200,7 +200,7 @@
         return heard is not None and heard.digest.leaving
 
     def _candidate(
-        self, known: Known, prefix: tuple[int, ...], state: deskset.DeskState | None
+        self, known: Known, prefix: tuple[int, ...], state: schedulerset.SchedulerState | None
     ) -> candidatelib.Candidate:
         heard = self._digests.newest(known.name)
         with self._lock:
@@ -231,20 +231,22 @@
         return self._prefixes_by_replica.setdefault(replica, prefixes.PrefixIndex())
 
 
-def _room(state: deskset.DeskState | None, heard: digestbook.HeardDigest | None) -> int:
+def _room(state: schedulerset.SchedulerState | None, heard: digestcache.HeardDigest | None) -> int:
     if state is not None:
         return int(state.room_tokens)
     return UNKNOWN_ROOM_TOKENS if heard is None else heard.digest.room_tokens
 
 
-def _queued(state: deskset.DeskState | None, heard: digestbook.HeardDigest | None) -> int:
+def _queued(
+    state: schedulerset.SchedulerState | None, heard: digestcache.HeardDigest | None
+) -> int:
     if state is not None:
         return state.waiting
     return 0 if heard is None else heard.digest.queued
 
 
 def _expected_wait_s(
-    state: deskset.DeskState | None, heard: digestbook.HeardDigest | None
+    state: schedulerset.SchedulerState | None, heard: digestcache.HeardDigest | None
 ) -> float:
     if state is not None:
         return state.expected_wait_s
--- a/hornbeamglade/node/requestscope.py
+++ b/hornbeamglade/node/requestscope.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from hornbeamglade.configuration import models
-from hornbeamglade.grants import grantfinder
+from hornbeamglade.grants import grantacquirer
 from hornbeamglade.node import onceonly, runtime
 from hornbeamglade.teams import limits
 
@@ -39,7 +39,7 @@
         self.service = service
         self.dispatch = dispatch
         self.started = parts.clock.now()
-        self.grant: grantfinder.Grant | None = None
+        self.grant: grantacquirer.Grant | None = None
         self._entered = entered
         self._lock = threading.Lock()
         self._is_ended = False
--- a/hornbeamglade/node/runtime.py
+++ b/hornbeamglade/node/runtime.py
@@ -5,9 +5,9 @@
 
 from hornbeamglade.configuration import follower
 from hornbeamglade.core import clocks, outcomes
-from hornbeamglade.grants import deskset, grantfinder
+from hornbeamglade.grants import grantacquirer, schedulerset
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.node import deadlines, inflight, onceonly, replicabook, siteview
+from hornbeamglade.node import deadlines, inflight, onceonly, replicacatalog, siteview
 from hornbeamglade.observability import metrics
 from hornbeamglade.retries import budget
 
@@ -18,7 +18,7 @@
     Explanation
     ===========
 
-    A revision is published only after limits, desks and replicas were configured by
+    A revision is published only after limits, schedulers and replicas were configured by
     it. Guards requests that come between: their team would be known to the view and
     unknown to the limits, and the caller would get an internal error.
 
@@ -76,9 +76,9 @@
 
     :param clock: the node's clock.
     :param views: the configuration in force.
-    :param book: what is known of replicas.
-    :param desks: this node's desks.
-    :param finder: gets grants.
+    :param catalog: what is known of replicas.
+    :param schedulers: this node's schedulers.
+    :param acquirer: gets grants.
     :param once: claims requests that are not repeatable.
     :param in_flight: bounds on what is in flight.
     :param budgets: retry budgets.
@@ -89,9 +89,9 @@
 
     clock: clocks.Clock
     views: Views
-    book: replicabook.ReplicaBook
-    desks: deskset.DeskSet
-    finder: grantfinder.GrantFinder
+    catalog: replicacatalog.ReplicaCatalog
+    schedulers: schedulerset.SchedulerSet
+    acquirer: grantacquirer.GrantAcquirer
     once: onceonly.OnceOnly
     in_flight: inflight.InFlight
     budgets: Budgets
--- a/hornbeamglade/node/statuses.py
+++ b/hornbeamglade/node/statuses.py
@@ -5,8 +5,8 @@
 from hornbeamglade import placement
 from hornbeamglade.configuration import follower
 from hornbeamglade.exchange import messages
-from hornbeamglade.grants import deskset
-from hornbeamglade.node import peering, placing, replicabook, runtime, settings, siteview
+from hornbeamglade.grants import schedulerset
+from hornbeamglade.node import peering, placing, replicacatalog, runtime, settings, siteview
 from hornbeamglade.observability import statuspage
 
 
@@ -46,7 +46,7 @@
     def page(self) -> statuspage.NodeStatus:
         """Return the page as things stand."""
         view = self._parts.views.current()
-        states = self._parts.desks.states()
+        states = self._parts.schedulers.states()
         owned = self._peers.owned()
         age_s = self._config.age_s
         return statuspage.NodeStatus(
@@ -75,13 +75,16 @@
             },
         )
 
-    def _known(self) -> list[replicabook.Known]:
-        return sorted(self._parts.book.known_by_name.values(), key=lambda known: known.name)
+    def _known(self) -> list[replicacatalog.Known]:
+        return sorted(self._parts.catalog.known_by_name.values(), key=lambda known: known.name)
 
     def _replica(
-        self, known: replicabook.Known, state: deskset.DeskState | None, is_owned: bool
+        self,
+        known: replicacatalog.Known,
+        state: schedulerset.SchedulerState | None,
+        is_owned: bool,
     ) -> statuspage.ReplicaStatus:
-        report = self._parts.book.report_by_replica.get(known.name)
+        report = self._parts.catalog.report_by_replica.get(known.name)
         age_s = None if report is None else self._parts.clock.now() - report.received_at
         return statuspage.ReplicaStatus(
             name=known.name,
@@ -99,9 +102,9 @@
         )
 
     def _state_of(self, replica: str, is_owned: bool, age_s: float | None) -> str:
-        if is_owned and (age_s is None or age_s > replicabook.REPORT_LIFE_S):
+        if is_owned and (age_s is None or age_s > replicacatalog.REPORT_LIFE_S):
             return "unreachable"
-        return "serving" if self._parts.book.takes_new_work(replica) else "leaving"
+        return "serving" if self._parts.catalog.takes_new_work(replica) else "leaving"
 
 
 def _placement(status: placement.PlacementStatus) -> statuspage.PlacementRow:
--- a/hornbeamglade/observability/metricsrouted.py
+++ b/hornbeamglade/observability/metricsrouted.py
@@ -23,7 +23,7 @@
     def __init__(self, registry: metricsregistry.Registry) -> None:
         self.placement_s: metricsinstruments.Histogram = registry.histogram(
             "placement_seconds",
-            "From a request's wish for an engine to its leave to run there, waits included.",
+            "From a request's look for an engine to its grant there, waits included.",
             ("service", "outcome"),
         )
         self.retries: metricsinstruments.Counter = registry.counter(
--- a/hornbeamglade/routed/enginebook.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -3,19 +3,19 @@
 import collections.abc
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.grants import deskset
-from hornbeamglade.node import digestbook
+from hornbeamglade.grants import schedulerset
+from hornbeamglade.node import digestcache
 from hornbeamglade.replicas import availability, models
 from hornbeamglade.routing import candidates as candidatelib
 
 UNKNOWN_ROOM_TOKENS = 0
 
 
-class EngineBook:
+class EngineCatalog:
     """Joins the platform's list with what the engines' owners say.
 
     :param available: the list, and which of it may get new work.
-    :param desks: this node's own desks.
+    :param schedulers: this node's own schedulers.
     :param digests: what other owners said.
     :param owned: returns the engines that this node owns.
     :param settings: rates of the routing choice.
@@ -24,14 +24,14 @@
     def __init__(
         self,
         available: availability.Availability,
-        desks: deskset.DeskSet,
-        digests: digestbook.DigestBook,
+        schedulers: schedulerset.SchedulerSet,
+        digests: digestcache.DigestCache,
         owned: collections.abc.Callable[[], collections.abc.Collection[str]],
         settings: candidatelib.RoutingSettings,
     ) -> None:
         self._available = available
         self._replicas = available.replicas
-        self._desks = desks
+        self._schedulers = schedulers
         self._digests = digests
         self._owned = owned
         self._settings = settings
@@ -63,10 +63,10 @@
         :param excluded: engines that are out of the question for this request.
         :param regions: where they may stand, or None for everywhere.
         """
-        # A desk stays after its replica has gone over to another owner. What it says is
+        # A scheduler stays after its replica has gone over to another owner. What it says is
         # that of a full engine, and the request would go anywhere but there.
         owned = self._owned()
-        state_by_replica = self._desks.states_of(owned)
+        state_by_replica = self._schedulers.states_of(owned)
         return tuple(
             self._candidate(replica, state_by_replica.get(replica.id))
             for replica in self._available.usable(service, regions)
@@ -83,7 +83,7 @@
             return ()
         # Asked for each grant: the engines of other owners are not looked at.
         owned = self._owned()
-        states = self._desks.states_of(owned)
+        states = self._schedulers.states_of(owned)
         here = [
             self._candidate(each, states[each.id])
             for each in self._available.usable(replica.service)
@@ -93,7 +93,7 @@
         return tuple(each.replica for each in here if not each.leaving and not each.ejected)
 
     def _candidate(
-        self, replica: models.Replica, state: deskset.DeskState | None
+        self, replica: models.Replica, state: schedulerset.SchedulerState | None
     ) -> candidatelib.Candidate:
         if state is not None:
             return candidatelib.Candidate(
--- a/hornbeamglade/routed/enginework.py
+++ b/hornbeamglade/routed/enginework.py
@@ -1,4 +1,4 @@
-"""A routed request as the engines' desks see it."""
+"""A routed request as the engines' schedulers see it."""
 
 from hornbeamglade.admission import promptbacklog
 from hornbeamglade.configuration import models
@@ -17,13 +17,13 @@
 
 
 def work(routed: callrouter.RoutedCall) -> outcomes.Work:
-    """Return what the desks decide by."""
+    """Return what the schedulers decide by."""
     generation = routed.call.generation or NO_GENERATION
     return outcomes.Work(
         request_id=routed.call.request_id,
         service=routed.route.name,
         team="" if routed.team is None else routed.team.name,
-        # The desks' larger priority is the more urgent.
+        # The schedulers' larger priority is the more urgent.
         priority=max(0, models.HIGHEST_PRIORITY - routed.urgency),
         prompt_tokens=generation.prompt_tokens,
         max_tokens=generation.max_tokens or None,
--- a/hornbeamglade/routed/handover.py
+++ b/hornbeamglade/routed/handover.py
@@ -27,9 +27,9 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.engines import control, models
-from hornbeamglade.grants import grantseeker, turntaker
+from hornbeamglade.grants import asyncgrantacquirer, turntaker
 from hornbeamglade.replicas import models as replicamodels
-from hornbeamglade.routed import calls, enginebook
+from hornbeamglade.routed import calls, enginecatalog
 
 COPY_TIMEOUT_S = 2.5
 """Longer than any notice of a stop: an engine that is gone resets the call."""
@@ -50,10 +50,10 @@
 
     replica: replicamodels.Replica
     copy: calls.Copy
-    grant: grantseeker.Grant | None
+    grant: asyncgrantacquirer.Grant | None
 
 
-_Target = tuple[grantseeker.Grant, replicamodels.Replica]
+_Target = tuple[asyncgrantacquirer.Grant, replicamodels.Replica]
 """An engine with room, and leave to run there."""
 
 
@@ -62,7 +62,7 @@
 
     :param source: the engine that it leaves.
     :param request_id: the run.
-    :param wish: asks for room elsewhere.
+    :param placement: asks for room elsewhere.
     :param parts: what it works with.
 
     Its ``room_s`` is how long it looked for room, ``turn_s`` how long it waited for its turn,
@@ -73,14 +73,14 @@
         self,
         source: replicamodels.Replica,
         request_id: str,
-        wish: grantseeker.Wish,
+        placement: asyncgrantacquirer.PlacementRequest,
         parts: "HandoverParts",
     ) -> None:
         self._source = source
         self._request_id = request_id
-        self._wish = wish
+        self._placement = placement
         self._parts = parts
-        self._held: grantseeker.Grant | None = None
+        self._held: asyncgrantacquirer.Grant | None = None
         self._is_copying = False
         self._has_ended = False
         self.destination: Destination | None = None
@@ -96,11 +96,11 @@
 
         :param produced: tokens of the answer so far.
         """
-        tokens = self._wish.work.prompt_tokens + produced
-        wish = dataclasses.replace(self._wish, produced=max(1, produced))
+        tokens = self._placement.work.prompt_tokens + produced
+        placement = dataclasses.replace(self._placement, produced=max(1, produced))
         turns = self._parts.turns
         begun_at = self._parts.clock.now()
-        target = await self._find_room(wish)
+        target = await self._find_room(placement)
         self.room_s = self._parts.clock.now() - begun_at
         if target is None:
             self.outcome = "no_room"
@@ -109,7 +109,7 @@
         try:
             await turns.take(self._source.id, self._request_id, tokens)
             self._found_at = found_at
-            await self._copy_and_stop(wish, target)
+            await self._copy_and_stop(placement, target)
         finally:
             turns.done(self._source.id, self._request_id)
             self._release()
@@ -142,14 +142,16 @@
         if destination is None:
             return
         if destination.grant is not None:
-            self._parts.seeker.release(destination.grant)
+            self._parts.acquirer.release(destination.grant)
         self._drop(destination.copy.name, destination.replica)
 
     def _drop(self, name: str, at: replicamodels.Replica) -> None:
         """Free a copy at both engines, or at the other one where the source is gone."""
         self._parts.drop(name, (self._source.address, at.address))
 
-    async def _copy_and_stop(self, wish: grantseeker.Wish, first: "_Target") -> None:
+    async def _copy_and_stop(
+        self, placement: asyncgrantacquirer.PlacementRequest, first: "_Target"
+    ) -> None:
         target: _Target | None = first
         for attempt in range(1, TRIES + 1):
             if target is None:
@@ -158,11 +160,11 @@
             if await self._copy_and_stop_at(*target):
                 return
             target = await self._look_for_room(
-                dataclasses.replace(wish, attempt=wish.attempt + attempt)
+                dataclasses.replace(placement, attempt=placement.attempt + attempt)
             )
 
     async def _copy_and_stop_at(
-        self, grant: grantseeker.Grant, replica: replicamodels.Replica
+        self, grant: asyncgrantacquirer.Grant, replica: replicamodels.Replica
     ) -> bool:
         """Move the run to one engine at its turn there; return whether the move has ended."""
         if not self._parts.arrivals_in_turn:
@@ -170,14 +172,16 @@
         turns = self._parts.turns
         arrival = (replica.id, self._request_id)
         try:
-            await turns.take(*arrival, self._wish.work.prompt_tokens, turntaker.Way.ARRIVE)
+            await turns.take(*arrival, self._placement.work.prompt_tokens, turntaker.Way.ARRIVE)
             return await self._move_to(grant, replica)
         finally:
             turns.done(*arrival, turntaker.Way.ARRIVE)
 
-    async def _move_to(self, grant: grantseeker.Grant, replica: replicamodels.Replica) -> bool:
+    async def _move_to(
+        self, grant: asyncgrantacquirer.Grant, replica: replicamodels.Replica
+    ) -> bool:
         """Copy the run to one engine and stop it; return whether the move has ended."""
-        if self._parts.book.is_evacuated(replica):
+        if self._parts.catalog.is_evacuated(replica):
             # It may have waited for its turns for seconds since the engine let it in.
             self._release()
             self.outcome = "evacuated"
@@ -223,22 +227,24 @@
         self.destination = Destination(self._source, copy, None)
         return True
 
-    async def _find_room(self, wish: grantseeker.Wish) -> "_Target | None":
+    async def _find_room(self, placement: asyncgrantacquirer.PlacementRequest) -> "_Target | None":
         """Look for room until there is some, or the engine must be gone."""
-        while self._parts.clock.now() < wish.deadline:
-            target = await self._look_for_room(wish)
+        while self._parts.clock.now() < placement.deadline:
+            target = await self._look_for_room(placement)
             if target is not None:
                 return target
             await asyncio.sleep(ROOM_AGAIN_S)
         return None
 
-    async def _look_for_room(self, wish: grantseeker.Wish) -> "_Target | None":
-        grant = await self._parts.seeker.find_near(wish, self._source.failure_domain)
+    async def _look_for_room(
+        self, placement: asyncgrantacquirer.PlacementRequest
+    ) -> "_Target | None":
+        grant = await self._parts.acquirer.find_near(placement, self._source.failure_domain)
         if grant is None:
             return None
-        replica = self._parts.book.replica(grant.replica)
+        replica = self._parts.catalog.replica(grant.replica)
         if replica is None:
-            self._parts.seeker.release(grant)
+            self._parts.acquirer.release(grant)
             return None
         self._held = grant
         return grant, replica
@@ -247,7 +253,7 @@
         """Give back leave that did not come to be used."""
         held, self._held = self._held, None
         if held is not None:
-            self._parts.seeker.release(held)
+            self._parts.acquirer.release(held)
 
     async def _copy(
         self, to: replicamodels.Replica, *, is_last: bool
@@ -271,17 +277,17 @@
     """What moves work with.
 
     :param engines: calls to engines.
-    :param seeker: asks for room.
+    :param acquirer: asks for room.
     :param turns: turns to leave a replica and to come to one.
-    :param book: the engines that there are.
+    :param catalog: the engines that there are.
     :param clock: monotonic time.
     :param arrivals_in_turn: whether an engine takes in one copy at a time.
     """
 
     engines: control.EngineControl
-    seeker: grantseeker.GrantSeeker
+    acquirer: asyncgrantacquirer.AsyncGrantAcquirer
     turns: turntaker.TurnTaker
-    book: enginebook.EngineBook
+    catalog: enginecatalog.EngineCatalog
     clock: clocks.Clock
     arrivals_in_turn: bool = True
     tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from hornbeamglade.core import clocks, outcomes
-from hornbeamglade.grants import grantseeker
+from hornbeamglade.grants import asyncgrantacquirer
 from hornbeamglade.http1 import clientside, serverside
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.replicas import models as replicamodels
@@ -13,7 +13,7 @@
     attemptlog,
     callrouter,
     calls,
-    enginebook,
+    enginecatalog,
     enginework,
     eventrelay,
     handover,
@@ -37,8 +37,8 @@
     """What streamed answers work with.
 
     :param sender: sends attempts.
-    :param seeker: asks for room at engines.
-    :param book: the engines that there are.
+    :param acquirer: asks for room at engines.
+    :param catalog: the engines that there are.
     :param moves: what moves work with.
     :param registry: which run is where.
     :param budgets: bounds what is sent again.
@@ -49,8 +49,8 @@
     """
 
     sender: sending.Sender
-    seeker: grantseeker.GrantSeeker
-    book: enginebook.EngineBook
+    acquirer: asyncgrantacquirer.AsyncGrantAcquirer
+    catalog: enginecatalog.EngineCatalog
     moves: handover.HandoverParts
     registry: runregistry.RunRegistry
     budgets: retrybudget.RetryBudgets
@@ -88,7 +88,7 @@
     """
 
     replica: replicamodels.Replica
-    grant: grantseeker.Grant | None
+    grant: asyncgrantacquirer.Grant | None
     begun: sending.Begun | None = None
 
 
@@ -197,8 +197,10 @@
             return self._failed()
         if log.sent and not self._parts.budgets.spend(routed.service.name, now):
             return self._failed()
-        wish = self._wish(enginework.queue_deadline(routed, now), frozenset(log.tried))
-        grant = await self._parts.seeker.find(wish)
+        placement = self._placement_request(
+            enginework.queue_deadline(routed, now), frozenset(log.tried)
+        )
+        grant = await self._parts.acquirer.find(placement)
         is_refused = isinstance(grant, outcomes.Refusal)
         self._parts.metrics.routed.placement_s.record(
             self._parts.clock.now() - now,
@@ -206,25 +208,27 @@
         )
         if isinstance(grant, outcomes.Refusal):
             return self._failed() if log.may_have_run else grant
-        replica = self._parts.book.replica(grant.replica)
+        replica = self._parts.catalog.replica(grant.replica)
         if replica is None:
-            self._parts.seeker.release(grant)
+            self._parts.acquirer.release(grant)
             return self._failed()
-        if not grant.is_bound and self._parts.book.is_cold(replica.id, self._parts.clock.now()):
+        if not grant.is_bound and self._parts.catalog.is_cold(replica.id, self._parts.clock.now()):
             # Nobody counts what goes there, and each instance would send its own crowd.
             return self._failed()
         self._place = _Place(replica, grant)
         return None
 
-    def _wish(self, deadline: float, excluded: frozenset[str]) -> grantseeker.Wish:
+    def _placement_request(
+        self, deadline: float, excluded: frozenset[str]
+    ) -> asyncgrantacquirer.PlacementRequest:
         service = self._routed.service.name
         regions = self._routed.allowed_regions
         self._asks += handover.TRIES
-        return grantseeker.Wish(
+        return asyncgrantacquirer.PlacementRequest(
             work=enginework.work(self._routed),
             weight=1.0,
             deadline=deadline,
-            known=lambda: self._parts.book.candidates(service, excluded, regions),
+            known=lambda: self._parts.catalog.candidates(service, excluded, regions),
             attempt=self._asks,
             avoid=excluded,
             due=enginework.due(self._routed),
@@ -252,7 +256,7 @@
         self._parts.registry.enter(place.replica.id, self)
         if self._start is None or not self._relay.has_begun:
             self._start = eventrelay.AnswerStart(begun.head.status, begun.head.fields)
-        if not self._parts.book.is_usable(place.replica.id):
+        if not self._parts.catalog.is_usable(place.replica.id):
             self.replica_leaves()
         return begun
 
@@ -334,7 +338,7 @@
             self._first_event.set()
         grant = self._place.grant
         if grant is not None:
-            self._parts.seeker.progress(grant, self._produced())
+            self._parts.acquirer.progress(grant, self._produced())
 
     def _produced(self) -> int:
         engine = self._routed.service.engine
@@ -358,7 +362,7 @@
         if not task.done():
             await asyncio.wait((task,), timeout=HANDOVER_WAIT_S)
         reached = self._handover.destination
-        if reached is not None and self._parts.book.is_evacuated(reached.replica):
+        if reached is not None and self._parts.catalog.is_evacuated(reached.replica):
             self._handover.abandon()
         destination, self._handover.destination = self._handover.destination, None
         return destination
@@ -390,11 +394,11 @@
         """Move the run to another engine before its own stops."""
         # Memory of a run that has not begun cannot be copied.
         await self._first_event.wait()
-        wish = self._wish(
+        placement = self._placement_request(
             self._parts.clock.now() + handover.COPY_TIMEOUT_S, frozenset((place.replica.id,))
         )
         self._handover = handover.Handover(
-            place.replica, self._routed.call.request_id, wish, self._parts.moves
+            place.replica, self._routed.call.request_id, placement, self._parts.moves
         )
         await self._handover.run(self._produced())
         self._parts.metrics.routed.moves.add(labels=(self._handover.outcome,))
@@ -432,7 +436,7 @@
         if place.begun is not None:
             self._parts.sender.close(place.begun)
         if place.grant is not None:
-            self._parts.seeker.release(place.grant)
+            self._parts.acquirer.release(place.grant)
 
     def _end(self, is_whole: bool) -> None:
         """Give back all that the run holds, however it ended."""
--- a/tests/bench/test_recovery.py
+++ b/tests/bench/test_recovery.py
@@ -214,9 +214,9 @@
 
 
 def test_failed_address_comes_last_until_the_next_answer():
-    book = recoverycallers.AddressBook(("a:1", "b:1", "c:1"), "key")
-    book.failed("a:1")
-    assert book.order() == ("b:1", "c:1", "a:1")
+    catalog = recoverycallers.AddressBook(("a:1", "b:1", "c:1"), "key")
+    catalog.failed("a:1")
+    assert catalog.order() == ("b:1", "c:1", "a:1")
 
 
 def test_held_link_keeps_back_answers_until_its_release(serve):
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -231,7 +231,7 @@
         return heard and all(self._knows_room(node) for node in self.nodes)
 
     def _knows_room(self, node):
-        known = node.instance.book.candidates("llm", ())
+        known = node.instance.catalog.candidates("llm", ())
         return len(known) == len(self.engines) and all(each.room_tokens for each in known)
 
 
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -28,8 +28,8 @@
 
 def waiting(site):
     """Return how many wait for engines, by the word of the engines' owners."""
-    books = (node.instance.book for node in site.nodes)
-    known = (each for book in books for each in book.candidates("llm", frozenset()))
+    catalogs = (node.instance.catalog for node in site.nodes)
+    known = (each for catalog in catalogs for each in catalog.candidates("llm", frozenset()))
     return sum(each.queued for each in known if not each.owner)
 
 
@@ -257,7 +257,7 @@
         engine = runs_at(site, "r1")[0]
         client.close()
         await eventloop.until(lambda: not engine.run_by_id["r1"].is_alive)
-        await eventloop.until(lambda: not site.nodes[0].instance.seeker.active_count)
+        await eventloop.until(lambda: not site.nodes[0].instance.acquirer.active_count)
         return engine.run_by_id["r1"].made
 
     assert entrysite.play(test, gap_s=0.05) < EVENTS
@@ -304,7 +304,7 @@
         ]
         await asyncio.gather(*(client.answer() for client in clients))
         await eventloop.until(
-            lambda: not any(node.instance.seeker.active_count for node in site.nodes)
+            lambda: not any(node.instance.acquirer.active_count for node in site.nodes)
         )
 
     entrysite.play(test, nodes=2)
--- a/tests/entry/test_ticks.py
+++ b/tests/entry/test_ticks.py
@@ -5,7 +5,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.entry import instance, partsettings, policysettings, storewatch
 from hornbeamglade.exchange import messages
-from hornbeamglade.grants import replicadesk
+from hornbeamglade.grants import replicascheduler
 from hornbeamglade.membership import followers
 from hornbeamglade.replicas import evacuations
 from tests.entry import site as entrysite
@@ -25,22 +25,24 @@
 def test_an_idle_instance_ticks_seldom_and_one_with_a_queue_often():
     """Hundreds of instances idle between requests, and each tick costs all of them.
 
-    A request that waits at a desk must still be refused or granted within a tick of its time.
+    A request that waits at a scheduler must still be refused or granted within a tick of its time.
     """
     node = begun_node()
-    desks = node.instance._desks
-    desks.configure({"e1": partsettings.desk(_Engine(), policysettings.Policy())})
-    desks.own(frozenset(("e1",)))
+    schedulers = node.instance._schedulers
+    schedulers.configure({"e1": partsettings.scheduler(_Engine(), policysettings.Policy())})
+    schedulers.own(frozenset(("e1",)))
     assert node.instance.tick_s == instance.IDLE_TICK_S
     deadline = clocks.SystemClock().now() + 60
     told = []
     # More of them than the engine takes at a time.
-    answers = [desks.ask("e1", _work(number), 1.0, deadline, told.append) for number in range(12)]
-    waiting = [one.request_id for one in answers if isinstance(one, replicadesk.Waiting)]
+    answers = [
+        schedulers.ask("e1", _work(number), 1.0, deadline, told.append) for number in range(12)
+    ]
+    waiting = [one.request_id for one in answers if isinstance(one, replicascheduler.Waiting)]
     assert waiting
     assert node.instance.tick_s == instance.TICK_S
     for number in range(12):
-        desks.finish("e1", f"r{number}")
+        schedulers.finish("e1", f"r{number}")
     assert node.instance.tick_s == instance.IDLE_TICK_S
 
 
--- a/tests/exchange/lossynetwork.py
+++ b/tests/exchange/lossynetwork.py
@@ -53,7 +53,7 @@
         self._network.carry(self._name, peer, message)
 
 
-class FakeDesk(grantserver.GrantDesk):
+class FakeScheduler(grantserver.GrantScheduler):
     """Grants up to a bound and queues the rest; refuses when told to."""
 
     def __init__(self, slots):
--- a/tests/exchange/test_grantserver.py
+++ b/tests/exchange/test_grantserver.py
@@ -25,9 +25,9 @@
 class Owner:
     def __init__(self, slots=1):
         self.clock = clocks.ManualClock()
-        self.desk = lossynetwork.FakeDesk(slots)
+        self.scheduler = lossynetwork.FakeScheduler(slots)
         self.outbox = Outbox()
-        self.server = grantserver.GrantServer(self.desk, self.outbox, self.clock)
+        self.server = grantserver.GrantServer(self.scheduler, self.outbox, self.clock)
 
     def ask(self, number, origin=ORIGIN):
         self.server.asked(lossynetwork.make_ask(number), origin, SOURCE)
@@ -40,15 +40,15 @@
         self.server.progressed(news, origin, SOURCE)
 
 
-def test_a_repeated_ask_gets_the_same_answer_and_reaches_the_desk_once():
+def test_a_repeated_ask_gets_the_same_answer_and_reaches_the_scheduler_once():
     owner = Owner()
     assert owner.ask(1) == owner.ask(1)
-    assert len(owner.desk.granted_ever) == 1
+    assert len(owner.scheduler.granted_ever) == 1
 
 
 def test_a_refusal_is_repeated_with_its_code():
     owner = Owner()
-    owner.desk.refuse = True
+    owner.scheduler.refuse = True
     assert owner.ask(1).code == owner.ask(1).code == "queue_full"
 
 
@@ -57,8 +57,8 @@
     # would wait for its turn until its deadline while its slot stays idle.
     owner = Owner(slots=0)
     assert owner.ask(1).kind is KIND.QUEUED
-    owner.desk.slots = 1
-    owner.desk.serve(owner.server)
+    owner.scheduler.slots = 1
+    owner.scheduler.serve(owner.server)
     owner.outbox.sent.clear()
     assert owner.ask(1).kind is KIND.GRANTED
 
@@ -69,37 +69,37 @@
     owner = Owner()
     owner.report(1, done=True)
     assert owner.ask(1).code == grantserver.RETURNED
-    assert not owner.desk.granted_ever
+    assert not owner.scheduler.granted_ever
 
 
-def test_a_return_during_the_decision_frees_what_the_desk_gives():
-    # The return arrives on another thread while the desk decides. Without the
+def test_a_return_during_the_decision_frees_what_the_scheduler_gives():
+    # The return arrives on another thread while the scheduler decides. Without the
     # check afterwards the grant stays until it lapses.
     owner = Owner()
-    decide = owner.desk.ask
+    decide = owner.scheduler.ask
 
     def ask(key, message):
         owner.report(1, done=True)
         return decide(key, message)
 
-    owner.desk.ask = ask
+    owner.scheduler.ask = ask
     assert owner.ask(1).code == grantserver.RETURNED
-    assert not owner.desk.granted
+    assert not owner.scheduler.granted
 
 
 def test_a_push_before_the_queued_answer_is_not_overwritten():
-    # The slot frees on another thread between the desk's "queued" and its being
+    # The slot frees on another thread between the scheduler's "queued" and its being
     # remembered. Overwritten, the polls would be told "queued" for ever.
     owner = Owner(slots=0)
-    decide = owner.desk.ask
+    decide = owner.scheduler.ask
 
     def ask(key, message):
         answer = decide(key, message)
-        owner.desk.slots = 1
-        owner.desk.serve(owner.server)
+        owner.scheduler.slots = 1
+        owner.scheduler.serve(owner.server)
         return answer
 
-    owner.desk.ask = ask
+    owner.scheduler.ask = ask
     assert owner.ask(1).kind is KIND.GRANTED
 
 
@@ -121,32 +121,32 @@
         owner.clock.advance(asks.REPORT_S)
         owner.report(1, done=False)
         owner.server.tick()
-    assert owner.desk.granted == {grantserver.GrantKey("a", 1, 1)}
-    assert [key.holder for key in owner.desk.lapsed] == ["silent"]
+    assert owner.scheduler.granted == {grantserver.GrantKey("a", 1, 1)}
+    assert [key.holder for key in owner.scheduler.lapsed] == ["silent"]
 
 
 def test_a_dead_nodes_grants_lapse_at_once():
     owner = Owner()
     owner.ask(1)
     owner.server.holder_gone("a")
-    assert not owner.desk.granted
+    assert not owner.scheduler.granted
 
 
 def test_a_restarted_holders_grants_lapse_at_its_first_ask():
     owner = Owner()
     owner.ask(1, codec.Sender("a", 1))
     owner.ask(1, codec.Sender("a", 2))
-    assert [key.incarnation for key in owner.desk.lapsed] == [1]
+    assert [key.incarnation for key in owner.scheduler.lapsed] == [1]
 
 
 def test_a_new_owner_adopts_a_running_request_once():
     owner = Owner()
     owner.report(1, done=False)
     owner.report(1, done=False)
-    assert len(owner.desk.adopted) == 1
+    assert len(owner.scheduler.adopted) == 1
     owner.report(1, done=True)
     owner.report(1, done=False)
-    assert not owner.desk.granted
+    assert not owner.scheduler.granted
 
 
 def test_ended_asks_are_forgotten_after_the_bound():
@@ -175,7 +175,7 @@
         self.clock = self.network.clock
         self.tracker = asks.AskTracker(1)
         self.port = self.network.attach("a", self._answered)
-        self.desk_by_owner = {name: lossynetwork.FakeDesk(2) for name in ("x", "y")}
+        self.scheduler_by_owner = {name: lossynetwork.FakeScheduler(2) for name in ("x", "y")}
         self.server_by_owner = {name: self._serve(name) for name in ("x", "y")}
         self.open = {}
         self.held = {}
@@ -188,7 +188,7 @@
             take(message, origin, source)
 
         port = self.network.attach(name, handle)
-        return grantserver.GrantServer(self.desk_by_owner[name], port, self.clock)
+        return grantserver.GrantServer(self.scheduler_by_owner[name], port, self.clock)
 
     def _answered(self, message, origin, source):
         owner = transport.Peer(origin.name, source)
@@ -213,7 +213,7 @@
         self.send(self.tracker.tick(self.clock.now()))
         for name, server in self.server_by_owner.items():
             server.tick()
-            self.desk_by_owner[name].serve(server)
+            self.scheduler_by_owner[name].serve(server)
 
     def _settle(self, number, request_id, owner):
         outcome = self.tracker.outcome(number)
@@ -232,9 +232,9 @@
 
     def granted_requests(self):
         return collections.Counter(
-            self.request_by_ask[key.ask] if key in desk.ask_by_key else "adopted"
-            for desk in self.desk_by_owner.values()
-            for key in desk.granted
+            self.request_by_ask[key.ask] if key in scheduler.ask_by_key else "adopted"
+            for scheduler in self.scheduler_by_owner.values()
+            for key in scheduler.granted
         )
 
 
@@ -258,5 +258,7 @@
     granted = site.granted_requests()
     assert granted == collections.Counter(site.held.values())
     assert all(count == 1 for count in granted.values())
-    keys = [key for desk in site.desk_by_owner.values() for key in desk.granted_ever]
+    keys = [
+        key for scheduler in site.scheduler_by_owner.values() for key in scheduler.granted_ever
+    ]
     assert len(keys) == len(set(keys))
