--- a/tests/grants/test_grantseeker.py
+++ b/tests/grants/test_asyncgrantacquirer.py
@@ -15,43 +15,49 @@
     transport,
 )
 from hornbeamglade.fairness import queuesettings
-from hornbeamglade.grants import deskset, grantfinder, grantseeker, remotedesk, replicadesk
+from hornbeamglade.grants import (
+    asyncgrantacquirer,
+    grantacquirer,
+    remotescheduler,
+    replicascheduler,
+    schedulerset,
+)
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.routing import candidates
 from tests import eventloop
 
 KEYS = codec.KeyRing(1, {1: b"sixteen bytes at least"})
-SPEC = deskset.DeskSpec(
+SPEC = schedulerset.SchedulerSpec(
     10_000, replicaadmission.AdmissionSettings(max_running=2), queuesettings.WaitingSettings()
 )
 
 
-class Node(grantfinder.Owners):
-    """One node's desks and both sides of its exchange."""
+class Node(grantacquirer.Owners):
+    """One node's schedulers and both sides of its exchange."""
 
     def __init__(self, name, owned):
         self.name = name
         self.clock = clocks.SystemClock()
         self.owner_by_replica = {}
         self.silent = []
-        self.desks = deskset.DeskSet(self.clock, lengthmodel.LengthModel())
-        self.desks.configure(dict.fromkeys(("e0", "e1"), SPEC))
-        self.desks.own(frozenset(owned))
+        self.schedulers = schedulerset.SchedulerSet(self.clock, lengthmodel.LengthModel())
+        self.schedulers.configure(dict.fromkeys(("e0", "e1"), SPEC))
+        self.schedulers.own(frozenset(owned))
         for replica in owned:
             self.report(replica)
         frames = codec.Codec(name, 1, KEYS, self.clock)
         self.transport = asyncudp.AsyncUdpTransport(frames, self._handle, self._failed)
         self.client = asyncasks.AsyncGrantClient(1, self.transport, self.clock)
-        names = remotedesk.AskNames()
+        names = remotescheduler.AskNames()
         names.replicas.replace(("e0", "e1"))
         names.services.replace(("draft",))
         names.teams.replace(("clinic",))
-        self.remote = remotedesk.RemoteDesk(self.desks, self.clock, names)
+        self.remote = remotescheduler.RemoteScheduler(self.schedulers, self.clock, names)
         self.server = grantserver.GrantServer(self.remote, self.transport, self.clock)
         self.remote.connect(self.server.push)
-        self.seeker = grantseeker.GrantSeeker(
+        self.acquirer = asyncgrantacquirer.AsyncGrantAcquirer(
             self.clock,
-            self.desks,
+            self.schedulers,
             self.client,
             self,
             random.Random(1),
@@ -60,7 +66,9 @@
 
     def report(self, replica):
         load = tokenledger.LoadView(1, 0.0, 10_000, 0)
-        self.desks.change(replica, lambda desk, now: desk.reported(load, False, now))
+        self.schedulers.change(
+            replica, lambda scheduler, now: scheduler.reported(load, False, now)
+        )
 
     def owner(self, replica):
         return self.owner_by_replica.get(replica)
@@ -84,10 +92,12 @@
     return candidates.Candidate(replica, "", False, room, queued, 0.0, 0.0, "a")
 
 
-def wish(name, node, *known, wait_s=5.0, produced=0):
+def placement(name, node, *known, wait_s=5.0, produced=0):
     work = outcomes.Work(name, "draft", "clinic", 1, 500, 100)
     deadline = node.clock.now() + wait_s
-    return grantseeker.Wish(work, 1.0, deadline, lambda: known, produced=produced)
+    return asyncgrantacquirer.PlacementRequest(
+        work, 1.0, deadline, lambda: known, produced=produced
+    )
 
 
 def play(test):
@@ -107,25 +117,25 @@
 
 
 def running(node, replica):
-    return node.desks.states()[replica].running
+    return node.schedulers.states()[replica].running
 
 
 def test_grant_is_given_here_and_given_back():
     async def test(here, _there):
-        grant = await here.seeker.find(wish("r1", here, candidate("e0")))
+        grant = await here.acquirer.find(placement("r1", here, candidate("e0")))
         held = running(here, "e0")
-        here.seeker.release(grant)
-        here.seeker.release(grant)
-        return grant.replica, held, running(here, "e0"), here.seeker.active_count
+        here.acquirer.release(grant)
+        here.acquirer.release(grant)
+        return grant.replica, held, running(here, "e0"), here.acquirer.active_count
 
     assert play(test) == ("e0", 1, 0, 0)
 
 
 def test_grant_is_given_by_another_owner_and_given_back():
     async def test(here, there):
-        grant = await here.seeker.find(wish("r1", here, candidate("e1")))
+        grant = await here.acquirer.find(placement("r1", here, candidate("e1")))
         held = running(there, "e1")
-        here.seeker.release(grant)
+        here.acquirer.release(grant)
         await eventloop.until(lambda: running(there, "e1") == 0)
         return grant.replica, held
 
@@ -134,10 +144,12 @@
 
 def test_request_waits_for_room_and_gets_it():
     async def test(here, _there):
-        first = [await here.seeker.find(wish(f"r{n}", here, candidate("e0"))) for n in (1, 2)]
-        waiting = asyncio.ensure_future(here.seeker.find(wish("r3", here, candidate("e0"))))
-        await eventloop.until(lambda: here.desks.states()["e0"].waiting)
-        here.seeker.release(first[0])
+        first = [
+            await here.acquirer.find(placement(f"r{n}", here, candidate("e0"))) for n in (1, 2)
+        ]
+        waiting = asyncio.ensure_future(here.acquirer.find(placement("r3", here, candidate("e0"))))
+        await eventloop.until(lambda: here.schedulers.states()["e0"].waiting)
+        here.acquirer.release(first[0])
         return (await waiting).replica
 
     assert play(test) == "e0"
@@ -148,14 +160,16 @@
 
     async def test(here, there):
         for number in (1, 2):
-            await here.seeker.find(wish(f"r{number}", here, candidate("e0")))
-        full = [await there.seeker.find(wish(f"s{n}", there, candidate("e1"))) for n in (1, 2)]
+            await here.acquirer.find(placement(f"r{number}", here, candidate("e0")))
+        full = [
+            await there.acquirer.find(placement(f"s{n}", there, candidate("e1"))) for n in (1, 2)
+        ]
         both = (candidate("e0"), candidate("e1"))
-        waiting = asyncio.ensure_future(here.seeker.find(wish("r3", here, *both)))
+        waiting = asyncio.ensure_future(here.acquirer.find(placement("r3", here, *both)))
         await asyncio.sleep(0.3)
-        there.seeker.release(full[0])
+        there.acquirer.release(full[0])
         grant = await waiting
-        await eventloop.until(lambda: not here.desks.states()["e0"].waiting)
+        await eventloop.until(lambda: not here.schedulers.states()["e0"].waiting)
         return grant.replica
 
     assert play(test) == "e1"
@@ -164,8 +178,8 @@
 def test_refusal_after_the_wait_says_when_to_come_back():
     async def test(here, _there):
         for number in (1, 2):
-            await here.seeker.find(wish(f"r{number}", here, candidate("e0")))
-        return await here.seeker.find(wish("r3", here, candidate("e0"), wait_s=0.2))
+            await here.acquirer.find(placement(f"r{number}", here, candidate("e0")))
+        return await here.acquirer.find(placement("r3", here, candidate("e0"), wait_s=0.2))
 
     refusal = play(test)
     assert isinstance(refusal, outcomes.Refusal)
@@ -176,7 +190,7 @@
     async def test(here, there):
         there.transport.close()
         both = (candidate("e1", room=9_500), candidate("e0", room=5_000))
-        grant = await here.seeker.find(wish("r1", here, *both))
+        grant = await here.acquirer.find(placement("r1", here, *both))
         return grant.replica, here.silent
 
     assert play(test) == ("e0", ["n1"])
@@ -190,8 +204,8 @@
 
     async def test(here, there):
         there.transport.close()
-        grant = await here.seeker.find(wish("r1", here, candidate("e1")))
-        here.seeker.release(grant)
+        grant = await here.acquirer.find(placement("r1", here, candidate("e1")))
+        here.acquirer.release(grant)
         return grant.replica, grant.is_bound
 
     assert play(test) == ("e1", False)
@@ -205,10 +219,10 @@
     """
 
     async def test(here, there):
-        there.desks.own(frozenset())
-        there.desks.configure({})
-        there.desks.configure({"e1": SPEC})
-        grant = await here.seeker.find(wish("r1", here, candidate("e1")))
+        there.schedulers.own(frozenset())
+        there.schedulers.configure({})
+        there.schedulers.configure({"e1": SPEC})
+        grant = await here.acquirer.find(placement("r1", here, candidate("e1")))
         return grant.replica, grant.is_bound
 
     assert play(test) == ("e1", False)
@@ -216,7 +230,7 @@
 
 def test_no_engine_at_all_is_refused():
     async def test(here, _there):
-        return await here.seeker.find(wish("r1", here))
+        return await here.acquirer.find(placement("r1", here))
 
     assert play(test).code == "no_replica"
 
@@ -224,40 +238,40 @@
 def test_cancelled_wait_leaves_nothing_behind():
     async def test(here, there):
         for number in (1, 2):
-            await there.seeker.find(wish(f"s{number}", there, candidate("e1")))
-        waiting = asyncio.ensure_future(here.seeker.find(wish("r1", here, candidate("e1"))))
-        await eventloop.until(lambda: there.desks.states()["e1"].waiting)
+            await there.acquirer.find(placement(f"s{number}", there, candidate("e1")))
+        waiting = asyncio.ensure_future(here.acquirer.find(placement("r1", here, candidate("e1"))))
+        await eventloop.until(lambda: there.schedulers.states()["e1"].waiting)
         waiting.cancel()
-        await eventloop.until(lambda: not there.desks.states()["e1"].waiting)
-        return here.seeker.active_count
+        await eventloop.until(lambda: not there.schedulers.states()["e1"].waiting)
+        return here.acquirer.active_count
 
     assert play(test) == 0
 
 
 def test_run_that_goes_on_is_taken_in_by_the_memory_that_is_held():
     async def test(here, there):
-        near = await here.seeker.find_near(
-            wish("r1", here, candidate("e0"), candidate("e1"), produced=300), "a"
+        near = await here.acquirer.find_near(
+            placement("r1", here, candidate("e0"), candidate("e1"), produced=300), "a"
         )
-        too_large = await here.seeker.find_near(
-            wish("r2", here, candidate("e0"), candidate("e1"), produced=9_400), "a"
+        too_large = await here.acquirer.find_near(
+            placement("r2", here, candidate("e0"), candidate("e1"), produced=9_400), "a"
         )
         return near is not None, too_large
 
     assert play(test) == (True, None)
 
 
-def test_desk_takes_a_run_in_once_and_never_when_it_leaves():
+def test_scheduler_takes_a_run_in_once_and_never_when_it_leaves():
     clock = clocks.ManualClock()
-    desks = deskset.DeskSet(clock, lengthmodel.LengthModel())
-    desks.configure({"e0": SPEC})
+    schedulers = schedulerset.SchedulerSet(clock, lengthmodel.LengthModel())
+    schedulers.configure({"e0": SPEC})
     work = outcomes.Work("r1", "draft", "clinic", 1, 500, 100)
-    assert desks.take_in("e0", work, 40) == replicadesk.Granted("r1", "e0")
-    assert desks.take_in("e0", work, 40) == replicadesk.Granted("r1", "e0")
-    assert desks.states()["e0"].running == 1
-    desks.leave("e0")
+    assert schedulers.take_in("e0", work, 40) == replicascheduler.Granted("r1", "e0")
+    assert schedulers.take_in("e0", work, 40) == replicascheduler.Granted("r1", "e0")
+    assert schedulers.states()["e0"].running == 1
+    schedulers.leave("e0")
     other = outcomes.Work("r2", "draft", "clinic", 1, 500, 100)
-    assert desks.take_in("e0", other, 1).code == "replica_leaving"
+    assert schedulers.take_in("e0", other, 1).code == "replica_leaving"
 
 
 def old(replica, **changes):
@@ -268,8 +282,8 @@
     """At 82 nodes a node hears of most engines once in 20 s."""
 
     async def test(here, there):
-        grant = await here.seeker.find_room(wish("r1", here, old("e1", room=0)))
-        fresh = await here.seeker.find_room(wish("r2", here, candidate("e1", room=0)))
+        grant = await here.acquirer.find_room(placement("r1", here, old("e1", room=0)))
+        fresh = await here.acquirer.find_room(placement("r2", here, candidate("e1", room=0)))
         return grant.replica, fresh, running(there, "e1")
 
     assert play(test) == ("e1", None, 1)
@@ -278,11 +292,11 @@
 def test_owner_that_grants_another_engine_is_taken_at_its_word():
     async def test(here, there):
         there.report("e0")
-        there.desks.own(frozenset(("e0", "e1")))
+        there.schedulers.own(frozenset(("e0", "e1")))
         there.remote.offer_others(lambda replica, work: ("e0", "e1"))
-        grant = await here.seeker.find(wish("r1", here, old("e1"), candidate("e0", room=0)))
+        grant = await here.acquirer.find(placement("r1", here, old("e1"), candidate("e0", room=0)))
         held = running(there, "e0")
-        here.seeker.release(grant)
+        here.acquirer.release(grant)
         await eventloop.until(lambda: running(there, "e0") == 0)
         return grant.replica, held
 
@@ -294,9 +308,9 @@
 
     async def test(here, there):
         there.report("e0")
-        there.desks.own(frozenset(("e0", "e1")))
+        there.schedulers.own(frozenset(("e0", "e1")))
         there.remote.offer_others(lambda replica, work: ("e0",))
-        grant = await here.seeker.find_room(wish("r1", here, old("e1")))
+        grant = await here.acquirer.find_room(placement("r1", here, old("e1")))
         await eventloop.until(lambda: running(there, "e0") == 0)
         return grant
 
@@ -310,7 +324,7 @@
         asked = []
         there.remote.offer_others(lambda replica, work: asked.append(replica) or ())
         here.owner_by_replica["e2"] = here.owner_by_replica["e1"]
-        await here.seeker.find_room(wish("r1", here, old("e1", room=0), old("e2", room=0)))
+        await here.acquirer.find_room(placement("r1", here, old("e1", room=0), old("e2", room=0)))
         return len(asked)
 
     assert play(test) == 1
@@ -332,16 +346,19 @@
 
         there.remote.ask = count
         for number in range(2):
-            await here.seeker.find(wish(f"a{number}", here, candidate("e0")))
-        held = [await here.seeker.find(wish(f"b{n}", here, candidate("e1"))) for n in range(2)]
+            await here.acquirer.find(placement(f"a{number}", here, candidate("e0")))
+        held = [
+            await here.acquirer.find(placement(f"b{n}", here, candidate("e1"))) for n in range(2)
+        ]
         asked.clear()
         known = (candidate("e0", queued=5), candidate("e1"))
         waiting = [
-            asyncio.ensure_future(here.seeker.find(wish(f"r{n}", here, *known))) for n in range(40)
+            asyncio.ensure_future(here.acquirer.find(placement(f"r{n}", here, *known)))
+            for n in range(40)
         ]
         await asyncio.sleep(1.0)
         count_of_asks = sum(asked)
-        here.seeker.release(held[0])
+        here.acquirer.release(held[0])
         done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED, timeout=2.0)
         for each in waiting:
             each.cancel()
--- a/tests/grants/test_grantfinder.py
+++ b/tests/grants/test_grantacquirer.py
@@ -5,16 +5,16 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.exchange import asks, messages, transport
-from hornbeamglade.grants import grantfinder
+from hornbeamglade.grants import grantacquirer
 from hornbeamglade.routing import candidates
 from tests.callers import callerside
-from tests.grants import test_deskset
+from tests.grants import test_schedulerset
 
 FILLED = 3
 REMOTE = transport.Peer("n2", transport.Endpoint("127.0.0.1", 7000))
 
 
-class Owners(grantfinder.Owners):
+class Owners(grantacquirer.Owners):
     def __init__(self, remote):
         self.remote = remote
         self.silent = []
@@ -35,7 +35,7 @@
         self.calls = []
 
     def ask(self, owner, ask, wanted):
-        names = {messages.key_hash(name): name for name in test_deskset.REPLICAS}
+        names = {messages.key_hash(name): name for name in test_schedulerset.REPLICAS}
         self.asked.append(names[ask.replica])
         return self.answer_by_replica[self.asked[-1]]
 
@@ -50,26 +50,31 @@
     """Two replicas, of which ``e1`` is preferred; a caller that may leave."""
 
     def __init__(self, remote=(), **answer_by_replica):
-        self.asking = test_deskset.Asking()
-        self.desks = self.asking.desks
-        for replica in test_deskset.REPLICAS:
+        self.asking = test_schedulerset.Asking()
+        self.schedulers = self.asking.schedulers
+        for replica in test_schedulerset.REPLICAS:
             self.asking.report(replica)
         self.owners = Owners(remote)
         self.client = Client(**answer_by_replica)
         self.gone = threading.Event()
         self.room_by_replica = {"e1": 90_000, "e2": 900}
         settings = candidates.RoutingSettings(failure_domain="d1")
-        self.finder = grantfinder.GrantFinder(
-            self.asking.clock, self.desks, self.client, self.owners, random.Random(1), settings
+        self.acquirer = grantacquirer.GrantAcquirer(
+            self.asking.clock,
+            self.schedulers,
+            self.client,
+            self.owners,
+            random.Random(1),
+            settings,
         )
 
-    def wish(self, name="r1", prompt=20, is_gone=None):
+    def placement(self, name="r1", prompt=20, is_gone=None):
         work = outcomes.Work(name, "chat", "clerks", 0, prompt)
         deadline = self.asking.clock.now() + 3.0
-        return grantfinder.Wish(work, 1.0, deadline, is_gone or self.gone.is_set)
+        return grantacquirer.PlacementRequest(work, 1.0, deadline, is_gone or self.gone.is_set)
 
     def find(self, *args, **kwargs):
-        return self.finder.find(self.wish(*args, **kwargs), self.known)
+        return self.acquirer.find(self.placement(*args, **kwargs), self.known)
 
     def known(self):
         return [
@@ -80,7 +85,7 @@
         ]
 
     def held(self):
-        states = self.desks.states().values()
+        states = self.schedulers.states().values()
         return sum(state.running + state.waiting for state in states)
 
     def fill(self, *replicas):
@@ -101,9 +106,9 @@
     site = Site()
     grant = site.find()
     assert (grant.replica, grant.number, site.held()) == ("e1", None, 1)
-    assert site.finder.active_count == 1
+    assert site.acquirer.active_count == 1
     grant.release()
-    assert (site.held(), site.finder.active_count) == (0, 0)
+    assert (site.held(), site.acquirer.active_count) == (0, 0)
     site.asking.ask("e1", grant.request_id)
     grant.release()
     assert site.held() == 1
@@ -113,10 +118,10 @@
     site = Site(remote={"e1"}, e1=granted(7))
     grant = site.find()
     grant.produced = 5
-    site.finder.report()
+    site.acquirer.report()
     grant.release()
     grant.release()
-    site.finder.report()
+    site.acquirer.report()
     assert site.client.calls == [("note", 7, 5), ("note", 7, 5), ("close", 7)]
 
 
@@ -139,10 +144,10 @@
 def find_in_thread(site):
     """Start to look for a replica, and return once the request waits at ``e1``."""
     found = []
-    before = site.desks.states()["e1"].waiting
+    before = site.schedulers.states()["e1"].waiting
     thread = threading.Thread(target=lambda: found.append(site.find(prompt=900)), daemon=True)
     thread.start()
-    callerside.wait_for(lambda: site.desks.states()["e1"].waiting > before)
+    callerside.wait_for(lambda: site.schedulers.states()["e1"].waiting > before)
     return thread, found
 
 
@@ -151,7 +156,7 @@
     site.fill("e1")
     thread, found = find_in_thread(site)
     for number in range(FILLED):
-        site.desks.finish("e1", f"e1-{number}")
+        site.schedulers.finish("e1", f"e1-{number}")
     thread.join(callerside.PATIENCE_S)
     assert found[0].replica == "e1"
 
@@ -166,7 +171,7 @@
     assert found[0].replica == "e2"
     assert site.held() == before + 1
     found[0].release()
-    assert (site.held(), site.finder.active_count) == (before, 0)
+    assert (site.held(), site.acquirer.active_count) == (before, 0)
 
 
 def test_a_caller_that_leaves_gives_its_place_back():
@@ -183,22 +188,22 @@
 
 
 def test_a_former_refusal_does_not_end_the_next_wait():
-    """A replica's settings change, and one that waited there is refused by the new desk.
+    """A replica's settings change, and one that waited there is refused by the new scheduler.
 
     Before it is told, its wait there ends and it waits at another replica. The late
     refusal carries its id: taken for the answer of the second, it would end a wait
     whose place is still queued, and the grant of that place would be nobody's.
     """
-    asking = test_deskset.Asking()
+    asking = test_schedulerset.Asking()
     asking.ask("e1", "r0")
     asking.ask("e1", "r1")
-    specs = {"e1": test_deskset.spec(max_waiting=1), "e2": test_deskset.spec()}
-    asking.desks.configure(specs)
-    asking.desks.finish("e1", "r1")
+    specs = {"e1": test_schedulerset.spec(max_waiting=1), "e2": test_schedulerset.spec()}
+    asking.schedulers.configure(specs)
+    asking.schedulers.finish("e1", "r1")
     asking.ask("e2", "r1")
-    asking.desks.settle()
+    asking.schedulers.settle()
     assert asking.told["r1"] == []
-    assert asking.desks.states()["e2"].waiting == 1
+    assert asking.schedulers.states()["e2"].waiting == 1
 
 
 @pytest.mark.parametrize("answer", [asks.NoAnswer("n2"), refused("owner_moved")])
@@ -214,6 +219,6 @@
     grant = site.find()
     assert (grant.replica, grant.number) == ("e1", None)
     waited_s = site.asking.clock.now() - begun
-    assert grantfinder.UNOWNED_S <= waited_s <= grantfinder.UNOWNED_S + 0.2
+    assert grantacquirer.UNOWNED_S <= waited_s <= grantacquirer.UNOWNED_S + 0.2
     grant.release()
     assert (site.held(), site.client.calls) == (0, [])
--- a/tests/grants/test_remotedesk.py
+++ b/tests/grants/test_remotescheduler.py
@@ -6,7 +6,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import grantserver, messages
 from hornbeamglade.fairness import queuesettings
-from hornbeamglade.grants import deskset, grantanswers, remotedesk, replicadesk
+from hornbeamglade.grants import grantanswers, remotescheduler, replicascheduler, schedulerset
 from hornbeamglade.lengths import lengthmodel
 from tests.exchange import lossynetwork
 
@@ -15,28 +15,28 @@
 
 
 class Owner:
-    """A node with one desk, whose configuration names one of each."""
+    """A node with one scheduler, whose configuration names one of each."""
 
     def __init__(self):
         clock = clocks.ManualClock(100.0)
-        self.desks = deskset.DeskSet(clock, lengthmodel.LengthModel())
-        spec = deskset.DeskSpec(
+        self.schedulers = schedulerset.SchedulerSet(clock, lengthmodel.LengthModel())
+        spec = schedulerset.SchedulerSpec(
             100_000, replicaadmission.AdmissionSettings(), queuesettings.WaitingSettings()
         )
-        self.desks.configure({"engine-1": spec})
-        self.desks.own(frozenset({"engine-1"}))
-        self.names = remotedesk.AskNames()
+        self.schedulers.configure({"engine-1": spec})
+        self.schedulers.own(frozenset({"engine-1"}))
+        self.names = remotescheduler.AskNames()
         self.names.replicas.replace(["engine-1"])
         self.names.services.replace(["chat"])
         self.names.teams.replace(["clerks"])
-        self.remote = remotedesk.RemoteDesk(self.desks, clock, self.names)
+        self.remote = remotescheduler.RemoteScheduler(self.schedulers, clock, self.names)
 
     def held(self):
-        state = self.desks.states().get("engine-1")
+        state = self.schedulers.states().get("engine-1")
         return 0 if state is None else state.running + state.waiting
 
 
-def test_an_ask_by_hashes_reaches_the_desk_of_the_name():
+def test_an_ask_by_hashes_reaches_the_scheduler_of_the_name():
     owner = Owner()
     assert owner.remote.ask(KEY, lossynetwork.make_ask(1)).kind is not KIND.REFUSED
     assert owner.held() == 1
@@ -49,7 +49,7 @@
     owner = Owner()
     getattr(owner.names, unknown).replace([])
     answer = owner.remote.ask(KEY, lossynetwork.make_ask(1))
-    assert (answer.kind, answer.code) == (KIND.REFUSED, remotedesk.NAMES_UNKNOWN)
+    assert (answer.kind, answer.code) == (KIND.REFUSED, remotescheduler.NAMES_UNKNOWN)
     assert answer.retry_after_ms > 0
     assert owner.held() == 0
 
@@ -57,22 +57,22 @@
 def test_an_ask_that_may_only_start_now_is_refused_and_not_queued():
     """In a crowd each request asks several owners; queued, it would have to take each back."""
     owner = Owner()
-    desks = owner.desks
+    schedulers = owner.schedulers
     now = dataclasses.replace(lossynetwork.make_ask(1), at_once=True)
-    assert not desks.states()["engine-1"].room_tokens
+    assert not schedulers.states()["engine-1"].room_tokens
     answer = owner.remote.ask(KEY, now)
     assert (answer.kind, answer.code) == (KIND.REFUSED, grantanswers.NO_ROOM_NOW)
     assert owner.held() == 0
     report = tokenledger.LoadView(1, 0.0, 100_000, 0)
-    desks.change("engine-1", lambda desk, at: desk.reported(report, False, at))
+    schedulers.change("engine-1", lambda scheduler, at: scheduler.reported(report, False, at))
     assert owner.remote.ask(KEY, now).kind is KIND.GRANTED
 
 
 def test_an_ask_that_may_only_start_now_learns_that_the_owner_has_changed():
     owner = Owner()
-    owner.desks.own(frozenset())
+    owner.schedulers.own(frozenset())
     now = dataclasses.replace(lossynetwork.make_ask(1), at_once=True)
-    assert owner.remote.ask(KEY, now).code == replicadesk.OWNER_MOVED
+    assert owner.remote.ask(KEY, now).code == replicascheduler.OWNER_MOVED
 
 
 def test_a_returned_ask_frees_its_place():
@@ -97,13 +97,13 @@
 
     def __init__(self, first, second):
         super().__init__()
-        spec = deskset.DeskSpec(
+        spec = schedulerset.SchedulerSpec(
             1000,
             replicaadmission.AdmissionSettings(max_running=1),
             queuesettings.WaitingSettings(),
         )
-        self.desks.configure(dict.fromkeys(("engine-1", "engine-2"), spec))
-        self.desks.own(frozenset(("engine-1", "engine-2")))
+        self.schedulers.configure(dict.fromkeys(("engine-1", "engine-2"), spec))
+        self.schedulers.own(frozenset(("engine-1", "engine-2")))
         self.names.replicas.replace(["engine-1", "engine-2"])
         self.remote.offer_others(lambda replica, work: (first, second))
         for name in ("engine-1", "engine-2"):
@@ -111,7 +111,7 @@
 
     def report(self, name):
         view = tokenledger.LoadView(1, 0.0, 1000, 0)
-        self.desks.change(name, lambda desk, now: desk.reported(view, False, now))
+        self.schedulers.change(name, lambda scheduler, now: scheduler.reported(view, False, now))
 
     def ask(self, number, **changes):
         key = grantserver.GrantKey("n2", 1, number)
@@ -119,7 +119,7 @@
         return key, self.remote.ask(key, ask)
 
     def running(self):
-        return {name: state.running for name, state in self.desks.states().items()}
+        return {name: state.running for name, state in self.schedulers.states().items()}
 
 
 def test_an_owner_that_may_choose_grants_its_best_engine_with_room():
@@ -171,4 +171,4 @@
     _, answer = owner.ask(1, avoid=(messages.key_hash("engine-2"),))
     assert answer.replica == messages.key_hash("engine-1")
     _, none = owner.ask(2, avoid=(messages.key_hash("engine-1"), messages.key_hash("engine-2")))
-    assert (none.kind, none.code) == (KIND.REFUSED, remotedesk.NONE_LEFT)
+    assert (none.kind, none.code) == (KIND.REFUSED, remotescheduler.NONE_LEFT)
--- a/tests/grants/test_deskset.py
+++ b/tests/grants/test_schedulerset.py
@@ -7,7 +7,7 @@
 from hornbeamglade.admission import replicaadmission, tokenledger
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.fairness import queuesettings
-from hornbeamglade.grants import deskset, replicadesk
+from hornbeamglade.grants import replicascheduler, schedulerset
 from hornbeamglade.lengths import lengthmodel
 
 REPLICAS = ("e1", "e2")
@@ -15,7 +15,7 @@
 
 
 def spec(max_waiting=4, max_running=3):
-    return deskset.DeskSpec(
+    return schedulerset.SchedulerSpec(
         MEMORY,
         replicaadmission.AdmissionSettings(max_running=max_running),
         queuesettings.WaitingSettings(max_waiting, team_share=1.0),
@@ -23,30 +23,32 @@
 
 
 class Asking:
-    """Asks at a desk set and keeps every later answer."""
+    """Asks at a scheduler set and keeps every later answer."""
 
     def __init__(self):
         self.clock = clocks.ManualClock()
-        self.desks = deskset.DeskSet(self.clock, lengthmodel.LengthModel())
-        self.desks.configure(dict.fromkeys(REPLICAS, spec()))
-        self.desks.own(frozenset(REPLICAS))
+        self.schedulers = schedulerset.SchedulerSet(self.clock, lengthmodel.LengthModel())
+        self.schedulers.configure(dict.fromkeys(REPLICAS, spec()))
+        self.schedulers.own(frozenset(REPLICAS))
         self.told = collections.defaultdict(list)
         self.sequence = 0
 
     def report(self, replica, leaving=False):
         self.sequence += 1
         view = tokenledger.LoadView(self.sequence, 0.0, MEMORY, 0)
-        self.desks.change(replica, lambda desk, now: desk.reported(view, leaving, now))
+        self.schedulers.change(
+            replica, lambda scheduler, now: scheduler.reported(view, leaving, now)
+        )
         if leaving:
-            self.desks.leave(replica)
+            self.schedulers.leave(replica)
 
     def ask(self, replica, request_id, team="clerks", prompt=20, patience_s=60.0):
         work = outcomes.Work(request_id, "chat", team, 0, prompt)
         deadline = self.clock.now() + patience_s
-        return self.desks.ask(replica, work, 1.0, deadline, self.told[request_id].append)
+        return self.schedulers.ask(replica, work, 1.0, deadline, self.told[request_id].append)
 
 
-class DeskSetMachine(stateful.RuleBasedStateMachine):
+class SchedulerSetMachine(stateful.RuleBasedStateMachine):
     """Every ask ends exactly once as refused or finished; no grant is lost."""
 
     def __init__(self):
@@ -69,9 +71,9 @@
         self.count += 1
         name = f"r{self.count}"
         answer = self.asking.ask(replica, name, team, prompt, patience_s)
-        if isinstance(answer, replicadesk.Granted):
+        if isinstance(answer, replicascheduler.Granted):
             self.replica_by_running[name] = replica
-        elif isinstance(answer, replicadesk.Waiting):
+        elif isinstance(answer, replicascheduler.Waiting):
             self.replica_by_waiting[name] = replica
         else:
             assert answer.run is outcomes.RunStatus.NOT_RUN
@@ -85,7 +87,9 @@
             return
         answer = self.asking.ask(known[name], name)
         is_running = name in self.replica_by_running
-        assert isinstance(answer, replicadesk.Granted if is_running else replicadesk.Waiting)
+        assert isinstance(
+            answer, replicascheduler.Granted if is_running else replicascheduler.Waiting
+        )
 
     @stateful.precondition(lambda self: self.replica_by_waiting or self.replica_by_running)
     @stateful.rule(data=st.data(), times=st.integers(1, 2))
@@ -95,13 +99,13 @@
         self.replica_by_waiting.pop(name, None)
         self.replica_by_running.pop(name, None)
         for _ in range(times):
-            self.asking.desks.finish(known[name], name)
+            self.asking.schedulers.finish(known[name], name)
         self.asking.told[name].clear()
 
     @stateful.rule(produced=st.integers(0, 600))
     def progress(self, produced):
         for name, replica in self.replica_by_running.items():
-            self.asking.desks.progress(replica, name, produced)
+            self.asking.schedulers.progress(replica, name, produced)
 
     @stateful.rule(
         replica=st.sampled_from(REPLICAS), leaving=st.sampled_from([False, False, True])
@@ -117,7 +121,7 @@
         names=st.sampled_from([REPLICAS, REPLICAS, ("e1",)]), max_waiting=st.integers(1, 4)
     )
     def configure(self, names, max_waiting):
-        self.asking.desks.configure(dict.fromkeys(names, spec(max_waiting)))
+        self.asking.schedulers.configure(dict.fromkeys(names, spec(max_waiting)))
         self.configured = set(names)
         gone = [n for n, r in self.replica_by_running.items() if r not in self.configured]
         for name in gone:
@@ -125,16 +129,16 @@
 
     @stateful.invariant()
     def nothing_is_lost_or_told_twice(self):
-        self.asking.desks.settle()
+        self.asking.schedulers.settle()
         for name, told in self.asking.told.items():
             assert len(told) <= 1, name
             if told and name in self.replica_by_waiting:
                 replica = self.replica_by_waiting.pop(name)
-                if isinstance(told[0].answer, replicadesk.Granted):
+                if isinstance(told[0].answer, replicascheduler.Granted):
                     self.replica_by_running[name] = replica
                 else:
                     assert told[0].answer.run is outcomes.RunStatus.NOT_RUN
-        states = self.asking.desks.states()
+        states = self.asking.schedulers.states()
         running = collections.Counter(self.replica_by_running.values())
         queued = collections.Counter(self.replica_by_waiting.values())
         for replica in REPLICAS:
@@ -144,15 +148,15 @@
 
     def teardown(self):
         for name, replica in (self.replica_by_waiting | self.replica_by_running).items():
-            self.asking.desks.finish(replica, name)
-        states = self.asking.desks.states().values()
+            self.asking.schedulers.finish(replica, name)
+        states = self.asking.schedulers.states().values()
         assert all(state.running == state.waiting == 0 for state in states)
 
 
-DeskSetMachine.TestCase.settings = hypothesis.settings(
+SchedulerSetMachine.TestCase.settings = hypothesis.settings(
     derandomize=True, database=None, deadline=None, max_examples=80, stateful_step_count=30
 )
-TestDeskSet = DeskSetMachine.TestCase
+TestSchedulerSet = SchedulerSetMachine.TestCase
 
 
 def test_an_unknown_replica_is_refused_as_not_run():
@@ -164,7 +168,7 @@
     """An operator takes a replica out while callers wait for it."""
     asking = Asking()
     asking.ask("e2", "r1")
-    asking.desks.configure({"e1": spec()})
+    asking.schedulers.configure({"e1": spec()})
     assert [each.answer.code for each in asking.told["r1"]] == ["replica_leaving"]
 
 
@@ -176,7 +180,7 @@
     """
     node = Asking()
     node.ask("e1", "r1")
-    node.desks.own(frozenset())
+    node.schedulers.own(frozenset())
     assert [settled.answer.code for settled in node.told["r1"]] == ["owner_moved"]
     assert node.ask("e1", "r2").code == "owner_moved"
 
@@ -188,7 +192,7 @@
     """
     node = Asking()
     node.report("e2")
-    rooms = {name: state.room_tokens for name, state in node.desks.states().items()}
+    rooms = {name: state.room_tokens for name, state in node.schedulers.states().items()}
     assert rooms["e1"] == 0
     assert rooms["e2"] > 0
 
@@ -200,7 +204,7 @@
     """
     node = Asking()
     node.report("e1")
-    node.clock.advance(replicadesk.QUIET_S + 0.1)
-    assert node.desks.states()["e1"].room_tokens == 0
+    node.clock.advance(replicascheduler.QUIET_S + 0.1)
+    assert node.schedulers.states()["e1"].room_tokens == 0
     node.report("e1")
-    assert node.desks.states()["e1"].room_tokens > 0
+    assert node.schedulers.states()["e1"].room_tokens > 0
--- a/tests/grants/test_turntaker.py
+++ b/tests/grants/test_turntaker.py
@@ -5,7 +5,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, messages, transport
-from hornbeamglade.grants import grantfinder, turntaker
+from hornbeamglade.grants import grantacquirer, turntaker
 from tests import eventloop
 
 OWNER = "n0"
@@ -29,7 +29,7 @@
         asyncio.get_running_loop().call_soon(taker.heard, message, sender, endpoint)
 
 
-class Owners(grantfinder.Owners):
+class Owners(grantacquirer.Owners):
     """One node owns every replica."""
 
     def __init__(self, name):
--- a/tests/node/fakeparts.py
+++ b/tests/node/fakeparts.py
@@ -50,7 +50,7 @@
         self.calls = []
         self.clock = clocks.ManualClock()
         self.metrics = metrics.NodeMetrics()
-        self.desks = self.book = self.in_flight = self
+        self.schedulers = self.catalog = self.in_flight = self
         platform = memory.MemoryPlatform()
         settings = claims.ClaimSettings()
         self.store = claims.ClaimStore(platform, platform, self.clock, "n1", settings)
--- a/tests/node/test_siteview.py
+++ b/tests/node/test_siteview.py
@@ -19,7 +19,7 @@
     "pools": {},
     "teams": {
         "clerks": {"key_hashes": [], "services": ["drafts"], "weight": 3.0, "priority": 2},
-        "desk": {"key_hashes": []},
+        "scheduler": {"key_hashes": []},
     },
 }
 
@@ -48,8 +48,8 @@
 def test_a_team_gets_only_what_it_may_call(view):
     assert view.permitted("clerks", "drafts").model == "draft"
     assert view.permitted("clerks", "holds").code == "service_not_permitted"
-    assert view.permitted("desk", "holds").kind == "plain"
-    assert view.permitted("desk", "none").code == "service_unknown"
+    assert view.permitted("scheduler", "holds").kind == "plain"
+    assert view.permitted("scheduler", "none").code == "service_unknown"
 
 
 def test_limits_are_those_of_the_teams(view):
--- a/tests/routed/test_handover.py
+++ b/tests/routed/test_handover.py
@@ -6,7 +6,7 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.engines import control, models
-from hornbeamglade.grants import grantseeker, turntaker
+from hornbeamglade.grants import asyncgrantacquirer, turntaker
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import handover
 from tests import eventloop
@@ -51,12 +51,12 @@
         self.has_room = True
         self.held = 0
 
-    async def find_near(self, wish, failure_domain):
+    async def find_near(self, placement, failure_domain):
         self._done.append("room" if self.has_room else "full")
         if not self.has_room:
             return None
         self.held += 1
-        return grantseeker.Grant(TARGET.id, f"{wish.grant_id}@{TARGET.id}")
+        return asyncgrantacquirer.Grant(TARGET.id, f"{placement.grant_id}@{TARGET.id}")
 
     def release(self, grant):
         self.held -= 1
@@ -107,12 +107,14 @@
 
     def __init__(self, limit_s=30.0):
         self.done = []
-        self.engines, self.seeker = Engines(self.done), Seeker(self.done)
-        self.turns, self.book, clock = Turns(self.done), Book(), clocks.SystemClock()
-        parts = handover.HandoverParts(self.engines, self.seeker, self.turns, self.book, clock)
+        self.engines, self.acquirer = Engines(self.done), Seeker(self.done)
+        self.turns, self.catalog, clock = Turns(self.done), Book(), clocks.SystemClock()
+        parts = handover.HandoverParts(
+            self.engines, self.acquirer, self.turns, self.catalog, clock
+        )
         work = outcomes.Work("r1", "draft", "clinic", 1, 500, 100)
-        wish = grantseeker.Wish(work, 1.0, clock.now() + limit_s, tuple)
-        self.handover = handover.Handover(SOURCE, "r1", wish, parts)
+        placement = asyncgrantacquirer.PlacementRequest(work, 1.0, clock.now() + limit_s, tuple)
+        self.handover = handover.Handover(SOURCE, "r1", placement, parts)
 
     async def run(self):
         await self.handover.run(40)
@@ -135,7 +137,7 @@
     async def test():
         move = Move()
         await move.run()
-        return move.done, move.handover.outcome, move.seeker.held
+        return move.done, move.handover.outcome, move.acquirer.held
 
     assert eventloop.run(test()) == (["room", "asks", "turn", "copy", "stop", "done"], "moved", 1)
 
@@ -150,7 +152,7 @@
         await eventloop.until(lambda: "asks" in move.done)
         task.cancel()
         await asyncio.wait((task,))
-        return move.seeker.held, move.done[-1]
+        return move.acquirer.held, move.done[-1]
 
     assert eventloop.run(test()) == (0, "done")
 
@@ -163,10 +165,10 @@
         move.turns.may_arrive.clear()
         task = asyncio.ensure_future(move.run())
         await eventloop.until(lambda: move.turns.arrivals)
-        move.book.evacuated.add(TARGET.id)
+        move.catalog.evacuated.add(TARGET.id)
         move.turns.may_arrive.set()
         await task
-        return move.done.count("copy"), move.seeker.held
+        return move.done.count("copy"), move.acquirer.held
 
     assert eventloop.run(test()) == (0, 0)
 
@@ -202,7 +204,7 @@
         await eventloop.until(lambda: move.turns.arrivals)
         task.cancel()
         await asyncio.wait((task,))
-        return move.turns.arrivals[-1], move.done[-1], move.seeker.held
+        return move.turns.arrivals[-1], move.done[-1], move.acquirer.held
 
     assert eventloop.run(test()) == (("done", "e1"), "done", 0)
 
@@ -212,7 +214,7 @@
         move = Move()
         move.engines.answers.append(models.CopyFailed("no_room"))
         await move.run()
-        return move.handover.outcome, move.seeker.held, move.done.count("room")
+        return move.handover.outcome, move.acquirer.held, move.done.count("room")
 
     assert eventloop.run(test()) == ("moved", 1, 2)
 
@@ -223,7 +225,7 @@
         move = Move()
         move.engines.answers.append(models.CopyFailed(code))
         await move.run()
-        return move.handover.outcome, move.seeker.held
+        return move.handover.outcome, move.acquirer.held
 
     assert eventloop.run(test()) == (code, 0)
 
@@ -231,7 +233,7 @@
 def test_run_for_which_there_is_no_room_takes_no_turn():
     async def test():
         move = Move(limit_s=0.05)
-        move.seeker.has_room = False
+        move.acquirer.has_room = False
         await move.run()
         return move.handover.outcome, "asks" in move.done
 
@@ -244,7 +246,7 @@
         move.engines.answers += [models.CopyMade("copy-1", 7), models.CopyFailed("no_room", "c2")]
         await move.run()
         destination = move.handover.destination
-        return destination.replica.id, destination.copy.name, move.seeker.held
+        return destination.replica.id, destination.copy.name, move.acquirer.held
 
     assert eventloop.run(test()) == ("e0", "c2", 0)
 
@@ -260,7 +262,7 @@
     async def test():
         move = Move()
         await move.end_while_copied()
-        return move.engines.dropped, move.seeker.held, move.done[-1], move.handover.outcome
+        return move.engines.dropped, move.acquirer.held, move.done[-1], move.handover.outcome
 
     freed = [(SOURCE.address, "copy-1")]
     assert eventloop.run(test()) == (freed, 0, "done", "run_ended")
@@ -287,7 +289,7 @@
         move.engines.copied.set()
         await asyncio.wait((task,))
         await asyncio.sleep(0)
-        return move.engines.dropped, move.seeker.held
+        return move.engines.dropped, move.acquirer.held
 
     assert eventloop.run(test()) == ([(SOURCE.address, "copy-1")], 0)
 
@@ -297,6 +299,6 @@
         move = Move()
         move.engines.answers.append(models.CopyFailed("no_room"))
         await move.end_while_copied()
-        return move.done.count("copy"), move.seeker.held
+        return move.done.count("copy"), move.acquirer.held
 
     assert eventloop.run(test()) == (1, 0)
