grants: place without a grant while owners do not know the configuration yet

Change: the answer counts like that of an owner that has changed: where no owner admits, the request goes to the best engine without a grant, and the engine's own queue takes it.

Not tried in pairs.

--- a/hornbeamglade/grants/grantanswers.py
+++ b/hornbeamglade/grants/grantanswers.py
@@ -9,14 +9,17 @@
 from hornbeamglade.grants import replicascheduler
 
 NO_REPLICA_RETRY_S = 2.0
+NAMES_RETRY_S = 0.5
 OWNER_SILENT = "owner_silent"
 NO_ROOM_NOW = "no_room_now"
+NAMES_UNKNOWN = "names_unknown"
 TEAM_CODES = frozenset(("team_queue_full",))
 """Refusals that are a team's own doing; they bear the same status at every owner."""
 
-UNOWNED_CODES = frozenset((OWNER_SILENT, replicascheduler.OWNER_MOVED))
+UNOWNED_CODES = frozenset((OWNER_SILENT, NAMES_UNKNOWN, replicascheduler.OWNER_MOVED))
 """Refusals that say nothing of the replica: nobody admits to it just now. Its owner was
-killed or cut off, and the nodes agree on another one some three seconds later."""
+killed or cut off, or has started and does not know the configuration yet; the nodes agree on
+another one some three seconds later."""
 
 TEAM_STATUS = 429
 MILLISECONDS = 1000
@@ -82,6 +85,12 @@
     return outcomes.Refusal(OWNER_SILENT, 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
 
 
+def names_unknown() -> outcomes.Refusal:
+    """Return the refusal of an ask that names what is not configured at the owner."""
+    detail = "the ask names a replica, service or team that is not configured here"
+    return outcomes.Refusal(NAMES_UNKNOWN, 503, detail, retry_after_s=NAMES_RETRY_S)
+
+
 def no_room_now(replica: str) -> outcomes.Refusal:
     """Return the refusal of a request that may only start now."""
     detail = f"replica {replica} has no room just now"
--- a/hornbeamglade/grants/remotescheduler.py
+++ b/hornbeamglade/grants/remotescheduler.py
@@ -10,8 +10,6 @@
 from hornbeamglade.grants import grantanswers, replicascheduler, schedulerset
 
 MILLISECONDS = 1000
-NAMES_UNKNOWN = "names_unknown"
-NAMES_RETRY_S = 0.5
 NONE_LEFT = "none_left"
 NONE_LEFT_RETRY_S = 0.5
 """Engines that died are taken from the list, or report again, within a few of these."""
@@ -88,7 +86,7 @@
         """
         asked = self._asked(key, ask)
         if asked is None:
-            return _answer(ask.ask, _names_unknown())
+            return _answer(ask.ask, grantanswers.names_unknown())
         choices: collections.abc.Sequence[str] = ()
         if ask.or_other:
             choices = self._choices(ask, asked)
@@ -227,11 +225,6 @@
     return f"{key.holder}/{key.incarnation}/{key.ask}"
 
 
-def _names_unknown() -> outcomes.Refusal:
-    detail = "the ask names a replica, service or team that is not configured here"
-    return outcomes.Refusal(NAMES_UNKNOWN, 503, detail, retry_after_s=NAMES_RETRY_S)
-
-
 def _none_left() -> outcomes.Refusal:
     detail = "none of the replicas that this node admits to will do"
     return outcomes.Refusal(NONE_LEFT, 503, detail, retry_after_s=NONE_LEFT_RETRY_S)
