--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -340,6 +340,7 @@
         present = self._replicas.by_id
         self._pool.forget(frozenset(each.address for each in present.values()))
         self._loads.forget(present)
+        self._available.forget_warm(self._clock.now())
         self._forget_departed()
         self._engine_watch.forget_absent()
         # An instance may have come back under its name in another failure domain.
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -84,6 +84,10 @@
             if change.what in ("added", "changed") and change.replica.warm_in_s > 0.0:
                 self._begin_slowly(change.replica, change.replica.warm_in_s, "list", now)
 
+    def forget_warm(self, now: float) -> None:
+        """Forget the slow starts that are over."""
+        self._slow_starts.forget_warm(now)
+
     def is_evacuated(self, replica: models.Replica) -> bool:
         """Tell whether the operator keeps new work from a replica's failure domain."""
         return replica.failure_domain in self.evacuations.domains
--- a/hornbeamglade/replicas/slowstart.py
+++ b/hornbeamglade/replicas/slowstart.py
@@ -122,6 +122,16 @@
         if known is not None:
             known.next_at = max(now, known.next_at) + known.interval_s
 
+    def forget_warm(self, now: float) -> None:
+        """Forget the replicas that are cold no more, also those that nobody asks about."""
+        for replica_id in tuple(self._cold_by_id):
+            self._cold(replica_id, now)
+
+    @property
+    def count(self) -> int:
+        """How many replicas are remembered."""
+        return len(self._cold_by_id)
+
     def _cold(self, replica_id: str, now: float) -> _Cold | None:
         known = self._cold_by_id.get(replica_id)
         if known is not None and now >= known.ends_at:
--- a/tests/replicas/test_slowstart.py
+++ b/tests/replicas/test_slowstart.py
@@ -79,3 +79,12 @@
     assert node.wait_s("e0", 1.9) <= 0.1 + 1e-9
     assert not node.is_cold("e0", 2.0)
     assert node.wait_s("e0", 2.0) == 0.0
+
+
+def test_replicas_that_came_and_went_are_not_remembered():
+    """Replicas live for seconds; one that leaves while it is cold is never asked about again."""
+    node = slowstart.SlowStarts(random.Random(1))
+    for number in range(50):
+        node.begin(f"e{number}", 2.0, 5.0, 0.0)
+    node.forget_warm(2.0)
+    assert node.count == 0
