entry, routed: name handlers, startup and drain by the field's terms

| before | now | what it is | |---|---|---| | Beginning (entry/beginning.py) | StartupGate (entry/startupgate.py) | callers wait for the first configuration | | LeavingWork (routed/leavingwork.py) | DrainAdmission (routed/drainadmission.py) | what a stopping instance still takes | | configuration_told, replicas_told, store_told, hinted, evacuations_heard, engine_leaves, introduced | on_configuration, on_replicas, on_store_outcome, on_hint, on_evacuations, on_engine_leaving, on_introduction | handlers of news | | following.Told | following.TableOutcome | an outcome of following a table |

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -6,7 +6,7 @@
 import http
 
 from hornbeamglade.core import clocks, outcomes
-from hornbeamglade.entry import beginning
+from hornbeamglade.entry import startupgate
 from hornbeamglade.grants import grantanswers
 from hornbeamglade.http1 import serverside
 from hornbeamglade.observability import logs, metrics
@@ -14,7 +14,7 @@
     attemptlog,
     callrouter,
     dialect,
-    leavingwork,
+    drainadmission,
     ownanswers,
     plainexchange,
     retrybudget,
@@ -31,7 +31,7 @@
     """What routed requests are answered with.
 
     :param words: how requests and answers are written.
-    :param beginning: has callers wait for the first configuration.
+    :param startup: has callers wait for the first configuration.
     :param current: the configuration in force.
     :param plain: gets whole answers.
     :param runs: what streamed answers work with.
@@ -43,12 +43,12 @@
     """
 
     words: dialect.Dialect
-    beginning: beginning.Beginning
+    startup: startupgate.StartupGate
     current: views.Views
     plain: plainexchange.PlainExchange
     runs: streamrun.RunParts
     budgets: retrybudget.RetryBudgets
-    leaving: leavingwork.LeavingWork
+    leaving: drainadmission.DrainAdmission
     belief: collections.abc.Callable[[], views.Belief]
     metrics: metrics.NodeMetrics
     clock: clocks.Clock
@@ -85,8 +85,8 @@
         if isinstance(call, outcomes.Refusal):
             await self._refuse_unrouted(exchange, call, "-")
             return
-        if not parts.beginning.is_over:
-            await parts.beginning.wait()
+        if not parts.startup.is_over:
+            await parts.startup.wait()
         routed = callrouter.route(call, parts.current.routes)
         if isinstance(routed, outcomes.Refusal):
             await self._refuse_unrouted(exchange, routed, call.request_id)
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -106,7 +106,7 @@
             self._store,
             table,
             lambda outcome: self._loop.call_soon_threadsafe(
-                self.instance.store_told, table, outcome
+                self.instance.on_store_outcome, table, outcome
             ),
             self._clock,
             self._rng,
@@ -117,7 +117,7 @@
         return LONE_RETRY_S if self.instance.watch.is_on_its_own else tablefollower.RETRY_S
 
     def _introduced(self, listed: tuple[contract.Instance, ...]) -> None:
-        self._loop.call_soon_threadsafe(self.instance.introduced, listed)
+        self._loop.call_soon_threadsafe(self.instance.on_introduction, listed)
 
     def _follow(self) -> None:
         """Follow the store, or leave it to others, as this instance's part is now."""
--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -24,7 +24,7 @@
 STORE = "store"
 PEER = "peer"
 
-Told = contract.Snapshot | contract.Changes | contract.Unavailable
+TableOutcome = contract.Snapshot | contract.Changes | contract.Unavailable
 ListChanged = collections.abc.Callable[[tuple[replicalist.ListChange, ...]], None]
 
 
@@ -83,7 +83,7 @@
         age_s = self._clock.now() - max(times) if times else None
         return views.Belief(self._replicas.version, age_s)
 
-    def hinted(self, hint: messages.ConfigHint) -> None:
+    def on_hint(self, hint: messages.ConfigHint) -> None:
         """Take the word of a follower: its list is as new as the store's."""
         if hint.is_reached and hint.list_version <= self._replicas.version:
             self._confirmed_at = self._clock.now()
@@ -118,7 +118,7 @@
         rows = tuple(contract.Row(*row) for row in json.loads(document))
         self._take_snapshot(contract.Snapshot(rows, version), PEER)
 
-    def configuration_told(self, outcome: Told) -> None:
+    def on_configuration(self, outcome: TableOutcome) -> None:
         """Take an outcome of following the table of the configuration."""
         if not self._is_heard(tables.CONFIGURATION, outcome):
             return
@@ -128,7 +128,7 @@
         if row is not None:
             self._take_configuration(row.value.encode(), STORE)
 
-    def replicas_told(self, outcome: Told) -> None:
+    def on_replicas(self, outcome: TableOutcome) -> None:
         """Take an outcome of following the table of replicas."""
         if not self._is_heard(tables.REPLICAS, outcome):
             return
@@ -164,7 +164,7 @@
             )
         self.take_evacuations(state, STORE)
 
-    def _is_heard(self, table: str, outcome: Told) -> bool:
+    def _is_heard(self, table: str, outcome: TableOutcome) -> bool:
         """Note whether the store answers; tell whether it has."""
         is_reached = not isinstance(outcome, contract.Unavailable)
         was_reached = self._reached_by_table.get(table)
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -7,7 +7,6 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.engines import reportpoller
 from hornbeamglade.entry import (
-    beginning,
     callershandler,
     controlhandler,
     directory,
@@ -17,6 +16,7 @@
     peering,
     settings,
     sharing,
+    startupgate,
     storewatch,
 )
 from hornbeamglade.exchange import messages
@@ -32,9 +32,9 @@
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
+    drainadmission,
     enginecatalog,
     handover,
-    leavingwork,
     plainexchange,
     replicaload,
     retrybudget,
@@ -74,7 +74,7 @@
         self.instruments = metrics.NodeMetrics()
         rng = random.Random(self.incarnation ^ hash(told.name))
         self._views = views.Views()
-        self._beginning = beginning.Beginning()
+        self._startup = startupgate.StartupGate()
         self._replicas = replicalist.ReplicaList()
         self._available = availability.Availability(
             self._replicas,
@@ -153,7 +153,9 @@
             told.policy.arrivals_in_turn,
         )
         pace = streampace.StreamPace()
-        self._leaving_work = leavingwork.LeavingWork(pace, self._outlasts, self._are_others_ready)
+        self._drain_admission = drainadmission.DrainAdmission(
+            pace, self._outlasts, self._are_others_ready
+        )
         runs = streamrun.RunParts(
             self._sender,
             self.acquirer,
@@ -172,12 +174,12 @@
         self.callers = callershandler.CallersHandler(
             callershandler.HandlerParts(
                 self._words,
-                self._beginning,
+                self._startup,
                 self._views,
                 plain,
                 runs,
                 self._budgets,
-                self._leaving_work,
+                self._drain_admission,
                 self.following.belief,
                 self.instruments,
                 clock,
@@ -212,7 +214,7 @@
 
     def _look_whether_begun(self) -> None:
         if self._knows_all:
-            self._beginning.end()
+            self._startup.end()
 
     @property
     def is_leaving(self) -> bool:
@@ -225,7 +227,7 @@
         now = self._clock.now()
         self.draining = draining.Draining(ANNOUNCED_S, spread_s=0.0, hard_limit_s=limit_s)
         self.draining.request(now)
-        self._leaving_work.begin(now, limit_s)
+        self._drain_admission.begin(now, limit_s)
         self.peering.heartbeats.leave()
         return self.draining
 
@@ -293,7 +295,7 @@
     @property
     def tick_s(self) -> float:
         """Seconds until the next tick is due."""
-        is_idle = self.peering.is_idle and not self.watch.is_telling and self._beginning.is_over
+        is_idle = self.peering.is_idle and not self.watch.is_telling and self._startup.is_over
         return IDLE_TICK_S if is_idle and not self._schedulers.is_waited_at else TICK_S
 
     def tick(self) -> None:
@@ -304,12 +306,12 @@
         self._schedulers.settle()
         self.pass_on()
 
-    def store_told(self, table: str, outcome: following.Told) -> None:
+    def on_store_outcome(self, table: str, outcome: following.TableOutcome) -> None:
         """Take an outcome of following a table of the store."""
         if table == tables.CONFIGURATION:
-            self.following.configuration_told(outcome)
+            self.following.on_configuration(outcome)
         else:
-            self.following.replicas_told(outcome)
+            self.following.on_replicas(outcome)
         self.pass_on()
 
     def pass_on(self) -> None:
@@ -318,16 +320,16 @@
         for hint in self.watch.tick(live):
             self.peering.send(hint.node, hint.message)
 
-    def engine_leaves(self, replica_id: str) -> None:
+    def on_engine_leaving(self, replica_id: str) -> None:
         """Take an owner's word that an engine is about to stop."""
         self._engine_watch.leaves(replica_id, enginewatch.PEER)
 
-    def hinted(self, hint: messages.ConfigHint) -> None:
+    def on_hint(self, hint: messages.ConfigHint) -> None:
         """Take a hint of an instance that follows the store."""
         self.watch.heard(hint)
-        self.following.hinted(hint)
+        self.following.on_hint(hint)
 
-    def evacuations_heard(self, state: evacuationlib.Evacuations) -> None:
+    def on_evacuations(self, state: evacuationlib.Evacuations) -> None:
         """Take the evacuated failure domains as another instance knows them."""
         self.following.take_evacuations(state, following.PEER)
 
@@ -358,14 +360,14 @@
                 self._replicas.forget_departed(replica_id)
                 del self._departed_at_by_replica[replica_id]
 
-    def introduced(self, listed: tuple[contract.Instance, ...]) -> None:
+    def on_introduction(self, listed: tuple[contract.Instance, ...]) -> None:
         """Take the instances' own list of themselves."""
         self.peering.heartbeats.listed(listed)
         if not self._has_been_introduced:
             # At large sites it would take minutes until each had heard of this one.
             self._has_been_introduced = True
             self.peering.heartbeats.announce()
-        self.watch.introduced()
+        self.watch.on_introduction()
         self.pass_on()
 
     def _held_versions(self) -> tuple[int, int]:
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -30,15 +30,15 @@
     """Told of what other instances do and say."""
 
     @abc.abstractmethod
-    def engine_leaves(self, replica_id: str) -> None:
+    def on_engine_leaving(self, replica_id: str) -> None:
         """Take an owner's word that an engine is about to stop."""
 
     @abc.abstractmethod
-    def hinted(self, hint: messages.ConfigHint) -> None:
+    def on_hint(self, hint: messages.ConfigHint) -> None:
         """Take a hint of an instance that follows the store."""
 
     @abc.abstractmethod
-    def evacuations_heard(self, state: evacuationlib.Evacuations) -> None:
+    def on_evacuations(self, state: evacuationlib.Evacuations) -> None:
         """Take the evacuated failure domains as another instance knows them."""
 
     @abc.abstractmethod
@@ -190,7 +190,7 @@
             if self.heartbeats.heard(message, sender, source):
                 self._digests.hear(sender.name, message.replicas)
                 self._hear_leaving(message.replicas)
-                self._news.evacuations_heard(message.evacuations)
+                self._news.on_evacuations(message.evacuations)
         elif isinstance(message, messages.GrantAsk):
             self._server.asked(message, sender, source)
         elif isinstance(message, messages.GrantAnswer):
@@ -200,8 +200,8 @@
         elif isinstance(message, messages.MoveTurn):
             self.turns.heard(message, sender, source)
         elif isinstance(message, messages.ConfigHint):
-            self._news.hinted(message)
-            for due in self._documents.hinted(sender.name, message):
+            self._news.on_hint(message)
+            for due in self._documents.on_hint(sender.name, message):
                 self.transport.send(peer, due.message)
         elif isinstance(message, messages.Outrun):
             rising.rise_above(message.incarnation, self.codec, self.grants, self.heartbeats)
@@ -218,7 +218,7 @@
         for digest in digests:
             name = self.names.replicas.find(digest.replica) if digest.leaving else None
             if name is not None:
-                self._news.engine_leaves(name)
+                self._news.on_engine_leaving(name)
 
 
 def _replica_digest(state: schedulerset.SchedulerState) -> messages.ReplicaDigest:
--- a/hornbeamglade/entry/sharing.py
+++ b/hornbeamglade/entry/sharing.py
@@ -125,13 +125,13 @@
                 return ask
         return None
 
-    def hinted(self, node: str, hint: messages.ConfigHint) -> tuple[Ask, ...]:
+    def on_hint(self, node: str, hint: messages.ConfigHint) -> tuple[Ask, ...]:
         """Take a hint of an instance that follows the store; return what to ask it."""
         now = self._clock.now()
         had = self.versions()
         due = []
         for subject in _SUBJECTS:
-            version = _hinted(hint, subject)
+            version = _hinted_version(hint, subject)
             if version <= had.of(subject):
                 continue
             pursuit = self._pursuit_by_subject.get(subject)
@@ -222,7 +222,7 @@
     return member.heartbeat.list_version
 
 
-def _hinted(hint: messages.ConfigHint, subject: messages.Subject) -> int:
+def _hinted_version(hint: messages.ConfigHint, subject: messages.Subject) -> int:
     return hint.revision if subject is messages.Subject.CONFIGURATION else hint.list_version
 
 
--- a/hornbeamglade/entry/beginning.py
+++ b/hornbeamglade/entry/startupgate.py
@@ -7,7 +7,7 @@
 second; one that has neither by then may be cut off, and callers are sent elsewhere."""
 
 
-class Beginning:
+class StartupGate:
     """Has the first callers of an instance wait until it can serve them.
 
     Explanation
--- a/hornbeamglade/entry/storewatch.py
+++ b/hornbeamglade/entry/storewatch.py
@@ -86,7 +86,7 @@
         self._change_hints = 0
         self.is_following = False
 
-    def introduced(self) -> None:
+    def on_introduction(self) -> None:
         """Note that the list of the others was read."""
         self._begins_at = min(self._begins_at, self._clock.now())
 
--- a/hornbeamglade/routed/leavingwork.py
+++ b/hornbeamglade/routed/drainadmission.py
@@ -54,7 +54,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class LeavingWork:
+class DrainAdmission:
     """Decides on requests that come while the instance stops.
 
     :param pace: seconds that a token takes.
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -192,7 +192,7 @@
                 )
             )
         for node in self.nodes:
-            node.instance.introduced(listed.list())
+            node.instance.on_introduction(listed.list())
         self.tell()
         await eventloop.until(self.is_settled)
 
@@ -206,8 +206,8 @@
         """Have nodes, by default all, read the store."""
         for node in nodes or self.nodes:
             following = node.instance.following
-            following.configuration_told(self.store.snapshot("op"))
-            following.replicas_told(self.store.snapshot("servers"))
+            following.on_configuration(self.store.snapshot("op"))
+            following.on_replicas(self.store.snapshot("servers"))
 
     def leave(self, number):
         """Have an engine announce that it stops."""
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -80,7 +80,7 @@
         again = site.nodes[2] = entrysite.Node(2)
         await again.start()
         others = [node.instance.identity for node in site.nodes]
-        again.instance.introduced(
+        again.instance.on_introduction(
             tuple(
                 contract.Instance(
                     each.name, each.failure_domain, each.address, each.exchange, False
@@ -121,7 +121,9 @@
         evacuate(site, "a")
         site.tell()
         site.delete("op/evacuate/a")
-        site.nodes[1].instance.store_told(tables.CONFIGURATION, contract.Unavailable("status 503"))
+        site.nodes[1].instance.on_store_outcome(
+            tables.CONFIGURATION, contract.Unavailable("status 503")
+        )
         away = evacuated(site.nodes[1])
         site.tell()
         return away, evacuated(site.nodes[1])
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -73,8 +73,8 @@
 
 def test_changes_of_the_list_are_taken_and_logged(lines):
     believer = Believer()
-    believer.following.replicas_told(contract.Snapshot((row("a", 1), row("b", 2)), 2))
-    believer.following.replicas_told(
+    believer.following.on_replicas(contract.Snapshot((row("a", 1), row("b", 2)), 2))
+    believer.following.on_replicas(
         contract.Changes((row("a", 3, "draining"),), ("servers/b",), 4, 4)
     )
     assert [(each.replica.id, each.what) for each in believer.told] == [
@@ -94,7 +94,7 @@
 def test_entry_that_cannot_be_read_hides_no_other(lines):
     believer = Believer()
     broken = contract.Row("servers/x", "{}", 1)
-    believer.following.replicas_told(contract.Snapshot((broken, row("a", 2)), 2))
+    believer.following.on_replicas(contract.Snapshot((broken, row("a", 2)), 2))
     assert list(believer.list.by_id) == ["a"]
     assert ("replica_entry", "unread", "replica_entry_invalid") in [line[:3] for line in lines]
 
@@ -102,14 +102,14 @@
 def test_entry_that_turns_bad_is_told_once_and_takes_its_replica_out(lines):
     """Another program writes the same bad entry over a good one, again and again."""
     believer = Believer()
-    believer.following.replicas_told(contract.Snapshot((row("a", 1), row("b", 2)), 2))
+    believer.following.on_replicas(contract.Snapshot((row("a", 1), row("b", 2)), 2))
     for version in range(3, 8):
         bad = contract.Row("servers/a", "", version, "not UTF-8")
-        believer.following.replicas_told(contract.Changes((bad,), (), version, version))
+        believer.following.on_replicas(contract.Changes((bad,), (), version, version))
     assert list(believer.list.by_id) == ["b"]
     told = [line for line in lines if line[0] == "replica_entry"]
     assert [line[3]["reason"] for line in told] == ["servers/a:_value:_not_UTF-8"]
-    believer.following.replicas_told(contract.Changes((row("a", 8),), (), 8, 8))
+    believer.following.on_replicas(contract.Changes((row("a", 8),), (), 8, 8))
     assert sorted(believer.list.by_id) == ["a", "b"]
     assert [line[:3] for line in lines if line[0] == "replica_entry"][1:] == [
         ("replica_entry", "unread", "read")
@@ -119,14 +119,14 @@
 def test_lines_on_bad_entries_are_bounded(lines):
     believer = Believer()
     rows = tuple(contract.Row(f"servers/x{n}", "{}", n) for n in range(1, 500))
-    believer.following.replicas_told(contract.Snapshot(rows, 500))
+    believer.following.on_replicas(contract.Snapshot(rows, 500))
     assert len([line for line in lines if line[0] == "replica_entry"]) == following.MAX_PROBLEMS
 
 
 def test_row_that_cannot_be_read_is_passed_on_to_peers_as_such(lines):
     ahead, behind = Believer(), Believer()
     bad = contract.Row("servers/x", "", 1, "not UTF-8")
-    ahead.following.replicas_told(contract.Snapshot((bad, row("a", 2)), 2))
+    ahead.following.on_replicas(contract.Snapshot((bad, row("a", 2)), 2))
     behind.following.take(REPLICAS, 2, ahead.following.read(REPLICAS))
     assert list(behind.list.by_id) == ["a"]
     assert behind.following.read(REPLICAS) == ahead.following.read(REPLICAS)
@@ -134,9 +134,9 @@
 
 def test_configuration_that_is_no_text_leaves_the_former_in_force(lines):
     believer = Believer()
-    believer.following.configuration_told(contract.Snapshot((config(1),), 1))
+    believer.following.on_configuration(contract.Snapshot((config(1),), 1))
     bad = contract.Row("op/config", "", 2, "not UTF-8")
-    believer.following.configuration_told(contract.Changes((bad,), (), 2, 2))
+    believer.following.on_configuration(contract.Changes((bad,), (), 2, 2))
     assert believer.following.versions().configuration == 1
     assert believer.following.problem == "config_invalid"
 
@@ -156,7 +156,7 @@
     newest = {"a": 0, "b": 0}
     for version, (name, value) in enumerate(rows, 1):
         made = contract.Row(f"servers/{name}", value, version)
-        believer.following.replicas_told(contract.Changes((made,), (), version, version))
+        believer.following.on_replicas(contract.Changes((made,), (), version, version))
         for born in (5, 6):
             if value == site.entry(Server, "web", born=born):
                 newest[name] = max(newest[name], born)
@@ -173,15 +173,15 @@
         contract.Snapshot((), 1),
         contract.Changes((), (), 2),
     ):
-        believer.following.replicas_told(outcome)
+        believer.following.on_replicas(outcome)
     states = [line[:3] for line in lines if line[0] == "store"]
     assert states == [("store", "unknown", "lost"), ("store", "lost", "reached")]
 
 
 def test_document_of_a_peer_is_taken_like_the_stores_own(lines):
     ahead, behind = Believer(), Believer()
-    ahead.following.configuration_told(contract.Snapshot((config(3),), 9))
-    ahead.following.replicas_told(contract.Snapshot((row("a", 7),), 9))
+    ahead.following.on_configuration(contract.Snapshot((config(3),), 9))
+    ahead.following.on_replicas(contract.Snapshot((row("a", 7),), 9))
     for subject, version in ((CONFIGURATION, 3), (REPLICAS, 9)):
         behind.following.take(subject, version, ahead.following.read(subject))
     assert behind.following.versions() == ahead.following.versions()
@@ -191,8 +191,8 @@
 
 def test_late_document_of_a_peer_changes_nothing(lines):
     believer = Believer()
-    believer.following.configuration_told(contract.Snapshot((config(3),), 9))
-    believer.following.replicas_told(contract.Changes((row("a", 12),), (), 12, 12))
+    believer.following.on_configuration(contract.Snapshot((config(3),), 9))
+    believer.following.on_replicas(contract.Changes((row("a", 12),), (), 12, 12))
     believer.following.take(CONFIGURATION, 2, config(2).value.encode())
     believer.following.take(REPLICAS, 11, b"[]")
     assert believer.following.versions().configuration == 3
@@ -201,23 +201,23 @@
 
 def test_bad_configuration_is_logged_once_with_its_field(lines):
     believer = Believer()
-    believer.following.configuration_told(contract.Snapshot((config(1),), 1))
+    believer.following.on_configuration(contract.Snapshot((config(1),), 1))
     bad = contract.Row("op/config", json.dumps(site.manifest(2, routes=[{}])), 2)
     for _ in range(2):
-        believer.following.configuration_told(contract.Changes((bad,), (), 2, 2))
+        believer.following.on_configuration(contract.Changes((bad,), (), 2, 2))
     problems = [line for line in lines if line[0] == "config_problem" and line[1] != line[2]]
     assert len(problems) == 1
     assert "routes.0.name" in problems[0][3]["reason"]
-    believer.following.configuration_told(contract.Changes((config(3),), (), 3, 3))
+    believer.following.on_configuration(contract.Changes((config(3),), (), 3, 3))
     assert (believer.following.problem, believer.following.versions().configuration) == (None, 3)
 
 
 def test_evacuations_are_taken_from_rows_and_logged_once(lines):
     believer = Believer()
     mark = contract.Row("op/evacuate/a", "", 3)
-    believer.following.configuration_told(contract.Snapshot((config(1), mark), 3))
-    believer.following.configuration_told(contract.Snapshot((config(1), mark), 4))
-    believer.following.configuration_told(contract.Changes((), ("op/evacuate/a",), 6, 6))
+    believer.following.on_configuration(contract.Snapshot((config(1), mark), 3))
+    believer.following.on_configuration(contract.Snapshot((config(1), mark), 4))
+    believer.following.on_configuration(contract.Changes((), ("op/evacuate/a",), 6, 6))
     assert believer.evacuated == [["a"], []]
     told = [line for line in lines if line[0] == "evacuation"]
     assert [(line[1], line[2], line[3]["sequence"]) for line in told] == [
@@ -229,9 +229,9 @@
 def test_evacuation_is_not_ended_by_a_peers_older_state(lines):
     believer = Believer()
     mark = contract.Row("op/evacuate/a", "", 5)
-    believer.following.configuration_told(contract.Changes((mark,), (), 5, 5))
+    believer.following.on_configuration(contract.Changes((mark,), (), 5, 5))
     for state in (evacuations.Evacuations(), evacuations.Evacuations(4)):
-        believer.following.hinted(messages.ConfigHint(1, 1, True, state))
+        believer.following.on_hint(messages.ConfigHint(1, 1, True, state))
     assert believer.evacuated == [["a"]]
-    believer.following.hinted(messages.ConfigHint(1, 1, True, evacuations.Evacuations(6)))
+    believer.following.on_hint(messages.ConfigHint(1, 1, True, evacuations.Evacuations(6)))
     assert believer.evacuated == [["a"], []]
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -39,7 +39,7 @@
                 )
             )
         for node in site.nodes:
-            node.instance.introduced(listed.list())
+            node.instance.on_introduction(listed.list())
         site.tell()
 
         def members():
--- a/tests/entry/test_sharing.py
+++ b/tests/entry/test_sharing.py
@@ -121,16 +121,16 @@
     """
     _, behind, ahead = pair()
     ahead.held = {CONFIGURATION: (7, b"{}"), REPLICAS: (41, b"[]")}
-    for ask in behind.documents.hinted("b", hint(ahead)):
+    for ask in behind.documents.on_hint("b", hint(ahead)):
         behind.documents.offered(ahead.documents.asked(ask.message))
     assert behind.held == ahead.held
-    assert behind.documents.hinted("b", hint(ahead)) == ()
+    assert behind.documents.on_hint("b", hint(ahead)) == ()
 
 
 def test_a_follower_that_died_after_its_hint_is_not_asked_again():
     clock, behind, ahead = pair()
     ahead.held[CONFIGURATION] = (7, b"{}")
-    behind.documents.hinted("gone", hint(ahead))
+    behind.documents.on_hint("gone", hint(ahead))
     clock.advance(sharing.BEHIND_S + sharing.ASK_AGAIN_S)
     behind.documents.due((member(ahead),), "a")
     clock.advance(sharing.BEHIND_S)
--- a/tests/entry/test_storewatch.py
+++ b/tests/entry/test_storewatch.py
@@ -28,7 +28,7 @@
         self.rng = random.Random(7)
         self.watch_by_name = {name: self._watch(name) for name in self.names}
         for watch in self.watch_by_name.values():
-            watch.introduced()
+            watch.on_introduction()
 
     def _watch(self, name):
         return storewatch.StoreWatch(
--- a/tests/entry/test_ticks.py
+++ b/tests/entry/test_ticks.py
@@ -13,7 +13,7 @@
 
 def begun_node():
     node = entrysite.Node(0)
-    node.instance._beginning.end()
+    node.instance._startup.end()
     return node
 
 
@@ -51,7 +51,7 @@
     node = begun_node()
     hint = messages.ConfigHint(5, 9, True)
     assert node.instance.tick_s == instance.IDLE_TICK_S
-    node.instance.peering._documents.hinted("entry-1", hint)
+    node.instance.peering._documents.on_hint("entry-1", hint)
     assert node.instance.tick_s == instance.TICK_S
 
 
--- a/tests/routed/test_leavingwork.py
+++ b/tests/routed/test_drainadmission.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.routed import leavingwork, streampace
+from hornbeamglade.routed import drainadmission, streampace
 from tests.routed import fakes
 
 BEGUN_AT = 100.0
@@ -16,7 +16,7 @@
     for tokens in lengths:
         model.observe("draft", "clinic", tokens)
     pace = streampace.StreamPace()
-    return leavingwork.LeavingWork(
+    return drainadmission.DrainAdmission(
         pace,
         lambda route, team, tokens: model.table(route, team).at(tokens),
         lambda: others_ready,
@@ -37,7 +37,7 @@
     """
     refusal = work(*[900] * 200).refusal(fakes.routed_draft(), 106.0)
     assert (refusal.code, refusal.http_status) == ("node_leaving", 503)
-    assert refusal.retry_after_s == leavingwork.RETRY_S
+    assert refusal.retry_after_s == drainadmission.RETRY_S
 
 
 @pytest.mark.parametrize(("now", "is_taken"), [(100.0, True), (107.5, False)])
@@ -66,7 +66,7 @@
     lengths = [200, 400, 900, 900] * 50
     refusal = work(*lengths, others_ready=False).refusal(fakes.routed_draft(), now)
     assert (refusal is None) is is_taken
-    assert is_taken or refusal.retry_after_s == leavingwork.ALL_LEAVING_RETRY_S
+    assert is_taken or refusal.retry_after_s == drainadmission.ALL_LEAVING_RETRY_S
     assert work(*lengths).refusal(fakes.routed_draft(), now) is not None
 
 
