--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -22,6 +22,8 @@
 
 EVACUATED_RETRY_S = 0.3
 LEAST_COLD_RETRY_S = 0.05
+ADDED = "added"
+CHANGED = "changed"
 
 ServiceByName = collections.abc.Mapping[str, routemodels.Service]
 
@@ -81,8 +83,8 @@
     ) -> None:
         """Take what the list says of replicas that are new or have changed."""
         for change in changes:
-            if change.what in ("added", "changed") and change.replica.warm_in_s > 0.0:
-                self._begin_slowly(change.replica, change.replica.warm_in_s, "list", now)
+            if change.what in (ADDED, CHANGED) and change.replica.warm_in_s > 0.0:
+                self._begin_slowly(change.replica, change.replica.warm_in_s, change.what, now)
 
     def forget_warm(self, now: float) -> None:
         """Forget the slow starts that are over."""
@@ -143,6 +145,7 @@
         """Take a replica for cold.
 
         :param lasts_s: for so long, or None for as long as its service's replicas are.
+        :param reason: how that is known.
         """
         service = self._service_by_name.get(replica.service)
         if service is None or service.slow_start is None:
@@ -154,7 +157,9 @@
             interval_s = slowstart.owned_interval_s(bound_per_s)
         else:
             interval_s = slowstart.shared_interval_s(bound_per_s, self._instances)
-        if self._slow_starts.begin(replica.id, now + lasts_s, interval_s, now):
+        is_new = self._slow_starts.begin(replica.id, now + lasts_s, interval_s, now)
+        # The line on a replica that was added says how long it is cold.
+        if is_new and reason != ADDED:
             logs.state_changed(
                 "replica_start",
                 "warm",
@@ -162,5 +167,5 @@
                 replica=replica.id,
                 reason=reason,
                 seconds=lasts_s,
-                interval_s=round(interval_s, 3),
+                wait_s=round(interval_s, 3),
             )
--- a/tests/replicas/test_availability.py
+++ b/tests/replicas/test_availability.py
@@ -1,5 +1,6 @@
 """Which replicas get new work, and what is told of those that do not."""
 
+import dataclasses
 import random
 
 from hornbeamglade.replicas import availability, evacuations, models, replicalist, slowstart
@@ -105,3 +106,20 @@
     known.replicas.update([models.Replica("e9", "llm", "10.0.0.9:1", "z", 8)], [], 2)
     assert ids(known.usable("llm")) == ["e0", "e1", "e9"]
     assert ids(known.usable("llm", frozenset("rs"))) == ["e0", "e1"]
+
+
+def test_a_line_tells_of_a_cold_replica_where_no_other_line_does(monkeypatch):
+    """At each of many instances a second line for each new replica would double the log."""
+    lines = []
+    monkeypatch.setattr(
+        availability.logs, "state_changed", lambda *states, **fields: lines.append(fields)
+    )
+    known = cold_site(None)
+    replica = models.Replica("e3", "llm", "10.0.0.9:1", "a", 8, warm_in_s=2.0)
+    known.list_changed(known.replicas.update([replica], [], 2), 0.0)
+    known.forget_warm(2.0)
+    again = dataclasses.replace(replica, warm_in_s=1.0)
+    known.list_changed(known.replicas.update([again], [], 3), 5.0)
+    assert [(each["replica"], each["reason"], each["seconds"]) for each in lines] == [
+        ("e3", "changed", 1.0)
+    ]
