--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -68,7 +68,7 @@
         self._reached_by_table: dict[str, bool] = {}
         self._confirmed_at: float | None = None
         self.problem: str | None = None
-        self.heard_at_by_table: dict[str, float] = {}
+        self.reached_at_by_table: dict[str, float] = {}
 
     def versions(self) -> sharing.Versions:
         """Return what this instance has."""
@@ -78,7 +78,7 @@
 
     def belief(self) -> views.Belief:
         """Return what this instance believes of the replicas, and how old that is."""
-        heard_at = self.heard_at_by_table.get(tables.REPLICAS)
+        heard_at = self.reached_at_by_table.get(tables.REPLICAS)
         times = [each for each in (heard_at, self._confirmed_at) if each is not None]
         age_s = self._clock.now() - max(times) if times else None
         return views.Belief(self._replicas.version, age_s)
@@ -92,7 +92,7 @@
     def is_reached(self) -> bool:
         """Tell whether the store answers this instance, as far as it has tried."""
         now = self._clock.now()
-        heard = self.heard_at_by_table
+        heard = self.reached_at_by_table
         return all(
             self._reached_by_table.get(table, False) and now - heard[table] < REACHED_S
             for table in (tables.CONFIGURATION, tables.REPLICAS)
@@ -120,7 +120,7 @@
 
     def on_configuration(self, outcome: TableOutcome) -> None:
         """Take an outcome of following the table of the configuration."""
-        if not self._is_heard(tables.CONFIGURATION, outcome):
+        if not self._note_reachability(tables.CONFIGURATION, outcome):
             return
         self._take_evacuation_rows(outcome)
         rows = outcome.rows if isinstance(outcome, contract.Snapshot) else outcome.present
@@ -130,7 +130,7 @@
 
     def on_replicas(self, outcome: TableOutcome) -> None:
         """Take an outcome of following the table of replicas."""
-        if not self._is_heard(tables.REPLICAS, outcome):
+        if not self._note_reachability(tables.REPLICAS, outcome):
             return
         if isinstance(outcome, contract.Snapshot):
             self._take_snapshot(outcome, STORE)
@@ -164,7 +164,7 @@
             )
         self.take_evacuations(state, STORE)
 
-    def _is_heard(self, table: str, outcome: TableOutcome) -> bool:
+    def _note_reachability(self, table: str, outcome: TableOutcome) -> bool:
         """Note whether the store answers; tell whether it has."""
         is_reached = not isinstance(outcome, contract.Unavailable)
         was_reached = self._reached_by_table.get(table)
@@ -176,7 +176,7 @@
                 "store", before, _reached(is_reached), table=table, reason=logs.slug(reason)
             )
         if is_reached:
-            self.heard_at_by_table[table] = self._clock.now()
+            self.reached_at_by_table[table] = self._clock.now()
         return is_reached
 
     def _take_configuration(self, document: bytes, source: str) -> None:
--- a/hornbeamglade/entry/sharing.py
+++ b/hornbeamglade/entry/sharing.py
@@ -131,7 +131,7 @@
         had = self.versions()
         due = []
         for subject in _SUBJECTS:
-            version = _hinted_version(hint, subject)
+            version = _version_in(hint, subject)
             if version <= had.of(subject):
                 continue
             pursuit = self._pursuit_by_subject.get(subject)
@@ -222,7 +222,7 @@
     return member.heartbeat.list_version
 
 
-def _hinted_version(hint: messages.ConfigHint, subject: messages.Subject) -> int:
+def _version_in(hint: messages.ConfigHint, subject: messages.Subject) -> int:
     return hint.revision if subject is messages.Subject.CONFIGURATION else hint.list_version
 
 
