entry: set the gauges of a scrape in a module of their own

entry/instance.py holds what the parts do together; what is measured of them at a scrape is apart. No behaviour changes; tests/entry and tests/failures/test_entry.py pass.

--- /dev/null
+++ b/hornbeamglade/entry/gauges.py
@@ -0,0 +1,48 @@
+"""The gauges of an entry instance: what it believes at the moment of a scrape."""
+
+import collections.abc
+import dataclasses
+
+from hornbeamglade.core import clocks
+from hornbeamglade.entry import following
+from hornbeamglade.observability import metrics
+from hornbeamglade.replicas import availability
+from hornbeamglade.routed import retrybudget, views
+
+
+@dataclasses.dataclass(slots=True)
+class Gauges:
+    """Sets the gauges from the parts that know.
+
+    :param instruments: the node's instruments.
+    :param current: the configuration in force.
+    :param available: the replicas that may get new work.
+    :param believed: how far the list of replicas can be trusted.
+    :param budgets: what is left for attempts beyond the first.
+    :param clock: monotonic time.
+    :param count_grants: returns how many grants are held.
+    :param count_connections: returns how many connections of callers are open.
+    """
+
+    instruments: metrics.NodeMetrics
+    current: views.Views
+    available: availability.Availability
+    believed: following.Following
+    budgets: retrybudget.RetryBudgets
+    clock: clocks.Clock
+    count_grants: collections.abc.Callable[[], int]
+    count_connections: collections.abc.Callable[[], int] = lambda: 0
+
+    def update(self) -> None:
+        """Set every gauge to what holds now."""
+        routed = self.instruments.routed
+        age_s = self.believed.belief().age_s
+        routed.belief_age_s.set(-1.0 if age_s is None else age_s)
+        routed.is_store_reached.set(float(self.believed.is_reached()))
+        routed.caller_connections.set(self.count_connections())
+        routed.evacuated_domains.set(len(self.available.evacuations.domains))
+        self.instruments.streams_in_flight.set(self.count_grants(), ("all",))
+        view = self.current.routes
+        for name in () if view is None else view.configuration.service_by_name:
+            routed.usable_replicas.set(len(self.available.usable(name)), (name,))
+            routed.budget_left.set(self.budgets.left(name, self.clock.now()), (name,))
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -12,6 +12,7 @@
     directory,
     enginewatch,
     following,
+    gauges,
     partsettings,
     peering,
     settings,
@@ -199,7 +200,15 @@
         self.draining: draining.Draining | None = None
         self._departed_at_by_replica: dict[str, float] = {}
         self._has_been_introduced = False
-        self._count_connections: collections.abc.Callable[[], int] = lambda: 0
+        self._gauges = gauges.Gauges(
+            self.instruments,
+            self._views,
+            self._available,
+            self.following,
+            self._budgets,
+            clock,
+            lambda: self.acquirer.active_count,
+        )
 
     def is_ready(self) -> bool:
         """Tell whether the instance takes callers."""
@@ -253,26 +262,12 @@
 
     def metrics(self) -> bytes:
         """Return the instruments in text."""
-        self._measure()
+        self._gauges.update()
         return self.instruments.exposition()
 
     def count_connections(self, count: collections.abc.Callable[[], int]) -> None:
         """Take what tells how many connections of callers are open."""
-        self._count_connections = count
-
-    def _measure(self) -> None:
-        """Set the gauges of what is believed now."""
-        routed = self.instruments.routed
-        age_s = self.following.belief().age_s
-        routed.belief_age_s.set(-1.0 if age_s is None else age_s)
-        routed.is_store_reached.set(float(self.following.is_reached()))
-        routed.caller_connections.set(self._count_connections())
-        routed.evacuated_domains.set(len(self._available.evacuations.domains))
-        self.instruments.streams_in_flight.set(self.acquirer.active_count, ("all",))
-        view = self._views.routes
-        for name in () if view is None else view.configuration.service_by_name:
-            routed.usable_replicas.set(len(self._available.usable(name)), (name,))
-            routed.budget_left.set(self._budgets.left(name, self._clock.now()), (name,))
+        self._gauges.count_connections = count
 
     def members(self) -> bytes:
         """Return the instances that this one knows, for one that starts."""
