quarantine: say in the log which requests a crash of a replica ended

The incident's logs could not tell whether two tries were one request, nor whether a lost stream meant that its engine had ended. Lines on answers and lost streams now bear a fingerprint (a hash of method, host, target, team and body). Ruled out as evidence: replicas that announced their stop, that answer a connection, or that left the list before their connections closed.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -10,6 +10,7 @@
 from hornbeamglade.grants import grantanswers
 from hornbeamglade.http1 import serverside
 from hornbeamglade.observability import logs, metrics
+from hornbeamglade.quarantine import fingerprints
 from hornbeamglade.routed import (
     attemptlog,
     callrouter,
@@ -194,6 +195,7 @@
             goal_s=routed.route.goal_s,
             gap_goal_s=routed.route.gap_goal_s,
             seconds=round(seconds, 4),
+            fingerprint=fingerprints.text(routed.fingerprint),
             **more,
         )
 
--- a/hornbeamglade/entry/enginewatch.py
+++ b/hornbeamglade/entry/enginewatch.py
@@ -55,6 +55,7 @@
         self._moves_runs = moves_runs
         self._report_count_by_replica: dict[str, int] = {}
         self._leaving: set[str] = set()
+        self._reported_leaving: set[str] = set()
 
     def reported(
         self,
@@ -90,6 +91,8 @@
 
         :param source: who said so.
         """
+        if source != LIST:
+            self._reported_leaving.add(replica_id)
         if replica_id in self._leaving:
             return
         self._leaving.add(replica_id)
@@ -101,12 +104,17 @@
         if self._moves_runs:
             self._registry.replica_leaves(replica_id)
 
+    def has_reported_stop(self, replica_id: str) -> bool:
+        """Tell whether an engine's own report, here or at its owner, announced its stop."""
+        return replica_id in self._reported_leaving
+
     def added(self, replica_id: str) -> None:
         """Take the word that a replica is in the list, perhaps once more.
 
         An entry lapses while the store is away, of an engine that lives.
         """
         self._leaving.discard(replica_id)
+        self._reported_leaving.discard(replica_id)
 
     def restarted(self, former: replicamodels.Replica) -> None:
         """Take the word that a server has started anew: its former start is no more.
@@ -122,5 +130,6 @@
         """Forget replicas that are neither in the list nor have left it lately."""
         known = self._replicas.by_id.keys() | self._replicas.departed_by_id.keys()
         self._leaving &= known
+        self._reported_leaving &= known
         for replica_id in self._report_count_by_replica.keys() - known:
             del self._report_count_by_replica[replica_id]
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -29,6 +29,7 @@
 from hornbeamglade.node import digestcache
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import enginecalls, requestdialect, tables
+from hornbeamglade.quarantine import crashdetector, fingerprints
 from hornbeamglade.replicas import availability, replicalist, slowstart
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
@@ -132,6 +133,21 @@
         )
         engine_calls = enginecalls.EngineCalls(self._pool)
         self._registry = runregistry.RunRegistry()
+        self._engine_watch = enginewatch.EngineWatch(
+            self._replicas,
+            self._schedulers,
+            self._registry,
+            self._pool,
+            self.peering.heartbeats.announce,
+            told.policy.moves_runs,
+        )
+        self._crashes = crashdetector.CrashDetector(
+            self._replicas,
+            self._pool.listens,
+            self._engine_watch.has_reported_stop,
+            self._replica_crashed,
+            clock,
+        )
         rates = partsettings.routing(told)
         self.catalog = enginecatalog.EngineCatalog(
             self._available, self._schedulers, digests, self.peering.owned, rates
@@ -164,13 +180,14 @@
             moves,
             self._registry,
             self._budgets,
+            self._crashes,
             self._learn,
             pace,
             self.instruments,
             clock,
         )
         plain = plainexchange.PlainExchange(
-            self._available, self._sender, self._loads, self._budgets, clock
+            self._available, self._sender, self._loads, self._budgets, self._crashes, clock
         )
         self.callers = callershandler.CallersHandler(
             callershandler.HandlerParts(
@@ -186,14 +203,6 @@
                 clock,
             )
         )
-        self._engine_watch = enginewatch.EngineWatch(
-            self._replicas,
-            self._schedulers,
-            self._registry,
-            self._pool,
-            self.peering.heartbeats.announce,
-            told.policy.moves_runs,
-        )
         self.poller = reportpoller.ReportPoller(
             engine_calls, self._owned_engines, self._engine_watch.reported, clock
         )
@@ -338,6 +347,7 @@
         self._pool.forget(frozenset(each.address for each in present.values()))
         self._loads.forget(present)
         self._available.forget_warm(self._clock.now())
+        self._crashes.forget_old()
         self._forget_departed()
         self._engine_watch.forget_absent()
         # An instance may have come back under its name in another failure domain.
@@ -403,6 +413,7 @@
 
     def _list_changed(self, changes: tuple[replicalist.ListChange, ...]) -> None:
         self._available.list_changed(changes, self._clock.now())
+        self._crashes.list_changed(changes)
         self._take_engines()
         for change in changes:
             if change.what in ("leaving", "gone"):
@@ -430,6 +441,17 @@
         )
         self.peering.update_owners()
 
+    def _replica_crashed(self, replica: replicamodels.Replica, lost: frozenset[int]) -> None:
+        """Write a line on each request whose run a crash ended."""
+        for fingerprint in sorted(lost):
+            logs.state_changed(
+                "run",
+                "running",
+                "crashed",
+                replica=replica.id,
+                fingerprint=fingerprints.text(fingerprint),
+            )
+
     def _are_others_ready(self) -> bool:
         return directory.has_others_ready(self.peering.heartbeats.members(), self._told.name)
 
--- a/hornbeamglade/http1/clientpool.py
+++ b/hornbeamglade/http1/clientpool.py
@@ -55,6 +55,15 @@
                 self._drop(address)
         return connection
 
+    async def listens(self, address: str, *, timeout_s: float = CONNECT_S) -> bool | None:
+        """Tell whether a server takes connections; None when nothing answers."""
+        self._opened(address)
+        connection = await clientside.connect(address, timeout_s, self._clock)
+        if isinstance(connection, clientside.Lost):
+            return False if connection.is_refused else None
+        connection.close()
+        return True
+
     def release(
         self, connection: clientside.ServerConnection, head: clientside.Head | None
     ) -> None:
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -48,6 +48,7 @@
         "expected_wait_s",
         "failure_domain",
         "fencing",
+        "fingerprint",
         "first_s",
         "gap_goal_s",
         "gap_s",
--- a/hornbeamglade/routed/callrouter.py
+++ b/hornbeamglade/routed/callrouter.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
+from hornbeamglade.quarantine import fingerprints
 from hornbeamglade.routed import calls, views
 from hornbeamglade.routes import models, splits
 
@@ -21,6 +22,7 @@
     :param service: the service that takes it.
     :param team: its caller's team, or None when no key is needed.
     :param revision: of the configuration that decided.
+    :param fingerprint: by which the same request is known when it comes again.
     """
 
     call: calls.Call
@@ -28,6 +30,7 @@
     service: models.Service
     team: models.Team | None
     revision: int
+    fingerprint: int = 0
 
     @property
     def urgency(self) -> int:
@@ -69,4 +72,9 @@
     if team is None and view.keys.is_needed and not found.is_public:
         return outcomes.Refusal("key_unknown", 401, "no team holds this key")
     service = view.configuration.service_by_name[splits.service(found, call.request_id)]
-    return RoutedCall(call, found, service, team, view.revision)
+    return RoutedCall(call, found, service, team, view.revision, _fingerprint(call, team))
+
+
+def _fingerprint(call: calls.Call, team: models.Team | None) -> int:
+    caller = "" if team is None else team.name
+    return fingerprints.fingerprint(call.method, call.host, call.target, caller, call.body)
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -2,6 +2,7 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.observability import logs
+from hornbeamglade.quarantine import crashdetector
 from hornbeamglade.replicas import availability
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
@@ -34,6 +35,7 @@
     :param sender: sends attempts.
     :param loads: chooses among replicas.
     :param budgets: bounds what is sent again.
+    :param crashes: finds out which lost runs were ended by a crash.
     :param clock: monotonic time.
     """
 
@@ -43,12 +45,14 @@
         sender: sending.Sender,
         loads: replicaload.ReplicaLoads,
         budgets: retrybudget.RetryBudgets,
+        crashes: crashdetector.CrashDetector,
         clock: clocks.Clock,
     ) -> None:
         self._available = available
         self._sender = sender
         self._loads = loads
         self._budgets = budgets
+        self._crashes = crashes
         self._clock = clock
 
     async def answer(
@@ -129,9 +133,13 @@
         finally:
             failed = not isinstance(outcome, ownanswers.Answer) or outcome.status >= 500
             self._loads.ended(replica.id, failed, load)
+            if outcome is None:
+                self._crashes.run_silent(routed.fingerprint, replica)
         if isinstance(outcome, sending.Failed):
             was_sent = outcome.code != "not_connected"
             log.note(replica.id, outcome.run, was_sent)
+            if outcome.run is outcomes.RunStatus.UNKNOWN:
+                self._crashes.run_lost(routed.fingerprint, replica)
         else:
             log.note(replica.id, outcomes.RunStatus.RAN, True)
         if failed:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -8,6 +8,7 @@
 from hornbeamglade.grants import asyncgrantacquirer
 from hornbeamglade.http1 import clientside, serverside
 from hornbeamglade.observability import logs, metrics
+from hornbeamglade.quarantine import crashdetector, fingerprints
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     attemptlog,
@@ -42,6 +43,7 @@
     :param moves: what moves work with.
     :param registry: which run is where.
     :param budgets: bounds what is sent again.
+    :param crashes: finds out which lost runs were ended by a crash.
     :param learn: told the length of each answer: route, team, tokens, whether it was cut.
     :param pace: learns how long a token takes.
     :param metrics: the node's instruments.
@@ -54,6 +56,7 @@
     moves: handover.HandoverParts
     registry: runregistry.RunRegistry
     budgets: retrybudget.RetryBudgets
+    crashes: crashdetector.CrashDetector
     learn: collections.abc.Callable[[str, str, int, bool], None]
     pace: streampace.StreamPace
     metrics: metrics.NodeMetrics
@@ -267,6 +270,8 @@
         place = self._place
         self._tell_attempt(begun)
         if isinstance(begun, sending.Failed):
+            if begun.run is outcomes.RunStatus.UNKNOWN:
+                self._parts.crashes.run_lost(self._routed.fingerprint, place.replica)
             self._leave_place()
             return None if self._may_run_again() else self._failed()
         body = await self._parts.sender.whole_body(begun)
@@ -310,6 +315,7 @@
                 ended.code,
                 replica=self._place.replica.id,
                 events=self._relay.count,
+                fingerprint=fingerprints.text(self._routed.fingerprint),
             )
             labels = (self._routed.service.name, ended.code)
             self._parts.metrics.routed.broken_streams.add(labels=labels)
@@ -347,6 +353,8 @@
     async def _go_on(self) -> bool:
         """Continue the stream at another replica; return whether it does."""
         destination = await self._destination()
+        if destination is None:
+            self._parts.crashes.run_lost(self._routed.fingerprint, self._place.replica)
         self._leave_place()
         if destination is not None:
             return await self._resume(destination)
@@ -448,6 +456,8 @@
         if is_whole and place is not None and place.begun is not None:
             self._parts.sender.finished(place.begun)
             place.begun = None
+        elif place is not None:
+            self._parts.crashes.run_silent(self._routed.fingerprint, place.replica)
         self._leave_place()
         self._learn(is_whole)
 
--- a/tests/routed/test_plainexchange.py
+++ b/tests/routed/test_plainexchange.py
@@ -8,6 +8,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.platform import requestdialect
+from hornbeamglade.quarantine import crashdetector
 from hornbeamglade.replicas import availability, replicalist, slowstart
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
@@ -34,8 +35,15 @@
         self.list = replicalist.ReplicaList()
         self.clock = clocks.SystemClock()
         self.log = attemptlog.AttemptLog()
-        sender = sending.Sender(
-            clientpool.ClientPool(self.clock), requestdialect.PlatformDialect(), self.clock
+        pool = clientpool.ClientPool(self.clock)
+        sender = sending.Sender(pool, requestdialect.PlatformDialect(), self.clock)
+        self.crashed = []
+        crashes = crashdetector.CrashDetector(
+            self.list,
+            pool.listens,
+            lambda replica_id: False,
+            lambda replica, lost: self.crashed.append((replica.id, lost)),
+            self.clock,
         )
         loads = replicaload.ReplicaLoads(self.clock, random.Random(1))
         budgets = retrybudget.RetryBudgets(budget)
@@ -46,7 +54,7 @@
             {"a": "r", "b": "s"},
         )
         self.exchange = plainexchange.PlainExchange(
-            self.available, sender, loads, budgets, self.clock
+            self.available, sender, loads, budgets, crashes, self.clock
         )
 
     def make_cold(self, replica_id):
