--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -207,6 +207,9 @@
     ) -> bool:
         faults = self.faults
         self._note(asked)
+        if self._is_fatal(asked):
+            await self.stop()
+            return False
         if faults.hang:
             await reader.read(1)
             return False
@@ -234,6 +237,9 @@
         if run is None:
             writer.write(_whole(asked, 503, {"Not-Executed": "1"}, b""))
             return True
+        if self._is_fatal(asked):
+            await self.stop()
+            return False
         if self.faults.hang:
             await reader.read(1)
             return False
@@ -264,6 +270,11 @@
             await asyncio.wait((gone,))
             run.is_alive = False
 
+    def _is_fatal(self, asked: _Asked) -> bool:
+        """Tell whether a request crashes the server."""
+        text = self.faults.crash_on
+        return bool(text) and text in asked.body.decode("latin-1")
+
     def _begin(self, asked: _Asked) -> routedruns.StandinRun | None:
         """Begin a run, or go on with one from a copy; None when there is no such copy."""
         run = routedruns.StandinRun(asked.request_id, self._events)
