quarantine: refuse requests that crash the replicas that run them

What callers saw: drafts broken off in the middle, all engines of a service gone within 0.7 s, and that again some seconds later, for a request that nobody can serve.

Cause: nothing tied the tries of one request together. Each try has an id of its own, and the decision to send it looked at its own attempts only. Neither was a lost run told apart from other ends, nor was anything of it shared between instances.

Ruled out: a bound that was each instance's own (the budget of retries bounds second attempts only, and was never near its end: 8.9 left at least); repeats of the system's own (two engines a try at the most, max_attempts of the route, and no move or resume before any loss).

Change: requests are known again by a fingerprint of method, host, target, team and body. Who loses a run to a crash reports it to three instances that rendezvous hashing chooses; three crashes in a row and all instances refuse the request, for an hour. Heartbeats carry a digest, by which those that start or return learn of it. A request that ran to its end in the last minute is no suspect. It holds since the count is kept where all evidence on one request meets, whichever instance saw it.

--- a/hornbeamglade/core/outcomes.py
+++ b/hornbeamglade/core/outcomes.py
@@ -27,6 +27,8 @@
     :param retry_after_s: seconds until the caller may come back, or None.
     :param attempt_run: what is known of this attempt alone, where ``run`` speaks of
         all attempts with the same ``Idempotency-Key``; else None.
+    :param is_lasting: whether ``retry_after_s`` may lie beyond what the caller waits for: to
+        come back sooner is of no use.
     """
 
     code: str
@@ -35,6 +37,7 @@
     run: RunStatus = RunStatus.NOT_RUN
     retry_after_s: float | None = None
     attempt_run: RunStatus | None = None
+    is_lasting: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -10,7 +10,7 @@
 from hornbeamglade.grants import grantanswers
 from hornbeamglade.http1 import serverside
 from hornbeamglade.observability import logs, metrics
-from hornbeamglade.quarantine import fingerprints
+from hornbeamglade.quarantine import fingerprints, requestquarantine
 from hornbeamglade.routed import (
     attemptlog,
     callrouter,
@@ -36,6 +36,7 @@
     :param current: the configuration in force.
     :param plain: gets whole answers.
     :param runs: what streamed answers work with.
+    :param quarantine: refuses requests that crash their replicas.
     :param budgets: bounds what is sent again.
     :param leaving: decides on requests that come during a planned stop.
     :param belief: returns how far the list of replicas can be trusted.
@@ -48,6 +49,7 @@
     current: views.Views
     plain: plainexchange.PlainExchange
     runs: streamrun.RunParts
+    quarantine: requestquarantine.RequestQuarantine
     budgets: retrybudget.RetryBudgets
     leaving: drainadmission.DrainAdmission
     belief: collections.abc.Callable[[], views.Belief]
@@ -97,7 +99,9 @@
     async def _answer(self, exchange: serverside.Exchange, routed: callrouter.RoutedCall) -> None:
         parts = self._parts
         log = attemptlog.AttemptLog()
-        refusal = parts.leaving.refusal(routed, parts.clock.now())
+        refusal = parts.quarantine.refusal(routed.fingerprint) or parts.leaving.refusal(
+            routed, parts.clock.now()
+        )
         if refusal is not None:
             await self._send_away(exchange, routed, log, refusal)
             return
@@ -114,6 +118,8 @@
         except asyncio.CancelledError:
             self._note_cut(routed, log, run)
             raise
+        if _is_completed(answer):
+            parts.quarantine.completed(routed.fingerprint)
         if isinstance(answer, streamrun.Streamed):
             self._note_stream(routed, log, answer)
         elif isinstance(answer, outcomes.Refusal):
@@ -231,6 +237,13 @@
         )
 
 
+def _is_completed(answer: streamrun.Streamed | outcomes.Refusal | ownanswers.Answer) -> bool:
+    """Tell whether a replica ran a request to a good end."""
+    if isinstance(answer, streamrun.Streamed):
+        return answer.is_whole
+    return isinstance(answer, ownanswers.Answer) and answer.status < 500
+
+
 def _timed_out(routed: callrouter.RoutedCall, log: attemptlog.AttemptLog) -> outcomes.Refusal:
     if log.run is outcomes.RunStatus.NOT_RUN:
         detail = f"no replica of {routed.service.name} could take the request in time"
--- a/hornbeamglade/entry/gauges.py
+++ b/hornbeamglade/entry/gauges.py
@@ -6,6 +6,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import following
 from hornbeamglade.observability import metrics
+from hornbeamglade.quarantine import requestquarantine
 from hornbeamglade.replicas import availability
 from hornbeamglade.routed import retrybudget, views
 
@@ -18,6 +19,7 @@
     :param current: the configuration in force.
     :param available: the replicas that may get new work.
     :param believed: how far the list of replicas can be trusted.
+    :param quarantine: refuses requests that crash replicas.
     :param budgets: what is left for attempts beyond the first.
     :param clock: monotonic time.
     :param count_grants: returns how many grants are held.
@@ -28,6 +30,7 @@
     current: views.Views
     available: availability.Availability
     believed: following.Following
+    quarantine: requestquarantine.RequestQuarantine
     budgets: retrybudget.RetryBudgets
     clock: clocks.Clock
     count_grants: collections.abc.Callable[[], int]
@@ -41,6 +44,7 @@
         routed.is_store_reached.set(float(self.believed.is_reached()))
         routed.caller_connections.set(self.count_connections())
         routed.evacuated_domains.set(len(self.available.evacuations.domains))
+        routed.quarantined_requests.set(self.quarantine.held_count)
         self.instruments.streams_in_flight.set(self.count_grants(), ("all",))
         view = self.current.routes
         for name in () if view is None else view.configuration.service_by_name:
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -29,7 +29,7 @@
 from hornbeamglade.node import digestcache
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import enginecalls, requestdialect, tables
-from hornbeamglade.quarantine import crashdetector, fingerprints
+from hornbeamglade.quarantine import crashdetector, requestquarantine
 from hornbeamglade.replicas import availability, replicalist, slowstart
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
@@ -119,8 +119,16 @@
             self._owned_places,
             documents,
             lambda: self._available.evacuations,
+            lambda: self.quarantine.digest,
             self,
         )
+        self.quarantine = requestquarantine.RequestQuarantine(
+            told.name,
+            lambda: tuple(each.identity.name for each in self.peering.heartbeats.live()),
+            self.peering.present,
+            self.peering.send,
+            clock,
+        )
         self._pool = clientpool.ClientPool(clock)
         self._words = requestdialect.PlatformDialect()
         self._sender = sending.Sender(self._pool, self._words, clock)
@@ -145,7 +153,7 @@
             self._replicas,
             self._pool.listens,
             self._engine_watch.has_reported_stop,
-            self._replica_crashed,
+            lambda replica, lost: self.quarantine.crashed(replica.id, lost),
             clock,
         )
         rates = partsettings.routing(told)
@@ -181,13 +189,20 @@
             self._registry,
             self._budgets,
             self._crashes,
+            self.quarantine,
             self._learn,
             pace,
             self.instruments,
             clock,
         )
         plain = plainexchange.PlainExchange(
-            self._available, self._sender, self._loads, self._budgets, self._crashes, clock
+            self._available,
+            self._sender,
+            self._loads,
+            self._budgets,
+            self._crashes,
+            self.quarantine,
+            clock,
         )
         self.callers = callershandler.CallersHandler(
             callershandler.HandlerParts(
@@ -196,6 +211,7 @@
                 self._views,
                 plain,
                 runs,
+                self.quarantine,
                 self._budgets,
                 self._drain_admission,
                 self.following.belief,
@@ -214,6 +230,7 @@
             self._views,
             self._available,
             self.following,
+            self.quarantine,
             self._budgets,
             clock,
             lambda: self.acquirer.active_count,
@@ -293,13 +310,15 @@
             "config_problem": self.following.problem,
             "list_version": versions.replicas,
             "evacuated": sorted(self._available.evacuations.domains),
+            "quarantined": self.quarantine.held_count,
         }
         return json.dumps(page).encode()
 
     @property
     def tick_s(self) -> float:
         """Seconds until the next tick is due."""
-        is_idle = self.peering.is_idle and not self.watch.is_telling and self._startup.is_over
+        is_silent = not self.watch.is_telling and self.quarantine.is_idle
+        is_idle = self.peering.is_idle and is_silent and self._startup.is_over
         return IDLE_TICK_S if is_idle and not self._schedulers.is_waited_at else TICK_S
 
     def tick(self) -> None:
@@ -308,6 +327,7 @@
         self.peering.tick()
         self.poller.tick()
         self._schedulers.settle()
+        self.quarantine.tick()
         self.pass_on()
 
     def on_store_outcome(self, table: str, outcome: following.TableOutcome) -> None:
@@ -337,6 +357,18 @@
         """Take the evacuated failure domains as another instance knows them."""
         self.following.take_evacuations(state, following.PEER)
 
+    def on_crash_report(self, sender: str, report: messages.CrashReport) -> None:
+        """Take crashes that another instance has seen."""
+        self.quarantine.on_report(sender, report)
+
+    def on_quarantine_notice(self, notice: messages.QuarantineNotice) -> None:
+        """Take requests that another instance refuses since they crash replicas."""
+        self.quarantine.on_notice(notice)
+
+    def on_quarantine_digest(self, sender: str, digest: int) -> None:
+        """Take the digest of all requests that another instance so refuses."""
+        self.quarantine.on_digest(sender, digest)
+
     def message_failed(self, error: Exception, where: str) -> None:
         """Log an error that a message caused here."""
         logs.failed(where, error)
@@ -348,6 +380,7 @@
         self._loads.forget(present)
         self._available.forget_warm(self._clock.now())
         self._crashes.forget_old()
+        self.quarantine.tidy()
         self._forget_departed()
         self._engine_watch.forget_absent()
         # An instance may have come back under its name in another failure domain.
@@ -441,17 +474,6 @@
         )
         self.peering.update_owners()
 
-    def _replica_crashed(self, replica: replicamodels.Replica, lost: frozenset[int]) -> None:
-        """Write a line on each request whose run a crash ended."""
-        for fingerprint in sorted(lost):
-            logs.state_changed(
-                "run",
-                "running",
-                "crashed",
-                replica=replica.id,
-                fingerprint=fingerprints.text(fingerprint),
-            )
-
     def _are_others_ready(self) -> bool:
         return directory.has_others_ready(self.peering.heartbeats.members(), self._told.name)
 
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -41,6 +41,18 @@
     def on_evacuations(self, state: evacuationlib.Evacuations) -> None:
         """Take the evacuated failure domains as another instance knows them."""
 
+    @abc.abstractmethod
+    def on_crash_report(self, sender: str, report: messages.CrashReport) -> None:
+        """Take crashes that another instance has seen."""
+
+    @abc.abstractmethod
+    def on_quarantine_notice(self, notice: messages.QuarantineNotice) -> None:
+        """Take requests that another instance refuses since they crash replicas."""
+
+    @abc.abstractmethod
+    def on_quarantine_digest(self, sender: str, digest: int) -> None:
+        """Take the digest of all requests that another instance so refuses."""
+
     @abc.abstractmethod
     def message_failed(self, error: Exception, where: str) -> None:
         """Take an error that a message caused here."""
@@ -58,6 +70,8 @@
     :param engines: returns the engines of the platform's list.
     :param documents: what instances read from one another.
     :param evacuations: returns the evacuated failure domains as this instance knows them.
+    :param quarantine_digest: returns the digest of the requests that this instance refuses
+        since they crash replicas.
     :param news: told of what the others do and say.
     """
 
@@ -72,6 +86,7 @@
         engines: Engines,
         documents: sharing.SharedDocuments,
         evacuations: collections.abc.Callable[[], evacuationlib.Evacuations],
+        quarantine_digest: collections.abc.Callable[[], int],
         news: News,
     ) -> None:
         self._identity = identity
@@ -81,6 +96,7 @@
         self._engines = engines
         self._documents = documents
         self._evacuations = evacuations
+        self._quarantine_digest = quarantine_digest
         self._news = news
         self._ownership = ownership.Ownership()
         self.codec = codec.Codec(identity.name, incarnation, keys, clock)
@@ -144,6 +160,14 @@
         if ask is not None:
             self.send(ask.node, ask.message)
 
+    def present(self) -> tuple[str, ...]:
+        """Return the names of the instances that are not known to be gone."""
+        return tuple(
+            each.identity.name
+            for each in self.heartbeats.members()
+            if each.state is not messages.NodeState.GONE
+        )
+
     def send(self, node: str, message: messages.Message) -> None:
         """Send a message to an instance, if it is known where it is."""
         peer = self.heartbeats.peer(node)
@@ -178,7 +202,11 @@
         )
         versions = self._documents.versions()
         return heartbeats.Digest(
-            versions.configuration, replicas, versions.replicas, self._evacuations()
+            versions.configuration,
+            replicas,
+            versions.replicas,
+            self._evacuations(),
+            self._quarantine_digest(),
         )
 
     def _handle(
@@ -191,6 +219,7 @@
                 self._digests.hear(sender.name, message.replicas)
                 self._hear_leaving(message.replicas)
                 self._news.on_evacuations(message.evacuations)
+                self._news.on_quarantine_digest(sender.name, message.quarantine_digest)
         elif isinstance(message, messages.GrantAsk):
             self._server.asked(message, sender, source)
         elif isinstance(message, messages.GrantAnswer):
@@ -209,6 +238,10 @@
             offer = self._documents.asked(message)
             if offer is not None:
                 self.transport.send(peer, offer)
+        elif isinstance(message, messages.CrashReport):
+            self._news.on_crash_report(sender.name, message)
+        elif isinstance(message, messages.QuarantineNotice):
+            self._news.on_quarantine_notice(message)
         elif isinstance(message, messages.ConfigOffer):
             ask = self._documents.offered(message)
             if ask is not None:
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -18,6 +18,8 @@
     configOffer @11 :ConfigOffer;
     moveTurn @12 :MoveTurn;
     outrun @13 :Outrun;
+    crashReport @14 :CrashReport;
+    quarantineNotice @15 :QuarantineNotice;
   }
 }
 
@@ -25,6 +27,25 @@
   incarnation @0 :UInt64;
 }
 
+struct CrashReport {
+  crashes @0 :List(ReportedCrash);
+}
+
+struct ReportedCrash {
+  fingerprint @0 :UInt64;
+  replica @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
+struct QuarantineNotice {
+  requests @0 :List(QuarantinedRequest);
+}
+
+struct QuarantinedRequest {
+  fingerprint @0 :UInt64;
+  leftS @1 :UInt32;
+}
+
 struct Heartbeat {
   state @0 :UInt8;
   wantsAnswer @1 :Bool;
@@ -39,6 +60,7 @@
   refutation @10 :UInt32;
   listVersion @11 :UInt64;
   evacuations @12 :Evacuations;
+  quarantineDigest @13 :UInt64;
 }
 
 struct Evacuations {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -24,6 +24,8 @@
 MAX_AVOIDED = 8
 MAX_EVACUATED = 7
 MAX_EVACUATED_BYTES = 56
+MAX_REPORTED_CRASHES = 32
+MAX_QUARANTINED = 64
 """Failure domains in one state of the evacuations, and bytes of all their names."""
 
 # Demands change slowly and are half of a heartbeat's bytes.
@@ -145,6 +147,8 @@
     :param list_version: the version of the platform's list of replicas that the sender
         has, or 0.
     :param evacuations: the evacuated failure domains as the sender knows them.
+    :param quarantine_digest: of the requests that the sender refuses since they crash
+        replicas, or 0 for none.
     """
 
     state: NodeState
@@ -160,6 +164,7 @@
     refutation: int = 0
     list_version: int = 0
     evacuations: evacuationlib.Evacuations = evacuationlib.Evacuations()
+    quarantine_digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -339,6 +344,46 @@
     subject: Subject = Subject.CONFIGURATION
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedCrash:
+    """A replica's crash under a run of a request.
+
+    :param fingerprint: of the request.
+    :param replica: :func:`key_hash` of the replica's id.
+    :param age_ms: milliseconds since the crash.
+    """
+
+    fingerprint: int
+    replica: int
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Crashes that the sender has seen, :data:`MAX_REPORTED_CRASHES` at most."""
+
+    crashes: tuple[ReportedCrash, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantinedRequest:
+    """A request that the sender refuses since it crashes replicas.
+
+    :param fingerprint: of the request.
+    :param left_s: seconds for which it is still refused.
+    """
+
+    fingerprint: int
+    left_s: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineNotice:
+    """Requests that the sender refuses, :data:`MAX_QUARANTINED` at most."""
+
+    requests: tuple[QuarantinedRequest, ...]
+
+
 MAX_INCARNATION = 2**62
 """Far beyond any time in milliseconds: nobody is raised above it by a word that is wrong."""
 
@@ -363,4 +408,6 @@
     | ConfigAsk
     | ConfigOffer
     | Outrun
+    | CrashReport
+    | QuarantineNotice
 )
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -79,6 +79,7 @@
     builder.configRevision = message.config_revision
     builder.listVersion = message.list_version
     _fill_evacuations(builder, message.evacuations)
+    builder.quarantineDigest = message.quarantine_digest
     builder.failureDomain = checked_name(message.failure_domain)
     builder.address = checked_name(message.address)
     builder.exchange = checked_name(message.exchange)
@@ -118,6 +119,7 @@
         config_revision=reader.configRevision,
         list_version=reader.listVersion,
         evacuations=_read_evacuations(reader),
+        quarantine_digest=reader.quarantineDigest,
         failure_domain=checked_name(reader.failureDomain),
         address=checked_name(reader.address),
         exchange=checked_name(reader.exchange),
@@ -326,6 +328,41 @@
     return messages.Outrun(reader.incarnation)
 
 
+def _fill_crashes(builder: _Builder, message: messages.CrashReport) -> None:
+    count = _checked_length(message.crashes, messages.MAX_REPORTED_CRASHES)
+    for entry, crash in zip(builder.init("crashes", count), message.crashes, strict=True):
+        entry.fingerprint = crash.fingerprint
+        entry.replica = crash.replica
+        entry.ageMs = _clip(crash.age_ms)
+
+
+def _read_crashes(reader: _Reader) -> messages.CrashReport:
+    _checked_length(reader.crashes, messages.MAX_REPORTED_CRASHES)
+    return messages.CrashReport(
+        tuple(
+            messages.ReportedCrash(entry.fingerprint, entry.replica, entry.ageMs)
+            for entry in reader.crashes
+        )
+    )
+
+
+def _fill_quarantine(builder: _Builder, message: messages.QuarantineNotice) -> None:
+    count = _checked_length(message.requests, messages.MAX_QUARANTINED)
+    for entry, request in zip(builder.init("requests", count), message.requests, strict=True):
+        entry.fingerprint = request.fingerprint
+        entry.leftS = _clip(request.left_s)
+
+
+def _read_quarantine(reader: _Reader) -> messages.QuarantineNotice:
+    _checked_length(reader.requests, messages.MAX_QUARANTINED)
+    return messages.QuarantineNotice(
+        tuple(
+            messages.QuarantinedRequest(entry.fingerprint, entry.leftS)
+            for entry in reader.requests
+        )
+    )
+
+
 class _Form(typing.NamedTuple):
     """How one message is written and read."""
 
@@ -345,6 +382,8 @@
     _Form(messages.ConfigAsk, "configAsk", _fill_config_ask, _read_config_ask),
     _Form(messages.ConfigOffer, "configOffer", _fill_offer, _read_offer),
     _Form(messages.Outrun, "outrun", _fill_outrun, _read_outrun),
+    _Form(messages.CrashReport, "crashReport", _fill_crashes, _read_crashes),
+    _Form(messages.QuarantineNotice, "quarantineNotice", _fill_quarantine, _read_quarantine),
 )
 _FORM_BY_TYPE = {form.message_type: form for form in _FORMS}
 _FORM_BY_FIELD = {form.field: form for form in _FORMS}
--- a/hornbeamglade/grants/grantanswers.py
+++ b/hornbeamglade/grants/grantanswers.py
@@ -117,10 +117,10 @@
 
 
 def sent_away(wait_s: float, refusal: outcomes.Refusal) -> outcomes.Refusal:
-    """Return a refusal whose time to come back lies within the caller's wait.
+    """Return a refusal whose time to come back lies within the caller's wait, unless it lasts.
 
     :param wait_s: what is left of the caller's time.
     """
-    if refusal.retry_after_s is None:
+    if refusal.retry_after_s is None or refusal.is_lasting:
         return refusal
     return dataclasses.replace(refusal, retry_after_s=min(refusal.retry_after_s, wait_s / 3))
--- a/hornbeamglade/membership/followers.py
+++ b/hornbeamglade/membership/followers.py
@@ -15,7 +15,6 @@
 """
 
 import collections.abc
-import heapq
 import math
 
 from hornbeamglade.membership import dissemination, rendezvous
@@ -49,7 +48,7 @@
     if len(nodes) <= dissemination.MESH_BOUND:
         return frozenset(nodes)
     count = max(LEAST, math.ceil(len(nodes) / NODES_A_FOLLOWER))
-    return frozenset(_best(_KEY, nodes, count))
+    return frozenset(rendezvous.best(_KEY, nodes, count))
 
 
 def tellers(node: str, followers: collections.abc.Iterable[str]) -> tuple[str, ...]:
@@ -64,8 +63,4 @@
     2
     """
     among = tuple(followers)
-    return () if node in among else tuple(_best(node, among, TELLERS))
-
-
-def _best(key: str, nodes: collections.abc.Iterable[str], count: int) -> list[str]:
-    return heapq.nlargest(count, nodes, key=lambda node: (rendezvous.score(key, node), node))
+    return () if node in among else tuple(rendezvous.best(node, among, TELLERS))
--- a/hornbeamglade/membership/heartbeats.py
+++ b/hornbeamglade/membership/heartbeats.py
@@ -22,12 +22,14 @@
         <hornbeamglade.exchange.messages.MAX_REPLICAS>` are sent.
     :param list_version: the version of the platform's list of replicas, or 0.
     :param evacuations: the evacuated failure domains.
+    :param quarantine: digest of the requests that it refuses since they crash replicas.
     """
 
     config_revision: int = 0
     replicas: tuple[messages.ReplicaDigest, ...] = ()
     list_version: int = 0
     evacuations: evacuationlib.Evacuations = evacuationlib.Evacuations()
+    quarantine: int = 0
 
 
 class Heartbeats:
@@ -219,6 +221,7 @@
             rumours=rumours,
             list_version=digest.list_version,
             evacuations=digest.evacuations,
+            quarantine_digest=digest.quarantine,
         )
 
     def _send_to(self, member: membership_view.Member, heartbeat: messages.Heartbeat) -> None:
--- a/hornbeamglade/membership/rendezvous.py
+++ b/hornbeamglade/membership/rendezvous.py
@@ -10,7 +10,9 @@
    OOPSLA 2014 (the mixing function).
 """
 
+import collections.abc
 import functools
+import heapq
 import math
 
 from hornbeamglade.exchange import messages
@@ -47,6 +49,18 @@
     return -weight / min(math.log(fraction), -1e-17)
 
 
+def best(key: str, nodes: collections.abc.Iterable[str], count: int) -> list[str]:
+    """Return the nodes that ``key`` prefers, the most preferred first.
+
+    Examples
+    ========
+
+    >>> best("team-1", ["a", "b", "c"], 2) == best("team-1", ["c", "b", "a"], 2)
+    True
+    """
+    return heapq.nlargest(count, nodes, key=lambda node: (score(key, node), node))
+
+
 @functools.lru_cache(maxsize=_CACHED_NAMES)
 def _name_hash(name: str) -> int:
     return messages.key_hash(name)
--- a/hornbeamglade/observability/metricsrouted.py
+++ b/hornbeamglade/observability/metricsrouted.py
@@ -50,6 +50,9 @@
         self.evacuated_domains: metricsinstruments.Gauge = registry.gauge(
             "evacuated_domains", "Failure domains that get no new work, by the operator's word."
         )
+        self.quarantined_requests: metricsinstruments.Gauge = registry.gauge(
+            "quarantined_requests", "Requests that are refused since they crash replicas."
+        )
         self.budget_left: metricsinstruments.Gauge = registry.gauge(
             "retry_budget_left", "Attempts beyond the first that may still be made.", ("service",)
         )
--- a/hornbeamglade/quarantine/__init__.py
+++ b/hornbeamglade/quarantine/__init__.py
@@ -2,4 +2,9 @@
 
 - :mod:`hornbeamglade.quarantine.fingerprints`: what makes two requests the same
 - :mod:`hornbeamglade.quarantine.crashdetector`: which lost runs were ended by a crash
+- :mod:`hornbeamglade.quarantine.crashledger`: how many replicas each request has crashed
+- :mod:`hornbeamglade.quarantine.completions`: requests that were lately run to their end
+- :mod:`hornbeamglade.quarantine.quarantinelist`: the requests that are not run any more
+- :mod:`hornbeamglade.quarantine.repeats`: what is sent a few times
+- :mod:`hornbeamglade.quarantine.requestquarantine`: what instances tell each other of all that
 """
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -2,7 +2,7 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.observability import logs
-from hornbeamglade.quarantine import crashdetector
+from hornbeamglade.quarantine import crashdetector, requestquarantine
 from hornbeamglade.replicas import availability
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
@@ -36,6 +36,7 @@
     :param loads: chooses among replicas.
     :param budgets: bounds what is sent again.
     :param crashes: finds out which lost runs were ended by a crash.
+    :param quarantine: refuses requests that crash their replicas.
     :param clock: monotonic time.
     """
 
@@ -46,6 +47,7 @@
         loads: replicaload.ReplicaLoads,
         budgets: retrybudget.RetryBudgets,
         crashes: crashdetector.CrashDetector,
+        quarantine: requestquarantine.RequestQuarantine,
         clock: clocks.Clock,
     ) -> None:
         self._available = available
@@ -53,6 +55,7 @@
         self._loads = loads
         self._budgets = budgets
         self._crashes = crashes
+        self._quarantine = quarantine
         self._clock = clock
 
     async def answer(
@@ -67,6 +70,9 @@
             replica = self._choose(routed, log)
             if replica is None:
                 return best or self._none_left(routed, log)
+            refusal = self._quarantine.refusal(routed.fingerprint)
+            if refusal is not None:
+                return best or (_failed(routed, log) if log.may_have_run else refusal)
             if log.sent and not self._budgets.spend(routed.service.name, self._clock.now()):
                 return best or _failed(routed, log)
             answer = await self._attempt(routed, replica, log)
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -8,7 +8,7 @@
 from hornbeamglade.grants import asyncgrantacquirer
 from hornbeamglade.http1 import clientside, serverside
 from hornbeamglade.observability import logs, metrics
-from hornbeamglade.quarantine import crashdetector, fingerprints
+from hornbeamglade.quarantine import crashdetector, fingerprints, requestquarantine
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     attemptlog,
@@ -44,6 +44,7 @@
     :param registry: which run is where.
     :param budgets: bounds what is sent again.
     :param crashes: finds out which lost runs were ended by a crash.
+    :param quarantine: refuses requests that crash their replicas.
     :param learn: told the length of each answer: route, team, tokens, whether it was cut.
     :param pace: learns how long a token takes.
     :param metrics: the node's instruments.
@@ -57,6 +58,7 @@
     registry: runregistry.RunRegistry
     budgets: retrybudget.RetryBudgets
     crashes: crashdetector.CrashDetector
+    quarantine: requestquarantine.RequestQuarantine
     learn: collections.abc.Callable[[str, str, int, bool], None]
     pace: streampace.StreamPace
     metrics: metrics.NodeMetrics
@@ -198,6 +200,9 @@
         now = self._parts.clock.now()
         if len(log.tried) >= MAX_CONTACTS:
             return self._failed()
+        refusal = self._quarantined()
+        if refusal is not None:
+            return refusal
         if log.sent and not self._parts.budgets.spend(routed.service.name, now):
             return self._failed()
         placement = self._placement_request(
@@ -212,15 +217,22 @@
         if isinstance(grant, outcomes.Refusal):
             return self._failed() if log.may_have_run else grant
         replica = self._parts.catalog.replica(grant.replica)
-        if replica is None:
+        # It may have waited for the grant while it was found out.
+        refusal = self._failed() if replica is None else self._quarantined()
+        if refusal is not None:
             self._parts.acquirer.release(grant)
-            return self._failed()
+            return refusal
         if not grant.is_bound and self._parts.catalog.is_cold(replica.id, self._parts.clock.now()):
             # Nobody counts what goes there, and each instance would send its own crowd.
             return self._failed()
         self._place = _Place(replica, grant)
         return None
 
+    def _quarantined(self) -> outcomes.Refusal | None:
+        """Return the refusal of a request that crashes its replicas, or None."""
+        refusal = self._parts.quarantine.refusal(self._routed.fingerprint)
+        return self._failed() if refusal is not None and self._log.may_have_run else refusal
+
     def _placement_request(
         self, deadline: float, excluded: frozenset[str]
     ) -> asyncgrantacquirer.PlacementRequest:
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -37,6 +37,7 @@
     refutation=_U32,
     list_version=_U64,
     evacuations=_EVACUATIONS,
+    quarantine_digest=_U64,
 )
 _ASKS = strategies.builds(
     messages.GrantAsk,
@@ -83,6 +84,8 @@
 _TURNS = strategies.builds(
     messages.MoveTurn, strategies.sampled_from(messages.TurnKind), _U64, _U64, _U32
 )
+_CRASHES = strategies.builds(messages.ReportedCrash, _U64, _U64, _U32)
+_QUARANTINED = strategies.builds(messages.QuarantinedRequest, _U64, _U32)
 MESSAGES = (
     _HEARTBEATS
     | _ASKS
@@ -93,4 +96,12 @@
     | strategies.builds(messages.ConfigAsk, _U64, _U16, strategies.sampled_from(messages.Subject))
     | _OFFERS
     | strategies.builds(messages.Outrun, strategies.integers(0, messages.MAX_INCARNATION))
+    | strategies.builds(
+        messages.CrashReport,
+        strategies.lists(_CRASHES, max_size=messages.MAX_REPORTED_CRASHES).map(tuple),
+    )
+    | strategies.builds(
+        messages.QuarantineNotice,
+        strategies.lists(_QUARANTINED, max_size=messages.MAX_QUARANTINED).map(tuple),
+    )
 )
--- a/tests/routed/test_plainexchange.py
+++ b/tests/routed/test_plainexchange.py
@@ -8,7 +8,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.platform import requestdialect
-from hornbeamglade.quarantine import crashdetector
+from hornbeamglade.quarantine import crashdetector, requestquarantine
 from hornbeamglade.replicas import availability, replicalist, slowstart
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
@@ -37,12 +37,14 @@
         self.log = attemptlog.AttemptLog()
         pool = clientpool.ClientPool(self.clock)
         sender = sending.Sender(pool, requestdialect.PlatformDialect(), self.clock)
-        self.crashed = []
+        self.quarantine = requestquarantine.RequestQuarantine(
+            "n0", tuple, tuple, lambda node, message: None, self.clock
+        )
         crashes = crashdetector.CrashDetector(
             self.list,
             pool.listens,
             lambda replica_id: False,
-            lambda replica, lost: self.crashed.append((replica.id, lost)),
+            lambda replica, lost: self.quarantine.crashed(replica.id, lost),
             self.clock,
         )
         loads = replicaload.ReplicaLoads(self.clock, random.Random(1))
@@ -54,7 +56,7 @@
             {"a": "r", "b": "s"},
         )
         self.exchange = plainexchange.PlainExchange(
-            self.available, sender, loads, budgets, crashes, self.clock
+            self.available, sender, loads, budgets, crashes, self.quarantine, self.clock
         )
 
     def make_cold(self, replica_id):
