quarantine: keep refused requests in the store

After a loss of all instances a request in quarantine was sent on again, until it had crashed three servers more. Who counts the third crash now writes a row to the instances' table, which every instance reads at its start and each 5 or 60 s anyway, so no call of the store is added but for the rows themselves. The same reading restores a row that the store has lost, and tells an instance that is cut off from the others only.

tests/failures/test_entry.py::test_a_request_that_crashed_servers_is_refused_after_a_loss_of_all_instances fails without the change (no row is written).

--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -12,6 +12,7 @@
 from hornbeamglade.membership import draining, registry
 from hornbeamglade.observability import logs, metricsregistry
 from hornbeamglade.platform import storeclient, tables
+from hornbeamglade.quarantine import quarantinekeeper
 from hornbeamglade.store import contract, countedstore, tablefollower
 
 STORE_TIMEOUT_S = 1.0
@@ -52,12 +53,15 @@
             contract.Instance(
                 identity.name, identity.failure_domain, identity.address, identity.exchange, False
             ),
-            registry.Registry(self._store),
+            registry.Registry(self._store, self._rows_read),
             told.seeds,
             self._introduced,
             self._clock,
             told.is_first_start,
         )
+        self.instance.quarantine.keep_in(
+            quarantinekeeper.QuarantineKeeper(self._store, self._clock).add
+        )
         self._rng = random.Random(self.instance.incarnation)
         self.instance.count_connections(lambda: len(self._callers.connections))
         self._callers = serverside.CallersServer(self.instance.callers, self._clock)
@@ -119,6 +123,9 @@
     def _introduced(self, listed: tuple[contract.Instance, ...]) -> None:
         self._loop.call_soon_threadsafe(self.instance.on_introduction, listed)
 
+    def _rows_read(self, rows: tuple[contract.Row, ...]) -> None:
+        self._loop.call_soon_threadsafe(self.instance.quarantine.on_rows, rows)
+
     def _follow(self) -> None:
         """Follow the store, or leave it to others, as this instance's part is now."""
         for follower in self._followers:
--- a/hornbeamglade/membership/registry.py
+++ b/hornbeamglade/membership/registry.py
@@ -7,6 +7,9 @@
 of a planned stop. The list only introduces: whether a node lives is known from
 heartbeats. The row of a node that was killed stays until another run of the same name
 replaces it, or until a node that has not heard of it for long takes it away.
+
+The table also holds rows of other kinds that the nodes keep for one another. They come with
+each reading of the list, so they cost no call of their own.
 """
 
 import collections.abc
@@ -17,6 +20,8 @@
 
 TABLE = "instances"
 
+OnRows = collections.abc.Callable[[tuple[contract.Row, ...]], None]
+
 
 class _Body(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
@@ -31,6 +36,7 @@
     """Reads and writes the rows of nodes.
 
     :param table: the platform's table.
+    :param on_rows: called with all rows of each list that was read.
 
     Examples
     ========
@@ -44,14 +50,16 @@
     True
     """
 
-    def __init__(self, table: contract.Table) -> None:
+    def __init__(self, table: contract.Table, on_rows: OnRows = lambda _rows: None) -> None:
         self._table = table
+        self._on_rows = on_rows
 
     def list(self) -> tuple[contract.Instance, ...] | contract.Unavailable:
         """Read all rows; one that cannot be read is left out."""
         rows = self._table.scan(f"{TABLE}/")
         if isinstance(rows, contract.Unavailable):
             return rows
+        self._on_rows(rows)
         return instances(rows)
 
     def register(self, instance: contract.Instance) -> contract.WriteOutcome:
--- a/hornbeamglade/quarantine/quarantinelist.py
+++ b/hornbeamglade/quarantine/quarantinelist.py
@@ -72,12 +72,16 @@
 
     def page(self, size: int) -> tuple[Entry, ...]:
         """Return some entries; one call after the other goes through all of them."""
-        entries = [Entry(*item) for item in self._ends_at_by_fingerprint.items()]
+        entries = self.entries()
         if len(entries) <= size:
-            return tuple(entries)
+            return entries
         begin = self._cursor % len(entries)
         self._cursor = begin + size
-        return tuple((entries + entries)[begin : begin + size])
+        return (entries + entries)[begin : begin + size]
+
+    def entries(self) -> tuple[Entry, ...]:
+        """Return all entries, the oldest first."""
+        return tuple(Entry(*item) for item in self._ends_at_by_fingerprint.items())
 
     @property
     def digest(self) -> int:
--- a/hornbeamglade/quarantine/requestquarantine.py
+++ b/hornbeamglade/quarantine/requestquarantine.py
@@ -16,8 +16,12 @@
    recipient's, the recipient sends what it has. So an instance that starts, or returns after
    having been cut off, learns of it with the first heartbeats.
 
-Every instance also counts what it sees itself, and acts on it without the homes. All of this is
-in memory: after a loss of all instances a request is found out anew, by as many crashes.
+Every instance also counts what it sees itself, and acts on it without the homes.
+
+What is refused is also kept in the store, in the table of the instances, which each reads at its
+start and now and then. So it outlives a loss of all instances, and reaches one that is cut off
+from the others only. Whoever counts the third crash writes a row; the first home restores a row
+that is missing when it reads the table, and removes one whose time is over.
 
 Weighed against *counting at each instance alone*: with ``n`` instances ``n`` times as many
 replicas are lost. Against *telling all instances of each lost run*: a crash ends dozens of them,
@@ -39,8 +43,10 @@
     crashledger,
     fingerprints,
     quarantinelist,
+    quarantinerows,
     repeats,
 )
+from hornbeamglade.store import contract
 
 HOMES = 3
 """Some may be cut off, or die with what they have counted."""
@@ -49,11 +55,16 @@
 PAGE_EVERY_S = 1.0
 MILLISECONDS = 1000
 
+MOST_STORED = 400
+"""Rows of requests in the store; a list of nodes with them is still one answer."""
+
 OWN = "own"
 PEER = "peer"
+STORE = "store"
 
 Names = collections.abc.Callable[[], collections.abc.Collection[str]]
 Send = collections.abc.Callable[[str, messages.Message], None]
+Write = collections.abc.Callable[[contract.Put | contract.Delete], None]
 
 
 class RequestQuarantine:
@@ -64,7 +75,9 @@
     :param present: returns the names of those that may take callers, the suspected and
         the leaving ones included.
     :param send: sends a message to an instance.
-    :param clock: monotonic time.
+    :param clock: monotonic and wall time.
+
+    :meth:`keep_in` has it write to the store.
     """
 
     def __init__(
@@ -75,6 +88,8 @@
         self._present = present
         self._send = send
         self._clock = clock
+        self._write: Write | None = None
+        self._stored_count = 0
         self._ledger = crashledger.CrashLedger()
         self._held = quarantinelist.QuarantineList()
         self._completions = completions.Completions()
@@ -82,6 +97,10 @@
         self._notices = repeats.Repeats()
         self._page_sent_at_by_node: dict[str, float] = {}
 
+    def keep_in(self, write: Write) -> None:
+        """Take what writes to the store."""
+        self._write = write
+
     def refusal(self, fingerprint: int) -> outcomes.Refusal | None:
         """Return the refusal of a request that is not run any more, or None."""
         now = self._clock.now()
@@ -135,6 +154,21 @@
         for told in notice.requests:
             self._hold(quarantinelist.Entry(told.fingerprint, now + told.left_s), PEER, now)
 
+    def on_rows(self, rows: tuple[contract.Row, ...]) -> None:
+        """Take the instances' table as it was read from the store."""
+        now, wall = self._clock.now(), self._clock.wall()
+        stored = quarantinerows.decode(rows)
+        self._stored_count = len(stored)
+        for request in stored:
+            left_s = min(request.until - wall, quarantinelist.LASTS_S)
+            self._hold(quarantinelist.Entry(request.fingerprint, now + left_s), STORE, now)
+            if left_s <= 0.0 and self._is_first_home(request.fingerprint):
+                self._write_row(contract.Delete(quarantinerows.key(request.fingerprint)))
+        known = {request.fingerprint for request in stored}
+        for entry in self._held.entries():
+            if entry.fingerprint not in known and self._is_first_home(entry.fingerprint):
+                self._store(entry, now)
+
     def on_digest(self, sender: str, digest: int) -> None:
         """Send what is refused here to an instance that refuses something else."""
         now = self._clock.now()
@@ -193,6 +227,7 @@
             entry = quarantinelist.Entry(fingerprint, now + quarantinelist.LASTS_S)
             if self._hold(entry, OWN, now):
                 self._notices.add(fingerprint, now)
+                self._store(entry, now)
         return count
 
     def _hold(self, entry: quarantinelist.Entry, source: str, now: float) -> bool:
@@ -208,10 +243,29 @@
             )
         return is_new
 
+    def _is_first_home(self, fingerprint: int) -> bool:
+        return self._homes(fingerprint)[0] == self._name
+
+    def _homes(self, fingerprint: int) -> list[str]:
+        nodes = {*self._live(), self._name}
+        return rendezvous.best(fingerprints.text(fingerprint), nodes, HOMES)
+
+    def _store(self, entry: quarantinelist.Entry, now: float) -> None:
+        """Have a request kept in the store, unless there are too many."""
+        if self._stored_count < MOST_STORED and entry.ends_at > now:
+            self._stored_count += 1
+            until = self._clock.wall() + entry.ends_at - now
+            self._write_row(
+                quarantinerows.put(quarantinerows.StoredRequest(entry.fingerprint, until))
+            )
+
+    def _write_row(self, write: contract.Put | contract.Delete) -> None:
+        if self._write is not None:
+            self._write(write)
+
     def _send_reports(self, now: float) -> None:
         """Send the evidence that is due to the homes of its requests."""
         crashes_by_home: dict[str, list[messages.ReportedCrash]] = {}
-        nodes = {*self._live(), self._name}
         for fingerprint in self._reports.due(now, messages.MAX_REPORTED_CRASHES):
             told = [
                 messages.ReportedCrash(
@@ -219,7 +273,7 @@
                 )
                 for crash in self._ledger.crashes(fingerprint)
             ]
-            for home in rendezvous.best(fingerprints.text(fingerprint), nodes, HOMES):
+            for home in self._homes(fingerprint):
                 if home != self._name:
                     crashes_by_home.setdefault(home, []).extend(told)
         size = messages.MAX_REPORTED_CRASHES
--- a/tests/failures/test_entry.py
+++ b/tests/failures/test_entry.py
@@ -213,3 +213,34 @@
     assert ended.returncode == 2
     assert ended.stderr.startswith("settings_")
     assert str(path) in ended.stderr
+
+
+def test_a_request_that_crashed_servers_is_refused_after_a_loss_of_all_instances(processes):
+    """Guards servers against what only the lost instances knew."""
+    for number in range(6):
+        _, address = processes.standin("routed", "--id", f"crashes-{number}")
+        url = f"http://{address}/standin/faults"
+        processes.http.request("PUT", url, body='{"crash_on":"body"}')
+        server = type("Server", (), {"address": address})
+        processes.put(f"servers/crashes-{number}", entrysite.entry(server, "web"))
+    processes.http.request("PUT", f"http://{processes.web}/standin/faults", body='{"refuse":true}')
+    process, path, addresses = processes.entry()
+
+    def code(number):
+        answer = processes.ask(addresses[0], "/hold/1", request_id=f"again-{number}")
+        return answer.status, json.loads(answer.data)["code"]
+
+    codes = []
+    while not codes or codes[-1] != (503, "request_quarantined"):
+        codes.append(code(len(codes)))
+        assert len(codes) < 20
+        time.sleep(0.1)
+    row = "instances/quarantine:"
+    until(lambda: processes.client.scan(row))
+    process.kill()
+    process.wait()
+    processes.start("entry", "--settings", str(path), stdout=subprocess.DEVNULL)
+    until(lambda: processes.is_ready(addresses[1]))
+    until(lambda: code("after")[1] == "request_quarantined")
+    crashed = sum(code == (502, "no_answer") for code in codes)
+    assert crashed == 3
--- a/tests/quarantine/test_requestquarantine.py
+++ b/tests/quarantine/test_requestquarantine.py
@@ -5,7 +5,13 @@
 import pytest
 
 from hornbeamglade.exchange import framesizes, messages
-from hornbeamglade.quarantine import crashledger, quarantinelist, requestquarantine
+from hornbeamglade.quarantine import (
+    crashledger,
+    quarantinelist,
+    quarantinerows,
+    requestquarantine,
+)
+from hornbeamglade.store import contract, memory
 from tests.exchange import lossynetwork
 
 CONTACT_S = 3.0
@@ -255,3 +261,77 @@
     notice = messages.QuarantineNotice((request,) * messages.MAX_QUARANTINED)
     assert framesizes.packet_bytes(report) < 1400
     assert framesizes.packet_bytes(notice) < 1400
+
+
+class Stored(Site):
+    """A site whose instances keep what they refuse in a store."""
+
+    def __init__(self, nodes):
+        self.store = memory.MemoryPlatform()
+        super().__init__(nodes, lose=0.0)
+
+    def start(self, name):
+        super().start(name)
+        write = self.write
+        self.quarantine_by_name[name].keep_in(lambda each: write((each,)))
+
+    def write(self, writes):
+        self.store.transact((), writes)
+
+    def read(self, *names):
+        for name in names or self.names:
+            self.quarantine_by_name[name].on_rows(self.store.scan("instances/"))
+
+    def rows(self):
+        return quarantinerows.decode(self.store.scan("instances/"))
+
+    def find_out(self, *names):
+        for number in range(crashledger.CRASHES):
+            self.run(0.3)
+            self.crash(names[number % len(names)], f"e{number}")
+        self.run(0.3)
+
+
+def test_what_is_refused_outlives_a_loss_of_all_instances():
+    """Guards replicas against a request that comes back after all instances lost power."""
+    site = Stored(6)
+    site.find_out("n0", "n1", "n2")
+    assert [each.fingerprint for each in site.rows()] == [GUILTY]
+    for name in site.names:
+        site.start(name)
+    assert site.refusing() == set()
+    site.read("n3")
+    assert site.refusing() == {"n3"}
+
+
+def test_an_instance_that_is_cut_off_from_the_others_only_learns_from_the_store():
+    site = Stored(6)
+    site.cut_off({"n5"})
+    site.find_out("n0", "n1", "n2")
+    site.read("n5")
+    assert "n5" in site.refusing()
+
+
+def test_a_row_that_the_store_has_lost_is_written_again_and_one_that_is_over_removed():
+    """Guards what is refused against a store that comes back from an older copy."""
+    site = Stored(6)
+    site.find_out("n0", "n1", "n2")
+    site.write((contract.Delete(quarantinerows.key(GUILTY)),))
+    site.read()
+    assert [each.fingerprint for each in site.rows()] == [GUILTY]
+    site.clock.advance(quarantinelist.LASTS_S + 1.0)
+    for quarantine in site.quarantine_by_name.values():
+        quarantine.tidy()
+    site.read()
+    assert site.rows() == ()
+    assert site.refusing() == set()
+
+
+def test_a_row_that_cannot_be_read_changes_nothing():
+    site = Stored(1)
+    for value in ("", "{}", '{"until": "never"}', '{"until": 1e400}'):
+        site.write((contract.Put(quarantinerows.key(GUILTY), value),))
+        site.read()
+    site.write((contract.Put("instances/quarantine:none", '{"until": 9e9}'),))
+    site.read()
+    assert site.quarantine_by_name["n0"].held_count == 0
