tests: take ports of entry instances that no outgoing connection is given

The port was probed by binding to 0, which gives one of those that outgoing connections get, and any of them could take it before the instance listened. Ports come from localsite's range below those now, each given out once.

--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -7,6 +7,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import instance, settings
 from hornbeamglade.http1 import serverside
+from hornbeamglade.localsite import routedsite
 from hornbeamglade.membership import registry
 from hornbeamglade.standins import routed
 from hornbeamglade.store import contract, memory
@@ -18,10 +19,7 @@
 STORE = "127.0.0.1:1"
 
 
-def free_port(kind):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+free_port = routedsite.LastingPorts().take
 
 
 def route(name, kind, service, **changes):
