replicas: say in the log which limits servers name

The field is decoded at the border now, from answers and from engines' reports: the lowest of several, and 0 with a code for one that cannot be read. replica_limit lines say when a limit is named, changed or lifted; the line on an answer bears limit_per_s, as it was known when the request was sent. Nothing is decided by it yet.

--- a/hornbeamglade/engines/models.py
+++ b/hornbeamglade/engines/models.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from hornbeamglade.replicas import ratelimits
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedRun:
@@ -28,6 +30,7 @@
     :param is_leaving: whether it has been told to stop.
     :param leaves_in_s: seconds until it is gone, as of then, or None.
     :param started_ms: Unix milliseconds of the start that it speaks of, or 0.
+    :param limit: what it takes at most, or None when it names no limit.
     """
 
     memory_tokens: int
@@ -37,6 +40,7 @@
     is_leaving: bool
     leaves_in_s: float | None = None
     started_ms: int = 0
+    limit: ratelimits.RateLimit | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -201,6 +201,7 @@
             goal_s=routed.route.goal_s,
             gap_goal_s=routed.route.gap_goal_s,
             seconds=round(seconds, 4),
+            limit_per_s=log.limit_per_s,
             fingerprint=fingerprints.text(routed.fingerprint),
             **more,
         )
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -5,6 +5,7 @@
 import random
 
 from hornbeamglade.core import clocks
+from hornbeamglade.engines import models as enginemodels
 from hornbeamglade.engines import reportpoller
 from hornbeamglade.entry import (
     callershandler,
@@ -30,7 +31,7 @@
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import enginecalls, requestdialect, tables
 from hornbeamglade.quarantine import crashdetector, requestquarantine
-from hornbeamglade.replicas import availability, replicalist, slowstart
+from hornbeamglade.replicas import availability, ratelimits, replicalist, slowstart
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
@@ -81,6 +82,7 @@
         self._available = availability.Availability(
             self._replicas,
             slowstart.SlowStarts(rng),
+            ratelimits.RateLimits(),
             partsettings.cold_bound(told),
             told.region_by_failure_domain,
         )
@@ -220,7 +222,7 @@
             )
         )
         self.poller = reportpoller.ReportPoller(
-            engine_calls, self._owned_engines, self._engine_watch.reported, clock
+            engine_calls, self._owned_engines, self._engine_reported, clock
         )
         self.draining: draining.Draining | None = None
         self._departed_at_by_replica: dict[str, float] = {}
@@ -378,7 +380,7 @@
         present = self._replicas.by_id
         self._pool.forget(frozenset(each.address for each in present.values()))
         self._loads.forget(present)
-        self._available.forget_warm(self._clock.now())
+        self._available.forget_ended(self._clock.now())
         self._crashes.forget_old()
         self.quarantine.tidy()
         self._forget_departed()
@@ -425,6 +427,16 @@
         yield from self._engines()
         yield from self._replicas.departed_by_id.values()
 
+    def _engine_reported(
+        self,
+        replica: replicamodels.Replica,
+        report: enginemodels.EngineReport | reportpoller.Lost | None,
+    ) -> None:
+        # Whether reports name limits is not said, so one without a limit lifts none.
+        if isinstance(report, enginemodels.EngineReport) and report.limit is not None:
+            self._available.answered(replica.id, report.limit, self._clock.now())
+        self._engine_watch.reported(replica, report)
+
     def _owned_engines(self) -> list[replicamodels.Replica]:
         owned = self.peering.owned()
         return [replica for replica in self._engines() if replica.id in owned]
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -54,6 +54,7 @@
         "gap_s",
         "goal_s",
         "incarnation",
+        "limit_per_s",
         "list_version",
         "load",
         "load_age_s",
--- a/hornbeamglade/platform/enginecalls.py
+++ b/hornbeamglade/platform/enginecalls.py
@@ -1,6 +1,7 @@
 """The platform's calls to engines: reports and copies of runs."""
 
 import asyncio
+import dataclasses
 import json
 import typing
 
@@ -9,6 +10,8 @@
 from hornbeamglade.engines import control, models
 from hornbeamglade.http1 import clientpool, clientside
 from hornbeamglade.observability import logs
+from hornbeamglade.platform import requestdialect
+from hornbeamglade.replicas import ratelimits
 
 REPORT_TIMEOUT_S = 0.6
 """A report takes a few milliseconds; its engine is held for silent after that."""
@@ -44,6 +47,13 @@
     created: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    content: bytes
+    limit: ratelimits.RateLimit | None
+
+
 class EngineCalls(control.EngineControl):
     """The calls over HTTP.
 
@@ -58,11 +68,10 @@
         answer = await self._call(address, b"GET", b"/v1/report", b"", REPORT_TIMEOUT_S)
         if isinstance(answer, clientside.Lost):
             return models.ReportFailed(answer.is_refused)
-        status, content = answer
-        if status != 200:
+        if answer.status != 200:
             return models.ReportFailed(is_refused=False)
         try:
-            body = _Report.model_validate_json(content)
+            body = _Report.model_validate_json(answer.content)
         except pydantic.ValidationError as error:
             logs.failed("report", error)
             return models.ReportFailed(is_refused=False)
@@ -74,6 +83,7 @@
             is_leaving=body.state != _READY,
             leaves_in_s=None if body.leaves_ms is None else body.leaves_ms / _MS,
             started_ms=body.born,
+            limit=answer.limit,
         )
 
     async def copy_run(
@@ -84,11 +94,10 @@
         answer = await self._call(address, b"POST", b"/v1/kv-move", body, timeout_s)
         if isinstance(answer, clientside.Lost):
             return models.CopyFailed("no_answer")
-        status, content = answer
-        copy = _copy(content)
-        if status == 200 and copy is not None:
+        copy = _copy(answer.content)
+        if answer.status == 200 and copy is not None:
             return models.CopyMade(copy.handle, copy.created)
-        code = _CODE_BY_STATUS.get(status, "no_answer")
+        code = _CODE_BY_STATUS.get(answer.status, "no_answer")
         return models.CopyFailed(code, None if copy is None else copy.handle)
 
     async def drop_copy(self, address: str, name: str) -> bool:
@@ -99,7 +108,7 @@
 
     async def _call(
         self, address: str, method: bytes, target: bytes, body: bytes, timeout_s: float
-    ) -> tuple[int, bytes] | clientside.Lost:
+    ) -> _Answer | clientside.Lost:
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._exchange(address, method, target, body)
@@ -108,7 +117,7 @@
 
     async def _exchange(
         self, address: str, method: bytes, target: bytes, body: bytes
-    ) -> tuple[int, bytes] | clientside.Lost:
+    ) -> _Answer | clientside.Lost:
         connection = await self._pool.acquire(address)
         if isinstance(connection, clientside.Lost):
             return connection
@@ -125,7 +134,9 @@
             self._pool.release(connection, typing.cast(clientside.Head, head) if whole else None)
         if isinstance(head, clientside.Lost):
             return head
-        return (head.status, content) if isinstance(content, bytes) else content
+        if isinstance(content, clientside.Lost):
+            return content
+        return _Answer(head.status, content, requestdialect.rate_limit(head.fields))
 
 
 def _copy(content: bytes) -> _Copy | None:
--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -4,6 +4,7 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.http1 import clientside, fields, serverside
+from hornbeamglade.replicas import ratelimits
 from hornbeamglade.routed import calls, dialect
 
 REQUEST_INVALID = "request_invalid"
@@ -27,6 +28,8 @@
 _SEAL = b"response-seal"
 _NOT_RUN = b"not-executed"
 _LOAD = b"replica-load"
+# Requests a second from all instances together, as a decimal number.
+_LIMIT = b"server-limit"
 _MISDIRECTED = 421
 
 # The system's own to set, whatever a caller sends.
@@ -46,6 +49,9 @@
 )
 _RESERVED_BEGINNING = b"kv-"
 
+LIMIT_INVALID = "server_limit_invalid"
+LIMITS_SEVERAL = "server_limits_several"
+_DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{0,9})?", re.ASCII)
 _DIGITS = re.compile(rb"[0-9]{1,12}", re.ASCII)
 
 
@@ -107,6 +113,8 @@
             is_not_run=is_marked or head.status == _MISDIRECTED,
             is_encoded=encoding not in (None, b"identity"),
             load=_load(fields.value(head.fields, _LOAD)),
+            limit=rate_limit(head.fields),
+            is_elsewhere=head.status == _MISDIRECTED,
         )
 
 
@@ -157,6 +165,31 @@
     return calls.Load(running, waiting, slots)
 
 
+def rate_limit(answer_fields: fields.Fields) -> ratelimits.RateLimit | None:
+    """Return the limit that an answer's head names, or None.
+
+    Of several the lowest holds; one that cannot be read stands for 0, since only a replica in
+    need names any.
+
+    Examples
+    ========
+
+    >>> rate_limit(((b"Server-Limit", b"2.2"),))
+    RateLimit(requests_per_s=2.2, problem=None)
+    >>> rate_limit(((b"Server-Limit", b"-1"),))
+    RateLimit(requests_per_s=0.0, problem='server_limit_invalid')
+    >>> rate_limit(()) is None
+    True
+    """
+    named = [each.strip() for each in fields.values(answer_fields, _LIMIT)]
+    if not named:
+        return None
+    if not all(_DECIMAL.fullmatch(each) for each in named):
+        return ratelimits.RateLimit(0.0, LIMIT_INVALID)
+    problem = LIMITS_SEVERAL if len(named) > 1 else None
+    return ratelimits.RateLimit(min(map(float, named)), problem)
+
+
 def _invalid(detail: str) -> outcomes.Refusal:
     return outcomes.Refusal(REQUEST_INVALID, 400, detail)
 
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -17,7 +17,7 @@
 from hornbeamglade.core import outcomes
 from hornbeamglade.observability import logs
 from hornbeamglade.replicas import evacuations as evacuationlib
-from hornbeamglade.replicas import models, replicalist, slowstart, startgate
+from hornbeamglade.replicas import models, ratelimits, replicalist, slowstart, startgate
 from hornbeamglade.routes import models as routemodels
 
 EVACUATED_RETRY_S = 0.3
@@ -33,6 +33,7 @@
 
     :param replicas: the list.
     :param slow_starts: paces requests to cold replicas.
+    :param limits: the limits that replicas name.
     :param bound: the operator's bound on them.
     :param region_by_failure_domain: the region of each failure domain.
     """
@@ -41,12 +42,14 @@
         self,
         replicas: replicalist.ReplicaList,
         slow_starts: slowstart.SlowStarts,
+        limits: ratelimits.RateLimits,
         bound: slowstart.Bound,
         region_by_failure_domain: collections.abc.Mapping[str, str],
     ) -> None:
         self.replicas = replicas
         self.evacuations = evacuationlib.Evacuations()
         self._slow_starts = slow_starts
+        self._limits = limits
         self._bound = bound
         self._region_by_failure_domain = region_by_failure_domain
         self._service_by_name: ServiceByName = {}
@@ -86,9 +89,18 @@
             if change.what in (ADDED, CHANGED) and change.replica.warm_in_s > 0.0:
                 self._begin_slowly(change.replica, change.replica.warm_in_s, change.what, now)
 
-    def forget_warm(self, now: float) -> None:
-        """Forget the slow starts that are over."""
+    def answered(self, replica_id: str, limit: ratelimits.RateLimit | None, now: float) -> None:
+        """Take the limit that a replica's answer names, or that it names none."""
+        self._limits.named(replica_id, limit, now)
+
+    def limit(self, replica_id: str) -> ratelimits.RateLimit | None:
+        """Return the limit that a replica named last, or None."""
+        return self._limits.limit(replica_id)
+
+    def forget_ended(self, now: float) -> None:
+        """Forget the slow starts that are over, and the limits of replicas that are gone."""
         self._slow_starts.forget_warm(now)
+        self._limits.forget(self.replicas.by_id.keys() | self.replicas.departed_by_id.keys())
 
     def is_evacuated(self, replica: models.Replica) -> bool:
         """Tell whether the operator keeps new work from a replica's failure domain."""
--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
+from hornbeamglade.replicas import ratelimits
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,6 +15,7 @@
     :param may_have_run: whether one of them may have run.
     :param under_way: the replica of the attempt that has not ended, or None.
     :param has_answer: whether that replica has begun to answer.
+    :param limit_per_s: the limit that the replica of the newest attempt had named, or None.
     """
 
     tried: list[str] = dataclasses.field(default_factory=list)
@@ -21,10 +23,12 @@
     may_have_run: bool = False
     under_way: str | None = None
     has_answer: bool = False
+    limit_per_s: float | None = None
 
-    def begin(self, replica_id: str) -> None:
-        """Note that the request is being sent to a replica."""
+    def begin(self, replica_id: str, limit: ratelimits.RateLimit | None) -> None:
+        """Note that the request is being sent to a replica, and the limit that it had named."""
         self.under_way = replica_id
+        self.limit_per_s = None if limit is None else limit.requests_per_s
 
     def answered(self) -> None:
         """Note that the replica under way has begun to answer."""
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hornbeamglade.http1 import fields
+from hornbeamglade.replicas import ratelimits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,6 +123,8 @@
     :param is_not_run: whether the replica states that it did not run the request.
     :param is_encoded: whether the body is not the replica's own bytes.
     :param load: the replica's load, or None.
+    :param limit: what the replica takes at most, or None when it names no limit.
+    :param is_elsewhere: whether another server answered than the one that was meant.
     """
 
     status: int
@@ -131,3 +134,5 @@
     is_not_run: bool
     is_encoded: bool = False
     load: Load | None = None
+    limit: ratelimits.RateLimit | None = None
+    is_elsewhere: bool = False
--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -5,7 +5,7 @@
 from hornbeamglade.core import outcomes
 from hornbeamglade.grants import schedulerset
 from hornbeamglade.node import digestcache
-from hornbeamglade.replicas import availability, models
+from hornbeamglade.replicas import availability, models, ratelimits
 from hornbeamglade.routing import candidates as candidatelib
 
 UNKNOWN_ROOM_TOKENS = 0
@@ -52,6 +52,14 @@
         """Tell whether an engine has just started and bears few requests."""
         return self._available.is_cold(replica_id, now)
 
+    def limit(self, replica_id: str) -> ratelimits.RateLimit | None:
+        """Return the limit that an engine named last, or None."""
+        return self._available.limit(replica_id)
+
+    def answered(self, replica_id: str, limit: ratelimits.RateLimit | None, now: float) -> None:
+        """Take the limit that an engine's answer names, or that it names none."""
+        self._available.answered(replica_id, limit, now)
+
     def candidates(
         self,
         service: str,
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -128,11 +128,13 @@
         load = None
         self._loads.started(replica.id)
         self._available.started(replica.id, begun_at)
-        log.begin(replica.id)
+        log.begin(replica.id, self._available.limit(replica.id))
         try:
             begun = await self._sender.begin(routed, replica, dispatch)
             if isinstance(begun, sending.Begun):
                 load = begun.head.load
+                if not begun.head.is_elsewhere:
+                    self._available.answered(replica.id, begun.head.limit, self._clock.now())
                 outcome = await self._finish(begun)
             else:
                 outcome = begun
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -261,17 +261,20 @@
             last_event_id=self._relay.last_id,
             copy=copy,
         )
-        self._log.begin(place.replica.id)
+        catalog = self._parts.catalog
+        self._log.begin(place.replica.id, catalog.limit(place.replica.id))
         begun = await self._parts.sender.begin(routed, place.replica, dispatch)
         if isinstance(begun, sending.Failed):
             self._log.note(place.replica.id, begun.run, begun.code != "not_connected")
             return begun
         place.begun = begun
+        if not begun.head.is_elsewhere:
+            catalog.answered(place.replica.id, begun.head.limit, self._parts.clock.now())
         self._log.answered()
         self._parts.registry.enter(place.replica.id, self)
         if self._start is None or not self._relay.has_begun:
             self._start = eventrelay.AnswerStart(begun.head.status, begun.head.fields)
-        if not self._parts.catalog.is_usable(place.replica.id):
+        if not catalog.is_usable(place.replica.id):
             self.replica_leaves()
         return begun
 
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -10,7 +10,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import following
 from hornbeamglade.exchange import messages
-from hornbeamglade.replicas import availability, evacuations, replicalist, slowstart
+from hornbeamglade.replicas import availability, evacuations, ratelimits, replicalist, slowstart
 from hornbeamglade.routed import views
 from hornbeamglade.store import contract
 from tests.entry import site
@@ -43,6 +43,7 @@
         self.available = availability.Availability(
             self.list,
             slowstart.SlowStarts(random.Random(1)),
+            ratelimits.RateLimits(),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         )
--- a/tests/platform/test_requestdialect.py
+++ b/tests/platform/test_requestdialect.py
@@ -155,3 +155,32 @@
 def test_encoded_body_is_not_the_replicas_own():
     assert head(200, (b"Content-Encoding", b"gzip")).is_encoded
     assert not head(200, (b"Content-Encoding", b"identity")).is_encoded
+
+
+@pytest.mark.parametrize(
+    ("named", "requests_per_s", "problem"),
+    [
+        ((b"2.2",), 2.2, None),
+        ((b" 12 ",), 12.0, None),
+        ((b"0",), 0.0, None),
+        ((b"3.", b"1.5"), 1.5, requestdialect.LIMITS_SEVERAL),
+        ((b"-1",), 0.0, requestdialect.LIMIT_INVALID),
+        ((b"",), 0.0, requestdialect.LIMIT_INVALID),
+        ((b"many",), 0.0, requestdialect.LIMIT_INVALID),
+        ((b"1e9",), 0.0, requestdialect.LIMIT_INVALID),
+        ((b"inf",), 0.0, requestdialect.LIMIT_INVALID),
+        ((b"nan",), 0.0, requestdialect.LIMIT_INVALID),
+        ((b"1,5",), 0.0, requestdialect.LIMIT_INVALID),
+        ((b"2", b"x"), 0.0, requestdialect.LIMIT_INVALID),
+        ((b"\xd9\xa3",), 0.0, requestdialect.LIMIT_INVALID),
+    ],
+)
+def test_named_limit_is_read_and_a_bad_one_stands_for_none_at_all(named, requests_per_s, problem):
+    """Guards a server in need against a limit that is misread as a high one."""
+    head = clientside.Head(200, tuple((b"Server-Limit", each) for each in named))
+    limit = WORDS.answer_head(head).limit
+    assert (limit.requests_per_s, limit.problem) == (requests_per_s, problem)
+
+
+def test_answer_without_a_limit_names_none():
+    assert WORDS.answer_head(clientside.Head(200, ())).limit is None
--- a/tests/replicas/test_availability.py
+++ b/tests/replicas/test_availability.py
@@ -3,7 +3,14 @@
 import dataclasses
 import random
 
-from hornbeamglade.replicas import availability, evacuations, models, replicalist, slowstart
+from hornbeamglade.replicas import (
+    availability,
+    evacuations,
+    models,
+    ratelimits,
+    replicalist,
+    slowstart,
+)
 from hornbeamglade.routes import models as routemodels
 
 
@@ -18,7 +25,11 @@
         1,
     )
     return availability.Availability(
-        listed, slowstart.SlowStarts(random.Random(1)), slowstart.Bound(), {"a": "r", "b": "s"}
+        listed,
+        slowstart.SlowStarts(random.Random(1)),
+        ratelimits.RateLimits(),
+        slowstart.Bound(),
+        {"a": "r", "b": "s"},
     )
 
 
@@ -117,7 +128,7 @@
     known = cold_site(None)
     replica = models.Replica("e3", "llm", "10.0.0.9:1", "a", 8, warm_in_s=2.0)
     known.list_changed(known.replicas.update([replica], [], 2), 0.0)
-    known.forget_warm(2.0)
+    known.forget_ended(2.0)
     again = dataclasses.replace(replica, warm_in_s=1.0)
     known.list_changed(known.replicas.update([again], [], 3), 5.0)
     assert [(each["replica"], each["reason"], each["seconds"]) for each in lines] == [
--- a/tests/routed/test_enginecatalog.py
+++ b/tests/routed/test_enginecatalog.py
@@ -8,7 +8,7 @@
 from hornbeamglade.grants import schedulerset
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.node import digestcache
-from hornbeamglade.replicas import availability, models, replicalist, slowstart
+from hornbeamglade.replicas import availability, models, ratelimits, replicalist, slowstart
 from hornbeamglade.routed import enginecatalog
 from hornbeamglade.routing import candidates
 
@@ -31,6 +31,7 @@
         availability.Availability(
             replicas,
             slowstart.SlowStarts(random.Random(1)),
+            ratelimits.RateLimits(),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         ),
--- a/tests/routed/test_plainexchange.py
+++ b/tests/routed/test_plainexchange.py
@@ -9,7 +9,7 @@
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.quarantine import crashdetector, requestquarantine
-from hornbeamglade.replicas import availability, replicalist, slowstart
+from hornbeamglade.replicas import availability, ratelimits, replicalist, slowstart
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     attemptlog,
@@ -52,6 +52,7 @@
         self.available = availability.Availability(
             self.list,
             slowstart.SlowStarts(random.Random(1)),
+            ratelimits.RateLimits(),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         )
