--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -357,6 +357,8 @@
         told = {"Attempt-Id": asked.request_id, "Replica-Load": "1,0,8"}
         if not self.faults.unproved:
             told["Response-Seal"] = f"{self.replica_id}.{asked.request_id}"
+        if self.faults.limit:
+            told["Server-Limit"] = self.faults.limit
         return told
 
 
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -19,6 +19,7 @@
     :param early: an answer comes before the request's body is read.
     :param die_after_events: a stream is broken off after so many events.
     :param no_room: copies from other engines are refused.
+    :param limit: requests a second that answers name as the most that the server takes.
     :param crash_on: a request whose body holds this text ends the server as it begins to run.
     """
 
@@ -37,4 +38,5 @@
     early: bool = False
     die_after_events: int | None = None
     no_room: bool = False
+    limit: str = ""
     crash_on: str = ""
--- /dev/null
+++ b/tests/entry/test_ratelimits.py
@@ -0,0 +1,94 @@
+"""Servers in need that name how many requests they take from all instances."""
+
+import asyncio
+import time
+
+from hornbeamglade.standins import routedfaults
+from tests.entry import site as entrysite
+
+LIMIT_PER_S = 1.0
+WINDOW_S = 4.0
+ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+GRACE_S = 0.5
+"""Requests of an instance count so long after it has passed on an answer with the limit."""
+
+
+CROWD = 24
+
+
+async def ask(site, path, number):
+    node = site.nodes[number % len(site.nodes)]
+    client = await node.ask(path, request_id=f"r{number}", more=entrysite.USAGE)
+    return (await client.answer())[0]
+
+
+async def until_all_are_told(site, path, servers):
+    """Ask until each instance has passed on an answer of each server."""
+    number = 0
+    for node in site.nodes:
+        available = node.instance.catalog
+        while not all(available.limit(server.replica_id) for server in servers):
+            await asyncio.gather(*(ask(site, path, number + each) for each in range(CROWD)))
+            number += CROWD
+    await asyncio.sleep(GRACE_S)
+    return number
+
+
+async def send_steadily(site, path, first, count, gap_s):
+    """Send requests at a steady rate, to each instance in turn; return their statuses."""
+    tasks = []
+    for number in range(first, first + count):
+        tasks.append(asyncio.ensure_future(ask(site, path, number)))
+        await asyncio.sleep(gap_s)
+    return await asyncio.gather(*tasks)
+
+
+def arrivals(server, since):
+    return [each for each in server.ledger if each.at > since]
+
+
+def test_a_plain_server_gets_no_more_than_it_named_and_others_carry_the_rest():
+    """Guards a server in need against what each instance takes for its own share."""
+
+    async def test(site):
+        limited = site.services[0]
+        limited.faults = routedfaults.RoutedFaults(limit=str(LIMIT_PER_S))
+        told = await until_all_are_told(site, "/list/1", [limited])
+        since = time.monotonic()
+        statuses = await send_steadily(site, "/list/1", told, 60, 0.05)
+        return len(arrivals(limited, since)), set(statuses)
+
+    count, statuses = entrysite.play(test, nodes=3, services=3)
+    assert count <= ALLOWED
+    assert statuses == {200}
+
+
+def test_an_engine_gets_no_more_than_it_named():
+    async def test(site):
+        limited = site.engines[0]
+        limited.faults = routedfaults.RoutedFaults(limit=str(LIMIT_PER_S))
+        told = await until_all_are_told(site, "/tag/1", [limited])
+        since = time.monotonic()
+        statuses = await send_steadily(site, "/tag/1", told, 60, 0.05)
+        return len(arrivals(limited, since)), set(statuses)
+
+    count, statuses = entrysite.play(test, nodes=3, engines=3, events=5)
+    assert count <= ALLOWED
+    assert statuses == {200}
+
+
+def test_when_all_servers_name_limits_the_rest_is_refused_at_once():
+    """Guards servers in need, and callers against waiting for what cannot come in time."""
+
+    async def test(site):
+        for server in site.services:
+            server.faults = routedfaults.RoutedFaults(limit=str(LIMIT_PER_S))
+        told = await until_all_are_told(site, "/list/1", site.services)
+        since = time.monotonic()
+        statuses = await send_steadily(site, "/list/1", told, 60, 0.05)
+        return [len(arrivals(each, since)) for each in site.services], statuses
+
+    counts, statuses = entrysite.play(test, nodes=3)
+    assert max(counts) <= ALLOWED
+    assert set(statuses) <= {200, 503}
+    assert statuses.count(503) > 30
