routed: let requests wait for a turn where all servers have named limits

Where all servers of a service are in need, each request without an open turn was refused, though the next turn was often some tenths of a second away. One that can still be on time now waits for it, as long as this instance has turns enough for those before it; the more urgent go first, and any other is refused at once. An engine's turn that another request has taken while a grant was looked for is not used twice.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -45,6 +45,7 @@
     sending,
     streampace,
     streamrun,
+    turnqueue,
     views,
 )
 from hornbeamglade.store import contract
@@ -183,6 +184,7 @@
         self._drain_admission = drainadmission.DrainAdmission(
             pace, self._outlasts, self._are_others_ready
         )
+        turns = turnqueue.TurnQueue(self._available, clock)
         runs = streamrun.RunParts(
             self._sender,
             self.acquirer,
@@ -195,6 +197,7 @@
             self._learn,
             pace,
             self.instruments,
+            turns,
             clock,
         )
         plain = plainexchange.PlainExchange(
@@ -204,6 +207,7 @@
             self._budgets,
             self._crashes,
             self.quarantine,
+            turns,
             clock,
         )
         self.callers = callershandler.CallersHandler(
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -102,6 +102,10 @@
         """Return the seconds until this instance may send to a replica, by its limit."""
         return self._limits.wait_s(replica_id)
 
+    def turns_within(self, replica_id: str, seconds: float) -> int:
+        """Return how many requests this instance may send to a limited replica within a time."""
+        return self._limits.turns_within(replica_id, seconds)
+
     def limit_retry_s(self, replica_id: str) -> float:
         """Return the seconds until some instance may send to a replica, by its limit."""
         return self._limits.next_turn_s(replica_id)
--- a/hornbeamglade/replicas/ratelimits.py
+++ b/hornbeamglade/replicas/ratelimits.py
@@ -141,6 +141,14 @@
             next_turn_s += math.ceil((rest_s - next_turn_s) / round_s) * round_s
         return next_turn_s
 
+    def turns_within(self, replica_id: str, seconds: float) -> int:
+        """Return how many turns of this instance at a limited replica begin within a time."""
+        known = self._named_by_replica.get(replica_id)
+        wait_s = self.wait_s(replica_id)
+        if known is None or wait_s > seconds:
+            return 0
+        return 1 + int((seconds - wait_s) / self._round_s(known.limit))
+
     def sent(self, replica_id: str) -> None:
         """Note that a request goes to a replica."""
         known = self._named_by_replica.get(replica_id)
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -13,6 +13,7 @@
     replicaload,
     retrybudget,
     sending,
+    turnqueue,
 )
 
 MAX_CONTACTS = 4
@@ -20,6 +21,8 @@
 
 NO_REPLICA_RETRY_S = 0.4
 FULL_RETRY_S = 0.15
+TURN_WAIT_SHARE = 0.5
+"""Of the time in which an answer is on time; the rest is for the answer."""
 
 
 class PlainExchange:
@@ -37,6 +40,7 @@
     :param budgets: bounds what is sent again.
     :param crashes: finds out which lost runs were ended by a crash.
     :param quarantine: refuses requests that crash their replicas.
+    :param turns: requests that wait for a turn at replicas with limits.
     :param clock: monotonic time.
     """
 
@@ -48,6 +52,7 @@
         budgets: retrybudget.RetryBudgets,
         crashes: crashdetector.CrashDetector,
         quarantine: requestquarantine.RequestQuarantine,
+        turns: turnqueue.TurnQueue,
         clock: clocks.Clock,
     ) -> None:
         self._available = available
@@ -56,6 +61,7 @@
         self._budgets = budgets
         self._crashes = crashes
         self._quarantine = quarantine
+        self._turns = turns
         self._clock = clock
 
     async def answer(
@@ -69,6 +75,8 @@
         while True:
             replica = self._choose(routed, log)
             if replica is None:
+                if best is None and await self._turn_comes(routed, log):
+                    continue
                 return best or self._none_left(routed, log)
             refusal = self._quarantine.refusal(routed.fingerprint)
             if refusal is not None:
@@ -98,6 +106,13 @@
         ]
         return self._loads.choose(usable)
 
+    async def _turn_comes(self, routed: callrouter.RoutedCall, log: attemptlog.AttemptLog) -> bool:
+        """Wait for a turn where all replicas have named limits, while it can be on time."""
+        until = routed.call.arrived_at + TURN_WAIT_SHARE * routed.route.goal_s
+        return len(log.tried) < MAX_CONTACTS and await self._turns.wait(
+            routed.service.name, routed.allowed_regions, log.tried, routed.urgency, until
+        )
+
     def _usable(self, routed: callrouter.RoutedCall) -> tuple[replicamodels.Replica, ...]:
         return self._available.usable(routed.service.name, routed.allowed_regions)
 
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -23,6 +23,7 @@
     runregistry,
     sending,
     streampace,
+    turnqueue,
 )
 
 MAX_CONTACTS = 4
@@ -48,6 +49,7 @@
     :param learn: told the length of each answer: route, team, tokens, whether it was cut.
     :param pace: learns how long a token takes.
     :param metrics: the node's instruments.
+    :param turns: requests that wait for a turn at engines with limits.
     :param clock: monotonic time.
     """
 
@@ -62,6 +64,7 @@
     learn: collections.abc.Callable[[str, str, int, bool], None]
     pace: streampace.StreamPace
     metrics: metrics.NodeMetrics
+    turns: turnqueue.TurnQueue
     clock: clocks.Clock
 
 
@@ -205,10 +208,7 @@
             return refusal
         if log.sent and not self._parts.budgets.spend(routed.service.name, now):
             return self._failed()
-        placement = self._placement_request(
-            enginework.queue_deadline(routed, now), frozenset(log.tried)
-        )
-        grant = await self._parts.acquirer.find(placement)
+        grant = await self._find_grant()
         is_refused = isinstance(grant, outcomes.Refusal)
         self._parts.metrics.routed.placement_s.record(
             self._parts.clock.now() - now,
@@ -228,6 +228,27 @@
         self._place = _Place(replica, grant)
         return None
 
+    async def _find_grant(self) -> asyncgrantacquirer.Grant | outcomes.Refusal:
+        """Get a grant at an engine that may be sent to, by the limit that it named."""
+        routed, parts = self._routed, self._parts
+        deadline = enginework.queue_deadline(routed, parts.clock.now())
+        while True:
+            placement = self._placement_request(deadline, frozenset(self._log.tried))
+            grant = await parts.acquirer.find(placement)
+            if isinstance(grant, asyncgrantacquirer.Grant):
+                if parts.catalog.may_send(grant.replica):
+                    return grant
+                # Another request has taken the turn there meanwhile.
+                parts.acquirer.release(grant)
+            elif not await parts.turns.wait(
+                routed.service.name,
+                routed.allowed_regions,
+                self._log.tried,
+                routed.urgency,
+                enginework.due(routed),
+            ):
+                return grant
+
     def _quarantined(self) -> outcomes.Refusal | None:
         """Return the refusal of a request that crashes its replicas, or None."""
         refusal = self._parts.quarantine.refusal(self._routed.fingerprint)
--- /dev/null
+++ b/hornbeamglade/routed/turnqueue.py
@@ -0,0 +1,92 @@
+"""Requests that wait for a turn where all replicas of a service have named limits.
+
+Explanation
+===========
+
+Load: more requests than the replicas in need take, so most are refused. A request waits only
+while it can still be on time and this instance has turns enough for those that wait before it;
+any other is refused at once. The more urgent go first, then those that came first.
+"""
+
+import asyncio
+import bisect
+import collections.abc
+import itertools
+
+from hornbeamglade.core import clocks
+from hornbeamglade.replicas import availability
+
+LOOK_S = 0.02
+"""A turn that another request did not use after all is seen this soon."""
+
+
+class TurnQueue:
+    """The requests of one instance that wait for turns; to be used on an event loop.
+
+    :param available: the replicas, and the turns at them.
+    :param clock: monotonic time.
+    """
+
+    def __init__(self, available: availability.Availability, clock: clocks.Clock) -> None:
+        self._available = available
+        self._clock = clock
+        self._numbers = itertools.count()
+        self._waiting_by_service: dict[str, list[tuple[int, int]]] = {}
+
+    async def wait(
+        self,
+        service: str,
+        regions: frozenset[str] | None,
+        tried: collections.abc.Container[str],
+        urgency: int,
+        until: float,
+    ) -> bool:
+        """Wait for a turn at any replica; return whether there is one.
+
+        :param regions: where replicas may stand, or None for everywhere.
+        :param tried: replicas that are out of the question.
+        :param urgency: the request's rank, 0 first.
+        :param until: monotonic seconds at which it must start to be on time.
+        """
+        limited = self._limited(service, regions, tried)
+        waiting = self._waiting_by_service.setdefault(service, [])
+        place = (urgency, next(self._numbers))
+        left_s = until - self._clock.now()
+        turns = sum(self._available.turns_within(each, left_s) for each in limited)
+        if bisect.bisect(waiting, place) >= turns:
+            return False
+        bisect.insort(waiting, place)
+        try:
+            return await self._wait_in_line(limited, waiting, place, until)
+        finally:
+            waiting.remove(place)
+
+    async def _wait_in_line(
+        self,
+        limited: list[str],
+        waiting: list[tuple[int, int]],
+        place: tuple[int, int],
+        until: float,
+    ) -> bool:
+        while self._clock.now() < until:
+            wait_s = min(self._available.limit_wait_s(each) for each in limited)
+            if wait_s <= 0.0 and waiting[0] == place:
+                return True
+            await asyncio.sleep(max(LOOK_S, min(wait_s, until - self._clock.now())))
+        return False
+
+    def _limited(
+        self,
+        service: str,
+        regions: frozenset[str] | None,
+        tried: collections.abc.Container[str],
+    ) -> list[str]:
+        """Return the replicas that only their limits keep from getting a request.
+
+        None where another replica may get it: it is not for want of a turn that it did not.
+        """
+        usable = [
+            each.id for each in self._available.usable(service, regions) if each.id not in tried
+        ]
+        limited = [each for each in usable if self._available.limit(each) is not None]
+        return limited if len(limited) == len(usable) else []
--- a/tests/entry/test_ratelimits.py
+++ b/tests/entry/test_ratelimits.py
@@ -4,6 +4,7 @@
 import time
 
 from hornbeamglade.standins import routedfaults
+from tests import eventloop
 from tests.entry import site as entrysite
 
 LIMIT_PER_S = 1.0
@@ -17,7 +18,10 @@
 
 
 async def ask(site, path, number):
-    node = site.nodes[number % len(site.nodes)]
+    return await ask_at(site.nodes[number % len(site.nodes)], path, number)
+
+
+async def ask_at(node, path, number):
     client = await node.ask(path, request_id=f"r{number}", more=entrysite.USAGE)
     return (await client.answer())[0]
 
@@ -92,3 +96,20 @@
     assert max(counts) <= ALLOWED
     assert set(statuses) <= {200, 503}
     assert statuses.count(503) > 30
+
+
+def test_requests_that_look_for_an_engine_at_once_share_one_turn():
+    """Guards an engine in need against a crowd that saw the same open turn."""
+
+    async def test(site):
+        limited = site.engines[0]
+        limited.faults = routedfaults.RoutedFaults(limit=str(LIMIT_PER_S))
+        told = await until_all_are_told(site, "/tag/1", [limited])
+        node = next(each for each in site.nodes if not each.instance.peering.owned())
+        catalog = node.instance.catalog
+        await eventloop.until(lambda: catalog.may_send(limited.replica_id))
+        since = time.monotonic()
+        await asyncio.gather(*(ask_at(node, "/tag/1", told + each) for each in range(60)))
+        return len(arrivals(limited, since))
+
+    assert entrysite.play(test, nodes=3, engines=2, events=5) <= 2
--- a/tests/routed/test_plainexchange.py
+++ b/tests/routed/test_plainexchange.py
@@ -17,6 +17,7 @@
     replicaload,
     retrybudget,
     sending,
+    turnqueue,
 )
 from hornbeamglade.routes import models
 from hornbeamglade.standins import routed, routedfaults
@@ -57,7 +58,14 @@
             {"a": "r", "b": "s"},
         )
         self.exchange = plainexchange.PlainExchange(
-            self.available, sender, loads, budgets, crashes, self.quarantine, self.clock
+            self.available,
+            sender,
+            loads,
+            budgets,
+            crashes,
+            self.quarantine,
+            turnqueue.TurnQueue(self.available, self.clock),
+            self.clock,
         )
 
     def make_cold(self, replica_id):
