store: order what is read by the store's era and version

A store that comes back from an older copy counts its versions from there again. Lists, feeds and evacuations were compared by version alone: the list stood still until versions had caught up, the feed went on past changes that it had never shown, and an evacuation begun in the lost seconds ended.

A position joins era and version in one number, made in the platform's adapter from the header of every answer and taken apart again there; every rule that older state changes nothing holds over eras with it. The first reading of an era is joined with what is known, and the table is read once more four seconds later. Instances write their rows again, a lease's fencing number begins above all of former eras, and a condition on a version of an era that is over is a conflict.

tests/failures/test_entry.py::test_servers_listed_after_the_store_came_back_from_an_older_copy_are_used fails when the era is not read. The stand-in for the store makes copies and comes back from them.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -23,6 +23,7 @@
     views,
 )
 from hornbeamglade.routes import models
+from hornbeamglade.store import positions
 
 UNREAD_RETRY_S = 0.2
 
@@ -195,7 +196,8 @@
             attempts=log.sent,
             replica=",".join([*log.tried, *filter(None, (log.under_way,))])[:100] or "-",
             run=log.run.value,
-            list_version=belief.list_version,
+            list_version=positions.version(belief.list_version),
+            era=positions.era(belief.list_version),
             belief_age_s=None if belief.age_s is None else round(belief.age_s, 3),
             tokens=0 if generation is None else generation.prompt_tokens,
             goal_s=routed.route.goal_s,
--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -12,7 +12,7 @@
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import views
-from hornbeamglade.store import contract, tablefollower
+from hornbeamglade.store import contract, positions, tablefollower
 
 REACHED_S = tablefollower.WAIT_S + 1.5
 """A question is held by the store for the wait, and answered within a second of its end."""
@@ -35,9 +35,14 @@
     ===========
 
     No belief ever goes back: a configuration is taken only when its revision is
-    higher than that in force, a list or the evacuations only when their version is. One
+    higher than that in force, a list or the evacuations only when their position is. One
     that cannot be read leaves the former in force.
 
+    A store that has come back from an older copy lacks what was written since, until it is
+    written again. The first reading of such an era is joined with what is known: what it lacks
+    stays, what is known to be gone stays gone, and what is known to stop stays so. What the feed
+    says of that era holds at once, and so does the next reading.
+
     :param current: the configuration in force; written here.
     :param available: the list and the evacuations; written here.
     :param clock: monotonic time.
@@ -147,7 +152,13 @@
             names = ("serving", "evacuated")
             before, after = names if domain in state.domains else reversed(names)
             logs.state_changed(
-                "evacuation", before, after, domain=domain, sequence=state.version, source=source
+                "evacuation",
+                before,
+                after,
+                domain=domain,
+                sequence=positions.version(state.version),
+                era=positions.era(state.version),
+                source=source,
             )
         if changed:
             self._evacuated()
@@ -155,6 +166,9 @@
     def _take_evacuation_rows(self, outcome: contract.Snapshot | contract.Changes) -> None:
         if isinstance(outcome, contract.Snapshot):
             domains = tables.evacuated_domains(row.key for row in outcome.rows)
+            known = self._available.evacuations
+            if _is_new_era(known.version, outcome.version):
+                domains |= known.domains
             state = evacuationlib.Evacuations(outcome.version, domains)
         else:
             state = self._available.evacuations.updated(
@@ -203,13 +217,34 @@
     def _take_snapshot(self, snapshot: contract.Snapshot, source: str) -> None:
         if snapshot.version < self._replicas.version:
             return
-        replicas, unread = self._decoded(snapshot.rows)
+        rows = snapshot.rows
+        if source == STORE and _is_new_era(self._replicas.version, snapshot.version):
+            rows = self._joined(rows)
+        replicas, unread = self._decoded(rows)
         changes = self._replicas.replace(replicas, snapshot.version, unread)
-        self._row_by_key = {row.key: row for row in snapshot.rows}
+        self._row_by_key = {row.key: row for row in rows}
         for key in self._problem_by_key.keys() - self._row_by_key.keys():
             del self._problem_by_key[key]
         self._report(changes, source)
 
+    def _joined(self, copied: tuple[contract.Row, ...]) -> tuple[contract.Row, ...]:
+        """Return the rows of an older copy, joined with what is known to have come since."""
+        gone = {replica.name for replica in self._replicas.departed_by_id.values()}
+        row_by_key = {
+            row.key: row for row in copied if replicarows.server_name(row.key) not in gone
+        }
+        for key, known in self._row_by_key.items():
+            if key not in row_by_key or self._stops(known):
+                row_by_key[key] = known
+        logs.state_changed(
+            "replica_list", "lost", "joined", count=len(row_by_key), sequence=len(copied)
+        )
+        return tuple(row_by_key[key] for key in sorted(row_by_key))
+
+    def _stops(self, row: contract.Row) -> bool:
+        replica = self._replicas.by_name(replicarows.server_name(row.key))
+        return replica is not None and replica.is_leaving
+
     def _take_changes(self, changes: contract.Changes) -> None:
         for row in changes.present:
             self._row_by_key[row.key] = row
@@ -265,12 +300,18 @@
                     address=change.replica.address,
                     domain=change.replica.failure_domain,
                     warm_in_s=change.replica.warm_in_s,
-                    sequence=self._replicas.version,
+                    sequence=positions.version(self._replicas.version),
+                    era=positions.era(self._replicas.version),
                     source=source,
                 )
         if changes:
             self._list_changed(changes)
 
 
+def _is_new_era(known: int, read: int) -> bool:
+    """Tell whether a reading is the first one after the store came back from an older copy."""
+    return known > 0 and positions.era(read) > positions.era(known)
+
+
 def _reached(is_reached: bool) -> str:
     return "reached" if is_reached else "lost"
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -48,7 +48,7 @@
     turnqueue,
     views,
 )
-from hornbeamglade.store import contract
+from hornbeamglade.store import contract, positions
 
 TICK_S = 0.05
 IDLE_TICK_S = 0.25
@@ -314,7 +314,8 @@
             "state": "ready" if self.is_ready() else "unready",
             "config_revision": versions.configuration,
             "config_problem": self.following.problem,
-            "list_version": versions.replicas,
+            "list_version": positions.version(versions.replicas),
+            "store_era": positions.era(versions.replicas),
             "evacuated": sorted(self._available.evacuations.domains),
             "quarantined": self.quarantine.held_count,
         }
--- a/hornbeamglade/entry/registration.py
+++ b/hornbeamglade/entry/registration.py
@@ -85,6 +85,9 @@
             return LIST_S if self._is_registered and self._lists_read else FIRST_S
         self._lists_read += 1
         self._introduced(listed)
+        if self._is_registered and self._own not in listed:
+            # The store has come back from a copy older than the row.
+            self._register()
         if not self._is_registered and not self._is_found(listed):
             self._register()
             # Whoever registered since the list was read is not in it.
--- a/hornbeamglade/leases/leaseholder.py
+++ b/hornbeamglade/leases/leaseholder.py
@@ -15,8 +15,9 @@
 counts from when it was sent. A late write cannot take effect once the row has
 another version.
 
-Fencing numbers grow with each acquisition, and engines that check them refuse
-an old holder. For engines that do not check, a new holder waits out the
+Fencing numbers grow with each acquisition, also where the store has come back from an older
+copy of the row: those of an era begin above all of the eras before. Engines that check them
+refuse an old holder. For engines that do not check, a new holder waits out the
 longest flight of an order before its first one. What remains possible there:
 an order whose sending is paused, between ``may_act`` and the socket, for
 longer than the margin.
@@ -34,7 +35,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.leases import leaserecords, leasevalues
-from hornbeamglade.store import contract
+from hornbeamglade.store import contract, positions
 
 ROW_PREFIX = "leases/"
 CLOCK_DRIFT = 0.01
@@ -165,7 +166,7 @@
         wait_s = 0.0 if record.released else self._remaining_s(record)
         if wait_s > 0:
             return leasevalues.HeldElsewhere(record.holder, wait_s)
-        return self._write(record.fencing + 1, read.row.version)
+        return self._write(_next_fencing(record, read.row.version), read.row.version)
 
     def _remaining_s(self, record: leaserecords.LeaseRecord) -> float:
         # Counted from after the read: the holder's own count began before its
@@ -238,3 +239,11 @@
         condition = contract.Condition(self._row_key, version)
         write = contract.Put(self._row_key, record.text())
         return self._table.transact((condition,), (write,))
+
+
+def _next_fencing(record: leaserecords.LeaseRecord, version: int) -> int:
+    """Return a number above those of all holders so far.
+
+    :param version: of the row, as it was read.
+    """
+    return max(record.fencing, positions.position(positions.era(version), 0)) + 1
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -44,6 +44,7 @@
         "copy_s",
         "count",
         "domain",
+        "era",
         "events",
         "expected_wait_s",
         "failure_domain",
--- a/hornbeamglade/platform/storebodies.py
+++ b/hornbeamglade/platform/storebodies.py
@@ -6,7 +6,7 @@
 
 import pydantic
 
-from hornbeamglade.store import contract
+from hornbeamglade.store import contract, positions
 
 
 class _Body(pydantic.BaseModel):
@@ -50,18 +50,22 @@
     @classmethod
     def of_row(cls, row: contract.Row) -> "Row":
         """Return the body for a row of the contract."""
-        return cls(**dict(Name.of(row.key)), value=coded(row.value), ver=row.version)
+        version = positions.version(row.version)
+        return cls(**dict(Name.of(row.key)), value=coded(row.value), ver=version)
 
-    def to_row(self) -> contract.Row:
+    def to_row(self, era: int) -> contract.Row:
         """Return the row as a value of the contract.
 
+        :param era: of the answer that it came in.
+
         One whose value cannot be read says so: any program may write to a table, and a
         row of another one must not keep this one from reading the rest.
         """
+        at = positions.position(era, self.ver)
         try:
-            return contract.Row(self.whole(), text(self.value), self.ver)
+            return contract.Row(self.whole(), text(self.value), at)
         except ValueError as error:
-            return contract.Row(self.whole(), "", self.ver, str(error))
+            return contract.Row(self.whole(), "", at, str(error))
 
 
 class Rows(_Body):
@@ -103,7 +107,8 @@
         deletes = [write for write in writes if isinstance(write, contract.Delete)]
         return cls(
             expected=tuple(
-                Expected(**dict(Name.of(each.key)), ver=each.version) for each in conditions
+                Expected(**dict(Name.of(each.key)), ver=positions.version(each.version))
+                for each in conditions
             ),
             writes=tuple(Write(**dict(Name.of(put.key)), value=coded(put.value)) for put in puts),
             remove=tuple(Name.of(delete.key) for delete in deletes),
--- a/hornbeamglade/platform/storeclient.py
+++ b/hornbeamglade/platform/storeclient.py
@@ -12,8 +12,12 @@
   truncated or malformed body, another status): ``Unknown``.
 
 A read has no effect, so every failed one is ``Unavailable``.
+
+Versions leave this module as positions, and come back to it as such. An answer of an era that is
+over is taken for none; a condition on a version of such an era is a conflict, and is not sent.
 """
 
+import dataclasses
 import http
 import socket
 import time
@@ -23,8 +27,8 @@
 import pydantic
 import urllib3
 
-from hornbeamglade.platform import storebodies
-from hornbeamglade.store import contract
+from hornbeamglade.platform import storebodies, storeera
+from hornbeamglade.store import contract, positions
 
 POOL_SIZE = 32
 PAGE_ROWS = 500
@@ -72,6 +76,15 @@
     ConnectionCls = _Connection
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store, and the era that it is of."""
+
+    status: int
+    data: bytes
+    era: int
+
+
 class StoreClient(contract.Table, contract.ObjectStore, contract.Feed):
     """The store's tables, feeds and objects; thread-safe.
 
@@ -83,16 +96,18 @@
         url = urllib3.util.parse_url(address if "//" in address else f"http://{address}")
         self._timeout_s = timeout_s
         self._pool = _Pool(url.host, url.port, maxsize=POOL_SIZE, block=False, retries=False)
+        self._era = storeera.StoreEra()
 
     def read(self, key: str) -> contract.ReadOutcome:
         """Read one row at its newest version."""
         name = storebodies.Name.of(key)
-        answer = self._rows(name.table, name.part, name.key, None, 1)
-        if isinstance(answer, contract.Unavailable):
-            return answer
+        read = self._rows(name.table, name.part, name.key, None, 1)
+        if isinstance(read, contract.Unavailable):
+            return read
+        answer, era = read
         for row in answer.rows:
             if row.whole() == key:
-                return _found(row)
+                return _found(row, era)
         return contract.Missing(key)
 
     def scan(
@@ -105,38 +120,44 @@
         first = start.key
         while True:
             wanted = min(PAGE_ROWS, limit - len(found))
-            answer = self._rows(start.table, start.part, first, end, wanted)
-            if isinstance(answer, contract.Unavailable):
-                return answer
-            found += [row.to_row() for row in answer.rows]
+            read = self._rows(start.table, start.part, first, end, wanted)
+            if isinstance(read, contract.Unavailable):
+                return read
+            answer, era = read
+            found += [row.to_row(era) for row in answer.rows]
             if not answer.truncated or not answer.rows or len(found) >= limit:
                 return tuple(found)
             first = answer.rows[-1].key + "\0"
 
     def snapshot(self, table: str) -> contract.Snapshot | contract.Unavailable:
         """Read a table as of one moment."""
-        answer = self._rows(table, "", "", None, PAGE_ROWS)
-        if isinstance(answer, contract.Unavailable):
-            return answer
+        read = self._rows(table, "", "", None, PAGE_ROWS)
+        if isinstance(read, contract.Unavailable):
+            return read
+        answer, era = read
         if answer.truncated:
             return contract.Unavailable(f"table {table} is larger than one answer")
-        return _snapshot(answer)
+        return _snapshot(answer, era)
 
     def changes(
         self, table: str, after: int, wait_s: float
     ) -> contract.Changes | contract.HistoryLost | contract.Unavailable:
         """Wait for changes of a table after a version."""
-        query = {"table": table, "after_revision": after, "wait_ms": int(wait_s * 1000)}
+        era = positions.era(after)
+        if era != self._era.known:
+            return contract.HistoryLost()
+        version, wait_ms = positions.version(after), int(wait_s * 1000)
+        query = {"table": table, "after_revision": version, "wait_ms": wait_ms}
         target = "/v1/rows-feed?" + urllib.parse.urlencode(query)
         answer = self._exchange("GET", target, wait_s=wait_s)
-        if not isinstance(answer, urllib3.BaseHTTPResponse):
+        if not isinstance(answer, _Answer):
             return contract.Unavailable(answer.reason)
-        if answer.status == _HISTORY_LOST:
+        if answer.status == _HISTORY_LOST or answer.era != era:
             return contract.HistoryLost()
         body = _parsed(storebodies.Rows, answer)
         if body is None:
             return contract.Unavailable(f"malformed answer, status {answer.status}")
-        return _changes(body)
+        return _changes(body, era)
 
     def transact(
         self,
@@ -144,22 +165,29 @@
         writes: tuple[contract.Put | contract.Delete, ...],
     ) -> contract.WriteOutcome:
         """Apply all writes if every condition holds, else none."""
+        era = self._era.known
+        for condition in conditions:
+            if condition.version and positions.era(condition.version) != era:
+                return contract.Conflict(condition.key)
         body = storebodies.Transaction.of(conditions, writes).model_dump_json()
         answer = self._exchange("POST", "/v1/rows-tx", body.encode())
-        if not isinstance(answer, urllib3.BaseHTTPResponse):
+        if not isinstance(answer, _Answer):
             return answer
         if answer.status == _CONDITION_FAILED:
             return _conflict(conditions, _parsed(storebodies.Conflict, answer, _CONDITION_FAILED))
+        if answer.era != era and any(condition.version for condition in conditions):
+            return contract.Unknown("the store has come back from an older copy meanwhile")
         committed = _parsed(storebodies.Committed, answer)
         if committed is None:
             return contract.Unknown(f"malformed answer, status {answer.status}")
         put_keys = [write.key for write in writes if isinstance(write, contract.Put)]
-        return contract.Committed(dict.fromkeys(put_keys, committed.ver))
+        at = positions.position(answer.era, committed.ver)
+        return contract.Committed(dict.fromkeys(put_keys, at))
 
     def get(self, key: str) -> contract.ReadOutcome:
         """Read one object."""
         answer = self._exchange("GET", f"/v1/blob-get/{_quoted(key)}")
-        if not isinstance(answer, urllib3.BaseHTTPResponse):
+        if not isinstance(answer, _Answer):
             return contract.Unavailable(answer.reason)
         if answer.status == http.HTTPStatus.NOT_FOUND:
             return contract.Missing(key)
@@ -175,7 +203,7 @@
     ) -> contract.Committed | contract.Unavailable | contract.Unknown:
         """Write one object."""
         answer = self._exchange("PUT", f"/v1/blob-put/{_quoted(key)}", value.encode())
-        if not isinstance(answer, urllib3.BaseHTTPResponse):
+        if not isinstance(answer, _Answer):
             return answer
         if answer.status == http.HTTPStatus.INSUFFICIENT_STORAGE:
             return contract.Unavailable("the object store is full")
@@ -185,24 +213,26 @@
 
     def _rows(
         self, table: str, part: str, first: str, end: str | None, limit: int
-    ) -> storebodies.Rows | contract.Unavailable:
+    ) -> tuple[storebodies.Rows, int] | contract.Unavailable:
+        """Read rows; return them with the era that they are of."""
         query = {"table": table, "part": part, "limit": limit}
         if first:
             query["from"] = first
         if end is not None:
             query["to"] = end
         answer = self._exchange("GET", "/v1/rows-get?" + urllib.parse.urlencode(query))
-        if not isinstance(answer, urllib3.BaseHTTPResponse):
+        if not isinstance(answer, _Answer):
             return contract.Unavailable(answer.reason)
         body = _parsed(storebodies.Rows, answer)
         # An answer crossed on the connection shows as rows of another table.
         if body is None or any(row.table != table for row in body.rows):
             return contract.Unavailable(f"malformed answer, status {answer.status}")
-        return body
+        return body, answer.era
 
     def _exchange(
         self, method: str, target: str, body: bytes | None = None, wait_s: float = 0.0
-    ) -> urllib3.BaseHTTPResponse | contract.Unavailable | contract.Unknown:
+    ) -> _Answer | contract.Unavailable | contract.Unknown:
+        known_before = self._era.known
         timeout = urllib3.Timeout(connect=self._timeout_s, read=self._timeout_s + wait_s)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
@@ -218,9 +248,12 @@
             # The request may have arrived: claiming that it took no effect would
             # let a caller repeat a write that stands.
             return contract.Unknown(str(e))
+        era = self._era.of_answer(answer.headers.get(storeera.HEADER), known_before)
         if answer.status in _REFUSED:
             return contract.Unavailable(f"status {answer.status}")
-        return answer
+        if isinstance(era, storeera.Late):
+            return contract.Unknown("an answer of an era that is over")
+        return _Answer(answer.status, answer.data, era)
 
 
 def _quoted(key: str) -> str:
@@ -229,7 +262,7 @@
 
 def _parsed(
     model: type[storebodies.Body],
-    answer: urllib3.BaseHTTPResponse,
+    answer: _Answer,
     status: int = http.HTTPStatus.OK,
 ) -> storebodies.Body | None:
     if answer.status != status:
@@ -240,25 +273,25 @@
         return None
 
 
-def _found(body: storebodies.Row) -> contract.ReadOutcome:
-    row = body.to_row()
+def _found(body: storebodies.Row, era: int) -> contract.ReadOutcome:
+    row = body.to_row(era)
     if row.problem is not None:
         return contract.Unavailable(f"malformed row: {row.problem}")
     return contract.Found(row)
 
 
-def _snapshot(body: storebodies.Rows) -> contract.Snapshot:
-    return contract.Snapshot(tuple(row.to_row() for row in body.rows), body.ver)
+def _snapshot(body: storebodies.Rows, era: int) -> contract.Snapshot:
+    rows = tuple(row.to_row(era) for row in body.rows)
+    return contract.Snapshot(rows, positions.position(era, body.ver))
 
 
-def _changes(body: storebodies.Rows) -> contract.Changes:
+def _changes(body: storebodies.Rows, era: int) -> contract.Changes:
     # A row that changed twice is named twice; only its newest state holds.
     newest_by_key = {row.whole(): row for row in sorted(body.rows, key=lambda row: row.ver)}
-    present = tuple(row.to_row() for row in newest_by_key.values() if not row.deleted)
+    present = tuple(row.to_row(era) for row in newest_by_key.values() if not row.deleted)
     gone = tuple(key for key, row in newest_by_key.items() if row.deleted)
-    return contract.Changes(
-        present, gone, body.ver, max((row.ver for row in body.rows), default=0)
-    )
+    newest = max((positions.position(era, row.ver) for row in body.rows), default=0)
+    return contract.Changes(present, gone, positions.position(era, body.ver), newest)
 
 
 def _conflict(
@@ -269,6 +302,6 @@
         return contract.Unknown("malformed answer to a failed condition")
     version_by_key = {row.whole(): 0 if row.deleted else row.ver for row in body.rows}
     for condition in conditions:
-        if version_by_key.get(condition.key, 0) != condition.version:
+        if version_by_key.get(condition.key, 0) != positions.version(condition.version):
             return contract.Conflict(condition.key)
     return contract.Unknown("a condition failed that seems to hold")
--- a/hornbeamglade/replicas/replicalist.py
+++ b/hornbeamglade/replicas/replicalist.py
@@ -51,6 +51,11 @@
         """Return the replicas of a service, those that leave included."""
         return tuple(self.by_id[each] for each in self._ids_by_service.get(service, ()))
 
+    def by_name(self, name: str) -> models.Replica | None:
+        """Return the replica that a server's name stands for now, or None."""
+        replica_id = self._id_by_name.get(name)
+        return None if replica_id is None else self.by_id[replica_id]
+
     def is_usable(self, replica_id: str) -> bool:
         """Tell whether a replica may get new work."""
         replica = self.by_id.get(replica_id)
--- a/hornbeamglade/standins/platform.py
+++ b/hornbeamglade/standins/platform.py
@@ -22,7 +22,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.membership import registry
 from hornbeamglade.platform import storebodies
-from hornbeamglade.store import contract, memory
+from hornbeamglade.store import contract, memory, positions
 
 THREADS = 32
 KEPT_CONNECTIONS = 1000
@@ -90,6 +90,7 @@
 
     def __init__(self, platform: memory.MemoryPlatform) -> None:
         self._platform = platform
+        self._copied = platform.copy()
         self._call_by_route: dict[tuple[str, str], _Call] = {
             ("GET", "/v1/rows-get"): self._rows,
             ("GET", "/v1/rows-feed"): self._feed,
@@ -98,8 +99,15 @@
             ("PUT", "/v1/blob-put"): self._put_object,
             ("PUT", "/standin/instances"): self._set_instances,
             ("PUT", "/standin/faults"): self._set_faults,
+            ("PUT", "/standin/copy"): self._copy,
+            ("PUT", "/standin/restore"): self._restore,
         }
 
+    @property
+    def era(self) -> int:
+        """How often the platform has come back from an older copy."""
+        return self._platform.era
+
     def answer(self, method: str, target: str, body: bytes) -> _Reply:
         """Return the reply to one request."""
         path, _, query = target.partition("?")
@@ -125,26 +133,37 @@
             if row.part == asked["part"] and row.key >= first and (end is None or row.key < end)
         ]
         shown = tuple(rows[:limit])
-        return _json(storebodies.Rows(rows=shown, ver=table.version, truncated=len(rows) > limit))
+        version = positions.version(table.version)
+        return _json(storebodies.Rows(rows=shown, ver=version, truncated=len(rows) > limit))
 
     def _feed(self, _rest: str, asked: dict[str, str], _body: bytes) -> _Reply:
         after, wait_s = int(asked["after_revision"]), int(asked["wait_ms"]) / 1000
-        changes = self._platform.changes(asked["table"], after, wait_s)
+        at = positions.position(self._platform.era, after)
+        changes = self._platform.changes(asked["table"], at, wait_s)
         if isinstance(changes, contract.Unavailable):
             return _UNAVAILABLE
         if isinstance(changes, contract.HistoryLost):
             return _GONE
         gone = tuple(
-            storebodies.Row(**dict(storebodies.Name.of(key)), ver=changes.newest, deleted=True)
+            storebodies.Row(
+                **dict(storebodies.Name.of(key)),
+                ver=positions.version(changes.newest),
+                deleted=True,
+            )
             for key in changes.gone
         )
         present = tuple(map(storebodies.Row.of_row, changes.present))
-        return _json(storebodies.Rows(rows=present + gone, ver=changes.version))
+        version = positions.version(changes.version)
+        return _json(storebodies.Rows(rows=present + gone, ver=version))
 
     def _transact(self, _rest: str, _asked: dict[str, str], body: bytes) -> _Reply:
         transaction = storebodies.Transaction.model_validate_json(body)
         conditions = tuple(
-            contract.Condition(each.whole(), each.ver) for each in transaction.expected
+            contract.Condition(
+                each.whole(),
+                positions.position(self._platform.era, each.ver) if each.ver else 0,
+            )
+            for each in transaction.expected
         )
         puts = tuple(
             contract.Put(write.whole(), storebodies.text(write.value))
@@ -191,6 +210,14 @@
         set_instances(self._platform, [contract.Instance(**each.model_dump()) for each in told])
         return _OK
 
+    def _copy(self, _rest: str, _asked: dict[str, str], _body: bytes) -> _Reply:
+        self._copied = self._platform.copy()
+        return _OK
+
+    def _restore(self, _rest: str, _asked: dict[str, str], _body: bytes) -> _Reply:
+        self._platform.restore(self._copied)
+        return _OK
+
     def _set_faults(self, _rest: str, _asked: dict[str, str], body: bytes) -> _Reply:
         faults = FaultsBody.model_validate_json(body)
         self._platform.set_faults(memory.Faults(**faults.model_dump()))
@@ -223,7 +250,9 @@
             request.close_connection = True
             return
         request.status = f"{reply.status.value} {reply.status.phrase}".encode()
-        request.outheaders = [(b"Content-Length", str(len(reply.body)).encode())]
+        era = str(self.req.server.calls.era).encode()
+        length = str(len(reply.body)).encode()
+        request.outheaders = [(b"Content-Length", length), (b"Store-Era", era)]
         request.ensure_headers_sent()
         request.write(reply.body)
 
--- a/hornbeamglade/store/contract.py
+++ b/hornbeamglade/store/contract.py
@@ -7,6 +7,9 @@
 base classes. Every call is bounded in time by the adapter and returns a value:
 an outage is an outcome, not an exception. ``Unknown`` is an outcome of its own:
 the write may have taken effect and its answer was lost.
+
+Versions here are positions (:mod:`hornbeamglade.store.positions`): they grow also where the
+platform's store comes back from an older copy and counts its own versions from there again.
 """
 
 import abc
--- a/hornbeamglade/store/memory.py
+++ b/hornbeamglade/store/memory.py
@@ -6,14 +6,15 @@
 Tests drive the decisions against this class and the stand-in platform serves
 it over HTTP. It keeps the contract at its weakest: a row that was deleted and
 written again counts its versions from 1 again, and a write whose answer is
-lost may also take effect later than the next read.
+lost may also take effect later than the next read. It may come back from an older copy of itself:
+its versions go back, are given out again, and belong to the next era.
 """
 
 import dataclasses
 import threading
 
 from hornbeamglade.core import clocks
-from hornbeamglade.store import contract
+from hornbeamglade.store import contract, positions
 
 Write = contract.Put | contract.Delete
 
@@ -60,6 +61,18 @@
     writes: tuple[Write, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """The rows of a platform as of one moment.
+
+    :param revision: the newest transaction then.
+    :param row_by_key: the rows; their versions are without an era.
+    """
+
+    revision: int
+    row_by_key: dict[str, contract.Row]
+
+
 class MemoryPlatform(contract.Table, contract.ObjectStore, contract.Feed):
     """Table, feeds and object store held in memory; thread-safe.
 
@@ -85,6 +98,7 @@
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
         self._revision = 0
+        self._era = 0
         self._kept_after = 0
         self._history: list[_Change] = []
         self._row_by_key: dict[str, contract.Row] = {}
@@ -113,7 +127,7 @@
             return refusal
         with self._lock:
             row = self._row_by_key.get(key)
-        return contract.Missing(key) if row is None else contract.Found(row)
+            return contract.Missing(key) if row is None else contract.Found(self._shown(row))
 
     def scan(
         self, prefix: str, limit: int = 1000
@@ -123,7 +137,7 @@
             return refusal
         with self._lock:
             keys = sorted(key for key in self._row_by_key if key.startswith(prefix))
-            return tuple(self._row_by_key[key] for key in keys[:limit])
+            return tuple(self._shown(self._row_by_key[key]) for key in keys[:limit])
 
     def transact(
         self,
@@ -158,7 +172,8 @@
             return refusal
         with self._lock:
             keys = sorted(key for key in self._row_by_key if _is_in(key, table))
-            return contract.Snapshot(tuple(self._row_by_key[key] for key in keys), self._revision)
+            rows = tuple(self._shown(self._row_by_key[key]) for key in keys)
+            return contract.Snapshot(rows, self._position(self._revision))
 
     def changes(
         self, table: str, after: int, wait_s: float
@@ -167,17 +182,48 @@
         if refusal := self._refusal():
             return refusal
         with self._changed:
-            if after < self._kept_after:
+            version, era = positions.version(after), self._era
+            if not self._has_history(after):
+                return contract.HistoryLost()
+            self._changed.wait_for(lambda: self._era != era or self._news(table, version), wait_s)
+            if not self._has_history(after):
                 return contract.HistoryLost()
-            self._changed.wait_for(lambda: self._news(table, after), wait_s)
-            news = self._news(table, after)
+            news = self._news(table, version)
             change_by_key = {change.key: change for change in news}
-            present = tuple(each.row for each in change_by_key.values() if each.row is not None)
+            present = tuple(
+                self._shown(each.row) for each in change_by_key.values() if each.row is not None
+            )
             gone = tuple(each.key for each in change_by_key.values() if each.row is None)
             # What a lagging feed does not show yet must be asked for again.
-            shown = self._revision if not self._faults.lag_s else after
+            shown = self._revision if not self._faults.lag_s else version
             newest = max((change.revision for change in news), default=0)
-            return contract.Changes(present, gone, max(shown, newest), newest)
+            return contract.Changes(
+                present,
+                gone,
+                self._position(max(shown, newest)),
+                self._position(newest) if newest else 0,
+            )
+
+    @property
+    def era(self) -> int:
+        """How often the platform has come back from an older copy."""
+        return self._era
+
+    def copy(self) -> Copy:
+        """Return a copy of all rows, to come back from later."""
+        with self._lock:
+            return Copy(self._revision, dict(self._row_by_key))
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from an older copy: what was written since is lost."""
+        with self._lock:
+            self._era += 1
+            self._revision = copy.revision
+            self._row_by_key = dict(copy.row_by_key)
+            self._history.clear()
+            self._kept_after = copy.revision
+            self._stalled.clear()
+            self._changed.notify_all()
 
     def forget_history(self) -> None:
         """Drop the history of all changes so far."""
@@ -230,7 +276,8 @@
         writes: tuple[Write, ...],
     ) -> contract.Committed | contract.Conflict:
         for condition in conditions:
-            if self._version(condition.key) != condition.version:
+            row = self._row_by_key.get(condition.key)
+            if condition.version != (0 if row is None else self._position(row.version)):
                 return contract.Conflict(condition.key)
         version_by_key = {}
         self._revision += 1
@@ -244,7 +291,7 @@
             row = contract.Row(write.key, write.value, version)
             self._row_by_key[write.key] = row
             self._history.append(_Change(self._revision, write.key, row, self._clock.now()))
-            version_by_key[write.key] = version
+            version_by_key[write.key] = self._position(version)
         del self._history[:-MAX_HISTORY]
         if self._history and len(self._history) == MAX_HISTORY:
             self._kept_after = max(self._kept_after, self._history[0].revision - 1)
@@ -258,6 +305,17 @@
             if change.revision > after and _is_in(change.key, table) and change.made_at <= seen_at
         ]
 
+    def _has_history(self, after: int) -> bool:
+        version = positions.version(after)
+        is_of_era = positions.era(after) == self._era and version <= self._revision
+        return is_of_era and version >= self._kept_after
+
+    def _position(self, version: int) -> int:
+        return positions.position(self._era, version)
+
+    def _shown(self, row: contract.Row) -> contract.Row:
+        return dataclasses.replace(row, version=self._position(row.version))
+
     def _version(self, key: str) -> int:
         row = self._row_by_key.get(key)
         return 0 if row is None else row.version
--- a/hornbeamglade/store/tablefollower.py
+++ b/hornbeamglade/store/tablefollower.py
@@ -1,11 +1,12 @@
 """Follows the changes of one table of the store, on a thread of its own."""
 
 import collections.abc
+import math
 import random
 import threading
 
 from hornbeamglade.core import clocks
-from hornbeamglade.store import contract
+from hornbeamglade.store import contract, positions
 
 WAIT_S = 2.0
 """How long the store holds a question for changes. An open connection may go silent
@@ -20,6 +21,10 @@
 a second; asked at once each time, 45 followers would pass what the store serves. Changes
 count within two seconds."""
 
+REWRITTEN_S = 4.0
+"""A table that came back from an older copy is read once more after this: by then its writers have
+written again what was lost."""
+
 Told = contract.Snapshot | contract.Changes | contract.Unavailable
 
 
@@ -29,7 +34,8 @@
     Explanation
     ===========
 
-    A history that the store no longer keeps is answered by reading the table anew. The
+    A history that the store no longer keeps, or that is of an era that is over, is answered by
+    reading the table anew. The
     receiver gets every outcome, failures included: how old its knowledge is, is for it
     to judge.
 
@@ -59,6 +65,8 @@
         self._stopping = threading.Event()
         self._wanted = threading.Event()
         self._version: int | None = None
+        self._era: int | None = None
+        self._read_again_at = math.inf
         self._thread = threading.Thread(target=self._run, name=f"follow-{table}", daemon=True)
 
     def start(self) -> None:
@@ -76,6 +84,11 @@
         self._stopping.set()
         self._wanted.set()
 
+    def _note_era(self, era: int) -> None:
+        if self._era is not None and era > self._era:
+            self._read_again_at = self._clock.now() + REWRITTEN_S
+        self._era = era
+
     def _run(self) -> None:
         while not self._stopping.is_set():
             self._wanted.wait()
@@ -84,6 +97,8 @@
 
     def step(self) -> bool:
         """Make one call; return whether it gave something."""
+        if self._clock.now() >= self._read_again_at:
+            self._version, self._read_again_at = None, math.inf
         if self._version is None:
             outcome = self._feed.snapshot(self._table)
         else:
@@ -95,6 +110,7 @@
         if isinstance(outcome, contract.Unavailable):
             return False
         self._version = max(outcome.version, self._version or 0)
+        self._note_era(positions.era(self._version))
         if isinstance(outcome, contract.Changes) and (outcome.present or outcome.gone):
             self._clock.sleep(GATHER_S)
         return True
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -12,7 +12,7 @@
 from hornbeamglade.exchange import messages
 from hornbeamglade.replicas import availability, evacuations, ratelimits, replicalist, slowstart
 from hornbeamglade.routed import views
-from hornbeamglade.store import contract
+from hornbeamglade.store import contract, positions
 from tests.entry import site
 
 CONFIGURATION, REPLICAS = messages.Subject.CONFIGURATION, messages.Subject.REPLICAS
@@ -236,3 +236,74 @@
     assert believer.evacuated == [["a"]]
     believer.following.on_hint(messages.ConfigHint(1, 1, True, evacuations.Evacuations(6)))
     assert believer.evacuated == [["a"], []]
+
+
+def in_era(version, era=1):
+    return positions.position(era, version)
+
+
+def names(believer):
+    return {name: replica.is_leaving for name, replica in believer.list.by_id.items()}
+
+
+def test_a_list_from_an_older_copy_is_joined_with_what_is_known(lines):
+    """Guards servers that stop, are gone, or are new against seconds that the store has lost."""
+    believer = Believer()
+    listed = (row("old", 1), row("stops", 2), row("gone", 3))
+    believer.following.on_replicas(contract.Snapshot(listed, 3))
+    believer.following.on_replicas(
+        contract.Changes((row("stops", 4, "draining"), row("new", 5)), ("servers/gone",), 6, 6)
+    )
+    believer.following.on_replicas(contract.Snapshot(listed, in_era(3)))
+    assert names(believer) == {"old": False, "stops": True, "new": False}
+    back = row("stops", in_era(4))
+    believer.following.on_replicas(contract.Changes((back,), (), in_era(4), in_era(4)))
+    assert names(believer) == {"old": False, "stops": False, "new": False}
+
+
+def test_what_was_not_written_again_is_gone_with_the_next_reading(lines):
+    believer = Believer()
+    believer.following.on_replicas(contract.Snapshot((row("a", 1), row("b", 2)), 2))
+    believer.following.on_replicas(contract.Snapshot((row("a", 1),), in_era(1)))
+    assert set(names(believer)) == {"a", "b"}
+    believer.following.on_replicas(contract.Snapshot((row("a", 1),), in_era(9)))
+    assert set(names(believer)) == {"a"}
+
+
+def test_an_evacuation_of_the_lost_seconds_holds_until_it_is_written_again():
+    """Guards an evacuated failure domain against a store that has forgotten it."""
+    believer = Believer()
+    mark = contract.Row("op/evacuate/a", "", 3)
+    believer.following.on_configuration(contract.Snapshot((config(1),), 2))
+    believer.following.on_configuration(contract.Changes((mark,), (), 3, 3))
+    believer.following.on_configuration(contract.Snapshot((config(1),), in_era(2)))
+    assert believer.available.evacuations.domains == {"a"}
+    believer.following.on_configuration(contract.Changes((mark,), (), in_era(3), in_era(3)))
+    believer.following.on_configuration(
+        contract.Changes((), ("op/evacuate/a",), in_era(4), in_era(4))
+    )
+    assert believer.evacuated == [["a"], []]
+
+
+def test_an_evacuation_that_is_not_written_again_ends_with_the_next_reading():
+    believer = Believer()
+    mark = contract.Row("op/evacuate/a", "", 3)
+    believer.following.on_configuration(contract.Snapshot((config(1), mark), 3))
+    believer.following.on_configuration(contract.Snapshot((config(1),), in_era(2)))
+    believer.following.on_configuration(contract.Snapshot((config(1),), in_era(5)))
+    assert believer.evacuated == [["a"], []]
+
+
+def test_a_configuration_from_an_older_copy_changes_nothing():
+    believer = Believer()
+    believer.following.on_configuration(contract.Snapshot((config(4),), 4))
+    believer.following.on_configuration(contract.Snapshot((config(2),), in_era(2)))
+    assert believer.following.versions().configuration == 4
+
+
+def test_an_answer_of_an_era_that_is_over_changes_nothing():
+    believer = Believer()
+    believer.following.on_replicas(contract.Snapshot((row("a", 1),), in_era(1)))
+    believer.following.on_replicas(contract.Snapshot((row("b", 900),), 900))
+    believer.following.on_replicas(contract.Changes((row("c", 901),), (), 901, 901))
+    assert set(names(believer)) == {"a"}
--- a/tests/entry/test_registration.py
+++ b/tests/entry/test_registration.py
@@ -62,6 +62,17 @@
     assert {"own", "other-late"} <= {each.name for each in told[-1]}
 
 
+def test_an_instance_whose_row_the_store_has_lost_writes_it_again():
+    """Guards instances that start against a list that lacks one which is there."""
+    platform, kept, _ = make(others=2)
+    copy = platform.copy()
+    kept.step()
+    kept.step()
+    platform.restore(copy)
+    kept.step()
+    assert "own" in {each.name for each in registry.Registry(platform).list()}
+
+
 class CountedRows(registry.Registry):
     """Counts what is asked of the store."""
 
--- a/tests/failures/test_entry.py
+++ b/tests/failures/test_entry.py
@@ -244,3 +244,29 @@
     until(lambda: code("after")[1] == "request_quarantined")
     crashed = sum(code == (502, "no_answer") for code in codes)
     assert crashed == 3
+
+
+def test_servers_listed_after_the_store_came_back_from_an_older_copy_are_used(processes):
+    """Guards the list against standing still until versions have caught up."""
+    _, _, addresses = processes.entry()
+    store = f"http://{processes.store}/standin"
+    processes.http.request("PUT", f"{store}/copy")
+    web = type("Server", (), {"address": processes.web})
+    for number in range(40):
+        processes.put("servers/w0", entrysite.entry(web, "web", sequence=number + 2))
+    until(lambda: processes.ask(addresses[0]).status == 200)
+    processes.http.request("PUT", f"{store}/restore")
+    _, address = processes.standin("routed", "--id", "w1")
+    server = type("Server", (), {"address": address})
+    processes.put("servers/w1", entrysite.entry(server, "web"))
+    outcome = processes.client.transact((), (contract.Delete("servers/w0"),))
+    assert isinstance(outcome, contract.Committed)
+
+    def ran():
+        assert processes.ask(addresses[0], request_id="after").status == 200
+        ledger = processes.http.request("GET", f"http://{address}/standin/ledger").data
+        return json.loads(ledger)
+
+    until(ran)
+    lines = [line for line in processes.log() if line.get("subject") == "store_era"]
+    assert [line["after"] for line in lines] == ["1"]
--- a/tests/leases/test_leaseholder.py
+++ b/tests/leases/test_leaseholder.py
@@ -109,3 +109,17 @@
     table.deliver_stalled()
     holders[1].acquire()
     assert [holder.may_act(0.0) for holder in holders] == [False, True]
+
+
+def test_a_holder_after_a_drill_has_a_number_above_all_before(holders, table, clock):
+    """Guards engines against orders of a holder whose number the store gives out again."""
+    holders[0].acquire()
+    holders[0].release()
+    copy = table.copy()
+    assert holders[1].acquire() == leases.Held(2)
+    table.restore(copy)
+    outcome = holders[0].acquire()
+    assert isinstance(outcome, leases.Held)
+    assert outcome.fencing > 2
+    clock.advance(1.0)
+    assert not isinstance(holders[1].renew(), leases.Held)
--- /dev/null
+++ b/tests/platform/test_storeera.py
@@ -0,0 +1,109 @@
+"""The client of a store that comes back from an older copy."""
+
+import threading
+
+import pytest
+
+from hornbeamglade.platform import storeclient, storeera
+from hornbeamglade.standins import platform as standin
+from hornbeamglade.store import contract, positions
+
+
+@pytest.fixture
+def store():
+    """Return a stand-in, with one row that a copy has and one that it lacks."""
+    server = standin.serve("127.0.0.1:0")
+    server.start()
+    server.client = storeclient.StoreClient(server.address)
+    put(server, "t/kept")
+    server.copied = server.platform.copy()
+    put(server, "t/lost")
+    yield server
+    server.stop()
+
+
+def put(server, key):
+    return server.client.transact((), (contract.Put(key, "1"),))
+
+
+def test_what_is_read_after_a_drill_comes_after_all_that_was_read_before(store):
+    before = store.client.snapshot("t")
+    store.platform.restore(store.copied)
+    after = store.client.snapshot("t")
+    assert [row.key for row in after.rows] == ["t/kept"]
+    assert after.version > before.version
+    assert (positions.era(after.version), positions.version(after.version)) == (1, 1)
+    assert store.client.read("t/kept").row.version == positions.position(1, 1)
+
+
+def test_a_feed_of_an_era_that_is_over_has_no_history(store):
+    """Guards followers against changes that the version given out again hides."""
+    before = store.client.snapshot("t")
+    store.platform.restore(store.copied)
+    for name in ("a", "b", "c"):
+        put(store, f"t/{name}")
+    assert store.client.changes("t", before.version, 0.0) == contract.HistoryLost()
+    at = store.client.snapshot("t").version
+    put(store, "t/d")
+    assert store.client.changes("t", at, 0.0).present[0].key == "t/d"
+
+
+def test_a_feed_that_is_held_during_a_drill_has_no_history(store):
+    before = store.client.snapshot("t")
+    drill = threading.Timer(0.1, store.platform.restore, (store.copied,))
+    drill.start()
+    assert store.client.changes("t", before.version, 2.0) == contract.HistoryLost()
+    drill.join()
+
+
+def test_a_condition_on_a_version_of_an_era_that_is_over_does_not_hold(store):
+    """Guards a row against a writer that saw the version before it was given out again."""
+    seen = store.client.read("t/lost").row.version
+    store.platform.restore(store.copied)
+    put(store, "t/lost")
+    assert positions.version(store.client.read("t/lost").row.version) == positions.version(seen)
+    write = (contract.Put("t/lost", "2"),)
+    condition = contract.Condition("t/lost", seen)
+    assert store.client.transact((condition,), write) == contract.Conflict("t/lost")
+    now = store.client.read("t/lost").row.version
+    held = store.client.transact((contract.Condition("t/lost", now),), write)
+    assert isinstance(held, contract.Committed)
+
+
+def test_a_conditional_write_that_meets_the_drill_is_not_taken_for_done(store):
+    seen = store.client.read("t/kept").row.version
+    store.platform.restore(store.copied)
+    write = (contract.Put("t/kept", "2"),)
+    outcome = store.client.transact((contract.Condition("t/kept", seen),), write)
+    assert isinstance(outcome, contract.Unknown)
+
+
+@pytest.mark.parametrize("told", ["", "-1", "two", "1.5", "99999999", "٣"])
+def test_a_header_that_is_no_era_stands_for_the_one_last_known(told):
+    known = storeera.StoreEra()
+    known.of_answer("3", known_before=0)
+    assert known.of_answer(told, known_before=3) == 3
+
+
+def test_bad_headers_are_logged_once(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        storeera.logs,
+        "state_changed",
+        lambda *told, **_: told[1] != told[2] and lines.append(told),
+    )
+    known = storeera.StoreEra()
+    known.of_answer("3", known_before=0)
+    for _ in range(5):
+        known.of_answer("two", known_before=3)
+    known.of_answer("3", known_before=3)
+    assert lines == [
+        ("store_era_header", "read", "store_era_invalid"),
+        ("store_era_header", "store_era_invalid", "read"),
+    ]
+
+
+def test_a_store_without_eras_is_no_problem():
+    known = storeera.StoreEra()
+    assert known.of_answer(None, known_before=0) == 0
+    assert known.known == 0
--- a/tests/store/test_tablefollower.py
+++ b/tests/store/test_tablefollower.py
@@ -128,3 +128,30 @@
     assert not feed.asked_while_paused
     following.stop()
     feed.answers.put(contract.Unavailable("over"))
+
+
+def test_a_table_that_came_back_from_an_older_copy_is_read_anew_and_once_more(monkeypatch):
+    """Guards the list against versions that go back and are given out again.
+
+    Followed from the old version, the feed would skip what was written between the copy and it.
+    """
+    monkeypatch.setattr(tablefollower, "WAIT_S", 0.0)
+    clock = clocks.ManualClock()
+    platform = memory.MemoryPlatform(clock, counts_together=True)
+    put(platform, "t/a")
+    copy = platform.copy()
+    put(platform, "t/lost")
+    told = []
+    following = tablefollower.TableFollower(platform, "t", told.append, clock, random.Random(1))
+    following.step()
+    platform.restore(copy)
+    for name in ("b", "c", "d"):
+        put(platform, f"t/{name}")
+    following.step()
+    following.step()
+    assert isinstance(told[-1], contract.Snapshot)
+    assert [each.key for each in told[-1].rows] == ["t/a", "t/b", "t/c", "t/d"]
+    assert told[-1].version > told[0].version
+    clock.advance(tablefollower.REWRITTEN_S)
+    following.step()
+    assert [type(each) for each in told] == [contract.Snapshot] * 3
