soak: crash servers by a request, name limits, and bring the store back from a copy

Three kinds of faults besides the others, and two promises held against the servers' ledger: a request that crashes servers runs three times at most later than 3 s after its third run, and a server that named a limit gets no more than 1.5 times that and five in four seconds. Each check is seen to fail on made-up evidence.

--- a/hornbeamglade/cli/standin.py
+++ b/hornbeamglade/cli/standin.py
@@ -83,6 +83,7 @@
 @click.option("--gap", "gap_s", default=0.01, show_default=True, help="Seconds between events.")
 @click.option("--born", default=0, show_default=True, help="Unix ms of its start; 0: untold.")
 @click.option("--ledger", type=click.Path(path_type=pathlib.Path), help="File of what was run.")
+@click.option("--crash-on", default="", help="Text in a body that ends the server.")
 def routed_server(
     bind: str,
     replica_id: str,
@@ -90,6 +91,7 @@
     gap_s: float,
     born: int,
     ledger: pathlib.Path | None,
+    crash_on: str,
 ) -> None:
     """Run a backend server behind routes, a plain one or a model engine."""
-    routed.run(bind, replica_id, events, gap_s, born, ledger)
+    routed.run(bind, replica_id, events, gap_s, born, ledger, crash_on)
--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -34,6 +34,9 @@
 STOP_S = 8.0
 RETRY_SLACK = 50
 DOMAINS = ("a", "b")
+FATAL_BODY = "fatal-request"
+"""A request with this body crashes each server that runs it."""
+
 LASTING_PORTS = (20_000, 30_000)
 """Below those that systems hand out to outgoing connections, which begin at 32,768."""
 
@@ -200,6 +203,7 @@
         events = str(self.shape.events if is_engine else 0)
         options = ("--id", replica_id, "--events", events, "--gap", str(self.shape.gap_s))
         options += ("--born", str(born))
+        options += ("--crash-on", FATAL_BODY)
         ledger = ("--ledger", str(self.folder / "ledger.jsonl"))
         address = self.start(
             place, "hornbeamglade", "standin", "routed", "--bind", FREE, *options, *ledger
@@ -253,6 +257,18 @@
         """Evacuate a failure domain; return whether the store took it."""
         return self.write((contract.Put(tables.evacuation_key(domain), "{}"),))
 
+    def rewrite_servers(self) -> bool:
+        """Write the list of servers as it is; return whether the store took it."""
+        client = storeclient.StoreClient(self.address_by_name[STORE])
+        rows = client.scan(f"{tables.REPLICAS}/")
+        if isinstance(rows, contract.Unavailable):
+            return False
+        servers = self.server_by_place.values()
+        names = {f"{tables.REPLICAS}/{server.replica_id}" for server in servers}
+        stale = tuple(contract.Delete(row.key) for row in rows if row.key not in names)
+        is_rewritten = all(self.list_server(server) for server in servers)
+        return is_rewritten and (not stale or self.write(stale))
+
     def take_back(self, domain: str) -> bool:
         """End a failure domain's evacuation; return whether the store took it."""
         return self.write((contract.Delete(tables.evacuation_key(domain)),))
--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -25,6 +25,13 @@
 """Nothing new runs in an evacuated failure domain after this, where the store and instances
 were well."""
 
+CONTACT_S = 3.0
+"""All instances in touch know by then what one of them has learned."""
+
+CRASHES = 3
+LIMIT_WINDOW_S = 4.0
+LIMIT_SLACK = 5
+
 Ran = dict[str, typing.Any]
 
 
@@ -52,6 +59,7 @@
     :param taken_at_by_key: when the store took the word that a key is no longer valid.
     :param given_at_by_key: when it took the word of a new one.
     :param evacuated: which failure domains were evacuated, and when.
+    :param limited: which servers named limits, and when.
     :param events: events of a whole stream.
     """
 
@@ -61,6 +69,7 @@
     taken_at_by_key: dict[str, float]
     given_at_by_key: dict[str, float]
     evacuated: tuple[stage.Evacuated, ...]
+    limited: tuple[stage.Limited, ...]
     events: int
 
     def ran_by_id(self) -> dict[str, list[Ran]]:
@@ -82,6 +91,8 @@
     found += _of_keys_that_come_back(evidence)
     found += _of_strangers(evidence)
     found += _of_evacuations(evidence)
+    found += _of_fatal_requests(evidence)
+    found += _of_limits(evidence)
     found += _of_service(evidence)
     return tuple(found)
 
@@ -177,7 +188,7 @@
     """Return runs of requests that no caller sent."""
     asked = {seen.request_id for seen in evidence.seen}
     for each in evidence.ran:
-        if each["request_id"] not in asked:
+        if each["request_id"] not in asked and each["body"] != routedsite.FATAL_BODY:
             yield Broken("nothing_unasked_runs", each["request_id"], each["replica_id"])
 
 
@@ -194,6 +205,43 @@
                 yield Broken("nothing_new_when_evacuated", each["request_id"], each["replica_id"])
 
 
+def _of_fatal_requests(evidence: Evidence) -> collections.abc.Iterator[Broken]:
+    """Return whether a request that crashes servers was sent on when all had to know."""
+    runs = sorted(
+        (each for each in evidence.ran if each["body"] == routedsite.FATAL_BODY),
+        key=lambda each: each["at"],
+    )
+    if len(runs) <= CRASHES:
+        return
+    third_at = runs[CRASHES - 1]["at"]
+    late = [
+        each
+        for each in runs
+        if each["at"] > third_at + CONTACT_S
+        and not _was_out_of_touch(evidence.done, third_at, each["at"])
+    ]
+    if len(late) > CRASHES:
+        yield Broken("fatal_request_is_refused", late[-1]["request_id"], f"{len(runs)} crashes")
+
+
+def _of_limits(evidence: Evidence) -> collections.abc.Iterator[Broken]:
+    """Return whether a server that had named a limit got more than that."""
+    for limited in evidence.limited:
+        since = limited.began_at + CONTACT_S
+        times = sorted(
+            each["at"]
+            for each in evidence.ran
+            if each["replica_id"] == limited.replica_id and since < each["at"] < limited.ended_at
+        )
+        allowed = 1.5 * limited.requests_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for begin in times:
+            count = sum(begin <= at < begin + LIMIT_WINDOW_S for at in times)
+            was_hurt = _was_out_of_touch(evidence.done, limited.began_at, begin + LIMIT_WINDOW_S)
+            if count > allowed and not was_hurt:
+                yield Broken("limit_is_kept_to", "", f"{limited.replica_id}: {count} requests")
+                break
+
+
 def _of_service(evidence: Evidence) -> collections.abc.Iterator[Broken]:
     """Return whether the instances served next to nothing."""
     served = sum(seen.status == 200 and seen.is_whole for seen in evidence.seen)
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -2,11 +2,15 @@
 
 import abc
 import dataclasses
+import itertools
 import signal
+import socket
+import threading
 import time
 
 from hornbeamglade.localsite import passthrough, routedsite
 from hornbeamglade.soak import skewedentry, stage
+from hornbeamglade.standins import routedcaller
 
 EXIT_S = 12.0
 """An instance that is told to stop has eight seconds; the platform would kill it then."""
@@ -15,6 +19,11 @@
 """How long an engine serves on that was told to stop, as on the operators' platform."""
 
 POLL_S = 0.05
+REWRITTEN_S = 1.0
+"""Operators and servers write again what a store has lost after about this."""
+
+LIMIT_PER_S = 1.5
+FATAL_PAUSE_S = 0.4
 
 
 class Fault(abc.ABC):
@@ -314,6 +323,77 @@
         """Leave it so."""
 
 
+class StoreComesBack(Fault):
+    """The store comes back from a copy some seconds old; what was lost is written again."""
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Have it make the copy."""
+        hit.site.tell(self.where, "/standin/copy", {})
+
+    def end(self, hit: stage.Stage) -> None:
+        """Have it come back from the copy."""
+        hit.site.tell(self.where, "/standin/restore", {})
+        time.sleep(REWRITTEN_S)
+        hit.rewrite()
+
+
+class ServerLimited(Fault):
+    """A backend server names a limit for a while."""
+
+    lasts_more_s = 8.0
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Have it name the limit."""
+        hit.site.faults(self.where, limit=str(LIMIT_PER_S))
+        self._began_at = time.monotonic()
+
+    def end(self, hit: stage.Stage) -> None:
+        """Have it name none."""
+        replica_id = hit.site.server_by_place[self.where].replica_id
+        hit.limited.append(
+            stage.Limited(replica_id, LIMIT_PER_S, self._began_at, time.monotonic())
+        )
+        hit.site.faults(self.where)
+
+
+class RequestCrashesServers(Fault):
+    """A caller asks again and again for what crashes each plain server that runs it.
+
+    :param where: ``services``: all of them.
+    """
+
+    lasts_more_s = 8.0
+
+    def begin(self, hit: stage.Stage) -> None:
+        """Let the caller begin."""
+        self._is_over = threading.Event()
+        self._caller = threading.Thread(target=self._ask_again, args=(hit,), daemon=True)
+        self._caller.start()
+
+    def end(self, hit: stage.Stage) -> None:
+        """Let the caller end, and start the servers that are gone."""
+        self._is_over.set()
+        self._caller.join()
+        self._revive(hit)
+
+    def _ask_again(self, hit: stage.Stage) -> None:
+        caller = routedcaller.RoutedCaller(keep=False)
+        names = itertools.cycle(hit.site.instance_names)
+        key = hit.keys_by_team[stage.TEAMS[0]][0]
+        for number in itertools.count():
+            address = hit.site.callers_address(next(names))
+            request_id = f"fatal-{hit.seed}-{number}"
+            caller.ask(address, "hold", request_id, key, routedsite.FATAL_BODY.encode())
+            if self._is_over.wait(FATAL_PAUSE_S):
+                return
+            self._revive(hit)
+
+    def _revive(self, hit: stage.Stage) -> None:
+        for place in hit.site.server_by_place:
+            if place.startswith("service") and not _listens(hit.site.address_by_name[place]):
+                _replace(hit, place)
+
+
 class DomainEvacuated(Fault):
     """The operator keeps new work from a failure domain for a while."""
 
@@ -333,3 +413,12 @@
     hit.site.unlist_server(hit.site.server_by_place[place])
     hit.links.retarget(place)
     return hit.site.start_server(place)
+
+
+def _listens(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), timeout=1.0).close()
+    except OSError:
+        return False
+    return True
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -21,6 +21,7 @@
 INSTANCES = tuple(f"entry-{number}" for number in range(3))
 ENGINES = tuple(f"engine-{number}" for number in range(3))
 SERVICES = tuple(f"service-{number}" for number in range(2))
+ALL_SERVICES = "services"
 LINKS = ("store", *ENGINES, *SERVICES)
 FOREIGN = ("", "[]", "{", '{"service":"llm","address":"127.0.0.1:9","slots":"4"}', "\x00\x1f")
 WRONGS = ("refuse", "fail", "unproved", "stray", "extra", "unframed", "torn", "reset", "hang")
@@ -64,6 +65,9 @@
     lambda rng: faults.StoreFails("store", "down", True),
     lambda rng: faults.StoreFails("store", "delay_s", 0.4),
     lambda rng: faults.StoreFails("store", "lose_answers", True),
+    lambda rng: faults.StoreComesBack("store"),
+    _one(faults.ServerLimited, SERVICES),
+    lambda rng: faults.RequestCrashesServers(ALL_SERVICES),
     _one(faults.DomainEvacuated, routedsite.DOMAINS),
     _one(faults.LinkReset, LINKS),
     _one(faults.LinkDelayed, LINKS),
@@ -120,8 +124,21 @@
     lasting = [each for each in planned if each.at_s + each.for_s + 0.5 > one.at_s]
     if any(each.fault.where == one.fault.where for each in lasting):
         return False
+    if _hits_all_services(one) and any(map(_hits_services, lasting)):
+        return False
+    if _hits_services(one) and any(map(_hits_all_services, lasting)):
+        return False
     if one.fault.where in routedsite.DOMAINS:
         # Two of them hold all plain services.
         return all(each.fault.where not in routedsite.DOMAINS for each in lasting)
     hit = {each.fault.where for each in lasting} & set(INSTANCES)
     return one.fault.where not in INSTANCES or len(hit) < MOST_STOPPED
+
+
+def _hits_services(planned: Planned) -> bool:
+    where = planned.fault.where
+    return where in SERVICES or where in routedsite.DOMAINS or where == ALL_SERVICES
+
+
+def _hits_all_services(planned: Planned) -> bool:
+    return planned.fault.where == ALL_SERVICES
--- a/hornbeamglade/soak/running.py
+++ b/hornbeamglade/soak/running.py
@@ -79,6 +79,7 @@
             hit.taken_at_by_key,
             hit.given_at_by_key,
             tuple(hit.evacuated),
+            tuple(hit.limited),
             hit.site.shape.events,
         )
     )
--- a/hornbeamglade/soak/stage.py
+++ b/hornbeamglade/soak/stage.py
@@ -44,6 +44,22 @@
     taken_back_at: float = float("inf")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limited:
+    """A server that named a limit for a while.
+
+    :param replica_id: the server.
+    :param requests_per_s: what it named.
+    :param began_at: seconds of the machine's steady clock.
+    :param ended_at: the same.
+    """
+
+    replica_id: str
+    requests_per_s: float
+    began_at: float
+    ended_at: float
+
+
 class Stage:
     """The site, its links, its keys and its history; safe to use from several threads.
 
@@ -64,6 +80,7 @@
         self.taken_at_by_key: dict[str, float] = {}
         self.given_at_by_key: dict[str, float] = {}
         self.evacuated: list[Evacuated] = []
+        self.limited: list[Limited] = []
         self._done: list[Done] = []
 
     def begin(self, what: str, where: str) -> None:
@@ -113,6 +130,14 @@
         while not self.site.take_back(domain):
             time.sleep(TRY_AGAIN_S)
 
+    def rewrite(self) -> None:
+        """Write again what the store may have lost, as operators and servers do."""
+        for each in self.evacuated:
+            is_ended = each.taken_back_at != float("inf")
+            (self.site.take_back if is_ended else self.site.evacuate)(each.domain)
+        self.site.configure(self.keys_by_team)
+        self.site.rewrite_servers()
+
     def keys(self) -> tuple[str, ...]:
         """Return every key that was ever given out."""
         held = collections.ChainMap(self.taken_at_by_key, self.given_at_by_key)
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -73,6 +73,7 @@
     :param gap_s: seconds between events.
     :param ledger_path: a file to which each run is added before it begins, so that what a
         killed server ran is known; None for none.
+    :param crash_on: a request whose body holds this text ends the server; empty for none.
     """
 
     def __init__(
@@ -81,8 +82,10 @@
         events: int = 0,
         gap_s: float = 0.01,
         ledger_path: pathlib.Path | None = None,
+        crash_on: str = "",
     ) -> None:
         self.replica_id = replica_id
+        self._crash_on = crash_on
         self._ledger_path = ledger_path
         self.faults = routedfaults.RoutedFaults()
         self.ledger: list[Ran] = []
@@ -272,7 +275,7 @@
 
     def _is_fatal(self, asked: _Asked) -> bool:
         """Tell whether a request crashes the server."""
-        text = self.faults.crash_on
+        text = self.faults.crash_on or self._crash_on
         return bool(text) and text in asked.body.decode("latin-1")
 
     def _begin(self, asked: _Asked) -> routedruns.StandinRun | None:
@@ -423,6 +426,7 @@
     gap_s: float,
     born: int = 0,
     ledger_path: pathlib.Path | None = None,
+    crash_on: str = "",
 ) -> None:
     """Serve until SIGTERM or SIGINT.
 
@@ -432,7 +436,8 @@
     :param gap_s: seconds between events.
     :param born: Unix milliseconds of its start, or 0 to tell none.
     :param ledger_path: a file that keeps what was run, or None.
+    :param crash_on: a request whose body holds this text ends the server; empty for none.
     """
-    standin = RoutedStandin(replica_id, events, gap_s, ledger_path)
+    standin = RoutedStandin(replica_id, events, gap_s, ledger_path, crash_on)
     standin.born = born
     asyncio.run(_run(standin, bind))
--- a/hornbeamglade/standins/routedcaller.py
+++ b/hornbeamglade/standins/routedcaller.py
@@ -92,15 +92,20 @@
         except (urllib3.exceptions.HTTPError, OSError, ValueError, KeyError):
             return ()
 
-    def ask(self, address: str, route: str, request_id: str, key: str) -> Seen:
-        """Send one request and read what comes of it."""
+    def ask(
+        self, address: str, route: str, request_id: str, key: str, body: bytes | None = None
+    ) -> Seen:
+        """Send one request and read what comes of it.
+
+        :param body: by default its id.
+        """
         sent_at = time.monotonic()
         seen = Seen(request_id, route, key, address, sent_at, sent_at)
         try:
             answer = self._http.request(
                 "POST",
                 f"http://{address}/{route}/1?q=2",
-                body=request_id.encode(),
+                body=request_id.encode() if body is None else body,
                 headers=self._headers(request_id, route, key),
                 preload_content=False,
             )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -44,7 +44,7 @@
     return told | changes
 
 
-def broken(all_seen, all_ran, done=(), taken=None, given=None, evacuated=()):
+def broken(all_seen, all_ran, done=(), taken=None, given=None, evacuated=(), limited=()):
     evidence = checks.Evidence(
         tuple(all_seen),
         tuple(all_ran),
@@ -52,6 +52,7 @@
         taken or {},
         given or {},
         tuple(evacuated),
+        tuple(limited),
         EVENTS,
     )
     return [each.promise for each in checks.broken(evidence)]
@@ -131,3 +132,33 @@
     evacuated = stage.Evacuated(DOMAIN, taken_at=1.0, taken_back_at=9.0)
     cut = stage.Done("InstancePaused", "entry-0", 5.0, 6.5)
     assert broken([seen(sent_at=7.0)], [ran(at=7.0)], [cut], evacuated=[evacuated]) == []
+
+
+def fatal_runs(*times):
+    return [
+        ran("hold", request_id=f"fatal-{at}", body=routedsite.FATAL_BODY, at=at) for at in times
+    ]
+
+
+def test_a_request_that_crashes_servers_is_seen_to_be_sent_on():
+    served = [seen()], [ran()]
+    within = fatal_runs(1.0, 2.0, 3.0, 3.5, 7.0, 8.0, 9.0)
+    assert broken(served[0], served[1] + within) == []
+    beyond = [*within, *fatal_runs(10.0)]
+    assert broken(served[0], served[1] + beyond) == ["fatal_request_is_refused"]
+    killed = stage.Done("InstanceKilled", "entry-0", 6.0, 6.5)
+    assert broken(served[0], served[1] + beyond, done=[killed]) == []
+
+
+def test_a_server_that_gets_more_than_it_named_is_seen():
+    limited = stage.Limited("service-0.1", 1.0, began_at=0.0, ended_at=20.0)
+    within = [ran(at=5.0 + number / 10) for number in range(11)]
+    asked = [seen(request_id=f"r{number}", body=f"s0:r{number}".encode()) for number in range(12)]
+    runs = [
+        {**each, "request_id": f"r{number}", "body": f"r{number}"}
+        for number, each in enumerate([*within, ran(at=6.2)])
+    ]
+    assert broken(asked, runs[:11], limited=[limited]) == []
+    assert broken(asked, runs, limited=[limited]) == ["limit_is_kept_to"]
+    early = [{**each, "at": each["at"] - 4.5} for each in runs]
+    assert broken(asked, early, limited=[limited]) == []
