soak: have the operator write keys until the store takes them

The operator's word is written until it is taken now, one change after the other, and callers have a new key only then.

--- a/hornbeamglade/soak/stage.py
+++ b/hornbeamglade/soak/stage.py
@@ -70,6 +70,7 @@
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         self.seed = seed
         self._lock = threading.Lock()
+        self._operator = threading.Lock()
         names = ("store", *(f"engine-{n}" for n in range(3)), *(f"service-{n}" for n in range(2)))
         self.links = passthrough.PassThroughs(*names)
         shape = routedsite.Shape(route=self.links.route, entry_module=MODULE)
@@ -107,16 +108,27 @@
     def take_key(self, key: str) -> None:
         """Take a key from its team."""
         team = team_of(key)
-        self.keys_by_team[team] = [each for each in self.keys_by_team[team] if each != key]
-        if self.site.configure(self.keys_by_team):
+        with self._operator:
+            self.keys_by_team[team] = [each for each in self.keys_by_team[team] if each != key]
+            self._configure()
             self.taken_at_by_key[key] = time.monotonic()
 
     def give_key(self, key: str) -> None:
-        """Give a new key to its team."""
-        self.keys_by_team[team_of(key)].append(key)
-        if self.site.configure(self.keys_by_team):
+        """Give a new key to its team; callers have it once the store has taken it."""
+        team = team_of(key)
+        with self._operator:
+            self._configure({team: [*self.keys_by_team[team], key]})
+            self.keys_by_team[team].append(key)
             self.given_at_by_key[key] = time.monotonic()
 
+    def _configure(self, changed: dict[str, list[str]] | None = None) -> None:
+        """Write the manifest, as soon as the store takes it.
+
+        :param changed: keys of teams that differ from those held.
+        """
+        while not self.site.configure(self.keys_by_team | (changed or {})):
+            time.sleep(TRY_AGAIN_S)
+
     def evacuate(self, domain: str) -> None:
         """Evacuate a failure domain."""
         if self.site.evacuate(domain):
@@ -135,7 +147,8 @@
         for each in self.evacuated:
             is_ended = each.taken_back_at != float("inf")
             (self.site.take_back if is_ended else self.site.evacuate)(each.domain)
-        self.site.configure(self.keys_by_team)
+        with self._operator:
+            self._configure()
         self.site.rewrite_servers()
 
     def keys(self) -> tuple[str, ...]:
