node: refuse prompts that crash the engines that run them

A lost run's replica is asked once, on a thread of its own, whether anything listens there.

Twelve tries of one prompt at three nodes, nine engines: 9 ended before; at most 6 is asserted, and the last try is refused with request_quarantined.

--- a/hornbeamglade/capacity/measuringstatus.py
+++ b/hornbeamglade/capacity/measuringstatus.py
@@ -70,4 +70,6 @@
         lengths=lengthmodel.LengthModel(),
         metrics=metrics.NodeMetrics(),
         deadlines=None,
+        quarantine=None,
+        crashes=None,
     )
--- a/hornbeamglade/cli/standin.py
+++ b/hornbeamglade/cli/standin.py
@@ -34,6 +34,7 @@
 @click.option("--checks-fencing/--no-checks-fencing", default=True)
 @click.option("--seed", default=0, show_default=True)
 @click.option("--threads", default=300, show_default=True)
+@click.option("--crash-on", default="", help="Text in a body that ends the process.")
 def engine_command(
     bind: str,
     capacity_tokens: int,
@@ -47,6 +48,7 @@
     checks_fencing: bool,
     seed: int,
     threads: int,
+    crash_on: str,
 ) -> None:
     """Run a model engine with bounded memory."""
     engine.run(
@@ -64,6 +66,7 @@
             seed=seed,
             threads=threads,
             prefix_hashes=prefixes.prefix_hashes,
+            crash_on=crash_on,
         )
     )
 
--- a/hornbeamglade/node/attempts.py
+++ b/hornbeamglade/node/attempts.py
@@ -4,9 +4,10 @@
 import dataclasses
 import itertools
 
-from hornbeamglade.callers import application
+from hornbeamglade.callers import application, problems
 from hornbeamglade.core import outcomes
 from hornbeamglade.node import requestscope
+from hornbeamglade.quarantine import fingerprints
 
 FAILED_RETRY_S = 1.0
 
@@ -41,10 +42,15 @@
         service = self._scope.service_name
         self._parts.budgets.requested(service)
         for number in itertools.count(1):
+            refusal = self._parts.quarantine.refusal(self._scope.fingerprint)
+            if refusal is not None:
+                return self._truthful(refusal)
             answer = self._attempt(number)
             if isinstance(answer, outcomes.Refusal):
                 return self._truthful(answer)
             if not isinstance(answer, Failed):
+                if isinstance(answer, problems.Response) and answer.status < 500:
+                    self._parts.quarantine.completed(self._scope.fingerprint)
                 return answer
             is_last = not answer.may_repeat or number >= self._most
             if is_last or not self._parts.budgets.spend(service, repeatable=True):
@@ -79,6 +85,15 @@
         return dataclasses.replace(refusal, run=self._run)
 
 
+def fingerprint(team: str, request: application.CallerRequest) -> int:
+    """Return what a request is known by when it comes again.
+
+    :param team: its caller's.
+    """
+    target = f"{request.path}?{request.query}".encode()
+    return fingerprints.fingerprint(request.method.encode(), "", target, team, request.body)
+
+
 def unanswered_refusal(code: str, detail: str) -> outcomes.Refusal:
     """Return the refusal of a request that its backend server did not answer.
 
--- a/hornbeamglade/node/daemon.py
+++ b/hornbeamglade/node/daemon.py
@@ -16,6 +16,7 @@
 from hornbeamglade.membership import draining, introduction, membershiplog, registry
 from hornbeamglade.node import (
     applying,
+    crashchecks,
     deadlines,
     digestcache,
     handlers,
@@ -35,6 +36,7 @@
 )
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import storeclient
+from hornbeamglade.quarantine import quarantinekeeper
 from hornbeamglade.routing import candidates
 from hornbeamglade.store import contract, countedstore
 from hornbeamglade.teams import limits, shares
@@ -127,6 +129,10 @@
             lengths=lengths,
             metrics=self._metrics,
             deadlines=deadlines.Deadlines(clock),
+            quarantine=self.peering.quarantine,
+            crashes=crashchecks.CrashChecks(
+                self.peering.quarantine, self._catalog.takes_new_work, clock
+            ),
         )
         page = statuses.Statuses(
             told,
@@ -149,7 +155,10 @@
         self._applier = applying.Applier(
             self._parts.views, self._catalog, self._schedulers, self._in_flight, beats
         )
-        self._registry = registry.Registry(self._platform)
+        self.peering.quarantine.keep_in(
+            quarantinekeeper.QuarantineKeeper(self._platform, clock).add
+        )
+        self._registry = registry.Registry(self._platform, self.peering.quarantine.on_rows)
         listed = introduction.Introduction(self._registry, told.seeds)
         self._upkeep = upkeep.Upkeep(self._platform, listed, clock, self._rng, beats, self._config)
         self._draining: draining.Draining | None = None
@@ -274,6 +283,7 @@
         self._claims.settle()
         self._senders.sweep()
         self._parts.deadlines.sweep()
+        self.peering.quarantine.tidy()
         self._report_metrics()
         self._note_problem()
         self._metrics.config_revision.set(self._applier.revision)
--- a/hornbeamglade/node/delivery.py
+++ b/hornbeamglade/node/delivery.py
@@ -186,6 +186,8 @@
             return self._end_cut("engine_failed", f"{event.code}: {event.detail}")
         if isinstance(event, eventparser.Stalled):
             return self._end_cut("link_stalled", f"nothing came for {event.silent_s:g} s")
+        target = self._source.target
+        self._scope.run_lost(target.replica, target.address)
         return self._end_cut("link_lost", event.reason)
 
     def _finished(self, event: eventparser.Finished) -> bytes:
@@ -229,6 +231,7 @@
             )
         mean_gap_s = _mean_gap_s(self._times, now, scope.started)
         if self._is_whole:
+            scope.parts.quarantine.completed(scope.fingerprint)
             scope.parts.catalog.succeeded(self._source.target.replica, mean_gap_s)
 
 
--- a/hornbeamglade/node/generationhandler.py
+++ b/hornbeamglade/node/generationhandler.py
@@ -106,7 +106,14 @@
         if not isinstance(entered, limits.Entered):
             return entered
         return requestscope.RequestScope(
-            self._parts, request.request_id, team, name, service, dispatch, entered
+            self._parts,
+            request.request_id,
+            team,
+            name,
+            service,
+            dispatch,
+            entered,
+            attempts.fingerprint(team, request),
         )
 
 
@@ -260,6 +267,7 @@
         self._parts.catalog.failed(target.replica)
         if isinstance(outcome, backendoutcomes.CrossedAnswer):
             return self._maybe_ran("answer_crossed", "the answer carried another request's id")
+        self._scope.run_lost(target.replica, target.address)
         return self._maybe_ran("backend_lost", outcome.reason)
 
     def _first_event(
@@ -316,6 +324,7 @@
             )
             return attempts.Failed(refusal, may_repeat=False)
         self._parts.catalog.failed(target.replica)
+        self._scope.run_lost(target.replica, target.address)
         return self._maybe_ran("backend_lost", str(event))
 
     def _whole(
--- a/hornbeamglade/node/peering.py
+++ b/hornbeamglade/node/peering.py
@@ -17,6 +17,7 @@
 from hornbeamglade.membership import heartbeats, ownership, rising, teamdemands
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestcache, inflight, replicacatalog, settings
+from hornbeamglade.quarantine import requestquarantine
 
 MILLISECONDS = 1000
 PEERS_AFTER_S = 1.5
@@ -72,6 +73,9 @@
         self._owners_seen: tuple[membershipview.Identity, ...] | None = None
         self._replicas_seen: dict[str, replicacatalog.Known] | None = None
         self._failed = failed
+        self.quarantine = requestquarantine.RequestQuarantine(
+            told.name, self._live_names, self._present_names, self._send, clock
+        )
         self._ownership = ownership.Ownership()
         self._assembly: configchunks.Assembly | None = None
         self._assembled_revision = 0
@@ -128,6 +132,7 @@
                 self._server.holder_gone(change.member.identity.name)
         self._server.tick()
         self.grants.tick()
+        self.quarantine.tick()
         self._update_names()
         self._update_owners()
         now = self._clock.now()
@@ -135,6 +140,21 @@
             self._follow_due_at = now + FOLLOW_S
             self._follow_peers()
 
+    def _live_names(self) -> list[str]:
+        return [member.identity.name for member in self.heartbeats.live()]
+
+    def _present_names(self) -> list[str]:
+        return [
+            member.identity.name
+            for member in self.heartbeats.members()
+            if member.state is not messages.NodeState.GONE
+        ]
+
+    def _send(self, node: str, message: messages.Message) -> None:
+        peer = self.heartbeats.peer(node)
+        if peer is not None:
+            self.transport.send(peer, message)
+
     def _update_names(self) -> None:
         in_force = self._config.in_force()
         if in_force is None or in_force.revision.number == self._named_revision:
@@ -188,7 +208,8 @@
         )
         revision = self._config.current()
         number = 0 if revision is None else revision.number
-        return heartbeats.Digest(number, closings + replicas + plain)
+        quarantine = self.quarantine.digest
+        return heartbeats.Digest(number, closings + replicas + plain, quarantine=quarantine)
 
     def unanswered(self, owner: str) -> None:
         """Note that an owner left an ask unanswered."""
@@ -213,12 +234,17 @@
                 self._digests.hear(sender.name, message.replicas)
                 self._hear_closings(message.replicas)
                 self._hear_demands(sender.name, message.demands)
+                self.quarantine.on_digest(sender.name, message.quarantine_digest)
         elif isinstance(message, messages.GrantAsk):
             self._server.asked(message, sender, source)
         elif isinstance(message, messages.GrantAnswer):
             self.grants.answered(message, sender, source)
         elif isinstance(message, messages.Progress):
             self._server.progressed(message, sender, source)
+        elif isinstance(message, messages.CrashReport):
+            self.quarantine.on_report(sender.name, message)
+        elif isinstance(message, messages.QuarantineNotice):
+            self.quarantine.on_notice(message)
         elif isinstance(message, messages.ConfigHint):
             self._config.hint(message.revision, sender.name)
         elif isinstance(message, messages.Outrun):
--- a/hornbeamglade/node/plainhandler.py
+++ b/hornbeamglade/node/plainhandler.py
@@ -89,7 +89,14 @@
             dispatch.ended()
             return entered
         scope = requestscope.RequestScope(
-            self._parts, request.request_id, team, name, service, dispatch, entered
+            self._parts,
+            request.request_id,
+            team,
+            name,
+            service,
+            dispatch,
+            entered,
+            attempts.fingerprint(team, request),
         )
         return self._run(scope, path, request)
 
@@ -192,6 +199,7 @@
         if isinstance(outcome, backendoutcomes.CrossedAnswer):
             return self._maybe_ran("answer_crossed", "the answer carried another request's id")
         self._note_run(outcome.run)
+        self._scope.run_lost(known.name, known.replica.address)
         return self._maybe_ran("backend_lost", outcome.reason)
 
 
--- a/hornbeamglade/node/requestscope.py
+++ b/hornbeamglade/node/requestscope.py
@@ -20,6 +20,7 @@
     :param service: the service's configuration.
     :param dispatch: the right to dispatch the request.
     :param entered: its place in the team's limit.
+    :param fingerprint: by which the same request is known when it comes again.
     """
 
     def __init__(
@@ -31,8 +32,10 @@
         service: models.Service,
         dispatch: onceonly.OneDispatch,
         entered: limits.Entered,
+        fingerprint: int,
     ) -> None:
         self.parts = parts
+        self.fingerprint = fingerprint
         self.request_id = request_id
         self.team = team
         self.service_name = service_name
@@ -59,6 +62,10 @@
             self.parts.deadlines.remove(self._deadline)
         self._deadline = self.parts.deadlines.add(self.ends_at, cancel)
 
+    def run_lost(self, replica: str, address: str) -> None:
+        """Take note that the connection of its run at a replica ended before the answer."""
+        self.parts.crashes.run_lost(self.fingerprint, replica, address)
+
     def release_grant(self) -> None:
         """Give the grant back; idempotent."""
         if self.grant is not None:
--- a/hornbeamglade/node/runtime.py
+++ b/hornbeamglade/node/runtime.py
@@ -7,8 +7,16 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.grants import grantacquirer, schedulerset
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.node import deadlines, inflight, onceonly, replicacatalog, siteview
+from hornbeamglade.node import (
+    crashchecks,
+    deadlines,
+    inflight,
+    onceonly,
+    replicacatalog,
+    siteview,
+)
 from hornbeamglade.observability import metrics
+from hornbeamglade.quarantine import requestquarantine
 from hornbeamglade.retries import budget
 
 
@@ -85,6 +93,8 @@
     :param lengths: what was learned of answer lengths.
     :param metrics: the node's instruments.
     :param deadlines: ends requests whose time is over.
+    :param quarantine: refuses requests that crash their replicas.
+    :param crashes: finds out which lost runs were ended by a crash.
     """
 
     clock: clocks.Clock
@@ -98,3 +108,5 @@
     lengths: lengthmodel.LengthModel
     metrics: metrics.NodeMetrics
     deadlines: deadlines.Deadlines
+    quarantine: requestquarantine.RequestQuarantine
+    crashes: crashchecks.CrashChecks
--- a/hornbeamglade/quarantine/requestquarantine.py
+++ b/hornbeamglade/quarantine/requestquarantine.py
@@ -33,6 +33,9 @@
 """
 
 import collections.abc
+import functools
+import threading
+import typing
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import messages
@@ -67,8 +70,22 @@
 Write = collections.abc.Callable[[contract.Put | contract.Delete], None]
 
 
+_Method = typing.TypeVar("_Method", bound=collections.abc.Callable[..., typing.Any])
+
+
+def _locked(method: _Method) -> _Method:
+    """Let one thread at a time into any method that is so marked."""
+
+    @functools.wraps(method)
+    def locked(self: "RequestQuarantine", *arguments: typing.Any) -> typing.Any:
+        with self._lock:
+            return method(self, *arguments)
+
+    return typing.cast(_Method, locked)
+
+
 class RequestQuarantine:
-    """One instance's part; to be used on its event loop only.
+    """One instance's part; safe to use from several threads.
 
     :param name: this instance's name.
     :param live: returns the names of the instances that live.
@@ -83,6 +100,7 @@
     def __init__(
         self, name: str, live: Names, present: Names, send: Send, clock: clocks.Clock
     ) -> None:
+        self._lock = threading.RLock()
         self._name = name
         self._live = live
         self._present = present
@@ -101,6 +119,7 @@
         """Take what writes to the store."""
         self._write = write
 
+    @_locked
     def refusal(self, fingerprint: int) -> outcomes.Refusal | None:
         """Return the refusal of a request that is not run any more, or None."""
         now = self._clock.now()
@@ -110,11 +129,13 @@
         detail = "each server that ran this request has crashed; it is not run again"
         return outcomes.Refusal(QUARANTINED, 503, detail, retry_after_s=left_s, is_lasting=True)
 
+    @_locked
     def completed(self, fingerprint: int) -> None:
         """Take note that a request was run to its end."""
         self._completions.add(fingerprint, self._clock.now())
         self._ledger.clear(fingerprint)
 
+    @_locked
     def crashed(self, replica_id: str, lost: collections.abc.Iterable[int]) -> None:
         """Take the fingerprints of requests whose runs ended with a crash of their replica."""
         now = self._clock.now()
@@ -134,6 +155,7 @@
                 self._reports.add(fingerprint, now)
         self.tick()
 
+    @_locked
     def on_report(self, sender: str, report: messages.CrashReport) -> None:
         """Take evidence that another instance has seen."""
         now = self._clock.now()
@@ -148,12 +170,14 @@
             self._send(sender, self._notice(known, now))
         self.tick()
 
+    @_locked
     def on_notice(self, notice: messages.QuarantineNotice) -> None:
         """Take requests that another instance refuses."""
         now = self._clock.now()
         for told in notice.requests:
             self._hold(quarantinelist.Entry(told.fingerprint, now + told.left_s), PEER, now)
 
+    @_locked
     def on_rows(self, rows: tuple[contract.Row, ...]) -> None:
         """Take the instances' table as it was read from the store."""
         now, wall = self._clock.now(), self._clock.wall()
@@ -169,6 +193,7 @@
             if entry.fingerprint not in known and self._is_first_home(entry.fingerprint):
                 self._store(entry, now)
 
+    @_locked
     def on_digest(self, sender: str, digest: int) -> None:
         """Send what is refused here to an instance that refuses something else."""
         now = self._clock.now()
@@ -194,6 +219,7 @@
         """Whether nothing is to be sent within a tick."""
         return self._reports.is_empty and self._notices.is_empty
 
+    @_locked
     def tick(self) -> None:
         """Send what is due."""
         if self.is_idle:
@@ -207,6 +233,7 @@
                 if node != self._name:
                     self._send(node, notice)
 
+    @_locked
     def tidy(self) -> None:
         """Forget what is over; every second or so."""
         for fingerprint in self._held.forget_ended(self._clock.now()):
--- a/hornbeamglade/standins/engine.py
+++ b/hornbeamglade/standins/engine.py
@@ -15,6 +15,7 @@
 import collections.abc
 import dataclasses
 import errno
+import os
 import queue
 import select
 import socket
@@ -27,6 +28,7 @@
 EngineSettings = enginesettings.EngineSettings
 EngineFaults = enginesettings.EngineFaults
 
+CRASHED = 1
 _STREAMS = "/v1/streams/"
 _GENERATION_PATHS = frozenset({"/v1/completions", engineanswers.CHAT_PATH})
 
@@ -102,6 +104,8 @@
             self._generations.refused += 1
             answer = {"error": {"code": "engine_refuses", "message": "not run"}}
             return httpserver.json_answer(503, answer, (("X-Not-Run", "true"),))
+        if self._settings.crash_on and self._settings.crash_on.encode() in request.body:
+            os._exit(CRASHED)
         request_id = request.headers.get("x-request-id", "")
         try:
             asked = engineanswers.parse(request.path, request.body, self._settings.seed)
--- a/hornbeamglade/standins/enginesettings.py
+++ b/hornbeamglade/standins/enginesettings.py
@@ -31,6 +31,7 @@
     :param seed: enters the true lengths of answers and the markers of tokens.
     :param threads: bound on requests at once.
     :param prefix_hashes: hashes of a prompt's leading blocks.
+    :param crash_on: a request whose body holds this text ends the process; empty for none.
     """
 
     bind: str = "127.0.0.1:0"
@@ -49,6 +50,7 @@
     seed: int = 0
     threads: int = 300
     prefix_hashes: collections.abc.Callable[[str], tuple[int, ...]] = _no_prefix
+    crash_on: str = ""
 
 
 class EngineFaults(pydantic.BaseModel):
--- a/tests/failures/test_engines.py
+++ b/tests/failures/test_engines.py
@@ -2,6 +2,7 @@
 
 import signal
 import threading
+import time
 
 from tests.failures import accounts
 
@@ -215,3 +216,18 @@
     for number in range(9):
         assert site.caller(number % 3).call("GET", "/services/codes/gate").status == 200
     assert len(site.ledger("counter-0")["runs"]) == before
+
+
+def test_a_prompt_that_crashes_engines_is_refused_after_a_few(start):
+    """Guards engines, and the drafts on them, against one prompt that ends each of them."""
+    site, _ = start(engines=9, services=0, engine_options=("--crash-on", "fatal"), base=QUICK)
+    codes = []
+    for number in range(12):
+        reply = site.caller(number % 3).generate("fatal letter", 6)
+        codes.append((reply.status, reply.code))
+        time.sleep(0.1)
+    ended = [name for name, child in site.child_by_name.items() if child.ended()]
+    assert len(ended) <= 6
+    assert codes[-1] == (503, "request_quarantined")
+    # The node may try the ended engines first, until it holds them for dead.
+    site.wait_until(lambda: site.caller(0).generate("letter", 6).status == 200, "a letter")
--- a/tests/node/fakeparts.py
+++ b/tests/node/fakeparts.py
@@ -14,6 +14,7 @@
 from hornbeamglade.teams import limits
 
 GENERATION = "r1.1"
+FINGERPRINT = 7
 Finished = eventparser.Finished
 KeepAlive = eventparser.KeepAlive
 Lost = eventparser.LinkLost
@@ -51,6 +52,9 @@
         self.clock = clocks.ManualClock()
         self.metrics = metrics.NodeMetrics()
         self.schedulers = self.catalog = self.in_flight = self
+        self.crashes = self.quarantine = self
+        self.completions = []
+        self.lost_runs = []
         platform = memory.MemoryPlatform()
         settings = claims.ClaimSettings()
         self.store = claims.ClaimStore(platform, platform, self.clock, "n1", settings)
@@ -65,6 +69,12 @@
     def leave(self, entered):
         self.calls.append("leave")
 
+    def completed(self, fingerprint):
+        self.completions.append(fingerprint)
+
+    def run_lost(self, fingerprint, replica, address):
+        self.lost_runs.append((fingerprint, replica))
+
     def release(self):
         self.calls.append("release")
 
@@ -86,6 +96,7 @@
             service,
             dispatch or onceonly.OneDispatch(is_repeatable=True),
             limits.Entered("clerks", 10),
+            FINGERPRINT,
         )
         made.grant = types.SimpleNamespace(release=self.release, produced=0)
         return made
--- a/tests/node/test_delivery.py
+++ b/tests/node/test_delivery.py
@@ -131,3 +131,14 @@
     case.delivery.abandon()
     case.delivery.close()
     assert case.parts.calls == [("learn", 1, True), "release"]
+
+
+def test_a_lost_link_is_looked_into_and_a_whole_answer_clears_its_request():
+    """Guards engines against a prompt that crashes each of them, and callers against blame."""
+    torn = Case(token(0), fakeparts.Lost("reset"))
+    whole = Case(token(0), finished(1))
+    for case in (torn, whole):
+        list(case.delivery)
+        case.delivery.close()
+    assert (torn.parts.lost_runs, torn.parts.completions) == ([(fakeparts.FINGERPRINT, "e1")], [])
+    assert (whole.parts.lost_runs, whole.parts.completions) == ([], [fakeparts.FINGERPRINT])
