quarantine: count a crash whose run was sent after the crash before

Crashes within 0.05 s counted as one, so that replicas which lose power together are no evidence three times over. A run that was sent after the crash counted before ran into one of its own, whatever the time between: reports carry how long a run lasted.

--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -35,6 +35,7 @@
   fingerprint @0 :UInt64;
   replica @1 :UInt64;
   ageMs @2 :UInt32;
+  ranMs @3 :UInt32;
 }
 
 struct QuarantineNotice {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -351,11 +351,13 @@
     :param fingerprint: of the request.
     :param replica: :func:`key_hash` of the replica's id.
     :param age_ms: milliseconds since the crash.
+    :param ran_ms: milliseconds from the run's sending to the crash.
     """
 
     fingerprint: int
     replica: int
     age_ms: int
+    ran_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -334,13 +334,14 @@
         entry.fingerprint = crash.fingerprint
         entry.replica = crash.replica
         entry.ageMs = _clip(crash.age_ms)
+        entry.ranMs = _clip(crash.ran_ms)
 
 
 def _read_crashes(reader: _Reader) -> messages.CrashReport:
     _checked_length(reader.crashes, messages.MAX_REPORTED_CRASHES)
     return messages.CrashReport(
         tuple(
-            messages.ReportedCrash(entry.fingerprint, entry.replica, entry.ageMs)
+            messages.ReportedCrash(entry.fingerprint, entry.replica, entry.ageMs, entry.ranMs)
             for entry in reader.crashes
         )
     )
--- a/hornbeamglade/node/crashchecks.py
+++ b/hornbeamglade/node/crashchecks.py
@@ -5,7 +5,7 @@
 import socket
 
 from hornbeamglade.core import clocks
-from hornbeamglade.quarantine import requestquarantine
+from hornbeamglade.quarantine import lostruns, requestquarantine
 
 THREADS = 2
 CONNECT_S = 1.0
@@ -37,21 +37,23 @@
             THREADS, thread_name_prefix="crash-check"
         )
 
-    def run_lost(self, fingerprint: int, replica: str, address: str) -> None:
+    def run_lost(self, fingerprint: int, replica: str, address: str, began_at: float) -> None:
         """Take a run whose connection ended before its answer did.
 
         :param replica: the replica's name.
+        :param began_at: monotonic seconds at which it was sent there.
         """
         if self._may_crash(replica):
-            self._threads.submit(self._check, fingerprint, replica, address)
+            run = lostruns.LostRun(fingerprint, began_at, self._clock.now())
+            self._threads.submit(self._check, run, replica, address)
 
-    def _check(self, fingerprint: int, replica: str, address: str) -> None:
+    def _check(self, run: lostruns.LostRun, replica: str, address: str) -> None:
         host, _, port = address.rpartition(":")
         try:
             socket.create_connection((host, int(port)), CONNECT_S).close()
         except ConnectionRefusedError:
-            crash = f"{replica}/{int(self._clock.now() / RESTART_S)}"
-            self._quarantine.crashed(crash, (fingerprint,))
+            crash = f"{replica}/{int(run.ended_at / RESTART_S)}"
+            self._quarantine.crashed(crash, (run,))
         except OSError:
             # Silence may be a partition; a crash is only taken for one when it is certain.
             return
--- a/hornbeamglade/node/generationhandler.py
+++ b/hornbeamglade/node/generationhandler.py
@@ -229,6 +229,7 @@
 
     def _open(self, target: generationsource.Target) -> generations.OpenOutcome:
         team = self._view.site.team_by_name[self._scope.team]
+        self._scope.run_sent()
         cancellation = links.Cancellation()
         self._scope.end_in_time(cancellation.cancel)
         return generations.open_stream(
--- a/hornbeamglade/node/plainhandler.py
+++ b/hornbeamglade/node/plainhandler.py
@@ -174,6 +174,7 @@
     ) -> problems.Response | attempts.Failed:
         service = self._scope.service
         started = self._parts.clock.now()
+        self._scope.run_sent()
         cancellation = links.Cancellation()
         self._scope.end_in_time(cancellation.cancel)
         outcome = plaincalls.call(
--- a/hornbeamglade/node/requestscope.py
+++ b/hornbeamglade/node/requestscope.py
@@ -47,6 +47,7 @@
         self._lock = threading.Lock()
         self._is_ended = False
         self._deadline: int | None = None
+        self._sent_at = self.started
 
     @property
     def ends_at(self) -> float:
@@ -64,7 +65,11 @@
 
     def run_lost(self, replica: str, address: str) -> None:
         """Take note that the connection of its run at a replica ended before the answer."""
-        self.parts.crashes.run_lost(self.fingerprint, replica, address)
+        self.parts.crashes.run_lost(self.fingerprint, replica, address, self._sent_at)
+
+    def run_sent(self) -> None:
+        """Take note that it is being sent to a replica."""
+        self._sent_at = self.parts.clock.now()
 
     def release_grant(self) -> None:
         """Give the grant back; idempotent."""
--- a/hornbeamglade/quarantine/__init__.py
+++ b/hornbeamglade/quarantine/__init__.py
@@ -2,6 +2,7 @@
 
 - :mod:`hornbeamglade.quarantine.fingerprints`: what makes two requests the same
 - :mod:`hornbeamglade.quarantine.crashdetector`: which lost runs were ended by a crash
+- :mod:`hornbeamglade.quarantine.lostruns`: runs that were lost, as values
 - :mod:`hornbeamglade.quarantine.crashledger`: how many replicas each request has crashed
 - :mod:`hornbeamglade.quarantine.completions`: requests that were lately run to their end
 - :mod:`hornbeamglade.quarantine.quarantinelist`: the requests that are not run any more
--- a/hornbeamglade/quarantine/crashdetector.py
+++ b/hornbeamglade/quarantine/crashdetector.py
@@ -23,6 +23,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.observability import logs
+from hornbeamglade.quarantine import lostruns
 from hornbeamglade.replicas import models, replicalist
 
 UNLISTED_WITHIN_S = 6.0
@@ -31,7 +32,7 @@
 MOST_RUNS = 64
 """Lost runs that are remembered of one replica; it runs no more at once."""
 
-Crashed = collections.abc.Callable[[models.Replica, frozenset[int]], None]
+Crashed = collections.abc.Callable[[models.Replica, tuple[lostruns.LostRun, ...]], None]
 Listens = collections.abc.Callable[[str], collections.abc.Awaitable[bool | None]]
 
 
@@ -41,7 +42,7 @@
 
     replica: models.Replica
     since: float
-    fingerprints: set[int] = dataclasses.field(default_factory=set)
+    run_by_fingerprint: dict[int, lostruns.LostRun] = dataclasses.field(default_factory=dict)
     is_probed: bool = False
 
 
@@ -51,8 +52,7 @@
     :param replicas: the list.
     :param listens: tells whether a server listens at an address; None without an answer.
     :param reported_stop: tells whether a replica's own reports announced its stop.
-    :param crashed: called with a replica that has crashed, and with the fingerprints of
-        requests whose runs it ended.
+    :param crashed: called with a replica that has crashed, and with the runs that it ended.
     :param clock: monotonic time.
     """
 
@@ -73,22 +73,30 @@
         self._crashed_at_by_replica: dict[str, float] = {}
         self._probes: set[asyncio.Task[None]] = set()
 
-    def run_lost(self, fingerprint: int, replica: models.Replica) -> None:
-        """Take a run whose connection ended before its answer did."""
-        if self._is_explained(fingerprint, replica) or replica.id not in self._replicas.by_id:
+    def run_lost(self, fingerprint: int, replica: models.Replica, began_at: float) -> None:
+        """Take a run whose connection ended before its answer did.
+
+        :param began_at: monotonic seconds at which it was sent there.
+        """
+        run = lostruns.LostRun(fingerprint, began_at, self._clock.now())
+        if self._is_explained(run, replica) or replica.id not in self._replicas.by_id:
             return
-        lost = self._note(fingerprint, replica)
+        lost = self._note(run, replica)
         if not lost.is_probed:
             lost.is_probed = True
             probe = asyncio.ensure_future(self._probe(lost))
             self._probes.add(probe)
             probe.add_done_callback(self._probes.discard)
 
-    def run_silent(self, fingerprint: int, replica: models.Replica) -> None:
-        """Take a run that was given up without an answer, on a connection that stands."""
-        if self._is_explained(fingerprint, replica):
+    def run_silent(self, fingerprint: int, replica: models.Replica, began_at: float) -> None:
+        """Take a run that was given up without an answer, on a connection that stands.
+
+        :param began_at: monotonic seconds at which it was sent there.
+        """
+        run = lostruns.LostRun(fingerprint, began_at, self._clock.now())
+        if self._is_explained(run, replica):
             return
-        lost = self._note(fingerprint, replica)
+        lost = self._note(run, replica)
         if replica.id in self._replicas.departed_by_id:
             self._confirm(lost, "gone")
 
@@ -115,10 +123,10 @@
             if at < since:
                 del self._crashed_at_by_replica[replica_id]
 
-    def _is_explained(self, fingerprint: int, replica: models.Replica) -> bool:
+    def _is_explained(self, run: lostruns.LostRun, replica: models.Replica) -> bool:
         """Tell whether it is known what ended a run, and pass on a crash that is."""
         if replica.id in self._crashed_at_by_replica:
-            self._crashed(replica, frozenset((fingerprint,)))
+            self._crashed(replica, (run,))
             return True
         known = self._replicas.by_id.get(replica.id, self._replicas.departed_by_id.get(replica.id))
         return known is None or self._has_announced_stop(known)
@@ -126,12 +134,12 @@
     def _has_announced_stop(self, replica: models.Replica) -> bool:
         return replica.is_leaving or self._reported_stop(replica.id)
 
-    def _note(self, fingerprint: int, replica: models.Replica) -> _LostRuns:
+    def _note(self, run: lostruns.LostRun, replica: models.Replica) -> _LostRuns:
         lost = self._lost_by_replica.get(replica.id)
         if lost is None:
             lost = self._lost_by_replica[replica.id] = _LostRuns(replica, self._clock.now())
-        if len(lost.fingerprints) < MOST_RUNS:
-            lost.fingerprints.add(fingerprint)
+        if len(lost.run_by_fingerprint) < MOST_RUNS:
+            lost.run_by_fingerprint[run.fingerprint] = run
         return lost
 
     async def _probe(self, lost: _LostRuns) -> None:
@@ -155,6 +163,6 @@
             service=replica.service,
             address=replica.address,
             reason=reason,
-            count=len(lost.fingerprints),
+            count=len(lost.run_by_fingerprint),
         )
-        self._crashed(replica, frozenset(lost.fingerprints))
+        self._crashed(replica, tuple(lost.run_by_fingerprint.values()))
--- a/hornbeamglade/quarantine/requestquarantine.py
+++ b/hornbeamglade/quarantine/requestquarantine.py
@@ -45,6 +45,7 @@
     completions,
     crashledger,
     fingerprints,
+    lostruns,
     quarantinelist,
     quarantinerows,
     repeats,
@@ -136,11 +137,13 @@
         self._ledger.clear(fingerprint)
 
     @_locked
-    def crashed(self, replica_id: str, lost: collections.abc.Iterable[int]) -> None:
-        """Take the fingerprints of requests whose runs ended with a crash of their replica."""
+    def crashed(self, replica_id: str, lost: collections.abc.Iterable[lostruns.LostRun]) -> None:
+        """Take the runs that ended with a crash of their replica."""
         now = self._clock.now()
-        crash = crashledger.Crash(messages.key_hash(replica_id), now)
-        for fingerprint in sorted(lost):
+        replica = messages.key_hash(replica_id)
+        for run in lost:
+            fingerprint = run.fingerprint
+            crash = crashledger.Crash(replica, run.began_at, run.ended_at)
             is_innocent = self._completions.has(fingerprint, now)
             count = 0 if is_innocent else self._count(fingerprint, (crash,), now)
             logs.state_changed(
@@ -164,7 +167,8 @@
             if self._held.left_s(told.fingerprint, now):
                 known.append(told.fingerprint)
                 continue
-            crash = crashledger.Crash(told.replica, now - told.age_ms / MILLISECONDS)
+            at = now - told.age_ms / MILLISECONDS
+            crash = crashledger.Crash(told.replica, at - told.ran_ms / MILLISECONDS, at)
             self._count(told.fingerprint, (crash,), now)
         if known:
             self._send(sender, self._notice(known, now))
@@ -296,7 +300,10 @@
         for fingerprint in self._reports.due(now, messages.MAX_REPORTED_CRASHES):
             told = [
                 messages.ReportedCrash(
-                    fingerprint, crash.replica, int((now - crash.at) * MILLISECONDS)
+                    fingerprint,
+                    crash.replica,
+                    int((now - crash.at) * MILLISECONDS),
+                    int((crash.at - crash.began_at) * MILLISECONDS),
                 )
                 for crash in self._ledger.crashes(fingerprint)
             ]
--- a/hornbeamglade/routed/plainexchange.py
+++ b/hornbeamglade/routed/plainexchange.py
@@ -168,12 +168,12 @@
             failed = not isinstance(outcome, ownanswers.Answer) or outcome.status >= 500
             self._loads.ended(replica.id, failed, load)
             if outcome is None:
-                self._crashes.run_silent(routed.fingerprint, replica)
+                self._crashes.run_silent(routed.fingerprint, replica, begun_at)
         if isinstance(outcome, sending.Failed):
             was_sent = outcome.code != "not_connected"
             log.note(replica.id, outcome.run, was_sent)
             if outcome.run is outcomes.RunStatus.UNKNOWN:
-                self._crashes.run_lost(routed.fingerprint, replica)
+                self._crashes.run_lost(routed.fingerprint, replica, begun_at)
         else:
             log.note(replica.id, outcomes.RunStatus.RAN, True)
         if failed:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -93,11 +93,13 @@
     :param replica: the engine.
     :param grant: leave to run there, or None.
     :param begun: its answer there, or None before its head.
+    :param sent_at: monotonic seconds at which it was sent there.
     """
 
     replica: replicamodels.Replica
     grant: asyncgrantacquirer.Grant | None
     begun: sending.Begun | None = None
+    sent_at: float = 0.0
 
 
 class StreamRun(runregistry.Run):
@@ -285,6 +287,7 @@
         catalog = self._parts.catalog
         self._log.begin(place.replica.id, catalog.limit(place.replica.id))
         catalog.sent(place.replica.id)
+        place.sent_at = self._parts.clock.now()
         begun = await self._parts.sender.begin(routed, place.replica, dispatch)
         if isinstance(begun, sending.Failed):
             self._log.note(place.replica.id, begun.run, begun.code != "not_connected")
@@ -308,7 +311,7 @@
         self._tell_attempt(begun)
         if isinstance(begun, sending.Failed):
             if begun.run is outcomes.RunStatus.UNKNOWN:
-                self._parts.crashes.run_lost(self._routed.fingerprint, place.replica)
+                self._run_lost(place)
             self._leave_place()
             return None if self._may_run_again() else self._failed()
         body = await self._parts.sender.whole_body(begun)
@@ -391,7 +394,7 @@
         """Continue the stream at another replica; return whether it does."""
         destination = await self._destination()
         if destination is None:
-            self._parts.crashes.run_lost(self._routed.fingerprint, self._place.replica)
+            self._run_lost(self._place)
         self._leave_place()
         if destination is not None:
             return await self._resume(destination)
@@ -458,6 +461,10 @@
             copy_s=_rounded(self._handover.copy_s),
         )
 
+    def _run_lost(self, place: _Place) -> None:
+        """Have it found out whether a crash has ended the run."""
+        self._parts.crashes.run_lost(self._routed.fingerprint, place.replica, place.sent_at)
+
     def _may_run_again(self) -> bool:
         if not self._log.may_have_run:
             return True
@@ -494,7 +501,7 @@
             self._parts.sender.finished(place.begun)
             place.begun = None
         elif place is not None:
-            self._parts.crashes.run_silent(self._routed.fingerprint, place.replica)
+            self._parts.crashes.run_silent(self._routed.fingerprint, place.replica, place.sent_at)
         self._leave_place()
         self._learn(is_whole)
 
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -1,17 +1,13 @@
 """Requests that crash the servers that run them, at any instance."""
 
-import asyncio
-
 import pytest
 
-from hornbeamglade.quarantine import crashledger
 from hornbeamglade.standins import routedfaults
 from tests.entry import site as entrysite
 
 CRASHES_ALLOWED = 3
 RETRIES_ALLOWED = 3
 BOOM = b"boom"
-PAUSE_S = 2 * crashledger.TOGETHER_S
 
 
 async def ask_again(site, path, times):
@@ -23,7 +19,6 @@
             path, request_id=f"again-{number}", more=entrysite.USAGE, body=BOOM
         )
         statuses.append((await client.answer())[0])
-        await asyncio.sleep(PAUSE_S)
     return statuses
 
 
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -84,7 +84,7 @@
 _TURNS = strategies.builds(
     messages.MoveTurn, strategies.sampled_from(messages.TurnKind), _U64, _U64, _U32
 )
-_CRASHES = strategies.builds(messages.ReportedCrash, _U64, _U64, _U32)
+_CRASHES = strategies.builds(messages.ReportedCrash, _U64, _U64, _U32, _U32)
 _QUARANTINED = strategies.builds(messages.QuarantinedRequest, _U64, _U32)
 MESSAGES = (
     _HEARTBEATS
--- a/tests/node/fakeparts.py
+++ b/tests/node/fakeparts.py
@@ -72,7 +72,7 @@
     def completed(self, fingerprint):
         self.completions.append(fingerprint)
 
-    def run_lost(self, fingerprint, replica, address):
+    def run_lost(self, fingerprint, replica, address, began_at):
         self.lost_runs.append((fingerprint, replica))
 
     def release(self):
--- a/tests/quarantine/test_crashdetector.py
+++ b/tests/quarantine/test_crashdetector.py
@@ -25,7 +25,9 @@
             self.list,
             self.probe,
             self.reported.__contains__,
-            lambda replica, lost: self.crashes.append((replica.id, sorted(lost))),
+            lambda replica, lost: self.crashes.append(
+                (replica.id, sorted(run.fingerprint for run in lost))
+            ),
             self.clock,
         )
         self.take(REPLICA)
@@ -56,8 +58,8 @@
 
 
 async def lose_two(detected):
-    detected.detector.run_lost(7, REPLICA)
-    detected.detector.run_lost(8, REPLICA)
+    detected.detector.run_lost(7, REPLICA, 0.0)
+    detected.detector.run_lost(8, REPLICA, 0.0)
 
 
 def test_a_replica_that_refuses_connections_has_crashed_and_is_asked_once():
@@ -70,7 +72,7 @@
     async def test(detected):
         await lose_two(detected)
         await settled()
-        detected.detector.run_lost(9, REPLICA)
+        detected.detector.run_lost(9, REPLICA, 0.0)
 
     assert play(test).crashes == [("e1", [7, 8]), ("e1", [9])]
 
@@ -101,7 +103,7 @@
 def test_a_run_without_an_answer_at_a_replica_whose_entry_has_lapsed_was_ended_by_a_crash():
     async def test(detected):
         detected.take(gone=["e1"])
-        detected.detector.run_silent(7, REPLICA)
+        detected.detector.run_silent(7, REPLICA, 0.0)
 
     assert play(test).crashes == [("e1", [7])]
 
@@ -109,7 +111,7 @@
 def test_a_replica_that_was_unlisted_before_its_connections_closed_stopped_as_planned():
     async def test(detected):
         detected.take(gone=["e1"])
-        detected.detector.run_lost(7, REPLICA)
+        detected.detector.run_lost(7, REPLICA, 0.0)
 
     assert play(test).crashes == []
 
@@ -126,7 +128,7 @@
         await lose_two(detected)
         await settled()
         detected.take(gone=["e1"])
-        detected.detector.run_silent(9, REPLICA)
+        detected.detector.run_silent(9, REPLICA, 0.0)
 
     assert play(test).crashes == []
 
@@ -134,7 +136,7 @@
 def test_a_server_that_starts_again_under_its_name_has_crashed():
     async def test(detected):
         detected.take(dataclasses.replace(REPLICA, id="e1@5", name="e1", started_ms=5))
-        detected.detector.run_lost(7, REPLICA)
+        detected.detector.run_lost(7, REPLICA, 0.0)
 
     assert play(test).crashes == [("e1", [7])]
 
--- a/tests/quarantine/test_requestquarantine.py
+++ b/tests/quarantine/test_requestquarantine.py
@@ -7,6 +7,7 @@
 from hornbeamglade.exchange import framesizes, messages
 from hornbeamglade.quarantine import (
     crashledger,
+    lostruns,
     quarantinelist,
     quarantinerows,
     requestquarantine,
@@ -16,6 +17,9 @@
 
 CONTACT_S = 3.0
 GUILTY = 7
+RUN_S = 0.5
+"""From a run's sending to the crash that ends it."""
+
 STEP_S = 0.05
 HEARTBEATS_S = 0.5
 SAMPLED = 2
@@ -95,7 +99,9 @@
                     self.quarantine_by_name[peer].on_digest(name, digest)
 
     def crash(self, name, replica, lost=(GUILTY,)):
-        self.quarantine_by_name[name].crashed(replica, lost)
+        now = self.clock.now()
+        runs = [lostruns.LostRun(each, now - RUN_S, now) for each in lost]
+        self.quarantine_by_name[name].crashed(replica, runs)
 
     def refusing(self, fingerprint=GUILTY):
         return {
@@ -184,6 +190,17 @@
     assert site.refusing() == set()
 
 
+def test_runs_that_follow_one_another_count_however_soon():
+    """Guards replicas that a request crashes at once, sent on to the next each time."""
+    site = Site(6)
+    now = site.clock.now()
+    for number in range(crashledger.CRASHES):
+        run = lostruns.LostRun(GUILTY, now + number * 0.01, now + number * 0.01 + 0.009)
+        site.quarantine_by_name["n0"].crashed(f"e{number}", (run,))
+    site.run(1.0)
+    assert site.refusing() == set(site.names)
+
+
 def test_one_crash_seen_by_many_counts_once():
     site = Site(6)
     for name in site.names:
@@ -245,7 +262,7 @@
     for fingerprint in range(1, 4301):
         for number in range(crashledger.CRASHES):
             site.clock.advance(0.06)
-            quarantine.crashed(f"e{fingerprint}-{number}", (fingerprint,))
+            site.crash("n0", f"e{fingerprint}-{number}", (fingerprint,))
         if fingerprint % 500 == 0:
             site.network.deliver()
     assert quarantine.held_count == quarantinelist.MOST
@@ -255,7 +272,7 @@
 
 def test_full_messages_fit_a_datagram():
     largest = 2**64 - 1
-    crash = messages.ReportedCrash(largest, largest, 2**32 - 1)
+    crash = messages.ReportedCrash(largest, largest, 2**32 - 1, 2**32 - 1)
     request = messages.QuarantinedRequest(largest, 2**32 - 1)
     report = messages.CrashReport((crash,) * messages.MAX_REPORTED_CRASHES)
     notice = messages.QuarantineNotice((request,) * messages.MAX_QUARANTINED)
