--- a/hornbeamglade/entry/following.py
+++ b/hornbeamglade/entry/following.py
@@ -1,10 +1,9 @@
 """The configuration and the list of replicas as this instance believes them."""
 
 import collections.abc
-import json
 
 from hornbeamglade.core import clocks, codederrors
-from hornbeamglade.entry import sharing
+from hornbeamglade.entry import listhistory, sharing
 from hornbeamglade.exchange import messages
 from hornbeamglade.observability import logs
 from hornbeamglade.platform import manifest, replicarows, tables
@@ -69,6 +68,8 @@
         self._evacuated = evacuated
         self._document = b""
         self._row_by_key: dict[str, contract.Row] = {}
+        self._decoded_by_key: dict[str, tuple[contract.Row, replicamodels.Replica]] = {}
+        self._history = listhistory.ListHistory()
         self._problem_by_key: dict[str, str] = {}
         self._reached_by_table: dict[str, bool] = {}
         self._confirmed_at: float | None = None
@@ -103,16 +104,15 @@
             for table in (tables.CONFIGURATION, tables.REPLICAS)
         )
 
-    def read(self, subject: messages.Subject) -> bytes | None:
-        """Return a document for another instance, or None."""
+    def read(self, subject: messages.Subject, since: int = 0) -> bytes | None:
+        """Return a document for another instance, or None.
+
+        :param since: the position that it has of the list, or 0; what has changed after that
+            will do.
+        """
         if subject is messages.Subject.CONFIGURATION:
             return self._document or None
-        # In order, so that instances with the same list have the same bytes of it.
-        rows = [
-            [row.key, row.value, row.version, row.problem]
-            for _, row in sorted(self._row_by_key.items())
-        ]
-        return json.dumps(rows).encode()
+        return self._history.since(since) or listhistory.whole(self._row_by_key.values())
 
     def take(self, subject: messages.Subject, version: int, document: bytes) -> None:
         """Take a document of another instance."""
@@ -120,8 +120,11 @@
             self._take_configuration(document, PEER)
             return
         self._confirmed_at = self._clock.now()
-        rows = tuple(contract.Row(*row) for row in json.loads(document))
-        self._take_snapshot(contract.Snapshot(rows, version), PEER)
+        told = listhistory.decode(document)
+        if not isinstance(told, listhistory.Delta):
+            self._take_snapshot(contract.Snapshot(told, version), PEER)
+        elif told.since <= self._replicas.version < told.changes.newest:
+            self._take_changes(told.changes, PEER)
 
     def on_configuration(self, outcome: TableOutcome) -> None:
         """Take an outcome of following the table of the configuration."""
@@ -140,7 +143,7 @@
         if isinstance(outcome, contract.Snapshot):
             self._take_snapshot(outcome, STORE)
         elif outcome.newest > self._replicas.version:
-            self._take_changes(outcome)
+            self._take_changes(outcome, STORE)
 
     def take_evacuations(self, state: evacuationlib.Evacuations, source: str) -> None:
         """Take a state of the evacuations; an older one changes nothing.
@@ -223,8 +226,11 @@
         replicas, unread = self._decoded(rows)
         changes = self._replicas.replace(replicas, snapshot.version, unread)
         self._row_by_key = {row.key: row for row in rows}
+        self._history.begin(snapshot.version)
         for key in self._problem_by_key.keys() - self._row_by_key.keys():
             del self._problem_by_key[key]
+        for key in self._decoded_by_key.keys() - self._row_by_key.keys():
+            del self._decoded_by_key[key]
         self._report(changes, source)
 
     def _joined(self, copied: tuple[contract.Row, ...]) -> tuple[contract.Row, ...]:
@@ -245,16 +251,18 @@
         replica = self._replicas.by_name(replicarows.server_name(row.key))
         return replica is not None and replica.is_leaving
 
-    def _take_changes(self, changes: contract.Changes) -> None:
+    def _take_changes(self, changes: contract.Changes, source: str) -> None:
+        self._history.add(changes)
         for row in changes.present:
             self._row_by_key[row.key] = row
         for key in changes.gone:
             self._row_by_key.pop(key, None)
+            self._decoded_by_key.pop(key, None)
             self._problem_by_key.pop(key, None)
         replicas, unread = self._decoded(changes.present)
         gone = [replicarows.server_name(key) for key in changes.gone]
         made = self._replicas.update(replicas, gone, changes.newest, unread)
-        self._report(made, STORE)
+        self._report(made, source)
 
     def _decoded(
         self, rows: collections.abc.Iterable[contract.Row]
@@ -263,8 +271,14 @@
         replicas: list[replicamodels.Replica] = []
         unread: list[str] = []
         for row in rows:
+            known = self._decoded_by_key.get(row.key)
+            if known is not None and known[0] == row:
+                replicas.append(known[1])
+                continue
             try:
-                replicas.append(replicarows.decode(row))
+                replica = replicarows.decode(row)
+                self._decoded_by_key[row.key] = (row, replica)
+                replicas.append(replica)
                 self._note_entry(row.key, None)
             except codederrors.CodedError as error:
                 unread.append(replicarows.server_name(row.key))
--- a/hornbeamglade/entry/sharing.py
+++ b/hornbeamglade/entry/sharing.py
@@ -8,9 +8,11 @@
 own way takes asks an instance that is ahead for the whole document, chunk by chunk; one
 that has others follow the store for it asks at once. Both documents are the store's own
 rows, so the receiver takes them as if it had read them, and only when they are newer than
-what it has.
+what it has. Of the list it gets what has changed since the position that it has, where whoever
+is asked still knows that (:mod:`hornbeamglade.entry.listhistory`).
 """
 
+import collections
 import collections.abc
 import dataclasses
 import zlib
@@ -67,17 +69,22 @@
     hinted_by: str | None = None
     assembly: configchunks.Assembly | None = None
     asked_at: float = float("-inf")
+    held: int = 0
 
 
 Take = collections.abc.Callable[[messages.Subject, int, bytes], None]
-Read = collections.abc.Callable[[messages.Subject], bytes | None]
+Read = collections.abc.Callable[[messages.Subject, int], bytes | None]
+"""Returns a document for someone that has a position of it, or None."""
+
+MOST_OFFERS = 8
+"""Documents that are kept cut into chunks: those who ask have mostly the same position."""
 
 
 class SharedDocuments:
     """Both documents of one instance, as the others may read them.
 
     :param versions: returns what this instance has.
-    :param read: returns a document as it is in force, or None.
+    :param read: returns a document as it is in force, or what has changed in it, or None.
     :param take: called with a document that was read from another instance.
     :param clock: monotonic time.
     """
@@ -96,9 +103,8 @@
         self._pursuit_by_subject: dict[messages.Subject, _Pursuit] = {}
         self._live: tuple[membershipview.Member, ...] | None = None
         self._ahead_by_subject: dict[messages.Subject, tuple[int, str]] = {}
-        self._offers_by_subject: dict[
-            messages.Subject, tuple[int, tuple[messages.ConfigOffer, ...]]
-        ] = {}
+        self._offers: collections.OrderedDict[_Wanted, tuple[messages.ConfigOffer, ...]]
+        self._offers = collections.OrderedDict()
 
     @property
     def is_behind(self) -> bool:
@@ -142,10 +148,11 @@
 
     def asked(self, ask: messages.ConfigAsk) -> messages.ConfigOffer | None:
         """Return the chunk that another instance asks for, or None."""
-        offers = self._offers(ask.subject)
-        if offers is None or offers[0] != ask.revision or ask.chunk >= len(offers[1]):
+        wanted = _Wanted(ask.subject, self.versions().of(ask.subject), ask.since)
+        if wanted.version != ask.revision:
             return None
-        return offers[1][ask.chunk]
+        offers = self._offers_of(wanted)
+        return offers[ask.chunk] if ask.chunk < len(offers) else None
 
     def offered(self, offer: messages.ConfigOffer) -> messages.ConfigAsk | None:
         """Take a chunk; return the question for the next one, or None at the end."""
@@ -155,7 +162,7 @@
         document = pursuit.assembly.add(offer)
         if document is None:
             pursuit.asked_at = self._clock.now()
-            return pursuit.assembly.next_ask()
+            return _since(pursuit.assembly.next_ask(), pursuit.held)
         del self._pursuit_by_subject[offer.subject]
         self._take(offer.subject, offer.revision, _inflated(document))
         return None
@@ -187,23 +194,36 @@
         if pursuit.assembly is None or pursuit.version != version:
             pursuit.version = version
             pursuit.assembly = configchunks.Assembly(version, subject)
+            pursuit.held = self.versions().of(subject)
         pursuit.asked_at = self._clock.now()
-        question = pursuit.assembly.next_ask()
+        question = _since(pursuit.assembly.next_ask(), pursuit.held)
         return None if question is None else Ask(node, question)
 
-    def _offers(
-        self, subject: messages.Subject
-    ) -> tuple[int, tuple[messages.ConfigOffer, ...]] | None:
-        version = self.versions().of(subject)
-        made = self._offers_by_subject.get(subject)
-        if made is not None and made[0] == version:
-            return made
-        document = self._read(subject)
-        if document is None:
-            return None
-        offers = configchunks.split(version, zlib.compress(document), subject)
-        self._offers_by_subject[subject] = (version, offers)
-        return self._offers_by_subject[subject]
+    def _offers_of(self, wanted: "_Wanted") -> tuple[messages.ConfigOffer, ...]:
+        made = self._offers.pop(wanted, None)
+        if made is None:
+            document = self._read(wanted.subject, wanted.since)
+            if document is None:
+                return ()
+            made = configchunks.split(wanted.version, zlib.compress(document), wanted.subject)
+        self._offers[wanted] = made
+        if len(self._offers) > MOST_OFFERS:
+            self._offers.popitem(last=False)
+        return made
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wanted:
+    """What is asked for: a document as of a version, by someone that has another."""
+
+    subject: messages.Subject
+    version: int
+    since: int
+
+
+def _since(ask: messages.ConfigAsk | None, since: int) -> messages.ConfigAsk | None:
+    """Return an ask that says which position its sender has."""
+    return None if ask is None else dataclasses.replace(ask, since=since)
 
 
 def _furthest(members: list[membershipview.Member], subject: messages.Subject) -> tuple[int, str]:
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -151,6 +151,7 @@
   revision @0 :UInt64;
   chunk @1 :UInt16;
   subject @2 :UInt8;
+  since @3 :UInt64;
 }
 
 struct ConfigOffer {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -317,11 +317,13 @@
     :param revision: the revision wanted.
     :param chunk: the chunk wanted, from 0.
     :param subject: which document is meant.
+    :param since: the revision or position that the sender has: what has changed since will do.
     """
 
     revision: int
     chunk: int
     subject: Subject = Subject.CONFIGURATION
+    since: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireforms.py
+++ b/hornbeamglade/exchange/wireforms.py
@@ -288,10 +288,13 @@
     builder.revision = message.revision
     builder.chunk = message.chunk
     builder.subject = int(message.subject)
+    builder.since = message.since
 
 
 def _read_config_ask(reader: _Reader) -> messages.ConfigAsk:
-    return messages.ConfigAsk(reader.revision, reader.chunk, messages.Subject(reader.subject))
+    return messages.ConfigAsk(
+        reader.revision, reader.chunk, messages.Subject(reader.subject), reader.since
+    )
 
 
 def _fill_offer(builder: _Builder, message: messages.ConfigOffer) -> None:
--- a/tests/entry/test_following.py
+++ b/tests/entry/test_following.py
@@ -307,3 +307,24 @@
     believer.following.on_replicas(contract.Snapshot((row("b", 900),), 900))
     believer.following.on_replicas(contract.Changes((row("c", 901),), (), 901, 901))
     assert set(names(believer)) == {"a"}
+
+
+def test_changes_of_a_peer_are_taken_in_their_order_only():
+    """Guards the list against changes that come late, or follow on one that is not known."""
+    ahead, behind = Believer(), Believer()
+    ahead.following.on_replicas(contract.Snapshot((row("a", 1),), 1))
+    behind.following.on_replicas(contract.Snapshot((row("a", 1),), 1))
+    ahead.following.on_replicas(contract.Changes((row("b", 2),), ("servers/a",), 3, 3))
+    first = ahead.following.read(messages.Subject.REPLICAS, 1)
+    ahead.following.on_replicas(contract.Changes((row("c", 4),), (), 4, 4))
+    second = ahead.following.read(messages.Subject.REPLICAS, 3)
+    behind.following.take(messages.Subject.REPLICAS, 4, second)
+    assert set(names(behind)) == {"a"}
+    behind.following.take(messages.Subject.REPLICAS, 3, first)
+    behind.following.take(messages.Subject.REPLICAS, 4, second)
+    behind.following.take(messages.Subject.REPLICAS, 3, first)
+    assert set(names(behind)) == {"b", "c"}
+    assert behind.following.versions() == ahead.following.versions()
+    assert behind.following.read(messages.Subject.REPLICAS) == ahead.following.read(
+        messages.Subject.REPLICAS
+    )
--- a/tests/entry/test_sharing.py
+++ b/tests/entry/test_sharing.py
@@ -20,7 +20,7 @@
     def _versions(self):
         return sharing.Versions(self.held[CONFIGURATION][0], self.held[REPLICAS][0])
 
-    def _read(self, subject):
+    def _read(self, subject, _since):
         return self.held[subject][1] or None
 
     def _take(self, subject, version, document):
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -93,7 +93,9 @@
     | _PROGRESS
     | _TURNS
     | strategies.builds(messages.ConfigHint, _U64, _U64, strategies.booleans(), _EVACUATIONS)
-    | strategies.builds(messages.ConfigAsk, _U64, _U16, strategies.sampled_from(messages.Subject))
+    | strategies.builds(
+        messages.ConfigAsk, _U64, _U16, strategies.sampled_from(messages.Subject), _U64
+    )
     | _OFFERS
     | strategies.builds(messages.Outrun, strategies.integers(0, messages.MAX_INCARNATION))
     | strategies.builds(
