entry: place owners again only after members or engines changed

Each look at the members placed all owners anew, though nothing had changed: 13.5 ms an instance and tick at 1,002 servers and 100 instances (profiled in process), now 0.8 ms. Callers saw the pause as a wait on a busy instance.

--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -99,6 +99,7 @@
         self._quarantine_digest = quarantine_digest
         self._news = news
         self._ownership = ownership.Ownership()
+        self._owners_seen: tuple[list[ownership.Place], dict[str, str]] | None = None
         self.codec = codec.Codec(identity.name, incarnation, keys, clock)
         self.transport = asyncudp.AsyncUdpTransport(self.codec, self._handle, news.message_failed)
         self.grants = asyncasks.AsyncGrantClient(incarnation, self.transport, clock)
@@ -181,6 +182,9 @@
             ownership.Place(each.identity.name, each.identity.failure_domain) for each in members
         ]
         service_by_id = {each.id: each.service for each in self._engines()}
+        if (nodes, service_by_id) == self._owners_seen:
+            return
+        self._owners_seen = (nodes, service_by_id)
         engines = ownership.grouped(
             (ownership.Place(each.id, each.failure_domain) for each in self._engines()),
             service_by_id.__getitem__,
