--- a/hornbeamglade/grants/asyncgrantacquirer.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -53,6 +53,7 @@
 look compares all replicas, and in a crowd dozens wait."""
 
 Known = collections.abc.Callable[[], collections.abc.Sequence[candidates.Candidate]]
+Find = collections.abc.Callable[[int], str | None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,7 +81,9 @@
     :param work: what is known of the request.
     :param weight: the team's share.
     :param deadline: monotonic seconds at which its wait ends.
-    :param known: returns the replicas that may serve it, as this node knows them now.
+    :param known: returns replicas that may serve it, as this node knows them now.
+    :param find: returns a replica that may serve it by the hash of its id, or None; by
+        default one of those known.
     :param attempt: distinguishes several tries of one request at the same scheduler.
     :param produced: tokens that its run has, when it goes on from another replica.
     :param avoid: replicas that will not do.
@@ -97,12 +100,20 @@
     avoid: frozenset[str] = frozenset()
     due: float = math.inf
     is_bound: bool = False
+    find: Find | None = None
 
     @property
     def grant_id(self) -> str:
         """Name the grant of this attempt."""
         return f"{self.work.request_id}.{self.attempt}"
 
+    def chosen(self, replica_hash: int) -> str | None:
+        """Return the replica that an owner chose, or None if it may not serve the request."""
+        if self.find is not None:
+            return self.find(replica_hash)
+        known = (each.replica for each in self.known())
+        return next((each for each in known if messages.key_hash(each) == replica_hash), None)
+
 
 class AsyncGrantAcquirer:
     """The asking side of grants, of one node's event loop.
@@ -412,9 +423,9 @@
     def _granted_there(
         self, placement: PlacementRequest, answer: messages.GrantAnswer
     ) -> Grant | outcomes.Refusal:
-        for each in placement.known():
-            if messages.key_hash(each.replica) == answer.replica:
-                return Grant(each.replica, f"{placement.grant_id}@{each.replica}", answer.ask)
+        replica = placement.chosen(answer.replica)
+        if replica is not None:
+            return Grant(replica, f"{placement.grant_id}@{replica}", answer.ask)
         # An engine that this node has not heard of yet, or that has refused the request.
         self._client.close(answer.ask)
         return grantanswers.unfit(answer.replica)
--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -1,14 +1,19 @@
 """What this node knows of the engines of a service, as the routing choice wants it."""
 
 import collections.abc
+import itertools
 
 from hornbeamglade.core import outcomes
+from hornbeamglade.exchange import messages
 from hornbeamglade.grants import schedulerset
 from hornbeamglade.node import digestcache
 from hornbeamglade.replicas import availability, models, ratelimits
 from hornbeamglade.routing import candidates as candidatelib
 
 UNKNOWN_ROOM_TOKENS = 0
+MOST_CANDIDATES = 64
+"""Engines that one request compares. A few of many are nearly as good as the best of all, and
+comparing hundreds costs more than placing a request may."""
 
 
 class EngineCatalog:
@@ -73,21 +78,54 @@
         service: str,
         excluded: collections.abc.Container[str],
         regions: frozenset[str] | None = None,
+        spread: int = 0,
     ) -> tuple[candidatelib.Candidate, ...]:
-        """Return the engines of a service that may get work.
+        """Return engines of a service that may get work: all, or those of this node and some.
 
         :param excluded: engines that are out of the question for this request.
         :param regions: where they may stand, or None for everywhere.
+        :param spread: which of too many are returned; equal for all looks of one request.
         """
         # A scheduler stays after its replica has gone over to another owner. What it says is
         # that of a full engine, and the request would go anywhere but there.
         owned = self._owned()
         state_by_replica = self._schedulers.states_of(owned)
-        return tuple(
-            self._candidate(replica, state_by_replica.get(replica.id))
-            for replica in self._available.usable(service, regions)
-            if replica.id not in excluded and self.may_send(replica.id)
+        usable = self._available.usable(service, regions)
+        if len(usable) > MOST_CANDIDATES:
+            own = (replica for replica in usable if replica.id in owned)
+            begin = spread % len(usable)
+            others = itertools.chain(usable[begin:], usable[:begin])
+        else:
+            own, others = usable, ()
+        fit = [replica for replica in own if self._is_candidate(replica, excluded)]
+        others = (
+            replica
+            for replica in others
+            if replica.id not in owned and self._is_candidate(replica, excluded)
         )
+        fit.extend(itertools.islice(others, MOST_CANDIDATES))
+        return tuple(self._candidate(replica, state_by_replica.get(replica.id)) for replica in fit)
+
+    def find(
+        self,
+        replica_hash: int,
+        service: str,
+        excluded: collections.abc.Container[str],
+        regions: frozenset[str] | None = None,
+    ) -> str | None:
+        """Return the engine that an owner chose, if it may get this request, or None.
+
+        :param replica_hash: :func:`key_hash <hornbeamglade.exchange.messages.key_hash>` of its id.
+        """
+        for replica in self._available.usable(service, regions):
+            if messages.key_hash(replica.id) == replica_hash:
+                return replica.id if self._is_candidate(replica, excluded) else None
+        return None
+
+    def _is_candidate(
+        self, replica: models.Replica, excluded: collections.abc.Container[str]
+    ) -> bool:
+        return replica.id not in excluded and self.may_send(replica.id)
 
     def owned_like(self, replica_id: str, work: outcomes.Work) -> tuple[str, ...]:
         """Return this node's engines of the service of ``replica_id``, the best first.
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.exchange import messages
 from hornbeamglade.grants import asyncgrantacquirer
 from hornbeamglade.http1 import clientside, serverside
 from hornbeamglade.observability import logs, metrics
@@ -261,12 +262,15 @@
     ) -> asyncgrantacquirer.PlacementRequest:
         service = self._routed.service.name
         regions = self._routed.allowed_regions
+        catalog = self._parts.catalog
+        spread = messages.key_hash(self._routed.call.request_id)
         self._asks += handover.TRIES
         return asyncgrantacquirer.PlacementRequest(
             work=enginework.work(self._routed),
             weight=1.0,
             deadline=deadline,
-            known=lambda: self._parts.catalog.candidates(service, excluded, regions),
+            known=lambda: catalog.candidates(service, excluded, regions, spread),
+            find=lambda chosen: catalog.find(chosen, service, excluded, regions),
             attempt=self._asks,
             avoid=excluded,
             due=enginework.due(self._routed),
--- a/tests/routed/test_enginecatalog.py
+++ b/tests/routed/test_enginecatalog.py
@@ -4,6 +4,7 @@
 
 from hornbeamglade.admission import replicaadmission, tokenledger
 from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.exchange import messages
 from hornbeamglade.fairness import queuesettings
 from hornbeamglade.grants import schedulerset
 from hornbeamglade.lengths import lengthmodel
@@ -18,14 +19,17 @@
 )
 
 
-def make(owned=("e0", "e1")):
+def make(owned=("e0", "e1"), names=("e0", "e1", "e2")):
     clock = clocks.ManualClock(100.0)
     replicas = replicalist.ReplicaList()
-    listed = [models.Replica(name, "llm", f"10.0.0.{n}:1", "a", 8) for n, name in ids()]
+    listed = [
+        models.Replica(name, "llm", f"10.0.0.1:{port}", "a", 8)
+        for port, name in enumerate(names, start=1)
+    ]
     other = models.Replica("x0", "other", "10.0.0.9:1", "a", 8)
     replicas.replace([*listed, other], 1)
     schedulers = schedulerset.SchedulerSet(clock, lengthmodel.LengthModel())
-    schedulers.configure(dict.fromkeys(("e0", "e1", "e2", "x0"), SPEC))
+    schedulers.configure(dict.fromkeys((*names, "x0"), SPEC))
     schedulers.own(frozenset(owned))
     catalog = enginecatalog.EngineCatalog(
         availability.Availability(
@@ -43,10 +47,6 @@
     return schedulers, replicas, catalog
 
 
-def ids():
-    return enumerate(("e0", "e1", "e2"))
-
-
 def report(schedulers, replica, used):
     view = tokenledger.LoadView(1, 0.0, 10_000, used)
     schedulers.change(replica, lambda scheduler, now: scheduler.reported(view, False, now))
@@ -71,3 +71,31 @@
 def test_replica_that_this_node_has_not_heard_of_has_no_likes():
     _, _, catalog = make()
     assert catalog.owned_like("unheard", WORK) == ()
+
+
+MANY = tuple(f"e{number:03}" for number in range(200))
+
+
+def replicas_of(found):
+    return tuple(each.replica for each in found)
+
+
+def test_request_compares_some_of_many_engines_and_all_of_its_own_node():
+    _, _, catalog = make(owned=("e150",), names=MANY)
+    compared = replicas_of(catalog.candidates("llm", frozenset(), spread=190))
+    assert compared == ("e150", *MANY[190:], *MANY[:54])
+
+
+def test_engines_out_of_the_question_take_no_place_among_those_compared():
+    _, _, catalog = make(owned=(), names=MANY)
+    compared = replicas_of(catalog.candidates("llm", frozenset(MANY[:100]), spread=10))
+    assert compared == MANY[100:164]
+
+
+def test_engine_chosen_by_its_owner_is_found_though_it_was_not_compared():
+    _, _, catalog = make(owned=(), names=MANY)
+    chosen = messages.key_hash("e120")
+    assert "e120" not in replicas_of(catalog.candidates("llm", frozenset()))
+    assert catalog.find(chosen, "llm", frozenset()) == "e120"
+    assert catalog.find(chosen, "llm", frozenset(("e120",))) is None
+    assert catalog.find(chosen, "other", frozenset()) is None
