--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -19,6 +19,7 @@
     ownanswers,
     plainexchange,
     retrybudget,
+    runparts,
     streamrun,
     views,
 )
@@ -49,7 +50,7 @@
     startup: startupgate.StartupGate
     current: views.Views
     plain: plainexchange.PlainExchange
-    runs: streamrun.RunParts
+    runs: runparts.RunParts
     quarantine: requestquarantine.RequestQuarantine
     budgets: retrybudget.RetryBudgets
     leaving: drainadmission.DrainAdmission
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -41,10 +41,10 @@
     plainexchange,
     replicaload,
     retrybudget,
+    runparts,
     runregistry,
     sending,
     streampace,
-    streamrun,
     turnqueue,
     views,
 )
@@ -185,7 +185,7 @@
             pace, self._outlasts, self._are_others_ready
         )
         turns = turnqueue.TurnQueue(self._available, clock)
-        runs = streamrun.RunParts(
+        runs = runparts.RunParts(
             self._sender,
             self.acquirer,
             self.catalog,
--- a/hornbeamglade/routed/__init__.py
+++ b/hornbeamglade/routed/__init__.py
@@ -11,5 +11,6 @@
 - :mod:`hornbeamglade.routed.dialect`: how they are written, behind an abstract class
 - :mod:`hornbeamglade.routed.callrouter`: route, team and service of a request
 - :mod:`hornbeamglade.routed.plainexchange`: whole answers
-- :mod:`hornbeamglade.routed.streamexchange`: streams of events
+- :mod:`hornbeamglade.routed.streamrun`: streams of events
+- :mod:`hornbeamglade.routed.placefinder`: the engines that they run at
 """
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -1,73 +1,30 @@
 """One streamed answer, over every replica that its run visits."""
 
 import asyncio
-import collections.abc
 import dataclasses
 
-from hornbeamglade.core import clocks, outcomes
-from hornbeamglade.exchange import messages
-from hornbeamglade.grants import asyncgrantacquirer
+from hornbeamglade.core import outcomes
 from hornbeamglade.http1 import clientside, serverside
-from hornbeamglade.observability import logs, metrics
-from hornbeamglade.quarantine import crashdetector, fingerprints, requestquarantine
-from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.observability import logs
+from hornbeamglade.quarantine import fingerprints
 from hornbeamglade.routed import (
     attemptlog,
     callrouter,
     calls,
-    enginecatalog,
     enginework,
     eventrelay,
     handover,
     ownanswers,
-    retrybudget,
+    placefinder,
+    runparts,
     runregistry,
     sending,
-    streampace,
-    turnqueue,
 )
 
-MAX_CONTACTS = 4
 HANDOVER_WAIT_S = 2.0
 """Once its stream is closed, a run waits for its move to come to an end; that takes a
 few hundredths of a second, or the engine is gone and the move ends with it."""
 
-FULL_RETRY_S = 0.5
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunParts:
-    """What streamed answers work with.
-
-    :param sender: sends attempts.
-    :param acquirer: asks for room at engines.
-    :param catalog: the engines that there are.
-    :param moves: what moves work with.
-    :param registry: which run is where.
-    :param budgets: bounds what is sent again.
-    :param crashes: finds out which lost runs were ended by a crash.
-    :param quarantine: refuses requests that crash their replicas.
-    :param learn: told the length of each answer: route, team, tokens, whether it was cut.
-    :param pace: learns how long a token takes.
-    :param metrics: the node's instruments.
-    :param turns: requests that wait for a turn at engines with limits.
-    :param clock: monotonic time.
-    """
-
-    sender: sending.Sender
-    acquirer: asyncgrantacquirer.AsyncGrantAcquirer
-    catalog: enginecatalog.EngineCatalog
-    moves: handover.HandoverParts
-    registry: runregistry.RunRegistry
-    budgets: retrybudget.RetryBudgets
-    crashes: crashdetector.CrashDetector
-    quarantine: requestquarantine.RequestQuarantine
-    learn: collections.abc.Callable[[str, str, int, bool], None]
-    pace: streampace.StreamPace
-    metrics: metrics.NodeMetrics
-    turns: turnqueue.TurnQueue
-    clock: clocks.Clock
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Streamed:
@@ -87,22 +44,6 @@
     longest_gap_s: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Place:
-    """Where the run is now.
-
-    :param replica: the engine.
-    :param grant: leave to run there, or None.
-    :param begun: its answer there, or None before its head.
-    :param sent_at: monotonic seconds at which it was sent there.
-    """
-
-    replica: replicamodels.Replica
-    grant: asyncgrantacquirer.Grant | None
-    begun: sending.Begun | None = None
-    sent_at: float = 0.0
-
-
 class StreamRun(runregistry.Run):
     """Answers one request with a stream of events.
 
@@ -126,7 +67,7 @@
         routed: callrouter.RoutedCall,
         exchange: serverside.Exchange,
         log: attemptlog.AttemptLog,
-        parts: RunParts,
+        parts: runparts.RunParts,
     ) -> None:
         self._routed = routed
         self._exchange = exchange
@@ -136,12 +77,12 @@
         self._relay = eventrelay.EventRelay(
             exchange, parts.clock, routed.call.last_event_id, self._times
         )
-        self._place: _Place | None = None
+        self._places = placefinder.PlaceFinder(routed, log, parts)
+        self._place: placefinder.Place | None = None
         self._start: eventrelay.AnswerStart | None = None
         self._first_event = asyncio.Event()
         self._handover: handover.Handover | None = None
         self._handover_task: asyncio.Task[None] | None = None
-        self._asks = 0
         self._moves = 0
 
     async def answer(self) -> outcomes.Refusal | ownanswers.Answer | Streamed:
@@ -156,7 +97,7 @@
                 return answer
             is_whole = await self._stream()
             if not is_whole and not self._relay.has_begun:
-                return self._failed()
+                return self._places.failure()
             if not is_whole:
                 self._exchange.abort()
             return self.streamed(is_whole)
@@ -190,9 +131,10 @@
     async def _begin(self) -> sending.Begun | outcomes.Refusal | ownanswers.Answer:
         """Send the request until a replica answers it with a stream."""
         while True:
-            refusal = await self._find_place()
-            if refusal is not None:
-                return refusal
+            place = await self._places.find()
+            if isinstance(place, outcomes.Refusal):
+                return place
+            self._place = place
             begun = await self._send_to_place(None)
             if isinstance(begun, sending.Begun) and _is_stream(begun):
                 return begun
@@ -200,83 +142,6 @@
             if answer is not None:
                 return answer
 
-    async def _find_place(self) -> outcomes.Refusal | None:
-        """Get leave to run at an engine; return the refusal when there is none."""
-        log, routed = self._log, self._routed
-        now = self._parts.clock.now()
-        if len(log.tried) >= MAX_CONTACTS:
-            return self._failed()
-        refusal = self._quarantined()
-        if refusal is not None:
-            return refusal
-        if log.sent and not self._parts.budgets.spend(routed.service.name, now):
-            return self._failed()
-        grant = await self._find_grant()
-        is_refused = isinstance(grant, outcomes.Refusal)
-        self._parts.metrics.routed.placement_s.record(
-            self._parts.clock.now() - now,
-            (routed.service.name, "refused" if is_refused else "granted"),
-        )
-        if isinstance(grant, outcomes.Refusal):
-            return self._failed() if log.may_have_run else grant
-        replica = self._parts.catalog.replica(grant.replica)
-        # It may have waited for the grant while it was found out.
-        refusal = self._failed() if replica is None else self._quarantined()
-        if refusal is not None:
-            self._parts.acquirer.release(grant)
-            return refusal
-        if not grant.is_bound and self._parts.catalog.is_cold(replica.id, self._parts.clock.now()):
-            # Nobody counts what goes there, and each instance would send its own crowd.
-            return self._failed()
-        self._place = _Place(replica, grant)
-        return None
-
-    async def _find_grant(self) -> asyncgrantacquirer.Grant | outcomes.Refusal:
-        """Get a grant at an engine that may be sent to, by the limit that it named."""
-        routed, parts = self._routed, self._parts
-        deadline = enginework.queue_deadline(routed, parts.clock.now())
-        while True:
-            placement = self._placement_request(deadline, frozenset(self._log.tried))
-            grant = await parts.acquirer.find(placement)
-            if isinstance(grant, asyncgrantacquirer.Grant):
-                if parts.catalog.may_send(grant.replica):
-                    return grant
-                # Another request has taken the turn there meanwhile.
-                parts.acquirer.release(grant)
-            elif not await parts.turns.wait(
-                routed.service.name,
-                routed.allowed_regions,
-                self._log.tried,
-                routed.urgency,
-                enginework.due(routed),
-            ):
-                return grant
-
-    def _quarantined(self) -> outcomes.Refusal | None:
-        """Return the refusal of a request that crashes its replicas, or None."""
-        refusal = self._parts.quarantine.refusal(self._routed.fingerprint)
-        return self._failed() if refusal is not None and self._log.may_have_run else refusal
-
-    def _placement_request(
-        self, deadline: float, excluded: frozenset[str]
-    ) -> asyncgrantacquirer.PlacementRequest:
-        service = self._routed.service.name
-        regions = self._routed.allowed_regions
-        catalog = self._parts.catalog
-        spread = messages.key_hash(self._routed.call.request_id)
-        self._asks += handover.TRIES
-        return asyncgrantacquirer.PlacementRequest(
-            work=enginework.work(self._routed),
-            weight=1.0,
-            deadline=deadline,
-            known=lambda: catalog.candidates(service, excluded, regions, spread),
-            find=lambda chosen: catalog.find(chosen, service, excluded, regions),
-            attempt=self._asks,
-            avoid=excluded,
-            due=enginework.due(self._routed),
-            is_bound=regions is not None,
-        )
-
     async def _send_to_place(self, copy: calls.Copy | None) -> sending.Begun | sending.Failed:
         """Send the request to where it has leave to run."""
         place, routed = self._place, self._routed
@@ -317,7 +182,7 @@
             if begun.run is outcomes.RunStatus.UNKNOWN:
                 self._run_lost(place)
             self._leave_place()
-            return None if self._may_run_again() else self._failed()
+            return None if self._places.may_run_again() else self._places.failure()
         body = await self._parts.sender.whole_body(begun)
         place.begun = None
         self._leave_place()
@@ -326,11 +191,11 @@
             return None
         self._log.note(place.replica.id, outcomes.RunStatus.RAN, True)
         if isinstance(body, sending.Failed):
-            return None if self._may_run_again() else self._failed()
-        if begun.head.status >= 500 and self._may_run_again():
+            return None if self._places.may_run_again() else self._places.failure()
+        if begun.head.status >= 500 and self._places.may_run_again():
             return None
         if not begun.head.is_sealed or begun.head.is_encoded:
-            return self._failed()
+            return self._places.failure()
         return ownanswers.Answer(begun.head.status, begun.head.fields, body)
 
     def _tell_attempt(self, begun: sending.Begun | sending.Failed) -> None:
@@ -402,7 +267,7 @@
         self._leave_place()
         if destination is not None:
             return await self._resume(destination)
-        if not self._may_run_again():
+        if not self._places.may_run_again():
             return False
         return isinstance(await self._begin(), sending.Begun)
 
@@ -420,7 +285,7 @@
         return destination
 
     async def _resume(self, destination: handover.Destination) -> bool:
-        self._place = _Place(destination.replica, destination.grant)
+        self._place = placefinder.Place(destination.replica, destination.grant)
         self._handover = None
         self._handover_task = None
         self._parts.budgets.note(self._routed.service.name, self._parts.clock.now())
@@ -440,13 +305,13 @@
             self._parts.sender.close(begun)
             self._place.begun = None
         self._leave_place()
-        return self._may_run_again() and isinstance(await self._begin(), sending.Begun)
+        return self._places.may_run_again() and isinstance(await self._begin(), sending.Begun)
 
-    async def _move_away(self, place: _Place) -> None:
+    async def _move_away(self, place: placefinder.Place) -> None:
         """Move the run to another engine before its own stops."""
         # Memory of a run that has not begun cannot be copied.
         await self._first_event.wait()
-        placement = self._placement_request(
+        placement = self._places.placement(
             self._parts.clock.now() + handover.COPY_TIMEOUT_S, frozenset((place.replica.id,))
         )
         self._handover = handover.Handover(
@@ -465,24 +330,10 @@
             copy_s=_rounded(self._handover.copy_s),
         )
 
-    def _run_lost(self, place: _Place) -> None:
+    def _run_lost(self, place: placefinder.Place) -> None:
         """Have it found out whether a crash has ended the run."""
         self._parts.crashes.run_lost(self._routed.fingerprint, place.replica, place.sent_at)
 
-    def _may_run_again(self) -> bool:
-        if not self._log.may_have_run:
-            return True
-        route = self._routed.route
-        return route.is_repeatable and self._log.sent < route.max_attempts
-
-    def _failed(self) -> outcomes.Refusal:
-        service = self._routed.service.name
-        if self._log.may_have_run:
-            detail = f"no replica of {service} gave a whole answer"
-            return outcomes.Refusal("no_answer", 502, detail, outcomes.RunStatus.UNKNOWN)
-        detail = f"the replicas of {service} that were asked took no work"
-        return outcomes.Refusal("replicas_full", 503, detail, retry_after_s=FULL_RETRY_S)
-
     def _leave_place(self) -> None:
         """Give up where the run was: its connection and its grant."""
         place, self._place = self._place, None
