standins: let routed servers state that they leave, and name a time in refusals

A leaving server has Server-Leaving: 1 in all its responses, and the fault retry_after refuses requests with 503 and that Retry-After. Refused requests are recorded in the ledger beside the runs, so that tests can count what reaches a server that refuses.

--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -309,9 +309,16 @@
 
     def ledger(self) -> tuple[dict[str, typing.Any], ...]:
         """Return all requests that backend servers have run, stopped servers included."""
+        return tuple(each for each in self._ledger_records() if "retry_after" not in each)
+
+    def refusals(self) -> tuple[dict[str, typing.Any], ...]:
+        """Return all requests that backend servers have refused, stopped servers included."""
+        return tuple(each for each in self._ledger_records() if "retry_after" in each)
+
+    def _ledger_records(self) -> list[dict[str, typing.Any]]:
         path = self.folder / "ledger.jsonl"
         lines = path.read_text(encoding="utf-8").splitlines() if path.exists() else ()
-        return tuple(json.loads(line) for line in lines)
+        return [json.loads(line) for line in lines]
 
     def copies(self, place: str) -> tuple[str, ...]:
         """Return the KV cache copies that an engine holds; none when it does not respond."""
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -53,6 +53,22 @@
     replica_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalRecord:
+    """A request that was refused as not run.
+
+    :param request_id: the request's id, as given by the caller.
+    :param at: time of the response, in seconds of the machine's monotonic clock.
+    :param replica_id: the server that refused it.
+    :param retry_after: the time that the response asked for, as sent; empty for none.
+    """
+
+    request_id: str
+    at: float
+    replica_id: str
+    retry_after: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Request:
     method: str
@@ -89,6 +105,7 @@
         self._ledger_path = ledger_path
         self.faults = routedfaults.RoutedFaults()
         self.ledger: list[RunRecord] = []
+        self.refusals: list[RefusalRecord] = []
         self.is_leaving = False
         self.born = 0
         self.address = ""
@@ -166,16 +183,19 @@
         control_response = await self._control_call(request)
         if control_response is not None:
             status, body = control_response
-            writer.write(_response(request, status, {}, json.dumps(body).encode()))
+            headers = self._state_headers()
+            writer.write(_response(request, status, headers, json.dumps(body).encode()))
             return True
         if self.faults.early:
             return True
         expected = request.value_by_name.get("expect-instance")
         if expected not in (None, self.replica_id):
-            writer.write(_response(request, 421, {"Replica-Id": self.replica_id}, b""))
+            headers = {"Replica-Id": self.replica_id} | self._state_headers()
+            writer.write(_response(request, 421, headers, b""))
             return True
-        if self.faults.refuse:
-            writer.write(_response(request, 503, {"Not-Executed": "1"}, b""))
+        if self.faults.refuse or self.faults.retry_after:
+            writer.write(_response(request, 503, self._refusal_headers(), b""))
+            self._record_refusal(request)
             return True
         if self._events:
             return await self._stream(request, reader, writer)
@@ -242,7 +262,8 @@
     ) -> bool:
         run = self._begin(request)
         if run is None:
-            writer.write(_response(request, 503, {"Not-Executed": "1"}, b""))
+            headers = {"Not-Executed": "1"} | self._state_headers()
+            writer.write(_response(request, 503, headers, b""))
             return True
         if self._is_fatal(request):
             await self.stop()
@@ -356,18 +377,39 @@
             self.replica_id,
         )
         self.ledger.append(record)
+        self._append_to_ledger(dataclasses.asdict(record))
+
+    def _record_refusal(self, request: _Request) -> None:
+        record = RefusalRecord(
+            request.request_id, time.monotonic(), self.replica_id, self.faults.retry_after
+        )
+        self.refusals.append(record)
+        self._append_to_ledger(dataclasses.asdict(record))
+
+    def _append_to_ledger(self, record: dict[str, object]) -> None:
         if self._ledger_path is not None:
             with self._ledger_path.open("a", encoding="utf-8") as ledger:
-                ledger.write(json.dumps(dataclasses.asdict(record)) + "\n")
+                ledger.write(json.dumps(record) + "\n")
 
     def _proof_headers(self, request: _Request) -> dict[str, str]:
         headers = {"Attempt-Id": request.request_id, "Replica-Load": "1,0,8"}
+        headers |= self._state_headers()
         if not self.faults.unproved:
             headers["Response-Seal"] = f"{self.replica_id}.{request.request_id}"
         if self.faults.limit:
             headers["Server-Limit"] = self.faults.limit
         return headers
 
+    def _refusal_headers(self) -> dict[str, str]:
+        headers = {"Not-Executed": "1"} | self._state_headers()
+        if self.faults.retry_after:
+            headers["Retry-After"] = self.faults.retry_after
+        return headers
+
+    def _state_headers(self) -> dict[str, str]:
+        """Return the headers that are part of every response."""
+        return {"Server-Leaving": "1"} if self.is_leaving else {}
+
 
 def _parse_request(head: h11.Request, body: bytes) -> _Request:
     values = {name.decode().lower(): value.decode("latin-1") for name, value in head.headers}
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -7,6 +7,7 @@
     """Faults of a backend server; omitted faults are off.
 
     :param refuse: requests are refused as not run.
+    :param retry_after: requests are refused as not run, with this ``Retry-After``.
     :param fail: requests are run and get a response with status 500.
     :param hang: requests are accepted and never get a response.
     :param delay_s: seconds before a response.
@@ -26,6 +27,7 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
     refuse: bool = False
+    retry_after: str = ""
     fail: bool = False
     hang: bool = False
     delay_s: float = 0.0
