replicas, routed: decode and log what replicas state about themselves in responses

Logs could not tell whether an instance had received a response with Server-Leaving, or a 503 with Retry-After, when it sent the next request: both were forwarded to the caller and read by nobody. Both are now decoded once, together with the rate limit, as the advisory of a response head. The sender passes it on for each head that it receives, before the body is read, so that responses of plain services and engines, errors, refusals and cut bodies count alike; a response of another server (421) does not.

No decision reads either yet.

A malformed time counts as 1 s, one of over an hour as an hour, of several the longest; 0 and other statuses than 503 name none.

--- a/hornbeamglade/engines/models.py
+++ b/hornbeamglade/engines/models.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from hornbeamglade.replicas import ratelimits
+from hornbeamglade.replicas import advisories
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +30,7 @@
     :param is_leaving: whether it has been told to stop.
     :param leaves_in_s: seconds until it stops, at the time of the report, or None.
     :param started_ms: Unix milliseconds of the start of the reporting incarnation, or 0.
-    :param limit: the rate limit that it states, or None when it states none.
+    :param advisory: what the engine states about itself in the head of the response.
     """
 
     memory_tokens: int
@@ -40,7 +40,7 @@
     is_leaving: bool
     leaves_in_s: float | None = None
     started_ms: int = 0
-    limit: ratelimits.RateLimit | None = None
+    advisory: advisories.Advisory = advisories.Advisory()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -31,7 +31,14 @@
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.platform import enginecalls, requestdialect, tables
 from hornbeamglade.quarantine import crashdetector, requestquarantine
-from hornbeamglade.replicas import availability, ratelimits, replicalist, slowstart
+from hornbeamglade.replicas import (
+    advisories,
+    availability,
+    backoffs,
+    ratelimits,
+    replicalist,
+    slowstart,
+)
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
@@ -84,6 +91,7 @@
             self._replicas,
             slowstart.SlowStarts(rng),
             ratelimits.RateLimits(clock, instance_settings.name),
+            backoffs.Backoffs(clock, rng),
             componentsettings.slow_start_bound(instance_settings),
             instance_settings.region_by_failure_domain,
         )
@@ -140,7 +148,7 @@
         )
         self._pool = clientpool.ClientPool(clock)
         self._dialect = requestdialect.PlatformDialect()
-        self._sender = sending.Sender(self._pool, self._dialect, clock)
+        self._sender = sending.Sender(self._pool, self._dialect, self._on_advisory, clock)
         self._loads = replicaload.ReplicaLoads(clock, rng)
         self._budgets = retrybudget.RetryBudgets(
             componentsettings.retry_budget(instance_settings),
@@ -438,6 +446,9 @@
         yield from self._engines()
         yield from self._replicas.departed_by_id.values()
 
+    def _on_advisory(self, replica: replicamodels.Replica, advisory: advisories.Advisory) -> None:
+        self._available.apply_advisory(replica.id, advisory)
+
     def _on_engine_report(
         self,
         replica: replicamodels.Replica,
@@ -445,8 +456,8 @@
     ) -> None:
         # The platform does not say whether reports carry limits, so a report without one
         # lifts none.
-        if isinstance(report, enginemodels.EngineReport) and report.limit is not None:
-            self._available.limit_reported(replica.id, report.limit)
+        if isinstance(report, enginemodels.EngineReport) and report.advisory.limit is not None:
+            self._available.limit_reported(replica.id, report.advisory.limit)
         self._engine_monitor.on_report(replica, report)
 
     def _owned_engines(self) -> list[replicamodels.Replica]:
--- a/hornbeamglade/platform/enginecalls.py
+++ b/hornbeamglade/platform/enginecalls.py
@@ -11,7 +11,7 @@
 from hornbeamglade.http1 import clientpool, clientside
 from hornbeamglade.observability import logs
 from hornbeamglade.platform import requestdialect
-from hornbeamglade.replicas import ratelimits
+from hornbeamglade.replicas import advisories
 
 REPORT_TIMEOUT_S = 0.6
 """A report takes a few milliseconds; after this time its engine counts as unresponsive."""
@@ -51,7 +51,7 @@
 class _Response:
     status: int
     content: bytes
-    limit: ratelimits.RateLimit | None
+    advisory: advisories.Advisory
 
 
 class EngineCalls(control.EngineControl):
@@ -83,7 +83,7 @@
             is_leaving=body.state != _READY,
             leaves_in_s=None if body.leaves_ms is None else body.leaves_ms / _MS,
             started_ms=body.born,
-            limit=response.limit,
+            advisory=response.advisory,
         )
 
     async def copy_kv_cache(
@@ -138,7 +138,7 @@
             return head
         if isinstance(content, clientside.ResponseLost):
             return content
-        return _Response(head.status, content, requestdialect.rate_limit(head.fields))
+        return _Response(head.status, content, requestdialect.advisory(head))
 
 
 def _copy(content: bytes) -> _Copy | None:
--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -4,7 +4,7 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.http1 import clientside, fields, serverside
-from hornbeamglade.replicas import ratelimits
+from hornbeamglade.replicas import advisories, ratelimits
 from hornbeamglade.routed import calls, dialect
 
 REQUEST_INVALID = "request_invalid"
@@ -30,7 +30,10 @@
 _LOAD = b"replica-load"
 # Requests per second from all instances together, as a decimal number.
 _LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 
 # Set only by this system; values sent by callers are discarded.
 _RESERVED = frozenset(
@@ -51,6 +54,15 @@
 
 LIMIT_INVALID = "server_limit_invalid"
 LIMITS_SEVERAL = "server_limits_several"
+RETRY_AFTER_INVALID = "retry_after_invalid"
+RETRY_AFTER_SEVERAL = "retry_after_several"
+RETRY_AFTER_TOO_LONG = "retry_after_too_long"
+DEFAULT_BACKOFF_S = 1.0
+"""Replaces a malformed time, as the replica wants some pause."""
+
+MAX_BACKOFF_S = 3600.0
+"""Replaces a longer time, which would remove the replica for good."""
+
 _DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{0,9})?", re.ASCII)
 _DIGITS = re.compile(rb"[0-9]{1,12}", re.ASCII)
 
@@ -113,7 +125,7 @@
             is_not_run=is_marked or head.status == _MISDIRECTED,
             is_encoded=encoding not in (None, b"identity"),
             load=_load(fields.value(head.fields, _LOAD)),
-            limit=rate_limit(head.fields),
+            advisory=advisory(head),
             is_misdirected=head.status == _MISDIRECTED,
         )
 
@@ -190,6 +202,30 @@
     return ratelimits.RateLimit(min(map(float, limits)), problem)
 
 
+def advisory(head: clientside.ResponseHead) -> advisories.Advisory:
+    """Return what a replica states about itself in a response head."""
+    return advisories.Advisory(
+        is_leaving=any(each.strip() != b"0" for each in fields.values(head.fields, _LEAVING)),
+        backoff=_backoff(head),
+        limit=rate_limit(head.fields),
+    )
+
+
+def _backoff(head: clientside.ResponseHead) -> advisories.Backoff | None:
+    """Return the time that a refusal asks for; of several times the longest applies."""
+    times = [each.strip() for each in fields.values(head.fields, _RETRY_AFTER)]
+    if head.status != _UNAVAILABLE or not times:
+        return None
+    if not all(_DECIMAL.fullmatch(each) for each in times):
+        return advisories.Backoff(DEFAULT_BACKOFF_S, RETRY_AFTER_INVALID)
+    seconds = max(map(float, times))
+    if seconds > MAX_BACKOFF_S:
+        return advisories.Backoff(MAX_BACKOFF_S, RETRY_AFTER_TOO_LONG)
+    if not seconds:
+        return None
+    return advisories.Backoff(seconds, RETRY_AFTER_SEVERAL if len(times) > 1 else None)
+
+
 def _invalid(detail: str) -> outcomes.Refusal:
     return outcomes.Refusal(REQUEST_INVALID, 400, detail)
 
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -17,8 +17,16 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.observability import logs
+from hornbeamglade.replicas import (
+    advisories,
+    backoffs,
+    models,
+    ratelimits,
+    replicalist,
+    slowstart,
+    startgate,
+)
 from hornbeamglade.replicas import evacuations as evacuationlib
-from hornbeamglade.replicas import models, ratelimits, replicalist, slowstart, startgate
 from hornbeamglade.routes import models as routemodels
 
 EVACUATED_RETRY_S = 0.3
@@ -35,6 +43,7 @@
     :param replicas: the list.
     :param slow_starts: spaces the requests to cold replicas.
     :param limits: the rate limits that replicas report.
+    :param backoffs_by_replica: the times during which replicas accept no requests from here.
     :param bound: the operator's bound on requests to cold replicas.
     :param region_by_failure_domain: the region of each failure domain.
     """
@@ -44,6 +53,7 @@
         replicas: replicalist.ReplicaList,
         slow_starts: slowstart.SlowStarts,
         limits: ratelimits.RateLimits,
+        backoffs_by_replica: backoffs.Backoffs,
         bound: slowstart.Bound,
         region_by_failure_domain: collections.abc.Mapping[str, str],
     ) -> None:
@@ -51,10 +61,12 @@
         self.evacuations = evacuationlib.Evacuations()
         self._slow_starts = slow_starts
         self._limits = limits
+        self._backoffs = backoffs_by_replica
         self._bound = bound
         self._region_by_failure_domain = region_by_failure_domain
         self._service_by_name: ServiceByName = {}
         self._instances = 1
+        self._leaving_by_statement: set[str] = set()
 
     def configure(self, service_by_name: ServiceByName) -> None:
         """Set the services of a configuration."""
@@ -91,13 +103,22 @@
             if change.kind in (ADDED, CHANGED) and change.replica.warm_in_s > 0.0:
                 self._begin_slow_start(change.replica, change.replica.warm_in_s, change.kind, now)
 
-    def limit_reported(self, replica_id: str, limit: ratelimits.RateLimit | None) -> None:
-        """Record the rate limit in a response of a replica, or that there is none."""
+    def apply_advisory(self, replica_id: str, advisory: advisories.Advisory) -> None:
+        """Apply what a replica states about itself in a response."""
+        self._limits.update(replica_id, advisory.limit)
+        self._backoffs.responded(replica_id, advisory.backoff)
+        if advisory.is_leaving and replica_id not in self._leaving_by_statement:
+            self._leaving_by_statement.add(replica_id)
+            logs.state_changed("replica_statement", "serving", "leaving", replica=replica_id)
+
+    def limit_reported(self, replica_id: str, limit: ratelimits.RateLimit) -> None:
+        """Record the rate limit in an engine's report."""
         self._limits.update(replica_id, limit)
 
     def request_sent(self, replica_id: str) -> None:
         """Record that a request is sent to a replica, whether or not its limit allows it."""
         self._limits.request_sent(replica_id)
+        self._backoffs.request_sent(replica_id)
 
     def limit_wait_s(self, replica_id: str) -> float:
         """Return the seconds until a replica's limit allows this instance to send a request."""
@@ -118,7 +139,10 @@
     def forget_ended(self, now: float) -> None:
         """Forget slow starts that have ended, and the limits of replicas that are gone."""
         self._slow_starts.forget_ended(now)
-        self._limits.forget(self.replicas.by_id.keys() | self.replicas.departed_by_id.keys())
+        known = self.replicas.by_id.keys() | self.replicas.departed_by_id.keys()
+        self._limits.forget(known)
+        self._backoffs.forget(known)
+        self._leaving_by_statement &= known
 
     def is_evacuated(self, replica: models.Replica) -> bool:
         """Return whether the operator has evacuated a replica's failure domain."""
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -166,8 +166,6 @@
             started = await self._sender.send(routed, replica, dispatch)
             if isinstance(started, sending.StartedResponse):
                 load = started.head.load
-                if not started.head.is_misdirected:
-                    self._available.limit_reported(replica.id, started.head.limit)
                 outcome = await self._read_response(started)
             else:
                 outcome = started
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from hornbeamglade.http1 import fields
-from hornbeamglade.replicas import ratelimits
+from hornbeamglade.replicas import advisories
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,7 +123,7 @@
     :param is_not_run: whether the replica states that it did not run the request.
     :param is_encoded: whether a content encoding was applied to the body.
     :param load: load reported by the replica, or None.
-    :param limit: rate limit reported by the replica, or None.
+    :param advisory: what the replica states about itself.
     :param is_misdirected: whether a server other than the intended one responded.
     """
 
@@ -134,5 +134,5 @@
     is_not_run: bool
     is_encoded: bool = False
     load: Load | None = None
-    limit: ratelimits.RateLimit | None = None
+    advisory: advisories.Advisory = advisories.Advisory()
     is_misdirected: bool = False
--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -61,10 +61,6 @@
         """Return the rate limit that an engine last reported, or None."""
         return self._available.limit(replica_id)
 
-    def record_limit(self, replica_id: str, limit: ratelimits.RateLimit | None) -> None:
-        """Record the rate limit in an engine's response, or that it reports none."""
-        self._available.limit_reported(replica_id, limit)
-
     def record_sent(self, replica_id: str) -> None:
         """Record that a request is sent to an engine."""
         self._available.request_sent(replica_id)
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -1,13 +1,16 @@
 """Sends a request to one replica and waits for the head of its response."""
 
+import collections.abc
 import dataclasses
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.http1 import clientpool, clientside
-from hornbeamglade.replicas import models
+from hornbeamglade.replicas import advisories, models
 from hornbeamglade.routed import callrouter, calls, dialect
 
 MAX_BODY_BYTES = 16_777_216
+AdvisoryCallback = collections.abc.Callable[[models.Replica, advisories.Advisory], None]
+
 MAX_SKIPPED_RESPONSES = 2
 """Responses to other requests that are skipped on a connection before it is closed."""
 
@@ -43,14 +46,21 @@
 
     :param pool: connections to replicas.
     :param request_dialect: writes request headers and parses response heads.
+    :param on_advisory: called with what a replica states about itself, once for each response
+        head of the intended server, before the body is read.
     :param clock: monotonic time.
     """
 
     def __init__(
-        self, pool: clientpool.ClientPool, request_dialect: dialect.Dialect, clock: clocks.Clock
+        self,
+        pool: clientpool.ClientPool,
+        request_dialect: dialect.Dialect,
+        on_advisory: AdvisoryCallback,
+        clock: clocks.Clock,
     ) -> None:
         self._pool = pool
         self._dialect = request_dialect
+        self._on_advisory = on_advisory
         self._clock = clock
 
     async def send(
@@ -64,7 +74,7 @@
         if isinstance(connection, clientside.ResponseLost):
             return FailedAttempt(connection.code, outcomes.RunStatus.NOT_RUN)
         try:
-            response = await self._exchange(connection, routed.call, dispatch)
+            response = await self._exchange(connection, routed.call, replica, dispatch)
         except BaseException:
             self._pool.release(connection, None)
             raise
@@ -96,6 +106,7 @@
         self,
         connection: clientside.ServerConnection,
         call: calls.Call,
+        replica: models.Replica,
         dispatch: calls.Dispatch,
     ) -> StartedResponse | FailedAttempt:
         sent_fields = self._dialect.dispatch_fields(call, dispatch)
@@ -105,7 +116,12 @@
             if isinstance(raw_head, clientside.ResponseLost):
                 return FailedAttempt(raw_head.code, outcomes.RunStatus.UNKNOWN)
             head = self._dialect.parse_response_head(raw_head)
-            if _matches_request(call, head):
+            is_expected = _matches_request(call, head)
+            # A late response is no evidence that an earlier statement no longer holds.
+            states_something = is_expected or head.advisory != advisories.Advisory()
+            if states_something and not head.is_misdirected:
+                self._on_advisory(replica, head.advisory)
+            if is_expected:
                 return StartedResponse(connection, raw_head, head)
             if head.request_id is None:
                 break
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -173,8 +173,6 @@
             )
             return response
         assignment.response = response
-        if not response.head.is_misdirected:
-            catalog.record_limit(assignment.replica.id, response.head.limit)
         self._log.record_response_started()
         self._dependencies.registry.add(assignment.replica.id, self)
         if self._response_start is None or not self._relay.has_started:
--- a/tests/entry/test_clusterstate.py
+++ b/tests/entry/test_clusterstate.py
@@ -10,7 +10,14 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import clusterstate
 from hornbeamglade.exchange import messages
-from hornbeamglade.replicas import availability, evacuations, ratelimits, replicalist, slowstart
+from hornbeamglade.replicas import (
+    availability,
+    backoffs,
+    evacuations,
+    ratelimits,
+    replicalist,
+    slowstart,
+)
 from hornbeamglade.routed import views
 from hornbeamglade.store import contract, positions
 from tests.entry import site
@@ -44,6 +51,7 @@
             self.list,
             slowstart.SlowStarts(random.Random(1)),
             ratelimits.RateLimits(clocks.ManualClock()),
+            backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         )
--- a/tests/platform/test_requestdialect.py
+++ b/tests/platform/test_requestdialect.py
@@ -180,9 +180,50 @@
 def test_limit_is_parsed_and_a_malformed_one_counts_as_zero(named, requests_per_s, problem):
     """A malformed limit of an overloaded server must not be misread as a high one."""
     head = clientside.ResponseHead(200, tuple((b"Server-Limit", each) for each in named))
-    limit = DIALECT.parse_response_head(head).limit
+    limit = DIALECT.parse_response_head(head).advisory.limit
     assert (limit.requests_per_s, limit.problem) == (requests_per_s, problem)
 
 
 def test_response_without_a_limit_has_none():
-    assert DIALECT.parse_response_head(clientside.ResponseHead(200, ())).limit is None
+    assert DIALECT.parse_response_head(clientside.ResponseHead(200, ())).advisory.limit is None
+
+
+def advisory(status, *head_fields):
+    return requestdialect.advisory(clientside.ResponseHead(status, head_fields))
+
+
+@pytest.mark.parametrize(
+    ("named", "seconds", "problem"),
+    [
+        ([b"3"], 3.0, None),
+        ([b"0.5"], 0.5, None),
+        ([b"1", b"4"], 4.0, requestdialect.RETRY_AFTER_SEVERAL),
+        ([b"-1"], requestdialect.DEFAULT_BACKOFF_S, requestdialect.RETRY_AFTER_INVALID),
+        ([b"soon"], requestdialect.DEFAULT_BACKOFF_S, requestdialect.RETRY_AFTER_INVALID),
+        ([b""], requestdialect.DEFAULT_BACKOFF_S, requestdialect.RETRY_AFTER_INVALID),
+        (
+            [b"Wed, 21 Oct 2026 07:28:00 GMT"],
+            requestdialect.DEFAULT_BACKOFF_S,
+            requestdialect.RETRY_AFTER_INVALID,
+        ),
+        ([b"999999999"], requestdialect.MAX_BACKOFF_S, requestdialect.RETRY_AFTER_TOO_LONG),
+    ],
+)
+def test_time_of_a_refusal_is_parsed_and_a_malformed_one_is_replaced(named, seconds, problem):
+    head_fields = tuple((b"Retry-After", each) for each in named)
+    backoff = advisory(503, *head_fields).backoff
+    assert (backoff.seconds, backoff.problem) == (seconds, problem)
+
+
+def test_only_a_refusal_with_a_time_asks_for_a_pause():
+    assert advisory(503).backoff is None
+    assert advisory(503, (b"Retry-After", b"0")).backoff is None
+    assert advisory(429, (b"Retry-After", b"3")).backoff is None
+    assert advisory(200, (b"Retry-After", b"3")).backoff is None
+
+
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_leaving_is_parsed_in_responses_of_any_status(status):
+    assert advisory(status, (b"server-leaving", b"1")).is_leaving
+    assert not advisory(status, (b"Server-Leaving", b"0")).is_leaving
+    assert not advisory(status).is_leaving
--- a/tests/replicas/test_availability.py
+++ b/tests/replicas/test_availability.py
@@ -6,6 +6,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.replicas import (
     availability,
+    backoffs,
     evacuations,
     models,
     ratelimits,
@@ -29,6 +30,7 @@
         listed,
         slowstart.SlowStarts(random.Random(1)),
         ratelimits.RateLimits(clocks.ManualClock()),
+        backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
         slowstart.Bound(),
         {"a": "r", "b": "s"},
     )
--- a/tests/routed/test_bufferedexchange.py
+++ b/tests/routed/test_bufferedexchange.py
@@ -9,7 +9,7 @@
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.quarantine import crashdetector, requestquarantine
-from hornbeamglade.replicas import availability, ratelimits, replicalist, slowstart
+from hornbeamglade.replicas import availability, backoffs, ratelimits, replicalist, slowstart
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     attemptlog,
@@ -37,7 +37,12 @@
         self.clock = clocks.SystemClock()
         self.log = attemptlog.AttemptLog()
         pool = clientpool.ClientPool(self.clock)
-        sender = sending.Sender(pool, requestdialect.PlatformDialect(), self.clock)
+        sender = sending.Sender(
+            pool,
+            requestdialect.PlatformDialect(),
+            lambda replica, advisory: self.available.apply_advisory(replica.id, advisory),
+            self.clock,
+        )
         self.quarantine = requestquarantine.RequestQuarantine(
             "n0", tuple, tuple, lambda node, message: None, self.clock
         )
@@ -54,6 +59,7 @@
             self.replica_list,
             slowstart.SlowStarts(random.Random(1)),
             ratelimits.RateLimits(clocks.ManualClock()),
+            backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         )
--- a/tests/routed/test_enginecatalog.py
+++ b/tests/routed/test_enginecatalog.py
@@ -9,7 +9,14 @@
 from hornbeamglade.grants import schedulerset
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.node import digestcache
-from hornbeamglade.replicas import availability, models, ratelimits, replicalist, slowstart
+from hornbeamglade.replicas import (
+    availability,
+    backoffs,
+    models,
+    ratelimits,
+    replicalist,
+    slowstart,
+)
 from hornbeamglade.routed import enginecatalog
 from hornbeamglade.routing import candidates
 
@@ -36,6 +43,7 @@
             replicas,
             slowstart.SlowStarts(random.Random(1)),
             ratelimits.RateLimits(clocks.ManualClock()),
+            backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         ),
