entry: test that no request follows a response that states leaving, failing

Callers' requests reached a server up to 3258 ms after a response had told their instance that it leaves.

--- /dev/null
+++ b/tests/entry/test_leaving.py
@@ -0,0 +1,122 @@
+"""Servers that state in their responses that they will stop."""
+
+import asyncio
+
+import pytest
+
+from tests.entry import site as entrysite
+
+PLAIN, STREAM = "/list/1", "/tag/1"
+
+
+def servers_of(site, path):
+    return site.services if path == PLAIN else site.engines
+
+
+async def send(site, path, number):
+    client = await site.nodes[0].request(path, request_id=f"r{number}", more=entrysite.USAGE)
+    status, fields, _ = await client.answer()
+    return status, "server-leaving" in fields
+
+
+async def until_stated(site, path):
+    """Send requests until the instance has passed on a response that states leaving."""
+    for number in range(200):
+        if (await send(site, path, f"a{number}"))[1]:
+            return
+    raise AssertionError("no response of the leaving server")
+
+
+async def count_after(site, path, server, count=30):
+    """Send requests; return their statuses and how many reached the server."""
+    known = len(server.ledger)
+    answers = await asyncio.gather(*(send(site, path, number) for number in range(count)))
+    return {status for status, _ in answers}, len(server.ledger) - known
+
+
+@pytest.mark.parametrize("path", [PLAIN, STREAM])
+def test_no_request_follows_a_response_that_states_leaving(path):
+    """The list says that the server is ready, as the store cannot be reached."""
+
+    async def test(site):
+        leaving = servers_of(site, path)[0]
+        leaving.is_leaving = True
+        await until_stated(site, path)
+        return await count_after(site, path, leaving)
+
+    assert entrysite.run(test, services=3, engines=3, events=3) == ({200}, 0)
+
+
+@pytest.mark.parametrize("is_delisted", [False, True])
+def test_no_list_read_later_takes_back_that_a_server_is_leaving(is_delisted):
+    """The entry is older than the response, or expired and came back after a store outage."""
+
+    async def test(site):
+        leaving = site.services[0]
+        leaving.is_leaving = True
+        await until_stated(site, PLAIN)
+        if is_delisted:
+            site.delete(f"servers/{leaving.replica_id}")
+            site.read_store()
+        site.put(f"servers/{leaving.replica_id}", entrysite.server_row(leaving, "web", sequence=2))
+        site.read_store()
+        return await count_after(site, PLAIN, leaving)
+
+    assert entrysite.run(test, services=3, engines=0) == ({200}, 0)
+
+
+def test_error_response_states_leaving_as_well():
+    async def test(site):
+        leaving = site.services[0]
+        leaving.is_leaving = True
+        leaving.faults = leaving.faults.model_copy(update={"refuse": True})
+        while not leaving.refusals:
+            await send(site, PLAIN, len(leaving.ledger))
+        known = len(leaving.refusals)
+        await asyncio.gather(*(send(site, PLAIN, number) for number in range(30)))
+        return len(leaving.refusals) - known
+
+    assert entrysite.run(test, services=3, engines=0) == 0
+
+
+def test_requests_are_refused_at_once_if_all_servers_are_leaving():
+    async def test(site):
+        for server in site.services:
+            server.is_leaving = True
+        statuses = [(await send(site, PLAIN, number))[0] for number in range(20)]
+        return statuses[-5:], sum(len(server.ledger) for server in site.services)
+
+    statuses, runs = entrysite.run(test, services=2, engines=0)
+    assert (statuses, runs) == ([503] * 5, 2)
+
+
+def test_stream_migrates_from_an_engine_that_states_leaving_in_the_response():
+    """The engine is owned by another instance, and neither the list nor reports say it."""
+
+    async def test(site):
+        for engine in site.engines:
+            engine.is_leaving = engine is site.engines[0]
+        client = await site.nodes[0].request("/draft/1", more=entrysite.USAGE)
+        answer = await client.answer()
+        return answer[0], [engine.replica_id for engine in site.engines if engine.ledger]
+
+    status, ran_at = entrysite.run(test, engines=2, events=30, gap_s=0.03)
+    assert (status, len(ran_at)) == (200, 1)
+
+
+def test_restarted_server_is_used_though_its_former_incarnation_was_leaving():
+    async def test(site):
+        server = site.services[0]
+        server.born = 5000
+        site.put("servers/s0", entrysite.server_row(server, "web", born=5000))
+        site.read_store()
+        server.is_leaving = True
+        await until_stated(site, PLAIN)
+        server.born, server.is_leaving = 6000, False
+        site.put("servers/s0", entrysite.server_row(server, "web", born=6000))
+        site.read_store()
+        return await count_after(site, PLAIN, server, count=60)
+
+    statuses, count = entrysite.run(test, services=2, engines=0)
+    assert statuses == {200}
+    assert count > 0
