entry, replicas: stop using a server once a response states that it is leaving

Callers' requests reached servers up to 3258 ms after a response had told their instance that the server leaves (bound 2000 ms), on two instances of Pirkanmaa, while the store was unreachable.

Cause: instances learned of a planned stop from the list, or from the reports of the engines they own. The statement in responses was forwarded to the caller and decided nothing; with the store unreachable, nothing told a plain service's stop. The logs show the list at one version and first attempts of 20 ms all the while, which rules out an older list that overrules the response (no list was applied) and requests that were chosen before and sent late.

Now a statement is kept in the list of replicas, by the id of the incarnation: no entry read later takes it back, a restarted server is another replica, and up to 4096 replicas that are no longer listed are remembered for entries that expired and return. Every reader of the list obeys: plain requests and streams, first and further attempts, migration targets, candidates and grants. A grant at an engine that is leaving by the time it arrives is released and another is sought. Runs at an engine migrate as after a list change; its owner tells the others.

--- a/hornbeamglade/entry/clusterstate.py
+++ b/hornbeamglade/entry/clusterstate.py
@@ -22,6 +22,7 @@
 
 STORE = "store"
 PEER = "peer"
+RESPONSE = "response"
 
 TableOutcome = contract.Snapshot | contract.Changes | contract.Unavailable
 ListChanged = collections.abc.Callable[[tuple[replicalist.ListChange, ...]], None]
@@ -148,6 +149,10 @@
         elif outcome.newest > self._replicas.version:
             self._apply_changes(outcome, STORE)
 
+    def record_leaving(self, replica_id: str) -> None:
+        """Record that a replica has stated in a response that it is leaving."""
+        self._report(self._replicas.record_leaving(replica_id), RESPONSE)
+
     def apply_evacuations(self, state: evacuationlib.Evacuations, source: str) -> None:
         """Apply a state of the evacuations, unless it is older than the known one.
 
--- a/hornbeamglade/entry/enginemonitor.py
+++ b/hornbeamglade/entry/enginemonitor.py
@@ -113,6 +113,8 @@
 
         The list entry of a running engine may expire during a store outage.
         """
+        if not self._replicas.is_usable(replica_id):
+            return
         self._leaving.discard(replica_id)
         self._reported_leaving.discard(replica_id)
 
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -448,6 +448,16 @@
 
     def _on_advisory(self, replica: replicamodels.Replica, advisory: advisories.Advisory) -> None:
         self._available.apply_advisory(replica.id, advisory)
+        if advisory.is_leaving:
+            self._on_leaving_stated(replica)
+
+    def _on_leaving_stated(self, replica: replicamodels.Replica) -> None:
+        """Stop to use a replica, and inform the other instances if this one owns it."""
+        was_usable = self._replicas.is_usable(replica.id)
+        self._engine_monitor.on_leaving(replica.id, clusterstate.RESPONSE)
+        self.cluster_state.record_leaving(replica.id)
+        if was_usable and replica.id in self.peering.owned():
+            self.peering.heartbeats.announce()
 
     def _on_engine_report(
         self,
@@ -458,6 +468,8 @@
         # lifts none.
         if isinstance(report, enginemodels.EngineReport) and report.advisory.limit is not None:
             self._available.limit_reported(replica.id, report.advisory.limit)
+        if isinstance(report, enginemodels.EngineReport) and report.advisory.is_leaving:
+            self._on_leaving_stated(replica)
         self._engine_monitor.on_report(replica, report)
 
     def _owned_engines(self) -> list[replicamodels.Replica]:
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -66,7 +66,6 @@
         self._region_by_failure_domain = region_by_failure_domain
         self._service_by_name: ServiceByName = {}
         self._instances = 1
-        self._leaving_by_statement: set[str] = set()
 
     def configure(self, service_by_name: ServiceByName) -> None:
         """Set the services of a configuration."""
@@ -104,12 +103,9 @@
                 self._begin_slow_start(change.replica, change.replica.warm_in_s, change.kind, now)
 
     def apply_advisory(self, replica_id: str, advisory: advisories.Advisory) -> None:
-        """Apply what a replica states about itself in a response."""
+        """Apply what a replica states about its load in a response."""
         self._limits.update(replica_id, advisory.limit)
         self._backoffs.responded(replica_id, advisory.backoff)
-        if advisory.is_leaving and replica_id not in self._leaving_by_statement:
-            self._leaving_by_statement.add(replica_id)
-            logs.state_changed("replica_statement", "serving", "leaving", replica=replica_id)
 
     def limit_reported(self, replica_id: str, limit: ratelimits.RateLimit) -> None:
         """Record the rate limit in an engine's report."""
@@ -142,7 +138,6 @@
         known = self.replicas.by_id.keys() | self.replicas.departed_by_id.keys()
         self._limits.forget(known)
         self._backoffs.forget(known)
-        self._leaving_by_statement &= known
 
     def is_evacuated(self, replica: models.Replica) -> bool:
         """Return whether the operator has evacuated a replica's failure domain."""
--- a/hornbeamglade/replicas/replicalist.py
+++ b/hornbeamglade/replicas/replicalist.py
@@ -1,10 +1,14 @@
-"""The platform's list of replicas, as known to this node."""
+"""The platform's list of replicas, as known to this node, and what they state themselves."""
 
 import collections.abc
 import dataclasses
 
 from hornbeamglade.replicas import models
 
+MAX_LEAVING_UNLISTED = 4096
+"""Replicas that are no longer listed and remain known as leaving: more than the largest site has.
+An entry that expired while the store was down may come back."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListChange:
@@ -38,6 +42,9 @@
     that is no longer listed. The newer of two incarnations is determined by their start
     times, not by the order in which entries arrive. Once an entry with a start time has been
     received for a name, an entry without one comes from another writer.
+
+    A replica that has stated in a response that it is leaving stays so, whatever its entry
+    says: the entry may be older, or not written yet because the store is unreachable.
     """
 
     def __init__(self) -> None:
@@ -47,6 +54,7 @@
         self._id_by_name: dict[str, str] = {}
         self._newest_start_by_name: dict[str, int] = {}
         self._ids_by_service: dict[str, tuple[str, ...]] = {}
+        self._leaving_by_statement: dict[str, None] = {}
 
     def of_service(self, service: str) -> tuple[models.Replica, ...]:
         """Return the replicas of a service, including leaving ones."""
@@ -95,6 +103,18 @@
             return ()
         return self._apply(present, gone, unread, version)
 
+    def record_leaving(self, replica_id: str) -> tuple[ListChange, ...]:
+        """Record that a replica has stated that it is leaving, for as long as its id is known."""
+        if replica_id in self._leaving_by_statement:
+            return ()
+        self._leaving_by_statement[replica_id] = None
+        self._forget_leaving()
+        replica = self.by_id.get(replica_id)
+        if replica is None or replica.is_leaving:
+            return ()
+        leaving = self.by_id[replica_id] = dataclasses.replace(replica, is_leaving=True)
+        return (ListChange(leaving, "leaving"),)
+
     def forget_departed(self, replica_id: str) -> None:
         """Forget a replica that was removed from the list some time ago."""
         self.departed_by_id.pop(replica_id, None)
@@ -126,6 +146,8 @@
         if replica.started_ms < newest:
             return []
         self._newest_start_by_name[replica.name] = replica.started_ms
+        if replica.id in self._leaving_by_statement and not replica.is_leaving:
+            replica = dataclasses.replace(replica, is_leaving=True)
         changes: list[ListChange] = []
         if self._id_by_name.get(replica.name, replica.id) != replica.id:
             changes += self._remove(replica.name, "restarted")
@@ -149,6 +171,11 @@
             self.departed_by_id[replica_id] = replica
         return [ListChange(replica, kind)]
 
+    def _forget_leaving(self) -> None:
+        unlisted = [each for each in self._leaving_by_statement if each not in self.by_id]
+        for replica_id in unlisted[: max(0, len(unlisted) - MAX_LEAVING_UNLISTED)]:
+            del self._leaving_by_statement[replica_id]
+
     def _index_by_service(self) -> None:
         ids_by_service: dict[str, list[str]] = {}
         for replica in self.by_id.values():
--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -53,6 +53,11 @@
         """Return whether the operator has evacuated an engine's failure domain."""
         return self._available.is_evacuated(replica)
 
+    def accepts(self, replica_id: str) -> bool:
+        """Return whether an engine is listed, not leaving and not evacuated."""
+        replica = self._replicas.by_id.get(replica_id)
+        return replica is not None and self._available.accepts(replica)
+
     def is_cold(self, replica_id: str, now: float) -> bool:
         """Return whether an engine has just started and accepts few requests."""
         return self._available.is_cold(replica_id, now)
@@ -66,8 +71,11 @@
         self._available.request_sent(replica_id)
 
     def may_send(self, replica_id: str) -> bool:
-        """Return whether the rate limit that an engine reported lets this node send to it now."""
-        return self._available.limit_wait_s(replica_id) <= 0.0
+        """Return whether this node may send a request to an engine now.
+
+        An engine may be leaving, evacuated or limited since it was chosen.
+        """
+        return self.accepts(replica_id) and self._available.limit_wait_s(replica_id) <= 0.0
 
     def candidates(
         self,
@@ -126,7 +134,7 @@
     def _is_candidate(
         self, replica: models.Replica, excluded: collections.abc.Container[str]
     ) -> bool:
-        return replica.id not in excluded and self.may_send(replica.id)
+        return replica.id not in excluded and self._available.limit_wait_s(replica.id) <= 0.0
 
     def owned_alternatives(self, replica_id: str, work: outcomes.Work) -> tuple[str, ...]:
         """Return this node's engines of the service of ``replica_id``, best first.
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -88,7 +88,7 @@
         return Assignment(replica, grant)
 
     async def _acquire_grant(self) -> asyncgrantacquirer.Grant | outcomes.Refusal:
-        """Acquire a grant at an engine whose rate limit allows a request now."""
+        """Acquire a grant at an engine that may be sent a request now."""
         routed, dependencies = self._routed, self._dependencies
         deadline = enginework.queue_deadline(routed, dependencies.clock.now())
         while True:
@@ -97,7 +97,7 @@
             if isinstance(grant, asyncgrantacquirer.Grant):
                 if dependencies.catalog.may_send(grant.replica):
                     return grant
-                # Another request has used the send slot in the meantime.
+                # Another request has used the send slot, or the engine is leaving, since then.
                 dependencies.acquirer.release(grant)
             elif not await dependencies.rate_limit_queue.wait(
                 routed.service.name,
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -91,17 +91,18 @@
 
 
 def test_stream_migrates_from_an_engine_that_states_leaving_in_the_response():
-    """The engine is owned by another instance, and neither the list nor reports say it."""
-
     async def test(site):
-        for engine in site.engines:
-            engine.is_leaving = engine is site.engines[0]
-        client = await site.nodes[0].request("/draft/1", more=entrysite.USAGE)
-        answer = await client.answer()
-        return answer[0], [engine.replica_id for engine in site.engines if engine.ledger]
-
-    status, ran_at = entrysite.run(test, engines=2, events=30, gap_s=0.03)
-    assert (status, len(ran_at)) == (200, 1)
+        leaving = site.engines[0]
+        leaving.is_leaving = True
+        clients = [
+            await site.nodes[0].request("/draft/1", request_id=f"r{n}", more=entrysite.USAGE)
+            for n in range(8)
+        ]
+        statuses = {(await client.answer())[0] for client in clients}
+        stopped = [run.is_stopped for run in leaving.run_by_id.values()]
+        return statuses, len(leaving.ledger) > 0, all(stopped)
+
+    assert entrysite.run(test, engines=2, events=30, gap_s=0.03) == ({200}, True, True)
 
 
 def test_restarted_server_is_used_though_its_former_incarnation_was_leaving():
--- a/tests/replicas/test_replicalist.py
+++ b/tests/replicas/test_replicalist.py
@@ -109,6 +109,37 @@
     assert changed(known.replace([replica("a"), replica("b")], 3)) == [("a", "added")]
 
 
+def test_no_entry_takes_back_that_a_replica_has_stated_that_it_is_leaving():
+    known = replicalist.ReplicaList()
+    known.replace([replica("a"), replica("b")], 1)
+    assert changed(known.record_leaving("a")) == [("a", "leaving")]
+    assert known.record_leaving("a") == ()
+    known.update([dataclasses.replace(replica("a"), slots=9)], [], 2)
+    known.update([], ["a"], 3)
+    known.update([replica("a")], [], 4)
+    known.replace([replica("a"), replica("b")], 5)
+    assert [known.is_usable(name) for name in ("a", "b")] == [False, True]
+
+
+def test_leaving_stated_by_a_previous_incarnation_does_not_concern_the_next_one():
+    known = replicalist.ReplicaList()
+    known.update([replica("a", started_ms=5)], [], 1)
+    known.update([replica("a", started_ms=6)], [], 2)
+    assert known.record_leaving("a@5") == ()
+    assert known.is_usable("a@6")
+
+
+def test_number_of_unlisted_replicas_known_as_leaving_is_bounded():
+    known = replicalist.ReplicaList()
+    known.replace([replica("a")], 1)
+    known.record_leaving("a")
+    for number in range(replicalist.MAX_LEAVING_UNLISTED + 1):
+        known.record_leaving(f"gone-{number}")
+    known.update([replica("a"), replica("gone-0"), replica("gone-1")], [], 2)
+    usable = [known.is_usable(name) for name in ("a", "gone-0", "gone-1")]
+    assert usable == [False, True, False]
+
+
 _ENTRIES = strategies.lists(
     strategies.one_of(
         strategies.tuples(
--- a/tests/routed/test_migration.py
+++ b/tests/routed/test_migration.py
@@ -96,10 +96,14 @@
 class FakeCatalog:
     def __init__(self):
         self.evacuated = set()
+        self.leaving = set()
 
     def is_evacuated(self, replica):
         return replica.id in self.evacuated
 
+    def accepts(self, replica_id):
+        return replica_id not in self.evacuated | self.leaving
+
     def replica(self, replica_id):
         return {each.id: each for each in (SOURCE, TARGET)}.get(replica_id)
 
@@ -170,15 +174,16 @@
     assert eventloop.run(test()) == (0, "slot released")
 
 
-def test_nothing_is_copied_to_an_engine_evacuated_during_the_wait():
-    """The engine granted the request before its failure domain was evacuated."""
+@pytest.mark.parametrize("state", ["evacuated", "leaving"])
+def test_nothing_is_copied_to_an_engine_evacuated_or_leaving_since_its_grant(state):
+    """The run has waited for its slots in the meantime."""
 
     async def test():
         setup = MigrationSetup(limit_s=0.3)
         setup.slots.may_arrive.clear()
         task = asyncio.ensure_future(setup.run())
         await eventloop.until(lambda: setup.slots.arrivals)
-        setup.catalog.evacuated.add(TARGET.id)
+        getattr(setup.catalog, state).add(TARGET.id)
         setup.slots.may_arrive.set()
         await task
         return setup.steps.count("copy"), setup.acquirer.held_grants
