replicas, routed: send nothing to a replica in the time that its refusal names

A server of Krakow that had answered an instance 503 with Retry-After: 3 got three requests of it between half a second after that and the end of the time.

Cause: the time was forwarded to nobody and decided nothing. An owner whose schedulers saw an engine with room granted it again and again (ten grants in 6 s, all refused), for its own requests and for those of the instances that had been refused.

It belongs to the instance that was refused: the instance avoids the replica in its choices and tells an owner with each grant request which engines not to grant; others go on. A request that was chosen for the replica before, and whose connection or grant comes later, is placed elsewhere. Runs that continue from a copy are exempt, migrations to the replica are not begun.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -148,7 +148,9 @@
         )
         self._pool = clientpool.ClientPool(clock)
         self._dialect = requestdialect.PlatformDialect()
-        self._sender = sending.Sender(self._pool, self._dialect, self._on_advisory, clock)
+        self._sender = sending.Sender(
+            self._pool, self._dialect, self._available.still_accepts, self._on_advisory, clock
+        )
         self._loads = replicaload.ReplicaLoads(clock, rng)
         self._budgets = retrybudget.RetryBudgets(
             componentsettings.retry_budget(instance_settings),
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -31,6 +31,9 @@
 
 EVACUATED_RETRY_S = 0.3
 MIN_COLD_RETRY_S = 0.05
+MAX_WAITING_FOR_TRIAL = 1000
+"""Requests that wait for the outcome of a trial, which takes half a second at most."""
+
 ADDED = "added"
 CHANGED = "changed"
 
@@ -116,17 +119,66 @@
         self._limits.request_sent(replica_id)
         self._backoffs.request_sent(replica_id)
 
-    def limit_wait_s(self, replica_id: str) -> float:
-        """Return the seconds until a replica's limit allows this instance to send a request."""
-        return self._limits.wait_s(replica_id)
+    def send_wait_s(self, replica_id: str) -> float:
+        """Return the seconds until this instance may send a request to a replica.
+
+        The longer of the waits for the replica's limit and for the end of its backoff.
+        """
+        return max(self._limits.wait_s(replica_id), self._backoffs.wait_s(replica_id))
 
     def send_slots_within(self, replica_id: str, seconds: float) -> int:
-        """Return how many requests this instance may send to a limited replica within a time."""
-        return self._limits.send_slots_within(replica_id, seconds)
+        """Return how many requests this instance may send to a restricted replica in a time.
+
+        A replica without a limit takes as many as it has slots when its backoff ends, and any
+        number once the trial has succeeded.
+        """
+        backoff_s = self._backoffs.wait_s(replica_id)
+        if backoff_s > seconds:
+            return 0
+        if self._limits.limit(replica_id) is not None:
+            return self._limits.send_slots_within(replica_id, seconds - backoff_s)
+        if not self._backoffs.is_active(replica_id):
+            return MAX_WAITING_FOR_TRIAL
+        replica = self.replicas.by_id.get(replica_id)
+        return 0 if replica is None else replica.slots
+
+    def is_restricted(self, replica_id: str) -> bool:
+        """Return whether a replica has a limit or a backoff, also while it may be sent to."""
+        return self._limits.limit(replica_id) is not None or self._backoffs.is_known(replica_id)
+
+    def still_accepts(self, replica_id: str) -> bool:
+        """Return whether a request may be sent to a replica that was chosen for it earlier.
 
-    def limit_retry_s(self, replica_id: str) -> float:
-        """Return the seconds until a replica's limit allows some instance to send a request."""
-        return self._limits.slot_interval_s(replica_id)
+        The request itself may have taken the replica's send slot, or be the trial.
+        """
+        replica = self.replicas.by_id.get(replica_id)
+        if replica is None or not self.accepts(replica):
+            return False
+        return not self._backoffs.is_active(replica_id)
+
+    def retry_s(self, replica_id: str) -> float:
+        """Return the seconds until a caller's retry may be sent to a restricted replica.
+
+        A limit is shared by all instances, of which the retry may reach another one.
+        """
+        return max(self._limits.slot_interval_s(replica_id), self._backoffs.wait_s(replica_id))
+
+    def withheld(self, service: str) -> tuple[str, ...]:
+        """Return the replicas of a service that this instance may not send to now.
+
+        Only those that other instances may use: the ones with a limit or a backoff, and the
+        ones that have stated to this instance that they are leaving.
+        """
+        stated = {*self._limits.replica_ids, *self._backoffs.replica_ids}
+        stated.update(self.replicas.leaving_by_statement)
+        listed = (self.replicas.by_id.get(each) for each in sorted(stated))
+        return tuple(
+            each.id
+            for each in listed
+            if each is not None
+            and each.service == service
+            and (each.is_leaving or self.send_wait_s(each.id) > 0.0)
+        )
 
     def limit(self, replica_id: str) -> ratelimits.RateLimit | None:
         """Return the limit that a replica reported last, or None."""
--- a/hornbeamglade/replicas/backoffs.py
+++ b/hornbeamglade/replicas/backoffs.py
@@ -113,6 +113,11 @@
         sendable_at = max(known.until, known.trial_at + TRIAL_TIMEOUT_S)
         return max(0.0, sendable_at - self._clock.now())
 
+    def is_active(self, replica_id: str) -> bool:
+        """Return whether the time that a replica has named is not over."""
+        known = self._backoff_by_replica.get(replica_id)
+        return known is not None and self._clock.now() < known.until
+
     def is_known(self, replica_id: str) -> bool:
         """Return whether a replica has asked for a pause and not responded normally since."""
         return replica_id in self._backoff_by_replica
--- a/hornbeamglade/replicas/ratelimits.py
+++ b/hornbeamglade/replicas/ratelimits.py
@@ -187,6 +187,11 @@
             if replica_id not in present:
                 del self._reported_by_replica[replica_id]
 
+    @property
+    def replica_ids(self) -> tuple[str, ...]:
+        """The replicas that have a limit."""
+        return tuple(self._reported_by_replica)
+
     @property
     def count(self) -> int:
         """How many replicas have a limit."""
--- a/hornbeamglade/replicas/replicalist.py
+++ b/hornbeamglade/replicas/replicalist.py
@@ -115,6 +115,11 @@
         leaving = self.by_id[replica_id] = dataclasses.replace(replica, is_leaving=True)
         return (ListChange(leaving, "leaving"),)
 
+    @property
+    def leaving_by_statement(self) -> collections.abc.Collection[str]:
+        """The ids of the replicas that have stated that they are leaving."""
+        return self._leaving_by_statement.keys()
+
     def forget_departed(self, replica_id: str) -> None:
         """Forget a replica that was removed from the list some time ago."""
         self.departed_by_id.pop(replica_id, None)
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -105,14 +105,14 @@
             for replica in self._usable_replicas(routed)
             if replica.id not in log.tried
             and not self._available.cold_wait_s(replica.id, now)
-            and not self._available.limit_wait_s(replica.id)
+            and not self._available.send_wait_s(replica.id)
         ]
         return self._loads.choose(usable)
 
     async def _wait_for_send_slot(
         self, routed: callrouter.RoutedRequest, log: attemptlog.AttemptLog
     ) -> bool:
-        """Wait for a send slot if all replicas have rate limits; return whether there is one."""
+        """Wait for a send slot if all replicas are restricted; return whether there is one."""
         deadline = routed.call.arrived_at + RATE_LIMIT_WAIT_SHARE * routed.route.goal_s
         return len(log.tried) < MAX_REPLICAS and await self._rate_limit_queue.wait(
             routed.service.name, routed.allowed_regions, log.tried, routed.urgency, deadline
@@ -126,16 +126,17 @@
     def _no_replica_refusal(
         self, routed: callrouter.RoutedRequest, log: attemptlog.AttemptLog
     ) -> outcomes.Refusal:
-        if log.tried:
-            return _failure_refusal(routed, log)
         now = self._clock.now()
         usable = self._usable_replicas(routed)
+        if log.tried:
+            waits_s = [self._wait_s(replica, now) for replica in usable]
+            return _failure_refusal(routed, log, min(waits_s, default=0.0))
         if not usable:
             detail = f"no replica of {routed.service.name} that may serve it is in use"
             return outcomes.Refusal("no_replica", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
         retry_s = min(self._wait_s(replica, now) for replica in usable)
         retry_s = max(retry_s, availability.MIN_COLD_RETRY_S)
-        if any(self._available.limit(replica.id) is not None for replica in usable):
+        if any(self._available.is_restricted(replica.id) for replica in usable):
             detail = f"the replicas of {routed.service.name} take no more requests for now"
             return outcomes.Refusal("replicas_limited", 503, detail, retry_after_s=retry_s)
         detail = f"the replicas of {routed.service.name} have just started and take few requests"
@@ -144,7 +145,7 @@
     def _wait_s(self, replica: replicamodels.Replica, now: float) -> float:
         """Return the seconds until a replica accepts a request from any instance."""
         cold_s = self._available.cold_wait_s(replica.id, now)
-        return max(cold_s, self._available.limit_retry_s(replica.id))
+        return max(cold_s, self._available.retry_s(replica.id))
 
     async def _attempt(
         self,
@@ -175,8 +176,7 @@
             if outcome is None:
                 self._crash_detector.run_unanswered(routed.fingerprint, replica, sent_at)
         if isinstance(outcome, sending.FailedAttempt):
-            was_sent = outcome.code != "not_connected"
-            log.record_end(replica.id, outcome.run, was_sent)
+            log.record_end(replica.id, outcome.run, outcome.was_sent)
             if outcome.run is outcomes.RunStatus.UNKNOWN:
                 self._crash_detector.run_lost(routed.fingerprint, replica, sent_at)
         else:
@@ -238,10 +238,15 @@
 
 
 def _failure_refusal(
-    routed: callrouter.RoutedRequest, log: attemptlog.AttemptLog
+    routed: callrouter.RoutedRequest, log: attemptlog.AttemptLog, wait_s: float = 0.0
 ) -> outcomes.Refusal:
+    """Return the refusal after failed attempts.
+
+    :param wait_s: seconds until some replica accepts a request.
+    """
     if log.may_have_run:
         detail = f"no replica of {routed.service.name} gave a whole answer"
         return outcomes.Refusal("no_answer", 502, detail, outcomes.RunStatus.UNKNOWN)
     detail = f"the replicas of {routed.service.name} that were asked took no work"
-    return outcomes.Refusal("replicas_full", 503, detail, retry_after_s=FULL_RETRY_S)
+    retry_s = max(wait_s, FULL_RETRY_S)
+    return outcomes.Refusal("replicas_full", 503, detail, retry_after_s=retry_s)
--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -53,11 +53,6 @@
         """Return whether the operator has evacuated an engine's failure domain."""
         return self._available.is_evacuated(replica)
 
-    def accepts(self, replica_id: str) -> bool:
-        """Return whether an engine is listed, not leaving and not evacuated."""
-        replica = self._replicas.by_id.get(replica_id)
-        return replica is not None and self._available.accepts(replica)
-
     def is_cold(self, replica_id: str, now: float) -> bool:
         """Return whether an engine has just started and accepts few requests."""
         return self._available.is_cold(replica_id, now)
@@ -73,9 +68,31 @@
     def may_send(self, replica_id: str) -> bool:
         """Return whether this node may send a request to an engine now.
 
-        An engine may be leaving, evacuated or limited since it was chosen.
+        An engine may be leaving, evacuated, limited or in backoff since it was chosen.
+        """
+        is_sendable = self._available.send_wait_s(replica_id) <= 0.0
+        return is_sendable and self._available.still_accepts(replica_id)
+
+    def withheld(self, service: str) -> frozenset[str]:
+        """Return the engines of a service that this node may not send to, though others may."""
+        return frozenset(self._available.withheld(service))
+
+    def retry_s(self, service: str, regions: frozenset[str] | None = None) -> float | None:
+        """Return the seconds until a retry may be sent to some engine of a service.
+
+        None if this node may send to one now, or if no engine is usable.
+        """
+        usable = self._available.usable(service, regions)
+        if not usable or any(self._available.send_wait_s(each.id) <= 0.0 for each in usable):
+            return None
+        return min(self._available.retry_s(each.id) for each in usable)
+
+    def may_continue_at(self, replica_id: str) -> bool:
+        """Return whether a run may be migrated to an engine that was chosen some time ago.
+
+        Its limit does not matter: the run would be lost while it waits for a send slot.
         """
-        return self.accepts(replica_id) and self._available.limit_wait_s(replica_id) <= 0.0
+        return self._available.still_accepts(replica_id)
 
     def candidates(
         self,
@@ -134,7 +151,7 @@
     def _is_candidate(
         self, replica: models.Replica, excluded: collections.abc.Container[str]
     ) -> bool:
-        return replica.id not in excluded and self._available.limit_wait_s(replica.id) <= 0.0
+        return replica.id not in excluded and self._available.send_wait_s(replica.id) <= 0.0
 
     def owned_alternatives(self, replica_id: str, work: outcomes.Work) -> tuple[str, ...]:
         """Return this node's engines of the service of ``replica_id``, best first.
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -97,7 +97,8 @@
             if isinstance(grant, asyncgrantacquirer.Grant):
                 if dependencies.catalog.may_send(grant.replica):
                     return grant
-                # Another request has used the send slot, or the engine is leaving, since then.
+                # Another request has used the send slot, or the engine has stated that it is
+                # leaving or in backoff, since then.
                 dependencies.acquirer.release(grant)
             elif not await dependencies.rate_limit_queue.wait(
                 routed.service.name,
@@ -106,7 +107,16 @@
                 routed.urgency,
                 enginework.latest_start_at(routed),
             ):
-                return grant
+                return self._with_retry_time(grant)
+
+    def _with_retry_time(self, refusal: outcomes.Refusal) -> outcomes.Refusal:
+        """Return the refusal with the time at which this node may send to an engine again."""
+        routed = self._routed
+        retry_s = self._dependencies.catalog.retry_s(routed.service.name, routed.allowed_regions)
+        if retry_s is None:
+            return refusal
+        detail = f"the engines of {routed.service.name} take no more requests for now"
+        return outcomes.Refusal("replicas_limited", 503, detail, retry_after_s=retry_s)
 
     def _quarantine_refusal(self) -> outcomes.Refusal | None:
         """Return the refusal of a request that crashes its replicas, or None."""
@@ -135,7 +145,7 @@
             list_candidates=lambda: catalog.candidates(service, excluded, regions, sample_offset),
             resolve_replica=lambda chosen: catalog.find(chosen, service, excluded, regions),
             attempt=self._grant_attempts,
-            avoid=excluded,
+            avoid=excluded | catalog.withheld(service),
             due=enginework.latest_start_at(self._routed),
             known_only=regions is not None,
         )
@@ -154,4 +164,6 @@
             detail = f"no replica of {service} gave a whole answer"
             return outcomes.Refusal("no_answer", 502, detail, outcomes.RunStatus.UNKNOWN)
         detail = f"the replicas of {service} that were asked took no work"
-        return outcomes.Refusal("replicas_full", 503, detail, retry_after_s=FULL_RETRY_S)
+        retry_s = self._dependencies.catalog.retry_s(service, self._routed.allowed_regions)
+        retry_s = max(retry_s or 0.0, FULL_RETRY_S)
+        return outcomes.Refusal("replicas_full", 503, detail, retry_after_s=retry_s)
--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -188,11 +188,11 @@
         self, grant: asyncgrantacquirer.Grant, replica: replicamodels.Replica
     ) -> bool:
         """Copy the run to one engine and stop it; return whether the migration has ended."""
-        if not self._dependencies.catalog.accepts(replica.id):
+        if not self._dependencies.catalog.may_continue_at(replica.id):
             # The run may have waited for its slots for seconds since the grant was given.
             self._release()
             is_evacuated = self._dependencies.catalog.is_evacuated(replica)
-            self.outcome = "evacuated" if is_evacuated else "target_leaving"
+            self.outcome = "evacuated" if is_evacuated else "target_withheld"
             return self._has_ended
         if self._copy_started_at is None:
             self._copy_started_at = self._dependencies.clock.now()
--- a/hornbeamglade/routed/ratelimitqueue.py
+++ b/hornbeamglade/routed/ratelimitqueue.py
@@ -1,12 +1,12 @@
-"""Queue of requests for services whose replicas have all reported rate limits.
+"""Queue of requests for services whose replicas all have a rate limit or a backoff.
 
 Explanation
 ===========
 
-Replicas report a rate limit when they are overloaded; more requests arrive than they accept,
-so most are refused. A request is queued only if it can still meet its goal and this instance
-has enough send slots before then for all requests ahead of it; any other request is refused
-at once. The queue is ordered by urgency, then by arrival.
+Replicas report a rate limit, or ask for a backoff, when they are overloaded; more requests
+arrive than they accept, so most are refused. A request is queued only if it can still meet its
+goal and this instance has enough send slots before then for all requests ahead of it; any other
+request is refused at once. The queue is ordered by urgency, then by arrival.
 """
 
 import asyncio
@@ -70,9 +70,11 @@
         deadline: float,
     ) -> bool:
         while self._clock.now() < deadline:
-            wait_s = min(self._available.limit_wait_s(each) for each in limited)
+            wait_s = min(self._available.send_wait_s(each) for each in limited)
             if wait_s <= 0.0 and queue[0] == position:
                 return True
+            if self._clock.now() + wait_s >= deadline:
+                return False
             await asyncio.sleep(max(POLL_INTERVAL_S, min(wait_s, deadline - self._clock.now())))
         return False
 
@@ -82,13 +84,13 @@
         regions: frozenset[str] | None,
         excluded: collections.abc.Container[str],
     ) -> list[str]:
-        """Return the replicas that can take the request as soon as their rate limits allow.
+        """Return the replicas that can take the request as soon as limits and backoffs allow.
 
-        Empty if any usable replica has no limit: then the request did not fail for lack of a
+        Empty if any usable replica has neither: then the request did not fail for lack of a
         send slot, and waiting for one would not help.
         """
         usable = [
             each.id for each in self._available.usable(service, regions) if each.id not in excluded
         ]
-        limited = [each for each in usable if self._available.limit(each) is not None]
+        limited = [each for each in usable if self._available.is_restricted(each)]
         return limited if len(limited) == len(usable) else []
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -11,6 +11,8 @@
 MAX_BODY_BYTES = 16_777_216
 AdvisoryCallback = collections.abc.Callable[[models.Replica, advisories.Advisory], None]
 
+WITHHELD = "withheld"
+
 MAX_SKIPPED_RESPONSES = 2
 """Responses to other requests that are skipped on a connection before it is closed."""
 
@@ -21,10 +23,12 @@
 
     :param code: stable identifier of the failure, for logs.
     :param run: whether the replica ran the request, as far as known.
+    :param was_sent: whether the replica may have received the request.
     """
 
     code: str
     run: outcomes.RunStatus
+    was_sent: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +50,8 @@
 
     :param pool: connections to replicas.
     :param request_dialect: writes request headers and parses response heads.
+    :param still_accepts: whether a replica, by its id, still accepts a new request; it may have
+        stated otherwise while the connection was opened.
     :param on_advisory: called with what a replica states about itself, once for each response
         head of the intended server, before the body is read.
     :param clock: monotonic time.
@@ -55,11 +61,13 @@
         self,
         pool: clientpool.ClientPool,
         request_dialect: dialect.Dialect,
+        still_accepts: collections.abc.Callable[[str], bool],
         on_advisory: AdvisoryCallback,
         clock: clocks.Clock,
     ) -> None:
         self._pool = pool
         self._dialect = request_dialect
+        self._still_accepts = still_accepts
         self._on_advisory = on_advisory
         self._clock = clock
 
@@ -72,7 +80,10 @@
         """Send a request and wait for the response head; cancellation closes the connection."""
         connection = await self._pool.acquire(replica.address)
         if isinstance(connection, clientside.ResponseLost):
-            return FailedAttempt(connection.code, outcomes.RunStatus.NOT_RUN)
+            return FailedAttempt(connection.code, outcomes.RunStatus.NOT_RUN, was_sent=False)
+        if dispatch.copy is None and not self._still_accepts(replica.id):
+            self._pool.release(connection, None)
+            return FailedAttempt(WITHHELD, outcomes.RunStatus.NOT_RUN, was_sent=False)
         try:
             response = await self._exchange(connection, routed.call, replica, dispatch)
         except BaseException:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -168,9 +168,7 @@
         assignment.sent_at = self._dependencies.clock.now()
         response = await self._dependencies.sender.send(routed, assignment.replica, dispatch)
         if isinstance(response, sending.FailedAttempt):
-            self._log.record_end(
-                assignment.replica.id, response.run, response.code != "not_connected"
-            )
+            self._log.record_end(assignment.replica.id, response.run, response.was_sent)
             return response
         assignment.response = response
         self._log.record_response_started()
--- a/tests/routed/test_bufferedexchange.py
+++ b/tests/routed/test_bufferedexchange.py
@@ -40,6 +40,7 @@
         sender = sending.Sender(
             pool,
             requestdialect.PlatformDialect(),
+            lambda replica_id: self.available.still_accepts(replica_id),
             lambda replica, advisory: self.available.apply_advisory(replica.id, advisory),
             self.clock,
         )
