soak: let servers state that they leave and refuse requests for a time

Two faults: a server states in its responses that it is leaving while its entry says ready, and a server refuses requests with 503 and Retry-After: 2. Two checks: no request that is sent over 2 s after an instance passed on such a response reaches the server from it, and at most two reach it in the time apart from the first half second, unless the instance or the link was interrupted in between. Each check has a test of what it reports and what it excuses.

--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -28,7 +28,20 @@
 PROPAGATION_S = 3.0
 """Within this time, all connected instances know what one of them has learned."""
 
+LEAVING_BOUND_S = 2.0
+"""A server gets no request from an instance that was sent this long after the instance had passed
+on a response in which the server states that it is leaving."""
+
+BACKOFF_GRACE_S = 0.5
+BACKOFF_ALLOWED = 2
+"""Requests that reach a server in the time that it named, apart from the first half second."""
+
 CRASHES = 3
+LINK_FAULTS = frozenset(
+    ("LinkReset", "LinkDelayed", "AnswersHeld", "RequestsHeld", "LinkSilent", "ServerPaused")
+)
+"""Faults after which a response may not have reached its instance."""
+
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK = 5
 
@@ -55,6 +68,7 @@
 
     :param results: the results that callers received.
     :param runs: the requests that backend servers ran.
+    :param refusals: the requests that backend servers refused.
     :param fault_records: the faults that were injected.
     :param revoked_at_by_key: when the store accepted the revocation of a key.
     :param issued_at_by_key: when the store accepted a new key.
@@ -65,6 +79,7 @@
 
     results: tuple[routedcaller.CallerResult, ...]
     runs: tuple[RunRecord, ...]
+    refusals: tuple[RunRecord, ...]
     fault_records: tuple[soaksite.FaultRecord, ...]
     revoked_at_by_key: dict[str, float]
     issued_at_by_key: dict[str, float]
@@ -93,6 +108,8 @@
     found += _check_evacuations(evidence)
     found += _check_crashing_requests(evidence)
     found += _check_limits(evidence)
+    found += _check_leaving(evidence)
+    found += _check_backoffs(evidence)
     found += _check_served_share(evidence)
     return tuple(found)
 
@@ -266,6 +283,54 @@
                 break
 
 
+def _check_leaving(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return requests to a server after the same instance had passed on that it is leaving."""
+    stated_at: dict[tuple[str, str], float] = {}
+    for result in evidence.results:
+        if result.leaving_replica:
+            key = (result.address, result.leaving_replica)
+            stated_at[key] = min(stated_at.get(key, result.ended_at), result.ended_at)
+    result_by_id = {result.request_id: result for result in evidence.results}
+    for each in evidence.runs:
+        result = result_by_id.get(each["request_id"])
+        since = None if result is None else stated_at.get((result.address, each["replica_id"]))
+        if since is None or result.sent_at <= since + LEAVING_BOUND_S:
+            continue
+        if not _was_interrupted(evidence, since, each["at"]):
+            yield Violation("nothing_new_when_leaving", result.request_id, each["replica_id"])
+
+
+def _check_backoffs(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return a violation for each refusal after which too many requests of the instance came."""
+    address_by_id = {result.request_id: result.address for result in evidence.results}
+    arrivals_by_pair: dict[tuple[str, str], list[float]] = collections.defaultdict(list)
+    for each in (*evidence.runs, *evidence.refusals):
+        address = address_by_id.get(each["request_id"])
+        if address is not None:
+            arrivals_by_pair[address, each["replica_id"]].append(each["at"])
+    for each in evidence.refusals:
+        address = address_by_id.get(each["request_id"])
+        if address is None or not each["retry_after"]:
+            continue
+        until = each["at"] + float(each["retry_after"])
+        arrivals = arrivals_by_pair[address, each["replica_id"]]
+        count = sum(each["at"] + BACKOFF_GRACE_S < at < until for at in arrivals)
+        if count > BACKOFF_ALLOWED and not _was_interrupted(evidence, each["at"], until):
+            yield Violation(
+                "backoff_is_kept", each["request_id"], f"{each['replica_id']}: {count} requests"
+            )
+
+
+def _was_interrupted(evidence: Evidence, began_at: float, ended_at: float) -> bool:
+    """Return whether an instance stopped or paused, or a server's link failed, in a period."""
+    return any(
+        each.began_at < ended_at
+        and each.ended_at > began_at
+        and (each.component.startswith("entry-") or each.name in LINK_FAULTS)
+        for each in evidence.fault_records
+    )
+
+
 def _check_served_share(evidence: Evidence) -> collections.abc.Iterator[Violation]:
     """Return a violation if the instances served too few requests."""
     served = sum(result.status == 200 and result.is_whole for result in evidence.results)
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -23,6 +23,10 @@
 """Time after which operators and servers write lost rows to the store again."""
 
 LIMIT_PER_S = 1.5
+BACKOFF_S = 2.0
+STATED_S = 4.0
+"""How long a server states that it is leaving before the list says so or it stops."""
+
 FATAL_PAUSE_S = 0.4
 
 
@@ -197,6 +201,35 @@
         _replace(soak_site, self.component)
 
 
+class ServerStatesLeaving(Fault):
+    """A server states in its responses that it is leaving; its entry keeps saying it is ready."""
+
+    extra_duration_s = STATED_S
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it state this from now on."""
+        soak_site.site.put_json(self.component, "/standin/leave", {})
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Kill it and start a replacement."""
+        soak_site.site.child_by_name[self.component].send(signal.SIGKILL)
+        _replace(soak_site, self.component)
+
+
+class ServerRefuses(Fault):
+    """A server refuses requests and names a time in which it accepts no more."""
+
+    extra_duration_s = 4.0
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it refuse from now on."""
+        soak_site.site.faults(self.component, retry_after=f"{BACKOFF_S:g}")
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it run requests again."""
+        soak_site.site.faults(self.component)
+
+
 class ServerPaused(Fault):
     """A backend server is paused for a while."""
 
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -86,6 +86,8 @@
     lambda rng: faults.StoreFails("store", "lose_answers", True),
     lambda rng: faults.StoreComesBack("store"),
     _choose(faults.ServerLimited, SERVICES),
+    _choose(faults.ServerStatesLeaving, ENGINES + SERVICES),
+    _choose(faults.ServerRefuses, ENGINES + SERVICES),
     lambda rng: faults.RequestCrashesServers(ALL_SERVICES),
     _choose(faults.DomainEvacuated, routedsite.DOMAINS),
     _choose(faults.LinkReset, LINKS),
--- a/hornbeamglade/soak/running.py
+++ b/hornbeamglade/soak/running.py
@@ -74,6 +74,7 @@
         checks.Evidence(
             results,
             soak_site.site.ledger(),
+            soak_site.site.refusals(),
             soak_site.history(),
             soak_site.revoked_at_by_key,
             soak_site.issued_at_by_key,
--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -5,3 +5,6 @@
 
 SHORT_SEED = 7
 """The seed of the short run that is part of the test suite."""
+
+STATEMENT_SEEDS = (8, 31, 48, 57)
+"""Seeds in whose plans servers state that they are leaving, and refuse requests for a time."""
--- a/hornbeamglade/standins/routedcaller.py
+++ b/hornbeamglade/standins/routedcaller.py
@@ -47,6 +47,8 @@
     :param is_sealed: whether it had a replica's proof.
     :param body: the body of a plain response.
     :param events: number and text of each event, in order of arrival.
+    :param leaving_replica: the replica that stated in the response that it is leaving, or an
+        empty text.
     :param retry_after_s: the delay that a refusal asked for, or None.
     :param error: the error that ended the request, or an empty text.
     """
@@ -62,6 +64,7 @@
     is_sealed: bool = False
     body: bytes = b""
     events: tuple[tuple[int, str], ...] = ()
+    leaving_replica: str = ""
     retry_after_s: float | None = None
     error: str = ""
 
@@ -130,6 +133,7 @@
             is_sealed="Response-Seal" in response.headers,
             body=b"" if events else body,
             events=events,
+            leaving_replica=_leaving_replica(response),
             retry_after_s=_seconds(response.headers.get("Retry-After")),
             error=error,
         )
@@ -152,6 +156,12 @@
     return dataclasses.replace(result, ended_at=time.monotonic(), **changes)
 
 
+def _leaving_replica(response: urllib3.BaseHTTPResponse) -> str:
+    """Return the replica named in the seal of a response that states leaving."""
+    seal = response.headers.get("Response-Seal", "")
+    return seal.rpartition(".")[0] if "Server-Leaving" in response.headers else ""
+
+
 def _seconds(value: str | None) -> float | None:
     try:
         return None if value is None else float(value)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -45,11 +45,19 @@
 
 
 def violations(
-    all_results, all_runs, fault_records=(), revoked=None, issued=None, evacuated=(), limited=()
+    all_results,
+    all_runs,
+    fault_records=(),
+    revoked=None,
+    issued=None,
+    evacuated=(),
+    limited=(),
+    refusals=(),
 ):
     evidence = checks.Evidence(
         tuple(all_results),
         tuple(all_runs),
+        tuple(refusals),
         tuple(fault_records),
         revoked or {},
         issued or {},
@@ -181,3 +189,36 @@
     assert violations(results, runs, limited=[limited]) == ["limit_is_kept_to"]
     early = [{**each, "at": each["at"] - 4.5} for each in runs]
     assert violations(results, early, limited=[limited]) == []
+
+
+def test_requests_sent_after_a_response_stated_leaving_are_reported():
+    stating = result(leaving_replica="service-0.1", sent_at=9.0, ended_at=10.0)
+    soon = result(request_id="r2", body=b"s0:r2", sent_at=11.9)
+    late = result(request_id="r3", body=b"s0:r3", sent_at=12.1)
+    runs = [
+        run_record(request_id=each.request_id, body=each.request_id, at=each.sent_at + 0.1)
+        for each in (stating, soon, late)
+    ]
+    assert violations([stating, soon, late], runs) == ["nothing_new_when_leaving"]
+    assert violations([stating, soon], runs[:2]) == []
+    elsewhere = dataclasses.replace(late, address="127.0.0.1:2")
+    assert violations([stating, soon, elsewhere], runs) == []
+    paused = soaksite.FaultRecord("InstancePaused", "entry-0", 11.0, 11.5)
+    assert violations([stating, soon, late], runs, [paused]) == []
+
+
+def test_requests_beyond_the_allowed_ones_in_a_named_time_are_reported():
+    refused = {"request_id": "r0", "at": 10.0, "replica_id": "service-0.1", "retry_after": "3"}
+    results = [result(request_id="r0", status=503, is_sealed=False, body=b"", sent_at=9.9)]
+    results += [
+        result(request_id=f"r{n}", body=f"s0:r{n}".encode(), sent_at=11.0 + n) for n in (1, 2, 3)
+    ]
+    times = {"r1": 10.6, "r2": 11.0, "r3": 12.9}
+    runs = [run_record(request_id=name, body=name, at=at) for name, at in times.items()]
+    assert violations(results, runs, refusals=[refused]) == ["backoff_is_kept"]
+    early = [{**each, "at": 10.4} if each["request_id"] == "r1" else each for each in runs]
+    assert violations(results, early, refusals=[refused]) == []
+    timeless = {**refused, "retry_after": ""}
+    assert violations(results, runs, refusals=[timeless]) == []
+    link_reset = soaksite.FaultRecord("LinkReset", "service-0", 10.2, 10.4)
+    assert violations(results, runs, [link_reset], refusals=[refused]) == []
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -1,6 +1,8 @@
-"""A short soak of real processes, with one seed."""
+"""Short soaks of real processes, with fixed seeds."""
 
-from hornbeamglade.soak import running, seeds
+import pytest
+
+from hornbeamglade.soak import plan, running, seeds
 
 SECONDS = 4.0
 
@@ -10,3 +12,18 @@
     verdict = running.run(seeds.SHORT_SEED, SECONDS, tmp_path)
     assert verdict.faults
     assert verdict.violations == ()
+
+
+STATEMENT_SECONDS = 15.0
+
+
+@pytest.mark.parametrize("seed", seeds.STATEMENT_SEEDS)
+def test_soak_with_statements_of_servers_violates_no_guarantee(seed, tmp_path):
+    verdict = running.run(seed, STATEMENT_SECONDS, tmp_path)
+    assert verdict.violations == ()
+
+
+def test_each_seed_of_statements_draws_both_faults():
+    for seed in seeds.STATEMENT_SEEDS:
+        names = {each.fault.name for each in plan.make(seed, STATEMENT_SECONDS)}
+        assert {"ServerStatesLeaving", "ServerRefuses"} <= names
