placement, node: log why each replica differs from its wanted state, leases and orders

A test of a placing node's death failed once and its cause is unknown: no line told whether the next node had acquired the lease, read the engines or sent the orders, so a slow machine could not be told from a lost order. A line is written now when the reason of a replica changes, for each acquired lease and for the outcome of each order, with its duration; nodes that are not candidates write none.

--- a/hornbeamglade/node/placing.py
+++ b/hornbeamglade/node/placing.py
@@ -13,11 +13,15 @@
 from hornbeamglade.membership import ownership
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import siteview
+from hornbeamglade.observability import logs
 from hornbeamglade.store import contract
 
 MAX_WORKERS = 4
 POOL_PREFIX = "pool:"
 
+_QUIET_REASONS = frozenset((None, placement.Reason.NOT_CANDIDATE, placement.Reason.NOT_READ_YET))
+"""Every node has these for every replica after its start; changes between them say nothing."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Placed:
@@ -81,6 +85,7 @@
                 closed |= placed.placer.closed()
                 status_by_replica |= placed.placer.statuses()
             self._closed = frozenset(closed)
+            _log_changes(self._status_by_replica, status_by_replica)
             self._status_by_replica = status_by_replica
 
     def stop(self) -> None:
@@ -148,3 +153,20 @@
         if isinstance(read, contract.Missing):
             return 0
         return headrecords.read_head(read.row.value).revision
+
+
+def _log_changes(
+    before: dict[str, placement.PlacementStatus], after: dict[str, placement.PlacementStatus]
+) -> None:
+    """Log the replicas for which the reason has changed why they differ from their state."""
+    for name, status in after.items():
+        former = None if name not in before else before[name].reason
+        if {former, status.reason} <= _QUIET_REASONS:
+            continue
+        logs.state_changed(
+            "placement",
+            "none" if former is None else former.value,
+            status.reason.value,
+            replica=name,
+            attempts=status.failures,
+        )
--- a/hornbeamglade/placement/placer.py
+++ b/hornbeamglade/placement/placer.py
@@ -22,6 +22,7 @@
 from hornbeamglade import leases
 from hornbeamglade.backends import orders
 from hornbeamglade.core import clocks
+from hornbeamglade.observability import logs
 from hornbeamglade.placement import engines as enginelib
 from hornbeamglade.placement import placementsettings, placementvalues
 from hornbeamglade.placement import rollout as rolloutlib
@@ -171,6 +172,7 @@
         self._prior_orders_expired = False
         self._was_outdated = False
         self._head_revision = None
+        logs.state_changed("placement_lease", "none", "held", fencing=self._fencing)
         self._rollout.restart(now)
         return None
 
@@ -232,7 +234,16 @@
         planned = self._rollout.plan(fencing, planned_at, self._prior_orders_expired)
         send = functools.partial(self._send, fencing, planned_at)
         for order, outcome in zip(planned, self._call_each(send, planned), strict=True):
-            self._rollout.on_order_outcome(order, outcome, fencing, self._clock.now())
+            now = self._clock.now()
+            self._rollout.on_order_outcome(order, outcome, fencing, now)
+            logs.state_changed(
+                "placement_order",
+                "planned",
+                type(outcome).__name__.lower(),
+                replica=order.replica,
+                fencing=fencing,
+                seconds=round(now - planned_at, 3),
+            )
         if self._was_outdated:
             self._lease_retry_at = self._clock.now() + _SUPERSEDED_LEASE_WAIT_S
             self._blocked_by = _Reason.NEWER_FENCING_SEEN
