soak: excuse requests only by interruptions of the instance or the link concerned

A pause of any instance excused requests of all others to a server that had stated that it leaves, so the check found none of them on the code before the fix.

--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -37,7 +37,8 @@
 """Requests that reach a server in the time that it named, apart from the first half second."""
 
 CRASHES = 3
-LINK_FAULTS = frozenset(
+INSTANCE_INTERRUPTIONS = frozenset(("InstanceKilled", "InstanceStopped", "InstancePaused"))
+LINK_INTERRUPTIONS = frozenset(
     ("LinkReset", "LinkDelayed", "AnswersHeld", "RequestsHeld", "LinkSilent", "ServerPaused")
 )
 """Faults after which a response may not have reached its instance."""
@@ -74,6 +75,7 @@
     :param issued_at_by_key: when the store accepted a new key.
     :param evacuated: the failure domains that were evacuated, and when.
     :param limited: the servers that announced rate limits, and when.
+    :param instance_by_address: the instances by the address on which they accept callers.
     :param events: number of events of a complete stream.
     """
 
@@ -85,6 +87,7 @@
     issued_at_by_key: dict[str, float]
     evacuated: tuple[soaksite.Evacuated, ...]
     limited: tuple[soaksite.Limited, ...]
+    instance_by_address: dict[str, str]
     events: int
 
     def runs_by_id(self) -> dict[str, list[RunRecord]]:
@@ -296,7 +299,8 @@
         since = None if result is None else stated_at.get((result.address, each["replica_id"]))
         if since is None or result.sent_at <= since + LEAVING_BOUND_S:
             continue
-        if not _was_interrupted(evidence, since, each["at"]):
+        instance = evidence.instance_by_address.get(result.address, "")
+        if not _was_interrupted(evidence, INSTANCE_INTERRUPTIONS, instance, since, each["at"]):
             yield Violation("nothing_new_when_leaving", result.request_id, each["replica_id"])
 
 
@@ -315,18 +319,26 @@
         until = each["at"] + float(each["retry_after"])
         arrivals = arrivals_by_pair[address, each["replica_id"]]
         count = sum(each["at"] + BACKOFF_GRACE_S < at < until for at in arrivals)
-        if count > BACKOFF_ALLOWED and not _was_interrupted(evidence, each["at"], until):
+        instance = evidence.instance_by_address.get(address, "")
+        place = each["replica_id"].partition(".")[0]
+        is_excused = _was_interrupted(
+            evidence, INSTANCE_INTERRUPTIONS, instance, each["at"], until
+        ) or _was_interrupted(evidence, LINK_INTERRUPTIONS, place, each["at"], until)
+        if count > BACKOFF_ALLOWED and not is_excused:
             yield Violation(
                 "backoff_is_kept", each["request_id"], f"{each['replica_id']}: {count} requests"
             )
 
 
-def _was_interrupted(evidence: Evidence, began_at: float, ended_at: float) -> bool:
-    """Return whether an instance stopped or paused, or a server's link failed, in a period."""
+def _was_interrupted(
+    evidence: Evidence, names: frozenset[str], component: str, began_at: float, ended_at: float
+) -> bool:
+    """Return whether a component had one of the given faults in a period."""
     return any(
-        each.began_at < ended_at
+        each.name in names
+        and each.component == component
+        and each.began_at < ended_at
         and each.ended_at > began_at
-        and (each.component.startswith("entry-") or each.name in LINK_FAULTS)
         for each in evidence.fault_records
     )
 
--- a/hornbeamglade/soak/running.py
+++ b/hornbeamglade/soak/running.py
@@ -80,6 +80,7 @@
             soak_site.issued_at_by_key,
             tuple(soak_site.evacuated),
             tuple(soak_site.limited),
+            {soak_site.site.callers_address(name): name for name in soak_site.site.instance_names},
             soak_site.site.shape.events,
         )
     )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -63,6 +63,7 @@
         issued or {},
         tuple(evacuated),
         tuple(limited),
+        {"127.0.0.1:1": "entry-0", "127.0.0.1:2": "entry-1"},
         EVENTS,
     )
     return [each.guarantee for each in checks.violations(evidence)]
@@ -205,6 +206,8 @@
     assert violations([stating, soon, elsewhere], runs) == []
     paused = soaksite.FaultRecord("InstancePaused", "entry-0", 11.0, 11.5)
     assert violations([stating, soon, late], runs, [paused]) == []
+    other_paused = dataclasses.replace(paused, component="entry-1")
+    assert violations([stating, soon, late], runs, [other_paused]) == ["nothing_new_when_leaving"]
 
 
 def test_requests_beyond_the_allowed_ones_in_a_named_time_are_reported():
@@ -222,3 +225,5 @@
     assert violations(results, runs, refusals=[timeless]) == []
     link_reset = soaksite.FaultRecord("LinkReset", "service-0", 10.2, 10.4)
     assert violations(results, runs, [link_reset], refusals=[refused]) == []
+    other_reset = dataclasses.replace(link_reset, component="service-1")
+    assert violations(results, runs, [other_reset], refusals=[refused]) == ["backoff_is_kept"]
