routed: let no owner choose an engine if it cannot be told of all that must be avoided

A grant request names eight engines at most that the owner must not choose. With more in backoff an owner would grant one of the others that the instance must reject, again and again. Such a request now names an engine and lets no owner choose another one.

The listed replicas that have stated that they are leaving are kept apart, so that a placement looks at no more of them than there are.

--- a/hornbeamglade/replicas/replicalist.py
+++ b/hornbeamglade/replicas/replicalist.py
@@ -55,6 +55,7 @@
         self._newest_start_by_name: dict[str, int] = {}
         self._ids_by_service: dict[str, tuple[str, ...]] = {}
         self._leaving_by_statement: dict[str, None] = {}
+        self._listed_leaving_by_statement: set[str] = set()
 
     def of_service(self, service: str) -> tuple[models.Replica, ...]:
         """Return the replicas of a service, including leaving ones."""
@@ -110,15 +111,18 @@
         self._leaving_by_statement[replica_id] = None
         self._forget_leaving()
         replica = self.by_id.get(replica_id)
-        if replica is None or replica.is_leaving:
+        if replica is None:
+            return ()
+        self._listed_leaving_by_statement.add(replica_id)
+        if replica.is_leaving:
             return ()
         leaving = self.by_id[replica_id] = dataclasses.replace(replica, is_leaving=True)
         return (ListChange(leaving, "leaving"),)
 
     @property
     def leaving_by_statement(self) -> collections.abc.Collection[str]:
-        """The ids of the replicas that have stated that they are leaving."""
-        return self._leaving_by_statement.keys()
+        """The ids of the listed replicas that have stated that they are leaving."""
+        return self._listed_leaving_by_statement
 
     def forget_departed(self, replica_id: str) -> None:
         """Forget a replica that was removed from the list some time ago."""
@@ -151,7 +155,8 @@
         if replica.started_ms < newest:
             return []
         self._newest_start_by_name[replica.name] = replica.started_ms
-        if replica.id in self._leaving_by_statement and not replica.is_leaving:
+        if replica.id in self._leaving_by_statement:
+            self._listed_leaving_by_statement.add(replica.id)
             replica = dataclasses.replace(replica, is_leaving=True)
         changes: list[ListChange] = []
         if self._id_by_name.get(replica.name, replica.id) != replica.id:
@@ -172,6 +177,7 @@
         if replica_id is None:
             return []
         replica = self.by_id.pop(replica_id)
+        self._listed_leaving_by_statement.discard(replica_id)
         if kind == "gone":
             self.departed_by_id[replica_id] = replica
         return [ListChange(replica, kind)]
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -138,6 +138,7 @@
         catalog = self._dependencies.catalog
         sample_offset = messages.key_hash(self._routed.call.request_id)
         self._grant_attempts += migration.MAX_TARGETS
+        avoided = excluded | catalog.withheld(service)
         return asyncgrantacquirer.PlacementRequest(
             work=enginework.work(self._routed),
             weight=1.0,
@@ -145,9 +146,10 @@
             list_candidates=lambda: catalog.candidates(service, excluded, regions, sample_offset),
             resolve_replica=lambda chosen: catalog.find(chosen, service, excluded, regions),
             attempt=self._grant_attempts,
-            avoid=excluded | catalog.withheld(service),
+            avoid=avoided,
             due=enginework.latest_start_at(self._routed),
-            known_only=regions is not None,
+            # An owner can only be told of a few engines that it must not choose.
+            known_only=regions is not None or len(avoided) > messages.MAX_AVOIDED,
         )
 
     def may_retry(self) -> bool:
