entry: test that a draft cut by a crashing draft is served when it is sent again

The test sends such a draft again: it is served, though its engine crashed, while the crashing one is refused.

--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hornbeamglade.standins import routedfaults
+from tests import eventloop
 from tests.entry import site as entrysite
 
 CRASHES_ALLOWED = 3
@@ -52,3 +53,27 @@
         return run_count(site.services)
 
     assert entrysite.run(test, nodes=3, services=10) <= CRASHES_ALLOWED + RETRIES_ALLOWED
+
+
+def test_draft_cut_by_a_crashing_draft_is_served_when_it_is_sent_again():
+    """Another draft runs beside the crashing one at each of the engines that it crashes."""
+
+    async def test(site):
+        for number, engine in enumerate(site.engines[:CRASHES_ALLOWED]):
+            for other in site.engines:
+                other.faults = routedfaults.RoutedFaults(refuse=True)
+            crash_on_body([engine])
+            beside = f"beside-{number}"
+            client = await site.nodes[0].request(
+                "/draft/1", request_id=beside, more=entrysite.USAGE, body=beside.encode()
+            )
+            await eventloop.until(lambda engine=engine, beside=beside: beside in engine.run_by_id)
+            await send_repeatedly(site, "/draft/1", 1)
+            client.close()
+        crash_on_body(site.engines)
+        client = await site.nodes[0].request("/draft/1", more=entrysite.USAGE, body=b"beside-0")
+        crashing = await send_repeatedly(site, "/draft/1", 1)
+        return (await client.answer())[0], crashing, run_count(site.engines[:CRASHES_ALLOWED])
+
+    status, crashing, runs = entrysite.run(test, engines=4, events=60)
+    assert (status, crashing, runs) == (200, [503], 2 * CRASHES_ALLOWED)
