replicas: keep a backoff while the replica is not listed

An entry that expires while the store is down is forgotten twelve seconds later and may come back; the time that the replica had named may last longer than that.

--- a/hornbeamglade/replicas/backoffs.py
+++ b/hornbeamglade/replicas/backoffs.py
@@ -123,9 +123,12 @@
         return replica_id in self._backoff_by_replica
 
     def forget(self, present: collections.abc.Container[str]) -> None:
-        """Forget the replicas that are not in ``present``."""
+        """Forget the replicas that are not in ``present`` and whose time is over.
+
+        An entry that expired while the store was down may come back before that.
+        """
         for replica_id in tuple(self._backoff_by_replica):
-            if replica_id not in present:
+            if replica_id not in present and not self.is_active(replica_id):
                 del self._backoff_by_replica[replica_id]
 
     @property
