--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -454,7 +454,7 @@
             self._on_leaving_stated(replica)
 
     def _on_leaving_stated(self, replica: replicamodels.Replica) -> None:
-        """Stop to use a replica, and inform the other instances if this one owns it."""
+        """Stop using a replica, and inform the other instances if this one owns it."""
         was_usable = self._replicas.is_usable(replica.id)
         self._engine_monitor.on_leaving(replica.id, clusterstate.RESPONSE)
         self.cluster_state.record_leaving(replica.id)
