localsite: reserve ports against other processes that allocate them

A port is drawn and found free seconds before its process listens, and the other run drew from the same 10,000 ports. Each port is now locked in a file until the process that allocated it ends.

--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -11,11 +11,14 @@
 import collections.abc
 import contextlib
 import dataclasses
+import fcntl
+import functools
 import json
 import pathlib
 import random
 import signal
 import socket
+import tempfile
 import time
 import typing
 
@@ -40,6 +43,8 @@
 PORT_RANGE = (20_000, 30_000)
 """Below the ephemeral ports of outgoing connections, which begin at 32,768."""
 
+RESERVATIONS = pathlib.Path(tempfile.gettempdir()) / "hornbeamglade-ports.lock"
+
 Route = collections.abc.Callable[[str, str], str]
 """Returns the address under which a process is reached, by its name and its own address."""
 
@@ -375,12 +380,27 @@
         """Return a free port for sockets of the given kind."""
         while True:
             port = random.randrange(*PORT_RANGE)
-            if port in self._allocated or not _is_free(port, kind):
+            if port in self._allocated or not _reserve(port) or not _is_free(port, kind):
                 continue
             self._allocated.add(port)
             return port
 
 
+@functools.cache
+def _reservations() -> typing.BinaryIO:
+    # Opened once: closing another descriptor of the file would release all of its locks.
+    return RESERVATIONS.open("ab")
+
+
+def _reserve(port: int) -> bool:
+    """Lock a port's byte in the file of reservations; return whether no other process has it."""
+    try:
+        fcntl.lockf(_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
 def _is_free(port: int, kind: socket.SocketKind) -> bool:
     with socket.socket(socket.AF_INET, kind) as probe:
         try:
