routed: log how a connection failed, and whether a request waits on a kept one

An attempt line said not_connected whether a server refused or nothing came back, and an answer line did not tell a request that waits on a kept connection from one that waits for a connection. Logs only: attempts end with connect_refused or connect_timeout, answer lines have connection and idle_s. tests/http1, tests/routed, tests/docs: passed.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -213,6 +213,8 @@
             gap_goal_s=routed.route.gap_goal_s,
             seconds=round(seconds, 4),
             limit_per_s=log.limit_per_s,
+            connection=log.connection,
+            idle_s=log.idle_s,
             fingerprint=fingerprints.to_hex(routed.fingerprint),
             **extra_fields,
         )
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -55,11 +55,13 @@
         ``malformed`` or ``timeout``.
     :param sent: whether any byte of the request may have been sent to the server.
     :param is_refused: whether the connection was refused because nothing listens at the address.
+    :param is_timeout: whether there was no response to the attempt to connect.
     """
 
     code: str
     sent: bool = True
     is_refused: bool = False
+    is_timeout: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +87,7 @@
         self._is_reset = False
         self._has_ended = False
         self._is_unusable = False
+        self._idle_since = 0.0
         self._fresh_until = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -204,7 +207,8 @@
         """Prepare for the next request."""
         self._state = None
         self._request = None
-        self._fresh_until = self._clock.now() + _idle_lifetime_s(head.fields)
+        self._idle_since = self._clock.now()
+        self._fresh_until = self._idle_since + _idle_lifetime_s(head.fields)
 
     def is_fresh(self) -> bool:
         """Return whether an idle connection may still be used for another request."""
@@ -215,6 +219,11 @@
             and self._clock.now() < self._fresh_until
         )
 
+    @property
+    def idle_s(self) -> float | None:
+        """Seconds since the last response on this connection, or None if there was none."""
+        return self._clock.now() - self._idle_since if self._idle_since else None
+
     def close(self) -> None:
         """Close immediately; the server then cancels the request in progress."""
         if self._transport is not None:
@@ -273,7 +282,9 @@
             )
     except ConnectionRefusedError:
         return ResponseLost("not_connected", sent=False, is_refused=True)
-    except (OSError, TimeoutError):
+    except TimeoutError:
+        return ResponseLost("not_connected", sent=False, is_timeout=True)
+    except OSError:
         return ResponseLost("not_connected", sent=False)
     return protocol
 
--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -16,6 +16,9 @@
     :param in_flight_replica: replica of the attempt in flight, or None.
     :param has_response: whether that replica has begun to respond.
     :param limit_per_s: rate limit that the replica of the newest attempt had reported, or None.
+    :param connection: how the newest attempt was sent: ``opening`` until it has a connection, then
+        ``new`` or ``kept``.
+    :param idle_s: seconds for which a kept connection had been idle, or None.
     """
 
     tried: list[str] = dataclasses.field(default_factory=list)
@@ -24,11 +27,23 @@
     in_flight_replica: str | None = None
     has_response: bool = False
     limit_per_s: float | None = None
+    connection: str = "-"
+    idle_s: float | None = None
 
     def start(self, replica_id: str, limit: ratelimits.RateLimit | None) -> None:
         """Record that an attempt starts, and the rate limit that its replica had reported."""
         self.in_flight_replica = replica_id
         self.limit_per_s = None if limit is None else limit.requests_per_s
+        self.connection = "opening"
+        self.idle_s = None
+
+    def record_connection(self, idle_s: float | None) -> None:
+        """Record the connection of the attempt in flight.
+
+        :param idle_s: seconds for which it had been idle, or None for a new one.
+        """
+        self.connection = "new" if idle_s is None else "kept"
+        self.idle_s = None if idle_s is None else round(idle_s, 3)
 
     def record_response_started(self) -> None:
         """Record that the replica of the attempt in flight has begun to respond."""
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -164,7 +164,7 @@
         self._available.request_sent(replica.id)
         log.start(replica.id, self._available.limit(replica.id))
         try:
-            started = await self._sender.send(routed, replica, dispatch)
+            started = await self._sender.send(routed, replica, dispatch, log)
             if isinstance(started, sending.StartedResponse):
                 load = started.head.load
                 outcome = await self._read_response(started)
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -6,12 +6,14 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.http1 import clientpool, clientside
 from hornbeamglade.replicas import advisories, models
-from hornbeamglade.routed import callrouter, calls, dialect
+from hornbeamglade.routed import attemptlog, callrouter, calls, dialect
 
 MAX_BODY_BYTES = 16_777_216
 AdvisoryCallback = collections.abc.Callable[[models.Replica, advisories.Advisory], None]
 
 WITHHELD = "withheld"
+CONNECT_REFUSED = "connect_refused"
+CONNECT_TIMEOUT = "connect_timeout"
 
 MAX_SKIPPED_RESPONSES = 2
 """Responses to other requests that are skipped on a connection before it is closed."""
@@ -76,11 +78,17 @@
         routed: callrouter.RoutedRequest,
         replica: models.Replica,
         dispatch: calls.Dispatch,
+        log: attemptlog.AttemptLog,
     ) -> StartedResponse | FailedAttempt:
-        """Send a request and wait for the response head; cancellation closes the connection."""
+        """Send a request and wait for the response head; cancellation closes the connection.
+
+        :param log: records the connection that is used.
+        """
         connection = await self._pool.acquire(replica.address)
         if isinstance(connection, clientside.ResponseLost):
-            return FailedAttempt(connection.code, outcomes.RunStatus.NOT_RUN, was_sent=False)
+            code = _connect_failure_code(connection)
+            return FailedAttempt(code, outcomes.RunStatus.NOT_RUN, was_sent=False)
+        log.record_connection(connection.idle_s)
         if dispatch.copy is None and not self._still_accepts(replica.id):
             self._pool.release(connection, None)
             return FailedAttempt(WITHHELD, outcomes.RunStatus.NOT_RUN, was_sent=False)
@@ -144,6 +152,12 @@
         return FailedAttempt("crossed_answer", outcomes.RunStatus.UNKNOWN)
 
 
+def _connect_failure_code(lost: clientside.ResponseLost) -> str:
+    if lost.is_refused:
+        return CONNECT_REFUSED
+    return CONNECT_TIMEOUT if lost.is_timeout else lost.code
+
+
 def _matches_request(call: calls.Call, head: calls.ResponseHead) -> bool:
     if head.request_id is None:
         # A refusal may lack the request id; it carries no data of another request.
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -166,7 +166,9 @@
         self._log.start(assignment.replica.id, catalog.limit(assignment.replica.id))
         catalog.record_sent(assignment.replica.id)
         assignment.sent_at = self._dependencies.clock.now()
-        response = await self._dependencies.sender.send(routed, assignment.replica, dispatch)
+        response = await self._dependencies.sender.send(
+            routed, assignment.replica, dispatch, self._log
+        )
         if isinstance(response, sending.FailedAttempt):
             self._log.record_end(assignment.replica.id, response.run, response.was_sent)
             return response
--- a/tests/routed/test_bufferedexchange.py
+++ b/tests/routed/test_bufferedexchange.py
@@ -305,3 +305,29 @@
     refusal, ran = eventloop.run(main())
     assert (refusal.code, refusal.http_status, ran) == ("replicas_cold", 503, 0)
     assert 0.0 < refusal.retry_after_s <= 60.0
+
+
+def test_attempt_log_tells_kept_connections_from_new_ones():
+    async def main():
+        site = Site(1)
+        await site.start()
+        logs = [attemptlog.AttemptLog() for _ in range(2)]
+        for log in logs:
+            await site.exchange.answer(fakes.routed_request(site.clock, fakes.route()), log)
+        await site.stop()
+        return [(log.connection, log.idle_s is None) for log in logs]
+
+    assert eventloop.run(main()) == [("new", True), ("kept", False)]
+
+
+def test_failed_attempt_states_how_the_connection_failed():
+    async def main():
+        site = Site(1)
+        await site.start()
+        await site.stop()
+        codes = []
+        site.exchange._log_failure = lambda *each: codes.append(each[3].code)
+        await site.exchange.answer(fakes.routed_request(site.clock, fakes.route()), site.log)
+        return codes
+
+    assert eventloop.run(main()) == ["connect_refused"]
