entry: test that instances partitioned from all replicas serve first tries, failing

Callers at such instances got 503 and 504 while the other instances reached all replicas. The stand-in site gives each node a link of its own to each server; links hang, are reset, or keep connections and refuse new ones.

--- a/hornbeamglade/localsite/tcpproxy.py
+++ b/hornbeamglade/localsite/tcpproxy.py
@@ -8,15 +8,31 @@
 """
 
 import contextlib
+import enum
 import socket
 import struct
 import threading
 import time
 
 _READ_BYTES = 65_536
+_BACKLOG = 128
+_FILLERS = 2
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+class Partition(enum.Enum):
+    """How a partition of a link shows to its clients."""
+
+    HANG = "hang"
+    """Open connections stall, and attempts to connect get no response."""
+
+    RESET = "reset"
+    """Open connections are reset, and new ones refused."""
+
+    REFUSE_NEW = "refuse_new"
+    """Open connections work, and new ones are refused."""
+
+
 class TcpProxy:
     """Relays bytes between clients and one server.
 
@@ -28,6 +44,9 @@
         self._target = (host, int(port))
         self.delay_s = 0.0
         self._listener = socket.create_server(("127.0.0.1", 0))
+        self._port = self._listener.getsockname()[1]
+        self._fillers: list[socket.socket] = []
+        self._is_partitioned = False
         self._responses_released = threading.Event()
         self._responses_released.set()
         self._requests_released = threading.Event()
@@ -38,12 +57,50 @@
         self._lock = threading.Lock()
         self.refuse = False
         self.responses_held = 0
-        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
 
     @property
     def address(self) -> str:
         """The ``ip:port`` that clients connect to."""
-        return f"127.0.0.1:{self._listener.getsockname()[1]}"
+        return f"127.0.0.1:{self._port}"
+
+    def partition(self, how: Partition) -> None:
+        """Partition clients from the server until :meth:`release`."""
+        self._is_partitioned = True
+        self._stop_listening()
+        if how is Partition.HANG:
+            self._listen(backlog=0)
+            # Further attempts to connect get no response once the backlog is full.
+            for _ in range(_FILLERS):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", self._port))
+                self._fillers.append(filler)
+            self.stall()
+        elif how is Partition.RESET:
+            self.reset_connections()
+
+    def _listen(self, backlog: int) -> None:
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(("127.0.0.1", self._port))
+        self._listener.listen(backlog)
+
+    def _stop_listening(self) -> None:
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _end_partition(self) -> None:
+        if not self._is_partitioned:
+            return
+        self._is_partitioned = False
+        self._stop_listening()
+        self._listen(_BACKLOG)
+        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
 
     def hold_responses(self) -> None:
         """Hold back the data that the server sends, also on new connections."""
@@ -65,7 +122,8 @@
             self._stalled = frozenset(self._sockets)
 
     def release(self) -> None:
-        """Send the held data on and remove all delays."""
+        """Send the held data on, remove all delays and end a partition."""
+        self._end_partition()
         self.delay_s = 0.0
         self._responses_released.set()
         self._requests_released.set()
@@ -83,15 +141,13 @@
     def close(self) -> None:
         """Reset all connections and accept no more."""
         self.release()
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        self._stop_listening()
         self.reset_connections()
 
-    def _accept(self) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                client, _ = self._listener.accept()
+                client, _ = listener.accept()
             except OSError:
                 return
             if self.refuse:
@@ -139,14 +195,16 @@
 
     def route(self, name: str, address: str) -> str:
         """Return the address under which a process is reached."""
-        if name not in self._names:
-            return address
+        return self.link(name, address).address if name in self._names else address
+
+    def link(self, name: str, address: str) -> TcpProxy:
+        """Return the proxy of a process, which is created for its address if it has none."""
         if name not in self.link_by_name:
             self.link_by_name[name] = TcpProxy(address)
         elif name in self._retargeted:
             self._retargeted.discard(name)
             self.link_by_name[name].retarget(address)
-        return self.link_by_name[name].address
+        return self.link_by_name[name]
 
     def retarget(self, name: str) -> None:
         """Make the next call of :meth:`route` for a process use its new address."""
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -7,7 +7,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import instance, settings
 from hornbeamglade.http1 import serverside
-from hornbeamglade.localsite import routedsite
+from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.membership import registry
 from hornbeamglade.standins import routed
 from hornbeamglade.store import contract, memory
@@ -149,6 +149,8 @@
     :param engines: number of engines.
     :param events: events of each stream.
     :param region_by_failure_domain: the regions of the failure domains ``a`` and ``b``.
+    :param has_links: whether each node reaches each server over a link of its own, which can be
+        partitioned.
     """
 
     def __init__(
@@ -159,6 +161,7 @@
         events=30,
         gap_s=0.01,
         region_by_failure_domain=None,
+        has_links=False,
     ):
         self.store = memory.MemoryPlatform(clocks.SystemClock(), shared_version_counter=True)
         self.engines = [routed.RoutedStandin(f"e{n}", events, gap_s) for n in range(engines)]
@@ -167,6 +170,13 @@
             Node(number, region_by_failure_domain=region_by_failure_domain)
             for number in range(nodes)
         ]
+        self.links_by_node = (
+            {node: tcpproxy.TcpProxies() for node in self.nodes} if has_links else {}
+        )
+        self._store_by_node = {
+            node: memory.MemoryPlatform(clocks.SystemClock(), shared_version_counter=True)
+            for node in self.links_by_node
+        }
 
     async def start(self):
         for server in (*self.engines, *self.services):
@@ -198,16 +208,38 @@
 
     def put(self, key, value):
         self.store.transact((), (contract.Put(key, value),))
+        for node, store in self._store_by_node.items():
+            linked = self._over_link(node, value) if key.startswith("servers/") else value
+            store.transact((), (contract.Put(key, linked),))
+
+    def _over_link(self, node, value):
+        """Return a server's entry with the address of a node's link to it."""
+        entry = json.loads(value)
+        links = self.links_by_node[node]
+        address = links.link(entry["address"], entry["address"]).address
+        return json.dumps(entry | {"address": address})
+
+    def partition(self, node, how):
+        """Partition a node from all servers."""
+        for link in self.links_by_node[node].link_by_name.values():
+            link.partition(how)
+
+    def heal(self, node):
+        """End a node's partition."""
+        for link in self.links_by_node[node].link_by_name.values():
+            link.release()
 
     def delete(self, key):
-        self.store.transact((), (contract.Delete(key),))
+        for store in (self.store, *self._store_by_node.values()):
+            store.transact((), (contract.Delete(key),))
 
     def read_store(self, *nodes):
         """Let nodes, by default all of them, read the store."""
         for node in nodes or self.nodes:
             following = node.instance.cluster_state
-            following.on_configuration(self.store.snapshot("op"))
-            following.on_replicas(self.store.snapshot("servers"))
+            store = self._store_by_node.get(node, self.store)
+            following.on_configuration(store.snapshot("op"))
+            following.on_replicas(store.snapshot("servers"))
 
     def leave(self, number):
         """Make an engine announce that it will stop."""
@@ -223,6 +255,8 @@
             await node.stop()
         for server in (*self.engines, *self.services):
             await server.stop()
+        for links in self.links_by_node.values():
+            links.close()
 
     def is_ready(self):
         """Return whether each node knows the others and all engines have free capacity."""
--- /dev/null
+++ b/tests/entry/test_partitions.py
@@ -0,0 +1,116 @@
+"""Instances that are partitioned from all replicas while everything else reaches them."""
+
+import asyncio
+
+import pytest
+
+from hornbeamglade.localsite import tcpproxy
+from tests.entry import site as entrysite
+
+PLAIN, SINGLE, STREAM, SINGLE_STREAM = "/list/1", "/hold/1", "/tag/1", "/draft/1"
+PATHS = (PLAIN, SINGLE, STREAM, SINGLE_STREAM)
+CONTACT_S = 3.0
+"""Seconds after the start of a partition from which its instance must serve."""
+
+GAP_S = 0.1
+SHAPE = {"nodes": 4, "engines": 3, "services": 3, "events": 3, "has_links": True}
+
+
+async def send(node, path, number):
+    client = await node.request(path, request_id=f"r{number}", more=entrysite.USAGE)
+    return (await client.answer())[0]
+
+
+async def send_steadily(node, seconds, prefix, paths=PATHS):
+    """Send requests of all kinds in turn; return their statuses."""
+    tasks = []
+    for number in range(int(seconds / GAP_S)):
+        path = paths[number % len(paths)]
+        tasks.append(asyncio.ensure_future(send(node, path, f"{prefix}{number}")))
+        await asyncio.sleep(GAP_S)
+    return await asyncio.gather(*tasks)
+
+
+@pytest.mark.parametrize("how", tcpproxy.Partition)
+def test_instance_partitioned_from_all_replicas_serves_every_first_try(how):
+    """Callers at such an instance were served by none of the replicas that the others reach."""
+
+    async def test(site):
+        cut = site.nodes[0]
+        await send_steadily(cut, 1.0, "before")
+        site.partition(cut, how)
+        during = asyncio.ensure_future(send_steadily(cut, CONTACT_S, "during"))
+        await asyncio.sleep(CONTACT_S)
+        statuses = await send_steadily(cut, 2.0, "after")
+        during.cancel()
+        return statuses
+
+    assert set(entrysite.run(test, **SHAPE)) == {200}
+
+
+@pytest.mark.parametrize("how", tcpproxy.Partition)
+def test_idle_instance_notices_a_partition_with_its_first_requests(how):
+    async def test(site):
+        cut = site.nodes[0]
+        site.partition(cut, how)
+        await asyncio.sleep(CONTACT_S)
+        return await send_steadily(cut, 1.0, "after")
+
+    assert set(entrysite.run(test, **SHAPE)) == {200}
+
+
+def test_most_instances_of_a_site_may_be_partitioned_at_the_same_time():
+    async def test(site):
+        for cut in site.nodes[:-1]:
+            site.partition(cut, tcpproxy.Partition.HANG)
+        await asyncio.gather(*(send_steadily(cut, CONTACT_S, "during") for cut in site.nodes[:-1]))
+        answers = await asyncio.gather(
+            *(send_steadily(cut, 1.0, f"{cut.settings.name}.") for cut in site.nodes[:-1])
+        )
+        return [status for statuses in answers for status in statuses]
+
+    statuses = entrysite.run(test, **SHAPE)
+    assert statuses.count(200) >= 0.95 * len(statuses)
+
+
+def test_instance_uses_its_own_connections_again_after_a_partition():
+    async def test(site):
+        cut = site.nodes[0]
+        site.partition(cut, tcpproxy.Partition.HANG)
+        await send_steadily(cut, CONTACT_S, "during")
+        site.heal(cut)
+        await send_steadily(cut, 2.0, "healing")
+        for other in site.nodes[1:]:
+            await other.stop()
+        return await send_steadily(cut, 0.4, "after", paths=(PLAIN, SINGLE))
+
+    assert set(entrysite.run(test, **SHAPE)) == {200}
+
+
+def test_dead_server_is_told_from_a_partition():
+    """A server that nobody reaches is down; the others serve without delay."""
+
+    async def test(site):
+        await site.services[0].stop()
+        began_at = asyncio.get_running_loop().time()
+        statuses = [await send(site.nodes[0], PLAIN, f"r{number}") for number in range(20)]
+        return statuses, asyncio.get_running_loop().time() - began_at
+
+    statuses, took_s = entrysite.run(test, **SHAPE)
+    assert set(statuses) == {200}
+    assert took_s < 1.0
+
+
+def test_partition_does_not_count_as_a_crash_of_the_replicas():
+    """Requests whose connections are refused by a partition are not blamed for crashes."""
+
+    async def test(site):
+        cut = site.nodes[0]
+        for number in range(6):
+            site.partition(cut, tcpproxy.Partition.RESET)
+            await send_steadily(cut, 0.4, f"same{number}", paths=(PLAIN,))
+            site.heal(cut)
+            await send_steadily(cut, 0.2, f"heal{number}", paths=(PLAIN,))
+        return [node.instance.quarantine.quarantined_count for node in site.nodes]
+
+    assert entrysite.run(test, **SHAPE) == [0] * 4
