tunnels: reach replicas through another instance where own connections fail

Callers at instances that were partitioned from all replicas got 504 after the route's timeout or 503 at once, while all other instances reached the replicas.

A connection that is refused, or not open after 0.1 s, is now tried through up to four other instances, one 0.1 s after the other; the first that opens is used. Where another instance reaches what this one does not, the path counts as cut until an own connection succeeds, so later requests do not wait. Limits, budgets, grants and the caller's identity stay with the instance that was asked; the other copies bytes. Reports, copies and crash probes take the same path, so a partition is no longer taken for crashed or lost engines. A request that is silent on a kept connection for half a second has the path checked, and idle connections from before a cut are not used.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -214,6 +214,7 @@
             seconds=round(seconds, 4),
             limit_per_s=log.limit_per_s,
             connection=log.connection,
+            via=log.via,
             idle_s=log.idle_s,
             fingerprint=fingerprints.to_hex(routed.fingerprint),
             **extra_fields,
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -86,7 +86,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self.instance.peering.listen()
+        await self.instance.listen()
         self._registration.start()
         self._tasks = [
             loop.create_task(self._tick()),
@@ -186,7 +186,8 @@
         self._callers.leave()
         self._registration.withdraw()
         while True:
-            status = stop.step(self._clock.now(), self._callers.busy_count)
+            busy_count = self._callers.busy_count + self.instance.tunneling.relayed_count
+            status = stop.step(self._clock.now(), busy_count)
             if status.phase is draining.Phase.CLOSING:
                 self._callers.stop_listening()
                 self._callers.close_idle()
--- a/hornbeamglade/entry/gauges.py
+++ b/hornbeamglade/entry/gauges.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from hornbeamglade.core import clocks
-from hornbeamglade.entry import clusterstate
+from hornbeamglade.entry import clusterstate, tunneling
 from hornbeamglade.observability import metrics
 from hornbeamglade.quarantine import requestquarantine
 from hornbeamglade.replicas import availability
@@ -23,6 +23,7 @@
     :param budgets: the remaining retry budget of each service.
     :param clock: monotonic time.
     :param count_grants: returns the number of grants held.
+    :param tunnels: tunnels to replicas, own and relayed.
     :param count_connections: returns the number of open caller connections.
     """
 
@@ -34,6 +35,7 @@
     budgets: retrybudget.RetryBudgets
     clock: clocks.Clock
     count_grants: collections.abc.Callable[[], int]
+    tunnels: tunneling.Tunneling
     count_connections: collections.abc.Callable[[], int] = lambda: 0
 
     def update(self) -> None:
@@ -45,6 +47,8 @@
         routed.caller_connections.set(self.count_connections())
         routed.evacuated_domains.set(len(self.available.evacuations.domains))
         routed.quarantined_requests.set(self.quarantine.quarantined_count)
+        routed.tunneled_replicas.set(self.tunnels.paths.detoured_count)
+        routed.relayed_tunnels.set(self.tunnels.relayed_count)
         self.instruments.streams_in_flight.set(self.count_grants(), ("all",))
         view = self.current.routes
         for name in () if view is None else view.configuration.service_by_name:
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -20,6 +20,7 @@
     peering,
     settings,
     startupgate,
+    tunneling,
 )
 from hornbeamglade.exchange import messages
 from hornbeamglade.grants import asyncgrantacquirer, schedulerset
@@ -146,7 +147,15 @@
             self.peering.send,
             clock,
         )
-        self._pool = clientpool.ClientPool(clock)
+        self.tunneling = tunneling.Tunneling(
+            self.identity,
+            self._replicas,
+            self.peering,
+            instance_settings.region_by_failure_domain,
+            rng,
+            clock,
+        )
+        self._pool = clientpool.ClientPool(clock, connector=self.tunneling.connector)
         self._dialect = requestdialect.PlatformDialect()
         self._sender = sending.Sender(
             self._pool, self._dialect, self._available.still_accepts, self._on_advisory, clock
@@ -256,8 +265,19 @@
             self._budgets,
             clock,
             lambda: self.acquirer.active_count,
+            self.tunneling,
         )
 
+    async def listen(self) -> None:
+        """Start to receive messages and requests for tunnels of other instances."""
+        await self.peering.listen()
+        await self.tunneling.listen()
+
+    def close(self) -> None:
+        """Stop receiving from other instances."""
+        self.peering.transport.close()
+        self.tunneling.close()
+
     def is_ready(self) -> bool:
         """Return whether the instance accepts callers."""
         return self._has_complete_state and not self.is_leaving
@@ -285,6 +305,7 @@
         self.draining = draining.Draining(ANNOUNCE_STOP_S, propagation_s=0.0, hard_limit_s=limit_s)
         self.draining.begin(now)
         self._drain_admission.begin(now, limit_s)
+        self.tunneling.leave()
         self.peering.heartbeats.leave()
         return self.draining
 
@@ -334,6 +355,7 @@
             "store_era": positions.era(versions.replicas),
             "evacuated": sorted(self._available.evacuations.domains),
             "quarantined": self.quarantine.quarantined_count,
+            "tunneled_replicas": self.tunneling.paths.detoured_count,
         }
         return json.dumps(page).encode()
 
@@ -405,6 +427,7 @@
         self._crashes.forget_old()
         self.quarantine.expire()
         self._remove_departed()
+        self.tunneling.paths.forget_unused()
         self._engine_monitor.remove_absent()
         # An instance may have returned under its name in another failure domain.
         self.peering.update_owners()
@@ -494,6 +517,7 @@
         self.send_announcements()
 
     def _on_list_changed(self, changes: tuple[replicalist.ListChange, ...]) -> None:
+        self.tunneling.update_replicas()
         self._available.list_changed(changes, self._clock.now())
         self._crashes.list_changed(changes)
         self._update_engines()
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -1,6 +1,6 @@
 @0xd3a1f5c8b2e94716;
-# Messages between entry nodes, one Envelope per datagram. Fields are only
-# added at the end, so nodes of two releases can read each other's messages.
+# Messages between entry nodes, one Envelope per datagram, or one in each direction at the
+# start of a tunnel's connection. Fields are only added at the end, so nodes of two releases can read each other's messages.
 
 struct Envelope {
   sender @0 :Text;
@@ -20,9 +20,19 @@
     outrun @13 :Outrun;
     crashReport @14 :CrashReport;
     quarantineNotice @15 :QuarantineNotice;
+    tunnelRequest @16 :TunnelRequest;
+    tunnelResponse @17 :TunnelResponse;
   }
 }
 
+struct TunnelRequest {
+  replica @0 :UInt64;
+}
+
+struct TunnelResponse {
+  outcome @0 :UInt8;
+}
+
 struct Outrun {
   incarnation @0 :UInt64;
 }
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -389,6 +389,41 @@
     requests: tuple[QuarantinedRequest, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TunnelRequest:
+    """Asks the recipient to connect the sender to a replica.
+
+    :param replica: :func:`key_hash` of the replica's id.
+    """
+
+    replica: int
+
+
+class TunnelOutcome(enum.IntEnum):
+    """Response to a request for a tunnel."""
+
+    OPENED = 0
+    REFUSED = 1
+    """The replica's machine refused the connection."""
+
+    NO_RESPONSE = 2
+    """The replica's machine did not respond to the recipient."""
+
+    PARTITIONED = 3
+    """The recipient is partitioned from replicas itself, so it cannot tell."""
+
+    UNKNOWN_REPLICA = 4
+    BUSY = 5
+    LEAVING = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TunnelResponse:
+    """Response to a request for a tunnel; after ``OPENED`` the replica's bytes follow."""
+
+    outcome: TunnelOutcome
+
+
 MAX_INCARNATION = 2**62
 """Far beyond any time in milliseconds: a wrong message raises no incarnation above it."""
 
@@ -415,4 +450,6 @@
     | SupersededIncarnation
     | CrashReport
     | QuarantineNotice
+    | TunnelRequest
+    | TunnelResponse
 )
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -369,6 +369,22 @@
     )
 
 
+def _fill_tunnel_request(builder: _Builder, message: messages.TunnelRequest) -> None:
+    builder.replica = message.replica
+
+
+def _read_tunnel_request(reader: _Reader) -> messages.TunnelRequest:
+    return messages.TunnelRequest(reader.replica)
+
+
+def _fill_tunnel_response(builder: _Builder, message: messages.TunnelResponse) -> None:
+    builder.outcome = int(message.outcome)
+
+
+def _read_tunnel_response(reader: _Reader) -> messages.TunnelResponse:
+    return messages.TunnelResponse(messages.TunnelOutcome(reader.outcome))
+
+
 class _MessageFormat(typing.NamedTuple):
     """Functions that encode and decode one type of message."""
 
@@ -401,6 +417,12 @@
     _MessageFormat(
         messages.QuarantineNotice, "quarantineNotice", _fill_quarantine, _read_quarantine
     ),
+    _MessageFormat(
+        messages.TunnelRequest, "tunnelRequest", _fill_tunnel_request, _read_tunnel_request
+    ),
+    _MessageFormat(
+        messages.TunnelResponse, "tunnelResponse", _fill_tunnel_response, _read_tunnel_response
+    ),
 )
 _FORMAT_BY_TYPE = {message_format.message_type: message_format for message_format in _FORMATS}
 _FORMAT_BY_FIELD = {message_format.field: message_format for message_format in _FORMATS}
--- a/hornbeamglade/http1/clientpool.py
+++ b/hornbeamglade/http1/clientpool.py
@@ -1,30 +1,42 @@
 """Pool of connections to backend servers."""
 
+import asyncio
 import collections
 import collections.abc
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import clientside, fields
+from hornbeamglade.http1 import clientside, connectors, fields
 
 CONNECT_TIMEOUT_S = 0.5
 """A server within a region accepts a connection in a few milliseconds; a partitioned one
 never does, and waiting for it delays the caller."""
 
+SILENCE_S = 0.5
+"""How long a kept connection may be silent after a request before its server's path is checked.
+Most responses begin earlier."""
+
+CHECK_INTERVAL_S = 2.0
+
 
 class ClientPool:
     """Opens, reuses and counts connections by address.
 
     :param clock: monotonic time.
     :param opened: called with the address of each new connection.
+    :param connector: opens connections; by default connections of this process's own.
     """
 
     def __init__(
         self,
         clock: clocks.Clock,
         opened: collections.abc.Callable[[str], None] = lambda _address: None,
+        connector: connectors.Connector | None = None,
     ) -> None:
         self._clock = clock
         self._opened = opened
+        self._checked_at_by_address: dict[str, float] = {}
+        self._checks: set[asyncio.Task[bool | None]] = set()
+        self._connector = connector or connectors.DirectConnector(clock)
         self._idle_by_address: dict[str, list[clientside.ServerConnection]] = {}
         self._open_by_address: collections.Counter[str] = collections.Counter()
 
@@ -43,13 +55,13 @@
         idle = self._idle_by_address.get(address, [])
         while idle and not new_only:
             connection = idle.pop()
-            if connection.is_fresh():
+            if connection.is_fresh() and self._connector.is_trusted(connection):
                 return connection
             connection.close()
         self._opened(address)
         connection = None
         try:
-            connection = await clientside.connect(address, timeout_s, self._clock)
+            connection = await self._connector.connect(address, timeout_s)
         finally:
             if not isinstance(connection, clientside.ServerConnection):
                 self._count_closed(address)
@@ -60,12 +72,33 @@
     ) -> bool | None:
         """Return whether a server accepts connections; None if it does not respond."""
         self._opened(address)
-        connection = await clientside.connect(address, timeout_s, self._clock)
+        connection = await self._connector.connect(address, timeout_s)
         if isinstance(connection, clientside.ResponseLost):
             return False if connection.is_refused else None
         connection.close()
         return True
 
+    def watch(self, connection: clientside.ServerConnection) -> asyncio.TimerHandle | None:
+        """Check a server's path unless the returned timer is cancelled in time.
+
+        A request on a kept connection that died while idle gets no response and no error. A new
+        connection shows whether the path is broken before further requests are lost the same way.
+
+        :returns: the timer, or None for a new connection.
+        """
+        if connection.idle_s is None:
+            return None
+        return asyncio.get_running_loop().call_later(SILENCE_S, self._check, connection.address)
+
+    def _check(self, address: str) -> None:
+        now = self._clock.now()
+        if now - self._checked_at_by_address.get(address, float("-inf")) < CHECK_INTERVAL_S:
+            return
+        self._checked_at_by_address[address] = now
+        task = asyncio.ensure_future(self.is_listening(address))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
     def release(
         self, connection: clientside.ServerConnection, head: clientside.ResponseHead | None
     ) -> None:
@@ -80,8 +113,10 @@
         else:
             connection.close()
 
-    def prune(self, addresses_in_use: collections.abc.Container[str]) -> None:
+    def prune(self, addresses_in_use: collections.abc.Collection[str]) -> None:
         """Close idle connections that are no longer fresh or whose server is not in use."""
+        for address in self._checked_at_by_address.keys() - set(addresses_in_use):
+            del self._checked_at_by_address[address]
         for address in list(self._idle_by_address):
             idle = self._idle_by_address[address]
             is_in_use = address in addresses_in_use
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -74,10 +74,12 @@
 
     :param address: ``ip:port`` of the server.
     :param clock: monotonic time.
+    :ivar via: the node that relays the connection, or None.
     """
 
     def __init__(self, address: str, clock: clocks.Clock) -> None:
         self.address = address
+        self.via: str | None = None
         self._clock = clock
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -89,6 +89,7 @@
         "table",
         "team",
         "tokens",
+        "via",
         "wait_s",
         "waiting",
         "warm_in_s",
--- a/hornbeamglade/observability/metricsrouted.py
+++ b/hornbeamglade/observability/metricsrouted.py
@@ -59,6 +59,12 @@
         self.is_store_reached: metricsinstruments.Gauge = registry.gauge(
             "store_reached", "1 while the platform's store answers this instance, else 0."
         )
+        self.tunneled_replicas: metricsinstruments.Gauge = registry.gauge(
+            "tunneled_replicas", "Replicas that this instance reaches only through others."
+        )
+        self.relayed_tunnels: metricsinstruments.Gauge = registry.gauge(
+            "relayed_tunnels", "Connections to replicas that are relayed for other instances."
+        )
         self.caller_connections: metricsinstruments.Gauge = registry.gauge(
             "caller_connections", "Open connections of callers."
         )
--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -17,7 +17,8 @@
     :param has_response: whether that replica has begun to respond.
     :param limit_per_s: rate limit that the replica of the newest attempt had reported, or None.
     :param connection: how the newest attempt was sent: ``opening`` until it has a connection, then
-        ``new`` or ``kept``.
+        ``new``, ``kept`` or ``tunneled``.
+    :param via: the instance that relays a tunneled connection, or None.
     :param idle_s: seconds for which a kept connection had been idle, or None.
     """
 
@@ -28,6 +29,7 @@
     has_response: bool = False
     limit_per_s: float | None = None
     connection: str = "-"
+    via: str | None = None
     idle_s: float | None = None
 
     def start(self, replica_id: str, limit: ratelimits.RateLimit | None) -> None:
@@ -35,14 +37,16 @@
         self.in_flight_replica = replica_id
         self.limit_per_s = None if limit is None else limit.requests_per_s
         self.connection = "opening"
-        self.idle_s = None
+        self.via = self.idle_s = None
 
-    def record_connection(self, idle_s: float | None) -> None:
+    def record_connection(self, via: str | None, idle_s: float | None) -> None:
         """Record the connection of the attempt in flight.
 
+        :param via: the instance that relays it, or None.
         :param idle_s: seconds for which it had been idle, or None for a new one.
         """
-        self.connection = "new" if idle_s is None else "kept"
+        self.connection = "tunneled" if via else "new" if idle_s is None else "kept"
+        self.via = via
         self.idle_s = None if idle_s is None else round(idle_s, 3)
 
     def record_response_started(self) -> None:
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -88,7 +88,7 @@
         if isinstance(connection, clientside.ResponseLost):
             code = _connect_failure_code(connection)
             return FailedAttempt(code, outcomes.RunStatus.NOT_RUN, was_sent=False)
-        log.record_connection(connection.idle_s)
+        log.record_connection(connection.via, connection.idle_s)
         if dispatch.copy is None and not self._still_accepts(replica.id):
             self._pool.release(connection, None)
             return FailedAttempt(WITHHELD, outcomes.RunStatus.NOT_RUN, was_sent=False)
@@ -131,7 +131,7 @@
         sent_fields = self._dialect.dispatch_fields(call, dispatch)
         connection.send(call.method, call.target, sent_fields, call.body)
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
-            raw_head = await connection.head()
+            raw_head = await self._await_head(connection)
             if isinstance(raw_head, clientside.ResponseLost):
                 return FailedAttempt(raw_head.code, outcomes.RunStatus.UNKNOWN)
             head = self._dialect.parse_response_head(raw_head)
@@ -151,6 +151,16 @@
                 break
         return FailedAttempt("crossed_answer", outcomes.RunStatus.UNKNOWN)
 
+    async def _await_head(
+        self, connection: clientside.ServerConnection
+    ) -> clientside.ResponseHead | clientside.ResponseLost:
+        timer = self._pool.watch(connection)
+        try:
+            return await connection.head()
+        finally:
+            if timer is not None:
+                timer.cancel()
+
 
 def _connect_failure_code(lost: clientside.ResponseLost) -> str:
     if lost.is_refused:
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -109,7 +109,7 @@
         self._tasks = []
 
     async def start(self):
-        await self.instance.peering.listen()
+        await self.instance.listen()
         host, _, port = self.settings.listen.callers.rpartition(":")
         self.address = await self._server.listen(host, int(port))
         loop = asyncio.get_running_loop()
@@ -126,7 +126,7 @@
         self._server.stop_listening()
         for connection in tuple(self._server.connections):
             connection.abort()
-        self.instance.peering.transport.close()
+        self.instance.close()
 
     async def request(self, path, *, request_id="r1", key=KEY, more="", body=b"body"):
         """Send one request on its own connection; return the raw client."""
--- a/tests/entry/test_partitions.py
+++ b/tests/entry/test_partitions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hornbeamglade.localsite import tcpproxy
+from hornbeamglade.standins import routedfaults
 from tests.entry import site as entrysite
 
 PLAIN, SINGLE, STREAM, SINGLE_STREAM = "/list/1", "/hold/1", "/tag/1", "/draft/1"
@@ -114,3 +115,52 @@
         return [node.instance.quarantine.quarantined_count for node in site.nodes]
 
     assert entrysite.run(test, **SHAPE) == [0] * 4
+
+
+def test_silence_on_one_kept_connection_saves_the_requests_on_the_others():
+    """Requests were sent on one dead connection after the other."""
+
+    async def test(site):
+        cut = site.nodes[0]
+        site.services[0].faults = routedfaults.RoutedFaults(delay_s=0.1)
+        await asyncio.gather(*(send(cut, SINGLE, f"keep{number}") for number in range(4)))
+        site.partition(cut, tcpproxy.Partition.HANG)
+        lost = asyncio.ensure_future(send(cut, SINGLE, "lost"))
+        await asyncio.sleep(0.8)
+        statuses = [await send(cut, SINGLE, f"r{number}") for number in range(3)]
+        lost.cancel()
+        return statuses
+
+    assert entrysite.run(test, **(SHAPE | {"services": 1})) == [200] * 3
+
+
+def test_leaving_instance_completes_relayed_streams_and_relays_no_further_ones():
+    async def test(site):
+        cut, *others = site.nodes
+        site.partition(cut, tcpproxy.Partition.RESET)
+        client = await cut.request(SINGLE_STREAM, more=entrysite.USAGE)
+        await client.head()
+        (relay,) = [node for node in others if node.instance.tunneling.relayed_count]
+        relay.instance.leave()
+        statuses = await asyncio.gather(*(send(cut, PLAIN, f"r{number}") for number in range(8)))
+        relayed = relay.instance.tunneling.relayed_count
+        events = await client.reader.readuntil(b"0\r\n\r\n")
+        return set(statuses), relayed, events.count(b"data:")
+
+    statuses, relayed, events = entrysite.run(test, **(SHAPE | {"events": 30}))
+    assert statuses == {200}
+    assert relayed == 1
+    assert events == 30
+
+
+def test_caller_s_disconnect_ends_the_run_behind_a_tunnel():
+    async def test(site):
+        cut = site.nodes[0]
+        site.partition(cut, tcpproxy.Partition.RESET)
+        client = await cut.request(SINGLE_STREAM, more=entrysite.USAGE)
+        await client.head()
+        client.close()
+        await asyncio.sleep(0.5)
+        return [run.is_alive for engine in site.engines for run in engine.run_by_id.values()]
+
+    assert entrysite.run(test, **(SHAPE | {"events": 200})) == [False]
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -110,4 +110,6 @@
         messages.QuarantineNotice,
         strategies.lists(_QUARANTINED, max_size=messages.MAX_QUARANTINED).map(tuple),
     )
+    | strategies.builds(messages.TunnelRequest, _U64)
+    | strategies.builds(messages.TunnelResponse, strategies.sampled_from(messages.TunnelOutcome))
 )
