localsite: refuse connections to servers that are down, as their machines do

The proxy before a stand-in accepted a connection and then reset it when nothing listened behind it, so an instance that probed a crashed server was told that it listens, and no request was ever suspected of a crash.

--- a/hornbeamglade/localsite/tcpproxy.py
+++ b/hornbeamglade/localsite/tcpproxy.py
@@ -17,6 +17,7 @@
 _READ_BYTES = 65_536
 _BACKLOG = 128
 _FILLERS = 2
+_POLL_S = 0.02
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -47,6 +48,8 @@
         self._port = self._listener.getsockname()[1]
         self._fillers: list[socket.socket] = []
         self._is_partitioned = False
+        self._is_target_down = False
+        self._is_closed = False
         self._responses_released = threading.Event()
         self._responses_released.set()
         self._requests_released = threading.Event()
@@ -97,11 +100,45 @@
     def _end_partition(self) -> None:
         if not self._is_partitioned:
             return
-        self._is_partitioned = False
         self._stop_listening()
+        with self._lock:
+            self._is_partitioned = False
+            if not self._is_target_down:
+                self._accept_again()
+
+    def _accept_again(self) -> None:
         self._listen(_BACKLOG)
         threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
 
+    def _check_target(self) -> None:
+        """Refuse connections from now on if nothing listens at the target, as its machine does."""
+        if self._is_target_listening():
+            return
+        with self._lock:
+            if self._is_target_down or self._is_closed:
+                return
+            self._is_target_down = True
+            if not self._is_partitioned:
+                self._stop_listening()
+        threading.Thread(target=self._await_target, daemon=True).start()
+
+    def _await_target(self) -> None:
+        while not self._is_target_listening() and not self._is_closed:
+            time.sleep(_POLL_S)
+        with self._lock:
+            self._is_target_down = False
+            if not self._is_partitioned and not self._is_closed:
+                self._accept_again()
+
+    def _is_target_listening(self) -> bool:
+        try:
+            socket.create_connection(self._target).close()
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def hold_responses(self) -> None:
         """Hold back the data that the server sends, also on new connections."""
         self._responses_released.clear()
@@ -141,6 +178,8 @@
     def close(self) -> None:
         """Reset all connections and accept no more."""
         self.release()
+        with self._lock:
+            self._is_closed = True
         self._stop_listening()
         self.reset_connections()
 
@@ -156,6 +195,7 @@
             try:
                 server = socket.create_connection(self._target)
             except OSError:
+                self._check_target()
                 _reset(client)
                 continue
             with self._lock:
@@ -177,8 +217,12 @@
                 if self.delay_s:
                     time.sleep(self.delay_s)
                 sink.sendall(data)
+            if is_response:
+                self._check_target()
             sink.shutdown(socket.SHUT_WR)
         except OSError:
+            if is_response:
+                self._check_target()
             _reset(sink)
 
 
