soak: partition instances from all servers

InstancePartitioned cuts the links of one instance to all servers: they hang, are reset, or keep connections and refuse new ones. serves_when_partitioned holds first tries there against those at the other instances from 3 s on. Former seeds keep their plans (plan.KINDS).

--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -6,7 +6,7 @@
 import typing
 
 from hornbeamglade.localsite import routedsite
-from hornbeamglade.soak import soaksite
+from hornbeamglade.soak import faults, soaksite
 from hornbeamglade.standins import operatordocuments, routedcaller
 
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -43,6 +43,12 @@
 )
 """Faults after which a response may not have reached its instance."""
 
+CONTACT_S = 3.0
+"""Time after which an instance that is partitioned from all servers serves like the others."""
+
+PARTITION_SHARE = 2 / 3
+PARTITION_SLACK = 10
+
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK = 5
 
@@ -113,6 +119,7 @@
     found += _check_limits(evidence)
     found += _check_leaving(evidence)
     found += _check_backoffs(evidence)
+    found += _check_partitions(evidence)
     found += _check_served_share(evidence)
     return tuple(found)
 
@@ -330,6 +337,48 @@
             )
 
 
+def _check_partitions(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return a violation for each partition in which its instance served far too few requests.
+
+    Every other fault may keep the instance that relays from serving, so only partitions without a
+    fault of instances count.
+    """
+    for each in evidence.fault_records:
+        if each.name != "InstancePartitioned":
+            continue
+        began_at, ended_at = each.began_at + CONTACT_S, each.ended_at
+        if _was_disturbed(evidence.fault_records, each.began_at, ended_at) or _are_all_partitioned(
+            evidence, each.began_at, ended_at
+        ):
+            continue
+        cut, others = [], []
+        for result in evidence.results:
+            if began_at < result.sent_at and result.ended_at < ended_at and result.status != 401:
+                instance = evidence.instance_by_address.get(result.address, "")
+                is_cut = faults.LINKS_OF + instance == each.component
+                (cut if is_cut else others).append(result.status == 200 and result.is_whole)
+        if not cut or not others:
+            continue
+        failed = cut.count(False)
+        is_worse = sum(cut) / len(cut) < PARTITION_SHARE * sum(others) / len(others)
+        if is_worse and failed > PARTITION_SLACK + (len(cut) + len(others)) / 50:
+            yield Violation("serves_when_partitioned", "", f"{sum(cut)} of {len(cut)} requests")
+
+
+def _are_all_partitioned(evidence: Evidence, began_at: float, ended_at: float) -> bool:
+    """Return whether every instance was partitioned from the servers at some time of a period."""
+    return all(
+        _was_interrupted(
+            evidence,
+            frozenset(("InstancePartitioned",)),
+            faults.LINKS_OF + name,
+            began_at,
+            ended_at,
+        )
+        for name in evidence.instance_by_address.values()
+    )
+
+
 def _was_interrupted(
     evidence: Evidence, names: frozenset[str], component: str, began_at: float, ended_at: float
 ) -> bool:
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -3,13 +3,14 @@
 import abc
 import dataclasses
 import itertools
+import pathlib
 import signal
 import socket
 import threading
 import time
 
 from hornbeamglade.localsite import routedsite, tcpproxy
-from hornbeamglade.soak import skewedentry, soaksite
+from hornbeamglade.soak import faultyentry, skewedentry, soaksite
 from hornbeamglade.standins import routedcaller
 
 EXIT_S = 12.0
@@ -28,6 +29,7 @@
 """How long a server states that it is leaving before the list says so or it stops."""
 
 FATAL_PAUSE_S = 0.4
+LINKS_OF = "links-of-"
 
 
 class Fault(abc.ABC):
@@ -136,6 +138,40 @@
         return skewedentry.path_for(soak_site.site.folder / f"{self.component}.yaml")
 
 
+@dataclasses.dataclass
+class InstancePartitioned(Fault):
+    """An instance is partitioned from all backend servers, but from nothing else.
+
+    :param component: the instance's links to the servers.
+    :param how: how the partition shows to the instance.
+    """
+
+    component: str
+    how: tcpproxy.Partition
+    extra_duration_s = 6.0
+
+    @property
+    def instance(self) -> str:
+        """The name of the instance."""
+        return self.component.removeprefix(LINKS_OF)
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Cut the links."""
+        servers = soak_site.site.server_by_place.values()
+        lines = [self.how.value, *(server.address for server in servers)]
+        path = self._path(soak_site)
+        scratch = path.with_suffix(".new")
+        scratch.write_text("\n".join(lines), encoding="ascii")
+        scratch.replace(path)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Restore the links."""
+        self._path(soak_site).unlink(missing_ok=True)
+
+    def _path(self, soak_site: soaksite.SoakSite) -> pathlib.Path:
+        return faultyentry.path_for(soak_site.site.folder / f"{self.instance}.yaml")
+
+
 class ServerKilled(Fault):
     """A backend server crashes; its entry is removed some seconds later."""
 
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-from hornbeamglade.localsite import routedsite
+from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.soak import faults, soaksite
 
 FAULT_FREE_S = 1.0
@@ -64,6 +64,11 @@
     return lambda rng: kind(rng.choice(parts))
 
 
+def _partition(rng: random.Random) -> faults.Fault:
+    component = faults.LINKS_OF + rng.choice(INSTANCES)
+    return faults.InstancePartitioned(component, rng.choice(tuple(tcpproxy.Partition)))
+
+
 KINDS: tuple[FaultFactory, ...] = (
     _choose(faults.InstanceKilled, INSTANCES),
     _choose(faults.InstanceStopped, INSTANCES),
@@ -97,8 +102,16 @@
     _choose(faults.LinkSilent, LINKS),
 )
 
+ALL_KINDS: tuple[FaultFactory, ...] = (
+    *KINDS,
+    *2 * (_partition,),
+)
+"""The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
+
 
-def make(seed: int, seconds: float) -> tuple[Planned, ...]:
+def make(
+    seed: int, seconds: float, kinds: tuple[FaultFactory, ...] = ALL_KINDS
+) -> tuple[Planned, ...]:
     """Return the plan of a seed; it is always the same for one seed.
 
     Explanation
@@ -110,7 +123,7 @@
     Examples
     ========
 
-    >>> [each.at_s for each in make(3, 5.0)]
+    >>> [each.at_s for each in make(3, 5.0, KINDS)]
     [1.69, 1.7]
     """
     rng = random.Random(seed)
@@ -125,7 +138,7 @@
             planned.append(Planned(round(at_s, 2), 0.0, keys.pop()))
             continue
         for_s = rng.uniform(0.3, MAX_DURATION_S)
-        fault = rng.choice(KINDS)(rng)
+        fault = rng.choice(kinds)(rng)
         each = Planned(round(at_s, 2), round(for_s + fault.extra_duration_s, 2), fault)
         if _is_allowed(each, planned):
             planned.append(each)
--- a/hornbeamglade/soak/running.py
+++ b/hornbeamglade/soak/running.py
@@ -37,10 +37,16 @@
     violations: tuple[checks.Violation, ...]
 
 
-def run(seed: int, seconds: float, folder: pathlib.Path) -> Verdict:
+def run(
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    kinds: tuple[plan.FaultFactory, ...] = plan.ALL_KINDS,
+) -> Verdict:
     """Run one seed.
 
     :param seconds: the period in which faults start.
+    :param kinds: the kinds of faults that are drawn.
     :param folder: directory for the processes' files, for analysis of failures.
     """
     soak_site = soaksite.SoakSite(seed, folder)
@@ -48,7 +54,7 @@
         with soak_site.site:
             soak_site.site.configure(soak_site.keys_by_team)
             soak_site.site.start_instances()
-            return _run_plan(soak_site, plan.make(seed, seconds))
+            return _run_plan(soak_site, plan.make(seed, seconds, kinds))
     finally:
         soak_site.links.close()
 
--- a/hornbeamglade/soak/soaksite.py
+++ b/hornbeamglade/soak/soaksite.py
@@ -11,7 +11,7 @@
 KEYS_PER_TEAM = 3
 RETRY_DELAY_S = 0.2
 TEAMS = ("clinic", "court", "office")
-MODULE = ("hornbeamglade.soak.skewedentry",)
+MODULE = ("hornbeamglade.soak.faultyentry",)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/entry/test_partitions.py
+++ b/tests/entry/test_partitions.py
@@ -64,10 +64,14 @@
     async def test(site):
         for cut in site.nodes[:-1]:
             site.partition(cut, tcpproxy.Partition.HANG)
-        await asyncio.gather(*(send_steadily(cut, CONTACT_S, "during") for cut in site.nodes[:-1]))
+        during = asyncio.gather(
+            *(send_steadily(cut, CONTACT_S, "during") for cut in site.nodes[:-1])
+        )
+        await asyncio.sleep(CONTACT_S)
         answers = await asyncio.gather(
             *(send_steadily(cut, 1.0, f"{cut.settings.name}.") for cut in site.nodes[:-1])
         )
+        during.cancel()
         return [status for statuses in answers for status in statuses]
 
     statuses = entrysite.run(test, **SHAPE)
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -9,7 +9,7 @@
 
 def test_short_soak_violates_no_guarantee(tmp_path):
     """Processes are killed, connections reset and entries overwritten under load."""
-    verdict = running.run(seeds.SHORT_SEED, SECONDS, tmp_path)
+    verdict = running.run(seeds.SHORT_SEED, SECONDS, tmp_path, plan.KINDS)
     assert verdict.faults
     assert verdict.violations == ()
 
@@ -19,11 +19,11 @@
 
 @pytest.mark.parametrize("seed", seeds.STATEMENT_SEEDS)
 def test_soak_with_statements_of_servers_violates_no_guarantee(seed, tmp_path):
-    verdict = running.run(seed, STATEMENT_SECONDS, tmp_path)
+    verdict = running.run(seed, STATEMENT_SECONDS, tmp_path, plan.KINDS)
     assert verdict.violations == ()
 
 
 def test_each_seed_of_statements_draws_both_faults():
     for seed in seeds.STATEMENT_SEEDS:
-        names = {each.fault.name for each in plan.make(seed, STATEMENT_SECONDS)}
+        names = {each.fault.name for each in plan.make(seed, STATEMENT_SECONDS, plan.KINDS)}
         assert {"ServerStatesLeaving", "ServerRefuses"} <= names
