replicas: keep to the refusals that replicas say they tolerate

A replica may state in its answers (Server-Brittle) that it crashes if it has to turn away more than so many requests in a second for want of room. Nothing read it: a refused request was sent to the next full server at once. The number is decoded with the other facts of an answer's head. While it is stated, an instance has at most its part of the replica's slots in flight there, one at least, and after a refusal pauses for its part of half the tolerated rate, with jitter, so that the sum over instances stays low without communication. Without the header nothing is counted or delayed.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -37,6 +37,7 @@
     availability,
     backoffs,
     ratelimits,
+    refusals,
     replicalist,
     slowstart,
 )
@@ -93,6 +94,7 @@
             slowstart.SlowStarts(rng),
             ratelimits.RateLimits(clock, instance_settings.name),
             backoffs.Backoffs(clock, rng),
+            refusals.RefusalGuards(clock, rng),
             componentsettings.slow_start_bound(instance_settings),
             instance_settings.region_by_failure_domain,
         )
--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -4,7 +4,7 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.http1 import clientside, fields, serverside
-from hornbeamglade.replicas import advisories, ratelimits
+from hornbeamglade.replicas import advisories, ratelimits, refusals
 from hornbeamglade.routed import calls, dialect
 
 REQUEST_INVALID = "request_invalid"
@@ -30,6 +30,8 @@
 _LOAD = b"replica-load"
 # Requests per second from all instances together, as a decimal number.
 _LIMIT = b"server-limit"
+# Requests that may be turned away for want of room in one second, as a decimal number.
+_BRITTLE = b"server-brittle"
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _MISDIRECTED = 421
@@ -53,6 +55,8 @@
 _RESERVED_BEGINNING = b"kv-"
 
 LIMIT_INVALID = "server_limit_invalid"
+TOLERANCE_INVALID = "server_brittle_invalid"
+TOLERANCES_SEVERAL = "server_brittle_several"
 LIMITS_SEVERAL = "server_limits_several"
 RETRY_AFTER_INVALID = "retry_after_invalid"
 RETRY_AFTER_SEVERAL = "retry_after_several"
@@ -202,12 +206,37 @@
     return ratelimits.RateLimit(min(map(float, limits)), problem)
 
 
+def tolerance(answer_fields: fields.Fields) -> refusals.Tolerance | None:
+    """Return the tolerated refusals in a response head, or None.
+
+    Of several numbers the lowest applies. A malformed one counts as 0, since only a replica that
+    may crash sends any.
+
+    Examples
+    ========
+
+    >>> tolerance(((b"Server-Brittle", b"5"),))
+    Tolerance(refusals_per_s=5.0, problem=None)
+    >>> tolerance(((b"Server-Brittle", b"few"),))
+    Tolerance(refusals_per_s=0.0, problem='server_brittle_invalid')
+    """
+    numbers = [each.strip() for each in fields.values(answer_fields, _BRITTLE)]
+    if not numbers:
+        return None
+    if not all(_DECIMAL.fullmatch(each) for each in numbers):
+        return refusals.Tolerance(0.0, TOLERANCE_INVALID)
+    problem = TOLERANCES_SEVERAL if len(numbers) > 1 else None
+    return refusals.Tolerance(min(map(float, numbers)), problem)
+
+
 def advisory(head: clientside.ResponseHead) -> advisories.Advisory:
     """Return what a replica states about itself in a response head."""
     return advisories.Advisory(
         is_leaving=any(each.strip() != b"0" for each in fields.values(head.fields, _LEAVING)),
         backoff=_backoff(head),
         limit=rate_limit(head.fields),
+        tolerance=tolerance(head.fields),
+        is_refusal=head.status == _UNAVAILABLE and fields.value(head.fields, _NOT_RUN) is not None,
     )
 
 
--- a/hornbeamglade/replicas/advisories.py
+++ b/hornbeamglade/replicas/advisories.py
@@ -12,11 +12,13 @@
   from this instance. A later response does not shorten this time.
 - An overloaded replica names a rate limit (:mod:`hornbeamglade.replicas.ratelimits`), which the
   next response changes or lifts.
+- A replica that would crash if it had to refuse many requests states how many it tolerates
+  (:mod:`hornbeamglade.replicas.refusals`), until a response states nothing.
 """
 
 import dataclasses
 
-from hornbeamglade.replicas import ratelimits
+from hornbeamglade.replicas import ratelimits, refusals
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,8 +40,12 @@
     :param is_leaving: whether the replica will stop and accepts no new requests.
     :param backoff: the time during which it accepts no requests from this instance, or None.
     :param limit: its rate limit, or None.
+    :param tolerance: the refusals that it tolerates, or None.
+    :param is_refusal: whether the response refuses a request that did not run.
     """
 
     is_leaving: bool = False
     backoff: Backoff | None = None
     limit: ratelimits.RateLimit | None = None
+    tolerance: refusals.Tolerance | None = None
+    is_refusal: bool = False
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -22,6 +22,7 @@
     backoffs,
     models,
     ratelimits,
+    refusals,
     replicalist,
     slowstart,
     startgate,
@@ -47,6 +48,7 @@
     :param slow_starts: spaces the requests to cold replicas.
     :param limits: the rate limits that replicas report.
     :param backoffs_by_replica: the times during which replicas accept no requests from here.
+    :param guards: the replicas that tolerate few refusals.
     :param bound: the operator's bound on requests to cold replicas.
     :param region_by_failure_domain: the region of each failure domain.
     """
@@ -57,6 +59,7 @@
         slow_starts: slowstart.SlowStarts,
         limits: ratelimits.RateLimits,
         backoffs_by_replica: backoffs.Backoffs,
+        guards: refusals.RefusalGuards,
         bound: slowstart.Bound,
         region_by_failure_domain: collections.abc.Mapping[str, str],
     ) -> None:
@@ -65,6 +68,7 @@
         self._slow_starts = slow_starts
         self._limits = limits
         self._backoffs = backoffs_by_replica
+        self._guards = guards
         self._bound = bound
         self._region_by_failure_domain = region_by_failure_domain
         self._service_by_name: ServiceByName = {}
@@ -82,6 +86,7 @@
         """Set the number of instances, and this instance's position among their sorted names."""
         self._instances = instances
         self._limits.set_position(position, instances)
+        self._guards.set_instances(instances)
 
     def apply_evacuations(self, state: evacuationlib.Evacuations, now: float) -> frozenset[str]:
         """Apply a state of the evacuations; a state older than the current one is ignored.
@@ -109,6 +114,7 @@
         """Apply what a replica states about its load in a response."""
         self._limits.update(replica_id, advisory.limit)
         self._backoffs.responded(replica_id, advisory.backoff)
+        self._guards.responded(replica_id, advisory.tolerance, is_refusal=advisory.is_refusal)
 
     def limit_reported(self, replica_id: str, limit: ratelimits.RateLimit) -> None:
         """Record the rate limit in an engine's report."""
@@ -119,12 +125,29 @@
         self._limits.request_sent(replica_id)
         self._backoffs.request_sent(replica_id)
 
+    def exchange_began(self, replica_id: str) -> None:
+        """Record that a buffered response is requested from a replica."""
+        self._guards.request_sent(replica_id)
+
+    def exchange_ended(self, replica_id: str) -> None:
+        """Record the end of a request for a buffered response."""
+        self._guards.request_ended(replica_id)
+
     def send_wait_s(self, replica_id: str) -> float:
         """Return the seconds until this instance may send a request to a replica.
 
-        The longer of the waits for the replica's limit and for the end of its backoff.
+        The longest of the waits for the replica's limit, for the end of its backoff, and for its
+        refusals to become rare enough.
         """
-        return max(self._limits.wait_s(replica_id), self._backoffs.wait_s(replica_id))
+        return max(
+            self._limits.wait_s(replica_id),
+            self._backoffs.wait_s(replica_id),
+            self._guards.wait_s(replica_id, self._slots(replica_id)),
+        )
+
+    def _slots(self, replica_id: str) -> int:
+        replica = self.replicas.by_id.get(replica_id)
+        return 0 if replica is None else replica.slots
 
     def send_slots_within(self, replica_id: str, seconds: float) -> int:
         """Return how many requests this instance may send to a restricted replica in a time.
@@ -137,14 +160,20 @@
             return 0
         if self._limits.limit(replica_id) is not None:
             return self._limits.send_slots_within(replica_id, seconds - backoff_s)
+        guarded = self._guards.send_slots_within(replica_id, self._slots(replica_id), seconds)
+        if guarded is not None:
+            return guarded
         if not self._backoffs.is_active(replica_id):
             return MAX_WAITING_FOR_TRIAL
-        replica = self.replicas.by_id.get(replica_id)
-        return 0 if replica is None else replica.slots
+        return self._slots(replica_id)
 
     def is_restricted(self, replica_id: str) -> bool:
         """Return whether a replica has a limit or a backoff, also while it may be sent to."""
-        return self._limits.limit(replica_id) is not None or self._backoffs.is_known(replica_id)
+        return (
+            self._limits.limit(replica_id) is not None
+            or self._backoffs.is_known(replica_id)
+            or self._guards.is_known(replica_id)
+        )
 
     def still_accepts(self, replica_id: str) -> bool:
         """Return whether a request may be sent to a replica that was chosen for it earlier.
@@ -154,14 +183,18 @@
         replica = self.replicas.by_id.get(replica_id)
         if replica is None or not self.accepts(replica):
             return False
-        return not self._backoffs.is_active(replica_id)
+        return not self._backoffs.is_active(replica_id) and not self._guards.is_paused(replica_id)
 
     def retry_s(self, replica_id: str) -> float:
         """Return the seconds until a caller's retry may be sent to a restricted replica.
 
         A limit is shared by all instances, of which the retry may reach another one.
         """
-        return max(self._limits.slot_interval_s(replica_id), self._backoffs.wait_s(replica_id))
+        return max(
+            self._limits.slot_interval_s(replica_id),
+            self._backoffs.wait_s(replica_id),
+            self._guards.wait_s(replica_id, self._slots(replica_id)),
+        )
 
     def withheld(self, service: str) -> tuple[str, ...]:
         """Return the replicas of a service that this instance may not send to now.
@@ -169,7 +202,11 @@
         Only those that other instances may use: the ones with a limit or a backoff, and the
         ones that have stated to this instance that they are leaving.
         """
-        stated = {*self._limits.replica_ids, *self._backoffs.replica_ids}
+        stated = {
+            *self._limits.replica_ids,
+            *self._backoffs.replica_ids,
+            *self._guards.replica_ids,
+        }
         stated.update(self.replicas.leaving_by_statement)
         listed = (self.replicas.by_id.get(each) for each in sorted(stated))
         return tuple(
@@ -190,6 +227,7 @@
         known = self.replicas.by_id.keys() | self.replicas.departed_by_id.keys()
         self._limits.forget(known)
         self._backoffs.forget(known)
+        self._guards.forget(known)
 
     def is_evacuated(self, replica: models.Replica) -> bool:
         """Return whether the operator has evacuated a replica's failure domain."""
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -162,6 +162,7 @@
         self._loads.started(replica.id)
         self._available.started(replica.id, sent_at)
         self._available.request_sent(replica.id)
+        self._available.exchange_began(replica.id)
         log.start(replica.id, self._available.limit(replica.id))
         try:
             started = await self._sender.send(routed, replica, dispatch, log)
@@ -173,6 +174,7 @@
         finally:
             failed = not isinstance(outcome, responses.Response) or outcome.status >= 500
             self._loads.ended(replica.id, failed, load)
+            self._available.exchange_ended(replica.id)
             if outcome is None:
                 self._crash_detector.run_unanswered(routed.fingerprint, replica, sent_at)
         if isinstance(outcome, sending.FailedAttempt):
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -106,6 +106,9 @@
         self.faults = routedfaults.RoutedFaults()
         self.ledger: list[RunRecord] = []
         self.refusals: list[RefusalRecord] = []
+        self.turned_away_at: list[float] = []
+        self.falls = 0
+        self._running = 0
         self.is_leaving = False
         self.born = 0
         self.address = ""
@@ -197,9 +200,29 @@
             writer.write(_response(request, 503, self._refusal_headers(), b""))
             self._record_refusal(request)
             return True
-        if self._events:
-            return await self._stream(request, reader, writer)
-        return await self._plain(request, reader, writer)
+        if self.faults.room is not None and self._running >= self.faults.room:
+            return self._turn_away(request, writer)
+        self._running += 1
+        try:
+            if self._events:
+                return await self._stream(request, reader, writer)
+            return await self._plain(request, reader, writer)
+        finally:
+            self._running -= 1
+
+    def _turn_away(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
+        """Refuse a request for want of room, and crash if there were too many in a second."""
+        now = time.monotonic()
+        self.turned_away_at = [at for at in self.turned_away_at if now - at < 1.0] + [now]
+        if self.faults.brittle and len(self.turned_away_at) > float(self.faults.brittle):
+            self.falls += 1
+            self.turned_away_at = []
+            for each in tuple(self._writers):
+                _reset(each)
+            return False
+        headers = {"Not-Executed": "1"} | self._state_headers()
+        writer.write(_response(request, 503, headers, b""))
+        return True
 
     async def _control_call(self, request: _Request) -> tuple[int, object] | None:
         """Respond to control calls of the stand-in; return None for a caller's request."""
@@ -408,7 +431,8 @@
 
     def _state_headers(self) -> dict[str, str]:
         """Return the headers that are part of every response."""
-        return {"Server-Leaving": "1"} if self.is_leaving else {}
+        headers = {"Server-Leaving": "1"} if self.is_leaving else {}
+        return headers | ({"Server-Brittle": self.faults.brittle} if self.faults.brittle else {})
 
 
 def _parse_request(head: h11.Request, body: bytes) -> _Request:
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -21,6 +21,9 @@
     :param die_after_events: a stream is cut off after this many events.
     :param no_room: KV cache copies from other engines are refused.
     :param limit: limit in requests per second that responses announce for the server.
+    :param room: requests that it runs at once; further ones are refused as not run, or None.
+    :param brittle: refusals for want of room that it tolerates in a second, as its responses
+        state; it resets all connections when there are more.
     :param crash_on: a request whose body contains this text ends the server when it starts.
     """
 
@@ -41,4 +44,6 @@
     die_after_events: int | None = None
     no_room: bool = False
     limit: str = ""
+    room: int | None = None
+    brittle: str = ""
     crash_on: str = ""
--- a/tests/entry/test_clusterstate.py
+++ b/tests/entry/test_clusterstate.py
@@ -15,6 +15,7 @@
     backoffs,
     evacuations,
     ratelimits,
+    refusals,
     replicalist,
     slowstart,
 )
@@ -52,6 +53,7 @@
             slowstart.SlowStarts(random.Random(1)),
             ratelimits.RateLimits(clocks.ManualClock()),
             backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
+            refusals.RefusalGuards(clocks.ManualClock(), random.Random(1)),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         )
--- a/tests/replicas/test_availability.py
+++ b/tests/replicas/test_availability.py
@@ -10,6 +10,7 @@
     evacuations,
     models,
     ratelimits,
+    refusals,
     replicalist,
     slowstart,
 )
@@ -31,6 +32,7 @@
         slowstart.SlowStarts(random.Random(1)),
         ratelimits.RateLimits(clocks.ManualClock()),
         backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
+        refusals.RefusalGuards(clocks.ManualClock(), random.Random(1)),
         slowstart.Bound(),
         {"a": "r", "b": "s"},
     )
--- a/tests/routed/test_bufferedexchange.py
+++ b/tests/routed/test_bufferedexchange.py
@@ -9,7 +9,14 @@
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.quarantine import crashdetector, requestquarantine
-from hornbeamglade.replicas import availability, backoffs, ratelimits, replicalist, slowstart
+from hornbeamglade.replicas import (
+    availability,
+    backoffs,
+    ratelimits,
+    refusals,
+    replicalist,
+    slowstart,
+)
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     attemptlog,
@@ -61,6 +68,7 @@
             slowstart.SlowStarts(random.Random(1)),
             ratelimits.RateLimits(clocks.ManualClock()),
             backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
+            refusals.RefusalGuards(clocks.ManualClock(), random.Random(1)),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         )
--- a/tests/routed/test_enginecatalog.py
+++ b/tests/routed/test_enginecatalog.py
@@ -14,6 +14,7 @@
     backoffs,
     models,
     ratelimits,
+    refusals,
     replicalist,
     slowstart,
 )
@@ -44,6 +45,7 @@
             slowstart.SlowStarts(random.Random(1)),
             ratelimits.RateLimits(clocks.ManualClock()),
             backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
+            refusals.RefusalGuards(clocks.ManualClock(), random.Random(1)),
             slowstart.Bound(),
             {"a": "r", "b": "s"},
         ),
