--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -200,3 +200,19 @@
         return counts
 
     assert eventloop.run(main()) == [1, 1, 2]
+
+
+def test_silence_of_a_server_ends_no_connection():
+    """With keep-alive probes, the user timeout would also end connections of silent servers."""
+
+    async def main():
+        server = raw.ScriptedServer(COMPLETE)
+        connection = await clientside.connect(await server.start(), 5.0, clocks.SystemClock())
+        options = connection._transport.get_extra_info("socket")
+        probes = options.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        timeout_ms = options.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        connection.close()
+        server.stop()
+        return probes, timeout_ms
+
+    assert eventloop.run(main()) == (0, clientside.USER_TIMEOUT_MS)
