--- a/hornbeamglade/replicas/refusals.py
+++ b/hornbeamglade/replicas/refusals.py
@@ -35,6 +35,9 @@
 MIN_TOLERATED_PER_S = 0.5
 """Replaces a lower number, with which a replica would never be used again."""
 
+MIN_INSTANCES = 6
+"""The assumed number until the other instances are known."""
+
 SLOT_POLL_S = 0.02
 EXPECTED_RESPONSE_S = 0.1
 """Estimate of the time until a request in flight ends, to limit the queue for its place."""
@@ -88,7 +91,7 @@
         self._rng = rng
         self._guard_by_replica: dict[str, _Guard] = {}
         self._in_flight: collections.Counter[str] = collections.Counter()
-        self._instances = 6
+        self._instances = MIN_INSTANCES
 
     def set_instances(self, instances: int) -> None:
         """Set the number of instances."""
--- a/hornbeamglade/soak/running.py
+++ b/hornbeamglade/soak/running.py
@@ -42,14 +42,16 @@
     seconds: float,
     folder: pathlib.Path,
     kinds: tuple[plan.FaultFactory, ...] = plan.ALL_KINDS,
+    instances: int = 3,
 ) -> Verdict:
     """Run one seed.
 
     :param seconds: the period in which faults start.
     :param kinds: the kinds of faults that are drawn.
+    :param instances: number of entry instances.
     :param folder: directory for the processes' files, for analysis of failures.
     """
-    soak_site = soaksite.SoakSite(seed, folder)
+    soak_site = soaksite.SoakSite(seed, folder, instances)
     try:
         with soak_site.site:
             soak_site.site.configure(soak_site.keys_by_team)
--- a/hornbeamglade/soak/soaksite.py
+++ b/hornbeamglade/soak/soaksite.py
@@ -65,15 +65,16 @@
 
     :param seed: the seed of the run.
     :param folder: directory for the processes' files.
+    :param instances: number of entry instances; faults affect the first three of them.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(self, seed: int, folder: pathlib.Path, instances: int = 3) -> None:
         self.seed = seed
         self._lock = threading.Lock()
         self._manifest_lock = threading.Lock()
         names = ("store", *(f"engine-{n}" for n in range(3)), *(f"service-{n}" for n in range(2)))
         self.links = tcpproxy.TcpProxies(*names)
-        shape = routedsite.Shape(route=self.links.route, entry_module=MODULE)
+        shape = routedsite.Shape(instances=instances, route=self.links.route, entry_module=MODULE)
         self.site = routedsite.RoutedSite(shape, folder)
         self.keys_by_team = {
             team: [f"{team}-{number}" for number in range(KEYS_PER_TEAM)] for team in TEAMS
--- a/tests/tunnels/test_pathconnector.py
+++ b/tests/tunnels/test_pathconnector.py
@@ -77,10 +77,9 @@
     """Open connections to a server that refuses this instance; return the last, the connector."""
 
     async def main():
-        connector = Connector(await refusing_address(), domains, outcome_by_relay)
+        address = await refusing_address()
+        connector = Connector(address, domains, outcome_by_relay)
         for _ in range(count):
-            address = connector.ordered_relays("")
-            address = connector._surroundings.replica_at("").address
             connection = await connector.connect(address, clientpool.CONNECT_TIMEOUT_S)
         return connection, connector
 
