soak: servers that say that they tolerate few refusals

All plain services state it and then run one request at a time; a stand-in that refuses more than it said falls over and records it. tolerance_is_kept_to allows two falls.

--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -48,6 +48,7 @@
 
 PARTITION_SHARE = 2 / 3
 PARTITION_SLACK = 10
+ALLOWED_FALLS = 2
 
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK = 5
@@ -120,6 +121,7 @@
     found += _check_leaving(evidence)
     found += _check_backoffs(evidence)
     found += _check_partitions(evidence)
+    found += _check_tolerances(evidence)
     found += _check_served_share(evidence)
     return tuple(found)
 
@@ -365,6 +367,21 @@
             yield Violation("serves_when_partitioned", "", f"{sum(cut)} of {len(cut)} requests")
 
 
+def _check_tolerances(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return a violation for each time in which servers fell over from refusals too often."""
+    for each in evidence.fault_records:
+        if each.name != "ServersTolerateFew" or _was_disturbed(
+            evidence.fault_records, each.began_at, each.ended_at
+        ):
+            continue
+        falls = sum(
+            refusal.get("fell", False) and each.began_at < refusal["at"] < each.ended_at
+            for refusal in evidence.refusals
+        )
+        if falls > ALLOWED_FALLS:
+            yield Violation("tolerance_is_kept_to", "", f"{falls} falls")
+
+
 def _are_all_partitioned(evidence: Evidence, began_at: float, ended_at: float) -> bool:
     """Return whether every instance was partitioned from the servers at some time of a period."""
     return all(
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -29,6 +29,9 @@
 """How long a server states that it is leaving before the list says so or it stops."""
 
 FATAL_PAUSE_S = 0.4
+TOLERATED = "3"
+"""Refusals in a second that servers tolerate."""
+
 LINKS_OF = "links-of-"
 
 
@@ -266,6 +269,30 @@
         soak_site.site.faults(self.component)
 
 
+class ServersTolerateFew(Fault):
+    """All plain servers state that they tolerate few refusals, and then have little room.
+
+    :param component: ``services``, which stands for all plain servers.
+    """
+
+    extra_duration_s = 4.0
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let them state it, and take their room away when all instances may know."""
+        self._set(soak_site, brittle=TOLERATED)
+        time.sleep(STATED_S)
+        self._set(soak_site, brittle=TOLERATED, room=1)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Give their room back."""
+        self._set(soak_site)
+
+    def _set(self, soak_site: soaksite.SoakSite, **faults: object) -> None:
+        for place in soak_site.site.server_by_place:
+            if place.startswith("service"):
+                soak_site.site.faults(place, **faults)
+
+
 class ServerPaused(Fault):
     """A backend server is paused for a while."""
 
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -105,6 +105,7 @@
 ALL_KINDS: tuple[FaultFactory, ...] = (
     *KINDS,
     *2 * (_partition,),
+    lambda rng: faults.ServersTolerateFew(ALL_SERVICES),
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -61,12 +61,14 @@
     :param at: time of the response, in seconds of the machine's monotonic clock.
     :param replica_id: the server that refused it.
     :param retry_after: the time that the response asked for, as sent; empty for none.
+    :param fell: whether the server crashed instead, as there were too many refusals.
     """
 
     request_id: str
     at: float
     replica_id: str
     retry_after: str
+    fell: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,9 +219,11 @@
         if self.faults.brittle and len(self.turned_away_at) > float(self.faults.brittle):
             self.falls += 1
             self.turned_away_at = []
+            self._record_refusal(request, fell=True)
             for each in tuple(self._writers):
                 _reset(each)
             return False
+        self._record_refusal(request)
         headers = {"Not-Executed": "1"} | self._state_headers()
         writer.write(_response(request, 503, headers, b""))
         return True
@@ -402,9 +406,9 @@
         self.ledger.append(record)
         self._append_to_ledger(dataclasses.asdict(record))
 
-    def _record_refusal(self, request: _Request) -> None:
+    def _record_refusal(self, request: _Request, *, fell: bool = False) -> None:
         record = RefusalRecord(
-            request.request_id, time.monotonic(), self.replica_id, self.faults.retry_after
+            request.request_id, time.monotonic(), self.replica_id, self.faults.retry_after, fell
         )
         self.refusals.append(record)
         self._append_to_ledger(dataclasses.asdict(record))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -210,6 +210,46 @@
     assert violations([stating, soon, late], runs, [other_paused]) == ["nothing_new_when_leaving"]
 
 
+def test_falls_of_servers_that_tolerate_few_refusals_are_reported():
+    fell = {"request_id": "r1", "replica_id": "s", "retry_after": "", "fell": True}
+    falls = [{**fell, "at": 12.0 + number} for number in range(3)]
+    fault = soaksite.FaultRecord("ServersTolerateFew", "services", 10.0, 16.0)
+    assert violations([result()], [run_record()], [fault], refusals=falls) == [
+        "tolerance_is_kept_to"
+    ]
+    assert violations([result()], [run_record()], [fault], refusals=falls[:2]) == []
+    restarted = soaksite.FaultRecord("InstanceKilled", "entry-1", 11.0, 12.0)
+    assert violations([result()], [run_record()], [fault, restarted], refusals=falls) == []
+
+
+def test_partitioned_instance_that_serves_far_less_than_the_others_is_reported():
+    def answered(number, status, address):
+        name = f"r{number}"
+        body = f"s0:{name}".encode() if status == 200 else b""
+        return result(
+            request_id=name,
+            status=status,
+            is_sealed=status == 200,
+            body=body,
+            address=address,
+            sent_at=14.0,
+            ended_at=14.5,
+        )
+
+    cut, others = "127.0.0.1:1", "127.0.0.1:2"
+    results = [answered(number, 503, cut) for number in range(15)]
+    results += [answered(number, 200, others) for number in range(15, 30)]
+    runs = [
+        run_record(request_id=f"r{number}", body=f"r{number}", at=14.1) for number in range(15, 30)
+    ]
+    fault = soaksite.FaultRecord("InstancePartitioned", "links-of-entry-0", 10.0, 16.0)
+    assert violations(results, runs, [fault]) == ["serves_when_partitioned"]
+    late = dataclasses.replace(fault, began_at=12.0)
+    assert violations(results, runs, [late]) == []
+    store_down = soaksite.FaultRecord("StoreFails", "store", 11.0, 12.0)
+    assert violations(results, runs, [fault, store_down]) == []
+
+
 def test_requests_beyond_the_allowed_ones_in_a_named_time_are_reported():
     refused = {"request_id": "r0", "at": 10.0, "replica_id": "service-0.1", "retry_after": "3"}
     results = [result(request_id="r0", status=503, is_sealed=False, body=b"", sent_at=9.9)]
