--- a/hornbeamglade/cli/soak.py
+++ b/hornbeamglade/cli/soak.py
@@ -7,7 +7,7 @@
 
 import click
 
-from hornbeamglade.soak import running, seeds
+from hornbeamglade.soak import plan, running, seeds
 
 EXIT_BROKEN = 1
 
@@ -17,6 +17,11 @@
     "--seeds", "seeds_text", default="1", show_default=True, help="Such as 3 or 1-50 or 2,9."
 )
 @click.option("--seconds", default=12.0, show_default=True, help="Period in which faults start.")
+@click.option(
+    "--reachability",
+    is_flag=True,
+    help="Draw only partitions, silent servers and servers that tolerate few refusals.",
+)
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(3, 60))
 @click.option("--kept", is_flag=True, help="Also run the seeds that have failed before.")
 @click.option(
@@ -25,23 +30,35 @@
     help="Directory that keeps each seed's logs.",
 )
 def soak(
-    seeds_text: str, seconds: float, instances: int, kept: bool, folder: pathlib.Path | None
+    seeds_text: str,
+    seconds: float,
+    reachability: bool,
+    instances: int,
+    kept: bool,
+    folder: pathlib.Path | None,
 ) -> None:
     """Run seeds one after the other; the exit code is 1 when a guarantee was violated."""
     chosen = _seeds(seeds_text)
     if kept:
         chosen += [seed for seed in seeds.CAUSE_BY_SEED if seed not in chosen]
-    failed = [seed for seed in chosen if not _passes(seed, seconds, instances, folder)]
+    kinds = plan.REACHABILITY_KINDS if reachability else plan.ALL_KINDS
+    failed = [seed for seed in chosen if not _passes(seed, seconds, kinds, instances, folder)]
     click.echo(f"{len(chosen)} seeds, {len(failed)} with a broken promise: {failed or 'none'}")
     sys.exit(EXIT_BROKEN if failed else 0)
 
 
-def _passes(seed: int, seconds: float, instances: int, folder: pathlib.Path | None) -> bool:
+def _passes(
+    seed: int,
+    seconds: float,
+    kinds: tuple[plan.FaultFactory, ...],
+    instances: int,
+    folder: pathlib.Path | None,
+) -> bool:
     """Run a seed and print its result; return whether all guarantees held."""
     with tempfile.TemporaryDirectory(prefix="hornbeamglade-soak-") as scratch:
         directory = pathlib.Path(scratch) if folder is None else folder / f"seed-{seed}"
         directory.mkdir(parents=True, exist_ok=True)
-        verdict = running.run(seed, seconds, directory, instances=instances)
+        verdict = running.run(seed, seconds, directory, kinds, instances)
     statuses = ", ".join(
         f"{status or 'none'}: {count}" for status, count in sorted(verdict.count_by_status.items())
     )
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -109,6 +109,16 @@
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
+REACHABILITY_KINDS: tuple[FaultFactory, ...] = (
+    *2 * (_partition,),
+    lambda rng: faults.ServersTolerateFew(ALL_SERVICES),
+    _choose(faults.ServerPaused, ENGINES),
+    _choose(faults.ServerKilled, ENGINES),
+    _choose(faults.ServerLeaves, ENGINES),
+    _choose(faults.LinkSilent, (*ENGINES, *SERVICES)),
+)
+"""Kinds of which none excuses an instance that does not serve."""
+
 
 def make(
     seed: int, seconds: float, kinds: tuple[FaultFactory, ...] = ALL_KINDS
