--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -8,3 +8,7 @@
 
 STATEMENT_SEEDS = (8, 31, 48, 57)
 """Seeds in whose plans servers state that they are leaving, and refuse requests for a time."""
+
+REACHABILITY_SEEDS = (4, 6, 7)
+"""Seeds of :data:`plan.REACHABILITY_KINDS <hornbeamglade.soak.plan.REACHABILITY_KINDS>` that draw
+partitions of instances and servers that tolerate few refusals."""
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -27,3 +27,20 @@
     for seed in seeds.STATEMENT_SEEDS:
         names = {each.fault.name for each in plan.make(seed, STATEMENT_SECONDS, plan.KINDS)}
         assert {"ServerStatesLeaving", "ServerRefuses"} <= names
+
+
+REACHABILITY_SECONDS = 12.0
+
+
+@pytest.mark.parametrize("seed", seeds.REACHABILITY_SEEDS)
+def test_soak_with_partitioned_instances_violates_no_guarantee(seed, tmp_path):
+    """Seed 4 fails without tunnels: a partitioned instance serves none of 39 requests."""
+    verdict = running.run(seed, REACHABILITY_SECONDS, tmp_path, plan.REACHABILITY_KINDS)
+    assert verdict.violations == ()
+
+
+def test_each_seed_of_reachability_draws_both_faults():
+    for seed in seeds.REACHABILITY_SEEDS:
+        planned = plan.make(seed, REACHABILITY_SECONDS, plan.REACHABILITY_KINDS)
+        names = {each.fault.name for each in planned}
+        assert {"InstancePartitioned", "ServersTolerateFew"} <= names
