--- a/hornbeamglade/entry/tunneling.py
+++ b/hornbeamglade/entry/tunneling.py
@@ -40,9 +40,7 @@
         self.connector = pathconnector.PathConnector(
             self.paths, self, identity.failure_domain, peers.codec, rng, clock
         )
-        self._server = tunnelserver.TunnelServer(
-            peers.codec, self._address_by_hash, self.paths, clock
-        )
+        self._server = tunnelserver.TunnelServer(peers.codec, self._address_by_hash, self.paths)
 
     async def listen(self) -> None:
         """Accept requests at the TCP port with the number of the exchange's UDP port."""
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -14,19 +14,14 @@
 
 import asyncio
 import dataclasses
-import socket
 
 import h11
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import fields
+from hornbeamglade.http1 import fields, sockets
 
 MAX_HEAD_BYTES = 65_536
 READ_AHEAD_BYTES = 262_144
-USER_TIMEOUT_MS = 3_000
-"""A connection ends if sent bytes stay unacknowledged for this long. Without this limit, a
-write to an instance that lost power fails only after many minutes."""
-
 DEFAULT_IDLE_LIFETIME_S = 1.0
 """How long an idle connection is reused if its server states no idle timeout."""
 
@@ -95,8 +90,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
         self._transport = transport
-        connection = transport.get_extra_info("socket")
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sockets.set_user_timeout(transport)
 
     def data_received(self, data: bytes) -> None:
         """Handle bytes from the server."""
--- a/hornbeamglade/localsite/tcpproxy.py
+++ b/hornbeamglade/localsite/tcpproxy.py
@@ -136,6 +136,7 @@
         except ConnectionRefusedError:
             return False
         except OSError:
+            # Whether it listens is not known, for example for want of descriptors.
             return True
         return True
 
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -17,12 +17,11 @@
 import json
 import pathlib
 import signal
-import socket
-import struct
 import time
 
 import h11
 
+from hornbeamglade.http1 import sockets
 from hornbeamglade.standins import routedfaults, routedruns
 
 READ_BYTES = 65_536
@@ -221,7 +220,7 @@
             self.turned_away_at = []
             self._record_refusal(request, fell=True)
             for each in tuple(self._writers):
-                _reset(each)
+                sockets.reset(each.transport)
             return False
         self._record_refusal(request)
         headers = {"Not-Executed": "1"} | self._state_headers()
@@ -277,7 +276,7 @@
             writer.write(data[:-3])
             await writer.drain()
             if faults.reset:
-                _reset(writer)
+                sockets.reset(writer.transport)
             return False
         writer.write(data)
         if faults.extra:
@@ -460,13 +459,6 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    connection = writer.get_extra_info("socket")
-    linger = struct.pack("ii", 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
-
-
 async def _post(address: str, path: str, body: dict) -> bool:
     """Send a POST request to another stand-in; return whether it was accepted."""
     host, _, port = address.rpartition(":")
--- a/hornbeamglade/tunnels/pathconnector.py
+++ b/hornbeamglade/tunnels/pathconnector.py
@@ -146,15 +146,19 @@
 
     def relay_failed(self, relay: Relay) -> None:
         """Record that an instance opened no tunnel."""
-        self._failed_at_by_relay[relay.name] = self._clock.now()
+        now = self._clock.now()
+        recent = {
+            name: at for name, at in self._failed_at_by_relay.items() if now - at < PENALTY_S
+        }
+        self._failed_at_by_relay = recent | {relay.name: now}
 
     def relay_succeeded(self, relay: Relay) -> None:
         """Record that an instance opened a tunnel."""
         self._failed_at_by_relay.pop(relay.name, None)
 
     def _has_failed(self, relay: Relay) -> bool:
-        failed_at = self._failed_at_by_relay.get(relay.name)
-        return failed_at is not None and self._clock.now() - failed_at < PENALTY_S
+        failed_at = self._failed_at_by_relay.get(relay.name, float("-inf"))
+        return self._clock.now() - failed_at < PENALTY_S
 
 
 class _Race:
--- a/hornbeamglade/tunnels/tunnelserver.py
+++ b/hornbeamglade/tunnels/tunnelserver.py
@@ -19,12 +19,9 @@
 
 import asyncio
 import collections.abc
-import socket
-import struct
 
-from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, messages, transport
-from hornbeamglade.http1 import clientside
+from hornbeamglade.http1 import sockets
 from hornbeamglade.observability import logs
 from hornbeamglade.tunnels import frames, serverpaths
 
@@ -33,7 +30,6 @@
 """Less than the requesting instance waits, so that it learns the outcome."""
 
 REQUEST_TIMEOUT_S = 1.0
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Resolver = collections.abc.Callable[[int], str | None]
 
@@ -45,20 +41,14 @@
     :param resolve: returns the address of a replica by the hash of its id, or None if it is not
         listed.
     :param paths: this instance's own paths to replicas.
-    :param clock: monotonic time.
     """
 
     def __init__(
-        self,
-        frame_codec: codec.Codec,
-        resolve: Resolver,
-        paths: serverpaths.ServerPaths,
-        clock: clocks.Clock,
+        self, frame_codec: codec.Codec, resolve: Resolver, paths: serverpaths.ServerPaths
     ) -> None:
         self._codec = frame_codec
         self._resolve = resolve
         self._paths = paths
-        self._clock = clock
         self._server: asyncio.Server | None = None
         self._is_leaving = False
         self._tunnels: set[_Tunnel] = set()
@@ -162,7 +152,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the request."""
         self._transport = transport
-        _set_user_timeout(transport)
+        sockets.set_user_timeout(transport)
         self._timeout = asyncio.get_running_loop().call_later(REQUEST_TIMEOUT_S, self.abort)
 
     def data_received(self, data: bytes) -> None:
@@ -228,7 +218,7 @@
     def abort(self) -> None:
         """Reset the connection."""
         if self._transport is not None:
-            _reset(self._transport)
+            sockets.reset(self._transport)
 
     def pause_reading(self) -> None:
         """Stop reading while the replica reads too slowly."""
@@ -253,7 +243,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Join the two connections."""
-        _set_user_timeout(transport)
+        sockets.set_user_timeout(transport)
         if self._tunnel.is_closing:
             transport.abort()
             return
@@ -281,15 +271,3 @@
     def resume_writing(self) -> None:
         """Continue to read from the requesting instance."""
         self._tunnel.resume_reading()
-
-
-def _set_user_timeout(transport: asyncio.BaseTransport) -> None:
-    connection = transport.get_extra_info("socket")
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, clientside.USER_TIMEOUT_MS)
-
-
-def _reset(transport: asyncio.Transport) -> None:
-    connection = transport.get_extra_info("socket")
-    if connection is not None and not transport.is_closing():
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    transport.abort()
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import clientpool, clientside
+from hornbeamglade.http1 import clientpool, clientside, sockets
 from tests import eventloop
 from tests.http1 import raw
 
@@ -215,4 +215,4 @@
         server.stop()
         return probes, timeout_ms
 
-    assert eventloop.run(main()) == (0, clientside.USER_TIMEOUT_MS)
+    assert eventloop.run(main()) == (0, sockets.USER_TIMEOUT_MS)
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -27,7 +27,7 @@
         self.replica = raw.ScriptedServer(*script)
         self.paths = serverpaths.ServerPaths(CLOCK)
         self.server = tunnelserver.TunnelServer(
-            codec.Codec("relay", 1, RING, CLOCK), self.resolve, self.paths, CLOCK
+            codec.Codec("relay", 1, RING, CLOCK), self.resolve, self.paths
         )
         self.address = None
         self.requester = codec.Codec("requester", 1, RING, CLOCK)
