--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -1,6 +1,7 @@
 @0xd3a1f5c8b2e94716;
 # Messages between entry nodes, one Envelope per datagram, or one in each direction at the
-# start of a tunnel's connection. Fields are only added at the end, so nodes of two releases can read each other's messages.
+# start of a tunnel's connection. Fields are only added at the end, so nodes of two releases
+# can read each other's messages.
 
 struct Envelope {
   sender @0 :Text;
--- a/tests/entry/test_partitions.py
+++ b/tests/entry/test_partitions.py
@@ -34,7 +34,7 @@
 
 @pytest.mark.parametrize("how", tcpproxy.Partition)
 def test_instance_partitioned_from_all_replicas_serves_every_first_try(how):
-    """Callers at such an instance were served by none of the replicas that the others reach."""
+    """Guards against own connections as the only path to replicas that others reach."""
 
     async def test(site):
         cut = site.nodes[0]
@@ -122,7 +122,7 @@
 
 
 def test_silence_on_one_kept_connection_saves_the_requests_on_the_others():
-    """Requests were sent on one dead connection after the other."""
+    """Guards against requests on one dead connection after the other."""
 
     async def test(site):
         cut = site.nodes[0]
--- a/tests/entry/test_tolerances.py
+++ b/tests/entry/test_tolerances.py
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize("nodes", [3, 6])
 def test_brittle_servers_do_not_fall_over_in_a_crowd(nodes):
-    """Servers crashed since each refusal was followed by a request to the next full server."""
+    """Guards against a refused request that goes on to the next full server."""
 
     async def test(site):
         for server in site.services:
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -34,7 +34,7 @@
 
 @pytest.mark.parametrize("seed", seeds.REACHABILITY_SEEDS)
 def test_soak_with_partitioned_instances_violates_no_guarantee(seed, tmp_path):
-    """Seed 4 fails without tunnels: a partitioned instance serves none of 39 requests."""
+    """Guards against instances that serve nothing while their own links are cut."""
     verdict = running.run(seed, REACHABILITY_SECONDS, tmp_path, plan.REACHABILITY_KINDS)
     assert verdict.violations == ()
 
