soak: let a fault's planned end include the time that its start takes

ServersTolerateFew takes four seconds to start, which the plan did not count. In seed 46 of all kinds its end switched off the limit of a server that ServerLimited had begun to announce meanwhile, so limit_is_kept_to held 22 requests against a limit that no response named (no replica_limit line in any log). Plans without this fault are unchanged.

--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -44,6 +44,9 @@
     extra_duration_s = 0.0
     """Time added to the random duration."""
 
+    begin_duration_s = 0.0
+    """Time that the start itself takes, before the duration begins."""
+
     def __init__(self, component: str) -> None:
         self.component = component
 
@@ -276,6 +279,7 @@
     """
 
     extra_duration_s = 4.0
+    begin_duration_s = STATED_S
 
     def begin(self, soak_site: soaksite.SoakSite) -> None:
         """Let them state it, and take their room away when all instances may know."""
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -59,6 +59,11 @@
     for_s: float
     fault: faults.Fault
 
+    @property
+    def ends_at_s(self) -> float:
+        """Its end, in seconds after the start of the run."""
+        return self.at_s + self.fault.begin_duration_s + self.for_s
+
 
 def _choose(kind: type[faults.Fault], parts: collections.abc.Sequence[str]) -> FaultFactory:
     return lambda rng: kind(rng.choice(parts))
@@ -166,7 +171,7 @@
 
 
 def _is_allowed(candidate: Planned, planned: collections.abc.Iterable[Planned]) -> bool:
-    overlapping = [each for each in planned if each.at_s + each.for_s + 0.5 > candidate.at_s]
+    overlapping = [each for each in planned if each.ends_at_s + 0.5 > candidate.at_s]
     if any(each.fault.component == candidate.fault.component for each in overlapping):
         return False
     if _affects_all_services(candidate) and any(map(_affects_services, overlapping)):
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -33,3 +33,13 @@
         return [(each.at_s, each.for_s, each.fault.name) for each in plan.make(seed, 20.0)]
 
     assert summary(5) == summary(5) != summary(6)
+
+
+@pytest.mark.parametrize("seed", [*range(20), 46])
+def test_no_server_has_another_fault_until_all_servers_have_their_room_again(seed):
+    """Guards against the end of one fault that switches off another."""
+    planned = plan.make(seed, 20.0)
+    for each in planned:
+        if isinstance(each.fault, faults.ServersTolerateFew):
+            later = [other for other in planned if each.at_s < other.at_s < each.ends_at_s]
+            assert not any(other.fault.component.startswith("service") for other in later)
