platform: decode the slowdown in replicas' load headers

Load headers with four figures were dropped without a log line. The fourth figure becomes Load.slowdown; an unusable one leaves the other three. A malformed header is logged once for each replica, and a count above 100,000 is malformed, since a replica that reports it would get no requests.

SharedMachines tells whether a replica of a service reported a slowdown in the last 60 s. It is fed from every response head, buffered or streamed, and is the switch for decisions that depend on the speed of machines.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -36,15 +36,18 @@
     advisories,
     availability,
     backoffs,
+    loadproblems,
     ratelimits,
     refusals,
     replicalist,
+    sharedmachines,
     slowstart,
 )
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     bufferedexchange,
+    calls,
     drainadmission,
     enginecatalog,
     migration,
@@ -98,6 +101,8 @@
             componentsettings.slow_start_bound(instance_settings),
             instance_settings.region_by_failure_domain,
         )
+        self.shared_machines = sharedmachines.SharedMachines(clock)
+        self._load_problems = loadproblems.LoadProblems()
         self._lengths = lengthmodel.LengthModel()
         self._schedulers = schedulerset.SchedulerSet(clock, self._lengths, self._available)
         digests = digestcache.DigestCache(clock)
@@ -160,7 +165,12 @@
         self._pool = clientpool.ClientPool(clock, connector=self.tunneling.connector)
         self._dialect = requestdialect.PlatformDialect()
         self._sender = sending.Sender(
-            self._pool, self._dialect, self._available.still_accepts, self._on_advisory, clock
+            self._pool,
+            self._dialect,
+            self._available.still_accepts,
+            self._on_advisory,
+            clock,
+            self._on_load,
         )
         self._loads = replicaload.ReplicaLoads(clock, rng)
         self._budgets = retrybudget.RetryBudgets(
@@ -226,6 +236,7 @@
             self.instruments,
             rate_limit_queue,
             clock,
+            self.shared_machines,
         )
         buffered = bufferedexchange.BufferedExchange(
             self._available,
@@ -425,6 +436,8 @@
         present = self._replicas.by_id
         self._pool.prune(frozenset(each.address for each in present.values()))
         self._loads.forget_absent(present)
+        self._load_problems.forget_absent(present)
+        self.shared_machines.forget_old()
         self._available.forget_ended(self._clock.now())
         self._crashes.forget_old()
         self.quarantine.expire()
@@ -478,6 +491,14 @@
         if advisory.is_leaving:
             self._on_leaving_stated(replica)
 
+    def _on_load(
+        self, replica: replicamodels.Replica, load: calls.Load | None, problem: str | None
+    ) -> None:
+        if load is not None:
+            self.shared_machines.observe(replica.service, load)
+        if problem is not None:
+            self._load_problems.record(replica.id, problem)
+
     def _on_leaving_stated(self, replica: replicamodels.Replica) -> None:
         """Stop using a replica, and inform the other instances if this one owns it."""
         was_usable = self._replicas.is_usable(replica.id)
@@ -508,6 +529,7 @@
         configuration = view.configuration
         self.instruments.config_revision.set(configuration.revision)
         self._available.configure(configuration.service_by_name)
+        self.shared_machines.configure(configuration.service_by_name)
         self.peering.names.services.replace(route.name for route in configuration.routes)
         self.peering.names.teams.replace(["", *(team.name for team in configuration.teams)])
         self._update_engines()
--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -27,6 +27,8 @@
 
 _SEAL = b"response-seal"
 _NOT_RUN = b"not-executed"
+# Requests running, requests waiting and slots; a fourth figure may state how long work currently
+# takes on the machine, in percent of the normal time.
 _LOAD = b"replica-load"
 # Requests per second from all instances together, as a decimal number.
 _LIMIT = b"server-limit"
@@ -54,6 +56,15 @@
 )
 _RESERVED_BEGINNING = b"kv-"
 
+LOAD_INVALID = "replica_load_invalid"
+LOADS_SEVERAL = "replica_load_several"
+SLOWDOWN_INVALID = "replica_slowdown_invalid"
+MAX_LOAD_COUNT = 100_000
+"""No server holds more requests. A replica with a larger figure would get no requests as long as
+it reports it, so the figure is not used."""
+
+MAX_SLOWDOWN_PERCENT = 10_000
+
 LIMIT_INVALID = "server_limit_invalid"
 TOLERANCE_INVALID = "server_brittle_invalid"
 TOLERANCES_SEVERAL = "server_brittle_several"
@@ -121,6 +132,7 @@
         """Parse the head of a replica's response."""
         is_marked = fields.value(head.fields, _NOT_RUN) is not None
         encoding = fields.value(head.fields, b"content-encoding")
+        reported_load, load_problem = _load(fields.values(head.fields, _LOAD))
         return calls.ResponseHead(
             status=head.status,
             fields=fields.without(fields.end_to_end(head.fields), (b"content-length",)),
@@ -128,9 +140,10 @@
             is_sealed=fields.value(head.fields, _SEAL) is not None,
             is_not_run=is_marked or head.status == _MISDIRECTED,
             is_encoded=encoding not in (None, b"identity"),
-            load=_load(fields.value(head.fields, _LOAD)),
+            load=reported_load,
             advisory=advisory(head),
             is_misdirected=head.status == _MISDIRECTED,
+            load_problem=load_problem,
         )
 
 
@@ -173,12 +186,24 @@
     return tuple(parts)
 
 
-def _load(value: bytes | None) -> calls.Load | None:
-    numbers = [] if value is None else [each.strip() for each in value.split(b",")]
-    if len(numbers) != 3 or not all(_DIGITS.fullmatch(each) for each in numbers):
-        return None
-    running, waiting, slots = (int(each) for each in numbers)
-    return calls.Load(running, waiting, slots)
+def _load(values: tuple[bytes, ...]) -> tuple[calls.Load | None, str | None]:
+    """Return the load that a replica reports, and the code of a problem; None for neither."""
+    if not values:
+        return None, None
+    if len(values) > 1:
+        return None, LOADS_SEVERAL
+    figures = [each.strip() for each in values[0].split(b",")]
+    if len(figures) not in (3, 4) or not all(_DIGITS.fullmatch(each) for each in figures[:3]):
+        return None, LOAD_INVALID
+    counts = [int(each) for each in figures[:3]]
+    if max(counts) > MAX_LOAD_COUNT:
+        return None, LOAD_INVALID
+    if len(figures) == 3:
+        return calls.Load(*counts), None
+    percent = float(figures[3]) if _DECIMAL.fullmatch(figures[3]) else 0.0
+    if not 0.0 < percent <= MAX_SLOWDOWN_PERCENT:
+        return calls.Load(*counts), SLOWDOWN_INVALID
+    return calls.Load(*counts, percent / 100.0), None
 
 
 def rate_limit(answer_fields: fields.Fields) -> ratelimits.RateLimit | None:
--- a/hornbeamglade/replicas/__init__.py
+++ b/hornbeamglade/replicas/__init__.py
@@ -7,6 +7,8 @@
 - :mod:`hornbeamglade.replicas.advisories`: what replicas state about themselves in responses
 - :mod:`hornbeamglade.replicas.backoffs`: times in which replicas accept nothing from an instance
 - :mod:`hornbeamglade.replicas.ratelimits`: rate limits that replicas report in responses
+- :mod:`hornbeamglade.replicas.sharedmachines`: services whose replicas share their machines
+- :mod:`hornbeamglade.replicas.loadproblems`: malformed load reports of replicas
 - :mod:`hornbeamglade.replicas.availability`: which replicas may receive new requests
 - :mod:`hornbeamglade.replicas.startgate`: interface for refusing the start of a request
 """
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -105,11 +105,14 @@
     :param running: requests that are running.
     :param waiting: requests that are queued.
     :param slots: requests that can run concurrently.
+    :param slowdown: how long work currently takes on the replica's machine, relative to the
+        normal time; None if the replica does not report it.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,6 +128,7 @@
     :param load: load reported by the replica, or None.
     :param advisory: what the replica states about itself.
     :param is_misdirected: whether a server other than the intended one responded.
+    :param load_problem: the code of the problem if the reported load is malformed, or None.
     """
 
     status: int
@@ -136,3 +140,4 @@
     load: Load | None = None
     advisory: advisories.Advisory = advisories.Advisory()
     is_misdirected: bool = False
+    load_problem: str | None = None
--- a/hornbeamglade/routed/rundependencies.py
+++ b/hornbeamglade/routed/rundependencies.py
@@ -7,6 +7,7 @@
 from hornbeamglade.grants import asyncgrantacquirer
 from hornbeamglade.observability import metrics
 from hornbeamglade.quarantine import crashdetector, requestquarantine
+from hornbeamglade.replicas import sharedmachines
 from hornbeamglade.routed import (
     enginecatalog,
     migration,
@@ -36,6 +37,7 @@
     :param metrics: the node's metrics.
     :param rate_limit_queue: requests that wait for engines with rate limits.
     :param clock: monotonic time.
+    :param shared_machines: tells which services' replicas share their machines.
     """
 
     sender: sending.Sender
@@ -51,3 +53,4 @@
     metrics: metrics.NodeMetrics
     rate_limit_queue: ratelimitqueue.RateLimitQueue
     clock: clocks.Clock
+    shared_machines: sharedmachines.SharedMachines
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -10,6 +10,7 @@
 
 MAX_BODY_BYTES = 16_777_216
 AdvisoryCallback = collections.abc.Callable[[models.Replica, advisories.Advisory], None]
+LoadCallback = collections.abc.Callable[[models.Replica, calls.Load | None, str | None], None]
 
 WITHHELD = "withheld"
 CONNECT_REFUSED = "connect_refused"
@@ -57,6 +58,8 @@
     :param on_advisory: called with what a replica states about itself, once for each response
         head of the intended server, before the body is read.
     :param clock: monotonic time.
+    :param on_load: called with the load that the intended server reports in a response head, and
+        with the code of the problem if it is malformed; not called for a head with neither.
     """
 
     def __init__(
@@ -66,12 +69,14 @@
         still_accepts: collections.abc.Callable[[str], bool],
         on_advisory: AdvisoryCallback,
         clock: clocks.Clock,
+        on_load: LoadCallback = lambda _replica, _load, _problem: None,
     ) -> None:
         self._pool = pool
         self._dialect = request_dialect
         self._still_accepts = still_accepts
         self._on_advisory = on_advisory
         self._clock = clock
+        self._on_load = on_load
 
     async def send(
         self,
@@ -141,6 +146,9 @@
             if states_something and not head.is_misdirected:
                 self._on_advisory(replica, head.advisory)
             if is_expected:
+                reports_load = head.load is not None or head.load_problem is not None
+                if reports_load and not head.is_misdirected:
+                    self._on_load(replica, head.load, head.load_problem)
                 return StartedResponse(connection, raw_head, head)
             if head.request_id is None:
                 break
--- a/tests/platform/test_requestdialect.py
+++ b/tests/platform/test_requestdialect.py
@@ -139,9 +139,43 @@
     assert names == [b"Attempt-Id", b"Response-Seal", b"Replica-Load"]
 
 
-@pytest.mark.parametrize("value", [b"", b"1,2", b"a,b,c", b"-1,0,8"])
-def test_malformed_load_is_ignored(value):
-    assert head(200, (b"Replica-Load", value)).load is None
+@pytest.mark.parametrize(
+    "values",
+    [
+        *((each,) for each in (b"", b"1,2", b"a,b,c", b"-1,0,8", b"1,2,3,100,5", b"1,2,3,4,5")),
+        *((each,) for each in (b"1000000000,0,8", b"1,0,8" + b"9" * 400, b"x,1,8,100")),
+        (b"1,0,8", b"2,0,8"),
+    ],
+)
+def test_malformed_load_is_ignored_and_named(values):
+    """A replica that reports 10^9 requests would get none for as long as it does."""
+    answer = head(200, *((b"Replica-Load", each) for each in values))
+    assert answer.load is None
+    assert answer.load_problem is not None
+
+
+@pytest.mark.parametrize(
+    ("figure", "slowdown"),
+    [(b"100", 1.0), (b" 250", 2.5), (b"70", 0.7), (b"112.5", 1.125), (b"10000", 100.0)],
+)
+def test_fourth_figure_of_the_load_is_the_slowdown(figure, slowdown):
+    """All load headers with four figures were dropped."""
+    answer = head(200, (b"Replica-Load", b"3,1,8," + figure))
+    assert (answer.load, answer.load_problem) == (calls.Load(3, 1, 8, slowdown), None)
+
+
+@pytest.mark.parametrize(
+    "figure",
+    [b"", b"0", b"0.0", b"-5", b"nan", b"inf", b"1e3", b"10001", b"1000000000", b"7" * 300, b"%"],
+)
+def test_unusable_slowdown_leaves_the_other_figures(figure):
+    answer = head(200, (b"Replica-Load", b"3,1,8," + figure))
+    assert answer.load == calls.Load(3, 1, 8)
+    assert answer.load_problem == requestdialect.SLOWDOWN_INVALID
+
+
+def test_response_without_a_load_has_no_problem():
+    assert (head(200).load, head(200).load_problem) == (None, None)
 
 
 def test_not_run_requires_its_header_or_a_misdirected_status():
