routed: do not pass on a replica's own 408, 429 or 503

These statuses guarantee callers that the request did not run, but a replica that sends one without Not-Executed may have run it. Sealed, they were forwarded unchanged, buffered and as the response to a stream request. They now count as run: a repeatable request is retried within its attempts, any other gets 502 without a seal.

A refusal without a request id that follows a response to another request was taken for the refusal of the present request, which was then sent to a second replica. It now proves nothing.

The caller's handler replaces any refusal with 408, 421, 429 or 503 by 502 if the request may have run, so that a component that refuses cannot contradict the attempts.

tests/entry/test_truthfulness.py plays a failure on each path: buffered responses, streams before and after their first event, tunnels, migration, deadlines, the end of the instance, quarantine, refusals of owners.

--- a/hornbeamglade/core/outcomes.py
+++ b/hornbeamglade/core/outcomes.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""HTTP statuses that guarantee a caller that the request has not run and never will."""
+
 
 class RunStatus(enum.Enum):
     """Whether a backend server ran a request, as far as known.
--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -143,6 +143,7 @@
     ) -> None:
         """Refuse a routed request, with a retry delay that fits the caller's deadline."""
         remaining_s = routed.ends_at - self._dependencies.clock.now()
+        refusal = truthful(routed, log, refusal)
         refusal = grantresponses.bound_retry_after(remaining_s, refusal)
         team = "" if routed.team is None else routed.team.name
         self._log_outcome(routed, log, refusal.code, refusal.http_status)
@@ -255,6 +256,24 @@
         )
 
 
+def truthful(
+    routed: callrouter.RoutedRequest, log: attemptlog.AttemptLog, refusal: outcomes.Refusal
+) -> outcomes.Refusal:
+    """Return a refusal that does not state "not run" of a request that may have run.
+
+    The components that refuse know only their own part of a request; this check is the last one
+    before the caller, so it holds for all of them.
+    """
+    has_not_run = log.run is outcomes.RunStatus.NOT_RUN
+    if has_not_run or refusal.http_status not in outcomes.NOT_RUN_STATUSES:
+        return refusal
+    logs.decided(
+        routed.call.request_id, "refusal", "replaced", code=refusal.code, run=log.run.value
+    )
+    detail = f"no replica of {routed.service.name} gave a whole answer"
+    return outcomes.Refusal("no_answer", 502, detail, outcomes.RunStatus.UNKNOWN)
+
+
 def _is_completed(answer: streamrun.StreamResult | outcomes.Refusal | responses.Response) -> bool:
     """Return whether a replica ran the request successfully."""
     if isinstance(answer, streamrun.StreamResult):
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -222,6 +222,8 @@
             return sending.FailedAttempt("replica_refused", outcomes.RunStatus.NOT_RUN)
         if not head.is_sealed or head.is_encoded:
             return sending.FailedAttempt("answer_not_proved", outcomes.RunStatus.UNKNOWN)
+        if not head.may_be_forwarded:
+            return sending.FailedAttempt("refusal_unmarked", outcomes.RunStatus.RAN)
         return responses.Response(head.status, head.fields, body)
 
     def _should_retry(
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from hornbeamglade.core import outcomes
 from hornbeamglade.http1 import fields
 from hornbeamglade.replicas import advisories
 
@@ -141,3 +142,13 @@
     advisory: advisories.Advisory = advisories.Advisory()
     is_misdirected: bool = False
     load_problem: str | None = None
+
+    @property
+    def may_be_forwarded(self) -> bool:
+        """Whether the response may be forwarded to the caller.
+
+        A replica may have run a request that it answers with its own 408, 429 or 503. Forwarded,
+        these would guarantee that it did not run.
+        """
+        is_proved = self.is_sealed and not self.is_encoded
+        return is_proved and self.status not in outcomes.NOT_RUN_STATUSES
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -135,12 +135,15 @@
     ) -> StartedResponse | FailedAttempt:
         sent_fields = self._dialect.dispatch_fields(call, dispatch)
         connection.send(call.method, call.target, sent_fields, call.body)
-        for _ in range(MAX_SKIPPED_RESPONSES + 1):
+        for skipped_count in range(MAX_SKIPPED_RESPONSES + 1):
             raw_head = await self._await_head(connection)
             if isinstance(raw_head, clientside.ResponseLost):
                 return FailedAttempt(raw_head.code, outcomes.RunStatus.UNKNOWN)
             head = self._dialect.parse_response_head(raw_head)
             is_expected = _matches_request(call, head)
+            if skipped_count and head.request_id is None:
+                # After a response to another request, a refusal may be another request's too.
+                break
             # A late response is no evidence that an earlier statement no longer holds.
             states_something = is_expected or head.advisory != advisories.Advisory()
             if states_something and not head.is_misdirected:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -203,11 +203,13 @@
         self._log.record_end(assignment.replica.id, outcomes.RunStatus.RAN, True)
         if isinstance(body, sending.FailedAttempt):
             return None if self._selector.may_retry() else self._selector.failure_refusal()
-        if response.head.status >= 500 and self._selector.may_retry():
+        status = response.head.status
+        is_failure = status >= 500 or status in outcomes.NOT_RUN_STATUSES
+        if is_failure and self._selector.may_retry():
             return None
-        if not response.head.is_sealed or response.head.is_encoded:
+        if not response.head.may_be_forwarded:
             return self._selector.failure_refusal()
-        return responses.Response(response.head.status, response.head.fields, body)
+        return responses.Response(status, response.head.fields, body)
 
     def _log_attempt(self, response: sending.StartedResponse | sending.FailedAttempt) -> None:
         """Log an attempt that returned no stream."""
--- /dev/null
+++ b/tests/entry/test_truthfulness.py
@@ -0,0 +1,278 @@
+"""Statuses that guarantee that a request did not run, on all paths that may have run it.
+
+Each test plays a failure after a replica has received a request that may run once. A caller that
+got 408, 421, 429 or 503 would send it again, and it would run twice.
+"""
+
+import asyncio
+import json
+
+import pytest
+
+from hornbeamglade.core import outcomes
+from hornbeamglade.entry import callershandler
+from hornbeamglade.localsite import tcpproxy
+from hornbeamglade.routed import attemptlog
+from hornbeamglade.standins import routed, routedfaults
+from tests import eventloop
+from tests.entry import site as entrysite
+from tests.routed import fakes
+
+SINGLE, SINGLE_STREAM, REPEATABLE, REPEATABLE_STREAM = "/hold/1", "/draft/1", "/list/1", "/tag/1"
+SINGLE_PATHS = (SINGLE, SINGLE_STREAM)
+
+
+def replicas(site):
+    return (*site.engines, *site.services)
+
+
+def run_count(site):
+    return sum(len(server.ledger) for server in replicas(site))
+
+
+def script(site, respond):
+    """Let all replicas record each run and respond with ``respond(server, request)``.
+
+    The connection is closed after a response of None or one without a length.
+    """
+
+    def scripted(server):
+        async def run(request, _reader, writer):
+            server._record_run(request)
+            response = respond(server, request)
+            writer.write(response or b"")
+            return b"Content-Length" in (response or b"")
+
+        return run
+
+    for server in replicas(site):
+        server._plain = server._stream = scripted(server)
+
+
+def with_status(status, **headers):
+    """Return a response function: a sealed response with a status of the replica's own."""
+    return lambda server, request: routed._response(
+        request, status, server._proof_headers(request) | headers, b"own"
+    )
+
+
+def stream_head(server, request):
+    """Return the head of a stream that ends before its first event."""
+    return routed._response_head(
+        request, 200, server._proof_headers(request) | {"Transfer-Encoding": "chunked"}
+    )
+
+
+async def send(site, path, more=""):
+    client = await site.nodes[0].request(path, more=entrysite.USAGE + more)
+    return client, await client.answer()
+
+
+def assert_states_nothing(answer, status=502):
+    """Check a response that does not state that the request did not run."""
+    got, fields, body = answer
+    assert (got, json.loads(body)["run"]) == (status, "unknown")
+    assert not {"response-seal", "retry-after"} & fields.keys()
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_unmarked_refusal_of_a_replica_is_not_passed_on(path, status):
+    """A replica runs the request, and responds 503 as its own server was too slow."""
+
+    async def test(site):
+        script(site, with_status(status, **{"Retry-After": "1"}))
+        return (await send(site, path))[1], run_count(site)
+
+    answer, runs = entrysite.run(test)
+    assert_states_nothing(answer)
+    assert runs == 1
+
+
+@pytest.mark.parametrize("path", [REPEATABLE, REPEATABLE_STREAM])
+def test_unmarked_refusal_is_retried_only_for_repeatable_requests(path):
+    async def test(site):
+        script(site, with_status(503))
+        return (await send(site, path))[1], run_count(site)
+
+    answer, runs = entrysite.run(test)
+    assert_states_nothing(answer)
+    assert runs == 2
+
+
+@pytest.mark.parametrize("status", [500, 504])
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_other_failure_of_a_replica_keeps_its_status_and_seal(path, status):
+    async def test(site):
+        script(site, with_status(status))
+        return (await send(site, path))[1], run_count(site)
+
+    (got, fields, body), runs = entrysite.run(test)
+    assert (got, body, runs) == (status, b"own", 1)
+    assert fields["response-seal"]
+
+
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+@pytest.mark.parametrize("respond", [lambda *_: None, stream_head], ids=["nothing", "head"])
+def test_response_that_ends_before_its_first_byte_or_event(path, respond):
+    async def test(site):
+        script(site, respond)
+        return (await send(site, path))[1], run_count(site)
+
+    answer, runs = entrysite.run(test)
+    assert_states_nothing(answer)
+    assert runs == 1
+
+
+def test_refusal_without_an_id_after_a_stray_response_proves_nothing():
+    """A late response and a late refusal of another request come first on the connection."""
+
+    def respond(server, request):
+        stray = routed._response(request, 200, {"Attempt-Id": "another"}, b"not yours")
+        return stray + routed._response(request, 503, {"Not-Executed": "1"}, b"")
+
+    async def test(site):
+        script(site, respond)
+        return (await send(site, SINGLE))[1], run_count(site)
+
+    answer, runs = entrysite.run(test)
+    assert_states_nothing(answer)
+    assert runs == 1
+
+
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_deadline_after_dispatch(path):
+    async def test(site):
+        for server in replicas(site):
+            server.faults = routedfaults.RoutedFaults(hang=True)
+        return (await send(site, path, "Deadline-Ms: 300\r\n"))[1], run_count(site)
+
+    answer, runs = entrysite.run(test)
+    assert_states_nothing(answer, 504)
+    assert runs == 1
+
+
+async def assert_cut(client):
+    """Check that a stream that has begun is visibly incomplete."""
+    assert (await client.head())[0] == 200
+    with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
+        await client._chunks()
+
+
+def test_deadline_within_a_stream():
+    async def test(site):
+        client = await site.nodes[0].request(
+            SINGLE_STREAM, more=entrysite.USAGE + "Deadline-Ms: 400\r\n"
+        )
+        await assert_cut(client)
+        return run_count(site)
+
+    assert entrysite.run(test, gap_s=0.05) == 1
+
+
+def test_migrated_run_that_its_target_refuses():
+    """The copy of a run's KV cache has expired when the stream continues from it."""
+
+    async def test(site):
+        client = await site.nodes[0].request(SINGLE_STREAM, more=entrysite.USAGE)
+        await eventloop.until(lambda: any(engine.run_by_id for engine in site.engines))
+        source = next(engine for engine in site.engines if engine.run_by_id)
+        await eventloop.until(lambda: source.run_by_id["r1"].made > 2)
+        for engine in site.engines:
+            engine._begin = lambda request: None
+        site.leave(site.engines.index(source))
+        await assert_cut(client)
+        return source.run_by_id["r1"].is_stopped, run_count(site)
+
+    assert entrysite.run(test, gap_s=0.03, engines=3) == (True, 1)
+
+
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_tunnel_that_ends_after_the_request_was_sent(path):
+    async def test(site):
+        for server in replicas(site):
+            server.faults = routedfaults.RoutedFaults(hang=True)
+        site.partition(site.nodes[0], tcpproxy.Partition.RESET)
+        answer = asyncio.ensure_future(send(site, path))
+        await eventloop.until(lambda: run_count(site))
+        for relay in site.nodes[1:]:
+            relay.instance.tunneling.close()
+        return (await answer)[1], run_count(site)
+
+    answer, runs = entrysite.run(test, nodes=3, has_links=True)
+    assert_states_nothing(answer)
+    assert runs == 1
+
+
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_instance_that_ends_while_a_request_runs_sends_no_response(path):
+    """The end of the process cancels the tasks of all requests in flight."""
+
+    async def test(site):
+        for server in replicas(site):
+            server.faults = routedfaults.RoutedFaults(hang=True)
+        node = site.nodes[0]
+        client = await node.request(path, more=entrysite.USAGE)
+        await eventloop.until(lambda: run_count(site))
+        for connection in node._server.connections:
+            connection._task.cancel()
+        await asyncio.sleep(0)
+        await node.stop()
+        return await client.is_closed(), run_count(site)
+
+    assert entrysite.run(test) == (True, 1)
+
+
+@pytest.mark.parametrize("path", [REPEATABLE, REPEATABLE_STREAM])
+def test_request_that_is_quarantined_after_it_ran(path):
+    """A request is quarantined between its first run and the retry."""
+
+    async def test(site):
+        quarantine = site.nodes[0].instance.quarantine
+        quarantined = outcomes.Refusal("request_quarantined", 503, "-", retry_after_s=9.0)
+
+        def respond(server, request):
+            quarantine.refusal = lambda fingerprint: quarantined
+            return b""
+
+        script(site, respond)
+        return (await send(site, path))[1], run_count(site)
+
+    answer, runs = entrysite.run(test)
+    assert_states_nothing(answer)
+    assert runs == 1
+
+
+@pytest.mark.parametrize("code", ["no_room_now", "queue_timeout"])
+def test_refusal_by_an_owner_after_the_request_ran(code):
+    """An engine ends a repeatable stream without an event, and no owner grants another run."""
+
+    async def test(site):
+        acquirer = site.nodes[0].instance.acquirer
+
+        async def refuse(placement):
+            return outcomes.Refusal(code, 503, "-", retry_after_s=1.0)
+
+        def respond(server, request):
+            acquirer.acquire = refuse
+            return b""
+
+        script(site, respond)
+        return (await send(site, REPEATABLE_STREAM))[1], run_count(site)
+
+    answer, runs = entrysite.run(test)
+    assert_states_nothing(answer)
+    assert runs == 1
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_refusal_of_a_request_that_may_have_run_is_replaced(status):
+    """Guards the last step before the caller against paths that forget an attempt."""
+    log = attemptlog.AttemptLog(may_have_run=True)
+    refusal = outcomes.Refusal("any", status, "-", retry_after_s=1.0)
+    truthful = callershandler.truthful(fakes.plain_request(), log, refusal)
+    assert (truthful.http_status, truthful.run) == (502, outcomes.RunStatus.UNKNOWN)
+    assert truthful.retry_after_s is None
+    assert (
+        callershandler.truthful(fakes.plain_request(), attemptlog.AttemptLog(), refusal) is refusal
+    )
