--- a/hornbeamglade/core/outcomes.py
+++ b/hornbeamglade/core/outcomes.py
@@ -43,6 +43,20 @@
     is_lasting: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PaceObjective:
+    """The objective for the pauses of a streamed response.
+
+    :param gap_goal_s: the objective for the time between events.
+    :param goal_s: the objective for the time to the first event.
+    :param expected_tokens: the expected length of the response.
+    """
+
+    gap_goal_s: float
+    goal_s: float
+    expected_tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
     """The properties of a request that are known before it starts.
@@ -54,6 +68,7 @@
     :param prompt_tokens: tokens of the prompt, estimated by the entry node.
     :param max_tokens: the caller's limit on the generated tokens, or None.
     :param prefix: hashes of the prompt's leading blocks, in order.
+    :param pace: the objective for pauses, or None if the request is not placed by pace.
     """
 
     request_id: str
@@ -63,3 +78,4 @@
     prompt_tokens: int
     max_tokens: int | None = None
     prefix: tuple[int, ...] = ()
+    pace: PaceObjective | None = None
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -87,6 +87,8 @@
   queued @3 :UInt16;
   leaving @4 :Bool;
   ejected @5 :Bool;
+  tokenUs @6 :UInt16;  # in units of 10 microseconds
+  pauseMs @7 :UInt16;
 }
 
 struct TeamDemand {
@@ -117,6 +119,10 @@
   avoid @11 :List(UInt64);
   dueMs @12 :UInt32 = 0xffffffff;
   atOnce @13 :Bool;
+  gapGoalMs @14 :UInt16;
+  expectedTokens @15 :UInt32;
+  mayFindOther @16 :Bool;
+  goalMs @17 :UInt32;
 }
 
 struct GrantAnswer {
@@ -137,11 +143,15 @@
   ask @0 :UInt64;
   replica @1 :UInt64;
   produced @2 :UInt32;
+  tokenUs @3 :UInt16;
+  pauseMs @4 :UInt16;
 }
 
 struct GrantReturn {
   ask @0 :UInt64;
   produced @1 :UInt32;
+  tokenUs @2 :UInt16;
+  pauseMs @3 :UInt16;
 }
 
 struct ConfigHint {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -86,6 +86,8 @@
     :param expected_wait_ms: milliseconds that a new request would queue.
     :param leaving: the replica takes no new work.
     :param ejected: the owner has ejected it as an outlier.
+    :param token_10us: its time per token in units of 10 microseconds, 0 if unknown.
+    :param pause_ms: its longest recent pause between events, 0 if unknown.
     """
 
     replica: int
@@ -94,6 +96,8 @@
     expected_wait_ms: int
     leaving: bool = False
     ejected: bool = False
+    token_10us: int = 0
+    pause_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,6 +192,11 @@
     :param due_ms: milliseconds until it must start to meet its objective; 0 if it is
         late, None without an objective.
     :param immediate: whether it must start now: it is refused rather than queued.
+    :param gap_goal_ms: the objective for pauses between events, 0 if it is not placed by pace.
+    :param goal_ms: the objective for the first event.
+    :param expected_tokens: the expected length of the response.
+    :param may_find_other: whether it may still start in time at an engine that keeps the pace,
+        so that it must not start at one that does not.
     """
 
     grant_id: int
@@ -204,6 +213,10 @@
     avoid: tuple[int, ...] = ()
     due_ms: int | None = None
     immediate: bool = False
+    gap_goal_ms: int = 0
+    goal_ms: int = 0
+    expected_tokens: int = 0
+    may_find_other: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -235,11 +248,15 @@
     :param replica: :func:`key_hash` of the replica's name, for an owner that did not
         admit the request.
     :param produced: tokens produced so far.
+    :param token_us: the stream's microseconds per token, 0 if unknown.
+    :param pause_ms: its longest pause since the previous report, 0 if unknown.
     """
 
     grant_id: int
     replica: int
     produced: int
+    token_us: int = 0
+    pause_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -248,10 +265,14 @@
 
     :param grant_id: the identifier of the grant request.
     :param produced: tokens produced, 0 for none.
+    :param token_us: the stream's microseconds per token, 0 if unknown.
+    :param pause_ms: its longest pause since the previous report, 0 if unknown.
     """
 
     grant_id: int
     produced: int = 0
+    token_us: int = 0
+    pause_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -91,6 +91,8 @@
         entry.expectedWaitMs = _clip(digest.expected_wait_ms)
         entry.leaving = digest.leaving
         entry.ejected = digest.ejected
+        entry.tokenUs = _clip(digest.token_10us, _MAX_U16)
+        entry.pauseMs = _clip(digest.pause_ms, _MAX_U16)
     count = _checked_length(message.demands, messages.MAX_DEMANDS)
     for entry, demand in zip(builder.init("demands", count), message.demands, strict=True):
         entry.team = demand.team
@@ -163,6 +165,8 @@
         expected_wait_ms=reader.expectedWaitMs,
         leaving=reader.leaving,
         ejected=reader.ejected,
+        token_10us=reader.tokenUs,
+        pause_ms=reader.pauseMs,
     )
 
 
@@ -180,6 +184,10 @@
     builder.produced = _clip(message.produced)
     builder.orOther = message.allow_other
     builder.atOnce = message.immediate
+    builder.gapGoalMs = _clip(message.gap_goal_ms, _MAX_U16)
+    builder.goalMs = _clip(message.goal_ms)
+    builder.expectedTokens = _clip(message.expected_tokens)
+    builder.mayFindOther = message.may_find_other
     _checked_length(message.avoid, messages.MAX_AVOIDED)
     builder.dueMs = (
         _NO_DUE_TIME if message.due_ms is None else _clip(message.due_ms, _NO_DUE_TIME - 1)
@@ -206,6 +214,10 @@
         produced=reader.produced,
         allow_other=reader.orOther,
         immediate=reader.atOnce,
+        gap_goal_ms=reader.gapGoalMs,
+        goal_ms=reader.goalMs,
+        expected_tokens=reader.expectedTokens,
+        may_find_other=reader.mayFindOther,
         due_ms=None if reader.dueMs == _NO_DUE_TIME else reader.dueMs,
         avoid=tuple(reader.avoid)[: messages.MAX_AVOIDED],
     )
@@ -240,10 +252,17 @@
             entry.ask = grant.grant_id
             entry.replica = grant.replica
             entry.produced = _clip(grant.produced)
+            _fill_pace(entry, grant)
     if released:
         for entry, grant in zip(builder.init("returned", len(released)), released, strict=True):
             entry.ask = grant.grant_id
             entry.produced = _clip(grant.produced)
+            _fill_pace(entry, grant)
+
+
+def _fill_pace(entry: _Builder, grant: messages.GrantProgress | messages.GrantRelease) -> None:
+    entry.tokenUs = _clip(grant.token_us, _MAX_U16)
+    entry.pauseMs = _clip(grant.pause_ms, _MAX_U16)
 
 
 def _read_progress(reader: _Reader) -> messages.Progress:
@@ -251,11 +270,14 @@
     _checked_length(reader.returned, bound)
     return messages.Progress(
         running=tuple(
-            messages.GrantProgress(entry.ask, entry.replica, entry.produced)
+            messages.GrantProgress(
+                entry.ask, entry.replica, entry.produced, entry.tokenUs, entry.pauseMs
+            )
             for entry in reader.running
         ),
         released=tuple(
-            messages.GrantRelease(entry.ask, entry.produced) for entry in reader.returned
+            messages.GrantRelease(entry.ask, entry.produced, entry.tokenUs, entry.pauseMs)
+            for entry in reader.returned
         ),
     )
 
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -14,7 +14,9 @@
 _UPDATES = strategies.builds(
     messages.MembershipUpdate, _U64, _U64, _U32, strategies.sampled_from(messages.NodeState)
 )
-_DIGESTS = strategies.builds(messages.ReplicaDigest, _U64, _U32, _U16, _U32)
+_DIGESTS = strategies.builds(
+    messages.ReplicaDigest, _U64, _U32, _U16, _U32, token_10us=_U16, pause_ms=_U16
+)
 _DEMANDS = strategies.builds(messages.TeamDemand, _U64, _U16, _U16)
 _DOMAINS = strategies.text("ab-0123", min_size=1, max_size=8)
 _EVACUATIONS = strategies.just(evacuations.Evacuations()) | strategies.builds(
@@ -54,6 +56,10 @@
     allow_other=strategies.booleans(),
     immediate=strategies.booleans(),
     due_ms=strategies.none() | strategies.integers(0, 2**32 - 2),
+    gap_goal_ms=_U16,
+    goal_ms=_U32,
+    expected_tokens=_U32,
+    may_find_other=strategies.booleans(),
     avoid=strategies.lists(_U64, max_size=messages.MAX_AVOIDED).map(tuple),
 )
 _GRANT_RESPONSES = strategies.builds(
@@ -67,10 +73,12 @@
 )
 _PROGRESS = strategies.builds(
     messages.Progress,
-    strategies.lists(strategies.builds(messages.GrantProgress, _U64, _U64, _U32), max_size=8).map(
-        tuple
-    ),
-    strategies.lists(strategies.builds(messages.GrantRelease, _U64, _U32), max_size=8).map(tuple),
+    strategies.lists(
+        strategies.builds(messages.GrantProgress, _U64, _U64, _U32, _U16, _U16), max_size=8
+    ).map(tuple),
+    strategies.lists(
+        strategies.builds(messages.GrantRelease, _U64, _U32, _U16, _U16), max_size=8
+    ).map(tuple),
 )
 _DOCUMENT_CHUNKS = strategies.builds(
     messages.DocumentChunk,
