routing: add the cost of an expected pause to a candidate's cost

A response with a pause over its objective is late, just as one that starts late, but the cost knew only the start. Add the late start's cost times the probability of such a pause where a candidate has an outlook; the cost of all other candidates is unchanged. tests/routing pass.

--- a/hornbeamglade/routing/candidates.py
+++ b/hornbeamglade/routing/candidates.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
+from hornbeamglade.speeds import outlook as outlooklib
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,6 +22,7 @@
     :param ejected: whether outlier detection has ejected it for now.
     :param slow_factor: its time per token relative to the pool's median; 1 is normal.
     :param cached_prefix_tokens: leading tokens of the prompt in its prefix cache.
+    :param outlook: its expected pace, or None if its service is not placed by pace.
     """
 
     replica: str
@@ -35,6 +37,13 @@
     ejected: bool = False
     slow_factor: float = 1.0
     cached_prefix_tokens: int = 0
+    outlook: outlooklib.EngineOutlook | None = None
+
+    def must_avoid(self, work: outcomes.Work) -> bool:
+        """Return whether a request that may find another replica must not start here."""
+        if self.outlook is None or work.pace is None:
+            return False
+        return self.outlook.must_avoid(work.pace)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,11 +96,18 @@
     The sum of the queueing delay, the wait for missing memory, the expected cost of
     a preemption when memory is scarce, the prefill time of uncached prompt tokens,
     and the network cost. The time on the engine is multiplied by its slow factor.
+
+    If the replica is placed by pace, its owner has already included its speed in the queueing
+    delay, and a pause that the response is expected to meet is added.
     """
-    engine_s = candidate.expected_wait_s
-    engine_s += _memory_cost_s(work, candidate, settings)
+    engine_s = _memory_cost_s(work, candidate, settings)
     engine_s += _prefill_cost_s(work, candidate, settings)
-    return engine_s * candidate.slow_factor + _network_cost_s(candidate, settings)
+    network_s = _network_cost_s(candidate, settings)
+    if candidate.outlook is None:
+        return (candidate.expected_wait_s + engine_s) * candidate.slow_factor + network_s
+    pause_s = 0.0 if work.pace is None else candidate.outlook.pause_cost_s(work.pace)
+    engine_s *= candidate.outlook.slow_factor
+    return candidate.expected_wait_s + engine_s + pause_s + network_s
 
 
 def _memory_cost_s(work: outcomes.Work, candidate: Candidate, settings: RoutingSettings) -> float:
