admission: let a prompt backlog follow its engine's speed

A slow engine was allowed the same queued prompt tokens as a fast one, so requests waited there beyond the bound of 0.8 s. Divide the prefill rate by a slow factor, 1 unless it is set. tests/admission and doctests pass.

--- a/hornbeamglade/admission/promptbacklog.py
+++ b/hornbeamglade/admission/promptbacklog.py
@@ -42,9 +42,15 @@
 
     def __init__(self, settings: PromptSettings | None = None) -> None:
         self._settings = settings or PromptSettings()
+        self._tokens_per_s = self._settings.tokens_per_s
         self._tokens = 0.0
         self._updated_at = 0.0
 
+    def set_slow_factor(self, slow_factor: float, now: float) -> None:
+        """Set the engine's time per token relative to the median; 1 is normal."""
+        self._drain(now)
+        self._tokens_per_s = self._settings.tokens_per_s / slow_factor
+
     def add(self, tokens: int, now: float) -> None:
         """Add the prompt of a request that was just granted."""
         self._drain(now)
@@ -53,9 +59,9 @@
     def wait_s(self, now: float) -> float:
         """Return the seconds until all prompts so far are processed."""
         self._drain(now)
-        return self._tokens / self._settings.tokens_per_s
+        return self._tokens / self._tokens_per_s
 
     def _drain(self, now: float) -> None:
-        processed = (now - self._updated_at) * self._settings.tokens_per_s
+        processed = (now - self._updated_at) * self._tokens_per_s
         self._tokens = max(0.0, self._tokens - processed)
         self._updated_at = now
