grants: report the pace of streams to owners and let owners place by it

Long responses met pauses over their objective on slow engines, since no owner knew an engine's speed. Relays measure each stream at its engine, progress and releases carry the pace to the owner, and grant requests carry the pause objective. The owner takes its best engine by cost and does not start a request that may find another at an engine that breaks the pace. Off until a service's replicas are known to share machines. tests/exchange, grants, routed, routing and docs pass.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -60,6 +60,7 @@
     tokentimes,
     views,
 )
+from hornbeamglade.speeds import enginespeeds
 from hornbeamglade.store import contract, positions
 
 TICK_S = 0.05
@@ -106,6 +107,7 @@
         self._lengths = lengthmodel.LengthModel()
         self._schedulers = schedulerset.SchedulerSet(clock, self._lengths, self._available)
         digests = digestcache.DigestCache(clock)
+        self._speeds = enginespeeds.EngineSpeeds(clock, self.shared_machines.shares_machines)
         self.cluster_state = clusterstate.ClusterState(
             self._current_view,
             self._available,
@@ -146,6 +148,7 @@
             lambda: self._available.evacuations,
             lambda: self.quarantine.digest,
             self,
+            self._speeds,
         )
         self.quarantine = requestquarantine.RequestQuarantine(
             instance_settings.name,
@@ -198,9 +201,15 @@
         )
         routing_settings = componentsettings.routing(instance_settings)
         self.catalog = enginecatalog.EngineCatalog(
-            self._available, self._schedulers, digests, self.peering.owned, routing_settings
+            self._available,
+            self._schedulers,
+            digests,
+            self.peering.owned,
+            routing_settings,
+            self._speeds,
+            clock,
         )
-        self.peering.set_alternatives(self.catalog.owned_alternatives)
+        self.peering.set_alternatives(self.catalog.owned_alternatives, self.catalog.must_avoid)
         self.acquirer = asyncgrantacquirer.AsyncGrantAcquirer(
             clock,
             self._schedulers,
@@ -208,6 +217,7 @@
             self.peering,
             rng,
             routing_settings,
+            self._speeds,
         )
         migrations = migration.MigrationDependencies(
             engine_calls,
@@ -237,6 +247,8 @@
             rate_limit_queue,
             clock,
             self.shared_machines,
+            self._speeds,
+            self._learned_length,
         )
         buffered = bufferedexchange.BufferedExchange(
             self._available,
@@ -444,6 +456,7 @@
         self._remove_departed()
         self.tunneling.paths.forget_unused()
         self._engine_monitor.remove_absent()
+        self._speeds.retain(self.peering.owned())
         # An instance may have returned under its name in another failure domain.
         self.peering.update_owners()
         # Killed instances return under their names, so their share is not redistributed.
@@ -530,6 +543,13 @@
         self.instruments.config_revision.set(configuration.revision)
         self._available.configure(configuration.service_by_name)
         self.shared_machines.configure(configuration.service_by_name)
+        self._speeds.configure(
+            {
+                name: service.engine.tokens_per_event
+                for name, service in configuration.service_by_name.items()
+                if service.engine is not None
+            }
+        )
         self.peering.names.services.replace(route.name for route in configuration.routes)
         self.peering.names.teams.replace(["", *(team.name for team in configuration.teams)])
         self._update_engines()
@@ -577,5 +597,8 @@
     def _survival(self, service: str, team: str, tokens: float) -> float:
         return self._lengths.table(service, team).survival(tokens)
 
+    def _learned_length(self, service: str, team: str) -> float:
+        return self._lengths.remaining(service, team, 0).mean
+
     def _record_length(self, service: str, team: str, tokens: int, is_cut: bool) -> None:
         self._schedulers.observe_length(service, team, tokens, censored=is_cut)
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -20,6 +20,7 @@
 from hornbeamglade.node import digestcache
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.speeds import enginespeeds
 
 MAX_HEADROOM_TOKENS = 2**31 - 1
 
@@ -73,6 +74,7 @@
     :param quarantine_digest: returns the digest of the requests that this instance refuses
         because they crash replicas.
     :param events: receives events and messages of the other instances.
+    :param speeds: the paces of this instance's engines.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         evacuations: collections.abc.Callable[[], evacuationlib.Evacuations],
         quarantine_digest: collections.abc.Callable[[], int],
         events: PeerEvents,
+        speeds: enginespeeds.EngineSpeeds,
     ) -> None:
         self._identity = identity
         self._clock = clock
@@ -106,7 +109,8 @@
         )
         self.grants = asyncgrantclient.AsyncGrantClient(incarnation, self.transport, clock)
         self.names = remotescheduler.ConfiguredNames()
-        self._scheduler = remotescheduler.RemoteScheduler(schedulers, clock, self.names)
+        self._speeds = speeds
+        self._scheduler = remotescheduler.RemoteScheduler(schedulers, clock, self.names, speeds)
         self._server = grantserver.GrantServer(self._scheduler, self.transport, clock)
         self._scheduler.set_push(self._server.push)
         self.migration_slots = migrationcoordinator.MigrationCoordinator(
@@ -125,9 +129,14 @@
         """Start receiving messages."""
         await self.transport.listen(transport.Endpoint.parse(self._identity.exchange))
 
-    def set_alternatives(self, others: remotescheduler.Alternatives) -> None:
-        """Set how alternatives are found for grant requests that accept any engine."""
-        self._scheduler.set_alternatives(others)
+    def set_alternatives(
+        self, others: remotescheduler.Alternatives, must_avoid: remotescheduler.MustAvoid
+    ) -> None:
+        """Set how alternatives are found for grant requests that accept any engine.
+
+        :param must_avoid: tells which engines do not keep the pace that a request needs.
+        """
+        self._scheduler.set_alternatives(others, must_avoid)
 
     def owner(self, replica: str) -> transport.Peer | None:
         """Return the owner of a replica, or None if it is this instance."""
--- a/hornbeamglade/exchange/asyncgrantclient.py
+++ b/hornbeamglade/exchange/asyncgrantclient.py
@@ -4,6 +4,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, grantrequests, messages, transport
+from hornbeamglade.speeds import pacemeter
 
 _MIN_WAIT_S = 0.001
 
@@ -50,9 +51,14 @@
             if not _is_granted(outcome):
                 self.close(grant_id)
 
-    def record_progress(self, grant_id: int, produced: int) -> None:
-        """Record how many tokens a granted request has produced."""
-        self._tracker.record_progress(grant_id, produced)
+    def record_progress(
+        self, grant_id: int, produced: int, meter: pacemeter.PaceMeter | None = None
+    ) -> None:
+        """Record how many tokens a granted request has produced.
+
+        :param meter: measures the pace of its stream.
+        """
+        self._tracker.record_progress(grant_id, produced, meter)
 
     def close(self, grant_id: int) -> None:
         """Release a grant at the end of its request; idempotent."""
--- a/hornbeamglade/exchange/grantrequests.py
+++ b/hornbeamglade/exchange/grantrequests.py
@@ -17,6 +17,8 @@
 - Progress of all grants is reported every :data:`REPORT_INTERVAL_S`, in one message for each
   owner, but not of grants younger than :data:`FIRST_REPORT_AFTER_S`, which have made little
   progress.
+- The first measurement of a stream's pace is reported as soon as its meter is ready: engines
+  of uneven speed may live for only some 20 s.
 - A release is sent immediately, and again with the next :data:`RELEASE_REPEATS` reports; if
   all are lost, the grant expires at the owner, as no progress is reported for it.
 
@@ -34,6 +36,7 @@
 import typing
 
 from hornbeamglade.exchange import messages, transport
+from hornbeamglade.speeds import pacemeter
 
 RESEND_INTERVAL_S = 0.1
 RESPONSE_TIMEOUT_S = 0.3
@@ -81,6 +84,12 @@
     outcome: messages.GrantResponse | NoResponse | None = None
     report_after: float = 0.0
     produced: int = 0
+    meter: pacemeter.PaceMeter | None = None
+    is_pace_reported: bool = False
+
+    def take_pace(self) -> pacemeter.Measurement:
+        """Return the pace since the previous report; unknown without a meter."""
+        return pacemeter.Measurement() if self.meter is None else self.meter.take()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +145,7 @@
         self._request_by_id: dict[int, _OpenRequest] = {}
         self._pending_releases: list[_PendingRelease] = []
         self._report_at = 0.0
+        self._pace_due: list[int] = []
 
     def set_incarnation(self, incarnation: int) -> None:
         """Continue under another incarnation; responses to the former one are ignored."""
@@ -223,11 +233,21 @@
         request.report_after = now + FIRST_REPORT_AFTER_S
         return ()
 
-    def record_progress(self, grant_id: int, produced: int) -> None:
-        """Record how many tokens a granted request has produced so far."""
+    def record_progress(
+        self, grant_id: int, produced: int, meter: pacemeter.PaceMeter | None = None
+    ) -> None:
+        """Record how many tokens a granted request has produced so far.
+
+        :param meter: measures the pace of its stream.
+        """
         request = self._request_by_id.get(grant_id)
-        if request is not None:
-            request.produced = produced
+        if request is None:
+            return
+        request.produced = produced
+        request.meter = meter
+        if meter is not None and not request.is_pace_reported and meter.is_ready:
+            request.is_pace_reported = True
+            self._pace_due.append(grant_id)
 
     def close(self, grant_id: int, now: float) -> tuple[Outgoing, ...]:
         """End a request or grant that finished, failed or is no longer wanted; idempotent."""
@@ -256,10 +276,16 @@
     def tick(self, now: float) -> tuple[Outgoing, ...]:
         """Return the reports that are due: progress and repeated releases."""
         if now < self._report_at:
-            return ()
-        self._report_at = now + REPORT_INTERVAL_S
+            entries = tuple(self._first_pace_entries()) if self._pace_due else ()
+        else:
+            self._report_at = now + REPORT_INTERVAL_S
+            entries = (
+                *self._first_pace_entries(),
+                *self._progress_entries(now),
+                *self._repeated_releases(),
+            )
         entries_by_peer: dict[transport.Peer, list[_ReportEntry]] = {}
-        for entry in (*self._progress_entries(now), *self._repeated_releases()):
+        for entry in entries:
             entries_by_peer.setdefault(entry.peer, []).append(entry)
         return tuple(
             Outgoing(peer, message)
@@ -269,15 +295,22 @@
 
     def _release(self, grant_id: int, request: _OpenRequest) -> tuple[Outgoing, ...]:
         request.state = _RequestState.SETTLED
-        grant = messages.GrantRelease(grant_id, request.produced)
+        pace = request.take_pace()
+        grant = messages.GrantRelease(grant_id, request.produced, pace.token_us, pace.pause_ms)
         self._pending_releases.append(_PendingRelease(request.peer, grant, RELEASE_REPEATS))
         return (Outgoing(request.peer, messages.Progress(released=(grant,))),)
 
     def _progress_entries(self, now: float) -> collections.abc.Iterator[_ReportEntry]:
         for grant_id, request in self._request_by_id.items():
             if request.state is _RequestState.GRANTED and now >= request.report_after:
-                grant = messages.GrantProgress(grant_id, request.message.replica, request.produced)
-                yield _ReportEntry(request.peer, grant)
+                yield _progress_entry(grant_id, request)
+
+    def _first_pace_entries(self) -> collections.abc.Iterator[_ReportEntry]:
+        due, self._pace_due = self._pace_due, []
+        for grant_id in due:
+            request = self._request_by_id.get(grant_id)
+            if request is not None and request.state is _RequestState.GRANTED:
+                yield _progress_entry(grant_id, request)
 
     def _repeated_releases(self) -> collections.abc.Iterator[_ReportEntry]:
         releases, self._pending_releases = self._pending_releases, []
@@ -288,6 +321,14 @@
             yield _ReportEntry(each.peer, each.grant)
 
 
+def _progress_entry(grant_id: int, request: _OpenRequest) -> _ReportEntry:
+    pace = request.take_pace()
+    grant = messages.GrantProgress(
+        grant_id, request.message.replica, request.produced, pace.token_us, pace.pause_ms
+    )
+    return _ReportEntry(request.peer, grant)
+
+
 def _set_queued(request: _OpenRequest, now: float) -> None:
     # Only the first "queued" postpones the next poll: each poll is answered by another
     # "queued", and slow responses would delay the polls more and more.
--- a/hornbeamglade/exchange/grantserver.py
+++ b/hornbeamglade/exchange/grantserver.py
@@ -29,6 +29,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, grantrequests, messages, replay, transport
+from hornbeamglade.speeds import pacemeter
 
 GRANT_TIMEOUT_S = 4 * grantrequests.REPORT_INTERVAL_S
 RECORD_RETENTION_S = 3 * replay.MAX_FRAME_DELAY_S
@@ -82,6 +83,10 @@
     def adopt(self, key: GrantKey, progress: messages.GrantProgress) -> None:
         """Account for a running request that this scheduler did not admit."""
 
+    @abc.abstractmethod
+    def record_pace(self, key: GrantKey, measurement: pacemeter.Measurement) -> None:
+        """Record the pace of a granted request's stream."""
+
 
 class _Phase(enum.Enum):
     DECIDING = enum.auto()
@@ -227,6 +232,7 @@
                 record.phase = _Phase.RELEASED
                 record.last_seen_at = self._clock.now()
         if was_open:
+            self._record_pace(key, grant)
             self._scheduler.release(key, grant.produced)
 
     def _on_progress(
@@ -247,6 +253,14 @@
             self._scheduler.progress(key, grant.produced)
         else:
             self._scheduler.adopt(key, grant)
+        self._record_pace(key, grant)
+
+    def _record_pace(
+        self, key: GrantKey, grant: messages.GrantProgress | messages.GrantRelease
+    ) -> None:
+        if grant.token_us or grant.pause_ms:
+            measurement = pacemeter.Measurement(grant.token_us, grant.pause_ms)
+            self._scheduler.record_pace(key, measurement)
 
     def _expire_former_incarnations(self, sender: codec.Sender) -> None:
         with self._lock:
--- a/hornbeamglade/grants/asyncgrantacquirer.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -37,6 +37,7 @@
 from hornbeamglade.observability import logs
 from hornbeamglade.routing import candidates, placements
 from hornbeamglade.routing import choice as choicelib
+from hornbeamglade.speeds import enginespeeds, pacemeter
 
 IMMEDIATE_TIMEOUT_S = 0.06
 """An immediate grant request waits for one network round trip."""
@@ -54,6 +55,10 @@
 """The interval at which one of the requests that wait at a node looks for headroom elsewhere,
 each in turn. A search compares all replicas, and under overload dozens of requests wait."""
 
+PACE_INTERVAL_S = 1.0
+"""The interval at which the pace of a stream at one of this node's own engines is recorded. It
+costs no message, and the longest pause counts for ten such intervals."""
+
 ListCandidates = collections.abc.Callable[[], collections.abc.Sequence[candidates.Candidate]]
 ResolveReplica = collections.abc.Callable[[int], str | None]
 
@@ -68,6 +73,8 @@
         the owner.
     :param is_granted: False for a request that proceeds without a grant.
     :param produced: tokens of the answer so far.
+    :param meter: measures the pace of its stream, or None.
+    :param pace_at: monotonic seconds from which its pace is recorded again.
     """
 
     replica: str
@@ -75,6 +82,8 @@
     grant_id: int | None = None
     is_granted: bool = True
     produced: int = 0
+    meter: pacemeter.PaceMeter | None = None
+    pace_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +138,7 @@
     :param owners: which node owns which replica.
     :param rng: breaks ties between replicas.
     :param settings: rates that the ranking of replicas uses.
+    :param speeds: the paces of this node's own engines, or None if they are not recorded.
     """
 
     def __init__(
@@ -139,6 +149,7 @@
         owners: grantacquirer.ReplicaOwners,
         rng: random.Random,
         settings: candidates.RoutingSettings,
+        speeds: enginespeeds.EngineSpeeds | None = None,
     ) -> None:
         self._clock = clock
         self._schedulers = schedulers
@@ -146,6 +157,7 @@
         self._owners = owners
         self._rng = rng
         self._settings = settings
+        self._speeds = speeds
         self._placements = placements.Placements(settings)
         self._backoff = ownerbackoff.OwnerBackoff(clock)
         self._active: set[str] = set()
@@ -161,7 +173,7 @@
         grant = await self.acquire_now(placement, refused)
         if grant is not None:
             return grant
-        for replica in self._one_per_owner(self._ranked_replicas(placement), placement):
+        for replica in self._one_per_owner(self._queue_order(placement), placement):
             answer = await self._queue_at(placement, replica)
             if isinstance(answer, Grant):
                 return answer
@@ -210,6 +222,7 @@
             (each.candidate for each in self._choices(placement)),
             key=lambda each: (
                 each.room_tokens < needed,
+                each.must_avoid(placement.work),
                 each.failure_domain != failure_domain,
                 -each.room_tokens,
             ),
@@ -221,15 +234,25 @@
                 return answer
         return None
 
-    def record_progress(self, grant: Grant, produced: int) -> None:
-        """Record how many tokens a granted request has produced."""
+    def record_progress(
+        self, grant: Grant, produced: int, meter: pacemeter.PaceMeter | None = None
+    ) -> None:
+        """Record how many tokens a granted request has produced.
+
+        :param meter: measures the pace of its stream.
+        """
         grant.produced = produced
         if not grant.is_granted:
             return
-        if grant.grant_id is None:
-            self._schedulers.progress(grant.replica, grant.admission_id, produced)
-        else:
-            self._client.record_progress(grant.grant_id, produced)
+        if grant.grant_id is not None:
+            self._client.record_progress(grant.grant_id, produced, meter)
+            return
+        self._schedulers.progress(grant.replica, grant.admission_id, produced)
+        grant.meter = meter
+        now = self._clock.now()
+        if meter is not None and meter.is_ready and now >= grant.pace_at:
+            grant.pace_at = now + PACE_INTERVAL_S
+            self._record_pace(grant)
 
     def release(self, grant: Grant) -> None:
         """Release a grant at its owner; idempotent."""
@@ -237,6 +260,7 @@
             return
         self._active.discard(grant.admission_id)
         if grant.grant_id is None:
+            self._record_pace(grant)
             self._schedulers.finish(grant.replica, grant.admission_id)
         else:
             self._client.close(grant.grant_id)
@@ -246,18 +270,62 @@
         """The number of grants that this node holds."""
         return len(self._active)
 
+    def _record_pace(self, grant: Grant) -> None:
+        if grant.meter is not None and self._speeds is not None:
+            self._speeds.observe(grant.replica, grant.meter.take())
+
     def _ranked_replicas(self, placement: PlacementRequest) -> list[str]:
         choices = self._choices(placement)
         return [each.candidate.replica for each in choices]
 
+    def _queue_order(self, placement: PlacementRequest) -> list[str]:
+        """Return the replicas at which to wait: at first those that keep the pace."""
+        choices = [each.candidate for each in self._choices(placement)]
+        if self._may_find_other(placement):
+            choices.sort(key=lambda each: each.must_avoid(placement.work))
+        return [each.replica for each in choices]
+
+    def _work_now(self, placement: PlacementRequest) -> outcomes.Work:
+        """Return the request's properties; once it is late, its pace no longer matters.
+
+        A migrated run is past its first event, and its pauses still matter.
+        """
+        work = placement.work
+        if work.pace is None or placement.produced or self._clock.now() < placement.due:
+            return work
+        return dataclasses.replace(work, pace=None)
+
+    def _may_find_other(self, placement: PlacementRequest) -> bool:
+        """Return whether the request may still start in time at a replica that keeps the pace."""
+        pace = placement.work.pace
+        left_s = placement.due - self._clock.now()
+        if pace is None or placement.produced or left_s <= 0.0:
+            return False
+        return any(
+            each.outlook is not None
+            and each.outlook.pace is not None
+            and each.outlook.keeps_pace(pace)
+            and each.expected_wait_s < left_s
+            and not (each.leaving or each.ejected)
+            for each in placement.list_candidates()
+        )
+
     def _worth_asking(self, placement: PlacementRequest, needed: int) -> list[str]:
         """Return replicas that may have headroom, best first, one of each remote owner."""
         with_queue = {each.replica for each in placement.list_candidates() if each.queued}
+        choices = [each.candidate for each in self._choices(placement)]
+        if self._may_find_other(placement):
+            # A remote owner is asked even if the replica known here is too slow, since it may
+            # have another one.
+            choices = [
+                each for each in choices if not (each.local and each.must_avoid(placement.work))
+            ]
+            choices.sort(key=lambda each: each.must_avoid(placement.work))
         worth_asking = (
-            each.candidate.replica
-            for each in self._choices(placement)
-            if each.candidate.report_age_s > FRESH_REPORT_S
-            or (each.candidate.room_tokens >= needed and each.candidate.replica not in with_queue)
+            each.replica
+            for each in choices
+            if each.report_age_s > FRESH_REPORT_S
+            or (each.room_tokens >= needed and each.replica not in with_queue)
         )
         return self._one_per_owner(worth_asking, placement)
 
@@ -282,7 +350,7 @@
 
     def _choices(self, placement: PlacementRequest) -> tuple[choicelib.Choice, ...]:
         current = self._placements.applied(placement.list_candidates(), self._clock.now())
-        return choicelib.rank(placement.work, current, self._rng, self._settings)
+        return choicelib.rank(self._work_now(placement), current, self._rng, self._settings)
 
     async def _queue_at(
         self, placement: PlacementRequest, replica: str
@@ -330,7 +398,7 @@
             answer = await self._request_locally(placement, replica, wait_s)
         else:
             message = grantresponses.grant_request(
-                placement.work,
+                self._work_now(placement),
                 replica,
                 placement.weight,
                 max(wait_s, IMMEDIATE_TIMEOUT_S),
@@ -339,6 +407,7 @@
                 placement.due - self._clock.now(),
                 allow_other=not placement.known_only,
                 immediate=wait_s <= 0.0,
+                may_find_other=self._may_find_other(placement),
             )
             answer = await self._request_remotely(placement, replica, owner.name, message)
         self._log(placement, replica, wait_s, answer)
--- a/hornbeamglade/grants/grantresponses.py
+++ b/hornbeamglade/grants/grantresponses.py
@@ -12,6 +12,7 @@
 NAMES_RETRY_S = 0.5
 OWNER_SILENT = "owner_silent"
 NO_ROOM_NOW = "no_room_now"
+PACE_BOUND = "pace_bound"
 NAMES_UNKNOWN = "names_unknown"
 TEAM_CODES = frozenset(("team_queue_full",))
 """Refusals caused by the team's own load; they have the same HTTP status at every owner."""
@@ -36,6 +37,7 @@
     *,
     allow_other: bool = True,
     immediate: bool = False,
+    may_find_other: bool = False,
 ) -> messages.GrantRequest:
     """Return the grant request for one replica.
 
@@ -46,7 +48,9 @@
     :param due_s: seconds until the request must start to be on time.
     :param allow_other: whether the owner may choose another one of its replicas.
     :param immediate: whether the owner is to refuse the request rather than queue it.
+    :param may_find_other: whether it may still find a replica that keeps the pace.
     """
+    pace = work.pace
     avoided = sorted(messages.key_hash(each) for each in avoid)
     return messages.GrantRequest(
         grant_id=0,
@@ -63,6 +67,10 @@
         immediate=immediate,
         avoid=tuple(avoided[: messages.MAX_AVOIDED]),
         due_ms=None if math.isinf(due_s) else max(0, int(due_s * MILLISECONDS_PER_SECOND)),
+        gap_goal_ms=0 if pace is None else int(pace.gap_goal_s * MILLISECONDS_PER_SECOND),
+        goal_ms=0 if pace is None else int(pace.goal_s * MILLISECONDS_PER_SECOND),
+        expected_tokens=0 if pace is None else pace.expected_tokens,
+        may_find_other=may_find_other,
     )
 
 
@@ -101,6 +109,12 @@
     return outcomes.Refusal(NO_ROOM_NOW, 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
 
 
+def pace_bound(replica: str) -> outcomes.Refusal:
+    """Return the refusal of a request that may still find a replica that keeps the pace."""
+    detail = f"replica {replica} would not keep the pace that the request needs"
+    return outcomes.Refusal(PACE_BOUND, 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
+
+
 def queue_timeout(replica: str) -> outcomes.Refusal:
     """Return the refusal of a request that waited in the queue until its deadline."""
     detail = f"the request could not start on replica {replica} in time"
--- a/hornbeamglade/grants/remotescheduler.py
+++ b/hornbeamglade/grants/remotescheduler.py
@@ -8,6 +8,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import grantserver, hashednames, messages
 from hornbeamglade.grants import grantresponses, replicascheduler, schedulerset
+from hornbeamglade.speeds import enginespeeds, pacemeter
 
 MILLISECONDS_PER_SECOND = 1000
 NONE_LEFT = "none_left"
@@ -23,6 +24,9 @@
 Alternatives = collections.abc.Callable[[str, outcomes.Work], collections.abc.Sequence[str]]
 """Returns the replicas of a replica's service that this node owns, best first."""
 
+MustAvoid = collections.abc.Callable[[str, outcomes.Work], bool]
+"""Returns whether a request that may find another replica must not start at this one."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfiguredNames:
@@ -50,11 +54,17 @@
     :param schedulers: this node's schedulers.
     :param clock: monotonic time.
     :param names: kept up to date by the caller.
+    :param speeds: the paces of this node's engines, or None if they are not recorded.
     """
 
     def __init__(
-        self, schedulers: schedulerset.SchedulerSet, clock: clocks.Clock, names: ConfiguredNames
+        self,
+        schedulers: schedulerset.SchedulerSet,
+        clock: clocks.Clock,
+        names: ConfiguredNames,
+        speeds: enginespeeds.EngineSpeeds | None = None,
     ) -> None:
+        self._speeds = speeds
         self._schedulers = schedulers
         self._clock = clock
         self._names = names
@@ -62,6 +72,7 @@
         self._placement_by_key: dict[grantserver.GrantKey, _Placement] = {}
         self._push: Push = lambda _key, _response: False
         self._alternatives: Alternatives = lambda replica, _work: (replica,)
+        self._must_avoid: MustAvoid = lambda _replica, _work: False
 
     def set_push(self, push: Push) -> None:
         """Set the function that sends later responses.
@@ -70,9 +81,16 @@
         """
         self._push = push
 
-    def set_alternatives(self, alternatives: Alternatives) -> None:
-        """Set the function that finds other replicas for requests that let the owner choose."""
+    def set_alternatives(
+        self, alternatives: Alternatives, must_avoid: MustAvoid | None = None
+    ) -> None:
+        """Set the function that finds other replicas for requests that let the owner choose.
+
+        :param must_avoid: tells which replicas do not keep the pace that a request needs.
+        """
         self._alternatives = alternatives
+        if must_avoid is not None:
+            self._must_avoid = must_avoid
 
     def decide(
         self, key: grantserver.GrantKey, request: messages.GrantRequest
@@ -94,25 +112,42 @@
             choices = self._choices(request, placement)
             if not choices:
                 return _response(request.grant_id, _none_left())
+        avoided = self._avoided(request, placement, choices or (placement.replica,))
         for replica in choices:
-            if self._try_grant(key, request, dataclasses.replace(placement, replica=replica)):
+            if replica not in avoided and self._try_grant(
+                key, request, dataclasses.replace(placement, replica=replica)
+            ):
                 return _response(
                     request.grant_id,
                     replicascheduler.Granted(placement.work.request_id, replica),
                 )
         if request.immediate and not request.produced:
-            if not choices and self._try_grant(key, request, placement):
+            is_acceptable = not choices and placement.replica not in avoided
+            if is_acceptable and self._try_grant(key, request, placement):
                 return _response(
                     request.grant_id,
                     replicascheduler.Granted(placement.work.request_id, placement.replica),
                 )
             if not self._schedulers.can_admit(placement.replica):
                 return _response(request.grant_id, replicascheduler.owner_moved(placement.replica))
-            return _response(request.grant_id, grantresponses.no_headroom_now(placement.replica))
+            refusal = grantresponses.pace_bound if avoided else grantresponses.no_headroom_now
+            return _response(request.grant_id, refusal(placement.replica))
         if choices:
-            placement = dataclasses.replace(placement, replica=choices[0])
+            kept = (each for each in choices if each not in avoided)
+            placement = dataclasses.replace(placement, replica=next(kept, choices[0]))
         return self._request_grant(key, request, placement)
 
+    def _avoided(
+        self,
+        request: messages.GrantRequest,
+        placement: "_Placement",
+        replicas: collections.abc.Iterable[str],
+    ) -> frozenset[str]:
+        """Return the replicas at which the request must not start while it may find another."""
+        if not request.may_find_other:
+            return frozenset()
+        return frozenset(each for each in replicas if self._must_avoid(each, placement.work))
+
     def _choices(self, request: messages.GrantRequest, placement: "_Placement") -> list[str]:
         """Return this node's replicas that are acceptable, the best first."""
         owned = self._alternatives(placement.replica, placement.work) or (placement.replica,)
@@ -121,7 +156,13 @@
             # Avoids pauses of streams: if several engines stop at once, the emptiest engine
             # would receive runs of all of them. The last part of one run's KV cache, which is
             # copied while its stream is paused, would then wait behind the whole of another's.
-            choices.sort(key=self._schedulers.recent_migrations)
+            # Engines that do not keep the pace come last.
+            choices.sort(
+                key=lambda each: (
+                    self._must_avoid(each, placement.work),
+                    self._schedulers.recent_migrations(each),
+                )
+            )
         return choices
 
     def _try_grant(
@@ -176,6 +217,13 @@
         if placement is not None:
             self._schedulers.progress(placement.replica, placement.work.request_id, produced)
 
+    def record_pace(self, key: grantserver.GrantKey, measurement: pacemeter.Measurement) -> None:
+        """Record the pace of a granted request's stream."""
+        with self._lock:
+            placement = self._placement_by_key.get(key)
+        if placement is not None and self._speeds is not None:
+            self._speeds.observe(placement.replica, measurement)
+
     def release(self, key: grantserver.GrantKey, produced: int) -> None:
         """Release a grant, and learn from the length of its answer."""
         with self._lock:
@@ -224,6 +272,7 @@
             priority=request.priority,
             prompt_tokens=request.prompt_tokens,
             max_tokens=request.max_tokens,
+            pace=_pace_objective(request),
         )
         return _Placement(replica, work)
 
@@ -244,6 +293,16 @@
     return f"{key.holder}/{key.incarnation}/{key.grant_id}"
 
 
+def _pace_objective(request: messages.GrantRequest) -> outcomes.PaceObjective | None:
+    if not request.gap_goal_ms:
+        return None
+    return outcomes.PaceObjective(
+        request.gap_goal_ms / MILLISECONDS_PER_SECOND,
+        request.goal_ms / MILLISECONDS_PER_SECOND,
+        request.expected_tokens,
+    )
+
+
 def _none_left() -> outcomes.Refusal:
     detail = "none of the replicas that this node admits to will do"
     return outcomes.Refusal(NONE_LEFT, 503, detail, retry_after_s=NONE_LEFT_RETRY_S)
--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -3,18 +3,30 @@
 import collections.abc
 import itertools
 
-from hornbeamglade.core import outcomes
+from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import messages
 from hornbeamglade.grants import schedulerset
 from hornbeamglade.node import digestcache
 from hornbeamglade.replicas import availability, models, ratelimits
 from hornbeamglade.routing import candidates as candidatelib
+from hornbeamglade.speeds import enginespeeds
+from hornbeamglade.speeds import outlook as outlooklib
 
 UNKNOWN_HEADROOM_TOKENS = 0
 MAX_CANDIDATES = 64
 """Most engines that are compared for one request. The best of a sample is nearly as good as the
 best of all, and comparing hundreds exceeds the time allowed for placing a request."""
 
+MAX_POOL = 256
+POOL_INTERVAL_S = 0.25
+"""The outlook of a service is derived from at most this many engines, and this often. It changes
+within seconds, and deriving it takes longer than placing a request."""
+
+PACE_LIFE_S = 15.0
+"""A digest's pace is used this long: an owner publishes no pace without a recent measurement."""
+
+MICROSECONDS_PER_UNIT = 10
+
 
 class EngineCatalog:
     """Joins the platform's replica list with the state reported by the engines' owners.
@@ -24,6 +36,8 @@
     :param digests: load digests received from other owners.
     :param owned: returns the engines that this node owns.
     :param settings: rates and costs of the routing choice.
+    :param speeds: the paces of this node's engines, or None if none are placed by pace.
+    :param clock: monotonic time; required with ``speeds``.
     """
 
     def __init__(
@@ -33,7 +47,12 @@
         digests: digestcache.DigestCache,
         owned: collections.abc.Callable[[], collections.abc.Collection[str]],
         settings: candidatelib.RoutingSettings,
+        speeds: enginespeeds.EngineSpeeds | None = None,
+        clock: clocks.Clock | None = None,
     ) -> None:
+        self._speeds = speeds
+        self._clock = clock
+        self._pool_by_service: dict[str, tuple[float, outlooklib.PoolOutlook]] = {}
         self._available = available
         self._replicas = available.replicas
         self._schedulers = schedulers
@@ -172,6 +191,45 @@
         candidates.sort(key=lambda each: candidatelib.stall_cost_s(work, each, self._settings))
         return tuple(each.replica for each in candidates if not each.leaving and not each.ejected)
 
+    def must_avoid(self, replica_id: str, work: outcomes.Work) -> bool:
+        """Return whether a request that may find another engine must not start at this one."""
+        replica = self._replicas.by_id.get(replica_id)
+        outlook = None if replica is None or work.pace is None else self.outlook(replica)
+        return outlook is not None and outlook.must_avoid(work.pace)
+
+    def outlook(self, replica: models.Replica) -> outlooklib.EngineOutlook | None:
+        """Return an engine's expected pace, or None if its service is not placed by pace."""
+        pool = self.pool_outlook(replica.service)
+        return None if pool is None else outlooklib.EngineOutlook(pool, self._pace(replica.id))
+
+    def pool_outlook(self, service: str) -> outlooklib.PoolOutlook | None:
+        """Return the paces of a service's engines, or None if it is not placed by pace."""
+        if self._speeds is None or not self._speeds.is_enabled(service):
+            return None
+        now = self._clock.now()
+        derived = self._pool_by_service.get(service)
+        if derived is not None and now - derived[0] < POOL_INTERVAL_S:
+            return derived[1]
+        paces = map(self._pace, (each.id for each in self._available.usable(service)[:MAX_POOL]))
+        pool = outlooklib.pool_outlook(
+            [each for each in paces if each is not None], self._speeds.tokens_per_event(service)
+        )
+        self._pool_by_service[service] = (now, pool)
+        return pool
+
+    def _pace(self, replica_id: str) -> enginespeeds.Pace | None:
+        """Return the pace that this node measured as the owner, or else the last published."""
+        pace = self._speeds.pace(replica_id)
+        if pace is not None:
+            return pace
+        received = self._digests.newest(replica_id)
+        if received is None or not received.digest.token_10us:
+            return None
+        if self._digests.age_s(received) > PACE_LIFE_S:
+            return None
+        token_us = received.digest.token_10us * MICROSECONDS_PER_UNIT
+        return enginespeeds.Pace(token_us / 1e6, received.digest.pause_ms / 1e3)
+
     def _candidate(
         self, replica: models.Replica, state: schedulerset.SchedulerState | None
     ) -> candidatelib.Candidate:
@@ -187,6 +245,7 @@
                 failure_domain=replica.failure_domain,
                 leaving=state.leaving,
                 ejected=state.is_unreachable,
+                outlook=self.outlook(replica),
             )
         received = self._digests.newest(replica.id)
         digest = None if received is None else received.digest
@@ -201,4 +260,5 @@
             failure_domain=replica.failure_domain,
             leaving=digest is not None and digest.leaving,
             ejected=digest is not None and digest.ejected,
+            outlook=self.outlook(replica),
         )
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -140,7 +140,7 @@
         self._grant_attempts += migration.MAX_TARGETS
         avoided = excluded | catalog.withheld(service)
         return asyncgrantacquirer.PlacementRequest(
-            work=enginework.work(self._routed),
+            work=enginework.work(self._routed, self._pace()),
             weight=1.0,
             deadline=deadline,
             list_candidates=lambda: catalog.candidates(service, excluded, regions, sample_offset),
@@ -152,6 +152,14 @@
             known_only=regions is not None or len(avoided) > messages.MAX_AVOIDED,
         )
 
+    def _pace(self) -> outcomes.PaceObjective | None:
+        """Return the objective for pauses if the service is placed by pace."""
+        routed, dependencies = self._routed, self._dependencies
+        if not dependencies.speeds.is_enabled(routed.service.name):
+            return None
+        team = "" if routed.team is None else routed.team.name
+        return enginework.pace(routed, dependencies.learned_length(routed.route.name, team))
+
     def may_retry(self) -> bool:
         """Return whether the request may be sent again after its attempts so far."""
         if not self._log.may_have_run:
--- a/hornbeamglade/routed/enginework.py
+++ b/hornbeamglade/routed/enginework.py
@@ -17,8 +17,13 @@
 NO_GENERATION = calls.Generation("", 0, 0)
 
 
-def work(routed: callrouter.RoutedRequest) -> outcomes.Work:
-    """Return the description of a request on which the schedulers decide."""
+def work(
+    routed: callrouter.RoutedRequest, pace: outcomes.PaceObjective | None = None
+) -> outcomes.Work:
+    """Return the description of a request on which the schedulers decide.
+
+    :param pace: the objective for pauses, or None if it is not placed by pace.
+    """
     generation = routed.call.generation or NO_GENERATION
     return outcomes.Work(
         request_id=routed.call.request_id,
@@ -28,9 +33,24 @@
         priority=max(0, models.HIGHEST_PRIORITY - routed.urgency),
         prompt_tokens=generation.prompt_tokens,
         max_tokens=generation.max_tokens or None,
+        pace=pace,
     )
 
 
+def pace(routed: callrouter.RoutedRequest, learned_tokens: float) -> outcomes.PaceObjective | None:
+    """Return the objective for pauses of a request, or None if its route has none.
+
+    :param learned_tokens: the mean length of responses of its route and team.
+    """
+    if routed.route.gap_goal_s is None:
+        return None
+    generation = routed.call.generation or NO_GENERATION
+    expected = generation.expected_tokens or int(learned_tokens)
+    if generation.max_tokens:
+        expected = min(expected, generation.max_tokens)
+    return outcomes.PaceObjective(routed.route.gap_goal_s, routed.route.goal_s, expected)
+
+
 def latest_start_at(routed: callrouter.RoutedRequest) -> float:
     """Return the latest monotonic time at which a request can start and meet its goal."""
     generation = routed.call.generation or NO_GENERATION
--- a/hornbeamglade/routed/eventrelay.py
+++ b/hornbeamglade/routed/eventrelay.py
@@ -6,6 +6,7 @@
 from hornbeamglade.http1 import fields, serverside
 from hornbeamglade.observability import metricsstream
 from hornbeamglade.routed import eventsplit
+from hornbeamglade.speeds import pacemeter
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,10 +57,16 @@
         self.first_at: float | None = None
         self.last_at: float | None = None
         self.longest_gap_s = 0.0
+        self.meter: pacemeter.PaceMeter | None = None
 
-    def start_connection(self) -> None:
-        """Discard the incomplete event left by a lost connection."""
+    def start_connection(self, meter: pacemeter.PaceMeter | None = None) -> None:
+        """Discard the incomplete event left by a lost connection.
+
+        :param meter: measures the pace of the stream at the connected replica. The pause before
+            its first event there is not that replica's.
+        """
         self._splitter = eventsplit.EventSplitter()
+        self.meter = meter
 
     async def relay(self, data: bytes, start: ResponseStart) -> bool:
         """Relay the complete events of ``data``; return False if an event is missing."""
@@ -94,6 +101,8 @@
             self.first_at = now
         if self.last_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self.last_at)
+        if self.meter is not None:
+            self.meter.record(now)
         self.last_at = now
         self.event_count += 1
         if event.id is not None:
--- a/hornbeamglade/routed/rundependencies.py
+++ b/hornbeamglade/routed/rundependencies.py
@@ -17,6 +17,7 @@
     sending,
     tokentimes,
 )
+from hornbeamglade.speeds import enginespeeds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +39,8 @@
     :param rate_limit_queue: requests that wait for engines with rate limits.
     :param clock: monotonic time.
     :param shared_machines: tells which services' replicas share their machines.
+    :param speeds: the paces of engines.
+    :param learned_length: returns the mean tokens of the answers of a route and team.
     """
 
     sender: sending.Sender
@@ -54,3 +57,5 @@
     rate_limit_queue: ratelimitqueue.RateLimitQueue
     clock: clocks.Clock
     shared_machines: sharedmachines.SharedMachines
+    speeds: enginespeeds.EngineSpeeds
+    learned_length: collections.abc.Callable[[str, str], float]
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -254,7 +254,9 @@
     async def _relay_events(self) -> clientside.ResponseLost | None:
         """Relay events from one replica; return None at the end of the complete response."""
         connection = self._assignment.response.connection
-        self._relay.start_connection()
+        self._relay.start_connection(
+            self._dependencies.speeds.make_meter(self._routed.service.name)
+        )
         while True:
             piece = await connection.piece()
             if isinstance(piece, clientside.ResponseLost):
@@ -272,7 +274,9 @@
             self._first_event.set()
         grant = self._assignment.grant
         if grant is not None:
-            self._dependencies.acquirer.record_progress(grant, self._produced_tokens())
+            self._dependencies.acquirer.record_progress(
+                grant, self._produced_tokens(), self._relay.meter
+            )
 
     def _produced_tokens(self) -> int:
         engine = self._routed.service.engine
--- a/tests/exchange/lossynetwork.py
+++ b/tests/exchange/lossynetwork.py
@@ -64,6 +64,7 @@
         self.grant_history = []
         self.expired = []
         self.adopted = []
+        self.pace_by_key = {}
         self.refuse = False
 
     def decide(self, key, request):
@@ -78,6 +79,9 @@
     def progress(self, key, produced):
         pass
 
+    def record_pace(self, key, measurement):
+        self.pace_by_key[key] = measurement
+
     def release(self, key, produced):
         self._free(key)
 
