entry: publish engines' paces and apply them to schedulers

Owners knew the paces of their engines but neither told other instances nor bounded queued prompts by them.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -15,6 +15,7 @@
     directory,
     documentsync,
     enginemonitor,
+    enginepaces,
     followerrole,
     gauges,
     peering,
@@ -210,6 +211,7 @@
             clock,
         )
         self.peering.set_alternatives(self.catalog.owned_alternatives, self.catalog.must_avoid)
+        self._paces = enginepaces.EnginePaces(self._owned_engines, self.catalog, self._schedulers)
         self.acquirer = asyncgrantacquirer.AsyncGrantAcquirer(
             clock,
             self._schedulers,
@@ -457,6 +459,7 @@
         self.tunneling.paths.forget_unused()
         self._engine_monitor.remove_absent()
         self._speeds.retain(self.peering.owned())
+        self._paces.update()
         # An instance may have returned under its name in another failure domain.
         self.peering.update_owners()
         # Killed instances return under their names, so their share is not redistributed.
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -23,6 +23,7 @@
 from hornbeamglade.speeds import enginespeeds
 
 MAX_HEADROOM_TOKENS = 2**31 - 1
+TOKEN_UNITS_PER_SECOND = 100_000
 
 Engines = collections.abc.Callable[[], collections.abc.Iterable[replicamodels.Replica]]
 
@@ -216,7 +217,9 @@
         owned = self.owned()
         states = self._schedulers.states()
         replicas = tuple(
-            _replica_digest(state) for name, state in sorted(states.items()) if name in owned
+            _replica_digest(state, self._speeds.pace(name))
+            for name, state in sorted(states.items())
+            if name in owned
         )
         versions = self._document_sync.versions()
         return heartbeats.Digest(
@@ -272,7 +275,9 @@
                 self._events.on_engine_leaving(name)
 
 
-def _replica_digest(state: schedulerset.SchedulerState) -> messages.ReplicaDigest:
+def _replica_digest(
+    state: schedulerset.SchedulerState, pace: enginespeeds.Pace | None
+) -> messages.ReplicaDigest:
     return messages.ReplicaDigest(
         replica=messages.key_hash(state.replica),
         room_tokens=max(0, min(MAX_HEADROOM_TOKENS, int(state.headroom_tokens))),
@@ -280,4 +285,6 @@
         expected_wait_ms=int(state.expected_wait_s * 1000),
         leaving=state.leaving,
         ejected=state.is_unreachable,
+        token_10us=0 if pace is None else round(pace.token_s * TOKEN_UNITS_PER_SECOND),
+        pause_ms=0 if pace is None else round(pace.pause_s * 1000),
     )
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -83,6 +83,7 @@
         "sequence",
         "service",
         "signal",
+        "slow_factor",
         "source",
         "status",
         "streams",
