exchange: carry the owner's present digests in responses to grant requests

Above 16 instances the digests on which an instance chooses are 3 to 13 s old, in a fleet whose engines live for some 20 s. GrantAnswer gets a list of digests and their ages; the ages are a list of their own, so ReplicaDigest does not change. The grant server reads the digests when it sends, since a stored response is sent again each second. A response of maximum size fits a datagram.

--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -132,6 +132,8 @@
   retryAfterMs @3 :UInt32;
   code @4 :Text;
   replica @5 :UInt64;
+  replicas @6 :List(ReplicaDigest);
+  agesMs @7 :List(UInt16);
 }
 
 struct Progress {
--- a/hornbeamglade/exchange/grantserver.py
+++ b/hornbeamglade/exchange/grantserver.py
@@ -53,6 +53,10 @@
     grant_id: int
 
 
+KnownDigests = collections.abc.Callable[[int], tuple[messages.AgedDigest, ...]]
+"""Returns the states of the replicas of a replica's service, by the hash of its name."""
+
+
 class GrantScheduler(abc.ABC):
     """Decides on grant requests for the replicas that this node owns; thread-safe.
 
@@ -102,6 +106,7 @@
     last_seen_at: float
     phase: _Phase = _Phase.DECIDING
     response: messages.GrantResponse | None = None
+    replica: int = 0
 
 
 class GrantServer:
@@ -123,6 +128,11 @@
         self._lock = threading.Lock()
         self._record_by_key: dict[GrantKey, _Record] = {}
         self._incarnation_by_holder: dict[str, int] = {}
+        self._known_digests: KnownDigests = lambda _replica: ()
+
+    def set_known_digests(self, known_digests: KnownDigests) -> None:
+        """Set the function that returns the digests that each response carries."""
+        self._known_digests = known_digests
 
     def on_request(
         self, request: messages.GrantRequest, sender: codec.Sender, source: transport.Endpoint
@@ -141,11 +151,13 @@
                 response = _refusal(request.grant_id, OWNER_FULL)
             else:
                 response = None
-                self._record_by_key[key] = _Record(peer, self._clock.now())
+                self._record_by_key[key] = _Record(
+                    peer, self._clock.now(), replica=request.replica
+                )
         if record is None and response is None:
             response = self._decide(key, request)
         if response is not None:
-            self._reply(key, peer, response)
+            self._reply(key, peer, response, request.replica)
 
     def on_progress(
         self,
@@ -177,8 +189,8 @@
             record.response = response
             if _is_refused(response):
                 record.phase = _Phase.REFUSED
-            peer = record.peer
-        self._reply(key, peer, response)
+            peer, replica = record.peer, record.replica
+        self._reply(key, peer, response, replica)
         return True
 
     def expire_holder(self, name: str) -> None:
@@ -290,10 +302,14 @@
             self._scheduler.expire(key)
 
     def _reply(
-        self, key: GrantKey, peer: transport.Peer, response: messages.GrantResponse
+        self, key: GrantKey, peer: transport.Peer, response: messages.GrantResponse, replica: int
     ) -> None:
+        # The digests are read here and not stored: a stored response is sent again later.
         addressed = dataclasses.replace(
-            response, grant_id=key.grant_id, incarnation=key.incarnation
+            response,
+            grant_id=key.grant_id,
+            incarnation=key.incarnation,
+            digests=self._known_digests(replica),
         )
         self._transport.send(peer, addressed)
 
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -100,6 +100,18 @@
     pause_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgedDigest:
+    """A digest that a node passes on, possibly that of another owner.
+
+    :param digest: the owner's summary of the replica.
+    :param age_ms: milliseconds since the owner made it; 0 for a digest of the sender.
+    """
+
+    digest: ReplicaDigest
+    age_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TeamDemand:
     """The sender's share of and demand for one team's limit, in 1/10,000 of the limit.
@@ -230,6 +242,8 @@
     :param incarnation: the requester's incarnation, filled in by the grant server.
     :param replica: :func:`key_hash` of the name of the replica granted, if it may differ
         from the one requested; else 0.
+    :param digests: the present states of the service's replicas that the owner knows, at
+        most :data:`MAX_REPLICAS`; filled in by the grant server.
     """
 
     grant_id: int
@@ -238,6 +252,7 @@
     retry_after_ms: int = 0
     incarnation: int = 0
     replica: int = 0
+    digests: tuple[AgedDigest, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -85,14 +85,7 @@
     builder.exchange = checked_name(message.exchange)
     count = _checked_length(message.replicas, messages.MAX_REPLICAS)
     for entry, digest in zip(builder.init("replicas", count), message.replicas, strict=True):
-        entry.replica = digest.replica
-        entry.roomTokens = _clip(digest.room_tokens)
-        entry.queued = _clip(digest.queued, _MAX_U16)
-        entry.expectedWaitMs = _clip(digest.expected_wait_ms)
-        entry.leaving = digest.leaving
-        entry.ejected = digest.ejected
-        entry.tokenUs = _clip(digest.token_10us, _MAX_U16)
-        entry.pauseMs = _clip(digest.pause_ms, _MAX_U16)
+        _fill_digest(entry, digest)
     count = _checked_length(message.demands, messages.MAX_DEMANDS)
     for entry, demand in zip(builder.init("demands", count), message.demands, strict=True):
         entry.team = demand.team
@@ -157,6 +150,17 @@
     )
 
 
+def _fill_digest(builder: _Builder, digest: messages.ReplicaDigest) -> None:
+    builder.replica = digest.replica
+    builder.roomTokens = _clip(digest.room_tokens)
+    builder.queued = _clip(digest.queued, _MAX_U16)
+    builder.expectedWaitMs = _clip(digest.expected_wait_ms)
+    builder.leaving = digest.leaving
+    builder.ejected = digest.ejected
+    builder.tokenUs = _clip(digest.token_10us, _MAX_U16)
+    builder.pauseMs = _clip(digest.pause_ms, _MAX_U16)
+
+
 def _read_digest(reader: _Reader) -> messages.ReplicaDigest:
     return messages.ReplicaDigest(
         replica=reader.replica,
@@ -230,9 +234,19 @@
     builder.retryAfterMs = _clip(message.retry_after_ms)
     builder.incarnation = message.incarnation
     builder.replica = message.replica
+    count = _checked_length(message.digests, messages.MAX_REPLICAS)
+    # A list that is not initialized takes no space.
+    if count:
+        digests, ages = builder.init("replicas", count), builder.init("agesMs", count)
+        for position, each in enumerate(message.digests):
+            _fill_digest(digests[position], each.digest)
+            ages[position] = _clip(each.age_ms, _MAX_U16)
 
 
 def _read_grant_response(reader: _Reader) -> messages.GrantResponse:
+    count = _checked_length(reader.replicas, messages.MAX_REPLICAS)
+    if len(reader.agesMs) != count:
+        raise ValueError("digests and ages differ in number")
     return messages.GrantResponse(
         grant_id=reader.ask,
         kind=messages.GrantKind(reader.kind),
@@ -240,6 +254,10 @@
         retry_after_ms=reader.retryAfterMs,
         incarnation=reader.incarnation,
         replica=reader.replica,
+        digests=tuple(
+            messages.AgedDigest(_read_digest(entry), age_ms)
+            for entry, age_ms in zip(reader.replicas, reader.agesMs, strict=True)
+        ),
     )
 
 
--- a/tests/exchange/test_codec.py
+++ b/tests/exchange/test_codec.py
@@ -191,3 +191,22 @@
     sender, recipient = make_codec("a"), make_codec("b")
     frame = sender.encode("b", messages.VersionAnnouncement(7, 3, True, state))
     assert recipient.decode(frame).message == messages.VersionAnnouncement(7, 3, True)
+
+
+def test_a_grant_response_of_maximum_size_fits_a_datagram():
+    # An owner knows as many engines as a response may carry. If that did not fit a datagram,
+    # no grant request would be answered at the largest services.
+    largest = 2**32 - 1
+    digest = messages.ReplicaDigest(2**64 - 3, largest, 2**16 - 1, largest, True, True)
+    response = messages.GrantResponse(
+        2**64 - 3,
+        messages.GrantKind.REFUSED,
+        "n" * messages.MAX_NAME_BYTES,
+        largest,
+        2**64 - 3,
+        2**64 - 3,
+        (messages.AgedDigest(digest, 1000),) * messages.MAX_REPLICAS,
+    )
+    name = "n" * messages.MAX_NAME_BYTES
+    frame = make_codec(name, incarnation=2**63).encode(name, response)
+    assert make_codec(name).decode(frame).message == response
--- a/tests/exchange/test_grantserver.py
+++ b/tests/exchange/test_grantserver.py
@@ -268,3 +268,13 @@
         key for scheduler in site.scheduler_by_owner.values() for key in scheduler.grant_history
     ]
     assert len(keys) == len(set(keys))
+
+
+def test_a_repeated_response_carries_the_present_digests():
+    # A waiting request is repeated each second. With the digests of the first response it
+    # would compare engines by figures that are several seconds old.
+    owner = Owner(slots=0)
+    digests = [messages.ReplicaDigest(lossynetwork.REPLICA, room, 0, 0) for room in (100, 200)]
+    present = iter([(messages.AgedDigest(digest),) for digest in digests])
+    owner.server.set_known_digests(lambda replica: next(present))
+    assert [owner.request(1).digests[0].digest for _ in digests] == digests
