membership: heartbeats between owners of one service every 0.25 s, and site digests

The owners of engines of one service are 3 or 4 of some 60 instances, which heard of each other by sampled heartbeats. They now send to each other, at most 8 each, four times a second; their responses to grant requests pass on each other's digests of the last second. Small sites, where heartbeats go to all nodes anyway, send no further ones.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -61,6 +61,7 @@
     tokentimes,
     views,
 )
+from hornbeamglade.routes import objectives
 from hornbeamglade.speeds import enginespeeds
 from hornbeamglade.store import contract, positions
 
@@ -109,6 +110,7 @@
         self._schedulers = schedulerset.SchedulerSet(clock, self._lengths, self._available)
         digests = digestcache.DigestCache(clock)
         self._speeds = enginespeeds.EngineSpeeds(clock, self.shared_machines.shares_machines)
+        self._coordinated = objectives.CoordinatedServices(self.shared_machines.shares_machines)
         self.cluster_state = clusterstate.ClusterState(
             self._current_view,
             self._available,
@@ -150,6 +152,7 @@
             lambda: self.quarantine.digest,
             self,
             self._speeds,
+            self._coordinated,
         )
         self.quarantine = requestquarantine.RequestQuarantine(
             instance_settings.name,
@@ -553,6 +556,7 @@
                 if service.engine is not None
             }
         )
+        self._coordinated.configure(configuration.routes)
         self.peering.names.services.replace(route.name for route in configuration.routes)
         self.peering.names.teams.replace(["", *(team.name for team in configuration.teams)])
         self._update_engines()
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -20,11 +20,15 @@
 from hornbeamglade.node import digestcache
 from hornbeamglade.replicas import evacuations as evacuationlib
 from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.routes import objectives
 from hornbeamglade.speeds import enginespeeds
 
 MAX_HEADROOM_TOKENS = 2**31 - 1
 TOKEN_UNITS_PER_SECOND = 100_000
 
+SHARED_DIGEST_AGE_S = 1.0
+"""Digests of other owners that are older are not passed on: the recipient would not use them."""
+
 Engines = collections.abc.Callable[[], collections.abc.Iterable[replicamodels.Replica]]
 
 
@@ -76,6 +80,7 @@
         because they crash replicas.
     :param events: receives events and messages of the other instances.
     :param speeds: the paces of this instance's engines.
+    :param coordinated: the services whose engines' states are passed on to other instances.
     """
 
     def __init__(
@@ -92,6 +97,7 @@
         quarantine_digest: collections.abc.Callable[[], int],
         events: PeerEvents,
         speeds: enginespeeds.EngineSpeeds,
+        coordinated: objectives.CoordinatedServices,
     ) -> None:
         self._identity = identity
         self._clock = clock
@@ -102,6 +108,8 @@
         self._evacuations = evacuations
         self._quarantine_digest = quarantine_digest
         self._events = events
+        self._coordinated = coordinated
+        self._service_by_engine: dict[str, str] = {}
         self._ownership = ownership.Ownership()
         self._ownership_inputs: tuple[list[ownership.Participant], dict[str, str]] | None = None
         self.codec = codec.Codec(identity.name, incarnation, keys, clock)
@@ -114,6 +122,7 @@
         self._scheduler = remotescheduler.RemoteScheduler(schedulers, clock, self.names, speeds)
         self._server = grantserver.GrantServer(self._scheduler, self.transport, clock)
         self._scheduler.set_push(self._server.push)
+        self._server.set_known_digests(self._known_digests)
         self.migration_slots = migrationcoordinator.MigrationCoordinator(
             identity.name, self, self.transport, clock
         )
@@ -198,13 +207,16 @@
         ]
         service_by_id = {each.id: each.service for each in self._engines()}
         if (nodes, service_by_id) == self._ownership_inputs:
+            self._update_co_owners()
             return
         self._ownership_inputs = (nodes, service_by_id)
+        self._service_by_engine = service_by_id
         engines = ownership.assign_groups(
             (ownership.Participant(each.id, each.failure_domain) for each in self._engines()),
             service_by_id.__getitem__,
         )
         reassignments = self._ownership.update(engines, nodes)
+        self._update_co_owners()
         if not reassignments:
             return
         self._schedulers.set_owned(self.owned())
@@ -213,6 +225,41 @@
             if peer is not None and reassignment.after != self._identity.name:
                 self.grants.redirect(reassignment.replica, peer)
 
+    def _update_co_owners(self) -> None:
+        """Set the other owners of engines of the coordinated services that this one owns."""
+        owned_services = {self._service_by_engine[each] for each in self.owned()}
+        shared = {each for each in owned_services if self._coordinated.includes(each)}
+        owners = {
+            self._ownership.owner(engine)
+            for engine, service in self._service_by_engine.items()
+            if service in shared
+        }
+        self.heartbeats.set_co_owners(
+            name for name in owners if name is not None and name != self._identity.name
+        )
+
+    def _known_digests(self, replica: int) -> tuple[messages.AgedDigest, ...]:
+        """Return the states of the engines of a coordinated service, the newest first.
+
+        :param replica: the hash of the name of one of its engines.
+        """
+        service = self._service_by_engine.get(self.names.replicas.find(replica) or "")
+        if service is None or not self._coordinated.includes(service):
+            return ()
+        engines = [name for name, each in self._service_by_engine.items() if each == service]
+        owned = self.owned().intersection(engines)
+        states = self._schedulers.states_of(sorted(owned))
+        digests = [messages.AgedDigest(_replica_digest(state)) for state in states.values()]
+        received = [self._digests.newest(name) for name in engines if name not in owned]
+        for each in received:
+            age_s = self._digests.age_s(each)
+            if each is not None and age_s < SHARED_DIGEST_AGE_S:
+                # A digest of age 0 would be taken for one of this instance.
+                age_ms = max(1, int(age_s * 1000))
+                digests.append(messages.AgedDigest(each.digest, age_ms))
+        digests.sort(key=lambda each: each.age_ms)
+        return tuple(digests[: messages.MAX_REPLICAS])
+
     def _digest(self) -> heartbeats.Digest:
         owned = self.owned()
         states = self._schedulers.states()
@@ -244,6 +291,10 @@
         elif isinstance(message, messages.GrantRequest):
             self._server.on_request(message, sender, source)
         elif isinstance(message, messages.GrantResponse):
+            # The figures are recorded first: the request that gets this response may look for
+            # another owner at once.
+            self._digests.record_response(sender.name, message.digests)
+            self._note_leaving_engines(tuple(each.digest for each in message.digests))
             self.grants.on_response(message, sender, source)
         elif isinstance(message, messages.Progress):
             self._server.on_progress(message, sender, source)
--- a/hornbeamglade/membership/dissemination.py
+++ b/hornbeamglade/membership/dissemination.py
@@ -8,10 +8,11 @@
 old, at the cost of a few hundred bytes per second. With more nodes this traffic would
 grow with the square of their number, so each node sends to :data:`FANOUT` sampled peers
 per second and requests a heartbeat in return [1]_. The traffic of a node then does not
-depend on the number of nodes. A state change reaches all nodes in a number of rounds
-that grows with the logarithm of their number, since each membership update is sent in
-``UPDATE_ROUNDS_FACTOR * log2(nodes)`` rounds. A peer that has not replied is asked again
-in each round, so a single lost datagram does not make it suspect.
+depend on the number of nodes. Only the owners of engines of one service, a handful of nodes,
+send each other heartbeats more often, every :data:`OWNER_PERIOD_S`. A state change reaches
+all nodes in a number of rounds that grows with the logarithm of their number, since each
+membership update is sent in ``UPDATE_ROUNDS_FACTOR * log2(nodes)`` rounds. A peer that has
+not replied is asked again in each round, so a single lost datagram does not make it suspect.
 
 Alternatives considered: *a shared table of heartbeats* in the platform's store (360
 writes per second, most of its capacity, and membership would fail with each outage of
@@ -43,6 +44,12 @@
 """A node that has membership updates to spread sends heartbeats twice as often: callers get the
 address of a dead instance until every instance that they may ask has learned of its failure."""
 
+OWNER_PERIOD_S = 0.25
+"""The interval of heartbeats between owners of engines of one service. Their figures are passed on
+in responses to grant requests, and one owner grants several requests within the sampled period."""
+
+MAX_CO_OWNERS = 8
+
 FANOUT = 2
 RETRIES_PER_ROUND = 2
 SILENT_AFTER_S = 2.5 * MESH_PERIOD_S
@@ -84,6 +91,33 @@
         self._round = 0
         self._next_round_at = 0.0
         self._is_sampled = False
+        self._co_owners: frozenset[str] = frozenset()
+        self._next_owner_round_at = 0.0
+
+    def set_co_owners(self, names: collections.abc.Iterable[str]) -> None:
+        """Set the nodes that own engines of the services of which this node owns engines."""
+        self._co_owners = frozenset(names)
+
+    def plan_owner_round(
+        self, others: collections.abc.Sequence[membership_view.Member], now: float
+    ) -> tuple[Target, ...]:
+        """Start a round between owners if one is due, and return its recipients.
+
+        Empty while heartbeats go to all nodes, since the owners are among them.
+
+        :param others: all known nodes except this one.
+        """
+        if not self._is_sampled or not self._co_owners or now < self._next_owner_round_at:
+            return ()
+        self._next_owner_round_at = now + OWNER_PERIOD_S
+        present = [
+            member
+            for member in others
+            if member.identity.name in self._co_owners and member.state is not _State.GONE
+        ]
+        if len(present) > MAX_CO_OWNERS:
+            present = self._rng.sample(present, MAX_CO_OWNERS)
+        return tuple(Target(member, False) for member in present)
 
     def add_change(self, change: membership_view.StateChange, nodes: int) -> None:
         """Spread a state change; a newer one of the same node replaces it."""
--- a/hornbeamglade/membership/heartbeats.py
+++ b/hornbeamglade/membership/heartbeats.py
@@ -87,6 +87,11 @@
             self._view.apply_list(instances)
             self._members = self._view.members(self._clock.now())
 
+    def set_co_owners(self, names: collections.abc.Iterable[str]) -> None:
+        """Set the nodes to which heartbeats go in each round between owners."""
+        with self._lock:
+            self._dissemination.set_co_owners(names)
+
     def receive(
         self,
         heartbeat: messages.Heartbeat,
@@ -164,6 +169,7 @@
             )
             for target in targets:
                 self._send_to(target.member, requesting if target.wants_answer else compact)
+        self._send_to_co_owners(now, {target.member.identity.name for target in targets})
         return changes
 
     def members(self) -> tuple[membership_view.Member, ...]:
@@ -192,6 +198,22 @@
             member = self._view.member(name, self._clock.now())
         return None if member is None else _peer(member)
 
+    def _send_to_co_owners(self, now: float, already_sent: collections.abc.Set[str]) -> None:
+        with self._lock:
+            targets = self._dissemination.plan_owner_round(self._others(), now)
+            if not targets:
+                return
+            # Recipients ignore the content of a second heartbeat with the same beat.
+            self._view.begin_round()
+            self._announced_demands = ()
+        heartbeat = self._heartbeat(False)
+        for target in targets:
+            if target.member.identity.name not in already_sent:
+                self._send_to(target.member, heartbeat)
+
+    def _others(self) -> list[membership_view.Member]:
+        return [each for each in self._members if each.identity.name != self._own.name]
+
     def _begin_round(self, now: float) -> tuple[dissemination.Target, ...]:
         if not self._dissemination.is_due(now):
             return ()
@@ -200,8 +222,7 @@
         # with the number of this one: peers would count one announcement of a share twice, and
         # raise their own shares based on a view that is too old.
         self._announced_demands = ()
-        others = [each for each in self._members if each.identity.name != self._own.name]
-        targets = self._dissemination.plan(others, now)
+        targets = self._dissemination.plan(self._others(), now)
         for target in targets:
             if target.wants_answer:
                 self._view.expect_reply(target.member.identity.name, now)
--- a/tests/membership/test_dissemination.py
+++ b/tests/membership/test_dissemination.py
@@ -79,3 +79,15 @@
     ]
     mean = sum(map(len, frames)) / len(frames) + IP_AND_UDP_HEADER_BYTES
     assert 2 * dissemination.heartbeats_per_second(nodes) * mean < BUDGET_BYTES_PER_SECOND
+
+
+def test_rounds_between_owners_are_bounded_and_add_nothing_to_a_small_cluster():
+    # At a site with an owner in each of many failure domains, the rounds would otherwise cost
+    # each owner more than all its other heartbeats.
+    for nodes, sent in ((6, 0), (40, dissemination.MAX_CO_OWNERS)):
+        members = others(make_view(nodes))
+        scheduler = dissemination.Dissemination(random.Random(1))
+        scheduler.set_co_owners(member.identity.name for member in members)
+        scheduler.plan(members, 0.0)
+        assert len(scheduler.plan_owner_round(members, 0.0)) == sent
+        assert not scheduler.plan_owner_round(members, 0.2)
--- a/tests/membership/test_heartbeats.py
+++ b/tests/membership/test_heartbeats.py
@@ -262,3 +262,27 @@
         transport.Endpoint("127.0.0.1", 1),
     )
     assert sent[-1].exchange == own.exchange
+
+
+def test_owners_of_one_service_hear_of_each_other_each_quarter_of_a_second():
+    # With sampled heartbeats alone, owners pass on figures of each other that are seconds old.
+    site = Site(40)
+    site.run(5)
+    owners = site.names[:4]
+    for name in owners:
+        site.node_by_name[name].set_co_owners(set(owners) - {name})
+    received = []
+    for name in owners:
+        node = site.node_by_name[name]
+        deliver = node.receive
+
+        def receive(message, origin, source, name=name, deliver=deliver):
+            is_new = deliver(message, origin, source)
+            received.append((name, origin.name, is_new))
+            return is_new
+
+        node.receive = receive
+    site.run(2.0)
+    for name in owners:
+        for other in set(owners) - {name}:
+            assert received.count((name, other, True)) >= 7
