routing: ask first the owner that starts a request first by the site's figures

In a surge an instance asked for 5 to 11 immediate grants for one request, most of them refused with no_room_now. For coordinated services the owners are ranked by the start that their figures predict, with a random part that grows with the age of the figures, and ranked again after each refusal.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -212,6 +212,7 @@
             routing_settings,
             self._speeds,
             clock,
+            self._coordinated.includes,
         )
         self.peering.set_alternatives(self.catalog.owned_alternatives, self.catalog.must_avoid)
         self._paces = enginepaces.EnginePaces(self._owned_engines, self.catalog, self._schedulers)
--- a/hornbeamglade/grants/asyncgrantacquirer.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -10,7 +10,9 @@
 
 A remote owner may choose among all its replicas that can serve the request, since it knows their
 present state. Each owner is therefore asked once in a round. Heartbeats only determine which
-owner to ask first and, as long as they are fresh, which owner not to ask.
+owner to ask first and, as long as they are fresh, which owner not to ask. For a coordinated
+service, each response of an owner also carries the figures of the others, and the next owner to
+ask is chosen again after each refusal (:mod:`hornbeamglade.routing.ownerorder`).
 
 A node that owns a replica may have crashed or be unreachable while the replica itself still
 serves. If no owner of the remaining replicas responds, the request goes to the best of them
@@ -35,7 +37,7 @@
     schedulerset,
 )
 from hornbeamglade.observability import logs
-from hornbeamglade.routing import candidates, placements
+from hornbeamglade.routing import candidates, ownerorder, placements
 from hornbeamglade.routing import choice as choicelib
 from hornbeamglade.speeds import enginespeeds, pacemeter
 
@@ -103,6 +105,7 @@
     :param due: monotonic seconds at which it must start to be on time.
     :param known_only: whether only the listed candidates are acceptable, so that no owner may
         choose another replica.
+    :param is_coordinated: whether owners of the service pass on each other's figures.
     """
 
     work: outcomes.Work
@@ -115,6 +118,7 @@
     due: float = math.inf
     known_only: bool = False
     resolve_replica: ResolveReplica | None = None
+    is_coordinated: bool = False
 
     @property
     def admission_id(self) -> str:
@@ -173,7 +177,7 @@
         grant = await self.acquire_now(placement, refused)
         if grant is not None:
             return grant
-        for replica in self._one_per_owner(self._queue_order(placement), placement):
+        for replica in self._queues(placement):
             answer = await self._queue_at(placement, replica)
             if isinstance(answer, Grant):
                 return answer
@@ -193,7 +197,7 @@
         """
         needed = candidates.needed_tokens(placement.work, self._settings) + placement.produced
         refused_count = 0
-        for replica in self._worth_asking(placement, needed):
+        for replica in self._to_ask(placement, needed):
             owner = self._owners.owner(replica)
             if owner is not None and not self._backoff.may_ask(owner.name, needed):
                 continue
@@ -309,6 +313,46 @@
             and not (each.leaving or each.ejected)
             for each in placement.list_candidates()
         )
+    def _queues(self, placement: PlacementRequest) -> collections.abc.Iterator[str]:
+        """Yield replicas in whose queues the request may wait, one of each owner, best first."""
+        if not _uses_site_figures(placement):
+            yield from self._one_per_owner(self._queue_order(placement), placement)
+            return
+        tried: set[str | None] = set()
+        while (ranked := self._best_owner(placement, tried)) is not None:
+            tried.add(ranked.owner)
+            yield from ranked.replicas if ranked.owner is None else ranked.replicas[:1]
+
+    def _to_ask(self, placement: PlacementRequest, needed: int) -> collections.abc.Iterator[str]:
+        """Yield replicas for immediate grants; the figures may change between two of them."""
+        if not _uses_site_figures(placement):
+            yield from self._worth_asking(placement, needed)
+            return
+        asked: set[str | None] = set()
+        while (ranked := self._best_owner(placement, asked)) is not None and ranked.may_start_now:
+            asked.add(ranked.owner)
+            yield from ranked.replicas if ranked.owner is None else ranked.replicas[:1]
+
+    def _best_owner(
+        self, placement: PlacementRequest, excluded: collections.abc.Container[str | None]
+    ) -> ownerorder.RankedOwner | None:
+        """Return the owner that starts the request first by the present figures, or None."""
+        current = self._placements.applied(placement.list_candidates(), self._clock.now())
+        if self._may_find_other(placement):
+            current = [each for each in current if not each.must_avoid(placement.work)]
+        ranked = ownerorder.rank_owners(
+            self._work_now(placement),
+            current,
+            self._owner_name,
+            self._rng,
+            self._settings,
+            replicascheduler.MAX_PROMPT_BACKLOG_S,
+        )
+        return next((each for each in ranked if each.owner not in excluded), None)
+
+    def _owner_name(self, replica: str) -> str | None:
+        owner = self._owners.owner(replica)
+        return None if owner is None else owner.name
 
     def _worth_asking(self, placement: PlacementRequest, needed: int) -> list[str]:
         """Return replicas that may have headroom, best first, one of each remote owner."""
@@ -517,3 +561,7 @@
         if not replicas:
             return None
         return Grant(replicas[0], f"{placement.admission_id}@{replicas[0]}", is_granted=False)
+
+
+def _uses_site_figures(placement: PlacementRequest) -> bool:
+    return placement.is_coordinated and not placement.known_only
--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -38,6 +38,7 @@
     :param settings: rates and costs of the routing choice.
     :param speeds: the paces of this node's engines, or None if none are placed by pace.
     :param clock: monotonic time; required with ``speeds``.
+    :param is_coordinated: returns whether owners of a service pass on each other's figures.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         settings: candidatelib.RoutingSettings,
         speeds: enginespeeds.EngineSpeeds | None = None,
         clock: clocks.Clock | None = None,
+        is_coordinated: collections.abc.Callable[[str], bool] = lambda _service: False,
     ) -> None:
         self._speeds = speeds
         self._clock = clock
@@ -59,6 +61,7 @@
         self._digests = digests
         self._owned = owned
         self._settings = settings
+        self.is_coordinated = is_coordinated
 
     def replica(self, replica_id: str) -> models.Replica | None:
         """Return a replica of the list, or None if it is no longer listed."""
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -150,6 +150,7 @@
             due=enginework.latest_start_at(self._routed),
             # An owner can only be told of a few engines that it must not choose.
             known_only=regions is not None or len(avoided) > messages.MAX_AVOIDED,
+            is_coordinated=catalog.is_coordinated(service),
         )
 
     def _pace(self) -> outcomes.PaceObjective | None:
--- a/tests/grants/test_asyncgrantacquirer.py
+++ b/tests/grants/test_asyncgrantacquirer.py
@@ -399,3 +399,33 @@
     # Each sends one request before the first response arrives; then one is sent each 0.1 s.
     assert immediate_count <= 40 + 10
     assert granted == ["e1"]
+
+
+def test_coordinated_request_does_not_ask_an_owner_that_a_response_showed_to_be_full():
+    """Guards against asking each owner in turn during a surge.
+
+    The figures of both owners are old and show room. The first response shows that neither has
+    any, so the other owner is not asked.
+    """
+
+    async def test(local, _remote):
+        local.owner_by_replica["e0"] = transport.Peer("n2", transport.Endpoint("127.0.0.1", 9))
+        known = [
+            dataclasses.replace(candidate(replica), report_age_s=5.0) for replica in ("e0", "e1")
+        ]
+        asked = []
+
+        async def request_grant(owner, message):
+            asked.append(owner.name)
+            known[:] = [candidate(replica, headroom=0) for replica in ("e0", "e1")]
+            return messages.GrantResponse(1, messages.GrantKind.REFUSED, "no_room_now")
+
+        local.client.request_grant = request_grant
+        request = dataclasses.replace(
+            placement("r1", local), list_candidates=lambda: tuple(known), is_coordinated=True
+        )
+        refused = []
+        grant = await local.acquirer.acquire_now(request, refused)
+        return grant, len(asked), [each.code for each in refused]
+
+    assert run_on_two_nodes(test) == (None, 1, ["no_room_now"])
