grants: refuse at once what by the site's forecast cannot start in time

In a surge 50 of 907 short responses were refused after 2.7 s each, and 63 requests were held for up to 9 s, though the site could not have started them. Heartbeats and responses to grant requests now carry the waiting requests by service and priority, at most 8 classes of an owner, with the rate at which they start. The classes take the places of digests in a heartbeat, which is full otherwise. A request of a coordinated service whose forecast start is too late is refused with refused_by_forecast and a retry time spread over callers, before it waits and once per second while it waits. Entries expire after 2 s; without entries of other owners, or with fewer than 2.5 starts per second, an owner's queue decides as before.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -224,6 +224,7 @@
             rng,
             routing_settings,
             self._speeds,
+            self.peering.figures,
         )
         migrations = migration.MigrationDependencies(
             engine_calls,
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -14,7 +14,13 @@
     messages,
     transport,
 )
-from hornbeamglade.grants import grantacquirer, migrationcoordinator, remotescheduler, schedulerset
+from hornbeamglade.grants import (
+    grantacquirer,
+    migrationcoordinator,
+    remotescheduler,
+    schedulerset,
+    sitefigures,
+)
 from hornbeamglade.membership import heartbeats, incarnations, membershiplog, ownership
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestcache
@@ -23,12 +29,6 @@
 from hornbeamglade.routes import objectives
 from hornbeamglade.speeds import enginespeeds
 
-MAX_HEADROOM_TOKENS = 2**31 - 1
-TOKEN_UNITS_PER_SECOND = 100_000
-
-SHARED_DIGEST_AGE_S = 1.0
-"""Digests of other owners that are older are not passed on: the recipient would not use them."""
-
 Engines = collections.abc.Callable[[], collections.abc.Iterable[replicamodels.Replica]]
 
 
@@ -109,6 +109,9 @@
         self._quarantine_digest = quarantine_digest
         self._events = events
         self._coordinated = coordinated
+        self.figures = sitefigures.SiteFigures(
+            identity.name, schedulers, digests, coordinated, clock, speeds
+        )
         self._service_by_engine: dict[str, str] = {}
         self._ownership = ownership.Ownership()
         self._ownership_inputs: tuple[list[ownership.Participant], dict[str, str]] | None = None
@@ -122,7 +125,9 @@
         self._scheduler = remotescheduler.RemoteScheduler(schedulers, clock, self.names, speeds)
         self._server = grantserver.GrantServer(self._scheduler, self.transport, clock)
         self._scheduler.set_push(self._server.push)
-        self._server.set_known_digests(self._known_digests)
+        self._server.set_figures(
+            lambda replica: self.figures.known(self.names.replicas.find(replica))
+        )
         self.migration_slots = migrationcoordinator.MigrationCoordinator(
             identity.name, self, self.transport, clock
         )
@@ -227,6 +232,7 @@
 
     def _update_co_owners(self) -> None:
         """Set the other owners of engines of the coordinated services that this one owns."""
+        self.figures.set_replicas(self._service_by_engine, self.owned())
         owned_services = {self._service_by_engine[each] for each in self.owned()}
         shared = {each for each in owned_services if self._coordinated.includes(each)}
         owners = {
@@ -238,33 +244,11 @@
             name for name in owners if name is not None and name != self._identity.name
         )
 
-    def _known_digests(self, replica: int) -> tuple[messages.AgedDigest, ...]:
-        """Return the states of the engines of a coordinated service, the newest first.
-
-        :param replica: the hash of the name of one of its engines.
-        """
-        service = self._service_by_engine.get(self.names.replicas.find(replica) or "")
-        if service is None or not self._coordinated.includes(service):
-            return ()
-        engines = [name for name, each in self._service_by_engine.items() if each == service]
-        owned = self.owned().intersection(engines)
-        states = self._schedulers.states_of(sorted(owned))
-        digests = [messages.AgedDigest(_replica_digest(state)) for state in states.values()]
-        received = [self._digests.newest(name) for name in engines if name not in owned]
-        for each in received:
-            age_s = self._digests.age_s(each)
-            if each is not None and age_s < SHARED_DIGEST_AGE_S:
-                # A digest of age 0 would be taken for one of this instance.
-                age_ms = max(1, int(age_s * 1000))
-                digests.append(messages.AgedDigest(each.digest, age_ms))
-        digests.sort(key=lambda each: each.age_ms)
-        return tuple(digests[: messages.MAX_REPLICAS])
-
     def _digest(self) -> heartbeats.Digest:
         owned = self.owned()
         states = self._schedulers.states()
         replicas = tuple(
-            _replica_digest(state, self._speeds.pace(name))
+            sitefigures.replica_digest(state, self._speeds.pace(name))
             for name, state in sorted(states.items())
             if name in owned
         )
@@ -275,6 +259,7 @@
             versions.replicas,
             self._evacuations(),
             self._quarantine_digest(),
+            self.figures.own_waiting(),
         )
 
     def _handle(
@@ -285,6 +270,7 @@
             # A heartbeat that arrives out of order must not restore older values.
             if self.heartbeats.receive(message, sender, source):
                 self._digests.record(sender.name, message.replicas)
+                self.figures.record_heartbeat(sender.name, message.waiting)
                 self._note_leaving_engines(message.replicas)
                 self._events.on_evacuations(message.evacuations)
                 self._events.on_quarantine_digest(sender.name, message.quarantine_digest)
@@ -293,7 +279,7 @@
         elif isinstance(message, messages.GrantResponse):
             # The figures are recorded first: the request that gets this response may look for
             # another owner at once.
-            self._digests.record_response(sender.name, message.digests)
+            self.figures.record_response(sender.name, message)
             self._note_leaving_engines(tuple(each.digest for each in message.digests))
             self.grants.on_response(message, sender, source)
         elif isinstance(message, messages.Progress):
@@ -324,18 +310,3 @@
             name = self.names.replicas.find(digest.replica) if digest.leaving else None
             if name is not None:
                 self._events.on_engine_leaving(name)
-
-
-def _replica_digest(
-    state: schedulerset.SchedulerState, pace: enginespeeds.Pace | None
-) -> messages.ReplicaDigest:
-    return messages.ReplicaDigest(
-        replica=messages.key_hash(state.replica),
-        room_tokens=max(0, min(MAX_HEADROOM_TOKENS, int(state.headroom_tokens))),
-        queued=state.waiting_ahead,
-        expected_wait_ms=int(state.expected_wait_s * 1000),
-        leaving=state.leaving,
-        ejected=state.is_unreachable,
-        token_10us=0 if pace is None else round(pace.token_s * TOKEN_UNITS_PER_SECOND),
-        pause_ms=0 if pace is None else round(pace.pause_s * 1000),
-    )
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -73,6 +73,7 @@
   listVersion @11 :UInt64;
   evacuations @12 :Evacuations;
   quarantineDigest @13 :UInt64;
+  waiting @14 :List(WaitingClass);
 }
 
 struct Evacuations {
@@ -91,6 +92,15 @@
   pauseMs @7 :UInt16;
 }
 
+struct WaitingClass {
+  service @0 :UInt64;
+  owner @1 :UInt64;
+  priority @2 :Int32;
+  waiting @3 :UInt16;
+  startsPer100s @4 :UInt16;
+  ageMs @5 :UInt16;
+}
+
 struct TeamDemand {
   team @0 :UInt64;
   share @1 :UInt16;
@@ -134,6 +144,7 @@
   replica @5 :UInt64;
   replicas @6 :List(ReplicaDigest);
   agesMs @7 :List(UInt16);
+  waiting @8 :List(WaitingClass);
 }
 
 struct Progress {
--- a/hornbeamglade/exchange/grantserver.py
+++ b/hornbeamglade/exchange/grantserver.py
@@ -53,8 +53,20 @@
     grant_id: int
 
 
-KnownDigests = collections.abc.Callable[[int], tuple[messages.AgedDigest, ...]]
-"""Returns the states of the replicas of a replica's service, by the hash of its name."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class SiteFigures:
+    """What an owner knows of one service at the whole site.
+
+    :param digests: the states of its replicas.
+    :param waiting: the requests that wait for them.
+    """
+
+    digests: tuple[messages.AgedDigest, ...] = ()
+    waiting: tuple[messages.WaitingClass, ...] = ()
+
+
+ReadFigures = collections.abc.Callable[[int], SiteFigures]
+"""Returns the figures of a replica's service, by the hash of the replica's name."""
 
 
 class GrantScheduler(abc.ABC):
@@ -128,11 +140,11 @@
         self._lock = threading.Lock()
         self._record_by_key: dict[GrantKey, _Record] = {}
         self._incarnation_by_holder: dict[str, int] = {}
-        self._known_digests: KnownDigests = lambda _replica: ()
+        self._read_figures: ReadFigures = lambda _replica: SiteFigures()
 
-    def set_known_digests(self, known_digests: KnownDigests) -> None:
-        """Set the function that returns the digests that each response carries."""
-        self._known_digests = known_digests
+    def set_figures(self, read_figures: ReadFigures) -> None:
+        """Set the function that returns the figures that each response carries."""
+        self._read_figures = read_figures
 
     def on_request(
         self, request: messages.GrantRequest, sender: codec.Sender, source: transport.Endpoint
@@ -304,12 +316,14 @@
     def _reply(
         self, key: GrantKey, peer: transport.Peer, response: messages.GrantResponse, replica: int
     ) -> None:
-        # The digests are read here and not stored: a stored response is sent again later.
+        # The figures are read here and not stored: a stored response is sent again later.
+        figures = self._read_figures(replica)
         addressed = dataclasses.replace(
             response,
             grant_id=key.grant_id,
             incarnation=key.incarnation,
-            digests=self._known_digests(replica),
+            digests=figures.digests,
+            waiting=figures.waiting,
         )
         self._transport.send(peer, addressed)
 
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -22,6 +22,11 @@
 MAX_DEMANDS = 12
 MAX_MEMBERSHIP_UPDATES = 8
 MAX_AVOIDED = 8
+# Waiting classes of one owner; in a heartbeat they take the places of digests, which would not
+# fit one datagram besides.
+MAX_WAITING_CLASSES = 8
+# Waiting classes of all owners in a grant response.
+MAX_SITE_WAITING_CLASSES = 16
 # Failure domains in one evacuation state, and total bytes of their names.
 MAX_EVACUATED = 7
 MAX_EVACUATED_BYTES = 56
@@ -39,6 +44,19 @@
 DIGEST_BYTES = 32
 
 
+def max_digests(waiting_classes: int) -> int:
+    """Return how many digests fit into a heartbeat beside a number of waiting classes.
+
+    Examples
+    ========
+
+    >>> max_digests(0), max_digests(2)
+    (24, 21)
+    """
+    # One more than the classes: their list has a header.
+    return MAX_REPLICAS - (waiting_classes + 1 if waiting_classes else 0)
+
+
 def key_hash(name: str) -> int:
     """Return the 64-bit hash that identifies a replica, team or node in messages.
 
@@ -112,6 +130,26 @@
     age_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitingClass:
+    """Requests of one service and priority that wait at one owner.
+
+    :param service: :func:`key_hash` of the name of the replicas' service.
+    :param priority: of the requests; larger is more urgent.
+    :param waiting: requests in the owner's queues; 0 states that none of any priority wait.
+    :param starts_per_s: how many of them have lately started per second.
+    :param owner: :func:`key_hash` of the owner's name; 0 for the sender.
+    :param age_ms: milliseconds since the owner made the entry.
+    """
+
+    service: int
+    priority: int
+    waiting: int
+    starts_per_s: float
+    owner: int = 0
+    age_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TeamDemand:
     """The sender's share of and demand for one team's limit, in 1/10,000 of the limit.
@@ -165,6 +203,7 @@
     :param evacuations: the evacuated failure domains as the sender knows them.
     :param quarantine_digest: digest of the quarantined requests, which the sender refuses
         because they crash replicas, or 0 for none.
+    :param waiting: the sender's waiting classes, at most :data:`MAX_WAITING_CLASSES`.
     """
 
     state: NodeState
@@ -181,6 +220,7 @@
     list_version: int = 0
     evacuations: evacuationlib.Evacuations = evacuationlib.Evacuations()
     quarantine_digest: int = 0
+    waiting: tuple[WaitingClass, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,6 +284,8 @@
         from the one requested; else 0.
     :param digests: the present states of the service's replicas that the owner knows, at
         most :data:`MAX_REPLICAS`; filled in by the grant server.
+    :param waiting: the service's waiting classes that the owner knows, at most
+        :data:`MAX_SITE_WAITING_CLASSES`; filled in by the grant server.
     """
 
     grant_id: int
@@ -253,6 +295,7 @@
     incarnation: int = 0
     replica: int = 0
     digests: tuple[AgedDigest, ...] = ()
+    waiting: tuple[WaitingClass, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -83,7 +83,10 @@
     builder.failureDomain = checked_name(message.failure_domain)
     builder.address = checked_name(message.address)
     builder.exchange = checked_name(message.exchange)
-    count = _checked_length(message.replicas, messages.MAX_REPLICAS)
+    waiting = _checked_length(message.waiting, messages.MAX_WAITING_CLASSES)
+    if waiting:
+        _fill_waiting(builder.init("waiting", waiting), message.waiting)
+    count = _checked_length(message.replicas, messages.max_digests(waiting))
     for entry, digest in zip(builder.init("replicas", count), message.replicas, strict=True):
         _fill_digest(entry, digest)
     count = _checked_length(message.demands, messages.MAX_DEMANDS)
@@ -103,6 +106,7 @@
     _checked_length(reader.replicas, messages.MAX_REPLICAS)
     _checked_length(reader.demands, messages.MAX_DEMANDS)
     _checked_length(reader.rumours, messages.MAX_MEMBERSHIP_UPDATES)
+    _checked_length(reader.waiting, messages.MAX_WAITING_CLASSES)
     state = messages.NodeState(reader.state)
     if state not in (messages.NodeState.LIVE, messages.NodeState.LEAVING):
         raise ValueError("a node can only announce itself as live or leaving")
@@ -115,6 +119,7 @@
         list_version=reader.listVersion,
         evacuations=_read_evacuations(reader),
         quarantine_digest=reader.quarantineDigest,
+        waiting=_read_waiting(reader.waiting),
         failure_domain=checked_name(reader.failureDomain),
         address=checked_name(reader.address),
         exchange=checked_name(reader.exchange),
@@ -174,6 +179,30 @@
     )
 
 
+def _fill_waiting(entries: _Builder, waiting: tuple[messages.WaitingClass, ...]) -> None:
+    for entry, each in zip(entries, waiting, strict=True):
+        entry.service = each.service
+        entry.owner = each.owner
+        entry.priority = each.priority
+        entry.waiting = _clip(each.waiting, _MAX_U16)
+        entry.startsPer100s = _clip(each.starts_per_s * 100, _MAX_U16)
+        entry.ageMs = _clip(each.age_ms, _MAX_U16)
+
+
+def _read_waiting(entries: _Reader) -> tuple[messages.WaitingClass, ...]:
+    return tuple(
+        messages.WaitingClass(
+            entry.service,
+            entry.priority,
+            entry.waiting,
+            entry.startsPer100s / 100,
+            entry.owner,
+            entry.ageMs,
+        )
+        for entry in entries
+    )
+
+
 def _fill_grant_request(builder: _Builder, message: messages.GrantRequest) -> None:
     builder.ask = message.grant_id
     builder.replica = message.replica
@@ -241,12 +270,16 @@
         for position, each in enumerate(message.digests):
             _fill_digest(digests[position], each.digest)
             ages[position] = _clip(each.age_ms, _MAX_U16)
+    count = _checked_length(message.waiting, messages.MAX_SITE_WAITING_CLASSES)
+    if count:
+        _fill_waiting(builder.init("waiting", count), message.waiting)
 
 
 def _read_grant_response(reader: _Reader) -> messages.GrantResponse:
     count = _checked_length(reader.replicas, messages.MAX_REPLICAS)
     if len(reader.agesMs) != count:
         raise ValueError("digests and ages differ in number")
+    _checked_length(reader.waiting, messages.MAX_SITE_WAITING_CLASSES)
     return messages.GrantResponse(
         grant_id=reader.ask,
         kind=messages.GrantKind(reader.kind),
@@ -258,6 +291,7 @@
             messages.AgedDigest(_read_digest(entry), age_ms)
             for entry, age_ms in zip(reader.replicas, reader.agesMs, strict=True)
         ),
+        waiting=_read_waiting(reader.waiting),
     )
 
 
--- a/hornbeamglade/grants/asyncgrantacquirer.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -29,12 +29,14 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import asyncgrantclient, grantrequests, messages
+from hornbeamglade.fairness import siteforecast
 from hornbeamglade.grants import (
     grantacquirer,
     grantresponses,
     ownerbackoff,
     replicascheduler,
     schedulerset,
+    sitefigures,
 )
 from hornbeamglade.observability import logs
 from hornbeamglade.routing import candidates, ownerorder, placements
@@ -61,6 +63,9 @@
 """The interval at which the pace of a stream at one of this node's own engines is recorded. It
 costs no message, and the longest pause counts for ten such intervals."""
 
+FORECAST_INTERVAL_S = 1.0
+"""The interval at which a waiting request is compared with the site's forecast again."""
+
 ListCandidates = collections.abc.Callable[[], collections.abc.Sequence[candidates.Candidate]]
 ResolveReplica = collections.abc.Callable[[int], str | None]
 
@@ -105,7 +110,8 @@
     :param due: monotonic seconds at which it must start to be on time.
     :param known_only: whether only the listed candidates are acceptable, so that no owner may
         choose another replica.
-    :param is_coordinated: whether owners of the service pass on each other's figures.
+    :param site_service: the name of the replicas' service if its owners pass on each other's
+        figures; else None.
     """
 
     work: outcomes.Work
@@ -118,7 +124,7 @@
     due: float = math.inf
     known_only: bool = False
     resolve_replica: ResolveReplica | None = None
-    is_coordinated: bool = False
+    site_service: str | None = None
 
     @property
     def admission_id(self) -> str:
@@ -143,6 +149,7 @@
     :param rng: breaks ties between replicas.
     :param settings: rates that the ranking of replicas uses.
     :param speeds: the paces of this node's own engines, or None if they are not recorded.
+    :param figures: what this node knows of the requests that wait at all owners.
     """
 
     def __init__(
@@ -154,6 +161,7 @@
         rng: random.Random,
         settings: candidates.RoutingSettings,
         speeds: enginespeeds.EngineSpeeds | None = None,
+        figures: sitefigures.SiteFigures | None = None,
     ) -> None:
         self._clock = clock
         self._schedulers = schedulers
@@ -162,6 +170,7 @@
         self._rng = rng
         self._settings = settings
         self._speeds = speeds
+        self._figures = figures
         self._placements = placements.Placements(settings)
         self._backoff = ownerbackoff.OwnerBackoff(clock)
         self._active: set[str] = set()
@@ -177,9 +186,13 @@
         grant = await self.acquire_now(placement, refused)
         if grant is not None:
             return grant
+        position = siteforecast.Position()
+        too_late = self._forecast_refusal(placement, position)
+        if too_late is not None:
+            return too_late
         for replica in self._queues(placement):
-            answer = await self._queue_at(placement, replica)
-            if isinstance(answer, Grant):
+            answer = await self._queue_at(placement, replica, position)
+            if isinstance(answer, Grant) or answer.code == grantresponses.REFUSED_BY_FORECAST:
                 return answer
             refused.append(answer)
             if self._clock.now() >= placement.deadline:
@@ -313,6 +326,7 @@
             and not (each.leaving or each.ejected)
             for each in placement.list_candidates()
         )
+
     def _queues(self, placement: PlacementRequest) -> collections.abc.Iterator[str]:
         """Yield replicas in whose queues the request may wait, one of each owner, best first."""
         if not _uses_site_figures(placement):
@@ -397,21 +411,28 @@
         return choicelib.rank(self._work_now(placement), current, self._rng, self._settings)
 
     async def _queue_at(
-        self, placement: PlacementRequest, replica: str
+        self, placement: PlacementRequest, replica: str, position: siteforecast.Position
     ) -> Grant | outcomes.Refusal:
-        """Wait in one replica's queue, unless another replica has headroom first."""
+        """Wait in one replica's queue, unless another replica has headroom first.
+
+        The wait ends as well when the request can no longer start in time anywhere.
+        """
         queued = asyncio.ensure_future(
             self._request(placement, replica, placement.deadline - self._clock.now())
         )
-        elsewhere: Grant | None = None
+        elsewhere: Grant | outcomes.Refusal | None = None
         self._searchers.append(placement)
+        forecast_at = self._clock.now() + FORECAST_INTERVAL_S
         try:
             while not queued.done() and elsewhere is None:
                 await asyncio.wait((queued,), timeout=SEARCH_INTERVAL_S)
                 if not queued.done() and self._take_search_slot(placement):
                     elsewhere = await self.acquire_now(placement)
+                if not queued.done() and elsewhere is None and self._clock.now() >= forecast_at:
+                    forecast_at = self._clock.now() + FORECAST_INTERVAL_S
+                    elsewhere = self._forecast_refusal(placement, position)
             if queued.done() and isinstance(queued.result(), Grant):
-                if elsewhere is not None:
+                if isinstance(elsewhere, Grant):
                     self.release(elsewhere)
                 return queued.result()
             return elsewhere or queued.result()
@@ -420,6 +441,26 @@
             if not queued.done():
                 queued.cancel()
 
+    def _forecast_refusal(
+        self, placement: PlacementRequest, position: siteforecast.Position
+    ) -> outcomes.Refusal | None:
+        """Return the refusal of a request that can start in time at no owner, or None."""
+        if self._figures is None or placement.site_service is None:
+            return None
+        left_s = placement.deadline - self._clock.now()
+        refusal = self._figures.refusal(placement.work, placement.site_service, left_s, position)
+        if refusal is not None:
+            logs.decided(
+                placement.work.request_id,
+                "placed",
+                refusal.code,
+                service=placement.site_service,
+                priority=placement.work.priority,
+                queued=round(position.ahead or 0),
+                wait_s=round(left_s, 3),
+            )
+        return refusal
+
     def _take_search_slot(self, placement: PlacementRequest) -> bool:
         """Return whether this waiting request is the next to look for headroom elsewhere."""
         now = self._clock.now()
@@ -564,4 +605,4 @@
 
 
 def _uses_site_figures(placement: PlacementRequest) -> bool:
-    return placement.is_coordinated and not placement.known_only
+    return placement.site_service is not None and not placement.known_only
--- a/hornbeamglade/grants/grantresponses.py
+++ b/hornbeamglade/grants/grantresponses.py
@@ -13,6 +13,7 @@
 OWNER_SILENT = "owner_silent"
 NO_ROOM_NOW = "no_room_now"
 PACE_BOUND = "pace_bound"
+REFUSED_BY_FORECAST = "refused_by_forecast"
 NAMES_UNKNOWN = "names_unknown"
 TEAM_CODES = frozenset(("team_queue_full",))
 """Refusals caused by the team's own load; they have the same HTTP status at every owner."""
@@ -121,6 +122,12 @@
     return outcomes.Refusal("queue_timeout", 503, detail, retry_after_s=NO_REPLICA_RETRY_S)
 
 
+def refused_by_forecast(service: str, retry_after_s: float) -> outcomes.Refusal:
+    """Return the refusal of a request that could not start in time at any owner."""
+    detail = f"too many requests wait for replicas of {service} for this one to start in time"
+    return outcomes.Refusal(REFUSED_BY_FORECAST, 503, detail, retry_after_s=retry_after_s)
+
+
 def earliest_retry(refused: list[outcomes.Refusal]) -> outcomes.Refusal:
     """Return the refusal with the shortest time until a retry."""
     if not refused:
--- a/hornbeamglade/grants/replicascheduler.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -20,7 +20,7 @@
 
 from hornbeamglade.admission import policies, promptbacklog, tokenledger
 from hornbeamglade.core import outcomes
-from hornbeamglade.fairness import fairqueue
+from hornbeamglade.fairness import fairqueue, recentstarts
 from hornbeamglade.replicas import startgate
 
 LEAVING_RETRY_S = 1.0
@@ -100,6 +100,7 @@
         self.queue = queue
         self.gate = gate or startgate.OpenGate()
         self.prompts = promptbacklog.PromptBacklog()
+        self.recent_starts = recentstarts.RecentStarts()
         self.leaving = False
         self.is_unreachable = False
         self._reported_at: float | None = None
@@ -303,6 +304,10 @@
         """The number of requests that wait."""
         return len(self._pending_by_id)
 
+    def waiting_by_priority(self) -> collections.Counter[int]:
+        """Return how many requests of each priority wait."""
+        return collections.Counter(each.work.priority for each in self._pending_by_id.values())
+
     def count_ahead(self, now: float) -> int:
         """Return how many queued requests would start before a new one."""
         return self.queue.count_ahead(now)
@@ -349,6 +354,7 @@
     def _start(self, work: outcomes.Work, now: float) -> Granted:
         """Grant a request whose prompt is to be processed here."""
         self.prompts.add(work.prompt_tokens, now)
+        self.recent_starts.record(work.priority, now)
         self.gate.started(self.replica, now)
         return self._grant(work, now)
 
--- a/hornbeamglade/grants/schedulerset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -1,5 +1,6 @@
 """All schedulers of one node; thread-safe."""
 
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -7,7 +8,7 @@
 
 from hornbeamglade.admission import policies, replicaadmission
 from hornbeamglade.core import clocks, outcomes
-from hornbeamglade.fairness import fairqueue, queuesettings
+from hornbeamglade.fairness import fairqueue, queuesettings, recentstarts, siteforecast
 from hornbeamglade.grants import replicascheduler
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.replicas import startgate
@@ -301,6 +302,24 @@
                 if scheduler is not None
             }
 
+    def waiting_classes(
+        self, replicas: collections.abc.Iterable[str]
+    ) -> tuple[siteforecast.ClassState, ...]:
+        """Return the requests that wait for some replicas, the most urgent class first."""
+        with self._lock:
+            now = self._clock.now()
+            waiting: collections.Counter[int] = collections.Counter()
+            starts: collections.Counter[int] = collections.Counter()
+            for replica in replicas:
+                scheduler = self._scheduler_by_replica.get(replica)
+                if scheduler is not None:
+                    waiting += scheduler.waiting_by_priority()
+                    starts += scheduler.recent_starts.count_by_priority(now)
+        return tuple(
+            siteforecast.ClassState(priority, count, starts[priority] / recentstarts.WINDOW_S)
+            for priority, count in sorted(waiting.items(), reverse=True)
+        )
+
     def _scheduler(self, replica: str) -> replicascheduler.ReplicaScheduler | None:
         scheduler = self._scheduler_by_replica.get(replica)
         spec = self._spec_by_replica.get(replica)
--- a/hornbeamglade/membership/heartbeats.py
+++ b/hornbeamglade/membership/heartbeats.py
@@ -23,6 +23,7 @@
     :param list_version: the version of the platform's list of replicas, or 0.
     :param evacuations: the evacuated failure domains.
     :param quarantine: digest of the requests that it refuses because they crash replicas.
+    :param waiting: the requests that wait at it, by service and priority.
     """
 
     config_revision: int = 0
@@ -30,6 +31,7 @@
     list_version: int = 0
     evacuations: evacuationlib.Evacuations = evacuationlib.Evacuations()
     quarantine: int = 0
+    waiting: tuple[messages.WaitingClass, ...] = ()
 
 
 class Heartbeats:
@@ -230,6 +232,7 @@
 
     def _heartbeat(self, wants_answer: bool) -> messages.Heartbeat:
         digest = self._digest()
+        waiting = digest.waiting[: messages.MAX_WAITING_CLASSES]
         with self._lock:
             own = self._view.member(self._own.name, self._clock.now())
             updates = self._dissemination.updates()
@@ -242,7 +245,8 @@
             address=self._own.address,
             exchange=self._own.exchange,
             wants_answer=wants_answer,
-            replicas=digest.replicas[: messages.MAX_REPLICAS],
+            replicas=digest.replicas[: messages.max_digests(len(waiting))],
+            waiting=waiting,
             demands=self._announced_demands,
             updates=updates,
             list_version=digest.list_version,
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -91,6 +91,8 @@
         """Acquire a grant at an engine that may be sent a request now."""
         routed, dependencies = self._routed, self._dependencies
         deadline = enginework.queue_deadline(routed, dependencies.clock.now())
+        if dependencies.catalog.is_coordinated(routed.service.name):
+            deadline = min(deadline, enginework.latest_useful_start_at(routed))
         while True:
             placement_request = self.placement_request(deadline, frozenset(self._log.tried))
             grant = await dependencies.acquirer.acquire(placement_request)
@@ -150,7 +152,7 @@
             due=enginework.latest_start_at(self._routed),
             # An owner can only be told of a few engines that it must not choose.
             known_only=regions is not None or len(avoided) > messages.MAX_AVOIDED,
-            is_coordinated=catalog.is_coordinated(service),
+            site_service=service if catalog.is_coordinated(service) else None,
         )
 
     def _pace(self) -> outcomes.PaceObjective | None:
--- a/hornbeamglade/routed/enginework.py
+++ b/hornbeamglade/routed/enginework.py
@@ -14,6 +14,12 @@
 """Longest wait for an engine, as a share of the caller's remaining time; the rest is left for
 the run. It binds for requests with a short time limit."""
 
+MIN_PATIENCE_S = 2.0
+GOAL_PATIENCE_MULTIPLE = 4.0
+GAP_PATIENCE_MULTIPLE = 8.0
+"""A caller gives up waiting for the first event after the longest of 2 s, four times the objective
+for the first event and eight times the objective for pauses."""
+
 NO_GENERATION = calls.Generation("", 0, 0)
 
 
@@ -53,9 +59,25 @@
 
 def latest_start_at(routed: callrouter.RoutedRequest) -> float:
     """Return the latest monotonic time at which a request can start and meet its goal."""
+    return routed.call.arrived_at + routed.route.goal_s - _prefill_s(routed)
+
+
+def latest_useful_start_at(routed: callrouter.RoutedRequest) -> float:
+    """Return the latest monotonic time at which a stream can start before its caller gives up."""
+    route = routed.route
+    patience_s = max(
+        MIN_PATIENCE_S,
+        GOAL_PATIENCE_MULTIPLE * route.goal_s,
+        GAP_PATIENCE_MULTIPLE * (route.gap_goal_s or 0.0),
+    )
+    # A prompt that takes most of this time to process is started all the same: its estimated
+    # prefill time is not exact enough to refuse the request without trying.
+    return routed.call.arrived_at + patience_s - min(_prefill_s(routed), patience_s / 2)
+
+
+def _prefill_s(routed: callrouter.RoutedRequest) -> float:
     generation = routed.call.generation or NO_GENERATION
-    prefill_s = generation.prompt_tokens / promptbacklog.PromptSettings().tokens_per_s
-    return routed.call.arrived_at + routed.route.goal_s - prefill_s
+    return generation.prompt_tokens / promptbacklog.PromptSettings().tokens_per_s
 
 
 def queue_deadline(routed: callrouter.RoutedRequest, now: float) -> float:
--- a/tests/exchange/test_codec.py
+++ b/tests/exchange/test_codec.py
@@ -118,7 +118,8 @@
         codec.KeyRing(1, {1: b"short"})
 
 
-def test_a_heartbeat_of_maximum_size_fits_a_datagram():
+@pytest.mark.parametrize("classes", [0, messages.MAX_WAITING_CLASSES])
+def test_a_heartbeat_of_maximum_size_fits_a_datagram(classes):
     # A node that owns very many replicas fills its heartbeat. If that did not fit a
     # datagram, its heartbeats would stop when other nodes depend on it most.
     largest, name = 2**32 - 1, "n" * messages.MAX_NAME_BYTES
@@ -133,7 +134,8 @@
         name,
         name,
         wants_answer=True,
-        replicas=(digest,) * messages.MAX_REPLICAS,
+        replicas=(digest,) * messages.max_digests(classes),
+        waiting=(messages.WaitingClass(2**64 - 3, 2**31 - 1, 2**16 - 1, 655.35),) * classes,
         demands=(demand,) * messages.MAX_DEMANDS,
         updates=(update,) * messages.MAX_MEMBERSHIP_UPDATES,
         refutation=largest,
@@ -206,6 +208,8 @@
         2**64 - 3,
         2**64 - 3,
         (messages.AgedDigest(digest, 1000),) * messages.MAX_REPLICAS,
+        (messages.WaitingClass(0, 2**31 - 1, 2**16 - 1, 655.35, 2**64 - 3, 2000),)
+        * messages.MAX_SITE_WAITING_CLASSES,
     )
     name = "n" * messages.MAX_NAME_BYTES
     frame = make_codec(name, incarnation=2**63).encode(name, response)
--- a/tests/exchange/test_grantserver.py
+++ b/tests/exchange/test_grantserver.py
@@ -275,6 +275,6 @@
     # would compare engines by figures that are several seconds old.
     owner = Owner(slots=0)
     digests = [messages.ReplicaDigest(lossynetwork.REPLICA, room, 0, 0) for room in (100, 200)]
-    present = iter([(messages.AgedDigest(digest),) for digest in digests])
-    owner.server.set_known_digests(lambda replica: next(present))
+    present = iter([grantserver.SiteFigures((messages.AgedDigest(each),)) for each in digests])
+    owner.server.set_figures(lambda replica: next(present))
     assert [owner.request(1).digests[0].digest for _ in digests] == digests
--- a/tests/grants/test_asyncgrantacquirer.py
+++ b/tests/grants/test_asyncgrantacquirer.py
@@ -422,7 +422,7 @@
 
         local.client.request_grant = request_grant
         request = dataclasses.replace(
-            placement("r1", local), list_candidates=lambda: tuple(known), is_coordinated=True
+            placement("r1", local), list_candidates=lambda: tuple(known), site_service="llm"
         )
         refused = []
         grant = await local.acquirer.acquire_now(request, refused)
