grants: bound queued prefill by the slack of requests

In a surge, urgent requests started late behind up to 0.8 s of prompts of requests that had seconds to spare: engines process prompts in order of arrival, so nothing passes there.

For services whose routes have first-event objectives that differ by a factor of 2 or more, requests that may start 1.5 s later and still be on time start only while at most 0.3 s of prompts is queued. They neither block more urgent requests nor count as passed by them. The queue is processed again when the backlog has drained to the bound. All other services are served as before.

--- a/hornbeamglade/entry/componentsettings.py
+++ b/hornbeamglade/entry/componentsettings.py
@@ -43,9 +43,15 @@
 
 
 def scheduler(
-    engine: models.EngineTraits, policy: policysettings.Policy
+    engine: models.EngineTraits,
+    policy: policysettings.Policy,
+    *,
+    has_mixed_objectives: bool = False,
 ) -> schedulerset.SchedulerSpec:
-    """Return the settings of an engine's scheduler."""
+    """Return the settings of an engine's scheduler.
+
+    :param has_mixed_objectives: whether the objectives of its service's routes differ widely.
+    """
     return schedulerset.SchedulerSpec(
         memory_tokens=engine.memory_tokens,
         admission=replicaadmission.AdmissionSettings(
@@ -56,7 +62,9 @@
             ),
         ),
         queue=queuesettings.QueueSettings(
-            min_retry_s=policy.least_retry_s, max_retry_s=policy.most_retry_s
+            min_retry_s=policy.least_retry_s,
+            max_retry_s=policy.most_retry_s,
+            has_mixed_objectives=has_mixed_objectives,
         ),
     )
 
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -1,5 +1,6 @@
 """One entry instance: its components and how they are connected."""
 
+import asyncio
 import collections.abc
 import json
 import random
@@ -302,6 +303,7 @@
 
     async def listen(self) -> None:
         """Start to receive messages and requests for tunnels of other instances."""
+        self._schedulers.set_call_later(asyncio.get_running_loop().call_later)
         await self.peering.listen()
         await self.tunneling.listen()
 
@@ -590,10 +592,13 @@
         engines = list(self._engines())
         self.peering.names.replicas.replace(engine.id for engine in engines)
         service_by_name = view.configuration.service_by_name
+        mixed = objectives.mixed_services(view.configuration.routes)
         self._schedulers.configure(
             {
                 engine.id: componentsettings.scheduler(
-                    service_by_name[engine.service].engine, self._settings.policy
+                    service_by_name[engine.service].engine,
+                    self._settings.policy,
+                    has_mixed_objectives=engine.service in mixed,
                 )
                 for engine in engines
             }
--- a/hornbeamglade/fairness/fairqueue.py
+++ b/hornbeamglade/fairness/fairqueue.py
@@ -17,6 +17,9 @@
   kept: requests that fit may pass a head that does not, ``max_passes`` times. After
   that, free memory accumulates until the head fits or expires.
 - *Strict priorities* starve the lowest class; ageing limits its wait.
+- *One step per ageing interval* makes a class that is two priorities lower wait 10 s, longer
+  than its callers do. Where objectives differ widely (``has_mixed_objectives``), a flow
+  without a start for ``ageing_s`` therefore rises to the highest class at once.
 - *First in, first out* also makes all requests late where half of them could be
   served on time: during lasting overload, each starts only shortly before its deadline.
 - *Refusing new requests when the queue is full* lets the teams that came first hold all
@@ -96,6 +99,11 @@
         self._rate = servicerate.ServiceRate()
         self._starts = 0
 
+    @property
+    def has_mixed_objectives(self) -> bool:
+        """Whether requests with slack let more urgent ones pass."""
+        return self._settings.has_mixed_objectives
+
     def __len__(self) -> int:
         return len(self._table)
 
@@ -141,18 +149,23 @@
         return Queued(displaced)
 
     def take(
-        self, fits: collections.abc.Callable[[outcomes.Work], bool], now: float
+        self,
+        fits: collections.abc.Callable[[outcomes.Work], bool],
+        now: float,
+        is_deferred: flows.Deferral | None = None,
     ) -> outcomes.Work | None:
         """Remove and return the next request that may start, or None.
 
         A flow whose next entry is past its deadline is skipped until :meth:`expire` is called.
 
         :param fits: whether the replica has headroom for a request now.
+        :param is_deferred: the requests that let others pass now. This does not count toward
+            ``max_passes``, at which they would block urgent requests.
         """
         passed: list[flows.Entry] = []
         for flow in self._ordered(now):
-            head = flow.next_entry(now)
-            if head.deadline <= now:
+            head = flow.next_startable(now, is_deferred)
+            if head is None or head.deadline <= now:
                 continue
             if fits(head.work):
                 self._start(flow, head, passed, now)
@@ -211,13 +224,44 @@
         """
         return not self._table or (due > now and not self.count_ahead(now))
 
-    def count_ahead(self, now: float) -> int:
-        """Return the number of queued requests that can still be on time and thus start first."""
-        return sum(entry.due > now for entry in self._table.entries())
+    def would_start_first(
+        self,
+        work: outcomes.Work,
+        due: float,
+        now: float,
+        is_deferred: flows.Deferral | None,
+    ) -> bool:
+        """Return whether a new request comes before all queued ones that are not deferred.
+
+        :meth:`would_start_next` holds a new request back for any queued one that can be on time,
+        also for a less urgent one.
+        """
+        for flow in self._table.flows():
+            entry = flow.next_startable(now, is_deferred)
+            if entry is None:
+                continue
+            priority = math.inf if self._is_starved(flow, now) else flow.key.priority
+            is_peer_ahead = entry.due > now or due <= now
+            if priority > work.priority or (priority == work.priority and is_peer_ahead):
+                return False
+        return True
+
+    def count_ahead(self, now: float, is_deferred: flows.Deferral | None = None) -> int:
+        """Return the number of queued requests that can still be on time and thus start first.
+
+        :param is_deferred: the requests that let a new one pass; None for none.
+        """
+        entries = self._table.entries()
+        if is_deferred is None:
+            return sum(entry.due > now for entry in entries)
+        return sum(entry.due > now and not is_deferred(entry.due) for entry in entries)
+
+    def expected_wait_s(self, now: float, is_deferred: flows.Deferral | None = None) -> float:
+        """Return the expected seconds until a new request that can be on time starts.
 
-    def expected_wait_s(self, now: float) -> float:
-        """Return the expected seconds until a new request that can be on time starts."""
-        return self.count_ahead(now) * self._interval_s(now)
+        :param is_deferred: the requests that let a new one pass; None for none.
+        """
+        return self.count_ahead(now, is_deferred) * self._interval_s(now)
 
     def _interval_s(self, now: float) -> float:
         return self._rate.current_interval_s(now) or 0.0
@@ -261,11 +305,16 @@
 
         def rank(flow: flows.Flow) -> tuple[int, bool, float, float]:
             aged = flow.aged_priority(now, ageing_s, top)
+            if self.has_mixed_objectives:
+                aged = top if self._is_starved(flow, now) else flow.key.priority
             virtual_time = self._times.virtual_time(flow.key.team)
             return (-aged, flow.is_late(now), virtual_time, -flow.starved_s(now))
 
         return sorted(queued, key=rank)
 
+    def _is_starved(self, flow: flows.Flow, now: float) -> bool:
+        return flow.starved_s(now) >= self._settings.ageing_s
+
     def _start(
         self, flow: flows.Flow, chosen: flows.Entry, passed: list[flows.Entry], now: float
     ) -> None:
--- a/hornbeamglade/fairness/flows.py
+++ b/hornbeamglade/fairness/flows.py
@@ -7,6 +7,9 @@
 
 from hornbeamglade.core import outcomes
 
+Deferral = collections.abc.Callable[[float], bool]
+"""Whether a request with a due time has so much slack that it lets others pass."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FlowKey:
@@ -60,6 +63,21 @@
         """
         return next((entry for entry in self.entries if entry.due > now), self.entries[0])
 
+    def next_startable(self, now: float, is_deferred: Deferral | None) -> Entry | None:
+        """Return the next entry among those that are not deferred, or None.
+
+        :param is_deferred: the entries that are deferred; None for none.
+        """
+        if is_deferred is None:
+            return self.next_entry(now)
+        oldest = None
+        for entry in self.entries:
+            if not is_deferred(entry.due):
+                if entry.due > now:
+                    return entry
+                oldest = oldest or entry
+        return oldest
+
     def is_late(self, now: float) -> bool:
         """Return whether none of the entries can still be on time."""
         return self.next_entry(now).due <= now
--- a/hornbeamglade/fairness/queuesettings.py
+++ b/hornbeamglade/fairness/queuesettings.py
@@ -15,6 +15,8 @@
         when deciding that a request cannot start in time.
     :param min_retry_s: minimum seconds until a refused caller may retry.
     :param max_retry_s: maximum seconds until a retry, before the jitter is added.
+    :param has_mixed_objectives: whether the requests' objectives differ so much that requests
+        with slack let more urgent ones pass.
     """
 
     max_waiting: int = 200
@@ -24,6 +26,7 @@
     optimism: float = 2.0
     min_retry_s: float = 1.0
     max_retry_s: float = 60.0
+    has_mixed_objectives: bool = False
 
     @property
     def max_per_team(self) -> int:
--- a/hornbeamglade/grants/replicascheduler.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -20,7 +20,7 @@
 
 from hornbeamglade.admission import policies, promptbacklog, tokenledger
 from hornbeamglade.core import outcomes
-from hornbeamglade.fairness import fairqueue, recentstarts
+from hornbeamglade.fairness import fairqueue, flows, recentstarts
 from hornbeamglade.replicas import startgate
 
 LEAVING_RETRY_S = 1.0
@@ -38,6 +38,16 @@
 reordered: the engine processes prompts in order of arrival, so late requests come before requests
 that could still be on time."""
 
+MAX_SLACK_BACKLOG_S = 0.3
+"""The bound for requests with slack where objectives differ widely. In a surge at a site with
+objectives of 1.5 s and 4 s, urgent requests started late behind 0.8 s of prompts of the others,
+which they pass only in the owner's queue. The engine stays busy: the queue is processed
+when the backlog has drained to this bound, and every 50 ms."""
+
+SLACK_S = 1.5
+"""A request that may start this much later and still be on time has slack. This is nearly twice
+:data:`MAX_PROMPT_BACKLOG_S`, so it can wait its turn in the owner's queue and at the engine."""
+
 MIGRATION_WINDOW_S = 1.5
 """The notice period before a replica stops: for this long after its admission, the KV cache of a
 migrated run may still be on its way."""
@@ -164,10 +174,30 @@
 
         :param due: when it must start to be on time.
         """
-        if not self._may_start(now) or not self.queue.would_start_next(due, now):
+        if not self._may_start(now) or not self._is_next(work, due, now):
             return None
         return self._start(work, now) if self.admission.fits(work, now) else None
 
+    def seconds_until_look(self, now: float) -> float | None:
+        """Return when the backlog of prompts lets a queued request start; None if it does now.
+
+        Explanation
+        ===========
+
+        The next periodic call of :meth:`process_queue` may be 0.25 s away, in which an engine
+        whose backlog is bounded to 0.3 s would idle. Always None without mixed objectives.
+        """
+        if not self.queue.has_mixed_objectives or not self._pending_by_id:
+            return None
+        backlog_s = self.prompts.wait_s(now)
+        if backlog_s > MAX_PROMPT_BACKLOG_S:
+            return backlog_s - MAX_PROMPT_BACKLOG_S
+        is_deferred = self._deferral(now)
+        if is_deferred is None:
+            return None
+        has_deferred = any(is_deferred(each.due) for each in self._pending_by_id.values())
+        return backlog_s - MAX_SLACK_BACKLOG_S if has_deferred else None
+
     def admit_migration(
         self, work: outcomes.Work, produced: int, now: float
     ) -> Granted | outcomes.Refusal:
@@ -241,7 +271,9 @@
         self._unsent = []
         decided += [self._refuse(each) for each in self.queue.expire(now)]
         while self._pending_by_id and self._may_start(now):
-            work = self.queue.take(lambda each: self.admission.fits(each, now), now)
+            work = self.queue.take(
+                lambda each: self.admission.fits(each, now), now, self._deferral(now)
+            )
             if work is None:
                 break
             del self._pending_by_id[work.request_id]
@@ -310,11 +342,15 @@
 
     def count_ahead(self, now: float) -> int:
         """Return how many queued requests would start before a new one."""
-        return self.queue.count_ahead(now)
+        return self.queue.count_ahead(now, self._deferral(now))
 
     def expected_wait_s(self, now: float) -> float:
-        """Return the expected seconds until the prompt of a new request would be processed."""
-        return self.queue.expected_wait_s(now) + self.prompts.wait_s(now)
+        """Return the expected seconds until the prompt of a new request would be processed.
+
+        With mixed objectives, this is the wait of a request without slack.
+        """
+        queue_wait_s = self.queue.expected_wait_s(now, self._deferral(now))
+        return queue_wait_s + self.prompts.wait_s(now)
 
     def _refuse_queued(self, refusal: outcomes.Refusal) -> tuple[QueueOutcome, ...]:
         unsent = tuple(self._unsent)
@@ -342,6 +378,23 @@
             return False
         return self.gate.refusal(self.replica, now) is None
 
+    def _is_next(self, work: outcomes.Work, due: float, now: float) -> bool:
+        if not self.queue.has_mixed_objectives:
+            return self.queue.would_start_next(due, now)
+        is_deferred = self._deferral(now)
+        if is_deferred is not None and is_deferred(due):
+            return False
+        return self.queue.would_start_first(work, due, now, is_deferred)
+
+    def _deferral(self, now: float) -> flows.Deferral | None:
+        """Return which requests have too much slack to start now, or None if none has."""
+        backlog_s = self.prompts.wait_s(now) if self.queue.has_mixed_objectives else 0.0
+        if backlog_s <= MAX_SLACK_BACKLOG_S:
+            return None
+        # A due time already leaves out the processing of the request's own prompt. A request
+        # without one has no slack: nothing is known about its objective.
+        return lambda due: SLACK_S < due - now < math.inf
+
     def _is_silent(self, now: float) -> bool:
         """Return whether the last report is too old; False if the replica never reported."""
         return self._reported_at is not None and now - self._reported_at > REPORT_LIFE_S
--- a/hornbeamglade/grants/schedulerset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -14,8 +14,11 @@
 from hornbeamglade.replicas import startgate
 
 Notify = collections.abc.Callable[[replicascheduler.QueueOutcome], None]
+CallLater = collections.abc.Callable[[float, collections.abc.Callable[[], None]], object]
+"""Calls a function after some seconds."""
 
 UNKNOWN_REPLICA_RETRY_S = 0.5
+MIN_LOOK_DELAY_S = 0.001
 PRESENT_MEMORY = "present_memory"
 LEAST_OUTSTANDING = "least_outstanding"
 
@@ -107,6 +110,12 @@
         self._owned: frozenset[str] = frozenset()
         self._scheduler_by_replica: dict[str, replicascheduler.ReplicaScheduler] = {}
         self._notify_by_request: dict[str, Notify] = {}
+        self._call_later: CallLater | None = None
+        self._look_at_by_replica: dict[str, float] = {}
+
+    def set_call_later(self, call_later: CallLater) -> None:
+        """Set the function that calls :meth:`process_queue` between periodic calls."""
+        self._call_later = call_later
 
     def configure(self, spec_by_replica: dict[str, SchedulerSpec]) -> None:
         """Apply the replicas of a configuration revision.
@@ -122,6 +131,7 @@
                 if spec is None:
                     decided += scheduler.drain()
                     del self._scheduler_by_replica[name]
+                    self._look_at_by_replica.pop(name, None)
                 elif spec != self._spec_by_replica[name]:
                     successor = spec.make(name, self._lengths, self._gate)
                     successor.take_over(scheduler, now)
@@ -171,6 +181,7 @@
             if isinstance(answer, replicascheduler.Queued):
                 self._notify_by_request[work.request_id] = notify
             decided = scheduler.process_queue(now)
+            self._plan_look(scheduler, now)
         self._notify(decided)
         return answer
 
@@ -230,6 +241,7 @@
             now = self._clock.now()
             scheduler.finish(request_id, now)
             decided = scheduler.process_queue(now)
+            self._plan_look(scheduler, now)
         self._notify(decided)
 
     def observe_length(self, service: str, team: str, tokens: int, *, censored: bool) -> None:
@@ -250,11 +262,20 @@
         """Grant and refuse queued requests as time passes; called several times a second."""
         with self._lock:
             now = self._clock.now()
-            decided = [
-                each
-                for scheduler in self._scheduler_by_replica.values()
-                for each in scheduler.process_queue(now)
-            ]
+            decided = []
+            for scheduler in self._scheduler_by_replica.values():
+                decided += scheduler.process_queue(now)
+                self._plan_look(scheduler, now)
+        self._notify(decided)
+
+    def process_queue(self, replica: str) -> None:
+        """Grant and refuse the queued requests of one replica."""
+        with self._lock:
+            now = self._clock.now()
+            scheduler = self._scheduler_by_replica.get(replica)
+            decided = () if scheduler is None else scheduler.process_queue(now)
+            if scheduler is not None:
+                self._plan_look(scheduler, now)
         self._notify(decided)
 
     def drain(self, replica: str) -> None:
@@ -320,6 +341,18 @@
             for priority, count in sorted(waiting.items(), reverse=True)
         )
 
+    def _plan_look(self, scheduler: replicascheduler.ReplicaScheduler, now: float) -> None:
+        """Have the queue processed when the backlog of prompts lets a queued request start."""
+        delay_s = None if self._call_later is None else scheduler.seconds_until_look(now)
+        if delay_s is None:
+            return
+        look_at = now + max(MIN_LOOK_DELAY_S, delay_s)
+        if now < self._look_at_by_replica.get(scheduler.replica, 0.0) <= look_at:
+            return
+        self._look_at_by_replica[scheduler.replica] = look_at
+        replica = scheduler.replica
+        self._call_later(look_at - now, lambda: self.process_queue(replica))
+
     def _scheduler(self, replica: str) -> replicascheduler.ReplicaScheduler | None:
         scheduler = self._scheduler_by_replica.get(replica)
         spec = self._spec_by_replica.get(replica)
