entry: test the switch of mixed objectives and the look at a drained backlog

The tests cover the path from the configuration to the schedulers of a service's engines, and the call that processes a queue between two ticks.

--- /dev/null
+++ b/tests/entry/test_mixedobjectives.py
@@ -0,0 +1,63 @@
+"""Services whose routes' objectives differ by a factor of 2 or more, as configured."""
+
+import asyncio
+import json
+
+import pytest
+
+from hornbeamglade.core import outcomes
+from hornbeamglade.grants import replicascheduler
+from tests.entry import site as entrysite
+
+
+def routes(goal_ms):
+    return [
+        entrysite.route("draft", "streaming", "llm", goal_ms=goal_ms, max_attempts=1),
+        entrysite.route("tag", "streaming", "llm", goal_ms=1500, resumable=True),
+        entrysite.route("hold", "non_idempotent", "web", goal_ms=100, max_attempts=1),
+    ]
+
+
+@pytest.mark.parametrize(("goal_ms", "is_mixed"), [(2900, False), (3000, True)])
+def test_engines_of_a_service_get_the_switch_of_its_routes(goal_ms, is_mixed):
+    """The objective of another service's route must not change how a service is served."""
+
+    async def test(site):
+        site.put("op/config", json.dumps(entrysite.manifest(2, routes=routes(goal_ms))))
+        site.read_store()
+        found = []
+        for engine in site.engines:
+            site.nodes[0].instance._schedulers.apply(
+                engine.replica_id,
+                lambda scheduler, _now: found.append(scheduler.queue.has_mixed_objectives),
+            )
+        return found
+
+    assert entrysite.run(test, engines=2) == [is_mixed] * 2
+
+
+def test_a_request_with_slack_starts_when_the_backlog_has_drained():
+    """Without a call at that time, it would wait for the next tick, up to 0.25 s later."""
+
+    async def test(site):
+        site.put("op/config", json.dumps(entrysite.manifest(2, routes=routes(9000))))
+        site.read_store()
+        instance, engine = site.nodes[0].instance, site.engines[0].replica_id
+        for task in site.nodes[0]._tasks:
+            task.cancel()
+        schedulers = instance._schedulers
+        scheduled = asyncio.get_running_loop().create_future()
+
+        # 0.35 s of prompts.
+        schedulers.apply(engine, lambda scheduler, now: scheduler.prompts.add(2450, now))
+        work = outcomes.Work("r1", "draft", "clinic", 0, prompt_tokens=100)
+        now = instance._clock.now()
+        answer = schedulers.request_grant(
+            engine, work, 1.0, now + 10, scheduled.set_result, now + 8.5
+        )
+        async with asyncio.timeout(5):
+            return answer, (await scheduled).answer
+
+    first, later = entrysite.run(test, engines=1)
+    assert isinstance(first, replicascheduler.Queued)
+    assert isinstance(later, replicascheduler.Granted)
