speeds: learn pauses from engines observed for long enough

Publish an engine's longest pause after 4 s of observations, keep the ratio while too few are known, and let long responses avoid unknown engines as long as another may be found; short ones measure them.

--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -1,6 +1,7 @@
 """Routing candidates: the engines of a service with their last known state."""
 
 import collections.abc
+import dataclasses
 import itertools
 
 from hornbeamglade.core import clocks, outcomes
@@ -28,6 +29,15 @@
 MICROSECONDS_PER_UNIT = 10
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DerivedPool:
+    """The outlook of a service and of its engines of known pace, as of a time."""
+
+    at: float
+    outlook: outlooklib.PoolOutlook
+    pace_by_replica: dict[str, enginespeeds.Pace]
+
+
 class EngineCatalog:
     """Joins the platform's replica list with the state reported by the engines' owners.
 
@@ -54,7 +64,7 @@
     ) -> None:
         self._speeds = speeds
         self._clock = clock
-        self._pool_by_service: dict[str, tuple[float, outlooklib.PoolOutlook]] = {}
+        self._pool_by_service: dict[str, _DerivedPool] = {}
         self._available = available
         self._replicas = available.replicas
         self._schedulers = schedulers
@@ -202,22 +212,29 @@
 
     def outlook(self, replica: models.Replica) -> outlooklib.EngineOutlook | None:
         """Return an engine's expected pace, or None if its service is not placed by pace."""
-        pool = self.pool_outlook(replica.service)
-        return None if pool is None else outlooklib.EngineOutlook(pool, self._pace(replica.id))
+        pool = self._pool(replica.service)
+        if pool is None:
+            return None
+        return outlooklib.EngineOutlook(pool.outlook, pool.pace_by_replica.get(replica.id))
 
-    def pool_outlook(self, service: str) -> outlooklib.PoolOutlook | None:
+    def _pool(self, service: str) -> _DerivedPool | None:
         """Return the paces of a service's engines, or None if it is not placed by pace."""
         if self._speeds is None or not self._speeds.is_enabled(service):
             return None
         now = self._clock.now()
         derived = self._pool_by_service.get(service)
-        if derived is not None and now - derived[0] < POOL_INTERVAL_S:
-            return derived[1]
-        paces = map(self._pace, (each.id for each in self._available.usable(service)[:MAX_POOL]))
-        pool = outlooklib.pool_outlook(
-            [each for each in paces if each is not None], self._speeds.tokens_per_event(service)
+        if derived is not None and now - derived.at < POOL_INTERVAL_S:
+            return derived
+        paces = {
+            each.id: self._pace(each.id) for each in self._available.usable(service)[:MAX_POOL]
+        }
+        known = {replica: pace for replica, pace in paces.items() if pace is not None}
+        outlook = outlooklib.pool_outlook(
+            known.values(),
+            self._speeds.tokens_per_event(service),
+            outlooklib.DEFAULT_PAUSE_RATIO if derived is None else derived.outlook.pause_ratio,
         )
-        self._pool_by_service[service] = (now, pool)
+        pool = self._pool_by_service[service] = _DerivedPool(now, outlook, known)
         return pool
 
     def _pace(self, replica_id: str) -> enginespeeds.Pace | None:
--- a/hornbeamglade/speeds/enginespeeds.py
+++ b/hornbeamglade/speeds/enginespeeds.py
@@ -12,6 +12,10 @@
 """Placement follows speeds slowly, so that nodes neither abandon an engine all at once nor
 converge on it."""
 
+PAUSE_KNOWN_AFTER_S = 4.0
+"""A machine becomes busy about this often, so the pauses of an engine that was observed for less
+time are too short."""
+
 MAX_OBSERVATIONS = 64
 MAX_ENGINES = 256
 MAX_TOKEN_US = 1_000_000
@@ -39,6 +43,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Engine:
+    first_at: float
     tokens_s: collections.deque[_Observation]
     pauses_s: collections.deque[_Observation]
 
@@ -62,8 +67,11 @@
     >>> speeds = EngineSpeeds(clock, lambda service: True)
     >>> speeds.observe("e1", pacemeter.Measurement(token_us=8000, pause_ms=120))
     >>> speeds.pace("e1")
+    Pace(token_s=0.008, pause_s=0.0)
+    >>> clock.advance(5.0)
+    >>> speeds.pace("e1")
     Pace(token_s=0.008, pause_s=0.12)
-    >>> clock.advance(20.0)
+    >>> clock.advance(15.0)
     >>> speeds.pace("e1") is None
     True
     """
@@ -96,15 +104,16 @@
 
     def observe(self, replica: str, measurement: pacemeter.Measurement) -> None:
         """Record the measurement of a stream."""
+        now = self._clock.now()
         engine = self._engine_by_replica.get(replica)
         if engine is None:
             if len(self._engine_by_replica) >= MAX_ENGINES:
                 return
             engine = self._engine_by_replica[replica] = _Engine(
+                now,
                 collections.deque(maxlen=MAX_OBSERVATIONS),
                 collections.deque(maxlen=MAX_OBSERVATIONS),
             )
-        now = self._clock.now()
         if 0 < measurement.token_us <= MAX_TOKEN_US:
             token_s = measurement.token_us / pacemeter.MICROSECONDS_PER_SECOND
             engine.tokens_s.append(_Observation(now, token_s))
@@ -122,7 +131,9 @@
         if not tokens_s:
             return None
         pauses_s = _recent(engine.pauses_s, now - PAUSE_WINDOW_S)
-        return Pace(pacemeter.low_quantile(tokens_s), max(pauses_s, default=0.0))
+        is_pause_known = now - engine.first_at >= PAUSE_KNOWN_AFTER_S
+        pause_s = max(pauses_s, default=0.0) if is_pause_known else 0.0
+        return Pace(pacemeter.low_quantile(tokens_s), pause_s)
 
     def retain(self, replicas: collections.abc.Container[str]) -> None:
         """Forget all engines but ``replicas``."""
--- a/hornbeamglade/speeds/outlook.py
+++ b/hornbeamglade/speeds/outlook.py
@@ -20,9 +20,10 @@
 BUSY_INTERVAL_S = 4.0
 """A machine that is busy for 15 % of the time in windows of 0.6 s becomes busy this often."""
 
-LIKELY = 0.5
-"""A response waits for an engine that keeps the pace if it would more likely than not meet a
-pause elsewhere."""
+AVOIDED_FROM = 0.2
+"""A response waits for an engine that keeps the pace while it would meet a pause over its
+objective with at least this probability: long responses at a slow engine, and at one of unknown
+speed where a third of the engines is slow. Short responses start there and measure its speed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,18 +50,23 @@
 
 
 def pool_outlook(
-    paces: collections.abc.Collection[enginespeeds.Pace], tokens_per_event: int
+    paces: collections.abc.Collection[enginespeeds.Pace],
+    tokens_per_event: int,
+    pause_ratio: float = DEFAULT_PAUSE_RATIO,
 ) -> PoolOutlook:
-    """Return the outlook of a service by the known paces of its engines."""
+    """Return the outlook of a service by the known paces of its engines.
+
+    :param pause_ratio: the former ratio, used while too few engines were observed for long: it
+        describes the service's machines, and its engines may live for only some 20 s.
+    """
     ratios = [each.pause_s / (each.token_s * tokens_per_event) for each in paces if each.pause_s]
-    ratio = DEFAULT_PAUSE_RATIO
     if len(ratios) >= MIN_RATIO_ENGINES:
-        ratio = min(max(statistics.median(ratios), MIN_PAUSE_RATIO), MAX_PAUSE_RATIO)
+        pause_ratio = min(max(statistics.median(ratios), MIN_PAUSE_RATIO), MAX_PAUSE_RATIO)
     return PoolOutlook(
         tokens_per_event,
         statistics.median(each.token_s for each in paces) if paces else None,
-        ratio,
-        tuple(each.token_s * tokens_per_event * ratio for each in paces),
+        pause_ratio,
+        tuple(each.token_s * tokens_per_event * pause_ratio for each in paces),
     )
 
 
@@ -98,15 +104,19 @@
 
         A response with such a pause is late, just as one that starts after its objective.
         """
+        return objective.goal_s * self._lateness(objective)
+
+    def must_avoid(self, objective: outcomes.PaceObjective) -> bool:
+        """Return whether a response that may find another engine must not start here."""
+        return self._lateness(objective) >= AVOIDED_FROM
+
+    def _lateness(self, objective: outcomes.PaceObjective) -> float:
+        """Return the probability that a response meets a pause over its objective."""
         if self.pace is None:
             share = self.pool.breaking_share(objective.gap_goal_s)
         else:
             share = float(not self.keeps_pace(objective))
-        return objective.goal_s * share * self.pause_probability(objective)
-
-    def must_avoid(self, objective: outcomes.PaceObjective) -> bool:
-        """Return whether a response that may find another engine must not start here."""
-        return not self.keeps_pace(objective) and self.pause_probability(objective) >= LIKELY
+        return share * self.pause_probability(objective)
 
     def _predicted_pause_s(self, pace: enginespeeds.Pace) -> float:
         return pace.token_s * self.pool.tokens_per_event * self.pool.pause_ratio
