tests: cover paces in measurements, messages and the owner's choice

The load test alone does not show which part fails. Test the meter, the owner's state and its bounds, the outlook, the early report, the choice of owners and of an owner's own requests, and that paces have no effect on services without shared machines. tests/speeds, exchange, grants and routed pass.

--- a/tests/exchange/test_grantrequests.py
+++ b/tests/exchange/test_grantrequests.py
@@ -1,6 +1,7 @@
 import pytest
 
 from hornbeamglade.exchange import grantrequests, messages, transport
+from hornbeamglade.speeds import pacemeter
 from tests.exchange import lossynetwork
 
 KIND = messages.GrantKind
@@ -116,3 +117,23 @@
     (report,) = tracker.tick(1.0)
     assert report.peer == new
     assert report.message.running == (messages.GrantProgress(grant_id, lossynetwork.REPLICA, 40),)
+
+
+def test_first_pace_of_a_stream_is_reported_before_the_next_regular_report(tracker):
+    """An engine that lives for 20 s was used without its pace for half of that time."""
+    tracker.tick(0.0)
+    grant_id = open_request(tracker)
+    tracker.on_response(OWNER, make_response(grant_id, KIND.GRANTED), 0.0)
+    meter = pacemeter.PaceMeter(tokens_per_event=4)
+    for number in range(pacemeter.READY_EVENTS):
+        tracker.record_progress(grant_id, 4 * number, meter)
+        meter.record(number / 25)
+    assert tracker.tick(0.3) == ()
+    tracker.record_progress(grant_id, 32, meter)
+    (report,) = tracker.tick(0.35)
+    expected = messages.GrantProgress(grant_id, lossynetwork.REPLICA, 32, 10_000, 40)
+    assert report.message.running == (expected,)
+    tracker.record_progress(grant_id, 36, meter)
+    assert tracker.tick(0.4) == ()
+    (release,) = tracker.close(grant_id, 0.4)
+    assert release.message.released == (messages.GrantRelease(grant_id, 36, 10_000, 0),)
--- a/tests/exchange/test_grantserver.py
+++ b/tests/exchange/test_grantserver.py
@@ -7,6 +7,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, grantrequests, grantserver, messages, transport
+from hornbeamglade.speeds import pacemeter
 from tests.exchange import lossynetwork
 
 KIND = messages.GrantKind
@@ -278,3 +279,12 @@
     present = iter([grantserver.SiteFigures((messages.AgedDigest(each),)) for each in digests])
     owner.server.set_figures(lambda replica: next(present))
     assert [owner.request(1).digests[0].digest for _ in digests] == digests
+
+
+def test_pace_of_a_grant_reaches_the_scheduler_also_with_its_release():
+    """A short response ends before its first progress report."""
+    owner = Owner()
+    owner.request(1)
+    released = messages.GrantRelease(1, 12, 8_000, 90)
+    owner.server.on_progress(messages.Progress((), (released,)), ORIGIN, SOURCE)
+    assert list(owner.scheduler.pace_by_key.values()) == [pacemeter.Measurement(8_000, 90)]
--- a/tests/grants/test_asyncgrantacquirer.py
+++ b/tests/grants/test_asyncgrantacquirer.py
@@ -4,6 +4,8 @@
 import dataclasses
 import random
 
+import pytest
+
 from hornbeamglade.admission import replicaadmission, tokenledger
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import (
@@ -24,6 +26,7 @@
 )
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.routing import candidates
+from hornbeamglade.speeds import enginespeeds, outlook
 from tests import eventloop
 
 KEYS = codec.KeyRing(1, {1: b"sixteen bytes at least"})
@@ -299,6 +302,46 @@
     return dataclasses.replace(candidate(replica, **changes), report_age_s=20.0)
 
 
+def paced(placement_request, expected_tokens=700, due_s=5.0):
+    pace = outcomes.PaceObjective(0.18, 1.8, expected_tokens)
+    return dataclasses.replace(
+        placement_request,
+        work=dataclasses.replace(placement_request.work, pace=pace),
+        due=clocks.SystemClock().now() + due_s,
+    )
+
+
+PACES = [enginespeeds.Pace(0.006), enginespeeds.Pace(0.06)]
+POOL = outlook.pool_outlook(PACES, tokens_per_event=4)
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, ("e1", 0)),
+        ({"expected_tokens": 12}, ("e0", 1)),
+        ({"due_s": -1.0}, ("e0", 1)),
+    ],
+    ids=["long", "short", "late"],
+)
+def test_own_slow_engine_is_left_to_short_and_late_requests(changes, expected):
+    """An instance that owns slow engines placed its own long requests there."""
+
+    async def test(local, remote):
+        slow, fast = (
+            dataclasses.replace(
+                candidate(replica), local=is_local, outlook=outlook.EngineOutlook(POOL, pace)
+            )
+            for replica, is_local, pace in (("e0", True, PACES[1]), ("e1", False, PACES[0]))
+        )
+        # The fast engine has just received requests, so it costs more than the slow one.
+        fast = dataclasses.replace(fast, expected_wait_s=4.0)
+        request = paced(placement("r1", local, slow, fast), **changes)
+        return (await local.acquirer.acquire(request)).replica, running(local, "e0")
+
+    assert run_on_two_nodes(test) == expected
+
+
 def test_owner_is_asked_despite_an_old_report_of_a_full_engine():
     """At 82 nodes, a node receives a report of most engines once in 20 s."""
 
--- a/tests/grants/test_remotescheduler.py
+++ b/tests/grants/test_remotescheduler.py
@@ -181,3 +181,51 @@
         2, avoid=(messages.key_hash("engine-1"), messages.key_hash("engine-2"))
     )
     assert (none.kind, none.code) == (KIND.REFUSED, remotescheduler.NONE_LEFT)
+
+
+def avoiding_owner():
+    """Return an owner whose best engine by cost does not keep the pace."""
+    owner = ChoosingOwner("engine-2", "engine-1")
+    owner.remote.set_alternatives(
+        lambda replica, work: ("engine-2", "engine-1"),
+        lambda replica, work: replica == "engine-2" and work.pace is not None,
+    )
+    return owner
+
+
+PACED = {"gap_goal_ms": 180, "goal_ms": 1800, "expected_tokens": 700}
+
+
+def test_request_that_may_find_another_engine_does_not_start_at_a_slow_one():
+    """Long responses started at slow engines, and most of them met a long pause there."""
+    owner = avoiding_owner()
+    first, second = (
+        owner.request(number, immediate=True, may_find_other=True, **PACED)[1] for number in (1, 2)
+    )
+    assert first.replica == messages.key_hash("engine-1")
+    assert (second.kind, second.code) == (KIND.REFUSED, grantresponses.PACE_BOUND)
+
+
+def test_late_request_starts_at_a_slow_engine():
+    """Slow engines would idle while requests wait."""
+    owner = avoiding_owner()
+    answer = owner.request(1, immediate=True, **PACED)[1]
+    assert answer.replica == messages.key_hash("engine-2")
+
+
+def test_request_that_may_find_another_engine_waits_at_one_that_keeps_the_pace():
+    """It would start at the slow engine as soon as it waits in a queue."""
+    owner = avoiding_owner()
+    answers = [owner.request(each, may_find_other=True, **PACED)[1] for each in (1, 2)]
+    assert [answer.kind for answer in answers] == [KIND.GRANTED, KIND.QUEUED]
+    assert {answer.replica for answer in answers} == {messages.key_hash("engine-1")}
+
+
+def test_migrated_run_prefers_an_engine_that_keeps_the_pace():
+    """A run of a departing fast engine would continue at a slow one."""
+    owner = avoiding_owner()
+    answers = [owner.request(each, produced=40, **PACED)[1] for each in (1, 2)]
+    assert [answer.replica for answer in answers] == [
+        messages.key_hash("engine-1"),
+        messages.key_hash("engine-2"),
+    ]
--- a/tests/routed/test_enginecatalog.py
+++ b/tests/routed/test_enginecatalog.py
@@ -1,7 +1,10 @@
 """Routing candidates among a node's own engines and those of other owners."""
 
+import dataclasses
 import random
 
+import pytest
+
 from hornbeamglade.admission import replicaadmission, tokenledger
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import messages
@@ -20,6 +23,7 @@
 )
 from hornbeamglade.routed import enginecatalog
 from hornbeamglade.routing import candidates
+from hornbeamglade.speeds import enginespeeds, pacemeter
 
 WORK = outcomes.Work("r1", "draft", "clinic", 1, 500, 100)
 SPEC = schedulerset.SchedulerSpec(
@@ -27,7 +31,7 @@
 )
 
 
-def make(owned=("e0", "e1"), names=("e0", "e1", "e2")):
+def make(owned=("e0", "e1"), names=("e0", "e1", "e2"), shares_machines=False):
     clock = clocks.ManualClock(100.0)
     replicas = replicalist.ReplicaList()
     listed = [
@@ -39,6 +43,10 @@
     schedulers = schedulerset.SchedulerSet(clock, lengthmodel.LengthModel())
     schedulers.configure(dict.fromkeys((*names, "x0"), SPEC))
     schedulers.set_owned(frozenset(owned))
+    speeds = enginespeeds.EngineSpeeds(clock, lambda service: shares_machines)
+    speeds.configure({"llm": 4})
+    for replica, token_us in (("e0", 16_000), ("e1", 6_000)):
+        speeds.observe(replica, pacemeter.Measurement(token_us, 0))
     catalog = enginecatalog.EngineCatalog(
         availability.Availability(
             replicas,
@@ -53,6 +61,8 @@
         digestcache.DigestCache(clock),
         lambda: owned,
         candidates.RoutingSettings(),
+        speeds,
+        clock,
     )
     return schedulers, replicas, catalog
 
@@ -83,6 +93,24 @@
     assert catalog.owned_alternatives("unknown", WORK) == ()
 
 
+PACED = dataclasses.replace(WORK, pace=outcomes.PaceObjective(0.1, 2.0, 700))
+
+
+@pytest.mark.parametrize(
+    ("shares_machines", "expected"), [(False, ("e0", "e1")), (True, ("e1", "e0"))]
+)
+def test_paces_count_only_where_machines_are_shared(shares_machines, expected):
+    """Services on dedicated machines must be served as before, whatever was measured."""
+    schedulers, _, catalog = make(shares_machines=shares_machines)
+    report(schedulers, "e0", 0)
+    report(schedulers, "e1", 5_000)
+    assert catalog.owned_alternatives("e0", PACED) == expected
+    assert catalog.must_avoid("e0", PACED) is shares_machines
+    assert not catalog.must_avoid("e1", PACED)
+    outlooks = [each.outlook for each in catalog.candidates("llm", frozenset())]
+    assert any(outlooks) is shares_machines
+
+
 MANY = tuple(f"e{number:03}" for number in range(200))
 
 
--- a/tests/routed/test_eventrelay.py
+++ b/tests/routed/test_eventrelay.py
@@ -4,6 +4,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.routed import eventrelay
+from hornbeamglade.speeds import pacemeter
 from hornbeamglade.standins import routedruns
 from tests import eventloop
 from tests.routed import fakes
@@ -92,3 +93,16 @@
         return await event_relay.finish(START), exchange.is_finished
 
     assert eventloop.run(main()) == (is_complete, is_complete)
+
+
+def test_pause_between_two_replicas_counts_for_neither():
+    """The pause of a migration would make the destination seem slow."""
+    clock = clocks.ManualClock()
+    event_relay = eventrelay.EventRelay(fakes.FakeExchange(), clock, None)
+    for number in (1, 2):
+        meter = pacemeter.PaceMeter(tokens_per_event=4)
+        event_relay.start_connection(meter)
+        relay_pieces(event_relay, event(number))
+        clock.advance(0.5)
+        assert meter.take() == pacemeter.Measurement()
+    assert event_relay.longest_gap_s == 0.5
