routed: choose plain replicas by expected time where they share machines

Utilization does not show that work on a machine takes 2.5 times as long. Where a service's replicas report slowdowns, the expected time counts instead: utilization with the request itself, times the slowdown (decayed to 1 within 0.6 s, bounded to 0.5 to 8), times a factor of 0.5 to 4 for the replica's lasting speed, learned from service times divided by the slowdown of their response. Without a fresh report of every replica, the choice is between two drawn at random, so instances do not converge on one figure. A second attempt prefers another failure domain.

Services that report no slowdown are chosen as before.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -180,7 +180,7 @@
             clock,
             self._on_load,
         )
-        self._loads = replicaload.ReplicaLoads(clock, rng)
+        self._loads = replicaload.ReplicaLoads(clock, rng, self.shared_machines)
         self._budgets = retrybudget.RetryBudgets(
             componentsettings.retry_budget(instance_settings),
             lambda service, outcome: self.instruments.routed.retries.add(
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -107,7 +107,9 @@
             and not self._available.cold_wait_s(replica.id, now)
             and not self._available.send_wait_s(replica.id)
         ]
-        return self._loads.choose(usable)
+        tried = (self._available.replicas.by_id.get(each) for each in log.tried)
+        domains = frozenset(each.failure_domain for each in tried if each is not None)
+        return self._loads.choose(usable, domains)
 
     async def _wait_for_send_slot(
         self, routed: callrouter.RoutedRequest, log: attemptlog.AttemptLog
@@ -173,7 +175,7 @@
                 outcome = started
         finally:
             failed = not isinstance(outcome, responses.Response) or outcome.status >= 500
-            self._loads.ended(replica.id, failed, load)
+            self._loads.ended(replica.id, failed, load, self._clock.now() - sent_at)
             self._available.exchange_ended(replica.id)
             if outcome is None:
                 self._crash_detector.run_unanswered(routed.fingerprint, replica, sent_at)
