platform: bound the figures in entries of the replica list

Another program's entry could name 10^9 slots, with which a server appears idle under any load and gets all requests of its service, a start time of hundreds of digits, which became part of ids and messages, or a cold time without end. Slots above 100,000 and start times above 10^15 ms make an entry unusable, as other malformed fields do; a cold time counts for an hour at most. A server name that ends like the id of an incarnation (i-1@) is rejected, since it could replace that incarnation of another server.

Tests cover start times that are not whole numbers, nested or written with an exponent, and rows that are not text; these were handled before.

--- a/hornbeamglade/platform/replicarows.py
+++ b/hornbeamglade/platform/replicarows.py
@@ -23,8 +23,16 @@
 
 _MS = 1000.0
 _MAX_PORT = 65_535
+# A server with more slots would appear idle under any load and get all requests of its service.
+_MAX_SLOTS = 100_000
+# Later than any start time in milliseconds, and short enough for the id that it is a part of.
+_MAX_BORN = 10**15
+# A longer time would keep a replica cold for good.
+_MAX_COLD_S = 3600.0
 # Sent as a header value, which must not contain spaces or line breaks.
 _NAME = re.compile(r"[!-.0-~]{1,200}", re.ASCII)
+# Such a name may equal the id of an incarnation of another server.
+_INCARNATION = re.compile(r".*@[0-9]+", re.ASCII)
 
 
 def _checked_address(address: str) -> str:
@@ -46,13 +54,13 @@
     address: typing.Annotated[str, pydantic.AfterValidator(_checked_address)]
     zone: typing.Annotated[str, pydantic.Field(min_length=1)]
     version: str
-    slots: typing.Annotated[int, pydantic.Field(ge=1)]
+    slots: typing.Annotated[int, pydantic.Field(ge=1, le=_MAX_SLOTS)]
     state: typing.Literal["ready", "draining"]
     cold_remaining_ms: typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
     sequence: typing.Annotated[int, pydantic.Field(ge=0)]
     # Start time of the server that wrote the entry, in Unix milliseconds; not every platform
     # provides it.
-    born: typing.Annotated[int, pydantic.Field(gt=0)] | None = None
+    born: typing.Annotated[int, pydantic.Field(gt=0, le=_MAX_BORN)] | None = None
 
     @pydantic.field_validator("born", mode="before")
     @classmethod
@@ -73,7 +81,7 @@
     :raises CodedError: ``replica_entry_invalid``, naming the entry, field and value.
     """
     name = server_name(row.key)
-    if not _NAME.fullmatch(name):
+    if not _NAME.fullmatch(name) or _INCARNATION.fullmatch(name):
         raise codederrors.CodedError(ENTRY_INVALID, f"{row.key!r:.80}: key: not a server name")
     if row.problem is not None:
         raise codederrors.CodedError(ENTRY_INVALID, f"{row.key}: value: {row.problem}")
@@ -93,7 +101,7 @@
         slots=entry.slots,
         is_leaving=entry.state != "ready",
         version=entry.version,
-        warm_in_s=entry.cold_remaining_ms / _MS,
+        warm_in_s=min(entry.cold_remaining_ms / _MS, _MAX_COLD_S),
         started_ms=started_ms,
         name=name,
     )
--- a/tests/platform/test_replicarows.py
+++ b/tests/platform/test_replicarows.py
@@ -47,10 +47,11 @@
     ("field", "value"),
     [
         *(("state", each) for each in ("leaving", "of_tomorrow", "", 1, None)),
-        *(("slots", each) for each in ("4", 4.0, True, 0, -1, None)),
+        *(("slots", each) for each in ("4", 4.0, True, 0, -1, None, 10**9, 10**300)),
         *(("address", each) for each in ("", "10.1.0.9", "h:80", "10.1.0.9:0", "10.1.0.9:+8")),
         *(("cold_remaining_ms", each) for each in (-1, "5", None, True)),
-        *(("born", each) for each in ("1769769571006", 1.5, True, None, 0, -4)),
+        *(("born", each) for each in ("1769769571006", 1.5, True, None, 0, -4, 1769769571006.0)),
+        *(("born", each) for each in (False, [], {}, 10**20, 10**400)),
         *(("zone", each) for each in ("", 7)),
         ("service", ""),
         ("version", 3),
@@ -75,7 +76,31 @@
         replicarows.decode(contract.Row("servers/i-1", json.dumps(fields), 9))
 
 
-@pytest.mark.parametrize("name", ["", "a/b", "a b", "a\r\nHost: x", "\u00e9", "a" * 201])
+@pytest.mark.parametrize("written", ["17e11", "1769769571006.0", "1" * 5000])
+def test_start_time_must_be_written_as_a_whole_number(written):
+    """Two writers of one start time must not yield two incarnations of a server."""
+    entry = f'{json.dumps(ENTRY)[:-1]}, "born": {written}}}'
+    with pytest.raises(codederrors.CodedError):
+        replicarows.decode(contract.Row("servers/i-1", entry, 9))
+
+
+def test_start_time_is_read_at_the_top_level_only():
+    assert replicarows.decode(row(meta={"born": 1769769571006})).id == "i-1"
+
+
+def test_row_that_is_not_text_is_rejected():
+    with pytest.raises(codederrors.CodedError, match="not UTF-8"):
+        replicarows.decode(contract.Row("servers/i-1", "", 9, "not UTF-8"))
+
+
+def test_endless_cold_time_is_bounded():
+    """A wrong time of another writer would keep a replica from most requests for good."""
+    assert replicarows.decode(row(cold_remaining_ms=1e300)).warm_in_s == 3600.0
+
+
+@pytest.mark.parametrize(
+    "name", ["", "a/b", "a b", "a\r\nHost: x", "\u00e9", "a" * 201, "i-1@1769769571006"]
+)
 def test_key_that_is_not_a_server_name_is_rejected(name):
     with pytest.raises(codederrors.CodedError):
         replicarows.decode(contract.Row(f"servers/{name}", json.dumps(ENTRY), 9))
