--- a/hornbeamglade/entry/enginepaces.py
+++ b/hornbeamglade/entry/enginepaces.py
@@ -33,7 +33,7 @@
         self._catalog = catalog
         self._schedulers = schedulers
         self._factor_by_replica: dict[str, float] = {}
-        self._slow: set[str] = set()
+        self._service_by_slow: dict[str, str] = {}
 
     def update(self) -> None:
         """Apply the present slow factors; called about once a second."""
@@ -47,25 +47,30 @@
                 self._set_factor(replica.id, factor)
                 self._log_change(replica, factor)
         self._factor_by_replica = factors
-        self._slow &= factors.keys()
+        for replica_id in self._service_by_slow.keys() - factors.keys():
+            del self._service_by_slow[replica_id]
 
     @property
     def factors(self) -> collections.abc.Mapping[str, float]:
         """The slow factor of each owned engine whose service is placed by pace."""
         return self._factor_by_replica
 
+    def slow_count(self, service: str) -> int:
+        """Return how many of this instance's engines of a service are slow."""
+        return sum(each == service for each in self._service_by_slow.values())
+
     def _set_factor(self, replica_id: str, factor: float) -> None:
         self._schedulers.apply(
             replica_id, lambda scheduler, now: scheduler.prompts.set_slow_factor(factor, now)
         )
 
     def _log_change(self, replica: models.Replica, factor: float) -> None:
-        was_slow = replica.id in self._slow
+        was_slow = replica.id in self._service_by_slow
         is_slow = factor >= (NORMAL_BELOW if was_slow else SLOW_FROM)
         if is_slow:
-            self._slow.add(replica.id)
+            self._service_by_slow[replica.id] = replica.service
         else:
-            self._slow.discard(replica.id)
+            self._service_by_slow.pop(replica.id, None)
         logs.state_changed(
             "engine_pace",
             SLOW if was_slow else NORMAL,
--- a/hornbeamglade/entry/gauges.py
+++ b/hornbeamglade/entry/gauges.py
@@ -24,6 +24,7 @@
     :param clock: monotonic time.
     :param count_grants: returns the number of grants held.
     :param tunnels: tunnels to replicas, own and relayed.
+    :param count_slow_engines: returns the number of this instance's slow engines of a service.
     :param count_connections: returns the number of open caller connections.
     """
 
@@ -36,6 +37,7 @@
     clock: clocks.Clock
     count_grants: collections.abc.Callable[[], int]
     tunnels: tunneling.Tunneling
+    count_slow_engines: collections.abc.Callable[[str], int]
     count_connections: collections.abc.Callable[[], int] = lambda: 0
 
     def update(self) -> None:
@@ -53,4 +55,5 @@
         view = self.current.routes
         for name in () if view is None else view.configuration.service_by_name:
             routed.usable_replicas.set(len(self.available.usable(name)), (name,))
+            routed.slow_engines.set(self.count_slow_engines(name), (name,))
             routed.budget_left.set(self.budgets.remaining(name, self.clock.now()), (name,))
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -299,6 +299,7 @@
             clock,
             lambda: self.acquirer.active_count,
             self.tunneling,
+            self._paces.slow_count,
         )
 
     async def listen(self) -> None:
@@ -390,6 +391,9 @@
             "evacuated": sorted(self._available.evacuations.domains),
             "quarantined": self.quarantine.quarantined_count,
             "tunneled_replicas": self.tunneling.paths.detoured_count,
+            "slow_factors": {
+                replica: round(factor, 2) for replica, factor in self._paces.factors.items()
+            },
         }
         return json.dumps(page).encode()
 
--- a/hornbeamglade/grants/asyncgrantacquirer.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -514,6 +514,9 @@
         candidate = next(
             (each for each in placement.list_candidates() if each.replica == replica), None
         )
+        paced = {}
+        if placement.work.pace is not None:
+            paced["slow_factor"] = _slow_factor(placement, answer, replica)
         logs.decided(
             placement.work.request_id,
             "placed",
@@ -528,6 +531,7 @@
             tokens=placement.work.prompt_tokens,
             produced=placement.produced,
             wait_s=round(wait_s, 3),
+            **paced,
         )
 
     async def _request_locally(
@@ -606,3 +610,14 @@
 
 def _uses_site_figures(placement: PlacementRequest) -> bool:
     return placement.site_service is not None and not placement.known_only
+
+
+def _slow_factor(
+    placement: PlacementRequest, answer: Grant | outcomes.Refusal, replica: str
+) -> float | None:
+    """Return the slow factor of the replica that was granted, or else of the one asked for."""
+    placed_at = answer.replica if isinstance(answer, Grant) else replica
+    for each in placement.list_candidates():
+        if each.replica == placed_at and each.outlook is not None:
+            return round(each.outlook.slow_factor, 2)
+    return None
--- a/hornbeamglade/observability/losses.py
+++ b/hornbeamglade/observability/losses.py
@@ -29,6 +29,9 @@
 UNKNOWN_DOMAIN = "-"
 _END = "answer"
 
+SLOW_FACTOR = 1.5
+"""From this time per token, relative to the service's median, an engine counts as slow."""
+
 
 class Cause(enum.Enum):
     """Why a caller did not get a complete response on time."""
@@ -46,6 +49,7 @@
     DEADLINE_PASSED = "time_over"
     LATE_START = "late_in_queue_or_prompt"
     LATE_TOKEN = "late_by_a_pause"
+    SLOW_ENGINE = "slow_engine"
     LATE_RESPONSE = "late_answer"
     CALLER_LEFT = "caller_left"
     UNKNOWN = "unknown"
@@ -215,6 +219,8 @@
     outcome = str(end.fields.get("outcome"))
     if outcome in ("answered", "streamed"):
         cause = _lateness_cause(end, outcome)
+        if cause is Cause.LATE_TOKEN and _was_engine_slow(request_lines):
+            cause = Cause.SLOW_ENGINE
         return None if cause is None else _loss(request_lines, end, cause)
     if outcome == "broken_off":
         return _loss(request_lines, end, _interruption_cause(request_lines, leaving_times))
@@ -240,6 +246,16 @@
     return None
 
 
+def _was_engine_slow(request_lines: list[requesttimeline.Line]) -> bool:
+    """Return whether the engine was known to be slow when the stream was placed there."""
+    granted = [
+        line.fields
+        for line in request_lines
+        if line.fields.get("decision") == "placed" and line.fields.get("outcome") == "granted"
+    ]
+    return bool(granted) and _number(granted[-1].get("slow_factor")) >= SLOW_FACTOR
+
+
 def _interruption_cause(
     request_lines: list[requesttimeline.Line], leaving_times: _LeavingTimes
 ) -> Cause:
--- a/hornbeamglade/observability/metricsrouted.py
+++ b/hornbeamglade/observability/metricsrouted.py
@@ -56,6 +56,11 @@
         self.budget_left: metricsinstruments.Gauge = registry.gauge(
             "retry_budget_left", "Attempts beyond the first that may still be made.", ("service",)
         )
+        self.slow_engines: metricsinstruments.Gauge = registry.gauge(
+            "slow_engines",
+            "Engines of this instance that are slow for their service.",
+            ("service",),
+        )
         self.is_store_reached: metricsinstruments.Gauge = registry.gauge(
             "store_reached", "1 while the platform's store answers this instance, else 0."
         )
--- a/tests/observability/test_losses.py
+++ b/tests/observability/test_losses.py
@@ -62,6 +62,16 @@
     assert causes(PLACED, end) == [cause]
 
 
+@pytest.mark.parametrize(
+    ("slow_factor", "cause"), [(2.4, Cause.SLOW_ENGINE), (1.0, Cause.LATE_TOKEN)]
+)
+def test_pause_at_an_engine_known_to_be_slow_has_its_own_cause(slow_factor, cause):
+    """Operators looked for network faults though too few engines kept the pace."""
+    placed = decided(1.1, "placed", "granted", replica="e1", slow_factor=slow_factor)
+    end = answer(9.0, "streamed", status=200, first_s=0.4, gap_s=0.3, gap_goal_s=0.18)
+    assert causes(placed, end) == [cause]
+
+
 @pytest.mark.parametrize(
     "end",
     [
