--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -37,6 +37,10 @@
     outlook: outlooklib.PoolOutlook
     pace_by_replica: dict[str, enginespeeds.Pace]
 
+    def engine_outlook(self, replica_id: str) -> outlooklib.EngineOutlook:
+        """Return what a response may expect at one engine."""
+        return outlooklib.EngineOutlook(self.outlook, self.pace_by_replica.get(replica_id))
+
 
 class EngineCatalog:
     """Joins the platform's replica list with the state reported by the engines' owners.
@@ -160,8 +164,10 @@
             if replica.id not in owned and self._is_candidate(replica, excluded)
         )
         eligible.extend(itertools.islice(others, MAX_CANDIDATES))
+        pool = self._pool(service)
         return tuple(
-            self._candidate(replica, state_by_replica.get(replica.id)) for replica in eligible
+            self._candidate(replica, state_by_replica.get(replica.id), pool)
+            for replica in eligible
         )
 
     def find(
@@ -196,8 +202,9 @@
         # Called for each grant, so the engines of other owners are not examined.
         owned = self._owned()
         states = self._schedulers.states_of(owned)
+        pool = self._pool(replica.service)
         candidates = [
-            self._candidate(each, states[each.id])
+            self._candidate(each, states[each.id], pool)
             for each in self._available.usable(replica.service)
             if each.id in states
         ]
@@ -213,9 +220,7 @@
     def outlook(self, replica: models.Replica) -> outlooklib.EngineOutlook | None:
         """Return an engine's expected pace, or None if its service is not placed by pace."""
         pool = self._pool(replica.service)
-        if pool is None:
-            return None
-        return outlooklib.EngineOutlook(pool.outlook, pool.pace_by_replica.get(replica.id))
+        return None if pool is None else pool.engine_outlook(replica.id)
 
     def _pool(self, service: str) -> _DerivedPool | None:
         """Return the paces of a service's engines, or None if it is not placed by pace."""
@@ -251,8 +256,12 @@
         return enginespeeds.Pace(token_us / 1e6, received.digest.pause_ms / 1e3)
 
     def _candidate(
-        self, replica: models.Replica, state: schedulerset.SchedulerState | None
+        self,
+        replica: models.Replica,
+        state: schedulerset.SchedulerState | None,
+        pool: _DerivedPool | None,
     ) -> candidatelib.Candidate:
+        outlook = None if pool is None else pool.engine_outlook(replica.id)
         if state is not None:
             return candidatelib.Candidate(
                 replica=replica.id,
@@ -265,7 +274,7 @@
                 failure_domain=replica.failure_domain,
                 leaving=state.leaving,
                 ejected=state.is_unreachable,
-                outlook=self.outlook(replica),
+                outlook=outlook,
             )
         received = self._digests.newest(replica.id)
         digest = None if received is None else received.digest
@@ -280,5 +289,5 @@
             failure_domain=replica.failure_domain,
             leaving=digest is not None and digest.leaving,
             ejected=digest is not None and digest.ejected,
-            outlook=self.outlook(replica),
+            outlook=outlook,
         )
--- a/tests/grants/test_asyncgrantacquirer.py
+++ b/tests/grants/test_asyncgrantacquirer.py
@@ -472,3 +472,23 @@
         return grant, len(asked), [each.code for each in refused]
 
     assert run_on_two_nodes(test) == (None, 1, ["no_room_now"])
+
+
+def test_migrated_run_prefers_an_engine_that_keeps_the_pace_if_it_has_memory():
+    """A run of a departing fast engine would continue at a slow one that is emptier."""
+
+    async def test(local, remote):
+        def known(replica, pace, headroom):
+            return dataclasses.replace(
+                candidate(replica, headroom=headroom), outlook=outlook.EngineOutlook(POOL, pace)
+            )
+
+        chosen = []
+        for number, headroom in enumerate((5_000, 100)):
+            slow, fast = known("e0", PACES[1], 9_000), known("e1", PACES[0], headroom)
+            request = paced(placement(f"r{number}", local, slow, fast, produced=40))
+            grant = await local.acquirer.acquire_for_migration(request, "a")
+            chosen.append(grant.replica)
+        return chosen
+
+    assert run_on_two_nodes(test) == ["e1", "e0"]
