admission: reserve memory for urgent requests that had to wait

In a surge, less urgent requests took freed memory as soon as it sufficed for one of them, and held it for seconds, while urgent ones waited.

For 3 s after an urgent request had to wait at an engine, requests of lower priority now leave room for one urgent prompt there, unless they are about to be late or have waited longer than ageing_s. Changes are logged.

--- a/hornbeamglade/fairness/fairqueue.py
+++ b/hornbeamglade/fairness/fairqueue.py
@@ -111,6 +111,11 @@
         """Whether requests with slack let more urgent ones pass."""
         return self._settings.has_mixed_objectives
 
+    @property
+    def ageing_s(self) -> float:
+        """Seconds without service after which a starved request counts as more urgent."""
+        return self._settings.ageing_s
+
     def __len__(self) -> int:
         return len(self._table)
 
--- a/hornbeamglade/grants/replicascheduler.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -18,7 +18,7 @@
 import dataclasses
 import math
 
-from hornbeamglade.admission import policies, promptbacklog, tokenledger
+from hornbeamglade.admission import policies, promptbacklog, tokenledger, urgentreserve
 from hornbeamglade.core import outcomes
 from hornbeamglade.fairness import fairqueue, flows, recentstarts
 from hornbeamglade.replicas import startgate
@@ -87,6 +87,7 @@
     weight: float
     deadline: float
     due: float
+    offered_at: float
 
 
 class ReplicaScheduler:
@@ -111,6 +112,7 @@
         self.gate = gate or startgate.OpenGate()
         self.prompts = promptbacklog.PromptBacklog()
         self.recent_starts = recentstarts.RecentStarts()
+        self.reserve = urgentreserve.UrgentReserve()
         self.leaving = False
         self.is_unreachable = False
         self._reported_at: float | None = None
@@ -165,7 +167,7 @@
         if closed is not None:
             return closed
         granted = self.try_grant(work, now, due)
-        return granted or self._enqueue(_PendingRequest(work, weight, deadline, due), now)
+        return granted or self._enqueue(_PendingRequest(work, weight, deadline, due, now), now)
 
     def try_grant(self, work: outcomes.Work, now: float, due: float = math.inf) -> Granted | None:
         """Grant a request that may start now, or return None.
@@ -176,7 +178,7 @@
         """
         if not self._may_start(now) or not self._is_next(work, due, now):
             return None
-        return self._start(work, now) if self.admission.fits(work, now) else None
+        return self._start(work, now) if self._fits(work, due, now) else None
 
     def seconds_until_look(self, now: float) -> float | None:
         """Return when the backlog of prompts lets a queued request start; None if it does now.
@@ -272,7 +274,9 @@
         decided += [self._refuse(each) for each in self.queue.expire(now)]
         while self._pending_by_id and self._may_start(now):
             work = self.queue.take(
-                lambda each: self.admission.fits(each, now), now, self._deferral(now)
+                lambda each: self._fits(each, self._pending_by_id[each.request_id].due, now),
+                now,
+                self._deferral(now),
             )
             if work is None:
                 break
@@ -386,6 +390,22 @@
             return False
         return self.queue.would_start_first(work, due, now, is_deferred)
 
+    def _fits(self, work: outcomes.Work, due: float, now: float) -> bool:
+        """Return whether memory suffices, also for an urgent prompt if some have had to wait."""
+        if not self.admission.fits(work, now):
+            return False
+        reserved = self.reserve.tokens(work.priority, now)
+        if not reserved or self.admission.is_idle() or self._counts_as_urgent(work, due, now):
+            return True
+        extended = dataclasses.replace(work, prompt_tokens=work.prompt_tokens + reserved)
+        return self.admission.fits(extended, now)
+
+    def _counts_as_urgent(self, work: outcomes.Work, due: float, now: float) -> bool:
+        if 0.0 < due - now < fairqueue.URGENT_BEFORE_DUE_S:
+            return True
+        pending = self._pending_by_id.get(work.request_id)
+        return pending is not None and now - pending.offered_at >= self.queue.ageing_s
+
     def _deferral(self, now: float) -> flows.Deferral | None:
         """Return which requests have too much slack to start now, or None if none has."""
         backlog_s = self.prompts.wait_s(now) if self.queue.has_mixed_objectives else 0.0
@@ -416,6 +436,8 @@
         if isinstance(answer, outcomes.Refusal):
             return answer
         self._pending_by_id[pending.work.request_id] = pending
+        if self.queue.has_mixed_objectives and pending.due - now <= SLACK_S:
+            self.reserve.waited(pending.work, now)
         self._unsent += [self._refuse(each) for each in answer.displaced]
         return Queued(pending.work.request_id, self.replica)
 
--- a/hornbeamglade/grants/schedulerset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -11,6 +11,7 @@
 from hornbeamglade.fairness import fairqueue, queuesettings, recentstarts, siteforecast
 from hornbeamglade.grants import replicascheduler
 from hornbeamglade.lengths import lengthmodel
+from hornbeamglade.observability import logs
 from hornbeamglade.replicas import startgate
 
 Notify = collections.abc.Callable[[replicascheduler.QueueOutcome], None]
@@ -112,6 +113,7 @@
         self._notify_by_request: dict[str, Notify] = {}
         self._call_later: CallLater | None = None
         self._look_at_by_replica: dict[str, float] = {}
+        self._reserving: set[str] = set()
 
     def set_call_later(self, call_later: CallLater) -> None:
         """Set the function that calls :meth:`process_queue` between periodic calls."""
@@ -132,6 +134,7 @@
                     decided += scheduler.drain()
                     del self._scheduler_by_replica[name]
                     self._look_at_by_replica.pop(name, None)
+                    self._reserving.discard(name)
                 elif spec != self._spec_by_replica[name]:
                     successor = spec.make(name, self._lengths, self._gate)
                     successor.take_over(scheduler, now)
@@ -266,6 +269,7 @@
             for scheduler in self._scheduler_by_replica.values():
                 decided += scheduler.process_queue(now)
                 self._plan_look(scheduler, now)
+                self._log_reserve(scheduler, now)
         self._notify(decided)
 
     def process_queue(self, replica: str) -> None:
@@ -353,6 +357,14 @@
         replica = scheduler.replica
         self._call_later(look_at - now, lambda: self.process_queue(replica))
 
+    def _log_reserve(self, scheduler: replicascheduler.ReplicaScheduler, now: float) -> None:
+        tokens = scheduler.reserve.reserved_tokens(now)
+        if bool(tokens) is (scheduler.replica in self._reserving):
+            return
+        before, after = ("none", "reserved") if tokens else ("reserved", "none")
+        (self._reserving.add if tokens else self._reserving.discard)(scheduler.replica)
+        logs.state_changed("urgent_memory", before, after, replica=scheduler.replica, room=tokens)
+
     def _scheduler(self, replica: str) -> replicascheduler.ReplicaScheduler | None:
         scheduler = self._scheduler_by_replica.get(replica)
         spec = self._spec_by_replica.get(replica)
--- a/tests/grants/test_replicascheduler.py
+++ b/tests/grants/test_replicascheduler.py
@@ -334,3 +334,35 @@
     assert scheduler.seconds_until_look(0.0) is None
     assert scheduler.try_grant(priority_work("short", 3), 0.6, 1.8) is None
     assert "fourth" in answers(scheduler.process_queue(0.6))
+
+
+def make_full():
+    """Return a scheduler with room for one long prompt, in which an urgent request has waited."""
+    scheduler = make_scheduler(has_mixed_objectives=True, memory=4 * PROMPT)
+    for name in ("r1", "r2"):
+        scheduler.adopt(priority_work(name, 1), 0, 0.0)
+    scheduler.prompts.add(7000, 0.0)
+    scheduler.request_grant(priority_work("urgent", 3), 1.0, 0.0, 10.0, SHORT_DUE)
+    scheduler.finish("urgent", 0.1)
+    return scheduler
+
+
+@pytest.mark.parametrize(
+    ("priority", "now", "due", "starts"),
+    [(1, 1.0, 2.4, False), (3, 1.0, 2.4, True), (1, 3.1, 4.5, True), (1, 1.0, 2.1, True)],
+    ids=["less_urgent", "urgent", "after_the_surge", "about_to_be_late"],
+)
+def test_memory_is_reserved_while_urgent_requests_have_to_wait(priority, now, due, starts):
+    """Less urgent requests took all memory that was freed, and urgent ones waited again."""
+    scheduler = make_full()
+    granted = scheduler.try_grant(priority_work("new", priority), now, due)
+    assert (granted is not None) is starts
+
+
+def test_a_reserve_does_not_starve_a_request_that_has_waited():
+    scheduler = make_full()
+    scheduler.request_grant(priority_work("long", 1), 1.0, 0.1, 20.0)
+    for second in range(1, 6):
+        scheduler.reserve.waited(priority_work("other", 3), float(second))
+        assert scheduler.process_queue(float(second)) == ()
+    assert "long" in answers(scheduler.process_queue(5.2))
