grants: leave the backlog of prompts to more urgent requests

Where objectives differ widely, requests that are less urgent than others of the last seconds now start only while at most 0.5 s of prompts is queued. An engine still has work at any moment, so it processes as many prompts.

--- a/hornbeamglade/fairness/fairqueue.py
+++ b/hornbeamglade/fairness/fairqueue.py
@@ -266,7 +266,10 @@
         entries = self._table.entries()
         if is_deferred is None:
             return sum(entry.due > now for entry in entries)
-        return sum(entry.due > now and not is_deferred(entry.due) for entry in entries)
+        return sum(
+            entry.due > now and not is_deferred(entry.work.priority, entry.due)
+            for entry in entries
+        )
 
     def expected_wait_s(self, now: float, is_deferred: flows.Deferral | None = None) -> float:
         """Return the expected seconds until a new request that can be on time starts.
--- a/hornbeamglade/fairness/flows.py
+++ b/hornbeamglade/fairness/flows.py
@@ -7,8 +7,8 @@
 
 from hornbeamglade.core import outcomes
 
-Deferral = collections.abc.Callable[[float], bool]
-"""Whether a request with a due time has so much slack that it lets others pass."""
+Deferral = collections.abc.Callable[[int, float], bool]
+"""Whether a request, by its priority and due time, lets others pass for now."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +72,7 @@
             return self.next_entry(now)
         oldest = None
         for entry in self.entries:
-            if not is_deferred(entry.due):
+            if not is_deferred(entry.work.priority, entry.due):
                 if entry.due > now:
                     return entry
                 oldest = oldest or entry
--- a/hornbeamglade/grants/replicascheduler.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -44,6 +44,11 @@
 which they pass only in the owner's queue. The engine stays busy: the queue is processed
 when the backlog has drained to this bound, and every 50 ms."""
 
+MAX_LESS_URGENT_BACKLOG_S = 0.5
+"""The bound for requests that are less urgent than others of the last seconds. An urgent request
+then finds this and one long prompt (0.4 s) ahead of it, and its own takes 0.3 s, so it meets an
+objective of 1.5 s."""
+
 SLACK_S = 1.5
 """A request that may start this much later and still be on time has slack. This is nearly twice
 :data:`MAX_PROMPT_BACKLOG_S`, so it can wait its turn in the owner's queue and at the engine."""
@@ -208,8 +213,16 @@
         is_deferred = self._deferral(now)
         if is_deferred is None:
             return None
-        has_deferred = any(is_deferred(each.due) for each in self._pending_by_id.values())
-        return backlog_s - MAX_SLACK_BACKLOG_S if has_deferred else None
+        deferred = [
+            each
+            for each in self._pending_by_id.values()
+            if is_deferred(each.work.priority, each.due)
+        ]
+        if not deferred:
+            return None
+        # The highest bound below the backlog is reached first.
+        is_above = backlog_s > MAX_LESS_URGENT_BACKLOG_S
+        return backlog_s - (MAX_LESS_URGENT_BACKLOG_S if is_above else MAX_SLACK_BACKLOG_S)
 
     def admit_migration(
         self, work: outcomes.Work, produced: int, now: float
@@ -397,7 +410,7 @@
         if not self.queue.has_mixed_objectives:
             return self.queue.would_start_next(due, now)
         is_deferred = self._deferral(now)
-        if is_deferred is not None and is_deferred(due):
+        if is_deferred is not None and is_deferred(work.priority, due):
             return False
         return self.queue.would_start_first(work, due, now, is_deferred)
 
@@ -443,13 +456,27 @@
         return self._has_waited_long(work, now)
 
     def _deferral(self, now: float) -> flows.Deferral | None:
-        """Return which requests have too much slack to start now, or None if none has."""
+        """Return which requests leave the backlog of prompts to others now, or None if none do.
+
+        Requests with slack do, and those that are less urgent than others of the last seconds.
+        """
         backlog_s = self.prompts.wait_s(now) if self.queue.has_mixed_objectives else 0.0
         if backlog_s <= MAX_SLACK_BACKLOG_S:
             return None
-        # A due time already leaves out the processing of the request's own prompt. A request
-        # without one has no slack: nothing is known about its objective.
-        return lambda due: SLACK_S < due - now < math.inf
+        highest = self._highest_priority(now) if backlog_s > MAX_LESS_URGENT_BACKLOG_S else 0
+
+        def is_deferred(priority: int, due: float) -> bool:
+            # A due time already leaves out the processing of the request's own prompt. A request
+            # without one has no slack: nothing is known about its objective.
+            return priority < highest or SLACK_S < due - now < math.inf
+
+        return is_deferred
+
+    def _highest_priority(self, now: float) -> int:
+        """Return the highest priority among requests that wait or have started lately."""
+        recent = self.recent_starts.count_by_priority(now)
+        waiting = (each.work.priority for each in self._pending_by_id.values())
+        return max((*recent, *waiting), default=0)
 
     def _is_silent(self, now: float) -> bool:
         """Return whether the last report is too old; False if the replica never reported."""
--- a/tests/fairness/test_fairqueue.py
+++ b/tests/fairness/test_fairqueue.py
@@ -254,9 +254,11 @@
     slack = outcomes.Work("slack", "chat", "a", 2, 10)
     target.offer(slack, 1.0, 0.0, FAR, due=5.0)
     fill(target, "b", 6)
-    taken = [target.take(anything, 0.0, lambda due: due == 5.0).request_id for _ in range(6)]
+    taken = [
+        target.take(anything, 0.0, lambda _priority, due: due == 5.0).request_id for _ in range(6)
+    ]
     assert taken == [f"b0-{number}" for number in range(6)]
-    assert target.take(anything, 0.0, lambda due: due == 5.0) is None
+    assert target.take(anything, 0.0, lambda _priority, due: due == 5.0) is None
     assert target.take(anything, 0.0).request_id == "slack"
 
 
--- a/tests/grants/test_replicascheduler.py
+++ b/tests/grants/test_replicascheduler.py
@@ -320,8 +320,23 @@
     scheduler.request_grant(priority_work("short", 3), 1.0, 0.0, 10.0, SHORT_DUE)
     scheduler.request_grant(long, 1.0, 0.0, 10.0, 1.9)
     assert scheduler.try_grant(priority_work("new", 1), 0.6, 1.9) is None
-    started = list(answers(scheduler.process_queue(0.6)))
-    assert started.index("short") < started.index("long")
+    assert list(answers(scheduler.process_queue(0.6))) == ["short"]
+    assert list(answers(scheduler.process_queue(1.2))) == ["long"]
+
+
+def test_a_less_urgent_request_without_slack_leaves_the_backlog_to_urgent_ones():
+    """Urgent requests started late behind prompts of others that were themselves nearly late."""
+    scheduler, long = make_busy(is_mixed=True)
+    scheduler.try_grant(priority_work("urgent", 3), 0.0, SHORT_DUE)
+    backlog_s = scheduler.prompts.wait_s(0.0)
+    above = backlog_s - replicascheduler.MAX_LESS_URGENT_BACKLOG_S - 0.01
+    assert scheduler.try_grant(long, above, above + 1.0) is None
+    assert scheduler.try_grant(priority_work("later", 3), above, above + 1.0)
+
+
+def test_requests_of_one_priority_share_the_whole_backlog():
+    scheduler, _ = make_busy(is_mixed=True)
+    assert scheduler.try_grant(priority_work("second", 1), 0.0, SHORT_DUE)
 
 
 def test_without_mixed_objectives_slack_has_no_effect():
