emulator: time factors, costs of runs and prompts, and busy machines

Engines of one service may differ in speed and share their machines with other work. The modelled engine had one duration for all steps.

A model gets a time factor, costs of further runs and of prompt tokens in a step, and a machine with seeded busy windows (share, factor, duration). A sequence may state that its prompt was copied from another engine.

--- a/hornbeamglade/emulator/__init__.py
+++ b/hornbeamglade/emulator/__init__.py
@@ -1,6 +1,23 @@
 """A model of a continuous-batching engine in virtual time, for benches and stand-ins."""
 
-from hornbeamglade.emulator.enginemodel import EngineModel, ModelLoad, Sequence, StepResult
+from hornbeamglade.emulator.enginemodel import (
+    EngineModel,
+    ModelLoad,
+    Sequence,
+    StepCosts,
+    StepResult,
+)
+from hornbeamglade.emulator.machineslowdowns import Machine, Slowdowns
 from hornbeamglade.emulator.prefixcache import BlockPool, CacheEvent
 
-__all__ = ["BlockPool", "CacheEvent", "EngineModel", "ModelLoad", "Sequence", "StepResult"]
+__all__ = [
+    "BlockPool",
+    "CacheEvent",
+    "EngineModel",
+    "Machine",
+    "ModelLoad",
+    "Sequence",
+    "Slowdowns",
+    "StepCosts",
+    "StepResult",
+]
--- a/hornbeamglade/emulator/enginemodel.py
+++ b/hornbeamglade/emulator/enginemodel.py
@@ -7,7 +7,8 @@
 scheduling [1]_; memory is allocated in blocks [2]_. When no block is free, the
 running sequence with the lowest priority, and among these the latest arrival, is
 preempted: its blocks are freed and it waits until its prompt and the tokens it
-has produced can be recomputed. There is no randomness and no clock is read.
+has produced can be recomputed. There is no randomness and no clock is read; slowdowns of the
+engine's machine come from a seed (:mod:`hornbeamglade.emulator.machineslowdowns`).
 
 References
 ==========
@@ -22,7 +23,7 @@
 import heapq
 
 from hornbeamglade.core import codederrors
-from hornbeamglade.emulator import prefixcache
+from hornbeamglade.emulator import machineslowdowns, prefixcache
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +35,8 @@
     :param answer_tokens: the true length of the answer, hidden from policies; at least 1.
     :param priority: larger is more urgent.
     :param prefix: hashes of the prompt's leading full blocks, outermost first.
+    :param copied_tokens: prompt tokens whose KV cache was copied from another engine, so
+        that only the others are computed.
     """
 
     request_id: str
@@ -41,6 +44,19 @@
     answer_tokens: int
     priority: int = 0
     prefix: tuple[int, ...] = ()
+    copied_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepCosts:
+    """Time that a step takes in addition to its base duration, at a time factor of 1.
+
+    :param other_run_s: seconds for each decoding sequence but the first.
+    :param prefill_token_s: seconds for each prompt token computed in the step.
+    """
+
+    other_run_s: float = 0.0
+    prefill_token_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +134,9 @@
     :param max_running: maximum number of sequences that hold memory.
     :param prefill_tokens_per_step: prompt tokens computed per step, over all sequences.
     :param slow_factor: multiplies the duration of steps; may be set at any time.
+    :param time_factor: the engine's own speed: multiplies the duration of its steps.
+    :param costs: time that runs and prompt tokens add to a step.
+    :param machine: slowdowns of the machine that the engine runs on, or None.
     """
 
     def __init__(
@@ -128,14 +147,20 @@
         max_running: int = 64,
         prefill_tokens_per_step: int = 2048,
         slow_factor: float = 1.0,
+        time_factor: float = 1.0,
+        costs: StepCosts | None = None,
+        machine: machineslowdowns.Machine | None = None,
     ) -> None:
         self.block_tokens = block_tokens
         self.step_s = step_s
         self.slow_factor = slow_factor
+        self.time_factor = time_factor
         self.now_s = 0.0
         self.preemptions = 0
         self.recomputed_tokens = 0
         self.pool = prefixcache.BlockPool(capacity_tokens // block_tokens)
+        self._costs = costs or StepCosts()
+        self._machine = machine
         self._max_running = max_running
         self._prefill_tokens_per_step = prefill_tokens_per_step
         self._arrivals = 0
@@ -181,10 +206,9 @@
         resumed: list[str] = []
         if self._waiting_by_id and not preempted:
             self._admit(started, resumed)
-        if self._prefilling_by_id:
-            self._prefill()
+        prefilled = self._prefill() if self._prefilling_by_id else 0
         tokens, finished = self._decode()
-        duration_s = self.step_s * self.slow_factor
+        duration_s = self._duration_s(len(tokens), prefilled)
         self.now_s += duration_s
         return StepResult(
             tokens,
@@ -214,6 +238,14 @@
         """Return the prefix cache's events since the last call."""
         return self.pool.drain_events()
 
+    def _duration_s(self, runs: int, prefilled: int) -> float:
+        """Return the duration of a step that decodes ``runs`` sequences and begins now."""
+        duration_s = self.step_s
+        duration_s += self._costs.other_run_s * max(0, runs - 1)
+        duration_s += self._costs.prefill_token_s * prefilled
+        busy = self._machine.factor_at(self.now_s) if self._machine is not None else 1.0
+        return duration_s * self.slow_factor * self.time_factor * busy
+
     def _block_count(self, tokens: int) -> int:
         return -(-tokens // self.block_tokens)
 
@@ -294,13 +326,17 @@
         state.shared = hits
         state.private_blocks = needed
         state.free_slots = (needed + len(hits)) * self.block_tokens - tokens
-        state.prefill_left = max(1, tokens - len(hits) * self.block_tokens)
+        present = len(hits) * self.block_tokens
+        if not state.was_preempted:
+            present = max(present, sequence.copied_tokens)
+        state.prefill_left = max(1, tokens - present)
         if state.was_preempted:
             self.recomputed_tokens += state.prefill_left
         self._prefilling_by_id[sequence.request_id] = state
         return True
 
-    def _prefill(self) -> None:
+    def _prefill(self) -> int:
+        """Compute prompt tokens up to the budget of a step; return how many."""
         budget = self._prefill_tokens_per_step
         done = []
         for request_id, state in self._prefilling_by_id.items():
@@ -315,6 +351,7 @@
             state = self._prefilling_by_id.pop(request_id)
             self._publish(state)
             self._decoding_by_id[request_id] = state
+        return self._prefill_tokens_per_step - budget
 
     def _publish(self, state: _State) -> None:
         full_prompt_blocks = state.sequence.prompt_tokens // self.block_tokens
--- a/tests/emulator/test_enginemodel.py
+++ b/tests/emulator/test_enginemodel.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hornbeamglade.core import codederrors
-from hornbeamglade.emulator import enginemodel
+from hornbeamglade.emulator import enginemodel, machineslowdowns
 
 
 def sequence(request_id, prompt=16, answer=32, priority=0, prefix=()):
@@ -100,6 +100,48 @@
     assert model.step().duration_s == pytest.approx(model.now_s) == pytest.approx(0.06)
 
 
+def test_time_factor_runs_and_prompt_tokens_stretch_steps():
+    """Guards against slow engines whose prefill costs as little as that of fast ones."""
+    costs = enginemodel.StepCosts(other_run_s=0.001, prefill_token_s=0.0001)
+    model = enginemodel.EngineModel(
+        640, step_s=0.01, prefill_tokens_per_step=20, time_factor=2.0, costs=costs
+    )
+    for request_id in ("a", "b"):
+        model.submit(sequence(request_id, prompt=20, answer=9))
+    assert model.step().duration_s == pytest.approx(2 * (0.01 + 0.002))
+    assert model.step().duration_s == pytest.approx(2 * (0.01 + 0.001 + 0.002))
+    assert model.step().duration_s == pytest.approx(2 * (0.01 + 0.001))
+
+
+def test_a_copied_prompt_is_not_computed_again():
+    model = enginemodel.EngineModel(1600, prefill_tokens_per_step=16)
+    model.submit(enginemodel.Sequence("a", 160, 1, copied_tokens=160))
+    assert len(run(model)[1]) == 1
+
+
+def test_slowdowns_take_their_share_and_follow_the_seed():
+    """Guards against experiments whose busy machines differ from the stated load."""
+    slowdowns = machineslowdowns.Slowdowns(share=0.15, factor=2.5, window_s=0.6)
+
+    def factors(seed):
+        machine = machineslowdowns.Machine(slowdowns, seed)
+        return [machine.factor_at(0.02 * step) for step in range(100_000)]
+
+    first = factors(1)
+    assert set(first) == {1.0, 2.5}
+    assert sum(each > 1.0 for each in first) / len(first) == pytest.approx(0.15, abs=0.02)
+    assert first == factors(1) != factors(2)
+
+
+def test_a_busy_machine_stretches_steps_and_an_idle_one_does_not():
+    slowdowns = machineslowdowns.Slowdowns(share=0.5, factor=3.0)
+    model = enginemodel.EngineModel(
+        64, step_s=0.02, machine=machineslowdowns.Machine(slowdowns, 1)
+    )
+    durations = {round(model.step().duration_s, 6) for _ in range(500)}
+    assert durations == {0.02, 0.06}
+
+
 @hypothesis.settings(derandomize=True, database=None, deadline=None, max_examples=60)
 @hypothesis.given(
     st.lists(
