bench: experiments with engines of uneven speed and with surges

No benchmark showed what a deployment with mixed kinds of requests, slow or busy engines and departing engines gets from each policy.

--- a/hornbeamglade/bench/policydispatch.py
+++ b/hornbeamglade/bench/policydispatch.py
@@ -1,7 +1,7 @@
 """Dispatchers of the compared policies: how requests reach engines."""
 
 import abc
-import collections
+import heapq
 import itertools
 
 from hornbeamglade.bench import policymetrics, policypool, policyworkload
@@ -45,7 +45,7 @@
         """Handle the loss of a replica: requests that have not started are dispatched again."""
         for each in active:
             if each.last_step >= 0:
-                self.recorder.record_loss(now)
+                self.recorder.record_loss(each.request, now)
             else:
                 self.dispatch(each.request, now)
 
@@ -55,7 +55,7 @@
 
     def deadline(self, request: policyworkload.Request) -> float:
         """Return the time by which a request must have started."""
-        return request.at_s + self.scenario.max_wait_s
+        return self.scenario.deadline(request)
 
     def live_replicas(self) -> list[policypool.Replica]:
         """Return the replicas that accept work."""
@@ -72,23 +72,25 @@
         recorder: policymetrics.Recorder,
     ) -> None:
         super().__init__(scenario, pool, recorder)
-        self._pending: collections.deque[tuple[policypool.Replica, policyworkload.Request]]
-        self._pending = collections.deque()
+        self._pending: list[tuple[float, int, policypool.Replica, policyworkload.Request]] = []
+        self._submitted = 0
 
     def dispatch(self, request: policyworkload.Request, now: float) -> None:
         """Submit the request to the replica that the policy picks."""
         replica = self.pick()
         replica.submit(request)
-        self._pending.append((replica, request))
+        self._submitted += 1
+        entry = (self.deadline(request), self._submitted, replica, request)
+        heapq.heappush(self._pending, entry)
 
     def tick(self, step: int, now: float) -> None:
         """Refuse requests that have not started by their deadline."""
-        while self._pending and self.deadline(self._pending[0][1]) <= now:
-            replica, request = self._pending.popleft()
+        while self._pending and self._pending[0][0] <= now:
+            _, _, replica, request = heapq.heappop(self._pending)
             active = replica.active_by_id.get(request.work.request_id)
             if active is not None and active.last_step < 0:
                 replica.cancel(request.work.request_id)
-                self.recorder.record_refusal(now)
+                self.recorder.record_refusal(request, now)
 
     @abc.abstractmethod
     def pick(self) -> policypool.Replica:
--- a/hornbeamglade/bench/policymetrics.py
+++ b/hornbeamglade/bench/policymetrics.py
@@ -67,11 +67,11 @@
             self._arrived += 1
             self._offered_by_team[request.work.team] += request.answer_tokens
 
-    def record_refusal(self, now: float) -> None:
+    def record_refusal(self, request: policyworkload.Request, now: float) -> None:
         """Count a refusal."""
         self._refused += now >= self._warm_up_s
 
-    def record_loss(self, now: float) -> None:
+    def record_loss(self, request: policyworkload.Request, now: float) -> None:
         """Count a stream that was cut off after its first token."""
         self._lost += now >= self._warm_up_s
 
--- a/hornbeamglade/bench/policyschedulers.py
+++ b/hornbeamglade/bench/policyschedulers.py
@@ -74,8 +74,7 @@
         node = self._node_of(work.team)
         for name in self._ranked_replicas(work, node, now):
             scheduler = self._rng.choice(self._schedulers_by_replica[name])
-            weight = policyworkload.WEIGHT_BY_TEAM[work.team]
-            response = scheduler.request_grant(work, weight, now, self.deadline(request))
+            response = self._request_grant(scheduler, request, now)
             if isinstance(response, outcomes.Refusal):
                 continue
             needed = candidates.needed_tokens(work, self._settings)
@@ -134,20 +133,33 @@
             while len(self._digests) > 1 and self._is_due(self._digests[1][0], now):
                 self._digests.popleft()
 
+    def _request_grant(
+        self,
+        scheduler: replicascheduler.ReplicaScheduler,
+        request: policyworkload.Request,
+        now: float,
+    ) -> replicascheduler.Granted | replicascheduler.Queued | outcomes.Refusal:
+        weight = policyworkload.WEIGHT_BY_TEAM[request.work.team]
+        due = self.scenario.due(request)
+        return scheduler.request_grant(request.work, weight, now, self.deadline(request), due)
+
     def _new_schedulers(self, replica: str, now: float) -> list[replicascheduler.ReplicaScheduler]:
         return [self._new_scheduler(replica, now) for _ in range(self.scenario.owners)]
 
     def _new_scheduler(self, replica: str, now: float) -> replicascheduler.ReplicaScheduler:
         queue = fairqueue.FairQueue(self._queue_settings)
-        scheduler = replicascheduler.ReplicaScheduler(
-            replica, self._admission(self._lengths), queue
-        )
+        scheduler = self._create_scheduler(replica, self._admission(self._lengths), queue)
         # An owner grants nothing before it has received a load report of the replica.
         scheduler.apply_report(
             tokenledger.LoadView(0, 0.0, self.scenario.capacity_tokens, 0), False, now
         )
         return scheduler
 
+    def _create_scheduler(
+        self, replica: str, admission: policies.AdmissionPolicy, queue: fairqueue.FairQueue
+    ) -> replicascheduler.ReplicaScheduler:
+        return replicascheduler.ReplicaScheduler(replica, admission, queue)
+
     def _node_of(self, team: str) -> int:
         first = list(policyworkload.WEIGHT_BY_TEAM).index(team)
         return (first + self._rng.randrange(_NODES_PER_TEAM)) % _NODES
@@ -219,6 +231,6 @@
                 replica.submit(self._request_by_id[settled.request_id])
 
     def _refuse(self, request_id: str, now: float) -> None:
-        self._request_by_id.pop(request_id, None)
+        request = self._request_by_id.pop(request_id)
         self._scheduler_by_request.pop(request_id, None)
-        self.recorder.record_refusal(now)
+        self.recorder.record_refusal(request, now)
--- a/hornbeamglade/bench/policyworkload.py
+++ b/hornbeamglade/bench/policyworkload.py
@@ -14,6 +14,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 import random
 import statistics
 
@@ -90,6 +91,14 @@
     max_wait_s: float = 10.0
     request_source: str = ""
 
+    def deadline(self, request: "Request") -> float:
+        """Return the time by which a request must have started, or it is refused."""
+        return request.at_s + self.max_wait_s
+
+    def due(self, request: "Request") -> float:
+        """Return the time by which a request must have started to be on time."""
+        return math.inf
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
--- a/hornbeamglade/cli/bench.py
+++ b/hornbeamglade/cli/bench.py
@@ -41,7 +41,7 @@
     records = []
     for scenario in policyscenarios.scenarios(names):
         for name in policies or policyrun.POLICIES:
-            for seed in [1] if quick else _seeds(seeds):
+            for seed in [1] if quick else seed_range(seeds):
                 run = policyrun.run(scenario, name, seed, duration_s)
                 records.append(_record(run))
     report = policyreport.Report(duration_s=duration_s, runs=records)
@@ -69,7 +69,17 @@
         policyreport.plot(report, plot)
 
 
-def _seeds(text: str) -> range:
+def seed_range(text: str) -> range:
+    """Return the seeds from a first to a last one.
+
+    :raises CodedError: ``seeds_malformed``.
+
+    Examples
+    ========
+
+    >>> list(seed_range("2-4")), list(seed_range("7"))
+    ([2, 3, 4], [7])
+    """
     first, _, last = text.partition("-")
     try:
         return range(int(first), int(last or first) + 1)
--- a/hornbeamglade/cli/benchall.py
+++ b/hornbeamglade/cli/benchall.py
@@ -2,7 +2,7 @@
 
 import click
 
-from hornbeamglade.cli import bench, benchrecovery, benchtraffic
+from hornbeamglade.cli import bench, benchmix, benchrecovery, benchtraffic
 
 
 @click.command("all")
@@ -11,6 +11,8 @@
     """Run every benchmark: takes an hour or more and needs an otherwise idle machine."""
     for title, command in (
         ("policies in virtual time", bench.policy),
+        ("engines of uneven speed", benchmix.bench_uneven),
+        ("surges while engines depart", benchmix.bench_crowd),
         ("cost of a token", benchtraffic.bench_relay),
         ("callers under load", benchtraffic.bench_load),
         ("recovery from faults", benchrecovery.bench_recovery),
