standins: shared machines, unread responses and bounded memory

The stand-in for backend servers had one speed, three fixed load figures, waited for ever for a caller that reads nothing, and held any number of runs.

It gets lasting traits (options of "standin routed") and faults: a time factor and busy windows, four load figures, slots of a plain service, a bound on the time in which nothing of a response is read, and a bound on memory beyond which an engine crashes. The health path answers without a run. The stand-in for callers can pause before and between reads. All are off by default; responses then have the same three figures as before.

--- a/hornbeamglade/cli/standin.py
+++ b/hornbeamglade/cli/standin.py
@@ -4,8 +4,9 @@
 
 import click
 
+from hornbeamglade.emulator import machineslowdowns
 from hornbeamglade.routing import prefixes
-from hornbeamglade.standins import engine, enginesettings, plainservice, routed
+from hornbeamglade.standins import engine, enginesettings, plainservice, routed, routedmachine
 from hornbeamglade.standins import platform as platformstandin
 
 
@@ -95,6 +96,20 @@
     "--ledger", type=click.Path(path_type=pathlib.Path), help="File that records the runs."
 )
 @click.option("--crash-on", default="", help="Text in a body that ends the server.")
+@click.option("--shares-machine", is_flag=True, help="State the machine's slowdown.")
+@click.option("--time-factor", default=1.0, show_default=True, help="Multiplies all its times.")
+@click.option(
+    "--busy-share",
+    type=click.FloatRange(0, 1, max_open=True),
+    default=0.0,
+    show_default=True,
+    help="Share of the time in which its machine is 2.5 times as slow.",
+)
+@click.option("--busy-seed", default=0, show_default=True, help="Seed of the busy windows.")
+@click.option("--slots", default=routedmachine.SLOTS, show_default=True)
+@click.option("--plain-s", default=0.0, show_default=True, help="Seconds per plain request.")
+@click.option("--unread-s", type=float, help="Cut off a response unread for so many seconds.")
+@click.option("--memory-tokens", type=int, help="Crash when the runs hold more tokens.")
 def routed_server(
     bind: str,
     replica_id: str,
@@ -103,6 +118,24 @@
     born: int,
     ledger: pathlib.Path | None,
     crash_on: str,
+    shares_machine: bool,
+    time_factor: float,
+    busy_share: float,
+    busy_seed: int,
+    slots: int,
+    plain_s: float,
+    unread_s: float | None,
+    memory_tokens: int | None,
 ) -> None:
     """Run a backend server for routed requests: a plain service or a model engine."""
-    routed.run(bind, replica_id, events, gap_s, born, ledger, crash_on)
+    traits = routedmachine.RoutedTraits(
+        shares_machine,
+        time_factor,
+        machineslowdowns.Slowdowns(busy_share) if busy_share else None,
+        busy_seed,
+        slots,
+        plain_s,
+        unread_s,
+        memory_tokens,
+    )
+    routed.run(bind, replica_id, events, gap_s, born, ledger, crash_on, traits)
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -17,17 +17,19 @@
 import json
 import pathlib
 import signal
+import socket
 import time
 
 import h11
 
 from hornbeamglade.http1 import sockets
-from hornbeamglade.standins import routedfaults, routedruns
+from hornbeamglade.standins import routedfaults, routedmachine, routedruns
 
 READ_BYTES = 65_536
 MEMORY_TOKENS = 30_000
 PROMPT_TOKENS = 100
 COPY_S = 0.02
+HEALTH_PATH = "/h"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +93,7 @@
     :param ledger_path: a file to which each run is appended before it begins, so that the
         runs of a killed server are known; None for none.
     :param crash_on: a request whose body contains this text ends the server; empty for none.
+    :param traits: its speed, its machine and its memory.
     """
 
     def __init__(
@@ -100,11 +103,15 @@
         gap_s: float = 0.01,
         ledger_path: pathlib.Path | None = None,
         crash_on: str = "",
+        traits: routedmachine.RoutedTraits | None = None,
     ) -> None:
         self.replica_id = replica_id
+        self.machine = routedmachine.RoutedMachine(traits or routedmachine.RoutedTraits())
+        self._slots = asyncio.Semaphore(self.machine.traits.slots)
+        self.cut_off = 0
+        self.crashes = 0
         self._crash_on = crash_on
         self._ledger_path = ledger_path
-        self.faults = routedfaults.RoutedFaults()
         self.ledger: list[RunRecord] = []
         self.refusals: list[RefusalRecord] = []
         self.turned_away_at: list[float] = []
@@ -122,6 +129,21 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def faults(self) -> routedfaults.RoutedFaults:
+        """Its current faults."""
+        return self.machine.faults
+
+    @faults.setter
+    def faults(self, faults: routedfaults.RoutedFaults) -> None:
+        self.machine.faults = faults
+
+    @property
+    def held_tokens(self) -> int:
+        """Tokens of all runs that it holds."""
+        runs = self.run_by_id.values()
+        return sum(run.prompt_tokens + run.made for run in runs if run.is_alive)
+
     async def start(self, bind: str = "127.0.0.1:0") -> None:
         """Start to accept connections."""
         host, _, port = bind.rpartition(":")
@@ -138,6 +160,10 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self._writers.add(writer)
+        if self.machine.unread_s is not None:
+            connection = writer.get_extra_info("socket")
+            buffer_bytes = routedmachine.SEND_BUFFER_BYTES
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
         buffered = b""
         try:
             while True:
@@ -230,6 +256,8 @@
     async def _control_call(self, request: _Request) -> tuple[int, object] | None:
         """Respond to control calls of the stand-in; return None for a caller's request."""
         path = request.target.partition("?")[0]
+        if path == HEALTH_PATH:
+            return 200, {}
         if path == "/standin/faults":
             self.faults = routedfaults.RoutedFaults.model_validate_json(request.body)
             return 200, {}
@@ -265,8 +293,13 @@
             await reader.read(1)
             return False
         await asyncio.sleep(faults.delay_s)
+        if self.machine.traits.plain_s:
+            async with self._slots:
+                factor = self.machine.factor(time.monotonic())
+                await asyncio.sleep(self.machine.traits.plain_s * factor)
         status = 500 if faults.fail else 200
         body = f"{self.replica_id}:{request.request_id}".encode()
+        body = body.rjust(faults.response_bytes, b".")
         if faults.stray:
             writer.write(_response(request, 200, {"Attempt-Id": "another"}, b"not yours"))
         data = _response(
@@ -279,6 +312,8 @@
                 sockets.reset(writer.transport)
             return False
         writer.write(data)
+        if not await self._drain(writer):
+            return False
         if faults.extra:
             writer.write(_response(request, 200, self._proof_headers(request), b"once more"))
         return not faults.unframed
@@ -294,6 +329,8 @@
         if self._is_fatal(request):
             await self.stop()
             return False
+        if await self._crashed_from_memory():
+            return False
         if self.faults.hang:
             await reader.read(1)
             return False
@@ -304,12 +341,13 @@
         sent = run.made
         try:
             while run.made < run.events and not run.is_stopped and not caller_left.done():
-                await asyncio.sleep(self._gap_s)
+                await asyncio.sleep(self._gap_s * self.machine.factor(time.monotonic()))
                 if run.is_stopped or caller_left.done():
                     break
                 run.made += 1
                 writer.write(_chunk(routedruns.event(run.request_id, run.made)))
-                await writer.drain()
+                if not await self._drain(writer) or await self._crashed_from_memory():
+                    return False
                 if run.made - sent == self.faults.die_after_events:
                     writer.write(_chunk(routedruns.event(run.request_id, run.made + 1))[:-9])
                     await writer.drain()
@@ -324,6 +362,36 @@
             await asyncio.wait((caller_left,))
             run.is_alive = False
 
+    async def _drain(self, writer: asyncio.StreamWriter) -> bool:
+        """Wait until a response was sent; cut it off if nothing of it is read for too long."""
+        unread_s = self.machine.unread_s
+        if unread_s is None:
+            await writer.drain()
+            return True
+        transport = writer.transport
+        transport.set_write_buffer_limits(high=0)
+        draining = asyncio.ensure_future(writer.drain())
+        unsent = transport.get_write_buffer_size()
+        while not draining.done():
+            await asyncio.wait((draining,), timeout=unread_s)
+            left, unsent = unsent, transport.get_write_buffer_size()
+            if not draining.done() and unsent >= left:
+                draining.cancel()
+                self.cut_off += 1
+                sockets.reset(transport)
+                return False
+        await draining
+        return True
+
+    async def _crashed_from_memory(self) -> bool:
+        """Crash if the runs that the engine holds exceed its memory; return whether it did."""
+        bound = self.machine.memory_tokens
+        if bound is None or self.held_tokens <= bound:
+            return False
+        self.crashes += 1
+        await self.stop()
+        return True
+
     def _is_fatal(self, request: _Request) -> bool:
         """Return whether a request crashes the server."""
         text = self.faults.crash_on or self._crash_on
@@ -331,7 +399,9 @@
 
     def _begin(self, request: _Request) -> routedruns.StandinRun | None:
         """Begin a run or continue one from a copy; None when there is no such copy."""
-        run = routedruns.StandinRun(request.request_id, self._events)
+        usage = request.value_by_name.get("token-usage", str(PROMPT_TOKENS))
+        prompt_tokens = int(usage.partition(",")[0])
+        run = routedruns.StandinRun(request.request_id, self._events, prompt_tokens)
         source = request.value_by_name.get("kv-from")
         if source is None:
             self._record_run(request)
@@ -377,13 +447,13 @@
 
     def _report(self) -> dict[str, object]:
         runs = [
-            [run.request_id, PROMPT_TOKENS + run.made, run.made, 5]
+            [run.request_id, run.prompt_tokens + run.made, run.made, 5]
             for run in self.run_by_id.values()
             if run.is_alive
         ]
         report = {
             "kv_used": sum(run[1] for run in runs),
-            "kv_total": MEMORY_TOKENS,
+            "kv_total": self.machine.memory_tokens or MEMORY_TOKENS,
             "queued": 0,
             "state": "draining" if self.is_leaving else "ready",
             "runs": runs,
@@ -418,7 +488,7 @@
                 ledger.write(json.dumps(record) + "\n")
 
     def _proof_headers(self, request: _Request) -> dict[str, str]:
-        headers = {"Attempt-Id": request.request_id, "Replica-Load": "1,0,8"}
+        headers = {"Attempt-Id": request.request_id, "Replica-Load": self._load_figures()}
         headers |= self._state_headers()
         if not self.faults.unproved:
             headers["Response-Seal"] = f"{self.replica_id}.{request.request_id}"
@@ -435,8 +505,13 @@
     def _state_headers(self) -> dict[str, str]:
         """Return the headers that are part of every response."""
         headers = {"Server-Leaving": "1"} if self.is_leaving else {}
+        if self.machine.traits.shares_machine or self.faults.slowdown:
+            headers["Replica-Load"] = self._load_figures()
         return headers | ({"Server-Brittle": self.faults.brittle} if self.faults.brittle else {})
 
+    def _load_figures(self) -> str:
+        return self.machine.load_figures(self._running, time.monotonic())
+
 
 def _parse_request(head: h11.Request, body: bytes) -> _Request:
     values = {name.decode().lower(): value.decode("latin-1") for name, value in head.headers}
@@ -493,6 +568,7 @@
     born: int = 0,
     ledger_path: pathlib.Path | None = None,
     crash_on: str = "",
+    traits: routedmachine.RoutedTraits | None = None,
 ) -> None:
     """Serve until SIGTERM or SIGINT.
 
@@ -503,7 +579,8 @@
     :param born: its start time in Unix milliseconds, or 0 to report none.
     :param ledger_path: a file that records the runs, or None.
     :param crash_on: a request whose body contains this text ends the server; empty for none.
+    :param traits: its speed, its machine and its memory.
     """
-    standin = RoutedStandin(replica_id, events, gap_s, ledger_path, crash_on)
+    standin = RoutedStandin(replica_id, events, gap_s, ledger_path, crash_on, traits)
     standin.born = born
     asyncio.run(_run(standin, bind))
--- a/hornbeamglade/standins/routedcaller.py
+++ b/hornbeamglade/standins/routedcaller.py
@@ -12,10 +12,12 @@
 import dataclasses
 import json
 import re
+import socket
 import time
 import typing
 
 import urllib3
+import urllib3.connection
 
 from hornbeamglade.standins import operatordocuments
 
@@ -28,6 +30,8 @@
 DEADLINE_MS = 20_000
 PROMPT_TOKENS = 100
 MAX_TOKENS = 400
+FAST_READ_BYTES = 65_536
+SLOW_READ_BYTES = 8_192
 
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 
@@ -78,12 +82,23 @@
     """One caller; use it from one thread only.
 
     :param keep: whether connections are kept for further requests.
+    :param unread_s: seconds in which it reads nothing of a response's body.
+    :param pause_s: seconds between two reads of some kilobytes afterwards.
     """
 
-    def __init__(self, *, keep: bool = True) -> None:
+    def __init__(self, *, keep: bool = True, unread_s: float = 0.0, pause_s: float = 0.0) -> None:
         timeout = urllib3.Timeout(connect=CONNECT_S, read=READ_S)
         self._keep_alive = keep
-        self._http = urllib3.PoolManager(retries=False, timeout=timeout, maxsize=1)
+        self._unread_s = unread_s
+        self._pause_s = pause_s
+        is_slow = bool(unread_s or pause_s)
+        self._read_bytes = SLOW_READ_BYTES if is_slow else FAST_READ_BYTES
+        options = [*urllib3.connection.HTTPConnection.default_socket_options]
+        if is_slow:
+            options.append((socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BYTES))
+        self._http = urllib3.PoolManager(
+            retries=False, timeout=timeout, maxsize=1, socket_options=options
+        )
 
     def addresses(self, directory: str, failure_domain: str) -> tuple[str, ...]:
         """Return the addresses that an instance's directory gives; empty on failure."""
@@ -120,8 +135,10 @@
         body = b""
         error = ""
         try:
-            for data in response.stream(decode_content=False):
+            time.sleep(self._unread_s)
+            for data in response.stream(self._read_bytes, decode_content=False):
                 body += data
+                time.sleep(self._pause_s)
         except (urllib3.exceptions.HTTPError, OSError) as exception:
             error = type(exception).__name__
         response.release_conn() if not error else response.close()
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -25,6 +25,11 @@
     :param brittle: refusals for want of room that it tolerates in a second, as its responses
         state; it resets all connections when there are more.
     :param crash_on: a request whose body contains this text ends the server when it starts.
+    :param slowdown: work on its machine takes that many times as long, which its load figures
+        state; 0 for the machine's own state.
+    :param response_bytes: least size of plain responses.
+    :param unread_s: a response of which nothing is read for this long is cut off, or None.
+    :param memory_tokens: an engine that holds more tokens crashes, or None.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -47,3 +52,7 @@
     room: int | None = None
     brittle: str = ""
     crash_on: str = ""
+    slowdown: float = pydantic.Field(default=0.0, ge=0)
+    response_bytes: int = pydantic.Field(default=0, ge=0)
+    unread_s: float | None = None
+    memory_tokens: int | None = None
--- a/hornbeamglade/standins/routedruns.py
+++ b/hornbeamglade/standins/routedruns.py
@@ -9,6 +9,7 @@
 
     :param request_id: the request that it belongs to.
     :param events: number of events of the complete response.
+    :param prompt_tokens: tokens of its prompt.
     :param made: number of events produced so far.
     :param is_stopped: whether it was stopped to migrate to another engine.
     :param is_alive: whether its response is still being read.
@@ -16,6 +17,7 @@
 
     request_id: str
     events: int
+    prompt_tokens: int = 100
     made: int = 0
     is_stopped: bool = False
     is_alive: bool = True
