fairness: forecast on-time and late requests apart; play surges in virtual time

Queues serve requests that can be on time before late ones of their priority. The forecast counted both alike: with surges of 3.5 times, long responses that were refused by it had waited for 9.7 s. Waiting classes now state how many can be on time; a request that can is behind those alone, and a late one behind all. A trial that took the start rate of the request's own priority refused too much (80 of 249 long ones started on time) and was dropped.

--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -99,6 +99,7 @@
   waiting @3 :UInt16;
   startsPer100s @4 :UInt16;
   ageMs @5 :UInt16;
+  onTime @6 :UInt16;
 }
 
 struct TeamDemand {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -51,10 +51,10 @@
     ========
 
     >>> max_digests(0), max_digests(2)
-    (24, 21)
+    (24, 20)
     """
-    # One more than the classes: their list has a header.
-    return MAX_REPLICAS - (waiting_classes + 1 if waiting_classes else 0)
+    # Two more than the classes: their list has a header, and a class may be larger than a digest.
+    return MAX_REPLICAS - (waiting_classes + 2 if waiting_classes else 0)
 
 
 def key_hash(name: str) -> int:
@@ -138,6 +138,7 @@
     :param priority: of the requests; larger is more urgent.
     :param waiting: requests in the owner's queues; 0 states that none of any priority wait.
     :param starts_per_s: how many of them have lately started per second.
+    :param on_time: those of the waiting requests that can still be on time.
     :param owner: :func:`key_hash` of the owner's name; 0 for the sender.
     :param age_ms: milliseconds since the owner made the entry.
     """
@@ -146,6 +147,7 @@
     priority: int
     waiting: int
     starts_per_s: float
+    on_time: int = 0
     owner: int = 0
     age_ms: int = 0
 
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -187,6 +187,7 @@
         entry.waiting = _clip(each.waiting, _MAX_U16)
         entry.startsPer100s = _clip(each.starts_per_s * 100, _MAX_U16)
         entry.ageMs = _clip(each.age_ms, _MAX_U16)
+        entry.onTime = _clip(each.on_time, _MAX_U16)
 
 
 def _read_waiting(entries: _Reader) -> tuple[messages.WaitingClass, ...]:
@@ -196,6 +197,7 @@
             entry.priority,
             entry.waiting,
             entry.startsPer100s / 100,
+            entry.onTime,
             entry.owner,
             entry.ageMs,
         )
--- a/hornbeamglade/fairness/siteforecast.py
+++ b/hornbeamglade/fairness/siteforecast.py
@@ -8,7 +8,9 @@
 the next, and was refused after several seconds, without having been offered to an engine.
 
 The forecast divides the waiting requests that are at least as urgent by the rate at which
-waiting requests start at the whole site. Requests that arrive later and are more urgent are
+waiting requests start at the whole site. Queues serve requests that can still be on time before
+late ones of the same priority, so a request that can start on time is only behind the former, and
+a late one also behind those that arrive after it. More urgent requests that arrive later are
 not counted, so it tends to be too short, and requests that could start are rarely refused.
 
 Entries expire after :data:`ENTRY_LIFE_S`: an owner that is partitioned, frozen or gone no
@@ -17,6 +19,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from hornbeamglade.core import clocks
 
@@ -39,11 +42,13 @@
     :param priority: larger is more urgent.
     :param waiting: requests in the owner's queues.
     :param starts_per_s: how many of them have lately started per second.
+    :param on_time: those of the waiting requests that can still be on time.
     """
 
     priority: int
     waiting: int
     starts_per_s: float
+    on_time: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,9 +80,9 @@
 
     >>> clock = clocks.ManualClock()
     >>> site = SiteForecast(clock)
-    >>> site.record("n1", (ClassState(9, 10, 5.0), ClassState(7, 20, 5.0)))
+    >>> site.record("n1", (ClassState(9, 10, 5.0, 10), ClassState(7, 10, 5.0, 10)))
     >>> site.start_s(9, Position()), site.start_s(7, Position())
-    (1.0, 3.0)
+    (2.0, 2.0)
     >>> clock.advance(2.5)
     >>> site.start_s(9, Position()) is None
     True
@@ -116,12 +121,14 @@
         self,
         priority: int,
         position: Position,
+        due_s: float = math.inf,
         own: collections.abc.Iterable[ClassState] = (),
     ) -> float | None:
         """Return the expected seconds until a request starts; None without a forecast.
 
         :param priority: of the request.
         :param position: of the request; updated.
+        :param due_s: seconds until it must start to be on time.
         :param own: the waiting requests at this node.
         """
         states = [each for _, state in self._current() for each in state.classes]
@@ -132,14 +139,18 @@
         if rate < MIN_STARTS_PER_S:
             return None
         same = [each for each in states if each.priority == priority]
-        ahead = sum(each.waiting for each in same)
+        same_rate = sum(each.starts_per_s for each in same)
+        more_urgent = sum(each.waiting for each in states if each.priority > priority)
         now = self._clock.now()
+        ahead = float(sum(each.on_time for each in same))
         if position.ahead is not None:
-            started = (now - position.updated_at) * sum(each.starts_per_s for each in same)
+            started = (now - position.updated_at) * same_rate
             ahead = min(ahead, max(0.0, position.ahead - started))
         position.ahead, position.updated_at = ahead, now
-        ahead += sum(each.waiting for each in states if each.priority > priority)
-        return ahead / rate
+        on_time_s = (ahead + more_urgent) / rate
+        if not is_too_late(on_time_s, due_s):
+            return on_time_s
+        return (sum(each.waiting for each in same) + more_urgent) / rate
 
     def _current(self) -> list[tuple[str | int, _OwnerState]]:
         now = self._clock.now()
--- a/hornbeamglade/grants/asyncgrantacquirer.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -447,8 +447,15 @@
         """Return the refusal of a request that can start in time at no owner, or None."""
         if self._figures is None or placement.site_service is None:
             return None
-        left_s = placement.deadline - self._clock.now()
-        refusal = self._figures.refusal(placement.work, placement.site_service, left_s, position)
+        now = self._clock.now()
+        left_s = placement.deadline - now
+        refusal = self._figures.refusal(
+            placement.work,
+            placement.site_service,
+            left_s,
+            placement.due - now,
+            position,
+        )
         if refusal is not None:
             logs.decided(
                 placement.work.request_id,
--- a/hornbeamglade/grants/replicascheduler.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -368,6 +368,12 @@
         """Return how many requests of each priority wait."""
         return collections.Counter(each.work.priority for each in self._pending_by_id.values())
 
+    def on_time_by_priority(self, now: float) -> collections.Counter[int]:
+        """Return how many of the waiting requests of each priority can still be on time."""
+        return collections.Counter(
+            each.work.priority for each in self._pending_by_id.values() if each.due > now
+        )
+
     def count_ahead(self, now: float) -> int:
         """Return how many queued requests would start before a new one."""
         return self.queue.count_ahead(now, self._deferral(now))
--- a/hornbeamglade/grants/schedulerset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -342,14 +342,18 @@
         with self._lock:
             now = self._clock.now()
             waiting: collections.Counter[int] = collections.Counter()
+            on_time: collections.Counter[int] = collections.Counter()
             starts: collections.Counter[int] = collections.Counter()
             for replica in replicas:
                 scheduler = self._scheduler_by_replica.get(replica)
                 if scheduler is not None:
                     waiting += scheduler.waiting_by_priority()
+                    on_time += scheduler.on_time_by_priority(now)
                     starts += scheduler.recent_starts.count_by_priority(now)
         return tuple(
-            siteforecast.ClassState(priority, count, starts[priority] / recentstarts.WINDOW_S)
+            siteforecast.ClassState(
+                priority, count, starts[priority] / recentstarts.WINDOW_S, on_time[priority]
+            )
             for priority, count in sorted(waiting.items(), reverse=True)
         )
 
--- a/hornbeamglade/grants/sitefigures.py
+++ b/hornbeamglade/grants/sitefigures.py
@@ -107,7 +107,11 @@
         """Return the requests that wait at this node, for its heartbeats."""
         return tuple(
             messages.WaitingClass(
-                messages.key_hash(service), each.priority, each.waiting, each.starts_per_s
+                messages.key_hash(service),
+                each.priority,
+                each.waiting,
+                each.starts_per_s,
+                each.on_time,
             )
             for service in self._replicas_by_service
             if self._coordinated.includes(service)
@@ -137,28 +141,25 @@
                 age_ms = max(each.age_ms for each in of_owner)
                 self._record(service, owner_hash or messages.key_hash(owner), of_owner, age_ms)
 
-    def start_s(
-        self, service: str, priority: int, position: siteforecast.Position
-    ) -> float | None:
-        """Return the expected seconds until a request starts; None without a forecast.
+    def refusal(
+        self,
+        work: outcomes.Work,
+        service: str,
+        left_s: float,
+        due_s: float,
+        position: siteforecast.Position,
+    ) -> outcomes.Refusal | None:
+        """Return the refusal of a request that cannot start in time, or None.
 
         :param service: the name of the replicas' service.
-        :param priority: of the request.
+        :param left_s: seconds until its latest useful start.
+        :param due_s: seconds until it must start to be on time.
         :param position: of the request among those of its priority; updated.
         """
         forecast = self._forecast_by_service.get(messages.key_hash(service))
         if forecast is None or not self._coordinated.includes(service):
             return None
-        return forecast.start_s(priority, position, self._own_classes(service))
-
-    def refusal(
-        self, work: outcomes.Work, service: str, left_s: float, position: siteforecast.Position
-    ) -> outcomes.Refusal | None:
-        """Return the refusal of a request that cannot start in time, or None.
-
-        :param left_s: seconds until its latest useful start.
-        """
-        start_s = self.start_s(service, work.priority, position)
+        start_s = forecast.start_s(work.priority, position, due_s, self._own_classes(service))
         if start_s is None or not siteforecast.is_too_late(start_s, left_s):
             self._log_end_of_refusals(service)
             return None
@@ -188,7 +189,9 @@
         # A class with 0 waiting requests replaces what the recipient knows of an owner.
         nothing = (siteforecast.ClassState(0, 0, 0.0),)
         entries = [
-            messages.WaitingClass(service_hash, each.priority, each.waiting, each.starts_per_s)
+            messages.WaitingClass(
+                service_hash, each.priority, each.waiting, each.starts_per_s, each.on_time
+            )
             for each in self._own_classes(service) or nothing
         ]
         for owner, (classes, age_s) in others.items():
@@ -196,7 +199,13 @@
                 age_ms = max(1, int(age_s * 1000))
                 entries += [
                     messages.WaitingClass(
-                        service_hash, each.priority, each.waiting, each.starts_per_s, owner, age_ms
+                        service_hash,
+                        each.priority,
+                        each.waiting,
+                        each.starts_per_s,
+                        each.on_time,
+                        owner,
+                        age_ms,
                     )
                     for each in classes or nothing
                 ]
@@ -218,7 +227,7 @@
             forecast = siteforecast.SiteForecast(self._clock)
             self._forecast_by_service[service] = forecast
         classes = (
-            siteforecast.ClassState(each.priority, each.waiting, each.starts_per_s)
+            siteforecast.ClassState(each.priority, each.waiting, each.starts_per_s, each.on_time)
             for each in entries
         )
         forecast.record(owner, classes, age_ms / 1000)
