--- a/hornbeamglade/fairness/siteforecast.py
+++ b/hornbeamglade/fairness/siteforecast.py
@@ -82,7 +82,7 @@
     >>> site = SiteForecast(clock)
     >>> site.record("n1", (ClassState(9, 10, 5.0, 10), ClassState(7, 10, 5.0, 10)))
     >>> site.start_s(9, Position()), site.start_s(7, Position())
-    (2.0, 2.0)
+    (1.0, 2.0)
     >>> clock.advance(2.5)
     >>> site.start_s(9, Position()) is None
     True
