--- a/tests/entry/test_mixedobjectives.py
+++ b/tests/entry/test_mixedobjectives.py
@@ -64,7 +64,7 @@
 
 
 def test_departures_in_the_list_reach_the_schedulers():
-    """A single departure, or one that is known only from its engine, must not count as several."""
+    """Without them, new requests would fill the memory that migrated runs need."""
 
     async def test(site):
         shares = []
