soak: busy machines, small memory, surges, slow readers, false refusals

The soak drew no load that exceeds the engines and no caller that reads slowly, had one class of urgency, and let a server's own 408, 429 or 503 pass as a refusal though the server had run the request.

A route "rush" is as "draft", but more urgent, with a shorter objective. New checks: urgent_is_served_first and nothing_starves; not_run_is_true also counts sealed responses.

--- a/hornbeamglade/cli/soak.py
+++ b/hornbeamglade/cli/soak.py
@@ -11,6 +11,13 @@
 
 EXIT_BROKEN = 1
 
+_KINDS_BY_SET = {
+    None: plan.ALL_KINDS,
+    "reachability": plan.REACHABILITY_KINDS,
+    "load": plan.LOAD_KINDS,
+    "refusals": plan.REFUSAL_KINDS,
+}
+
 
 @click.command()
 @click.option(
@@ -19,9 +26,22 @@
 @click.option("--seconds", default=12.0, show_default=True, help="Period in which faults start.")
 @click.option(
     "--reachability",
-    is_flag=True,
+    "kind_set",
+    flag_value="reachability",
     help="Draw only partitions, silent servers and servers that tolerate few refusals.",
 )
+@click.option(
+    "--load",
+    "kind_set",
+    flag_value="load",
+    help="Draw only slow machines, scarce memory, surges, slow readers and leaving engines.",
+)
+@click.option(
+    "--refusals",
+    "kind_set",
+    flag_value="refusals",
+    help="Draw only faults after which requests are refused, and servers whose refusals lie.",
+)
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(3, 60))
 @click.option("--kept", is_flag=True, help="Also run the seeds that have failed before.")
 @click.option(
@@ -32,7 +52,7 @@
 def soak(
     seeds_text: str,
     seconds: float,
-    reachability: bool,
+    kind_set: str | None,
     instances: int,
     kept: bool,
     folder: pathlib.Path | None,
@@ -41,7 +61,7 @@
     chosen = _seeds(seeds_text)
     if kept:
         chosen += [seed for seed in seeds.CAUSE_BY_SEED if seed not in chosen]
-    kinds = plan.REACHABILITY_KINDS if reachability else plan.ALL_KINDS
+    kinds = _KINDS_BY_SET[kind_set]
     failed = [seed for seed in chosen if not _passes(seed, seconds, kinds, instances, folder)]
     click.echo(f"{len(chosen)} seeds, {len(failed)} with a broken promise: {failed or 'none'}")
     sys.exit(EXIT_BROKEN if failed else 0)
--- a/hornbeamglade/soak/callerpool.py
+++ b/hornbeamglade/soak/callerpool.py
@@ -1,5 +1,6 @@
 """The callers of a soak test, each in its own thread, until they are stopped."""
 
+import dataclasses
 import itertools
 import random
 import threading
@@ -13,27 +14,48 @@
 STICKY_SHARE = 3
 """Every third caller ignores the directory and keeps its instance until that is gone."""
 
-ROUTES = ("list", "hold", "list", "hold", "list", "draft", "tag")
+ROUTES = ("list", "hold", "list", "hold", "list", "draft", "tag", "rush")
 ADDRESS_TTL_S = 2.0
 PAUSE_S = (0.01, 0.15)
 MAX_PAUSE_S = 0.5
 """A refused caller waits for the given delay, but no longer than this, as a soak is short."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Habits:
+    """How many callers there are and what they do.
+
+    :param callers: number of callers, each with its own thread.
+    :param routes: the routes that they choose from.
+    :param prefix: the beginning of their requests' ids.
+    :param unread_s: seconds in which they read nothing of a response.
+    :param pause_s: seconds between two reads of some kilobytes.
+    """
+
+    callers: int = CALLERS
+    routes: tuple[str, ...] = ROUTES
+    prefix: str = "s"
+    unread_s: float = 0.0
+    pause_s: float = 0.0
+
+
 class CallerPool:
-    """The callers of one run.
+    """The callers of one run, or of one fault.
 
     :param soak_site: the site that they send requests to.
+    :param habits: what they do.
     """
 
-    def __init__(self, soak_site: soaksite.SoakSite) -> None:
+    def __init__(self, soak_site: soaksite.SoakSite, habits: Habits | None = None) -> None:
         self._soak_site = soak_site
+        self._habits = habits or Habits()
+        self._id_prefix = f"{self._habits.prefix}{soak_site.seed}.{soak_site.next_pool_number()}"
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._results: list[routedcaller.CallerResult] = []
         self._threads = [
             threading.Thread(target=self._call, args=(number,), daemon=True)
-            for number in range(CALLERS)
+            for number in range(self._habits.callers)
         ]
 
     def start(self) -> None:
@@ -56,7 +78,10 @@
 
     def _call(self, number: int) -> None:
         rng = random.Random(self._soak_site.seed * 1000 + number)
-        caller = routedcaller.RoutedCaller(keep=number % 4 != 0)
+        habits = self._habits
+        caller = routedcaller.RoutedCaller(
+            keep=number % 4 != 0, unread_s=habits.unread_s, pause_s=habits.pause_s
+        )
         address = ""
         resolved_at = 0.0
         for count in itertools.count():
@@ -71,8 +96,8 @@
                 continue
             result = caller.send(
                 address,
-                rng.choice(ROUTES),
-                f"s{self._soak_site.seed}-{number}-{count}",
+                rng.choice(habits.routes),
+                f"{self._id_prefix}-{number}-{count}",
                 rng.choice(self._soak_site.keys()),
             )
             with self._lock:
--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import typing
 
 from hornbeamglade.localsite import routedsite
@@ -50,6 +51,17 @@
 PARTITION_SLACK = 10
 ALLOWED_FALLS = 2
 
+URGENT_ROUTE, LESS_URGENT_ROUTE = "rush", "draft"
+"""Two routes that differ only in urgency and objective."""
+
+MIN_COMPARED = 30
+"""Fewer requests show nothing about the share that is served."""
+
+URGENT_SLACK = 0.05
+URGENT_DEVIATIONS = 3.0
+STARVED_SHARE = 0.3
+"""A kind or team starves if it is served less than this share of what its group is served."""
+
 LIMIT_WINDOW_S = 4.0
 LIMIT_SLACK = 5
 
@@ -123,6 +135,8 @@
     found += _check_partitions(evidence)
     found += _check_tolerances(evidence)
     found += _check_served_share(evidence)
+    found += _check_urgency(evidence)
+    found += _check_starvation(evidence)
     return tuple(found)
 
 
@@ -166,7 +180,7 @@
     )
     if len(runs) > (1 if is_single else settings.max_attempts):
         yield Violation("run_as_often_as_allowed", result.request_id, f"{len(runs)} runs")
-    if result.status in NOT_RUN and not result.is_sealed and runs:
+    if result.status in NOT_RUN and runs:
         yield Violation(
             "not_run_is_true", result.request_id, f"status {result.status}, but it ran"
         )
@@ -414,3 +428,52 @@
     served = sum(result.status == 200 and result.is_whole for result in evidence.results)
     if served < MIN_SERVED_SHARE * len(evidence.results):
         yield Violation("serves", "", f"{served} of {len(evidence.results)} requests")
+
+
+def _check_urgency(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return a violation if urgent requests were served less often than less urgent ones.
+
+    Faults hit both alike, so the difference must lie within the spread of such samples.
+    """
+    served = {}
+    for route in (URGENT_ROUTE, LESS_URGENT_ROUTE):
+        served[route] = [_is_served(each) for each in _counted(evidence) if each.route == route]
+    counts = [len(each) for each in served.values()]
+    if min(counts) < MIN_COMPARED:
+        return
+    urgent, other = (sum(each) / len(each) for each in served.values())
+    mean = sum(map(sum, served.values())) / sum(counts)
+    deviation = math.sqrt(mean * (1 - mean) * sum(1 / count for count in counts))
+    if other - urgent > URGENT_SLACK + URGENT_DEVIATIONS * deviation:
+        detail = f"{urgent:.2f} of {counts[0]} urgent, {other:.2f} of {counts[1]} other requests"
+        yield Violation("urgent_is_served_first", "", detail)
+
+
+def _check_starvation(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return a violation for each team that starved, and each route among those of its service."""
+    groups: dict[str, dict[str, list[bool]]] = collections.defaultdict(dict)
+    for result in _counted(evidence):
+        service = operatordocuments.SETTINGS_BY_ROUTE[result.route].service
+        team = soaksite.team_of(result.key)
+        for group, member in ((service, result.route), ("teams", team)):
+            groups[group].setdefault(member, []).append(_is_served(result))
+    for served_by_member in groups.values():
+        every = [served for each in served_by_member.values() for served in each]
+        for member, served in served_by_member.items():
+            least = STARVED_SHARE * sum(every) / len(every)
+            if len(served) >= MIN_COMPARED and sum(served) / len(served) < least:
+                detail = f"{member}: {sum(served)} of {len(served)} requests"
+                yield Violation("nothing_starves", "", detail)
+
+
+def _counted(evidence: Evidence) -> list[routedcaller.CallerResult]:
+    """Return the results of callers that read their responses and have a valid key."""
+    return [
+        each
+        for each in evidence.results
+        if each.status != 401 and not each.request_id.startswith(faults.SLOW_PREFIX)
+    ]
+
+
+def _is_served(result: routedcaller.CallerResult) -> bool:
+    return result.status == 200 and result.is_whole
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -10,7 +10,7 @@
 import time
 
 from hornbeamglade.localsite import routedsite, tcpproxy
-from hornbeamglade.soak import faultyentry, skewedentry, soaksite
+from hornbeamglade.soak import callerpool, faultyentry, skewedentry, soaksite
 from hornbeamglade.standins import routedcaller
 
 EXIT_S = 12.0
@@ -32,6 +32,23 @@
 TOLERATED = "3"
 """Refusals in a second that servers tolerate."""
 
+SLOWDOWN = 2.5
+ENGINE_MEMORY_TOKENS = 300
+"""Room for two runs of the callers, which have 100 tokens of prompt and 40 events each."""
+
+LARGE_BYTES = 1_000_000
+"""More than an instance holds for one caller."""
+
+UNREAD_S = 2.0
+"""After this time, servers cut off a response that is not read."""
+
+SLOW_PREFIX = "slow"
+SURGE_PREFIX = "surge"
+UNREADING = callerpool.Habits(3, ("list", "hold"), SLOW_PREFIX, unread_s=2.5 * UNREAD_S)
+SLOWLY_READING = callerpool.Habits(3, ("list", "hold"), SLOW_PREFIX + "er", pause_s=0.05)
+SURGE = callerpool.Habits(30, ("draft", "tag", "rush"), SURGE_PREFIX)
+STOP_TIMEOUT_S = 25.0
+
 LINKS_OF = "links-of-"
 
 
@@ -283,18 +300,13 @@
 
     def begin(self, soak_site: soaksite.SoakSite) -> None:
         """Let them state it, and take their room away when all instances may know."""
-        self._set(soak_site, brittle=TOLERATED)
+        _set_services(soak_site, brittle=TOLERATED)
         time.sleep(STATED_S)
-        self._set(soak_site, brittle=TOLERATED, room=1)
+        _set_services(soak_site, brittle=TOLERATED, room=1)
 
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Give their room back."""
-        self._set(soak_site)
-
-    def _set(self, soak_site: soaksite.SoakSite, **faults: object) -> None:
-        for place in soak_site.site.server_by_place:
-            if place.startswith("service"):
-                soak_site.site.faults(place, **faults)
+        _set_services(soak_site)
 
 
 class ServerPaused(Fault):
@@ -498,6 +510,111 @@
                 _replace(soak_site, place)
 
 
+class MachineBusy(Fault):
+    """Work on a server's machine takes longer for a while, which its load figures state."""
+
+    extra_duration_s = 2.0
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Slow it down."""
+        soak_site.site.faults(self.component, slowdown=SLOWDOWN)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Give its speed back."""
+        soak_site.site.faults(self.component)
+
+
+class MemoryShrinks(Fault):
+    """An engine has little memory, and crashes if its runs exceed it."""
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Bound its memory; its reports state the bound."""
+        soak_site.site.faults(self.component, memory_tokens=ENGINE_MEMORY_TOKENS)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Remove the bound, or replace the engine if it has crashed."""
+        if _listens(soak_site.site.address_by_name[self.component]):
+            soak_site.site.faults(self.component)
+        else:
+            _replace(soak_site, self.component)
+
+
+@dataclasses.dataclass
+class StatusAfterRun(Fault):
+    """A server runs requests and responds with a status that says that it did not.
+
+    :param component: the server.
+    :param status: 408, 429 or 503, without the header that states a refusal.
+    """
+
+    component: str
+    status: int
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it respond so."""
+        soak_site.site.faults(self.component, status=self.status)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it respond normally again."""
+        soak_site.site.faults(self.component)
+
+
+class ExtraCallers(Fault):
+    """Further callers send requests for a while."""
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Start the callers."""
+        self._pools = [callerpool.CallerPool(soak_site, each) for each in self.habits()]
+        for pool in self._pools:
+            pool.start()
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Stop the callers and keep their results."""
+        for pool in self._pools:
+            pool.stop(STOP_TIMEOUT_S)
+            soak_site.extra_results += pool.results()
+
+    @abc.abstractmethod
+    def habits(self) -> tuple[callerpool.Habits, ...]:
+        """Return what the callers do."""
+
+
+class CallersSurge(ExtraCallers):
+    """Many callers ask for streams at the same time, more than the engines can run.
+
+    :param component: ``callers``, which stands for them.
+    """
+
+    extra_duration_s = 2.0
+
+    def habits(self) -> tuple[callerpool.Habits, ...]:
+        """Return what the callers do."""
+        return (SURGE,)
+
+
+class CallersReadSlowly(ExtraCallers):
+    """Some callers read large responses slowly or not at all; servers cut off what is unread.
+
+    :param component: ``services``, which stands for all plain servers.
+    """
+
+    extra_duration_s = 6.0
+
+    def habits(self) -> tuple[callerpool.Habits, ...]:
+        """Return what the callers do."""
+        return (UNREADING, SLOWLY_READING)
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let servers send large responses, and start the callers."""
+        _set_services(soak_site, response_bytes=LARGE_BYTES, unread_s=UNREAD_S)
+        super().begin(soak_site)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Stop the callers, and let servers respond normally."""
+        super().end(soak_site)
+        _set_services(soak_site)
+
+
 class DomainEvacuated(Fault):
     """The operator evacuates a failure domain for a while."""
 
@@ -519,6 +636,13 @@
     return soak_site.site.start_server(place)
 
 
+def _set_services(soak_site: soaksite.SoakSite, **faults: object) -> None:
+    """Set the faults of all plain servers."""
+    for place in soak_site.site.server_by_place:
+        if place.startswith("service"):
+            soak_site.site.faults(place, **faults)
+
+
 def _listens(address: str) -> bool:
     host, _, port = address.rpartition(":")
     try:
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -23,6 +23,8 @@
 ENGINES = tuple(f"engine-{number}" for number in range(3))
 SERVICES = tuple(f"service-{number}" for number in range(2))
 ALL_SERVICES = "services"
+EXTRA_CALLERS = "callers"
+STATUSES_AFTER_RUN = (408, 429, 503)
 LINKS = ("store", *ENGINES, *SERVICES)
 INVALID_ENTRIES = (
     "",
@@ -74,6 +76,11 @@
     return faults.InstancePartitioned(component, rng.choice(tuple(tcpproxy.Partition)))
 
 
+def _status_after_run(rng: random.Random) -> faults.Fault:
+    status = rng.choice(STATUSES_AFTER_RUN)
+    return faults.StatusAfterRun(rng.choice(ENGINES + SERVICES), status)
+
+
 KINDS: tuple[FaultFactory, ...] = (
     _choose(faults.InstanceKilled, INSTANCES),
     _choose(faults.InstanceStopped, INSTANCES),
@@ -107,10 +114,34 @@
     _choose(faults.LinkSilent, LINKS),
 )
 
+LOAD_KINDS: tuple[FaultFactory, ...] = (
+    _choose(faults.MachineBusy, ENGINES + SERVICES),
+    _choose(faults.MemoryShrinks, ENGINES),
+    lambda rng: faults.CallersSurge(EXTRA_CALLERS),
+    lambda rng: faults.CallersReadSlowly(ALL_SERVICES),
+    _choose(faults.ServerLeaves, ENGINES),
+)
+"""Slow machines, scarce memory, surges, slow readers and departing engines."""
+
+REFUSAL_KINDS: tuple[FaultFactory, ...] = (
+    *3 * (_status_after_run,),
+    _choose(faults.ServerRefuses, ENGINES + SERVICES),
+    _choose(faults.ServerLeaves, ENGINES),
+    _choose(faults.InstanceStopped, INSTANCES),
+    lambda rng: faults.ServerMisbehaves(rng.choice(SERVICES), "hang"),
+    lambda rng: faults.RequestCrashesServers(ALL_SERVICES),
+    lambda rng: faults.CallersSurge(EXTRA_CALLERS),
+    _partition,
+)
+"""Kinds that lead to refusals on all paths: responses, streams, tunnels, migrations, deadlines,
+stopping instances and quarantine."""
+
 ALL_KINDS: tuple[FaultFactory, ...] = (
     *KINDS,
     *2 * (_partition,),
     lambda rng: faults.ServersTolerateFew(ALL_SERVICES),
+    *LOAD_KINDS,
+    _status_after_run,
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
--- a/hornbeamglade/soak/running.py
+++ b/hornbeamglade/soak/running.py
@@ -77,7 +77,7 @@
     if not callers.stop(CALLER_TIMEOUT_S):
         found.append(checks.Violation("every_request_ends", "", "a caller still waits"))
     found += _crashed_instances(soak_site)
-    results = callers.results()
+    results = (*callers.results(), *soak_site.extra_results)
     found += checks.violations(
         checks.Evidence(
             results,
--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -12,3 +12,10 @@
 REACHABILITY_SEEDS = (4, 6, 7)
 """Seeds of :data:`plan.REACHABILITY_KINDS <hornbeamglade.soak.plan.REACHABILITY_KINDS>` that draw
 partitions of instances and servers that tolerate few refusals."""
+
+LOAD_SEEDS = (5, 7)
+"""Seeds of :data:`plan.LOAD_KINDS <hornbeamglade.soak.plan.LOAD_KINDS>` that draw all of them."""
+
+REFUSAL_SEEDS = (6, 10)
+"""Seeds of :data:`plan.REFUSAL_KINDS <hornbeamglade.soak.plan.REFUSAL_KINDS>` in whose plans
+servers respond to requests that they ran with a status that says that they did not."""
--- a/hornbeamglade/soak/soaksite.py
+++ b/hornbeamglade/soak/soaksite.py
@@ -7,6 +7,7 @@
 import time
 
 from hornbeamglade.localsite import routedsite, tcpproxy
+from hornbeamglade.standins import routedcaller
 
 KEYS_PER_TEAM = 3
 RETRY_DELAY_S = 0.2
@@ -83,6 +84,8 @@
         self.issued_at_by_key: dict[str, float] = {}
         self.evacuated: list[Evacuated] = []
         self.limited: list[Limited] = []
+        self.extra_results: list[routedcaller.CallerResult] = []
+        self._pools = 0
         self._fault_records: list[FaultRecord] = []
 
     def begin(self, name: str, component: str) -> None:
@@ -102,6 +105,12 @@
                 for each in self._fault_records
             ]
 
+    def next_pool_number(self) -> int:
+        """Return a number that no other pool of callers has: request ids must be unique."""
+        with self._lock:
+            self._pools += 1
+            return self._pools
+
     def history(self) -> tuple[FaultRecord, ...]:
         """Return all faults, in order of their starts."""
         with self._lock:
--- a/hornbeamglade/standins/operatordocuments.py
+++ b/hornbeamglade/standins/operatordocuments.py
@@ -22,6 +22,8 @@
     :param max_attempts: maximum number of replicas that one request may be sent to.
     :param is_resumable: whether a stream may be continued by another run.
     :param timeout_ms: the longest time that a request may wait.
+    :param goal_ms: objective for the first event, or the response.
+    :param priority: rank of its requests; 0 is the most urgent.
     """
 
     kind: str
@@ -29,11 +31,14 @@
     max_attempts: int = 2
     is_resumable: bool = False
     timeout_ms: int = 20_000
+    goal_ms: int = 5000
+    priority: int = 1
 
 
 SETTINGS_BY_ROUTE = {
     "draft": RouteSettings("streaming", ENGINE_SERVICE, max_attempts=1),
     "tag": RouteSettings("streaming", ENGINE_SERVICE, is_resumable=True),
+    "rush": RouteSettings("streaming", ENGINE_SERVICE, max_attempts=1, goal_ms=1500, priority=0),
     "list": RouteSettings("idempotent", PLAIN_SERVICE),
     "hold": RouteSettings("non_idempotent", PLAIN_SERVICE, max_attempts=1),
 }
@@ -110,8 +115,8 @@
         "prefix": f"/{name}/",
         "route_kind": settings.kind,
         "timeout_ms": settings.timeout_ms,
-        "goal_ms": 5000,
-        "priority": 1,
+        "goal_ms": settings.goal_ms,
+        "priority": settings.priority,
         "service": settings.service,
         "max_attempts": settings.max_attempts,
         "resumable": settings.is_resumable,
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -297,7 +297,7 @@
             async with self._slots:
                 factor = self.machine.factor(time.monotonic())
                 await asyncio.sleep(self.machine.traits.plain_s * factor)
-        status = 500 if faults.fail else 200
+        status = faults.status or (500 if faults.fail else 200)
         body = f"{self.replica_id}:{request.request_id}".encode()
         body = body.rjust(faults.response_bytes, b".")
         if faults.stray:
@@ -331,6 +331,12 @@
             return False
         if await self._crashed_from_memory():
             return False
+        if self.faults.status:
+            run.is_alive = False
+            body = f"{self.replica_id}:{request.request_id}".encode()
+            proof = self._proof_headers(request)
+            writer.write(_response(request, self.faults.status, proof, body))
+            return True
         if self.faults.hang:
             await reader.read(1)
             return False
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -9,6 +9,7 @@
     :param refuse: requests are refused as not run.
     :param retry_after: requests are refused as not run, with this ``Retry-After``.
     :param fail: requests are run and get a response with status 500.
+    :param status: requests are run and get a response with this status, or 0.
     :param hang: requests are accepted and never get a response.
     :param delay_s: seconds before a response.
     :param unproved: responses have no proof that they are the server's.
@@ -37,6 +38,7 @@
     refuse: bool = False
     retry_after: str = ""
     fail: bool = False
+    status: int = 0
     hang: bool = False
     delay_s: float = 0.0
     unproved: bool = False
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hornbeamglade.localsite import routedsite
-from hornbeamglade.soak import checks, soaksite
+from hornbeamglade.soak import checks, faults, soaksite
 from hornbeamglade.standins import routedcaller
 
 EVENTS = 3
@@ -267,3 +267,52 @@
     assert violations(results, runs, [link_reset], refusals=[refused]) == []
     other_reset = dataclasses.replace(link_reset, component="service-1")
     assert violations(results, runs, [other_reset], refusals=[refused]) == ["backoff_is_kept"]
+
+
+@pytest.mark.parametrize("status", sorted(checks.NOT_RUN))
+def test_a_replica_s_own_status_that_denies_its_run_is_reported(status):
+    """Guards against passing on a sealed 503 of a server that ran the request."""
+    passed_on = result("hold", status=status, body=b"s0:r1")
+    assert "not_run_is_true" in violations([passed_on], [run_record("hold")])
+
+
+def many(route, served, count, prefix="x", key=KEY):
+    """Return results of which some were served, as far as shares are concerned."""
+    return [
+        result(
+            route,
+            request_id=f"{prefix}-{route}-{key}-{number}",
+            key=key,
+            status=200 if number < served else 503,
+            is_sealed=False,
+            events=(),
+            body=b"",
+        )
+        for number in range(count)
+    ]
+
+
+def shares(results):
+    found = violations(results, [])
+    return [each for each in found if each in ("urgent_is_served_first", "nothing_starves")]
+
+
+def test_urgent_requests_that_are_served_less_often_are_reported():
+    assert shares(many("rush", 60, 100) + many("draft", 95, 100)) == ["urgent_is_served_first"]
+    assert shares(many("rush", 88, 100) + many("draft", 95, 100)) == []
+    assert shares(many("rush", 95, 100) + many("draft", 60, 100)) == []
+    assert shares(many("rush", 0, 5) + many("draft", 95, 100)) == []
+
+
+def test_routes_and_teams_that_starve_are_reported():
+    assert shares(many("list", 95, 100) + many("hold", 10, 100)) == ["nothing_starves"]
+    assert shares(many("list", 95, 100) + many("hold", 60, 100)) == []
+    starved_team = many("list", 95, 100) + many("list", 10, 100, key="court-0")
+    assert shares(starved_team) == ["nothing_starves"]
+    unreading = many("hold", 0, 100, prefix=faults.SLOW_PREFIX, key="court-0")
+    assert shares(many("list", 95, 100) + unreading) == []
+
+
+def test_services_that_differ_in_what_they_can_serve_do_not_starve_each_other():
+    """Guards against excusing no outage of all engines while plain services go on."""
+    assert shares(many("list", 95, 100) + many("tag", 10, 100)) == []
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -19,7 +19,7 @@
 
 def test_every_kind_of_fault_occurs_for_some_seed():
     kinds = {each.fault.name for seed in range(1, 60) for each in plan.make(seed, 30.0)}
-    abstract = {"Fault", "LinkFault"}
+    abstract = {"Fault", "LinkFault", "ExtraCallers"}
     concrete = {
         name
         for name, kind in vars(faults).items()
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -44,3 +44,31 @@
         planned = plan.make(seed, REACHABILITY_SECONDS, plan.REACHABILITY_KINDS)
         names = {each.fault.name for each in planned}
         assert {"InstancePartitioned", "ServersTolerateFew"} <= names
+
+
+LOAD_SECONDS = 12.0
+
+
+@pytest.mark.parametrize("seed", seeds.LOAD_SEEDS)
+def test_soak_with_scarce_capacity_violates_no_guarantee(seed, tmp_path):
+    """Guards against starved kinds and teams, and urgent requests served after others."""
+    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.LOAD_KINDS)
+    assert verdict.violations == ()
+
+
+@pytest.mark.parametrize("seed", seeds.REFUSAL_SEEDS)
+def test_soak_with_refusals_on_all_paths_violates_no_guarantee(seed, tmp_path):
+    """Guards against refusals that deny a run, such as a server's own 503 that is passed on."""
+    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.REFUSAL_KINDS)
+    assert verdict.violations == ()
+
+
+def test_each_seed_of_load_and_refusals_draws_their_faults():
+    load = {"MachineBusy", "MemoryShrinks", "CallersSurge", "CallersReadSlowly", "ServerLeaves"}
+    for drawn, kinds, names in (
+        (seeds.LOAD_SEEDS, plan.LOAD_KINDS, load),
+        (seeds.REFUSAL_SEEDS, plan.REFUSAL_KINDS, {"StatusAfterRun", "InstancePartitioned"}),
+    ):
+        for seed in drawn:
+            planned = plan.make(seed, LOAD_SECONDS, kinds)
+            assert names <= {each.fault.name for each in planned}
