--- a/hornbeamglade/grants/sitefigures.py
+++ b/hornbeamglade/grants/sitefigures.py
@@ -234,7 +234,7 @@
 
 
 def replica_digest(
-    state: schedulerset.SchedulerState, pace: enginespeeds.Pace | None
+    state: schedulerset.SchedulerState, pace: enginespeeds.Pace | None = None
 ) -> messages.ReplicaDigest:
     """Return the digest of a replica that this node owns.
 
--- a/tests/grants/surgesite.py
+++ b/tests/grants/surgesite.py
@@ -37,6 +37,7 @@
 from hornbeamglade.routed import enginecatalog
 from hornbeamglade.routes import objectives
 from hornbeamglade.routing import candidates
+from hornbeamglade.speeds import enginespeeds
 
 SERVICE = "llm"
 INSTANCES, DOMAINS, ENGINES = 66, 4, 23
@@ -158,7 +159,12 @@
         self.digests = digestcache.DigestCache(clock)
         coordinated = objectives.CoordinatedServices(lambda _service: site.is_coordinated)
         self.figures = sitefigures.SiteFigures(
-            self.name, self.schedulers, self.digests, coordinated, clock
+            self.name,
+            self.schedulers,
+            self.digests,
+            coordinated,
+            clock,
+            enginespeeds.EngineSpeeds(clock, lambda _service: False),
         )
         self.names = remotescheduler.ConfiguredNames()
         self.names.services.replace((LONG.route, SHORT.route))
@@ -183,7 +189,7 @@
             self,
             random.Random(number),
             settings,
-            self.figures if site.has_forecast else PredictedRefusals(self.figures, site),
+            figures=self.figures if site.has_forecast else PredictedRefusals(self.figures, site),
         )
 
     def owner(self, replica):
