grants: stop waiting for a fast engine while a slow one still starts in time

A request looked for an engine that keeps the pace until its latest start, and then started late at a slow engine, whose prefill takes longer. Stop one prefill and one search earlier.

--- a/hornbeamglade/grants/asyncgrantacquirer.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -308,14 +308,23 @@
         A migrated run is past its first event, and its pauses still matter.
         """
         work = placement.work
-        if work.pace is None or placement.produced or self._clock.now() < placement.due:
+        if work.pace is None or placement.produced or self._time_to_choose_s(placement) > 0.0:
             return work
         return dataclasses.replace(work, pace=None)
 
+    def _time_to_choose_s(self, placement: PlacementRequest) -> float:
+        """Return the seconds for which the request may wait for a replica that keeps the pace.
+
+        Afterwards it would start late at a slow replica, which takes about twice as long to
+        process its prompt.
+        """
+        prefill_s = placement.work.prompt_tokens / self._settings.prefill_tokens_per_s
+        return placement.due - self._clock.now() - prefill_s - SEARCH_INTERVAL_S
+
     def _may_find_other(self, placement: PlacementRequest) -> bool:
         """Return whether the request may still start in time at a replica that keeps the pace."""
         pace = placement.work.pace
-        left_s = placement.due - self._clock.now()
+        left_s = self._time_to_choose_s(placement)
         if pace is None or placement.produced or left_s <= 0.0:
             return False
         return any(
