--- a/hornbeamglade/grants/asyncgrantacquirer.py
+++ b/hornbeamglade/grants/asyncgrantacquirer.py
@@ -332,6 +332,11 @@
             and each.outlook.pace is not None
             and each.outlook.keeps_pace(pace)
             and each.expected_wait_s < left_s
+            and (
+                each.room_tokens >= placement.work.prompt_tokens
+                # An older report of a full replica is not believed.
+                or each.report_age_s > FRESH_REPORT_S
+            )
             and not (each.leaving or each.ejected)
             for each in placement.list_candidates()
         )
