http1: count and bound what callers' connections hold

Request bodies are counted from before they are read until they are answered, responses until they are sent. A body over 64 KiB that would exceed the bound is refused with 503 and Retry-After before it is read; a chunked one where it exceeds the bound. Its rest is discarded for up to 1 s, so that no reset removes the refusal. A caller that reads nothing for 1 s while the bound is exceeded loses its connection.

--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -10,17 +10,21 @@
 
 A request's body is read completely before it is handled: only then may the request be sent
 to a second backend server, and a caller's slow body never occupies a slot of a replica.
+
+What the connections hold, request bodies until they are answered and responses until they are
+sent, is counted in :mod:`hornbeamglade.http1.buffermemory` and bounded there.
 """
 
 import abc
 import asyncio
+import collections.abc
 import dataclasses
 import http
 
 import h11
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import fields, strictness
+from hornbeamglade.http1 import buffermemory, fields, strictness
 
 READ_AHEAD_BYTES = 65_536
 """Bytes that a caller may send ahead of the current response before reading pauses."""
@@ -29,6 +33,14 @@
 """Bytes of a response that may be buffered for a slow caller: 256 KiB hold two seconds of the
 densest stream, and a thousand such buffers still do not fill an instance's memory."""
 
+MEMORY_RETRY_S = 1
+"""Delay that a caller is told whose body found no memory: callers that stopped reading lose their
+connections, and with them the memory, after this time."""
+
+LINGER_S = 1.0
+"""How long the rest of a refused body is read and discarded. If the connection were closed while
+the caller still sends, a reset could remove the refusal before the caller has read it."""
+
 _CLOSE = (b"Connection", b"close")
 
 
@@ -80,6 +92,22 @@
     def refused(self, status: http.HTTPStatus, reason: str) -> None:  # noqa: B027
         """Record a request that was refused before it could be handled."""
 
+    def body_refused(self, peer: str, byte_count: int, held_bytes: int) -> None:  # noqa: B027
+        """Record a request whose body found no memory; it was refused with status 503.
+
+        :param peer: address of the caller.
+        :param byte_count: length of the body, as far as known.
+        :param held_bytes: what all connections held.
+        """
+
+    def closed_unread(self, peer: str, byte_count: int, held_bytes: int) -> None:  # noqa: B027
+        """Record a connection that was closed because its caller did not read.
+
+        :param peer: address of the caller.
+        :param byte_count: bytes that were held for the caller.
+        :param held_bytes: what the other connections hold.
+        """
+
     def failed(self, error: Exception) -> None:  # noqa: B027
         """Record an error that handling a request raised."""
 
@@ -124,6 +152,13 @@
         """Send a piece of the body, and wait while the write buffer is full."""
         await self._connection.write(self._state.send(h11.Data(data=data)))
 
+    def set_read_ahead(self, count: collections.abc.Callable[[], int]) -> None:
+        """Count what is read ahead of a slow caller as held for its connection.
+
+        :param count: returns the bytes that are held besides those passed to :meth:`send`.
+        """
+        self._connection.count_read_ahead = count
+
     async def finish(self) -> None:
         """End the response as complete."""
         await self._connection.write(self._state.send(h11.EndOfMessage()))
@@ -154,12 +189,24 @@
         self.reason = reason
 
 
-class CallerConnection(asyncio.Protocol):
+class NoMemoryError(Exception):
+    """A request whose body would exceed the bound on held memory.
+
+    :param byte_count: length of the body, as far as known.
+    """
+
+    def __init__(self, byte_count: int) -> None:
+        super().__init__(byte_count)
+        self.byte_count = byte_count
+
+
+class CallerConnection(asyncio.Protocol, buffermemory.Reader):
     """One caller's connection.
 
     :param handler: answers its requests.
     :param open_connections: the set of open connections that it joins.
     :param clock: monotonic time.
+    :param memory: counts and bounds what the connections hold.
     """
 
     def __init__(
@@ -167,10 +214,15 @@
         handler: Handler,
         open_connections: "set[CallerConnection]",
         clock: clocks.Clock,
+        memory: buffermemory.BufferMemory,
     ) -> None:
         self._handler = handler
         self._open_connections = open_connections
         self._clock = clock
+        self._memory = memory
+        self._holding = memory.open(self)
+        self._is_discarding = False
+        self.count_read_ahead: collections.abc.Callable[[], int] = _nothing
         self._buffer = bytearray()
         self._waiter: asyncio.Future[None] | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
@@ -192,6 +244,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle bytes from the caller."""
+        if self._is_discarding:
+            return
         self._buffer += data
         if self.is_busy and len(self._buffer) > READ_AHEAD_BYTES:
             self._transport.pause_reading()
@@ -204,6 +258,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as its caller has disconnected."""
         self._is_gone = True
+        self._holding.close()
         self._open_connections.discard(self)
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_result(None)
@@ -225,6 +280,7 @@
         if self._is_gone:
             raise ConnectionResetError("the caller has disconnected")
         self._transport.write(data)
+        self._holding.written(len(data))
         if self._drain_waiter is not None:
             await self._drain_waiter
 
@@ -232,6 +288,19 @@
         """Close immediately."""
         self._transport.abort()
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes in the write buffer."""
+        return self._transport.get_write_buffer_size()
+
+    def read_ahead_bytes(self) -> int:
+        """Return the bytes of the response that are held outside of the write buffer."""
+        return self.count_read_ahead()
+
+    def close_unread(self, byte_count: int) -> None:
+        """Close immediately, as the caller does not read."""
+        self._handler.closed_unread(self.peer, byte_count, self._memory.held_bytes)
+        self.abort()
+
     def leave(self) -> None:
         """Close after the next response; an idle caller may send one more request."""
         self.is_leaving = True
@@ -262,6 +331,10 @@
             self._handler.refused(refused.status, refused.reason)
             await self._refuse(refused.status)
             return False
+        except NoMemoryError as error:
+            self._handler.body_refused(self.peer, error.byte_count, self._memory.held_bytes)
+            await self._refuse_body()
+            return False
         if request is None:
             return False
         exchange = Exchange(self, request, state)
@@ -270,6 +343,8 @@
             await self._handler.handle(exchange)
         finally:
             self.is_busy = False
+            self.count_read_ahead = _nothing
+            self._holding.hold_body(0)
         if not exchange.keeps_connection:
             return False
         self._transport.resume_reading()
@@ -328,6 +403,9 @@
         length = fields.value(started.headers, b"content-length")
         if length is not None and int(length) > limits.body_bytes:
             raise RefusedError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
+        # The whole body is counted before it is read, so that it is not refused halfway.
+        announced = 0 if length is None else int(length)
+        self._hold_body(announced)
         if state.they_are_waiting_for_100_continue:
             self._transport.write(
                 state.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -345,9 +423,17 @@
                 if len(body) > limits.body_bytes:
                     status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
                     raise RefusedError(status, "the body is too long")
+                if len(body) > announced:
+                    self._hold_body(len(body))
             else:
                 return bytes(body)
 
+    def _hold_body(self, byte_count: int) -> None:
+        further = byte_count - self._holding.body_bytes
+        if byte_count > buffermemory.LARGE_BODY_BYTES and not self._memory.has_room(further):
+            raise NoMemoryError(byte_count)
+        self._holding.hold_body(byte_count)
+
     async def _await_data(self, timeout_s: float) -> bool:
         """Wait for more bytes from the caller; return whether some arrived in time."""
         self._waiter = asyncio.get_running_loop().create_future()
@@ -369,17 +455,37 @@
         head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
         self._transport.write(f"{head}Content-Length: 0\r\nConnection: close\r\n\r\n".encode())
 
+    async def _refuse_body(self) -> None:
+        """Refuse a request whose body was not read; it has not run and may be sent again."""
+        self._is_discarding = True
+        self._buffer.clear()
+        self._holding.hold_body(0)
+        self._transport.write(
+            b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\n"
+            b"Content-Length: 0\r\nConnection: close\r\n\r\n" % MEMORY_RETRY_S
+        )
+        self._transport.write_eof()
+        # If the caller closes the connection first, this task is cancelled.
+        await asyncio.sleep(LINGER_S)
+
 
 class CallersServer:
     """Listens on one address and tracks its open connections.
 
     :param handler: answers requests.
     :param clock: monotonic time.
+    :param memory: counts and bounds what the connections hold; unbounded by default.
     """
 
-    def __init__(self, handler: Handler, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        clock: clocks.Clock,
+        memory: buffermemory.BufferMemory | None = None,
+    ) -> None:
         self._handler = handler
         self._clock = clock
+        self._memory = memory or buffermemory.BufferMemory(clock)
         self._server: asyncio.Server | None = None
         self.connections: set[CallerConnection] = set()
         self._is_leaving = False
@@ -413,11 +519,15 @@
         return sum(connection.is_busy for connection in self.connections)
 
     def _accept(self) -> CallerConnection:
-        connection = CallerConnection(self._handler, self.connections, self._clock)
+        connection = CallerConnection(self._handler, self.connections, self._clock, self._memory)
         connection.is_leaving = self._is_leaving
         return connection
 
 
+def _nothing() -> int:
+    return 0
+
+
 def _reason(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
--- /dev/null
+++ b/tests/http1/test_slowreaders.py
@@ -0,0 +1,151 @@
+"""The memory that callers' connections hold, and what happens at its bound."""
+
+import asyncio
+import socket
+
+from hornbeamglade.core import clocks
+from hornbeamglade.http1 import buffermemory, serverside
+from tests import eventloop
+from tests.http1 import raw
+
+RESPONSE_BYTES = 16_000_000
+"""More than the socket buffers of both sides take."""
+
+
+class Handler(serverside.Handler):
+    """Answers ``/large`` with much data, and anything else once it is allowed to."""
+
+    def __init__(self):
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+        self.bodies = []
+        self.refused_bodies = []
+        self.closed = []
+
+    def limits(self):
+        return serverside.ConnectionLimits()
+
+    def body_refused(self, peer, byte_count, held_bytes):
+        self.refused_bodies.append(byte_count)
+
+    def closed_unread(self, peer, byte_count, held_bytes):
+        self.closed.append((peer, byte_count))
+
+    async def handle(self, exchange):
+        self.bodies.append(exchange.request.body)
+        await self.may_answer.wait()
+        is_large = exchange.request.target == b"/large"
+        await exchange.answer(200, (), b"x" * RESPONSE_BYTES if is_large else b"ok")
+
+
+class Site:
+    """A server with a bound on its memory, and callers of it."""
+
+    def __init__(self, bound):
+        self.clock = clocks.ManualClock(100.0)
+        self.memory = buffermemory.BufferMemory(self.clock, bound)
+        self.handler = Handler()
+        self.server = serverside.CallersServer(self.handler, self.clock, self.memory)
+
+    async def listen(self):
+        self.address = await self.server.listen("127.0.0.1", 0)
+
+    async def call(self, target=b"/", body=b"", framing=None):
+        client = await raw.RawClient.connect(self.address)
+        framing = framing or b"Content-Length: %d" % len(body)
+        head = b"POST %s HTTP/1.1\r\nHost: x\r\n%s\r\n\r\n" % (target, framing)
+        client.writer.write(head + body)
+        return client
+
+
+def run(scenario, bound):
+    async def main():
+        site = Site(bound)
+        await site.listen()
+        result = await scenario(site)
+        site.server.stop_listening()
+        return result
+
+    return eventloop.run(main())
+
+
+def test_large_body_beyond_the_bound_is_refused_before_it_is_read():
+    """The refusal reaches the caller although it still sends; its request has not run."""
+
+    async def scenario(site):
+        client = await site.call(body=b"x" * 2_000_000)
+        status, fields, _ = await client.answer()
+        client.close()
+        await eventloop.until(lambda: not site.server.connections)
+        return status, fields["retry-after"], site.handler, site.memory.held_bytes
+
+    status, retry_after, handler, held = run(scenario, 1_000_000)
+    assert (status, retry_after, held) == (503, "1", 0)
+    assert (handler.bodies, handler.refused_bodies) == ([], [2_000_000])
+
+
+def test_chunked_body_is_refused_where_it_exceeds_the_bound():
+    """A body without a length would otherwise bypass the bound."""
+
+    async def scenario(site):
+        chunks = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
+        client = await site.call(body=chunks * 2, framing=b"Transfer-Encoding: chunked")
+        return (await client.answer())[0], site.handler.bodies
+
+    assert run(scenario, 100_000) == (503, [])
+
+
+def test_bodies_are_counted_until_they_are_answered():
+    """Bodies of waiting requests fill the memory; what is answered must make room again."""
+
+    async def scenario(site):
+        site.handler.may_answer.clear()
+        first = await site.call(body=b"x" * 300_000)
+        await eventloop.until(lambda: site.handler.bodies)
+        refused = await site.call(body=b"x" * 300_000)
+        small = await site.call(body=b"x" * 60_000)
+        refused_status = (await refused.answer())[0]
+        await eventloop.until(lambda: len(site.handler.bodies) == 2)
+        held = site.memory.held_bytes
+        site.handler.may_answer.set()
+        statuses = [(await each.answer())[0] for each in (first, small)]
+        await eventloop.until(lambda: not site.memory.held_bytes)
+        return refused_status, held, statuses
+
+    assert run(scenario, 320_000) == (503, 360_000, [200, 200])
+
+
+def read_nothing(address):
+    """Return the socket of a caller that requests much data and does not read it."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    host, _, port = address.rpartition(":")
+    caller.connect((host, int(port)))
+    caller.sendall(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+    return caller
+
+
+def stalled_and_reading_caller(bound):
+    """Return the peers closed after 2 s, the stalled one's, and the other caller's status."""
+
+    async def scenario(site):
+        with read_nothing(site.address) as stalled:
+            await eventloop.until(lambda: site.memory.held_bytes > RESPONSE_BYTES / 4)
+            site.clock.advance(2.0)
+            reading = await site.call(body=b"x" * 100_000)
+            status = (await reading.answer())[0]
+            peer = "{}:{}".format(*stalled.getsockname())
+            return [closed for closed, _ in site.handler.closed], peer, status
+
+    return run(scenario, bound)
+
+
+def test_stalled_caller_is_closed_and_others_are_served():
+    closed, peer, status = stalled_and_reading_caller(bound=1_000_000)
+    assert (closed, status) == ([peer], 200)
+
+
+def test_without_a_bound_a_stalled_caller_keeps_its_connection():
+    """Existing instances have no such setting and behave as before."""
+    closed, _, status = stalled_and_reading_caller(bound=None)
+    assert (closed, status) == ([], 200)
