entry: bound held memory by the setting memory_mb

A third of memory_mb may be held for callers; deploy/settings.yaml fills it from limits.memory_mb where the platform states it. It stands before the required fields, so that no truncated file can lower it. Without it there is no bound, as before.

Buffered responses count while they are read, and a stream's read-ahead counts for its caller. Each closed connection and each refused body has a line and a counter; held_bytes and held_bytes_bound are gauges.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -78,6 +78,17 @@
         self._dependencies.metrics.refusals.add(labels=("request_unreadable", ""))
         logs.decided("-", "read", "refused", status=status.value, reason=logs.slug(reason))
 
+    def body_refused(self, peer: str, byte_count: int, held_bytes: int) -> None:
+        """Record a request whose body found no memory."""
+        self._dependencies.metrics.routed.refused_bodies.add()
+        self._dependencies.metrics.refusals.add(labels=("memory_full", ""))
+        self._log_memory("body_refused", peer, byte_count, held_bytes)
+
+    def closed_unread(self, peer: str, byte_count: int, held_bytes: int) -> None:
+        """Record a connection that was closed because its caller did not read."""
+        self._dependencies.metrics.routed.closed_unread.add()
+        self._log_memory("closed_unread", peer, byte_count, held_bytes)
+
     def failed(self, error: Exception) -> None:
         """Record an internal error."""
         self._dependencies.metrics.refusals.add(labels=("internal_error", ""))
@@ -98,6 +109,9 @@
             return
         await self._answer(exchange, routed)
 
+    def _log_memory(self, outcome: str, peer: str, byte_count: int, held_bytes: int) -> None:
+        logs.decided("-", "memory", outcome, address=peer, bytes=byte_count, held_bytes=held_bytes)
+
     async def _answer(
         self, exchange: serverside.Exchange, routed: callrouter.RoutedRequest
     ) -> None:
--- a/hornbeamglade/entry/componentsettings.py
+++ b/hornbeamglade/entry/componentsettings.py
@@ -7,6 +7,7 @@
 from hornbeamglade.exchange import codec
 from hornbeamglade.fairness import queuesettings
 from hornbeamglade.grants import schedulerset
+from hornbeamglade.http1 import buffermemory
 from hornbeamglade.node import digestcache
 from hornbeamglade.replicas import slowstart
 from hornbeamglade.routed import retrybudget
@@ -42,6 +43,13 @@
     )
 
 
+def buffer_bound(instance_settings: settings.Settings) -> int | None:
+    """Return how many bytes may be held for callers, or None for no bound."""
+    if instance_settings.memory_mb is None:
+        return None
+    return int(instance_settings.memory_mb * 1_000_000 * buffermemory.SHARE)
+
+
 def scheduler(
     engine: models.EngineTraits,
     policy: policysettings.Policy,
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -64,7 +64,9 @@
         )
         self._rng = random.Random(self.instance.incarnation)
         self.instance.set_connection_counter(lambda: len(self._callers.connections))
-        self._callers = serverside.CallersServer(self.instance.callers, self._clock)
+        self._callers = serverside.CallersServer(
+            self.instance.callers, self._clock, self.instance.memory
+        )
         self._followers = tuple(
             self._make_follower(table) for table in (tables.CONFIGURATION, tables.REPLICAS)
         )
--- a/hornbeamglade/entry/gauges.py
+++ b/hornbeamglade/entry/gauges.py
@@ -5,6 +5,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import clusterstate, tunneling
+from hornbeamglade.http1 import buffermemory
 from hornbeamglade.observability import metrics
 from hornbeamglade.quarantine import requestquarantine
 from hornbeamglade.replicas import availability
@@ -25,6 +26,7 @@
     :param count_grants: returns the number of grants held.
     :param tunnels: tunnels to replicas, own and relayed.
     :param count_slow_engines: returns the number of this instance's slow engines of a service.
+    :param memory: counts what is held for callers.
     :param count_connections: returns the number of open caller connections.
     """
 
@@ -38,6 +40,7 @@
     count_grants: collections.abc.Callable[[], int]
     tunnels: tunneling.Tunneling
     count_slow_engines: collections.abc.Callable[[str], int]
+    memory: buffermemory.BufferMemory
     count_connections: collections.abc.Callable[[], int] = lambda: 0
 
     def update(self) -> None:
@@ -47,6 +50,9 @@
         routed.belief_age_s.set(-1.0 if age_s is None else age_s)
         routed.is_store_reached.set(float(self.cluster_state.is_reached()))
         routed.caller_connections.set(self.count_connections())
+        self.memory.refresh()
+        routed.held_bytes.set(self.memory.held_bytes)
+        routed.held_bytes_bound.set(self.memory.bound_bytes or 0)
         routed.evacuated_domains.set(len(self.available.evacuations.domains))
         routed.quarantined_requests.set(self.quarantine.quarantined_count)
         routed.tunneled_replicas.set(self.tunnels.paths.detoured_count)
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -26,7 +26,7 @@
 )
 from hornbeamglade.exchange import messages
 from hornbeamglade.grants import asyncgrantacquirer, schedulerset
-from hornbeamglade.http1 import clientpool
+from hornbeamglade.http1 import buffermemory, clientpool
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.membership import discovery, draining
 from hornbeamglade.membership import view as membershipview
@@ -94,6 +94,9 @@
         self.incarnation = int(clock.wall() * 1000)
         self.instruments = metrics.NodeMetrics()
         rng = random.Random(self.incarnation ^ hash(instance_settings.name))
+        self.memory = buffermemory.BufferMemory(
+            clock, componentsettings.buffer_bound(instance_settings)
+        )
         self._current_view = views.CurrentView()
         self._startup = startupgate.StartupGate()
         self._replicas = replicalist.ReplicaList()
@@ -184,6 +187,7 @@
             self._on_advisory,
             clock,
             self._on_load,
+            self.memory,
         )
         self._loads = replicaload.ReplicaLoads(clock, rng, self.shared_machines)
         self._budgets = retrybudget.RetryBudgets(
@@ -306,6 +310,7 @@
             lambda: self.acquirer.active_count,
             self.tunneling,
             self._paces.slow_count,
+            self.memory,
         )
 
     async def listen(self) -> None:
@@ -358,6 +363,7 @@
         self._settings = instance_settings
         self._budgets.configure(componentsettings.retry_budget(instance_settings))
         self._available.set_bound(componentsettings.slow_start_bound(instance_settings))
+        self.memory.bound_bytes = componentsettings.buffer_bound(instance_settings)
 
     def addresses(self, failure_domain: str, region: str) -> tuple[str, ...]:
         """Return the addresses that a caller should connect to."""
@@ -464,6 +470,7 @@
 
     def clean_up(self) -> None:
         """Remove obsolete state; called about once a second."""
+        self.memory.refresh()
         present = self._replicas.by_id
         self._pool.prune(frozenset(each.address for each in present.values()))
         self._loads.forget_absent(present)
--- a/hornbeamglade/entry/settings.py
+++ b/hornbeamglade/entry/settings.py
@@ -89,6 +89,8 @@
     :param region_by_failure_domain: every failure domain and its region.
     :param is_first_start: whether the whole site starts for the first time.
     :param policy: parameters of decisions, where they differ from the defaults.
+    :param memory_mb: the instance's memory in MB, of which a share may be held for callers; None
+        for no bound.
     """
 
     name: str
@@ -105,6 +107,7 @@
     region_by_failure_domain: dict[str, str] = {}
     is_first_start: bool = False
     policy: policysettings.Policy = policysettings.Policy()
+    memory_mb: Positive | None = None
 
 
 def read(path: str) -> str:
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 
 import h11
@@ -78,6 +79,7 @@
         self._clock = clock
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._parsing_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._state: h11.Connection | None = None
         self._request: h11.Request | None = None
@@ -127,6 +129,7 @@
             method=method, target=target, headers=[*request_fields, *framing]
         )
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._parsing_bytes = 0
         data = self._state.send(self._request)
         data += self._state.send(h11.Data(data=body)) if body else b""
         data += self._state.send(h11.EndOfMessage())
@@ -152,10 +155,13 @@
             return BodyEnd()
         return event if isinstance(event, ResponseLost) else self._lost("malformed")
 
-    async def body(self, limit: int) -> bytes | ResponseLost:
+    async def body(
+        self, limit: int, on_growth: collections.abc.Callable[[int], None] | None = None
+    ) -> bytes | ResponseLost:
         """Wait for the complete body.
 
         :param limit: a longer body is treated as malformed.
+        :param on_growth: called with the bytes read so far, or None.
         """
         content = bytearray()
         while True:
@@ -167,6 +173,8 @@
             content += piece
             if len(content) > limit:
                 return self._lost("malformed")
+            if on_growth is not None:
+                on_growth(len(content))
 
     def skip_response(self) -> bool:
         """Continue with the response that follows one to another request.
@@ -181,9 +189,14 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._state.send(self._request)
         self._state.send(h11.Data(data=b""))
+        self._parsing_bytes = 0
         self._buffer[:0] = rest
         return True
 
+    def read_ahead_bytes(self) -> int:
+        """Return how many bytes of a response were received and not yet returned."""
+        return len(self._buffer) + self._parsing_bytes
+
     @property
     def may_be_reused(self) -> bool:
         """Whether another request may be sent on this connection, after the end of a response."""
@@ -228,6 +241,7 @@
     async def _event(self) -> h11.Event | ResponseLost:
         while True:
             if self._buffer:
+                self._parsing_bytes += len(self._buffer)
                 self._state.receive_data(bytes(self._buffer))
                 self._buffer.clear()
                 self._transport.resume_reading()
@@ -235,8 +249,12 @@
                 event = self._state.next_event()
             except h11.RemoteProtocolError:
                 return self._lost("closed" if self._has_ended else "malformed")
+            if isinstance(event, h11.Data):
+                self._parsing_bytes = max(0, self._parsing_bytes - len(event.data))
             if event is not h11.NEED_DATA:
                 return event
+            # What is left of the data is only an incomplete part of the framing.
+            self._parsing_bytes = 0
             if self._is_reset:
                 return self._lost("reset")
             if self._has_ended and not self._buffer:
--- a/hornbeamglade/observability/metricsrouted.py
+++ b/hornbeamglade/observability/metricsrouted.py
@@ -73,3 +73,16 @@
         self.caller_connections: metricsinstruments.Gauge = registry.gauge(
             "caller_connections", "Open connections of callers."
         )
+        self.held_bytes: metricsinstruments.Gauge = registry.gauge(
+            "held_bytes", "Bytes of request bodies and responses held for callers."
+        )
+        self.held_bytes_bound: metricsinstruments.Gauge = registry.gauge(
+            "held_bytes_bound", "Bound on the bytes held for callers; 0 for none."
+        )
+        self.closed_unread: metricsinstruments.Counter = registry.counter(
+            "closed_unread_total",
+            "Connections closed at the bound, as their callers did not read.",
+        )
+        self.refused_bodies: metricsinstruments.Counter = registry.counter(
+            "refused_bodies_total", "Requests refused since their body would exceed the bound."
+        )
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from hornbeamglade.core import clocks, outcomes
-from hornbeamglade.http1 import clientpool, clientside
+from hornbeamglade.http1 import buffermemory, clientpool, clientside
 from hornbeamglade.replicas import advisories, models
 from hornbeamglade.routed import attemptlog, callrouter, calls, dialect
 
@@ -60,6 +60,7 @@
     :param clock: monotonic time.
     :param on_load: called with the load that the intended server reports in a response head, and
         with the code of the problem if it is malformed; not called for a head with neither.
+    :param memory: counts the bodies that are read, or None.
     """
 
     def __init__(
@@ -70,7 +71,9 @@
         on_advisory: AdvisoryCallback,
         clock: clocks.Clock,
         on_load: LoadCallback = lambda _replica, _load, _problem: None,
+        memory: buffermemory.BufferMemory | None = None,
     ) -> None:
+        self._memory = memory or buffermemory.BufferMemory(clock)
         self._pool = pool
         self._dialect = request_dialect
         self._still_accepts = still_accepts
@@ -109,9 +112,11 @@
     async def read_body(self, response: StartedResponse) -> bytes | FailedAttempt:
         """Read the whole body and return the connection to the pool."""
         body = None
+        holding = self._memory.open()
         try:
-            body = await response.connection.body(MAX_BODY_BYTES)
+            body = await response.connection.body(MAX_BODY_BYTES, holding.hold_body)
         finally:
+            holding.close()
             is_complete = isinstance(body, bytes)
             self._pool.release(response.connection, response.raw_head if is_complete else None)
         if isinstance(body, clientside.ResponseLost):
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -254,6 +254,7 @@
     async def _relay_events(self) -> clientside.ResponseLost | None:
         """Relay events from one replica; return None at the end of the complete response."""
         connection = self._assignment.response.connection
+        self._exchange.set_read_ahead(connection.read_ahead_bytes)
         self._relay.start_connection(
             self._dependencies.speeds.make_meter(self._routed.service.name)
         )
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -105,7 +105,7 @@
             region_by_failure_domain=region_by_failure_domain or {},
         )
         self.instance = instance.EntryInstance(self.settings, clock)
-        self._server = serverside.CallersServer(self.instance.callers, clock)
+        self._server = serverside.CallersServer(self.instance.callers, clock, self.instance.memory)
         self._tasks = []
 
     async def start(self):
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -42,6 +42,7 @@
         ({"exchange_ports": [0, 1]}, "exchange_ports.0"),
         ({"budget": {"ratio": -1, "slack": 1, "window_s": 1}}, "budget.ratio"),
         ({"bounds": {"stop_s": 8}}, "bounds.address_ttl_s"),
+        ({"memory_mb": 0}, "memory_mb"),
         ({"colour": "blue"}, "colour"),
     ],
 )
@@ -79,6 +80,7 @@
     "bounds.cold_overage": "1.5",
     "bounds.cold_tolerance": "12",
     "bounds.grace_s": "8",
+    "limits.memory_mb": "512",
     "bounds.ttl_max_s": "5",
     "zones": '{"a": "r"}',
     "bootstrap": "false",
@@ -108,5 +110,5 @@
             parsed = settings.parse(text[:end], "entry.yaml")
         except codederrors.CodedError:
             continue
-        in_force = (parsed.budget, parsed.slow_start, parsed.policy)
-        assert in_force == (whole.budget, whole.slow_start, whole.policy)
+        in_force = (parsed.budget, parsed.slow_start, parsed.policy, parsed.memory_mb)
+        assert in_force == (whole.budget, whole.slow_start, whole.policy, 512)
