--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -23,6 +23,8 @@
 
 MAX_HEAD_BYTES = 65_536
 READ_AHEAD_BYTES = 262_144
+"""Bytes of a response that may be received ahead of its reader before reading pauses."""
+
 DEFAULT_IDLE_LIFETIME_S = 1.0
 """How long an idle connection is reused if its server states no idle timeout."""
 
@@ -102,7 +104,7 @@
             self.close()
             return
         self._buffer += data
-        if len(self._buffer) > READ_AHEAD_BYTES:
+        if self.read_ahead_bytes() > READ_AHEAD_BYTES:
             self._transport.pause_reading()
         self._wake()
 
@@ -244,17 +246,19 @@
                 self._parsing_bytes += len(self._buffer)
                 self._state.receive_data(bytes(self._buffer))
                 self._buffer.clear()
-                self._transport.resume_reading()
             try:
                 event = self._state.next_event()
             except h11.RemoteProtocolError:
                 return self._lost("closed" if self._has_ended else "malformed")
             if isinstance(event, h11.Data):
                 self._parsing_bytes = max(0, self._parsing_bytes - len(event.data))
+            elif event is h11.NEED_DATA or isinstance(event, h11.EndOfMessage):
+                # What is left of the data is only framing.
+                self._parsing_bytes = 0
+            if self.read_ahead_bytes() <= READ_AHEAD_BYTES:
+                self._transport.resume_reading()
             if event is not h11.NEED_DATA:
                 return event
-            # What is left of the data is only an incomplete part of the framing.
-            self._parsing_bytes = 0
             if self._is_reset:
                 return self._lost("reset")
             if self._has_ended and not self._buffer:
