fairness: keep no entries of instances where nothing waits

Every instance that sent a heartbeat was kept as an owner without waiting requests and passed on, though responses carry 16 entries at most. An empty entry now only replaces one that had waiting requests.

--- a/hornbeamglade/fairness/siteforecast.py
+++ b/hornbeamglade/fairness/siteforecast.py
@@ -106,10 +106,14 @@
         known = self._state_by_owner.get(owner)
         if known is not None and known.made_at > made_at:
             return
+        states = tuple(each for each in classes if each.waiting)
+        if not states and (known is None or not known.classes):
+            # Most instances own no replicas. If each of them was kept and passed on as one
+            # without waiting requests, they would take the places of the owners.
+            return
         if known is None and len(self._state_by_owner) >= MAX_OWNERS:
             self._state_by_owner = dict(self._current())
         if known is not None or len(self._state_by_owner) < MAX_OWNERS:
-            states = tuple(each for each in classes if each.waiting)
             self._state_by_owner[owner] = _OwnerState(states, made_at)
 
     def owners(self) -> dict[str | int, tuple[tuple[ClassState, ...], float]]:
--- a/tests/grants/test_sitefigures.py
+++ b/tests/grants/test_sitefigures.py
@@ -132,3 +132,11 @@
     third.figures.record_response("n0", first.response("e0"))
     entries = first.figures.known("e0").waiting
     assert [each.waiting for each in entries] == [4, 0]
+
+
+def test_instances_without_waiting_requests_take_no_places_of_owners():
+    # Heartbeats arrive from all instances, and a response carries a bounded number of entries.
+    _, first, _, _ = make()
+    for number in range(2 * siteforecast.MAX_OWNERS):
+        first.figures.record_heartbeat(f"i{number}", ())
+    assert [each.waiting for each in first.figures.known("e0").waiting] == [4, 2]
