exchange: keep a heartbeat with engines' paces within a datagram

The test of the largest heartbeat did not set the new fields for an engine's pace. With them, 24 digests exceeded 1,400 bytes, so a node that owns as many engines would have stopped to send heartbeats. A heartbeat now carries at most 22 digests; reports of 48 grants still fit.

--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -18,7 +18,7 @@
 
 MAX_NAME_BYTES = 64
 # A heartbeat in which all lists have their maximum length fits one datagram.
-MAX_REPLICAS = 24
+MAX_REPLICAS = 22
 MAX_DEMANDS = 12
 MAX_MEMBERSHIP_UPDATES = 8
 MAX_AVOIDED = 8
@@ -51,7 +51,7 @@
     ========
 
     >>> max_digests(0), max_digests(2)
-    (24, 20)
+    (22, 18)
     """
     # Two more than the classes: their list has a header, and a class may be larger than a digest.
     return MAX_REPLICAS - (waiting_classes + 2 if waiting_classes else 0)
--- a/tests/exchange/test_codec.py
+++ b/tests/exchange/test_codec.py
@@ -123,7 +123,9 @@
     # A node that owns very many replicas fills its heartbeat. If that did not fit a
     # datagram, its heartbeats would stop when other nodes depend on it most.
     largest, name = 2**32 - 1, "n" * messages.MAX_NAME_BYTES
-    digest = messages.ReplicaDigest(2**64 - 3, largest, 2**16 - 1, largest, True, True)
+    digest = messages.ReplicaDigest(
+        2**64 - 3, largest, 2**16 - 1, largest, True, True, 2**16 - 1, 2**16 - 1
+    )
     demand = messages.TeamDemand(2**64 - 3, 2**16 - 1, 2**16 - 1)
     update = messages.MembershipUpdate(2**64 - 3, 2**64 - 3, largest, messages.NodeState.GONE)
     beat = messages.Heartbeat(
@@ -155,8 +157,8 @@
     largest, name = 2**64 - 3, "n" * messages.MAX_NAME_BYTES
     released = messages.MAX_PROGRESS - running
     report = messages.Progress(
-        (messages.GrantProgress(largest, largest, 2**32 - 1),) * running,
-        (messages.GrantRelease(largest, 2**32 - 1),) * released,
+        (messages.GrantProgress(largest, largest, 2**32 - 1, 2**16 - 1, 2**16 - 1),) * running,
+        (messages.GrantRelease(largest, 2**32 - 1, 2**16 - 1, 2**16 - 1),) * released,
     )
     frame = make_codec(name, incarnation=2**63).encode(name, report)
     assert make_codec(name).decode(frame).message == report
@@ -200,7 +202,9 @@
     # An owner knows as many engines as a response may carry. If that did not fit a datagram,
     # no grant request would be answered at the largest services.
     largest = 2**32 - 1
-    digest = messages.ReplicaDigest(2**64 - 3, largest, 2**16 - 1, largest, True, True)
+    digest = messages.ReplicaDigest(
+        2**64 - 3, largest, 2**16 - 1, largest, True, True, 2**16 - 1, 2**16 - 1
+    )
     response = messages.GrantResponse(
         2**64 - 3,
         messages.GrantKind.REFUSED,
