tests: send on after a refused body

The test passed also when the server closed at once instead of discarding the rest, so it did not guard against the reset that hides a refusal.

--- a/tests/http1/test_slowreaders.py
+++ b/tests/http1/test_slowreaders.py
@@ -70,17 +70,24 @@
 
 
 def test_large_body_beyond_the_bound_is_refused_before_it_is_read():
-    """The refusal reaches the caller although it still sends; its request has not run."""
+    """The request has not run, and a reset while its caller still sends would hide the refusal."""
 
     async def scenario(site):
-        client = await site.call(body=b"x" * 2_000_000)
+        client = await site.call(framing=b"Content-Length: 2000000")
         status, fields, _ = await client.answer()
+        assert await client.is_closed()
+        for _ in range(4):
+            await client.send(b"x" * 500_000)
+            # The server reads in the same event loop.
+            await asyncio.sleep(0)
+        (connection,) = site.server.connections
+        kept = len(connection._buffer) + site.memory.held_bytes
         client.close()
         await eventloop.until(lambda: not site.server.connections)
-        return status, fields["retry-after"], site.handler, site.memory.held_bytes
+        return status, fields["retry-after"], kept, site.handler
 
-    status, retry_after, handler, held = run(scenario, 1_000_000)
-    assert (status, retry_after, held) == (503, "1", 0)
+    status, retry_after, kept, handler = run(scenario, 1_000_000)
+    assert (status, retry_after, kept) == (503, "1", 0)
     assert (handler.bodies, handler.refused_bodies) == ([], [2_000_000])
 
 
