--- a/tests/entry/test_slowreaders.py
+++ b/tests/entry/test_slowreaders.py
@@ -5,6 +5,7 @@
 from hornbeamglade.entry import componentsettings
 from hornbeamglade.observability import logs
 from tests.entry import site as entrysite
+from tests.http1 import test_buffermemory
 
 
 @pytest.mark.parametrize(("memory_mb", "bound"), [(None, None), (129, 43_000_000)])
@@ -48,3 +49,14 @@
     assert b"hornbeamglade_closed_unread_total 1.0" in node.instance.metrics()
     logged = [(each["address"], each["bytes"], each["held_bytes"]) for each in lines]
     assert logged == [("127.0.0.1:5", 70_000, 12)]
+
+
+def test_what_callers_have_read_is_noticed_without_further_writes():
+    """A sum that keeps what was read long ago would refuse bodies without need."""
+    node = entrysite.Node(0)
+    reader = test_buffermemory.FakeReader(node.instance.memory)
+    reader.write(70_000)
+    reader.unsent = 0
+    assert node.instance.memory.held_bytes == 70_000
+    node.instance.clean_up()
+    assert node.instance.memory.held_bytes == 0
