observability: name refusals by forecast and for want of pace

losses gave every refusal the cause refused, so the log of a surge did not tell whether requests were refused by the forecast or since no engine that keeps the pace had room. Both codes are causes now. A request that several owners refused ends with the code of one of them; if that says only that there was no room, its last placed line determines the cause. explain shows the forecast lines of the request's service at its instance.

--- a/hornbeamglade/observability/losses.py
+++ b/hornbeamglade/observability/losses.py
@@ -45,6 +45,8 @@
     INSTANCE_STOPPED = "instance_stopped"
     INSTANCE_VANISHED = "instance_vanished"
     REFUSED = "refused"
+    REFUSED_BY_FORECAST = "refused_by_forecast"
+    PACE_BOUND = "pace_bound"
     REPLICA_FAILED = "replica_failed"
     DEADLINE_PASSED = "time_over"
     LATE_START = "late_in_queue_or_prompt"
@@ -63,6 +65,15 @@
     "no_answer": Cause.REPLICA_FAILED,
 }
 
+_CAUSE_BY_REFUSAL = {
+    "refused_by_forecast": Cause.REFUSED_BY_FORECAST,
+    "pace_bound": Cause.PACE_BOUND,
+}
+
+_UNSPECIFIC_REFUSALS = frozenset(("no_room_now", "queue_timeout"))
+"""Of the refusals of several owners, the one with the shortest retry time ends the request. These
+say only that no engine had room; the last `placed` line may tell why."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loss:
@@ -227,10 +238,19 @@
     cause = _CAUSE_BY_OUTCOME.get(outcome)
     if cause is None:
         is_refusal = end.fields.get("status") in (408, 421, 429, 503)
-        return _loss(request_lines, end, Cause.REFUSED if is_refusal else Cause.UNKNOWN, outcome)
+        cause = _refusal_cause(request_lines, outcome) if is_refusal else Cause.UNKNOWN
+        return _loss(request_lines, end, cause, outcome)
     return _loss(request_lines, end, cause)
 
 
+def _refusal_cause(request_lines: list[requesttimeline.Line], code: str) -> Cause:
+    """Return why a request was refused, by the code of its end or of its last placement."""
+    if code in _UNSPECIFIC_REFUSALS:
+        placed = [line.fields for line in request_lines if line.fields.get("decision") == "placed"]
+        code = str(placed[-1].get("outcome")) if placed else code
+    return _CAUSE_BY_REFUSAL.get(code, Cause.REFUSED)
+
+
 def _lateness_cause(end: requesttimeline.Line, outcome: str) -> Cause | None:
     """Return why a complete response was late, or None when it was on time."""
     fields = end.fields
--- a/hornbeamglade/observability/requesttimeline.py
+++ b/hornbeamglade/observability/requesttimeline.py
@@ -6,8 +6,8 @@
 The lines about a request carry its id. The events that explain them often do not: an engine
 was reclaimed, an instance stopped, the connection to the store was lost. The timeline
 therefore includes state changes that name a replica or an instance of the request's own
-lines, or that concern its instance's view of the system, from shortly before the request's
-first line to its last.
+lines, or that concern its service or its instance's view of the system, from shortly before the
+request's first line to its last.
 
 Lines may be missing: a killed instance writes none, an instance under load drops lines (and
 logs how many), and files may be incomplete. The timeline says what cannot be known.
@@ -28,6 +28,9 @@
 AFTER_S = 1.0
 END = "answer"
 _VIEW_SUBJECTS = frozenset(("store", "config", "settings", "node", "follower", "log"))
+_SERVICE_SUBJECTS = frozenset(("forecast",))
+"""Subjects whose lines name a service: they explain why its requests were refused or waited."""
+
 _HEADER_FIELDS = frozenset(
     (
         *("request_id", "decision", "outcome", "subject", "before", "after"),
@@ -125,10 +128,13 @@
     first, last = request_lines[0].at - BEFORE_S, request_lines[-1].at + AFTER_S
     nodes = {line.node for line in request_lines}
     replicas = _replicas(request_lines)
+    services = {line.fields["service"] for line in request_lines if "service" in line.fields}
     explaining = [
         line
         for line in ordered
-        if first <= line.at <= last and not line.is_decision and _explains(line, nodes, replicas)
+        if first <= line.at <= last
+        and not line.is_decision
+        and _explains(line, nodes, replicas, services)
     ]
     timeline_lines = sorted(
         (*request_lines, *_without_superseded(explaining, request_lines[0].at)),
@@ -146,11 +152,15 @@
     return frozenset(names)
 
 
-def _explains(line: Line, nodes: set[str], replicas: frozenset[str]) -> bool:
+def _explains(
+    line: Line, nodes: set[str], replicas: frozenset[str], services: set[object]
+) -> bool:
     subject = line.fields.get("subject")
     if line.fields.get("replica") in replicas:
         # Every instance logs what it learns of a replica; only the request's instances matter.
         return line.node in nodes
+    if subject in _SERVICE_SUBJECTS:
+        return line.node in nodes and line.fields.get("service") in services
     if subject == "member":
         return line.node in nodes
     return subject in _VIEW_SUBJECTS and line.node in nodes
@@ -162,9 +172,8 @@
     for line in lines:
         if line.at <= start:
             subject = line.fields.get("subject")
-            affected = (
-                line.fields.get("replica") or line.fields.get("table") or line.fields.get("node")
-            )
+            keys = ("replica", "table", "node", "service")
+            affected = next((line.fields[key] for key in keys if line.fields.get(key)), None)
             latest_by_key[line.node, subject, affected] = line
     return (line for line in lines if line.at > start or line in latest_by_key.values())
 
--- a/tests/observability/test_losses.py
+++ b/tests/observability/test_losses.py
@@ -62,6 +62,26 @@
     assert causes(PLACED, end) == [cause]
 
 
+@pytest.mark.parametrize(
+    ("placed", "code", "cause"),
+    [
+        ("refused_by_forecast", "refused_by_forecast", Cause.REFUSED_BY_FORECAST),
+        ("queue_timeout", "pace_bound", Cause.PACE_BOUND),
+        ("pace_bound", "no_room_now", Cause.PACE_BOUND),
+        ("pace_bound", "team_queue_full", Cause.REFUSED),
+        ("no_room_now", "no_room_now", Cause.REFUSED),
+    ],
+)
+def test_refusal_for_want_of_pace_or_by_forecast_has_its_own_cause(placed, code, cause):
+    """In a surge, all refusals had one cause, and operators saw no reason to add engines.
+
+    A request that several owners refused ends with the code of only one of them.
+    """
+    end = answer(9.0, code, status=503)
+    (loss,) = find_losses(PLACED, decided(1.1, "placed", placed), end).lost
+    assert (loss.cause, loss.code) == (cause, code)
+
+
 @pytest.mark.parametrize(
     ("slow_factor", "cause"), [(2.4, Cause.SLOW_ENGINE), (1.0, Cause.LATE_TOKEN)]
 )
--- a/tests/observability/test_requesttimeline.py
+++ b/tests/observability/test_requesttimeline.py
@@ -53,6 +53,20 @@
     assert [line.fields["after"] for line in timeline.lines if "table" in line.fields] == ["lost"]
 
 
+def test_forecast_of_the_service_explains_a_refusal():
+    """The refusal was shown without the surge that the instance had recognized before."""
+    timeline = find_timeline(
+        "r1",
+        changed(7.0, "n1", "forecast", "refuses", "admits", service="chat"),
+        changed(8.0, "n1", "forecast", "admits", "refuses", service="chat"),
+        changed(8.0, "n1", "forecast", "admits", "refuses", service="other"),
+        changed(8.0, "n2", "forecast", "admits", "refuses", service="chat"),
+        decided(10.0, "n1", "r1", "placed", "refused_by_forecast", service="chat"),
+        decided(10.1, "n1", "r1", "answer", "refused_by_forecast", service="chat"),
+    )
+    assert [line.at for line in timeline.lines] == [8.0, 10.0, 10.1]
+
+
 def test_killed_instance_is_recognized_by_its_missing_lines():
     """An instance is killed during a stream and writes nothing more.
 
