entry: show the site's waiting requests and the memory that is reserved

In a surge, operators saw neither how many requests of which class wait at the site nor that engines keep memory free. site_requests_waiting counts them by service and urgency class as this instance knows the site; reserved_memory_tokens shows what this instance's engines leave free for urgent requests and for runs of departing engines. A departing_memory line states when such headroom begins and ends for a service, one line per change. Series that have no value any more are set to 0; classes are bounded to those of routes, whatever another instance sends, and services to 64.

Tests of the changed modules pass.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -20,6 +20,7 @@
     followerrole,
     gauges,
     peering,
+    reservedmemory,
     settings,
     startupgate,
     tunneling,
@@ -226,6 +227,11 @@
         )
         self.peering.set_alternatives(self.catalog.owned_alternatives, self.catalog.must_avoid)
         self._paces = enginepaces.EnginePaces(self._owned_engines, self.catalog, self._schedulers)
+        self._reserved = reservedmemory.ReservedMemory(
+            self._owned_engines,
+            self._schedulers,
+            lambda service: self._departures.share(service, clock.now()),
+        )
         self.acquirer = asyncgrantacquirer.AsyncGrantAcquirer(
             clock,
             self._schedulers,
@@ -310,6 +316,8 @@
             lambda: self.acquirer.active_count,
             self.tunneling,
             self._paces.slow_count,
+            self.peering.figures.waiting_by_class,
+            self._reserved.by_service,
             self.memory,
         )
 
@@ -406,6 +414,7 @@
             "slow_factors": {
                 replica: round(factor, 2) for replica, factor in self._paces.factors.items()
             },
+            "waiting_by_class": self.peering.figures.waiting_by_class(),
         }
         return json.dumps(page).encode()
 
@@ -484,6 +493,7 @@
         self._engine_monitor.remove_absent()
         self._speeds.retain(self.peering.owned())
         self._paces.update()
+        self._reserved.update()
         # An instance may have returned under its name in another failure domain.
         self.peering.update_owners()
         # Killed instances return under their names, so their share is not redistributed.
--- a/hornbeamglade/grants/replicascheduler.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -432,6 +432,11 @@
         extended = dataclasses.replace(work, prompt_tokens=work.prompt_tokens + reserved)
         return self.admission.fits(extended, now)
 
+    def departing_tokens(self, now: float) -> float:
+        """Return how many tokens are kept free for runs of departing engines."""
+        share = self.departing_share(now) if self.queue.has_mixed_objectives else 0.0
+        return self.admission.ledger.capacity * HEADROOM_FACTOR * share
+
     def _leaves_headroom(self, work: outcomes.Work, now: float) -> bool:
         """Return whether a new request leaves memory for runs of the next departing engines.
 
@@ -443,12 +448,12 @@
         A request that probably ends within a notice period is excepted, and so is one
         that has waited long, so that none starves.
         """
-        share = self.departing_share(now) if self.queue.has_mixed_objectives else 0.0
-        if not share or self.admission.is_idle() or self._has_waited_long(work, now):
+        reserved = self.departing_tokens(now)
+        if not reserved or self.admission.is_idle() or self._has_waited_long(work, now):
             return True
         ledger = self.admission.ledger
         held = ledger.own_tokens + ledger.other_tokens + ledger.footprint(work.prompt_tokens)
-        if held <= ledger.capacity * (1.0 - HEADROOM_FACTOR * share):
+        if held <= ledger.capacity - reserved:
             return True
         return self.admission.survival(work, NOTICE_TOKENS) < 0.5
 
--- a/hornbeamglade/grants/schedulerset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -51,6 +51,18 @@
     is_unreachable: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReservedTokens:
+    """Memory that new requests leave free, in tokens.
+
+    :param urgent: for urgent requests.
+    :param departing: for runs of departing engines.
+    """
+
+    urgent: int
+    departing: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SchedulerSpec:
     """The settings from which a replica's scheduler is created.
@@ -357,6 +369,20 @@
             for priority, count in sorted(waiting.items(), reverse=True)
         )
 
+    def reserved_memory(self, replicas: collections.abc.Iterable[str]) -> ReservedTokens:
+        """Return the memory that is kept free at some replicas."""
+        with self._lock:
+            now = self._clock.now()
+            found = [
+                scheduler
+                for each in replicas
+                if (scheduler := self._scheduler_by_replica.get(each)) is not None
+            ]
+            return ReservedTokens(
+                sum(each.reserve.reserved_tokens(now) for each in found),
+                int(sum(each.departing_tokens(now) for each in found)),
+            )
+
     def _plan_look(self, scheduler: replicascheduler.ReplicaScheduler, now: float) -> None:
         """Have the queue processed when the backlog of prompts lets a queued request start."""
         delay_s = None if self._call_later is None else scheduler.seconds_until_look(now)
--- a/hornbeamglade/grants/sitefigures.py
+++ b/hornbeamglade/grants/sitefigures.py
@@ -8,8 +8,11 @@
 whole site from any response.
 """
 
+import collections
 import collections.abc
+import itertools
 
+from hornbeamglade.configuration import models
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.exchange import grantserver, messages
 from hornbeamglade.fairness import servicerate, siteforecast
@@ -118,6 +121,29 @@
             for each in self._own_classes(service)
         )[: messages.MAX_WAITING_CLASSES]
 
+    def waiting_by_class(self) -> dict[str, dict[int, int]]:
+        """Return the requests that wait at the whole site, by service and urgency class.
+
+        Classes are those of the routes: 0 is the most urgent. Services without waiting requests
+        are left out.
+        """
+        waiting_by_service = {}
+        for service in itertools.islice(self._replicas_by_service, MAX_SERVICES):
+            if not self._coordinated.includes(service):
+                continue
+            forecast = self._forecast_by_service.get(messages.key_hash(service))
+            others = forecast.owners().values() if forecast is not None else ()
+            counts: collections.Counter[int] = collections.Counter()
+            for each in itertools.chain(
+                self._own_classes(service), *(classes for classes, _ in others)
+            ):
+                # Another instance may send a priority that no route has.
+                urgency = models.HIGHEST_PRIORITY - each.priority
+                counts[min(max(urgency, 0), models.HIGHEST_PRIORITY)] += each.waiting
+            if counts:
+                waiting_by_service[service] = dict(sorted(counts.items()))
+        return waiting_by_service
+
     def record_heartbeat(
         self, owner: str, waiting: collections.abc.Sequence[messages.WaitingClass]
     ) -> None:
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -84,6 +84,7 @@
         "seconds",
         "sequence",
         "service",
+        "share",
         "signal",
         "slow_factor",
         "source",
--- a/hornbeamglade/observability/metricsrouted.py
+++ b/hornbeamglade/observability/metricsrouted.py
@@ -61,6 +61,16 @@
             "Engines of this instance that are slow for their service.",
             ("service",),
         )
+        self.site_waiting: metricsinstruments.Gauge = registry.gauge(
+            "site_requests_waiting",
+            "Requests that wait for engines at the whole site, as this instance knows it.",
+            ("service", "class"),
+        )
+        self.reserved_tokens: metricsinstruments.Gauge = registry.gauge(
+            "reserved_memory_tokens",
+            "Memory of this instance's engines that new requests leave free.",
+            ("service", "purpose"),
+        )
         self.is_store_reached: metricsinstruments.Gauge = registry.gauge(
             "store_reached", "1 while the platform's store answers this instance, else 0."
         )
--- a/hornbeamglade/observability/requesttimeline.py
+++ b/hornbeamglade/observability/requesttimeline.py
@@ -28,7 +28,7 @@
 AFTER_S = 1.0
 END = "answer"
 _VIEW_SUBJECTS = frozenset(("store", "config", "settings", "node", "follower", "log"))
-_SERVICE_SUBJECTS = frozenset(("forecast",))
+_SERVICE_SUBJECTS = frozenset(("departing_memory", "forecast"))
 """Subjects whose lines name a service: they explain why its requests were refused or waited."""
 
 _HEADER_FIELDS = frozenset(
--- a/tests/entry/test_mixedobjectives.py
+++ b/tests/entry/test_mixedobjectives.py
@@ -7,6 +7,8 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.grants import replicascheduler
+from hornbeamglade.observability import logs
+from hornbeamglade.replicas import departures
 from tests.entry import site as entrysite
 
 
@@ -79,3 +81,39 @@
         return shares
 
     assert entrysite.run(test, engines=8) == [0.0, 0.25]
+
+
+def test_memory_for_departing_engines_is_shown_and_logged_when_it_begins_and_ends(monkeypatch):
+    """Requests waited at engines with free memory, and nothing told why.
+
+    One line per change, and the gauge returns to 0, also when the service has no engine left.
+    """
+    lines = []
+    monkeypatch.setattr(logs, "state_changed", lambda *states, **fields: lines.append(states))
+
+    async def test(site):
+        site.put("op/config", json.dumps(entrysite.manifest(2, routes=routes(3000))))
+        site.read_store()
+        instance = site.nodes[0].instance
+        tokens = []
+        for number in (None, 0, 1):
+            if number is not None:
+                site.leave(number)
+                site.read_store()
+            instance._reserved.update()
+            instance.metrics()
+            gauge = instance.instruments.routed.reserved_tokens
+            tokens.append(gauge.value(("llm", "departing")))
+        instance._reserved.update()
+        instance._departures = departures.Departures()
+        instance._reserved.update()
+        monkeypatch.setattr(instance._reserved, "_owned_engines", list)
+        instance.metrics()
+        return [*tokens, gauge.value(("llm", "departing"))]
+
+    tokens = entrysite.run(test, engines=8)
+    assert [each > 0 for each in tokens] == [False, False, True, False]
+    assert [each for each in lines if each[0] == "departing_memory"] == [
+        ("departing_memory", "none", "reserved"),
+        ("departing_memory", "reserved", "none"),
+    ]
--- a/tests/grants/test_sitefigures.py
+++ b/tests/grants/test_sitefigures.py
@@ -102,6 +102,19 @@
     assert first.figures.refusal(work, "other", 0.01, 0.0, siteforecast.Position()) is None
 
 
+def test_waiting_requests_of_the_whole_site_are_counted_by_class():
+    """Each owner counted only its own queue, though callers' requests wait at all of them."""
+    clock, first, _, third = make()
+    odd = [messages.WaitingClass(messages.key_hash("llm"), p, 1, 1.0) for p in (-5, 2**31 - 1)]
+    third.figures.record_heartbeat("n3", odd)
+    third.figures.record_response("n0", first.response("e0"))
+    assert first.figures.waiting_by_class() == {"llm": {0: 6}}
+    assert third.figures.waiting_by_class() == {"llm": {0: 7, 9: 1}}
+    clock.advance(siteforecast.ENTRY_LIFE_S + 0.1)
+    assert first.figures.waiting_by_class() == {"llm": {0: 4}}
+    assert third.figures.waiting_by_class() == {}
+
+
 def test_retry_times_of_requests_refused_together_are_spread():
     # Callers that retry together would meet the same queue again.
     _, _, _, third = make()
