status: show waiting requests by class and engines of another speed

Both were on the instances' pages at most, which the status command did not read. They have tables of their own: waiting requests concern the whole site rather than a node, and entry instances list no replicas. A table without content is left out, so the output of other deployments stays the same. Of the instances' views of a service, the one with the most waiting requests is shown.

--- a/hornbeamglade/observability/statuspage.py
+++ b/hornbeamglade/observability/statuspage.py
@@ -73,6 +73,10 @@
     :param streams: streams in flight.
     :param waiting: requests in the queue.
     :param platform_ok: whether the last call to the platform got a response.
+    :param slow_factors: of each engine that the node owns, its time per token relative to its
+        service's median, where requests are placed by it.
+    :param waiting_by_class: the requests that wait at the whole site, as the node knows it, by
+        service and urgency class; class 0 is the most urgent.
     :param share_by_team: the node's shares of the teams' limits that it announces to peers.
     :param counters: totals since the start, by name.
     """
@@ -92,6 +96,8 @@
     platform_ok: bool = True
     replicas: tuple[ReplicaStatus, ...] = ()
     placements: tuple[PlacementRow, ...] = ()
+    slow_factors: dict[str, float] = {}
+    waiting_by_class: dict[str, dict[int, int]] = {}
     share_by_team: dict[str, float] = {}
     counters: dict[str, float] = {}
 
--- a/hornbeamglade/observability/statustable.py
+++ b/hornbeamglade/observability/statustable.py
@@ -14,6 +14,8 @@
     *("REPLICA", "POOL", "DOMAIN", "OWNER", "ROOM"),
     *("RUNNING", "WAITING", "STATE", "SEEN BY"),
 )
+_ENGINE_HEADS = ("ENGINE", "SLOW", "SEEN BY")
+_WAITING_HEADS = ("SERVICE", "CLASS", "WAITING", "SEEN BY")
 _NONE = "-"
 _GAP = "  "
 
@@ -23,6 +25,9 @@
 def as_text(readings: Readings) -> str:
     """Return a table of nodes, a table of replicas, and remarks.
 
+    Engines of another speed than their service's median and waiting requests are shown in
+    further tables, if there are any.
+
     A node whose page could not be read has a row too: without it, a site with a
     dead node would look healthy.
     """
@@ -30,6 +35,12 @@
     replica_rows = [_replica_row(node, replica) for node, replica in best_views(readings).values()]
     if replica_rows:
         parts.append(_table(_REPLICA_HEADS, replica_rows))
+    engine_rows = _engine_rows(readings)
+    if engine_rows:
+        parts.append(_table(_ENGINE_HEADS, engine_rows))
+    waiting_rows = _waiting_rows(readings)
+    if waiting_rows:
+        parts.append(_table(_WAITING_HEADS, waiting_rows))
     parts.extend(_remarks(readings))
     return "\n\n".join(parts)
 
@@ -110,6 +121,41 @@
     )
 
 
+def _engine_rows(readings: Readings) -> list[tuple[str, ...]]:
+    """Return the engines whose time per token is not the median, the slowest first."""
+    found = [
+        (factor, engine, reading.status.name)
+        for reading in readings
+        if reading.status is not None
+        for engine, factor in reading.status.slow_factors.items()
+        if factor != 1.0
+    ]
+    found.sort(key=lambda each: (-each[0], each[1:]))
+    return [(engine, f"{factor:.2f}", node) for factor, engine, node in found]
+
+
+def _waiting_rows(readings: Readings) -> list[tuple[str, ...]]:
+    """Return the requests that wait at the site, by service and class.
+
+    Each node's page shows the whole site; the node that knows of most waiting requests of a
+    service misses fewest of the owners.
+    """
+    best: dict[str, tuple[int, str, dict[int, int]]] = {}
+    for reading in readings:
+        if reading.status is None:
+            continue
+        for service, by_class in reading.status.waiting_by_class.items():
+            total = sum(by_class.values())
+            if service not in best or total > best[service][0]:
+                best[service] = (total, reading.status.name, by_class)
+    return [
+        (service, str(urgency), str(count), node)
+        for service, (_, node, by_class) in sorted(best.items())
+        for urgency, count in sorted(by_class.items())
+        if count
+    ]
+
+
 def _remarks(readings: Readings) -> list[str]:
     unreachable = sum(reading.status is None for reading in readings)
     names_by_revision = collections.defaultdict(list)
--- a/tests/entry/test_sitefigures.py
+++ b/tests/entry/test_sitefigures.py
@@ -3,6 +3,7 @@
 import json
 
 from hornbeamglade.exchange import messages
+from hornbeamglade.observability import statuspage
 from tests import eventloop
 from tests.entry import site as entrysite
 
@@ -48,3 +49,23 @@
     status, known, replica = entrysite.run(test, nodes=2, engines=1)
     assert status == 200
     assert known == [messages.key_hash(replica)]
+
+
+def test_page_and_gauge_show_requests_that_wait_at_another_owner():
+    """The status command shows only the fields that it knows by name."""
+
+    async def test(site):
+        site.put("op/config", json.dumps(mixed_manifest()))
+        site.read_store()
+        instance = site.nodes[0].instance
+        gauge = instance.instruments.routed.site_waiting
+        seen = []
+        for waiting in (3, 0):
+            entry = messages.WaitingClass(messages.key_hash("llm"), 8, waiting, 2.0, 0)
+            instance.peering.figures.record_heartbeat("n9", (entry,))
+            instance.metrics()
+            page = statuspage.NodeStatus.model_validate_json(instance.status())
+            seen.append((gauge.value(("llm", "1")), page.waiting_by_class))
+        return seen
+
+    assert entrysite.run(test, engines=1) == [(3, {"llm": {1: 3}}), (0, {})]
--- a/tests/observability/test_status.py
+++ b/tests/observability/test_status.py
@@ -98,3 +98,33 @@
 
 def test_exactly_one_source_of_nodes_must_be_given():
     assert _run().exit_code == 2
+
+
+def test_waiting_requests_and_slow_engines_are_shown_once():
+    """Every instance counts the whole site: a sum over instances would be several times too high.
+
+    An instance that hears of few owners must not hide what another one knows.
+    """
+    pages = (
+        _node("entry-1", waiting_by_class={"llm": {0: 1}, "chat": {2: 5}}),
+        _node("entry-2", waiting_by_class={"llm": {0: 4, 2: 12}}, slow_factors={"e1": 2.4}),
+        _node("entry-3", slow_factors={"e2": 1.0}),
+    )
+    pages = [statuspage.NodeStatus.model_validate_json(each.model_dump_json()) for each in pages]
+    text = statustable.as_text([_reading(page) for page in pages])
+    rows = [line.split() for line in text.splitlines()]
+    assert rows[5:] == [
+        ["ENGINE", "SLOW", "SEEN", "BY"],
+        ["e1", "2.40", "entry-2"],
+        [],
+        ["SERVICE", "CLASS", "WAITING", "SEEN", "BY"],
+        ["chat", "2", "5", "entry-1"],
+        ["llm", "0", "4", "entry-2"],
+        ["llm", "2", "12", "entry-2"],
+    ]
+
+
+def test_tables_without_content_are_left_out():
+    text = statustable.as_text([_reading(_node("entry-1", slow_factors={"e1": 1.0}))])
+    assert "SLOW" not in text
+    assert "CLASS" not in text
