--- a/hornbeamglade/grants/replicascheduler.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -196,7 +196,7 @@
             return None
         return self._start(work, now) if self._fits(work, due, now) else None
 
-    def seconds_until_look(self, now: float) -> float | None:
+    def seconds_until_next_start(self, now: float) -> float | None:
         """Return when the backlog of prompts lets a queued request start; None if it does now.
 
         Explanation
--- a/hornbeamglade/grants/schedulerset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -22,7 +22,7 @@
 """Returns the share of the engines of a replica's service that depart together at present."""
 
 UNKNOWN_REPLICA_RETRY_S = 0.5
-MIN_LOOK_DELAY_S = 0.001
+MIN_PROCESSING_DELAY_S = 0.001
 PRESENT_MEMORY = "present_memory"
 LEAST_OUTSTANDING = "least_outstanding"
 
@@ -127,7 +127,7 @@
         self._scheduler_by_replica: dict[str, replicascheduler.ReplicaScheduler] = {}
         self._notify_by_request: dict[str, Notify] = {}
         self._call_later: CallLater | None = None
-        self._look_at_by_replica: dict[str, float] = {}
+        self._processing_at_by_replica: dict[str, float] = {}
         self._reserving: set[str] = set()
         self._departing_share: DepartingShare = lambda _replica, _now: 0.0
 
@@ -153,7 +153,7 @@
                 if spec is None:
                     decided += scheduler.drain()
                     del self._scheduler_by_replica[name]
-                    self._look_at_by_replica.pop(name, None)
+                    self._processing_at_by_replica.pop(name, None)
                     self._reserving.discard(name)
                 elif spec != self._spec_by_replica[name]:
                     successor = self._make(name, spec)
@@ -204,7 +204,7 @@
             if isinstance(answer, replicascheduler.Queued):
                 self._notify_by_request[work.request_id] = notify
             decided = scheduler.process_queue(now)
-            self._plan_look(scheduler, now)
+            self._schedule_processing(scheduler, now)
         self._notify(decided)
         return answer
 
@@ -264,7 +264,7 @@
             now = self._clock.now()
             scheduler.finish(request_id, now)
             decided = scheduler.process_queue(now)
-            self._plan_look(scheduler, now)
+            self._schedule_processing(scheduler, now)
         self._notify(decided)
 
     def observe_length(self, service: str, team: str, tokens: int, *, censored: bool) -> None:
@@ -288,7 +288,7 @@
             decided = []
             for scheduler in self._scheduler_by_replica.values():
                 decided += scheduler.process_queue(now)
-                self._plan_look(scheduler, now)
+                self._schedule_processing(scheduler, now)
                 self._log_reserve(scheduler, now)
         self._notify(decided)
 
@@ -299,7 +299,7 @@
             scheduler = self._scheduler_by_replica.get(replica)
             decided = () if scheduler is None else scheduler.process_queue(now)
             if scheduler is not None:
-                self._plan_look(scheduler, now)
+                self._schedule_processing(scheduler, now)
         self._notify(decided)
 
     def drain(self, replica: str) -> None:
@@ -383,17 +383,19 @@
                 int(sum(each.departing_tokens(now) for each in found)),
             )
 
-    def _plan_look(self, scheduler: replicascheduler.ReplicaScheduler, now: float) -> None:
+    def _schedule_processing(
+        self, scheduler: replicascheduler.ReplicaScheduler, now: float
+    ) -> None:
         """Have the queue processed when the backlog of prompts lets a queued request start."""
-        delay_s = None if self._call_later is None else scheduler.seconds_until_look(now)
+        delay_s = None if self._call_later is None else scheduler.seconds_until_next_start(now)
         if delay_s is None:
             return
-        look_at = now + max(MIN_LOOK_DELAY_S, delay_s)
-        if now < self._look_at_by_replica.get(scheduler.replica, 0.0) <= look_at:
+        process_at = now + max(MIN_PROCESSING_DELAY_S, delay_s)
+        if now < self._processing_at_by_replica.get(scheduler.replica, 0.0) <= process_at:
             return
-        self._look_at_by_replica[scheduler.replica] = look_at
+        self._processing_at_by_replica[scheduler.replica] = process_at
         replica = scheduler.replica
-        self._call_later(look_at - now, lambda: self.process_queue(replica))
+        self._call_later(process_at - now, lambda: self.process_queue(replica))
 
     def _log_reserve(self, scheduler: replicascheduler.ReplicaScheduler, now: float) -> None:
         tokens = scheduler.reserve.reserved_tokens(now)
--- a/tests/grants/test_replicascheduler.py
+++ b/tests/grants/test_replicascheduler.py
@@ -296,14 +296,14 @@
 
 
 def test_an_engine_does_not_idle_while_a_request_with_slack_waits():
-    """The next periodic look at the queue may come after the backlog has drained."""
+    """The queue may next be processed after the backlog has drained."""
     scheduler, long = make_busy(is_mixed=True)
     scheduler.request_grant(long, 1.0, 0.0, 10.0, LONG_DUE)
-    delay_s = scheduler.seconds_until_look(0.0)
+    delay_s = scheduler.seconds_until_next_start(0.0)
     assert 0.0 < delay_s < scheduler.prompts.wait_s(0.0)
     assert scheduler.process_queue(delay_s - 0.01) == ()
     assert "long" in answers(scheduler.process_queue(delay_s + 0.001))
-    assert scheduler.seconds_until_look(delay_s + 0.001) is None
+    assert scheduler.seconds_until_next_start(delay_s + 0.001) is None
 
 
 @pytest.mark.parametrize(("due", "starts"), [(LONG_DUE, False), (1.4, True), (math.inf, True)])
@@ -346,7 +346,7 @@
     scheduler.try_grant(priority_work("third", 1), 0.0, LONG_DUE)
     scheduler.request_grant(priority_work("fourth", 1), 1.0, 0.0, 10.0, LONG_DUE)
     assert scheduler.count_ahead(0.0) == 1
-    assert scheduler.seconds_until_look(0.0) is None
+    assert scheduler.seconds_until_next_start(0.0) is None
     assert scheduler.try_grant(priority_work("short", 3), 0.6, 1.8) is None
     assert "fourth" in answers(scheduler.process_queue(0.6))
 
