--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,9 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 
+# Most tests wait for processes that they start, so three at a time need little more processor time.
 test: setup lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 3 --dist worksteal
 
 spec: setup
 	$(BIN)/hornbeamglade spec check
