--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -270,7 +270,6 @@
             self.instruments,
             rate_limit_queue,
             clock,
-            self.shared_machines,
             self._speeds,
             self._learned_length,
         )
--- a/hornbeamglade/routed/rundependencies.py
+++ b/hornbeamglade/routed/rundependencies.py
@@ -7,7 +7,6 @@
 from hornbeamglade.grants import asyncgrantacquirer
 from hornbeamglade.observability import metrics
 from hornbeamglade.quarantine import crashdetector, requestquarantine
-from hornbeamglade.replicas import sharedmachines
 from hornbeamglade.routed import (
     enginecatalog,
     migration,
@@ -38,7 +37,6 @@
     :param metrics: the node's metrics.
     :param rate_limit_queue: requests that wait for engines with rate limits.
     :param clock: monotonic time.
-    :param shared_machines: tells which services' replicas share their machines.
     :param speeds: the paces of engines.
     :param learned_length: returns the mean tokens of the answers of a route and team.
     """
@@ -56,6 +54,5 @@
     metrics: metrics.NodeMetrics
     rate_limit_queue: ratelimitqueue.RateLimitQueue
     clock: clocks.Clock
-    shared_machines: sharedmachines.SharedMachines
     speeds: enginespeeds.EngineSpeeds
     learned_length: collections.abc.Callable[[str, str], float]
