grants: count the waiting requests of any schedulers

The site's forecast is made from the requests that wait at an owner's schedulers. The counting is a function of its own now; SchedulerSet uses it under its lock, with the same results (tests/grants passes).

--- a/hornbeamglade/grants/schedulerset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -352,22 +352,9 @@
     ) -> tuple[siteforecast.ClassState, ...]:
         """Return the requests that wait for some replicas, the most urgent class first."""
         with self._lock:
-            now = self._clock.now()
-            waiting: collections.Counter[int] = collections.Counter()
-            on_time: collections.Counter[int] = collections.Counter()
-            starts: collections.Counter[int] = collections.Counter()
-            for replica in replicas:
-                scheduler = self._scheduler_by_replica.get(replica)
-                if scheduler is not None:
-                    waiting += scheduler.waiting_by_priority()
-                    on_time += scheduler.on_time_by_priority(now)
-                    starts += scheduler.recent_starts.count_by_priority(now)
-        return tuple(
-            siteforecast.ClassState(
-                priority, count, starts[priority] / recentstarts.WINDOW_S, on_time[priority]
-            )
-            for priority, count in sorted(waiting.items(), reverse=True)
-        )
+            found = [self._scheduler_by_replica.get(each) for each in replicas]
+            present = [each for each in found if each is not None]
+            return classes_waiting(present, self._clock.now())
 
     def reserved_memory(self, replicas: collections.abc.Iterable[str]) -> ReservedTokens:
         """Return the memory that is kept free at some replicas."""
@@ -426,6 +413,25 @@
                 notify(each)
 
 
+def classes_waiting(
+    schedulers: collections.abc.Iterable[replicascheduler.ReplicaScheduler], now: float
+) -> tuple[siteforecast.ClassState, ...]:
+    """Return the requests that wait at some schedulers, the most urgent class first."""
+    waiting: collections.Counter[int] = collections.Counter()
+    on_time: collections.Counter[int] = collections.Counter()
+    starts: collections.Counter[int] = collections.Counter()
+    for scheduler in schedulers:
+        waiting += scheduler.waiting_by_priority()
+        on_time += scheduler.on_time_by_priority(now)
+        starts += scheduler.recent_starts.count_by_priority(now)
+    return tuple(
+        siteforecast.ClassState(
+            priority, count, starts[priority] / recentstarts.WINDOW_S, on_time[priority]
+        )
+        for priority, count in sorted(waiting.items(), reverse=True)
+    )
+
+
 def _state(scheduler: replicascheduler.ReplicaScheduler, now: float) -> SchedulerState:
     return SchedulerState(
         replica=scheduler.replica,
