bench: give the policy new of uneven and crowd the decisions of production

The hook for new decisions was empty and the command ended with decisions_missing. The policy uses the modules of production now: paces of engines, the outlook in the cost of an engine, the slow factor of the prompt backlog, the site's forecast, mixed objectives, the shared reserve and the headroom for departing engines. Its digests are 0.25 s old.

--- a/hornbeamglade/bench/policymixload.py
+++ b/hornbeamglade/bench/policymixload.py
@@ -178,6 +178,7 @@
         kind.priority,
         kind.prompt_tokens,
         max_tokens=tokens,
+        pace=outcomes.PaceObjective(kind.gap_goal_s, kind.goal_s, tokens),
     )
     return MixRequest(work, tokens, at_s, kind)
 
--- a/hornbeamglade/bench/policymixpolicies.py
+++ b/hornbeamglade/bench/policymixpolicies.py
@@ -3,9 +3,10 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import typing
 
-from hornbeamglade.admission import replicaadmission
+from hornbeamglade.admission import policies, replicaadmission, urgentreserve
 from hornbeamglade.bench import (
     policydispatch,
     policymixload,
@@ -13,52 +14,27 @@
     policyschedulers,
     policyworkload,
 )
-from hornbeamglade.core import codederrors, outcomes
-from hornbeamglade.fairness import queuesettings
-from hornbeamglade.grants import replicascheduler
+from hornbeamglade.core import clocks, codederrors, outcomes
+from hornbeamglade.fairness import fairqueue, queuesettings, siteforecast
+from hornbeamglade.grants import replicascheduler, schedulerset
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.routing import candidates
+from hornbeamglade.replicas import departures
+from hornbeamglade.routes import objectives
+from hornbeamglade.routing import candidates, choice
+from hornbeamglade.speeds import enginespeeds
+from hornbeamglade.speeds import outlook as outlooklib
 
 LEAST_OUTSTANDING = "least-outstanding"
 FIFO = "fifo"
 PRESENT = "present"
 NEW = "new"
-POLICIES = (LEAST_OUTSTANDING, FIFO, PRESENT)
+POLICIES = (LEAST_OUTSTANDING, FIFO, PRESENT, NEW)
 
 _MIGRATION_TRIES = 3
 
-_Fields = dict[str, typing.Any]
-
-
-@dataclasses.dataclass(frozen=True)
-class Decisions:
-    """The decisions that distinguish the policy ``new`` from ``present``.
-
-    :param create_scheduler: creates an owner's scheduler from its replica, admission and queue.
-    :param grant_fields: further arguments of ``ReplicaScheduler.request_grant``, by request.
-    :param candidate_fields: fields of the ``Candidate`` of an engine, by engine and time.
-    :param routing_fields: fields of ``RoutingSettings``, by request.
-    :param refuses_early: whether a request is refused on arrival, by dispatcher, request and
-        time.
-    :param digest_lag_s: age of the digests on which nodes choose, or None for the scenario's.
-    """
-
-    create_scheduler: collections.abc.Callable[..., replicascheduler.ReplicaScheduler] = (
-        replicascheduler.ReplicaScheduler
-    )
-    grant_fields: collections.abc.Callable[[policymixload.MixRequest], _Fields] = lambda _: {}
-    candidate_fields: collections.abc.Callable[[policymixpool.MixReplica, float], _Fields] = (
-        lambda _replica, _now: {}
-    )
-    routing_fields: collections.abc.Callable[[policymixload.MixRequest], _Fields] = lambda _: {}
-    refuses_early: collections.abc.Callable[
-        ["Production", policymixload.MixRequest, float], bool
-    ] = lambda _dispatcher, _request, _now: False
-    digest_lag_s: float | None = None
-
-
-NEW_DECISIONS: Decisions | None = None
-"""The decisions of the policy ``new``; None until there are any."""
+FRESH_DIGEST_S = 0.25
+"""Age of the digests of the policy ``new``: owners send each other figures this often and pass
+them on in each response."""
 
 
 def migrate_by_memory(
@@ -128,7 +104,7 @@
 class Production(policyschedulers.SchedulerDispatcher):
     """The production path with first-event objectives, migrations and departing engines.
 
-    :param decisions: decisions that are added to it.
+    :param queue: limits of the schedulers' queues.
     """
 
     def __init__(
@@ -137,30 +113,15 @@
         pool: list[policymixpool.MixReplica],
         recorder: policymixpool.Recorder,
         seed: int,
-        decisions: Decisions | None = None,
+        queue: queuesettings.QueueSettings,
     ) -> None:
-        self._decisions = decisions or Decisions()
         settings = replicaadmission.AdmissionSettings(max_running=scenario.max_running)
 
         def admission(lengths: lengthmodel.LengthModel) -> replicaadmission.ReplicaAdmission:
             return replicaadmission.ReplicaAdmission(scenario.capacity_tokens, lengths, settings)
 
-        queue = queuesettings.QueueSettings()
         super().__init__(scenario, pool, recorder, admission, queue, seed)
 
-    def dispatch(self, request: policymixload.MixRequest, now: float) -> None:
-        """Dispatch a request with the routing settings that hold for it."""
-        if self._decisions.refuses_early(self, request, now):
-            self._request_by_id[request.work.request_id] = request
-            self._refuse(request.work.request_id, now)
-            return
-        settings = self._settings
-        self._settings = dataclasses.replace(settings, **self._decisions.routing_fields(request))
-        try:
-            super().dispatch(request, now)
-        finally:
-            self._settings = settings
-
     def on_replica_lost(
         self,
         replica: policymixpool.MixReplica,
@@ -202,24 +163,6 @@
                 return self.replica_by_name[candidate.replica]
         return None
 
-    def _request_grant(
-        self,
-        scheduler: replicascheduler.ReplicaScheduler,
-        request: policymixload.MixRequest,
-        now: float,
-    ) -> replicascheduler.Granted | replicascheduler.Queued | outcomes.Refusal:
-        return scheduler.request_grant(
-            request.work,
-            policyworkload.WEIGHT_BY_TEAM[request.work.team],
-            now,
-            self.deadline(request),
-            self.scenario.due(request),
-            **self._decisions.grant_fields(request),
-        )
-
-    def _create_scheduler(self, *arguments: typing.Any) -> replicascheduler.ReplicaScheduler:
-        return self._decisions.create_scheduler(*arguments)
-
     def _process_queue(
         self,
         replica: policymixpool.MixReplica,
@@ -229,13 +172,160 @@
         # A run that ends while it is copied holds a slot of the engine that it was to move to.
         super()._process_queue(self.replica_by_name[scheduler.replica], scheduler, now)
 
+    def _is_due(self, taken_at: float, now: float) -> bool:
+        return now - taken_at >= self.scenario.digest_lag_s
+
+
+class NewProduction(Production):
+    """The production path with the decisions for uneven engines and surges.
+
+    Explanation
+    ===========
+
+    As in production, engines are placed by pace where machines are shared, and requests with
+    slack let others pass where objectives are mixed. Both kinds of services refuse by the
+    site's forecast and choose by fresh figures.
+    """
+
+    def __init__(
+        self,
+        scenario: policymixload.MixScenario,
+        pool: list[policymixpool.MixReplica],
+        recorder: policymixpool.Recorder,
+        seed: int,
+    ) -> None:
+        self._clock = clocks.ManualClock()
+        self._speeds = enginespeeds.EngineSpeeds(
+            self._clock, lambda _service: scenario.slowdowns is not None
+        )
+        self._speeds.configure({policyworkload.SERVICE: policymixload.TOKENS_PER_EVENT})
+        self._outlook = outlooklib.pool_outlook((), policymixload.TOKENS_PER_EVENT)
+        self._measured: set[str] = set()
+        self._departures = departures.Departures()
+        self._forecast = siteforecast.SiteForecast(self._clock)
+        self._process_at_by_replica: dict[str, float] = {}
+        self._node_by_replica = {
+            replica.name: number % policyschedulers.NODES for number, replica in enumerate(pool)
+        }
+        self._reserve_by_node = [
+            urgentreserve.UrgentReserve() for _ in range(policyschedulers.NODES)
+        ]
+        for replica in pool:
+            replica.make_meter = lambda: self._speeds.make_meter(policyworkload.SERVICE)
+        goals = [kind.goal_s for kind in scenario.kinds]
+        is_mixed = max(goals) >= objectives.MIXED_FACTOR * min(goals)
+        queue = queuesettings.QueueSettings(has_mixed_objectives=is_mixed)
+        super().__init__(scenario, pool, recorder, seed, queue)
+
+    def dispatch(self, request: policymixload.MixRequest, now: float) -> None:
+        """Dispatch a request, or refuse it if by the site's forecast it cannot start in time."""
+        due_s = self.scenario.due(request) - now
+        start_s = self._forecast.start_s(request.work.priority, siteforecast.Position(), due_s)
+        left_s = self.deadline(request) - now
+        if start_s is not None and siteforecast.is_too_late(start_s, left_s):
+            self._request_by_id[request.work.request_id] = request
+            self._refuse(request.work.request_id, now)
+            return
+        super().dispatch(request, now)
+
+    def tick(self, step: int, now: float) -> None:
+        """Also process queues when the backlogs of prompts let their requests start."""
+        self._clock.advance(max(0.0, now - self._clock.now()))
+        for replica in self.live_replicas():
+            self._report_first_paces(replica)
+        super().tick(step, now)
+        for replica in self.live_replicas():
+            for scheduler in self._schedulers_by_replica[replica.name]:
+                if self._process_at_by_replica.pop(replica.name, math.inf) <= now:
+                    self._process_queue(replica, scheduler, now)
+                delay_s = scheduler.seconds_until_next_start(now)
+                if delay_s is not None:
+                    self._process_at_by_replica[replica.name] = now + delay_s
+
+    def on_finished(
+        self, replica: policymixpool.MixReplica, active: policymixpool.ActiveStream, now: float
+    ) -> None:
+        """Also report the pace of the response."""
+        self._measured.discard(active.request.work.request_id)
+        self._report_pace(replica, active)
+        super().on_finished(replica, active, now)
+
+    def on_leaving(self, replica: policymixpool.MixReplica, now: float) -> None:
+        """Also record the departure."""
+        present = sum(each.is_present for each in self.replica_by_name.values())
+        # A replacement has the name of the engine that left.
+        incarnation = f"{replica.name}/{replica.leaves_at}"
+        self._departures.record(policyworkload.SERVICE, incarnation, present, now)
+        super().on_leaving(replica, now)
+
+    def on_replica_restored(self, replica: policymixpool.MixReplica, now: float) -> None:
+        """Also discard the pace of the engine that left."""
+        self._speeds.retain(self.replica_by_name.keys() - {replica.name})
+        super().on_replica_restored(replica, now)
+
+    def _report_first_paces(self, replica: policymixpool.MixReplica) -> None:
+        for request_id, active in replica.active_by_id.items():
+            if request_id in self._measured or active.meter is None or not active.meter.is_ready:
+                continue
+            self._measured.add(request_id)
+            self._report_pace(replica, active)
+
+    def _report_progress(self, replica: policymixpool.MixReplica, now: float) -> None:
+        super()._report_progress(replica, now)
+        for active in replica.active_by_id.values():
+            self._report_pace(replica, active)
+
+    def _report_pace(
+        self, replica: policymixpool.MixReplica, active: policymixpool.ActiveStream
+    ) -> None:
+        if active.meter is not None:
+            self._speeds.observe(replica.name, active.meter.take())
+
+    def _create_scheduler(
+        self, replica: str, admission: policies.AdmissionPolicy, queue: fairqueue.FairQueue
+    ) -> replicascheduler.ReplicaScheduler:
+        scheduler = super()._create_scheduler(replica, admission, queue)
+        scheduler.reserve = self._reserve_by_node[self._node_by_replica[replica]]
+        scheduler.departing_share = lambda now: self._departures.share(policyworkload.SERVICE, now)
+        return scheduler
+
+    def _rank(
+        self, work: outcomes.Work, known: list[candidates.Candidate]
+    ) -> collections.abc.Sequence[choice.Choice]:
+        ordered = super()._rank(work, known)
+        return sorted(ordered, key=lambda each: each.candidate.must_avoid(work))
+
+    def _digest(self, now: float) -> list[candidates.Candidate]:
+        live = [replica.name for replica in self.live_replicas()]
+        paces = [pace for name in live if (pace := self._speeds.pace(name)) is not None]
+        self._outlook = outlooklib.pool_outlook(
+            paces, policymixload.TOKENS_PER_EVENT, self._outlook.pause_ratio
+        )
+        schedulers_by_node = collections.defaultdict(list)
+        for name, schedulers in self._schedulers_by_replica.items():
+            schedulers_by_node[self._node_by_replica[name]] += schedulers
+            factor = self._engine_outlook(name).slow_factor
+            for scheduler in schedulers:
+                scheduler.prompts.set_slow_factor(factor, now)
+        for node, schedulers in schedulers_by_node.items():
+            self._forecast.record(node, schedulerset.classes_waiting(schedulers, now))
+        return super()._digest(now)
+
+    def _engine_outlook(self, replica: str) -> outlooklib.EngineOutlook:
+        return outlooklib.EngineOutlook(self._outlook, self._speeds.pace(replica))
+
     def _candidate(self, replica: policymixpool.MixReplica, now: float) -> candidates.Candidate:
-        fields = self._decisions.candidate_fields(replica, now)
-        return dataclasses.replace(super()._candidate(replica, now), **fields)
+        schedulers = self._schedulers_by_replica[replica.name]
+        is_placed_by_pace = self._speeds.is_enabled(policyworkload.SERVICE)
+        return dataclasses.replace(
+            super()._candidate(replica, now),
+            queued=sum(scheduler.count_ahead(now) for scheduler in schedulers),
+            expected_wait_s=max(scheduler.expected_wait_s(now) for scheduler in schedulers),
+            outlook=self._engine_outlook(replica.name) if is_placed_by_pace else None,
+        )
 
     def _is_due(self, taken_at: float, now: float) -> bool:
-        lag_s = self._decisions.digest_lag_s
-        return now - taken_at >= (self.scenario.digest_lag_s if lag_s is None else lag_s)
+        return now - taken_at >= FRESH_DIGEST_S
 
 
 Dispatcher = LeastOutstanding | FirstInFirstOut | Production
@@ -250,17 +340,14 @@
 ) -> Dispatcher:
     """Return the dispatcher of a policy.
 
-    :raises CodedError: ``policy_unknown``, or ``decisions_missing`` when there are no new ones.
+    :raises CodedError: ``policy_unknown``.
     """
     if policy == LEAST_OUTSTANDING:
         return LeastOutstanding(scenario, pool, recorder)
     if policy == FIFO:
         return FirstInFirstOut(scenario, pool, recorder)
     if policy == PRESENT:
-        return Production(scenario, pool, recorder, seed)
+        return Production(scenario, pool, recorder, seed, queuesettings.QueueSettings())
     if policy != NEW:
         raise codederrors.CodedError("policy_unknown", f"unknown policy {policy!r}")
-    if NEW_DECISIONS is None:
-        detail = "policymixpolicies.NEW_DECISIONS names no decisions yet"
-        raise codederrors.CodedError("decisions_missing", detail)
-    return Production(scenario, pool, recorder, seed, NEW_DECISIONS)
+    return NewProduction(scenario, pool, recorder, seed)
--- a/hornbeamglade/bench/policymixpool.py
+++ b/hornbeamglade/bench/policymixpool.py
@@ -1,11 +1,15 @@
 """Engines of the experiments ``uneven`` and ``crowd``, and what their callers receive."""
 
-import collections
+import collections.abc
 import dataclasses
 import enum
 
 from hornbeamglade.bench import policymetrics, policymixload, policypool, policyworkload
 from hornbeamglade.emulator import enginemodel, machineslowdowns
+from hornbeamglade.speeds import pacemeter
+
+MakeMeter = collections.abc.Callable[[], pacemeter.PaceMeter | None]
+"""Returns the meter of a new stream, or None if streams are not measured."""
 
 
 class Result(enum.Enum):
@@ -21,12 +25,12 @@
 class ActiveStream(policypool.ActiveRequest):
     """A stream on an engine; pauses are those between its events.
 
-    :param copied: tokens that it had produced before it came to this engine.
+    :param meter: measures its pace at this engine, or None if it is not measured.
     :param event_at: when its last event was sent.
     :param longest_pause_s: its longest pause between events so far.
     """
 
-    copied: int = 0
+    meter: pacemeter.PaceMeter | None = None
     event_at: float = 0.0
     longest_pause_s: float = 0.0
 
@@ -92,7 +96,7 @@
         self.is_present = True
         self.leaves_at = float("inf")
         self.returns_at = float("inf")
-        self.pauses: collections.deque[tuple[float, float]] = collections.deque(maxlen=1000)
+        self.make_meter: MakeMeter = lambda: None
         super().__init__(name, domain, scenario)
 
     @property
@@ -122,7 +126,7 @@
             active.request.answer_tokens - active.produced,
             copied_tokens=prompt_tokens if active.produced else 0,
         )
-        active.copied = active.produced
+        active.meter = self.make_meter()
         self.engine.submit(sequence)
         self.active_by_id[work.request_id] = active
 
@@ -143,7 +147,6 @@
         self.time_factor = time_factor
         self.engine = self._new_engine()
         self.engine.now_s = now
-        self.pauses.clear()
         self.returns_at = float("inf")
         self.is_present = self.is_up = True
 
@@ -176,8 +179,8 @@
         else:
             pause_s = now - active.event_at
             active.longest_pause_s = max(active.longest_pause_s, pause_s)
-            if active.produced - active.copied > policymixload.TOKENS_PER_EVENT:
-                self.pauses.append((now, pause_s))
+        if active.meter is not None:
+            active.meter.record(now)
         active.event_at = now
         active.last_step = step
 
--- a/hornbeamglade/bench/policyschedulers.py
+++ b/hornbeamglade/bench/policyschedulers.py
@@ -17,7 +17,7 @@
 _QUEUE_EVERY_STEPS = 8
 _DIGEST_EVERY_STEPS = 10
 _MAX_TRIES = 2
-_NODES = 6
+NODES = 6
 _NODES_PER_TEAM = 2
 
 AdmissionFactory = collections.abc.Callable[[lengthmodel.LengthModel], policies.AdmissionPolicy]
@@ -56,7 +56,7 @@
         self._queue_settings = queue
         self._lengths = lengthmodel.LengthModel()
         self._settings = candidates.RoutingSettings(samples=scenario.samples)
-        self._placements_by_node = [placements.Placements(self._settings) for _ in range(_NODES)]
+        self._placements_by_node = [placements.Placements(self._settings) for _ in range(NODES)]
         self._detector = outliers.OutlierDetector(outliers.OutlierSettings())
         self._detector.set_members(list(self.replica_by_name))
         self._schedulers_by_replica = {
@@ -162,16 +162,21 @@
 
     def _node_of(self, team: str) -> int:
         first = list(policyworkload.WEIGHT_BY_TEAM).index(team)
-        return (first + self._rng.randrange(_NODES_PER_TEAM)) % _NODES
+        return (first + self._rng.randrange(_NODES_PER_TEAM)) % NODES
 
     def _ranked_replicas(self, work: outcomes.Work, node: int, now: float) -> list[str]:
         probe = self._detector.probe_due(now)
         if probe is not None and self.replica_by_name[probe].is_up:
             return [probe]
         known = self._placements_by_node[node].applied(self._candidates_at(node, now), now)
-        ordered = choice.rank(work, known, self._rng, self._settings)
+        ordered = self._rank(work, known)
         return [each.candidate.replica for each in ordered[:_MAX_TRIES]]
 
+    def _rank(
+        self, work: outcomes.Work, known: list[candidates.Candidate]
+    ) -> collections.abc.Sequence[choice.Choice]:
+        return choice.rank(work, known, self._rng, self._settings)
+
     def _candidates_at(self, node: int, now: float) -> list[candidates.Candidate]:
         """Return the candidates a node knows: its own with current state, others by digest."""
         if not self.scenario.report_lag_s:
@@ -181,7 +186,7 @@
         for i, (replica, stale) in enumerate(
             zip(self.replica_by_name.values(), digest, strict=True)
         ):
-            if i % _NODES == node:
+            if i % NODES == node:
                 known.append(dataclasses.replace(self._candidate(replica, now), local=True))
                 continue
             stale = dataclasses.replace(
--- a/hornbeamglade/cli/benchmix.py
+++ b/hornbeamglade/cli/benchmix.py
@@ -25,15 +25,13 @@
         seconds: float,
         engines: int,
         policies: tuple[str, ...],
-        new_decisions: bool,
         out: pathlib.Path | None,
         plot: pathlib.Path | None,
     ) -> None:
-        chosen = (*policies, policymixpolicies.NEW) if new_decisions else policies
         scaled = scenario.scaled(engines)
         runs = [
             policymixrun.run(scaled, policy, seed, seconds)
-            for policy in chosen
+            for policy in policies
             for seed in benchlib.seed_range(seeds)
         ]
         _show(policymixreport.Shares(runs), out, plot)
@@ -61,9 +59,6 @@
             type=click.Choice(policymixpolicies.POLICIES),
             default=policymixpolicies.POLICIES,
         ),
-        click.option(
-            "--new-decisions", is_flag=True, help="Also run the policy with the new decisions."
-        ),
         click.option(
             "--out", type=click.Path(path_type=pathlib.Path), help="JSON report to write."
         ),
--- a/tests/bench/test_policymixrun.py
+++ b/tests/bench/test_policymixrun.py
@@ -13,7 +13,6 @@
     policymixrun,
 )
 from hornbeamglade.cli import benchgroup
-from hornbeamglade.core import codederrors
 
 SMALL = {
     "uneven": (policymixload.UNEVEN.scaled(6), 8.0),
@@ -63,25 +62,67 @@
     scenario, duration_s = SMALL["crowd"]
     kept = []
 
-    def create(*arguments):
-        kept.append(policymixpolicies.replicascheduler.ReplicaScheduler(*arguments))
+    create = policymixpolicies.NewProduction._create_scheduler
+
+    def create_and_keep(*arguments):
+        kept.append(create(*arguments))
         return kept[-1]
 
-    decisions = policymixpolicies.Decisions(create_scheduler=create)
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(policymixpolicies, "NEW_DECISIONS", decisions)
+        patch.setattr(policymixpolicies.NewProduction, "_create_scheduler", create_and_keep)
         policymixrun.run(scenario, policymixpolicies.NEW, 1, duration_s)
     assert len(kept) > scenario.replicas
     assert not any(scheduler.running_count for scheduler in kept if not scheduler.leaving)
 
 
-def test_the_new_policy_needs_decisions_and_applies_them(monkeypatch):
-    """Guards against a comparison with new decisions that are not in force."""
-    with pytest.raises(codederrors.CodedError, match="decisions_missing"):
-        _run("uneven", policymixpolicies.NEW)
-    decisions = policymixpolicies.Decisions(refuses_early=lambda *_: True)
-    monkeypatch.setattr(policymixpolicies, "NEW_DECISIONS", decisions)
-    run = _run("uneven", policymixpolicies.NEW)
+def test_the_new_policy_measures_engines_and_keeps_long_responses_from_slow_ones(monkeypatch):
+    """Guards against a comparison in which engines' paces are not measured or not used."""
+    placed = {0.7: 0, 1.7: 0}
+    adopt = policymixpool.MixReplica.adopt
+
+    def count(replica, active):
+        if active.request.kind.name == "long" and active.request.at_s > 4.0:
+            placed[replica.time_factor] += 1
+        adopt(replica, active)
+
+    monkeypatch.setattr(policymixpool.MixReplica, "adopt", count)
+    _run("uneven", policymixpolicies.PRESENT)
+    assert placed[1.7] > 0.1 * placed[0.7]
+    placed.update({0.7: 0, 1.7: 0})
+    _run("uneven", policymixpolicies.NEW)
+    assert placed[1.7] < 0.05 * placed[0.7]
+
+
+def test_the_new_policy_keeps_memory_free_for_runs_of_departing_engines(monkeypatch):
+    """Guards against departures that the owners' schedulers do not learn of."""
+    kept = []
+    tokens = policymixpolicies.replicascheduler.ReplicaScheduler.departing_tokens
+
+    def keep(scheduler, now):
+        kept.append((now, tokens(scheduler, now)))
+        return kept[-1][1]
+
+    name = "departing_tokens"
+    monkeypatch.setattr(policymixpolicies.replicascheduler.ReplicaScheduler, name, keep)
+    _run("crowd", policymixpolicies.NEW)
+    assert not any(reserved for now, reserved in kept if now < 3.3)
+    assert any(reserved for now, reserved in kept if now > 8.0)
+
+
+def test_the_new_policy_refuses_by_the_forecast_of_the_site(monkeypatch):
+    """Guards against a forecast that is not asked, or not told which requests wait."""
+    forecasts, forecast = [], policymixpolicies.siteforecast.SiteForecast
+    start_s = forecast.start_s
+
+    def record(site, *arguments):
+        forecasts.append(start_s(site, *arguments))
+        return forecasts[-1]
+
+    monkeypatch.setattr(forecast, "start_s", record)
+    _run("crowd", policymixpolicies.NEW)
+    assert any(each for each in forecasts)
+    monkeypatch.setattr(forecast, "start_s", lambda *_: 1000.0)
+    run = _run("crowd", policymixpolicies.NEW)
     assert {result for _, result in run.results} == {policymixpool.Result.REFUSED}
 
 
