--- a/hornbeamglade/admission/urgentreserve.py
+++ b/hornbeamglade/admission/urgentreserve.py
@@ -1,16 +1,20 @@
-"""Memory of one replica that is kept free for urgent requests in a surge.
+"""Memory of each replica of an owner that is kept free for urgent requests in a surge.
 
 Explanation
 ===========
 
 In a surge, less urgent requests take freed memory as soon as it suffices for one of them, and
 they hold it for seconds. An urgent request then waits although its own need is small and short.
-While urgent requests have had to wait, less urgent ones therefore leave room for one urgent
-prompt.
+While urgent requests have had to wait at any of an owner's replicas of a service, less urgent
+ones therefore leave room for one urgent prompt at each of them. If only the replica at which one
+waited kept room, the others would be filled meanwhile, and the next one would wait there.
 """
 
 from hornbeamglade.core import outcomes
 
+SMOOTHING = 0.25
+"""Weight of a new prompt: the reserve follows about the last four, and not the largest alone."""
+
 RESERVE_S = 3.0
 """How long memory is reserved after an urgent request had to wait: about as long as a surge of
 urgent requests lasts (3.5 s)."""
@@ -39,8 +43,10 @@
         is_active = now < self._ends_at
         if is_active and work.priority < self._priority:
             return
-        is_same = is_active and work.priority == self._priority
-        self._tokens = max(self._tokens, work.prompt_tokens) if is_same else work.prompt_tokens
+        if is_active and work.priority == self._priority:
+            self._tokens += round(SMOOTHING * (work.prompt_tokens - self._tokens))
+        else:
+            self._tokens = work.prompt_tokens
         self._priority = work.priority
         self._ends_at = now + RESERVE_S
 
--- a/hornbeamglade/entry/componentsettings.py
+++ b/hornbeamglade/entry/componentsettings.py
@@ -54,14 +54,17 @@
     engine: models.EngineTraits,
     policy: policysettings.Policy,
     *,
+    service: str = "",
     has_mixed_objectives: bool = False,
 ) -> schedulerset.SchedulerSpec:
     """Return the settings of an engine's scheduler.
 
+    :param service: the engine's service.
     :param has_mixed_objectives: whether the objectives of its service's routes differ widely.
     """
     return schedulerset.SchedulerSpec(
         memory_tokens=engine.memory_tokens,
+        service=service,
         admission=replicaadmission.AdmissionSettings(
             horizons=policy.horizons,
             max_running=engine.slots,
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -645,6 +645,7 @@
                 engine.id: componentsettings.scheduler(
                     service_by_name[engine.service].engine,
                     self._settings.policy,
+                    service=engine.service,
                     has_mixed_objectives=engine.service in self._mixed_services,
                 )
                 for engine in engines
--- a/hornbeamglade/grants/schedulerset.py
+++ b/hornbeamglade/grants/schedulerset.py
@@ -6,7 +6,7 @@
 import math
 import threading
 
-from hornbeamglade.admission import policies, replicaadmission
+from hornbeamglade.admission import policies, replicaadmission, urgentreserve
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.fairness import fairqueue, queuesettings, recentstarts, siteforecast
 from hornbeamglade.grants import replicascheduler
@@ -71,12 +71,14 @@
     :param admission: horizons, limits and margins.
     :param queue: limits of its queue.
     :param policy: the name of the admission policy, as in the configuration.
+    :param service: the replica's service; its replicas here share one reserve for urgent requests.
     """
 
     memory_tokens: int
     admission: replicaadmission.AdmissionSettings
     queue: queuesettings.QueueSettings
     policy: str = "probabilistic"
+    service: str = ""
 
     def make(
         self,
@@ -127,6 +129,7 @@
         self._scheduler_by_replica: dict[str, replicascheduler.ReplicaScheduler] = {}
         self._notify_by_request: dict[str, Notify] = {}
         self._call_later: CallLater | None = None
+        self._reserve_by_service: dict[str, urgentreserve.UrgentReserve] = {}
         self._processing_at_by_replica: dict[str, float] = {}
         self._reserving: set[str] = set()
         self._departing_share: DepartingShare = lambda _replica, _now: 0.0
@@ -160,6 +163,9 @@
                     successor.take_over(scheduler, now)
                     self._scheduler_by_replica[name] = successor
             self._spec_by_replica = dict(spec_by_replica)
+            services = {spec.service for spec in spec_by_replica.values()}
+            for service in self._reserve_by_service.keys() - services:
+                del self._reserve_by_service[service]
         self._notify(decided)
 
     def set_owned(self, replicas: frozenset[str]) -> None:
@@ -403,6 +409,10 @@
     def _make(self, replica: str, spec: SchedulerSpec) -> replicascheduler.ReplicaScheduler:
         scheduler = spec.make(replica, self._lengths, self._gate)
         scheduler.departing_share = lambda now: self._departing_share(replica, now)
+        if spec.service:
+            scheduler.reserve = self._reserve_by_service.setdefault(
+                spec.service, scheduler.reserve
+            )
         return scheduler
 
     def _notify(self, decided: collections.abc.Iterable[replicascheduler.QueueOutcome]) -> None:
--- a/tests/grants/test_schedulerset.py
+++ b/tests/grants/test_schedulerset.py
@@ -1,4 +1,5 @@
 import collections
+import dataclasses
 
 import hypothesis
 from hypothesis import stateful
@@ -212,3 +213,28 @@
     assert node.schedulers.states()["e1"].headroom_tokens == 0
     node.report("e1")
     assert node.schedulers.states()["e1"].headroom_tokens > 0
+
+
+def test_an_urgent_request_that_waits_has_memory_reserved_at_all_replicas_of_its_service():
+    """Less urgent requests filled the other replicas, so the next urgent one waited there."""
+    requester = Requester()
+    mixed = queuesettings.QueueSettings(has_mixed_objectives=True)
+    requester.schedulers.configure(
+        {
+            name: dataclasses.replace(spec(), queue=mixed, service=service)
+            for name, service in (("e1", "chat"), ("e2", "chat"), ("e3", "other"))
+        }
+    )
+    requester.schedulers.set_owned(frozenset(("e1", "e2", "e3")))
+    for replica in ("e1", "e2", "e3"):
+        requester.report(replica)
+        requester.schedulers.apply(
+            replica,
+            lambda scheduler, now: scheduler.adopt(
+                outcomes.Work("running", "chat", "", 1, MEMORY - 700), 0, now
+            ),
+        )
+    urgent = outcomes.Work("urgent", "chat", "", 9, 900)
+    requester.schedulers.request_grant("e1", urgent, 1.0, 60.0, lambda _: None, due=1.0)
+    reserved = requester.schedulers.reserved_memory
+    assert [reserved([each]).urgent for each in ("e1", "e2", "e3")] == [900, 900, 0]
