--- /dev/null
+++ b/tests/entry/test_versions.py
@@ -0,0 +1,215 @@
+"""Streams while replicas of several software versions serve side by side."""
+
+import asyncio
+import json
+
+import pytest
+
+from tests import eventloop
+from tests.entry import site as entrysite
+
+COUNT = 8
+EVENTS = 60
+
+
+def list_versions(site, versions):
+    """Give each engine a software version, in the order of the engines."""
+    for number, (engine, version) in enumerate(zip(site.engines, versions, strict=True)):
+        row = entrysite.server_row(engine, "llm", "ab"[number % 2], version=version)
+        site.put(f"servers/{engine.replica_id}", row)
+    site.read_store()
+
+
+def runs_of(site, *request_ids):
+    """Return the numbers of the engines that ran any of some requests, in order of arrival."""
+    runs = [
+        (run.at, number)
+        for number, engine in enumerate(site.engines)
+        for run in engine.ledger
+        if run.request_id in request_ids
+    ]
+    return [number for _, number in sorted(runs)]
+
+
+def has_migrated(site, number):
+    return all(run.is_stopped for run in site.engines[number].run_by_id.values())
+
+
+def resumption(first, last_event):
+    return entrysite.USAGE + f"Resumes: {first}\r\nLast-Event-Id: {last_event}\r\n"
+
+
+async def begin(site, count=COUNT, path="/tag/1", node=0):
+    """Begin streams; return their clients once each has events."""
+    clients = [
+        await site.nodes[node].request(path, request_id=f"r{n}", more=entrysite.USAGE)
+        for n in range(count)
+    ]
+    for client in clients:
+        await client.head()
+    return clients
+
+
+async def take_up(site, first, last_event, request_id, node=0, **fields):
+    """Take a stream up at a node; return the status and body of the response."""
+    more = resumption(first, last_event)
+    client = await site.nodes[node].request("/tag/1", request_id=request_id, more=more, **fields)
+    status, _, body = await client.answer()
+    return status, body
+
+
+async def read_to_end(client):
+    """Read a stream to its end; return whether it was complete."""
+    try:
+        await client._chunks()
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return False
+    return True
+
+
+def test_lost_stream_goes_on_only_at_an_engine_of_its_version():
+    """An engine crashes: its streams go on at an engine of another software version."""
+
+    async def test(site):
+        list_versions(site, ("v1", "v2", "v2", "v1"))
+        clients = await begin(site)
+        await site.engines[0].stop()
+        are_whole = [await read_to_end(client) for client in clients]
+        return are_whole, [runs_of(site, f"r{n}") for n in range(COUNT)]
+
+    are_whole, runs = entrysite.run(test, engines=4, events=EVENTS)
+    assert {tuple(each) for each in runs if each[0] == 0} == {(0, 3)}
+    assert are_whole == [True] * COUNT
+
+
+def test_lost_stream_is_broken_off_if_no_engine_of_its_version_is_left():
+    """The last engine of a version crashes: its streams go on at another version."""
+
+    async def test(site):
+        list_versions(site, ("v1", "v2"))
+        clients = await begin(site)
+        began = [runs_of(site, f"r{n}")[0] for n in range(COUNT)]
+        await site.engines[0].stop()
+        are_whole = [await read_to_end(client) for client in clients]
+        return began, are_whole, [runs_of(site, f"r{n}") for n in range(COUNT)]
+
+    began, are_whole, runs = entrysite.run(test, events=EVENTS)
+    assert runs == [[engine] for engine in began]
+    assert are_whole == [engine == 1 for engine in began]
+
+
+@pytest.mark.parametrize("nodes", [1, 2])
+def test_run_migrates_only_to_an_engine_of_its_version(nodes):
+    """An engine leaves: its runs are migrated to an engine of another software version."""
+
+    async def test(site):
+        list_versions(site, ("v1", "v2", "v2", "v1"))
+        clients = await begin(site, path="/draft/1")
+        began = {n: runs_of(site, f"r{n}")[0] for n in range(COUNT)}
+        leaving = [n for n, engine in began.items() if engine == 0]
+        row = entrysite.server_row(site.engines[0], "llm", state="draining", version="v1")
+        site.put("servers/e0", row)
+        site.read_store()
+        await eventloop.until(lambda: has_migrated(site, 0))
+        are_whole = [await read_to_end(client) for client in clients]
+        targets = [n for n in leaving if f"r{n}" in site.engines[3].run_by_id]
+        return leaving, targets, are_whole
+
+    leaving, targets, are_whole = entrysite.run(
+        test, nodes=nodes, engines=4, events=EVENTS, gap_s=0.02
+    )
+    assert leaving
+    assert targets == leaving
+    assert are_whole == [True] * COUNT
+
+
+def test_run_stays_at_a_leaving_engine_if_its_version_has_no_other():
+    async def test(site):
+        list_versions(site, ("v1", "v2"))
+        clients = await begin(site, path="/draft/1")
+        began = [runs_of(site, f"r{n}")[0] for n in range(COUNT)]
+        row = entrysite.server_row(site.engines[0], "llm", state="draining", version="v1")
+        site.put("servers/e0", row)
+        site.read_store()
+        are_whole = [await read_to_end(client) for client in clients]
+        moved = [n for n in range(COUNT) if f"r{n}" in site.engines[1].run_by_id]
+        return began, moved, are_whole
+
+    began, moved, are_whole = entrysite.run(test, events=EVENTS)
+    assert moved == [n for n in range(COUNT) if began[n] == 1]
+    assert are_whole == [True] * COUNT
+
+
+async def cut(clients):
+    for client in clients:
+        client.close()
+    await asyncio.sleep(0.1)
+
+
+def test_caller_takes_a_stream_up_only_at_the_version_that_began_it():
+    """A caller takes its stream up at other instances, twice: it goes on at another version."""
+
+    async def test(site):
+        list_versions(site, ("v1", "v2", "v1", "v2"))
+        await cut(await begin(site))
+        statuses = []
+        for n in range(COUNT):
+            statuses.append((await take_up(site, f"r{n}", 20, f"second{n}", node=1))[0])
+            statuses.append((await take_up(site, f"r{n}", 40, f"third{n}", node=2))[0])
+        runs = [runs_of(site, f"r{n}", f"second{n}", f"third{n}") for n in range(COUNT)]
+        return statuses, runs
+
+    statuses, runs = entrysite.run(test, nodes=3, engines=4, events=EVENTS)
+    assert statuses == [200] * 2 * COUNT
+    assert all(len({engine % 2 for engine in each}) == 1 for each in runs), runs
+
+
+def test_stream_is_taken_up_though_the_instance_that_began_it_is_gone():
+    """An instance is killed: its callers' streams go on at another version at the others."""
+
+    async def test(site):
+        list_versions(site, ("v1", "v2", "v1", "v2"))
+        await begin(site)
+        await asyncio.sleep(0.4)
+        await site.nodes[0].stop()
+        statuses = [
+            (await take_up(site, f"r{n}", 20, f"second{n}", node=1 + n % 3))[0]
+            for n in range(COUNT)
+        ]
+        return statuses, [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
+
+    statuses, runs = entrysite.run(test, nodes=4, engines=4, events=EVENTS)
+    assert statuses == [200] * COUNT
+    assert all(len({engine % 2 for engine in each}) == 1 for each in runs), runs
+
+
+def test_stream_of_unknown_beginning_is_refused_while_versions_differ():
+    """A stream that no instance knows is taken up: it goes on at a version that was guessed."""
+
+    async def test(site):
+        list_versions(site, ("v1", "v2"))
+        answers = [await take_up(site, f"nobody{n}", 20, f"r{n}") for n in range(COUNT)]
+        return answers, [runs_of(site, f"r{n}") for n in range(COUNT)]
+
+    answers, runs = entrysite.run(test)
+    assert [status for status, _ in answers] == [503] * COUNT
+    assert {json.loads(body)["code"] for _, body in answers} == {"stream_origin_unknown"}
+    assert runs == [[]] * COUNT
+
+
+def test_stream_whose_version_is_gone_is_refused_at_once():
+    async def test(site):
+        list_versions(site, ("v1", "v2"))
+        await cut(await begin(site))
+        version = {n: runs_of(site, f"r{n}")[0] for n in range(COUNT)}
+        site.delete("servers/e0")
+        site.read_store()
+        return version, {n: await take_up(site, f"r{n}", 20, f"second{n}") for n in range(COUNT)}
+
+    version, answers = entrysite.run(test, events=EVENTS)
+    assert {n for n, (status, _) in answers.items() if status == 200} == {
+        n for n, engine in version.items() if engine == 1
+    }
+    refused = [body for status, body in answers.values() if status == 503]
+    assert refused
+    assert {json.loads(body)["code"] for body in refused} == {"version_unavailable"}
