routed: continue a stream only at engines of the version that began it

What callers saw: a stream whose engine crashed or left held events of two software versions. Cause: the version of a replica was decoded and read by nothing, so a run that was lost after its first event, and the target of a migration, were chosen among all engines. From the first relayed event on, the selection accepts only engines of that event's version: as candidates, as an owner's choice, and again when the request is sent. Such a run is admitted by the memory that is free now, like a migrated one, since new requests may start at any version. Without an engine of the version the stream is broken off, and a run stays at an engine that leaves. Services with one version take the former path unchanged.

--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -8,6 +8,7 @@
 from hornbeamglade.exchange import messages
 from hornbeamglade.grants import schedulerset
 from hornbeamglade.node import digestcache
+from hornbeamglade.origins import versions
 from hornbeamglade.replicas import availability, models, ratelimits
 from hornbeamglade.routing import candidates as candidatelib
 from hornbeamglade.speeds import enginespeeds
@@ -81,6 +82,22 @@
         """Return a replica of the list, or None if it is no longer listed."""
         return self._replicas.by_id.get(replica_id)
 
+    def is_of_version(self, replica_id: str, version: int) -> bool:
+        """Return whether an engine is listed with a software version.
+
+        :param version: :func:`version_key <hornbeamglade.origins.versions.version_key>` of it.
+        """
+        replica = self._replicas.by_id.get(replica_id)
+        return replica is not None and versions.version_key(replica.version) == version
+
+    def usable_by_version(
+        self, service: str, version: int, regions: frozenset[str] | None = None
+    ) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the usable engines of a software version, and those of all other versions."""
+        usable = {each.id for each in self._available.usable(service, regions)}
+        matching = frozenset(each for each in usable if self.is_of_version(each, version))
+        return matching, usable - matching
+
     def is_usable(self, replica_id: str) -> bool:
         """Return whether an engine is listed and not leaving; it may be evacuated."""
         return self._replicas.is_usable(replica_id)
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -1,5 +1,6 @@
 """Selects an engine for a streamed request and acquires a grant there."""
 
+import collections.abc
 import dataclasses
 
 from hornbeamglade.core import outcomes
@@ -9,6 +10,7 @@
 from hornbeamglade.routed import (
     attemptlog,
     callrouter,
+    enginecatalog,
     enginework,
     migration,
     rundependencies,
@@ -17,6 +19,27 @@
 
 MAX_REPLICAS = 4
 FULL_RETRY_S = 0.5
+VERSION_UNAVAILABLE = "version_unavailable"
+VERSION_RETRY_S = 1.0
+"""A replica that restarts with the same version is listed again within seconds."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Unsuitable(collections.abc.Container):
+    """The engines that must not continue a stream, by the list of replicas at each look-up.
+
+    :param excluded: engines that must not be used, whatever their version.
+    :param version: the software version that began the stream.
+    :param catalog: the known engines.
+    """
+
+    excluded: frozenset[str]
+    version: int
+    catalog: enginecatalog.EngineCatalog
+
+    def __contains__(self, replica_id: object) -> bool:
+        is_excluded = replica_id in self.excluded
+        return is_excluded or not self.catalog.is_of_version(str(replica_id), self.version)
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +76,19 @@
         self._log = log
         self._dependencies = dependencies
         self._grant_attempts = 0
+        self._version: int | None = None
+        self._produced = 0
+
+    def continue_stream(self, version: int, produced: int) -> None:
+        """Restrict the selection to one software version from now on.
+
+        To be called as soon as the caller may hold an event of the stream.
+
+        :param version: key of the software version that began the stream.
+        :param produced: tokens of the stream so far.
+        """
+        self._version = version
+        self._produced = max(1, produced)
 
     async def find(self) -> Assignment | outcomes.Refusal:
         """Acquire a grant at an engine, or return the refusal to send to the caller."""
@@ -63,6 +99,8 @@
         refusal = self._quarantine_refusal()
         if refusal is not None:
             return refusal
+        if not self._has_suitable_engine():
+            return self.failure_refusal() if log.may_have_run else self._version_refusal()
         if log.sent and not self._dependencies.budgets.spend(routed.service.name, now):
             return self.failure_refusal()
         grant = await self._acquire_grant()
@@ -75,7 +113,11 @@
             return self.failure_refusal() if log.may_have_run else grant
         replica = self._dependencies.catalog.replica(grant.replica)
         # The request may have been quarantined while it waited for the grant.
-        refusal = self.failure_refusal() if replica is None else self._quarantine_refusal()
+        is_suitable = replica is not None and (
+            self._version is None
+            or self._dependencies.catalog.is_of_version(replica.id, self._version)
+        )
+        refusal = self._quarantine_refusal() if is_suitable else self.failure_refusal()
         if refusal is not None:
             self._dependencies.acquirer.release(grant)
             return refusal
@@ -95,7 +137,9 @@
             deadline = min(deadline, enginework.latest_useful_start_at(routed))
         while True:
             placement_request = self.placement_request(deadline, frozenset(self._log.tried))
-            grant = await dependencies.acquirer.acquire(placement_request)
+            grant = await self._acquire_as_continuation(placement_request)
+            if grant is None:
+                grant = await dependencies.acquirer.acquire(placement_request)
             if isinstance(grant, asyncgrantacquirer.Grant):
                 if dependencies.catalog.may_send(grant.replica):
                     return grant
@@ -111,6 +155,43 @@
             ):
                 return self._with_retry_time(grant)
 
+    async def _acquire_as_continuation(
+        self, placement: asyncgrantacquirer.PlacementRequest
+    ) -> asyncgrantacquirer.Grant | None:
+        """Acquire a grant for a stream that only some engines may continue, or return None.
+
+        Like a migrated run it is admitted by the memory that is free now, ahead of new requests,
+        which may start at the engines of all versions.
+        """
+        if self._version is None or not self._other_versions():
+            return None
+        continued = dataclasses.replace(placement, produced=self._produced)
+        return await self._dependencies.acquirer.acquire_for_migration(continued, "")
+
+    def _has_suitable_engine(self) -> bool:
+        """Return whether some engine that was not tried may be sent the request."""
+        if self._version is None:
+            return True
+        matching, _ = self._usable_by_version()
+        return not matching <= set(self._log.tried)
+
+    def _usable_by_version(self) -> tuple[frozenset[str], frozenset[str]]:
+        routed = self._routed
+        return self._dependencies.catalog.usable_by_version(
+            routed.service.name, self._version, routed.allowed_regions
+        )
+
+    def _other_versions(self) -> frozenset[str]:
+        """Return the usable engines that may not continue the stream."""
+        return frozenset() if self._version is None else self._usable_by_version()[1]
+
+    def _version_refusal(self) -> outcomes.Refusal:
+        detail = (
+            f"no replica of {self._routed.service.name} of the software version that began "
+            "the stream takes requests now"
+        )
+        return outcomes.Refusal(VERSION_UNAVAILABLE, 503, detail, retry_after_s=VERSION_RETRY_S)
+
     def _with_retry_time(self, refusal: outcomes.Refusal) -> outcomes.Refusal:
         """Return the refusal with the time at which this node may send to an engine again."""
         routed = self._routed
@@ -140,19 +221,25 @@
         catalog = self._dependencies.catalog
         sample_offset = messages.key_hash(self._routed.call.request_id)
         self._grant_attempts += migration.MAX_TARGETS
-        avoided = excluded | catalog.withheld(service)
+        others = self._other_versions()
+        avoided = excluded | catalog.withheld(service) | others
+        unsuitable: collections.abc.Container[str] = excluded
+        if self._version is not None:
+            unsuitable = _Unsuitable(excluded, self._version, catalog)
         return asyncgrantacquirer.PlacementRequest(
             work=enginework.work(self._routed, self._pace()),
             weight=1.0,
             deadline=deadline,
-            list_candidates=lambda: catalog.candidates(service, excluded, regions, sample_offset),
-            resolve_replica=lambda chosen: catalog.find(chosen, service, excluded, regions),
+            list_candidates=lambda: catalog.candidates(
+                service, unsuitable, regions, sample_offset
+            ),
+            resolve_replica=lambda chosen: catalog.find(chosen, service, unsuitable, regions),
             attempt=self._grant_attempts,
             avoid=avoided,
             due=enginework.latest_start_at(self._routed),
             # An owner can only be told of a few engines that it must not choose.
             known_only=regions is not None or len(avoided) > messages.MAX_AVOIDED,
-            site_service=service if catalog.is_coordinated(service) else None,
+            site_service=service if catalog.is_coordinated(service) and not others else None,
         )
 
     def _pace(self) -> outcomes.PaceObjective | None:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -6,6 +6,7 @@
 from hornbeamglade.core import outcomes
 from hornbeamglade.http1 import clientside, serverside
 from hornbeamglade.observability import logs
+from hornbeamglade.origins import versions
 from hornbeamglade.quarantine import fingerprints
 from hornbeamglade.routed import (
     attemptlog,
@@ -84,6 +85,7 @@
         self._assignment: engineselector.Assignment | None = None
         self._response_start: eventrelay.ResponseStart | None = None
         self._first_event = asyncio.Event()
+        self._origin: int | None = None
         self._migration: migration.Migration | None = None
         self._migration_task: asyncio.Task[None] | None = None
         self._migration_count = 0
@@ -242,12 +244,15 @@
                 "stream_lost",
                 lost.code,
                 replica=self._assignment.replica.id,
+                version=self._assignment.replica.version,
                 events=self._relay.event_count,
                 fingerprint=fingerprints.to_hex(self._routed.fingerprint),
             )
             labels = (self._routed.service.name, lost.code)
             self._dependencies.metrics.routed.broken_streams.add(labels=labels)
             self._log.record_end(self._assignment.replica.id, outcomes.RunStatus.RAN, True)
+            self._note_origin()
+            self._require_origin()
             if not await self._continue_stream():
                 return False
 
@@ -271,7 +276,8 @@
             self._report_progress()
 
     def _report_progress(self) -> None:
-        if self._relay.event_count:
+        if self._relay.event_count and not self._first_event.is_set():
+            self._note_origin()
             self._first_event.set()
         grant = self._assignment.grant
         if grant is not None:
@@ -279,6 +285,16 @@
                 grant, self._produced_tokens(), self._relay.meter
             )
 
+    def _note_origin(self) -> None:
+        """Record the software version of the first event that was relayed."""
+        if self._origin is None and self._relay.event_count:
+            self._origin = versions.version_key(self._assignment.replica.version)
+
+    def _require_origin(self) -> None:
+        """Restrict the engines to the version that began the stream, if the caller has events."""
+        if self._origin is not None:
+            self._selector.continue_stream(self._origin, self._produced_tokens())
+
     def _produced_tokens(self) -> int:
         engine = self._routed.service.engine
         return self._relay.event_count * (1 if engine is None else engine.tokens_per_event)
@@ -322,6 +338,7 @@
             "resumed",
             "ok" if is_resumed else "failed",
             replica=destination.replica.id,
+            version=destination.replica.version,
             events=self._relay.event_count,
         )
         if is_resumed:
@@ -339,6 +356,7 @@
         """Migrate the run to another engine before its current engine stops."""
         # The KV cache of a run that has not started cannot be copied.
         await self._first_event.wait()
+        self._require_origin()
         placement = self._selector.placement_request(
             self._dependencies.clock.now() + migration.COPY_TIMEOUT_S,
             frozenset((assignment.replica.id,)),
