origins: let callers take streams up only at the version that began them

What callers saw: a stream that its caller took up at another instance went on at an engine of another software version. While one version is listed, the list tells which version began a stream; a row for each service in the instances' table lets instances that start know since when. Otherwise the instance that relays a first event tells three keepers in other failure domains, in batches, and an instance that does not know a stream asks all others, for 0.15 s at most. What stays unknown is refused with stream_origin_unknown, since the rule holds for machines out of touch as well; what is known but has no replica with version_unavailable. A server that restarts under its id with another version makes the origins of its open streams uncertain.

The instances of the test site now start for the first time, as a site does; a test that resumes without Resumes needs that, and checks what it did.

--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -59,9 +59,9 @@
             self._clock,
             instance_settings.is_first_start,
         )
-        self.instance.quarantine.set_store_writer(
-            quarantinewriter.QuarantineWriter(self._store, self._clock).add
-        )
+        writer = quarantinewriter.QuarantineWriter(self._store, self._clock)
+        self.instance.quarantine.set_store_writer(writer.add)
+        self.instance.origins.set_store_writer(writer.add)
         self._rng = random.Random(self.instance.incarnation)
         self.instance.set_connection_counter(lambda: len(self._callers.connections))
         self._callers = serverside.CallersServer(
@@ -128,7 +128,7 @@
         self._loop.call_soon_threadsafe(self.instance.on_instance_list, listed)
 
     def _on_rows(self, rows: tuple[contract.Row, ...]) -> None:
-        self._loop.call_soon_threadsafe(self.instance.quarantine.on_rows, rows)
+        self._loop.call_soon_threadsafe(self.instance.on_rows, rows)
 
     def _update_followers(self) -> None:
         """Start or pause the followers according to this instance's current role."""
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -33,6 +33,7 @@
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.node import digestcache
 from hornbeamglade.observability import logs, metrics
+from hornbeamglade.origins import streamorigins
 from hornbeamglade.platform import enginecalls, requestdialect, tables
 from hornbeamglade.quarantine import crashdetector, requestquarantine
 from hornbeamglade.replicas import (
@@ -78,6 +79,7 @@
 cache the addresses."""
 
 STOP_MARGIN_S = 0.4
+LIST_MAX_AGE_S = 2.0
 DEPARTED_RETENTION_S = 12.0
 """Longer than a replica keeps serving after it was removed from the list without notice."""
 
@@ -171,6 +173,16 @@
             self.peering.send,
             clock,
         )
+        self.origins = streamorigins.StreamOrigins(
+            instance_settings.name,
+            instance_settings.failure_domain,
+            self.peering.heartbeats.live,
+            self.peering.known_names,
+            self.peering.send,
+            self._is_list_current,
+            instance_settings.is_first_start,
+            clock,
+        )
         self.tunneling = tunneling.Tunneling(
             self.identity,
             self._replicas,
@@ -272,6 +284,7 @@
             clock,
             self._speeds,
             self._learned_length,
+            self.origins,
         )
         buffered = bufferedexchange.BufferedExchange(
             self._available,
@@ -409,6 +422,7 @@
             "store_era": positions.era(versions.replicas),
             "evacuated": sorted(self._available.evacuations.domains),
             "quarantined": self.quarantine.quarantined_count,
+            "stream_origins": self.origins.count,
             "tunneled_replicas": self.tunneling.paths.detoured_count,
             "slow_factors": {
                 replica: round(factor, 2) for replica, factor in self._paces.factors.items()
@@ -421,6 +435,7 @@
     def tick_s(self) -> float:
         """Seconds until the next tick is due."""
         is_silent = not self.follower_role.has_pending_announcements and self.quarantine.is_idle
+        is_silent = is_silent and self.origins.is_idle
         is_idle = self.peering.is_idle and is_silent and self._startup.is_open
         return IDLE_TICK_S if is_idle and not self._schedulers.has_waiting_requests else TICK_S
 
@@ -431,6 +446,7 @@
         self.poller.tick()
         self._schedulers.process_queues()
         self.quarantine.tick()
+        self.origins.tick()
         self.send_announcements()
 
     def on_store_outcome(self, table: str, outcome: clusterstate.TableOutcome) -> None:
@@ -472,6 +488,14 @@
         """Process the digest of another instance's quarantined requests."""
         self.quarantine.on_digest(sender, digest)
 
+    def on_origin_records(self, records: messages.OriginRecords) -> None:
+        """Store origins of streams that another instance has sent."""
+        self.origins.on_records(records)
+
+    def on_origin_query(self, sender: str, query: messages.OriginQuery) -> None:
+        """Respond to another instance that asks for origins of streams."""
+        self.origins.on_query(sender, query)
+
     def on_message_error(self, error: Exception, where: str) -> None:
         """Log an error raised while handling a message."""
         logs.log_internal_error(where, error)
@@ -487,6 +511,7 @@
         self._available.forget_ended(self._clock.now())
         self._crashes.forget_old()
         self.quarantine.expire()
+        self.origins.expire()
         self._remove_departed()
         self.tunneling.paths.forget_unused()
         self._engine_monitor.remove_absent()
@@ -508,6 +533,11 @@
                 self._replicas.forget_departed(replica_id)
                 del self._departed_at_by_replica[replica_id]
 
+    def on_rows(self, rows: tuple[contract.Row, ...]) -> None:
+        """Process the rows that instances share in the store."""
+        self.quarantine.on_rows(rows)
+        self.origins.on_rows(rows)
+
     def on_instance_list(self, listed: tuple[contract.Instance, ...]) -> None:
         """Process the list of instances read from the store or a seed."""
         self.peering.heartbeats.apply_list(listed)
@@ -518,6 +548,18 @@
         self.follower_role.on_instance_list()
         self.send_announcements()
 
+    def _is_list_current(self) -> bool:
+        """Return whether this instance would know of a newer list of replicas.
+
+        While the store cannot be reached the list does not change; an instance that reaches most
+        of the others would hear of a change that one of them has read.
+        """
+        age_s = self.cluster_state.replica_list_staleness().age_s
+        if age_s is not None and age_s <= LIST_MAX_AGE_S:
+            return True
+        live = len(self.peering.heartbeats.live())
+        return live > 1 and 2 * live >= len(self.peering.heartbeats.members())
+
     def _held_versions(self) -> tuple[int, int]:
         versions = self.cluster_state.versions()
         return versions.configuration, versions.replicas
@@ -602,6 +644,9 @@
         self.tunneling.update_replicas()
         self._available.list_changed(changes, self._clock.now())
         self._crashes.list_changed(changes)
+        for service in {change.replica.service for change in changes}:
+            listed = self._replicas.of_service(service)
+            self.origins.observe(service, (each.version for each in listed))
         self._record_departures(changes)
         self._update_engines()
         for change in changes:
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -59,6 +59,14 @@
     def on_quarantine_digest(self, sender: str, digest: int) -> None:
         """Process the digest of another instance's quarantined requests."""
 
+    @abc.abstractmethod
+    def on_origin_records(self, records: messages.OriginRecords) -> None:
+        """Store origins of streams that another instance has sent."""
+
+    @abc.abstractmethod
+    def on_origin_query(self, sender: str, query: messages.OriginQuery) -> None:
+        """Respond to another instance that asks for origins of streams."""
+
     @abc.abstractmethod
     def on_message_error(self, error: Exception, where: str) -> None:
         """Handle an error raised while handling a message."""
@@ -300,6 +308,10 @@
             self._events.on_crash_report(sender.name, message)
         elif isinstance(message, messages.QuarantineNotice):
             self._events.on_quarantine_notice(message)
+        elif isinstance(message, messages.OriginRecords):
+            self._events.on_origin_records(message)
+        elif isinstance(message, messages.OriginQuery):
+            self._events.on_origin_query(sender.name, message)
         elif isinstance(message, messages.DocumentChunk):
             request = self._document_sync.on_chunk(message)
             if request is not None:
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -23,9 +23,25 @@
     quarantineNotice @15 :QuarantineNotice;
     tunnelRequest @16 :TunnelRequest;
     tunnelResponse @17 :TunnelResponse;
+    originRecords @18 :OriginRecords;
+    originQuery @19 :OriginQuery;
   }
 }
 
+struct OriginRecords {
+  origins @0 :List(OriginRecord);
+}
+
+struct OriginRecord {
+  stream @0 :UInt64;
+  version @1 :UInt64;
+  keptS @2 :UInt16;
+}
+
+struct OriginQuery {
+  streams @0 :List(UInt64);
+}
+
 struct TunnelRequest {
   replica @0 :UInt64;
 }
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -32,6 +32,7 @@
 MAX_EVACUATED_BYTES = 56
 MAX_REPORTED_CRASHES = 32
 MAX_QUARANTINED = 64
+MAX_ORIGINS = 32
 
 # Demands change slowly and make up half of a heartbeat's bytes.
 DEMANDS_INTERVAL_BEATS = 4
@@ -519,6 +520,39 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginRecord:
+    """The software version that began a stream.
+
+    :param stream: :func:`stream_key <hornbeamglade.origins.versions.stream_key>` of the stream.
+    :param version: :func:`key_hash` of the version, or 0 if the stream must not be continued.
+    :param kept_s: seconds for which the recipient keeps the record.
+    """
+
+    stream: int
+    version: int
+    kept_s: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginRecords:
+    """Origins of streams, at most :data:`MAX_ORIGINS`, that the recipient keeps or asked for."""
+
+    origins: tuple[OriginRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginQuery:
+    """Asks for the origins of streams, at most :data:`MAX_ORIGINS`.
+
+    A recipient that knows none of them does not respond.
+
+    :param streams: the keys of the streams.
+    """
+
+    streams: tuple[int, ...]
+
+
 Message = (
     Heartbeat
     | GrantRequest
@@ -533,4 +567,6 @@
     | QuarantineNotice
     | TunnelRequest
     | TunnelResponse
+    | OriginRecords
+    | OriginQuery
 )
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -461,6 +461,34 @@
     return messages.TunnelResponse(messages.TunnelOutcome(reader.outcome))
 
 
+def _fill_origins(builder: _Builder, message: messages.OriginRecords) -> None:
+    count = _checked_length(message.origins, messages.MAX_ORIGINS)
+    for entry, origin in zip(builder.init("origins", count), message.origins, strict=True):
+        entry.stream = origin.stream
+        entry.version = origin.version
+        entry.keptS = _clip(origin.kept_s, _MAX_U16)
+
+
+def _read_origins(reader: _Reader) -> messages.OriginRecords:
+    _checked_length(reader.origins, messages.MAX_ORIGINS)
+    return messages.OriginRecords(
+        tuple(
+            messages.OriginRecord(entry.stream, entry.version, entry.keptS)
+            for entry in reader.origins
+        )
+    )
+
+
+def _fill_origin_query(builder: _Builder, message: messages.OriginQuery) -> None:
+    _checked_length(message.streams, messages.MAX_ORIGINS)
+    builder.streams = list(message.streams)
+
+
+def _read_origin_query(reader: _Reader) -> messages.OriginQuery:
+    _checked_length(reader.streams, messages.MAX_ORIGINS)
+    return messages.OriginQuery(tuple(reader.streams))
+
+
 class _MessageFormat(typing.NamedTuple):
     """Functions that encode and decode one type of message."""
 
@@ -499,6 +527,8 @@
     _MessageFormat(
         messages.TunnelResponse, "tunnelResponse", _fill_tunnel_response, _read_tunnel_response
     ),
+    _MessageFormat(messages.OriginRecords, "originRecords", _fill_origins, _read_origins),
+    _MessageFormat(messages.OriginQuery, "originQuery", _fill_origin_query, _read_origin_query),
 )
 _FORMAT_BY_TYPE = {message_format.message_type: message_format for message_format in _FORMATS}
 _FORMAT_BY_FIELD = {message_format.field: message_format for message_format in _FORMATS}
--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -17,6 +17,8 @@
 _TIME_LEFT = b"deadline-ms"
 _KEY = b"authorization"
 _LAST_EVENT = b"last-event-id"
+# The id of the attempt that brought the first event of the stream that a caller takes up.
+_RESUMED = b"resumes"
 _MODEL = b"model"
 # Two numbers: tokens of the prompt, and the maximum number of tokens of the answer.
 _TOKENS = b"token-usage"
@@ -93,6 +95,9 @@
         time_left = fields.value(request.fields, _TIME_LEFT)
         if time_left is not None and not _DIGITS.fullmatch(time_left):
             return _invalid("the time left is not a number of milliseconds")
+        resumed_ids = fields.values(request.fields, _RESUMED)
+        if len(resumed_ids) > 1 or b"" in resumed_ids:
+            return _invalid("the attempt whose stream is taken up is not named once")
         remaining_s = DEFAULT_DEADLINE_S if time_left is None else int(time_left) / _MS
         try:
             generation = _generation(request.fields)
@@ -110,6 +115,7 @@
             authorization=_optional_text(request.fields, _KEY),
             generation=generation,
             last_event_id=_optional_text(request.fields, _LAST_EVENT),
+            resumed_id=_text(resumed_ids[0]) if resumed_ids else None,
         )
 
     def dispatch_fields(self, call: calls.Call, dispatch: calls.Dispatch) -> fields.Fields:
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -52,6 +52,8 @@
     :param authorization: the caller's key as received, or None.
     :param generation: generation parameters, or None if the request needs no model engine.
     :param last_event_id: id of the last event that the caller received, if it resumes a stream.
+    :param resumed_id: id of the attempt that brought the first event of the resumed stream, if
+        the caller named it.
     """
 
     request_id: str
@@ -65,6 +67,12 @@
     authorization: str | None = None
     generation: Generation | None = None
     last_event_id: str | None = None
+    resumed_id: str | None = None
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller holds events of the stream that it requests."""
+        return bool(self.last_event_id)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/routed/enginecatalog.py
+++ b/hornbeamglade/routed/enginecatalog.py
@@ -90,6 +90,14 @@
         replica = self._replicas.by_id.get(replica_id)
         return replica is not None and versions.version_key(replica.version) == version
 
+    def is_named_of_version(self, name: str, version: int) -> bool:
+        """Return whether the current incarnation of a server has a software version.
+
+        True if the server is not listed.
+        """
+        replica = self._replicas.by_name(name)
+        return replica is None or versions.version_key(replica.version) == version
+
     def usable_by_version(
         self, service: str, version: int, regions: frozenset[str] | None = None
     ) -> tuple[frozenset[str], frozenset[str]]:
--- a/hornbeamglade/routed/rundependencies.py
+++ b/hornbeamglade/routed/rundependencies.py
@@ -6,6 +6,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.grants import asyncgrantacquirer
 from hornbeamglade.observability import metrics
+from hornbeamglade.origins import streamorigins
 from hornbeamglade.quarantine import crashdetector, requestquarantine
 from hornbeamglade.routed import (
     enginecatalog,
@@ -39,6 +40,7 @@
     :param clock: monotonic time.
     :param speeds: the paces of engines.
     :param learned_length: returns the mean tokens of the answers of a route and team.
+    :param origins: the software versions at which streams began.
     """
 
     sender: sending.Sender
@@ -56,3 +58,4 @@
     clock: clocks.Clock
     speeds: enginespeeds.EngineSpeeds
     learned_length: collections.abc.Callable[[str, str], float]
+    origins: streamorigins.StreamOrigins
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -6,7 +6,7 @@
 from hornbeamglade.core import outcomes
 from hornbeamglade.http1 import clientside, serverside
 from hornbeamglade.observability import logs
-from hornbeamglade.origins import versions
+from hornbeamglade.origins import origintable, streamorigins, versions
 from hornbeamglade.quarantine import fingerprints
 from hornbeamglade.routed import (
     attemptlog,
@@ -22,6 +22,13 @@
     sending,
 )
 
+ORIGIN_UNKNOWN = "stream_origin_unknown"
+ORIGIN_RETRY_S = 0.5
+"""An instance that is partitioned or has just started may know more after this time."""
+
+MAX_EARLIER_EVENTS = 1_000_000
+"""Bounds the number of events that a caller states to have."""
+
 MIGRATION_WAIT_S = 2.0
 """Longest wait for a migration to end after the stream from the source has closed. It
 usually takes a few hundredths of a second; if the engine is gone, the migration fails with
@@ -86,6 +93,10 @@
         self._response_start: eventrelay.ResponseStart | None = None
         self._first_event = asyncio.Event()
         self._origin: int | None = None
+        self._is_origin_certain = True
+        call = routed.call
+        first_id = call.resumed_id if call.resumes_stream else call.request_id
+        self._stream = None if first_id is None else _stream_key(routed, first_id)
         self._migration: migration.Migration | None = None
         self._migration_task: asyncio.Task[None] | None = None
         self._migration_count = 0
@@ -97,6 +108,8 @@
         """
         is_complete = False
         try:
+            if self._routed.call.resumes_stream and not await self._find_origin():
+                return self._origin_refusal()
             answer = await self._start_stream()
             if not isinstance(answer, sending.StartedResponse):
                 return answer
@@ -132,8 +145,16 @@
     def on_replica_gone(self) -> None:
         """Close the stream from an engine that has restarted; it may continue elsewhere."""
         assignment = self._assignment
-        if assignment is not None and assignment.response is not None:
-            assignment.response.connection.close()
+        if assignment is None or assignment.response is None:
+            return
+        if not self._dependencies.catalog.is_named_of_version(
+            assignment.replica.name, versions.version_key(assignment.replica.version)
+        ):
+            # The request may have been sent to the new incarnation, before it was listed.
+            self._is_origin_certain = False
+            self._origin = None
+            self._record_origin(origintable.UNCERTAIN)
+        assignment.response.connection.close()
 
     async def _start_stream(
         self,
@@ -253,6 +274,8 @@
             self._log.record_end(self._assignment.replica.id, outcomes.RunStatus.RAN, True)
             self._note_origin()
             self._require_origin()
+            if self._relay.event_count and not self._is_origin_certain:
+                return False
             if not await self._continue_stream():
                 return False
 
@@ -285,19 +308,61 @@
                 grant, self._produced_tokens(), self._relay.meter
             )
 
+    async def _find_origin(self) -> bool:
+        """Find the version that began the stream that the caller takes up, if it is known."""
+        routed = self._routed
+        window_s = streamorigins.retention_s(routed.route.timeout_s)
+        started_at = self._dependencies.clock.now()
+        self._origin = await self._dependencies.origins.find(
+            self._stream, routed.service.name, window_s
+        )
+        logs.decided(
+            routed.call.request_id,
+            "origin",
+            "unknown" if self._origin is None else "known",
+            service=routed.service.name,
+            resumes=routed.call.resumed_id,
+            version=self._dependencies.origins.version_name(self._origin),
+            seconds=round(self._dependencies.clock.now() - started_at, 4),
+        )
+        self._require_origin()
+        return self._origin is not None
+
+    def _origin_refusal(self) -> outcomes.Refusal:
+        detail = "it is not known which software version of the service began the stream"
+        return outcomes.Refusal(ORIGIN_UNKNOWN, 503, detail, retry_after_s=ORIGIN_RETRY_S)
+
     def _note_origin(self) -> None:
         """Record the software version of the first event that was relayed."""
-        if self._origin is None and self._relay.event_count:
+        if not self._relay.event_count or not self._is_origin_certain:
+            return
+        if self._origin is None:
             self._origin = versions.version_key(self._assignment.replica.version)
+        self._record_origin(self._origin)
+
+    def _record_origin(self, version: int) -> None:
+        routed = self._routed
+        if self._stream is not None:
+            kept_s = streamorigins.retention_s(routed.route.timeout_s)
+            self._dependencies.origins.began(self._stream, version, routed.service.name, kept_s)
 
     def _require_origin(self) -> None:
         """Restrict the engines to the version that began the stream, if the caller has events."""
         if self._origin is not None:
-            self._selector.continue_stream(self._origin, self._produced_tokens())
+            self._selector.continue_stream(self._origin, self._continued_tokens())
+
+    def _continued_tokens(self) -> int:
+        """Return the tokens that a replica reads again before it continues the stream."""
+        last_id = self._routed.call.last_event_id or ""
+        earlier = int(last_id) if last_id.isdecimal() and last_id.isascii() else 0
+        return self._tokens(min(earlier, MAX_EARLIER_EVENTS) + self._relay.event_count)
 
     def _produced_tokens(self) -> int:
+        return self._tokens(self._relay.event_count)
+
+    def _tokens(self, events: int) -> int:
         engine = self._routed.service.engine
-        return self._relay.event_count * (1 if engine is None else engine.tokens_per_event)
+        return events * (1 if engine is None else engine.tokens_per_event)
 
     async def _continue_stream(self) -> bool:
         """Continue the stream at another replica; return whether that succeeded."""
@@ -433,6 +498,11 @@
         )
 
 
+def _stream_key(routed: callrouter.RoutedRequest, first_id: str) -> int:
+    team = "" if routed.team is None else routed.team.name
+    return versions.stream_key(first_id, routed.service.name, team)
+
+
 def _is_stream(response: sending.StartedResponse) -> bool:
     head = response.head
     return head.status == 200 and head.is_sealed and not head.is_encoded
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -103,6 +103,7 @@
             budget=settings.Budget(ratio=0.2, slack=50, window_s=10),
             bounds=settings.Bounds(stop_s=8, address_ttl_s=5),
             region_by_failure_domain=region_by_failure_domain or {},
+            is_first_start=True,
         )
         self.instance = instance.EntryInstance(self.settings, clock)
         self._server = serverside.CallersServer(self.instance.callers, clock, self.instance.memory)
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hornbeamglade.store import contract
 from tests import eventloop
 from tests.entry import site as entrysite
 
@@ -213,3 +214,114 @@
     refused = [body for status, body in answers.values() if status == 503]
     assert refused
     assert {json.loads(body)["code"] for body in refused} == {"version_unavailable"}
+
+
+def test_only_version_that_was_ever_listed_began_a_stream_whose_attempt_is_not_named():
+    async def test(site):
+        more = entrysite.USAGE + "Last-Event-Id: 12\r\n"
+        client = await site.nodes[1].request("/tag/1", more=more)
+        status, _, body = await client.answer()
+        return status, body.count(b"id: ")
+
+    assert entrysite.run(test, nodes=2) == (200, 18)
+
+
+@pytest.mark.parametrize("named", ["Resumes: a\r\nResumes: a\r\n", "Resumes:\r\n"])
+def test_attempt_that_is_not_named_once_is_refused_as_invalid(named):
+    async def test(site):
+        more = entrysite.USAGE + "Last-Event-Id: 12\r\n" + named
+        client = await site.nodes[0].request("/tag/1", more=more)
+        status, _, body = await client.answer()
+        return status, json.loads(body)["code"], runs_of(site, "r1")
+
+    assert entrysite.run(test) == (400, "request_invalid", [])
+
+
+def test_caller_without_events_may_begin_at_any_version():
+    """It names an attempt that brought it nothing."""
+
+    async def test(site):
+        list_versions(site, ("v1", "v2"))
+        more = entrysite.USAGE + "Resumes: nobody\r\n"
+        client = await site.nodes[0].request("/tag/1", more=more)
+        return (await client.answer())[0]
+
+    assert entrysite.run(test) == 200
+
+
+def test_stream_of_another_service_or_team_is_unknown():
+    async def test(site):
+        list_versions(site, ("v1", "v2"))
+        await cut(await begin(site, count=1))
+        keys = {"clinic": [entrysite.KEY], "court": ["k2"]}
+        tenants = [{"name": name, "api_keys": each} for name, each in keys.items()]
+        site.put("op/config", json.dumps(entrysite.manifest(2, tenants=tenants)))
+        site.read_store()
+        return [
+            (await take_up(site, "r0", 20, f"second{key}", key=key))[0]
+            for key in ("k2", entrysite.KEY)
+        ]
+
+    assert entrysite.run(test, events=EVENTS) == [503, 200]
+
+
+def test_resumed_attempt_reaches_the_replica_as_named():
+    async def test(site):
+        await take_up(site, "x" * 900, 20, "r1")
+        return [run.names for engine in site.engines for run in engine.ledger]
+
+    (names,) = entrysite.run(test)
+    assert "resumes" in names
+
+
+def test_instance_that_has_just_started_asks_the_others():
+    async def test(site):
+        list_versions(site, ("v1", "v2", "v1", "v2"))
+        await cut(await begin(site))
+        await asyncio.sleep(0.4)
+        fresh = entrysite.Node(2)
+        await site.nodes[2].stop()
+        site.nodes[2] = fresh
+        await fresh.start()
+        for node in site.nodes:
+            others = [
+                contract.Instance(
+                    each.instance.identity.name,
+                    each.instance.identity.failure_domain,
+                    each.instance.identity.address,
+                    each.instance.identity.exchange,
+                    False,
+                )
+                for each in site.nodes
+            ]
+            node.instance.on_instance_list(tuple(others))
+        site.read_store(fresh)
+        await eventloop.until(site.is_ready)
+        statuses = [
+            (await take_up(site, f"r{n}", 20, f"second{n}", node=2))[0] for n in range(COUNT)
+        ]
+        return statuses, [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
+
+    statuses, runs = entrysite.run(test, nodes=3, engines=4, events=EVENTS)
+    assert statuses == [200] * COUNT
+    assert all(len({engine % 2 for engine in each}) == 1 for each in runs), runs
+
+
+def test_stream_of_a_server_that_restarted_with_another_version_does_not_go_on():
+    """The list is old: a server has restarted under its id with a version that is not listed yet.
+
+    The request is accepted by the new incarnation, and the stream goes on at the listed version.
+    """
+
+    async def test(site):
+        (client,) = await begin(site, count=1)
+        (number,) = runs_of(site, "r0")
+        engine = site.engines[number]
+        row = entrysite.server_row(engine, "llm", "ab"[number % 2], version="v2", born=7000)
+        site.put(f"servers/{engine.replica_id}", row)
+        site.read_store()
+        is_whole = await read_to_end(client)
+        return is_whole, runs_of(site, "r0") == [number], await take_up(site, "r0", 20, "second")
+
+    is_whole, ran_once, (status, _) = entrysite.run(test, engines=3, events=EVENTS)
+    assert (is_whole, ran_once, status) == (False, True, 503)
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -93,6 +93,7 @@
     messages.MigrationSlot, strategies.sampled_from(messages.MigrationSlotKind), _U64, _U64, _U32
 )
 _CRASHES = strategies.builds(messages.ReportedCrash, _U64, _U64, _U32, _U32)
+_ORIGINS = strategies.builds(messages.OriginRecord, _U64, _U64, _U16)
 _QUARANTINED = strategies.builds(messages.QuarantinedRequest, _U64, _U32)
 MESSAGES = (
     _HEARTBEATS
@@ -118,6 +119,14 @@
         messages.QuarantineNotice,
         strategies.lists(_QUARANTINED, max_size=messages.MAX_QUARANTINED).map(tuple),
     )
+    | strategies.builds(
+        messages.OriginRecords,
+        strategies.lists(_ORIGINS, max_size=messages.MAX_ORIGINS).map(tuple),
+    )
+    | strategies.builds(
+        messages.OriginQuery,
+        strategies.lists(_U64, max_size=messages.MAX_ORIGINS).map(tuple),
+    )
     | strategies.builds(messages.TunnelRequest, _U64)
     | strategies.builds(messages.TunnelResponse, strategies.sampled_from(messages.TunnelOutcome))
 )
