soak: draw engines of other versions, and callers that take streams up elsewhere

Events of the stand-in name the version that wrote them; callers of resumable streams take broken ones up at other instances, and a stream with events of two versions is a violation.

--- a/hornbeamglade/cli/soak.py
+++ b/hornbeamglade/cli/soak.py
@@ -16,6 +16,7 @@
     "reachability": plan.REACHABILITY_KINDS,
     "load": plan.LOAD_KINDS,
     "refusals": plan.REFUSAL_KINDS,
+    "versions": plan.VERSION_KINDS,
 }
 
 
@@ -42,6 +43,12 @@
     flag_value="refusals",
     help="Draw only faults after which requests are refused, and servers whose refusals lie.",
 )
+@click.option(
+    "--versions",
+    "kind_set",
+    flag_value="versions",
+    help="Draw only engines of other versions, crashes, departures and lost instances.",
+)
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(3, 60))
 @click.option("--kept", is_flag=True, help="Also run the seeds that have failed before.")
 @click.option(
--- a/hornbeamglade/cli/standin.py
+++ b/hornbeamglade/cli/standin.py
@@ -106,6 +106,7 @@
     help="Share of the time in which its machine is 2.5 times as slow.",
 )
 @click.option("--busy-seed", default=0, show_default=True, help="Seed of the busy windows.")
+@click.option("--version", default="", help="Its software version, which its events contain.")
 @click.option("--slots", default=routedmachine.SLOTS, show_default=True)
 @click.option("--plain-s", default=0.0, show_default=True, help="Seconds per plain request.")
 @click.option("--unread-s", type=float, help="Cut off a response unread for so many seconds.")
@@ -126,6 +127,7 @@
     plain_s: float,
     unread_s: float | None,
     memory_tokens: int | None,
+    version: str,
 ) -> None:
     """Run a backend server for routed requests: a plain service or a model engine."""
     traits = routedmachine.RoutedTraits(
@@ -138,4 +140,4 @@
         unread_s,
         memory_tokens,
     )
-    routed.run(bind, replica_id, events, gap_s, born, ledger, crash_on, traits)
+    routed.run(bind, replica_id, events, gap_s, born, ledger, crash_on, traits, version)
--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -37,6 +37,7 @@
 STOP_S = 8.0
 RETRY_SLACK = 50
 DOMAINS = ("a", "b")
+FIRST_VERSION = "v1"
 FATAL_BODY = "fatal-request"
 """A request with this body crashes every server that runs it."""
 
@@ -85,6 +86,7 @@
     :param failure_domain: the failure domain in its entry.
     :param address: the address under which instances reach it.
     :param born: its start time, in Unix milliseconds.
+    :param version: the version of its software.
     """
 
     replica_id: str
@@ -92,6 +94,7 @@
     failure_domain: str
     address: str
     born: int
+    version: str = FIRST_VERSION
 
 
 def domain_of(place: str) -> str:
@@ -194,10 +197,13 @@
         """Return the address of an instance's directory."""
         return self._settings_by_instance[name]["listen"]["directory"]
 
-    def start_server(self, place: str, *, keeps_name: bool = False) -> Server:
+    def start_server(
+        self, place: str, *, keeps_name: bool = False, version: str | None = None
+    ) -> Server:
         """Start a backend server and write its entry to the replica list.
 
         :param place: ``engine-N`` or ``service-N``.
+        :param version: the version of its software; None for that of the previous incarnation.
         :param keeps_name: whether it keeps the replica id of the previous incarnation.
         """
         incarnation = self._incarnation_by_place.get(place, 0) + (0 if keeps_name else 1)
@@ -209,6 +215,10 @@
         options = ("--id", replica_id, "--events", events, "--gap", str(self.shape.gap_s))
         options += ("--born", str(born))
         options += ("--crash-on", FATAL_BODY)
+        if version is None:
+            previous = self.server_by_place.get(place)
+            version = FIRST_VERSION if previous is None else previous.version
+        options += ("--version", version)
         ledger = ("--ledger", str(self.folder / "ledger.jsonl"))
         address = self.start(
             place, "hornbeamglade", "standin", "routed", "--bind", FREE, *options, *ledger
@@ -221,6 +231,7 @@
             domain_of(place),
             self.shape.route(place, address),
             born,
+            version,
         )
         self.server_by_place[place] = server
         self.list_server(server)
@@ -234,6 +245,7 @@
             server.failure_domain,
             is_leaving=is_leaving,
             born=server.born,
+            version=server.version,
         )
         return self.write((contract.Put(f"{tables.REPLICAS}/{server.replica_id}", entry),))
 
--- a/hornbeamglade/soak/callerpool.py
+++ b/hornbeamglade/soak/callerpool.py
@@ -17,6 +17,7 @@
 ROUTES = ("list", "hold", "list", "hold", "list", "draft", "tag", "rush")
 ADDRESS_TTL_S = 2.0
 PAUSE_S = (0.01, 0.15)
+MAX_RESUMPTIONS = 3
 MAX_PAUSE_S = 0.5
 """A refused caller waits for the given delay, but no longer than this, as a soak is short."""
 
@@ -102,11 +103,36 @@
             )
             with self._lock:
                 self._results.append(result)
+            result = self._take_up(caller, rng, result)
             if result.status is None:
                 address = ""
             pause_s = result.retry_after_s or rng.uniform(*PAUSE_S)
             self._stopping.wait(min(pause_s, MAX_PAUSE_S))
 
+    def _take_up(
+        self,
+        caller: routedcaller.RoutedCaller,
+        rng: random.Random,
+        result: routedcaller.CallerResult,
+    ) -> routedcaller.CallerResult:
+        """Take a broken stream up at other instances; return the last result."""
+        first = result
+        for number in range(MAX_RESUMPTIONS):
+            resumption = result.next_resumption
+            if result.is_whole and result.status == 200 or resumption is None:
+                break
+            address = self._address(caller, rng)
+            if self._stopping.is_set() or not address or not first.is_resumable:
+                break
+            self._stopping.wait(min(result.retry_after_s or PAUSE_S[0], MAX_PAUSE_S))
+            request_id = f"{first.request_id}-{number}"
+            result = caller.send(
+                address, first.route, request_id, first.key, resumption=resumption
+            )
+            with self._lock:
+                self._results.append(result)
+        return result
+
     def _address(self, caller: routedcaller.RoutedCaller, rng: random.Random) -> str:
         site = self._soak_site.site
         directory = site.directory_address(rng.choice(site.instance_names))
--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -125,6 +125,7 @@
         found += _check_response(result, evidence.events)
         found += _check_runs(result, runs_by_id.get(result.request_id, []))
         found += _check_key(result, evidence)
+    found += _check_versions(evidence)
     found += _check_key_regressions(evidence)
     found += _check_unknown_requests(evidence)
     found += _check_evacuations(evidence)
@@ -163,11 +164,25 @@
 def _check_stream(
     result: routedcaller.CallerResult, whole_events: int
 ) -> collections.abc.Iterator[Violation]:
-    expected = [(number, f"{result.request_id}.{number}") for number in range(1, whole_events + 1)]
-    if list(result.events) != expected[: len(result.events)]:
-        yield Violation("events_in_order", result.request_id, f"{len(result.events)} events")
-    if result.is_whole and len(result.events) != whole_events:
-        yield Violation("whole_only_when_whole", result.request_id, f"{len(result.events)} events")
+    earlier = 0 if result.resumption is None else result.resumption.last_event
+    numbers = range(earlier + 1, whole_events + 1)
+    expected = [(number, f"{result.request_id}.{number}") for number in numbers]
+    received = [(number, text.partition(" ")[0]) for number, text in result.events]
+    if received != expected[: len(received)]:
+        yield Violation("events_in_order", result.request_id, f"{len(received)} events")
+    if result.is_whole and len(received) != len(expected):
+        yield Violation("whole_only_when_whole", result.request_id, f"{len(received)} events")
+
+
+def _check_versions(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return a violation for each stream with events of several software versions."""
+    versions_by_stream: dict[str, set[str]] = collections.defaultdict(set)
+    for result in evidence.results:
+        first = result.request_id if result.resumption is None else result.resumption.first_id
+        versions_by_stream[first] |= {text.partition(" ")[2] for _, text in result.events}
+    for first, versions in versions_by_stream.items():
+        if len(versions) > 1:
+            yield Violation("one_version_a_stream", first, ", ".join(sorted(versions)))
 
 
 def _check_runs(
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -260,6 +260,22 @@
         _replace(soak_site, self.component)
 
 
+@dataclasses.dataclass
+class ServerReplaced(ServerLeaves):
+    """An engine is replaced by one of another software version, as in a release.
+
+    :param component: the engine.
+    :param version: the software version of its replacement.
+    """
+
+    component: str
+    version: str
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Start the replacement."""
+        _replace(soak_site, self.component, self.version)
+
+
 class ServerStatesLeaving(Fault):
     """A server states in its responses that it is leaving; its entry keeps saying it is ready."""
 
@@ -629,11 +645,13 @@
         soak_site.end_evacuation(self.component)
 
 
-def _replace(soak_site: soaksite.SoakSite, place: str) -> routedsite.Server:
+def _replace(
+    soak_site: soaksite.SoakSite, place: str, version: str | None = None
+) -> routedsite.Server:
     """Remove a server's entry, which may be gone already, and start a new incarnation."""
     soak_site.site.unlist_server(soak_site.site.server_by_place[place])
     soak_site.links.retarget(place)
-    return soak_site.site.start_server(place)
+    return soak_site.site.start_server(place, version=version)
 
 
 def _set_services(soak_site: soaksite.SoakSite, **faults: object) -> None:
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -24,6 +24,7 @@
 SERVICES = tuple(f"service-{number}" for number in range(2))
 ALL_SERVICES = "services"
 EXTRA_CALLERS = "callers"
+VERSIONS = ("v1", "v1.1", "v1.10")
 STATUSES_AFTER_RUN = (408, 429, 503)
 LINKS = ("store", *ENGINES, *SERVICES)
 INVALID_ENTRIES = (
@@ -114,6 +115,11 @@
     _choose(faults.LinkSilent, LINKS),
 )
 
+
+def _replacement(rng: random.Random) -> faults.Fault:
+    return faults.ServerReplaced(rng.choice(ENGINES), rng.choice(VERSIONS))
+
+
 LOAD_KINDS: tuple[FaultFactory, ...] = (
     _choose(faults.MachineBusy, ENGINES + SERVICES),
     _choose(faults.MemoryShrinks, ENGINES),
@@ -142,9 +148,23 @@
     lambda rng: faults.ServersTolerateFew(ALL_SERVICES),
     *LOAD_KINDS,
     _status_after_run,
+    *2 * (_replacement,),
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
+VERSION_KINDS: tuple[FaultFactory, ...] = (
+    *4 * (_replacement,),
+    *2 * (_choose(faults.ServerKilled, ENGINES),),
+    _choose(faults.ServerStartsAgain, ENGINES),
+    _choose(faults.ServerLeaves, ENGINES),
+    *2 * (_choose(faults.InstanceKilled, INSTANCES),),
+    _choose(faults.InstanceStopped, INSTANCES),
+    _choose(faults.InstancePaused, INSTANCES),
+    _choose(faults.LinkReset, ENGINES),
+    lambda rng: faults.StoreFails("store", "down", True),
+)
+"""Releases with crashes, and callers that take streams up at other instances."""
+
 REACHABILITY_KINDS: tuple[FaultFactory, ...] = (
     *2 * (_partition,),
     lambda rng: faults.ServersTolerateFew(ALL_SERVICES),
--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -16,6 +16,10 @@
 LOAD_SEEDS = (5, 7)
 """Seeds of :data:`plan.LOAD_KINDS <hornbeamglade.soak.plan.LOAD_KINDS>` that draw all of them."""
 
+VERSION_SEEDS = (1, 28)
+"""Seeds of :data:`plan.VERSION_KINDS <hornbeamglade.soak.plan.VERSION_KINDS>` that draw
+replacements by other versions, crashes of engines and lost instances."""
+
 REFUSAL_SEEDS = (6, 10)
 """Seeds of :data:`plan.REFUSAL_KINDS <hornbeamglade.soak.plan.REFUSAL_KINDS>` in whose plans
 servers respond to requests that they ran with a status that says that they did not."""
--- a/hornbeamglade/standins/operatordocuments.py
+++ b/hornbeamglade/standins/operatordocuments.py
@@ -90,16 +90,18 @@
     *,
     is_leaving: bool = False,
     born: int | None = None,
+    version: str = "v1",
 ) -> str:
     """Return a server's entry in the platform's replica list as JSON.
 
     :param born: its start time in Unix milliseconds, or None when the platform gives none.
+    :param version: the version of its software.
     """
     fields = {
         "service": service,
         "address": address,
         "zone": failure_domain,
-        "version": "v1",
+        "version": version,
         "slots": ENGINE_SLOTS,
         "state": "draining" if is_leaving else "ready",
         "cold_remaining_ms": 0,
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -94,6 +94,7 @@
         runs of a killed server are known; None for none.
     :param crash_on: a request whose body contains this text ends the server; empty for none.
     :param traits: its speed, its machine and its memory.
+    :param version: its software version, which its events contain; empty for none.
     """
 
     def __init__(
@@ -104,7 +105,9 @@
         ledger_path: pathlib.Path | None = None,
         crash_on: str = "",
         traits: routedmachine.RoutedTraits | None = None,
+        version: str = "",
     ) -> None:
+        self.version = version
         self.replica_id = replica_id
         self.machine = routedmachine.RoutedMachine(traits or routedmachine.RoutedTraits())
         self._slots = asyncio.Semaphore(self.machine.traits.slots)
@@ -351,11 +354,11 @@
                 if run.is_stopped or caller_left.done():
                     break
                 run.made += 1
-                writer.write(_chunk(routedruns.event(run.request_id, run.made)))
+                writer.write(_chunk(run.event(run.made)))
                 if not await self._drain(writer) or await self._crashed_from_memory():
                     return False
                 if run.made - sent == self.faults.die_after_events:
-                    writer.write(_chunk(routedruns.event(run.request_id, run.made + 1))[:-9])
+                    writer.write(_chunk(run.event(run.made + 1))[:-9])
                     await writer.drain()
                     return False
             is_whole = run.made >= run.events
@@ -407,7 +410,9 @@
         """Begin a run or continue one from a copy; None when there is no such copy."""
         usage = request.value_by_name.get("token-usage", str(PROMPT_TOKENS))
         prompt_tokens = int(usage.partition(",")[0])
-        run = routedruns.StandinRun(request.request_id, self._events, prompt_tokens)
+        run = routedruns.StandinRun(
+            request.request_id, self._events, prompt_tokens, version=self.version
+        )
         source = request.value_by_name.get("kv-from")
         if source is None:
             self._record_run(request)
@@ -575,6 +580,7 @@
     ledger_path: pathlib.Path | None = None,
     crash_on: str = "",
     traits: routedmachine.RoutedTraits | None = None,
+    version: str = "",
 ) -> None:
     """Serve until SIGTERM or SIGINT.
 
@@ -586,7 +592,8 @@
     :param ledger_path: a file that records the runs, or None.
     :param crash_on: a request whose body contains this text ends the server; empty for none.
     :param traits: its speed, its machine and its memory.
+    :param version: its software version, which its events contain; empty for none.
     """
-    standin = RoutedStandin(replica_id, events, gap_s, ledger_path, crash_on, traits)
+    standin = RoutedStandin(replica_id, events, gap_s, ledger_path, crash_on, traits, version)
     standin.born = born
     asyncio.run(_run(standin, bind))
--- a/hornbeamglade/standins/routedcaller.py
+++ b/hornbeamglade/standins/routedcaller.py
@@ -36,6 +36,18 @@
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resumption:
+    """What a caller names when it takes a stream up.
+
+    :param first_id: id of the attempt that brought the first event.
+    :param last_event: number of the last event that it has.
+    """
+
+    first_id: str
+    last_event: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerResult:
     """The result of one request as the caller received it.
@@ -55,6 +67,7 @@
         empty text.
     :param retry_after_s: the delay that a refusal asked for, or None.
     :param error: the error that ended the request, or an empty text.
+    :param resumption: the stream that it takes up, or None.
     """
 
     request_id: str
@@ -71,6 +84,20 @@
     leaving_replica: str = ""
     retry_after_s: float | None = None
     error: str = ""
+    resumption: Resumption | None = None
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether its caller may take its stream up."""
+        return operatordocuments.SETTINGS_BY_ROUTE[self.route].is_resumable
+
+    @property
+    def next_resumption(self) -> Resumption | None:
+        """What to name to take its stream up, or None if the caller has no event of it."""
+        if not self.events:
+            return self.resumption
+        first_id = self.request_id if self.resumption is None else self.resumption.first_id
+        return Resumption(first_id, self.events[-1][0])
 
     @property
     def is_stream(self) -> bool:
@@ -111,20 +138,33 @@
             return ()
 
     def send(
-        self, address: str, route: str, request_id: str, key: str, body: bytes | None = None
+        self,
+        address: str,
+        route: str,
+        request_id: str,
+        key: str,
+        body: bytes | None = None,
+        resumption: Resumption | None = None,
     ) -> CallerResult:
         """Send one request and read its response.
 
         :param body: the request's id by default.
+        :param resumption: the stream that it takes up, or None.
         """
         sent_at = time.monotonic()
-        result = CallerResult(request_id, route, key, address, sent_at, sent_at)
+        result = CallerResult(
+            request_id, route, key, address, sent_at, sent_at, resumption=resumption
+        )
+        headers = self._headers(request_id, route, key)
+        if resumption is not None:
+            headers["Resumes"] = resumption.first_id
+            headers["Last-Event-Id"] = str(resumption.last_event)
         try:
             response = self._http.request(
                 "POST",
                 f"http://{address}/{route}/1?q=2",
                 body=request_id.encode() if body is None else body,
-                headers=self._headers(request_id, route, key),
+                headers=headers,
                 preload_content=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
--- a/hornbeamglade/standins/routedruns.py
+++ b/hornbeamglade/standins/routedruns.py
@@ -13,6 +13,7 @@
     :param made: number of events produced so far.
     :param is_stopped: whether it was stopped to migrate to another engine.
     :param is_alive: whether its response is still being read.
+    :param version: the software version of its engine, which its events contain; empty for none.
     """
 
     request_id: str
@@ -21,6 +22,11 @@
     made: int = 0
     is_stopped: bool = False
     is_alive: bool = True
+    version: str = ""
+
+    def event(self, number: int) -> bytes:
+        """Return one event."""
+        return event(self.request_id, number, self.version)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,13 +43,16 @@
     made: int
 
 
-def event(request_id: str, number: int) -> bytes:
-    r"""Return one event of a run; it is the same at every engine.
+def event(request_id: str, number: int, version: str = "") -> bytes:
+    r"""Return one event of a run; it is the same at every engine of a software version.
 
     Examples
     ========
 
     >>> event("r1", 3)
     b'id: 3\ndata: r1.3\n\n'
+    >>> event("r1", 3, "v2")
+    b'id: 3\ndata: r1.3 v2\n\n'
     """
-    return f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+    text = f"{request_id}.{number} {version}".rstrip()
+    return f"id: {number}\ndata: {text}\n\n".encode()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -100,6 +100,28 @@
     assert guarantee in violations([response], runs)
 
 
+def stream_of(version, numbers=(1, 2, 3), request_id="r1", **changes):
+    events = tuple((number, f"{request_id}.{number} {version}") for number in numbers)
+    return result("tag", request_id=request_id, events=events, **changes)
+
+
+@pytest.mark.parametrize(
+    ("version", "expected"), [("v1", []), ("v1.10", ["one_version_a_stream"])]
+)
+def test_events_of_two_versions_over_a_caller_s_attempts_are_a_violation(version, expected):
+    resumption = routedcaller.Resumption("r1", 1)
+    first = stream_of("v1", numbers=(1,), is_whole=False)
+    second = stream_of(version, (2, 3), "r2", resumption=resumption)
+    runs = [run_record("tag"), run_record("tag", request_id="r2", body="r2")]
+    assert violations([first, second], runs) == expected
+
+
+def test_stream_that_was_taken_up_begins_after_the_event_that_its_caller_has():
+    second = stream_of("v1", (3,), "r2", resumption=routedcaller.Resumption("r1", 1))
+    runs = [run_record("tag", request_id="r2", body="r2")]
+    assert violations([second], runs) == ["events_in_order", "whole_only_when_whole"]
+
+
 def test_revoked_key_must_be_refused_after_its_bound():
     revoked = {KEY: 10.0 - checks.KEY_BOUND_S - 0.5}
     assert violations([result()], [run_record()], revoked=revoked) == ["taken_key_is_refused"]
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -63,10 +63,22 @@
     assert verdict.violations == ()
 
 
+@pytest.mark.parametrize("seed", seeds.VERSION_SEEDS)
+def test_soak_with_several_software_versions_violates_no_guarantee(seed, tmp_path):
+    """Guards against streams that go on at another software version."""
+    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.VERSION_KINDS)
+    assert verdict.violations == ()
+
+
 def test_each_seed_of_load_and_refusals_draws_their_faults():
     load = {"MachineBusy", "MemoryShrinks", "CallersSurge", "CallersReadSlowly", "ServerLeaves"}
     for drawn, kinds, names in (
         (seeds.LOAD_SEEDS, plan.LOAD_KINDS, load),
+        (
+            seeds.VERSION_SEEDS,
+            plan.VERSION_KINDS,
+            {"ServerReplaced", "ServerKilled", "InstanceKilled"},
+        ),
         (seeds.REFUSAL_SEEDS, plan.REFUSAL_KINDS, {"StatusAfterRun", "InstancePartitioned"}),
     ):
         for seed in drawn:
