--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -83,6 +83,12 @@
     def request_id(self) -> str:
         return self.value_by_name.get("attempt-id", "")
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the parts of its prompt, without the last one."""
+        listed = self.value_by_name.get("prompt-prefix", "").split(",")
+        return tuple(each.strip().partition(":")[0] for each in listed[:-1])
+
 
 class RoutedStandin:
     """One backend server.
@@ -154,6 +160,11 @@
         bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{bound_host}:{bound_port}"
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
     async def stop(self) -> None:
         """Close the port and every connection at once, as a crash does."""
         self._server.close()
@@ -345,6 +356,10 @@
             return False
         proof = self._proof_headers(request) | {"Content-Type": "text/event-stream"}
         writer.write(_response_head(request, 200, proof | {"Transfer-Encoding": "chunked"}))
+        if self.faults.crash_on_part in request.shared_parts:
+            writer.write(_chunk(run.event(run.made + 1)))
+            await self.stop()
+            return False
         # Detects a caller that closes its connection, which ends its run.
         caller_left = asyncio.ensure_future(reader.read(1))
         sent = run.made
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -26,6 +26,8 @@
     :param brittle: refusals for want of room that it tolerates in a second, as its responses
         state; it resets all connections when there are more.
     :param crash_on: a request whose body contains this text ends the server when it starts.
+    :param crash_on_part: an engine crashes when it begins to answer a request whose prompt
+        contains this part, unless that is the last one; empty for none.
     :param slowdown: work on its machine takes that many times as long, which its load figures
         state; 0 for the machine's own state.
     :param response_bytes: least size of plain responses.
@@ -54,6 +56,7 @@
     room: int | None = None
     brittle: str = ""
     crash_on: str = ""
+    crash_on_part: str = ""
     slowdown: float = pydantic.Field(default=0.0, ge=0)
     response_bytes: int = pydantic.Field(default=0, ge=0)
     unread_s: float | None = None
