routed: choose the service of a resumed stream by its first attempt

A split route chooses the service by the attempt's id, so a caller that takes a stream up could be routed to another service than the one that began it, whose versions say nothing of the stream. The test fails without the change.

--- a/hornbeamglade/routed/callrouter.py
+++ b/hornbeamglade/routed/callrouter.py
@@ -74,7 +74,7 @@
     if team is None and view.keys.is_required and not matched_route.is_public:
         return outcomes.Refusal("key_unknown", 401, "no team holds this key")
     service = view.configuration.service_by_name[
-        splits.choose_service(matched_route, call.request_id)
+        splits.choose_service(matched_route, call.first_id)
     ]
     return RoutedRequest(
         call, matched_route, service, team, view.revision, _fingerprint(call, team)
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -74,6 +74,11 @@
         """Whether the caller holds events of the stream that it requests."""
         return bool(self.last_event_id)
 
+    @property
+    def first_id(self) -> str:
+        """Id of the attempt that began the stream, as far as the caller named it."""
+        return (self.resumed_id if self.resumes_stream else None) or self.request_id
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KvCopy:
--- a/tests/routed/test_callrouter.py
+++ b/tests/routed/test_callrouter.py
@@ -1,5 +1,7 @@
 """Routing of requests to a route, team and service."""
 
+import dataclasses
+
 import pytest
 
 from hornbeamglade.core import outcomes
@@ -72,3 +74,24 @@
     route_view = view(fakes.route(timeout_s=2.0))
     assert route_request(route_view, (b"Deadline-Ms", b"1500")).ends_at == 1.5
     assert route_request(route_view, (b"Deadline-Ms", b"2500")).ends_at == 2.0
+
+
+def route_attempt(route_view, request_id, *fields):
+    request = fakes.request(request_id, b"/r/1", *fields)
+    return callrouter.route(requestdialect.PlatformDialect().parse_request(request), route_view)
+
+
+def test_stream_is_taken_up_at_the_service_that_its_first_attempt_was_routed_to():
+    """A route is split: a stream of one service goes on at another one."""
+    split = fakes.route(splits=(models.Split("s", 1), models.Split("t", 1)))
+    services = {name: dataclasses.replace(SERVICE, name=name) for name in "st"}
+    routes = views.RouteView(models.Configuration(3, (split,), services, LIMITS, ()))
+    for number in range(20):
+        first = f"first{number}"
+        fields = ((b"Resumes", first.encode()), (b"Last-Event-Id", b"4"))
+        began = route_attempt(routes, first).service
+        assert route_attempt(routes, "again", *fields).service == began
+        # Without an event nothing is taken up.
+        assert route_attempt(routes, "again", fields[0]).service == (
+            route_attempt(routes, "again").service
+        )
