quarantine: refuse requests by the part of their prompts that crashes replicas

What callers saw: requests of which no two are equal share one part of their prompts, and each ended two engines and all drafts there. Cause: the quarantine knows whole requests by fingerprint, so the count of each stayed below three, or reached it when four servers were gone; the parts of prompts were decoded and used for nothing but placing. A crash is now evidence against the parts (never the last) of the prompts of the runs that it ended, unless these had gone well. It is collected at the home instances of the service, which ask all others for runs with these parts that went well, and decide: the part with the most crashes since a run with it went well, from three on; ties wait for the next crash; the beginning of a route's prompts is not taken for a part that follows it; a part that one team sent is refused for that team. What is refused is kept, spread and stored with the refused requests, and answered with prompt_part_quarantined. A request with a part in question is sent a second time 0.12 s later, by which a crash is counted.

Whole requests are counted as before.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -118,7 +118,7 @@
         dependencies = self._dependencies
         log = attemptlog.AttemptLog()
         refusal = dependencies.quarantine.refusal(
-            routed.fingerprint
+            routed.fingerprint, routed.prompt
         ) or dependencies.drain_admission.refusal(routed, dependencies.clock.now())
         if refusal is not None:
             await self._refuse_routed(exchange, routed, log, refusal)
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -35,7 +35,12 @@
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.origins import streamorigins
 from hornbeamglade.platform import enginecalls, requestdialect, tables
-from hornbeamglade.quarantine import crashdetector, requestquarantine
+from hornbeamglade.quarantine import (
+    crashdetector,
+    lostruns,
+    partquarantine,
+    requestquarantine,
+)
 from hornbeamglade.replicas import (
     advisories,
     availability,
@@ -173,6 +178,14 @@
             self.peering.send,
             clock,
         )
+        self._prompt_parts = partquarantine.PartQuarantine(
+            instance_settings.name,
+            lambda: tuple(each.identity.name for each in self.peering.heartbeats.live()),
+            self.peering.known_names,
+            self.peering.send,
+            self.quarantine,
+            clock,
+        )
         self.origins = streamorigins.StreamOrigins(
             instance_settings.name,
             instance_settings.failure_domain,
@@ -223,7 +236,7 @@
             self._replicas,
             self._pool.is_listening,
             self._engine_monitor.has_reported_stop,
-            lambda replica, lost: self.quarantine.crashed(replica.id, lost),
+            self._on_crash,
             clock,
         )
         routing_settings = componentsettings.routing(instance_settings)
@@ -277,6 +290,7 @@
             self._budgets,
             self._crashes,
             self.quarantine,
+            self._prompt_parts,
             self._record_length,
             token_times,
             self.instruments,
@@ -422,6 +436,7 @@
             "store_era": positions.era(versions.replicas),
             "evacuated": sorted(self._available.evacuations.domains),
             "quarantined": self.quarantine.quarantined_count,
+            "quarantined_parts": self.quarantine.quarantined_part_count,
             "stream_origins": self.origins.count,
             "tunneled_replicas": self.tunneling.paths.detoured_count,
             "slow_factors": {
@@ -435,7 +450,7 @@
     def tick_s(self) -> float:
         """Seconds until the next tick is due."""
         is_silent = not self.follower_role.has_pending_announcements and self.quarantine.is_idle
-        is_silent = is_silent and self.origins.is_idle
+        is_silent = is_silent and self.origins.is_idle and self._prompt_parts.is_idle
         is_idle = self.peering.is_idle and is_silent and self._startup.is_open
         return IDLE_TICK_S if is_idle and not self._schedulers.has_waiting_requests else TICK_S
 
@@ -446,6 +461,7 @@
         self.poller.tick()
         self._schedulers.process_queues()
         self.quarantine.tick()
+        self._prompt_parts.tick()
         self.origins.tick()
         self.send_announcements()
 
@@ -496,6 +512,18 @@
         """Respond to another instance that asks for origins of streams."""
         self.origins.on_query(sender, query)
 
+    def on_part_crash_report(self, report: messages.PartCrashReport) -> None:
+        """Process evidence against parts of prompts from another instance."""
+        self._prompt_parts.on_report(report)
+
+    def on_part_inquiry(self, sender: str, inquiry: messages.PartInquiry) -> None:
+        """Tell another instance which parts of prompts went well."""
+        self._prompt_parts.on_inquiry(sender, inquiry)
+
+    def on_part_successes(self, successes: messages.PartSuccesses) -> None:
+        """Process parts of prompts that went well at another instance."""
+        self._prompt_parts.on_successes(successes)
+
     def on_message_error(self, error: Exception, where: str) -> None:
         """Log an error raised while handling a message."""
         logs.log_internal_error(where, error)
@@ -511,6 +539,7 @@
         self._available.forget_ended(self._clock.now())
         self._crashes.forget_old()
         self.quarantine.expire()
+        self._prompt_parts.forget_old()
         self.origins.expire()
         self._remove_departed()
         self.tunneling.paths.forget_unused()
@@ -548,6 +577,12 @@
         self.follower_role.on_instance_list()
         self.send_announcements()
 
+    def _on_crash(
+        self, replica: replicamodels.Replica, lost: tuple[lostruns.LostRun, ...]
+    ) -> None:
+        self.quarantine.crashed(replica.id, lost)
+        self._prompt_parts.crashed(replica.id, lost)
+
     def _is_list_current(self) -> bool:
         """Return whether this instance would know of a newer list of replicas.
 
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -67,6 +67,18 @@
     def on_origin_query(self, sender: str, query: messages.OriginQuery) -> None:
         """Respond to another instance that asks for origins of streams."""
 
+    @abc.abstractmethod
+    def on_part_crash_report(self, report: messages.PartCrashReport) -> None:
+        """Process evidence against parts of prompts from another instance."""
+
+    @abc.abstractmethod
+    def on_part_inquiry(self, sender: str, inquiry: messages.PartInquiry) -> None:
+        """Tell another instance which parts of prompts went well."""
+
+    @abc.abstractmethod
+    def on_part_successes(self, successes: messages.PartSuccesses) -> None:
+        """Process parts of prompts that went well at another instance."""
+
     @abc.abstractmethod
     def on_message_error(self, error: Exception, where: str) -> None:
         """Handle an error raised while handling a message."""
@@ -312,6 +324,12 @@
             self._events.on_origin_records(message)
         elif isinstance(message, messages.OriginQuery):
             self._events.on_origin_query(sender.name, message)
+        elif isinstance(message, messages.PartCrashReport):
+            self._events.on_part_crash_report(message)
+        elif isinstance(message, messages.PartInquiry):
+            self._events.on_part_inquiry(sender.name, message)
+        elif isinstance(message, messages.PartSuccesses):
+            self._events.on_part_successes(message)
         elif isinstance(message, messages.DocumentChunk):
             request = self._document_sync.on_chunk(message)
             if request is not None:
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -25,9 +25,39 @@
     tunnelResponse @17 :TunnelResponse;
     originRecords @18 :OriginRecords;
     originQuery @19 :OriginQuery;
+    partCrashReport @20 :PartCrashReport;
+    partInquiry @21 :PartInquiry;
+    partSuccesses @22 :PartSuccesses;
   }
 }
 
+struct PartCrashReport {
+  service @0 :UInt64;
+  crashes @1 :List(ReportedPartCrash);
+}
+
+struct ReportedPartCrash {
+  part @0 :UInt64;
+  replica @1 :UInt64;
+  team @2 :UInt64;
+  nextPart @3 :UInt64;
+  ageMs @4 :UInt32;
+  ranMs @5 :UInt32;
+}
+
+struct PartInquiry {
+  parts @0 :List(UInt64);
+}
+
+struct PartSuccesses {
+  parts @0 :List(PartSuccess);
+}
+
+struct PartSuccess {
+  part @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
 struct OriginRecords {
   origins @0 :List(OriginRecord);
 }
@@ -72,6 +102,7 @@
 struct QuarantinedRequest {
   fingerprint @0 :UInt64;
   leftS @1 :UInt32;
+  isPart @2 :Bool;
 }
 
 struct Heartbeat {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -33,6 +33,8 @@
 MAX_REPORTED_CRASHES = 32
 MAX_QUARANTINED = 64
 MAX_ORIGINS = 32
+MAX_PARTS = 64
+MAX_REPORTED_PARTS = 24
 
 # Demands change slowly and make up half of a heartbeat's bytes.
 DEMANDS_INTERVAL_BEATS = 4
@@ -458,10 +460,12 @@
 
     :param fingerprint: of the request.
     :param left_s: seconds until the refusal ends.
+    :param is_part: whether it is a part of prompts, whose refusal has the fingerprint as its key.
     """
 
     fingerprint: int
     left_s: int
+    is_part: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -471,6 +475,67 @@
     requests: tuple[QuarantinedRequest, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedPartCrash:
+    """A crash of a replica during a run whose prompt contained a part.
+
+    :param part: hash of the part.
+    :param replica: :func:`key_hash` of the replica's id.
+    :param team: hash of the caller's team.
+    :param next_part: hash of the part that follows in the prompt, 0 if that is the last one.
+    :param age_ms: milliseconds since the run ended.
+    :param ran_ms: milliseconds from the send of the run to its end.
+    """
+
+    part: int
+    replica: int
+    team: int
+    next_part: int
+    age_ms: int
+    ran_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartCrashReport:
+    """Crashes with the parts of the prompts that they ended.
+
+    :param service: :func:`key_hash` of the service's name.
+    :param crashes: at most :data:`MAX_REPORTED_PARTS`.
+    """
+
+    service: int
+    crashes: tuple[ReportedPartCrash, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartInquiry:
+    """Asks whether runs with parts of prompts went well, now and for some time.
+
+    :param parts: hashes of the parts, at most :data:`MAX_PARTS`.
+    """
+
+    parts: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartSuccess:
+    """A run whose prompt contained a part went well.
+
+    :param part: hash of the part.
+    :param age_ms: milliseconds since then.
+    """
+
+    part: int
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartSuccesses:
+    """Responds to :class:`PartInquiry`, with at most :data:`MAX_PARTS` parts."""
+
+    parts: tuple[PartSuccess, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TunnelRequest:
     """Asks the recipient to connect the sender to a replica.
@@ -569,4 +634,7 @@
     | TunnelResponse
     | OriginRecords
     | OriginQuery
+    | PartCrashReport
+    | PartInquiry
+    | PartSuccesses
 )
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -433,13 +433,14 @@
     for entry, request in zip(builder.init("requests", count), message.requests, strict=True):
         entry.fingerprint = request.fingerprint
         entry.leftS = _clip(request.left_s)
+        entry.isPart = request.is_part
 
 
 def _read_quarantine(reader: _Reader) -> messages.QuarantineNotice:
     _checked_length(reader.requests, messages.MAX_QUARANTINED)
     return messages.QuarantineNotice(
         tuple(
-            messages.QuarantinedRequest(entry.fingerprint, entry.leftS)
+            messages.QuarantinedRequest(entry.fingerprint, entry.leftS, entry.isPart)
             for entry in reader.requests
         )
     )
@@ -489,6 +490,55 @@
     return messages.OriginQuery(tuple(reader.streams))
 
 
+def _fill_part_crashes(builder: _Builder, message: messages.PartCrashReport) -> None:
+    builder.service = message.service
+    count = _checked_length(message.crashes, messages.MAX_REPORTED_PARTS)
+    for entry, crash in zip(builder.init("crashes", count), message.crashes, strict=True):
+        entry.part = crash.part
+        entry.replica = crash.replica
+        entry.team = crash.team
+        entry.nextPart = crash.next_part
+        entry.ageMs = _clip(crash.age_ms)
+        entry.ranMs = _clip(crash.ran_ms)
+
+
+def _read_part_crashes(reader: _Reader) -> messages.PartCrashReport:
+    _checked_length(reader.crashes, messages.MAX_REPORTED_PARTS)
+    return messages.PartCrashReport(
+        reader.service,
+        tuple(
+            messages.ReportedPartCrash(
+                each.part, each.replica, each.team, each.nextPart, each.ageMs, each.ranMs
+            )
+            for each in reader.crashes
+        ),
+    )
+
+
+def _fill_part_inquiry(builder: _Builder, message: messages.PartInquiry) -> None:
+    _checked_length(message.parts, messages.MAX_PARTS)
+    builder.parts = list(message.parts)
+
+
+def _read_part_inquiry(reader: _Reader) -> messages.PartInquiry:
+    _checked_length(reader.parts, messages.MAX_PARTS)
+    return messages.PartInquiry(tuple(reader.parts))
+
+
+def _fill_part_successes(builder: _Builder, message: messages.PartSuccesses) -> None:
+    count = _checked_length(message.parts, messages.MAX_PARTS)
+    for entry, success in zip(builder.init("parts", count), message.parts, strict=True):
+        entry.part = success.part
+        entry.ageMs = _clip(success.age_ms)
+
+
+def _read_part_successes(reader: _Reader) -> messages.PartSuccesses:
+    _checked_length(reader.parts, messages.MAX_PARTS)
+    return messages.PartSuccesses(
+        tuple(messages.PartSuccess(each.part, each.ageMs) for each in reader.parts)
+    )
+
+
 class _MessageFormat(typing.NamedTuple):
     """Functions that encode and decode one type of message."""
 
@@ -529,6 +579,13 @@
     ),
     _MessageFormat(messages.OriginRecords, "originRecords", _fill_origins, _read_origins),
     _MessageFormat(messages.OriginQuery, "originQuery", _fill_origin_query, _read_origin_query),
+    _MessageFormat(
+        messages.PartCrashReport, "partCrashReport", _fill_part_crashes, _read_part_crashes
+    ),
+    _MessageFormat(messages.PartInquiry, "partInquiry", _fill_part_inquiry, _read_part_inquiry),
+    _MessageFormat(
+        messages.PartSuccesses, "partSuccesses", _fill_part_successes, _read_part_successes
+    ),
 )
 _FORMAT_BY_TYPE = {message_format.message_type: message_format for message_format in _FORMATS}
 _FORMAT_BY_FIELD = {message_format.field: message_format for message_format in _FORMATS}
--- a/hornbeamglade/quarantine/crashdetector.py
+++ b/hornbeamglade/quarantine/crashdetector.py
@@ -74,12 +74,19 @@
         self._crashed_at_by_replica: dict[str, float] = {}
         self._probes: set[asyncio.Task[None]] = set()
 
-    def run_lost(self, fingerprint: int, replica: models.Replica, sent_at: float) -> None:
+    def run_lost(
+        self,
+        fingerprint: int,
+        replica: models.Replica,
+        sent_at: float,
+        prompt: lostruns.PromptParts | None = None,
+    ) -> None:
         """Record a run whose connection ended before its response did.
 
         :param sent_at: monotonic seconds at which it was sent to the replica.
+        :param prompt: the parts of its prompt if one of them may have ended the replica.
         """
-        run = lostruns.LostRun(fingerprint, sent_at, self._clock.now())
+        run = lostruns.LostRun(fingerprint, sent_at, self._clock.now(), prompt)
         if self._handle_known_cause(run, replica) or replica.id not in self._replicas.by_id:
             return
         lost = self._record(run, replica)
@@ -89,12 +96,19 @@
             self._probes.add(probe)
             probe.add_done_callback(self._probes.discard)
 
-    def run_unanswered(self, fingerprint: int, replica: models.Replica, sent_at: float) -> None:
+    def run_unanswered(
+        self,
+        fingerprint: int,
+        replica: models.Replica,
+        sent_at: float,
+        prompt: lostruns.PromptParts | None = None,
+    ) -> None:
         """Record a run that was abandoned without a response, on a connection that is still open.
 
         :param sent_at: monotonic seconds at which it was sent to the replica.
+        :param prompt: the parts of its prompt if one of them may have ended the replica.
         """
-        run = lostruns.LostRun(fingerprint, sent_at, self._clock.now())
+        run = lostruns.LostRun(fingerprint, sent_at, self._clock.now(), prompt)
         if self._handle_known_cause(run, replica):
             return
         lost = self._record(run, replica)
--- a/hornbeamglade/quarantine/crashledger.py
+++ b/hornbeamglade/quarantine/crashledger.py
@@ -80,7 +80,7 @@
         self._crashes_by_fingerprint[fingerprint] = {each.replica: each for each in recent}
         if len(self._crashes_by_fingerprint) > MAX_SUSPECTS:
             self._crashes_by_fingerprint.popitem(last=False)
-        return _count(recent)
+        return len(counted(recent))
 
     def crashes(self, fingerprint: int) -> tuple[Crash, ...]:
         """Return the evidence against a request."""
@@ -96,13 +96,13 @@
         return len(self._crashes_by_fingerprint)
 
 
-def _count(crashes: list[Crash]) -> int:
-    """Return how many crashes count, given the crashes of one request in order of time."""
-    counted = 0
+def counted(crashes: list[Crash]) -> list[Crash]:
+    """Return the crashes that count, given the crashes of one request in order of time."""
+    found: list[Crash] = []
     last = float("-inf")
     for crash in crashes:
         is_later_run = crash.sent_at >= last - CLOCK_ERROR_S
         if is_later_run or crash.at - last >= CORRELATION_WINDOW_S:
-            counted += 1
+            found.append(crash)
             last = crash.at
-    return counted
+    return found
--- a/hornbeamglade/quarantine/quarantinelist.py
+++ b/hornbeamglade/quarantine/quarantinelist.py
@@ -19,10 +19,12 @@
 
     :param fingerprint: the fingerprint of the request.
     :param ends_at: monotonic seconds until which the request is refused.
+    :param is_part: whether it is a part of prompts, whose refusal has the fingerprint as its key.
     """
 
     fingerprint: int
     ends_at: float
+    is_part: bool = False
 
 
 class QuarantineList:
@@ -41,36 +43,36 @@
     """
 
     def __init__(self) -> None:
-        self._ends_at_by_fingerprint: collections.OrderedDict[int, float]
-        self._ends_at_by_fingerprint = collections.OrderedDict()
+        self._entry_by_fingerprint: collections.OrderedDict[int, Entry]
+        self._entry_by_fingerprint = collections.OrderedDict()
         self._digest = 0
         self._cursor = 0
 
     def add(self, entry: Entry, now: float) -> bool:
         """Add an entry; return whether it is new. The end of a known one is not changed."""
-        is_known = entry.fingerprint in self._ends_at_by_fingerprint
+        is_known = entry.fingerprint in self._entry_by_fingerprint
         if is_known or entry.ends_at - now < MIN_REMAINING_S:
             return False
-        self._ends_at_by_fingerprint[entry.fingerprint] = entry.ends_at
+        self._entry_by_fingerprint[entry.fingerprint] = entry
         self._digest ^= entry.fingerprint
-        if len(self._ends_at_by_fingerprint) > MAX_ENTRIES:
-            self._remove(next(iter(self._ends_at_by_fingerprint)))
+        if len(self._entry_by_fingerprint) > MAX_ENTRIES:
+            self._remove(next(iter(self._entry_by_fingerprint)))
         return True
 
     def remaining_s(self, fingerprint: int, now: float) -> float:
         """Return the seconds for which a request is still refused; 0 if it is not refused."""
-        ends_at = self._ends_at_by_fingerprint.get(fingerprint)
-        return 0.0 if ends_at is None else max(0.0, ends_at - now)
-
-    def forget_ended(self, now: float) -> tuple[int, ...]:
-        """Remove the entries that have ended; return their fingerprints."""
-        ended = tuple(
-            fingerprint
-            for fingerprint, ends_at in self._ends_at_by_fingerprint.items()
-            if ends_at <= now
-        )
-        for fingerprint in ended:
-            self._remove(fingerprint)
+        entry = self._entry_by_fingerprint.get(fingerprint)
+        return 0.0 if entry is None else max(0.0, entry.ends_at - now)
+
+    def get(self, fingerprint: int) -> Entry | None:
+        """Return the entry of a request, or None."""
+        return self._entry_by_fingerprint.get(fingerprint)
+
+    def forget_ended(self, now: float) -> tuple[Entry, ...]:
+        """Remove and return the entries that have ended."""
+        ended = tuple(each for each in self._entry_by_fingerprint.values() if each.ends_at <= now)
+        for entry in ended:
+            self._remove(entry.fingerprint)
         return ended
 
     def page(self, size: int) -> tuple[Entry, ...]:
@@ -84,7 +86,7 @@
 
     def entries(self) -> tuple[Entry, ...]:
         """Return all entries, oldest first."""
-        return tuple(Entry(*item) for item in self._ends_at_by_fingerprint.items())
+        return tuple(self._entry_by_fingerprint.values())
 
     @property
     def digest(self) -> int:
@@ -93,8 +95,8 @@
 
     def __len__(self) -> int:
         """Return how many requests are in quarantine."""
-        return len(self._ends_at_by_fingerprint)
+        return len(self._entry_by_fingerprint)
 
     def _remove(self, fingerprint: int) -> None:
-        del self._ends_at_by_fingerprint[fingerprint]
+        del self._entry_by_fingerprint[fingerprint]
         self._digest ^= fingerprint
--- a/hornbeamglade/quarantine/quarantinerows.py
+++ b/hornbeamglade/quarantine/quarantinerows.py
@@ -17,16 +17,19 @@
 
     :param fingerprint: the fingerprint of the request.
     :param until: Unix seconds until which it is refused.
+    :param is_part: whether it is a part of prompts.
     """
 
     fingerprint: int
     until: float
+    is_part: bool = False
 
 
 class _Body(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
     until: pydantic.FiniteFloat
+    part: bool = False
 
 
 def key(fingerprint: int) -> str:
@@ -43,7 +46,12 @@
 
 def put(stored: StoredRequest) -> contract.Put:
     """Return the write of a request's row."""
-    return contract.Put(key(stored.fingerprint), _Body(until=stored.until).model_dump_json())
+    return contract.Put(key(stored.fingerprint), _body(stored))
+
+
+def _body(stored: StoredRequest) -> str:
+    body = _Body(until=stored.until, part=stored.is_part)
+    return body.model_dump_json(exclude_defaults=True)
 
 
 def decode(rows: tuple[contract.Row, ...]) -> tuple[StoredRequest, ...]:
@@ -55,6 +63,7 @@
 def _parse(row: contract.Row) -> StoredRequest | None:
     try:
         fingerprint = int(row.key.removeprefix(_PREFIX), 16)
-        return StoredRequest(fingerprint, _Body.model_validate_json(row.value).until)
+        body = _Body.model_validate_json(row.value)
+        return StoredRequest(fingerprint, body.until, body.part)
     except ValueError:
         return None
--- a/hornbeamglade/quarantine/requestquarantine.py
+++ b/hornbeamglade/quarantine/requestquarantine.py
@@ -60,6 +60,7 @@
 """More than one, since a home instance may be partitioned, or fail and lose its counts."""
 
 QUARANTINED = "request_quarantined"
+PART_QUARANTINED = "prompt_part_quarantined"
 PAGE_INTERVAL_S = 1.0
 MILLISECONDS = 1000
 
@@ -126,9 +127,26 @@
         self._store_writer = write
 
     @_locked
-    def refusal(self, fingerprint: int) -> outcomes.Refusal | None:
-        """Return the refusal of a request in quarantine, or None."""
+    def refusal(
+        self, fingerprint: int, prompt: lostruns.PromptParts | None = None
+    ) -> outcomes.Refusal | None:
+        """Return the refusal of a request in quarantine, or None.
+
+        :param prompt: the parts of its prompt, or None if they are not known.
+        """
+        if not len(self._entries):
+            return None
         now = self._clock.now()
+        if prompt is not None:
+            remaining_s = max(
+                (self._entries.remaining_s(each, now) for each in prompt.refusal_keys()),
+                default=0.0,
+            )
+            if remaining_s > 0.0:
+                detail = "each server that began to answer on a part of this prompt has crashed"
+                return outcomes.Refusal(
+                    PART_QUARANTINED, 503, detail, retry_after_s=remaining_s, is_lasting=True
+                )
         remaining_s = self._entries.remaining_s(fingerprint, now)
         if remaining_s <= 0.0 or self._completions.has(fingerprint, now):
             return None
@@ -186,9 +204,9 @@
         """Add requests that another instance refuses."""
         now = self._clock.now()
         for request in notice.requests:
-            self._quarantine(
-                quarantinelist.Entry(request.fingerprint, now + request.left_s), PEER, now
-            )
+            ends_at = now + request.left_s
+            entry = quarantinelist.Entry(request.fingerprint, ends_at, request.is_part)
+            self._quarantine(entry, PEER, now)
 
     @_locked
     def on_rows(self, rows: tuple[contract.Row, ...]) -> None:
@@ -198,9 +216,9 @@
         self._stored_count = len(stored)
         for request in stored:
             remaining_s = min(request.until - wall, quarantinelist.DURATION_S)
-            self._quarantine(
-                quarantinelist.Entry(request.fingerprint, now + remaining_s), STORE, now
-            )
+            ends_at = now + remaining_s
+            entry = quarantinelist.Entry(request.fingerprint, ends_at, request.is_part)
+            self._quarantine(entry, STORE, now)
             if remaining_s <= 0.0 and self._is_first_home(request.fingerprint):
                 self._write_row(contract.Delete(quarantinerows.key(request.fingerprint)))
         known = {request.fingerprint for request in stored}
@@ -223,6 +241,32 @@
         page = [entry.fingerprint for entry in self._entries.page(messages.MAX_QUARANTINED)]
         self._send(sender, self._notice(page, now))
 
+    @_locked
+    def refuse_part(self, key: int, part: int, count: int) -> None:
+        """Refuse the requests whose prompts contain a part, here and at all instances.
+
+        :param key: the key of the refusal.
+        :param part: hash of the part, for the log.
+        :param count: how many crashes count against the part, for the log.
+        """
+        now = self._clock.now()
+        entry = quarantinelist.Entry(key, now + quarantinelist.DURATION_S, is_part=True)
+        if self._begin(entry, now, count):
+            logs.state_changed(
+                "prompt_part",
+                "suspected",
+                "found",
+                fingerprint=fingerprints.to_hex(key),
+                part=fingerprints.to_hex(part),
+                count=count,
+            )
+        self.tick()
+
+    @property
+    def quarantined_part_count(self) -> int:
+        """How many of the entries are parts of prompts."""
+        return sum(entry.is_part for entry in self._entries.entries())
+
     @property
     def digest(self) -> int:
         """The digest of the requests refused here, for heartbeats."""
@@ -255,10 +299,13 @@
     @_locked
     def expire(self) -> None:
         """Remove expired entries; to be called about every second."""
-        for fingerprint in self._entries.forget_ended(self._clock.now()):
-            self._evidence.clear(fingerprint)
+        for entry in self._entries.forget_ended(self._clock.now()):
+            self._evidence.clear(entry.fingerprint)
             logs.state_changed(
-                "request", "quarantined", "allowed", fingerprint=fingerprints.to_hex(fingerprint)
+                _subject(entry),
+                "quarantined",
+                "allowed",
+                fingerprint=fingerprints.to_hex(entry.fingerprint),
             )
         present = set(self._present())
         for node in self._page_sent_at_by_node.keys() - present:
@@ -271,21 +318,30 @@
         count = self._evidence.add(fingerprint, crashes, now)
         if count >= crashledger.CRASH_THRESHOLD:
             entry = quarantinelist.Entry(fingerprint, now + quarantinelist.DURATION_S)
-            if self._quarantine(entry, OWN, now):
-                self._notices.add(fingerprint, now)
-                self._store(entry, now)
+            self._begin(entry, now, count)
         return count
 
-    def _quarantine(self, entry: quarantinelist.Entry, source: str, now: float) -> bool:
+    def _begin(self, entry: quarantinelist.Entry, now: float, count: int) -> bool:
+        """Add an entry that this instance has found; announce it and return whether it is new."""
+        is_new = self._quarantine(entry, OWN, now, count)
+        if is_new:
+            self._notices.add(entry.fingerprint, now)
+            self._store(entry, now)
+        return is_new
+
+    def _quarantine(
+        self, entry: quarantinelist.Entry, source: str, now: float, count: int | None = None
+    ) -> bool:
         is_new = self._entries.add(entry, now)
         if is_new:
             logs.state_changed(
-                "request",
+                _subject(entry),
                 "allowed",
                 "quarantined",
                 fingerprint=fingerprints.to_hex(entry.fingerprint),
                 source=source,
                 seconds=round(entry.ends_at - now, 1),
+                count=count,
             )
         return is_new
 
@@ -302,7 +358,9 @@
             self._stored_count += 1
             until = self._clock.wall() + entry.ends_at - now
             self._write_row(
-                quarantinerows.put(quarantinerows.StoredRequest(entry.fingerprint, until))
+                quarantinerows.put(
+                    quarantinerows.StoredRequest(entry.fingerprint, until, entry.is_part)
+                )
             )
 
     def _write_row(self, write: contract.Put | contract.Delete) -> None:
@@ -333,9 +391,16 @@
     def _notice(
         self, listed: collections.abc.Iterable[int], now: float
     ) -> messages.QuarantineNotice:
+        entries = filter(None, map(self._entries.get, listed))
         return messages.QuarantineNotice(
             tuple(
-                messages.QuarantinedRequest(each, int(self._entries.remaining_s(each, now)))
-                for each in listed
+                messages.QuarantinedRequest(
+                    each.fingerprint, int(max(0.0, each.ends_at - now)), each.is_part
+                )
+                for each in entries
             )
         )
+
+
+def _subject(entry: quarantinelist.Entry) -> str:
+    return "prompt_part" if entry.is_part else "request"
--- a/hornbeamglade/routed/callrouter.py
+++ b/hornbeamglade/routed/callrouter.py
@@ -3,11 +3,15 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.quarantine import fingerprints
+from hornbeamglade.exchange import messages
+from hornbeamglade.quarantine import fingerprints, lostruns
 from hornbeamglade.routed import calls, views
 from hornbeamglade.routes import models, splits
 
 NO_CONFIGURATION = "no_configuration"
+MAX_PROMPT_PARTS = 32
+"""Parts of a prompt that are looked at; callers may list any number."""
+
 NO_CONFIGURATION_RETRY_S = 0.3
 """A node gets the configuration within a few hundred milliseconds of reaching the store or
 a peer."""
@@ -23,6 +27,7 @@
     :param team: the caller's team, or None if no key is needed.
     :param revision: revision of the configuration used for routing.
     :param fingerprint: hash that identifies repetitions of the same request.
+    :param prompt: the parts of its prompt that other requests may contain, or None for none.
     """
 
     call: calls.Call
@@ -31,6 +36,7 @@
     team: models.Team | None
     revision: int
     fingerprint: int = 0
+    prompt: lostruns.PromptParts | None = None
 
     @property
     def urgency(self) -> int:
@@ -77,7 +83,26 @@
         splits.choose_service(matched_route, call.first_id)
     ]
     return RoutedRequest(
-        call, matched_route, service, team, view.revision, _fingerprint(call, team)
+        call,
+        matched_route,
+        service,
+        team,
+        view.revision,
+        _fingerprint(call, team),
+        _prompt(call, service, team),
+    )
+
+
+def _prompt(
+    call: calls.Call, service: models.Service, team: models.Team | None
+) -> lostruns.PromptParts | None:
+    if call.generation is None or len(call.generation.parts) < 2:
+        return None
+    shared = call.generation.parts[:-1][:MAX_PROMPT_PARTS]
+    return lostruns.PromptParts(
+        tuple(lostruns.part_hash(service.name, each.id) for each in shared),
+        messages.key_hash("" if team is None else team.name),
+        messages.key_hash(service.name),
     )
 
 
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -203,7 +203,9 @@
 
     def _quarantine_refusal(self) -> outcomes.Refusal | None:
         """Return the refusal of a request that crashes its replicas, or None."""
-        refusal = self._dependencies.quarantine.refusal(self._routed.fingerprint)
+        refusal = self._dependencies.quarantine.refusal(
+            self._routed.fingerprint, self._routed.prompt
+        )
         return (
             self.failure_refusal() if refusal is not None and self._log.may_have_run else refusal
         )
--- a/hornbeamglade/routed/rundependencies.py
+++ b/hornbeamglade/routed/rundependencies.py
@@ -7,7 +7,7 @@
 from hornbeamglade.grants import asyncgrantacquirer
 from hornbeamglade.observability import metrics
 from hornbeamglade.origins import streamorigins
-from hornbeamglade.quarantine import crashdetector, requestquarantine
+from hornbeamglade.quarantine import crashdetector, partquarantine, requestquarantine
 from hornbeamglade.routed import (
     enginecatalog,
     migration,
@@ -32,6 +32,7 @@
     :param budgets: retry budgets by service.
     :param crash_detector: decides which lost runs were ended by a crash.
     :param quarantine: refuses requests that crash their replicas.
+    :param prompt_parts: finds parts of prompts that crash their replicas.
     :param record_length: called with the length of each answer: route, team, tokens and
         whether the answer was truncated.
     :param token_times: estimates the time per token.
@@ -51,6 +52,7 @@
     budgets: retrybudget.RetryBudgets
     crash_detector: crashdetector.CrashDetector
     quarantine: requestquarantine.RequestQuarantine
+    prompt_parts: partquarantine.PartQuarantine
     record_length: collections.abc.Callable[[str, str, int, bool], None]
     token_times: tokentimes.TokenTimes
     metrics: metrics.NodeMetrics
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -7,7 +7,7 @@
 from hornbeamglade.http1 import clientside, serverside
 from hornbeamglade.observability import logs
 from hornbeamglade.origins import origintable, streamorigins, versions
-from hornbeamglade.quarantine import fingerprints
+from hornbeamglade.quarantine import fingerprints, lostruns, partquarantine
 from hornbeamglade.routed import (
     attemptlog,
     callrouter,
@@ -94,6 +94,8 @@
         self._first_event = asyncio.Event()
         self._origin: int | None = None
         self._is_origin_certain = True
+        self._writing_since: float | None = None
+        self._is_proven = False
         call = routed.call
         first_id = call.resumed_id if call.resumes_stream else call.request_id
         self._stream = None if first_id is None else _stream_key(routed, first_id)
@@ -177,6 +179,8 @@
     ) -> sending.StartedResponse | sending.FailedAttempt:
         """Send the request to the assigned engine."""
         assignment, routed = self._assignment, self._routed
+        self._writing_since = None
+        self._is_proven = False
         dispatch = calls.Dispatch(
             replica_name=assignment.replica.name,
             team=None if routed.team is None else routed.team.name,
@@ -216,7 +220,11 @@
             if response.run is outcomes.RunStatus.UNKNOWN:
                 self._report_lost_run(assignment)
             self._release_assignment()
-            return None if self._selector.may_retry() else self._selector.failure_refusal()
+            if not self._selector.may_retry():
+                return self._selector.failure_refusal()
+            if response.run is outcomes.RunStatus.UNKNOWN:
+                await self._await_evidence()
+            return None
         body = await self._dependencies.sender.read_body(response)
         assignment.response = None
         self._release_assignment()
@@ -283,6 +291,7 @@
         """Relay events from one replica; return None at the end of the complete response."""
         connection = self._assignment.response.connection
         self._exchange.set_read_ahead(connection.read_ahead_bytes)
+        events_before = self._relay.event_count
         self._relay.start_connection(
             self._dependencies.speeds.make_meter(self._routed.service.name)
         )
@@ -292,11 +301,34 @@
                 return piece
             if isinstance(piece, clientside.BodyEnd):
                 if await self._relay.finish(self._response_start):
+                    self._record_good_run()
                     return None
                 return clientside.ResponseLost("torn_event")
             if not await self._relay.relay(piece, self._response_start):
                 return clientside.ResponseLost("event_missing")
             self._report_progress()
+            if self._relay.event_count > events_before and not self._is_proven:
+                self._prove(self._relay.last_at)
+
+    def _prove(self, last_at: float) -> None:
+        """Record that the run goes well once its replica has written for some time.
+
+        :param last_at: monotonic seconds of its last event.
+        """
+        if self._writing_since is None:
+            self._writing_since = last_at
+        if last_at - self._writing_since >= partquarantine.WENT_WELL_S:
+            self._record_good_run()
+
+    def _record_good_run(self) -> None:
+        self._is_proven = True
+        if self._routed.prompt is not None:
+            self._dependencies.prompt_parts.went_well(self._routed.prompt)
+
+    @property
+    def _suspected_prompt(self) -> lostruns.PromptParts | None:
+        """The parts of the prompt if one of them may have ended the replica."""
+        return None if self._is_proven else self._routed.prompt
 
     def _report_progress(self) -> None:
         if self._relay.event_count and not self._first_event.is_set():
@@ -374,8 +406,15 @@
             return await self._resume(destination)
         if not self._selector.may_retry():
             return False
+        await self._await_evidence()
         return isinstance(await self._start_stream(), sending.StartedResponse)
 
+    async def _await_evidence(self) -> None:
+        """Wait until the end of a run is known as a crash, if its prompt may have caused it."""
+        prompt = self._suspected_prompt
+        if prompt is not None and self._dependencies.prompt_parts.is_suspected(prompt):
+            await asyncio.sleep(partquarantine.SECOND_SEND_DELAY_S)
+
     async def _await_destination(self) -> migration.Destination | None:
         """Wait for the migration to end; return its destination, or None if it has none."""
         task = self._migration_task
@@ -448,7 +487,10 @@
     def _report_lost_run(self, assignment: engineselector.Assignment) -> None:
         """Report a lost run to the crash detector."""
         self._dependencies.crash_detector.run_lost(
-            self._routed.fingerprint, assignment.replica, assignment.sent_at
+            self._routed.fingerprint,
+            assignment.replica,
+            assignment.sent_at,
+            self._suspected_prompt,
         )
 
     def _release_assignment(self) -> None:
@@ -474,7 +516,10 @@
             assignment.response = None
         elif assignment is not None:
             self._dependencies.crash_detector.run_unanswered(
-                self._routed.fingerprint, assignment.replica, assignment.sent_at
+                self._routed.fingerprint,
+                assignment.replica,
+                assignment.sent_at,
+                self._suspected_prompt,
             )
         self._release_assignment()
         self._record_length(is_complete)
--- a/tests/entry/test_promptparts.py
+++ b/tests/entry/test_promptparts.py
@@ -4,6 +4,7 @@
 import json
 
 from hornbeamglade.standins import routedfaults
+from hornbeamglade.store import contract
 from tests.entry import site as entrysite
 
 COMMON, FATAL, SOUND = "5c1e07a2", "dead0001", "91bd3f06"
@@ -25,7 +26,7 @@
     client = await site.nodes[node].request(
         path,
         request_id=request_id,
-        more=usage(*parts, f"{abs(hash(request_id)):x}"),
+        more=usage(*parts, request_id.encode().hex()),
         key=key,
         body=request_id.encode(),
     )
@@ -53,3 +54,66 @@
     assert count <= MAX_CRASHES
     assert last == (503, "prompt_part_quarantined")
     assert sound == [(200, "")] * 10
+
+
+def test_sound_streams_beside_the_part_go_on_and_are_not_refused():
+    """Sound requests share the caller and the first part, and run beside those that crash."""
+
+    async def test(site):
+        make_fatal(site)
+        fatal, sound = [], []
+        for n in range(12):
+            sound.append(asyncio.ensure_future(send(site, f"sound{n}", COMMON, SOUND, node=n % 3)))
+            fatal.append(await send(site, f"fatal{n}", COMMON, FATAL, node=n % 3))
+        await asyncio.gather(*sound)
+        later = [await send(site, f"later{n}", COMMON, SOUND, node=n % 3) for n in range(12)]
+        return crashed(site), fatal[-1], later
+
+    count, last, later = entrysite.run(test, nodes=3, engines=12, events=5, gap_s=0.03)
+    assert count <= MAX_CRASHES + 2
+    assert last == (503, "prompt_part_quarantined")
+    assert later == [(200, "")] * 12
+
+
+def test_part_stays_refused_after_a_restart_of_all_instances():
+    async def test(site):
+        writes = []
+        for node in site.nodes:
+            node.instance.quarantine.set_store_writer(writes.append)
+        make_fatal(site)
+        for n in range(6):
+            await send(site, f"fatal{n}", COMMON, FATAL, node=n % 3)
+        fresh = entrysite.Node(9)
+        await fresh.start()
+        rows = tuple(contract.Row(each.key, each.value, 1) for each in writes)
+        fresh.instance.on_rows(rows)
+        site.nodes.append(fresh)
+        site.read_store(fresh)
+        before = crashed(site)
+        return await send(site, "again", COMMON, FATAL, node=3), crashed(site) - before
+
+    answer, count = entrysite.run(test, nodes=3, engines=12, events=5)
+    assert (answer, count) == ((503, "prompt_part_quarantined"), 0)
+
+
+def test_streams_with_proven_parts_are_no_evidence_when_their_engines_crash():
+    """Engines crash one after the other under long streams that had gone well."""
+
+    async def test(site):
+        for n in range(4):
+            clients = [
+                await site.nodes[0].request(
+                    "/draft/1", request_id=f"long{n}.{k}", more=usage(COMMON, SOUND, f"{n}{k}")
+                )
+                for k in range(8)
+            ]
+            await asyncio.sleep(1.3)
+            for engine in site.engines:
+                if engine.is_listening and engine.run_by_id:
+                    await engine.stop()
+                    break
+            for client in clients:
+                client.close()
+        return await send(site, "sound", COMMON, SOUND)
+
+    assert entrysite.run(test, nodes=1, engines=6, events=100, gap_s=0.03) == (200, "")
--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -232,7 +232,7 @@
         quarantined = outcomes.Refusal("request_quarantined", 503, "-", retry_after_s=9.0)
 
         def respond(server, request):
-            quarantine.refusal = lambda fingerprint: quarantined
+            quarantine.refusal = lambda fingerprint, prompt=None: quarantined
             return b""
 
         script(site, respond)
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -94,7 +94,9 @@
 )
 _CRASHES = strategies.builds(messages.ReportedCrash, _U64, _U64, _U32, _U32)
 _ORIGINS = strategies.builds(messages.OriginRecord, _U64, _U64, _U16)
-_QUARANTINED = strategies.builds(messages.QuarantinedRequest, _U64, _U32)
+_QUARANTINED = strategies.builds(messages.QuarantinedRequest, _U64, _U32, strategies.booleans())
+_PART_CRASHES = strategies.builds(messages.ReportedPartCrash, _U64, _U64, _U64, _U64, _U32, _U32)
+_PART_SUCCESSES = strategies.builds(messages.PartSuccess, _U64, _U32)
 MESSAGES = (
     _HEARTBEATS
     | _GRANT_REQUESTS
@@ -127,6 +129,18 @@
         messages.OriginQuery,
         strategies.lists(_U64, max_size=messages.MAX_ORIGINS).map(tuple),
     )
+    | strategies.builds(
+        messages.PartCrashReport,
+        _U64,
+        strategies.lists(_PART_CRASHES, max_size=messages.MAX_REPORTED_PARTS).map(tuple),
+    )
+    | strategies.builds(
+        messages.PartInquiry, strategies.lists(_U64, max_size=messages.MAX_PARTS).map(tuple)
+    )
+    | strategies.builds(
+        messages.PartSuccesses,
+        strategies.lists(_PART_SUCCESSES, max_size=messages.MAX_PARTS).map(tuple),
+    )
     | strategies.builds(messages.TunnelRequest, _U64)
     | strategies.builds(messages.TunnelResponse, strategies.sampled_from(messages.TunnelOutcome))
 )
--- a/tests/routed/test_callrouter.py
+++ b/tests/routed/test_callrouter.py
@@ -6,6 +6,7 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.platform import requestdialect
+from hornbeamglade.quarantine import lostruns
 from hornbeamglade.routed import callrouter, views
 from hornbeamglade.routes import models
 from tests.routed import fakes
@@ -95,3 +96,14 @@
         assert route_attempt(routes, "again", fields[0]).service == (
             route_attempt(routes, "again").service
         )
+
+
+@pytest.mark.parametrize(
+    ("listed", "shared"), [("a:1,b:2,c:3", ("a", "b")), ("a:1", None), (None, None)]
+)
+def test_last_part_of_a_prompt_is_not_taken_for_one_that_others_contain(listed, shared):
+    fields = [(b"Model", b"m"), (b"Token-Usage", b"6,10")]
+    fields += [(b"Prompt-Prefix", listed.encode())] if listed else []
+    prompt = route_request(view(fakes.route()), *fields).prompt
+    expected = shared and tuple(lostruns.part_hash("s", each) for each in shared)
+    assert (prompt and prompt.parts) == expected
