soak: draw a part of prompts that crashes engines

Callers' streams have prompts of three parts, of which the second may crash each engine that begins to answer; more than three runs with it later than 3 s after the fifth are a violation.

--- a/hornbeamglade/cli/soak.py
+++ b/hornbeamglade/cli/soak.py
@@ -17,6 +17,7 @@
     "load": plan.LOAD_KINDS,
     "refusals": plan.REFUSAL_KINDS,
     "versions": plan.VERSION_KINDS,
+    "parts": plan.PART_KINDS,
 }
 
 
@@ -49,6 +50,12 @@
     flag_value="versions",
     help="Draw only engines of other versions, crashes, departures and lost instances.",
 )
+@click.option(
+    "--parts",
+    "kind_set",
+    flag_value="parts",
+    help="Draw only parts of prompts that crash engines, lost instances, surges, store failures.",
+)
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(3, 60))
 @click.option("--kept", is_flag=True, help="Also run the seeds that have failed before.")
 @click.option(
--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -38,6 +38,7 @@
 """Requests that reach a server in the time that it named, apart from the first half second."""
 
 CRASHES = 3
+PART_CRASHES = 5
 INSTANCE_INTERRUPTIONS = frozenset(("InstanceKilled", "InstanceStopped", "InstancePaused"))
 LINK_INTERRUPTIONS = frozenset(
     ("LinkReset", "LinkDelayed", "AnswersHeld", "RequestsHeld", "LinkSilent", "ServerPaused")
@@ -130,6 +131,7 @@
     found += _check_unknown_requests(evidence)
     found += _check_evacuations(evidence)
     found += _check_crashing_requests(evidence)
+    found += _check_crashing_parts(evidence)
     found += _check_limits(evidence)
     found += _check_leaving(evidence)
     found += _check_backoffs(evidence)
@@ -304,6 +306,25 @@
         yield Violation("fatal_request_is_refused", late[-1]["request_id"], f"{len(runs)} crashes")
 
 
+def _check_crashing_parts(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return a violation if a part of prompts crashed engines when all instances had to know."""
+    runs = sorted(
+        (each for each in evidence.runs if each["request_id"].startswith(faults.FATAL_PREFIX)),
+        key=lambda each: each["at"],
+    )
+    if len(runs) <= PART_CRASHES:
+        return
+    fifth_at = runs[PART_CRASHES - 1]["at"]
+    late = [
+        each
+        for each in runs
+        if each["at"] > fifth_at + PROPAGATION_S
+        and not _was_disturbed(evidence.fault_records, runs[0]["at"], each["at"])
+    ]
+    if len(late) > CRASHES:
+        yield Violation("fatal_part_is_refused", late[-1]["request_id"], f"{len(runs)} crashes")
+
+
 def _check_limits(evidence: Evidence) -> collections.abc.Iterator[Violation]:
     """Return a violation for each server that got more requests than its announced limit."""
     for limited in evidence.limited:
@@ -486,7 +507,8 @@
     return [
         each
         for each in evidence.results
-        if each.status != 401 and not each.request_id.startswith(faults.SLOW_PREFIX)
+        if each.status != 401
+        and not each.request_id.startswith((faults.SLOW_PREFIX, faults.FATAL_PREFIX))
     ]
 
 
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -29,6 +29,8 @@
 """How long a server states that it is leaving before the list says so or it stops."""
 
 FATAL_PAUSE_S = 0.4
+FATAL_PART = "dead"
+FATAL_PREFIX = "part"
 TOLERATED = "3"
 """Refusals in a second that servers tolerate."""
 
@@ -526,6 +528,55 @@
                 _replace(soak_site, place)
 
 
+class PartCrashesEngines(Fault):
+    """A caller sends requests that share a part of their prompts, which crashes each engine.
+
+    :param component: ``engines``, which stands for all engines.
+    """
+
+    extra_duration_s = 8.0
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let the part crash engines, and start the caller."""
+        self._set_part(soak_site, FATAL_PART)
+        self._stopped = threading.Event()
+        self._caller = threading.Thread(
+            target=self._send_repeatedly, args=(soak_site,), daemon=True
+        )
+        self._caller.start()
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Stop the caller and restart the crashed engines."""
+        self._stopped.set()
+        self._caller.join()
+        self._restart_crashed(soak_site)
+        self._set_part(soak_site, "")
+
+    def _send_repeatedly(self, soak_site: soaksite.SoakSite) -> None:
+        caller = routedcaller.RoutedCaller(keep=False)
+        names = itertools.cycle(soak_site.site.instance_names)
+        key = soak_site.keys_by_team[soaksite.TEAMS[0]][0]
+        for number in itertools.count():
+            address = soak_site.site.callers_address(next(names))
+            request_id = f"{FATAL_PREFIX}{soak_site.seed}-{number}"
+            result = caller.send(address, "tag", request_id, key, part=FATAL_PART)
+            soak_site.extra_results.append(result)
+            if self._stopped.wait(FATAL_PAUSE_S):
+                return
+            self._restart_crashed(soak_site)
+
+    def _restart_crashed(self, soak_site: soaksite.SoakSite) -> None:
+        for place in soak_site.site.server_by_place:
+            if place.startswith("engine") and not _listens(soak_site.site.address_by_name[place]):
+                _replace(soak_site, place)
+                soak_site.site.faults(place, crash_on_part=FATAL_PART)
+
+    def _set_part(self, soak_site: soaksite.SoakSite, part: str) -> None:
+        for place in soak_site.site.server_by_place:
+            if place.startswith("engine"):
+                soak_site.site.faults(place, crash_on_part=part)
+
+
 class MachineBusy(Fault):
     """Work on a server's machine takes longer for a while, which its load figures state."""
 
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -23,6 +23,7 @@
 ENGINES = tuple(f"engine-{number}" for number in range(3))
 SERVICES = tuple(f"service-{number}" for number in range(2))
 ALL_SERVICES = "services"
+ALL_ENGINES = "engines"
 EXTRA_CALLERS = "callers"
 VERSIONS = ("v1", "v1.1", "v1.10")
 STATUSES_AFTER_RUN = (408, 429, 503)
@@ -149,6 +150,7 @@
     *LOAD_KINDS,
     _status_after_run,
     *2 * (_replacement,),
+    _choose(faults.PartCrashesEngines, (ALL_ENGINES,)),
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
@@ -165,6 +167,16 @@
 )
 """Releases with crashes, and callers that take streams up at other instances."""
 
+PART_KINDS: tuple[FaultFactory, ...] = (
+    *4 * (_choose(faults.PartCrashesEngines, (ALL_ENGINES,)),),
+    _choose(faults.InstanceKilled, INSTANCES),
+    _choose(faults.InstanceReloaded, INSTANCES),
+    _choose(faults.ServerLeaves, SERVICES),
+    lambda rng: faults.CallersSurge(EXTRA_CALLERS),
+    lambda rng: faults.StoreFails("store", "down", True),
+)
+"""Requests that crash engines by a part of their prompts, with sound ones in the batches."""
+
 REACHABILITY_KINDS: tuple[FaultFactory, ...] = (
     *2 * (_partition,),
     lambda rng: faults.ServersTolerateFew(ALL_SERVICES),
@@ -225,6 +237,10 @@
     overlapping = [each for each in planned if each.ends_at_s + 0.5 > candidate.at_s]
     if any(each.fault.component == candidate.fault.component for each in overlapping):
         return False
+    if _affects_all_engines(candidate) and any(map(_affects_engines, overlapping)):
+        return False
+    if _affects_engines(candidate) and any(map(_affects_all_engines, overlapping)):
+        return False
     if _affects_all_services(candidate) and any(map(_affects_services, overlapping)):
         return False
     if _affects_services(candidate) and any(map(_affects_all_services, overlapping)):
@@ -241,5 +257,13 @@
     return component in SERVICES or component in routedsite.DOMAINS or component == ALL_SERVICES
 
 
+def _affects_engines(planned: Planned) -> bool:
+    return planned.fault.component in (*ENGINES, ALL_ENGINES)
+
+
+def _affects_all_engines(planned: Planned) -> bool:
+    return planned.fault.component == ALL_ENGINES
+
+
 def _affects_all_services(planned: Planned) -> bool:
     return planned.fault.component == ALL_SERVICES
--- a/hornbeamglade/standins/routedcaller.py
+++ b/hornbeamglade/standins/routedcaller.py
@@ -30,6 +30,7 @@
 DEADLINE_MS = 20_000
 PROMPT_TOKENS = 100
 MAX_TOKENS = 400
+SOUND_PART = "sound"
 FAST_READ_BYTES = 65_536
 SLOW_READ_BYTES = 8_192
 
@@ -145,17 +146,19 @@
         key: str,
         body: bytes | None = None,
         resumption: Resumption | None = None,
+        part: str = SOUND_PART,
     ) -> CallerResult:
         """Send one request and read its response.
 
         :param body: the request's id by default.
         :param resumption: the stream that it takes up, or None.
+        :param part: the second part of its prompt, if it has one.
         """
         sent_at = time.monotonic()
         result = CallerResult(
             request_id, route, key, address, sent_at, sent_at, resumption=resumption
         )
-        headers = self._headers(request_id, route, key)
+        headers = self._headers(request_id, route, key, part)
         if resumption is not None:
             headers["Resumes"] = resumption.first_id
             headers["Last-Event-Id"] = str(resumption.last_event)
@@ -195,7 +198,7 @@
             error=error,
         )
 
-    def _headers(self, request_id: str, route: str, key: str) -> dict[str, str]:
+    def _headers(self, request_id: str, route: str, key: str, part: str) -> dict[str, str]:
         headers = {
             "Host": operatordocuments.HOST,
             "Attempt-Id": request_id,
@@ -206,6 +209,7 @@
             headers["Connection"] = "close"
         if operatordocuments.SETTINGS_BY_ROUTE[route].kind == "streaming":
             headers |= {"Model": "m", "Token-Usage": f"{PROMPT_TOKENS},{MAX_TOKENS}"}
+            headers["Prompt-Prefix"] = f"{route}:40,{part}:30,{request_id}:30"
         return headers
 
 
