--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -9,6 +9,7 @@
 import threading
 import time
 
+from hornbeamglade.core import codederrors
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.soak import callerpool, faultyentry, skewedentry, soaksite
 from hornbeamglade.standins import routedcaller
@@ -538,7 +539,9 @@
 
     def begin(self, soak_site: soaksite.SoakSite) -> None:
         """Let the part crash engines, and start the caller."""
-        self._set_part(soak_site, FATAL_PART)
+        self._unlisted: set[routedsite.Server] = set()
+        self._part = f"{FATAL_PART}{soak_site.next_pool_number()}"
+        self._set_part(soak_site, self._part)
         self._stopped = threading.Event()
         self._caller = threading.Thread(
             target=self._send_repeatedly, args=(soak_site,), daemon=True
@@ -549,8 +552,13 @@
         """Stop the caller and restart the crashed engines."""
         self._stopped.set()
         self._caller.join()
-        self._restart_crashed(soak_site)
         self._set_part(soak_site, "")
+        self._part = ""
+        until = time.monotonic() + EXIT_S
+        self._restart_crashed(soak_site)
+        while self._unlisted and time.monotonic() < until:
+            time.sleep(FATAL_PAUSE_S)
+            self._restart_crashed(soak_site)
 
     def _send_repeatedly(self, soak_site: soaksite.SoakSite) -> None:
         caller = routedcaller.RoutedCaller(keep=False)
@@ -558,8 +566,8 @@
         key = soak_site.keys_by_team[soaksite.TEAMS[0]][0]
         for number in itertools.count():
             address = soak_site.site.callers_address(next(names))
-            request_id = f"{FATAL_PREFIX}{soak_site.seed}-{number}"
-            result = caller.send(address, "tag", request_id, key, part=FATAL_PART)
+            request_id = f"{FATAL_PREFIX}{soak_site.seed}.{self._part}-{number}"
+            result = caller.send(address, "tag", request_id, key, part=self._part)
             soak_site.extra_results.append(result)
             if self._stopped.wait(FATAL_PAUSE_S):
                 return
@@ -568,13 +576,22 @@
     def _restart_crashed(self, soak_site: soaksite.SoakSite) -> None:
         for place in soak_site.site.server_by_place:
             if place.startswith("engine") and not _listens(soak_site.site.address_by_name[place]):
-                _replace(soak_site, place)
-                soak_site.site.faults(place, crash_on_part=FATAL_PART)
+                self._unlisted.add(_replace(soak_site, place))
+                self._set_part_at(soak_site, place, self._part)
+        # The store may have been down when they were listed.
+        self._unlisted = {each for each in self._unlisted if not soak_site.site.list_server(each)}
 
     def _set_part(self, soak_site: soaksite.SoakSite, part: str) -> None:
         for place in soak_site.site.server_by_place:
             if place.startswith("engine"):
-                soak_site.site.faults(place, crash_on_part=part)
+                self._set_part_at(soak_site, place, part)
+
+    def _set_part_at(self, soak_site: soaksite.SoakSite, place: str, part: str) -> None:
+        try:
+            soak_site.site.faults(place, crash_on_part=part)
+        except codederrors.CodedError:
+            # It has crashed since it was seen to listen, and is replaced at the next look.
+            return
 
 
 class MachineBusy(Fault):
--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -20,6 +20,10 @@
 """Seeds of :data:`plan.VERSION_KINDS <hornbeamglade.soak.plan.VERSION_KINDS>` that draw
 replacements by other versions, crashes of engines and lost instances."""
 
+PART_SEEDS = (4, 7)
+"""Seeds of :data:`plan.PART_KINDS <hornbeamglade.soak.plan.PART_KINDS>` that draw a crashing part
+of prompts twice."""
+
 REFUSAL_SEEDS = (6, 10)
 """Seeds of :data:`plan.REFUSAL_KINDS <hornbeamglade.soak.plan.REFUSAL_KINDS>` in whose plans
 servers respond to requests that they ran with a status that says that they did not."""
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -70,6 +70,13 @@
     assert verdict.violations == ()
 
 
+@pytest.mark.parametrize("seed", seeds.PART_SEEDS)
+def test_soak_with_parts_that_crash_engines_violates_no_guarantee(seed, tmp_path):
+    """Guards against requests of which no two are equal that end engine after engine."""
+    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.PART_KINDS)
+    assert verdict.violations == ()
+
+
 def test_each_seed_of_load_and_refusals_draws_their_faults():
     load = {"MachineBusy", "MemoryShrinks", "CallersSurge", "CallersReadSlowly", "ServerLeaves"}
     for drawn, kinds, names in (
@@ -79,6 +86,7 @@
             plan.VERSION_KINDS,
             {"ServerReplaced", "ServerKilled", "InstanceKilled"},
         ),
+        (seeds.PART_SEEDS, plan.PART_KINDS, {"PartCrashesEngines", "CallersSurge"}),
         (seeds.REFUSAL_SEEDS, plan.REFUSAL_KINDS, {"StatusAfterRun", "InstancePartitioned"}),
     ):
         for seed in drawn:
