--- a/hornbeamglade/observability/requesttimeline.py
+++ b/hornbeamglade/observability/requesttimeline.py
@@ -31,6 +31,12 @@
 _SERVICE_SUBJECTS = frozenset(("departing_memory", "forecast"))
 """Subjects whose lines name a service: they explain why its requests were refused or waited."""
 
+_SUBJECT_BY_REFUSAL = {
+    "request_quarantined": "request",
+    "prompt_part_quarantined": "prompt_part",
+}
+"""Refusals that may have begun long before a request, and the subject of the lines that say so."""
+
 _HEADER_FIELDS = frozenset(
     (
         *("request_id", "decision", "outcome", "subject", "before", "after"),
@@ -136,6 +142,7 @@
         and not line.is_decision
         and _explains(line, nodes, replicas, services)
     ]
+    explaining += _lasting_refusals(request_lines, ordered)
     timeline_lines = sorted(
         (*request_lines, *_without_superseded(explaining, request_lines[0].at)),
         key=lambda line: line.at,
@@ -143,6 +150,21 @@
     return RequestTimeline(request_id, tuple(timeline_lines), _gaps(request_lines, ordered))
 
 
+def _lasting_refusals(request_lines: list[Line], ordered: list[Line]) -> list[Line]:
+    """Return the lines that tell since when the instance refuses such requests."""
+    outcomes = {line.fields.get("outcome") for line in request_lines}
+    subjects = {subject for code, subject in _SUBJECT_BY_REFUSAL.items() if code in outcomes}
+    nodes = {line.node for line in request_lines}
+    return [
+        line
+        for line in ordered
+        if line.at <= request_lines[-1].at
+        and line.node in nodes
+        and line.fields.get("subject") in subjects
+        and line.fields.get("after") == "quarantined"
+    ]
+
+
 def _replicas(request_lines: list[Line]) -> frozenset[str]:
     names: set[str] = set()
     for line in request_lines:
@@ -172,7 +194,7 @@
     for line in lines:
         if line.at <= start:
             subject = line.fields.get("subject")
-            keys = ("replica", "table", "node", "service")
+            keys = ("replica", "table", "node", "service", "fingerprint")
             affected = next((line.fields[key] for key in keys if line.fields.get(key)), None)
             latest_by_key[line.node, subject, affected] = line
     return (line for line in lines if line.at > start or line in latest_by_key.values())
--- a/tests/observability/test_requesttimeline.py
+++ b/tests/observability/test_requesttimeline.py
@@ -86,3 +86,16 @@
     assert timeline.lines == ()
     assert "n1, n2" in timeline.gaps[0]
     assert find_timeline("r9").gaps == ("the files hold no log lines",)
+
+
+def test_refusal_of_a_prompt_part_is_explained_though_it_began_long_before():
+    """The timeline ended with the refusal and did not tell since when, and for which part."""
+    timeline = find_timeline(
+        "r1",
+        changed(100.0, "n1", "prompt_part", "allowed", "quarantined", fingerprint="aa"),
+        changed(100.0, "n2", "prompt_part", "allowed", "quarantined", fingerprint="aa"),
+        changed(101.0, "n1", "request", "allowed", "quarantined", fingerprint="bb"),
+        decided(900.0, "n1", "r1", "answer", "prompt_part_quarantined"),
+        decided(900.0, "n1", "r2", "answer", "answered"),
+    )
+    assert [line.at for line in timeline.lines] == [100.0, 900.0]
