--- a/hornbeamglade/quarantine/partquarantine.py
+++ b/hornbeamglade/quarantine/partquarantine.py
@@ -117,7 +117,8 @@
                 partevidence.Suspect(part, prompt.team, next_part)
                 for part, next_part in zip(prompt.parts, following, strict=True)
             ]
-            self._add(prompt.service, crash, suspects, now)
+            if self._decides_on(prompt.service):
+                self._add(crash, suspects, now)
             self._observed.setdefault(replica, []).append(
                 _Observed(prompt.service, crash, suspects)
             )
@@ -161,13 +162,15 @@
 
     def on_report(self, report: messages.PartCrashReport) -> None:
         """Process evidence from another instance."""
+        if not self._decides_on(report.service):
+            return
         now = self._clock.now()
         for each in report.crashes:
             at = now - each.age_ms / requestquarantine.MILLISECONDS
             sent_at = at - each.ran_ms / requestquarantine.MILLISECONDS
             crash = crashledger.Crash(each.replica, sent_at, at)
             suspect = partevidence.Suspect(each.part, each.team, each.next_part)
-            self._add(report.service, crash, (suspect,), now)
+            self._add(crash, (suspect,), now)
         self.tick()
 
     def on_inquiry(self, sender: str, inquiry: messages.PartInquiry) -> None:
@@ -220,16 +223,16 @@
             if all(until <= now for until in until_by_sender.values()):
                 del self._watched[part]
 
+    def _decides_on(self, service: int) -> bool:
+        return self._name in self._homes(service)
+
     def _add(
         self,
-        service: int,
         crash: crashledger.Crash,
         suspects: collections.abc.Iterable[partevidence.Suspect],
         now: float,
     ) -> None:
-        """Add evidence if this instance decides on the parts of the service."""
-        if self._name not in self._homes(service):
-            return
+        """Add evidence, and inquire about the parts that are new in this crash."""
         added = self._evidence.add(crash, suspects, now)
         if added:
             self._decision_at = now + SETTLING_S
