--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -325,3 +325,41 @@
 
     is_whole, ran_once, (status, _) = entrysite.run(test, engines=3, events=EVENTS)
     assert (is_whole, ran_once, status) == (False, True, 503)
+
+
+def test_resumed_streams_begin_as_often_as_new_ones_in_a_crowd():
+    """Streams that are taken up starve behind new ones, which may begin at any version."""
+
+    async def test(site):
+        list_versions(site, ("v1", "v2", "v1", "v2"))
+        await cut(await begin(site, count=24))
+        new, resumed = [], []
+        tasks = [
+            asyncio.ensure_future(begin_one(site, f"new{n}", entrysite.USAGE, n % 3, new))
+            for n in range(60)
+        ]
+        for n in range(24):
+            more = resumption(f"r{n}", 20)
+            tasks.append(
+                asyncio.ensure_future(begin_one(site, f"again{n}", more, 1 + n % 2, resumed))
+            )
+            for k in range(5):
+                request = begin_one(site, f"new{n}.{k}", entrysite.USAGE, k % 3, new)
+                tasks.append(asyncio.ensure_future(request))
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*tasks)
+        return sum(new) / len(new), sum(resumed) / len(resumed)
+
+    new_share, resumed_share = entrysite.run(test, nodes=3, engines=4, events=EVENTS, gap_s=0.02)
+    assert resumed_share >= new_share / 2
+
+
+async def begin_one(site, request_id, more, node, begun):
+    """Send a request, and append whether its stream begins within two seconds."""
+    client = await site.nodes[node].request("/tag/1", request_id=request_id, more=more)
+    try:
+        async with asyncio.timeout(2.0):
+            begun.append((await client.head())[0] == 200)
+    except TimeoutError:
+        begun.append(False)
+    client.close()
