entry: test streams that end with their connection, also through another instance

A stream without length and chunks that ends inside an event is broken off for the caller, or goes on elsewhere where it may; one that ends after an event is whole. The stand-in sends such streams. The tests pass on the present code; no fault was found.

--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -355,9 +355,12 @@
             await reader.read(1)
             return False
         proof = self._proof_headers(request) | {"Content-Type": "text/event-stream"}
-        writer.write(_response_head(request, 200, proof | {"Transfer-Encoding": "chunked"}))
+        is_framed = not self.faults.unframed
+        framing = {"Transfer-Encoding": "chunked"} if is_framed else {"Connection": "close"}
+        encode = _chunk if is_framed else bytes
+        writer.write(_response_head(request, 200, proof | framing))
         if self.faults.crash_on_part in request.shared_parts:
-            writer.write(_chunk(run.event(run.made + 1)))
+            writer.write(encode(run.event(run.made + 1)))
             await self.stop()
             return False
         # Detects a caller that closes its connection, which ends its run.
@@ -369,17 +372,17 @@
                 if run.is_stopped or caller_left.done():
                     break
                 run.made += 1
-                writer.write(_chunk(run.event(run.made)))
+                writer.write(encode(run.event(run.made)))
                 if not await self._drain(writer) or await self._crashed_from_memory():
                     return False
                 if run.made - sent == self.faults.die_after_events:
-                    writer.write(_chunk(run.event(run.made + 1))[:-9])
+                    writer.write(encode(run.event(run.made + 1))[:-9])
                     await writer.drain()
                     return False
             is_whole = run.made >= run.events
-            if is_whole:
+            if is_whole and is_framed:
                 writer.write(b"0\r\n\r\n")
-            return is_whole and not caller_left.done()
+            return is_whole and is_framed and not caller_left.done()
         finally:
             caller_left.cancel()
             # A stream reader allows only one pending read at a time.
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from hornbeamglade.entry import settings
+from hornbeamglade.localsite import tcpproxy
 from hornbeamglade.standins import routed, routedfaults, routedruns
 from tests import eventloop
 from tests.entry import site as entrysite
@@ -378,3 +379,37 @@
         await eventloop.until(lambda: line in node.instance.metrics())
 
     entrysite.run(test, gap_s=0.05)
+
+
+async def unframed_stream(site, path, die_after_events, is_partitioned):
+    """Let engines end their streams with the connection; return the response, or its error."""
+    node = site.nodes[0]
+    if is_partitioned:
+        site.partition(node, tcpproxy.Partition.RESET)
+    for engine in site.engines:
+        engine.faults = routedfaults.RoutedFaults(unframed=True, die_after_events=die_after_events)
+    client = await node.request(path, more=entrysite.USAGE)
+    try:
+        return (await client.answer())[2]
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        # The end of the connection, where the size of the next chunk is due, is no number.
+        return "broken off"
+
+
+@pytest.mark.parametrize("is_partitioned", [False, True])
+@pytest.mark.parametrize(
+    ("path", "die_after_events", "expected"),
+    [
+        ("/draft/1", None, stream_body("r1")),
+        ("/draft/1", 7, "broken off"),
+        ("/tag/1", 16, stream_body("r1")),
+    ],
+)
+def test_stream_that_ends_with_its_connection(path, die_after_events, expected, is_partitioned):
+    """A stream without length and chunks that ends inside an event looked whole."""
+
+    async def test(site):
+        return await unframed_stream(site, path, die_after_events, is_partitioned)
+
+    answer = entrysite.run(test, nodes=2, has_links=is_partitioned, events=EVENTS)
+    assert answer == expected
