routed: count parts of prompts on routes whose answers are not streamed

A second try there is sent at once, as before: it has no place at which it could wait for the evidence of the first.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -140,6 +140,8 @@
             raise
         if _is_completed(answer):
             dependencies.quarantine.completed(routed.fingerprint)
+            if run is None and routed.prompt is not None:
+                dependencies.runs.prompt_parts.went_well(routed.prompt)
         if isinstance(answer, streamrun.StreamResult):
             self._log_stream(routed, log, answer)
         elif isinstance(answer, outcomes.Refusal):
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -79,7 +79,7 @@
                 if last_response is None and await self._wait_for_send_slot(routed, log):
                     continue
                 return last_response or self._no_replica_refusal(routed, log)
-            refusal = self._quarantine.refusal(routed.fingerprint)
+            refusal = self._quarantine.refusal(routed.fingerprint, routed.prompt)
             if refusal is not None:
                 return last_response or (
                     _failure_refusal(routed, log) if log.may_have_run else refusal
@@ -178,11 +178,13 @@
             self._loads.ended(replica.id, failed, load, self._clock.now() - sent_at)
             self._available.exchange_ended(replica.id)
             if outcome is None:
-                self._crash_detector.run_unanswered(routed.fingerprint, replica, sent_at)
+                self._crash_detector.run_unanswered(
+                    routed.fingerprint, replica, sent_at, routed.prompt
+                )
         if isinstance(outcome, sending.FailedAttempt):
             log.record_end(replica.id, outcome.run, outcome.was_sent)
             if outcome.run is outcomes.RunStatus.UNKNOWN:
-                self._crash_detector.run_lost(routed.fingerprint, replica, sent_at)
+                self._crash_detector.run_lost(routed.fingerprint, replica, sent_at, routed.prompt)
         else:
             log.record_end(replica.id, outcomes.RunStatus.RAN, True)
         if failed:
--- a/tests/entry/test_promptparts.py
+++ b/tests/entry/test_promptparts.py
@@ -117,3 +117,21 @@
         return await send(site, "sound", COMMON, SOUND)
 
     assert entrysite.run(test, nodes=1, engines=6, events=100, gap_s=0.03) == (200, "")
+
+
+def test_part_is_contained_on_a_route_whose_answers_are_not_streamed():
+    async def test(site):
+        routes = [entrysite.route("whole", "idempotent", "llm")]
+        site.put("op/config", json.dumps(entrysite.manifest(2, routes=routes)))
+        site.read_store()
+        make_fatal(site)
+        path = "/whole/1"
+        for n in range(12):
+            await send(site, f"fatal{n}", COMMON, FATAL, path=path, node=n % 3)
+            await asyncio.sleep(0.2)
+        sound = [await send(site, f"sound{n}", COMMON, SOUND, path=path) for n in range(6)]
+        return crashed(site), sound
+
+    count, sound = entrysite.run(test, nodes=3, engines=12, events=5)
+    assert count <= MAX_CRASHES
+    assert sound == [(200, "")] * 6
