--- a/hornbeamglade/capacity/sharedstate.py
+++ b/hornbeamglade/capacity/sharedstate.py
@@ -9,7 +9,7 @@
 from hornbeamglade.origins import origintable, streamorigins
 from hornbeamglade.quarantine import partevidence, partquarantine, requestquarantine
 
-NAME = "edge-krk-a-101"
+NAME = "instance-a-101"
 BOUND_BYTES_PER_S = 3000.0
 TIMEOUT_S = 45.0
 PARTS_PER_CRASH = 8
