routed: bound the stated number of events; keep origins of streams without events

A Last-Event-Id of more than 4300 digits, which a manifest may allow, could not be converted and ended as an internal error. A restart with another version made the origin of a stream uncertain that had brought no event yet, so it was broken off at its next loss though it may begin anywhere.

--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -26,7 +26,7 @@
 ORIGIN_RETRY_S = 0.5
 """An instance that is partitioned or has just started may know more after this time."""
 
-MAX_EARLIER_EVENTS = 1_000_000
+MAX_EVENT_DIGITS = 6
 """Bounds the number of events that a caller states to have."""
 
 MIGRATION_WAIT_S = 2.0
@@ -149,8 +149,9 @@
         assignment = self._assignment
         if assignment is None or assignment.response is None:
             return
-        if not self._dependencies.catalog.is_named_of_version(
-            assignment.replica.name, versions.version_key(assignment.replica.version)
+        version = versions.version_key(assignment.replica.version)
+        if self._relay.event_count and not self._dependencies.catalog.is_named_of_version(
+            assignment.replica.name, version
         ):
             # The request may have been sent to the new incarnation, before it was listed.
             self._is_origin_certain = False
@@ -386,8 +387,9 @@
     def _continued_tokens(self) -> int:
         """Return the tokens that a replica reads again before it continues the stream."""
         last_id = self._routed.call.last_event_id or ""
-        earlier = int(last_id) if last_id.isdecimal() and last_id.isascii() else 0
-        return self._tokens(min(earlier, MAX_EARLIER_EVENTS) + self._relay.event_count)
+        is_number = last_id.isascii() and last_id.isdecimal()
+        earlier = int(last_id) if is_number and len(last_id) <= MAX_EVENT_DIGITS else 0
+        return self._tokens(earlier + self._relay.event_count)
 
     def _produced_tokens(self) -> int:
         return self._tokens(self._relay.event_count)
