--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -65,15 +65,31 @@
         self._active = 0
         self.runs: list[Run] = []
         self._tasks: list[asyncio.Task] = []
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()[:2]
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         if self.memory:
             self._tasks.append(asyncio.create_task(self._work()))
 
+    def crash(self) -> None:
+        """Close the port and reset all connections, as a process that ends at once."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def arrived(self, request: httpwire.Message) -> None:
+        """Do what a case wants at the arrival of a request."""
+
+    async def began(self, request: httpwire.Message, writer: asyncio.StreamWriter) -> None:
+        """Do what a case wants after the first event of an answer."""
+
     def entry(self, service: str, zone: str) -> dict[str, object]:
         """Return its entry in the list of replicas."""
         return {
@@ -125,6 +141,7 @@
             held, count = held + run.size, count + 1
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             while (request := await httpwire.read_message(reader)) is not None:
                 if not await self._answer(request, reader, writer):
@@ -132,6 +149,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
@@ -155,6 +173,7 @@
             writer.write(httpwire.response(421, {"Replica-Id": self.name}))
             return True
         self._active += 1
+        self.arrived(request)
         try:
             if self.memory:
                 return await self._stream(request, reader, writer)
@@ -207,6 +226,7 @@
         left = asyncio.ensure_future(reader.read(1))
         try:
             has_begun = False
+            count = 0
             while True:
                 event = asyncio.ensure_future(run.events.get())
                 await asyncio.wait((event, left), return_when=asyncio.FIRST_COMPLETED)
@@ -232,6 +252,9 @@
                 data = f"id: {number}\ndata: ".encode().ljust(self.event_bytes - 2, b".") + b"\n\n"
                 writer.write(b"%x\r\n%s\r\n" % (len(data), data))
                 await writer.drain()
+                count += 1
+                if count == 1:
+                    await self.began(request, writer)
         finally:
             if run in self.runs:
                 self.runs.remove(run)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -9,6 +9,7 @@
 from standins import httpwire
 
 MAX_ROWS = 500
+MAX_BYTES = 1_000_000
 
 
 class Store:
@@ -30,10 +31,18 @@
 
     async def put(self, table: str, key: str, document: object) -> None:
         """Write one row as the operator or a replica does."""
-        value = base64.b64encode(json.dumps(document).encode()).decode()
+        await self.put_bytes(table, key, json.dumps(document).encode())
+
+    async def put_bytes(self, table: str, key: str, content: bytes) -> None:
+        """Write one row with any content."""
+        value = base64.b64encode(content).decode()
         row = {"table": table, "part": "", "key": key, "value": value}
         await self._apply([row], [])
 
+    async def delete(self, table: str, key: str) -> None:
+        """Remove one row."""
+        await self._apply([], [{"table": table, "key": key}])
+
     async def _apply(self, writes: list[dict], removals: list[dict]) -> None:
         self.version += 1
         for row in writes:
@@ -97,7 +106,13 @@
             if table == query["table"] and part == query.get("part", "")
             if key >= first and (end is None or key < end)
         ]
-        return {"rows": found[:limit], "truncated": len(found) > limit, "ver": self.version}
+        rows, size = [], 0
+        for row in found[:limit]:
+            size += len(row["value"])
+            if size > MAX_BYTES:
+                break
+            rows.append(row)
+        return {"rows": rows, "truncated": len(found) > len(rows), "ver": self.version}
 
     async def _feed(self, query: dict[str, str]) -> dict:
         after, ends_at = int(query["after_revision"]), time.monotonic()
