routed: log when a request was last sent to a replica

The field sent_s has the seconds from the arrival to the newest attempt; none means that no replica was asked.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -202,7 +202,8 @@
         staleness = self._dependencies.staleness()
         generation = routed.call.generation
         self._dependencies.metrics.requests.add(labels=(service, outcome))
-        seconds = self._dependencies.clock.now() - routed.call.arrived_at
+        arrived_at = routed.call.arrived_at
+        seconds = self._dependencies.clock.now() - arrived_at
         is_stream = routed.route.kind is models.RouteKind.STREAM
         histogram = (
             self._dependencies.metrics.routed.stream_s
@@ -229,6 +230,7 @@
             goal_s=routed.route.goal_s,
             gap_goal_s=routed.route.gap_goal_s,
             seconds=round(seconds, 4),
+            sent_s=None if log.sent_at is None else round(log.sent_at - arrived_at, 4),
             limit_per_s=log.limit_per_s,
             connection=log.connection,
             via=log.via,
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -58,6 +58,7 @@
         "goal_s",
         "held_bytes",
         "idle_s",
+        "sent_s",
         "incarnation",
         "limit_per_s",
         "list_version",
--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -20,6 +20,7 @@
         ``new``, ``kept`` or ``tunneled``.
     :param via: the instance that relays a tunneled connection, or None.
     :param idle_s: seconds for which a kept connection had been idle, or None.
+    :param sent_at: monotonic time at which the newest attempt started, or None before the first.
     """
 
     tried: list[str] = dataclasses.field(default_factory=list)
@@ -31,9 +32,11 @@
     connection: str = "-"
     via: str | None = None
     idle_s: float | None = None
+    sent_at: float | None = None
 
-    def start(self, replica_id: str, limit: ratelimits.RateLimit | None) -> None:
+    def start(self, replica_id: str, limit: ratelimits.RateLimit | None, now: float) -> None:
         """Record that an attempt starts, and the rate limit that its replica had reported."""
+        self.sent_at = now
         self.in_flight_replica = replica_id
         self.limit_per_s = None if limit is None else limit.requests_per_s
         self.connection = "opening"
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -165,7 +165,7 @@
         self._available.started(replica.id, sent_at)
         self._available.request_sent(replica.id)
         self._available.exchange_began(replica.id)
-        log.start(replica.id, self._available.limit(replica.id))
+        log.start(replica.id, self._available.limit(replica.id), sent_at)
         try:
             started = await self._sender.send(routed, replica, dispatch, log)
             if isinstance(started, sending.StartedResponse):
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -191,9 +191,11 @@
             copy=copy,
         )
         catalog = self._dependencies.catalog
-        self._log.start(assignment.replica.id, catalog.limit(assignment.replica.id))
-        catalog.record_sent(assignment.replica.id)
         assignment.sent_at = self._dependencies.clock.now()
+        self._log.start(
+            assignment.replica.id, catalog.limit(assignment.replica.id), assignment.sent_at
+        )
+        catalog.record_sent(assignment.replica.id)
         response = await self._dependencies.sender.send(
             routed, assignment.replica, dispatch, self._log
         )
--- a/tests/failures/test_entry.py
+++ b/tests/failures/test_entry.py
@@ -142,6 +142,16 @@
     assert states == ["serving", "leaving", "stopped"]
 
 
+def test_answer_lines_say_when_a_request_was_sent(processes):
+    """Waiting for an engine and waiting at one looked alike in the log."""
+    _, _, addresses = processes.entry()
+    for number, path in enumerate(("/list/1", "/draft/1")):
+        assert processes.ask(addresses[0], path, f"r{number}").status == 200
+    until(lambda: len([line for line in processes.log() if "sent_s" in line]) == 2)
+    lines = [line for line in processes.log() if "sent_s" in line]
+    assert all(0.0 <= line["sent_s"] < line["seconds"] for line in lines)
+
+
 def test_settings_change_with_and_without_a_signal_and_interrupt_no_stream(processes):
     process, path, addresses = processes.entry()
     stream = processes.ask(addresses[0], "/draft/1", preload_content=False)
