entry: answer requests that a planned stop leaves without an answer

Cause: at the limit the daemon returned from its drain, and the end of the event loop cancelled the tasks of all requests. Cancelling means that the caller has left, so nothing was sent. No path knew which requests had been read and not answered.

The handler now keeps the requests in progress with their timeouts. At the limit, requests whose answers have not begun time out with a refusal: 503 node_leaving with a retry delay if no replica has the request, else 502 stopped_before_answer, which promises nothing. Streams that have begun are truncated as before.

tests/failures/test_entry.py::test_planned_stop_answers_requests_that_replicas_have_not_answered failed before (RemoteDisconnected for a stream, a resumable stream, an idempotent and a non-idempotent request) and passes now.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -17,6 +17,7 @@
     callrouter,
     dialect,
     drainadmission,
+    requestsinprogress,
     responses,
     retrybudget,
     rundependencies,
@@ -41,6 +42,7 @@
     :param quarantine: refuses requests that crash their replicas.
     :param budgets: limits retries.
     :param drain_admission: decides which requests to accept while draining.
+    :param in_progress: the requests that are being answered.
     :param staleness: returns the version of the replica list and its staleness.
     :param metrics: the instance's metrics.
     :param clock: monotonic time.
@@ -54,6 +56,7 @@
     quarantine: requestquarantine.RequestQuarantine
     budgets: retrybudget.RetryBudgets
     drain_admission: drainadmission.DrainAdmission
+    in_progress: requestsinprogress.RequestsInProgress
     staleness: collections.abc.Callable[[], views.ListStaleness]
     metrics: metrics.NodeMetrics
     clock: clocks.Clock
@@ -94,6 +97,16 @@
         self._dependencies.metrics.refusals.add(labels=("internal_error", ""))
         logs.log_internal_error("caller", error)
 
+    @property
+    def has_unanswered_requests(self) -> bool:
+        """Whether some request has been read but its answer has not begun."""
+        return bool(self._dependencies.in_progress.unanswered())
+
+    def refuse_unanswered(self) -> None:
+        """Refuse all requests without an answer, as the process ends."""
+        for request in self._dependencies.in_progress.unanswered():
+            request.end(self._dependencies.drain_admission.final_refusal(request.log))
+
     async def handle(self, exchange: serverside.Exchange) -> None:
         """Handle one request."""
         dependencies = self._dependencies
@@ -125,19 +138,27 @@
             return
         dependencies.budgets.record_request(routed.service.name, dependencies.clock.now())
         run = self._make_run(exchange, routed, log)
+        timeout = asyncio.timeout(max(0.0, routed.ends_at - dependencies.clock.now()))
+        request = requestsinprogress.RequestInProgress(routed, log, timeout)
+        dependencies.in_progress.add(request)
+        answer = None
         try:
-            async with asyncio.timeout(max(0.0, routed.ends_at - dependencies.clock.now())):
+            async with timeout:
                 answer = await (
                     dependencies.buffered.answer(routed, log) if run is None else run.answer()
                 )
         except TimeoutError:
-            answer = _timeout_refusal(routed, log)
+            answer = request.refusal or _timeout_refusal(routed, log)
             if exchange.is_answered:
                 exchange.abort()
                 answer = run.result(is_complete=False)
         except asyncio.CancelledError:
             self._log_aborted(routed, log, run)
             raise
+        finally:
+            if isinstance(answer, responses.Response) and log.answer_at is None:
+                log.record_answer_started(dependencies.clock.now())
+            dependencies.in_progress.remove(request)
         if _is_completed(answer):
             dependencies.quarantine.completed(routed.fingerprint)
             if run is None and routed.prompt is not None:
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -26,6 +26,11 @@
 
 ADDRESS_TTL_S = 2.0
 STOP_POLL_S = 0.05
+LAST_ANSWERS_S = 0.15
+"""How long the last answers may take at the limit of a stop; it is part of the stop's margin."""
+
+LAST_ANSWERS_POLL_S = 0.005
+
 CLEANUP_INTERVAL_S = 1.0
 EXIT_OK = 0
 
@@ -197,8 +202,17 @@
             if status.phase is draining.Phase.DONE:
                 break
             await asyncio.sleep(STOP_POLL_S)
+        await self._answer_remaining()
         logs.state_changed("node", "leaving", "stopped", count=status.aborted_requests)
 
+    async def _answer_remaining(self) -> None:
+        """Answer the requests that the limit of the stop leaves without an answer."""
+        self._callers.stop_listening()
+        self.instance.callers.refuse_unanswered()
+        ends_at = self._clock.now() + LAST_ANSWERS_S
+        while self.instance.callers.has_unanswered_requests and self._clock.now() < ends_at:
+            await asyncio.sleep(LAST_ANSWERS_POLL_S)
+
 
 def run(path: str) -> int:
     """Run one entry instance until its planned stop; return the exit code.
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -63,6 +63,7 @@
     migration,
     ratelimitqueue,
     replicaload,
+    requestsinprogress,
     retrybudget,
     rundependencies,
     runregistry,
@@ -277,6 +278,7 @@
             lambda service: service in self._mixed_services,
         )
         token_times = tokentimes.TokenTimes()
+        in_progress = requestsinprogress.RequestsInProgress()
         self._drain_admission = drainadmission.DrainAdmission(
             token_times, self._survival, self._are_others_ready
         )
@@ -320,6 +322,7 @@
                 self.quarantine,
                 self._budgets,
                 self._drain_admission,
+                in_progress,
                 self.cluster_state.replica_list_staleness,
                 self.instruments,
                 clock,
--- a/hornbeamglade/observability/losses.py
+++ b/hornbeamglade/observability/losses.py
@@ -59,6 +59,7 @@
 
 _CAUSE_BY_OUTCOME = {
     "cut_by_stop": Cause.INSTANCE_STOPPED,
+    "stopped_before_answer": Cause.INSTANCE_STOPPED,
     "caller_left": Cause.CALLER_LEFT,
     "answer_too_late": Cause.DEADLINE_PASSED,
     "not_started_in_time": Cause.DEADLINE_PASSED,
--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -21,6 +21,7 @@
     :param via: the instance that relays a tunneled connection, or None.
     :param idle_s: seconds for which a kept connection had been idle, or None.
     :param sent_at: monotonic time at which the newest attempt started, or None before the first.
+    :param answer_at: monotonic time at which the answer to the caller began, or None.
     """
 
     tried: list[str] = dataclasses.field(default_factory=list)
@@ -33,6 +34,7 @@
     via: str | None = None
     idle_s: float | None = None
     sent_at: float | None = None
+    answer_at: float | None = None
 
     def start(self, replica_id: str, limit: ratelimits.RateLimit | None, now: float) -> None:
         """Record that an attempt starts, and the rate limit that its replica had reported."""
@@ -56,6 +58,10 @@
         """Record that the replica of the attempt in flight has begun to respond."""
         self.has_response = True
 
+    def record_answer_started(self, now: float) -> None:
+        """Record that the answer to the caller begins."""
+        self.answer_at = now
+
     def record_end(self, replica_id: str, run: outcomes.RunStatus, was_sent: bool) -> None:
         """Record the end of an attempt."""
         self.in_flight_replica = None
--- a/hornbeamglade/routed/drainadmission.py
+++ b/hornbeamglade/routed/drainadmission.py
@@ -15,6 +15,9 @@
 stops overlap, every instance of a site is leaving for seconds, and most streams admitted with
 a chance of two in five are truncated.
 
+At the limit of the stop, each request without an answer gets one. It says "not run" only if the
+request was sent to no replica.
+
 Two alternatives were rejected. Admitting every request until the end truncated two to four
 streams per instance at a stop of 8 s. Refusing every request from the signal on makes callers
 retry short requests that would have completed in time.
@@ -24,9 +27,10 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.routed import callrouter, tokentimes
+from hornbeamglade.routed import attemptlog, callrouter, tokentimes
 
 NODE_LEAVING = "node_leaving"
+STOPPED_BEFORE_ANSWER = "stopped_before_answer"
 OTHER_INSTANCE_RETRY_S = 0.05
 """Retry delay while another instance is ready: it can take the request at once."""
 
@@ -99,6 +103,19 @@
             max_probability = LATE_MAX_TRUNCATION_PROBABILITY
         if self._truncation_probability(routed, self.ends_at - now) <= max_probability:
             return None
+        return self._not_run_refusal(has_other_instance)
+
+    def final_refusal(self, log: attemptlog.AttemptLog) -> outcomes.Refusal:
+        """Return the refusal of a request that has no answer at the limit of the stop.
+
+        :param log: its attempts, which tell whether it may have run.
+        """
+        if log.run is outcomes.RunStatus.NOT_RUN:
+            return self._not_run_refusal(self.is_other_ready())
+        detail = "this node stopped before the replica answered"
+        return outcomes.Refusal(STOPPED_BEFORE_ANSWER, 502, detail, outcomes.RunStatus.UNKNOWN)
+
+    def _not_run_refusal(self, has_other_instance: bool) -> outcomes.Refusal:
         detail = "this node stops before the answer would be whole"
         retry_s = OTHER_INSTANCE_RETRY_S if has_other_instance else ALL_LEAVING_RETRY_S
         return outcomes.Refusal(NODE_LEAVING, 503, detail, retry_after_s=retry_s)
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -337,6 +337,7 @@
         if self._relay.event_count and not self._first_event.is_set():
             self._note_origin()
             self._first_event.set()
+            self._log.record_answer_started(self._relay.first_at)
         grant = self._assignment.grant
         if grant is not None:
             self._dependencies.acquirer.record_progress(
--- a/tests/failures/test_entry.py
+++ b/tests/failures/test_entry.py
@@ -1,5 +1,6 @@
 """Entry instances as processes: stops, signals, settings, and logs without a reader."""
 
+import concurrent.futures
 import json
 import signal
 import socket
@@ -48,12 +49,15 @@
     def set_up(self):
         _, self.store = self.standin("platform")
         _, self.web = self.standin("routed", "--id", "w0")
-        self.engine, engine_address = self.standin(
+        self.engine, self.engine_address = self.standin(
             "routed", "--id", "e0", "--events", "60", "--gap", "0.03"
         )
         self.client = storeclient.StoreClient(self.store)
         self.put("op/config", json.dumps(entrysite.manifest()))
-        for name, service, address in (("w0", "web", self.web), ("e0", "llm", engine_address)):
+        for name, service, address in (
+            ("w0", "web", self.web),
+            ("e0", "llm", self.engine_address),
+        ):
             server = type("Server", (), {"address": address})
             self.put(f"servers/{name}", entrysite.server_row(server, service))
 
@@ -95,11 +99,19 @@
 
     def ask(self, address, path="/list/1", request_id="r1", **options):
         headers = HEADERS | {"Attempt-Id": request_id, "Deadline-Ms": "20000"}
-        if path.startswith("/draft"):
+        if path.startswith(("/draft", "/tag")):
             headers |= {"Model": "m", "Token-Usage": "100,50"}
         url = f"http://{address}{path}"
         return self.http.request("POST", url, headers=headers, body=b"body", **options)
 
+    def run_count(self):
+        """Return the number of requests that the plain server and the engine were sent."""
+        ledgers = [
+            self.http.request("GET", f"http://{server}/standin/ledger").json()
+            for server in (self.web, self.engine_address)
+        ]
+        return sum(len(each) for each in ledgers)
+
     def log(self, number=0):
         text = (self._folder / f"entry-{number}.log").read_text()
         return [json.loads(line) for line in text.splitlines()]
@@ -142,6 +154,28 @@
     assert states == ["serving", "leaving", "stopped"]
 
 
+def test_planned_stop_answers_requests_that_replicas_have_not_answered(processes):
+    """At the limit of a stop, connections of requests without an answer were just closed."""
+    process, _, addresses = processes.entry(bounds={"stop_s": 2.5, "address_ttl_s": 1})
+    for server in (processes.web, processes.engine_address):
+        processes.http.request("PUT", f"http://{server}/standin/faults", body=b'{"hang": true}')
+    paths = ("/list/1", "/hold/1", "/draft/1", "/tag/1")
+    with concurrent.futures.ThreadPoolExecutor(len(paths)) as pool:
+        pending = [
+            pool.submit(processes.ask, addresses[0], path, f"r{number}")
+            for number, path in enumerate(paths)
+        ]
+        until(lambda: processes.run_count() == len(paths))
+        process.send_signal(signal.SIGTERM)
+        answers = [each.result(TIMEOUT_S) for each in pending]
+    assert [(each.status, each.json()["code"]) for each in answers] == [
+        (502, "stopped_before_answer")
+    ] * len(paths)
+    assert process.wait(TIMEOUT_S) == 0
+    lines = [each for each in processes.log() if each.get("decision") == "answer"]
+    assert all(each["sent_s"] < each["seconds"] for each in lines)
+
+
 def test_answer_lines_say_when_a_request_was_sent(processes):
     """Waiting for an engine and waiting at one looked alike in the log."""
     _, _, addresses = processes.entry()
--- a/tests/routed/test_drainadmission.py
+++ b/tests/routed/test_drainadmission.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from hornbeamglade.core import outcomes
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.routed import drainadmission, tokentimes
+from hornbeamglade.routed import attemptlog, drainadmission, tokentimes
 from tests.routed import fakes
 
 STOP_REQUESTED_AT = 100.0
@@ -93,3 +94,19 @@
 def test_requests_in_flight_are_truncated_only_at_the_stop_limit():
     assert not admission(ends_at=None).is_over(200.0)
     assert (admission().is_over(ENDS_AT - 0.1), admission().is_over(ENDS_AT)) == (False, True)
+
+
+def test_request_without_an_answer_at_the_limit_is_refused_truthfully():
+    """At the limit of a stop the process ended, and its callers got no answer at all."""
+    waiting, sent = attemptlog.AttemptLog(), attemptlog.AttemptLog()
+    sent.start("i-1", None, ENDS_AT - 1.0)
+    for is_other_ready, retry_s in (
+        (True, drainadmission.OTHER_INSTANCE_RETRY_S),
+        (False, drainadmission.ALL_LEAVING_RETRY_S),
+    ):
+        refusal = admission(is_other_ready=is_other_ready).final_refusal(waiting)
+        assert (refusal.code, refusal.http_status) == ("node_leaving", 503)
+        assert refusal.retry_after_s == retry_s
+    refusal = admission().final_refusal(sent)
+    assert (refusal.code, refusal.http_status) == ("stopped_before_answer", 502)
+    assert refusal.run is outcomes.RunStatus.UNKNOWN
