routed: judge by recent answers whether a request completes before a stop

Cause: the admission during a stop allowed the route's goal for the time until an answer begins.

The estimate now comes from how long the answers of the service took to begin in the last 10 s, with what requests without an answer have waited so far; the route's goal counts as one more observation, so it alone decides without others. A request that waits for a grant is judged again, by the time of replicas alone, at each tick of the stop and when it gets the grant, and is refused as soon as it could no longer complete: another instance can take it.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -102,6 +102,18 @@
         """Whether some request has been read but its answer has not begun."""
         return bool(self._dependencies.in_progress.unanswered())
 
+    def refuse_hopeless(self) -> None:
+        """Refuse the waiting requests that would be truncated if they were sent now."""
+        dependencies = self._dependencies
+        for request in dependencies.in_progress.unanswered():
+            if not request.is_waiting:
+                continue
+            refusal = dependencies.drain_admission.refusal(
+                request.routed, dependencies.clock.now(), has_waited=True
+            )
+            if refusal is not None:
+                request.end(refusal)
+
     def refuse_unanswered(self) -> None:
         """Refuse all requests without an answer, as the process ends."""
         for request in self._dependencies.in_progress.unanswered():
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -278,9 +278,9 @@
             lambda service: service in self._mixed_services,
         )
         token_times = tokentimes.TokenTimes()
-        in_progress = requestsinprogress.RequestsInProgress()
+        in_progress = requestsinprogress.RequestsInProgress(clock)
         self._drain_admission = drainadmission.DrainAdmission(
-            token_times, self._survival, self._are_others_ready
+            token_times, self._survival, self._are_others_ready, in_progress.answer_times
         )
         rate_limit_queue = ratelimitqueue.RateLimitQueue(self._available, clock)
         runs = rundependencies.RunDependencies(
@@ -301,6 +301,7 @@
             self._speeds,
             self._learned_length,
             self.origins,
+            self._drain_admission,
         )
         buffered = bufferedexchange.BufferedExchange(
             self._available,
@@ -466,6 +467,8 @@
         self.quarantine.tick()
         self._prompt_parts.tick()
         self.origins.tick()
+        if self.is_leaving:
+            self.callers.refuse_hopeless()
         self.send_announcements()
 
     def on_store_outcome(self, table: str, outcome: clusterstate.TableOutcome) -> None:
--- a/hornbeamglade/routed/drainadmission.py
+++ b/hornbeamglade/routed/drainadmission.py
@@ -15,6 +15,12 @@
 stops overlap, every instance of a site is leaving for seconds, and most streams admitted with
 a chance of two in five are truncated.
 
+Whether an answer completes in time depends on when it begins. Under load that is seconds after
+the request was sent, as it waits in the engine's own queue, of which a grant tells nothing. The
+estimate is therefore made from the times that recent answers of the service took to begin, or
+have taken so far if they have not begun. A request that waits for a grant is judged again when
+it gets one, and refused as soon as it could no longer complete.
+
 At the limit of the stop, each request without an answer gets one. It says "not run" only if the
 request was sent to no replica.
 
@@ -27,7 +33,7 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.routed import attemptlog, callrouter, tokentimes
+from hornbeamglade.routed import attemptlog, callrouter, requestsinprogress, tokentimes
 
 NODE_LEAVING = "node_leaving"
 STOPPED_BEFORE_ANSWER = "stopped_before_answer"
@@ -56,6 +62,11 @@
 LengthExceedance = collections.abc.Callable[[str, str, float], float]
 """Returns the probability that an answer of a route and team exceeds a number of tokens."""
 
+AnswerTimes = collections.abc.Callable[
+    [str], collections.abc.Sequence[requestsinprogress.AnswerTime]
+]
+"""Returns how long recent answers of a service took to begin."""
+
 OtherInstanceReady = collections.abc.Callable[[], bool]
 """Returns whether another instance accepts requests."""
 
@@ -67,6 +78,7 @@
     :param token_times: estimated seconds per token.
     :param length_exceedance: probability that an answer exceeds a number of tokens.
     :param is_other_ready: returns whether another instance accepts requests.
+    :param answer_times: how long recent answers of a service took to begin.
     :param ends_at: monotonic time at which the process ends, or None while it is serving.
     :param stop_requested_at: monotonic time of the stop signal.
     """
@@ -74,6 +86,7 @@
     token_times: tokentimes.TokenTimes
     length_exceedance: LengthExceedance
     is_other_ready: OtherInstanceReady
+    answer_times: AnswerTimes
     ends_at: float | None = None
     stop_requested_at: float = 0.0
 
@@ -89,8 +102,13 @@
         """Return whether the process is ending, which truncates all requests in flight."""
         return self.ends_at is not None and now >= self.ends_at
 
-    def refusal(self, routed: callrouter.RoutedRequest, now: float) -> outcomes.Refusal | None:
-        """Return the refusal of a request that would be truncated, or None to admit it."""
+    def refusal(
+        self, routed: callrouter.RoutedRequest, now: float, *, has_waited: bool = False
+    ) -> outcomes.Refusal | None:
+        """Return the refusal of a request that would be truncated, or None to admit it.
+
+        :param has_waited: whether it could be sent to a replica now, or has just arrived.
+        """
         if self.ends_at is None:
             return None
         has_other_instance = self.is_other_ready()
@@ -101,7 +119,8 @@
         )
         if now - self.stop_requested_at > EARLY_PERIOD_S:
             max_probability = LATE_MAX_TRUNCATION_PROBABILITY
-        if self._truncation_probability(routed, self.ends_at - now) <= max_probability:
+        remaining_s = self.ends_at - now
+        if self._truncation_probability(routed, remaining_s, has_waited) <= max_probability:
             return None
         return self._not_run_refusal(has_other_instance)
 
@@ -121,10 +140,19 @@
         return outcomes.Refusal(NODE_LEAVING, 503, detail, retry_after_s=retry_s)
 
     def _truncation_probability(
-        self, routed: callrouter.RoutedRequest, remaining_s: float
+        self, routed: callrouter.RoutedRequest, remaining_s: float, has_waited: bool
     ) -> float:
         """Return the probability that a request does not complete within ``remaining_s``."""
-        remaining_s -= routed.route.goal_s
+        goal_s = routed.route.goal_s
+        begin_times_s = [goal_s]
+        for each in self.answer_times(routed.service.name):
+            begin_s = each.response_s if has_waited else each.wait_s + each.response_s
+            begin_times_s.append(begin_s if each.has_begun else max(begin_s, goal_s))
+        probabilities = [self._exceedance(routed, remaining_s - each) for each in begin_times_s]
+        return sum(probabilities) / len(probabilities)
+
+    def _exceedance(self, routed: callrouter.RoutedRequest, remaining_s: float) -> float:
+        """Return the probability that an answer takes longer than ``remaining_s`` once begun."""
         if remaining_s <= 0.0:
             return 1.0
         generation = routed.call.generation
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -96,7 +96,7 @@
         now = self._dependencies.clock.now()
         if len(log.tried) >= MAX_REPLICAS:
             return self.failure_refusal()
-        refusal = self._quarantine_refusal()
+        refusal = self._refusal_to_send()
         if refusal is not None:
             return refusal
         if not self._has_suitable_engine():
@@ -112,12 +112,13 @@
         if isinstance(grant, outcomes.Refusal):
             return self.failure_refusal() if log.may_have_run else grant
         replica = self._dependencies.catalog.replica(grant.replica)
-        # The request may have been quarantined while it waited for the grant.
+        # The request may have been quarantined while it waited for the grant, or the time until a
+        # planned stop ends may have become too short.
         is_suitable = replica is not None and (
             self._version is None
             or self._dependencies.catalog.is_of_version(replica.id, self._version)
         )
-        refusal = self._quarantine_refusal() if is_suitable else self.failure_refusal()
+        refusal = self._refusal_to_send() if is_suitable else self.failure_refusal()
         if refusal is not None:
             self._dependencies.acquirer.release(grant)
             return refusal
@@ -201,11 +202,18 @@
         detail = f"the engines of {routed.service.name} take no more requests for now"
         return outcomes.Refusal("replicas_limited", 503, detail, retry_after_s=retry_s)
 
-    def _quarantine_refusal(self) -> outcomes.Refusal | None:
-        """Return the refusal of a request that crashes its replicas, or None."""
-        refusal = self._dependencies.quarantine.refusal(
-            self._routed.fingerprint, self._routed.prompt
-        )
+    def _refusal_to_send(self) -> outcomes.Refusal | None:
+        """Return the refusal of a request that must not be sent to a replica now, or None.
+
+        It crashes its replicas, or the instance stops before the answer would be complete. An
+        answer that has begun is continued all the same.
+        """
+        dependencies, routed = self._dependencies, self._routed
+        refusal = dependencies.quarantine.refusal(routed.fingerprint, routed.prompt)
+        if refusal is None and self._log.answer_at is None:
+            refusal = dependencies.drain_admission.refusal(
+                routed, dependencies.clock.now(), has_waited=True
+            )
         return (
             self.failure_refusal() if refusal is not None and self._log.may_have_run else refusal
         )
--- a/hornbeamglade/routed/rundependencies.py
+++ b/hornbeamglade/routed/rundependencies.py
@@ -9,6 +9,7 @@
 from hornbeamglade.origins import streamorigins
 from hornbeamglade.quarantine import crashdetector, partquarantine, requestquarantine
 from hornbeamglade.routed import (
+    drainadmission,
     enginecatalog,
     migration,
     ratelimitqueue,
@@ -42,6 +43,7 @@
     :param speeds: the paces of engines.
     :param learned_length: returns the mean tokens of the answers of a route and team.
     :param origins: the software versions at which streams began.
+    :param drain_admission: decides which requests are sent during a planned stop.
     """
 
     sender: sending.Sender
@@ -61,3 +63,4 @@
     speeds: enginespeeds.EngineSpeeds
     learned_length: collections.abc.Callable[[str, str], float]
     origins: streamorigins.StreamOrigins
+    drain_admission: drainadmission.DrainAdmission
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -1,19 +1,64 @@
 """Requests without an answer while their instance is stopped."""
 
+import asyncio
 import json
 
 import pytest
 
-from hornbeamglade.standins import routedfaults
+from hornbeamglade.entry import settings
+from hornbeamglade.standins import routed, routedfaults
 from tests import eventloop
 from tests.entry import site as entrysite
 
+FULL_USAGE = f"Model: m\r\nToken-Usage: {routed.MEMORY_TOKENS * 6 // 10},5000\r\n"
+
+
+def queued_count(site):
+    catalogs = (node.instance.catalog for node in site.nodes)
+    known = (each for catalog in catalogs for each in catalog.candidates("llm", frozenset()))
+    return sum(each.queued for each in known if not each.owner)
+
+
+def dispatched(site):
+    return [run.request_id for engine in site.engines for run in engine.ledger]
+
 
 async def code_and_fields(client):
     status, fields, body = await client.answer()
     return status, json.loads(body)["code"], fields
 
 
+@pytest.mark.parametrize("node", [0, 1])
+def test_request_that_waits_for_an_engine_is_refused_at_the_signal(node):
+    """It waited on, and its connection closed unanswered when the process ended.
+
+    One of the two instances owns the engine, so it waits there or at the other.
+    """
+
+    async def test(site):
+        patient = entrysite.route("draft", "streaming", "llm", goal_ms=60000, timeout_ms=90000)
+        site.put("op/config", json.dumps(entrysite.manifest(2, routes=[patient])))
+        site.read_store()
+        stopped = site.nodes[node]
+        first = await site.nodes[1 - node].request("/draft/1", request_id="r1", more=FULL_USAGE)
+        await eventloop.until(lambda: dispatched(site) == ["r1"])
+        second = await stopped.request("/draft/1", request_id="r2", more=FULL_USAGE)
+        await eventloop.until(lambda: queued_count(site) == 1)
+        stopped.instance.leave()
+        answer = await code_and_fields(second)
+        await eventloop.until(lambda: queued_count(site) == 0)
+        is_first_alive = site.engines[0].run_by_id["r1"].is_alive
+        first.close()
+        return answer, is_first_alive, dispatched(site)
+
+    (status, code, fields), is_first_alive, runs = entrysite.run(
+        test, nodes=2, engines=1, gap_s=0.3
+    )
+    assert (status, code) == (503, "node_leaving")
+    assert float(fields["retry-after"]) < 0.1
+    assert (is_first_alive, runs) == (True, ["r1"])
+
+
 @pytest.mark.parametrize("path", ["/draft/1", "/tag/1", "/list/1", "/hold/1"])
 def test_request_at_a_replica_is_answered_at_the_limit(path):
     """The process ended while replicas had not answered, and callers got no answer at all."""
@@ -33,3 +78,30 @@
     (status, code, fields), has_unanswered = entrysite.run(test)
     assert (status, code, has_unanswered) == (502, "stopped_before_answer", False)
     assert "retry-after" not in fields
+
+
+@pytest.mark.parametrize("is_resumed", [False, True])
+def test_request_is_refused_while_engines_begin_no_answer(is_resumed):
+    """Engines queue what they were sent; requests were admitted until shortly before the end."""
+
+    async def test(site):
+        node = site.nodes[0]
+        tag = entrysite.route(
+            "tag", "streaming", "llm", resumable=True, goal_ms=300, timeout_ms=4000
+        )
+        site.put("op/config", json.dumps(entrysite.manifest(2, routes=[tag])))
+        site.read_store()
+        for engine in site.engines:
+            engine.faults = routedfaults.RoutedFaults(hang=True)
+        waiting = await node.request("/tag/1", request_id="r1", more=entrysite.USAGE)
+        await asyncio.sleep(1.5)
+        bounds = settings.Bounds(stop_s=1.9, address_ttl_s=5)
+        node.instance.apply_settings(node.settings.model_copy(update={"bounds": bounds}))
+        node.instance.leave()
+        more = entrysite.USAGE + ("Last-Event-Id: 1\r\nResumes: r1\r\n" if is_resumed else "")
+        late = await code_and_fields(await node.request("/tag/1", request_id="r2", more=more))
+        waiting.close()
+        return late, {each for engine in site.engines for each in engine.run_by_id}
+
+    (status, code, _), runs = entrysite.run(test, nodes=2)
+    assert (status, code, runs) == (503, "node_leaving", {"r1"})
--- a/tests/routed/test_drainadmission.py
+++ b/tests/routed/test_drainadmission.py
@@ -4,14 +4,14 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.lengths import lengthmodel
-from hornbeamglade.routed import attemptlog, drainadmission, tokentimes
+from hornbeamglade.routed import attemptlog, drainadmission, requestsinprogress, tokentimes
 from tests.routed import fakes
 
 STOP_REQUESTED_AT = 100.0
 ENDS_AT = 108.0
 
 
-def admission(*lengths, ends_at=ENDS_AT, is_other_ready=True):
+def admission(*lengths, ends_at=ENDS_AT, is_other_ready=True, answer_times=()):
     """Return the admission of an instance that has observed answers of some lengths."""
     model = lengthmodel.LengthModel()
     for tokens in lengths:
@@ -21,6 +21,7 @@
         token_times,
         lambda route, team, tokens: model.table(route, team).survival(tokens),
         lambda: is_other_ready,
+        lambda service: answer_times,
         ends_at,
         STOP_REQUESTED_AT,
     )
@@ -96,6 +97,39 @@
     assert (admission().is_over(ENDS_AT - 0.1), admission().is_over(ENDS_AT)) == (False, True)
 
 
+SLOW, PENDING = (requestsinprogress.AnswerTime(0.0, 3.0, begun) for begun in (True, False))
+QUICK = requestsinprogress.AnswerTime(0.0, 0.3)
+QUEUED = requestsinprogress.AnswerTime(3.0, 0.3)
+
+
+@pytest.mark.parametrize(
+    ("answer_times", "is_admitted"),
+    [([QUICK] * 20, True), ([SLOW], False), ([PENDING], False), ([QUEUED], False)],
+)
+def test_late_request_is_refused_if_answers_begin_too_late(answer_times, is_admitted):
+    """A stopping instance admitted requests that engines then queued until the process ended."""
+    request = fakes.streaming_request(max_tokens=40)
+    refusal = admission(answer_times=answer_times).refusal(request, ENDS_AT - 3.0)
+    assert (refusal is None) is is_admitted
+
+
+def test_request_that_has_waited_is_judged_by_the_time_of_replicas_alone():
+    request = fakes.streaming_request(max_tokens=40)
+    drain = admission(answer_times=[QUEUED])
+    assert drain.refusal(request, ENDS_AT - 3.0, has_waited=True) is None
+    assert drain.refusal(request, ENDS_AT - 1.2, has_waited=True).code == "node_leaving"
+
+
+@pytest.mark.parametrize(("slow_count", "is_admitted"), [(1, True), (4, False)])
+def test_few_late_answers_do_not_refuse_an_early_request(slow_count, is_admitted):
+    request = fakes.streaming_request(max_tokens=40)
+    times = [SLOW] * slow_count + [QUICK] * (20 - slow_count)
+    refusal = admission(answer_times=times, ends_at=STOP_REQUESTED_AT + 3.0).refusal(
+        request, STOP_REQUESTED_AT + 1.0
+    )
+    assert (refusal is None) is is_admitted
+
+
 def test_request_without_an_answer_at_the_limit_is_refused_truthfully():
     """At the limit of a stop the process ended, and its callers got no answer at all."""
     waiting, sent = attemptlog.AttemptLog(), attemptlog.AttemptLog()
