http1: let a planned stop wait for requests that are arriving

Once the announcement was over and no other request was in progress, it closed the connection of a caller that had sent the head and was sending the body, though seconds of the stop were left; the process could also end between the arrival of a request's last byte and its first look at it.

A connection counts as busy from the first byte of a request. Requests that do not arrive are bounded by the limits on heads and pauses, and by the limit of the stop. The new test failed before (ConnectionResetError). One existing test waits for two busy connections instead of one, as one of its callers has sent half a head.

--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -231,6 +231,7 @@
         self._is_gone = False
         self.is_leaving = False
         self.is_busy = False
+        self._is_receiving = False
         self.peer = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -305,9 +306,14 @@
         """Close after the next response; an idle caller may send one more request."""
         self.is_leaving = True
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request is in progress or has begun to arrive."""
+        return self.is_busy or self._is_receiving or bool(self._buffer)
+
     def close_if_idle(self) -> None:
         """Close unless a request is in progress or has begun to arrive."""
-        if not self.is_busy and not self._buffer:
+        if not self.has_request:
             self._transport.close()
 
     async def _serve(self) -> None:
@@ -335,6 +341,8 @@
             self._handler.body_refused(self.peer, error.byte_count, self._memory.held_bytes)
             await self._refuse_body()
             return False
+        finally:
+            self._is_receiving = False
         if request is None:
             return False
         exchange = Exchange(self, request, state)
@@ -354,6 +362,7 @@
         limits = self._handler.limits()
         if not await self._await_first_byte(limits):
             return None
+        self._is_receiving = True
         arrived_at = self._clock.now()
         head = await self._read_head(limits)
         ambiguity = strictness.ambiguity(head)
@@ -515,8 +524,8 @@
 
     @property
     def busy_count(self) -> int:
-        """The number of requests in progress."""
-        return sum(connection.is_busy for connection in self.connections)
+        """The number of requests that are in progress or have begun to arrive."""
+        return sum(connection.has_request for connection in self.connections)
 
     def _accept(self) -> CallerConnection:
         connection = CallerConnection(self._handler, self.connections, self._clock, self._memory)
--- a/tests/http1/test_serverside.py
+++ b/tests/http1/test_serverside.py
@@ -250,7 +250,7 @@
         await incomplete.send(b"GET /a HTTP/1.1\r\n")
         busy = await raw.RawClient.connect(address)
         await busy.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
-        await eventloop.until(lambda: server.busy_count == 1 and len(server.connections) == 3)
+        await eventloop.until(lambda: server.busy_count == 2 and len(server.connections) == 3)
         await asyncio.sleep(0.02)
         server.close_idle()
         is_closed = await idle.is_closed()
@@ -260,3 +260,24 @@
         return is_closed, received[0], server.busy_count
 
     assert eventloop.run(main()) == (True, 200, 1)
+
+
+def test_request_whose_body_arrives_at_the_end_is_answered():
+    """A planned stop closed the connection of a request between its head and its body."""
+
+    async def main():
+        server, address = await serve(Recorder())
+        client = await raw.RawClient.connect(address)
+        await client.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo")
+        await eventloop.until(lambda: server.connections)
+        await asyncio.sleep(0.02)
+        counts = [server.busy_count]
+        server.leave()
+        server.close_idle()
+        await client.send(b"dy")
+        status, fields, body = await client.answer()
+        await eventloop.until(lambda: not server.connections)
+        server.stop_listening()
+        return [*counts, server.busy_count], status, fields["connection"], body
+
+    assert eventloop.run(main()) == ([1, 0], 200, "close", b"body")
