node: answer requests that the operator's limit leaves without an answer

At the limit all deadlines pass, which cancels attempts at backend servers, and requests that wait for a grant give up as if their caller had left. Each gets the refusal of its path, whose run says not_run or unknown. The process waits for these answers for a second at most. Streams under way are cut as before.

test_hard_stop_answers_requests_that_have_no_answer failed before (no body) and passes now; test_hard_stop_interrupts_streams_and_reports_it is unchanged.

--- a/hornbeamglade/node/daemon.py
+++ b/hornbeamglade/node/daemon.py
@@ -48,6 +48,10 @@
 DEFAULT_ADDRESS_TTL_S = 30.0
 LEAVING_CODE = "node_leaving"
 ALL_SERVICES = "all"
+LAST_ANSWERS_S = 1.0
+"""How long the last answers may take after the operator's limit of a planned stop."""
+
+LAST_ANSWERS_POLL_S = 0.02
 EXIT_OK = 0
 EXIT_ABORTED = 1
 EXIT_INVARIANT = 70
@@ -264,6 +268,7 @@
         logs.state_changed("node", "leaving", "stopped", count=self._aborted_requests)
         if self._aborted_requests:
             # The operator's hard limit has passed: running requests end with the process.
+            self._answer_remaining()
             return EXIT_ABORTED
         self._server.stop()
         self._registry.deregister(self._settings.name)
@@ -274,6 +279,13 @@
         self.peering.stop()
         return EXIT_OK if self._invariant_code is None else EXIT_INVARIANT
 
+    def _answer_remaining(self) -> None:
+        """End the requests in progress, so that those without an answer get one."""
+        self._parts.deadlines.end_all()
+        ends_at = self._clock.now() + LAST_ANSWERS_S
+        while self._server.busy and self._clock.now() < ends_at:
+            self._clock.sleep(LAST_ANSWERS_POLL_S)
+
     def _tick(self) -> None:
         self._applier.apply()
         self._applier.follow_members()
--- a/hornbeamglade/node/deadlines.py
+++ b/hornbeamglade/node/deadlines.py
@@ -25,6 +25,7 @@
         self._lock = threading.Lock()
         self._entry_ids = itertools.count()
         self._entry_by_id: dict[int, tuple[float, Callable[[], None]]] = {}
+        self.have_all_passed = False
 
     def add(self, ends_at: float, cancel: Callable[[], None]) -> int:
         """Call ``cancel`` once ``ends_at`` has passed; return an id for removing the entry.
@@ -34,20 +35,31 @@
         """
         with self._lock:
             entry_id = next(self._entry_ids)
-            self._entry_by_id[entry_id] = (ends_at, cancel)
-            return entry_id
+            has_passed = self.have_all_passed
+            if not has_passed:
+                self._entry_by_id[entry_id] = (ends_at, cancel)
+        if has_passed:
+            cancel()
+        return entry_id
 
     def remove(self, entry_id: int) -> None:
         """Remove an entry; idempotent."""
         with self._lock:
             self._entry_by_id.pop(entry_id, None)
 
+    def end_all(self) -> int:
+        """Let all deadlines pass now, also those added later; return how many had not."""
+        self.have_all_passed = True
+        return self.sweep()
+
     def sweep(self) -> int:
         """Run the callbacks whose deadline has passed; return how many."""
         now = self._clock.now()
         with self._lock:
             expired = [
-                entry_id for entry_id, (ends_at, _) in self._entry_by_id.items() if ends_at <= now
+                entry_id
+                for entry_id, (ends_at, _) in self._entry_by_id.items()
+                if ends_at <= now or self.have_all_passed
             ]
             cancels = [self._entry_by_id.pop(entry_id)[1] for entry_id in expired]
         for cancel in cancels:
--- a/hornbeamglade/node/generationhandler.py
+++ b/hornbeamglade/node/generationhandler.py
@@ -170,10 +170,13 @@
             prefix=self._prefix,
         )
         placement = grantacquirer.PlacementRequest(
-            work, team.weight, self._queue_ends, self._request.link.is_gone, attempt
+            work, team.weight, self._queue_ends, self._is_given_up, attempt
         )
         return self._parts.acquirer.acquire(placement, self._candidates)
 
+    def _is_given_up(self) -> bool:
+        return self._parts.deadlines.have_all_passed or self._request.link.is_gone()
+
     def _candidates(self) -> tuple:
         pool = self._scope.service.pool
         states = {
--- a/tests/failures/test_nodes.py
+++ b/tests/failures/test_nodes.py
@@ -1,5 +1,6 @@
 """Entry nodes are killed, paused and stopped as planned."""
 
+import concurrent.futures
 import signal
 
 from tests.failures import accounts
@@ -157,6 +158,36 @@
     assert len(reply.texts) < 3000
 
 
+def test_hard_stop_answers_requests_that_have_no_answer(start):
+    """At the limit of a stop, connections of requests without an answer were just closed.
+
+    One request waits for an engine, the other for the first token of an engine that is silent.
+    """
+    site, _ = start(
+        engines=1,
+        services=0,
+        base=SLOW_QUEUE,
+        engine_options=("--capacity-tokens", "600"),
+        node_settings={"hard_stop_s": 1.0},
+    )
+    pool = site.base()["pools"]
+    pool["drafters"]["replicas"]["engine-0"]["memory_tokens"] = 600
+    site.apply(site.base() | {"pools": pool}, based_on=1, change_id="c2")
+    site.wait_until(
+        lambda: all(site.status(f"entry-{n}").get("config_revision") == 2 for n in range(3)),
+        "the small engine",
+    )
+    site.faults("engine-0", stall=True)
+    with concurrent.futures.ThreadPoolExecutor(2) as callers:
+        replies = [callers.submit(site.caller(0).generate, "x" * 1400, 200) for _ in range(2)]
+        site.wait_until(lambda: len(accounts.runs(site)) == 1, "one request at the engine")
+        site.signal("entry-0", signal.SIGTERM)
+        runs = sorted(each.result(20.0).run for each in replies)
+    site.wait_until(site.child_by_name["entry-0"].ended, "the node to end")
+    assert site.child_by_name["entry-0"].exit_code == 1
+    assert runs == ["not_run", "unknown"]
+
+
 def test_team_limit_holds_across_nodes(start):
     """A team's callers send far more requests than the team's limit, to every node at once.
 
