soak: report requests that a stopped instance left unanswered

A request that a server ran, and whose connection at the stopped instance closed without a status, is now a violation, unless another fault hit the instance meanwhile.

--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -48,6 +48,9 @@
 CONTACT_S = 3.0
 """Time after which an instance that is partitioned from all servers serves like the others."""
 
+CLOSED = "ProtocolError"
+"""The error of a request whose connection was closed without an answer."""
+
 PARTITION_SHARE = 2 / 3
 PARTITION_SLACK = 10
 ALLOWED_FALLS = 2
@@ -135,6 +138,7 @@
     found += _check_limits(evidence)
     found += _check_leaving(evidence)
     found += _check_backoffs(evidence)
+    found += _check_stops(evidence)
     found += _check_partitions(evidence)
     found += _check_tolerances(evidence)
     found += _check_served_share(evidence)
@@ -386,6 +390,27 @@
             )
 
 
+def _check_stops(evidence: Evidence) -> collections.abc.Iterator[Violation]:
+    """Return requests that a stopped instance had passed on and left without an answer."""
+    runs_by_id = evidence.runs_by_id()
+    closed = [
+        each
+        for each in evidence.results
+        if each.status is None and each.error == CLOSED and each.request_id in runs_by_id
+    ]
+    for result in closed:
+        component = evidence.instance_by_address.get(result.address, "")
+        names = [
+            each.name
+            for each in evidence.fault_records
+            if each.component == component
+            and each.began_at < result.ended_at
+            and each.ended_at > result.sent_at
+        ]
+        if names == ["InstanceStopped"]:
+            yield Violation("stops_answer", result.request_id, component)
+
+
 def _check_partitions(evidence: Evidence) -> collections.abc.Iterator[Violation]:
     """Return a violation for each partition in which its instance served far too few requests.
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -286,6 +286,22 @@
     assert violations(results, runs, [fault, store_down]) == []
 
 
+def test_requests_that_a_stopped_instance_left_unanswered_are_reported():
+    lost = result(status=None, is_whole=False, is_sealed=False, body=b"", error=checks.CLOSED)
+    served = [result(request_id="r2", body=b"s0:r2")]
+    runs = [run_record(), run_record(request_id="r2", body="r2")]
+    stop = soaksite.FaultRecord("InstanceStopped", "entry-0", 10.5, 11.5)
+    assert violations([lost, *served], runs, [stop]) == ["stops_answer"]
+    assert violations([lost, *served], runs[1:], [stop]) == []
+    assert violations([lost, *served], runs) == []
+    other = dataclasses.replace(stop, component="entry-1")
+    assert violations([lost, *served], runs, [other]) == []
+    killed = dataclasses.replace(stop, name="InstanceKilled")
+    assert violations([lost, *served], runs, [stop, killed]) == []
+    in_time = dataclasses.replace(lost, error="ReadTimeoutError")
+    assert violations([in_time, *served], runs, [stop]) == []
+
+
 def test_requests_beyond_the_allowed_ones_in_a_named_time_are_reported():
     refused = {"request_id": "r0", "at": 10.0, "replica_id": "service-0.1", "retry_after": "3"}
     results = [result(request_id="r0", status=503, is_sealed=False, body=b"", sent_at=9.9)]
