localsite: keep a proxy's port while it refuses connections

A partition that refuses connections closed the proxy's listener and bound its port again at the end.

A second socket is bound to the port and never listens; both share it with SO_REUSEPORT. While the listener is closed, connections are refused and nobody else can bind the port.

--- a/hornbeamglade/localsite/tcpproxy.py
+++ b/hornbeamglade/localsite/tcpproxy.py
@@ -44,8 +44,12 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self.delay_s = 0.0
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._port = self._listener.getsockname()[1]
+        # Keeps the port while the proxy does not listen; a socket that is bound but does not
+        # listen refuses connections.
+        self._reservation = _bound_socket(0)
+        self._port = self._reservation.getsockname()[1]
+        self._listener = _bound_socket(self._port)
+        self._listener.listen(_BACKLOG)
         self._fillers: list[socket.socket] = []
         self._is_partitioned = False
         self._is_target_down = False
@@ -84,9 +88,7 @@
             self.reset_connections()
 
     def _listen(self, backlog: int) -> None:
-        self._listener = socket.socket()
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(("127.0.0.1", self._port))
+        self._listener = _bound_socket(self._port)
         self._listener.listen(backlog)
 
     def _stop_listening(self) -> None:
@@ -182,6 +184,7 @@
         with self._lock:
             self._is_closed = True
         self._stop_listening()
+        self._reservation.close()
         self.reset_connections()
 
     def _accept(self, listener: socket.socket) -> None:
@@ -265,6 +268,13 @@
             link.close()
 
 
+def _bound_socket(port: int) -> socket.socket:
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    bound.bind(("127.0.0.1", port))
+    return bound
+
+
 def _reset(connection: socket.socket) -> None:
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
