platform: read tables that are larger than one response of the store

An instance whose history was dropped kept its old list.

It fails, to be repeated, if the store is restored, the history is dropped, or a page is truncated without a row. Reading until all pages agree was ruled out: versions are of the whole store, and 1,800 replicas change it 1,500 times a second.

scan() ended after 1,000 rows without a sign, which could hide instances behind rows of other kinds, and took a truncated page without rows for the end. It reads all rows unless a limit is given, and such a page is a failure.

The stand-in store truncates at 1 MB as well as at 500 rows, or at fewer.

--- a/hornbeamglade/cli/standin.py
+++ b/hornbeamglade/cli/standin.py
@@ -17,9 +17,16 @@
 
 @standin.command("platform")
 @click.option("--bind", default="127.0.0.1:0", show_default=True, help="ip:port to listen on.")
-def platform(bind: str) -> None:
+@click.option(
+    "--page-rows",
+    type=click.IntRange(1, platformstandin.MAX_ROWS),
+    default=platformstandin.MAX_ROWS,
+    show_default=True,
+    help="Most rows in one response to a read.",
+)
+def platform(bind: str, page_rows: int) -> None:
     """Run a platform: table, object store and instance list, all in memory."""
-    platformstandin.run(bind)
+    platformstandin.run(bind, page_rows)
 
 
 @standin.command("engine")
--- a/hornbeamglade/platform/storeclient.py
+++ b/hornbeamglade/platform/storeclient.py
@@ -111,7 +111,7 @@
         return contract.Missing(key)
 
     def scan(
-        self, prefix: str, limit: int = 1000
+        self, prefix: str, limit: int | None = None
     ) -> tuple[contract.Row, ...] | contract.Unavailable:
         """Read rows whose key begins with ``prefix``, sorted by key."""
         start = storebodies.RowName.from_key(prefix)
@@ -119,25 +119,71 @@
         found: list[contract.Row] = []
         first = start.key
         while True:
-            wanted = min(PAGE_ROWS, limit - len(found))
+            wanted = PAGE_ROWS if limit is None else min(PAGE_ROWS, limit - len(found))
             read = self._rows(start.table, start.part, first, end, wanted)
             if isinstance(read, contract.Unavailable):
                 return read
             response, era = read
             found += [row.to_row(era) for row in response.rows]
-            if not response.truncated or not response.rows or len(found) >= limit:
+            if not response.truncated or (limit is not None and len(found) >= limit):
                 return tuple(found)
-            first = response.rows[-1].key + "\0"
+            next_first = _after_last(response)
+            if next_first is None or next_first <= first:
+                return contract.Unavailable(f"a page of {prefix} has no further rows")
+            first = next_first
 
     def snapshot(self, table: str) -> contract.Snapshot | contract.Unavailable:
-        """Read the content of a table at one moment."""
-        read = self._rows(table, "", "", None, PAGE_ROWS)
-        if isinstance(read, contract.Unavailable):
-            return read
-        response, era = read
-        if response.truncated:
-            return contract.Unavailable(f"table {table} is larger than one response")
-        return _snapshot(response, era)
+        """Read the content of a table at one moment.
+
+        Explanation
+        ===========
+
+        A large table takes several responses, each with the rows of its own moment. Reading
+        again until all are of the same moment would not end while the table keeps changing.
+        Instead, the changes since the first response are applied to the rows of all, which
+        brings each row to the moment of the last change: a row that did not change since the
+        first response is the same in each later one.
+        """
+        pages = self._pages(table)
+        if isinstance(pages, contract.Unavailable):
+            return pages
+        responses, era = pages
+        rows = (row.to_row(era) for response in responses for row in response.rows)
+        row_by_key = {row.key: row for row in rows}
+        version = positions.position(era, responses[0].ver)
+        newest = positions.position(era, max(response.ver for response in responses))
+        while version < newest:
+            changes = self.changes(table, version, 0.0)
+            if isinstance(changes, contract.Unavailable):
+                return changes
+            if isinstance(changes, contract.HistoryLost) or changes.version <= version:
+                return contract.Unavailable(f"the changes of table {table} were not kept")
+            row_by_key.update((row.key, row) for row in changes.written_rows)
+            for key in changes.deleted_keys:
+                row_by_key.pop(key, None)
+            version = changes.version
+        return contract.Snapshot(tuple(row_by_key[key] for key in sorted(row_by_key)), version)
+
+    def _pages(self, table: str) -> tuple[list[storebodies.Rows], int] | contract.Unavailable:
+        """Read all rows of a table; return the responses with their era."""
+        responses: list[storebodies.Rows] = []
+        era: int | None = None
+        first = ""
+        while True:
+            read = self._rows(table, "", first, None, PAGE_ROWS)
+            if isinstance(read, contract.Unavailable):
+                return read
+            response, response_era = read
+            if era is not None and response_era != era:
+                return contract.Unavailable(f"table {table} was restored while it was read")
+            era = response_era
+            responses.append(response)
+            if not response.truncated:
+                return responses, era
+            next_first = _after_last(response)
+            if next_first is None or next_first <= first:
+                return contract.Unavailable(f"a page of table {table} has no further rows")
+            first = next_first
 
     def changes(
         self, table: str, after: int, wait_s: float
@@ -282,9 +328,9 @@
     return contract.Found(row)
 
 
-def _snapshot(body: storebodies.Rows, era: int) -> contract.Snapshot:
-    rows = tuple(row.to_row(era) for row in body.rows)
-    return contract.Snapshot(rows, positions.position(era, body.ver))
+def _after_last(body: storebodies.Rows) -> str | None:
+    """Return the first key that can follow a page, or None for a page without rows."""
+    return body.rows[-1].key + "\0" if body.rows else None
 
 
 def _changes(body: storebodies.Rows, era: int) -> contract.Changes:
--- a/hornbeamglade/standins/platform.py
+++ b/hornbeamglade/standins/platform.py
@@ -12,6 +12,7 @@
 import collections.abc
 import dataclasses
 import http
+import itertools
 import signal
 import threading
 import urllib.parse
@@ -27,6 +28,9 @@
 THREADS = 32
 MAX_IDLE_CONNECTIONS = 1000
 MAX_ROWS = 500
+MAX_BYTES = 1_000_000
+"""Most bytes of values, as they are encoded, in one response to a read."""
+
 STOP_TIMEOUT_S = 1.0
 STOP_POLL_S = 0.05
 
@@ -88,8 +92,9 @@
 class _Calls:
     """The protocol's calls, executed on one ``MemoryPlatform``."""
 
-    def __init__(self, platform: memory.MemoryPlatform) -> None:
+    def __init__(self, platform: memory.MemoryPlatform, page_rows: int) -> None:
         self._platform = platform
+        self._page_rows = page_rows
         self._backup = platform.backup()
         self._call_by_route: dict[tuple[str, str], _Call] = {
             ("GET", "/v1/rows-get"): self._rows,
@@ -125,7 +130,7 @@
         table = self._platform.snapshot(parameters["table"])
         if isinstance(table, contract.Unavailable):
             return _UNAVAILABLE
-        limit = min(int(parameters.get("limit", MAX_ROWS)), MAX_ROWS)
+        limit = min(int(parameters.get("limit", MAX_ROWS)), self._page_rows)
         first, end = parameters.get("from", ""), parameters.get("to")
         rows = [
             row
@@ -134,9 +139,10 @@
             and row.key >= first
             and (end is None or row.key < end)
         ]
-        page = tuple(rows[:limit])
+        sizes = itertools.accumulate(len(row.value) for row in rows[:limit])
+        page = tuple(row for row, size in zip(rows, sizes, strict=False) if size <= MAX_BYTES)
         version = positions.version(table.version)
-        return _json(storebodies.Rows(rows=page, ver=version, truncated=len(rows) > limit))
+        return _json(storebodies.Rows(rows=page, ver=version, truncated=len(rows) > len(page)))
 
     def _feed(self, _rest: str, parameters: dict[str, str], _body: bytes) -> _Reply:
         after, wait_s = int(parameters["after_revision"]), int(parameters["wait_ms"]) / 1000
@@ -268,15 +274,21 @@
 
     :param bind: ``ip:port``; port 0 selects a free port.
     :param platform: the platform to serve; a new one by default.
+    :param page_rows: most rows in one response to a read.
     """
 
-    def __init__(self, bind: str, platform: memory.MemoryPlatform | None = None) -> None:
+    def __init__(
+        self,
+        bind: str,
+        platform: memory.MemoryPlatform | None = None,
+        page_rows: int = MAX_ROWS,
+    ) -> None:
         self.platform = platform or memory.MemoryPlatform(
             clocks.SystemClock(), shared_version_counter=True
         )
         host, _, port = bind.rpartition(":")
         self._http = cheroot.server.HTTPServer((host, int(port)), _Gateway, minthreads=THREADS)
-        self._http.calls = _Calls(self.platform)
+        self._http.calls = _Calls(self.platform, page_rows)
         self._http.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         self._http.shutdown_timeout = STOP_TIMEOUT_S
         self._http.expiration_interval = STOP_POLL_S
@@ -300,24 +312,28 @@
             self._thread.join()
 
 
-def serve(bind: str, platform: memory.MemoryPlatform | None = None) -> Server:
+def serve(
+    bind: str, platform: memory.MemoryPlatform | None = None, page_rows: int = MAX_ROWS
+) -> Server:
     """Return a bound server that is not yet started.
 
     :param bind: ``ip:port``; port 0 selects a free port.
     :param platform: the platform to serve; a new one by default.
+    :param page_rows: most rows in one response to a read.
     """
-    return Server(bind, platform)
+    return Server(bind, platform, page_rows)
 
 
-def run(bind: str) -> None:
+def run(bind: str, page_rows: int = MAX_ROWS) -> None:
     """Serve until SIGTERM or SIGINT; call it from the main thread only.
 
     :param bind: ``ip:port``.
+    :param page_rows: most rows in one response to a read.
     """
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
-    server = serve(bind)
+    server = serve(bind, page_rows=page_rows)
     server.start()
     print(server.address, flush=True)
     stopping.wait()
--- a/hornbeamglade/store/contract.py
+++ b/hornbeamglade/store/contract.py
@@ -123,8 +123,11 @@
         """Read the newest version of one row (linearizable)."""
 
     @abc.abstractmethod
-    def scan(self, prefix: str, limit: int = 1000) -> tuple[Row, ...] | Unavailable:
-        """Read rows whose key begins with ``prefix``, sorted by key."""
+    def scan(self, prefix: str, limit: int | None = None) -> tuple[Row, ...] | Unavailable:
+        """Read rows whose key begins with ``prefix``, sorted by key.
+
+        :param limit: the first rows that are read, or None for all.
+        """
 
     @abc.abstractmethod
     def transact(
--- a/hornbeamglade/store/countedstore.py
+++ b/hornbeamglade/store/countedstore.py
@@ -32,7 +32,7 @@
         return self._counted("read", self._platform.read(key))
 
     def scan(
-        self, prefix: str, limit: int = 1000
+        self, prefix: str, limit: int | None = None
     ) -> tuple[contract.Row, ...] | contract.Unavailable:
         """Read rows by prefix."""
         return self._counted("scan", self._platform.scan(prefix, limit))
--- a/hornbeamglade/store/memory.py
+++ b/hornbeamglade/store/memory.py
@@ -132,7 +132,7 @@
             )
 
     def scan(
-        self, prefix: str, limit: int = 1000
+        self, prefix: str, limit: int | None = None
     ) -> tuple[contract.Row, ...] | contract.Unavailable:
         """Read rows whose key begins with ``prefix``, sorted by key."""
         if refusal := self._refusal():
--- a/tests/configuration/test_head.py
+++ b/tests/configuration/test_head.py
@@ -40,7 +40,7 @@
     def read(self, key):
         return self._platform_after_step().read(key)
 
-    def scan(self, prefix, limit=1000):
+    def scan(self, prefix, limit=None):
         return self._platform_after_step().scan(prefix, limit)
 
     def transact(self, conditions, writes):
--- a/tests/store/interruption.py
+++ b/tests/store/interruption.py
@@ -27,7 +27,7 @@
     def read(self, key):
         return self._call(self._platform.read, key)
 
-    def scan(self, prefix, limit=1000):
+    def scan(self, prefix, limit=None):
         return self._call(self._platform.scan, prefix, limit)
 
     def transact(self, conditions, writes):
