--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -29,6 +29,7 @@
 from hornbeamglade.core import codederrors
 from hornbeamglade.platform import storeclient, tables
 from hornbeamglade.standins import operatordocuments, routedcaller
+from hornbeamglade.standins import platform as platformstandin
 from hornbeamglade.store import contract
 
 STORE = "store"
@@ -66,6 +67,7 @@
     :param gap_s: seconds between events.
     :param route: returns the address under which the store and the servers are reached.
     :param entry_module: the module that runs an instance, after ``python -m``.
+    :param page_rows: most rows in one response of the store to a read.
     """
 
     instances: int = 3
@@ -75,6 +77,7 @@
     gap_s: float = 0.03
     route: Route = direct
     entry_module: tuple[str, ...] = ("hornbeamglade",)
+    page_rows: int = platformstandin.MAX_ROWS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,7 +131,10 @@
     def __enter__(self) -> typing.Self:
         """Start the store and the backend servers."""
         try:
-            address = self.start(STORE, "hornbeamglade", "standin", "platform", "--bind", FREE)
+            pages = ("--page-rows", str(self.shape.page_rows))
+            address = self.start(
+                STORE, "hornbeamglade", "standin", "platform", "--bind", FREE, *pages
+            )
             self.address_by_name[STORE] = address
             for number in range(self.shape.engines):
                 self.start_server(f"engine-{number}")
--- a/hornbeamglade/soak/soaksite.py
+++ b/hornbeamglade/soak/soaksite.py
@@ -3,16 +3,20 @@
 import collections
 import dataclasses
 import pathlib
+import random
 import threading
 import time
 
 from hornbeamglade.localsite import routedsite, tcpproxy
+from hornbeamglade.standins import platform as platformstandin
 from hornbeamglade.standins import routedcaller
 
 KEYS_PER_TEAM = 3
 RETRY_DELAY_S = 0.2
 TEAMS = ("clinic", "court", "office")
 MODULE = ("hornbeamglade.soak.faultyentry",)
+PAGE_ROWS = (1, 2, 3, platformstandin.MAX_ROWS)
+"""Most rows in one response of the store; the list of replicas has more than the first ones."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,7 +79,12 @@
         self._manifest_lock = threading.Lock()
         names = ("store", *(f"engine-{n}" for n in range(3)), *(f"service-{n}" for n in range(2)))
         self.links = tcpproxy.TcpProxies(*names)
-        shape = routedsite.Shape(instances=instances, route=self.links.route, entry_module=MODULE)
+        shape = routedsite.Shape(
+            instances=instances,
+            route=self.links.route,
+            entry_module=MODULE,
+            page_rows=random.Random(seed).choice(PAGE_ROWS),
+        )
         self.site = routedsite.RoutedSite(shape, folder)
         self.keys_by_team = {
             team: [f"{team}-{number}" for number in range(KEYS_PER_TEAM)] for team in TEAMS
