quarantine: count two crashes of one request as one piece of evidence

Cause: a crash does not count against a part if the part that follows it was in another crash as well, so that a route's common beginning is not refused for a later part. A request that is sent twice crashes two engines with the same part of its session, which so explained every crash of the fatal part. For the same reason the common part was refused with the fatal one after seven crashes.

Evidence now has the request's fingerprint, also in the report to the home instances (a new last field; 0 is unknown and counts as another request, as before). A following part explains crashes only if several requests with it crashed replicas. The largest report grows from 960 to 1,152 bytes of entries and stays below the bound of a frame.

--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -43,6 +43,7 @@
   nextPart @3 :UInt64;
   ageMs @4 :UInt32;
   ranMs @5 :UInt32;
+  request @6 :UInt64;
 }
 
 struct PartInquiry {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -485,6 +485,7 @@
     :param next_part: hash of the part that follows in the prompt, 0 if that is the last one.
     :param age_ms: milliseconds since the run ended.
     :param ran_ms: milliseconds from the send of the run to its end.
+    :param request: fingerprint of the request, or 0 if it is not known.
     """
 
     part: int
@@ -493,6 +494,7 @@
     next_part: int
     age_ms: int
     ran_ms: int
+    request: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -500,6 +500,7 @@
         entry.nextPart = crash.next_part
         entry.ageMs = _clip(crash.age_ms)
         entry.ranMs = _clip(crash.ran_ms)
+        entry.request = crash.request
 
 
 def _read_part_crashes(reader: _Reader) -> messages.PartCrashReport:
@@ -508,7 +509,13 @@
         reader.service,
         tuple(
             messages.ReportedPartCrash(
-                each.part, each.replica, each.team, each.nextPart, each.ageMs, each.ranMs
+                each.part,
+                each.replica,
+                each.team,
+                each.nextPart,
+                each.ageMs,
+                each.ranMs,
+                each.request,
             )
             for each in reader.crashes
         ),
--- a/hornbeamglade/quarantine/partevidence.py
+++ b/hornbeamglade/quarantine/partevidence.py
@@ -12,8 +12,9 @@
   :mod:`hornbeamglade.quarantine.crashledger`), since a run with it last went well. Crashes that
   are explained by a part that was found before do not count.
 - A crash does not count against a part if the part that follows in the prompt was in another
-  crash as well, up to :data:`COVERED_THRESHOLD` crashes. Otherwise the part that all prompts of a
-  route begin with would be refused for one that follows it.
+  crash as well, in a run of another request, up to :data:`COVERED_THRESHOLD` crashes. Otherwise
+  the part that all prompts of a route begin with would be refused for one that follows it. That a
+  request was sent twice and crashed both replicas says nothing about which of its parts did.
 - The part with the most crashes is the cause, from :data:`CRASH_THRESHOLD` on, or from
   :data:`PROVEN_THRESHOLD` on if a run with it went well shortly before the first crash. If several
   have as many, the next crash tells which, until there are :data:`TIED_THRESHOLD`.
@@ -39,6 +40,7 @@
 MAX_CRASHES = 64
 MAX_PARTS_PER_CRASH = 512
 ALL_TEAMS = 0
+UNKNOWN_REQUEST = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,11 +65,13 @@
     :param team: hash of the caller's team.
     :param next_part: hash of the part that follows, or 0 if that is the last one, which no other
         request contains.
+    :param request: fingerprint of the request, or 0 if it is not known.
     """
 
     part: int
     team: int
     next_part: int
+    request: int = UNKNOWN_REQUEST
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,11 +171,11 @@
     def _leading(self) -> list[Culprit]:
         """Return the parts with the most crashes if these are enough."""
         records_by_part = self._records_by_part()
+        repeated = {part for part, records in records_by_part.items() if _repeats(part, records)}
         score_by_part = {
             part: score
             for part, records in records_by_part.items()
-            if (score := self._score(part, records, records_by_part))
-            >= self._threshold(part, records)
+            if (score := self._score(part, records, repeated)) >= self._threshold(part, records)
         }
         if not score_by_part:
             return []
@@ -199,15 +203,12 @@
         self,
         part: int,
         records: list[_CrashRecord],
-        records_by_part: collections.abc.Mapping[int, list[_CrashRecord]],
+        repeated: collections.abc.Container[int],
     ) -> int:
         if len(records) >= COVERED_THRESHOLD:
             return len(records)
         return sum(
-            not any(
-                len(records_by_part.get(suspect.next_part, ())) > 1
-                for suspect in record.suspects_by_part[part]
-            )
+            not any(suspect.next_part in repeated for suspect in record.suspects_by_part[part])
             for record in records
         )
 
@@ -234,3 +235,9 @@
                 del self._went_well_at[part]
             for part in self._team_by_culprit.keys() - known:
                 del self._team_by_culprit[part]
+
+
+def _repeats(part: int, records: list[_CrashRecord]) -> bool:
+    """Return whether several requests with a part crashed replicas, one after the other."""
+    requests = {each.request for record in records for each in record.suspects_by_part[part]}
+    return len(records) > 1 and (len(requests) > 1 or UNKNOWN_REQUEST in requests)
--- a/hornbeamglade/quarantine/partquarantine.py
+++ b/hornbeamglade/quarantine/partquarantine.py
@@ -114,7 +114,7 @@
             prompt = run.prompt
             following = (*prompt.parts[1:], 0)
             suspects = [
-                partevidence.Suspect(part, prompt.team, next_part)
+                partevidence.Suspect(part, prompt.team, next_part, run.fingerprint)
                 for part, next_part in zip(prompt.parts, following, strict=True)
             ]
             if self._decides_on(prompt.service):
@@ -169,7 +169,7 @@
             at = now - each.age_ms / requestquarantine.MILLISECONDS
             sent_at = at - each.ran_ms / requestquarantine.MILLISECONDS
             crash = crashledger.Crash(each.replica, sent_at, at)
-            suspect = partevidence.Suspect(each.part, each.team, each.next_part)
+            suspect = partevidence.Suspect(each.part, each.team, each.next_part, each.request)
             self._add(crash, (suspect,), now)
         self.tick()
 
@@ -266,7 +266,13 @@
                 ran_ms = int(ran_s * requestquarantine.MILLISECONDS)
                 crashes_by_service.setdefault(each.service, []).extend(
                     messages.ReportedPartCrash(
-                        suspect.part, replica, suspect.team, suspect.next_part, age_ms, ran_ms
+                        suspect.part,
+                        replica,
+                        suspect.team,
+                        suspect.next_part,
+                        age_ms,
+                        ran_ms,
+                        suspect.request,
                     )
                     for suspect in each.suspects
                 )
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -95,7 +95,9 @@
 _CRASHES = strategies.builds(messages.ReportedCrash, _U64, _U64, _U32, _U32)
 _ORIGINS = strategies.builds(messages.OriginRecord, _U64, _U64, _U16)
 _QUARANTINED = strategies.builds(messages.QuarantinedRequest, _U64, _U32, strategies.booleans())
-_PART_CRASHES = strategies.builds(messages.ReportedPartCrash, _U64, _U64, _U64, _U64, _U32, _U32)
+_PART_CRASHES = strategies.builds(
+    messages.ReportedPartCrash, _U64, _U64, _U64, _U64, _U32, _U32, _U64
+)
 _PART_SUCCESSES = strategies.builds(messages.PartSuccess, _U64, _U32)
 MESSAGES = (
     _HEARTBEATS
--- a/tests/quarantine/test_partevidence.py
+++ b/tests/quarantine/test_partevidence.py
@@ -17,13 +17,13 @@
         self.crashes = 0
         self.found = {}
 
-    def crash(self, *prompts, team=CLINIC, gap_s=1.0):
+    def crash(self, *prompts, team=CLINIC, gap_s=1.0, request=0):
         self.now += gap_s
         self.crashes += 1
         crash = crashledger.Crash(self.crashes, self.now - 0.2, self.now)
         for parts in prompts:
             suspects = [
-                partevidence.Suspect(part, team, following)
+                partevidence.Suspect(part, team, following, request)
                 for part, following in zip(parts, (*parts[1:], 0), strict=True)
             ]
             self.evidence.add(crash, suspects, self.now)
@@ -162,3 +162,60 @@
     assert ledger.culprits() == {FATAL: CLINIC}
     ledger.crash((FATAL,), team=COURT)
     assert ledger.culprits() == {FATAL: partevidence.ALL_TEAMS}
+
+
+@pytest.mark.parametrize("place", ["first", "in the middle", "next to the last"])
+@pytest.mark.parametrize("sends", [1, 2])
+def test_part_is_found_by_the_fifth_crash_wherever_it_is(place, sends):
+    """A request's second crash was taken for evidence against the part of its session.
+
+    The part that sessions share with nobody follows the fatal one, and each request crashes as
+    many replicas as it is sent to.
+    """
+    ledger = Ledger()
+    for number in range(5):
+        session = 100 + number // sends
+        prompt = {
+            "first": (FATAL, COMMON, session),
+            "in the middle": (COMMON, FATAL, session),
+            "next to the last": (COMMON, FATAL),
+        }[place]
+        # Sound runs with the other parts end in each crash, and go well elsewhere before.
+        ledger.evidence.went_well(COMMON, ledger.now)
+        ledger.crash(prompt, request=1 + number // sends)
+        ledger.evidence.went_well(COMMON, ledger.now + 0.5)
+        ledger.culprits()
+    assert ledger.culprits().keys() == {FATAL}
+
+
+@pytest.mark.parametrize("sends", [1, 2])
+def test_common_part_is_not_refused_for_one_that_follows_it_in_repeated_requests(sends):
+    """All prompts of a route would be refused for a part that some of them contain."""
+    ledger = Ledger()
+    for number in range(9):
+        request = 1 + number // sends
+        ledger.crash((COMMON, FATAL, 100 + request), request=request)
+        ledger.culprits()
+    assert ledger.culprits() == {FATAL: CLINIC}
+
+
+def test_batches_of_sound_requests_that_are_sent_twice_are_not_refused():
+    """Sound runs are lost with the fatal one, sent again, and lost a second time."""
+    ledger = Ledger()
+    for number in range(6):
+        batch = number // 2
+        ledger.crash((COMMON, FATAL, 100 + batch), request=1 + batch)
+        for sound in range(8):
+            suspects = [
+                partevidence.Suspect(part, CLINIC, following, 1000 * batch + sound + 500)
+                for part, following in ((COMMON, 200 + 10 * batch + sound),)
+            ]
+            suspects.append(
+                partevidence.Suspect(
+                    200 + 10 * batch + sound, CLINIC, 0, 1000 * batch + sound + 500
+                )
+            )
+            crash = crashledger.Crash(ledger.crashes, ledger.now - 0.2, ledger.now)
+            ledger.evidence.add(crash, suspects, ledger.now)
+        ledger.culprits()
+    assert ledger.culprits() == {FATAL: CLINIC}
