routed: accept any text as the id of a caller's last event

A caller that sent Last-Event-Id with a digit such as a superscript two, or with thousands of digits, had its connection closed without an answer: isdigit() accepts characters for which int() raises, and int() refuses long numbers. The id counts as a number only if it has 1 to 18 decimal ASCII digits; any other is passed on as before. Noted by the review; the new property test failed before with ValueError.

--- a/hornbeamglade/routed/eventrelay.py
+++ b/hornbeamglade/routed/eventrelay.py
@@ -1,6 +1,7 @@
 """Relays the events of one run to its caller, each once and in order."""
 
 import dataclasses
+import re
 
 from hornbeamglade.core import clocks
 from hornbeamglade.http1 import fields, serverside
@@ -8,6 +9,10 @@
 from hornbeamglade.routed import eventsplit
 from hornbeamglade.speeds import pacemeter
 
+_SEQUENCE_NUMBER = re.compile("[0-9]{1,18}")
+"""Callers may state any text as the id of an event. int() raises for some digits that are not
+ASCII, and for thousands of digits."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseStart:
@@ -118,4 +123,6 @@
 
 
 def _sequence_number(event_id: str | None) -> int | None:
-    return int(event_id) if event_id is not None and event_id.isdigit() else None
+    if event_id is None or not _SEQUENCE_NUMBER.fullmatch(event_id):
+        return None
+    return int(event_id)
--- a/tests/routed/test_eventrelay.py
+++ b/tests/routed/test_eventrelay.py
@@ -1,6 +1,8 @@
 """Each event is relayed to the caller once and in order."""
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from hornbeamglade.core import clocks
 from hornbeamglade.routed import eventrelay
@@ -106,3 +108,17 @@
         clock.advance(0.5)
         assert meter.take() == pacemeter.Measurement()
     assert event_relay.longest_gap_s == 0.5
+
+
+@hypothesis.given(strategies.text(alphabet="0123456789²٣५+-_ ", min_size=1))
+@hypothesis.example("²")
+@hypothesis.example("9" * 5000)
+def test_any_event_id_of_a_caller_is_accepted(last_id):
+    """An id with a digit that is no decimal number closed the connection unanswered."""
+
+    async def test():
+        exchange, event_relay = relay(last_id=last_id)
+        await event_relay.relay(b"id: x1\ndata: a\n\n", START)
+        return exchange.body
+
+    assert eventloop.run(test()) == b"id: x1\ndata: a\n\n"
