http1: let a planned stop wait until complete responses are sent

A connection is in use until its buffer is empty. What the limit of the stop truncates is logged with the caller's address and the bytes left.

test_connection_is_in_use_until_its_response_is_sent fails without the change (the server counted no connection in use).

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -92,6 +92,10 @@
         self._dependencies.metrics.routed.closed_unread.add()
         self._log_memory("closed_unread", peer, byte_count, held_bytes)
 
+    def truncated(self, peer: str, byte_count: int) -> None:
+        """Record a complete response that the end of the process truncates."""
+        logs.decided("-", "answer", "unsent_at_stop", address=peer, bytes=byte_count)
+
     def failed(self, error: Exception) -> None:
         """Record an internal error."""
         self._dependencies.metrics.refusals.add(labels=("internal_error", ""))
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -212,6 +212,7 @@
         ends_at = self._clock.now() + LAST_ANSWERS_S
         while self.instance.callers.has_unanswered_requests and self._clock.now() < ends_at:
             await asyncio.sleep(LAST_ANSWERS_POLL_S)
+        self._callers.report_unsent()
 
 
 def run(path: str) -> int:
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -108,6 +108,13 @@
         :param held_bytes: what the other connections hold.
         """
 
+    def truncated(self, peer: str, byte_count: int) -> None:  # noqa: B027
+        """Record a complete response that the end of the process truncates.
+
+        :param peer: address of the caller.
+        :param byte_count: bytes that were not sent.
+        """
+
     def failed(self, error: Exception) -> None:  # noqa: B027
         """Record an error that handling a request raised."""
 
@@ -307,13 +314,14 @@
         self.is_leaving = True
 
     @property
-    def has_request(self) -> bool:
-        """Whether a request is in progress or has begun to arrive."""
-        return self.is_busy or self._is_receiving or bool(self._buffer)
+    def is_in_use(self) -> bool:
+        """Whether a request has begun to arrive, is in progress, or its response is not sent."""
+        has_request = self.is_busy or self._is_receiving or bool(self._buffer)
+        return has_request or self.unsent_bytes() > 0
 
     def close_if_idle(self) -> None:
-        """Close unless a request is in progress or has begun to arrive."""
-        if not self.has_request:
+        """Close unless the connection is in use."""
+        if not self.is_in_use:
             self._transport.close()
 
     async def _serve(self) -> None:
@@ -524,8 +532,15 @@
 
     @property
     def busy_count(self) -> int:
-        """The number of requests that are in progress or have begun to arrive."""
-        return sum(connection.has_request for connection in self.connections)
+        """The number of connections in use."""
+        return sum(connection.is_in_use for connection in self.connections)
+
+    def report_unsent(self) -> None:
+        """Tell the handler of the responses that the end of the process truncates."""
+        for connection in self.connections:
+            unsent = connection.unsent_bytes()
+            if unsent and not connection.is_busy:
+                self._handler.truncated(connection.peer, unsent)
 
     def _accept(self) -> CallerConnection:
         connection = CallerConnection(self._handler, self.connections, self._clock, self._memory)
--- a/tests/http1/test_slowreaders.py
+++ b/tests/http1/test_slowreaders.py
@@ -8,6 +8,7 @@
 from tests import eventloop
 from tests.http1 import raw
 
+PIECE_BYTES = 50_000
 RESPONSE_BYTES = 16_000_000
 """More than the socket buffers of both sides take."""
 
@@ -21,6 +22,8 @@
         self.bodies = []
         self.refused_bodies = []
         self.closed = []
+        self.truncations = []
+        self.answered = 0
 
     def limits(self):
         return serverside.ConnectionLimits()
@@ -31,12 +34,28 @@
     def closed_unread(self, peer, byte_count, held_bytes):
         self.closed.append((peer, byte_count))
 
+    def truncated(self, peer, byte_count):
+        self.truncations.append(byte_count)
+
     async def handle(self, exchange):
         self.bodies.append(exchange.request.body)
         await self.may_answer.wait()
+        if exchange.request.target == b"/until-unsent":
+            await self._answer_until_unsent(exchange)
+            return
         is_large = exchange.request.target == b"/large"
         await exchange.answer(200, (), b"x" * RESPONSE_BYTES if is_large else b"ok")
 
+    async def _answer_until_unsent(self, exchange):
+        """Send a response of which the system takes all but the last pieces."""
+        await exchange.begin(200, ((b"Transfer-Encoding", b"chunked"),))
+        count = 0
+        while not self.has_unsent():
+            await exchange.send(b"x" * PIECE_BYTES)
+            count += 1
+        await exchange.finish()
+        self.answered = count
+
 
 class Site:
     """A server with a bound on its memory, and callers of it."""
@@ -156,3 +175,23 @@
     """Existing instances have no such setting and behave as before."""
     closed, _, status = stalled_and_reading_caller(bound=None)
     assert (closed, status) == ([], 200)
+
+
+def test_connection_is_in_use_until_its_response_is_sent():
+    """A planned stop discarded what a slow reader had not been sent of a complete response."""
+
+    async def scenario(site):
+        site.handler.has_unsent = lambda: any(c.unsent_bytes() for c in site.server.connections)
+        client = await site.call(b"/until-unsent")
+        site.server.leave()
+        await eventloop.until(lambda: site.handler.answered)
+        site.server.close_idle()
+        busy_counts = [site.server.busy_count]
+        site.server.report_unsent()
+        _, _, body = await client.answer()
+        await eventloop.until(lambda: not site.server.connections)
+        site.server.report_unsent()
+        is_whole = len(body) == site.handler.answered * PIECE_BYTES
+        return [*busy_counts, site.server.busy_count], is_whole, len(site.handler.truncations)
+
+    assert run(scenario, None) == ([1, 0], True, 1)
