routed: read the answer times of a service once for all waiting requests

Each request that waits during a stop is judged at each tick by the times of up to 64 answers, which were gathered from all requests in progress each time: 0.26 ms a judgement with 100 requests in progress, so 30 waiting requests took about a sixth of a core. The times are reused for 0.1 s: 0.03 ms in the same measurement (a loop over refusal() with a manual clock, beside other load). Services that leave the configuration are forgotten.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -278,9 +278,12 @@
             lambda service: service in self._mixed_services,
         )
         token_times = tokentimes.TokenTimes()
-        in_progress = requestsinprogress.RequestsInProgress(clock)
+        self._in_progress = requestsinprogress.RequestsInProgress(clock)
         self._drain_admission = drainadmission.DrainAdmission(
-            token_times, self._survival, self._are_others_ready, in_progress.answer_times
+            token_times,
+            self._survival,
+            self._are_others_ready,
+            self._in_progress.answer_times,
         )
         rate_limit_queue = ratelimitqueue.RateLimitQueue(self._available, clock)
         runs = rundependencies.RunDependencies(
@@ -323,7 +326,7 @@
                 self.quarantine,
                 self._budgets,
                 self._drain_admission,
-                in_progress,
+                self._in_progress,
                 self.cluster_state.replica_list_staleness,
                 self.instruments,
                 clock,
@@ -670,7 +673,9 @@
             }
         )
         self._coordinated.configure(configuration.routes)
-        self._departures.keep_services(frozenset(configuration.service_by_name))
+        services = frozenset(configuration.service_by_name)
+        self._departures.keep_services(services)
+        self._in_progress.keep_services(services)
         self.peering.names.services.replace(route.name for route in configuration.routes)
         self.peering.names.teams.replace(["", *(team.name for team in configuration.teams)])
         self._update_engines()
--- a/hornbeamglade/routed/requestsinprogress.py
+++ b/hornbeamglade/routed/requestsinprogress.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.routed import attemptlog, callrouter
@@ -14,6 +15,9 @@
 MAX_ANSWER_TIMES = 64
 """Bounds the answers of a service that are considered, and the time to evaluate them."""
 
+REUSE_S = 0.1
+"""How long the times of a service are reused, as all requests that wait are judged by them."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerTime:
@@ -80,6 +84,13 @@
         self._clock = clock
         self._requests: set[RequestInProgress] = set()
         self._ended_by_service: dict[str, collections.deque[tuple[float, AnswerTime]]] = {}
+        self._times_by_service: dict[str, tuple[float, list[AnswerTime]]] = {}
+
+    def keep_services(self, services: frozenset[str]) -> None:
+        """Forget the answers of all other services."""
+        for known in (self._ended_by_service, self._times_by_service):
+            for service in known.keys() - services:
+                del known[service]
 
     def add(self, request: RequestInProgress) -> None:
         """Add a request."""
@@ -103,13 +114,18 @@
     def answer_times(self, service: str) -> collections.abc.Sequence[AnswerTime]:
         """Return how long the newest answers of a service took to begin, or have taken so far."""
         now = self._clock.now()
-        timed = [
-            (now if request.log.answer_at is None else request.log.answer_at, request)
-            for request in self._requests
-            if request.routed.service.name == service
-        ]
-        dated = [(at, request.answer_time(now)) for at, request in timed]
-        dated += self._ended_by_service.get(service, ())
+        read_at, times = self._times_by_service.get(service, (-math.inf, []))
+        if now - read_at >= REUSE_S:
+            times = self._read_times(service, now)
+            self._times_by_service[service] = (now, times)
+        return times
+
+    def _read_times(self, service: str, now: float) -> list[AnswerTime]:
+        dated = list(self._ended_by_service.get(service, ()))
+        for request in self._requests:
+            if request.routed.service.name == service:
+                begun_at = request.log.answer_at
+                dated.append((now if begun_at is None else begun_at, request.answer_time(now)))
         recent = [each for each in dated if now - each[0] <= WINDOW_S]
         recent.sort(key=lambda each: each[0])
         return [answer_time for _, answer_time in recent[-MAX_ANSWER_TIMES:]]
--- a/tests/routed/test_requestsinprogress.py
+++ b/tests/routed/test_requestsinprogress.py
@@ -85,6 +85,27 @@
     assert len(requests.times()) == requestsinprogress.MAX_ANSWER_TIMES
 
 
+def test_answers_of_services_that_are_gone_are_forgotten():
+    requests = Requests()
+    for service in ("s", "t"):
+        request = requests.add(service)
+        requests.send(request)
+        requests.answer(request, 0.5)
+        requests.in_progress.remove(request)
+    requests.in_progress.keep_services(frozenset(("t",)))
+    assert (requests.times("s"), len(requests.times("t"))) == ([], 1)
+
+
+def test_requests_that_are_judged_together_read_the_times_once():
+    requests = Requests()
+    requests.add()
+    first = requests.in_progress.answer_times("s")
+    requests.clock.advance(requestsinprogress.REUSE_S / 2)
+    assert requests.in_progress.answer_times("s") is first
+    requests.clock.advance(requestsinprogress.REUSE_S)
+    assert requests.in_progress.answer_times("s") is not first
+
+
 def test_only_a_request_at_no_replica_is_waiting():
     requests = Requests()
     request = requests.add()
