routed: do not begin an answer that a planned stop would truncate at once

What admission expects can always be exceeded. An answer that cannot be repeated is begun as before.

--- a/hornbeamglade/routed/drainadmission.py
+++ b/hornbeamglade/routed/drainadmission.py
@@ -21,8 +21,9 @@
 have taken so far if they have not begun. A request that waits for a grant is judged again when
 it gets one, and refused as soon as it could no longer complete.
 
-At the limit of the stop, each request without an answer gets one. It says "not run" only if the
-request was sent to no replica.
+An answer that can be repeated and begins too late to complete is not begun. At the limit of the
+stop, each request without an answer gets one. It says "not run" only if the request was sent to
+no replica.
 
 Two alternatives were rejected. Admitting every request until the end truncated two to four
 streams per instance at a stop of 8 s. Refusing every request from the signal on makes callers
@@ -112,18 +113,29 @@
         if self.ends_at is None:
             return None
         has_other_instance = self.is_other_ready()
-        max_probability = (
-            MAX_TRUNCATION_PROBABILITY
-            if has_other_instance
-            else ALL_LEAVING_MAX_TRUNCATION_PROBABILITY
-        )
-        if now - self.stop_requested_at > EARLY_PERIOD_S:
-            max_probability = LATE_MAX_TRUNCATION_PROBABILITY
+        max_probability = self._max_probability(now, has_other_instance)
         remaining_s = self.ends_at - now
         if self._truncation_probability(routed, remaining_s, has_waited) <= max_probability:
             return None
         return self._not_run_refusal(has_other_instance)
 
+    def is_too_late_to_begin(self, routed: callrouter.RoutedRequest, now: float) -> bool:
+        """Return whether an answer that begins now would be truncated, though it can be repeated.
+
+        An answer that cannot be repeated is begun all the same, since its caller can get no other.
+        """
+        if self.ends_at is None or not routed.route.is_repeatable:
+            return False
+        max_probability = self._max_probability(now, self.is_other_ready())
+        return self._exceedance(routed, self.ends_at - now) > max_probability
+
+    def _max_probability(self, now: float, has_other_instance: bool) -> float:
+        if now - self.stop_requested_at > EARLY_PERIOD_S:
+            return LATE_MAX_TRUNCATION_PROBABILITY
+        if has_other_instance:
+            return MAX_TRUNCATION_PROBABILITY
+        return ALL_LEAVING_MAX_TRUNCATION_PROBABILITY
+
     def final_refusal(self, log: attemptlog.AttemptLog) -> outcomes.Refusal:
         """Return the refusal of a request that has no answer at the limit of the stop.
 
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -96,6 +96,7 @@
         self._is_origin_certain = True
         self._writing_since: float | None = None
         self._is_proven = False
+        self._late_refusal: outcomes.Refusal | None = None
         call = routed.call
         first_id = call.resumed_id if call.resumes_stream else call.request_id
         self._stream = None if first_id is None else _stream_key(routed, first_id)
@@ -117,7 +118,7 @@
                 return answer
             is_complete = await self._relay_stream()
             if not is_complete and not self._relay.has_started:
-                return self._selector.failure_refusal()
+                return self._late_refusal or self._selector.failure_refusal()
             if not is_complete:
                 self._exchange.abort()
             return self.result(is_complete)
@@ -271,6 +272,8 @@
             lost = await self._relay_events()
             if lost is None:
                 return True
+            if self._late_refusal is not None:
+                return False
             logs.decided(
                 self._routed.call.request_id,
                 "stream_lost",
@@ -307,12 +310,22 @@
                     self._record_good_run()
                     return None
                 return clientside.ResponseLost("torn_event")
+            if self._is_too_late_to_begin():
+                drain_admission = self._dependencies.drain_admission
+                self._late_refusal = drain_admission.final_refusal(self._log)
+                return clientside.ResponseLost("too_late")
             if not await self._relay.relay(piece, self._response_start):
                 return clientside.ResponseLost("event_missing")
             self._report_progress()
             if self._relay.event_count > events_before and not self._is_proven:
                 self._prove(self._relay.last_at)
 
+    def _is_too_late_to_begin(self) -> bool:
+        dependencies = self._dependencies
+        return not self._relay.has_started and dependencies.drain_admission.is_too_late_to_begin(
+            self._routed, dependencies.clock.now()
+        )
+
     def _prove(self, last_at: float) -> None:
         """Record that the run goes well once its replica has written for some time.
 
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -105,3 +105,21 @@
 
     (status, code, _), runs = entrysite.run(test, nodes=2)
     assert (status, code, runs) == (503, "node_leaving", {"r1"})
+
+
+@pytest.mark.parametrize(("path", "status"), [("/tag/1", 502), ("/draft/1", 200)])
+def test_answer_that_can_be_repeated_is_not_begun_too_late(path, status):
+    """A stream whose first event came just before the end was begun, and truncated at once."""
+
+    async def test(site):
+        node = site.nodes[0]
+        client = await node.request(path, more=entrysite.USAGE)
+        await eventloop.until(lambda: any(engine.run_by_id for engine in site.engines))
+        bounds = settings.Bounds(stop_s=1.2, address_ttl_s=5)
+        node.instance.apply_settings(node.settings.model_copy(update={"bounds": bounds}))
+        node.instance.leave()
+        received, _ = await client.head()
+        client.close()
+        return received
+
+    assert entrysite.run(test, nodes=2, gap_s=0.6) == status
