--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -106,7 +106,7 @@
         """Whether some request has been read but its answer has not begun."""
         return bool(self._dependencies.in_progress.unanswered())
 
-    def refuse_hopeless(self) -> None:
+    def refuse_late_requests(self) -> None:
         """Refuse the waiting requests that would be truncated if they were sent now."""
         dependencies = self._dependencies
         for request in dependencies.in_progress.unanswered():
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -471,7 +471,7 @@
         self._prompt_parts.tick()
         self.origins.tick()
         if self.is_leaving:
-            self.callers.refuse_hopeless()
+            self.callers.refuse_late_requests()
         self.send_announcements()
 
     def on_store_outcome(self, table: str, outcome: clusterstate.TableOutcome) -> None:
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -30,10 +30,7 @@
 
 @pytest.mark.parametrize("node", [0, 1])
 def test_request_that_waits_for_an_engine_is_refused_at_the_signal(node):
-    """It waited on, and its connection closed unanswered when the process ended.
-
-    One of the two instances owns the engine, so it waits there or at the other.
-    """
+    """It waited, at its own or another owner, and got no answer when the process ended."""
 
     async def test(site):
         patient = entrysite.route("draft", "streaming", "llm", goal_ms=60000, timeout_ms=90000)
--- a/tests/failures/test_nodes.py
+++ b/tests/failures/test_nodes.py
@@ -159,10 +159,7 @@
 
 
 def test_hard_stop_answers_requests_that_have_no_answer(start):
-    """At the limit of a stop, connections of requests without an answer were just closed.
-
-    One request waits for an engine, the other for the first token of an engine that is silent.
-    """
+    """At the limit of a stop, connections of requests without an answer were just closed."""
     site, _ = start(
         engines=1,
         services=0,
--- a/tests/quarantine/test_partevidence.py
+++ b/tests/quarantine/test_partevidence.py
@@ -167,11 +167,7 @@
 @pytest.mark.parametrize("place", ["first", "in the middle", "next to the last"])
 @pytest.mark.parametrize("sends", [1, 2])
 def test_part_is_found_by_the_fifth_crash_wherever_it_is(place, sends):
-    """A request's second crash was taken for evidence against the part of its session.
-
-    The part that sessions share with nobody follows the fatal one, and each request crashes as
-    many replicas as it is sent to.
-    """
+    """A request's second crash was taken for evidence against the part of its session."""
     ledger = Ledger()
     for number in range(5):
         session = 100 + number // sends
