routed, origins: log what allows a second send, a stop and an origin

An operator could not tell from the logs why a request was sent to a second replica, by which answer an engine counted as having stopped a run, or whether the version of a stream that is taken up came from the list of replicas. Lines `resend`, the field `evidence` of `handover` and `stop`, and `source` and `age_s` of `origin` tell the hypotheses of the incident apart.

--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -47,6 +47,7 @@
         "count",
         "domain",
         "era",
+        "evidence",
         "events",
         "expected_wait_s",
         "failure_domain",
--- a/hornbeamglade/origins/streamorigins.py
+++ b/hornbeamglade/origins/streamorigins.py
@@ -27,6 +27,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import messages
@@ -65,6 +66,21 @@
     return max(MIN_RETENTION_S, RETENTION_TIMEOUTS * timeout_s)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundOrigin:
+    """The origin of a stream, and how it is known.
+
+    :param version: key of the version that began it, or None if it is unknown.
+    :param source: ``own`` table, ``list`` of replicas, or ``peers``.
+    :param sole_for_s: seconds for which the version was the only one, as far as known; None for
+        always, or if the list was not used.
+    """
+
+    version: int | None
+    source: str
+    sole_for_s: float | None = None
+
+
 class StreamOrigins:
     """The origins known to one instance; for its event loop only.
 
@@ -148,19 +164,19 @@
         if self._history.sole_version(service, kept_s) is None:
             self._pending[stream] = None
 
-    async def find(self, stream: int | None, service: str, window_s: float) -> int | None:
-        """Return the version that began a stream, or None if it is unknown.
+    async def find(self, stream: int | None, service: str, window_s: float) -> FoundOrigin:
+        """Find the version that began a stream.
 
         :param stream: key of the stream, or None if the caller did not name it.
         :param window_s: the longest time for which the stream may have existed.
         """
-        known = self._known(stream)
+        known, source = self._known(stream), "own"
         if known is None:
             sole = self._history.sole_version(service, window_s)
             if sole is not None and self._is_list_current():
-                return sole
-            known = None if stream is None else await self._look_up(stream)
-        return None if known == origintable.UNCERTAIN else known
+                return FoundOrigin(sole, "list", self._history.sole_for_s(service))
+            known, source = None if stream is None else await self._look_up(stream), "peers"
+        return FoundOrigin(None if known == origintable.UNCERTAIN else known, source)
 
     def on_records(self, records: messages.OriginRecords) -> None:
         """Store origins that another instance has sent."""
--- a/hornbeamglade/origins/versionhistory.py
+++ b/hornbeamglade/origins/versionhistory.py
@@ -97,6 +97,11 @@
             return None
         return next(iter(observed.versions))
 
+    def sole_for_s(self, service: str) -> float | None:
+        """Return the seconds for which the listed version was the only one; None for always."""
+        age_s = self._clock.now() - self._sole_since(service, self._observed_by_service[service])
+        return None if math.isinf(age_s) else age_s
+
     def current(self, service: str) -> StoredHistory | None:
         """Return what is to be stored about a service, or None if it was not observed."""
         observed = self._observed_by_service.get(service)
--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
+from hornbeamglade.observability import logs
 from hornbeamglade.replicas import ratelimits
 
 
@@ -22,6 +23,8 @@
     :param idle_s: seconds for which a kept connection had been idle, or None.
     :param sent_at: monotonic time at which the newest attempt started, or None before the first.
     :param answer_at: monotonic time at which the answer to the caller began, or None.
+    :param ended_code: code of the failure that ended the newest attempt.
+    :param ended_at: monotonic time at which the newest attempt ended, or None while none has.
     """
 
     tried: list[str] = dataclasses.field(default_factory=list)
@@ -35,6 +38,8 @@
     idle_s: float | None = None
     sent_at: float | None = None
     answer_at: float | None = None
+    ended_code: str = "-"
+    ended_at: float | None = None
 
     def start(self, replica_id: str, limit: ratelimits.RateLimit | None, now: float) -> None:
         """Record that an attempt starts, and the rate limit that its replica had reported."""
@@ -62,14 +67,44 @@
         """Record that the answer to the caller begins."""
         self.answer_at = now
 
-    def record_end(self, replica_id: str, run: outcomes.RunStatus, was_sent: bool) -> None:
-        """Record the end of an attempt."""
+    def record_end(
+        self,
+        replica_id: str,
+        run: outcomes.RunStatus,
+        was_sent: bool,
+        now: float,
+        code: str = "-",
+    ) -> None:
+        """Record the end of an attempt.
+
+        :param now: monotonic time.
+        :param code: code of the failure, for logs.
+        """
+        self.ended_code, self.ended_at = code, now
         self.in_flight_replica = None
         self.has_response = False
         self.tried.append(replica_id)
         self.sent += was_sent
         self.may_have_run = self.may_have_run or run is not outcomes.RunStatus.NOT_RUN
 
+    def log_resend(self, request_id: str, replica_id: str, now: float, *, has_copy: bool) -> None:
+        """Log that a request is sent to a further replica, and what allows it.
+
+        :param has_copy: whether its run continues there from a copy.
+        """
+        if self.ended_at is None:
+            return
+        may_run_again = "may_run_again" if self.may_have_run else "not_run"
+        logs.decided(
+            request_id,
+            "resend",
+            "copy" if has_copy else may_run_again,
+            replica=replica_id,
+            code=self.ended_code,
+            attempts=self.sent,
+            seconds=round(now - self.ended_at, 4),
+        )
+
     @property
     def run(self) -> outcomes.RunStatus:
         """Run status over all attempts."""
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -165,6 +165,7 @@
         self._available.started(replica.id, sent_at)
         self._available.request_sent(replica.id)
         self._available.exchange_began(replica.id)
+        log.log_resend(routed.call.request_id, replica.id, sent_at, has_copy=False)
         log.start(replica.id, self._available.limit(replica.id), sent_at)
         try:
             started = await self._sender.send(routed, replica, dispatch, log)
@@ -183,11 +184,14 @@
                     routed.fingerprint, replica, sent_at, routed.prompt
                 )
         if isinstance(outcome, sending.FailedAttempt):
-            log.record_end(replica.id, outcome.run, outcome.was_sent)
+            log.record_end(
+                replica.id, outcome.run, outcome.was_sent, self._clock.now(), outcome.code
+            )
             if outcome.is_lost:
                 self._crash_detector.run_lost(routed.fingerprint, replica, sent_at, routed.prompt)
         else:
-            log.record_end(replica.id, outcomes.RunStatus.RAN, True)
+            code = "replica_error" if failed else "-"
+            log.record_end(replica.id, outcomes.RunStatus.RAN, True, self._clock.now(), code)
         if failed:
             self._log_failure(routed, replica, estimate, outcome, log)
         return outcome
--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -81,7 +81,8 @@
     :param placement: placement request for the target.
     :param dependencies: shared dependencies of migrations.
 
-    The attribute ``is_stopped`` tells whether the source is known not to work on the run any more.
+    The attribute ``is_stopped`` tells whether the source is known not to work on the run any more,
+    ``stop_evidence`` the code of what its order to stop the run was answered with.
     The attributes ``search_s``, ``slot_wait_s`` and ``copy_s`` are the seconds spent on finding
     a target, on waiting for the migration slot and on copying; None until that step begins.
     """
@@ -102,6 +103,7 @@
         self._has_ended = False
         self.destination: Destination | None = None
         self.is_stopped = False
+        self.stop_evidence = "-"
         self.outcome = "begun"
         self.search_s: float | None = None
         self.slot_wait_s: float | None = None
@@ -160,7 +162,7 @@
             destination = self.destination
             if self.is_stopped or destination is None:
                 break
-            result = await self._copy(destination.replica, is_last=True)
+            result = await self._order_stop(destination.replica)
             if isinstance(result, models.CopySucceeded) or result.code in _ENDED_CODES:
                 self.is_stopped = True
             elif result.name is not None:
@@ -263,7 +265,7 @@
 
     async def _stop_and_copy_rest(self, replica: replicamodels.Replica) -> bool:
         """Stop the run and copy the rest; return whether the migration has ended."""
-        result = await self._copy(replica, is_last=True)
+        result = await self._order_stop(replica)
         if self._has_ended:
             self.abandon()
             self.outcome = "run_ended"
@@ -323,6 +325,15 @@
         if grant is not None:
             self._dependencies.acquirer.release(grant)
 
+    async def _order_stop(
+        self, to: replicamodels.Replica
+    ) -> models.CopySucceeded | models.CopyFailed:
+        """Order the source to stop the run and to copy its rest."""
+        result = await self._copy(to, is_last=True)
+        is_failed = isinstance(result, models.CopyFailed)
+        self.stop_evidence = result.code if is_failed else "stopped"
+        return result
+
     async def _copy(
         self, to: replicamodels.Replica, *, is_last: bool
     ) -> models.CopySucceeded | models.CopyFailed:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -193,6 +193,12 @@
         )
         catalog = self._dependencies.catalog
         assignment.sent_at = self._dependencies.clock.now()
+        self._log.log_resend(
+            routed.call.request_id,
+            assignment.replica.id,
+            assignment.sent_at,
+            has_copy=copy is not None,
+        )
         self._log.start(
             assignment.replica.id, catalog.limit(assignment.replica.id), assignment.sent_at
         )
@@ -201,7 +207,7 @@
             routed, assignment.replica, dispatch, self._log
         )
         if isinstance(response, sending.FailedAttempt):
-            self._log.record_end(assignment.replica.id, response.run, response.was_sent)
+            self._record_end(assignment, response.run, response.was_sent, response.code)
             return response
         assignment.response = response
         self._log.record_response_started()
@@ -232,7 +238,7 @@
         body = await self._dependencies.sender.read_body(response)
         assignment.response = None
         self._release_assignment()
-        self._log.record_end(assignment.replica.id, outcomes.RunStatus.RAN, True)
+        self._record_end(assignment, outcomes.RunStatus.RAN, True, "not_a_stream")
         if isinstance(body, sending.FailedAttempt):
             return None if self._selector.may_retry() else self._selector.failure_refusal()
         status = response.head.status
@@ -243,6 +249,16 @@
             return self._selector.failure_refusal()
         return responses.Response(status, response.head.fields, body)
 
+    def _record_end(
+        self,
+        assignment: engineselector.Assignment,
+        run: outcomes.RunStatus,
+        was_sent: bool,
+        code: str,
+    ) -> None:
+        now = self._dependencies.clock.now()
+        self._log.record_end(assignment.replica.id, run, was_sent, now, code)
+
     def _log_attempt(self, response: sending.StartedResponse | sending.FailedAttempt) -> None:
         """Log an attempt that returned no stream."""
         is_failed = isinstance(response, sending.FailedAttempt)
@@ -283,7 +299,7 @@
             )
             labels = (self._routed.service.name, lost.code)
             self._dependencies.metrics.routed.broken_streams.add(labels=labels)
-            self._log.record_end(self._assignment.replica.id, outcomes.RunStatus.RAN, True)
+            self._record_end(self._assignment, outcomes.RunStatus.RAN, True, lost.code)
             self._note_origin()
             self._require_origin()
             if self._relay.event_count and not self._is_origin_certain:
@@ -362,9 +378,8 @@
         routed = self._routed
         window_s = streamorigins.retention_s(routed.route.timeout_s)
         started_at = self._dependencies.clock.now()
-        self._origin = await self._dependencies.origins.find(
-            self._stream, routed.service.name, window_s
-        )
+        found = await self._dependencies.origins.find(self._stream, routed.service.name, window_s)
+        self._origin = found.version
         logs.decided(
             routed.call.request_id,
             "origin",
@@ -372,6 +387,8 @@
             service=routed.service.name,
             resumes=routed.call.resumed_id,
             version=self._dependencies.origins.version_name(self._origin),
+            source=found.source,
+            age_s=_rounded(found.sole_for_s),
             seconds=round(self._dependencies.clock.now() - started_at, 4),
         )
         self._require_origin()
@@ -460,6 +477,7 @@
                 "confirmed" if is_stopped else "unconfirmed",
                 replica=self._assignment.replica.id,
                 events=self._relay.event_count,
+                evidence=self._migration.stop_evidence,
             )
         return is_stopped
 
@@ -518,6 +536,7 @@
             wait_s=_rounded(self._migration.slot_wait_s),
             copy_s=_rounded(self._migration.copy_s),
             is_stop_confirmed=self._migration.is_stopped,
+            evidence=self._migration.stop_evidence,
         )
 
     def _report_lost_run(self, assignment: engineselector.Assignment) -> None:
--- a/tests/origins/test_streamorigins.py
+++ b/tests/origins/test_streamorigins.py
@@ -80,7 +80,7 @@
             node.on_rows(rows)
 
     def find(self, name, stream=7):
-        return eventloop.run(self.node_by_name[name].find(stream, "llm", KEPT_S))
+        return eventloop.run(self.node_by_name[name].find(stream, "llm", KEPT_S)).version
 
 
 def begin(network, name="n0", version=V1, stream=7):
@@ -205,7 +205,8 @@
     node.observe("llm", ("v1", "v2"))
 
     async def find_all():
-        return await asyncio.gather(*(node.find(each, "llm", KEPT_S) for each in range(20)))
+        found = await asyncio.gather(*(node.find(each, "llm", KEPT_S) for each in range(20)))
+        return [each.version for each in found]
 
     assert eventloop.run(find_all()) == [V1] * 20
     queries = [
--- a/tests/routed/test_bufferedexchange.py
+++ b/tests/routed/test_bufferedexchange.py
@@ -7,6 +7,7 @@
 
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.http1 import clientpool
+from hornbeamglade.observability import logs
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.quarantine import crashdetector, requestquarantine
 from hornbeamglade.replicas import (
@@ -176,6 +177,22 @@
     assert (answer.status, site.run_count(), site.log.sent) == (200, 1, 2)
 
 
+@pytest.mark.parametrize(
+    ("fault", "kind", "expected"),
+    [
+        ("refuse", SINGLE, ("not_run", "replica_refused")),
+        ("torn", models.RouteKind.IDEMPOTENT, ("may_run_again", "closed")),
+        ("fail", models.RouteKind.IDEMPOTENT, ("may_run_again", "replica_error")),
+    ],
+)
+def test_log_tells_what_allows_a_request_to_be_sent_again(monkeypatch, fault, kind, expected):
+    lines = []
+    monkeypatch.setattr(logs.eliot, "log_message", lambda **record: lines.append(record))
+    send_request({fault: True}, kind)
+    resends = [line for line in lines if line.get("decision") == "resend"]
+    assert [(line["outcome"], line["code"]) for line in resends] == [expected]
+
+
 def test_refusal_by_all_replicas_is_reported_as_not_run():
     async def main():
         site = Site(2)
--- a/tests/routed/test_requestsinprogress.py
+++ b/tests/routed/test_requestsinprogress.py
@@ -112,7 +112,7 @@
     assert request.is_waiting
     requests.send(request)
     assert not request.is_waiting
-    request.log.record_end("i-1", outcomes.RunStatus.NOT_RUN, True)
+    request.log.record_end("i-1", outcomes.RunStatus.NOT_RUN, True, 0.0)
     assert request.is_waiting
     requests.answer(request)
     assert not request.is_waiting
