standins: disturb a response at any of its bytes

A test could let responses end early, but not at a chosen byte of the head, nor follow what was sent by another response on the same connection.

--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 import json
 import pathlib
@@ -23,7 +24,14 @@
 import h11
 
 from hornbeamglade.http1 import sockets
-from hornbeamglade.standins import endlessresponses, routedfaults, routedmachine, routedruns
+from hornbeamglade.standins import (
+    disturbances,
+    disturbedwriter,
+    endlessresponses,
+    routedfaults,
+    routedmachine,
+    routedruns,
+)
 
 READ_BYTES = 65_536
 MEMORY_TOKENS = 30_000
@@ -73,14 +81,25 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Request:
+class Request:
+    """A request as received.
+
+    :param method: the method.
+    :param target: path and query.
+    :param value_by_name: its headers, by names in lower case.
+    :param body: its body.
+    :param is_first: whether it is the first one on its connection.
+    """
+
     method: str
     target: str
     value_by_name: dict[str, str]
     body: bytes
+    is_first: bool = True
 
     @property
     def request_id(self) -> str:
+        """The id that its caller gave it."""
         return self.value_by_name.get("attempt-id", "")
 
     @property
@@ -90,6 +109,9 @@
         return tuple(each.strip().partition(":")[0] for each in listed[:-1])
 
 
+WriterWrapper = collections.abc.Callable[[Request, asyncio.StreamWriter], asyncio.StreamWriter]
+
+
 class RoutedStandin:
     """One backend server.
 
@@ -101,6 +123,7 @@
     :param crash_on: a request whose body contains this text ends the server; empty for none.
     :param traits: its speed, its machine and its memory.
     :param version: its software version, which its events contain; empty for none.
+    :param wrap_writer: returns the writer for the response to a request, or None.
     """
 
     def __init__(
@@ -112,8 +135,10 @@
         crash_on: str = "",
         traits: routedmachine.RoutedTraits | None = None,
         version: str = "",
+        wrap_writer: WriterWrapper | None = None,
     ) -> None:
         self.version = version
+        self.wrap_writer = wrap_writer
         self.replica_id = replica_id
         self.machine = routedmachine.RoutedMachine(traits or routedmachine.RoutedTraits())
         self._slots = asyncio.Semaphore(self.machine.traits.slots)
@@ -182,10 +207,15 @@
             buffer_bytes = routedmachine.SEND_BUFFER_BYTES
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
         buffered = b""
+        is_first = True
         try:
             while True:
                 request, buffered = await self._read(reader, buffered, writer)
-                if request is None or not await self._respond(request, reader, writer):
+                if request is None:
+                    break
+                request = dataclasses.replace(request, is_first=is_first)
+                is_first = False
+                if not await self._respond(request, reader, self._wrapped(request, writer)):
                     break
                 if self.faults.late_refusal_s is not None and request.request_id:
                     refusal = _response(request, 503, {"Not-Executed": "1"}, b"")
@@ -197,9 +227,23 @@
             self._writers.discard(writer)
             writer.close()
 
+    def _wrapped(self, request: Request, writer: asyncio.StreamWriter) -> asyncio.StreamWriter:
+        """Return the writer for the response to a request."""
+        if self.wrap_writer is not None:
+            return self.wrap_writer(request, writer)
+        faults = self.faults
+        if faults.broken_at is None or not request.request_id:
+            return writer
+        action = disturbances.Action.CLOSE
+        stray = None
+        if faults.followed_by:
+            action, stray = disturbances.Action.INSERT, disturbances.Stray(faults.followed_by)
+        disturbance = disturbances.Disturbance(action, faults.broken_at, stray)
+        return disturbedwriter.DisturbedWriter(writer, disturbance, request.request_id)
+
     async def _read(
         self, reader: asyncio.StreamReader, buffered: bytes, writer: asyncio.StreamWriter
-    ) -> tuple[_Request | None, bytes]:
+    ) -> tuple[Request | None, bytes]:
         state = h11.Connection(h11.SERVER)
         if buffered:
             state.receive_data(buffered)
@@ -228,7 +272,7 @@
                 return None, b""
 
     async def _respond(
-        self, request: _Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Respond to one request; return whether the connection stays open."""
         control_response = await self._control_call(request)
@@ -258,7 +302,7 @@
         finally:
             self._running -= 1
 
-    def _turn_away(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
+    def _turn_away(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         """Refuse a request for want of room, and crash if there were too many in a second."""
         now = time.monotonic()
         self.turned_away_at = [at for at in self.turned_away_at if now - at < 1.0] + [now]
@@ -273,7 +317,7 @@
         writer.write(_response(request, 503, self._refusal_headers(request), b""))
         return True
 
-    async def _control_call(self, request: _Request) -> tuple[int, object] | None:
+    async def _control_call(self, request: Request) -> tuple[int, object] | None:
         """Respond to control calls of the stand-in; return None for a caller's request."""
         path = request.target.partition("?")[0]
         if path == HEALTH_PATH:
@@ -302,7 +346,7 @@
         return None
 
     async def _plain(
-        self, request: _Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         faults = self.faults
         self._record_run(request)
@@ -342,7 +386,7 @@
         return not faults.unframed
 
     async def _stream(
-        self, request: _Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         run = self._begin(request)
         if run is None:
@@ -455,12 +499,12 @@
         await self.stop()
         return True
 
-    def _is_fatal(self, request: _Request) -> bool:
+    def _is_fatal(self, request: Request) -> bool:
         """Return whether a request crashes the server."""
         text = self.faults.crash_on or self._crash_on
         return bool(text) and text in request.body.decode("latin-1")
 
-    def _begin(self, request: _Request) -> routedruns.StandinRun | None:
+    def _begin(self, request: Request) -> routedruns.StandinRun | None:
         """Begin a run or continue one from a copy; None when there is no such copy."""
         usage = request.value_by_name.get("token-usage", str(PROMPT_TOKENS))
         prompt_tokens = int(usage.partition(",")[0])
@@ -536,7 +580,7 @@
             report["born"] = self.born
         return report | ({"leaves_ms": 1500.0} if self.is_leaving else {})
 
-    def _record_run(self, request: _Request) -> None:
+    def _record_run(self, request: Request) -> None:
         record = RunRecord(
             request.request_id,
             request.target,
@@ -549,7 +593,7 @@
         self.ledger.append(record)
         self._append_to_ledger(dataclasses.asdict(record))
 
-    def _record_refusal(self, request: _Request, *, fell: bool = False) -> None:
+    def _record_refusal(self, request: Request, *, fell: bool = False) -> None:
         record = RefusalRecord(
             request.request_id, time.monotonic(), self.replica_id, self.faults.retry_after, fell
         )
@@ -561,7 +605,7 @@
             with self._ledger_path.open("a", encoding="utf-8") as ledger:
                 ledger.write(json.dumps(record) + "\n")
 
-    def _proof_headers(self, request: _Request) -> dict[str, str]:
+    def _proof_headers(self, request: Request) -> dict[str, str]:
         headers = {"Attempt-Id": request.request_id, "Replica-Load": self._load_figures()}
         headers |= self._state_headers()
         if not self.faults.unproved:
@@ -570,10 +614,10 @@
             headers["Server-Limit"] = self.faults.limit
         return headers
 
-    def _id_headers(self, request: _Request) -> dict[str, str]:
+    def _id_headers(self, request: Request) -> dict[str, str]:
         return {} if self.faults.unnamed else {"Attempt-Id": request.request_id}
 
-    def _refusal_headers(self, request: _Request) -> dict[str, str]:
+    def _refusal_headers(self, request: Request) -> dict[str, str]:
         headers = {"Not-Executed": "1"} | self._id_headers(request) | self._state_headers()
         if self.faults.retry_after:
             headers["Retry-After"] = self.faults.retry_after
@@ -590,18 +634,18 @@
         return self.machine.load_figures(self._running, time.monotonic())
 
 
-def _parse_request(head: h11.Request, body: bytes) -> _Request:
+def _parse_request(head: h11.Request, body: bytes) -> Request:
     values = {name.decode().lower(): value.decode("latin-1") for name, value in head.headers}
-    return _Request(head.method.decode(), head.target.decode(), values, body)
+    return Request(head.method.decode(), head.target.decode(), values, body)
 
 
-def _response_head(request: _Request, status: int, headers: dict[str, str]) -> bytes:
+def _response_head(request: Request, status: int, headers: dict[str, str]) -> bytes:
     lines = [f"HTTP/1.1 {status} Status", *(f"{name}: {value}" for name, value in headers.items())]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
 def _response(
-    request: _Request, status: int, headers: dict[str, str], body: bytes, *, framed: bool = True
+    request: Request, status: int, headers: dict[str, str], body: bytes, *, framed: bool = True
 ) -> bytes:
     length = {"Content-Length": str(len(body))} if framed else {"Connection": "close"}
     return _response_head(request, status, headers | length) + body
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -41,6 +41,11 @@
     :param endless: one of :data:`endlessresponses.PARTS
         <hornbeamglade.standins.endlessresponses.PARTS>`; requests are run and answered so, without
         end. Empty for none.
+    :param broken_at: responses break off after this many bytes, and their connections close; None
+        for never.
+    :param followed_by: one of the values of :class:`Stray
+        <hornbeamglade.standins.disturbances.Stray>`, which follows on the connection instead of
+        its close. Empty for none.
     :param ignores_stops: orders to stop a run for a migration are ignored and get no response.
     """
 
@@ -75,4 +80,6 @@
     reset_after_events: int | None = None
     keeps_runs: bool = False
     endless: str = ""
+    broken_at: int | None = None
+    followed_by: str = ""
     ignores_stops: bool = False
