http1: take a head that runs into another response for malformed

What callers saw: requests that may run once ran two or three times, and whole answers of status 200 had an empty body or the body of another request.

Cause: a replica stops within the head of its answer, and another response follows on the connection. The line that broke off continues into its status line, both parse as one head, and the fields of either count: the id of the running request with the mark of a refusal (sent again at the next replica, on routes with one attempt as well), or with the length and body of a stray response.

The response is lost, and what is lost may have run.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -24,7 +24,7 @@
 import h11
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import fields, sockets
+from hornbeamglade.http1 import fields, sockets, strictness
 
 MAX_HEAD_BYTES = 65_536
 """Bytes up to the end of the final head, including all interim responses."""
@@ -176,16 +176,19 @@
             event = await self._event()
             if isinstance(event, ResponseLost):
                 return event
-            if isinstance(event, h11.InformationalResponse):
-                self._interim_count += 1
-            elif not isinstance(event, h11.Response):
+            is_interim = isinstance(event, h11.InformationalResponse)
+            if not is_interim and not isinstance(event, h11.Response):
                 return self._lost("malformed")
+            head_fields = tuple(event.headers.raw_items())
+            if strictness.is_joined(event.reason, head_fields):
+                return self._lost("malformed")
+            self._interim_count += is_interim
             head_bytes = self._parsed_bytes - len(self._state.trailing_data[0])
             if head_bytes > MAX_HEAD_BYTES or self._interim_count > MAX_INTERIM_RESPONSES:
                 return self._lost("excessive")
-            if isinstance(event, h11.Response):
+            if not is_interim:
                 self._parsed_bytes = 0
-                return ResponseHead(event.status_code, tuple(event.headers.raw_items()))
+                return ResponseHead(event.status_code, head_fields)
 
     async def piece(self) -> bytes | BodyEnd | ResponseLost:
         """Wait for the next piece of the body, or for its end."""
--- a/hornbeamglade/http1/strictness.py
+++ b/hornbeamglade/http1/strictness.py
@@ -1,13 +1,16 @@
-"""Detection of request heads that two parsers may interpret differently.
+"""Detection of heads that two parsers may interpret differently, or that are not one head.
 
 Explanation
 ===========
 
-Guards against request smuggling: a backend server that finds the end of a body, or
-the name of a field, at another position than this node would take part of one caller's
-body for a separate request. The parser accepts some of these forms (folded fields,
-bare line feeds, a length with chunked encoding) for old senders, so they are
-refused before parsing.
+:func:`ambiguity` guards against request smuggling: a backend server that finds the end of a body,
+or the name of a field, at another position than this node would take part of one caller's body for
+a separate request. The parser accepts some of these forms (folded fields, bare line feeds, a
+length with chunked encoding) for old senders, so they are refused before parsing.
+
+A server may stop in the middle of a head, and another response may follow on the connection. The
+line that broke off then continues into the status line of that response, and both parse as one
+head with fields of either: :func:`is_joined` tells such heads.
 
 References
 ==========
@@ -17,6 +20,8 @@
 
 import re
 
+from hornbeamglade.http1 import fields
+
 HEAD_END = b"\r\n\r\n"
 
 _BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
@@ -26,6 +31,7 @@
 _LENGTH = re.compile(rb"\ncontent-length:[ \t]*([^\r\n]*)", re.IGNORECASE)
 _TRANSFER = re.compile(rb"\ntransfer-encoding:[ \t]*([^\r\n]*)", re.IGNORECASE)
 _HOST = re.compile(rb"\nhost:", re.IGNORECASE)
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 
 
 def ambiguity(head: bytes) -> str | None:
@@ -58,3 +64,16 @@
     if transfers and [each.strip().lower() for each in transfers] != [b"chunked"]:
         return "the transfer encoding is not plain chunked"
     return None
+
+
+def is_joined(reason: bytes, response_fields: fields.Fields) -> bool:
+    """Return whether the head of a response continues into the status line of another one.
+
+    Examples
+    ========
+
+    >>> is_joined(b"OK", ((b"Load", b"1,0,8"),)), is_joined(b"O", ((b"L", b"1,0HTTP/1.1 503 No"),))
+    (False, True)
+    """
+    parts = (reason, *(value for _, value in response_fields))
+    return any(_STATUS_LINE.search(part) for part in parts)
--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -362,3 +362,43 @@
     statuses = entrysite.run(test, events=2)
     assert statuses.count(502) <= 2
     assert set(statuses[2:]) == {503}
+
+
+WITHIN_REASON = len(b"HTTP/1.1 200 Sta")
+WITHIN_LOAD = len(b"HTTP/1.1 200 Status\r\nAttempt-Id: r1\r\nReplica-Load: 1,")
+WITHIN_SEAL = len(
+    b"HTTP/1.1 200 Status\r\nAttempt-Id: r1\r\nReplica-Load: 1,0,8\r\nResponse-Seal: s"
+)
+
+
+@pytest.mark.parametrize("broken_at", [WITHIN_REASON, WITHIN_LOAD, WITHIN_SEAL])
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_head_that_runs_into_a_refusal_does_not_send_a_running_request_again(path, broken_at):
+    """A replica stops within the head of its answer, and a refusal follows on the connection."""
+
+    async def test(site):
+        for server in replicas(site):
+            server.faults = routedfaults.RoutedFaults(broken_at=broken_at, followed_by="refusal")
+        return (await send(site, path))[1], run_count(site)
+
+    answer, runs = entrysite.run(test, events=5, engines=3, services=3)
+    assert runs == 1
+    assert_states_nothing(answer)
+
+
+@pytest.mark.parametrize(
+    ("broken_at", "followed_by"),
+    [(WITHIN_LOAD, "answer_other"), (WITHIN_SEAL, "misdirected_other")],
+)
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_head_that_runs_into_another_response_is_not_passed_on(path, broken_at, followed_by):
+    """Callers got the body of another request, or none, as the whole answer of a replica."""
+
+    async def test(site):
+        for server in replicas(site):
+            server.faults = routedfaults.RoutedFaults(broken_at=broken_at, followed_by=followed_by)
+        return (await send(site, path))[1], run_count(site)
+
+    answer, runs = entrysite.run(test, events=5)
+    assert runs == 1
+    assert_states_nothing(answer)
