routed: take a refusal that contradicts itself for no proof

What callers would see: a request that may run once is sent to the next replica while the first one runs it.

Cause: the mark of a refusal alone decided, whatever else the head said. A head with a status of 200, with the proof of a response, or with the ids of two requests counted as the refusal of the request in progress. The mark is a statement about the whole response, so the rest has to agree: a refusal has a status of refusals, one id at most, and no proof.

--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -142,7 +142,7 @@
         return calls.ResponseHead(
             status=head.status,
             fields=fields.without(fields.end_to_end(head.fields), (b"content-length",)),
-            request_id=_optional_text(head.fields, _REQUEST_ID),
+            request_id=_answered_id(head.fields),
             is_sealed=fields.value(head.fields, _SEAL) is not None,
             is_not_run=is_marked or head.status == _MISDIRECTED,
             is_encoded=encoding not in (None, b"identity"),
@@ -286,6 +286,14 @@
     return advisories.Backoff(seconds, RETRY_AFTER_SEVERAL if len(times) > 1 else None)
 
 
+def _answered_id(all_fields: fields.Fields) -> str | None:
+    """Return the id of the answered request; empty if a head states several."""
+    stated = fields.values(all_fields, _REQUEST_ID)
+    if len(stated) > 1:
+        return ""
+    return _text(stated[0]) if stated else None
+
+
 def _invalid(detail: str) -> outcomes.Refusal:
     return outcomes.Refusal(REQUEST_INVALID, 400, detail)
 
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -135,7 +135,8 @@
 
     :param status: HTTP status.
     :param fields: header fields to forward to the caller.
-    :param request_id: id of the answered request, or None if the head does not state it.
+    :param request_id: id of the answered request, None if the head does not state it, or empty if
+        it states several.
     :param is_sealed: whether the head has a seal, which proves that the replica itself responded.
     :param is_not_run: whether the replica states that it did not run the request.
     :param is_encoded: whether a content encoding was applied to the body.
--- a/hornbeamglade/routed/runevidence.py
+++ b/hornbeamglade/routed/runevidence.py
@@ -7,14 +7,20 @@
 the connection already carries the next request. A refusal therefore proves that a request has not
 run only if it is known to be the response to this very request: it carries the request's id, or
 it is the first response on its connection, which can belong to no earlier request. It must also
-have been received to its end, since one that breaks off is evidence of a fault.
+have been received to its end, since one that breaks off is evidence of a fault, and it must not
+contradict itself: a refusal has a status of refusals and no proof of a response.
 
 Anything else proves nothing: the request may be running.
 """
 
+import http
+
 from hornbeamglade.core import outcomes
 from hornbeamglade.routed import calls
 
+REFUSAL_STATUSES = outcomes.NOT_RUN_STATUSES | {http.HTTPStatus.BAD_REQUEST}
+"""Statuses with which a replica may state that it did not run a request."""
+
 
 def run_status(
     head: calls.ResponseHead, request_id: str, *, is_first_response: bool
@@ -34,7 +40,8 @@
     >>> run_status(refusal, "r1", is_first_response=False).value
     'unknown'
     """
-    if not head.is_not_run:
+    is_refusal = head.is_not_run and not head.is_sealed and head.status in REFUSAL_STATUSES
+    if not is_refusal:
         return outcomes.RunStatus.UNKNOWN
     is_own = is_first_response if head.request_id is None else head.request_id == request_id
     return outcomes.RunStatus.NOT_RUN if is_own else outcomes.RunStatus.UNKNOWN
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -236,7 +236,7 @@
                 if reports_load and not head.is_misdirected:
                     self._on_load(replica, head.load, head.load_problem)
                 return StartedResponse(connection, raw_head, head, replica.service)
-            if head.request_id is None:
+            if not head.request_id:
                 break
             # A late response to an earlier request precedes the expected one. Accepting it
             # would send one caller the response meant for another.
--- a/tests/routed/test_runevidence.py
+++ b/tests/routed/test_runevidence.py
@@ -71,3 +71,21 @@
 
 def test_refusal_that_breaks_off_proves_nothing():
     assert last_run_status(broken_off) is UNKNOWN
+
+
+def test_response_of_another_status_is_no_refusal():
+    """A replica marks its answer as not run, though it has run the request."""
+    assert last_run_status(refusal(200, "r0")) is UNKNOWN
+    assert last_run_status(refusal(500, "r0")) is UNKNOWN
+
+
+@pytest.mark.parametrize("status", [503, 429, 421])
+def test_refusal_with_the_proof_of_a_response_proves_nothing(status):
+    """A head with the fields of an answer and of a refusal says both."""
+    sealed = refusal(status, "r0").replace(b"\r\n", b"\r\nResponse-Seal: s\r\n", 1)
+    assert last_run_status(sealed) is UNKNOWN
+
+
+@pytest.mark.parametrize("ids", [b"r0\r\nAttempt-Id: r9", b"r9\r\nAttempt-Id: r0"])
+def test_refusal_with_the_ids_of_two_requests_proves_nothing(ids):
+    assert last_run_status(refusal(503, "r0").replace(b"r0", ids)) is UNKNOWN
