routed: pass on an event only with the whole chunk that brought it

What callers saw: an event of a stream with the bytes of another response in it.

Cause: an engine stops within a chunk, another response follows on the connection, and its first bytes fill the chunk. The empty line of its head ends the event. That the chunk is malformed shows only at its end, when the event has been sent on.

A chunk is now read whole, with what is known of the bytes behind it, before its events go on. Engines write an event in one chunk, so nothing waits. A body without chunks has no such sign, and is passed on as before.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -11,6 +11,10 @@
 A response without a length ends with the connection. It counts as complete only if the
 server closed the connection in order; after a reset it is truncated.
 
+A server may stop within a chunk of the body, and bytes of another response then fill it. They show
+only at its end, where another chunk or the end of the body does not follow. A reader that passes
+on a body as it arrives therefore reads whole chunks.
+
 A server in trouble may send bytes without end. What one response may cost is therefore bounded
 in every part whose length it does not state: interim responses, the head, and the framing of the
 body. The connection is closed as soon as a bound is passed. Bytes are parsed in small portions
@@ -107,6 +111,8 @@
         self._events_in_turn = 0
         self._waiter: asyncio.Future[None] | None = None
         self._state: h11.Connection | None = None
+        self._is_in_chunk = False
+        self._next_event: h11.Event | None = None
         self._request: h11.Request | None = None
         self._is_reset = False
         self._has_ended = False
@@ -156,6 +162,8 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._parsing_bytes = self._parsed_bytes = self._content_bytes = 0
         self._interim_count = 0
+        self._is_in_chunk = False
+        self._next_event = None
         data = self._state.send(self._request)
         data += self._state.send(h11.Data(data=body)) if body else b""
         data += self._state.send(h11.EndOfMessage())
@@ -195,6 +203,7 @@
         event = await self._event()
         if isinstance(event, h11.Data):
             self._content_bytes += len(event.data)
+            self._is_in_chunk = not event.chunk_end and (self._is_in_chunk or event.chunk_start)
             if self._has_excessive_framing():
                 return self._lost("excessive")
             return bytes(event.data)
@@ -202,6 +211,23 @@
             return BodyEnd()
         return event if isinstance(event, ResponseLost) else self._lost("malformed")
 
+    async def chunk(self, limit: int) -> bytes | BodyEnd | ResponseLost:
+        """Wait for the next whole chunk of the body, or for its end.
+
+        A body without chunks is returned in pieces as they arrive.
+
+        :param limit: of a longer chunk, pieces are returned as well.
+        """
+        held = bytearray()
+        while True:
+            piece = await self.piece()
+            if not isinstance(piece, bytes):
+                return piece
+            held += piece
+            if self._is_in_chunk and len(held) <= limit:
+                continue
+            return self._lost("malformed") if self._has_malformed_rest() else bytes(held)
+
     async def body(
         self, limit: int, on_growth: collections.abc.Callable[[int], None] | None = None
     ) -> bytes | ResponseLost:
@@ -297,10 +323,7 @@
             await asyncio.sleep(0)
         while True:
             try:
-                event = self._state.next_event()
-                if event is h11.NEED_DATA and self._buffer:
-                    self._parse_portion()
-                    continue
+                event = self._parse_event()
             except h11.RemoteProtocolError:
                 return self._lost("closed" if self._has_ended else "malformed")
             if isinstance(event, h11.Data):
@@ -319,6 +342,26 @@
                 continue
             await self._await_data()
 
+    def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        """Return the next event of the received data.
+
+        :raises RemoteProtocolError: if the data is malformed.
+        """
+        event, self._next_event = self._next_event or self._state.next_event(), None
+        while event is h11.NEED_DATA and self._buffer:
+            self._parse_portion()
+            event = self._state.next_event()
+        return event
+
+    def _has_malformed_rest(self) -> bool:
+        """Return whether what follows the last event, as far as it has arrived, is malformed."""
+        try:
+            event = self._parse_event()
+        except h11.RemoteProtocolError:
+            return True
+        self._next_event = None if event is h11.NEED_DATA else event
+        return False
+
     def _parse_portion(self) -> None:
         portion = bytes(self._buffer[:PORTION_BYTES])
         del self._buffer[:PORTION_BYTES]
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -316,7 +316,7 @@
             self._dependencies.speeds.make_meter(self._routed.service.name)
         )
         while True:
-            piece = await connection.piece()
+            piece = await connection.chunk(clientside.READ_AHEAD_BYTES)
             if isinstance(piece, clientside.ResponseLost):
                 return piece
             if isinstance(piece, clientside.BodyEnd):
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -124,6 +124,7 @@
     :param traits: its speed, its machine and its memory.
     :param version: its software version, which its events contain; empty for none.
     :param wrap_writer: returns the writer for the response to a request, or None.
+    :param event_bytes: least size of an event.
     """
 
     def __init__(
@@ -136,9 +137,11 @@
         traits: routedmachine.RoutedTraits | None = None,
         version: str = "",
         wrap_writer: WriterWrapper | None = None,
+        event_bytes: int = 0,
     ) -> None:
         self.version = version
         self.wrap_writer = wrap_writer
+        self.event_bytes = event_bytes
         self.replica_id = replica_id
         self.machine = routedmachine.RoutedMachine(traits or routedmachine.RoutedTraits())
         self._slots = asyncio.Semaphore(self.machine.traits.slots)
@@ -509,7 +512,11 @@
         usage = request.value_by_name.get("token-usage", str(PROMPT_TOKENS))
         prompt_tokens = int(usage.partition(",")[0])
         run = routedruns.StandinRun(
-            request.request_id, self._events, prompt_tokens, version=self.version
+            request.request_id,
+            self._events,
+            prompt_tokens,
+            version=self.version,
+            event_bytes=self.event_bytes,
         )
         source = request.value_by_name.get("kv-from")
         if source is None:
--- a/hornbeamglade/standins/routedruns.py
+++ b/hornbeamglade/standins/routedruns.py
@@ -14,6 +14,7 @@
     :param is_stopped: whether it was stopped to migrate to another engine.
     :param is_alive: whether its response is still being read.
     :param version: the software version of its engine, which its events contain; empty for none.
+    :param event_bytes: least size of an event.
     """
 
     request_id: str
@@ -23,10 +24,11 @@
     is_stopped: bool = False
     is_alive: bool = True
     version: str = ""
+    event_bytes: int = 0
 
     def event(self, number: int) -> bytes:
         """Return one event."""
-        return event(self.request_id, number, self.version)
+        return event(self.request_id, number, self.version, self.event_bytes)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,9 +45,11 @@
     made: int
 
 
-def event(request_id: str, number: int, version: str = "") -> bytes:
+def event(request_id: str, number: int, version: str = "", size: int = 0) -> bytes:
     r"""Return one event of a run; it is the same at every engine of a software version.
 
+    :param size: its least size in bytes.
+
     Examples
     ========
 
@@ -53,6 +57,9 @@
     b'id: 3\ndata: r1.3\n\n'
     >>> event("r1", 3, "v2")
     b'id: 3\ndata: r1.3 v2\n\n'
+    >>> event("r1", 3, size=24)
+    b'id: 3\ndata: r1.3......\n\n'
     """
     text = f"{request_id}.{number} {version}".rstrip()
-    return f"id: {number}\ndata: {text}\n\n".encode()
+    missing = size - len(f"id: {number}\ndata: {text}\n\n")
+    return f"id: {number}\ndata: {text}{'.' * missing}\n\n".encode()
--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -402,3 +402,19 @@
     answer, runs = entrysite.run(test, events=5)
     assert runs == 1
     assert_states_nothing(answer)
+
+
+@pytest.mark.parametrize("followed_by", ["refusal", "answer_other"])
+@pytest.mark.parametrize("path", [SINGLE_STREAM, REPEATABLE_STREAM])
+def test_bytes_of_another_response_within_an_event_are_not_passed_on(path, followed_by):
+    """An engine stops within an event, and another response fills the rest of its chunk."""
+
+    async def test(site):
+        for server in site.engines:
+            server.event_bytes = 300
+            server.faults = routedfaults.RoutedFaults(broken_at=250, followed_by=followed_by)
+        client = await site.nodes[0].request(path, more=entrysite.USAGE)
+        return await client.reader.read()
+
+    received = entrysite.run(test, events=5)
+    assert b"Stray" not in received
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -216,3 +216,48 @@
         return probes, timeout_ms
 
     assert eventloop.run(main()) == (0, sockets.USER_TIMEOUT_MS)
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunks_of(*portions):
+    """Return what is read of a chunked body that arrives in portions, until it ends or is lost."""
+
+    async def arrive(_reader, writer):
+        for portion in (CHUNKED, *portions):
+            writer.write(portion)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+
+    async def main():
+        server = raw.ScriptedServer(arrive)
+        pool = clientpool.ClientPool(clocks.SystemClock())
+        connection = await pool.acquire(await server.start())
+        connection.send(b"GET", b"/", ((b"Host", b"a"),), b"")
+        await connection.head()
+        read = []
+        while True:
+            read.append(await connection.chunk(100))
+            if not isinstance(read[-1], bytes):
+                server.stop()
+                return read
+
+    return eventloop.run(main())
+
+
+def test_chunk_is_read_when_it_is_whole():
+    read = chunks_of(b"3\r\na", b"bc\r\n2\r\n", b"de\r", b"\n0\r\n\r\n")
+    assert read == [b"abc", b"de", clientside.BodyEnd()]
+
+
+@pytest.mark.parametrize("rest", [b"", b"b", b"bcdef\r\n", b"bcHTTP/1.1 503 No\r\n\r\n"])
+def test_chunk_that_is_not_whole_is_never_read(rest):
+    """A server stops within a chunk, and bytes of another response fill it."""
+    (lost,) = chunks_of(b"3\r\na" + rest)
+    assert isinstance(lost, clientside.ResponseLost)
+
+
+def test_chunk_that_is_too_long_is_not_held():
+    read = chunks_of(b"ff\r\n" + b"a" * 101, b"a" * 154 + b"\r\n0\r\n\r\n")
+    assert read == [b"a" * 101, b"a" * 154, clientside.BodyEnd()]
