origins: tell the first start of a site by the stored rows as well

What callers would see: all instances are lost during a release and start again with the settings file of the first start; streams that broke off are taken up with 200 and go on at the version that is listed then, whatever began them.

Cause: the settings' word for the first start alone made the first version that an instance lists the only one that there ever was. The instances keep a row for each service with what was listed; a service that has one is not new. Until the rows were read nothing is known of it, and a stream that is taken up is looked for at the others or refused.

The new test fails before: the version listed after the restart is returned. Sites and networks of tests read their (empty) rows at the start now, as an instance does.

--- a/hornbeamglade/origins/streamorigins.py
+++ b/hornbeamglade/origins/streamorigins.py
@@ -90,7 +90,8 @@
     :param present: returns the names of the instances that may respond, including leaving ones.
     :param send: sends a message to an instance.
     :param is_list_current: returns whether this instance would know of a newer list of replicas.
-    :param is_first_start: whether the site starts for the first time, so that no stream is older.
+    :param is_first_start: whether the site starts for the first time by its settings, so that no
+        stream of a service without a row is older.
     :param clock: monotonic and wall-clock time.
     """
 
@@ -112,6 +113,8 @@
         self._send = send
         self._is_list_current = is_list_current
         self._is_first_start = is_first_start
+        self._has_read_rows = False
+        self._stored_services: set[str] = set()
         self._clock = clock
         self._store_writer: Write | None = None
         self._table = origintable.OriginTable()
@@ -133,13 +136,12 @@
         names = {versions.version_key(each): each for each in listed}
         self._name_by_version.update(names)
         before = self._history.current(service)
-        if before is None and self._is_first_start and len(names) == 1:
-            # Every stream is younger than the site.
-            self._history.restore(service, versionhistory.StoredHistory(next(iter(names)), 0.0))
         if self._history.observe(service, frozenset(names)):
             now = self._clock.now()
             served = self._table.of_services(frozenset((service,)), now)
             self._pending.update(dict.fromkeys(served))
+        if before is None:
+            self._restore_first_version(service)
         after = self._history.current(service)
         if before is not None and after is not None and before.version != after.version:
             logs.state_changed(
@@ -200,8 +202,12 @@
     def on_rows(self, rows: tuple[contract.Row, ...]) -> None:
         """Process the instances' table as read from the store."""
         stored_by_service = versionrows.decode(rows)
+        self._has_read_rows = True
+        self._stored_services |= stored_by_service.keys()
         for service, stored in stored_by_service.items():
             self._history.restore(service, stored)
+        for service in tuple(self._history.services):
+            self._restore_first_version(service)
         for service in tuple(self._history.services):
             stored = stored_by_service.get(service)
             if self._is_outdated(service, stored):
@@ -237,6 +243,19 @@
         self._update_keepers()
         self._table.expire(self._clock.now())
 
+    def _restore_first_version(self, service: str) -> None:
+        """Take the first version of a site that starts for the first time for its only one.
+
+        The rows tell whether it does: settings may be those of the first start for longer.
+        """
+        current = self._history.current(service)
+        is_new = self._is_first_start and self._has_read_rows
+        if not is_new or service in self._stored_services or current is None:
+            return
+        self._stored_services.add(service)
+        if current.version is not None:
+            self._history.restore(service, versionhistory.StoredHistory(current.version, 0.0))
+
     def _known(self, stream: int | None) -> int | None:
         entry = None if stream is None else self._table.get(stream, self._clock.now())
         return None if entry is None else entry.version
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -202,6 +202,7 @@
             )
         for node in self.nodes:
             node.instance.on_instance_list(listed.list())
+            node.instance.on_rows(())
         self.read_store()
         await eventloop.until(self.is_ready)
         for node in self.nodes:
--- a/tests/origins/test_streamorigins.py
+++ b/tests/origins/test_streamorigins.py
@@ -28,6 +28,7 @@
         self.node_by_name = {}
         for number, name in enumerate(self.names):
             self.start(name, number % domains, is_first_start)
+        self.read_rows()
 
     def start(self, name, domain, is_first_start=False):
         def send(to, message):
@@ -245,6 +246,20 @@
     assert network.find("n1") == V1
 
 
+def test_settings_of_the_first_start_do_not_hide_what_instances_have_stored():
+    """All instances restart during a release with unchanged settings: old streams were joined."""
+    network = Network()
+    network.observe("v1")
+    network.read_rows()
+    network.clock.advance(5.0)
+    for number, name in enumerate(network.names):
+        network.start(name, number % 3, is_first_start=True)
+    network.observe("v2")
+    assert network.find("n1") is None
+    network.read_rows()
+    assert network.find("n1") is None
+
+
 @pytest.mark.parametrize("nodes", [30, 360])
 def test_bytes_of_origins_an_instance_do_not_grow_with_the_instances(nodes):
     """19.4 streams a second at an instance, as at 7,000 a second at 360."""
