origins: let three instances store which versions are listed

What callers would see: a release begins, all instances are lost, and the new servers are gone when they return; streams of the new version that broke off go on at the old one.

Cause: one instance wrote the row that tells of a second version. If it was killed, paused or cut off just then, nobody wrote it before the others had noticed, or read the table again seconds later. A row that still says "this version, always" agrees with a list that shows only this version. Three instances write now, the same content, at each change of the listed versions.

The new test fails before: the first writer's write is lost, and the version listed after the restart is returned for a stream of the other one.

--- a/hornbeamglade/origins/streamorigins.py
+++ b/hornbeamglade/origins/streamorigins.py
@@ -38,6 +38,7 @@
 from hornbeamglade.store import contract
 
 KEEPER_COUNT = 3
+WRITER_COUNT = 3
 FLUSH_INTERVAL_S = 0.25
 LOOKUP_BATCH_S = 0.005
 LOOKUP_TIMEOUT_S = 0.15
@@ -344,8 +345,8 @@
         return current.version is not None and current.since - stored.since > CHANGED_SINCE_S
 
     def _store(self, service: str) -> None:
-        """Write the row of a service, at one of the instances."""
+        """Write the row of a service, at some of the instances: one may be lost unnoticed."""
         nodes = {*(each.identity.name for each in self._live()), self._name}
-        is_first = rendezvous.best(service, nodes, 1) == [self._name]
-        if self._store_writer is not None and is_first:
+        is_writer = self._name in rendezvous.best(service, nodes, WRITER_COUNT)
+        if self._store_writer is not None and is_writer:
             self._store_writer(versionrows.put(service, self._history.current(service)))
--- a/tests/origins/test_streamorigins.py
+++ b/tests/origins/test_streamorigins.py
@@ -7,6 +7,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import messages
+from hornbeamglade.membership import rendezvous
 from hornbeamglade.origins import origintable, streamorigins, versions
 from hornbeamglade.store import contract
 from tests import eventloop
@@ -260,6 +261,22 @@
     assert network.find("n1") is None
 
 
+def test_second_version_is_stored_though_the_first_instance_to_write_is_lost():
+    """A release begins, all are lost with the only write of it, and its servers are gone."""
+    network = Network()
+    network.observe("v1")
+    network.read_rows()
+    first = rendezvous.best("llm", set(network.names), 1)[0]
+    network.node_by_name[first].set_store_writer(lambda _put: None)
+    network.observe("v1", "v2")
+    begin(network, version=V2)
+    for number, name in enumerate(network.names):
+        network.start(name, number % 3)
+    network.observe("v1")
+    network.read_rows()
+    assert network.find("n1") is None
+
+
 @pytest.mark.parametrize("nodes", [30, 360])
 def test_bytes_of_origins_an_instance_do_not_grow_with_the_instances(nodes):
     """19.4 streams a second at an instance, as at 7,000 a second at 360."""
