http1: take a body that runs into another response for malformed

What callers saw: a whole answer of status 200 whose last bytes are the head of another response.

Cause: a replica stops within a body of stated length, another response follows on the connection, and its start fills the body. What is left of it follows the body. Bytes behind a complete response belong to no request, so they were put aside and the body was passed on.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -240,6 +240,9 @@
         while True:
             piece = await self.piece()
             if isinstance(piece, BodyEnd):
+                rest = self._state.trailing_data[0] + bytes(self._buffer)
+                if strictness.is_body_joined(content, rest):
+                    return self._lost("malformed")
                 return bytes(content)
             if isinstance(piece, ResponseLost):
                 return piece
--- a/hornbeamglade/http1/strictness.py
+++ b/hornbeamglade/http1/strictness.py
@@ -10,7 +10,9 @@
 
 A server may stop in the middle of a head, and another response may follow on the connection. The
 line that broke off then continues into the status line of that response, and both parse as one
-head with fields of either: :func:`is_joined` tells such heads.
+head with fields of either: :func:`is_joined` tells such heads. If it stops in the middle of a body
+of stated length, the start of the other response fills it. What is left of that response then
+follows the body: :func:`is_body_joined` tells such bodies.
 
 References
 ==========
@@ -32,6 +34,10 @@
 _TRANSFER = re.compile(rb"\ntransfer-encoding:[ \t]*([^\r\n]*)", re.IGNORECASE)
 _HOST = re.compile(rb"\nhost:", re.IGNORECASE)
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+_STATUS_LINE_BYTES = 12
+_RESPONSE_START = b"HTTP/1."
+_MAX_JOINED_BYTES = 65_536
+"""Bytes at the end of a body that are searched for the start of another response."""
 
 
 def ambiguity(head: bytes) -> str | None:
@@ -77,3 +83,24 @@
     """
     parts = (reason, *(value for _, value in response_fields))
     return any(_STATUS_LINE.search(part) for part in parts)
+
+
+def is_body_joined(body: bytes, rest: bytes) -> bool:
+    """Return whether a body ends within another response.
+
+    :param body: a complete body by its stated length.
+    :param rest: the bytes that follow it; a response that follows a body begins with its first
+        byte.
+
+    Examples
+    ========
+
+    >>> is_body_joined(b"aHTTP/1.1 50", b"3 No")
+    True
+    >>> is_body_joined(b"HTTP/1.1 503 No", b"HTTP/1.1 200 OK")
+    False
+    """
+    if not rest or _RESPONSE_START.startswith(rest[: len(_RESPONSE_START)]):
+        return False
+    found = _STATUS_LINE.search(body[-_MAX_JOINED_BYTES:] + rest[:_STATUS_LINE_BYTES])
+    return found is not None and found.start() < min(len(body), _MAX_JOINED_BYTES)
--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -418,3 +418,17 @@
 
     received = entrysite.run(test, events=5)
     assert b"Stray" not in received
+
+
+@pytest.mark.parametrize("path", [SINGLE, REPEATABLE])
+def test_body_that_runs_into_another_response_is_not_passed_on(path):
+    """A replica stops within the body of its answer, and another response fills it."""
+
+    async def test(site):
+        for server in site.services:
+            server.faults = routedfaults.RoutedFaults(
+                response_bytes=300, broken_at=250, followed_by="refusal"
+            )
+        return (await send(site, path))[1]
+
+    assert_states_nothing(entrysite.run(test))
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -218,6 +218,23 @@
     assert eventloop.run(main()) == (0, sockets.USER_TIMEOUT_MS)
 
 
+REFUSAL = b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("sent", [0, 1, 20, 39])
+def test_body_that_runs_into_another_response_is_lost(sent):
+    """A server stops within a body, and the start of another response fills it."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
+    (received,), _ = send_requests(head + b"a" * sent + REFUSAL)
+    assert received == clientside.ResponseLost("malformed")
+
+
+def test_body_that_quotes_a_response_is_whole():
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(REFUSAL)
+    received, _ = send_requests(head + REFUSAL, head + REFUSAL + COMPLETE, count=2)
+    assert received == [REFUSAL] * 2
+
+
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
