soak: responses that break off, and the loss of all instances

Real processes in place of tests: a server's responses break off at a drawn byte and run into another one (--broken), and all instances are killed at once beside releases while callers go on to take broken streams up (--outages).

--- a/hornbeamglade/cli/soak.py
+++ b/hornbeamglade/cli/soak.py
@@ -19,6 +19,8 @@
     "versions": plan.VERSION_KINDS,
     "parts": plan.PART_KINDS,
     "strays": plan.STRAY_KINDS,
+    "broken": plan.BROKEN_KINDS,
+    "outages": plan.OUTAGE_KINDS,
 }
 
 
@@ -63,6 +65,18 @@
     flag_value="strays",
     help="Draw only bytes that belong to no request, engines that do not stop runs, lost links.",
 )
+@click.option(
+    "--broken",
+    "kind_set",
+    flag_value="broken",
+    help="Draw only responses that break off, some into another one, and what --strays draws.",
+)
+@click.option(
+    "--outages",
+    "kind_set",
+    flag_value="outages",
+    help="Draw only the loss of all instances, and what --versions draws.",
+)
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(3, 60))
 @click.option("--kept", is_flag=True, help="Also run the seeds that have failed before.")
 @click.option(
--- a/hornbeamglade/soak/callerpool.py
+++ b/hornbeamglade/soak/callerpool.py
@@ -17,7 +17,10 @@
 ROUTES = ("list", "hold", "list", "hold", "list", "draft", "tag", "rush")
 ADDRESS_TTL_S = 2.0
 PAUSE_S = (0.01, 0.15)
-MAX_RESUMPTIONS = 3
+MAX_RESUMPTIONS = 6
+"""Some of them are spent while all instances are down."""
+
+DOWN_PAUSE_S = 0.5
 MAX_PAUSE_S = 0.5
 """A refused caller waits for the given delay, but no longer than this, as a soak is short."""
 
@@ -121,10 +124,12 @@
             resumption = result.next_resumption
             if result.is_whole and result.status == 200 or resumption is None:
                 break
-            address = self._address(caller, rng)
-            if self._stopping.is_set() or not address or not first.is_resumable:
+            if self._stopping.is_set() or not first.is_resumable:
                 break
-            self._stopping.wait(min(result.retry_after_s or PAUSE_S[0], MAX_PAUSE_S))
+            is_down = result.status is None
+            pause_s = result.retry_after_s or (DOWN_PAUSE_S if is_down else PAUSE_S[0])
+            self._stopping.wait(min(pause_s, MAX_PAUSE_S))
+            address = self._address(caller, rng) or result.address
             request_id = f"{first.request_id}-{number}"
             result = caller.send(
                 address, first.route, request_id, first.key, resumption=resumption
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -129,6 +129,25 @@
         soak_site.site.child_by_name[self.component].send(signal.SIGCONT)
 
 
+class AllInstancesKilled(Fault):
+    """All instances are killed at the same moment and restarted.
+
+    :param component: ``instances``, which stands for all of them.
+    """
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Kill them."""
+        for name in soak_site.site.instance_names:
+            soak_site.begin(InstanceKilled.__name__, name)
+            soak_site.site.child_by_name[name].send(signal.SIGKILL)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Restart them."""
+        for name in soak_site.site.instance_names:
+            soak_site.site.start_instance(name)
+            soak_site.end(InstanceKilled.__name__, name)
+
+
 class InstanceReloaded(Fault):
     """An instance's settings file changes, and it gets SIGHUP."""
 
@@ -397,6 +416,30 @@
         soak_site.site.faults(self.component)
 
 
+@dataclasses.dataclass
+class ResponsesBreakOff(Fault):
+    """A server's responses break off at one of their bytes, and may run into another response.
+
+    :param component: the server.
+    :param broken_at: bytes that are sent before.
+    :param followed_by: the response that follows on the connection, or empty for its close.
+    """
+
+    component: str
+    broken_at: int
+    followed_by: str
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let responses break off."""
+        soak_site.site.faults(
+            self.component, broken_at=self.broken_at, followed_by=self.followed_by
+        )
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it respond normally again."""
+        soak_site.site.faults(self.component)
+
+
 class EngineIgnoresStops(Fault):
     """An engine leaves, ignores orders to stop runs, and keeps runs whose streams it resets."""
 
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -6,7 +6,7 @@
 
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.soak import faults, soaksite
-from hornbeamglade.standins import endlessresponses
+from hornbeamglade.standins import disturbances, endlessresponses
 
 FAULT_FREE_S = 1.0
 """Time without faults at the start."""
@@ -18,16 +18,20 @@
 MAX_DURATION_S = 3.0
 MAX_IMPAIRED_INSTANCES = 1
 """Maximum number of instances, of three, that have a fault at once, such as a kill, a stop or a
-pause: some have to be left to serve callers. A full outage would be a kind of fault of its own."""
+pause: some have to be left to serve callers. A full outage is a kind of fault of its own."""
 
 INSTANCES = tuple(f"entry-{number}" for number in range(3))
 ENGINES = tuple(f"engine-{number}" for number in range(3))
 SERVICES = tuple(f"service-{number}" for number in range(2))
 ALL_SERVICES = "services"
 ALL_ENGINES = "engines"
+ALL_INSTANCES = "instances"
 EXTRA_CALLERS = "callers"
 VERSIONS = ("v1", "v1.1", "v1.10")
 STATUSES_AFTER_RUN = (408, 429, 503)
+MAX_BROKEN_AT = 260
+"""More than the head of a response: some break off within their first events."""
+
 LINKS = ("store", *ENGINES, *SERVICES)
 INVALID_ENTRIES = (
     "",
@@ -162,6 +166,16 @@
 )
 """Bytes that belong to no request, and what else could make a request run a second time."""
 
+
+def _broken_off(rng: random.Random) -> faults.Fault:
+    followed_by = rng.choice(("", *(each.value for each in disturbances.Stray)))
+    broken_at = rng.randrange(1, MAX_BROKEN_AT)
+    return faults.ResponsesBreakOff(rng.choice(ENGINES + SERVICES), broken_at, followed_by)
+
+
+BROKEN_KINDS: tuple[FaultFactory, ...] = (*5 * (_broken_off,), *STRAY_KINDS)
+"""Responses that break off, and may run into another one on the same connection."""
+
 ALL_KINDS: tuple[FaultFactory, ...] = (
     *KINDS,
     *2 * (_partition,),
@@ -173,6 +187,8 @@
     _choose(faults.ServerRefusesLate, ENGINES + SERVICES),
     _without_end,
     _choose(faults.EngineIgnoresStops, ENGINES),
+    _broken_off,
+    _choose(faults.AllInstancesKilled, (ALL_INSTANCES,)),
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
@@ -189,6 +205,12 @@
 )
 """Releases with crashes, and callers that take streams up at other instances."""
 
+OUTAGE_KINDS: tuple[FaultFactory, ...] = (
+    *3 * (_choose(faults.AllInstancesKilled, (ALL_INSTANCES,)),),
+    *VERSION_KINDS,
+)
+"""The same, with the loss of all instances at once."""
+
 PART_KINDS: tuple[FaultFactory, ...] = (
     *4 * (_choose(faults.PartCrashesEngines, (ALL_ENGINES,)),),
     _choose(faults.InstanceKilled, INSTANCES),
@@ -218,7 +240,8 @@
     Explanation
     ===========
 
-    No component has two faults at once, and at least two of the three instances have none.
+    No component has two faults at once, and at least two of the three instances have none, or all
+    of them are lost together.
     Keys are revoked and issued in between, each once.
 
     Examples
@@ -270,7 +293,9 @@
     if candidate.fault.component in routedsite.DOMAINS:
         # The two failure domains together contain all plain services.
         return all(each.fault.component not in routedsite.DOMAINS for each in overlapping)
-    impaired = {each.fault.component for each in overlapping} & set(INSTANCES)
+    impaired = {each.fault.component for each in overlapping} & {*INSTANCES, ALL_INSTANCES}
+    if candidate.fault.component == ALL_INSTANCES or ALL_INSTANCES in impaired:
+        return candidate.fault.component not in (*INSTANCES, ALL_INSTANCES) or not impaired
     return candidate.fault.component not in INSTANCES or len(impaired) < MAX_IMPAIRED_INSTANCES
 
 
--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -28,6 +28,14 @@
 """Seeds of :data:`plan.STRAY_KINDS <hornbeamglade.soak.plan.STRAY_KINDS>` that draw late refusals,
 responses without end, and engines that do not stop runs."""
 
+BROKEN_SEEDS = (4, 5)
+"""Seeds of :data:`plan.BROKEN_KINDS <hornbeamglade.soak.plan.BROKEN_KINDS>` that draw responses
+that run into another one, of plain services and of engines."""
+
+OUTAGE_SEEDS = (4, 9)
+"""Seeds of :data:`plan.OUTAGE_KINDS <hornbeamglade.soak.plan.OUTAGE_KINDS>` that draw the loss of
+all instances beside replacements by other versions."""
+
 REFUSAL_SEEDS = (6, 10)
 """Seeds of :data:`plan.REFUSAL_KINDS <hornbeamglade.soak.plan.REFUSAL_KINDS>` in whose plans
 servers respond to requests that they ran with a status that says that they did not."""
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -84,6 +84,20 @@
     assert verdict.violations == ()
 
 
+@pytest.mark.parametrize("seed", seeds.BROKEN_SEEDS)
+def test_soak_with_responses_that_break_off_violates_no_guarantee(seed, tmp_path):
+    """Guards against a head or body that runs into another response on the connection."""
+    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.BROKEN_KINDS)
+    assert verdict.violations == ()
+
+
+@pytest.mark.parametrize("seed", seeds.OUTAGE_SEEDS)
+def test_soak_with_outages_of_all_instances_violates_no_guarantee(seed, tmp_path):
+    """Guards against streams of two versions after the loss of all that was known of them."""
+    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.OUTAGE_KINDS)
+    assert verdict.violations == ()
+
+
 def test_each_seed_of_load_and_refusals_draws_their_faults():
     load = {"MachineBusy", "MemoryShrinks", "CallersSurge", "CallersReadSlowly", "ServerLeaves"}
     for drawn, kinds, names in (
@@ -98,6 +112,8 @@
             plan.STRAY_KINDS,
             {"ServerRefusesLate", "ServerSendsWithoutEnd", "EngineIgnoresStops"},
         ),
+        (seeds.BROKEN_SEEDS, plan.BROKEN_KINDS, {"ResponsesBreakOff", "ServerRefusesLate"}),
+        (seeds.OUTAGE_SEEDS, plan.OUTAGE_KINDS, {"AllInstancesKilled", "ServerReplaced"}),
         (seeds.PART_SEEDS, plan.PART_KINDS, {"PartCrashesEngines", "CallersSurge"}),
         (seeds.REFUSAL_SEEDS, plan.REFUSAL_KINDS, {"StatusAfterRun", "InstancePartitioned"}),
     ):
