migration: take no word of an engine that still sends the stream for its end

What could be seen: a run continues at another engine while its first one works on it, after the stream of the first one was reset.

Cause: an order to stop the run that met a closed port, or got the answer that there is no such run, counted as stopped, also while the stream went on. Such an answer now counts only if it comes after the stream has ended; until then the order is given again. Both cases of the new test fail before.

Left: a server that has closed its port, keeps its runs and whose stream is reset by the link cannot be told from one that has ended.

--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -18,9 +18,11 @@
 so no deadlock is possible.
 
 A run continues from a copy only once its source is known not to work on it any more: the source
-has confirmed the stop, knows no such run, or does not listen. An order to stop may get no answer
-while the stream breaks off for another reason, such as a reset, and the source would then work on
-the run beside the target.
+has confirmed the stop or, after its stream has ended, knows no such run or does not listen. An
+order to stop may get no answer while the stream breaks off for another reason, such as a reset,
+and the source would then work on the run beside the target. Before the stream has ended, a source
+that does not listen may be completing its runs before it exits, and one that knows no such run may
+have preempted it.
 
 A run may end, or its caller may disconnect, while it is copied. An engine continues a copy
 whose request was cancelled and keeps it for some ten seconds under a name that no one
@@ -52,7 +54,8 @@
 
 _BUSY = "busy"
 _ENDED_CODES = frozenset(("no_run", "not_listening"))
-"""Failures of an order to stop a run that show that its source does not work on it."""
+"""Failures of an order to stop a run that show, after its stream has ended, that its source does
+not work on it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -282,7 +285,7 @@
             # The run was not stopped; it continues, and another target may be tried.
             self.abandon()
             return False
-        self.is_stopped = result.code in _ENDED_CODES
+        # The stream has not ended: what else the source answers does not show that it has stopped.
         return True
 
     def _continue_at_source(self, name: str) -> None:
--- a/tests/routed/test_migration.py
+++ b/tests/routed/test_migration.py
@@ -395,3 +395,18 @@
         return await setup.migration.confirm_stop(), tuple(setup.steps) == steps
 
     assert eventloop.run(main()) == (True, True)
+
+
+@pytest.mark.parametrize("code", ["no_run", "not_listening"])
+def test_engine_that_still_sends_the_stream_has_not_stopped_the_run(code):
+    """A server that stops closes its port and completes its runs; a preempted run is unknown."""
+
+    async def main():
+        setup = MigrationSetup()
+        setup.engines.copy_results += [models.CopySucceeded("c1", 7), models.CopyFailed(code)]
+        await setup.run()
+        stopped_before = setup.migration.is_stopped
+        setup.engines.copy_results.append(models.CopyFailed("no_answer"))
+        return stopped_before, await setup.migration.confirm_stop()
+
+    assert eventloop.run(main()) == (False, False)
