--- a/hornbeamglade/cli/main.py
+++ b/hornbeamglade/cli/main.py
@@ -19,6 +19,7 @@
     "spec": "spec",
     "standin": "standin",
     "status": "status",
+    "sweep": "sweep",
     "team": "team",
 }
 
--- a/hornbeamglade/standins/disturbances.py
+++ b/hornbeamglade/standins/disturbances.py
@@ -39,11 +39,12 @@
     MISDIRECTED_OTHER = "misdirected_other"
     MISDIRECTED_OWN = "misdirected_own"
     ANSWER_OTHER = "answer_other"
+    ANSWER_OWN = "answer_own"
     INTERIM = "interim"
 
 
 UNNAMED = frozenset((Stray.REFUSAL, Stray.MISDIRECTED))
-OWN = frozenset((Stray.REFUSAL_OWN, Stray.MISDIRECTED_OWN))
+OWN = frozenset((Stray.REFUSAL_OWN, Stray.MISDIRECTED_OWN, Stray.ANSWER_OWN))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,7 +88,7 @@
     id_line = "" if stray in UNNAMED else f"Attempt-Id: {request_id if is_own else OTHER_ID}\r\n"
     if stray is Stray.INTERIM:
         return f"HTTP/1.1 103 Stray\r\nNot-Executed: 1\r\n{id_line}\r\n".encode()
-    if stray is Stray.ANSWER_OTHER:
+    if stray in (Stray.ANSWER_OTHER, Stray.ANSWER_OWN):
         head = f"HTTP/1.1 200 Stray\r\n{id_line}Response-Seal: s9.{OTHER_ID}\r\n"
         return f"{head}Content-Length: 9\r\n\r\nnot yours".encode()
     if stray in (Stray.MISDIRECTED, Stray.MISDIRECTED_OTHER, Stray.MISDIRECTED_OWN):
--- /dev/null
+++ b/hornbeamglade/sweep/kinds.py
@@ -0,0 +1,164 @@
+"""The kinds of exchange that a sweep disturbs."""
+
+import collections.abc
+import dataclasses
+import json
+import re
+
+from hornbeamglade.standins import disturbances, operatordocuments, routed
+from hornbeamglade.sweep import cases
+
+MOVE_PATH = "/v1/kv-move"
+HEAD_END = b"\r\n\r\n"
+
+INSERTED_EVERYWHERE = (disturbances.Stray.ANSWER_OTHER, disturbances.Stray.REFUSAL)
+"""Strays that are also inserted in the body; the others differ in fields of the head only."""
+
+SHORT_EVENTS = 4
+LONG_EVENTS = 60
+LONGEST_EVENTS = 250
+LOST_AFTER_EVENTS = range(30, 70, 5)
+"""Events after which an engine that ignores orders loses a stream: its run goes on for longer than
+two engines may work on it."""
+
+EVENT_BYTES = 160
+"""More than a stray response, which then fits into what is left of an event that breaks off."""
+
+CONTINUED_EVENTS = 3
+"""Events of a continued stream that are disturbed."""
+
+WAVE_SIZE = 32
+LEAVING_WAVE_SIZE = 16
+IGNORED_WAVE_SIZE = 2
+EVENT_END = rb"\n\n"
+
+DEADLINE_S = 0.4
+LONG_DEADLINE_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of exchange.
+
+    :param name: its name.
+    :param route: the name of the requests' route.
+    :param is_relayed: whether another instance relays the connections to replicas.
+    :param resumed_after: the event after which the request takes a stream up, or 0.
+    :param target: ``answer``, ``continuation``, ``copy`` or ``stop``: which response is disturbed.
+    :param ignores_stops: whether the engine that the runs leave does not stop them.
+    """
+
+    name: str
+    route: str
+    is_relayed: bool = False
+    resumed_after: int = 0
+    target: str = "answer"
+    ignores_stops: bool = False
+
+    @property
+    def moves_runs(self) -> bool:
+        """Whether the runs leave their engine."""
+        return self.ignores_stops or self.target != "answer"
+
+    @property
+    def events(self) -> int:
+        """Events of a whole stream."""
+        if self.ignores_stops:
+            return LONGEST_EVENTS
+        return LONG_EVENTS if self.moves_runs else SHORT_EVENTS
+
+    @property
+    def wave_size(self) -> int:
+        """Cases that are played at once: runs leave an engine one after the other."""
+        if self.ignores_stops:
+            return IGNORED_WAVE_SIZE
+        return LEAVING_WAVE_SIZE if self.moves_runs else WAVE_SIZE
+
+    @property
+    def has_kept_connections(self) -> bool:
+        """Whether its requests may be sent on connections that carried others."""
+        is_stream_or_answer = self.target in ("answer", "continuation")
+        return is_stream_or_answer and not self.is_relayed and not self.ignores_stops
+
+    @property
+    def expected(self) -> cases.Expected:
+        """What must hold in its cases."""
+        route = operatordocuments.SETTINGS_BY_ROUTE[self.route]
+        deadline_s = LONG_DEADLINE_S if self.moves_runs else DEADLINE_S
+        return cases.Expected(route, self.resumed_after + 1, self.events, deadline_s)
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Further headers of its requests."""
+        if not self.resumed_after:
+            return {}
+        return {"Resumes": "1" * 16, "Last-Event-Id": str(self.resumed_after)}
+
+    def target_id(self, request: routed.Request) -> str:
+        """Return the id of the request whose exchange is disturbed if its response is; or ""."""
+        if request.target == MOVE_PATH:
+            order = json.loads(request.body)
+            return order["id"] if self.target == ("stop" if order["last"] else "copy") else ""
+        is_continuation = "kv-from" in request.value_by_name
+        wanted = "continuation" if is_continuation else "answer"
+        return request.request_id if self.target == wanted else ""
+
+    def cases(self, good: bytes) -> collections.abc.Iterator[cases.Case]:
+        """Return all cases.
+
+        :param good: the bytes of an undisturbed response.
+        """
+        if self.ignores_stops:
+            yield from _lost_streams(good)
+            return
+        head_bytes = good.index(HEAD_END) + len(HEAD_END)
+        positions = range(len(good) + 1)
+        if self.target == "continuation":
+            # How many events are left differs from run to run.
+            positions = range(_event_ends(good)[CONTINUED_EVENTS])
+        for is_first_use in (True, False) if self.has_kept_connections else (True,):
+            for disturbance in _disturbances(head_bytes, positions):
+                case = cases.Case(disturbance, is_first_use)
+                if not case.is_own_statement:
+                    yield case
+
+
+KINDS = (
+    Kind("single", "hold"),
+    Kind("plain", "list"),
+    Kind("stream", "draft"),
+    Kind("resumable", "tag"),
+    Kind("resumed", "tag", resumed_after=2),
+    Kind("relayed", "hold", is_relayed=True),
+    Kind("relayed-stream", "draft", is_relayed=True),
+    Kind("copied", "draft", target="copy"),
+    Kind("stopped", "draft", target="stop"),
+    Kind("moved", "draft", target="continuation"),
+    Kind("unstopped", "draft", ignores_stops=True),
+)
+"""All kinds; the runs of the last four leave their engine."""
+
+
+def _event_ends(good: bytes) -> list[int]:
+    return [each.end() for each in re.finditer(EVENT_END, good)]
+
+
+def _lost_streams(good: bytes) -> collections.abc.Iterator[cases.Case]:
+    ends = _event_ends(good)
+    for action in (disturbances.Action.CLOSE, disturbances.Action.RESET):
+        for events in LOST_AFTER_EVENTS:
+            yield cases.Case(disturbances.Disturbance(action, ends[events - 1]), True)
+
+
+def _disturbances(
+    head_bytes: int, positions: collections.abc.Sequence[int]
+) -> collections.abc.Iterator[disturbances.Disturbance]:
+    actions = disturbances.Action
+    for action in (each for each in actions if each is not actions.INSERT):
+        for at in positions[:-1]:
+            yield disturbances.Disturbance(action, at)
+    for stray in disturbances.Stray:
+        is_everywhere = stray in INSERTED_EVERYWHERE
+        for at in positions:
+            if is_everywhere or at < head_bytes or at == positions[-1]:
+                yield disturbances.Disturbance(actions.INSERT, at, stray)
