--- a/tests/eventloop.py
+++ b/tests/eventloop.py
@@ -2,14 +2,19 @@
 
 import asyncio
 
+from tests.http1 import raw
+
 LONGEST_S = 60.0
 """Timeout of a hanging test; no test depends on it."""
 
 
 def run(coroutine):
     async def bounded():
-        async with asyncio.timeout(LONGEST_S):
-            return await coroutine
+        try:
+            async with asyncio.timeout(LONGEST_S):
+                return await coroutine
+        finally:
+            raw.close_all()
 
     return asyncio.run(bounded())
 
--- a/tests/http1/raw.py
+++ b/tests/http1/raw.py
@@ -1,6 +1,16 @@
 """Raw connections, to send and receive bytes that a library would hide."""
 
 import asyncio
+import weakref
+
+_open_writers = weakref.WeakSet()
+
+
+def close_all():
+    """Close the connections that a test has left open; to be called on its event loop."""
+    for writer in tuple(_open_writers):
+        writer.close()
+    _open_writers.clear()
 
 
 class RawClient:
@@ -13,7 +23,9 @@
     @classmethod
     async def connect(cls, address):
         host, _, port = address.rpartition(":")
-        return cls(*await asyncio.open_connection(host, int(port)))
+        client = cls(*await asyncio.open_connection(host, int(port)))
+        _open_writers.add(client.writer)
+        return client
 
     async def send(self, data):
         self.writer.write(data)
