tests: find the instance that relays a stream among those that relay reports

Cause: an instance that is cut off has its engines' reports relayed as well, each for some milliseconds. The test took any instance with an open connection for the one that relays the stream: two had one ("too many values to unpack"), or the chosen one had only a report (0 relayed). It now waits until one connection is left, which is the stream's, and the stream lasts for three seconds.

--- a/tests/entry/test_partitions.py
+++ b/tests/entry/test_partitions.py
@@ -6,6 +6,7 @@
 
 from hornbeamglade.localsite import tcpproxy
 from hornbeamglade.standins import routedfaults
+from tests import eventloop
 from tests.entry import site as entrysite
 
 PLAIN, SINGLE, STREAM, SINGLE_STREAM = "/list/1", "/hold/1", "/tag/1", "/draft/1"
@@ -138,20 +139,26 @@
     assert entrysite.run(test, **(SHAPE | {"services": 1})) == [200] * 3
 
 
+def relayed_count(node):
+    return node.instance.tunneling.relayed_count
+
+
 def test_leaving_instance_completes_relayed_streams_and_relays_no_further_ones():
     async def test(site):
         cut, *others = site.nodes
         site.partition(cut, tcpproxy.Partition.RESET)
         client = await cut.request(SINGLE_STREAM, more=entrysite.USAGE)
         await client.head()
-        (relay,) = [node for node in others if node.instance.tunneling.relayed_count]
+        # Reports of engines are relayed for a moment, the stream until its end.
+        await eventloop.until(lambda: sum(map(relayed_count, others)) == 1)
+        (relay,) = filter(relayed_count, others)
         relay.instance.leave()
         statuses = await asyncio.gather(*(send(cut, PLAIN, f"r{number}") for number in range(8)))
-        relayed = relay.instance.tunneling.relayed_count
+        relayed = relayed_count(relay)
         events = await client.reader.readuntil(b"0\r\n\r\n")
         return set(statuses), relayed, events.count(b"data:")
 
-    statuses, relayed, events = entrysite.run(test, **(SHAPE | {"events": 30}))
+    statuses, relayed, events = entrysite.run(test, **(SHAPE | {"events": 30, "gap_s": 0.1}))
     assert statuses == {200}
     assert relayed == 1
     assert events == 30
