http1: wait for the end of a chunk before its content goes on

What callers saw: an event that ends with the head of another response, which filled its chunk to the last byte.

Cause: the chunk counted as whole as soon as its content was, if nothing had arrived behind it; what follows showed too late that it was not.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -12,8 +12,8 @@
 server closed the connection in order; after a reset it is truncated.
 
 A server may stop within a chunk of the body, and bytes of another response then fill it. They show
-only at its end, where another chunk or the end of the body does not follow. A reader that passes
-on a body as it arrives therefore reads whole chunks.
+only at its end, where no line end follows. A reader that passes on a body as it arrives therefore
+reads whole chunks.
 
 A server in trouble may send bytes without end. What one response may cost is therefore bounded
 in every part whose length it does not state: interim responses, the head, and the framing of the
@@ -41,6 +41,7 @@
 MAX_FRAMING_PER_CONTENT = 16
 """Bytes of chunk framing for each byte of content; chunks of one byte need five."""
 
+CHUNK_END_BYTES = 2
 PORTION_BYTES = 16_384
 EVENTS_PER_TURN = 32
 """Parsed events after which other tasks get a turn, if no wait for data has given them one."""
@@ -112,6 +113,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._state: h11.Connection | None = None
         self._is_in_chunk = False
+        self._is_after_chunk = False
         self._next_event: h11.Event | None = None
         self._request: h11.Request | None = None
         self._is_reset = False
@@ -203,6 +205,7 @@
         event = await self._event()
         if isinstance(event, h11.Data):
             self._content_bytes += len(event.data)
+            self._is_after_chunk = event.chunk_end
             self._is_in_chunk = not event.chunk_end and (self._is_in_chunk or event.chunk_start)
             if self._has_excessive_framing():
                 return self._lost("excessive")
@@ -226,7 +229,8 @@
             held += piece
             if self._is_in_chunk and len(held) <= limit:
                 continue
-            return self._lost("malformed") if self._has_malformed_rest() else bytes(held)
+            lost = await self._await_chunk_end() if self._is_after_chunk else None
+            return lost or bytes(held)
 
     async def body(
         self, limit: int, on_growth: collections.abc.Callable[[int], None] | None = None
@@ -356,14 +360,25 @@
             event = self._state.next_event()
         return event
 
-    def _has_malformed_rest(self) -> bool:
-        """Return whether what follows the last event, as far as it has arrived, is malformed."""
-        try:
-            event = self._parse_event()
-        except h11.RemoteProtocolError:
-            return True
-        self._next_event = None if event is h11.NEED_DATA else event
-        return False
+    async def _await_chunk_end(self) -> ResponseLost | None:
+        """Wait for the line end that follows the content of a chunk."""
+        before = self._consumed_bytes()
+        while True:
+            try:
+                event = self._parse_event()
+            except h11.RemoteProtocolError:
+                return self._lost("malformed")
+            if event is not h11.NEED_DATA:
+                self._next_event = event
+                return None
+            if self._consumed_bytes() - before >= CHUNK_END_BYTES:
+                return None
+            if self._has_ended:
+                return self._lost("reset" if self._is_reset else "closed")
+            await self._await_data()
+
+    def _consumed_bytes(self) -> int:
+        return self._parsed_bytes - len(self._state.trailing_data[0])
 
     def _parse_portion(self) -> None:
         portion = bytes(self._buffer[:PORTION_BYTES])
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -268,13 +268,21 @@
     assert read == [b"abc", b"de", clientside.BodyEnd()]
 
 
-@pytest.mark.parametrize("rest", [b"", b"b", b"bcdef\r\n", b"bcHTTP/1.1 503 No\r\n\r\n"])
+@pytest.mark.parametrize(
+    "rest", [b"", b"b", b"bc", b"bc\r", b"bcdef\r\n", b"bcHTTP/1.1 503 No\r\n\r\n"]
+)
 def test_chunk_that_is_not_whole_is_never_read(rest):
     """A server stops within a chunk, and bytes of another response fill it."""
     (lost,) = chunks_of(b"3\r\na" + rest)
     assert isinstance(lost, clientside.ResponseLost)
 
 
+def test_chunk_that_another_response_fills_to_its_end_is_never_read():
+    """The rest of the chunk has not arrived when the other response has."""
+    (lost,) = chunks_of(b"3\r\na", b"bc", b"bc\r\n0\r\n\r\n")
+    assert lost == clientside.ResponseLost("malformed")
+
+
 def test_chunk_that_is_too_long_is_not_held():
     read = chunks_of(b"ff\r\n" + b"a" * 101, b"a" * 154 + b"\r\n0\r\n\r\n")
     assert read == [b"a" * 101, b"a" * 154, clientside.BodyEnd()]
