tests: count turns of the event loop that block, not only those that compute

A turn now takes the wall clock without the time in which the thread waited for a processor, as the kernel counts it: other processes do not lengthen it, a wait does. A turn that sleeps and one that computes are both seen.

--- a/tests/http1/test_floods.py
+++ b/tests/http1/test_floods.py
@@ -1,6 +1,7 @@
 """Responses without end: what one may cost, and what other tasks get meanwhile."""
 
 import asyncio
+import pathlib
 import time
 
 import pytest
@@ -21,16 +22,42 @@
 """How much later other tasks may get their turn."""
 
 
+SCHEDULER_STATISTICS = pathlib.Path("/proc/thread-self/schedstat")
+"""Nanoseconds that a thread ran and that it waited for a processor, and its time slices."""
+
+
+def own_time_s():
+    """Return seconds that pass while this thread runs or blocks, not while others run instead."""
+    if not SCHEDULER_STATISTICS.exists():
+        return time.thread_time()
+    waited_ns = int(SCHEDULER_STATISTICS.read_text(encoding="ascii").split()[1])
+    return time.perf_counter() - waited_ns / 1e9
+
+
 async def longest_turn_s(done):
-    """Return the longest processor time that this thread spent before it gave this task a turn."""
+    """Return the longest own time of this thread before it gave this task a turn."""
     longest_s = 0.0
     while not done.is_set():
-        started_at = time.thread_time()
+        started_at = own_time_s()
         await asyncio.sleep(0)
-        longest_s = max(longest_s, time.thread_time() - started_at)
+        longest_s = max(longest_s, own_time_s() - started_at)
     return longest_s
 
 
+@pytest.mark.parametrize("block", [time.sleep, lambda seconds: sum(range(20_000_000))])
+def test_turn_that_blocks_or_computes_is_seen(block):
+    async def main():
+        done = asyncio.Event()
+        turns = asyncio.ensure_future(longest_turn_s(done))
+        await asyncio.sleep(0)
+        block(4 * LATE_S)
+        done.set()
+        return await turns
+
+    if SCHEDULER_STATISTICS.exists():
+        assert eventloop.run(main()) > LATE_S
+
+
 def receive(step, is_stream):
     """Receive a response; return its outcome, seconds, bytes read ahead and the longest turn."""
 
@@ -65,7 +92,7 @@
         return await connection.body(BODY_LIMIT)
     received = 0
     while received < BODY_LIMIT:
-        piece = await connection.piece()
+        piece = await connection.chunk(clientside.READ_AHEAD_BYTES)
         if isinstance(piece, clientside.ResponseLost):
             return piece
         received += len(piece)
