soak, standins: servers that close their port and complete their runs

Real processes stop so, and the bench's replicas do not: an order to stop a run then meets a closed port while the stream goes on. The soak draws it by default; a test at the entry holds that such a run is completed where it is, once. Reports of engines are disturbed at every byte as well: none but the sound one is used.

--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -20,6 +20,7 @@
 NOTICE_S = 1.5
 """How long a leaving engine continues to serve, as on the operators' platform."""
 
+SHORT_NOTICE_S = 0.1
 POLL_S = 0.05
 REWRITTEN_S = 1.0
 """Time after which operators and servers write lost rows to the store again."""
@@ -287,6 +288,20 @@
         _replace(soak_site, self.component)
 
 
+class ServerStopsInOrder(ServerLeaves):
+    """A backend server closes its port while it completes its runs, some time after its notice."""
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Mark it as leaving, and stop it before its runs are complete."""
+        server = soak_site.site.server_by_place[self.component]
+        soak_site.site.faults(self.component, stops_in_order=True)
+        soak_site.site.put_json(self.component, "/standin/leave", {})
+        soak_site.site.list_server(server, is_leaving=True)
+        time.sleep(SHORT_NOTICE_S)
+        soak_site.site.child_by_name[self.component].send(signal.SIGTERM)
+        soak_site.site.unlist_server(server)
+
+
 @dataclasses.dataclass
 class ServerReplaced(ServerLeaves):
     """An engine is replaced by one of another software version, as in a release.
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -189,6 +189,7 @@
     _choose(faults.EngineIgnoresStops, ENGINES),
     _broken_off,
     _choose(faults.AllInstancesKilled, (ALL_INSTANCES,)),
+    _choose(faults.ServerStopsInOrder, ENGINES + SERVICES),
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -37,6 +37,7 @@
 MEMORY_TOKENS = 30_000
 PROMPT_TOKENS = 100
 COPY_S = 0.02
+FINISH_POLL_S = 0.02
 HEALTH_PATH = "/h"
 
 
@@ -194,6 +195,12 @@
         """Whether it accepts connections."""
         return self._server is not None and self._server.is_serving()
 
+    async def finish(self) -> None:
+        """Close the port and complete the requests that it runs, as a stop in order does."""
+        self._server.close()
+        while self._running:
+            await asyncio.sleep(FINISH_POLL_S)
+
     async def stop(self) -> None:
         """Close the port and every connection at once, as a crash does."""
         self._server.close()
@@ -685,6 +692,8 @@
     await standin.start(bind)
     print(standin.address, flush=True)
     await stopping.wait()
+    if standin.faults.stops_in_order:
+        await standin.finish()
     await standin.stop()
 
 
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -46,6 +46,8 @@
     :param followed_by: one of the values of :class:`Stray
         <hornbeamglade.standins.disturbances.Stray>`, which follows on the connection instead of
         its close. Empty for none.
+    :param stops_in_order: when it is told to stop, it closes its port and completes the requests
+        that it runs.
     :param ignores_stops: orders to stop a run for a migration are ignored and get no response.
     """
 
@@ -83,3 +85,4 @@
     broken_at: int | None = None
     followed_by: str = ""
     ignores_stops: bool = False
+    stops_in_order: bool = False
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -75,6 +75,23 @@
     assert (status, body, runs) == (200, stream_body("r1"), ["r1"])
 
 
+def test_run_of_an_engine_that_has_closed_its_port_is_completed_there():
+    """A server that stops in order accepts no orders any more, and completes its runs."""
+
+    async def test(site):
+        client = await start_stream(site)
+        source = runs_at(site, "r1")[0]
+        finishing = asyncio.ensure_future(source.finish())
+        await asyncio.sleep(0)
+        site.leave(site.engines.index(source))
+        answer = await client.answer()
+        await finishing
+        return answer, dispatched(site), source.run_by_id["r1"].is_stopped
+
+    (status, _, body), runs, is_stopped = entrysite.run(test)
+    assert (status, body, runs, is_stopped) == (200, stream_body("r1"), ["r1"], False)
+
+
 def test_run_migrates_on_the_engines_own_report():
     """During a store outage only the engine's own report announces that it will stop."""
 
--- a/tests/platform/test_enginecalls.py
+++ b/tests/platform/test_enginecalls.py
@@ -1,5 +1,6 @@
 """Calls to engines apart from streams, against the stand-in and raw responses."""
 
+import functools
 import time
 
 import pytest
@@ -8,7 +9,14 @@
 from hornbeamglade.engines import models
 from hornbeamglade.http1 import clientpool
 from hornbeamglade.platform import enginecalls
-from hornbeamglade.standins import endlessresponses, routed, routedfaults, routedruns
+from hornbeamglade.standins import (
+    disturbances,
+    disturbedwriter,
+    endlessresponses,
+    routed,
+    routedfaults,
+    routedruns,
+)
 from tests import eventloop
 from tests.http1 import raw
 
@@ -49,6 +57,27 @@
     assert (second.is_leaving, second.leaves_in_s) == (True, 1.5)
 
 
+@pytest.mark.parametrize("followed_by", ["", "answer_other", "refusal"])
+def test_report_that_breaks_off_at_any_byte_is_none(followed_by):
+    """A report that is wrong moves runs, or sends requests to an engine without room."""
+
+    async def test(source, _target, control):
+        def break_off(at, request, writer):
+            action, stray = disturbances.Action.CLOSE, None
+            if followed_by:
+                action, stray = disturbances.Action.INSERT, disturbances.Stray(followed_by)
+            disturbance = disturbances.Disturbance(action, at, stray)
+            return disturbedwriter.DisturbedWriter(writer, disturbance, request.request_id)
+
+        sound, reports = await control.report(source.address), []
+        for at in range(1, 150):
+            source.wrap_writer = functools.partial(break_off, at)
+            reports.append(await control.report(source.address))
+        return [each for each in reports if each not in (sound, models.ReportFailed(False))]
+
+    assert with_engines(test) == []
+
+
 def test_run_continues_until_the_last_copy():
     async def test(source, target, control):
         first = await copy(source, target, control, is_last=False)
