routed: log the address of each attempt and of each further one

The record of the incident cannot tell whether a request was sent twice to one address, under two ids of replicas. 'attempt' and 'resend' lines now name it.

--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -4,7 +4,7 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.observability import logs
-from hornbeamglade.replicas import ratelimits
+from hornbeamglade.replicas import models, ratelimits
 
 
 @dataclasses.dataclass(slots=True)
@@ -17,6 +17,7 @@
     :param in_flight_replica: replica of the attempt in flight, or None.
     :param has_response: whether that replica has begun to respond.
     :param limit_per_s: rate limit that the replica of the newest attempt had reported, or None.
+    :param address: address of the replica of the newest attempt.
     :param connection: how the newest attempt was sent: ``opening`` until it has a connection, then
         ``new``, ``kept`` or ``tunneled``.
     :param via: the instance that relays a tunneled connection, or None.
@@ -33,6 +34,7 @@
     in_flight_replica: str | None = None
     has_response: bool = False
     limit_per_s: float | None = None
+    address: str = "-"
     connection: str = "-"
     via: str | None = None
     idle_s: float | None = None
@@ -41,10 +43,13 @@
     ended_code: str = "-"
     ended_at: float | None = None
 
-    def start(self, replica_id: str, limit: ratelimits.RateLimit | None, now: float) -> None:
+    def start(
+        self, replica: models.Replica, limit: ratelimits.RateLimit | None, now: float
+    ) -> None:
         """Record that an attempt starts, and the rate limit that its replica had reported."""
         self.sent_at = now
-        self.in_flight_replica = replica_id
+        self.address = replica.address
+        self.in_flight_replica = replica.id
         self.limit_per_s = None if limit is None else limit.requests_per_s
         self.connection = "opening"
         self.via = self.idle_s = None
@@ -87,7 +92,9 @@
         self.sent += was_sent
         self.may_have_run = self.may_have_run or run is not outcomes.RunStatus.NOT_RUN
 
-    def log_resend(self, request_id: str, replica_id: str, now: float, *, has_copy: bool) -> None:
+    def log_resend(
+        self, request_id: str, replica: models.Replica, now: float, *, has_copy: bool
+    ) -> None:
         """Log that a request is sent to a further replica, and what allows it.
 
         :param has_copy: whether its run continues there from a copy.
@@ -99,7 +106,8 @@
             request_id,
             "resend",
             "copy" if has_copy else may_run_again,
-            replica=replica_id,
+            replica=replica.id,
+            address=replica.address,
             code=self.ended_code,
             attempts=self.sent,
             seconds=round(now - self.ended_at, 4),
--- a/hornbeamglade/routed/bufferedexchange.py
+++ b/hornbeamglade/routed/bufferedexchange.py
@@ -165,8 +165,8 @@
         self._available.started(replica.id, sent_at)
         self._available.request_sent(replica.id)
         self._available.exchange_began(replica.id)
-        log.log_resend(routed.call.request_id, replica.id, sent_at, has_copy=False)
-        log.start(replica.id, self._available.limit(replica.id), sent_at)
+        log.log_resend(routed.call.request_id, replica, sent_at, has_copy=False)
+        log.start(replica, self._available.limit(replica.id), sent_at)
         try:
             started = await self._sender.send(routed, replica, dispatch, log)
             if isinstance(started, sending.StartedResponse):
@@ -213,6 +213,7 @@
             "replica_error" if is_answer else outcome.code,
             status=outcome.status,
             replica=replica.id,
+            address=log.address,
             run="ran" if is_answer else outcome.run.value,
             connection=log.connection,
             idle_s=log.idle_s,
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -195,12 +195,12 @@
         assignment.sent_at = self._dependencies.clock.now()
         self._log.log_resend(
             routed.call.request_id,
-            assignment.replica.id,
+            assignment.replica,
             assignment.sent_at,
             has_copy=copy is not None,
         )
         self._log.start(
-            assignment.replica.id, catalog.limit(assignment.replica.id), assignment.sent_at
+            assignment.replica, catalog.limit(assignment.replica.id), assignment.sent_at
         )
         catalog.record_sent(assignment.replica.id)
         response = await self._dependencies.sender.send(
@@ -269,6 +269,7 @@
             response.code if is_failed else "not_a_stream",
             status=response.status if is_failed else response.head.status,
             replica=self._assignment.replica.id,
+            address=self._log.address,
             run=response.run.value if is_failed else "ran",
             connection=self._log.connection,
             idle_s=self._log.idle_s,
--- a/tests/routed/test_drainadmission.py
+++ b/tests/routed/test_drainadmission.py
@@ -4,6 +4,7 @@
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.lengths import lengthmodel
+from hornbeamglade.replicas import models
 from hornbeamglade.routed import attemptlog, drainadmission, requestsinprogress, tokentimes
 from tests.routed import fakes
 
@@ -133,7 +134,7 @@
 def test_request_without_an_answer_at_the_limit_is_refused_truthfully():
     """At the limit of a stop the process ended, and its callers got no answer at all."""
     waiting, sent = attemptlog.AttemptLog(), attemptlog.AttemptLog()
-    sent.start("i-1", None, ENDS_AT - 1.0)
+    sent.start(models.Replica("i-1", "s", "10.0.0.1:1", "a", 8), None, ENDS_AT - 1.0)
     for is_other_ready, retry_s in (
         (True, drainadmission.OTHER_INSTANCE_RETRY_S),
         (False, drainadmission.ALL_LEAVING_RETRY_S),
--- a/tests/routed/test_requestsinprogress.py
+++ b/tests/routed/test_requestsinprogress.py
@@ -5,11 +5,13 @@
 import pytest
 
 from hornbeamglade.core import clocks, outcomes
+from hornbeamglade.replicas import models
 from hornbeamglade.routed import attemptlog, requestsinprogress
 from tests import eventloop
 from tests.routed import fakes
 
 REFUSAL = outcomes.Refusal("node_leaving", 503, "-", retry_after_s=1.0)
+REPLICA = models.Replica("i-1", "s", "10.0.0.1:1", "a", 8)
 AnswerTime = requestsinprogress.AnswerTime
 
 
@@ -32,7 +34,7 @@
 
     def send(self, request, after_s=0.0):
         self.clock.advance(after_s)
-        request.log.start("i-1", None, self.clock.now())
+        request.log.start(REPLICA, None, self.clock.now())
 
     def answer(self, request, after_s=0.0):
         self.clock.advance(after_s)
