routed: send a request again to an address on a connection of its own

Callers saw nothing wrong; a request that must run at most once ran twice, or got 503 though it ran. A replica that has taken an address over answers 421 to a request for the one before it. The request is then sent to the new replica, at the same address and on the same connection, which has just been returned to the pool. If the refusal arrives a second time, it carries the request's id and counts for the second attempt, which runs; the request goes on to a third replica.

The id names the request, not the attempt. A request that may have been sent to an address before now gets a new connection there, on which nothing of the first exchange can arrive. This holds for plain and streamed requests, resumed ones and those that go on from a copy, as all are sent by Sender.

The stand-in server can repeat its refusals for it.

--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -18,6 +18,7 @@
     :param has_response: whether that replica has begun to respond.
     :param limit_per_s: rate limit that the replica of the newest attempt had reported, or None.
     :param address: address of the replica of the newest attempt.
+    :param sent_addresses: addresses to which the request may have been sent.
     :param connection: how the newest attempt was sent: ``opening`` until it has a connection, then
         ``new``, ``kept`` or ``tunneled``.
     :param via: the instance that relays a tunneled connection, or None.
@@ -35,6 +36,7 @@
     has_response: bool = False
     limit_per_s: float | None = None
     address: str = "-"
+    sent_addresses: set[str] = dataclasses.field(default_factory=set)
     connection: str = "-"
     via: str | None = None
     idle_s: float | None = None
@@ -55,13 +57,14 @@
         self.via = self.idle_s = None
 
     def record_connection(self, via: str | None, idle_s: float | None) -> None:
-        """Record the connection of the attempt in flight.
+        """Record the connection on which the attempt in flight is sent.
 
         :param via: the instance that relays it, or None.
         :param idle_s: seconds for which it had been idle, or None for a new one.
         """
         self.connection = "tunneled" if via else "new" if idle_s is None else "kept"
         self.via = via
+        self.sent_addresses.add(self.address)
         self.idle_s = None if idle_s is None else round(idle_s, 3)
 
     def record_response_started(self) -> None:
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -132,7 +132,8 @@
         dispatch: calls.Dispatch,
         log: attemptlog.AttemptLog,
     ) -> StartedResponse | FailedAttempt:
-        new_only = self._refuses_unnamed(replica.address)
+        was_sent_there = replica.address in log.sent_addresses
+        new_only = was_sent_there or self._refuses_unnamed(replica.address)
         connection = await self._pool.acquire(replica.address, new_only=new_only)
         if isinstance(connection, clientside.ResponseLost):
             code = _connect_failure_code(connection)
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -166,6 +166,7 @@
         self._gap_s = gap_s
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._refusal_by_writer: dict[asyncio.StreamWriter, bytes] = {}
         self._unread_runs: set[asyncio.Task[None]] = set()
 
     @property
@@ -225,6 +226,7 @@
                     break
                 request = dataclasses.replace(request, is_first=is_first)
                 is_first = False
+                writer.write(self._refusal_by_writer.pop(writer, b""))
                 if not await self._respond(request, reader, self._wrapped(request, writer)):
                     break
                 if self.faults.late_refusal_s is not None and request.request_id:
@@ -235,6 +237,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._refusal_by_writer.pop(writer, None)
             writer.close()
 
     def _wrapped(self, request: Request, writer: asyncio.StreamWriter) -> asyncio.StreamWriter:
@@ -296,10 +299,10 @@
         expected = request.value_by_name.get("expect-instance")
         if expected not in (None, self.replica_id):
             headers = {"Replica-Id": self.replica_id} | self._id_headers(request)
-            writer.write(_response(request, 421, headers | self._state_headers(), b""))
+            self._refuse(request, 421, headers | self._state_headers(), writer)
             return True
         if self.faults.refuse or self.faults.retry_after:
-            writer.write(_response(request, 503, self._refusal_headers(request), b""))
+            self._refuse(request, 503, self._refusal_headers(request), writer)
             self._record_refusal(request)
             return True
         if self.faults.room is not None and self._running >= self.faults.room:
@@ -324,9 +327,21 @@
                 sockets.reset(each.transport)
             return False
         self._record_refusal(request)
-        writer.write(_response(request, 503, self._refusal_headers(request), b""))
+        self._refuse(request, 503, self._refusal_headers(request), writer)
         return True
 
+    def _refuse(
+        self,
+        request: Request,
+        status: int,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        refusal = _response(request, status, headers, b"")
+        writer.write(refusal)
+        if self.faults.repeats_refusals:
+            self._refusal_by_writer[writer] = refusal
+
     async def _control_call(self, request: Request) -> tuple[int, object] | None:
         """Respond to control calls of the stand-in; return None for a caller's request."""
         path = request.target.partition("?")[0]
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -36,6 +36,8 @@
     :param unnamed: refusals do not carry the id of the request.
     :param late_refusal_s: seconds after each complete response until a refusal without an id
         follows on its connection, or None.
+    :param repeats_refusals: a refusal is sent a second time when the next request arrives on its
+        connection, before the response to that request.
     :param reset_after_events: the connection of a stream is reset after this many events.
     :param keeps_runs: a run continues after its connection is lost.
     :param endless: one of :data:`endlessresponses.PARTS
@@ -79,6 +81,7 @@
     memory_tokens: int | None = None
     unnamed: bool = False
     late_refusal_s: float | None = None
+    repeats_refusals: bool = False
     reset_after_events: int | None = None
     keeps_runs: bool = False
     endless: str = ""
--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -364,6 +364,28 @@
     assert set(statuses[2:]) == {503}
 
 
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_second_copy_of_a_refusal_does_not_send_a_request_again_that_its_new_replica_runs(path):
+    """A request is refused at an address and sent again there, to a replica that has started."""
+
+    async def test(site):
+        server = site.engines[0] if path == SINGLE_STREAM else site.services[0]
+        service = "llm" if path == SINGLE_STREAM else "web"
+        for each in replicas(site):
+            each.faults = routedfaults.RoutedFaults(repeats_refusals=True)
+        for number in range(2, 5):
+            site.put(f"servers/earlier{number}", entrysite.server_row(server, service))
+        site.read_store()
+        return await send_in_turn(site, path)
+
+    statuses, runs = entrysite.run(test, engines=2, services=2, events=5)
+    assert max(runs) == 1
+    assert not any(
+        status in outcomes.NOT_RUN_STATUSES and count
+        for status, count in zip(statuses, runs, strict=True)
+    )
+
+
 WITHIN_REASON = len(b"HTTP/1.1 200 Sta")
 WITHIN_LOAD = len(b"HTTP/1.1 200 Status\r\nAttempt-Id: r1\r\nReplica-Load: 1,")
 WITHIN_SEAL = len(
