grants: do not grant a request again that is queued or granted at its engine

A request that waits in the queue of an own engine looks for headroom elsewhere, under the same id. While another owner was asked, the queue could grant it; the search then came to its own engine and got a second grant with the same id. The release of one ended both, so the engine's owner did not count a request that ran there, and could grant its memory again. Only services whose owners pass on each other's figures are concerned: for the others an engine with a queue is not searched.

--- a/hornbeamglade/grants/replicascheduler.py
+++ b/hornbeamglade/grants/replicascheduler.py
@@ -187,10 +187,13 @@
     def try_grant(self, work: outcomes.Work, now: float, due: float = math.inf) -> Granted | None:
         """Grant a request that may start now, or return None.
 
-        It never starts ahead of a queued request that can still be on time.
+        It never starts ahead of a queued request that can still be on time. A request that is
+        queued or granted here is not granted again: the end of either would end both.
 
         :param due: when it must start to be on time.
         """
+        if work.request_id in self._running or work.request_id in self._pending_by_id:
+            return None
         if not self._may_start(now) or not self._is_next(work, due, now):
             return None
         return self._start(work, now) if self._fits(work, due, now) else None
--- a/tests/grants/test_asyncgrantacquirer.py
+++ b/tests/grants/test_asyncgrantacquirer.py
@@ -519,3 +519,40 @@
         return chosen
 
     assert run_on_two_nodes(test) == ["e1", "e0"]
+
+
+def test_request_granted_in_its_queue_during_a_search_keeps_its_grant():
+    """While another owner is asked, the queue of an own engine grants the request.
+
+    The search then came to that engine too, and its grant, with the same id, was released.
+    """
+
+    async def test(local, remote):
+        first = [
+            await local.acquirer.acquire(placement(f"r{n}", local, candidate("e0")))
+            for n in (1, 2)
+        ]
+
+        async def request_grant(owner, message):
+            for each in first:
+                local.acquirer.release(each)
+            await asyncio.sleep(0.02)
+            return messages.GrantResponse(1, messages.GrantKind.REFUSED, "no_room_now")
+
+        def known():
+            state = local.schedulers.states()["e0"]
+            # The other owner seems to have room once the request waits here.
+            other = candidate("e1", headroom=9_000 if state.waiting else 0)
+            return candidate("e0", int(state.headroom_tokens), state.waiting), other
+
+        local.client.request_grant = request_grant
+        request = dataclasses.replace(
+            placement("r3", local), list_candidates=known, site_service="draft"
+        )
+        grant = await local.acquirer.acquire(request)
+        await asyncio.sleep(0)
+        held = running(local, "e0")
+        local.acquirer.release(grant)
+        return grant.replica, held, running(local, "e0"), local.acquirer.active_count
+
+    assert run_on_two_nodes(test) == ("e0", 1, 0, 0)
