entry: name the newest replica at an address to relaying instances

A connection is opened by address, a tunnel is requested by replica. Of several replicas with one address the oldest was named: the list keeps a replica for some seconds after another one has taken its address over. By reading, an instance that does not know the former one, as it has started since, responds that it knows no such replica and opens no tunnel, though it reaches the address.

--- a/hornbeamglade/entry/tunneling.py
+++ b/hornbeamglade/entry/tunneling.py
@@ -64,9 +64,12 @@
         self._names.replace((*self._replicas.by_id, *self._replicas.departed_by_id))
 
     def replica_at(self, address: str) -> models.Replica | None:
-        """Return the replica that is listed with an address, or None."""
-        known = (*self._replicas.by_id.values(), *self._replicas.departed_by_id.values())
-        return next((each for each in known if each.address == address), None)
+        """Return the newest replica that is or was listed with an address, or None."""
+        for known in (self._replicas.by_id, self._replicas.departed_by_id):
+            at_address = [each for each in known.values() if each.address == address]
+            if at_address:
+                return max(at_address, key=lambda each: each.started_ms)
+        return None
 
     def relays(self, replica: models.Replica) -> collections.abc.Iterator[pathconnector.Relay]:
         """Yield the other live instances in the replica's region.
--- a/hornbeamglade/tunnels/pathconnector.py
+++ b/hornbeamglade/tunnels/pathconnector.py
@@ -42,7 +42,7 @@
 
     @abc.abstractmethod
     def replica_at(self, address: str) -> replicamodels.Replica | None:
-        """Return the replica that is listed with an address, or None."""
+        """Return the newest replica that is or was listed with an address, or None."""
 
     @abc.abstractmethod
     def relays(self, replica: replicamodels.Replica) -> collections.abc.Iterable[Relay]:
