routed: mark an address as used only once a request is written to it

An attempt that is withheld after its connection was opened has sent nothing, so the next attempt at its address needs no new connection. The stand-in repeats refusals also behind a writer that disturbs its responses, and those of runs that should continue from a copy which it does not have.

--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -57,14 +57,13 @@
         self.via = self.idle_s = None
 
     def record_connection(self, via: str | None, idle_s: float | None) -> None:
-        """Record the connection on which the attempt in flight is sent.
+        """Record the connection of the attempt in flight.
 
         :param via: the instance that relays it, or None.
         :param idle_s: seconds for which it had been idle, or None for a new one.
         """
         self.connection = "tunneled" if via else "new" if idle_s is None else "kept"
         self.via = via
-        self.sent_addresses.add(self.address)
         self.idle_s = None if idle_s is None else round(idle_s, 3)
 
     def record_response_started(self) -> None:
--- a/hornbeamglade/routed/runevidence.py
+++ b/hornbeamglade/routed/runevidence.py
@@ -5,10 +5,10 @@
 
 A replica may send bytes that belong to no request, also after a complete response and late, when
 the connection already carries the next request. A refusal therefore proves that a request has not
-run only if it is known to be the response to this very attempt: it carries the request's id, or it
-is the first response on its connection, which can belong to no earlier request. The id names the
-request and not the attempt; so a request that is sent again to an address gets a new connection,
-where a late copy of the refusal before cannot arrive.
+run only if it is known to be the response to this very attempt. A refusal with the request's id is
+one to an attempt of this request, and the first response on a connection is one to no earlier
+attempt. A request that is sent again to an address gets a new connection, as a late copy of the
+refusal before would carry its id too.
 
 The refusal must also have been received to its end, since one that breaks off is evidence of a
 fault, and it must not contradict itself: a refusal has a status of refusals and no proof of a
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -118,7 +118,8 @@
 
         A refusal is read to its end and returned as a failed attempt.
 
-        :param log: records the connection that is used.
+        :param log: records the connection, and tells to which addresses the request may have been
+            sent before.
         """
         response = await self._send(routed, replica, dispatch, log)
         if isinstance(response, FailedAttempt):
@@ -132,8 +133,8 @@
         dispatch: calls.Dispatch,
         log: attemptlog.AttemptLog,
     ) -> StartedResponse | FailedAttempt:
-        was_sent_there = replica.address in log.sent_addresses
-        new_only = was_sent_there or self._refuses_unnamed(replica.address)
+        may_have_sent = replica.address in log.sent_addresses
+        new_only = may_have_sent or self._refuses_unnamed(replica.address)
         connection = await self._pool.acquire(replica.address, new_only=new_only)
         if isinstance(connection, clientside.ResponseLost):
             code = _connect_failure_code(connection)
@@ -142,6 +143,7 @@
         if dispatch.copy is None and not self._still_accepts(replica.id):
             self._pool.release(connection, None)
             return FailedAttempt(WITHHELD, outcomes.RunStatus.NOT_RUN, was_sent=False)
+        log.sent_addresses.add(replica.address)
         try:
             response = await self._exchange(connection, routed.call, replica, dispatch)
         except BaseException:
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -217,7 +217,7 @@
             connection = writer.get_extra_info("socket")
             buffer_bytes = routedmachine.SEND_BUFFER_BYTES
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
-        buffered = b""
+        buffered = repeated = b""
         is_first = True
         try:
             while True:
@@ -226,8 +226,11 @@
                     break
                 request = dataclasses.replace(request, is_first=is_first)
                 is_first = False
-                writer.write(self._refusal_by_writer.pop(writer, b""))
-                if not await self._respond(request, reader, self._wrapped(request, writer)):
+                writer.write(repeated)
+                wrapped = self._wrapped(request, writer)
+                is_open = await self._respond(request, reader, wrapped)
+                repeated = self._refusal_by_writer.pop(wrapped, b"")
+                if not is_open:
                     break
                 if self.faults.late_refusal_s is not None and request.request_id:
                     refusal = _response(request, 503, {"Not-Executed": "1"}, b"")
@@ -237,7 +240,6 @@
             pass
         finally:
             self._writers.discard(writer)
-            self._refusal_by_writer.pop(writer, None)
             writer.close()
 
     def _wrapped(self, request: Request, writer: asyncio.StreamWriter) -> asyncio.StreamWriter:
@@ -415,7 +417,7 @@
     ) -> bool:
         run = self._begin(request)
         if run is None:
-            writer.write(_response(request, 503, self._refusal_headers(request), b""))
+            self._refuse(request, 503, self._refusal_headers(request), writer)
             return True
         if self._is_fatal(request):
             await self.stop()
