http1: report bytes that end an idle connection to a replica

A late second response that arrives while its connection is idle ended the connection without a trace, so the log could not tell whether replicas send such responses at all. A line 'connection', 'unasked_bytes' has the address and the number of bytes.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -205,7 +205,9 @@
             rng,
             clock,
         )
-        self._pool = clientpool.ClientPool(clock, connector=self.tunneling.connector)
+        self._pool = clientpool.ClientPool(
+            clock, connector=self.tunneling.connector, on_unasked=_log_unasked
+        )
         self._dialect = requestdialect.PlatformDialect()
         self._sender = sending.Sender(
             self._pool,
@@ -758,3 +760,8 @@
 
     def _record_length(self, service: str, team: str, tokens: int, is_cut: bool) -> None:
         self._schedulers.observe_length(service, team, tokens, censored=is_cut)
+
+
+def _log_unasked(address: str, byte_count: int) -> None:
+    """Log that bytes which belong to no request have ended an idle connection to a replica."""
+    logs.decided("-", "connection", "unasked_bytes", address=address, bytes=byte_count)
--- a/hornbeamglade/http1/clientpool.py
+++ b/hornbeamglade/http1/clientpool.py
@@ -24,6 +24,8 @@
     :param clock: monotonic time.
     :param opened: called with the address of each new connection.
     :param connector: opens connections; by default connections of this process's own.
+    :param on_unasked: called with the address of an idle connection that is closed because bytes
+        have arrived on it, and their number.
     """
 
     def __init__(
@@ -31,8 +33,10 @@
         clock: clocks.Clock,
         opened: collections.abc.Callable[[str], None] = lambda _address: None,
         connector: connectors.Connector | None = None,
+        on_unasked: collections.abc.Callable[[str, int], None] = lambda _address, _count: None,
     ) -> None:
         self._clock = clock
+        self._on_unasked = on_unasked
         self._opened = opened
         self._checked_at_by_address: dict[str, float] = {}
         self._checks: set[asyncio.Task[bool | None]] = set()
@@ -59,7 +63,7 @@
             connection = idle.pop()
             if connection.is_fresh() and self._connector.is_trusted(connection):
                 return connection
-            connection.close()
+            self._discard(connection)
         self._opened(address)
         connection = None
         try:
@@ -125,7 +129,7 @@
             fresh_connections = [each for each in idle if is_in_use and each.is_fresh()]
             for connection in idle:
                 if connection not in fresh_connections:
-                    connection.close()
+                    self._discard(connection)
             if fresh_connections:
                 self._idle_by_address[address] = fresh_connections
             else:
@@ -136,6 +140,11 @@
         for connection in self._idle_by_address.pop(address, ()):
             connection.close()
 
+    def _discard(self, connection: clientside.ServerConnection) -> None:
+        if connection.unasked_bytes:
+            self._on_unasked(connection.address, connection.unasked_bytes)
+        connection.close()
+
     def _count_closed(self, address: str) -> None:
         self._open_by_address[address] -= 1
         if not self._open_by_address[address]:
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -97,11 +97,13 @@
     :param address: ``ip:port`` of the server.
     :param clock: monotonic time.
     :ivar via: the node that relays the connection, or None.
+    :ivar unasked_bytes: bytes that ended the connection while no request was in progress.
     """
 
     def __init__(self, address: str, clock: clocks.Clock) -> None:
         self.address = address
         self.via: str | None = None
+        self.unasked_bytes = 0
         self._clock = clock
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
@@ -132,6 +134,7 @@
         if self._state is None:
             # No request is in progress: these bytes belong to no request.
             self._is_unusable = True
+            self.unasked_bytes += len(data)
             self.close()
             return
         self._buffer += data
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -84,11 +84,15 @@
     assert (received, server.connections) == ([b"ok", b"ok"], 2)
 
 
-def test_bytes_on_an_idle_connection_end_it():
+def test_bytes_on_an_idle_connection_end_it_and_are_reported():
+    reported = []
+
     async def main():
         server = raw.ScriptedServer(COMPLETE, COMPLETE)
         address = await server.start()
-        pool = clientpool.ClientPool(clocks.SystemClock())
+        pool = clientpool.ClientPool(
+            clocks.SystemClock(), on_unasked=lambda _address, count: reported.append(count)
+        )
         connection = await pool.acquire(address)
         connection.send(b"GET", b"/", ((b"Host", b"x"),), b"")
         head = await connection.head()
@@ -100,6 +104,7 @@
         return again is connection
 
     assert not eventloop.run(main())
+    assert reported == [len(b"late")]
 
 
 def test_response_that_ends_with_its_connection_is_complete_only_if_closed_in_order():
