soak: servers that take over an address while refusals come twice

A server is killed or stopped, and another one with a new id starts at its address while the entry of the first one is still listed, as in a release.

--- a/hornbeamglade/cli/soak.py
+++ b/hornbeamglade/cli/soak.py
@@ -21,6 +21,7 @@
     "strays": plan.STRAY_KINDS,
     "broken": plan.BROKEN_KINDS,
     "outages": plan.OUTAGE_KINDS,
+    "takeovers": plan.TAKEOVER_KINDS,
 }
 
 
@@ -77,6 +78,12 @@
     flag_value="outages",
     help="Draw only the loss of all instances, and what --versions draws.",
 )
+@click.option(
+    "--takeovers",
+    "kind_set",
+    flag_value="takeovers",
+    help="Draw only servers that take over an address, lost answers, paused instances.",
+)
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(3, 60))
 @click.option("--kept", is_flag=True, help="Also run the seeds that have failed before.")
 @click.option(
--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -204,13 +204,20 @@
         return self._settings_by_instance[name]["listen"]["directory"]
 
     def start_server(
-        self, place: str, *, keeps_name: bool = False, version: str | None = None
+        self,
+        place: str,
+        *,
+        keeps_name: bool = False,
+        keeps_address: bool = False,
+        version: str | None = None,
     ) -> Server:
         """Start a backend server and write its entry to the replica list.
 
         :param place: ``engine-N`` or ``service-N``.
         :param version: the version of its software; None for that of the previous incarnation.
         :param keeps_name: whether it keeps the replica id of the previous incarnation.
+        :param keeps_address: whether it listens at the address of the previous incarnation, whose
+            process is stopped first.
         """
         incarnation = self._incarnation_by_place.get(place, 0) + (0 if keeps_name else 1)
         self._incarnation_by_place[place] = incarnation
@@ -226,8 +233,9 @@
             version = FIRST_VERSION if previous is None else previous.version
         options += ("--version", version)
         ledger = ("--ledger", str(self.folder / "ledger.jsonl"))
+        bind = self.address_by_name[place] if keeps_address else FREE
         address = self.start(
-            place, "hornbeamglade", "standin", "routed", "--bind", FREE, *options, *ledger
+            place, "hornbeamglade", "standin", "routed", "--bind", bind, *options, *ledger
         )
         self.address_by_name[place] = address
         kind = operatordocuments.ENGINE_SERVICE if is_engine else operatordocuments.PLAIN_SERVICE
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -58,6 +58,9 @@
 RUNS_END_S = 3.0
 """Longer than the runs that an engine had when it was listed as leaving."""
 
+TAKEN_OVER_ROOM = 2
+"""Requests that a server at a new address runs at once: some are refused with a marked 503."""
+
 LINKS_OF = "links-of-"
 
 
@@ -318,6 +321,36 @@
         _replace(soak_site, self.component, self.version)
 
 
+@dataclasses.dataclass
+class AddressTakenOver(Fault):
+    """A server ends, and another one starts at its address; the entry of the first one stays.
+
+    The refusals of both arrive a second time, late, on their connections.
+
+    :param component: the server.
+    :param ended_by: the signal that ends the first one.
+    """
+
+    component: str
+    ended_by: signal.Signals
+    extra_duration_s = 0.5
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Replace it; the new one refuses what it has no room for."""
+        site = soak_site.site
+        self._server = site.server_by_place[self.component]
+        site.faults(self.component, repeats_refusals=True, room=TAKEN_OVER_ROOM)
+        time.sleep(SHORT_NOTICE_S)
+        site.child_by_name[self.component].send(self.ended_by)
+        site.start_server(self.component, keeps_address=True)
+        site.faults(self.component, repeats_refusals=True, room=TAKEN_OVER_ROOM)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Remove the entry of the first one, and let the new one work normally."""
+        soak_site.site.unlist_server(self._server)
+        soak_site.site.faults(self.component)
+
+
 class ServerStatesLeaving(Fault):
     """A server states in its responses that it is leaving; its entry keeps saying it is ready."""
 
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import random
+import signal
 
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.soak import faults, soaksite
@@ -176,6 +177,22 @@
 BROKEN_KINDS: tuple[FaultFactory, ...] = (*5 * (_broken_off,), *STRAY_KINDS)
 """Responses that break off, and may run into another one on the same connection."""
 
+
+def _taken_over(rng: random.Random) -> faults.Fault:
+    ended_by = rng.choice((signal.SIGKILL, signal.SIGTERM))
+    return faults.AddressTakenOver(rng.choice(ENGINES + SERVICES), ended_by)
+
+
+TAKEOVER_KINDS: tuple[FaultFactory, ...] = (
+    *8 * (_taken_over,),
+    *2 * (_choose(faults.InstancePaused, INSTANCES),),
+    _choose(faults.InstanceStopped, INSTANCES),
+    lambda rng: faults.ServerMisbehaves(rng.choice(SERVICES), rng.choice(("reset", "hang"))),
+    _choose(faults.AnswersHeld, ENGINES + SERVICES),
+)
+"""Servers that take over an address, beside instances that stand still and answers that are
+lost."""
+
 ALL_KINDS: tuple[FaultFactory, ...] = (
     *KINDS,
     *2 * (_partition,),
@@ -190,6 +207,7 @@
     _broken_off,
     _choose(faults.AllInstancesKilled, (ALL_INSTANCES,)),
     _choose(faults.ServerStopsInOrder, ENGINES + SERVICES),
+    _taken_over,
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -36,6 +36,10 @@
 """Seeds of :data:`plan.OUTAGE_KINDS <hornbeamglade.soak.plan.OUTAGE_KINDS>` that draw the loss of
 all instances beside replacements by other versions."""
 
+TAKEOVER_SEEDS = (2, 12)
+"""Seeds of :data:`plan.TAKEOVER_KINDS <hornbeamglade.soak.plan.TAKEOVER_KINDS>` that draw servers
+that take over an address of a service and of an engine, beside paused instances."""
+
 REFUSAL_SEEDS = (6, 10)
 """Seeds of :data:`plan.REFUSAL_KINDS <hornbeamglade.soak.plan.REFUSAL_KINDS>` in whose plans
 servers respond to requests that they ran with a status that says that they did not."""
