--- a/hornbeamglade/cli/sweep.py
+++ b/hornbeamglade/cli/sweep.py
@@ -9,7 +9,7 @@
 
 EXIT_BROKEN = 1
 _HEADS = ("EXCHANGE", "USE", "DISTURBANCE", "PLAYED", "UNMET", "VERDICT")
-_ROW = "{:<15} {:<6} {:<25} {:>6} {:>6}  {}"
+_ROW = "{:<21} {:<6} {:<25} {:>6} {:>6}  {}"
 
 
 @click.command()
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 import json
@@ -167,6 +168,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._refusal_by_writer: dict[asyncio.StreamWriter, bytes] = {}
+        self._arrivals_by_id: collections.Counter[str] = collections.Counter()
         self._unread_runs: set[asyncio.Task[None]] = set()
 
     @property
@@ -298,8 +300,7 @@
             return True
         if self.faults.early:
             return True
-        expected = request.value_by_name.get("expect-instance")
-        if expected not in (None, self.replica_id):
+        if self._is_misdirected(request):
             headers = {"Replica-Id": self.replica_id} | self._id_headers(request)
             self._refuse(request, 421, headers | self._state_headers(), writer)
             return True
@@ -332,6 +333,14 @@
         self._refuse(request, 503, self._refusal_headers(request), writer)
         return True
 
+    def _is_misdirected(self, request: Request) -> bool:
+        if self.faults.misdirected:
+            if "kv-from" in request.value_by_name:
+                return False
+            self._arrivals_by_id[request.request_id] += 1
+            return self._arrivals_by_id[request.request_id] <= self.faults.misdirected
+        return request.value_by_name.get("expect-instance") not in (None, self.replica_id)
+
     def _refuse(
         self,
         request: Request,
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -38,6 +38,9 @@
         follows on its connection, or None.
     :param repeats_refusals: a refusal is sent a second time when the next request arrives on its
         connection, before the response to that request.
+    :param misdirected: how many first arrivals of each request are misdirected, as if it was meant
+        for the server that had this address before; later ones are run, whatever server they name,
+        as are those that continue a run from a copy. 0 to go by the server that is named.
     :param reset_after_events: the connection of a stream is reset after this many events.
     :param keeps_runs: a run continues after its connection is lost.
     :param endless: one of :data:`endlessresponses.PARTS
@@ -82,6 +85,7 @@
     unnamed: bool = False
     late_refusal_s: float | None = None
     repeats_refusals: bool = False
+    misdirected: int = 0
     reset_after_events: int | None = None
     keeps_runs: bool = False
     endless: str = ""
--- a/hornbeamglade/sweep/cases.py
+++ b/hornbeamglade/sweep/cases.py
@@ -17,10 +17,13 @@
 
     :param disturbance: what happens to the response.
     :param is_first_use: whether its request is the first one on its connection.
+    :param is_sent_again: whether its request was refused at the same address before; only the
+        connection of that refusal is disturbed.
     """
 
     disturbance: disturbances.Disturbance
     is_first_use: bool
+    is_sent_again: bool = False
 
     @property
     def is_own_statement(self) -> bool:
@@ -29,7 +32,7 @@
         The first bytes on a connection, and bytes with the id of the request, are its own.
         """
         stray = self.disturbance.stray
-        if self.disturbance.at or stray is None:
+        if self.disturbance.at or stray is None or self.is_sent_again:
             return False
         return stray in disturbances.OWN or (self.is_first_use and stray in disturbances.UNNAMED)
 
--- a/hornbeamglade/sweep/kinds.py
+++ b/hornbeamglade/sweep/kinds.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import itertools
 import json
 import re
 
@@ -27,6 +28,10 @@
 CONTINUED_EVENTS = 3
 """Events of a continued stream that are disturbed."""
 
+SERVERS = ("e0", "e1", "s0", "s1")
+SECOND_COPIES = 32
+"""Cases of each late copy: their attempts and connections meet in different orders."""
+
 WAVE_SIZE = 32
 LEAVING_WAVE_SIZE = 16
 IGNORED_WAVE_SIZE = 2
@@ -46,6 +51,8 @@
     :param resumed_after: the event after which the request takes a stream up, or 0.
     :param target: ``answer``, ``continuation``, ``copy`` or ``stop``: which response is disturbed.
     :param ignores_stops: whether the engine that the runs leave does not stop them.
+    :param is_sent_again: whether each server has taken its address over, and refuses the request
+        once as meant for the one before.
     """
 
     name: str
@@ -54,6 +61,7 @@
     resumed_after: int = 0
     target: str = "answer"
     ignores_stops: bool = False
+    is_sent_again: bool = False
 
     @property
     def moves_runs(self) -> bool:
@@ -78,15 +86,25 @@
     def has_kept_connections(self) -> bool:
         """Whether its requests may be sent on connections that carried others."""
         is_stream_or_answer = self.target in ("answer", "continuation")
-        return is_stream_or_answer and not self.is_relayed and not self.ignores_stops
+        is_plain = not (self.is_relayed or self.ignores_stops or self.is_sent_again)
+        return is_stream_or_answer and is_plain
 
     @property
     def expected(self) -> cases.Expected:
         """What must hold in its cases."""
         route = operatordocuments.SETTINGS_BY_ROUTE[self.route]
-        deadline_s = LONG_DEADLINE_S if self.moves_runs else DEADLINE_S
+        has_stalls = not self.moves_runs and not self.is_sent_again
+        deadline_s = DEADLINE_S if has_stalls else LONG_DEADLINE_S
         return cases.Expected(route, self.resumed_after + 1, self.events, deadline_s)
 
+    @property
+    def misdirected(self) -> dict[str, int] | None:
+        """How many first arrivals of each request each server refuses, or None."""
+        if not self.is_sent_again:
+            return None
+        # Only runs of the first engine leave it.
+        return dict.fromkeys(SERVERS, 1) | ({SERVERS[1]: 2} if self.moves_runs else {})
+
     @property
     def headers(self) -> dict[str, str]:
         """Further headers of its requests."""
@@ -111,6 +129,9 @@
         if self.ignores_stops:
             yield from _lost_streams(good)
             return
+        if self.is_sent_again:
+            yield from _second_copies()
+            return
         head_bytes = good.index(HEAD_END) + len(HEAD_END)
         positions = range(len(good) + 1)
         if self.target == "continuation":
@@ -135,8 +156,16 @@
     Kind("stopped", "draft", target="stop"),
     Kind("moved", "draft", target="continuation"),
     Kind("unstopped", "draft", ignores_stops=True),
+    Kind("again", "hold", is_sent_again=True),
+    Kind("again-plain", "list", is_sent_again=True),
+    Kind("again-stream", "draft", is_sent_again=True),
+    Kind("again-resumable", "tag", is_sent_again=True),
+    Kind("again-resumed", "tag", resumed_after=2, is_sent_again=True),
+    Kind("again-relayed", "hold", is_relayed=True, is_sent_again=True),
+    Kind("again-relayed-stream", "draft", is_relayed=True, is_sent_again=True),
+    Kind("again-moved", "tag", target="continuation", is_sent_again=True),
 )
-"""All kinds; the runs of the last four leave their engine."""
+"""All kinds. The runs of ``copied`` to ``unstopped`` and of ``again-moved`` leave their engine."""
 
 
 def _event_ends(good: bytes) -> list[int]:
@@ -150,6 +179,14 @@
             yield cases.Case(disturbances.Disturbance(action, ends[events - 1]), True)
 
 
+def _second_copies() -> collections.abc.Iterator[cases.Case]:
+    """Yield late copies of the refusal, and of other responses with the request's id."""
+    for stray in sorted(disturbances.OWN, key=lambda each: each.value):
+        disturbance = disturbances.Disturbance(disturbances.Action.INSERT, 0, stray)
+        case = cases.Case(disturbance, is_first_use=True, is_sent_again=True)
+        yield from itertools.repeat(case, SECOND_COPIES)
+
+
 def _disturbances(
     head_bytes: int, positions: collections.abc.Sequence[int]
 ) -> collections.abc.Iterator[disturbances.Disturbance]:
--- a/hornbeamglade/sweep/sweepsite.py
+++ b/hornbeamglade/sweep/sweepsite.py
@@ -20,7 +20,7 @@
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.membership import registry
 from hornbeamglade.platform import tables
-from hornbeamglade.standins import operatordocuments, routed
+from hornbeamglade.standins import operatordocuments, routed, routedfaults
 from hornbeamglade.store import contract, memory
 
 STORE = "127.0.0.1:1"
@@ -123,6 +123,8 @@
     :param event_bytes: least size of an event.
     :param instances: number of instances.
     :param has_links: whether the first instance reaches the servers over links of its own.
+    :param misdirected: how many first arrivals of each request a server takes as meant for the one
+        before at its address, by server; none by default. Both are then listed.
     """
 
     def __init__(
@@ -133,7 +135,9 @@
         event_bytes: int = 0,
         instances: int = 1,
         has_links: bool = False,
+        misdirected: collections.abc.Mapping[str, int] | None = None,
     ) -> None:
+        self._is_taken_over = misdirected is not None
         self._thread = ServerThread()
         self.engines = [
             routed.RoutedStandin(
@@ -145,6 +149,9 @@
             routed.RoutedStandin(f"s{number}", wrap_writer=wrap_writer) for number in range(2)
         ]
         self.instances = [LoopInstance(number) for number in range(instances)]
+        for server in self.servers:
+            count = (misdirected or {}).get(server.replica_id, 0)
+            server.faults = routedfaults.RoutedFaults(misdirected=count)
         self._links = tcpproxy.TcpProxies() if has_links else None
         self._stores = [
             memory.MemoryPlatform(clocks.SystemClock(), shared_version_counter=True)
@@ -238,10 +245,15 @@
                 )
             )
             row = json.dumps(entry | {"slots": SLOTS})
-            store.transact((), (contract.Put(f"{tables.REPLICAS}/{server.replica_id}", row),))
+            for name in self._names(server):
+                store.transact((), (contract.Put(f"{tables.REPLICAS}/{name}", row),))
         cluster_state = self.instances[instance_number].instance.cluster_state
         cluster_state.on_replicas(store.snapshot(tables.REPLICAS))
 
+    def _names(self, server: routed.RoutedStandin) -> tuple[str, ...]:
+        own = server.replica_id
+        return (own, f"{own}-before") if self._is_taken_over else (own,)
+
     def _address(self, server: routed.RoutedStandin) -> str:
         if self._links is None:
             return server.address
@@ -250,5 +262,6 @@
     def _is_ready(self, each: LoopInstance) -> bool:
         live = each.instance.peering.heartbeats.live()
         engines = each.instance.catalog.candidates(operatordocuments.ENGINE_SERVICE, ())
-        has_room = len(engines) == len(self.engines) and all(item.room_tokens for item in engines)
+        listed = sum(len(self._names(engine)) for engine in self.engines)
+        has_room = len(engines) == listed and all(item.room_tokens for item in engines)
         return len(live) == len(self.instances) and has_room
--- a/hornbeamglade/sweep/waves.py
+++ b/hornbeamglade/sweep/waves.py
@@ -6,6 +6,7 @@
 import dataclasses
 import threading
 import time
+import typing
 
 from hornbeamglade.standins import disturbances, disturbedwriter, routed, routedfaults
 from hornbeamglade.sweep import cases, kinds, sweepcaller, sweepsite
@@ -59,6 +60,9 @@
         self._caller_by_id: dict[str, sweepcaller.SweepCaller] = {}
         self._was_first_by_id: dict[str, bool] = {}
         self._overlap_by_id: collections.Counter[str] = collections.Counter()
+        self._refused_on_by_place: collections.defaultdict[
+            tuple[str, typing.Any], list[asyncio.StreamWriter]
+        ] = collections.defaultdict(list)
         self.writer_by_id: dict[str, disturbedwriter.DisturbedWriter] = {}
 
     async def play(self) -> list[Played]:
@@ -72,6 +76,7 @@
             kinds.EVENT_BYTES,
             instances=3 if kind.is_relayed else 1,
             has_links=kind.is_relayed,
+            misdirected=kind.misdirected,
         )
         try:
             await site.start()
@@ -131,7 +136,9 @@
         await asyncio.sleep(SETTLE_S)
         source = site.engines[0]
         source.faults = routedfaults.RoutedFaults(
-            keeps_runs=True, ignores_stops=self._kind.ignores_stops
+            keeps_runs=True,
+            ignores_stops=self._kind.ignores_stops,
+            misdirected=source.faults.misdirected,
         )
         site.leave(source)
 
@@ -155,13 +162,21 @@
         """Return the writer for the response to a request."""
         request_id = self._kind.target_id(request)
         with self._lock:
+            is_refusal_connection = True
+            if self._kind.is_sent_again and request.request_id in self._case_by_id:
+                place = (request.request_id, writer.get_extra_info("sockname"))
+                refused_on = self._refused_on_by_place[place]
+                if not refused_on or not request_id:
+                    refused_on.append(writer)
+                    return writer
+                is_refusal_connection = writer in refused_on
             case = self._case_by_id.get(request_id)
             if case is None or request_id in self.writer_by_id:
                 return writer
             self._was_first_by_id[request_id] = request.is_first
             wrapped = self.writer_by_id[request_id] = disturbedwriter.DisturbedWriter(
                 writer,
-                case.disturbance,
+                case.disturbance if is_refusal_connection else None,
                 request_id,
                 PAUSE_S,
                 lambda: self._act_elsewhere(request_id, case.disturbance.action),
--- a/tests/sweep/test_cases.py
+++ b/tests/sweep/test_cases.py
@@ -82,3 +82,5 @@
     refusal, own = disturbances.Stray.REFUSAL, disturbances.Stray.REFUSAL_OWN
     assert is_own(0, refusal, True) and is_own(0, own, False)
     assert not is_own(0, refusal, False) and not is_own(1, own, True)
+    second_copy = disturbances.Disturbance(disturbances.Action.INSERT, 0, own)
+    assert not cases.Case(second_copy, True, is_sent_again=True).is_own_statement
--- a/tests/sweep/test_running.py
+++ b/tests/sweep/test_running.py
@@ -9,7 +9,9 @@
 
 KIND_BY_NAME = {kind.name: kind for kind in kinds.KINDS}
 EVERYWHERE = {"close", "insert refusal", "insert misdirected_other"}
-SHARE_BY_NAME = {"unstopped": 0.25}
+SHARE_BY_NAME = {"unstopped": 0.25} | {
+    name: 0.34 for name, kind in KIND_BY_NAME.items() if kind.is_sent_again
+}
 SHARE = 0.005
 SEED = 3
 
