http1, routed: use no connection on which a request with the same id was refused

Callers that keep the id of a refused request when they send it again got 503 for a request that ran, at two replicas. The refusal of the first time came a second time, late, before the response to the second one, on a kept connection, and carried its id. The platform gives each attempt an id of its own, so its callers are not affected; others are free to keep theirs.

A connection now remembers the requests that were refused on it, and is not used for one of them again. It remembers 64 and carries no more then, so that none is forgotten: where all requests are refused, every 64th opens a connection.

test_second_copy_of_a_refusal_is_no_response_to_a_later_request_with_the_same_id failed before in both of its cases, [503, 503] with two runs instead of [503, 200] with one.

--- a/hornbeamglade/http1/clientpool.py
+++ b/hornbeamglade/http1/clientpool.py
@@ -49,11 +49,18 @@
         return self._open_by_address[address]
 
     async def acquire(
-        self, address: str, *, new_only: bool = False, timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        address: str,
+        *,
+        new_only: bool = False,
+        request_id: str = "",
+        timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> clientside.ServerConnection | clientside.ResponseLost:
         """Return a connection for one request.
 
         :param new_only: whether an idle connection may not be reused; a new one then replaces it.
+        :param request_id: the id of the request; a connection on which a request with this id was
+            refused is not reused.
         """
         self._open_by_address[address] += 1
         idle = self._idle_by_address.get(address, [])
@@ -61,7 +68,8 @@
             idle.pop().close()
         while idle and not new_only:
             connection = idle.pop()
-            if connection.is_fresh() and self._connector.is_trusted(connection):
+            is_usable = connection.is_fresh() and self._connector.is_trusted(connection)
+            if is_usable and not connection.has_refused(request_id):
                 return connection
             self._discard(connection)
         self._opened(address)
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -46,6 +46,9 @@
 EVENTS_PER_TURN = 32
 """Parsed events after which other tasks get a turn, if no wait for data has given them one."""
 
+MAX_REFUSALS = 64
+"""Refused requests that a connection remembers; it carries no request after the last of them."""
+
 READ_AHEAD_BYTES = 262_144
 """Bytes of a response that may be received ahead of its reader before reading pauses."""
 
@@ -123,6 +126,7 @@
         self._is_unusable = False
         self._idle_since = 0.0
         self._fresh_until = 0.0
+        self._refused_hashes: set[int] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
@@ -298,8 +302,17 @@
             and not self._has_ended
             and not self._is_unusable
             and not self._transport.get_write_buffer_size()
+            and len(self._refused_hashes) < MAX_REFUSALS
         )
 
+    def record_refusal(self, request_id: str) -> None:
+        """Record that a request was refused here: a late copy of the refusal may follow."""
+        self._refused_hashes.add(hash(request_id))
+
+    def has_refused(self, request_id: str) -> bool:
+        """Return whether a request with this id was refused here."""
+        return hash(request_id) in self._refused_hashes
+
     def prepare_for_reuse(self, head: ResponseHead) -> None:
         """Prepare for the next request."""
         self._state = None
--- a/hornbeamglade/routed/runevidence.py
+++ b/hornbeamglade/routed/runevidence.py
@@ -8,7 +8,8 @@
 run only if it is known to be the response to this very attempt. A refusal with the request's id is
 one to an attempt of this request, and the first response on a connection is one to no earlier
 attempt. A request that is sent again to an address gets a new connection, as a late copy of the
-refusal before would carry its id too.
+refusal before would carry its id too. Nor does a later request with the id of a refused one, as
+some callers send it, use the connection of that refusal.
 
 The refusal must also have been received to its end, since one that breaks off is evidence of a
 fault, and it must not contradict itself: a refusal has a status of refusals and no proof of a
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -135,7 +135,10 @@
     ) -> StartedResponse | FailedAttempt:
         may_have_sent = replica.address in log.sent_addresses
         new_only = may_have_sent or self._refuses_unnamed(replica.address)
-        connection = await self._pool.acquire(replica.address, new_only=new_only)
+        request_id = routed.call.request_id
+        connection = await self._pool.acquire(
+            replica.address, new_only=new_only, request_id=request_id
+        )
         if isinstance(connection, clientside.ResponseLost):
             code = _connect_failure_code(connection)
             return FailedAttempt(code, outcomes.RunStatus.NOT_RUN, was_sent=False)
@@ -152,12 +155,13 @@
         if isinstance(response, FailedAttempt):
             self._pool.release(connection, None)
         elif response.head.is_not_run:
-            return await self._read_refusal(response, routed.call.request_id)
+            return await self._read_refusal(response, request_id)
         return response
 
     async def _read_refusal(self, response: StartedResponse, request_id: str) -> FailedAttempt:
         connection, head = response.connection, response.head
         is_first_response = connection.idle_s is None
+        connection.record_refusal(request_id)
         if head.request_id is None:
             self._record_unnamed_refusal(connection.address)
         body = await self._read_body(response)
--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -386,6 +386,23 @@
     )
 
 
+@pytest.mark.parametrize("path", SINGLE_PATHS)
+def test_second_copy_of_a_refusal_is_no_response_to_a_later_request_with_the_same_id(path):
+    """A caller is refused, and sends its request again under the id that it had."""
+
+    async def test(site):
+        statuses = []
+        for is_full in (True, False):
+            for each in replicas(site):
+                each.faults = routedfaults.RoutedFaults(refuse=is_full, repeats_refusals=True)
+            client = await site.nodes[0].request(path, request_id="r0", more=entrysite.USAGE)
+            statuses.append((await client.answer())[0])
+        return statuses, run_count(site)
+
+    statuses, runs = entrysite.run(test, engines=2, services=2, events=5)
+    assert (statuses, runs) == ([503, 200], 1)
+
+
 WITHIN_REASON = len(b"HTTP/1.1 200 Sta")
 WITHIN_LOAD = len(b"HTTP/1.1 200 Status\r\nAttempt-Id: r1\r\nReplica-Load: 1,")
 WITHIN_SEAL = len(
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -107,6 +107,28 @@
     assert reported == [len(b"late")]
 
 
+@pytest.mark.parametrize(("refusals", "is_kept"), [(1, True), (clientside.MAX_REFUSALS, False)])
+def test_connection_is_not_reused_beyond_the_refusals_that_it_remembers(refusals, is_kept):
+    """Guards against a refusal that is forgotten before its late copy arrives."""
+
+    async def main():
+        server = raw.ScriptedServer(COMPLETE, COMPLETE)
+        address = await server.start()
+        pool = clientpool.ClientPool(clocks.SystemClock())
+        connection = await pool.acquire(address, request_id="next")
+        for number in range(refusals):
+            connection.record_refusal(f"r{number}")
+        connection.send(b"GET", b"/", ((b"Host", b"x"),), b"")
+        head = await connection.head()
+        await connection.body(MAX)
+        pool.release(connection, head)
+        again = await pool.acquire(address, request_id="next")
+        server.stop()
+        return again is connection
+
+    assert eventloop.run(main()) is is_kept
+
+
 def test_response_that_ends_with_its_connection_is_complete_only_if_closed_in_order():
     """A replica's response has no length, and its process ends while sending.
 
