tests: late copies of a refusal when a server starts again under its name

The request goes to the same process again, under another replica id, as only the start time differs. Nothing is broken: the rule goes by the address.

--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -386,6 +386,36 @@
     )
 
 
+def test_second_copy_of_a_refusal_does_not_count_for_a_server_that_starts_again_under_its_name():
+    """The entry of the new process arrives while the request is sent to it for the former one."""
+
+    async def test(site):
+        server = site.services[0]
+
+        def list_again():
+            server.born += 1
+            row = entrysite.server_row(server, "web", born=server.born)
+            site.put(f"servers/{server.replica_id}", row)
+            site.read_store()
+
+        def is_misdirected(request):
+            is_new = request.request_id not in refused
+            refused.add(request.request_id)
+            if is_new:
+                list_again()
+            return is_new
+
+        refused = set()
+        server.faults = routedfaults.RoutedFaults(repeats_refusals=True)
+        server._is_misdirected = is_misdirected
+        list_again()
+        return await send_in_turn(site, SINGLE, until=502)
+
+    statuses, runs = entrysite.run(test, services=2)
+    assert runs == [1] * len(statuses)
+    assert set(statuses) == {200}
+
+
 @pytest.mark.parametrize("path", SINGLE_PATHS)
 def test_second_copy_of_a_refusal_is_no_response_to_a_later_request_with_the_same_id(path):
     """A caller is refused, and sends its request again under the id that it had."""
