routed: withhold a stream that begins too late in a stop until it is whole

A caller sent a stream that must not run twice to an instance more than three seconds after its stop signal. It got status 200, some events and a closed connection.

Cause: a request that arrives so late is admitted by how long recent answers took to begin. Each instance of a large site sees few of them, and without any the route's goal decides alone. The engine's own queue then takes longer; the first event comes shortly before the limit of the stop. An answer that can be repeated was not begun in this case, one that cannot was, and the end of the process truncated it. Only an answer that has not begun is replaced by an error at the limit.

At the limit the caller gets 502 `stopped_before_answer`. It applies to requests that were whole more than three seconds after the signal, also where the head had come before; earlier ones are relayed as they arrive, as before.

Evidence: the test with processes failed before with status 200 and `IncompleteRead(242 bytes read)` after 13 of 60 events, logged as `cut_by_stop`, request sent 3.1 s after the signal. The others failed too: the response had begun, and `has_begun` did not exist. Without it a run was refused between two engines in 1 of 6 runs of its test.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -145,10 +145,10 @@
         self, exchange: serverside.Exchange, routed: callrouter.RoutedRequest
     ) -> None:
         dependencies = self._dependencies
-        log = attemptlog.AttemptLog()
+        log = attemptlog.AttemptLog(admitted_at=dependencies.clock.now())
         refusal = dependencies.quarantine.refusal(
             routed.fingerprint, routed.prompt
-        ) or dependencies.drain_admission.refusal(routed, dependencies.clock.now())
+        ) or dependencies.drain_admission.refusal(routed, log.admitted_at)
         if refusal is not None:
             await self._refuse_routed(exchange, routed, log, refusal)
             return
--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -24,7 +24,9 @@
     :param via: the instance that relays a tunneled connection, or None.
     :param idle_s: seconds for which a kept connection had been idle, or None.
     :param sent_at: monotonic time at which the newest attempt started, or None before the first.
+    :param admitted_at: monotonic time at which the whole request was admitted.
     :param answer_at: monotonic time at which the answer to the caller began, or None.
+    :param is_withheld: whether events were received that are withheld until the answer is whole.
     :param ended_code: code of the failure that ended the newest attempt.
     :param ended_at: monotonic time at which the newest attempt ended, or None while none has.
     """
@@ -41,7 +43,9 @@
     via: str | None = None
     idle_s: float | None = None
     sent_at: float | None = None
+    admitted_at: float = 0.0
     answer_at: float | None = None
+    is_withheld: bool = False
     ended_code: str = "-"
     ended_at: float | None = None
 
@@ -74,6 +78,15 @@
         """Record that the answer to the caller begins."""
         self.answer_at = now
 
+    def record_answer_withheld(self) -> None:
+        """Record that the answer has begun at a replica and is withheld until it is whole."""
+        self.is_withheld = True
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a replica has begun the answer, which is then continued and not sent anew."""
+        return self.is_withheld or self.answer_at is not None
+
     def record_end(
         self,
         replica_id: str,
--- a/hornbeamglade/routed/drainadmission.py
+++ b/hornbeamglade/routed/drainadmission.py
@@ -21,9 +21,11 @@
 have taken so far if they have not begun. A request that waits for a grant is judged again when
 it gets one, and refused as soon as it could no longer complete.
 
-An answer that can be repeated and begins too late to complete is not begun. At the limit of the
-stop, each request without an answer gets one. It says "not run" only if the request was sent to
-no replica.
+An answer that can be repeated and begins too late to complete is not begun. One that cannot be
+repeated is begun, since its caller can get no other; but if its request was whole only long after
+the signal, its events are withheld until it is complete. It then arrives whole, or an error takes
+its place. At the limit of the stop, each request without an answer gets one. It says "not run"
+only if the request was sent to no replica.
 
 Two alternatives were rejected. Admitting every request until the end truncated two to four
 streams per instance at a stop of 8 s. Refusing every request from the signal on makes callers
@@ -32,6 +34,7 @@
 
 import collections.abc
 import dataclasses
+import enum
 
 from hornbeamglade.core import outcomes
 from hornbeamglade.routed import attemptlog, callrouter, requestsinprogress, tokentimes
@@ -72,6 +75,19 @@
 """Returns whether another instance accepts requests."""
 
 
+class LateStart(enum.Enum):
+    """What is done with an answer that begins during a planned stop."""
+
+    IN_TIME = "in_time"
+    """It is relayed as it arrives."""
+
+    WITHHELD = "withheld"
+    """It is sent once it is complete."""
+
+    DROPPED = "dropped"
+    """It is not begun."""
+
+
 @dataclasses.dataclass(slots=True)
 class DrainAdmission:
     """Decides which requests are admitted while the instance is stopping.
@@ -119,18 +135,29 @@
             return None
         return self._not_run_refusal(has_other_instance)
 
-    def is_too_late_to_begin(self, routed: callrouter.RoutedRequest, now: float) -> bool:
-        """Return whether an answer that begins now would be truncated, though it can be repeated.
+    def late_start(
+        self, routed: callrouter.RoutedRequest, admitted_at: float, now: float
+    ) -> LateStart:
+        """Return what is done with an answer that begins now, as it may be truncated.
+
+        An answer that cannot be repeated is not dropped, since its caller can get no other.
 
-        An answer that cannot be repeated is begun all the same, since its caller can get no other.
+        :param admitted_at: monotonic time at which the request was admitted.
         """
-        if self.ends_at is None or not routed.route.is_repeatable:
-            return False
+        if self.ends_at is None:
+            return LateStart.IN_TIME
         max_probability = self._max_probability(now, self.is_other_ready())
-        return self._exceedance(routed, self.ends_at - now) > max_probability
+        if self._exceedance(routed, self.ends_at - now) <= max_probability:
+            return LateStart.IN_TIME
+        if routed.route.is_repeatable:
+            return LateStart.DROPPED
+        return LateStart.WITHHELD if self._is_late(admitted_at) else LateStart.IN_TIME
+
+    def _is_late(self, at: float) -> bool:
+        return at - self.stop_requested_at > EARLY_PERIOD_S
 
     def _max_probability(self, now: float, has_other_instance: bool) -> float:
-        if now - self.stop_requested_at > EARLY_PERIOD_S:
+        if self._is_late(now):
             return LATE_MAX_TRUNCATION_PROBABILITY
         if has_other_instance:
             return MAX_TRUNCATION_PROBABILITY
--- a/hornbeamglade/routed/eventrelay.py
+++ b/hornbeamglade/routed/eventrelay.py
@@ -37,7 +37,7 @@
     then aborted, since the joined pieces would look like a complete response.
 
     The response head is sent with the first event. Until then a refusal can still be sent
-    with its own status.
+    with its own status. A relay that withholds the response sends nothing before its end.
 
     :param exchange: the exchange with the caller.
     :param clock: monotonic time.
@@ -63,6 +63,17 @@
         self.last_at: float | None = None
         self.longest_gap_s = 0.0
         self.meter: pacemeter.PaceMeter | None = None
+        self.is_withholding = False
+        self._withheld = bytearray()
+
+    def withhold(self) -> None:
+        """Send the response only once it is complete; to be called before it has started."""
+        self.is_withholding = True
+
+    @property
+    def withheld_bytes(self) -> int:
+        """Bytes of events that were received and are withheld."""
+        return len(self._withheld)
 
     def start_connection(self, meter: pacemeter.PaceMeter | None = None) -> None:
         """Discard the incomplete event left by a lost connection.
@@ -80,6 +91,10 @@
                 continue
             if self._is_after_gap(event):
                 return False
+            if self.is_withholding:
+                self._record(event)
+                self._withheld += event.data
+                continue
             await self._start_response(start)
             self._record(event)
             await self._exchange.send(event.data)
@@ -95,6 +110,8 @@
         if self._splitter.remainder.strip():
             return False
         await self._start_response(start)
+        if self._withheld:
+            await self._exchange.send(bytes(self._withheld))
         await self._exchange.finish()
         return True
 
--- a/hornbeamglade/routed/requestsinprogress.py
+++ b/hornbeamglade/routed/requestsinprogress.py
@@ -55,8 +55,8 @@
 
     @property
     def is_waiting(self) -> bool:
-        """Whether it has no answer and is at no replica."""
-        return self.log.answer_at is None and self.log.in_flight_replica is None
+        """Whether its answer has not begun and it is at no replica."""
+        return not self.log.has_begun and self.log.in_flight_replica is None
 
     def end(self, refusal: outcomes.Refusal) -> None:
         """Let the task time out now, to respond with ``refusal``."""
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -12,6 +12,7 @@
     attemptlog,
     callrouter,
     calls,
+    drainadmission,
     engineselector,
     enginework,
     eventrelay,
@@ -212,7 +213,7 @@
         assignment.response = response
         self._log.record_response_started()
         self._dependencies.registry.add(assignment.replica.id, self)
-        if self._response_start is None or not self._relay.has_started:
+        if self._response_start is None or not self._relay.event_count:
             self._response_start = eventrelay.ResponseStart(
                 response.head.status, response.head.fields
             )
@@ -322,10 +323,11 @@
                 return piece
             if isinstance(piece, clientside.BodyEnd):
                 if await self._relay.finish(self._response_start):
+                    self._record_answer_started()
                     self._record_good_run()
                     return None
                 return clientside.ResponseLost("torn_event")
-            if self._is_too_late_to_begin():
+            if not self._may_begin():
                 drain_admission = self._dependencies.drain_admission
                 self._late_refusal = drain_admission.final_refusal(self._log)
                 return clientside.ResponseLost("too_late")
@@ -337,11 +339,26 @@
             if self._relay.event_count > events_before and not self._is_proven:
                 self._prove(self._relay.last_at)
 
-    def _is_too_late_to_begin(self) -> bool:
-        dependencies = self._dependencies
-        return not self._relay.has_started and dependencies.drain_admission.is_too_late_to_begin(
-            self._routed, dependencies.clock.now()
+    def _may_begin(self) -> bool:
+        """Return whether the response may begin, if need be withheld until it is complete."""
+        relay, dependencies = self._relay, self._dependencies
+        if relay.has_started:
+            return True
+        if relay.is_withholding:
+            return relay.withheld_bytes <= serverside.WRITE_BUFFER_BYTES
+        late_start = dependencies.drain_admission.late_start(
+            self._routed, self._log.admitted_at, dependencies.clock.now()
         )
+        if late_start is drainadmission.LateStart.WITHHELD:
+            relay.withhold()
+            self._log.record_answer_withheld()
+            logs.decided(
+                self._routed.call.request_id,
+                "answer_start",
+                late_start.value,
+                replica=self._assignment.replica.id,
+            )
+        return late_start is not drainadmission.LateStart.DROPPED
 
     def _prove(self, last_at: float) -> None:
         """Record that the run goes well once its replica has written for some time.
@@ -367,13 +384,18 @@
         if self._relay.event_count and not self._first_event.is_set():
             self._note_origin()
             self._first_event.set()
-            self._log.record_answer_started(self._relay.first_at)
+            self._record_answer_started()
         grant = self._assignment.grant
         if grant is not None:
             self._dependencies.acquirer.record_progress(
                 grant, self._produced_tokens(), self._relay.meter
             )
 
+    def _record_answer_started(self) -> None:
+        has_events = self._relay.has_started and self._relay.event_count
+        if has_events and self._log.answer_at is None:
+            self._log.record_answer_started(self._relay.first_at)
+
     async def _find_origin(self) -> bool:
         """Find the version that began the stream that the caller takes up, if it is known."""
         routed = self._routed
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -129,13 +129,19 @@
             connection.abort()
         self.instance.close()
 
-    async def request(self, path, *, request_id="r1", key=KEY, more="", body=b"body"):
+    async def request(
+        self, path, *, request_id="r1", key=KEY, more="", body=b"body", body_delay_s=0.0
+    ):
         """Send one request on its own connection; return the raw client."""
         client = await raw.RawClient.connect(self.address)
         head = (
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {request_id}\r\n"
             f"Authorization: Bearer {key}\r\nContent-Length: {len(body)}\r\n{more}\r\n"
         )
+        if body_delay_s:
+            await client.send(head.encode())
+            await asyncio.sleep(body_delay_s)
+            head = ""
         await client.send(head.encode() + body)
         return client
 
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -6,6 +6,7 @@
 import pytest
 
 from hornbeamglade.entry import settings
+from hornbeamglade.routed import drainadmission
 from hornbeamglade.standins import routed, routedfaults
 from tests import eventloop
 from tests.entry import site as entrysite
@@ -120,3 +121,44 @@
         return received
 
     assert entrysite.run(test, nodes=2, gap_s=0.6) == status
+
+
+@pytest.mark.parametrize(
+    ("is_body_late", "leaves"), [(False, False), (True, False), (False, True)]
+)
+def test_stream_that_is_withheld_at_a_stop_arrives_whole(is_body_late, leaves):
+    """A late stream was truncated; if withheld it must not lose its events or its head."""
+
+    async def test(site):
+        node = site.nodes[0]
+        draft = entrysite.route("draft", "streaming", "llm", goal_ms=100, max_attempts=1)
+        site.put("op/config", json.dumps(entrysite.manifest(2, routes=[draft])))
+        site.read_store()
+        for engine in site.engines:
+            engine.faults = routedfaults.RoutedFaults(delay_s=1.6)
+        bounds = settings.Bounds(stop_s=drainadmission.EARLY_PERIOD_S + 3.0, address_ttl_s=5)
+        node.instance.apply_settings(node.settings.model_copy(update={"bounds": bounds}))
+        node.instance.leave()
+        late_s = drainadmission.EARLY_PERIOD_S + 0.05
+        await asyncio.sleep(0.0 if is_body_late else late_s)
+        more = "Model: m\r\nToken-Usage: 100,100\r\n"
+        body_delay_s = late_s if is_body_late else 0.0
+        client = await node.request("/draft/1", more=more, body_delay_s=body_delay_s)
+        await eventloop.until(lambda: any("r1" in engine.run_by_id for engine in site.engines))
+        first = next(n for n, engine in enumerate(site.engines) if "r1" in engine.run_by_id)
+        run = site.engines[first].run_by_id["r1"]
+        await eventloop.until(lambda: run.made > 1)
+        is_withheld = node.instance.callers.has_unanswered_requests
+        if leaves:
+            for engine in site.engines:
+                engine.faults = routedfaults.RoutedFaults()
+            site.leave(first)
+        status, fields, body = await client.answer()
+        is_first = fields["response-seal"] == f"{site.engines[first].replica_id}.r1"
+        events = body.count(b"data: r1.")
+        used = sum("r1" in engine.run_by_id for engine in site.engines)
+        return status, events, is_first, is_withheld, used
+
+    *answer, used = entrysite.run(test, nodes=2, events=40, gap_s=0.04)
+    assert answer == [200, 40, True, True]
+    assert used == (2 if leaves else 1)
--- a/tests/failures/test_entry.py
+++ b/tests/failures/test_entry.py
@@ -13,6 +13,7 @@
 import yaml
 
 from hornbeamglade.platform import storeclient
+from hornbeamglade.routed import drainadmission
 from hornbeamglade.store import contract
 from tests.entry import site as entrysite
 
@@ -176,6 +177,31 @@
     assert all(each["sent_s"] < each["seconds"] for each in lines)
 
 
+def test_stream_that_an_engine_begins_late_during_a_stop_is_not_truncated(processes):
+    """A stream sent long after the signal was begun just before the limit, and truncated there."""
+    routes = [
+        entrysite.route("draft", "streaming", "llm", goal_ms=100, max_attempts=1),
+        entrysite.route("hold", "non_idempotent", "web", max_attempts=1),
+    ]
+    processes.put("op/config", json.dumps(entrysite.manifest(2, routes=routes)))
+    process, _, addresses = processes.entry(bounds={"stop_s": 6.0, "address_ttl_s": 1})
+    web, engine = (
+        f"http://{server}/standin/faults" for server in (processes.web, processes.engine_address)
+    )
+    processes.http.request("PUT", web, body=b'{"hang": true}')
+    processes.http.request("PUT", engine, body=b'{"delay_s": 2.1}')
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        # The instance ends sooner if nothing is in progress.
+        pending = pool.submit(processes.ask, addresses[0], "/hold/1", "r1")
+        until(lambda: processes.run_count() == 1)
+        process.send_signal(signal.SIGTERM)
+        time.sleep(drainadmission.EARLY_PERIOD_S + 0.1)
+        answer = processes.ask(addresses[0], "/draft/1", "r2", preload_content=False)
+        assert (answer.status, json.loads(answer.read())["code"]) == (502, "stopped_before_answer")
+        assert pending.result(TIMEOUT_S).status == 502
+    assert process.wait(TIMEOUT_S) == 0
+
+
 def test_answer_lines_say_when_a_request_was_sent(processes):
     """Waiting for an engine and waiting at one looked alike in the log."""
     _, _, addresses = processes.entry()
--- a/tests/routed/test_drainadmission.py
+++ b/tests/routed/test_drainadmission.py
@@ -145,3 +145,16 @@
     refusal = admission().final_refusal(sent)
     assert (refusal.code, refusal.http_status) == ("stopped_before_answer", 502)
     assert refusal.run is outcomes.RunStatus.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("admitted_s", "begins_s", "late_start"),
+    [(2.0, 7.5, "in_time"), (4.0, 7.5, "withheld"), (4.0, 5.0, "in_time")],
+)
+def test_answer_to_a_late_request_is_withheld_if_it_begins_too_late(
+    admitted_s, begins_s, late_start
+):
+    """An engine began a stream just before the limit, four seconds after the signal."""
+    request = fakes.streaming_request(max_tokens=100)
+    admitted_at, now = STOP_REQUESTED_AT + admitted_s, STOP_REQUESTED_AT + begins_s
+    assert admission().late_start(request, admitted_at, now).value == late_start
--- a/tests/routed/test_eventrelay.py
+++ b/tests/routed/test_eventrelay.py
@@ -122,3 +122,18 @@
         return exchange.body
 
     assert eventloop.run(test()) == b"id: x1\ndata: a\n\n"
+
+
+def test_withheld_response_is_sent_only_once_it_is_complete():
+    """A stream that began just before its instance ended reached its caller without its end."""
+    exchange, event_relay = relay()
+    event_relay.withhold()
+    relay_pieces(event_relay, event(1), event(2))
+    assert (exchange.is_answered, event_relay.has_started, event_relay.event_count) == (
+        False,
+        False,
+        2,
+    )
+    assert eventloop.run(event_relay.finish(START))
+    assert (exchange.status, exchange.is_finished) == (200, True)
+    assert exchange.body == event(1) + event(2)
--- a/tests/routed/test_requestsinprogress.py
+++ b/tests/routed/test_requestsinprogress.py
@@ -148,3 +148,15 @@
         return request.refusal
 
     assert eventloop.run(test()) is None
+
+
+def test_request_whose_answer_is_withheld_waits_for_nothing_between_two_replicas():
+    """A planned stop refused a run that was moving to another replica, as if it had not begun."""
+    requests = Requests()
+    waiting, withheld = requests.add(), requests.add()
+    for request in (waiting, withheld):
+        requests.send(request)
+        request.log.record_end("i-1", outcomes.RunStatus.RAN, True, requests.clock.now())
+    withheld.log.record_answer_withheld()
+    assert (waiting.is_waiting, withheld.is_waiting) == (True, False)
+    assert withheld in requests.in_progress.unanswered()
