entry: log the time budget of each request

A stream that was broken off at its route's timeout or its caller's deadline looked like one that was closed for another reason: both say broken_off, and the line told neither limit. The answer line has budget_s now.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -267,6 +267,7 @@
             goal_s=routed.route.goal_s,
             gap_goal_s=routed.route.gap_goal_s,
             seconds=round(seconds, 4),
+            budget_s=round(routed.ends_at - arrived_at, 4),
             sent_s=None if log.sent_at is None else round(log.sent_at - arrived_at, 4),
             limit_per_s=log.limit_per_s,
             connection=log.connection,
--- a/hornbeamglade/observability/logs.py
+++ b/hornbeamglade/observability/logs.py
@@ -60,6 +60,7 @@
         "held_bytes",
         "idle_s",
         "sent_s",
+        "budget_s",
         "incarnation",
         "is_stop_confirmed",
         "limit_per_s",
--- a/tests/failures/test_entry.py
+++ b/tests/failures/test_entry.py
@@ -210,6 +210,7 @@
     until(lambda: len([line for line in processes.log() if "sent_s" in line]) == 2)
     lines = [line for line in processes.log() if "sent_s" in line]
     assert all(0.0 <= line["sent_s"] < line["seconds"] for line in lines)
+    assert [line["budget_s"] for line in lines] == [20.0, 20.0]
 
 
 def test_settings_change_with_and_without_a_signal_and_interrupt_no_stream(processes):
