--- a/hornbeamglade/http1/clientpool.py
+++ b/hornbeamglade/http1/clientpool.py
@@ -65,7 +65,7 @@
         self._open_by_address[address] += 1
         idle = self._idle_by_address.get(address, [])
         if idle and new_only:
-            idle.pop().close()
+            self._discard(idle.pop())
         while idle and not new_only:
             connection = idle.pop()
             is_usable = connection.is_fresh() and self._connector.is_trusted(connection)
