exchange: accept only an IPv4 address with a port as an endpoint

One odd row among those of the instances ended the exchange of all others: its address such as "127.0.0.1 éé...:80" was taken for an endpoint, since inet_aton ignores what follows a space and int() reads signs, spaces and digits that are not ASCII. Each send then resolved the host as a name, in the event loop, and for a text that cannot be encoded as a host name the event loop closed the UDP socket for good ("Fatal write error on datagram transport", TypeError). Without the socket no heartbeat, grant or document arrives any more.

Endpoint.parse now takes four numbers and a port of at most five ASCII digits.

The test plays odd values, odd keys and several of them at random before good rows, in the tables of members, versions and evacuated domains, follows later rows, and encodes what has been read. Its case Members failed before: an endpoint "127.0.0.1 x" was sent to. No odd row was found that ends the readers of versions and evacuated domains.

--- a/hornbeamglade/exchange/transport.py
+++ b/hornbeamglade/exchange/transport.py
@@ -11,12 +11,15 @@
 import abc
 import collections.abc
 import dataclasses
+import ipaddress
+import re
 import socket
 import threading
 
 from hornbeamglade.core import codederrors
 from hornbeamglade.exchange import codec, messages
 
+_ADDRESS = re.compile(r"([0-9.]+):([0-9]{1,5})", re.ASCII)
 _RECEIVE_BYTES = 2048
 _POLL_S = 0.2
 
@@ -44,15 +47,15 @@
 
         :raises CodedError: ``exchange_address_invalid`` for anything else.
         """
-        host, _, port = text.rpartition(":")
+        # A host in any other form would be resolved as a name by each send.
+        match = _ADDRESS.fullmatch(text)
+        if match is None or int(match[2]) >= 2**16:
+            raise codederrors.CodedError("exchange_address_invalid", f"{text!r:.80}")
         try:
-            socket.inet_aton(host)
-            number = int(port)
-        except (OSError, ValueError) as error:
-            raise codederrors.CodedError("exchange_address_invalid", repr(text)) from error
-        if not 0 <= number < 2**16:
-            raise codederrors.CodedError("exchange_address_invalid", repr(text))
-        return cls(host, number)
+            host = ipaddress.IPv4Address(match[1])
+        except ValueError as error:
+            raise codederrors.CodedError("exchange_address_invalid", f"{text!r:.80}") from error
+        return cls(str(host), int(match[2]))
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- /dev/null
+++ b/tests/entry/test_oddrows.py
@@ -0,0 +1,218 @@
+"""Rows of other writers in every table that an instance reads, and other odd documents."""
+
+import json
+import random
+import types
+from unittest import mock
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from hornbeamglade.core import clocks
+from hornbeamglade.exchange import codec, messages, transport
+from hornbeamglade.membership import discovery, heartbeats, registry, view
+from hornbeamglade.origins import streamorigins, versionrows, versions
+from hornbeamglade.store import contract
+from tests import oddvalues
+from tests.entry import test_clusterstate
+
+KEYS = codec.KeyRing(1, {1: b"sixteen bytes at least"})
+LONGEST = 6000
+"""Of a part of large documents, and of those whose parser is slow."""
+
+FEW = hypothesis.settings(derandomize=True, max_examples=50, deadline=None)
+WALL_S = 1_790_000_000.0
+GOOD_FINGERPRINT = 7
+
+
+def nodes_of_seed(page):
+    """Return the nodes that an instance reads from the page of a seed."""
+    response = types.SimpleNamespace(data=page)
+    with mock.patch.object(discovery.urllib3.PoolManager, "request", return_value=response):
+        return discovery.Seeds(("10.0.0.9:90",)).fetch()
+
+
+def encode(*sent):
+    """Encode messages as an instance does that passes on what it has read."""
+    frames = codec.Codec("a", 1, KEYS, clocks.ManualClock())
+    return [frames.encode("b", message) for message in sent]
+
+
+def heartbeat(**more):
+    identity = {"failure_domain": "d", "address": "10.0.0.1:80", "exchange": "10.0.0.1:72"}
+    fields = {"state": messages.NodeState.LIVE, "beat": 1, "config_revision": 1} | identity
+    return messages.Heartbeat(**(fields | more))
+
+
+class Reader:
+    """A table that instances read.
+
+    ``good`` is the value of a valid row, ``prefix`` begins its keys, and ``names`` end them.
+    ``longest`` bounds the odd texts that take the place of a part of it.
+    """
+
+    names = ("00000000000000ff", *oddvalues.ODD_NAMES)
+    longest = None
+
+
+class Evacuations(Reader):
+    """The evacuated failure domains, beside the operator's document."""
+
+    good = {}
+    prefix = "op/evacuate/"
+
+    def __init__(self):
+        self._harness = test_clusterstate.Harness()
+        self._state = self._harness.state
+
+    def read(self, rows):
+        good = contract.Row("op/evacuate/b", "", 8)
+        self._state.on_configuration(contract.Snapshot((*rows, good), 8))
+        assert "b" in self._harness.available.evacuations.domains
+
+    def follow(self, rows):
+        self._state.on_configuration(contract.Changes(tuple(rows), ("op/evacuate/b",), 9, 9))
+        assert "b" not in self._harness.available.evacuations.domains
+
+    def pass_on(self):
+        state = self._harness.available.evacuations
+        encode(heartbeat(evacuations=state), messages.VersionAnnouncement(1, 1, True, state))
+
+
+class _Network(transport.Transport):
+    """Encodes each message, and resolves no names."""
+
+    def __init__(self):
+        self.receivers = set()
+
+    def send(self, peer, message):
+        codec.Codec("a", 1, KEYS, clocks.ManualClock()).encode(peer.name, message)
+        numbers = peer.endpoint.host.split(".")
+        assert all(0 <= int(each.encode("ascii")) < 256 for each in numbers)
+        assert len(numbers) == 4
+        self.receivers.add(peer.name)
+
+
+class Members(Reader):
+    """The list of instances."""
+
+    good = {"failure_domain": "d", "address": "10.0.0.2:80", "exchange": "10.0.0.2:72"}
+    prefix = "instances/"
+
+    def __init__(self):
+        self._network = _Network()
+        own = view.Identity("a", "d", "10.0.0.1:80", "10.0.0.1:72")
+        clock = clocks.ManualClock()
+        self._heartbeats = heartbeats.Heartbeats(
+            own, 1, self._network, clock, random.Random(1), lambda: heartbeats.Digest(1, ())
+        )
+
+    def read(self, rows):
+        good = contract.Row("instances/z1", json.dumps(self.good), 8)
+        self._heartbeats.apply_list(registry.parse_instances((*rows, good)))
+        self._heartbeats.tick()
+        self._heartbeats.announce()
+        assert "z1" in self._network.receivers
+
+    def follow(self, rows):
+        good = contract.Row("instances/z2", json.dumps(self.good), 9)
+        self._heartbeats.apply_list(registry.parse_instances((*rows, good)))
+        self._heartbeats.tick()
+        self._heartbeats.announce()
+        assert "z2" in self._network.receivers
+
+    def pass_on(self):
+        page = discovery.members_page(self._heartbeats.members())
+        assert nodes_of_seed(page)
+
+
+class Versions(Reader):
+    """The listed versions of each service, in the table of the instances."""
+
+    good = {"service": "llm", "version": f"{versions.version_key('v1'):016x}", "since": 7.5}
+    prefix = "instances/versions:"
+
+    def __init__(self):
+        self._written = []
+        self._origins = streamorigins.StreamOrigins(
+            "a",
+            "d",
+            list,
+            lambda: ("a",),
+            lambda *_: None,
+            lambda: True,
+            False,
+            clocks.ManualClock(WALL_S),
+        )
+        self._origins.set_store_writer(self._written.append)
+        self._origins.observe("llm", ("v1",))
+        self._origins.observe("other", ("v1",))
+
+    def read(self, rows):
+        good = contract.Row(
+            "instances/versions:1", json.dumps(self.good | {"service": "other"}), 8
+        )
+        self._origins.on_rows((*rows, good))
+
+    def follow(self, rows):
+        self._origins.on_rows(tuple(rows))
+        self._origins.observe("llm", ("v1", "v2"))
+
+    def pass_on(self):
+        for put in self._written:
+            stored = versionrows.decode((contract.Row(put.key, put.value, 1),))
+            for each in stored.values():
+                encode(messages.OriginRecords((messages.OriginRecord(1, each.version or 0, 1),)))
+
+
+READERS = (Evacuations, Members, Versions)
+
+
+def _request(route):
+    return messages.GrantRequest(
+        grant_id=1,
+        replica=1,
+        service=1,
+        team=1,
+        priority=route.urgency,
+        prompt_tokens=1,
+        max_tokens=None,
+        weight=1.0,
+        deadline_ms=int(route.timeout_s * 1000),
+    )
+
+
+def play(reader, rows):
+    """Let one reader read odd rows before good ones, follow later changes and pass all on."""
+    played = reader()
+    played.read(rows)
+    played.follow(rows)
+    played.pass_on()
+
+
+@pytest.mark.parametrize("reader", READERS, ids=lambda reader: reader.__name__)
+def test_odd_row_of_another_writer_ends_no_reader_and_hides_no_other_row(reader):
+    for value in oddvalues.each(reader.good, reader.longest):
+        play(reader, (contract.Row(reader.prefix + reader.names[0], value, 7),))
+
+
+@pytest.mark.parametrize("reader", READERS, ids=lambda reader: reader.__name__)
+def test_odd_key_of_another_writer_ends_no_reader_and_hides_no_other_row(reader):
+    for name in reader.names:
+        for value in (json.dumps(reader.good), "{}"):
+            play(reader, (contract.Row(reader.prefix + name, value, 7),))
+        play(reader, (contract.Row(reader.prefix + name, "", 7, "not UTF-8"),))
+
+
+@pytest.mark.parametrize("reader", READERS, ids=lambda reader: reader.__name__)
+@hypothesis.given(data=strategies.data())
+@FEW
+def test_several_odd_rows_of_another_writer_end_no_reader(reader, data):
+    names = strategies.sampled_from(reader.names)
+    rows = strategies.builds(
+        lambda name, value: contract.Row(reader.prefix + name, value, 7),
+        names,
+        oddvalues.mutations(reader.good) if reader.good else strategies.text(),
+    )
+    play(reader, tuple(data.draw(strategies.lists(rows, min_size=1, max_size=4))))
