quarantine: take only fingerprints of 64 bits from rows

An odd key among the rows of quarantined requests, such as "quarantine:-1" or one of 17 hexadecimal digits, was read as a fingerprint by all instances. It is a part of the digest in each heartbeat, which has 64 bits: encoding raised OverflowError or KjException in every tick. The task that ticks ended with it, so no instance sent heartbeats, reports or documents any more, and none followed the others.

A key is now 16 lower-case hexadecimal digits, as instances write them; other rows are skipped.

The case Quarantine of test_odd_key_of_another_writer_ends_no_reader_and_hides_no_other_row failed before with KjException "expected value >= 0 [-16 >= 0]".

--- a/hornbeamglade/quarantine/quarantinerows.py
+++ b/hornbeamglade/quarantine/quarantinerows.py
@@ -1,6 +1,7 @@
 """Rows of requests in quarantine, in the table of the instances in the store."""
 
 import dataclasses
+import re
 
 import pydantic
 
@@ -9,6 +10,8 @@
 from hornbeamglade.store import contract
 
 _PREFIX = f"{registry.TABLE}/quarantine:"
+# Messages carry fingerprints of 64 bits.
+_KEY = re.compile(re.escape(_PREFIX) + "([0-9a-f]{16})", re.ASCII)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,9 +64,11 @@
 
 
 def _parse(row: contract.Row) -> StoredRequest | None:
+    match = _KEY.fullmatch(row.key)
+    if match is None:
+        return None
     try:
-        fingerprint = int(row.key.removeprefix(_PREFIX), 16)
         body = _Body.model_validate_json(row.value)
-        return StoredRequest(fingerprint, body.until, body.part)
-    except ValueError:
+    except pydantic.ValidationError:
         return None
+    return StoredRequest(int(match[1], 16), body.until, body.part)
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -13,6 +13,7 @@
 from hornbeamglade.exchange import codec, messages, transport
 from hornbeamglade.membership import discovery, heartbeats, registry, view
 from hornbeamglade.origins import streamorigins, versionrows, versions
+from hornbeamglade.quarantine import quarantinerows, requestquarantine
 from hornbeamglade.store import contract
 from tests import oddvalues
 from tests.entry import test_clusterstate
@@ -127,6 +128,45 @@
         assert nodes_of_seed(page)
 
 
+class Quarantine(Reader):
+    """The requests in quarantine, in the table of the instances."""
+
+    good = {"until": WALL_S + 1800.0, "part": True}
+    prefix = "instances/quarantine:"
+
+    def __init__(self):
+        self._sent = []
+        self._clock = clocks.ManualClock(WALL_S)
+        self._quarantine = requestquarantine.RequestQuarantine(
+            "a",
+            lambda: ["a", "b"],
+            lambda: ["a", "b"],
+            lambda _node, message: self._sent.append(message),
+            self._clock,
+        )
+        self._written = []
+        self._quarantine.set_store_writer(self._written.append)
+
+    def _good(self, fingerprint):
+        stored = quarantinerows.StoredRequest(fingerprint, self._clock.wall() + 1800.0)
+        put = quarantinerows.put(stored)
+        return contract.Row(put.key, put.value, 8)
+
+    def read(self, rows):
+        self._quarantine.on_rows((*rows, self._good(GOOD_FINGERPRINT)))
+        assert self._quarantine.refusal(GOOD_FINGERPRINT) is not None
+
+    def follow(self, rows):
+        self._quarantine.on_rows((*rows, self._good(GOOD_FINGERPRINT), self._good(8)))
+        assert self._quarantine.refusal(8) is not None
+
+    def pass_on(self):
+        self._quarantine.tick()
+        self._quarantine.on_digest("b", 1)
+        encode(heartbeat(quarantine_digest=self._quarantine.digest), *self._sent)
+        assert all(len(each.key) <= 200 for each in self._written)
+
+
 class Versions(Reader):
     """The listed versions of each service, in the table of the instances."""
 
@@ -166,7 +206,7 @@
                 encode(messages.OriginRecords((messages.OriginRecord(1, each.version or 0, 1),)))
 
 
-READERS = (Evacuations, Members, Versions)
+READERS = (Evacuations, Members, Quarantine, Versions)
 
 
 def _request(route):
