manifest: bound numbers and refuse names that break a header

A document of the operator with a version of more than 64 bits, a priority of more than 32 or a timeout that is not finite came into force at all instances. Versions are a part of each heartbeat, priorities of each grant request and waiting class, and the time for which origins of streams are kept follows from timeouts: encoding raised OverflowError in every tick, and the task that ticks ended with it. The name of a tenant with a line break began another header field of the request to the replica.

Such a document now leaves the former one in force, as any invalid one: revisions have at most 63 bits, priorities 31 and are not negative, counts at most 10**12, times are finite and at most 10**9, and names of tenants have no control characters.

The case Configuration of the tests of odd rows failed before with OverflowError "Python int too large to convert to C unsigned long".

--- a/hornbeamglade/platform/manifest.py
+++ b/hornbeamglade/platform/manifest.py
@@ -14,6 +14,19 @@
 _BITS = 8
 _MEGA = 1_000_000
 
+# Longer than any request; times that are not finite cannot be scheduled or sent.
+_MAX_MS = 1e9
+# Products of two counts are exact as floating-point numbers.
+_MAX_COUNT = 10**12
+# Messages between instances carry revisions of 64 bits and priorities of 32 bits.
+_MAX_REVISION = 2**63 - 1
+_MAX_PRIORITY = 2**31 - 1
+
+_Positive = typing.Annotated[float, pydantic.Field(gt=0, le=_MAX_MS)]
+_NotNegative = typing.Annotated[float, pydantic.Field(ge=0, le=_MAX_MS)]
+_Count = typing.Annotated[int, pydantic.Field(ge=1, le=_MAX_COUNT)]
+_Priority = typing.Annotated[int, pydantic.Field(ge=0, le=_MAX_PRIORITY)]
+
 _KIND_BY_NAME = {
     "idempotent": models.RouteKind.IDEMPOTENT,
     "non_idempotent": models.RouteKind.SINGLE,
@@ -27,7 +40,7 @@
 
 class _Backend(_Body):
     service: str
-    weight: typing.Annotated[int, pydantic.Field(ge=0)]
+    weight: typing.Annotated[int, pydantic.Field(ge=0, le=_MAX_COUNT)]
 
 
 class _Route(_Body):
@@ -35,61 +48,62 @@
     host: str
     prefix: typing.Annotated[str, pydantic.Field(pattern=r"^/(.*/)?$")]
     route_kind: typing.Literal["idempotent", "non_idempotent", "streaming"]
-    timeout_ms: typing.Annotated[float, pydantic.Field(gt=0)]
+    timeout_ms: _Positive
     # The time within which an answer earns its full benefit; not a timeout.
-    goal_ms: typing.Annotated[float, pydantic.Field(gt=0)]
+    goal_ms: _Positive
     # Lower is more urgent, 0 the most.
-    priority: int = 5
+    priority: _Priority = 5
     service: str | None = None
     backends: tuple[_Backend, ...] = ()
     # Maximum number of replicas that one request may be sent to, the first included.
-    max_attempts: typing.Annotated[int, pydantic.Field(ge=1)] = 1
+    max_attempts: _Count = 1
     public: bool = False
     resumable: bool = False
-    gap_goal_ms: float | None = None
+    gap_goal_ms: _NotNegative | None = None
     # Empty means all regions.
     allowed_regions: tuple[str, ...] = ()
 
 
 class _Engine(_Body):
-    slots: typing.Annotated[int, pydantic.Field(ge=1)]
-    kv_capacity_tokens: typing.Annotated[int, pydantic.Field(ge=1)]
-    kv_bytes: int = 0
-    link_mbps: float = 0.0
+    slots: _Count
+    kv_capacity_tokens: _Count
+    kv_bytes: typing.Annotated[int, pydantic.Field(ge=0, le=_MAX_COUNT)] = 0
+    link_mbps: typing.Annotated[float, pydantic.Field(ge=0, le=_MAX_COUNT)] = 0.0
     moves: bool = False
     backups: bool = False
     # Number of tokens in one event of a stream.
-    stride: typing.Annotated[int, pydantic.Field(ge=1)] = 1
-    handle_s: float = 0.0
+    stride: _Count = 1
+    handle_s: _NotNegative = 0.0
 
 
 class _Service(_Body):
     name: str
     health_path: str
-    max_connections: typing.Annotated[int, pydantic.Field(ge=1)]
+    max_connections: _Count
     engine: _Engine | None = None
-    cold_start_s: typing.Annotated[float, pydantic.Field(ge=0)] = 0.0
+    cold_start_s: _NotNegative = 0.0
     # 0 means no limit.
-    cold_per_s: typing.Annotated[float, pydantic.Field(ge=0)] = 0.0
+    cold_per_s: _NotNegative = 0.0
 
 
 class _Limits(_Body):
-    max_header_bytes: typing.Annotated[int, pydantic.Field(ge=1)]
-    max_body_bytes: typing.Annotated[int, pydantic.Field(ge=0)]
-    header_timeout_ms: typing.Annotated[float, pydantic.Field(gt=0)]
-    idle_timeout_ms: typing.Annotated[float, pydantic.Field(gt=0)]
+    max_header_bytes: _Count
+    max_body_bytes: typing.Annotated[int, pydantic.Field(ge=0, le=_MAX_COUNT)]
+    header_timeout_ms: _Positive
+    idle_timeout_ms: _Positive
 
 
 class _Tenant(_Body):
-    name: str
+    # Sent as a header value, which must not contain control characters.
+    name: typing.Annotated[str, pydantic.Field(pattern=r"^[^\x00-\x1f\x7f]*$")]
     api_keys: tuple[str, ...] = ()
     # Overrides the priority of the route.
-    priority: int | None = None
+    priority: _Priority | None = None
     allowed_regions: tuple[str, ...] = ()
 
 
 class _Manifest(_Body):
-    version: int
+    version: typing.Annotated[int, pydantic.Field(ge=0, le=_MAX_REVISION)]
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -13,10 +13,11 @@
 from hornbeamglade.exchange import codec, messages, transport
 from hornbeamglade.membership import discovery, heartbeats, registry, view
 from hornbeamglade.origins import streamorigins, versionrows, versions
+from hornbeamglade.platform import manifest
 from hornbeamglade.quarantine import quarantinerows, requestquarantine
 from hornbeamglade.store import contract
 from tests import oddvalues
-from tests.entry import test_clusterstate
+from tests.entry import site, test_clusterstate
 
 KEYS = codec.KeyRing(1, {1: b"sixteen bytes at least"})
 LONGEST = 6000
@@ -57,6 +58,42 @@
     longest = None
 
 
+class Configuration(Reader):
+    """The operator's document."""
+
+    good = site.manifest(5)
+    prefix = "op/config"
+    names = ("",)
+    longest = LONGEST
+
+    def __init__(self):
+        self._harness = test_clusterstate.Harness()
+        self._state = self._harness.state
+        self._state.on_configuration(contract.Snapshot((test_clusterstate.config(1),), 1))
+
+    def read(self, rows):
+        self._state.on_configuration(contract.Snapshot(tuple(rows), 8))
+
+    def follow(self, rows):
+        self._state.on_configuration(contract.Changes(tuple(rows), (), 9, 9))
+        newest = self._state.versions().configuration + 1
+        good = test_clusterstate.config(newest)
+        self._state.on_configuration(contract.Changes((good,), (), 10, 10))
+        assert self._state.versions().configuration == newest
+
+    def pass_on(self):
+        revision = self._state.versions().configuration
+        encode(heartbeat(config_revision=revision), messages.VersionAnnouncement(revision))
+        document = self._state.read_document(messages.Subject.CONFIGURATION)
+        configuration = manifest.decode(document)
+        for route in configuration.routes:
+            assert 0.0 < route.timeout_s < 1e9
+            assert 0.0 < route.goal_s < 1e9
+            encode(_request(route))
+        for team in configuration.teams:
+            assert not {"\r", "\n", "\0"} & set(team.name)
+
+
 class Evacuations(Reader):
     """The evacuated failure domains, beside the operator's document."""
 
@@ -206,7 +243,7 @@
                 encode(messages.OriginRecords((messages.OriginRecord(1, each.version or 0, 1),)))
 
 
-READERS = (Evacuations, Members, Quarantine, Versions)
+READERS = (Configuration, Evacuations, Members, Quarantine, Versions)
 
 
 def _request(route):
