replicarows: bound the texts, the sequence and the size of an entry

An entry of another writer could name a replica with a version, zone or service of 64 KB, a sequence of 4,200 digits, or a port with thousands of zeros before it. No instance was seen to end or stop following by that: texts are sent to other instances as hashes. But they are kept, compared and passed on in full, all entries in one document of at most 512 KB.

Texts have at most 200 bytes, as names in the platform's store; an address is an IPv4 address and a port of at most five digits; a sequence has at most 63 bits; an entry has at most 4096 bytes, several times the longest one with the fields known today. What exceeds a bound names no replica, and the others hold.

The case Replicas of test_odd_row_of_another_writer_ends_no_reader_and_hides_no_other_row failed before with a version of 100,000 bytes.

--- a/hornbeamglade/platform/replicarows.py
+++ b/hornbeamglade/platform/replicarows.py
@@ -22,7 +22,14 @@
 ENTRY_INVALID = "replica_entry_invalid"
 
 _MS = 1000.0
+_ADDRESS = re.compile(r"([0-9.]+):([1-9][0-9]{0,4})", re.ASCII)
 _MAX_PORT = 65_535
+# As long as the platform allows for a name.
+_MAX_TEXT_BYTES = 200
+# Several times as long as an entry with the longest texts. Instances pass entries on to one
+# another, all of them in one document of limited size.
+_MAX_ENTRY_BYTES = 4096
+_MAX_SEQUENCE = 2**63 - 1
 # A server with more slots would appear idle under any load and get all requests of its service.
 _MAX_SLOTS = 100_000
 # Later than any start time in milliseconds, and short enough for the id that it is a part of.
@@ -40,24 +47,38 @@
 
     :raises ValueError: for any other string.
     """
-    host, _, port = address.rpartition(":")
-    ipaddress.IPv4Address(host)
-    if not port.isascii() or not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError("not a valid port")
+    match = _ADDRESS.fullmatch(address)
+    if match is None or int(match[2]) > _MAX_PORT:
+        raise ValueError("not an address with a valid port")
+    ipaddress.IPv4Address(match[1])
     return address
 
 
+def _checked_length(text: str) -> str:
+    """Return the text if it is not too long.
+
+    :raises ValueError: if it is.
+    """
+    if len(text.encode()) > _MAX_TEXT_BYTES:
+        raise ValueError("text too long")
+    return text
+
+
+_Text = typing.Annotated[str, pydantic.AfterValidator(_checked_length)]
+_Name = typing.Annotated[_Text, pydantic.Field(min_length=1)]
+
+
 class _Entry(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True, strict=True)
 
-    service: typing.Annotated[str, pydantic.Field(min_length=1)]
+    service: _Name
     address: typing.Annotated[str, pydantic.AfterValidator(_checked_address)]
-    zone: typing.Annotated[str, pydantic.Field(min_length=1)]
-    version: str
+    zone: _Name
+    version: _Text
     slots: typing.Annotated[int, pydantic.Field(ge=1, le=_MAX_SLOTS)]
     state: typing.Literal["ready", "draining"]
     cold_remaining_ms: typing.Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
-    sequence: typing.Annotated[int, pydantic.Field(ge=0)]
+    sequence: typing.Annotated[int, pydantic.Field(ge=0, le=_MAX_SEQUENCE)]
     # Start time of the server that wrote the entry, in Unix milliseconds; not every platform
     # provides it.
     born: typing.Annotated[int, pydantic.Field(gt=0, le=_MAX_BORN)] | None = None
@@ -85,6 +106,8 @@
         raise codederrors.CodedError(ENTRY_INVALID, f"{row.key!r:.80}: key: not a server name")
     if row.problem is not None:
         raise codederrors.CodedError(ENTRY_INVALID, f"{row.key}: value: {row.problem}")
+    if len(row.value.encode()) > _MAX_ENTRY_BYTES:
+        raise codederrors.CodedError(ENTRY_INVALID, f"{row.key}: value: too long")
     try:
         entry = _Entry.model_validate_json(row.value)
     except pydantic.ValidationError as error:
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -58,6 +58,43 @@
     longest = None
 
 
+class Replicas(Reader):
+    """The list of replicas, which instances also pass on to one another."""
+
+    good = json.loads(site.server_row(test_clusterstate.Server, "web", "a"))
+    prefix = "servers/"
+
+    def __init__(self):
+        self._harness = test_clusterstate.Harness()
+        self._state = self._harness.state
+
+    def read(self, rows):
+        good = test_clusterstate.row("z1", 8)
+        self._state.on_replicas(contract.Snapshot((*rows, good), 8))
+        assert "z1" in self._harness.list.by_id
+
+    def follow(self, rows):
+        self._state.on_replicas(
+            contract.Changes((*rows, test_clusterstate.row("z2", 9)), (), 9, 9)
+        )
+        assert {"z1", "z2"} <= self._harness.list.by_id.keys()
+
+    def pass_on(self):
+        encode(heartbeat(list_version=self._state.versions().replicas))
+        receiver = test_clusterstate.Harness()
+        document = self._state.read_document(messages.Subject.REPLICAS)
+        receiver.state.apply_document(messages.Subject.REPLICAS, 9, document)
+        assert receiver.list.by_id == self._harness.list.by_id
+        for replica in self._harness.list.by_id.values():
+            host, _, port = replica.address.rpartition(":")
+            assert len(replica.address) <= 21
+            assert 0 < int(port) < 65_536
+            assert len(host.encode("ascii")) <= 15
+            replica.name.encode("ascii")
+            for text in (replica.service, replica.failure_domain, replica.version):
+                assert len(text.encode()) <= 200
+
+
 class Configuration(Reader):
     """The operator's document."""
 
@@ -243,7 +280,7 @@
                 encode(messages.OriginRecords((messages.OriginRecord(1, each.version or 0, 1),)))
 
 
-READERS = (Configuration, Evacuations, Members, Quarantine, Versions)
+READERS = (Replicas, Configuration, Evacuations, Members, Quarantine, Versions)
 
 
 def _request(route):
