clusterstate: pass undecodable entries on without their values

Instances that do not read the store themselves, at a large site most of them, or all that are cut off from it, get the list of replicas from others, with the values of all entries. Twenty odd entries of 64 KB of text that does not compress made that document larger than the 512 KB that are sent; each request for it failed with config_document_too_large, and those instances no longer followed the list. The same held for its changes.

An entry that cannot be decoded is now kept and passed on as a key with a problem. The recipient needs no more: it names no replica.

test_long_odd_rows_do_not_keep_an_instance_from_passing_the_list_on failed before in both of its cases: "970488 bytes, 512000 allowed".

--- a/hornbeamglade/entry/clusterstate.py
+++ b/hornbeamglade/entry/clusterstate.py
@@ -1,6 +1,7 @@
 """The configuration, replica list and evacuations as this instance knows them."""
 
 import collections.abc
+import dataclasses
 
 from hornbeamglade.core import clocks, codederrors
 from hornbeamglade.entry import documentsync, listhistory
@@ -20,6 +21,7 @@
 """Undecodable entries that are logged at a time. Any program may write to the list, and each
 log line costs as much as that of a request."""
 
+UNDECODABLE = "undecodable"
 STORE = "store"
 PEER = "peer"
 RESPONSE = "response"
@@ -231,9 +233,9 @@
         rows = snapshot.rows
         if source == STORE and _is_new_era(self._replicas.version, snapshot.version):
             rows = self._merged(rows)
-        replicas, undecodable = self._decode_rows(rows)
+        kept, replicas, undecodable = self._decode_rows(rows)
         changes = self._replicas.replace(replicas, snapshot.version, undecodable)
-        self._row_by_key = {row.key: row for row in rows}
+        self._row_by_key = {row.key: row for row in kept}
         self._history.reset(snapshot.version)
         for key in self._problem_by_key.keys() - self._row_by_key.keys():
             del self._problem_by_key[key]
@@ -260,38 +262,47 @@
         return replica is not None and replica.is_leaving
 
     def _apply_changes(self, changes: contract.Changes, source: str) -> None:
-        self._history.add(changes)
-        for row in changes.written_rows:
+        kept, replicas, undecodable = self._decode_rows(changes.written_rows)
+        self._history.add(dataclasses.replace(changes, written_rows=kept))
+        for row in kept:
             self._row_by_key[row.key] = row
         for key in changes.deleted_keys:
             self._row_by_key.pop(key, None)
             self._decoded_by_key.pop(key, None)
             self._problem_by_key.pop(key, None)
-        replicas, undecodable = self._decode_rows(changes.written_rows)
         gone = [replicarows.server_name(key) for key in changes.deleted_keys]
         list_changes = self._replicas.update(replicas, gone, changes.newest, undecodable)
         self._report(list_changes, source)
 
     def _decode_rows(
         self, rows: collections.abc.Iterable[contract.Row]
-    ) -> tuple[list[replicamodels.Replica], list[str]]:
-        """Return the entries that can be decoded, and the names of those that cannot."""
+    ) -> tuple[tuple[contract.Row, ...], list[replicamodels.Replica], list[str]]:
+        """Return the rows to keep, the decoded entries, and the names of the undecodable ones.
+
+        An undecodable row is kept without its value, which may be long: all rows are passed on
+        to other instances in one document.
+        """
+        kept: list[contract.Row] = []
         replicas: list[replicamodels.Replica] = []
         undecodable: list[str] = []
         for row in rows:
             known = self._decoded_by_key.get(row.key)
             if known is not None and known[0] == row:
+                kept.append(row)
                 replicas.append(known[1])
                 continue
             try:
                 replica = replicarows.decode(row)
                 self._decoded_by_key[row.key] = (row, replica)
+                kept.append(row)
                 replicas.append(replica)
                 self._record_entry(row.key, None)
             except codederrors.CodedError as error:
+                problem = row.problem or UNDECODABLE
+                kept.append(dataclasses.replace(row, value="", problem=problem))
                 undecodable.append(replicarows.server_name(row.key))
                 self._record_entry(row.key, error)
-        return replicas, undecodable
+        return tuple(kept), replicas, undecodable
 
     def _record_entry(self, key: str, error: codederrors.CodedError | None) -> None:
         """Log whether an entry can be decoded, if that changed.
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -1,8 +1,10 @@
 """Rows of other writers in every table that an instance reads, and other odd documents."""
 
+import base64
 import json
 import random
 import types
+import zlib
 from unittest import mock
 
 import hypothesis
@@ -10,7 +12,7 @@
 from hypothesis import strategies
 
 from hornbeamglade.core import clocks
-from hornbeamglade.exchange import codec, messages, transport
+from hornbeamglade.exchange import codec, configchunks, messages, transport
 from hornbeamglade.membership import discovery, heartbeats, registry, view
 from hornbeamglade.origins import streamorigins, versionrows, versions
 from hornbeamglade.platform import manifest
@@ -330,3 +332,25 @@
         oddvalues.mutations(reader.good) if reader.good else strategies.text(),
     )
     play(reader, tuple(data.draw(strategies.lists(rows, min_size=1, max_size=4))))
+
+
+@pytest.mark.parametrize("by_watch", [False, True])
+def test_long_odd_rows_do_not_keep_an_instance_from_passing_the_list_on(by_watch):
+    """Instances that do not read the store themselves would not follow the list any more."""
+    rng = random.Random(1)
+    odd = tuple(
+        contract.Row(f"servers/odd-{n}", base64.b64encode(rng.randbytes(48_000)).decode(), n + 1)
+        for n in range(20)
+    )
+    sender, receiver = test_clusterstate.Harness(), test_clusterstate.Harness()
+    for harness in (sender, receiver):
+        harness.state.on_replicas(contract.Snapshot((), 1))
+    if by_watch:
+        good = test_clusterstate.row("z1", 30)
+        sender.state.on_replicas(contract.Changes((*odd, good), (), 30, 30))
+    else:
+        sender.state.on_replicas(contract.Snapshot((*odd, test_clusterstate.row("z1", 30)), 30))
+    document = sender.state.read_document(messages.Subject.REPLICAS, since=1)
+    configchunks.split(30, zlib.compress(document), messages.Subject.REPLICAS)
+    receiver.state.apply_document(messages.Subject.REPLICAS, 30, document)
+    assert list(receiver.list.by_id) == ["z1"]
