configuration: read all digits of a port

A port now has at most five digits. The error quotes at most 80 characters of what it rejects.

The new case of test_bad_field_is_named failed before (nothing was raised).

--- a/hornbeamglade/configuration/models.py
+++ b/hornbeamglade/configuration/models.py
@@ -52,8 +52,9 @@
     ValueError: expected ip:port, not 'engine-1:8000'
     """
     host, _, port = address.rpartition(":")
-    message = f"expected ip:port, not {address!r}"
-    if not (port.isascii() and port.isdigit() and 0 < int(port[:6]) <= LARGEST_PORT):
+    message = f"expected ip:port, not {address!r:.80}"
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(LARGEST_PORT))
+    if not is_number or not 0 < int(port) <= LARGEST_PORT:
         raise ValueError(message)
     bracketed = host.startswith("[") and host.endswith("]")
     try:
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -38,6 +38,7 @@
     ("changes", "named"),
     [
         ({"store": "a-host:70"}, "store"),
+        ({"store": "10.9.0.1:00008070000"}, "store"),
         ({"exchange_ports": [7200]}, "exchange_ports"),
         ({"exchange_ports": [0, 1]}, "exchange_ports.0"),
         ({"budget": {"ratio": -1, "slack": 1, "window_s": 1}}, "budget.ratio"),
