settings: reject every odd settings file with a code

The file is read each second, as it may change without a signal. A file that is nested deeply, or has a date such as 2020-99-99, a number of more than 4,300 digits or one with an explicit type ("!!int x"), raised RecursionError, ValueError or AttributeError instead of a coded error. The task that cleans up ended with it: settings were no longer read, and origins, quarantined requests and departed replicas no longer expired. Times that are infinite were valid, and so were a name and a failure domain that are too long for a heartbeat.

All errors of the parser now mean settings_unreadable; numbers are finite; name and failure domain are as long as messages allow. The former settings stay in force.

test_settings_file_that_cannot_be_read_is_rejected_with_its_own_error failed before in five of its ten cases, and the case settings of test_odd_document_is_used_or_rejected_with_its_own_error with RecursionError.

--- a/hornbeamglade/entry/policysettings.py
+++ b/hornbeamglade/entry/policysettings.py
@@ -29,7 +29,7 @@
     :param arrivals_in_turn: whether an engine receives only one such run at a time.
     """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
     horizons: tuple[pydantic.NonNegativeInt, ...] = (0, 100, 250, 500)
     margin_start: pydantic.PositiveFloat = 1.0
--- a/hornbeamglade/entry/settings.py
+++ b/hornbeamglade/entry/settings.py
@@ -9,15 +9,17 @@
 from hornbeamglade.configuration import models as configurationmodels
 from hornbeamglade.core import codederrors
 from hornbeamglade.entry import policysettings
+from hornbeamglade.exchange import wireformat
 
 Address = configurationmodels.Address
 Positive = typing.Annotated[float, pydantic.Field(gt=0)]
 NotNegative = typing.Annotated[float, pydantic.Field(ge=0)]
+Name = typing.Annotated[str, pydantic.AfterValidator(wireformat.checked_name)]
 Port = typing.Annotated[int, pydantic.Field(ge=1, le=65_535)]
 
 
 class _Section(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class Listen(_Section):
@@ -93,9 +95,9 @@
         for no bound.
     """
 
-    name: str
+    name: Name
     host: str
-    failure_domain: str
+    failure_domain: Name
     region: str
     listen: Listen
     exchange_ports: tuple[Port, Port]
@@ -130,12 +132,20 @@
     """
     try:
         document = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        raise codederrors.CodedError("settings_unreadable", f"{path}: {error}") from error
+    # The parser converts numbers and dates without checks, and recurses into nested values.
+    except (yaml.YAMLError, ValueError, AttributeError, RecursionError) as error:
+        raise codederrors.CodedError("settings_unreadable", f"{path}: {error!s:.200}") from error
     try:
         return Settings.model_validate(document)
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         where = ".".join(str(part) for part in first["loc"]) or "file"
-        detail = f"{path}: {where}: {first['msg']}, not {first['input']!r:.80}"
+        detail = f"{path}: {where}: {first['msg']}, not {_shown(first['input'])}"
         raise codederrors.CodedError("settings_invalid", detail) from error
+
+
+def _shown(value: object) -> str:
+    try:
+        return f"{value!r:.80}"
+    except ValueError:
+        return "a number of too many digits"
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -11,15 +11,18 @@
 import pytest
 from hypothesis import strategies
 
-from hornbeamglade.core import clocks
+from hornbeamglade.claims import claimrecords
+from hornbeamglade.core import clocks, codederrors
+from hornbeamglade.entry import componentsettings, settings
 from hornbeamglade.exchange import codec, configchunks, messages, transport
+from hornbeamglade.leases import leaserecords
 from hornbeamglade.membership import discovery, heartbeats, registry, view
 from hornbeamglade.origins import streamorigins, versionrows, versions
-from hornbeamglade.platform import manifest
+from hornbeamglade.platform import dayreports, manifest, sweeptables
 from hornbeamglade.quarantine import quarantinerows, requestquarantine
 from hornbeamglade.store import contract
 from tests import oddvalues
-from tests.entry import site, test_clusterstate
+from tests.entry import site, test_clusterstate, test_settings
 
 KEYS = codec.KeyRing(1, {1: b"sixteen bytes at least"})
 LONGEST = 6000
@@ -354,3 +357,97 @@
     configchunks.split(30, zlib.compress(document), messages.Subject.REPLICAS)
     receiver.state.apply_document(messages.Subject.REPLICAS, 30, document)
     assert list(receiver.list.by_id) == ["z1"]
+
+
+GOOD_LEASE = {"holder": "a", "fencing": 3, "nonce": "n", "term_s": 5.0, "released": False}
+GOOD_CLAIM = {
+    "state": "done",
+    "attempt": "a",
+    "node": "n",
+    "fingerprint": "f",
+    "wall_s": 1.0,
+    "answer": {"http_status": 200, "content_type": "text/plain", "body": "YQ=="},
+}
+GOOD_PAGE = {"members": [{"name": "b", **Members.good}]}
+GOOD_DAY = {
+    "G": 0.5,
+    "classes": [{"name": "k", "n": 2, "not_owed": 0, "late": 0, "refused": 0, "failed": 0}],
+    "breaks": {},
+    "unserved_by": [["end", 1, None]],
+}
+
+
+def _read_lease(text):
+    record = leaserecords.LeaseRecord.parse(text)
+    if record is None:
+        return None
+    record.model_copy(update={"fencing": record.fencing + 1}).text()
+    return clocks.ManualClock().now() + record.term_s
+
+
+def _read_claim(text):
+    record = claimrecords.ClaimRecord.parse(text)
+    if record is None or record.answer is None:
+        return record
+    claimrecords.decode_answer(record.answer, record.answer.body or "")
+    return record.text()
+
+
+def _read_settings(text):
+    parsed = settings.parse(text, "entry.yaml")
+    componentsettings.retry_budget(parsed)
+    componentsettings.slow_start_bound(parsed)
+    componentsettings.buffer_bound(parsed)
+    encode(heartbeat(failure_domain=parsed.failure_domain))
+    return parsed
+
+
+DOCUMENTS = {
+    "settings": (test_settings.GOOD, _read_settings),
+    "lease": (GOOD_LEASE, _read_lease),
+    "claim": (GOOD_CLAIM, _read_claim),
+    "seed": (GOOD_PAGE, lambda text: nodes_of_seed(text.encode())),
+    "day": (GOOD_DAY, lambda text: dayreports.decode(text.encode())),
+    "sweep": ({}, sweeptables.decode),
+}
+
+
+@pytest.mark.parametrize("name", DOCUMENTS)
+def test_odd_document_is_used_or_rejected_with_its_own_error(name):
+    good, read = DOCUMENTS[name]
+    for text in (json.dumps(good), *oddvalues.each(good, LONGEST if name == "settings" else None)):
+        try:
+            read(text)
+        except codederrors.CodedError as error:
+            assert len(error.detail) < 1000
+
+
+@pytest.mark.parametrize("name", DOCUMENTS)
+@hypothesis.given(data=strategies.data())
+@FEW
+def test_document_with_several_odd_parts_is_used_or_rejected_with_its_own_error(name, data):
+    good, read = DOCUMENTS[name]
+    try:
+        read(data.draw(oddvalues.mutations(good, LONGEST) if good else strategies.text()))
+    except codederrors.CodedError as error:
+        assert len(error.detail) < 1000
+
+
+ODD_YAML = (
+    "a: 2020-99-99",
+    "a: !!int x",
+    "a: !!float x",
+    "a: !!timestamp x",
+    "a: 0x" + "f" * 8000,
+    "a: &a [*a]",
+    "? [a]\n: b",
+    "a: .inf",
+    "\x00",
+    "\ud800",
+)
+
+
+@pytest.mark.parametrize("text", ODD_YAML)
+def test_settings_file_that_cannot_be_read_is_rejected_with_its_own_error(text):
+    with pytest.raises(codederrors.CodedError):
+        settings.parse(text, "entry.yaml")
