enginecalls: bound the numbers and the copy's name in an engine's answers

An engine whose report had a memory of thousands of digits, or a number used of such a size, was believed: comparing it with floating-point figures raised OverflowError in the task that reads the report and, by reading, in each request and each heartbeat of the instance that owns the engine, as both carry its headroom. The name of a copy goes into a header of the request that continues from it; one with a line break began another field.

Counts are 0 to 10**12, the time of leaving is finite, and a copy's name is 1 to 200 visible ASCII characters. Any other report counts as missed and is logged, and any other answer to a copy as a failure.

--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -1,5 +1,6 @@
 """Rows of other writers in every table that an instance reads, and other odd documents."""
 
+import asyncio
 import base64
 import json
 import random
@@ -11,15 +12,19 @@
 import pytest
 from hypothesis import strategies
 
+from hornbeamglade.admission import replicaadmission, tokenledger
 from hornbeamglade.claims import claimrecords
-from hornbeamglade.core import clocks, codederrors
+from hornbeamglade.core import clocks, codederrors, outcomes
+from hornbeamglade.engines import models as enginemodels
 from hornbeamglade.entry import componentsettings, settings
 from hornbeamglade.exchange import codec, configchunks, messages, transport
 from hornbeamglade.leases import leaserecords
+from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.membership import discovery, heartbeats, registry, view
 from hornbeamglade.origins import streamorigins, versionrows, versions
-from hornbeamglade.platform import dayreports, manifest, sweeptables
+from hornbeamglade.platform import dayreports, enginecalls, manifest, sweeptables
 from hornbeamglade.quarantine import quarantinerows, requestquarantine
+from hornbeamglade.replicas import advisories
 from hornbeamglade.store import contract
 from tests import oddvalues
 from tests.entry import site, test_clusterstate, test_settings
@@ -368,6 +373,16 @@
     "wall_s": 1.0,
     "answer": {"http_status": 200, "content_type": "text/plain", "body": "YQ=="},
 }
+GOOD_REPORT = {
+    "kv_used": 7,
+    "kv_total": 30_000,
+    "queued": 0,
+    "state": "ready",
+    "leaves_ms": 1500.0,
+    "born": 1_769_769_571_006,
+    "runs": [["r1", 104, 4, 1]],
+}
+GOOD_COPY = {"handle": "h1", "created": 4}
 GOOD_PAGE = {"members": [{"name": "b", **Members.good}]}
 GOOD_DAY = {
     "G": 0.5,
@@ -402,10 +417,41 @@
     return parsed
 
 
+class _Answering(enginecalls.EngineCalls):
+    """Gets the same response to each call."""
+
+    def __init__(self, content):
+        self._content = content
+
+    async def _call(self, *_, **__):
+        return enginecalls._Response(200, self._content, advisories.Advisory())
+
+
+def _read_report(text):
+    report = asyncio.run(_Answering(text.encode()).report("10.0.0.1:80"))
+    if isinstance(report, enginemodels.ReportFailed):
+        return None
+    admission = replicaadmission.ReplicaAdmission(4000, lengthmodel.LengthModel())
+    load = tokenledger.LoadView(1, 0.0, report.memory_tokens, report.used_tokens)
+    admission.report(load, 1.0)
+    admission.fits(outcomes.Work("r1", "drafts", "clinic", 0, prompt_tokens=100), 1.0)
+    return int(admission.headroom(1.0))
+
+
+def _read_copy(text):
+    engine = _Answering(text.encode())
+    copied = asyncio.run(engine.copy_kv_cache("a", "r1", "b", is_last=True, timeout_s=1.0))
+    if copied.name is not None:
+        assert all(0x20 < each < 0x7F for each in copied.name.encode("ascii"))
+    return copied
+
+
 DOCUMENTS = {
     "settings": (test_settings.GOOD, _read_settings),
     "lease": (GOOD_LEASE, _read_lease),
     "claim": (GOOD_CLAIM, _read_claim),
+    "report": (GOOD_REPORT, _read_report),
+    "copy": (GOOD_COPY, _read_copy),
     "seed": (GOOD_PAGE, lambda text: nodes_of_seed(text.encode())),
     "day": (GOOD_DAY, lambda text: dayreports.decode(text.encode())),
     "sweep": ({}, sweeptables.decode),
