storeclient: ignore rows of other parts in a feed

A row belongs to a table, a part and a key; the entries of replicas, the operator's document and the instances' rows have an empty part. An odd row of another writer in another part, with the key of a replica or of "op/config", hence replaced the valid one at every instance that follows the feed, or deleted it, until its owner wrote again.

Rows with a part are left out of the changes, and a response with rows of another table counts as malformed, as it does for reads.

test_row_of_another_part_does_not_replace_or_delete_one_with_its_key failed before: version 5 was deleted, and nothing written.

--- a/hornbeamglade/platform/storeclient.py
+++ b/hornbeamglade/platform/storeclient.py
@@ -211,7 +211,7 @@
         if response.status == _HISTORY_LOST or response.era != era:
             return contract.HistoryLost()
         body = _parsed(storebodies.Rows, response)
-        if body is None:
+        if body is None or any(row.table != table for row in body.rows):
             return contract.Unavailable(f"malformed response, status {response.status}")
         return _changes(body, era)
 
@@ -344,11 +344,13 @@
 
 
 def _changes(body: storebodies.Rows, era: int) -> contract.Changes:
+    # A feed has the rows of all parts. A key of another part names another row.
+    rows = [row for row in body.rows if not row.part]
     # A row that changed twice appears twice, and only its newest state counts.
-    newest_by_key = {row.full_key(): row for row in sorted(body.rows, key=lambda row: row.ver)}
+    newest_by_key = {row.full_key(): row for row in sorted(rows, key=lambda row: row.ver)}
     written_rows = tuple(row.to_row(era) for row in newest_by_key.values() if not row.deleted)
     deleted_keys = tuple(key for key, row in newest_by_key.items() if row.deleted)
-    newest = max((positions.position(era, row.ver) for row in body.rows), default=0)
+    newest = max((positions.position(era, row.ver) for row in rows), default=0)
     return contract.Changes(written_rows, deleted_keys, positions.position(era, body.ver), newest)
 
 
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -187,6 +187,18 @@
     assert changes.newest == 6
 
 
+def test_row_of_another_part_does_not_replace_or_delete_one_with_its_key(raw_server):
+    """A feed has the rows of all parts of a table; a snapshot only those without a part."""
+    rows = [
+        state("kept", 3),
+        state("kept", 4) | {"part": "p", "value": "e30="},
+        state("kept", 5, deleted=True) | {"part": "p"},
+    ]
+    changes = raw_server(feed_response(*rows)).client.changes("op", 1, 0.01)
+    assert [(row.key, row.version) for row in changes.written_rows] == [("op/kept", 3)]
+    assert (changes.deleted_keys, changes.newest) == ((), 3)
+
+
 FIELDS = b"Store-Era: 1\r\nContent-Type: text/plain\r\nContent-Length: 9\r\n\r\n"
 
 
