tests: play odd rows of all tables at instances in operation

Three instances read odd rows of replicas, evacuated domains, quarantined requests and versions before their first valid row, beside 1,800 further entries, and odd rows of instances, replicas and the operator's document later, while engines have two versions, one of them as long as allowed. They keep serving, and follow a changed version, a leaving engine and the next valid document.

--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -26,8 +26,9 @@
 from hornbeamglade.quarantine import quarantinerows, requestquarantine
 from hornbeamglade.replicas import advisories
 from hornbeamglade.store import contract
-from tests import oddvalues
-from tests.entry import site, test_clusterstate, test_settings
+from tests import eventloop, oddvalues
+from tests.entry import site as site_module
+from tests.entry import test_clusterstate, test_settings
 
 KEYS = codec.KeyRing(1, {1: b"sixteen bytes at least"})
 LONGEST = 6000
@@ -71,7 +72,7 @@
 class Replicas(Reader):
     """The list of replicas, which instances also pass on to one another."""
 
-    good = json.loads(site.server_row(test_clusterstate.Server, "web", "a"))
+    good = json.loads(site_module.server_row(test_clusterstate.Server, "web", "a"))
     prefix = "servers/"
 
     def __init__(self):
@@ -108,7 +109,7 @@
 class Configuration(Reader):
     """The operator's document."""
 
-    good = site.manifest(5)
+    good = site_module.manifest(5)
     prefix = "op/config"
     names = ("",)
     longest = LONGEST
@@ -497,3 +498,87 @@
 def test_settings_file_that_cannot_be_read_is_rejected_with_its_own_error(text):
     with pytest.raises(codederrors.CodedError):
         settings.parse(text, "entry.yaml")
+
+
+def odd_rows(*readers):
+    """Yield keys and values of odd rows in some tables; none names a replica of the site."""
+    for reader in readers:
+        good = reader.good | {"service": "none"}
+        values = (*oddvalues.ODD_DOCUMENTS.values(), *_odd_parts(good), json.dumps(good))
+        for number, value in enumerate(each for each in values if each.isprintable()):
+            name = f"{number:016x}" if reader is Quarantine else f"odd-{number}"
+            yield reader.prefix + name, value.replace("10.0.0.", "127.0.0.")
+        for name in reader.names:
+            yield reader.prefix + name, json.dumps(good).replace("10.0.0.", "127.0.0.")
+
+
+def _odd_parts(good):
+    for path in oddvalues.paths(good):
+        for text in oddvalues.texts(LONGEST):
+            yield oddvalues.replaced(good, path, text)
+
+
+def put_all(site, rows):
+    site.store.transact((), tuple(contract.Put(key, value) for key, value in rows))
+
+
+async def _serve(site):
+    statuses = []
+    for number, node in enumerate(site.nodes):
+        for path in ("/tag/1", "/draft/1", "/list/1"):
+            client = await node.request(path, request_id=f"{path}{number}", more=site_module.USAGE)
+            statuses.append((await client.answer())[0])
+    return statuses
+
+
+def _all_alive(site):
+    has_ended = any(task.done() for node in site.nodes for task in node._tasks)
+    return not has_ended and all(node.instance.is_ready() for node in site.nodes)
+
+
+def test_odd_rows_in_all_tables_at_the_start_and_later_end_no_instance():
+    """The list has 1,800 further entries, and engines have two versions."""
+    good = json.loads(site_module.server_row(test_clusterstate.Server, "idle", "a"))
+
+    async def main():
+        site = site_module.Site(nodes=3, engines=3, events=4)
+        try:
+            idle = ((f"servers/idle-{number}", json.dumps(good)) for number in range(1800))
+            put_all(site, (*odd_rows(Replicas, Evacuations, Quarantine, Versions), *idle))
+            await site.start()
+            put_all(site, odd_rows(Members))
+            shared = site.store.scan("instances/")
+            listed = registry.Registry(site.store).list()
+            for node in site.nodes:
+                node.instance.on_rows(shared)
+                node.instance.on_instance_list(listed)
+            await asyncio.sleep(0.5)
+            first = await _serve(site)
+            engine = site.engines[0]
+            other = site_module.server_row(engine, "llm", "a", version="\u00e9" * 100)
+            before = site.store.snapshot("servers").version
+            put_all(site, ((f"{key}-again", value) for key, value in odd_rows(Replicas)))
+            site.put(f"servers/{engine.replica_id}", other)
+            site.put("op/config", json.dumps(site_module.manifest(2**70)))
+            changes = site.store.changes("servers", before, 0.0)
+            for node in site.nodes:
+                node.instance.on_store_outcome("servers", changes)
+                node.instance.on_store_outcome("op", site.store.snapshot("op"))
+            second = await _serve(site)
+            site.put("op/config", json.dumps(site_module.manifest(2)))
+            site.leave(1)
+            leaving = site.engines[1].replica_id
+            await asyncio.sleep(1.0)
+            third = await _serve(site)
+            for node in site.nodes:
+                state = node.instance.cluster_state
+                assert state.versions().configuration == 2
+                assert not node.instance._replicas.is_usable(leaving)
+                assert node.instance._replicas.by_name(engine.replica_id).version == "\u00e9" * 100
+            return first + second + third, _all_alive(site)
+        finally:
+            await site.stop()
+
+    statuses, are_alive = eventloop.run(main())
+    assert statuses == [200] * 27
+    assert are_alive
