replicarows: leave room in an entry for the models and adapters of an engine

An entry names them, and an engine may have many; 4 KiB were little for it. 1,800 entries of the usual size remain far below the limit of the document that instances pass on.

--- a/hornbeamglade/platform/replicarows.py
+++ b/hornbeamglade/platform/replicarows.py
@@ -28,7 +28,7 @@
 _MAX_TEXT_BYTES = 200
 # Several times as long as an entry with the longest texts. Instances pass entries on to one
 # another, all of them in one document of limited size.
-_MAX_ENTRY_BYTES = 4096
+_MAX_ENTRY_BYTES = 16_384
 _MAX_SEQUENCE = 2**63 - 1
 # A server with more slots would appear idle under any load and get all requests of its service.
 _MAX_SLOTS = 100_000
