origins: let no list of before a take-up tell how a stream began

An instance took its list of replicas for current if it had read or confirmed it in the last two seconds, or counted most others as live. Both are beliefs of before the pause. A list of some age never tells how a stream began that may be younger.

Now every take-up reads the changes of the list from the store, and asks the other instances, which tell the origin if they know it and which versions they have seen. Only what was read or asked for after the take-up counts: questions bear a token, so answers that waited in the socket do not. While the store does not answer, the instances may agree on the only version they have seen: an instance tells its keepers of other versions before it can use their replicas, and at most as many answers may be missing as an instance has keepers. Else the stream is refused as before.

The reverse fault: take-ups were refused, or found no replica of their version, though others knew both. An instance whose list is older than that of one that answers fetches it at once and waits for it.

Failed before: test_stream_taken_up_at_an_instance_out_of_step_goes_on_at_its_version, test_instance_that_stood_still_does_not_take_its_old_list_for_the_origin.

test_nothing_is_sent_while_one_version_is_listed asked that a look-up send nothing; this was the fault. It still holds that nothing is sent for a stream until it is taken up. test_instance_whose_list_may_be_old_infers_nothing set the removed callback; the instance is now cut off from the store and from the others. test_keepers_are_in_other_failure_domains counts recipients of origins, as keepers get statements too.

--- a/hornbeamglade/capacity/sharedstate.py
+++ b/hornbeamglade/capacity/sharedstate.py
@@ -38,10 +38,12 @@
     others = size.nodes - 2
     streams = round(size.streams_per_node)
     per_instance = max(1, round(streams / others))
-    query = _frame_bytes(messages.OriginQuery(tuple(HASH + n for n in range(per_instance))))
+    streams_asked_for = tuple(HASH + n for n in range(per_instance))
+    query = _frame_bytes(messages.OriginQuery(streams_asked_for, HASH, 90, HASH))
+    statement = _frame_bytes(messages.VersionStatement(HASH, HASH, HASH, HASH))
     response = _frame_bytes(messages.OriginRecords((messages.OriginRecord(HASH, HASH, 90),)))
     askers = min(others, streams)
-    return askers * (others * query + streamorigins.KEEPER_COUNT * response)
+    return askers * (others * (query + statement) + streamorigins.KEEPER_COUNT * response)
 
 
 def crash_bytes(size: targetsize.SiteSize) -> float:
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -67,6 +67,7 @@
         writer = quarantinewriter.QuarantineWriter(self._store, self._clock)
         self.instance.quarantine.set_store_writer(writer.add)
         self.instance.origins.set_store_writer(writer.add)
+        self.instance.follow_on_demand(self._store)
         self._rng = random.Random(self.instance.incarnation)
         self.instance.set_connection_counter(lambda: len(self._callers.connections))
         self._callers = serverside.CallersServer(
--- a/hornbeamglade/entry/documentsync.py
+++ b/hornbeamglade/entry/documentsync.py
@@ -141,19 +141,28 @@
         self, node: str, announcement: messages.VersionAnnouncement
     ) -> tuple[OutgoingRequest, ...]:
         """Handle a version announcement; return the chunk requests to send back."""
-        now = self._clock.now()
-        held = self.versions()
-        due = []
-        for subject in _SUBJECTS:
-            version = _version_in(announcement, subject)
-            if version <= held.of(subject):
-                continue
-            fetch = self._fetch_by_subject.get(subject)
-            if fetch is None or fetch.version < version:
-                fetch = self._fetch_by_subject[subject] = _Fetch(version, now, node)
-                due.append(self._chunk_request(fetch, subject, version, node))
+        due = [
+            self._fetch_now(subject, _version_in(announcement, subject), node)
+            for subject in _SUBJECTS
+        ]
         return tuple(each for each in due if each is not None)
 
+    def on_newer_list(self, node: str, version: int) -> tuple[OutgoingRequest, ...]:
+        """Fetch the replica list that another instance holds at once, if it is newer."""
+        due = self._fetch_now(messages.Subject.REPLICAS, version, node)
+        return () if due is None else (due,)
+
+    def _fetch_now(
+        self, subject: messages.Subject, version: int, node: str
+    ) -> OutgoingRequest | None:
+        if version <= self.versions().of(subject):
+            return None
+        fetch = self._fetch_by_subject.get(subject)
+        if fetch is not None and fetch.version >= version and fetch.assembly is not None:
+            return None
+        fetch = self._fetch_by_subject[subject] = _Fetch(version, self._clock.now(), node)
+        return self._chunk_request(fetch, subject, version, node)
+
     def on_chunk_request(self, request: messages.ChunkRequest) -> messages.DocumentChunk | None:
         """Return the chunk that another instance requests, or None."""
         key = _DocumentKey(request.subject, self.versions().of(request.subject), request.since)
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -19,6 +19,7 @@
     enginepaces,
     followerrole,
     gauges,
+    listreading,
     peering,
     reservedmemory,
     settings,
@@ -85,7 +86,6 @@
 cache the addresses."""
 
 STOP_MARGIN_S = 0.4
-LIST_MAX_AGE_S = 2.0
 DEPARTED_RETENTION_S = 12.0
 """Longer than a replica keeps serving after it was removed from the list without notice."""
 
@@ -193,7 +193,7 @@
             self.peering.heartbeats.live,
             self.peering.known_names,
             self.peering.send,
-            self._is_list_current,
+            lambda: self._replicas.version,
             instance_settings.is_first_start,
             clock,
         )
@@ -359,6 +359,15 @@
             self.memory,
         )
 
+    def follow_on_demand(self, feed: contract.Feed) -> None:
+        """Read the replica list anew from the store whenever a decision depends on it."""
+        reading = listreading.ListReading(
+            feed,
+            lambda: self._replicas.version,
+            lambda outcome: self.on_store_outcome(tables.REPLICAS, outcome),
+        )
+        self.origins.set_list_reader(reading.read)
+
     async def listen(self) -> None:
         """Start to receive messages and requests for tunnels of other instances."""
         self._schedulers.set_call_later(asyncio.get_running_loop().call_later)
@@ -526,6 +535,10 @@
         """Respond to another instance that asks for origins of streams."""
         self.origins.on_query(sender, query)
 
+    def on_version_statement(self, sender: str, statement: messages.VersionStatement) -> None:
+        """Process what another instance has seen of the versions of a service."""
+        self.origins.on_statement(sender, statement)
+
     def on_part_crash_report(self, report: messages.PartCrashReport) -> None:
         """Process evidence against parts of prompts from another instance."""
         self._prompt_parts.on_report(report)
@@ -597,18 +610,6 @@
         self.quarantine.crashed(replica.id, lost)
         self._prompt_parts.crashed(replica.id, lost)
 
-    def _is_list_current(self) -> bool:
-        """Return whether this instance would know of a newer list of replicas.
-
-        While the store cannot be reached the list does not change; an instance that reaches most
-        of the others would hear of a change that one of them has read.
-        """
-        age_s = self.cluster_state.replica_list_staleness().age_s
-        if age_s is not None and age_s <= LIST_MAX_AGE_S:
-            return True
-        live = len(self.peering.heartbeats.live())
-        return live > 1 and 2 * live >= len(self.peering.heartbeats.members())
-
     def _held_versions(self) -> tuple[int, int]:
         versions = self.cluster_state.versions()
         return versions.configuration, versions.replicas
--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -67,6 +67,10 @@
     def on_origin_query(self, sender: str, query: messages.OriginQuery) -> None:
         """Respond to another instance that asks for origins of streams."""
 
+    @abc.abstractmethod
+    def on_version_statement(self, sender: str, statement: messages.VersionStatement) -> None:
+        """Process what another instance has seen of the versions of a service."""
+
     @abc.abstractmethod
     def on_part_crash_report(self, report: messages.PartCrashReport) -> None:
         """Process evidence against parts of prompts from another instance."""
@@ -324,6 +328,10 @@
             self._events.on_origin_records(message)
         elif isinstance(message, messages.OriginQuery):
             self._events.on_origin_query(sender.name, message)
+        elif isinstance(message, messages.VersionStatement):
+            self._events.on_version_statement(sender.name, message)
+            for due in self._document_sync.on_newer_list(sender.name, message.list_version):
+                self.transport.send(peer, due.message)
         elif isinstance(message, messages.PartCrashReport):
             self._events.on_part_crash_report(message)
         elif isinstance(message, messages.PartInquiry):
--- a/hornbeamglade/exchange/exchange.capnp
+++ b/hornbeamglade/exchange/exchange.capnp
@@ -28,6 +28,7 @@
     partCrashReport @20 :PartCrashReport;
     partInquiry @21 :PartInquiry;
     partSuccesses @22 :PartSuccesses;
+    versionStatement @23 :VersionStatement;
   }
 }
 
@@ -71,6 +72,16 @@
 
 struct OriginQuery {
   streams @0 :List(UInt64);
+  service @1 :UInt64;
+  windowS @2 :UInt16;
+  token @3 :UInt64;
+}
+
+struct VersionStatement {
+  token @0 :UInt64;
+  service @1 :UInt64;
+  version @2 :UInt64;
+  listVersion @3 :UInt64;
 }
 
 struct TunnelRequest {
--- a/hornbeamglade/exchange/messages.py
+++ b/hornbeamglade/exchange/messages.py
@@ -612,12 +612,32 @@
 class OriginQuery:
     """Asks for the origins of streams, at most :data:`MAX_ORIGINS`.
 
-    A recipient that knows none of them does not respond.
-
     :param streams: the keys of the streams.
+    :param service: :func:`key_hash` of their service.
+    :param window_s: seconds in which the streams may have begun.
+    :param token: sent back in the :class:`VersionStatement` that is asked for; 0 asks for none.
     """
 
     streams: tuple[int, ...]
+    service: int = 0
+    window_s: int = 0
+    token: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionStatement:
+    """Tells which software versions of a service its sender has seen listed.
+
+    :param token: that of the query, or 0 if the statement was not asked for.
+    :param service: :func:`key_hash` of the service.
+    :param version: key of the only version in the time asked for, or 0 if there were several.
+    :param list_version: version of the replica list that the sender holds.
+    """
+
+    token: int
+    service: int
+    version: int
+    list_version: int
 
 
 Message = (
@@ -635,6 +655,7 @@
     | TunnelRequest
     | TunnelResponse
     | OriginRecords
+    | VersionStatement
     | OriginQuery
     | PartCrashReport
     | PartInquiry
--- a/hornbeamglade/exchange/wireformat.py
+++ b/hornbeamglade/exchange/wireformat.py
@@ -483,11 +483,29 @@
 def _fill_origin_query(builder: _Builder, message: messages.OriginQuery) -> None:
     _checked_length(message.streams, messages.MAX_ORIGINS)
     builder.streams = list(message.streams)
+    builder.service = message.service
+    builder.windowS = _clip(message.window_s, _MAX_U16)
+    builder.token = message.token
 
 
 def _read_origin_query(reader: _Reader) -> messages.OriginQuery:
     _checked_length(reader.streams, messages.MAX_ORIGINS)
-    return messages.OriginQuery(tuple(reader.streams))
+    return messages.OriginQuery(
+        tuple(reader.streams), reader.service, reader.windowS, reader.token
+    )
+
+
+def _fill_version_statement(builder: _Builder, message: messages.VersionStatement) -> None:
+    builder.token = message.token
+    builder.service = message.service
+    builder.version = message.version
+    builder.listVersion = message.list_version
+
+
+def _read_version_statement(reader: _Reader) -> messages.VersionStatement:
+    return messages.VersionStatement(
+        reader.token, reader.service, reader.version, reader.listVersion
+    )
 
 
 def _fill_part_crashes(builder: _Builder, message: messages.PartCrashReport) -> None:
@@ -586,6 +604,12 @@
     ),
     _MessageFormat(messages.OriginRecords, "originRecords", _fill_origins, _read_origins),
     _MessageFormat(messages.OriginQuery, "originQuery", _fill_origin_query, _read_origin_query),
+    _MessageFormat(
+        messages.VersionStatement,
+        "versionStatement",
+        _fill_version_statement,
+        _read_version_statement,
+    ),
     _MessageFormat(
         messages.PartCrashReport, "partCrashReport", _fill_part_crashes, _read_part_crashes
     ),
--- a/hornbeamglade/origins/versionhistory.py
+++ b/hornbeamglade/origins/versionhistory.py
@@ -100,6 +100,29 @@
             return None
         return next(iter(observed.versions))
 
+    def listed(self, service: str) -> frozenset[int]:
+        """Return the versions that were listed last."""
+        observed = self._observed_by_service.get(service)
+        return frozenset() if observed is None else observed.versions
+
+    def only_seen(self, service: str, window_s: float) -> int | None:
+        """Return the only version seen in the last ``window_s``, 0 if several, None if none.
+
+        Unlike :meth:`sole_version` this says nothing of the time before this instance's start.
+        """
+        observed = self._observed_by_service.get(service)
+        if observed is None:
+            return None
+        is_recent = self._clock.now() - observed.since < window_s
+        if len(observed.versions) != 1 or (observed.has_changed and is_recent):
+            return 0
+        return next(iter(observed.versions))
+
+    def has_changed_within(self, service: str, window_s: float) -> bool:
+        """Return whether the versions of a service were first seen, or changed, lately."""
+        observed = self._observed_by_service.get(service)
+        return observed is not None and self._clock.now() - observed.since < window_s
+
     def sole_for_s(self, service: str) -> float | None:
         """Return the seconds for which the listed version was the only one; None for always."""
         age_s = self._clock.now() - self._sole_since(service, self._observed_by_service[service])
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -146,6 +146,25 @@
         return client
 
 
+class Feed(contract.Feed):
+    """A node's access to the store, which may be lost.
+
+    :param store: the store, in memory.
+    """
+
+    def __init__(self, store):
+        self._store = store
+        self.is_reached = True
+
+    def snapshot(self, table):
+        return self._store.snapshot(table) if self.is_reached else contract.Unavailable("cut off")
+
+    def changes(self, table, after, wait_s):
+        if not self.is_reached:
+            return contract.Unavailable("cut off")
+        return self._store.changes(table, after, wait_s)
+
+
 USAGE = "Model: m\r\nToken-Usage: 100,50\r\n"
 
 
@@ -196,6 +215,8 @@
         listed = registry.Registry(self.store)
         for node in self.nodes:
             await node.start()
+            node.feed = Feed(self._store_by_node.get(node, self.store))
+            node.instance.follow_on_demand(node.feed)
             identity = node.instance.identity
             listed.register(
                 contract.Instance(
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -363,3 +363,28 @@
     except TimeoutError:
         begun.append(False)
     client.close()
+
+
+def release_unseen_by(site, number):
+    """Let two engines run another version, which all instances but one read."""
+    for n in (2, 3):
+        row = entrysite.server_row(site.engines[n], "llm", "ab"[n % 2], version="v2")
+        site.put(f"servers/{site.engines[n].replica_id}", row)
+    site.read_store(*(node for node in site.nodes if node is not site.nodes[number]))
+
+
+@pytest.mark.parametrize("is_store_reached", [True, False])
+def test_stream_taken_up_at_an_instance_out_of_step_goes_on_at_its_version(is_store_reached):
+    """An instance stands still while a release begins: it joins streams of two versions."""
+
+    async def test(site):
+        site.nodes[2].feed.is_reached = is_store_reached
+        release_unseen_by(site, 2)
+        await cut(await begin(site))
+        answers = [await take_up(site, f"r{n}", 20, f"second{n}", node=2) for n in range(COUNT)]
+        return answers, [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
+
+    answers, runs = entrysite.run(test, nodes=3, engines=4, events=EVENTS)
+    assert {each[0] // 2 for each in runs} == {0, 1}
+    assert all(len({engine // 2 for engine in each}) == 1 for each in runs), runs
+    assert [status for status, _ in answers] == [200] * COUNT, answers
--- a/tests/exchange/strategies.py
+++ b/tests/exchange/strategies.py
@@ -130,7 +130,11 @@
     | strategies.builds(
         messages.OriginQuery,
         strategies.lists(_U64, max_size=messages.MAX_ORIGINS).map(tuple),
+        _U64,
+        _U16,
+        _U64,
     )
+    | strategies.builds(messages.VersionStatement, _U64, _U64, _U64, _U64)
     | strategies.builds(
         messages.PartCrashReport,
         _U64,
--- a/tests/origins/test_streamorigins.py
+++ b/tests/origins/test_streamorigins.py
@@ -24,7 +24,9 @@
         self.names = [f"n{number}" for number in range(count)]
         self.down = set()
         self.sent = []
-        self.is_current = True
+        self.list_version_by_node = {}
+        self.is_store_reached = True
+        self.silent = set()
         self.rows = {}
         self.node_by_name = {}
         for number, name in enumerate(self.names):
@@ -34,11 +36,13 @@
     def start(self, name, domain, is_first_start=False):
         def send(to, message):
             self.sent.append((name, to, message))
-            if name in self.down or to in self.down:
+            if {name, to} & (self.down | self.silent):
                 return
             node = self.node_by_name[to]
             if isinstance(message, messages.OriginQuery):
                 node.on_query(name, message)
+            elif isinstance(message, messages.VersionStatement):
+                node.on_statement(name, message)
             else:
                 node.on_records(message)
 
@@ -48,14 +52,18 @@
             self.live,
             lambda: [each.identity.name for each in self.live()],
             send,
-            lambda: self.is_current,
+            lambda: self.list_version_by_node.get(name, 1),
             is_first_start,
             self.clock,
         )
+        node.set_list_reader(self.read_list)
         node.set_store_writer(lambda put: self.rows.update({put.key: put.value}))
         self.node_by_name[name] = node
         return node
 
+    async def read_list(self):
+        return self.is_store_reached
+
     def live(self):
         return [
             types.SimpleNamespace(
@@ -82,7 +90,11 @@
             node.on_rows(rows)
 
     def find(self, name, stream=7):
-        return eventloop.run(self.node_by_name[name].find(stream, "llm", KEPT_S)).version
+        return self.found(name, stream)[0]
+
+    def found(self, name, stream=7):
+        found = eventloop.run(self.node_by_name[name].find(stream, "llm", KEPT_S))
+        return found.version, found.source
 
 
 def begin(network, name="n0", version=V1, stream=7):
@@ -92,9 +104,11 @@
 def test_nothing_is_sent_while_one_version_is_listed():
     network = Network()
     network.observe("v1")
+    network.sent.clear()
     begin(network)
     network.tick()
-    assert (network.find("n5"), network.sent) == (V1, [])
+    assert network.sent == []
+    assert network.find("n5") == V1
 
 
 def test_every_instance_finds_the_origin_after_the_one_that_served_is_gone():
@@ -125,7 +139,9 @@
     network.observe("v1", "v2")
     begin(network)
     network.tick()
-    keepers = {to for _, to, message in network.sent}
+    keepers = {
+        to for _, to, message in network.sent if isinstance(message, messages.OriginRecords)
+    }
     assert len(keepers) == streamorigins.KEEPER_COUNT
     assert "n3" not in keepers
 
@@ -171,10 +187,133 @@
     """A partitioned instance lists one version while another is served elsewhere."""
     network = Network()
     network.observe("v1")
-    network.is_current = False
+    network.is_store_reached = False
+    network.down |= set(network.names) - {"n1"}
     assert network.find("n1") is None
 
 
+def test_instance_that_stood_still_does_not_take_its_old_list_for_the_origin():
+    """A release begins while an instance stands still: it continues streams at the old version."""
+    network = Network()
+    network.observe("v1")
+    for name in network.names[1:]:
+        network.node_by_name[name].observe("llm", ("v1", "v2"))
+    begin(network, "n2", version=V2)
+    assert network.find("n0") == V2
+
+
+def test_instance_that_stood_still_infers_nothing_if_the_one_that_served_is_gone():
+    """A release begins while an instance stands still, and another one is killed with streams."""
+    network = Network()
+    network.observe("v1")
+    for name in network.names[1:]:
+        network.node_by_name[name].observe("llm", ("v1", "v2"))
+    begin(network, "n2", version=V2)
+    network.down.add("n2")
+    assert network.find("n0") is None
+
+
+@pytest.mark.parametrize("reads", [("v1", "v2"), ("v2",)])
+def test_list_that_only_a_killed_instance_had_read_is_not_ruled_out_without_the_store(reads):
+    """One instance reads of a release, the store fails, and the instance is killed."""
+    network = Network()
+    network.observe("v1")
+    network.is_store_reached = False
+    network.node_by_name["n2"].observe("llm", reads)
+    begin(network, "n2", version=V2)
+    network.down.add("n2")
+    assert {name: network.find(name) for name in network.names if name != "n2"} == dict.fromkeys(
+        (name for name in network.names if name != "n2"), None
+    )
+
+
+def test_others_agree_on_the_only_version_while_the_store_does_not_answer():
+    """An instance is killed during an outage of the store: its streams are all refused."""
+    network = Network()
+    network.observe("v1")
+    begin(network, "n2")
+    network.is_store_reached = False
+    network.silent = {"n2"}
+    assert network.found("n0") == (V1, "agreed")
+
+
+def test_too_few_answers_agree_on_nothing_while_the_store_does_not_answer():
+    network = Network()
+    network.observe("v1")
+    network.is_store_reached = False
+    network.silent = {"n1", "n2", "n3", "n4"}
+    assert network.found("n0") == (None, "peers")
+
+
+def test_answers_to_an_earlier_question_count_for_nothing():
+    """Answers that waited in the socket while the instance stood still are of before the pause."""
+    network = Network()
+    network.observe("v1")
+    network.is_store_reached = False
+    network.silent = set(network.names) - {"n0"}
+    node = network.node_by_name["n0"]
+    asked = []
+
+    async def find_twice():
+        first = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
+        await asyncio.sleep(2 * streamorigins.LOOKUP_BATCH_S)
+        asked.extend(
+            message.token
+            for _, _, message in network.sent
+            if isinstance(message, messages.OriginQuery)
+        )
+        first.cancel()
+        await asyncio.sleep(0)
+        second = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
+        await asyncio.sleep(2 * streamorigins.LOOKUP_BATCH_S)
+        for name in network.names[1:]:
+            statement = messages.VersionStatement(
+                asked[0], messages.key_hash("llm"), V1, list_version=1
+            )
+            node.on_statement(name, statement)
+        return await second
+
+    assert eventloop.run(find_twice()).version is None
+    assert asked
+
+
+def test_stream_is_not_refused_since_one_answer_was_lost():
+    network = Network()
+    network.observe("v1", "v2")
+    begin(network, "n2", version=V2)
+    node = network.node_by_name["n2"]
+    on_query, lost = node.on_query, []
+
+    def lose_first(sender, query):
+        if lost:
+            on_query(sender, query)
+        else:
+            lost.append(query)
+            on_query(sender, messages.OriginQuery((), query.service, query.window_s, query.token))
+
+    node.on_query = lose_first
+    assert network.find("n0") == V2
+
+
+def test_stream_goes_on_only_after_a_list_that_others_have_was_read():
+    """An instance that stood still takes a stream up by its old list of replicas."""
+    network = Network()
+    network.observe("v1", "v2")
+    begin(network, "n2", version=V2)
+    network.list_version_by_node = dict.fromkeys(network.names[1:], 2)
+    network.is_store_reached = False
+    node = network.node_by_name["n0"]
+
+    async def find():
+        found = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
+        await asyncio.sleep(4 * streamorigins.LOOKUP_BATCH_S)
+        was_early = found.done()
+        network.list_version_by_node["n0"] = 2
+        return was_early, (await found).version
+
+    assert eventloop.run(find()) == (False, V2)
+
+
 def test_origin_that_was_taken_back_is_not_known():
     network = Network()
     network.observe("v1", "v2")
