origins: tell all instances of another version while none counts as live

An instance that reads of another version tells its keepers before it can use it. Just after it stood still for two seconds it takes no other instance for live, so it has no keepers and told nobody. If it was killed then and the store did not answer, the others agreed on the old version for its streams. With fewer than three keepers it now tells all that it knows.

Found by reading; test_instance_that_takes_no_other_for_live_tells_all_of_another_version failed before.

--- a/hornbeamglade/origins/streamorigins.py
+++ b/hornbeamglade/origins/streamorigins.py
@@ -184,7 +184,9 @@
         if before is None:
             self._restore_first_version(service)
         if self._history.listed(service) != listed_before:
-            self._tell_versions(service, self._keepers)
+            # Just after it stood still, an instance may take no other one for live.
+            has_keepers = len(self._keepers) >= KEEPER_COUNT
+            self._tell_versions(service, self._keepers if has_keepers else self._others())
         after = self._history.current(service)
         if before is not None and after is not None and before.version != after.version:
             logs.state_changed(
--- a/tests/origins/test_streamorigins.py
+++ b/tests/origins/test_streamorigins.py
@@ -27,6 +27,7 @@
         self.list_version_by_node = {}
         self.is_store_reached = True
         self.silent = set()
+        self.isolated = set()
         self.rows = {}
         self.node_by_name = {}
         for number, name in enumerate(self.names):
@@ -49,7 +50,7 @@
         node = streamorigins.StreamOrigins(
             name,
             f"d{domain}",
-            self.live,
+            lambda: [] if name in self.isolated else self.live(),
             lambda: [each.identity.name for each in self.live()],
             send,
             lambda: self.list_version_by_node.get(name, 1),
@@ -227,6 +228,19 @@
     )
 
 
+def test_instance_that_takes_no_other_for_live_tells_all_of_another_version():
+    """It stood still, and has not processed the heartbeats that arrived meanwhile."""
+    network = Network()
+    network.observe("v1")
+    network.is_store_reached = False
+    network.isolated.add("n2")
+    network.tick()
+    network.node_by_name["n2"].observe("llm", ("v1", "v2"))
+    begin(network, "n2", version=V2)
+    network.down.add("n2")
+    assert network.find("n0") is None
+
+
 def test_others_agree_on_the_only_version_while_the_store_does_not_answer():
     """An instance is killed during an outage of the store: its streams are all refused."""
     network = Network()
