exchange: handle the messages that waited before the requests that follow

An instance that stood still handled requests before most of the messages that had arrived before them: that a replica leaves, that a request is quarantined, which list others hold. asyncio reads one datagram in each iteration of its loop, and a request on a kept connection is handled after one or two iterations, however many datagrams wait.

The transport now reads what waits, at most 256 datagrams, before the loop goes on.

test_messages_that_waited_while_an_instance_stood_still_precede_requests failed before: the request came after 1 of 40 messages.

--- a/hornbeamglade/exchange/asyncudp.py
+++ b/hornbeamglade/exchange/asyncudp.py
@@ -1,14 +1,27 @@
 """UDP transport between nodes on an event loop."""
 
 import asyncio
+import socket
 
 from hornbeamglade.core import codederrors
 from hornbeamglade.exchange import codec, messages, transport
 
+MAX_WAITING = 256
+"""Datagrams that are handled at a time before the event loop turns to other work."""
+
+_RECEIVE_BYTES = 65_536
+
 
 class AsyncUdpTransport(transport.Transport, asyncio.DatagramProtocol):
     """One UDP socket of an event loop; to be used only on the thread of the loop.
 
+    Explanation
+    ===========
+
+    All datagrams that wait are handled at once. An event loop by itself takes one datagram in
+    each of its iterations, so an instance that has stood still would handle requests before most
+    of the messages that arrived before them, such as that a replica leaves.
+
     :param frames: this node's codec.
     :param handler: called with each message, its sender and the endpoint it came from;
         it must not block.
@@ -25,6 +38,7 @@
         self._handler = handler
         self._failed = failed
         self._socket: asyncio.DatagramTransport | None = None
+        self._waiting: socket.socket | None = None
         self.traffic = transport.TrafficCounters()
 
     async def listen(self, endpoint: transport.Endpoint) -> transport.Endpoint:
@@ -32,6 +46,7 @@
         loop = asyncio.get_running_loop()
         address = (endpoint.host, endpoint.port)
         self._socket, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        self._waiting = self._socket.get_extra_info("socket").dup()
         host, port = self._socket.get_extra_info("sockname")[:2]
         return transport.Endpoint(host, port)
 
@@ -39,6 +54,7 @@
         """Stop receiving and close the socket."""
         if self._socket is not None:
             self._socket.close()
+            self._waiting.close()
 
     def send(self, peer: transport.Peer, message: messages.Message) -> None:
         """Send ``message`` to ``peer``; dropped before :meth:`listen`."""
@@ -50,7 +66,16 @@
         self.traffic.messages_out += 1
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Handle one datagram."""
+        """Handle one datagram, and the others that wait."""
+        self._receive(data, addr)
+        for _ in range(MAX_WAITING):
+            try:
+                waiting, source = self._waiting.recvfrom(_RECEIVE_BYTES)
+            except OSError:
+                return
+            self._receive(waiting, source)
+
+    def _receive(self, data: bytes, addr: tuple[str, int]) -> None:
         self.traffic.bytes_in += len(data)
         self.traffic.messages_in += 1
         outcome = self._codec.decode(data)
