registry: skip rows that name no instance that can be reached

An odd row among those of the instances, with an address that is none or a failure domain or name too long for a heartbeat, was a member at all others until it had been silent for long, and stayed a listed one after that. By reading: members count in the share of the retry budget and of the cold replicas, and in the majority by which an instance takes its list of replicas for current.

Both addresses are ip:port now, and name and failure domain at most 64 bytes, as messages allow. Other rows are skipped, as malformed ones always were.

The three tests of odd rows failed before in their case Members, for an address "a-host:80" or "name too long". test_list_in_the_store_takes_precedence registered the host name "n9", which no instance can have; it registers an address now.

--- a/hornbeamglade/membership/registry.py
+++ b/hornbeamglade/membership/registry.py
@@ -14,9 +14,12 @@
 """
 
 import collections.abc
+import typing
 
 import pydantic
 
+from hornbeamglade.configuration import models
+from hornbeamglade.exchange import wireformat
 from hornbeamglade.store import contract
 
 TABLE = "instances"
@@ -24,12 +27,16 @@
 OnRows = collections.abc.Callable[[tuple[contract.Row, ...]], None]
 
 
+# Messages carry names of instances and of failure domains.
+Name = typing.Annotated[str, pydantic.AfterValidator(wireformat.checked_name)]
+
+
 class _Body(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
-    failure_domain: str
-    address: str
-    exchange: str
+    failure_domain: Name
+    address: models.Address
+    exchange: models.Address
     leaving: bool = False
 
 
@@ -91,9 +98,10 @@
 
 
 def _parse_instance(row: contract.Row) -> contract.Instance | None:
+    name = row.key.removeprefix(f"{TABLE}/")
     try:
+        wireformat.checked_name(name)
         body = _Body.model_validate_json(row.value)
-    except pydantic.ValidationError:
+    except ValueError:
         return None
-    name = row.key.removeprefix(f"{TABLE}/")
     return contract.Instance(name, body.failure_domain, body.address, body.exchange, body.leaving)
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -17,7 +17,7 @@
 from hornbeamglade.core import clocks, codederrors, outcomes
 from hornbeamglade.engines import models as enginemodels
 from hornbeamglade.entry import componentsettings, settings
-from hornbeamglade.exchange import codec, configchunks, messages, transport
+from hornbeamglade.exchange import codec, configchunks, messages, transport, wireformat
 from hornbeamglade.leases import leaserecords
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.membership import discovery, heartbeats, registry, view
@@ -209,8 +209,13 @@
         assert "z2" in self._network.receivers
 
     def pass_on(self):
-        page = discovery.members_page(self._heartbeats.members())
-        assert nodes_of_seed(page)
+        members = self._heartbeats.members()
+        assert nodes_of_seed(discovery.members_page(members))
+        for identity in (each.identity for each in members):
+            transport.Endpoint.parse(identity.exchange)
+            transport.Endpoint.parse(identity.address)
+            encode(heartbeat(failure_domain=identity.failure_domain))
+            wireformat.checked_name(identity.name)
 
 
 class Quarantine(Reader):
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -36,7 +36,7 @@
 
 def test_list_in_the_store_takes_precedence(seed):
     platform = memory.MemoryPlatform()
-    own = contract.Instance("n9", "a", "n9:80", "n9:72", False)
+    own = contract.Instance("n9", "a", "10.0.0.9:80", "10.0.0.9:72", False)
     registry.Registry(platform).register(own)
     assert listing(platform, seed).list() == (own,)
 
