daemon: keep ticking after an error, and log it

The instance sent no heartbeats, reports or documents any more and still answered its readiness checks.

An error in a tick, in the removal of old state or in reading the settings is logged, once until it changes, and the next one runs. A violated invariant still ends the task.

--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -1,6 +1,7 @@
 """The process of one entry instance: its servers, threads and planned stop."""
 
 import asyncio
+import collections.abc
 import gc
 import random
 import signal
@@ -80,6 +81,7 @@
         self._stopping: asyncio.Event | None = None
         self._settings_text = text
         self._settings_problem: str | None = None
+        self._problem_by_step: dict[str, str | None] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -158,16 +160,30 @@
 
     async def _tick(self) -> None:
         while True:
-            self.instance.tick()
+            self._run_step("tick", self.instance.tick)
             self._update_followers()
             await asyncio.sleep(self.instance.tick_s)
 
     async def _clean_up(self) -> None:
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            self.instance.clean_up()
+            self._run_step("clean_up", self.instance.clean_up)
             # The file may change without a SIGHUP.
-            self._reload()
+            self._run_step("reload", self._reload)
+
+    def _run_step(self, name: str, step: collections.abc.Callable[[], None]) -> None:
+        """Run a periodic step; an error is logged when it changes, and the next one runs."""
+        problem = None
+        try:
+            step()
+        except codederrors.InvariantError:
+            raise
+        # The task would end, and its steps with it, while the instance still appears ready.
+        except Exception as error:  # noqa: BLE001
+            problem = repr(error)
+            if problem != self._problem_by_step.get(name):
+                logs.log_internal_error(name, error)
+        self._problem_by_step[name] = problem
 
     def _reload(self) -> None:
         """Reload the settings; if the file is invalid, the former settings stay in force."""
