--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -11,8 +11,9 @@
 
 from hornbeamglade.core import codederrors
 from hornbeamglade.localsite import routedsite, tcpproxy
-from hornbeamglade.soak import callerpool, faultyentry, skewedentry, soaksite
+from hornbeamglade.soak import callerpool, faultyentry, oddrows, skewedentry, soaksite
 from hornbeamglade.standins import routedcaller
+from hornbeamglade.store import contract
 
 EXIT_S = 12.0
 """A stopping instance has eight seconds, after which the platform would kill it."""
@@ -253,7 +254,7 @@
 
 @dataclasses.dataclass
 class EntryOverwritten(Fault):
-    """Another program overwrites a server's entry and adds an invalid one.
+    """Another program overwrites a server's entry and leaves odd rows in all tables.
 
     :param component: the server.
     :param value: the value that it writes.
@@ -263,11 +264,12 @@
     value: str
 
     def begin(self, soak_site: soaksite.SoakSite) -> None:
-        """Write both entries."""
+        """Write them."""
         soak_site.site.write_entry(
             soak_site.site.server_by_place[self.component].replica_id, self.value
         )
         soak_site.site.write_entry(f"stray-{self.component}", self.value)
+        soak_site.site.write(tuple(contract.Put(key, value) for key, value in oddrows.ROWS))
 
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Write the server's own entry again."""
