routed: count the late period of a stop from when its signal was sent

A stream sent just over three seconds after the stop signal could still be truncated: the instance counted from the moment at which it handled the signal, which a busy process does late.

Requests now count as late 0.25 s sooner when it is decided whether their streams are withheld. The process is killed 0.4 s after its own limit and may use 0.15 s of that for last answers, so a longer delay would not leave the stop intact. Admission is as before. The new case of the unit test failed before.

--- a/hornbeamglade/routed/drainadmission.py
+++ b/hornbeamglade/routed/drainadmission.py
@@ -62,6 +62,10 @@
 while callers still use older responses of the directory. A later request is admitted although
 the instance knows that it will stop, so its truncation counts as a fault of the instance."""
 
+SIGNAL_DELAY_S = 0.25
+"""A busy process handles its stop signal late; the operator counts from when it was sent. A longer
+delay would use up the margin that the stop leaves before the process is killed."""
+
 LATE_MAX_TRUNCATION_PROBABILITY = 0.01
 
 STALL_S = 1.0
@@ -158,7 +162,8 @@
         if routed.route.is_repeatable and self._exceedance(routed, remaining_s) > max_probability:
             return LateStart.DROPPED
         steady_s = (remaining_s - STALL_S) / PACE_RESERVE
-        if self._is_late(admitted_at) and self._exceedance(routed, steady_s) > max_probability:
+        is_late_request = self._is_late(admitted_at + SIGNAL_DELAY_S)
+        if is_late_request and self._exceedance(routed, steady_s) > max_probability:
             return LateStart.WITHHELD
         return LateStart.IN_TIME
 
--- a/tests/routed/test_drainadmission.py
+++ b/tests/routed/test_drainadmission.py
@@ -151,6 +151,7 @@
     ("admitted_s", "begins_s", "late_start"),
     [
         (2.0, 7.5, "in_time"),
+        (2.9, 7.5, "withheld"),
         (4.0, 7.5, "withheld"),
         (4.0, 6.0, "withheld"),
         (3.1, 3.2, "in_time"),
