--- a/hornbeamglade/origins/streamorigins.py
+++ b/hornbeamglade/origins/streamorigins.py
@@ -156,7 +156,7 @@
         )
         self._unsent_inquiries: dict[inquiries.Inquiry, tuple[str, float]] = {}
         self._inquiries_by_token: dict[int, set[inquiries.Inquiry]] = {}
-        self._told_at_by_version: dict[int, dict[int, float]] = {}
+        self._stated_at_by_version: dict[int, dict[int, float]] = {}
 
     def set_list_reader(self, read: ReadList) -> None:
         """Set the function that reads the changes of the list anew, and returns whether it could.
@@ -245,8 +245,8 @@
     def on_statement(self, sender: str, statement: messages.VersionStatement) -> None:
         """Process which versions of a service another instance has seen."""
         if not statement.token:
-            told_at_by_version = self._told_at_by_version.setdefault(statement.service, {})
-            told_at_by_version[statement.version] = self._clock.now()
+            stated_at_by_version = self._stated_at_by_version.setdefault(statement.service, {})
+            stated_at_by_version[statement.version] = self._clock.now()
         for inquiry in self._inquiries_by_token.get(statement.token, ()):
             inquiry.on_statement(sender, statement)
 
@@ -255,7 +255,7 @@
         service = self._service_by_hash.get(query.service)
         if query.token and service is not None:
             seen = self._history.only_seen(service, query.window_s) or 0
-            if self._is_told_of_others(service, seen, query.window_s):
+            if self._is_contradicted(service, seen, query.window_s):
                 seen = 0
             self._send(sender, self._statement(service, seen, query.token))
         now = self._clock.now()
@@ -307,10 +307,10 @@
         self._update_keepers()
         now = self._clock.now()
         self._table.expire(now)
-        self._told_at_by_version = {
-            service: told_at_by_version
-            for service, told_at_by_version in self._told_at_by_version.items()
-            if now - max(told_at_by_version.values()) < STATEMENT_RETENTION_S
+        self._stated_at_by_version = {
+            service: stated_at_by_version
+            for service, stated_at_by_version in self._stated_at_by_version.items()
+            if now - max(stated_at_by_version.values()) < STATEMENT_RETENTION_S
         }
 
     def _restore_first_version(self, service: str) -> None:
@@ -389,13 +389,13 @@
         sole = self._history.sole_version(service, window_s)
         if sole is None or inquiry.contradicts(sole):
             return None
-        return None if self._is_told_of_others(service, sole, window_s) else sole
+        return None if self._is_contradicted(service, sole, window_s) else sole
 
-    def _is_told_of_others(self, service: str, version: int, window_s: float) -> bool:
+    def _is_contradicted(self, service: str, version: int, window_s: float) -> bool:
         """Return whether another instance has told of other versions in the last ``window_s``."""
-        told = self._told_at_by_version.get(messages.key_hash(service), {})
+        stated = self._stated_at_by_version.get(messages.key_hash(service), {})
         since = self._clock.now() - window_s
-        return any(told_at > since for each, told_at in told.items() if each != version)
+        return any(stated_at > since for each, stated_at in stated.items() if each != version)
 
     async def _read_newest_list(self) -> bool:
         return False if self._read_list is None else await self._read_list()
--- a/hornbeamglade/routed/attemptlog.py
+++ b/hornbeamglade/routed/attemptlog.py
@@ -83,7 +83,7 @@
         self.is_withheld = True
 
     @property
-    def has_begun(self) -> bool:
+    def has_started(self) -> bool:
         """Whether a replica has begun the answer, which is then continued and not sent anew."""
         return self.is_withheld or self.answer_at is not None
 
--- a/hornbeamglade/routed/engineselector.py
+++ b/hornbeamglade/routed/engineselector.py
@@ -210,7 +210,7 @@
         """
         dependencies, routed = self._dependencies, self._routed
         refusal = dependencies.quarantine.refusal(routed.fingerprint, routed.prompt)
-        if refusal is None and not self._log.has_begun:
+        if refusal is None and not self._log.has_started:
             refusal = dependencies.drain_admission.refusal(
                 routed, dependencies.clock.now(), has_waited=True
             )
--- a/hornbeamglade/routed/requestsinprogress.py
+++ b/hornbeamglade/routed/requestsinprogress.py
@@ -56,7 +56,7 @@
     @property
     def is_waiting(self) -> bool:
         """Whether its answer has not begun and it is at no replica."""
-        return not self.log.has_begun and self.log.in_flight_replica is None
+        return not self.log.has_started and self.log.in_flight_replica is None
 
     def end(self, refusal: outcomes.Refusal) -> None:
         """Let the task time out now, to respond with ``refusal``."""
