--- a/hornbeamglade/sweep/sweepsite.py
+++ b/hornbeamglade/sweep/sweepsite.py
@@ -187,6 +187,7 @@
                 )
             )
         for number, each in enumerate(self.instances):
+            each.instance.follow_on_demand(self._stores[number])
             each.instance.on_instance_list(listed.list())
             each.instance.on_rows(())
             self._configure(number)
