--- a/hornbeamglade/origins/streamorigins.py
+++ b/hornbeamglade/origins/streamorigins.py
@@ -385,14 +385,14 @@
     def _sole_version(
         self, inquiry: inquiries.Inquiry, service: str, window_s: float
     ) -> int | None:
-        """Return the only version that began streams lately, as far as anybody has told."""
+        """Return the only version that began streams lately, as far as others have stated."""
         sole = self._history.sole_version(service, window_s)
         if sole is None or inquiry.contradicts(sole):
             return None
         return None if self._is_contradicted(service, sole, window_s) else sole
 
     def _is_contradicted(self, service: str, version: int, window_s: float) -> bool:
-        """Return whether another instance has told of other versions in the last ``window_s``."""
+        """Return whether another instance has stated other versions in the last ``window_s``."""
         stated = self._stated_at_by_version.get(messages.key_hash(service), {})
         since = self._clock.now() - window_s
         return any(stated_at > since for each, stated_at in stated.items() if each != version)
--- a/hornbeamglade/platform/replicarows.py
+++ b/hornbeamglade/platform/replicarows.py
@@ -26,8 +26,8 @@
 _MAX_PORT = 65_535
 # As long as the platform allows for a name.
 _MAX_TEXT_BYTES = 200
-# Several times as long as an entry with the longest texts. Instances pass entries on to one
-# another, all of them in one document of limited size.
+# Leaves room for the models and adapters that an entry names. Instances pass all entries on to
+# one another in one document of limited size.
 _MAX_ENTRY_BYTES = 16_384
 _MAX_SEQUENCE = 2**63 - 1
 # A server with more slots would appear idle under any load and get all requests of its service.
--- a/tests/entry/test_tunneling.py
+++ b/tests/entry/test_tunneling.py
@@ -12,10 +12,7 @@
 
 
 def test_relays_are_asked_for_the_newest_replica_at_an_address():
-    """A replica takes an address over while the list still contains the one before it.
-
-    An instance that does not know the former one opens no tunnel to it.
-    """
+    """An instance that does not know the former replica at an address opens no tunnel to it."""
     replicas = replicalist.ReplicaList()
     for started_ms in (1, 2):
         replica_id = models.replica_id(f"e{started_ms}", started_ms)
--- a/tests/grants/test_asyncgrantacquirer.py
+++ b/tests/grants/test_asyncgrantacquirer.py
@@ -522,10 +522,7 @@
 
 
 def test_request_granted_in_its_queue_during_a_search_keeps_its_grant():
-    """While another owner is asked, the queue of an own engine grants the request.
-
-    The search then came to that engine too, and its grant, with the same id, was released.
-    """
+    """The search took a second grant with the same id there, and the end of one ended both."""
 
     async def test(local, remote):
         first = [
