observability: log how the end of a stream was framed, and orders to stop

What the logs could not tell apart: whether a stream's end was stated by the response or only by its connection (field end of answer), and whether an order to stop its run may have arrived by then (is_stop_ordered of handover). BodyEnd says which of the two it is. No decision changes.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -309,6 +309,7 @@
             moves=streamed.migrations,
             first_s=None if first_s is None else round(first_s, 4),
             gap_s=round(streamed.longest_gap_s, 4),
+            end=streamed.end,
         )
 
 
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -94,7 +94,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyEnd:
-    """The end of a complete response."""
+    """The end of a complete response.
+
+    :param is_stated: whether the response itself states its end, by a length or a last chunk;
+        otherwise only the end of the connection shows it.
+    """
+
+    is_stated: bool
 
 
 class ServerConnection(asyncio.Protocol):
@@ -122,6 +128,7 @@
         self._state: h11.Connection | None = None
         self._is_in_chunk = False
         self._is_after_chunk = False
+        self._is_end_parsed = False
         self._next_event: h11.Event | None = None
         self._request: h11.Request | None = None
         self._is_reset = False
@@ -175,7 +182,7 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._parsing_bytes = self._parsed_bytes = self._content_bytes = 0
         self._interim_count = 0
-        self._is_in_chunk = False
+        self._is_in_chunk = self._is_end_parsed = False
         self._next_event = None
         data = self._state.send(self._request)
         data += self._state.send(h11.Data(data=body)) if body else b""
@@ -222,7 +229,7 @@
                 return self._lost("excessive")
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            return BodyEnd()
+            return BodyEnd(is_stated=not self._is_end_parsed)
         return event if isinstance(event, ResponseLost) else self._lost("malformed")
 
     async def chunk(self, limit: int) -> bytes | BodyEnd | ResponseLost:
@@ -370,6 +377,7 @@
                 return self._lost("reset")
             if self._has_ended and not self._buffer:
                 self._state.receive_data(b"")
+                self._is_end_parsed = True
                 continue
             await self._await_data()
 
--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -84,8 +84,9 @@
     :param placement: placement request for the target.
     :param dependencies: shared dependencies of migrations.
 
-    The attribute ``is_stopped`` tells whether the source is known not to work on the run any more,
-    ``stop_evidence`` the code of what its order to stop the run was answered with.
+    The attribute ``is_stop_ordered`` tells whether the source may have received an order to stop
+    the run, ``is_stopped`` whether it is known not to work on the run any more, ``stop_evidence``
+    the code of what its order to stop the run was answered with.
     The attributes ``search_s``, ``slot_wait_s`` and ``copy_s`` are the seconds spent on finding
     a target, on waiting for the migration slot and on copying; None until that step begins.
     """
@@ -105,6 +106,7 @@
         self._is_copying = False
         self._has_ended = False
         self.destination: Destination | None = None
+        self.is_stop_ordered = False
         self.is_stopped = False
         self.stop_evidence = "-"
         self.outcome = "begun"
@@ -332,6 +334,7 @@
         self, to: replicamodels.Replica
     ) -> models.CopySucceeded | models.CopyFailed:
         """Order the source to stop the run and to copy its rest."""
+        self.is_stop_ordered = True
         result = await self._copy(to, is_last=True)
         is_failed = isinstance(result, models.CopyFailed)
         self.stop_evidence = result.code if is_failed else "stopped"
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -30,6 +30,10 @@
 MAX_EVENT_DIGITS = 6
 """Bounds the number of events that a caller states to have."""
 
+STATED = "stated"
+UNSTATED = "connection_closed"
+"""How a stream ended in order: by its last chunk or length, or with its connection only."""
+
 MIGRATION_WAIT_S = 2.0
 """Longest wait for a migration to end after the stream from the source has closed. It
 usually takes a few hundredths of a second; if the engine is gone, the migration fails with
@@ -45,6 +49,7 @@
     :param migrations: number of times that the run continued at another engine.
     :param first_event_s: seconds from the arrival of the request to the first event, or None.
     :param longest_gap_s: longest pause between events in seconds.
+    :param end: how the last connection to an engine showed the end of the stream, for logs.
     """
 
     is_complete: bool
@@ -52,6 +57,7 @@
     migrations: int
     first_event_s: float | None
     longest_gap_s: float
+    end: str
 
 
 class StreamRun(runregistry.Run):
@@ -98,6 +104,7 @@
         self._writing_since: float | None = None
         self._is_proven = False
         self._late_refusal: outcomes.Refusal | None = None
+        self._end = "-"
         call = routed.call
         first_id = call.resumed_id if call.resumes_stream else call.request_id
         self._stream = None if first_id is None else _stream_key(routed, first_id)
@@ -133,7 +140,12 @@
         if relay.first_at is not None:
             first_s = relay.first_at - self._routed.call.arrived_at
         return StreamResult(
-            is_complete, relay.event_count, self._migration_count, first_s, relay.longest_gap_s
+            is_complete,
+            relay.event_count,
+            self._migration_count,
+            first_s,
+            relay.longest_gap_s,
+            self._end,
         )
 
     def on_replica_leaving(self) -> None:
@@ -320,8 +332,10 @@
         while True:
             piece = await connection.chunk(clientside.READ_AHEAD_BYTES)
             if isinstance(piece, clientside.ResponseLost):
+                self._end = piece.code
                 return piece
             if isinstance(piece, clientside.BodyEnd):
+                self._end = STATED if piece.is_stated else UNSTATED
                 if await self._relay.finish(self._response_start):
                     self._record_answer_started()
                     self._record_good_run()
@@ -558,6 +572,7 @@
             room_s=_rounded(self._migration.search_s),
             wait_s=_rounded(self._migration.slot_wait_s),
             copy_s=_rounded(self._migration.copy_s),
+            is_stop_ordered=self._migration.is_stop_ordered,
             is_stop_confirmed=self._migration.is_stopped,
             evidence=self._migration.stop_evidence,
         )
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -292,7 +292,7 @@
 
 def test_chunk_is_read_when_it_is_whole():
     read = chunks_of(b"3\r\na", b"bc\r\n2\r\n", b"de\r", b"\n0\r\n\r\n")
-    assert read == [b"abc", b"de", clientside.BodyEnd()]
+    assert read == [b"abc", b"de", clientside.BodyEnd(is_stated=True)]
 
 
 @pytest.mark.parametrize(
@@ -312,7 +312,7 @@
 
 def test_chunk_that_is_too_long_is_not_held():
     read = chunks_of(b"ff\r\n" + b"a" * 101, b"a" * 154 + b"\r\n0\r\n\r\n")
-    assert read == [b"a" * 101, b"a" * 154, clientside.BodyEnd()]
+    assert read == [b"a" * 101, b"a" * 154, clientside.BodyEnd(is_stated=True)]
 
 
 def test_connections_beyond_the_limit_are_not_opened():
