migration: keep the rest of a run that its source holds under the name of the copy

Callers saw: a stream, in chunks as well, that was broken off after the last move of its run had found no room at the destination, though the source had stopped the run and kept it.

Cause: the copy at the destination was freed through the source, which frees at both ends. Where the source names the rest that it keeps like the copy, as it may, it freed that too, and the run had nothing to go on from.

The copy is freed at the destination alone. The test failed before (freed at the source) and passes; seen while reproducing the incident, in a stream in chunks through an instance: broken off before, whole after.

--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -196,12 +196,16 @@
 
     def abandon(self) -> None:
         """Release the grant and the copy of a destination that is not used."""
+        destination = self._give_up_destination()
+        if destination is not None:
+            self._free_copy(destination.copy.name, destination.replica)
+
+    def _give_up_destination(self) -> Destination | None:
+        """Release the grant of a destination that is not used; its copy is still to be freed."""
         destination, self.destination = self.destination, None
-        if destination is None:
-            return
-        if destination.grant is not None:
+        if destination is not None and destination.grant is not None:
             self._dependencies.acquirer.release(destination.grant)
-        self._free_copy(destination.copy.name, destination.replica)
+        return destination
 
     def _free_copy(self, name: str, at: replicamodels.Replica) -> None:
         """Free a copy at both engines via the source, or at the target if the source is gone."""
@@ -292,7 +296,10 @@
 
     def _continue_at_source(self, name: str) -> None:
         """Continue at the source, which stopped the run and is the only one to have its rest."""
-        self.abandon()
+        former = self._give_up_destination()
+        if former is not None:
+            # The source frees at both ends, and may name the rest that it keeps like the copy.
+            self._dependencies.free_copy(former.copy.name, (former.replica.address,))
         self.is_stopped = True
         self.destination = Destination(
             self._source, calls.KvCopy(self._source.address, name), None
--- a/tests/routed/test_migration.py
+++ b/tests/routed/test_migration.py
@@ -280,6 +280,22 @@
     assert eventloop.run(test()) == ("e0", "c2", 0)
 
 
+def test_rest_that_is_kept_at_the_source_is_not_freed_with_the_copy_at_the_target():
+    """The source may name both alike, and frees at both ends what it is asked to free."""
+
+    async def test():
+        setup = MigrationSetup()
+        setup.engines.copy_results += [
+            models.CopySucceeded("copy-1", 7),
+            models.CopyFailed("no_room", "copy-1"),
+        ]
+        await setup.run()
+        await asyncio.sleep(0)
+        return setup.engines.dropped
+
+    assert eventloop.run(test()) == [(TARGET.address, "copy-1")]
+
+
 def test_copy_of_a_run_that_ended_during_the_copy_is_freed():
     """A run ends while its KV cache is copied to another engine, which completes the copy.
 
