tests: streams without framing whose engine was ordered to stop the run

The stand-in answers an order to stop late, not at all, or by keeping the rest, and can end its streams in order.

--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -204,6 +204,12 @@
         while self._running:
             await asyncio.sleep(FINISH_POLL_S)
 
+    def end_runs(self) -> None:
+        """Close the port and end all streams in order, as the end of a notice does."""
+        self._server.close()
+        for run in self.run_by_id.values():
+            run.is_stopped = True
+
     async def stop(self) -> None:
         """Close the port and every connection at once, as a crash does."""
         self._server.close()
@@ -580,12 +586,18 @@
         await asyncio.sleep(COPY_S)
         name = f"copy-{run.request_id}"
         body = {"name": name, "id": run.request_id, "made": run.made}
-        if not await _post(order["to"], "/standin/copy", body):
+        reply = self.faults.stop_reply if order["last"] else routedfaults.StopReply.SOON
+        is_kept = reply is routedfaults.StopReply.KEPT
+        if is_kept or not await _post(order["to"], "/standin/copy", body):
             if order["last"]:
                 self.copy_by_name[name] = routedruns.StandinCopy(name, run.request_id, run.made)
                 return 503, {"handle": name}
             return 503, {}
         self._sent_to_by_copy[name] = order["to"]
+        if reply is routedfaults.StopReply.LATE:
+            await asyncio.sleep(routedfaults.LATE_REPLY_S)
+        elif reply is routedfaults.StopReply.LOST:
+            raise ConnectionAbortedError("the answer is lost")
         return 200, {"handle": name, "created": run.made}
 
     def _take_copy(self, copy: dict) -> tuple[int, object]:
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -1,7 +1,23 @@
 """Faults of a routed stand-in."""
 
+import enum
+
 import pydantic
 
+LATE_REPLY_S = 0.35
+
+
+class StopReply(enum.StrEnum):
+    """How an engine answers an order to stop a run, which it carries out.
+
+    ``KEPT`` is the answer that the rest found no room and is kept, ``LOST`` none at all.
+    """
+
+    SOON = "soon"
+    LATE = "late"
+    LOST = "lost"
+    KEPT = "kept"
+
 
 class RoutedFaults(pydantic.BaseModel):
     """Faults of a backend server; omitted faults are off.
@@ -53,6 +69,7 @@
         its close. Empty for none.
     :param stops_in_order: when it is told to stop, it closes its port and completes the requests
         that it runs.
+    :param stop_reply: how orders to stop a run for a migration are answered.
     :param ignores_stops: orders to stop a run for a migration are ignored and get no response.
     """
 
@@ -91,5 +108,6 @@
     endless: str = ""
     broken_at: int | None = None
     followed_by: str = ""
+    stop_reply: StopReply = StopReply.SOON
     ignores_stops: bool = False
     stops_in_order: bool = False
--- /dev/null
+++ b/tests/entry/test_streamends.py
@@ -0,0 +1,63 @@
+"""Streams whose end only the end of a connection shows."""
+
+import asyncio
+
+import pytest
+
+from hornbeamglade.standins import routedfaults
+from tests.entry import site as entrysite
+from tests.entry import test_streams
+
+BROKEN_OFF = "broken off"
+
+
+def set_faults(site, **faults):
+    for engine in site.engines:
+        engine.faults = routedfaults.RoutedFaults(**faults)
+
+
+async def body_of(client):
+    """Return the body of a response that looks complete to its caller."""
+    try:
+        return (await client.answer())[2]
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return BROKEN_OFF
+
+
+@pytest.mark.parametrize("path", ["/draft/1", "/tag/1"])
+@pytest.mark.parametrize("unframed", [False, True])
+@pytest.mark.parametrize("reply", routedfaults.StopReply)
+def test_stream_that_the_last_move_closes_is_continued(path, unframed, reply):
+    """A stream without length or chunks whose run was stopped for a move ended as complete."""
+
+    async def test(site):
+        set_faults(site, unframed=unframed, stop_reply=reply)
+        client = await test_streams.start_stream(site, path)
+        source = test_streams.runs_at(site, "r1")[0]
+        run = source.run_by_id["r1"]
+        site.leave(site.engines.index(source))
+        return await body_of(client), run.is_stopped, test_streams.dispatched(site)
+
+    body, is_stopped, runs = entrysite.run(test, nodes=1)
+    assert (body, is_stopped, runs) == (test_streams.stream_body("r1"), True, ["r1"])
+
+
+@pytest.mark.parametrize("unframed", [False, True])
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [("/draft/1", BROKEN_OFF), ("/tag/1", test_streams.stream_body("r1"))],
+)
+def test_stream_that_the_end_of_a_notice_closes_is_not_complete(path, expected, unframed):
+    """An engine that leaves closed its streams in order, and their callers took them for whole."""
+
+    async def test(site):
+        for engine in site.engines:
+            engine.faults = routedfaults.RoutedFaults(unframed=unframed, no_room=True)
+        client = await test_streams.start_stream(site, path)
+        source = test_streams.runs_at(site, "r1")[0]
+        site.leave(site.engines.index(source))
+        await asyncio.sleep(0.05)
+        source.end_runs()
+        return await body_of(client)
+
+    assert entrysite.run(test, nodes=1, events=test_streams.EVENTS) == expected
