routed: take the end of a connection for that of a stream only without another cause

Cause: the end of the connection was taken for the end of the answer, without asking whether something else may have ended it. StreamRun told the migration that its run had ended, and the migration dropped what the engine had answered.

runends holds the one rule: an end that the response states stands. The end of a connection stands only while nothing known gave the server cause to close it: an order to stop the run that was obeyed or has no answer, a notice, an evacuation, another replica at its name or address, the end of the request's time. Otherwise the order's answer is awaited, and a leaving engine is asked for its report on a new connection. What is not shown to be complete continues like a stream that broke off: from its copy, at another engine if it may be resumed, or broken off.

A stream that ends itself at a leaving engine is complete as before.

--- a/hornbeamglade/engines/control.py
+++ b/hornbeamglade/engines/control.py
@@ -9,10 +9,13 @@
     """Reads reports and copies the KV cache of runs."""
 
     @abc.abstractmethod
-    async def report(self, address: str) -> models.EngineReport | models.ReportFailed:
+    async def report(
+        self, address: str, *, new_only: bool = False
+    ) -> models.EngineReport | models.ReportFailed:
         """Read an engine's report.
 
         :param address: ``ip:port`` of the engine.
+        :param new_only: whether it must accept a new connection for that.
         """
 
     @abc.abstractmethod
--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -61,6 +61,7 @@
     bufferedexchange,
     calls,
     drainadmission,
+    endinquiry,
     enginecatalog,
     migration,
     ratelimitqueue,
@@ -217,6 +218,8 @@
             max_connections=self.connection_shares.replicas,
         )
         self._dialect = requestdialect.PlatformDialect()
+        engine_calls = enginecalls.EngineCalls(self._pool)
+        ends = endinquiry.EndInquiry(self._available, engine_calls, self._pool.is_listening, clock)
         self._sender = sending.Sender(
             self._pool,
             self._dialect,
@@ -236,7 +239,6 @@
                 labels=(service, outcome)
             ),
         )
-        engine_calls = enginecalls.EngineCalls(self._pool)
         self._registry = runregistry.RunRegistry()
         self._engine_monitor = enginemonitor.EngineMonitor(
             self._replicas,
@@ -318,6 +320,7 @@
             self._learned_length,
             self.origins,
             self._drain_admission,
+            ends,
         )
         buffered = bufferedexchange.BufferedExchange(
             self._available,
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -229,7 +229,7 @@
                 return self._lost("excessive")
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
-            return BodyEnd(is_stated=not self._is_end_parsed)
+            return BodyEnd(self.is_end_stated)
         return event if isinstance(event, ResponseLost) else self._lost("malformed")
 
     async def chunk(self, limit: int) -> bytes | BodyEnd | ResponseLost:
@@ -274,6 +274,11 @@
             if on_growth is not None:
                 on_growth(len(content))
 
+    @property
+    def is_end_stated(self) -> bool:
+        """Whether a response that has ended states its end itself, by a length or a last chunk."""
+        return not self._is_end_parsed
+
     def _has_excessive_framing(self) -> bool:
         framing_bytes = self._parsed_bytes - self._content_bytes
         bound = MAX_FRAMING_BYTES + MAX_FRAMING_PER_CONTENT * self._content_bytes
--- a/hornbeamglade/platform/enginecalls.py
+++ b/hornbeamglade/platform/enginecalls.py
@@ -69,9 +69,13 @@
     def __init__(self, pool: clientpool.ClientPool) -> None:
         self._pool = pool
 
-    async def report(self, address: str) -> models.EngineReport | models.ReportFailed:
+    async def report(
+        self, address: str, *, new_only: bool = False
+    ) -> models.EngineReport | models.ReportFailed:
         """Fetch an engine's report."""
-        response = await self._call(address, b"GET", b"/v1/report", b"", REPORT_TIMEOUT_S)
+        response = await self._call(
+            address, b"GET", b"/v1/report", b"", REPORT_TIMEOUT_S, new_only=new_only
+        )
         if isinstance(response, clientside.ResponseLost):
             return models.ReportFailed(response.is_refused)
         if response.status != 200:
--- a/hornbeamglade/replicas/replicalist.py
+++ b/hornbeamglade/replicas/replicalist.py
@@ -54,6 +54,7 @@
         self._id_by_name: dict[str, str] = {}
         self._newest_start_by_name: dict[str, int] = {}
         self._ids_by_service: dict[str, tuple[str, ...]] = {}
+        self._id_by_address: dict[str, str] = {}
         self._leaving_by_statement: dict[str, None] = {}
         self._listed_leaving_by_statement: set[str] = set()
 
@@ -104,6 +105,13 @@
             return ()
         return self._apply(present, gone, unread, version)
 
+    def is_replaced(self, replica: models.Replica) -> bool:
+        """Return whether a replica's name or address belongs to another listed replica."""
+        current = self.by_name(replica.name)
+        has_restarted = current is not None and current.id != replica.id
+        holder = self._id_by_address.get(replica.address, replica.id)
+        return has_restarted or holder != replica.id
+
     def record_leaving(self, replica_id: str) -> tuple[ListChange, ...]:
         """Record that a replica has stated that it is leaving, for as long as its id is known."""
         if replica_id in self._leaving_by_statement:
@@ -145,7 +153,7 @@
             changes += self._remove(name, "unread")
             self._newest_start_by_name.setdefault(name, 0)
         self.version = version
-        self._index_by_service()
+        self._index()
         return tuple(changes)
 
     def _add(self, replica: models.Replica) -> list[ListChange]:
@@ -187,8 +195,10 @@
         for replica_id in unlisted[: max(0, len(unlisted) - MAX_LEAVING_UNLISTED)]:
             del self._leaving_by_statement[replica_id]
 
-    def _index_by_service(self) -> None:
+    def _index(self) -> None:
         ids_by_service: dict[str, list[str]] = {}
+        # Of several replicas that are listed with an address, the one that was added last.
+        self._id_by_address = {each.address: each.id for each in self.by_id.values()}
         for replica in self.by_id.values():
             ids_by_service.setdefault(replica.service, []).append(replica.id)
         self._ids_by_service = {
--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -37,7 +37,7 @@
 from hornbeamglade.engines import control, models
 from hornbeamglade.grants import asyncgrantacquirer, migrationcoordinator
 from hornbeamglade.replicas import models as replicamodels
-from hornbeamglade.routed import calls, enginecatalog
+from hornbeamglade.routed import calls, enginecatalog, runends
 
 COPY_TIMEOUT_S = 2.5
 """Longer than any notice period before a stop; an engine that is gone resets the connection."""
@@ -53,6 +53,9 @@
 """Pause while the source is busy with an earlier copy of the run."""
 
 _BUSY = "busy"
+_REFUSAL_CODES = frozenset((_BUSY, "no_room", "no_run"))
+"""Failures of an order to stop a run that show that it did not stop the run."""
+
 _ENDED_CODES = frozenset(("no_run", "not_listening"))
 """Failures of an order to stop a run that show, after its stream has ended, that its source does
 not work on it."""
@@ -84,9 +87,9 @@
     :param placement: placement request for the target.
     :param dependencies: shared dependencies of migrations.
 
-    The attribute ``is_stop_ordered`` tells whether the source may have received an order to stop
-    the run, ``is_stopped`` whether it is known not to work on the run any more, ``stop_evidence``
-    the code of what its order to stop the run was answered with.
+    The attribute ``stop_order`` is what is known of the order to stop the run, ``stop_evidence``
+    the code of what it was answered with. ``is_stopped`` tells whether the source is known not to
+    work on the run any more.
     The attributes ``search_s``, ``slot_wait_s`` and ``copy_s`` are the seconds spent on finding
     a target, on waiting for the migration slot and on copying; None until that step begins.
     """
@@ -106,7 +109,7 @@
         self._is_copying = False
         self._has_ended = False
         self.destination: Destination | None = None
-        self.is_stop_ordered = False
+        self.stop_order = runends.StopOrder.NONE
         self.is_stopped = False
         self.stop_evidence = "-"
         self.outcome = "begun"
@@ -341,9 +344,14 @@
         self, to: replicamodels.Replica
     ) -> models.CopySucceeded | models.CopyFailed:
         """Order the source to stop the run and to copy its rest."""
-        self.is_stop_ordered = True
+        is_earlier_unanswered = self.stop_order is runends.StopOrder.UNANSWERED
+        self.stop_order = runends.StopOrder.UNANSWERED
         result = await self._copy(to, is_last=True)
         is_failed = isinstance(result, models.CopyFailed)
+        if not is_failed or result.name is not None:
+            self.stop_order = runends.StopOrder.OBEYED
+        elif result.code in _REFUSAL_CODES and not is_earlier_unanswered:
+            self.stop_order = runends.StopOrder.REFUSED
         self.stop_evidence = result.code if is_failed else "stopped"
         return result
 
--- a/hornbeamglade/routed/rundependencies.py
+++ b/hornbeamglade/routed/rundependencies.py
@@ -10,6 +10,7 @@
 from hornbeamglade.quarantine import crashdetector, partquarantine, requestquarantine
 from hornbeamglade.routed import (
     drainadmission,
+    endinquiry,
     enginecatalog,
     migration,
     ratelimitqueue,
@@ -44,6 +45,7 @@
     :param learned_length: returns the mean tokens of the answers of a route and team.
     :param origins: the software versions at which streams began.
     :param drain_admission: decides which requests are sent during a planned stop.
+    :param ends: decides whether responses without a stated end are complete.
     """
 
     sender: sending.Sender
@@ -64,3 +66,4 @@
     learned_length: collections.abc.Callable[[str, str], float]
     origins: streamorigins.StreamOrigins
     drain_admission: drainadmission.DrainAdmission
+    ends: endinquiry.EndInquiry
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -19,6 +19,7 @@
     migration,
     responses,
     rundependencies,
+    runends,
     runregistry,
     sending,
 )
@@ -336,6 +337,8 @@
                 return piece
             if isinstance(piece, clientside.BodyEnd):
                 self._end = STATED if piece.is_stated else UNSTATED
+                if not piece.is_stated and not await self._has_ended():
+                    return clientside.ResponseLost(runends.END_UNPROVED)
                 if await self._relay.finish(self._response_start):
                     self._record_answer_started()
                     self._record_good_run()
@@ -353,6 +356,17 @@
             if self._relay.event_count > events_before and not self._is_proven:
                 self._prove(self._relay.last_at)
 
+    async def _has_ended(self) -> bool:
+        """Return whether the run has ended, after its engine closed the connection in order."""
+        order = runends.StopOrder.NONE
+        if self._migration is not None:
+            if self._migration.stop_order is runends.StopOrder.UNANSWERED:
+                await self._await_migration()
+            order = self._migration.stop_order
+        return await self._dependencies.ends.is_complete(
+            self._routed, self._assignment.replica, order
+        )
+
     def _may_begin(self) -> bool:
         """Return whether the response may begin, if need be withheld until it is complete."""
         relay, dependencies = self._relay, self._dependencies
@@ -489,11 +503,9 @@
 
     async def _await_destination(self) -> migration.Destination | None:
         """Wait for the migration to end; return its destination, or None if it has none."""
-        task = self._migration_task
-        if task is None or self._migration is None:
+        if self._migration_task is None or self._migration is None:
             return None
-        if not task.done():
-            await asyncio.wait((task,), timeout=MIGRATION_WAIT_S)
+        await self._await_migration()
         reached = self._migration.destination
         if reached is not None and (
             self._dependencies.catalog.is_evacuated(reached.replica)
@@ -503,6 +515,10 @@
         destination, self._migration.destination = self._migration.destination, None
         return destination
 
+    async def _await_migration(self) -> None:
+        if not self._migration_task.done():
+            await asyncio.wait((self._migration_task,), timeout=MIGRATION_WAIT_S)
+
     async def _is_stop_confirmed(self) -> bool:
         """Return whether the engine that the run leaves no longer works on it."""
         is_known = self._migration.is_stopped
@@ -572,7 +588,7 @@
             room_s=_rounded(self._migration.search_s),
             wait_s=_rounded(self._migration.slot_wait_s),
             copy_s=_rounded(self._migration.copy_s),
-            is_stop_ordered=self._migration.is_stop_ordered,
+            stop_order=self._migration.stop_order.value,
             is_stop_confirmed=self._migration.is_stopped,
             evidence=self._migration.stop_evidence,
         )
--- a/tests/engines/test_reportpoller.py
+++ b/tests/engines/test_reportpoller.py
@@ -20,7 +20,7 @@
     def __init__(self, *reports):
         self.reports = list(reports)
 
-    async def report(self, address):
+    async def report(self, address, *, new_only=False):
         return self.reports.pop(0) if len(self.reports) > 1 else self.reports[0]
 
     async def copy_kv_cache(self, address, request_id, to, *, is_last, timeout_s):
--- a/tests/entry/test_streamends.py
+++ b/tests/entry/test_streamends.py
@@ -61,3 +61,18 @@
         return await body_of(client)
 
     assert entrysite.run(test, nodes=1, events=test_streams.EVENTS) == expected
+
+
+@pytest.mark.parametrize("path", ["/draft/1", "/tag/1"])
+def test_stream_without_framing_that_ends_itself_at_a_leaving_engine_is_complete(path):
+    """A run that ends before its engine's notice does was taken for one that was cut off."""
+
+    async def test(site):
+        set_faults(site, unframed=True, no_room=True)
+        client = await test_streams.start_stream(site, path)
+        source = test_streams.runs_at(site, "r1")[0]
+        site.leave(site.engines.index(source))
+        return await body_of(client), test_streams.dispatched(site)
+
+    answer = entrysite.run(test, nodes=1, events=test_streams.EVENTS)
+    assert answer == (test_streams.stream_body("r1"), ["r1"])
--- a/tests/routed/test_migration.py
+++ b/tests/routed/test_migration.py
@@ -27,7 +27,7 @@
         self.copied = asyncio.Event()
         self.copied.set()
 
-    async def report(self, address):
+    async def report(self, address, *, new_only=False):
         return None
 
     async def copy_kv_cache(self, address, request_id, to, *, is_last, timeout_s):
