sending: apply the rule of ends to whole responses without a length

Callers saw: a part of a plain response as a whole one, where its server's notice ran out while it was written without a length.

Cause: the same as for streams; a body that ended with its connection was whole. The rule of runends now decides in Sender.read_body, for plain responses and for responses of engines that are no streams. What is not shown to be complete counts as lost: it is retried where that is allowed, and is a 502 otherwise. Refusals are not concerned, as their head states them.

The two cases of the test failed before (200 with a part of the body).

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -231,6 +231,7 @@
             lambda service, code: self.instruments.routed.failed_attempts.add(
                 labels=(service, code)
             ),
+            ends,
         )
         self._loads = replicaload.ReplicaLoads(clock, rng, self.shared_machines)
         self._budgets = retrybudget.RetryBudgets(
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -7,7 +7,15 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.http1 import buffermemory, clientpool, clientside, fields
 from hornbeamglade.replicas import advisories, models
-from hornbeamglade.routed import attemptlog, callrouter, calls, dialect, runevidence
+from hornbeamglade.routed import (
+    attemptlog,
+    callrouter,
+    calls,
+    dialect,
+    endinquiry,
+    runends,
+    runevidence,
+)
 
 MAX_BODY_BYTES = 16_777_216
 AdvisoryCallback = collections.abc.Callable[[models.Replica, advisories.Advisory], None]
@@ -67,13 +75,15 @@
     :param connection: delivers the body.
     :param raw_head: the head as received.
     :param head: the decoded head.
-    :param service: the service of the replica.
+    :param replica: the replica that responds.
+    :param routed: the request.
     """
 
     connection: clientside.ServerConnection
     raw_head: clientside.ResponseHead
     head: calls.ResponseHead
-    service: str = ""
+    replica: models.Replica
+    routed: callrouter.RoutedRequest
 
 
 class Sender:
@@ -90,6 +100,7 @@
         with the code of the problem if it is malformed; not called for a head with neither.
     :param memory: counts the bodies that are read, or None.
     :param on_failed: called with the service and the code of each failed attempt.
+    :param ends: decides whether responses without a stated end are complete; None if all are.
     """
 
     def __init__(
@@ -102,7 +113,9 @@
         on_load: LoadCallback = lambda _replica, _load, _problem: None,
         memory: buffermemory.BufferMemory | None = None,
         on_failed: FailureCallback = lambda _service, _code: None,
+        ends: endinquiry.EndInquiry | None = None,
     ) -> None:
+        self._ends = ends
         self._on_failed = on_failed
         self._memory = memory or buffermemory.BufferMemory(clock)
         self._pool = pool
@@ -155,7 +168,7 @@
             return FailedAttempt(WITHHELD, outcomes.RunStatus.NOT_RUN, was_sent=False)
         log.sent_addresses.add(replica.address)
         try:
-            response = await self._exchange(connection, routed.call, replica, dispatch)
+            response = await self._exchange(connection, routed, replica, dispatch)
         except BaseException:
             self._pool.release(connection, None)
             raise
@@ -198,10 +211,18 @@
     async def read_body(self, response: StartedResponse) -> bytes | FailedAttempt:
         """Read the whole body and return the connection to the pool."""
         body = await self._read_body(response)
+        if isinstance(body, bytes) and not await self._has_ended(response):
+            body = FailedAttempt(runends.END_UNPROVED, outcomes.RunStatus.UNKNOWN)
         if isinstance(body, FailedAttempt):
-            self._on_failed(response.service, body.code)
+            self._on_failed(response.replica.service, body.code)
         return body
 
+    async def _has_ended(self, response: StartedResponse) -> bool:
+        """Return whether a body that was received is the whole one."""
+        if response.connection.is_end_stated or self._ends is None:
+            return True
+        return await self._ends.is_complete(response.routed, response.replica)
+
     async def _read_body(self, response: StartedResponse) -> bytes | FailedAttempt:
         body = None
         holding = self._memory.open()
@@ -247,10 +268,11 @@
     async def _exchange(
         self,
         connection: clientside.ServerConnection,
-        call: calls.Call,
+        routed: callrouter.RoutedRequest,
         replica: models.Replica,
         dispatch: calls.Dispatch,
     ) -> StartedResponse | FailedAttempt:
+        call = routed.call
         sent_fields = self._dialect.dispatch_fields(call, dispatch)
         connection.send(call.method, call.target, sent_fields, call.body)
         for skipped_count in range(MAX_SKIPPED_RESPONSES + 1):
@@ -270,7 +292,7 @@
                 reports_load = head.load is not None or head.load_problem is not None
                 if reports_load and not head.is_misdirected:
                     self._on_load(replica, head.load, head.load_problem)
-                return StartedResponse(connection, raw_head, head, replica.service)
+                return StartedResponse(connection, raw_head, head, replica, routed)
             if not head.request_id:
                 break
             # A late response to an earlier request precedes the expected one. Accepting it
--- a/tests/entry/test_streamends.py
+++ b/tests/entry/test_streamends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hornbeamglade.standins import routedfaults
+from tests import eventloop
 from tests.entry import site as entrysite
 from tests.entry import test_streams
 
@@ -16,6 +17,12 @@
         engine.faults = routedfaults.RoutedFaults(**faults)
 
 
+def announce(site, service, state):
+    row = entrysite.server_row(service, "web", state=state)
+    site.put(f"servers/{service.replica_id}", row)
+    site.read_store()
+
+
 async def body_of(client):
     """Return the body of a response that looks complete to its caller."""
     try:
@@ -76,3 +83,23 @@
 
     answer = entrysite.run(test, nodes=1, events=test_streams.EVENTS)
     assert answer == (test_streams.stream_body("r1"), ["r1"])
+
+
+@pytest.mark.parametrize(("path", "status"), [("/hold/1", 502), ("/list/1", 200)])
+def test_response_without_length_of_a_server_that_exits_is_not_complete(path, status):
+    """A part of a plain response looked whole where its server's notice had run out."""
+
+    async def test(site):
+        leaving, other = site.services
+        leaving.faults = routedfaults.RoutedFaults(unframed=True, torn=True, delay_s=0.2)
+        announce(site, other, "draining")
+        client = await site.nodes[0].request(path)
+        await eventloop.until(lambda: leaving.ledger)
+        announce(site, other, "ready")
+        announce(site, leaving, "draining")
+        leaving.end_runs()
+        answered, _, body = await client.answer()
+        return answered, body if answered == 200 else b""
+
+    body = b"s1:r1" if status == 200 else b""
+    assert entrysite.run(test, nodes=1) == (status, body)
--- a/tests/routed/test_slowcallers.py
+++ b/tests/routed/test_slowcallers.py
@@ -6,6 +6,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.http1 import buffermemory, clientpool, clientside, serverside
+from hornbeamglade.replicas import models
 from hornbeamglade.routed import eventrelay, sending
 from tests import eventloop
 from tests.http1 import raw
@@ -137,7 +138,10 @@
         connection.send(b"GET", b"/", ((b"Host", b"x"),), b"")
         head = await connection.head()
         sender = sending.Sender(pool, None, None, None, clock, memory=memory)
-        body = await sender.read_body(sending.StartedResponse(connection, head, None))
+        source = models.Replica("e0", "llm", connection.address, "a", 8)
+        body = await sender.read_body(
+            sending.StartedResponse(connection, head, None, source, None)
+        )
         replica.stop()
         return body
 
