streamrun: give up the migration from an engine that the run has left

Callers saw: a stream that may be resumed, whose order to stop got no answer at all, went on at another engine and was broken off though it ended there, if that one framed nothing either: the run was started again at each engine in turn.

Cause: the migration from the first engine stayed with the run. Its unanswered order counted as a cause for the next engine to close the connection.

A run that starts anew ends the migration from the engine before, which also releases its grant and copy at once.

--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -490,6 +490,7 @@
         self._release_assignment()
         if destination is not None:
             return await self._resume(destination)
+        self._end_migration()
         if not self._selector.may_retry():
             return False
         await self._await_evidence()
@@ -571,26 +572,26 @@
             self._dependencies.clock.now() + migration.COPY_TIMEOUT_S,
             frozenset((assignment.replica.id,)),
         )
-        self._migration = migration.Migration(
+        moving = self._migration = migration.Migration(
             assignment.replica,
             self._routed.call.request_id,
             placement,
             self._dependencies.migration_dependencies,
         )
-        await self._migration.run(self._produced_tokens())
-        self._dependencies.metrics.routed.moves.add(labels=(self._migration.outcome,))
+        await moving.run(self._produced_tokens())
+        self._dependencies.metrics.routed.moves.add(labels=(moving.outcome,))
         logs.decided(
             self._routed.call.request_id,
             "handover",
-            self._migration.outcome,
+            moving.outcome,
             replica=assignment.replica.id,
             events=self._relay.event_count,
-            room_s=_rounded(self._migration.search_s),
-            wait_s=_rounded(self._migration.slot_wait_s),
-            copy_s=_rounded(self._migration.copy_s),
-            stop_order=self._migration.stop_order.value,
-            is_stop_confirmed=self._migration.is_stopped,
-            evidence=self._migration.stop_evidence,
+            room_s=_rounded(moving.search_s),
+            wait_s=_rounded(moving.slot_wait_s),
+            copy_s=_rounded(moving.copy_s),
+            stop_order=moving.stop_order.value,
+            is_stop_confirmed=moving.is_stopped,
+            evidence=moving.stop_evidence,
         )
 
     def _report_lost_run(self, assignment: engineselector.Assignment) -> None:
@@ -615,10 +616,7 @@
 
     def _finish(self, is_complete: bool) -> None:
         """Release all resources of the run, however it ended."""
-        if self._migration is not None:
-            self._migration.run_ended(self._migration_task)
-        elif self._migration_task is not None:
-            self._migration_task.cancel()
+        self._end_migration()
         assignment = self._assignment
         if is_complete and assignment is not None and assignment.response is not None:
             self._dependencies.sender.finish(assignment.response)
@@ -633,6 +631,14 @@
         self._release_assignment()
         self._record_length(is_complete)
 
+    def _end_migration(self) -> None:
+        """Give up the migration from an engine that the run has left."""
+        if self._migration is not None:
+            self._migration.run_ended(self._migration_task)
+        elif self._migration_task is not None:
+            self._migration_task.cancel()
+        self._migration = self._migration_task = None
+
     def _record_length(self, is_complete: bool) -> None:
         work = enginework.work(self._routed)
         produced = self._produced_tokens()
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -577,6 +577,9 @@
 
     async def _move(self, order: dict) -> tuple[int, object]:
         run = self.run_by_id.get(order["id"])
+        if order["last"] and self.faults.stop_reply is routedfaults.StopReply.NEVER:
+            run.is_stopped = True
+            raise ConnectionAbortedError("the answer is lost")
         if run is None or not run.is_alive:
             return 404, {}
         if order["last"] and self.faults.ignores_stops:
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -10,13 +10,15 @@
 class StopReply(enum.StrEnum):
     """How an engine answers an order to stop a run, which it carries out.
 
-    ``KEPT`` is the answer that the rest found no room and is kept, ``LOST`` none at all.
+    ``KEPT`` is the answer that the rest found no room and is kept. With ``LOST`` the first order
+    gets no answer, with ``NEVER`` none does.
     """
 
     SOON = "soon"
     LATE = "late"
     LOST = "lost"
     KEPT = "kept"
+    NEVER = "never"
 
 
 class RoutedFaults(pydantic.BaseModel):
