soak: move the faults that only engines have to a module of their own

Change: EngineIgnoresStops, PartCrashesEngines and MemoryShrinks move to enginefaults with their constants; replace and listens of faults are public for it. No behaviour changes.

--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -7,7 +7,7 @@
 import typing
 
 from hornbeamglade.localsite import routedsite
-from hornbeamglade.soak import callerfaults, faults, soaksite
+from hornbeamglade.soak import callerfaults, enginefaults, faults, soaksite
 from hornbeamglade.standins import operatordocuments, routedcaller
 
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -338,7 +338,7 @@
     """Return each part of prompts that crashed too many engines, without disturbed instances."""
     runs_by_part: dict[str, list[RunRecord]] = collections.defaultdict(list)
     for each in sorted(evidence.runs, key=lambda each: each["at"]):
-        if each["request_id"].startswith(faults.FATAL_PREFIX):
+        if each["request_id"].startswith(enginefaults.FATAL_PREFIX):
             runs_by_part[each["request_id"].partition("-")[0]].append(each)
     for part, runs in runs_by_part.items():
         late = [
@@ -554,7 +554,7 @@
         each
         for each in evidence.results
         if each.status != 401
-        and not each.request_id.startswith((callerfaults.SLOW_PREFIX, faults.FATAL_PREFIX))
+        and not each.request_id.startswith((callerfaults.SLOW_PREFIX, enginefaults.FATAL_PREFIX))
     ]
 
 
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -9,7 +9,6 @@
 import threading
 import time
 
-from hornbeamglade.core import codederrors
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.soak import faultyentry, oddrows, skewedentry, soaksite
 from hornbeamglade.standins import routedcaller
@@ -32,21 +31,12 @@
 """How long a server states that it is leaving before the list says so or it stops."""
 
 FATAL_PAUSE_S = 0.4
-FATAL_PART = "dead"
-FATAL_PREFIX = "part"
 TOLERATED = "3"
 """Refusals in a second that servers tolerate."""
 
 SLOWDOWN = 2.5
-ENGINE_MEMORY_TOKENS = 300
-"""Room for two runs of the callers, which have 100 tokens of prompt and 40 events each."""
-
 
 LATE_S = 0.03
-RESET_AFTER_EVENTS = 10
-RUNS_END_S = 3.0
-"""Longer than the runs that an engine had when it was listed as leaving."""
-
 TAKEN_OVER_ROOM = 2
 """Requests that a server at a new address runs at once: some are refused with a marked 503."""
 
@@ -224,7 +214,7 @@
 
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Remove its entry and start a replacement."""
-        _replace(soak_site, self.component)
+        replace(soak_site, self.component)
 
 
 class ServerStartsAgain(Fault):
@@ -278,7 +268,7 @@
 
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Start a replacement."""
-        _replace(soak_site, self.component)
+        replace(soak_site, self.component)
 
 
 class ServerStopsInOrder(ServerLeaves):
@@ -308,7 +298,7 @@
 
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Start the replacement."""
-        _replace(soak_site, self.component, self.version)
+        replace(soak_site, self.component, self.version)
 
 
 @dataclasses.dataclass
@@ -353,7 +343,7 @@
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Kill it and start a replacement."""
         soak_site.site.child_by_name[self.component].send(signal.SIGKILL)
-        _replace(soak_site, self.component)
+        replace(soak_site, self.component)
 
 
 class ServerRefuses(Fault):
@@ -478,30 +468,6 @@
         soak_site.site.faults(self.component)
 
 
-class EngineIgnoresStops(Fault):
-    """An engine leaves, ignores orders to stop runs, and keeps runs whose streams it resets."""
-
-    def begin(self, soak_site: soaksite.SoakSite) -> None:
-        """Let it do so, and kill it once all of its runs have ended."""
-        site = soak_site.site
-        server = site.server_by_place[self.component]
-        site.faults(
-            self.component,
-            reset_after_events=RESET_AFTER_EVENTS,
-            keeps_runs=True,
-            ignores_stops=True,
-        )
-        site.put_json(self.component, "/standin/leave", {})
-        site.list_server(server, is_leaving=True)
-        time.sleep(RUNS_END_S)
-        site.child_by_name[self.component].send(signal.SIGKILL)
-        site.unlist_server(server)
-
-    def end(self, soak_site: soaksite.SoakSite) -> None:
-        """Start a replacement."""
-        _replace(soak_site, self.component)
-
-
 @dataclasses.dataclass
 class StoreFails(Fault):
     """The store is down, slow, or loses its responses.
@@ -667,73 +633,8 @@
 
     def _restart_crashed(self, soak_site: soaksite.SoakSite) -> None:
         for place in soak_site.site.server_by_place:
-            if place.startswith("service") and not _listens(soak_site.site.address_by_name[place]):
-                _replace(soak_site, place)
-
-
-class PartCrashesEngines(Fault):
-    """A caller sends requests that share a part of their prompts, which crashes each engine.
-
-    :param component: ``engines``, which stands for all engines.
-    """
-
-    extra_duration_s = 8.0
-
-    def begin(self, soak_site: soaksite.SoakSite) -> None:
-        """Let the part crash engines, and start the caller."""
-        self._unlisted: set[routedsite.Server] = set()
-        self._part = f"{FATAL_PART}{soak_site.next_pool_number()}"
-        self._set_part(soak_site, self._part)
-        self._stopped = threading.Event()
-        self._caller = threading.Thread(
-            target=self._send_repeatedly, args=(soak_site,), daemon=True
-        )
-        self._caller.start()
-
-    def end(self, soak_site: soaksite.SoakSite) -> None:
-        """Stop the caller and restart the crashed engines."""
-        self._stopped.set()
-        self._caller.join()
-        self._set_part(soak_site, "")
-        self._part = ""
-        until = time.monotonic() + EXIT_S
-        self._restart_crashed(soak_site)
-        while self._unlisted and time.monotonic() < until:
-            time.sleep(FATAL_PAUSE_S)
-            self._restart_crashed(soak_site)
-
-    def _send_repeatedly(self, soak_site: soaksite.SoakSite) -> None:
-        caller = routedcaller.RoutedCaller(keep=False)
-        names = itertools.cycle(soak_site.site.instance_names)
-        key = soak_site.keys_by_team[soaksite.TEAMS[0]][0]
-        for number in itertools.count():
-            address = soak_site.site.callers_address(next(names))
-            request_id = f"{FATAL_PREFIX}{soak_site.seed}.{self._part}-{number}"
-            result = caller.send(address, "tag", request_id, key, part=self._part)
-            soak_site.extra_results.append(result)
-            if self._stopped.wait(FATAL_PAUSE_S):
-                return
-            self._restart_crashed(soak_site)
-
-    def _restart_crashed(self, soak_site: soaksite.SoakSite) -> None:
-        for place in soak_site.site.server_by_place:
-            if place.startswith("engine") and not _listens(soak_site.site.address_by_name[place]):
-                self._unlisted.add(_replace(soak_site, place))
-                self._set_part_at(soak_site, place, self._part)
-        # The store may have been down when they were listed.
-        self._unlisted = {each for each in self._unlisted if not soak_site.site.list_server(each)}
-
-    def _set_part(self, soak_site: soaksite.SoakSite, part: str) -> None:
-        for place in soak_site.site.server_by_place:
-            if place.startswith("engine"):
-                self._set_part_at(soak_site, place, part)
-
-    def _set_part_at(self, soak_site: soaksite.SoakSite, place: str, part: str) -> None:
-        try:
-            soak_site.site.faults(place, crash_on_part=part)
-        except codederrors.CodedError:
-            # It has crashed since it was seen to listen, and is replaced at the next look.
-            return
+            if place.startswith("service") and not listens(soak_site.site.address_by_name[place]):
+                replace(soak_site, place)
 
 
 class MachineBusy(Fault):
@@ -750,21 +651,6 @@
         soak_site.site.faults(self.component)
 
 
-class MemoryShrinks(Fault):
-    """An engine has little memory, and crashes if its runs exceed it."""
-
-    def begin(self, soak_site: soaksite.SoakSite) -> None:
-        """Bound its memory; its reports state the bound."""
-        soak_site.site.faults(self.component, memory_tokens=ENGINE_MEMORY_TOKENS)
-
-    def end(self, soak_site: soaksite.SoakSite) -> None:
-        """Remove the bound, or replace the engine if it has crashed."""
-        if _listens(soak_site.site.address_by_name[self.component]):
-            soak_site.site.faults(self.component)
-        else:
-            _replace(soak_site, self.component)
-
-
 @dataclasses.dataclass
 class StatusAfterRun(Fault):
     """A server runs requests and responds with a status that says that it did not.
@@ -799,7 +685,7 @@
         soak_site.end_evacuation(self.component)
 
 
-def _replace(
+def replace(
     soak_site: soaksite.SoakSite, place: str, version: str | None = None
 ) -> routedsite.Server:
     """Remove a server's entry, which may be gone already, and start a new incarnation."""
@@ -815,7 +701,8 @@
             soak_site.site.faults(place, **faults)
 
 
-def _listens(address: str) -> bool:
+def listens(address: str) -> bool:
+    """Return whether a server accepts connections."""
     host, _, port = address.rpartition(":")
     try:
         socket.create_connection((host, int(port)), timeout=1.0).close()
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -6,7 +6,7 @@
 import signal
 
 from hornbeamglade.localsite import routedsite, tcpproxy
-from hornbeamglade.soak import callerfaults, faults, soaksite
+from hornbeamglade.soak import callerfaults, enginefaults, faults, soaksite
 from hornbeamglade.standins import crowds, disturbances, endlessresponses
 
 FAULT_FREE_S = 1.0
@@ -129,7 +129,7 @@
 
 LOAD_KINDS: tuple[FaultFactory, ...] = (
     _choose(faults.MachineBusy, ENGINES + SERVICES),
-    _choose(faults.MemoryShrinks, ENGINES),
+    _choose(enginefaults.MemoryShrinks, ENGINES),
     lambda rng: callerfaults.CallersSurge(EXTRA_CALLERS),
     lambda rng: callerfaults.CallersReadSlowly(ALL_SERVICES),
     _choose(faults.ServerLeaves, ENGINES),
@@ -158,7 +158,7 @@
 STRAY_KINDS: tuple[FaultFactory, ...] = (
     *3 * (_choose(faults.ServerRefusesLate, ENGINES + SERVICES),),
     *2 * (_without_end,),
-    *3 * (_choose(faults.EngineIgnoresStops, ENGINES),),
+    *3 * (_choose(enginefaults.EngineIgnoresStops, ENGINES),),
     _choose(faults.ServerRefuses, ENGINES + SERVICES),
     _choose(faults.InstancePaused, INSTANCES),
     _choose(faults.InstanceStopped, INSTANCES),
@@ -232,10 +232,10 @@
     *LOAD_KINDS,
     _status_after_run,
     *2 * (_replacement,),
-    _choose(faults.PartCrashesEngines, (ALL_ENGINES,)),
+    _choose(enginefaults.PartCrashesEngines, (ALL_ENGINES,)),
     _choose(faults.ServerRefusesLate, ENGINES + SERVICES),
     _without_end,
-    _choose(faults.EngineIgnoresStops, ENGINES),
+    _choose(enginefaults.EngineIgnoresStops, ENGINES),
     _broken_off,
     _choose(faults.AllInstancesKilled, (ALL_INSTANCES,)),
     _choose(faults.ServerStopsInOrder, ENGINES + SERVICES),
@@ -264,7 +264,7 @@
 """The same, with the loss of all instances at once."""
 
 PART_KINDS: tuple[FaultFactory, ...] = (
-    *4 * (_choose(faults.PartCrashesEngines, (ALL_ENGINES,)),),
+    *4 * (_choose(enginefaults.PartCrashesEngines, (ALL_ENGINES,)),),
     _choose(faults.InstanceKilled, INSTANCES),
     *2 * (_choose(faults.ServerLeaves, SERVICES),),
     *2 * (lambda rng: callerfaults.CallersSurge(EXTRA_CALLERS),),
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hornbeamglade.localsite import routedsite
-from hornbeamglade.soak import callerfaults, checks, faults, soaksite
+from hornbeamglade.soak import callerfaults, checks, enginefaults, soaksite
 from hornbeamglade.standins import routedcaller
 
 EVENTS = 3
@@ -118,7 +118,7 @@
 
 @pytest.mark.parametrize(("count", "expected"), [(8, []), (9, ["fatal_part_is_refused"])])
 def test_part_of_prompts_may_crash_eight_engines_at_most(count, expected):
-    ids = [f"{faults.FATAL_PREFIX}1.dead2-{number}" for number in range(count)]
+    ids = [f"{enginefaults.FATAL_PREFIX}1.dead2-{number}" for number in range(count)]
     results = [
         result("tag", request_id=each, status=502, is_sealed=False, events=()) for each in ids
     ]
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hornbeamglade.soak import callerfaults, faults, plan
+from hornbeamglade.soak import callerfaults, enginefaults, faults, plan
 
 
 @pytest.mark.parametrize("seed", range(1, 40))
@@ -22,7 +22,7 @@
     abstract = {"Fault", "LinkFault", "ExtraCallers"}
     concrete = {
         name
-        for module in (faults, callerfaults)
+        for module in (faults, callerfaults, enginefaults)
         for name, kind in vars(module).items()
         if isinstance(kind, type) and issubclass(kind, faults.Fault)
     }
