streamrun: end the migration from an engine before a run begins at another one

Callers saw: a whole stream of 120 events broken off. Its first engine had ignored an order to stop the run and reset the stream; another one ran the request again, without length or chunks, to its end.

Cause: the migration from the first engine stayed in place, so its order without an answer counted as a cause for the second engine to close its connection.

The migration ends with the stream from its engine, however the run goes on.

--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -487,6 +487,7 @@
         destination = await self._await_destination()
         if destination is None:
             self._report_lost_run(self._assignment)
+        self._end_migration()
         self._release_assignment()
         if destination is not None:
             return await self._resume(destination)
@@ -536,8 +537,6 @@
 
     async def _resume(self, destination: migration.Destination) -> bool:
         self._assignment = engineselector.Assignment(destination.replica, destination.grant)
-        self._migration = None
-        self._migration_task = None
         self._dependencies.budgets.record_resumed(
             self._routed.service.name, self._dependencies.clock.now()
         )
@@ -571,28 +570,37 @@
             self._dependencies.clock.now() + migration.COPY_TIMEOUT_S,
             frozenset((assignment.replica.id,)),
         )
-        self._migration = migration.Migration(
+        current = self._migration = migration.Migration(
             assignment.replica,
             self._routed.call.request_id,
             placement,
             self._dependencies.migration_dependencies,
         )
-        await self._migration.run(self._produced_tokens())
-        self._dependencies.metrics.routed.moves.add(labels=(self._migration.outcome,))
+        await current.run(self._produced_tokens())
+        self._dependencies.metrics.routed.moves.add(labels=(current.outcome,))
         logs.decided(
             self._routed.call.request_id,
             "handover",
-            self._migration.outcome,
+            current.outcome,
             replica=assignment.replica.id,
             events=self._relay.event_count,
-            room_s=_rounded(self._migration.search_s),
-            wait_s=_rounded(self._migration.slot_wait_s),
-            copy_s=_rounded(self._migration.copy_s),
-            stop_order=self._migration.stop_order.value,
-            is_stop_confirmed=self._migration.is_stopped,
-            evidence=self._migration.stop_evidence,
+            room_s=_rounded(current.search_s),
+            wait_s=_rounded(current.slot_wait_s),
+            copy_s=_rounded(current.copy_s),
+            stop_order=current.stop_order.value,
+            is_stop_confirmed=current.is_stopped,
+            evidence=current.stop_evidence,
         )
 
+    def _end_migration(self) -> None:
+        """End the migration from an engine whose stream has ended."""
+        if self._migration is not None:
+            self._migration.run_ended(self._migration_task)
+        elif self._migration_task is not None:
+            self._migration_task.cancel()
+        self._migration = None
+        self._migration_task = None
+
     def _report_lost_run(self, assignment: engineselector.Assignment) -> None:
         """Report a lost run to the crash detector."""
         self._dependencies.crash_detector.run_lost(
@@ -615,10 +623,7 @@
 
     def _finish(self, is_complete: bool) -> None:
         """Release all resources of the run, however it ended."""
-        if self._migration is not None:
-            self._migration.run_ended(self._migration_task)
-        elif self._migration_task is not None:
-            self._migration_task.cancel()
+        self._end_migration()
         assignment = self._assignment
         if is_complete and assignment is not None and assignment.response is not None:
             self._dependencies.sender.finish(assignment.response)
--- a/tests/entry/test_streamends.py
+++ b/tests/entry/test_streamends.py
@@ -4,12 +4,14 @@
 
 import pytest
 
-from hornbeamglade.standins import routedfaults
+from hornbeamglade.standins import routedfaults, routedruns
 from tests import eventloop
 from tests.entry import site as entrysite
 from tests.entry import test_streams
 
 BROKEN_OFF = "broken off"
+LONG_EVENTS = 120
+LONG_BODY = b"".join(routedruns.event("r1", number) for number in range(1, LONG_EVENTS + 1))
 
 
 def set_faults(site, **faults):
@@ -103,3 +105,20 @@
 
     body = b"s1:r1" if status == 200 else b""
     assert entrysite.run(test, nodes=1) == (status, body)
+
+
+def test_stream_that_another_engine_ran_again_is_not_held_to_an_order_of_the_first_one():
+    """A whole stream was cut off, as another engine had left an order to stop it unanswered."""
+
+    async def test(site):
+        set_faults(site, unframed=True, ignores_stops=True)
+        client = await test_streams.start_stream(site, "/tag/1")
+        source = test_streams.runs_at(site, "r1")[0]
+        source.faults = routedfaults.RoutedFaults(
+            unframed=True, ignores_stops=True, keeps_runs=True, reset_after_events=60
+        )
+        site.leave(site.engines.index(source))
+        return await body_of(client), test_streams.dispatched(site)
+
+    answer = entrysite.run(test, nodes=1, events=LONG_EVENTS, gap_s=0.02)
+    assert answer == (LONG_BODY, ["r1", "r1"])
