streamrun: keep to the migration whose order to stop the run may have been obeyed

Callers saw: a stream without length or chunks ended as complete after 63 of 120 events. Its engine's entry had lapsed twice; the order to stop of the first migration got no answer, was obeyed during the second one, and the engine still served.

The grant and the copy of the first destination were never given back either (by reading).

No other migration begins while such an order may have been obeyed. When its stream ends, the stop is confirmed and the run continues from the copy, as with framing. Both cases of the test failed before (63 and 64 of 120 events as complete) and pass.

--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -161,6 +161,11 @@
         since = self._copy_started_at
         return None if since is None else self._dependencies.clock.now() - since
 
+    @property
+    def may_have_stopped_run(self) -> bool:
+        """Whether an order to stop the run was obeyed, or may still be."""
+        return self.stop_order in (runends.StopOrder.UNANSWERED, runends.StopOrder.OBEYED)
+
     async def confirm_stop(self) -> bool:
         """Return whether the source no longer works on the run, after its stream has closed.
 
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -157,6 +157,8 @@
             return
         if self._migration_task is not None and not self._migration_task.done():
             return
+        if self._migration is not None and self._migration.may_have_stopped_run:
+            return
         self._migration_task = asyncio.ensure_future(self._migrate(assignment))
 
     def on_replica_gone(self) -> None:
--- a/tests/entry/test_streamends.py
+++ b/tests/entry/test_streamends.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hornbeamglade.routed import migration
 from hornbeamglade.standins import routedfaults, routedruns
 from tests import eventloop
 from tests.entry import site as entrysite
@@ -107,6 +108,32 @@
     assert entrysite.run(test, nodes=1) == (status, body)
 
 
+@pytest.mark.parametrize("path", ["/draft/1", "/tag/1"])
+def test_stream_closed_by_a_late_order_of_an_earlier_move_is_continued(path):
+    """A late order to stop a run was forgotten when another migration had begun."""
+
+    async def test(site):
+        set_faults(site, unframed=True, ignores_stops=True)
+        client = await test_streams.start_stream(site, path)
+        source = test_streams.runs_at(site, "r1")[0]
+        entry = f"servers/{source.replica_id}"
+        site.delete(entry)
+        site.read_store()
+        await asyncio.sleep(migration.FINAL_COPY_TIMEOUT_S + 0.3)
+        set_faults(site, unframed=True, no_room=True)
+        domain = "ab"[site.engines.index(source)]
+        site.put(entry, entrysite.server_row(source, "llm", domain))
+        site.read_store()
+        site.delete(entry)
+        site.read_store()
+        await asyncio.sleep(0.1)
+        source.run_by_id["r1"].is_stopped = True
+        return await body_of(client), test_streams.dispatched(site)
+
+    answer = entrysite.run(test, nodes=1, events=LONG_EVENTS, gap_s=0.02)
+    assert answer == (LONG_BODY, ["r1"])
+
+
 def test_stream_that_another_engine_ran_again_is_not_held_to_an_order_of_the_first_one():
     """A whole stream was cut off, as another engine had left an order to stop it unanswered."""
 
