soak: engines that close streams without framing

Cause: unframed was drawn for plain services only, and no component has two faults at once, so no soak could break whole_only_when_whole where only a connection ends a stream. The stand-in gets ends_runs, and no_room also refuses copies to other engines.

--- a/hornbeamglade/cli/soak.py
+++ b/hornbeamglade/cli/soak.py
@@ -23,6 +23,7 @@
     "outages": plan.OUTAGE_KINDS,
     "takeovers": plan.TAKEOVER_KINDS,
     "crowds": plan.CROWD_KINDS,
+    "ends": plan.ENDS_KINDS,
 }
 
 
@@ -91,6 +92,12 @@
     flag_value="crowds",
     help="Draw only crowds of misbehaving callers, stops, pauses, partitions, store failures.",
 )
+@click.option(
+    "--ends",
+    "kind_set",
+    flag_value="ends",
+    help="Draw only streams that end with their connections, leaving servers, lost instances.",
+)
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(3, 60))
 @click.option("--kept", is_flag=True, help="Also run the seeds that have failed before.")
 @click.option(
--- a/hornbeamglade/soak/enginefaults.py
+++ b/hornbeamglade/soak/enginefaults.py
@@ -1,5 +1,6 @@
 """Faults that only engines have: of their runs, their memory and their prompts."""
 
+import dataclasses
 import itertools
 import signal
 import threading
@@ -8,7 +9,7 @@
 from hornbeamglade.core import codederrors
 from hornbeamglade.localsite import routedsite
 from hornbeamglade.soak import faults, soaksite
-from hornbeamglade.standins import routedcaller
+from hornbeamglade.standins import routedcaller, routedfaults
 
 FATAL_PART = "dead"
 FATAL_PREFIX = "part"
@@ -19,6 +20,9 @@
 RUNS_END_S = 3.0
 """Longer than the runs that an engine had when it was listed as leaving."""
 
+UNFRAMED_S = 1.0
+"""Most streams that run at its end have begun since."""
+
 
 class EngineIgnoresStops(faults.Fault):
     """An engine leaves, ignores orders to stop runs, and keeps runs whose streams it resets."""
@@ -124,3 +128,35 @@
             soak_site.site.faults(self.component)
         else:
             faults.replace(soak_site, self.component)
+
+
+@dataclasses.dataclass
+class EngineClosesStreams(faults.Fault):
+    """An engine leaves, and only the ends of connections show the ends of its streams.
+
+    :param component: the engine.
+    :param stop_reply: how it answers orders to stop runs; None if no run can be copied and it
+        closes its streams in order at the end of its notice.
+    """
+
+    component: str
+    stop_reply: routedfaults.StopReply | None
+    begin_duration_s = UNFRAMED_S + faults.NOTICE_S
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it send streams without framing, mark it as leaving, and end it."""
+        site = soak_site.site
+        server = site.server_by_place[self.component]
+        is_kept = self.stop_reply is None
+        how = {"no_room": True, "ends_runs": True} if is_kept else {"stop_reply": self.stop_reply}
+        site.faults(self.component, unframed=True, **how)
+        time.sleep(UNFRAMED_S)
+        site.put_json(self.component, "/standin/leave", {})
+        site.list_server(server, is_leaving=True)
+        time.sleep(faults.NOTICE_S)
+        site.child_by_name[self.component].send(signal.SIGTERM if is_kept else signal.SIGKILL)
+        site.unlist_server(server)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Start a replacement."""
+        faults.replace(soak_site, self.component)
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -7,7 +7,7 @@
 
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.soak import callerfaults, enginefaults, faults, soaksite
-from hornbeamglade.standins import crowds, disturbances, endlessresponses
+from hornbeamglade.standins import crowds, disturbances, endlessresponses, routedfaults
 
 FAULT_FREE_S = 1.0
 """Time without faults at the start."""
@@ -225,6 +225,22 @@
 """Crowds of misbehaving callers, beside stops, pauses, relayed requests and outages of the
 store."""
 
+
+def _closed_streams(rng: random.Random) -> faults.Fault:
+    stop_reply = rng.choice((None, *routedfaults.StopReply))
+    return enginefaults.EngineClosesStreams(rng.choice(ENGINES), stop_reply)
+
+
+ENDS_KINDS: tuple[FaultFactory, ...] = (
+    *6 * (_closed_streams,),
+    _choose(faults.ServerLeaves, SERVICES),
+    lambda rng: faults.ServerMisbehaves(rng.choice(SERVICES), "unframed"),
+    _choose(faults.InstancePaused, INSTANCES),
+    _choose(faults.InstanceStopped, INSTANCES),
+    _partition,
+)
+"""Streams that only the ends of connections end, of engines that leave."""
+
 ALL_KINDS: tuple[FaultFactory, ...] = (
     *KINDS,
     *2 * (_partition,),
@@ -241,6 +257,7 @@
     _choose(faults.ServerStopsInOrder, ENGINES + SERVICES),
     _taken_over,
     _crowd,
+    _closed_streams,
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -44,6 +44,10 @@
 """Seeds of :data:`plan.CROWD_KINDS <hornbeamglade.soak.plan.CROWD_KINDS>` that draw crowds at
 several addresses, beside a stop of an instance and an outage of the store."""
 
+ENDS_SEEDS = (6, 10)
+"""Seeds of :data:`plan.ENDS_KINDS <hornbeamglade.soak.plan.ENDS_KINDS>` that together draw all
+ways in which an engine closes streams, beside instances that are stopped and paused."""
+
 REFUSAL_SEEDS = (6, 10)
 """Seeds of :data:`plan.REFUSAL_KINDS <hornbeamglade.soak.plan.REFUSAL_KINDS>` in whose plans
 servers respond to requests that they ran with a status that says that they did not."""
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -579,6 +579,8 @@
         run = self.run_by_id.get(order["id"])
         if run is None or not run.is_alive:
             return 404, {}
+        if self.faults.no_room:
+            return 503, {}
         if order["last"] and self.faults.ignores_stops:
             await asyncio.Event().wait()
         if order["last"]:
@@ -730,7 +732,9 @@
     await standin.start(bind)
     print(standin.address, flush=True)
     await stopping.wait()
-    if standin.faults.stops_in_order:
+    if standin.faults.ends_runs:
+        standin.end_runs()
+    if standin.faults.stops_in_order or standin.faults.ends_runs:
         await standin.finish()
     await standin.stop()
 
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -36,7 +36,7 @@
     :param reset: responses are truncated by a connection reset.
     :param early: a response is sent before the request's body is read.
     :param die_after_events: a stream is cut off after this many events.
-    :param no_room: KV cache copies from other engines are refused.
+    :param no_room: KV cache copies from and to other engines are refused.
     :param limit: limit in requests per second that responses announce for the server.
     :param room: requests that it runs at once; further ones are refused as not run, or None.
     :param brittle: refusals for want of room that it tolerates in a second, as its responses
@@ -69,6 +69,7 @@
         its close. Empty for none.
     :param stops_in_order: when it is told to stop, it closes its port and completes the requests
         that it runs.
+    :param ends_runs: when it is told to stop, it closes its port and ends its streams in order.
     :param stop_reply: how orders to stop a run for a migration are answered.
     :param ignores_stops: orders to stop a run for a migration are ignored and get no response.
     """
@@ -111,3 +112,4 @@
     stop_reply: StopReply = StopReply.SOON
     ignores_stops: bool = False
     stops_in_order: bool = False
+    ends_runs: bool = False
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hornbeamglade.soak import plan, running, seeds
+from hornbeamglade.standins import routedfaults
 
 SECONDS = 4.0
 
@@ -112,6 +113,23 @@
     assert verdict.violations == ()
 
 
+@pytest.mark.parametrize("seed", seeds.ENDS_SEEDS)
+def test_soak_with_streams_that_only_connections_end_violates_no_guarantee(seed, tmp_path):
+    """Guards against streams that a move or a notice ended and that look whole."""
+    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.ENDS_KINDS)
+    assert verdict.violations == ()
+
+
+def test_seeds_of_ends_draw_each_way_to_close_streams():
+    faults = [
+        each.fault
+        for seed in seeds.ENDS_SEEDS
+        for each in plan.make(seed, LOAD_SECONDS, plan.ENDS_KINDS)
+    ]
+    drawn = {each.stop_reply for each in faults if each.name == "EngineClosesStreams"}
+    assert drawn == {None, *routedfaults.StopReply}
+
+
 def test_each_seed_of_load_and_refusals_draws_their_faults():
     load = {"MachineBusy", "MemoryShrinks", "CallersSurge", "CallersReadSlowly", "ServerLeaves"}
     for drawn, kinds, names in (
@@ -130,6 +148,7 @@
         (seeds.OUTAGE_SEEDS, plan.OUTAGE_KINDS, {"AllInstancesKilled", "ServerReplaced"}),
         (seeds.TAKEOVER_SEEDS, plan.TAKEOVER_KINDS, {"AddressTakenOver", "InstancePaused"}),
         (seeds.CROWD_SEEDS, plan.CROWD_KINDS, {"CrowdPresses", "InstanceStopped", "StoreFails"}),
+        (seeds.ENDS_SEEDS, plan.ENDS_KINDS, {"EngineClosesStreams", "InstanceStopped"}),
         (seeds.PART_SEEDS, plan.PART_KINDS, {"PartCrashesEngines", "CallersSurge"}),
         (seeds.REFUSAL_SEEDS, plan.REFUSAL_KINDS, {"StatusAfterRun", "InstancePartitioned"}),
     ):
