--- a/hornbeamglade/sweep/kinds.py
+++ b/hornbeamglade/sweep/kinds.py
@@ -53,6 +53,7 @@
     :param ignores_stops: whether the engine that the runs leave does not stop them.
     :param is_sent_again: whether each server has taken its address over, and refuses the request
         once as meant for the one before.
+    :param is_unframed: whether only the ends of connections end streams.
     """
 
     name: str
@@ -62,6 +63,7 @@
     target: str = "answer"
     ignores_stops: bool = False
     is_sent_again: bool = False
+    is_unframed: bool = False
 
     @property
     def moves_runs(self) -> bool:
@@ -164,8 +166,11 @@
     Kind("again-relayed", "hold", is_relayed=True, is_sent_again=True),
     Kind("again-relayed-stream", "draft", is_relayed=True, is_sent_again=True),
     Kind("again-moved", "tag", target="continuation", is_sent_again=True),
+    Kind("unframed-copied", "draft", target="copy", is_unframed=True),
+    Kind("unframed-stopped", "draft", target="stop", is_unframed=True),
 )
-"""All kinds. The runs of ``copied`` to ``unstopped`` and of ``again-moved`` leave their engine."""
+"""All kinds. The runs of ``copied`` to ``unstopped``, of ``again-moved`` and of the last two leave
+their engine."""
 
 
 def _event_ends(good: bytes) -> list[int]:
--- a/hornbeamglade/sweep/waves.py
+++ b/hornbeamglade/sweep/waves.py
@@ -8,7 +8,7 @@
 import time
 import typing
 
-from hornbeamglade.standins import disturbances, disturbedwriter, routed, routedfaults
+from hornbeamglade.standins import disturbances, disturbedwriter, routed
 from hornbeamglade.sweep import cases, kinds, sweepcaller, sweepsite
 
 GAP_S = 0.01
@@ -78,6 +78,8 @@
             has_links=kind.is_relayed,
             misdirected=kind.misdirected,
         )
+        for engine in site.engines:
+            engine.faults = engine.faults.model_copy(update={"unframed": kind.is_unframed})
         try:
             await site.start()
             if kind.is_relayed:
@@ -135,10 +137,8 @@
                 await asyncio.sleep(SAMPLE_S)
         await asyncio.sleep(SETTLE_S)
         source = site.engines[0]
-        source.faults = routedfaults.RoutedFaults(
-            keeps_runs=True,
-            ignores_stops=self._kind.ignores_stops,
-            misdirected=source.faults.misdirected,
+        source.faults = source.faults.model_copy(
+            update={"keeps_runs": True, "ignores_stops": self._kind.ignores_stops}
         )
         site.leave(source)
 
