--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -157,6 +157,8 @@
             return
         if self._migration_task is not None and not self._migration_task.done():
             return
+        if self._migration is not None and self._migration.may_have_stopped_run:
+            return
         self._migration_task = asyncio.ensure_future(self._migrate(assignment))
 
     def on_replica_gone(self) -> None:
@@ -487,10 +489,10 @@
         destination = await self._await_destination()
         if destination is None:
             self._report_lost_run(self._assignment)
+        self._end_migration()
         self._release_assignment()
         if destination is not None:
             return await self._resume(destination)
-        self._end_migration()
         if not self._selector.may_retry():
             return False
         await self._await_evidence()
@@ -537,8 +539,6 @@
 
     async def _resume(self, destination: migration.Destination) -> bool:
         self._assignment = engineselector.Assignment(destination.replica, destination.grant)
-        self._migration = None
-        self._migration_task = None
         self._dependencies.budgets.record_resumed(
             self._routed.service.name, self._dependencies.clock.now()
         )
@@ -572,28 +572,37 @@
             self._dependencies.clock.now() + migration.COPY_TIMEOUT_S,
             frozenset((assignment.replica.id,)),
         )
-        moving = self._migration = migration.Migration(
+        current = self._migration = migration.Migration(
             assignment.replica,
             self._routed.call.request_id,
             placement,
             self._dependencies.migration_dependencies,
         )
-        await moving.run(self._produced_tokens())
-        self._dependencies.metrics.routed.moves.add(labels=(moving.outcome,))
+        await current.run(self._produced_tokens())
+        self._dependencies.metrics.routed.moves.add(labels=(current.outcome,))
         logs.decided(
             self._routed.call.request_id,
             "handover",
-            moving.outcome,
+            current.outcome,
             replica=assignment.replica.id,
             events=self._relay.event_count,
-            room_s=_rounded(moving.search_s),
-            wait_s=_rounded(moving.slot_wait_s),
-            copy_s=_rounded(moving.copy_s),
-            stop_order=moving.stop_order.value,
-            is_stop_confirmed=moving.is_stopped,
-            evidence=moving.stop_evidence,
+            room_s=_rounded(current.search_s),
+            wait_s=_rounded(current.slot_wait_s),
+            copy_s=_rounded(current.copy_s),
+            stop_order=current.stop_order.value,
+            is_stop_confirmed=current.is_stopped,
+            evidence=current.stop_evidence,
         )
 
+    def _end_migration(self) -> None:
+        """End the migration from an engine whose stream has ended."""
+        if self._migration is not None:
+            self._migration.run_ended(self._migration_task)
+        elif self._migration_task is not None:
+            self._migration_task.cancel()
+        self._migration = None
+        self._migration_task = None
+
     def _report_lost_run(self, assignment: engineselector.Assignment) -> None:
         """Report a lost run to the crash detector."""
         self._dependencies.crash_detector.run_lost(
@@ -631,14 +640,6 @@
         self._release_assignment()
         self._record_length(is_complete)
 
-    def _end_migration(self) -> None:
-        """Give up the migration from an engine that the run has left."""
-        if self._migration is not None:
-            self._migration.run_ended(self._migration_task)
-        elif self._migration_task is not None:
-            self._migration_task.cancel()
-        self._migration = self._migration_task = None
-
     def _record_length(self, is_complete: bool) -> None:
         work = enginework.work(self._routed)
         produced = self._produced_tokens()
