http1: reset connections of callers without chunks when a response is broken off

Callers saw: an HTTP/1.0 caller took what it had of a broken stream for all of it, as its response has no chunks and the connection was closed in order.

Cause: the incident's, on our own side: an end that only the connection tells was not told from one that was broken off. The connection of such a response is reset. Others are closed as before, since what they were sent is still read.

--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -269,7 +269,11 @@
 
     def abort(self) -> None:
         """Close the connection; the caller sees that a response in progress is incomplete."""
-        self._connection.abort()
+        if self._state.their_http_version == b"1.0":
+            # Such a response has no chunks, and an orderly close would be its end.
+            self._connection.reset()
+        else:
+            self._connection.abort()
 
     @property
     def keeps_connection(self) -> bool:
@@ -437,6 +441,10 @@
         """Close immediately."""
         self._transport.abort()
 
+    def reset(self) -> None:
+        """Close immediately, so that the caller sees no orderly end."""
+        sockets.reset(self._transport)
+
     def unsent_bytes(self) -> int:
         """Return the bytes in the write buffer."""
         return self._transport.get_write_buffer_size()
--- a/tests/entry/test_streamends.py
+++ b/tests/entry/test_streamends.py
@@ -167,3 +167,28 @@
 
     answer = entrysite.run(test, nodes=1, events=LONG_EVENTS, gap_s=0.02)
     assert answer == (LONG_BODY, ["r1", "r1"])
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_stream_that_is_broken_off_does_not_end_in_order(version):
+    """Callers that cannot read chunks took what they had of a stream for all of it."""
+
+    async def test(site):
+        set_faults(site, die_after_events=12)
+        reader, writer = await asyncio.open_connection(*site.nodes[0].address.split(":"))
+        head = (
+            f"POST /draft/1 HTTP/{version}\r\nHost: {entrysite.HOST}\r\nAttempt-Id: r1\r\n"
+            f"Authorization: Bearer {entrysite.KEY}\r\nContent-Length: 4\r\n{entrysite.USAGE}\r\n"
+        )
+        writer.write(f"{head}body".encode())
+        received = b""
+        try:
+            while data := await reader.read(65_536):
+                received += data
+        except ConnectionResetError:
+            return True
+        finally:
+            writer.close()
+        return b"chunked" in received and not received.endswith(b"0\r\n\r\n")
+
+    assert entrysite.run(test, nodes=1)
