migration: take no refusal for want of room as a sign that the run goes on

Callers saw: a part of a stream without framing as a whole one, where the answer to the order to stop its run was a 503 whose handle was missing or unreadable.

Cause: such an answer counted as one that the run had not been stopped. By the protocol the run stops before the lack of room shows, and a 503 names what the source keeps; one without a name says nothing. The order counts as unanswered.

A second test holds that the answer to a second order does not speak for the first one.

--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -53,8 +53,9 @@
 """Pause while the source is busy with an earlier copy of the run."""
 
 _BUSY = "busy"
-_REFUSAL_CODES = frozenset((_BUSY, "no_room", "no_run"))
-"""Failures of an order to stop a run that show that it did not stop the run."""
+_REFUSAL_CODES = frozenset((_BUSY, "no_run"))
+"""Failures of an order to stop a run that show that it did not stop the run. One for want of room
+is not among them: the run is stopped before that shows."""
 
 _ENDED_CODES = frozenset(("no_run", "not_listening"))
 """Failures of an order to stop a run that show, after its stream has ended, that its source does
@@ -296,7 +297,7 @@
             self._continue_at_source(result.name)
             return True
         if result.code in (_BUSY, "no_room"):
-            # The run was not stopped; it continues, and another target may be tried.
+            # If the run goes on, another target may be tried.
             self.abandon()
             return False
         # The stream has not ended: what else the source answers does not show that it has stopped.
--- a/tests/routed/test_migration.py
+++ b/tests/routed/test_migration.py
@@ -9,7 +9,7 @@
 from hornbeamglade.engines import control, models
 from hornbeamglade.grants import asyncgrantacquirer, migrationcoordinator
 from hornbeamglade.replicas import models as replicamodels
-from hornbeamglade.routed import migration
+from hornbeamglade.routed import migration, runends
 from tests import eventloop
 
 SOURCE = replicamodels.Replica("e0", "llm", "10.0.0.1:1", "a", 8)
@@ -426,3 +426,47 @@
         return stopped_before, await setup.migration.confirm_stop()
 
     assert eventloop.run(main()) == (False, False)
+
+
+@pytest.mark.parametrize(
+    ("results", "order"),
+    [
+        ([], runends.StopOrder.OBEYED),
+        ([models.CopyFailed("no_run")], runends.StopOrder.REFUSED),
+        ([models.CopyFailed("no_room", "rest-1")], runends.StopOrder.OBEYED),
+        ([models.CopyFailed("no_room")], runends.StopOrder.UNANSWERED),
+        ([models.CopyFailed("no_answer")], runends.StopOrder.UNANSWERED),
+        ([models.CopyFailed("not_listening")], runends.StopOrder.UNANSWERED),
+    ],
+)
+def test_only_an_answer_that_cannot_follow_a_stop_shows_that_the_run_was_not_stopped(
+    results, order
+):
+    """A 503 without the name of the rest counted as a run that goes on."""
+
+    async def test():
+        setup = MigrationSetup()
+        setup.engines.copy_results = [models.CopySucceeded("copy-1", 7), *results]
+        if results and results[0].code == "no_room":
+            setup.engines.copy_results.append(models.CopyFailed("no_answer"))
+        await setup.run()
+        return setup.migration.stop_order
+
+    assert eventloop.run(test()) is order
+
+
+def test_answer_to_a_second_order_does_not_show_what_became_of_the_first_one():
+    """A run that an unanswered order had stopped counted as one that had ended before it."""
+
+    async def test():
+        setup = MigrationSetup()
+        setup.engines.copy_results = [
+            models.CopySucceeded("copy-1", 7),
+            models.CopyFailed("no_answer"),
+            models.CopyFailed("no_run"),
+        ]
+        await setup.run()
+        await setup.migration.confirm_stop()
+        return setup.migration.stop_order
+
+    assert eventloop.run(test()) is runends.StopOrder.UNANSWERED
