migration: free the rest of a run whose caller has left

Seen: memory and a slot at an engine until the copy lapsed. Cause: when the caller left while the run was stopped for a move that found no room, only the copy at the destination was freed, not the rest that the source keeps, which may have a name of its own.

--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -286,6 +286,8 @@
         result = await self._order_stop(replica)
         if self._has_ended:
             self.abandon()
+            if isinstance(result, models.CopyFailed) and result.name is not None:
+                self._dependencies.free_copy(result.name, (self._source.address,))
             self.outcome = "run_ended"
             return True
         if isinstance(result, models.CopySucceeded):
--- a/tests/routed/test_migration.py
+++ b/tests/routed/test_migration.py
@@ -470,3 +470,27 @@
         return setup.migration.stop_order
 
     assert eventloop.run(test()) is runends.StopOrder.UNANSWERED
+
+
+def test_rest_of_a_run_whose_caller_left_is_freed_at_the_source():
+    """It stayed there under a name of its own until it expired."""
+
+    async def test():
+        setup = MigrationSetup()
+        setup.engines.copy_results = [
+            models.CopySucceeded("copy-1", 7),
+            models.CopyFailed("no_room", "rest-1"),
+        ]
+        setup.engines.copied.clear()
+        task = asyncio.ensure_future(setup.run())
+        await eventloop.until(lambda: "copy" in setup.steps)
+        setup.engines.copied.set()
+        setup.engines.copied.clear()
+        await eventloop.until(lambda: "stop" in setup.steps)
+        setup.migration.run_ended(task)
+        setup.engines.copied.set()
+        await asyncio.wait((task,))
+        await asyncio.sleep(0)
+        return sorted(setup.engines.dropped)
+
+    assert eventloop.run(test()) == [(SOURCE.address, "copy-1"), (SOURCE.address, "rest-1")]
