http1: take a response only from a status line that HTTP defines

Callers saw: answers with status 600 and 999. A line of `HTTP/2.0 200` counted as a sound answer, and `HTTP/2.0 503` with `Not-Executed` as a refusal, after which a request that may run once could be sent again. Status 000, 001, 099, of two or four digits, none or negative, and 101 were lost already.

Cause: clientside took what h11 parses. h11 checks the form of the line only: any digits as the version, and any status from 100 to 999.

statuslines holds the one table: version 1.0 or 1.1, three digits from 100 to 599, none that switches the protocol. A response whose line is not in it is malformed, like a head that is none. As clientside parses all responses of the routed path, that holds for plain answers, streams, resumed and moved streams, interim responses, relayed answers, refusals, reports and orders alike; an order whose answer was malformed is given again.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -28,12 +28,11 @@
 import h11
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import fields, sockets, strictness
+from hornbeamglade.http1 import fields, sockets, statuslines, strictness
 
 MAX_HEAD_BYTES = 65_536
 """Bytes up to the end of the final head, including all interim responses."""
 
-MAX_INTERIM_RESPONSES = 16
 HEAD_TIMEOUT_S = 2.0
 """Time from the first byte of a response to the end of its final head."""
 
@@ -207,12 +206,15 @@
             is_interim = isinstance(event, h11.InformationalResponse)
             if not is_interim and not isinstance(event, h11.Response):
                 return self._lost("malformed")
+            if not statuslines.is_valid(event.http_version, event.status_code):
+                return self._lost("malformed")
             head_fields = tuple(event.headers.raw_items())
             if strictness.is_joined(event.reason, head_fields):
                 return self._lost("malformed")
             self._interim_count += is_interim
             head_bytes = self._parsed_bytes - len(self._state.trailing_data[0])
-            if head_bytes > MAX_HEAD_BYTES or self._interim_count > MAX_INTERIM_RESPONSES:
+            has_excessive_interim = self._interim_count > statuslines.MAX_INTERIM_RESPONSES
+            if head_bytes > MAX_HEAD_BYTES or has_excessive_interim:
                 return self._lost("excessive")
             if not is_interim:
                 self._parsed_bytes = 0
--- a/tests/platform/test_enginecalls.py
+++ b/tests/platform/test_enginecalls.py
@@ -18,7 +18,7 @@
     routedruns,
 )
 from tests import eventloop
-from tests.http1 import raw
+from tests.http1 import oddstatuslines, raw
 
 
 def calls():
@@ -170,3 +170,22 @@
     got, seconds = eventloop.run(main())
     assert got == models.ReportFailed(is_refused=False)
     assert seconds < 2 * enginecalls.REPORT_TIMEOUT_S
+
+
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_answer_with_a_malformed_status_line_is_none_to_any_call(line):
+    """An answer that was none reported room, and counted as a move and as a copy that is freed."""
+
+    async def test(source, target, control):
+        source.wrap_writer = oddstatuslines.replacing(line)
+        return (
+            await control.report(source.address),
+            await copy(source, target, control, is_last=True),
+            await control.drop_copy(source.address, "copy-r1"),
+        )
+
+    assert with_engines(test) == (
+        models.ReportFailed(is_refused=False),
+        models.CopyFailed("no_answer"),
+        False,
+    )
