http1: read status lines in the blocking client by the same table

Callers of the other entry program saw: answers of plain services with status 600, 999 and 101. A status of `0200`, `+200` or `2_0_0`, after two spaces or a tab, or in a line that begins with a space, counted as 200 for services, streams of generations, orders and the store; `0429` and `+503` told the store's client that a write had no effect, which may then be repeated.

Cause: http.client splits the line at white space, converts the status with int(), and takes what is from 100 to 999. Only the version was checked here.

WholeHeadResponse now reads the line by statuslines, as the routed path does.

--- a/hornbeamglade/http1/wholeheads.py
+++ b/hornbeamglade/http1/wholeheads.py
@@ -9,7 +9,9 @@
 body, which looks complete.
 
 A head that runs into the status line of another response is rejected as well
-(:func:`hornbeamglade.http1.strictness.is_joined`).
+(:func:`hornbeamglade.http1.strictness.is_joined`), and so is a status line that
+:mod:`hornbeamglade.http1.statuslines` does not allow: :mod:`http.client` accepts other versions
+and any number from 100 to 999.
 """
 
 import email.errors
@@ -18,9 +20,9 @@
 
 import urllib3.connection
 
-from hornbeamglade.http1 import strictness
+from hornbeamglade.http1 import statuslines, strictness
 
-_VERSIONS = ("HTTP/1.0", "HTTP/1.1")
+_MAX_LINE_BYTES = 65_536
 _NO_FIELD = email.errors.MissingHeaderBodySeparatorDefect
 
 
@@ -68,23 +70,28 @@
         finally:
             if self.fp is not None:
                 self.fp = received
-        if any(isinstance(each, _NO_FIELD) for each in self.headers.defects):
-            raise BrokenHeadError("a line of the head is no field")
-        head_fields = tuple(
-            (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in self.headers.items()
-        )
-        if strictness.is_joined(self.reason.encode("latin-1"), head_fields):
-            raise BrokenHeadError("the head runs into another response")
+        _check_fields(self.reason.encode("latin-1"), self.headers)
 
     def _read_status(self) -> tuple[str, int, str]:
-        version, status, reason = super()._read_status()
-        if version not in _VERSIONS:
-            raise BrokenHeadError("the version is malformed")
-        return version, status, reason
+        line = self.fp.readline(_MAX_LINE_BYTES)
+        parsed = statuslines.parse(line.removesuffix(b"\n").removesuffix(b"\r"))
+        if parsed is None:
+            raise BrokenHeadError("the status line is malformed")
+        version, status, reason = parsed
+        return f"HTTP/{version.decode()}", status, reason.decode("latin-1")
 
 
 class WholeHeadConnection(urllib3.connection.HTTPConnection):
     """A connection whose responses have whole heads."""
 
     response_class = WholeHeadResponse
+
+
+def _check_fields(reason: bytes, received: http.client.HTTPMessage) -> None:
+    if any(isinstance(each, _NO_FIELD) for each in received.defects):
+        raise BrokenHeadError("a line of the head is no field")
+    head_fields = tuple(
+        (name.encode("latin-1"), value.encode("latin-1")) for name, value in received.items()
+    )
+    if strictness.is_joined(reason, head_fields):
+        raise BrokenHeadError("the head runs into another response")
--- a/tests/backends/test_generations.py
+++ b/tests/backends/test_generations.py
@@ -10,6 +10,7 @@
 from hornbeamglade.backends import eventparser, generations, httpexchange, outcomes
 from hornbeamglade.core import outcomes as core_outcomes
 from tests.backends import scripted
+from tests.http1 import oddstatuslines
 
 UNKNOWN = core_outcomes.RunStatus.UNKNOWN
 LONG_TIMEOUTS = httpexchange.Timeouts(connect_s=5.0, response_s=10.0, progress_s=10.0)
@@ -222,6 +223,15 @@
     assert outcome.run is core_outcomes.RunStatus.RAN
 
 
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_a_response_with_a_malformed_status_line_opens_and_resumes_no_stream(line):
+    """Events of a response that was none were passed on."""
+    with scripted.server(line + scripted.HEAD[scripted.HEAD.index(b"\r\n") :]) as address:
+        assert isinstance(open_stream(address), outcomes.Lost)
+        assert isinstance(generations.resume(address, "r1", 3, LONG_TIMEOUTS), outcomes.Lost)
+        assert not generations.cancel_remote(address, "r1", LONG_TIMEOUTS)
+
+
 def test_remote_cancel_of_a_stream_whose_connection_is_lost(start_engine):
     backend = start_engine()
     backend.faults(die_after_tokens=2)
--- a/tests/backends/test_orders.py
+++ b/tests/backends/test_orders.py
@@ -8,6 +8,7 @@
 from hornbeamglade.configuration import models
 from hornbeamglade.core import clocks
 from tests.backends import scripted
+from tests.http1 import oddstatuslines
 
 WANTED = orders.EngineState(frozenset({"draft@2", "tags"}), frozenset({"clinic"}), "mixed")
 LONG_TIMEOUTS = orders.OrderTimeouts(connect_s=10.0, response_s=10.0)
@@ -80,6 +81,14 @@
             assert isinstance(send(address), orders.Lost), at
 
 
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_order_whose_answer_has_a_malformed_status_line_is_lost(line):
+    """An order counted as accepted by an answer that was none."""
+    present = b'{"present":{"models":["draft@2"],"adapters":[],"role":"mixed"}}'
+    with scripted.server(line + b"\r\nContent-Length: %d\r\n\r\n" % len(present) + present) as at:
+        assert isinstance(send(at), orders.Lost)
+
+
 def test_order_to_an_engine_that_does_not_respond_is_lost():
     with scripted.server(b"", hold=True) as address:
         outcome = client(address, SHORT_TIMEOUTS).send(1, WANTED, lambda: True)
--- a/tests/backends/test_plaincalls.py
+++ b/tests/backends/test_plaincalls.py
@@ -5,6 +5,7 @@
 from hornbeamglade.backends import httpexchange, outcomes, plaincalls
 from hornbeamglade.core import outcomes as core_outcomes
 from tests.backends import scripted
+from tests.http1 import oddstatuslines
 
 TIMEOUTS = httpexchange.Timeouts(connect_s=5.0, response_s=10.0, progress_s=10.0)
 CALL = plaincalls.PlainCall(
@@ -81,3 +82,11 @@
         with scripted.server(ANSWER[:at] + REFUSAL) as address:
             outcome = call(address)
         assert isinstance(outcome, outcomes.Lost | outcomes.MismatchedResponse), at
+
+
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_a_response_with_a_malformed_status_line_is_neither_an_answer_nor_a_refusal(line):
+    """A service in trouble sent status 600 or 0200, and the call had that answer."""
+    for response in (ANSWER, REFUSAL):
+        with scripted.server(line + response[response.index(b"\r\n") :]) as address:
+            assert call(address).run is core_outcomes.RunStatus.UNKNOWN
--- a/tests/http1/test_wholeheads.py
+++ b/tests/http1/test_wholeheads.py
@@ -1,16 +1,42 @@
 """Heads that break off, as the blocking client reads them."""
 
 import http.client
+import io
 
+import hypothesis
 import pytest
 
-from hornbeamglade.http1 import wholeheads
+from hornbeamglade.http1 import statuslines, wholeheads
 from tests.backends import scripted
+from tests.http1 import oddstatuslines
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 2\r\nX-B: 2\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\nX-C: 3\r\n\r\n"
 
 
+FIELDS = b"\r\nContent-Length: 2\r\n\r\nab"
+
+
+class Received:
+    """Stands for a socket on which bytes have arrived."""
+
+    def __init__(self, data):
+        self._data = data
+
+    def makefile(self, _mode):
+        return io.BytesIO(self._data)
+
+
+def parse(data):
+    """Return the status and body of a response, or None if it is none."""
+    response = wholeheads.WholeHeadResponse(Received(data), method="GET")
+    try:
+        response.begin()
+        return response.status, response.read()
+    except http.client.HTTPException:
+        return None
+
+
 def read(data):
     with scripted.server(data) as address:
         host, port = address.split(":")
@@ -44,3 +70,24 @@
 def test_overlong_line_is_no_response():
     with pytest.raises(http.client.HTTPException):
         read(b"HTTP/1.1 200 OK\r\nX-A: " + b"a" * 70_000 + b"\r\n\r\n")
+
+
+@pytest.mark.parametrize("start", [b"", INTERIM])
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_response_whose_status_line_is_malformed_is_none(line, start):
+    """A status of four digits counted as one of three, and 600 as an answer."""
+    assert parse(start + line + FIELDS) is None
+
+
+@pytest.mark.parametrize("line", oddstatuslines.SOUND)
+def test_sound_status_line_begins_a_response(line):
+    assert parse(line + FIELDS) == (int(line.split()[1]), b"ab")
+
+
+@hypothesis.given(oddstatuslines.lines())
+@hypothesis.settings(deadline=None, max_examples=500)
+def test_status_lines_of_responses_are_those_of_the_table(line):
+    """A line that the routed path rejects was an answer to the blocking client."""
+    sound = statuslines.parse(line)
+    body = b"ab" if line[9:12] not in (b"204", b"304") else b""
+    assert parse(line + FIELDS) == (None if sound is None else (sound[1], body))
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -8,6 +8,7 @@
 
 from hornbeamglade.platform import storeclient
 from hornbeamglade.store import contract
+from tests.http1 import oddstatuslines
 
 TRICKLED_BYTES = 150
 WRITE = ((contract.Condition("a", 0),), (contract.Put("a", "1"),))
@@ -211,3 +212,21 @@
         assert isinstance(server.client.get("a"), contract.Unavailable), at
         assert isinstance(server.client.put("a", "1"), contract.Unknown), at
         assert isinstance(server.client.transact(*WRITE), contract.Unknown), at
+
+
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_response_with_a_malformed_status_line_says_nothing(raw_server, line):
+    """A write counted as done by a response that was none."""
+    body = b'{"ver":1,"now_ms":1,"rows":[],"truncated":false}'
+    client = raw_server(response(b"200 OK", body).replace(b"HTTP/1.1 200 OK", line)).client
+    assert isinstance(client.transact(*WRITE), contract.Unknown)
+    assert isinstance(client.put("a", "1"), contract.Unknown)
+    assert isinstance(client.read("a/x"), contract.Unavailable)
+    assert isinstance(client.snapshot("a"), contract.Unavailable)
+
+
+@pytest.mark.parametrize("line", [b"HTTP/1.1 0429 Many", b"HTTP/1.1 +503 Full", b"HTTP/2.0 503 F"])
+def test_refusal_with_a_malformed_status_line_does_not_say_that_nothing_was_done(raw_server, line):
+    """A write that may have been done was repeated."""
+    client = raw_server(response(b"200 OK", b"").replace(b"HTTP/1.1 200 OK", line)).client
+    assert isinstance(client.transact(*WRITE), contract.Unknown)
