http1: skip all interim responses in the blocking client, and no more than 16

Callers of the other entry program saw: an interim response (102, 103) of a service as its answer, with an empty body; the store's client took it for an unknown outcome. A server that sent interim responses without end held a thread for as long as it went on.

Cause: http.client skips the status 100 only, and any number of them. A head of such a response that ran into another response was not noticed either.

All statuses below 200 are skipped now, each head is checked like that of a response, and after 16 the response counts as lost, as on the routed path.

--- a/hornbeamglade/http1/wholeheads.py
+++ b/hornbeamglade/http1/wholeheads.py
@@ -11,7 +11,7 @@
 A head that runs into the status line of another response is rejected as well
 (:func:`hornbeamglade.http1.strictness.is_joined`), and so is a status line that
 :mod:`hornbeamglade.http1.statuslines` does not allow: :mod:`http.client` accepts other versions
-and any number from 100 to 999.
+and any number from 100 to 999, and takes interim responses other than 100 for the response.
 """
 
 import email.errors
@@ -73,12 +73,17 @@
         _check_fields(self.reason.encode("latin-1"), self.headers)
 
     def _read_status(self) -> tuple[str, int, str]:
-        line = self.fp.readline(_MAX_LINE_BYTES)
-        parsed = statuslines.parse(line.removesuffix(b"\n").removesuffix(b"\r"))
-        if parsed is None:
-            raise BrokenHeadError("the status line is malformed")
-        version, status, reason = parsed
-        return f"HTTP/{version.decode()}", status, reason.decode("latin-1")
+        """Return version, status and reason of the response after any interim ones."""
+        for _ in range(statuslines.MAX_INTERIM_RESPONSES + 1):
+            line = self.fp.readline(_MAX_LINE_BYTES)
+            parsed = statuslines.parse(line.removesuffix(b"\n").removesuffix(b"\r"))
+            if parsed is None:
+                raise BrokenHeadError("the status line is malformed")
+            version, status, reason = parsed
+            if not statuslines.is_interim(status):
+                return f"HTTP/{version.decode()}", status, reason.decode("latin-1")
+            _check_fields(reason, http.client.parse_headers(self.fp))
+        raise BrokenHeadError("there are too many interim responses")
 
 
 class WholeHeadConnection(urllib3.connection.HTTPConnection):
--- a/tests/http1/test_wholeheads.py
+++ b/tests/http1/test_wholeheads.py
@@ -91,3 +91,23 @@
     sound = statuslines.parse(line)
     body = b"ab" if line[9:12] not in (b"204", b"304") else b""
     assert parse(line + FIELDS) == (None if sound is None else (sound[1], body))
+
+
+@pytest.mark.parametrize("status", [b"100", b"102", b"103", b"199"])
+def test_interim_response_is_no_answer(status):
+    """An interim response was the answer to the caller, and the answer was lost."""
+    assert parse(b"HTTP/1.1 " + status + b" I\r\nX-C: 3\r\n\r\n" + HEAD + b"ab") == (200, b"ab")
+
+
+def test_too_many_interim_responses_are_none():
+    """A server that sends nothing else held a thread for ever."""
+    most = statuslines.MAX_INTERIM_RESPONSES
+    assert parse(INTERIM * most + HEAD + b"ab") == (200, b"ab")
+    assert parse(INTERIM * (most + 1) + HEAD + b"ab") is None
+
+
+@pytest.mark.parametrize("status", [b"100", b"103"])
+def test_interim_response_that_runs_into_another_response_is_none(status):
+    """The fields of the other response were taken for those of the interim one."""
+    start = b"HTTP/1.1 " + status + b" EarlyHTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n"
+    assert parse(start + HEAD + b"ab") is None
