http1: end responses whose status has no body at their head in the blocking client

Callers of the other entry program saw: an answer with status 204 or 304 that names chunks, and whose connection stays open, as lost after the timeout (10 s in the test); its outcome counted as unknown although the service had answered.

Cause: http.client sets the length to 0 for such a status and reads chunks all the same. The status decides now (statuslines.has_body; RFC 9112, section 6.3).

--- a/hornbeamglade/http1/wholeheads.py
+++ b/hornbeamglade/http1/wholeheads.py
@@ -71,6 +71,9 @@
             if self.fp is not None:
                 self.fp = received
         _check_fields(self.reason.encode("latin-1"), self.headers)
+        if not statuslines.has_body(self.status):
+            self.chunked = False
+            self.length = 0
 
     def _read_status(self) -> tuple[str, int, str]:
         """Return version, status and reason of the response after any interim ones."""
--- a/tests/backends/test_plaincalls.py
+++ b/tests/backends/test_plaincalls.py
@@ -90,3 +90,11 @@
     for response in (ANSWER, REFUSAL):
         with scripted.server(line + response[response.index(b"\r\n") :]) as address:
             assert call(address).run is core_outcomes.RunStatus.UNKNOWN
+
+
+def test_a_response_without_a_body_is_complete_whatever_its_fields_say():
+    """A service marks a 204 as chunked and keeps its connection open."""
+    head = b"HTTP/1.1 204 None\r\nX-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with scripted.server(head, hold=True) as address:
+        response = call(address)
+    assert (response.status, response.body) == (204, b"")
--- a/tests/http1/test_wholeheads.py
+++ b/tests/http1/test_wholeheads.py
@@ -111,3 +111,11 @@
     """The fields of the other response were taken for those of the interim one."""
     start = b"HTTP/1.1 " + status + b" EarlyHTTP/1.1 200 OK\r\nX-A: 1\r\n\r\n"
     assert parse(start + HEAD + b"ab") is None
+
+
+@pytest.mark.parametrize("framing", oddstatuslines.FRAMINGS)
+@pytest.mark.parametrize("status", [204, 304])
+def test_response_whose_status_has_no_body_is_complete_without_one(status, framing):
+    """A length or chunks in a status without a body made the client wait, or lose the response."""
+    head = b"HTTP/1.1 %d None\r\n%b\r\n\r\n" % (status, framing)
+    assert parse(head) == parse(head + b"2\r\nok\r\n0\r\n\r\n") == (status, b"")
