backends, membership: read reports, lists and status pages over checked connections

Seen in tests: a load report, the list of a seed and a status page counted with a status line that is none (`0200`, HTTP/0.9, two spaces), a load report whose head broke off before its end (a server that breaks off counted as one that takes new work), and the list of a seed with any status, 500 and 600 included.

Cause: these three used urllib3's own connections, not those of wholeheads, which services, orders and the store have. Discovery did not look at the status.

A seed's list needs status 200 from the seed itself.

--- a/hornbeamglade/backends/loadreports.py
+++ b/hornbeamglade/backends/loadreports.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from hornbeamglade.core import clocks
+from hornbeamglade.http1 import wholeheads
 
 _MAX_BODY_BYTES = 4 << 20
 _LARGEST = 1 << 63
@@ -128,7 +129,7 @@
 
     def __init__(self, address: str, timeout_s: float, clock: clocks.Clock) -> None:
         host, _, port = address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = wholeheads.WholeHeadPool(
             host.strip("[]"), int(port), timeout=timeout_s, maxsize=1, retries=False
         )
         self._clock = clock
--- a/hornbeamglade/http1/wholeheads.py
+++ b/hornbeamglade/http1/wholeheads.py
@@ -18,6 +18,7 @@
 import http.client
 import typing
 
+import urllib3
 import urllib3.connection
 
 from hornbeamglade.http1 import statuslines, strictness
@@ -95,6 +96,22 @@
     response_class = WholeHeadResponse
 
 
+class WholeHeadPool(urllib3.HTTPConnectionPool):
+    """A pool of connections whose responses have whole heads."""
+
+    ConnectionCls = WholeHeadConnection
+
+
+def pool_manager(**options: typing.Any) -> urllib3.PoolManager:
+    """Return pools of connections whose responses have whole heads.
+
+    :param options: those of :class:`urllib3.PoolManager`.
+    """
+    manager = urllib3.PoolManager(**options)
+    manager.pool_classes_by_scheme = {"http": WholeHeadPool}
+    return manager
+
+
 def _check_fields(reason: bytes, received: http.client.HTTPMessage) -> None:
     if any(isinstance(each, _NO_FIELD) for each in received.defects):
         raise BrokenHeadError("a line of the head is no field")
--- a/hornbeamglade/membership/discovery.py
+++ b/hornbeamglade/membership/discovery.py
@@ -9,10 +9,12 @@
 """
 
 import collections.abc
+import http
 
 import pydantic
 import urllib3
 
+from hornbeamglade.http1 import wholeheads
 from hornbeamglade.membership import view
 from hornbeamglade.store import contract
 
@@ -81,7 +83,7 @@
 
     def __init__(self, addresses: tuple[str, ...]) -> None:
         self._addresses = addresses
-        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        self._http = wholeheads.pool_manager(retries=False, timeout=TIMEOUT_S)
 
     def fetch(self) -> tuple[contract.Instance, ...]:
         """Return the nodes known to the first seed that responds; none if no seed responds."""
@@ -94,7 +96,9 @@
     def _fetch_from(self, seed: str) -> tuple[contract.Instance, ...]:
         """Return the nodes that a seed knows; none if it does not respond."""
         try:
-            response = self._http.request("GET", f"http://{seed}{PATH}")
+            response = self._http.request("GET", f"http://{seed}{PATH}", redirect=False)
+            if response.status != http.HTTPStatus.OK:
+                return ()
             nodes = _Page.model_validate_json(response.data).members
         except (urllib3.exceptions.HTTPError, OSError, pydantic.ValidationError):
             # The seed may have stopped long ago, and its address may be in use by another
--- a/hornbeamglade/observability/statusreading.py
+++ b/hornbeamglade/observability/statusreading.py
@@ -7,6 +7,7 @@
 import pydantic
 import urllib3
 
+from hornbeamglade.http1 import wholeheads
 from hornbeamglade.observability import statuspage
 
 STATUS_PATH = "/status"
@@ -43,7 +44,7 @@
     :param address: ``ip:port`` on which the node serves callers.
     :param timeout_s: timeout of the connection and of each read, in seconds.
     """
-    pool = urllib3.PoolManager(retries=False)
+    pool = wholeheads.pool_manager(retries=False)
     try:
         response = pool.request(
             "GET", f"http://{address}{STATUS_PATH}", timeout=timeout_s, preload_content=False
--- a/tests/backends/test_loadreports.py
+++ b/tests/backends/test_loadreports.py
@@ -5,6 +5,7 @@
 from hornbeamglade.backends import loadreports
 from hornbeamglade.core import clocks
 from tests.backends import scripted
+from tests.http1 import oddstatuslines
 
 
 def reader(address):
@@ -51,3 +52,20 @@
 def test_an_invalid_report_is_an_outcome_with_a_code(response, code):
     with scripted.server(response) as address:
         assert reader(address).load().code == code
+
+
+REPORT = b'{"sequence":1,"age_s":0,"running":0,"leaving":false}'
+
+
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_a_report_with_a_malformed_status_line_is_none(line):
+    """A server in trouble counted as one that takes new work."""
+    with scripted.server(line + b"\r\n\r\n" + REPORT) as address:
+        assert reader(address).load().code == "unreachable"
+
+
+def test_a_report_whose_head_breaks_off_is_none():
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-A: 1\r\n\r\n" % len(REPORT)
+    for at in range(len(head)):
+        with scripted.server(head[:at]) as address:
+            assert reader(address).load().code == "unreachable", at
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -41,7 +41,7 @@
 
 def nodes_of_seed(page):
     """Return the nodes that an instance reads from the page of a seed."""
-    response = types.SimpleNamespace(data=page)
+    response = types.SimpleNamespace(data=page, status=200)
     with mock.patch.object(discovery.urllib3.PoolManager, "request", return_value=response):
         return discovery.Seeds(("10.0.0.9:90",)).fetch()
 
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -6,6 +6,8 @@
 from hornbeamglade.membership import discovery, registry, view
 from hornbeamglade.standins import httpserver
 from hornbeamglade.store import contract, memory
+from tests.backends import scripted
+from tests.http1 import oddstatuslines
 
 DOWN = memory.Faults(down=True)
 
@@ -68,3 +70,13 @@
     found = listing(platform, other.address).list()
     other.stop()
     assert isinstance(found, contract.Unavailable)
+
+
+@pytest.mark.parametrize("line", [*oddstatuslines.MALFORMED, b"HTTP/1.1 500 Oops"])
+def test_list_of_a_seed_that_failed_is_not_used(line):
+    """A seed in trouble sent a list with status 500 or 600, and an instance began with it."""
+    page = discovery.members_page([member("n1")])
+    with scripted.server(line + b"\r\n\r\n" + page) as address:
+        assert discovery.Seeds((address,)).fetch() == ()
+    with scripted.server(b"HTTP/1.1 200 OK\r\n\r\n" + page) as address:
+        assert len(discovery.Seeds((address,)).fetch()) == 1
--- a/tests/observability/test_status.py
+++ b/tests/observability/test_status.py
@@ -7,6 +7,8 @@
 
 from hornbeamglade.cli import status
 from hornbeamglade.observability import statuspage, statusreading, statustable
+from tests.backends import scripted
+from tests.http1 import oddstatuslines
 
 
 def _node(name, revision=7, **fields):
@@ -128,3 +130,13 @@
     text = statustable.as_text([_reading(_node("entry-1", slow_factors={"e1": 1.0}))])
     assert "SLOW" not in text
     assert "CLASS" not in text
+
+
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_page_with_a_malformed_status_line_is_not_shown(line):
+    """The page of another program was shown as that of a node."""
+    page = _node("entry-1").model_dump_json().encode()
+    with scripted.server(line + b"\r\n\r\n" + page) as address:
+        assert statusreading.read(address).status is None
+    with scripted.server(b"HTTP/1.1 200 OK\r\n\r\n" + page) as address:
+        assert statusreading.read(address).status is not None
