backends: take no answer without a length for whole that its cancellation ended

Callers of the other entry program saw: a part of a plain service's answer as a whole one, with status 200, where the deadline of the call had passed meanwhile; with an Idempotency-Key the part was recorded and replayed.

Cause: the deadline shuts the connection down on this side. Reading then returns no bytes, which is the end of an answer that has no length.

After a cancellation such an answer is lost, and its call has run. One that states its end stands.

Evidence: the case without framing failed before (200 and the part); those with a length and with chunks passed before and pass.

--- a/hornbeamglade/backends/httpexchange.py
+++ b/hornbeamglade/backends/httpexchange.py
@@ -118,6 +118,11 @@
         #: Reads the bytes of the body that have arrived, without urllib3's layers.
         self.read1 = connection.received.read1
 
+    @property
+    def is_end_stated(self) -> bool:
+        """Whether the response states its end itself; otherwise only its connection shows it."""
+        return self._connection.received.is_end_stated
+
     def use_kernel_timeout(self, progress_s: float) -> None:
         """Set a receive timeout in the kernel, which saves a system call per read.
 
--- a/hornbeamglade/backends/plaincalls.py
+++ b/hornbeamglade/backends/plaincalls.py
@@ -126,5 +126,8 @@
         return outcomes.Lost(f"the answer broke off: {error!r}", ran)
     if body is None:
         return outcomes.Lost(f"the answer is longer than {limit} bytes", ran)
+    if exchange.cancellation.cancelled and not exchange.is_end_stated:
+        # The cancellation ended the connection, which looks like the end of the answer.
+        return outcomes.Lost("the call was cancelled within its answer", ran)
     response = exchange.response
     return PlainResponse(response.status, end_to_end_fields(response.headers.items()), body)
--- a/hornbeamglade/http1/wholeheads.py
+++ b/hornbeamglade/http1/wholeheads.py
@@ -55,7 +55,12 @@
 
 
 class WholeHeadResponse(http.client.HTTPResponse):
-    """A response that is received only if its head is whole."""
+    """A response that is received only if its head is whole.
+
+    :ivar is_end_stated: whether the response states its end itself, by a length or chunks.
+    """
+
+    is_end_stated = False
 
     def begin(self) -> None:
         """Read the head.
@@ -75,6 +80,7 @@
         if not statuslines.has_body(self.status):
             self.chunked = False
             self.length = 0
+        self.is_end_stated = self.chunked or self.length is not None
 
     def _read_status(self) -> tuple[str, int, str]:
         """Return version, status and reason of the response after any interim ones."""
--- a/tests/backends/test_plaincalls.py
+++ b/tests/backends/test_plaincalls.py
@@ -1,5 +1,7 @@
 """Calls to plain services are forwarded unchanged and have exact outcomes."""
 
+import threading
+
 import pytest
 
 from hornbeamglade.backends import httpexchange, outcomes, plaincalls
@@ -98,3 +100,22 @@
     with scripted.server(head, hold=True) as address:
         response = call(address)
     assert (response.status, response.body) == (204, b"")
+
+
+CANCEL_S = 0.3
+
+
+@pytest.mark.parametrize(
+    "framing", [b"X-A: 1", b"Content-Length: 50", b"Transfer-Encoding: chunked"]
+)
+def test_a_call_that_is_cancelled_within_its_answer_has_no_answer(framing):
+    """A call's deadline ended its connection, and the part of its answer was recorded as whole."""
+    head = scripted.HEAD[:-2] + framing + b"\r\n\r\n"
+    cancellation = httpexchange.Cancellation()
+    with scripted.server(head + b"4\r\npart\r\n", hold=True) as address:
+        timer = threading.Timer(CANCEL_S, cancellation.cancel)
+        timer.start()
+        outcome = call(address, cancellation=cancellation)
+        timer.join()
+    assert isinstance(outcome, outcomes.Lost)
+    assert outcome.run is core_outcomes.RunStatus.RAN
