node: apply the rule of ends to whole answers without a length

Callers of the other entry program saw: a part of a plain service's answer as a whole one where the service's notice ran out while it answered, or where its address belongs to another server by now. With an Idempotency-Key the part was recorded and replayed to each retry.

Cause: as on the routed path, the end of the connection counted as the end of the answer whatever else may have ended it.

node/endinquiry applies routed.runends to what a node knows: the server's report that it leaves, or no report; another address under its name; the end of the request's time. A server that leaves has to accept a new connection afterwards. What is not shown to be complete is lost, its call has run, and nothing is recorded. In calm nothing is asked. Answers that state their end are not concerned.

--- a/hornbeamglade/backends/plaincalls.py
+++ b/hornbeamglade/backends/plaincalls.py
@@ -51,11 +51,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlainResponse:
-    """The service's complete response, with any status."""
+    """The service's complete response, with any status.
+
+    :param is_end_stated: whether the response itself states its end; otherwise it is complete only
+        if the service closed the connection for no other cause.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    is_end_stated: bool = True
 
 
 CallOutcome = PlainResponse | outcomes.NotRun | outcomes.Lost | outcomes.MismatchedResponse
@@ -130,4 +135,5 @@
         # The cancellation ended the connection, which looks like the end of the answer.
         return outcomes.Lost("the call was cancelled within its answer", ran)
     response = exchange.response
-    return PlainResponse(response.status, end_to_end_fields(response.headers.items()), body)
+    fields = end_to_end_fields(response.headers.items())
+    return PlainResponse(response.status, fields, body, exchange.is_end_stated)
--- a/hornbeamglade/node/plainhandler.py
+++ b/hornbeamglade/node/plainhandler.py
@@ -9,7 +9,15 @@
 from hornbeamglade.callers import application, problems
 from hornbeamglade.configuration import models
 from hornbeamglade.core import outcomes
-from hornbeamglade.node import attempts, onceonly, replicacatalog, requestscope, runtime, siteview
+from hornbeamglade.node import (
+    attempts,
+    endinquiry,
+    onceonly,
+    replicacatalog,
+    requestscope,
+    runtime,
+    siteview,
+)
 from hornbeamglade.teams import limits
 
 MAX_ATTEMPTS = 3
@@ -184,6 +192,9 @@
             httpexchange.Timeouts(CONNECT_TIMEOUT_S, service.first_token_s, service.progress_s),
             cancellation=cancellation,
         )
+        if isinstance(outcome, plaincalls.PlainResponse) and not self._has_ended(known, outcome):
+            ran = outcomes.RunStatus.RAN
+            outcome = backendoutcomes.Lost("the answer's connection may have ended early", ran)
         if isinstance(outcome, plaincalls.PlainResponse):
             self._parts.catalog.succeeded(known.name, self._parts.clock.now() - started)
             answer = problems.Response(outcome.status, outcome.headers, outcome.body)
@@ -205,6 +216,15 @@
         self._scope.report_lost_run(known.name, known.replica.address)
         return self._outcome_unknown("backend_lost", outcome.reason)
 
+    def _has_ended(
+        self, known: replicacatalog.KnownReplica, response: plaincalls.PlainResponse
+    ) -> bool:
+        """Return whether a response is the whole one."""
+        remaining_s = self._scope.ends_at - self._parts.clock.now()
+        return response.is_end_stated or endinquiry.is_complete(
+            self._scope.request_id, known, self._parts.catalog, remaining_s
+        )
+
 
 def _plain_call(team: str, path: str, request: application.CallerRequest) -> plaincalls.PlainCall:
     headers = tuple(
