claims: replay a recorded answer from the object store only if it is whole

Callers could see: a part of a recorded answer as the whole one, when they repeated a request whose answer lies in the object store. A response of the store without a length is whole to its client when the connection closes, and a part of base64 of a multiple of four characters is valid.

Cause: the object was decoded but not compared with the digest in its key. The configuration's documents are compared already.

Evidence: the new test (a part of the object) failed before with the part as the answer; a caller is told now that its request has run and that its answer cannot be read.

--- a/hornbeamglade/claims/claimstore.py
+++ b/hornbeamglade/claims/claimstore.py
@@ -155,12 +155,11 @@
         """Record the answer; return whether the table has confirmed it."""
         body = claimrecords.encode_body(answer.body)
         inline = len(answer.body) <= self._settings.inline_bytes
-        digest = hashlib.sha256(body.encode()).hexdigest()
         record = claimrecords.AnswerRecord(
             http_status=answer.http_status,
             content_type=answer.content_type,
             body=body if inline else None,
-            object_key=None if inline else OBJECT_PREFIX + digest,
+            object_key=None if inline else _object_key(body),
         )
         object_text = None if inline else body
         return self._end(claim, claimrecords.ClaimState.DONE, record, object_text)
@@ -240,6 +239,9 @@
         if answer.object_key is not None:
             read = self._objects.get(answer.object_key)
             body = read.row.value if isinstance(read, contract.Found) else None
+            if body is not None and _object_key(body) != answer.object_key:
+                # Also a part of a body may be valid base64.
+                body = None
         decoded = None if body is None else claimrecords.decode_answer(answer, body)
         if decoded is not None:
             return claimvalues.Recorded(decoded)
@@ -297,3 +299,7 @@
             wall_s=self._clock.wall(),
             answer=answer,
         )
+
+
+def _object_key(body: str) -> str:
+    return OBJECT_PREFIX + hashlib.sha256(body.encode()).hexdigest()
--- a/tests/claims/test_claimstore.py
+++ b/tests/claims/test_claimstore.py
@@ -117,6 +117,19 @@
     assert nodes[1].claim(KEY, "f").run is outcomes.RunStatus.RAN
 
 
+def test_part_of_a_recorded_answer_is_not_replayed(nodes, platform):
+    """The store's response had no length and ended early, and callers got a part as whole."""
+    nodes[0].finish(granted(nodes[0]), claims.RecordedAnswer(200, "text/plain", b"a long answer"))
+    read = platform.get
+
+    def get_part(key):
+        found = read(key)
+        return memory.contract.Found(memory.contract.Row(key, found.row.value[:8], 0))
+
+    platform.get = get_part
+    assert nodes[1].claim(KEY, "f").run is outcomes.RunStatus.RAN
+
+
 def test_retention_must_exceed_the_time_in_progress():
     with pytest.raises(codederrors.CodedError, match="claims_retention_short"):
         claims.ClaimSettings(retention_s=10.0)
