enginecalls: take no part of an answer to an order for the whole one

Callers could see: a stream broken off whose run could have gone on. An engine that stopped the run and kept its rest answers 503 with the handle of the rest; if that answer has no length and its connection ends early, it counted as 503 without a handle, which says that the run was not stopped: the copy was given up and another target tried.

Cause: the body of an answer without a length is whole when its connection ends, and a status alone was enough for 404, 409 and 503.

Answers to orders carry JSON. One without a stated end now counts only if its body is whole JSON; otherwise there is no answer, and the order is given again once the stream has closed.

Evidence: three of the new cases (503 with and without a handle, 404) failed before with no_room and no_run; the answer 200 and reports, whose fields must parse, held already and have tests now.

--- a/hornbeamglade/platform/enginecalls.py
+++ b/hornbeamglade/platform/enginecalls.py
@@ -57,6 +57,7 @@
 class _Response:
     status: int
     content: bytes
+    is_end_stated: bool
     advisory: advisories.Advisory
 
 
@@ -107,6 +108,9 @@
         )
         if isinstance(response, clientside.ResponseLost):
             return models.CopyFailed("not_listening" if response.is_refused else "no_answer")
+        if not response.is_end_stated and not _is_whole(response.content):
+            # The connection ended early: the rest may name what a stopped run has left.
+            return models.CopyFailed("no_answer")
         copy = _copy(response.content)
         if response.status == 200 and copy is not None:
             return models.CopySucceeded(copy.handle, copy.created)
@@ -158,7 +162,16 @@
             return head
         if isinstance(content, clientside.ResponseLost):
             return content
-        return _Response(head.status, content, requestdialect.advisory(head))
+        advisory = requestdialect.advisory(head)
+        return _Response(head.status, content, connection.is_end_stated, advisory)
+
+
+def _is_whole(content: bytes) -> bool:
+    try:
+        _Body.model_validate_json(content)
+    except pydantic.ValidationError:
+        return False
+    return True
 
 
 def _copy(content: bytes) -> _Copy | None:
--- a/tests/entry/test_oddrows.py
+++ b/tests/entry/test_oddrows.py
@@ -430,7 +430,7 @@
         self._content = content
 
     async def _call(self, *_, **__):
-        return enginecalls._Response(200, self._content, advisories.Advisory())
+        return enginecalls._Response(200, self._content, True, advisories.Advisory())
 
 
 def _read_report(text):
--- a/tests/platform/test_enginecalls.py
+++ b/tests/platform/test_enginecalls.py
@@ -189,3 +189,71 @@
         models.CopyFailed("no_answer"),
         False,
     )
+
+
+def responses_cut(*responses):
+    """Answer orders with each response, cut off at any byte; return what it counts as."""
+
+    async def main():
+        results = []
+        for response in responses:
+            for at in range(response.index(b"\r\n\r\n") + 4, len(response) + 1):
+
+                async def answer(_reader, writer, data=response[:at]):
+                    writer.write(data)
+                    await writer.drain()
+                    writer.close()
+
+                server = raw.ScriptedServer(answer)
+                address = await server.start()
+                results.append(
+                    await calls().copy_kv_cache(
+                        address, "r1", "10.0.0.2:1", is_last=True, timeout_s=5.0
+                    )
+                )
+                server.stop()
+        return results
+
+    return eventloop.run(main())
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "result"),
+    [
+        (200, b'{"handle":"copy-1","created":12}', models.CopySucceeded("copy-1", 12)),
+        (503, b'{"handle":"copy-1"}', models.CopyFailed("no_room", "copy-1")),
+        (503, b"{}", models.CopyFailed("no_room")),
+        (404, b"{}", models.CopyFailed("no_run")),
+    ],
+)
+def test_answer_to_an_order_that_ends_early_with_its_connection_is_none(status, body, result):
+    """A run counted as not stopped, as its engine's handle for the rest was cut off."""
+    *cut, whole = responses_cut(b"HTTP/1.1 %d Status\r\n\r\n%b" % (status, body))
+    assert set(cut) == {models.CopyFailed("no_answer")}
+    assert whole == result
+
+
+def test_answer_to_an_order_without_a_body_is_one_if_it_states_its_end():
+    (result,) = responses_cut(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+    assert result == models.CopyFailed("no_run")
+
+
+def test_report_that_ends_early_with_its_connection_is_none():
+    """A report that is wrong moves runs, or sends requests to an engine without room."""
+    body = b'{"kv_used":10,"kv_total":30,"queued":1,"state":"draining","leaves_ms":1500}'
+
+    async def main():
+        reports = []
+        for at in range(len(body)):
+
+            async def answer(_reader, writer, data=body[:at]):
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + data)
+                await writer.drain()
+                writer.close()
+
+            server = raw.ScriptedServer(answer)
+            reports.append(await calls().report(await server.start()))
+            server.stop()
+        return reports
+
+    assert set(eventloop.run(main())) == {models.ReportFailed(is_refused=False)}
