--- a/tests/backends/test_plaincalls.py
+++ b/tests/backends/test_plaincalls.py
@@ -1,10 +1,13 @@
 """Calls to plain services are forwarded unchanged and have exact outcomes."""
 
+import threading
+
 import pytest
 
 from hornbeamglade.backends import httpexchange, outcomes, plaincalls
 from hornbeamglade.core import outcomes as core_outcomes
 from tests.backends import scripted
+from tests.http1 import oddstatuslines
 
 TIMEOUTS = httpexchange.Timeouts(connect_s=5.0, response_s=10.0, progress_s=10.0)
 CALL = plaincalls.PlainCall(
@@ -81,3 +84,38 @@
         with scripted.server(ANSWER[:at] + REFUSAL) as address:
             outcome = call(address)
         assert isinstance(outcome, outcomes.Lost | outcomes.MismatchedResponse), at
+
+
+@pytest.mark.parametrize("line", oddstatuslines.MALFORMED)
+def test_a_response_with_a_malformed_status_line_is_neither_an_answer_nor_a_refusal(line):
+    """A service in trouble sent status 600 or 0200, and the call had that answer."""
+    for response in (ANSWER, REFUSAL):
+        with scripted.server(line + response[response.index(b"\r\n") :]) as address:
+            assert call(address).run is core_outcomes.RunStatus.UNKNOWN
+
+
+def test_a_response_without_a_body_is_complete_whatever_its_fields_say():
+    """A service marks a 204 as chunked and keeps its connection open."""
+    head = b"HTTP/1.1 204 None\r\nX-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with scripted.server(head, hold=True) as address:
+        response = call(address)
+    assert (response.status, response.body) == (204, b"")
+
+
+CANCEL_S = 0.3
+
+
+@pytest.mark.parametrize(
+    "framing", [b"X-A: 1", b"Content-Length: 50", b"Transfer-Encoding: chunked"]
+)
+def test_a_call_that_is_cancelled_within_its_answer_has_no_answer(framing):
+    """A call's deadline ended its connection, and the part of its answer was recorded as whole."""
+    head = scripted.HEAD[:-2] + framing + b"\r\n\r\n"
+    cancellation = httpexchange.Cancellation()
+    with scripted.server(head + b"4\r\npart\r\n", hold=True) as address:
+        timer = threading.Timer(CANCEL_S, cancellation.cancel)
+        timer.start()
+        outcome = call(address, cancellation=cancellation)
+        timer.join()
+    assert isinstance(outcome, outcomes.Lost)
+    assert outcome.run is core_outcomes.RunStatus.RAN
