--- a/hornbeamglade/node/endinquiry.py
+++ b/hornbeamglade/node/endinquiry.py
@@ -21,7 +21,7 @@
     ===========
 
     Applies :mod:`hornbeamglade.routed.runends`. A server that gave no cause for doubt is not
-    asked; one that leaves has to accept a new connection.
+    asked; one that leaves has to keep a new connection open.
 
     :param asked: the server, as known when the request was sent to it.
     :param remaining_s: seconds left of the request's time.
@@ -36,7 +36,7 @@
         return True
     inquiry = None
     if runends.may_be_excluded(causes):
-        inquiry = runends.from_listening(_is_listening(asked.replica.address))
+        inquiry = runends.from_connection(_stays_open(asked.replica.address))
     complete = runends.is_complete(causes, inquiry)
     logs.decided(
         request_id,
@@ -49,13 +49,20 @@
     return complete
 
 
-def _is_listening(address: str) -> bool | None:
-    """Return whether a server accepts connections; None if it does not respond."""
+def _stays_open(address: str) -> bool | None:
+    """Return whether a new connection stays open; None if the server does not respond."""
     host, _, port = address.rpartition(":")
     try:
-        socket.create_connection((host.strip("[]"), int(port)), CONNECT_TIMEOUT_S).close()
+        connection = socket.create_connection((host.strip("[]"), int(port)), CONNECT_TIMEOUT_S)
     except ConnectionRefusedError:
         return False
     except OSError:
         return None
-    return True
+    with connection:
+        connection.settimeout(runends.EXIT_S)
+        try:
+            return bool(connection.recv(1))
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
