--- a/tests/node/test_answerends.py
+++ b/tests/node/test_answerends.py
@@ -25,6 +25,7 @@
 from tests.node import fakeparts
 
 BODY = b"hold"
+JOIN_S = 5.0
 UNFRAMED = b""
 LENGTH = b"Content-Length: 4\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -40,7 +41,7 @@
         self._on_request = on_request
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        self._thread = threading.Thread(target=self._serve)
+        self._thread = threading.Thread(target=self._serve, daemon=True)
         self._thread.start()
 
     def _serve(self):
@@ -58,7 +59,7 @@
             connection.sendall(response + BODY_BY_FRAMING[self._framing])
 
     def close(self):
-        self._thread.join()
+        self._thread.join(JOIN_S)
         self._listener.close()
 
 
@@ -170,6 +171,6 @@
     """Each answer of a service without lengths would cost a second connection."""
     asked = []
     with site(UNFRAMED) as node:
-        monkeypatch.setattr(endinquiry, "_is_listening", asked.append)
+        monkeypatch.setattr(endinquiry, "_stays_open", asked.append)
         answer = node.call(onceonly.DispatchPermit(is_repeatable=False))
     assert (answer.body, asked) == (b"part", [])
