Hold back responses without a stated length like those with one

What was seen: replicas that send a body without a length and without end (three instances, three replicas, requests that may run once with 0.6 s to live) made instances of 150 MB use up to 378 MB; 200 callers of such replicas, without a time to live, 3,399 MB.

Cause: only a stated length waited for room. A body of unknown length was counted while it was read, but read on to its limit of 16 MB whatever the others held. The stand-in hid it: its endless responses carried no proof, so they were given up at their head.

What changed: what is received of a response is reserved in steps (responseroom). Up to 64 kB need no room; a step beyond waits until half of the bound is free. The oldest large response may use the other half to its end, so that responses of unknown length cannot wait for each other. A response that waits is not read. What is received but not read counts too, and a whole body stays counted while it is asked whether its end is the end. Refusals are read by the same rule. The stand-in's endless responses carry the proof.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -251,12 +251,15 @@
             return lost or bytes(held)
 
     async def body(
-        self, limit: int, on_growth: collections.abc.Callable[[int], None] | None = None
+        self,
+        limit: int,
+        on_growth: collections.abc.Callable[[int], collections.abc.Awaitable[None]] | None = None,
     ) -> bytes | ResponseLost:
         """Wait for the complete body.
 
         :param limit: a longer body is treated as malformed.
-        :param on_growth: called with the bytes read so far, or None.
+        :param on_growth: called with the bytes read so far, or None. More is parsed once it has
+            returned.
         """
         content = bytearray()
         while True:
@@ -272,7 +275,7 @@
             if len(content) > limit:
                 return self._lost("malformed")
             if on_growth is not None:
-                on_growth(len(content))
+                await on_growth(len(content))
 
     @property
     def is_end_stated(self) -> bool:
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -1,6 +1,5 @@
 """Sends a request to one replica and waits for the head of its response."""
 
-import asyncio
 import collections.abc
 import dataclasses
 
@@ -13,20 +12,15 @@
     calls,
     dialect,
     endinquiry,
+    responseroom,
     runends,
     runevidence,
 )
 
-MAX_BODY_BYTES = 16_777_216
 AdvisoryCallback = collections.abc.Callable[[models.Replica, advisories.Advisory], None]
 FailureCallback = collections.abc.Callable[[str, str], None]
 LoadCallback = collections.abc.Callable[[models.Replica, calls.Load | None, str | None], None]
 
-UNCHECKED_BODY_BYTES = 65_536
-"""Bodies that are read although there may be no room: most are shorter, and soon sent."""
-
-ROOM_POLL_S = 0.05
-
 WITHHELD = "withheld"
 CONNECT_REFUSED = "connect_refused"
 CONNECT_TIMEOUT = "connect_timeout"
@@ -98,9 +92,10 @@
     :param clock: monotonic time.
     :param on_load: called with the load that the intended server reports in a response head, and
         with the code of the problem if it is malformed; not called for a head with neither.
-    :param memory: counts the bodies that are read, or None.
+    :param memory: counts what is held of responses, and bounds it; None for no bound.
     :param on_failed: called with the service and the code of each failed attempt.
     :param ends: decides whether responses without a stated end are complete; None if all are.
+    :ivar room: the room of responses that are received.
     """
 
     def __init__(
@@ -117,7 +112,7 @@
     ) -> None:
         self._ends = ends
         self._on_failed = on_failed
-        self._memory = memory or buffermemory.BufferMemory(clock)
+        self.room = responseroom.ResponseRoom(memory or buffermemory.BufferMemory(clock))
         self._pool = pool
         self._dialect = request_dialect
         self._still_accepts = still_accepts
@@ -125,7 +120,6 @@
         self._clock = clock
         self._on_load = on_load
         self._unnamed_refusal_at_by_address: dict[str, float] = {}
-        self._large_body_count = 0
 
     async def send(
         self,
@@ -184,7 +178,11 @@
         connection.record_refusal(request_id)
         if head.request_id is None:
             self._record_unnamed_refusal(connection.address)
-        body = await self._read_body(response)
+        reservation = self.room.open()
+        try:
+            body = await self._read_body(response, reservation)
+        finally:
+            reservation.close()
         if isinstance(body, FailedAttempt):
             return body
         run = runevidence.run_status(head, request_id, is_first_response=is_first_response)
@@ -210,9 +208,13 @@
 
     async def read_body(self, response: StartedResponse) -> bytes | FailedAttempt:
         """Read the whole body and return the connection to the pool."""
-        body = await self._read_body(response)
-        if isinstance(body, bytes) and not await self._has_ended(response):
-            body = FailedAttempt(runends.END_UNPROVED, outcomes.RunStatus.UNKNOWN)
+        reservation = self.room.open()
+        try:
+            body = await self._read_body(response, reservation)
+            if isinstance(body, bytes) and not await self._has_ended(response):
+                body = FailedAttempt(runends.END_UNPROVED, outcomes.RunStatus.UNKNOWN)
+        finally:
+            reservation.close()
         if isinstance(body, FailedAttempt):
             self._on_failed(response.replica.service, body.code)
         return body
@@ -223,39 +225,45 @@
             return True
         return await self._ends.is_complete(response.routed, response.replica)
 
-    async def _read_body(self, response: StartedResponse) -> bytes | FailedAttempt:
+    async def _read_body(
+        self, response: StartedResponse, reservation: responseroom.Reservation
+    ) -> bytes | FailedAttempt:
         body = None
-        holding = self._memory.open()
-        stated = fields.value(response.raw_head.fields, b"content-length") or b"0"
-        body_bytes = int(stated) if stated.isdigit() else 0
-        is_large = UNCHECKED_BODY_BYTES < body_bytes <= MAX_BODY_BYTES
-        is_counted = False
         try:
-            if is_large:
-                response.connection.pause_reading()
-                holding.hold(response.connection.read_ahead_bytes())
-                await self._await_room()
-                holding.hold(body_bytes)
-            self._large_body_count += is_large
-            is_counted = is_large
-            body = await response.connection.body(MAX_BODY_BYTES, holding.hold_at_least)
+            body = await self._receive_body(response, reservation)
         finally:
-            self._large_body_count -= is_counted
-            holding.close()
             is_complete = isinstance(body, bytes)
+            reservation.end(len(body) if is_complete else 0)
             self._pool.release(response.connection, response.raw_head if is_complete else None)
         if isinstance(body, clientside.ResponseLost):
             return FailedAttempt(body.code, outcomes.RunStatus.UNKNOWN)
         return body
 
-    async def _await_room(self) -> None:
-        """Wait until a large response may be read; its request has a timeout."""
-        # One at a time is read as long as the bound allows, or what arrives of those that wait
-        # could keep all of them waiting.
-        while not self._memory.has_room_for_response() and (
-            self._large_body_count or not self._memory.has_room(0)
-        ):
-            await asyncio.sleep(ROOM_POLL_S)
+    async def _receive_body(
+        self, response: StartedResponse, reservation: responseroom.Reservation
+    ) -> bytes | clientside.ResponseLost:
+        """Receive a body, and wait meanwhile for room; the request has a timeout."""
+        connection = response.connection
+        stated = fields.value(response.raw_head.fields, b"content-length") or b"0"
+        body_bytes = int(stated) if stated.isdigit() else 0
+        if responseroom.UNCHECKED_BYTES < body_bytes <= responseroom.MAX_RESPONSE_BYTES:
+            connection.pause_reading()
+            reservation.hold(0, connection.read_ahead_bytes())
+            await reservation.reserve(body_bytes)
+        return await connection.body(
+            responseroom.MAX_RESPONSE_BYTES, self._growth(connection, reservation)
+        )
+
+    @staticmethod
+    def _growth(
+        connection: clientside.ServerConnection, reservation: responseroom.Reservation
+    ) -> collections.abc.Callable[[int], collections.abc.Awaitable[None]]:
+        async def grow(byte_count: int) -> None:
+            await reservation.grow(
+                byte_count, connection.read_ahead_bytes, connection.pause_reading
+            )
+
+        return grow
 
     def abandon(self, response: StartedResponse) -> None:
         """Close the connection of an unfinished response, which makes the replica stop the run."""
--- a/hornbeamglade/standins/endlessresponses.py
+++ b/hornbeamglade/standins/endlessresponses.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import itertools
+import types
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -21,17 +22,25 @@
 }
 """The beginning of a response and what follows it without end, by name."""
 
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 FAST_BYTES = 65_536
 
 
-async def send(writer: asyncio.StreamWriter, name: str, pause_s: float = 0.0) -> None:
+async def send(
+    writer: asyncio.StreamWriter,
+    name: str,
+    pause_s: float = 0.0,
+    fields: collections.abc.Mapping[str, str] = types.MappingProxyType({}),
+) -> None:
     """Send a response without end until the peer closes.
 
     :param name: one of :data:`PARTS`.
     :param pause_s: seconds between two repetitions of what follows; 0 for full speed.
+    :param fields: header fields that follow a whole status line.
     """
     beginning, unit = PARTS[name]
-    writer.write(beginning)
+    lines = "".join(f"{field}: {value}\r\n" for field, value in fields.items())
+    writer.write(beginning.replace(STATUS_LINE, STATUS_LINE + lines.encode()))
     data = unit if pause_s else unit * (FAST_BYTES // len(unit) + 1)
     try:
         for _ in itertools.count():
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -399,7 +399,8 @@
             await reader.read(1)
             return False
         if faults.endless:
-            await endlessresponses.send(writer, faults.endless)
+            proof = self._proof_headers(request)
+            await endlessresponses.send(writer, faults.endless, fields=proof)
             return False
         await asyncio.sleep(faults.delay_s)
         if self.machine.traits.plain_s:
@@ -450,7 +451,8 @@
             return False
         if self.faults.endless:
             run.is_alive = False
-            await endlessresponses.send(writer, self.faults.endless)
+            proof = self._proof_headers(request)
+            await endlessresponses.send(writer, self.faults.endless, fields=proof)
             return False
         await asyncio.sleep(self.faults.delay_s)
         proof = self._proof_headers(request) | {"Content-Type": "text/event-stream"}
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -206,6 +206,14 @@
         site.check_crowd(crowds.LargeResponses(KEY))
 
 
+@pytest.mark.parametrize("part", ["body", "chunks", "field_value", "interim"])
+def test_callers_of_replicas_that_send_without_end_are_borne(part, tmp_path):
+    """Bodies without a stated length were read at the same time, each up to its limit."""
+    with Site(tmp_path, descriptors=MANY_DESCRIPTORS) as site:
+        site.set_services(endless=part)
+        site.check_crowd(crowds.LargeResponses(KEY))
+
+
 @pytest.mark.parametrize(
     ("kind", "target"),
     [
--- a/tests/entry/test_floods.py
+++ b/tests/entry/test_floods.py
@@ -24,7 +24,8 @@
 
     async def run(request, reader, writer):
         server._record_run(request)
-        await endlessresponses.send(writer, name)
+        proof = server._proof_headers(request)
+        await endlessresponses.send(writer, name, fields=proof)
         return False
 
     server._plain = server._stream = run
--- /dev/null
+++ b/tests/routed/test_responseroom.py
@@ -0,0 +1,133 @@
+"""Responses without a stated length, beside a bound on what an instance holds."""
+
+import asyncio
+
+import pytest
+
+from hornbeamglade.core import clocks
+from hornbeamglade.http1 import buffermemory, clientpool
+from hornbeamglade.platform import requestdialect
+from hornbeamglade.replicas import models
+from hornbeamglade.routed import attemptlog, calls, sending
+from tests import eventloop
+from tests.http1 import raw
+from tests.routed import fakes
+
+BOUND_BYTES = 20_000_000
+ENDLESS = 40
+SAMPLE_S = 0.005
+UNCHANGED_SAMPLES = 100
+HEAD = b"HTTP/1.1 %d OK\r\nAttempt-Id: r1\r\nResponse-Seal: e.r1\r\n%s\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CLOSED = b"Connection: close\r\n"
+STATED = b""
+PIECE = b"x" * 65_536
+
+
+def encoded(framing, data):
+    return b"%x\r\n%s\r\n" % (len(data), data) if framing == CHUNKED else data
+
+
+def endless(framing, status=200):
+    """Return a script entry that responds without end."""
+
+    async def respond(_reader, writer):
+        writer.write(HEAD % (status, framing))
+        try:
+            while True:
+                writer.write(encoded(framing, PIECE))
+                await writer.drain()
+        except ConnectionError:
+            pass
+
+    return respond
+
+
+def whole(framing, byte_count):
+    """Return a script entry that responds with so many bytes."""
+
+    async def respond(_reader, writer):
+        writer.write(HEAD % (200, framing or b"Content-Length: %d\r\n" % byte_count))
+        for sent in range(0, byte_count, len(PIECE)):
+            writer.write(encoded(framing, PIECE[: byte_count - sent]))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n" if framing == CHUNKED else b"")
+        await writer.drain()
+        writer.close()
+
+    return respond
+
+
+def run(script, scenario, bound_bytes=BOUND_BYTES):
+    """Run a scenario with a memory and a function that gets one response."""
+
+    async def main():
+        clock = clocks.SystemClock()
+        memory = buffermemory.BufferMemory(clock, bound_bytes)
+        pool = clientpool.ClientPool(clock)
+        sender = sending.Sender(
+            pool,
+            requestdialect.PlatformDialect(),
+            lambda _replica_id: True,
+            lambda _replica, _advisory: None,
+            clock,
+            memory=memory,
+        )
+        server = raw.ScriptedServer(*script)
+        address = await server.start()
+
+        async def respond():
+            replica = models.Replica("e", "s", address, "a", 8)
+            request, log = fakes.routed_request(clock, fakes.route()), attemptlog.AttemptLog()
+            log.start(replica, None, clock.now())
+            response = await sender.send(request, replica, calls.Dispatch("e", None, 5.0), log)
+            if isinstance(response, sending.FailedAttempt):
+                return response
+            return await sender.read_body(response)
+
+        try:
+            return await scenario(memory, respond)
+        finally:
+            pool.prune(())
+            server.stop()
+
+    return eventloop.run(main())
+
+
+@pytest.mark.parametrize("framing", [CLOSED, CHUNKED], ids=["connection", "chunks"])
+def test_bodies_without_end_are_held_within_the_bound(framing):
+    """Each was read up to the limit of a body, whatever the others held."""
+
+    async def scenario(memory, respond):
+        tasks = [asyncio.ensure_future(respond()) for _ in range(ENDLESS)]
+        held = [0]
+        while len(set(held[-UNCHANGED_SAMPLES:])) > 1 or len(held) < UNCHANGED_SAMPLES:
+            await asyncio.sleep(SAMPLE_S)
+            held.append(memory.held_bytes)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        return max(held), memory.held_bytes
+
+    most, left = run([endless(framing)] * ENDLESS, scenario)
+    assert BOUND_BYTES / 2 < most <= BOUND_BYTES
+    assert left == 0
+
+
+@pytest.mark.parametrize(
+    "framing", [CLOSED, CHUNKED, STATED], ids=["connection", "chunks", "stated"]
+)
+@pytest.mark.parametrize(
+    ("count", "byte_count", "bound_bytes"),
+    [(1, 16_000_000, BOUND_BYTES), (6, 6_000_000, BOUND_BYTES), (3, 8_000_000, 4_000_000)],
+    ids=["large", "at_once", "larger_than_the_bound"],
+)
+def test_large_bodies_are_served(framing, count, byte_count, bound_bytes):
+    """Responses that wait for each other's room would all be lost."""
+
+    async def scenario(memory, respond):
+        bodies = await asyncio.gather(*(respond() for _ in range(count)))
+        return {len(body) for body in bodies}, memory.held_bytes
+
+    script = [whole(framing, byte_count)] * count
+    assert run(script, scenario, bound_bytes) == ({byte_count}, 0)
