Receive bodies in segments that are not moved

Cause: each body was one growing array. Several that grow beside each other are moved again and again, each time to a larger place, which leaves holes in the heap that nothing else fits.

What changed: a body is kept in segments of 64 kB and joined at its end.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -43,6 +43,7 @@
 
 CHUNK_END_BYTES = 2
 PORTION_BYTES = 16_384
+SEGMENT_BYTES = 65_536
 EVENTS_PER_TURN = 32
 """Parsed events after which other tasks get a turn, if no wait for data has given them one."""
 
@@ -261,25 +262,34 @@
         :param on_growth: called with the bytes read so far, or None. More is parsed once it has
             returned.
         """
-        content = bytearray()
+        # One growing array would be moved again and again, which leaves the heap fragmented.
+        segments: list[bytes] = []
+        segment = bytearray()
+        byte_count = 0
         try:
             while True:
                 piece = await self.piece()
                 if isinstance(piece, BodyEnd):
+                    content = b"".join((*segments, segment))
                     rest = self._state.trailing_data[0] + bytes(self._buffer)
                     is_joined = strictness.is_body_joined(content, rest)
-                    return self._lost("malformed") if is_joined else bytes(content)
+                    return self._lost("malformed") if is_joined else content
                 if isinstance(piece, ResponseLost):
                     return piece
-                content += piece
-                del piece
-                if len(content) > limit:
+                byte_count += len(piece)
+                if byte_count > limit:
                     return self._lost("malformed")
+                segment += piece
+                del piece
+                if len(segment) >= SEGMENT_BYTES:
+                    segments.append(bytes(segment))
+                    segment.clear()
                 if on_growth is not None:
-                    await on_growth(len(content))
+                    await on_growth(byte_count)
         finally:
             # The traceback of a cancelled request keeps this frame until garbage is collected.
-            content.clear()
+            segments.clear()
+            segment.clear()
 
     @property
     def is_end_stated(self) -> bool:
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -31,6 +31,8 @@
 LARGE_BYTES = 1_000_000
 SLOW_S = 8.0
 EXIT_S = 60.0
+WAVES = 12
+WAVE_S = 0.6
 DIRECTORY = "/v1/resolve?name=mail.example&region=r&zone=a"
 READINESS = routedcaller.READY_PATH
 
@@ -214,6 +216,21 @@
         site.check_crowd(crowds.LargeResponses(KEY))
 
 
+def test_waves_of_callers_of_replicas_that_send_without_end_are_borne(tmp_path):
+    """Bodies that grew beside each other left the heap fragmented, so that its size added up."""
+    with Site(tmp_path, descriptors=MANY_DESCRIPTORS) as site:
+        with site.watched():
+            for _ in range(WAVES):
+                site.set_services(endless="body")
+                with crowds.CrowdRun(crowds.LargeResponses(KEY), site.address()) as run:
+                    run.press()
+                    time.sleep(WAVE_S)
+        site.check()
+        site.set_services()
+        afterwards = site.ordinary()
+    assert (afterwards.status, afterwards.is_whole) == (200, True)
+
+
 @pytest.mark.parametrize(
     ("kind", "target"),
     [
