Count and hold back what streams hold of events that cannot be sent yet

What was seen: 16 streams, each with 900 kB of an event that does not end, held 14.4 MB, of which 0.3 MB were counted (their requests). An event may have 1 MB, and an instance has 144 streams at the target size.

Cause: a stream counts what its caller has to read. The part of an event that has arrived, and the events that are withheld during a stop, are in neither the write buffer nor the read-ahead.

What changed: a stream reserves room for both as bodies do (responseroom), and drops them when its run ends. Up to 64 kB need no room, so ordinary events wait for nothing; streamrun only asks, after each piece.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -241,15 +241,19 @@
         :param limit: of a longer chunk, pieces are returned as well.
         """
         held = bytearray()
-        while True:
-            piece = await self.piece()
-            if not isinstance(piece, bytes):
-                return piece
-            held += piece
-            if self._is_in_chunk and len(held) <= limit:
-                continue
-            lost = await self._await_chunk_end() if self._is_after_chunk else None
-            return lost or bytes(held)
+        try:
+            while True:
+                piece = await self.piece()
+                if not isinstance(piece, bytes):
+                    return piece
+                held += piece
+                del piece
+                if self._is_in_chunk and len(held) <= limit:
+                    continue
+                lost = await self._await_chunk_end() if self._is_after_chunk else None
+                return lost or bytes(held)
+        finally:
+            held.clear()
 
     async def body(
         self,
--- a/hornbeamglade/routed/eventrelay.py
+++ b/hornbeamglade/routed/eventrelay.py
@@ -75,6 +75,16 @@
         """Bytes of events that were received and are withheld."""
         return len(self._withheld)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that were received and cannot be sent yet: an incomplete event, or all of them."""
+        return len(self._splitter.remainder) + len(self._withheld)
+
+    def discard(self) -> None:
+        """Drop what is held, as the run has ended."""
+        self._splitter = eventsplit.EventSplitter()
+        self._withheld.clear()
+
     def start_connection(self, meter: pacemeter.PaceMeter | None = None) -> None:
         """Discard the incomplete event left by a lost connection.
 
--- a/hornbeamglade/routed/responseroom.py
+++ b/hornbeamglade/routed/responseroom.py
@@ -124,8 +124,9 @@
         await self.reserve(byte_count + min(byte_count, MAX_STEP_BYTES))
 
     def end(self, byte_count: int) -> None:
-        """Keep only what the response takes, as it grows no further."""
+        """Keep only what the response takes, as it does not grow for now."""
         self._room.forget(self)
+        self._reserved_bytes = UNCHECKED_BYTES
         self._holding.hold(byte_count)
 
     def close(self) -> None:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -17,6 +17,7 @@
     enginework,
     eventrelay,
     migration,
+    responseroom,
     responses,
     rundependencies,
     runends,
@@ -112,6 +113,7 @@
         self._migration: migration.Migration | None = None
         self._migration_task: asyncio.Task[None] | None = None
         self._migration_count = 0
+        self._reservation = dependencies.sender.room.open()
 
     async def answer(self) -> outcomes.Refusal | responses.Response | StreamResult:
         """Answer the request.
@@ -355,6 +357,16 @@
             self._report_progress()
             if self._relay.event_count > events_before and not self._is_proven:
                 self._prove(self._relay.last_at)
+            await self._reserve(connection)
+
+    async def _reserve(self, connection: clientside.ServerConnection) -> None:
+        """Count what cannot be sent yet, and wait for room if it is much."""
+        held_bytes = self._relay.held_bytes
+        if held_bytes > responseroom.UNCHECKED_BYTES:
+            # What is read ahead is counted by the exchange.
+            await self._reservation.grow(held_bytes, lambda: 0, connection.pause_reading)
+        elif held_bytes != self._reservation.held_bytes:
+            self._reservation.end(held_bytes)
 
     async def _has_ended(self) -> bool:
         """Return whether the run has ended, after its engine closed the connection in order."""
@@ -631,6 +643,8 @@
                 self._suspected_prompt,
             )
         self._release_assignment()
+        self._relay.discard()
+        self._reservation.close()
         self._record_length(is_complete)
 
     def _record_length(self, is_complete: bool) -> None:
--- a/tests/routed/test_eventrelay.py
+++ b/tests/routed/test_eventrelay.py
@@ -137,3 +137,13 @@
     assert eventloop.run(event_relay.finish(START))
     assert (exchange.status, exchange.is_finished) == (200, True)
     assert exchange.body == event(1) + event(2)
+
+
+def test_what_cannot_be_sent_yet_is_held_until_it_is_discarded():
+    """What is withheld during a stop was not counted."""
+    _, event_relay = relay()
+    event_relay.withhold()
+    relay_pieces(event_relay, event(1) + event(2)[:5])
+    held = event_relay.held_bytes
+    event_relay.discard()
+    assert (held, event_relay.held_bytes) == (len(event(1)) + 5, 0)
