Bound and count what an instance holds of responses that it relays

Cause: a tunnel received up to 256 kB at once beside a full write buffer, so each of 128 tunnels held 266 kB that the requesting instance had not read.

What changed: replicas' bytes are received through one shared buffer of 32 kB, and what tunnels hold counts towards the bound of the instance. The requesting instance gets smaller frames and holds less of an incomplete one.

Evidence: with 8 tunnels nobody reads, 2,126,336 bytes were held (1,048,576 allowed) and test_what_unread_tunnels_hold_is_bounded_and_counted failed; it passes.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -210,6 +210,7 @@
             rng,
             clock,
             self.connection_shares.tunnels,
+            self.memory,
         )
         self._pool = clientpool.ClientPool(
             clock,
--- a/hornbeamglade/entry/tunneling.py
+++ b/hornbeamglade/entry/tunneling.py
@@ -6,6 +6,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import peering
 from hornbeamglade.exchange import hashednames, transport
+from hornbeamglade.http1 import buffermemory
 from hornbeamglade.membership import view as membershipview
 from hornbeamglade.replicas import models, replicalist
 from hornbeamglade.tunnels import pathconnector, serverpaths, tunnelserver
@@ -21,6 +22,7 @@
     :param rng: distributes tunnels over the instances.
     :param clock: monotonic time.
     :param max_tunnels: most tunnels that are relayed at once.
+    :param memory: counts what tunnels hold, or None.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
         rng: random.Random,
         clock: clocks.Clock,
         max_tunnels: int = tunnelserver.MAX_TUNNELS,
+        memory: buffermemory.BufferMemory | None = None,
     ) -> None:
         self._identity = identity
         self._replicas = replicas
@@ -43,7 +46,7 @@
             self.paths, self, identity.failure_domain, peers.codec, rng, clock
         )
         self._server = tunnelserver.TunnelServer(
-            peers.codec, self._address_by_hash, self.paths, max_tunnels
+            peers.codec, self._address_by_hash, self.paths, max_tunnels, memory
         )
 
     async def listen(self) -> None:
--- a/hornbeamglade/tunnels/tunnelserver.py
+++ b/hornbeamglade/tunnels/tunnelserver.py
@@ -20,8 +20,9 @@
 import asyncio
 import collections.abc
 
+from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, messages, transport
-from hornbeamglade.http1 import sockets
+from hornbeamglade.http1 import buffermemory, sockets
 from hornbeamglade.observability import logs
 from hornbeamglade.tunnels import frames, serverpaths
 
@@ -31,6 +32,10 @@
 
 REQUEST_TIMEOUT_S = 1.0
 
+PIECE_BYTES = 32_768
+"""Most bytes that are received from a replica at once, which a tunnel may hold beside a full
+write buffer."""
+
 Resolver = collections.abc.Callable[[int], str | None]
 
 
@@ -42,6 +47,7 @@
         listed.
     :param paths: this instance's own paths to replicas.
     :param max_tunnels: most tunnels at once.
+    :param memory: counts what the requesting instances have not read yet, or None.
     """
 
     def __init__(
@@ -50,7 +56,11 @@
         resolve: Resolver,
         paths: serverpaths.ServerPaths,
         max_tunnels: int = MAX_TUNNELS,
+        memory: buffermemory.BufferMemory | None = None,
     ) -> None:
+        self.memory = memory or buffermemory.BufferMemory(clocks.SystemClock())
+        # One for all: what is received is copied from it at once.
+        self.read_buffer = memoryview(bytearray(PIECE_BYTES))
         self._max_tunnels = max_tunnels
         self._codec = frame_codec
         self._resolve = resolve
@@ -132,7 +142,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().create_connection(
-                    lambda: _ReplicaSide(tunnel), host, int(port)
+                    lambda: _ReplicaSide(tunnel, self.read_buffer), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             if self._paths.detoured_count:
@@ -153,6 +163,7 @@
         self._transport: asyncio.Transport | None = None
         self._timeout: asyncio.TimerHandle | None = None
         self._has_request = False
+        self._holding = server.memory.open()
         self.replica: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -191,6 +202,7 @@
         """Close the connection to the replica, which cancels the request there."""
         self._timeout.cancel()
         self._server.forget(self)
+        self._holding.close()
         if self.replica is not None:
             self.replica.abort()
 
@@ -201,6 +213,7 @@
 
     def resume_writing(self) -> None:
         """Continue to read from the replica."""
+        self._count_unsent()
         if self.replica is not None:
             self.replica.resume_reading()
 
@@ -211,6 +224,10 @@
     def relay(self, data: bytes) -> None:
         """Send bytes of the replica."""
         self._transport.write(frames.pack(data))
+        self._count_unsent()
+
+    def _count_unsent(self) -> None:
+        self._holding.hold(self._transport.get_write_buffer_size())
 
     def relay_end(self) -> None:
         """State that the replica closed its connection in order."""
@@ -240,11 +257,12 @@
         return self._transport.is_closing()
 
 
-class _ReplicaSide(asyncio.Protocol):
+class _ReplicaSide(asyncio.BufferedProtocol):
     """The connection to the replica."""
 
-    def __init__(self, tunnel: _Tunnel) -> None:
+    def __init__(self, tunnel: _Tunnel, read_buffer: memoryview) -> None:
         self._tunnel = tunnel
+        self._read_buffer = read_buffer
         self._has_ended = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -255,9 +273,13 @@
             return
         self._tunnel.replica = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to put what is received."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Relay bytes of the replica."""
-        self._tunnel.relay(data)
+        self._tunnel.relay(bytes(self._read_buffer[:nbytes]))
 
     def eof_received(self) -> bool:
         """Relay the end of the response."""
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -231,6 +231,14 @@
     assert (afterwards.status, afterwards.is_whole) == (200, True)
 
 
+def test_callers_of_replicas_that_send_without_end_are_borne_at_a_relayed_instance(tmp_path):
+    """What another instance relays is held like what arrives directly."""
+    with Site(tmp_path, instances=2, descriptors=MANY_DESCRIPTORS) as site:
+        site.partition()
+        site.set_services(endless="body")
+        site.check_crowd(crowds.LargeResponses(KEY))
+
+
 @pytest.mark.parametrize(
     ("kind", "target"),
     [
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -16,6 +16,9 @@
 REPLICA = messages.key_hash("i1")
 LONG = 50_000_000
 """More than the buffers of three connections hold."""
+TUNNELS = 8
+WRITE_LIMIT_BYTES = 65_536
+MAX_HELD_BYTES = 2 * WRITE_LIMIT_BYTES
 Outcome = messages.TunnelOutcome
 free_port = routedsite.PortAllocator().allocate
 
@@ -122,6 +125,34 @@
     run(test, wait)
 
 
+def test_what_unread_tunnels_hold_is_bounded_and_counted():
+    """Each held several times its write buffer, beside what was counted for callers."""
+
+    async def flood(_reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(bytes(1_000_000))
+                await writer.drain()
+
+    async def test(relay):
+        connections = [(await relay.request())[0] for _ in range(TUNNELS)]
+        for connection in connections:
+            connection.pause_reading()
+        await asyncio.sleep(0.5)
+        held = [each._transport.get_write_buffer_size() for each in relay.server._tunnels]
+        counted = relay.server.memory.held_bytes
+        for connection in connections:
+            connection.close()
+        await eventloop.until(lambda: not relay.server.active_count)
+        return held, counted, relay.server.memory.held_bytes
+
+    held, counted, left = run(test, *TUNNELS * (flood,))
+    assert len(held) == TUNNELS
+    assert WRITE_LIMIT_BYTES < sum(held) <= TUNNELS * MAX_HELD_BYTES
+    assert (counted, left) == (sum(held), 0)
+
+
 def test_slow_reader_slows_the_replica_down():
     written = []
 
