--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -42,6 +42,7 @@
 
 CHUNK_END_BYTES = 2
 PORTION_BYTES = 16_384
+SEGMENT_BYTES = 65_536
 EVENTS_PER_TURN = 32
 """Parsed events after which other tasks get a turn, if no wait for data has given them one."""
 
@@ -242,39 +243,59 @@
         :param limit: of a longer chunk, pieces are returned as well.
         """
         held = bytearray()
-        while True:
-            piece = await self.piece()
-            if not isinstance(piece, bytes):
-                return piece
-            held += piece
-            if self._is_in_chunk and len(held) <= limit:
-                continue
-            lost = await self._await_chunk_end() if self._is_after_chunk else None
-            return lost or bytes(held)
+        try:
+            while True:
+                piece = await self.piece()
+                if not isinstance(piece, bytes):
+                    return piece
+                held += piece
+                del piece
+                if self._is_in_chunk and len(held) <= limit:
+                    continue
+                lost = await self._await_chunk_end() if self._is_after_chunk else None
+                return lost or bytes(held)
+        finally:
+            held.clear()
 
     async def body(
-        self, limit: int, on_growth: collections.abc.Callable[[int], None] | None = None
+        self,
+        limit: int,
+        on_growth: collections.abc.Callable[[int], collections.abc.Awaitable[None]] | None = None,
     ) -> bytes | ResponseLost:
         """Wait for the complete body.
 
         :param limit: a longer body is treated as malformed.
-        :param on_growth: called with the bytes read so far, or None.
+        :param on_growth: called with the bytes read so far, or None. More is parsed once it has
+            returned.
         """
-        content = bytearray()
-        while True:
-            piece = await self.piece()
-            if isinstance(piece, BodyEnd):
-                rest = self._state.trailing_data[0] + bytes(self._buffer)
-                if strictness.is_body_joined(content, rest):
+        # One growing array would be moved again and again, which leaves the heap fragmented.
+        segments: list[bytes] = []
+        segment = bytearray()
+        byte_count = 0
+        try:
+            while True:
+                piece = await self.piece()
+                if isinstance(piece, BodyEnd):
+                    content = b"".join((*segments, segment))
+                    rest = self._state.trailing_data[0] + bytes(self._buffer)
+                    is_joined = strictness.is_body_joined(content, rest)
+                    return self._lost("malformed") if is_joined else content
+                if isinstance(piece, ResponseLost):
+                    return piece
+                byte_count += len(piece)
+                if byte_count > limit:
                     return self._lost("malformed")
-                return bytes(content)
-            if isinstance(piece, ResponseLost):
-                return piece
-            content += piece
-            if len(content) > limit:
-                return self._lost("malformed")
-            if on_growth is not None:
-                on_growth(len(content))
+                segment += piece
+                del piece
+                if len(segment) >= SEGMENT_BYTES:
+                    segments.append(bytes(segment))
+                    segment.clear()
+                if on_growth is not None:
+                    await on_growth(byte_count)
+        finally:
+            # The traceback of a cancelled request keeps this frame until garbage is collected.
+            segments.clear()
+            segment.clear()
 
     @property
     def is_end_stated(self) -> bool:
@@ -366,6 +387,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def discard(self) -> None:
+        """Close, and drop what was received, as nobody reads the rest of the response."""
+        self.close()
+        # Objects of a connection refer to each other and are kept until garbage is collected.
+        self._buffer.clear()
+        self._state = self._next_event = self._request = None
+
     async def _event(self) -> h11.Event | ResponseLost:
         self._events_in_turn += 1
         if self._events_in_turn > EVENTS_PER_TURN:
