http1: let a connection whose request was refused give way to a new one

Callers that had done nothing were reset while a crowd pressed: at the limit of connections an instance closes one that carries no request in progress, but one whose request was refused for want of memory, and which stays open for a second only for its caller to read the refusal, was in no order of those and counted towards the limit.

It needs the crowd's last connections to arrive a second late, with the limit full of requests in progress and of refused ones.

Such connections are now closed first, the longest refused one of those whose refusal is sent: nothing else will be read of them. One with a request in progress is kept as before.

--- a/hornbeamglade/http1/connectionorder.py
+++ b/hornbeamglade/http1/connectionorder.py
@@ -9,7 +9,7 @@
 """A caller that has sent nothing of its request for this long may lose its connection."""
 
 MAX_CHECKED = 8
-"""Idle connections that are looked at before one is closed, which bounds the time."""
+"""Connections of a kind that are looked at before one is closed, which bounds the time."""
 
 
 class Connection(abc.ABC):
@@ -26,9 +26,10 @@
     Explanation
     ===========
 
-    A connection without a request is closed first, the longest idle one of all whose responses
-    are sent. Next is one whose caller has stopped in the middle of a request: such a request has
-    not been handled. A connection with a request in progress is never closed.
+    A connection whose request was refused is closed first: it carries no other request, and stays
+    open only for its caller to read the refusal. Next is the longest idle one of all whose
+    responses are sent, then one whose caller has stopped in the middle of a request: such a
+    request has not been handled. A connection with a request in progress is never closed.
 
     :param clock: monotonic time.
 
@@ -42,9 +43,15 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
+        self._refused: dict[Connection, None] = {}
         self._idle: dict[Connection, None] = {}
         self._received_at: dict[Connection, float] = {}
 
+    def set_refused(self, connection: Connection) -> None:
+        """Record that a request was refused, and that no other one will be read."""
+        self.remove(connection)
+        self._refused[connection] = None
+
     def set_idle(self, connection: Connection) -> None:
         """Record that a connection waits for a request."""
         self.remove(connection)
@@ -57,15 +64,17 @@
 
     def remove(self, connection: Connection) -> None:
         """Record that a connection has a request in progress, or has ended."""
+        self._refused.pop(connection, None)
         self._idle.pop(connection, None)
         self._received_at.pop(connection, None)
 
     def next_to_close(self) -> Connection | None:
         """Return the connection to close, which is removed, or None."""
-        for connection in itertools.islice(self._idle, MAX_CHECKED):
-            if not connection.unsent_bytes():
-                self.remove(connection)
-                return connection
+        for waiting in (self._refused, self._idle):
+            for connection in itertools.islice(waiting, MAX_CHECKED):
+                if not connection.unsent_bytes():
+                    self.remove(connection)
+                    return connection
         stalled_since = self._clock.now() - STALLED_S
         for connection, received_at in self._received_at.items():
             if received_at > stalled_since:
@@ -73,6 +82,8 @@
             self.remove(connection)
             return connection
         # Others get their turn at the next call.
+        for connection in tuple(itertools.islice(self._refused, MAX_CHECKED)):
+            self.set_refused(connection)
         for connection in tuple(itertools.islice(self._idle, MAX_CHECKED)):
             self.set_idle(connection)
         return None
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -686,6 +686,7 @@
             b"Content-Length: 0\r\nConnection: close\r\n\r\n" % MEMORY_RETRY_S
         )
         self._transport.write_eof()
+        self._server.order.set_refused(self)
         # If the caller closes the connection first, this task is cancelled.
         await asyncio.sleep(LINGER_S)
 
--- a/tests/http1/test_connectionorder.py
+++ b/tests/http1/test_connectionorder.py
@@ -27,6 +27,16 @@
     assert [order.next_to_close() for _ in range(4)] == [second, third, first, None]
 
 
+def test_connection_whose_request_was_refused_is_closed_before_an_idle_one():
+    """An idle one may be used again; of a refused one only its refusal is left to be read."""
+    _, order, (idle, unsent, refused) = make(3)
+    unsent.unsent = 1
+    order.set_idle(idle)
+    for connection in (unsent, refused):
+        order.set_refused(connection)
+    assert [order.next_to_close() for _ in range(3)] == [refused, idle, None]
+
+
 def test_connection_with_an_unsent_response_is_not_closed():
     """A caller that reads slowly would lose the end of its response."""
     _, order, (unsent, idle) = make(2)
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -4,7 +4,7 @@
 import errno
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import acceptor, serverside
+from hornbeamglade.http1 import acceptor, buffermemory, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -43,13 +43,12 @@
         self.events.append(("accept_failed", error and error.errno))
 
 
-def run(scenario):
+def run(scenario, bound_bytes=None):
     async def main():
-        handler, observer = Handler(), Observer()
+        handler, observer, clock = Handler(), Observer(), clocks.SystemClock()
         settings = serverside.ListenerSettings("directory", LIMIT)
-        server = serverside.CallersServer(
-            handler, clocks.SystemClock(), settings=settings, observer=observer
-        )
+        memory = buffermemory.BufferMemory(clock, bound_bytes)
+        server = serverside.CallersServer(handler, clock, memory, settings, observer)
         address = await server.listen("127.0.0.1", 0)
 
         async def connect():
@@ -100,6 +99,28 @@
     assert events == [("refused", "directory", LIMIT)]
 
 
+def test_connection_whose_request_was_refused_gives_way_to_a_new_one():
+    """Callers were reset while connections stayed open only for a refusal to be read."""
+
+    async def scenario(handler, server, connect):
+        in_progress = [await connect() for _ in range(LIMIT - 1)]
+        for client in in_progress:
+            await client.send(GET)
+        await eventloop.until(lambda: handler.handled == LIMIT - 1)
+        refused = await connect()
+        await refused.send(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n")
+        refused_status = (await refused.answer())[0]
+        new = await connect()
+        await new.send(GET)
+        handler.may_answer.set()
+        statuses = [(await client.answer())[0] for client in (*in_progress, new)]
+        return refused_status, statuses
+
+    result, events = run(scenario, bound_bytes=100_000)
+    assert result == (503, LIMIT * [200])
+    assert events == [("closed_unused", "directory", LIMIT - 1)]
+
+
 def test_pause_in_reading_is_counted():
     async def scenario(handler, server, connect):
         client = await connect()
