http1: count a connection that is being opened once

An instance closed idle connections, and reset new ones, although its limit of connections was not reached: one that had been opened counted a second time until the task that opens it had ended, two turns of the event loop later. With 16 accepted in a turn, a burst of callers met a limit lowered by 32.

The test of the listener failed 3 of 3 before (32 of 48 connections were left at a limit of 48).

A connection now counts as being opened only until it is open.

--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -718,7 +718,8 @@
             self._accept,
             lambda error: self._observer.accept_failed(self.settings.name, error),
         )
-        self._opening: set[asyncio.Task[None]] = set()
+        self._opening_by_task: dict[asyncio.Task[None], CallerConnection] = {}
+        self._opening: set[CallerConnection] = set()
         self.connections: set[CallerConnection] = set()
         self.order = connectionorder.ConnectionOrder(clock)
         self.read_buffer = memoryview(bytearray(BODY_PIECE_BYTES))
@@ -735,6 +736,7 @@
 
     def opened(self, connection: CallerConnection) -> None:
         """Add a connection."""
+        self._opening.discard(connection)
         self.connections.add(connection)
 
     def reading_paused(self) -> None:
@@ -782,8 +784,13 @@
         connection = CallerConnection(self._handler, self, self._clock, self._memory)
         connection.is_leaving = self._is_leaving
         task = asyncio.get_running_loop().create_task(_open(connection, accepted))
-        self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+        self._opening.add(connection)
+        self._opening_by_task[task] = connection
+        task.add_done_callback(self._opening_ended)
+
+    def _opening_ended(self, task: asyncio.Task[None]) -> None:
+        """Count a connection that could not be opened no more."""
+        self._opening.discard(self._opening_by_task.pop(task))
 
     @property
     def _is_full(self) -> bool:
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import socket
 
 from hornbeamglade.core import clocks
 from hornbeamglade.http1 import acceptor, buffermemory, serverside
@@ -43,10 +44,10 @@
         self.events.append(("accept_failed", error and error.errno))
 
 
-def run(scenario, bound_bytes=None):
+def run(scenario, bound_bytes=None, limit=LIMIT):
     async def main():
         handler, observer, clock = Handler(), Observer(), clocks.SystemClock()
-        settings = serverside.ListenerSettings("directory", LIMIT)
+        settings = serverside.ListenerSettings("directory", limit)
         memory = buffermemory.BufferMemory(clock, bound_bytes)
         server = serverside.CallersServer(handler, clock, memory, settings, observer)
         address = await server.listen("127.0.0.1", 0)
@@ -99,6 +100,23 @@
     assert events == [("refused", "directory", LIMIT)]
 
 
+def test_connections_that_arrive_at_once_are_counted_once():
+    """A burst of callers lost connections although the limit was not reached."""
+    count = 3 * acceptor.ACCEPTS_PER_TURN
+
+    async def scenario(handler, server, connect):
+        endpoint = server.listening_socket.getsockname()
+        # Nothing is accepted before all of them wait.
+        clients = [socket.create_connection(endpoint) for _ in range(count)]
+        for _ in range(count):
+            await asyncio.sleep(0)
+        for client in clients:
+            client.close()
+        return len(server.connections)
+
+    assert run(scenario, limit=count) == (count, [])
+
+
 def test_connection_whose_request_was_refused_gives_way_to_a_new_one():
     """Callers were reset while connections stayed open only for a refusal to be read."""
 
