http1: read bodies in short pieces

A request with a body of 65 kB took half as much memory again as its body. Of a body, up to 64 KiB were read at once into the buffer of its connection, many connections in the same turn of the event loop, and what these buffers left behind in the heap was too short for the bodies that they became. No copy of a body is alive while its request waits: tracemalloc shows one object of 65,033 bytes for each of 439 such requests, and no other of that order.

Bodies are now read in pieces of 16 KiB like all else.

--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -42,9 +42,8 @@
 """Bytes that are held beyond those that are being handled."""
 
 PIECE_BYTES = 16_384
-"""Most bytes that are read from a connection at once, unless a longer body is due."""
-
-BODY_PIECE_BYTES = 65_536
+"""Most bytes that are read from a connection at once. All connections may have a piece at the same
+time, and the memory of longer ones is not reused for the bodies that they become."""
 
 UNCOUNTED_BYTES = 2_048
 """So much of a request is not counted until its head is complete; most heads are shorter."""
@@ -322,8 +321,6 @@
     ) -> None:
         self._server = server
         self._read_buffer = server.read_buffer
-        self._read_piece = server.read_buffer[:PIECE_BYTES]
-        self._due_body_bytes = 0
         self._request_bytes = 0
         self._body_bytes = 0
         self._handler = handler
@@ -359,16 +356,13 @@
         """Return the buffer for the next piece, as long as what may be held."""
         if self._waiter is None:
             return self._read_buffer[: max(1, READ_AHEAD_BYTES - len(self._buffer))]
-        if self._due_body_bytes <= PIECE_BYTES:
-            return self._read_piece
-        return self._read_buffer[: self._due_body_bytes]
+        return self._read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle bytes from the caller."""
         if self._is_discarding:
             return
         self._buffer += self._read_buffer[:nbytes]
-        self._due_body_bytes -= nbytes
         if not self.is_busy:
             self._server.order.set_receiving(self)
         if len(self._buffer) > UNCOUNTED_BYTES:
@@ -610,7 +604,6 @@
         # The whole body is counted before it is read, so that it is not refused halfway.
         announced = 0 if length is None else int(length)
         self._reserve(announced)
-        self._due_body_bytes = announced - len(state.trailing_data[0])
         if state.they_are_waiting_for_100_continue:
             self._transport.write(
                 state.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -722,7 +715,7 @@
         self._opening: set[CallerConnection] = set()
         self.connections: set[CallerConnection] = set()
         self.order = connectionorder.ConnectionOrder(clock)
-        self.read_buffer = memoryview(bytearray(BODY_PIECE_BYTES))
+        self.read_buffer = memoryview(bytearray(PIECE_BYTES))
         self._is_leaving = False
 
     async def listen(self, host: str, port: int, backlog: int = 512) -> str:
