http1: leave connections on which requests beyond the limit are refused

Once each connection of a listener had a request in progress, a new caller was reset without a response, for as long as those requests took.

A listener with fewer than 16 connections has none to spare and behaves as before. Such refusals count as connections_full and are logged.

--- a/hornbeamglade/entry/connectionlog.py
+++ b/hornbeamglade/entry/connectionlog.py
@@ -15,6 +15,7 @@
     """
 
     def __init__(self, instruments: metrics.NodeMetrics) -> None:
+        self._refusals = instruments.refusals
         self._routed = instruments.routed
         self._state_by_listener: dict[str, str] = {}
 
@@ -30,6 +31,13 @@
             "-", "connection", "closed_unused", source=listener, address=peer, count=count
         )
 
+    def request_refused(self, listener: str, peer: str, count: int) -> None:
+        """Record a request that was refused for want of connections."""
+        self._refusals.add(labels=("connections_full", ""))
+        logs.decided(
+            "-", "connection", "request_refused", source=listener, address=peer, count=count
+        )
+
     def reading_paused(self, listener: str) -> None:
         """Count a connection that is not read for now, as its caller is too far ahead."""
         self._routed.paused_reads.add(labels=(listener,))
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -71,6 +71,10 @@
 """How long the rest of a refused body is read and discarded. If the connection were closed while
 the caller still sends, a reset could remove the refusal before the caller has read it."""
 
+REFUSAL_SHARE = 1 / 16
+"""Share of a listener's connections that have no request in progress. On these, requests beyond
+the limit are refused; without them, their callers would be reset without a response."""
+
 EVENTS_PER_TURN = 32
 """Parsed events of a body after which other tasks get a turn; a chunk may have one byte."""
 
@@ -169,6 +173,13 @@
     def closed_unused(self, listener: str, peer: str, count: int) -> None:
         """Record a connection without a request in progress that was closed for another one."""
 
+    @abc.abstractmethod
+    def request_refused(self, listener: str, peer: str, count: int) -> None:
+        """Record a request that was refused, as too many connections have one in progress.
+
+        :param count: requests in progress.
+        """
+
     @abc.abstractmethod
     def reading_paused(self, listener: str) -> None:
         """Record a connection that is not read for now, as its caller is too far ahead."""
@@ -185,6 +196,9 @@
     def closed_unused(self, listener: str, peer: str, count: int) -> None:
         """Record nothing."""
 
+    def request_refused(self, listener: str, peer: str, count: int) -> None:
+        """Record nothing."""
+
     def reading_paused(self, listener: str) -> None:
         """Record nothing."""
 
@@ -303,6 +317,10 @@
         self.byte_count = byte_count
 
 
+class NoConnectionError(Exception):
+    """A request that would leave too few connections without one in progress."""
+
+
 class CallerConnection(asyncio.BufferedProtocol, buffermemory.Reader, connectionorder.Connection):
     """One caller's connection.
 
@@ -504,7 +522,7 @@
         """Serve one request; return whether the connection stays open."""
         state = h11.Connection(h11.SERVER)
         request = None
-        has_memory = True
+        has_room = True
         try:
             request = await self._read_request(state)
         except RefusedError as refused:
@@ -512,13 +530,18 @@
             await self._refuse(refused.status)
         except NoMemoryError as error:
             self._handler.body_refused(self.peer, error.byte_count, self._memory.held_bytes)
-            has_memory = False
+            has_room = False
+        except NoConnectionError:
+            self._server.request_refused(self)
+            has_room = False
         finally:
             self._is_receiving = False
-        if not has_memory:
+        if request is None:
+            self._server.release(self)
+        if not has_room:
             # Outside of the handler of the error, whose frames hold what has been read.
             del state
-            await self._refuse_body()
+            await self._refuse_unread()
         if request is None:
             return False
         exchange = Exchange(self, request, state)
@@ -529,6 +552,7 @@
             await self._handler.handle(exchange)
         finally:
             self.is_busy = False
+            self._server.release(self)
             self.count_read_ahead = _nothing
             self._is_sending_whole = False
             self._request_bytes = self._body_bytes = 0
@@ -545,6 +569,8 @@
         ambiguity = strictness.ambiguity(head)
         if ambiguity is not None:
             raise RefusedError(http.HTTPStatus.BAD_REQUEST, ambiguity)
+        if not self._server.admit(self):
+            raise NoConnectionError
         state.receive_data(bytes(self._buffer))
         self._buffer.clear()
         try:
@@ -668,8 +694,8 @@
         head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
         self._transport.write(f"{head}Content-Length: 0\r\nConnection: close\r\n\r\n".encode())
 
-    async def _refuse_body(self) -> None:
-        """Refuse a request whose body was not read; it has not run and may be sent again."""
+    async def _refuse_unread(self) -> None:
+        """Refuse a request that was not read to its end; it has not run and may be sent again."""
         self._is_discarding = True
         self._buffer.clear()
         self._request_bytes = self._body_bytes = 0
@@ -714,6 +740,7 @@
         self._opening_by_task: dict[asyncio.Task[None], CallerConnection] = {}
         self._opening: set[CallerConnection] = set()
         self.connections: set[CallerConnection] = set()
+        self._admitted: set[CallerConnection] = set()
         self.order = connectionorder.ConnectionOrder(clock)
         self.read_buffer = memoryview(bytearray(PIECE_BYTES))
         self._is_leaving = False
@@ -732,12 +759,29 @@
         self._opening.discard(connection)
         self.connections.add(connection)
 
+    def admit(self, connection: CallerConnection) -> bool:
+        """Count a request whose head is complete; return False if there are too many."""
+        limit = self.settings.max_connections
+        if limit is not None and len(self._admitted) >= limit - int(REFUSAL_SHARE * limit):
+            return False
+        self._admitted.add(connection)
+        return True
+
+    def release(self, connection: CallerConnection) -> None:
+        """Record that a connection has no request in progress."""
+        self._admitted.discard(connection)
+
+    def request_refused(self, connection: CallerConnection) -> None:
+        """Record that a request was not admitted."""
+        self._observer.request_refused(self.settings.name, connection.peer, len(self._admitted))
+
     def reading_paused(self) -> None:
         """Record that a connection is not read for now."""
         self._observer.reading_paused(self.settings.name)
 
     def ended(self, connection: CallerConnection) -> None:
         """Remove a connection that has ended."""
+        self.release(connection)
         self.connections.discard(connection)
         self.order.remove(connection)
 
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -37,6 +37,9 @@
     def closed_unused(self, listener, peer, count):
         self.events.append(("closed_unused", listener, count))
 
+    def request_refused(self, listener, peer, count):
+        self.events.append(("request_refused", listener, count))
+
     def reading_paused(self, listener):
         self.events.append(("reading_paused", listener))
 
@@ -100,6 +103,32 @@
     assert events == [("refused", "directory", LIMIT)]
 
 
+def test_request_is_refused_while_connections_are_left_for_refusals():
+    """Callers were reset without a response once each connection had a request in progress."""
+    limit = int(1 / serverside.REFUSAL_SHARE)
+
+    async def scenario(handler, server, connect):
+        in_progress = [await connect() for _ in range(limit - 1)]
+        for client in in_progress:
+            await client.send(GET)
+        await eventloop.until(lambda: handler.handled == limit - 1)
+        refusals = []
+        for _ in range(2):
+            client = await connect()
+            await client.send(GET)
+            status, fields, _ = await client.answer()
+            refusals.append((status, fields["retry-after"]))
+        handler.may_answer.set()
+        statuses = [(await client.answer())[0] for client in in_progress]
+        await in_progress[0].send(GET)
+        return refusals, statuses, (await in_progress[0].answer())[0]
+
+    result, events = run(scenario, limit=limit)
+    assert result == (2 * [(503, "1")], (limit - 1) * [200], 200)
+    refused = ("request_refused", "directory", limit - 1)
+    assert events == [refused, ("closed_unused", "directory", limit - 1), refused]
+
+
 def test_connections_that_arrive_at_once_are_counted_once():
     """A burst of callers lost connections although the limit was not reached."""
     count = 3 * acceptor.ACCEPTS_PER_TURN
