--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -42,9 +42,8 @@
 """Bytes that are held beyond those that are being handled."""
 
 PIECE_BYTES = 16_384
-"""Most bytes that are read from a connection at once, unless a longer body is due."""
-
-BODY_PIECE_BYTES = 65_536
+"""Most bytes that are read from a connection at once. All connections may have a piece at the same
+time, and the memory of longer ones is not reused for the bodies that they become."""
 
 UNCOUNTED_BYTES = 2_048
 """So much of a request is not counted until its head is complete; most heads are shorter."""
@@ -72,6 +71,10 @@
 """How long the rest of a refused body is read and discarded. If the connection were closed while
 the caller still sends, a reset could remove the refusal before the caller has read it."""
 
+REFUSAL_SHARE = 1 / 16
+"""Share of a listener's connections that have no request in progress. On these, requests beyond
+the limit are refused; without them, their callers would be reset without a response."""
+
 EVENTS_PER_TURN = 32
 """Parsed events of a body after which other tasks get a turn; a chunk may have one byte."""
 
@@ -170,6 +173,13 @@
     def closed_unused(self, listener: str, peer: str, count: int) -> None:
         """Record a connection without a request in progress that was closed for another one."""
 
+    @abc.abstractmethod
+    def request_refused(self, listener: str, peer: str, count: int) -> None:
+        """Record a request that was refused, as too many connections have one in progress.
+
+        :param count: requests in progress.
+        """
+
     @abc.abstractmethod
     def reading_paused(self, listener: str) -> None:
         """Record a connection that is not read for now, as its caller is too far ahead."""
@@ -186,6 +196,9 @@
     def closed_unused(self, listener: str, peer: str, count: int) -> None:
         """Record nothing."""
 
+    def request_refused(self, listener: str, peer: str, count: int) -> None:
+        """Record nothing."""
+
     def reading_paused(self, listener: str) -> None:
         """Record nothing."""
 
@@ -308,6 +321,10 @@
         self.byte_count = byte_count
 
 
+class NoConnectionError(Exception):
+    """A request that would leave too few connections without one in progress."""
+
+
 class CallerConnection(asyncio.BufferedProtocol, buffermemory.Reader, connectionorder.Connection):
     """One caller's connection.
 
@@ -326,8 +343,6 @@
     ) -> None:
         self._server = server
         self._read_buffer = server.read_buffer
-        self._read_piece = server.read_buffer[:PIECE_BYTES]
-        self._due_body_bytes = 0
         self._request_bytes = 0
         self._body_bytes = 0
         self._handler = handler
@@ -363,16 +378,13 @@
         """Return the buffer for the next piece, as long as what may be held."""
         if self._waiter is None:
             return self._read_buffer[: max(1, READ_AHEAD_BYTES - len(self._buffer))]
-        if self._due_body_bytes <= PIECE_BYTES:
-            return self._read_piece
-        return self._read_buffer[: self._due_body_bytes]
+        return self._read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle bytes from the caller."""
         if self._is_discarding:
             return
         self._buffer += self._read_buffer[:nbytes]
-        self._due_body_bytes -= nbytes
         if not self.is_busy:
             self._server.order.set_receiving(self)
         if len(self._buffer) > UNCOUNTED_BYTES:
@@ -518,7 +530,7 @@
         """Serve one request; return whether the connection stays open."""
         state = h11.Connection(h11.SERVER)
         request = None
-        has_memory = True
+        has_room = True
         try:
             request = await self._read_request(state)
         except RefusedError as refused:
@@ -526,13 +538,18 @@
             await self._refuse(refused.status)
         except NoMemoryError as error:
             self._handler.body_refused(self.peer, error.byte_count, self._memory.held_bytes)
-            has_memory = False
+            has_room = False
+        except NoConnectionError:
+            self._server.request_refused(self)
+            has_room = False
         finally:
             self._is_receiving = False
-        if not has_memory:
+        if request is None:
+            self._server.release(self)
+        if not has_room:
             # Outside of the handler of the error, whose frames hold what has been read.
             del state
-            await self._refuse_body()
+            await self._refuse_unread()
         if request is None:
             return False
         exchange = Exchange(self, request, state)
@@ -543,6 +560,7 @@
             await self._handler.handle(exchange)
         finally:
             self.is_busy = False
+            self._server.release(self)
             self.count_read_ahead = _nothing
             self._is_sending_whole = False
             self._request_bytes = self._body_bytes = 0
@@ -559,6 +577,8 @@
         ambiguity = strictness.ambiguity(head)
         if ambiguity is not None:
             raise RefusedError(http.HTTPStatus.BAD_REQUEST, ambiguity)
+        if not self._server.admit(self):
+            raise NoConnectionError
         state.receive_data(bytes(self._buffer))
         self._buffer.clear()
         try:
@@ -618,7 +638,6 @@
         # The whole body is counted before it is read, so that it is not refused halfway.
         announced = 0 if length is None else int(length)
         self._reserve(announced)
-        self._due_body_bytes = announced - len(state.trailing_data[0])
         if state.they_are_waiting_for_100_continue:
             self._transport.write(
                 state.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -683,8 +702,8 @@
         head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
         self._transport.write(f"{head}Content-Length: 0\r\nConnection: close\r\n\r\n".encode())
 
-    async def _refuse_body(self) -> None:
-        """Refuse a request whose body was not read; it has not run and may be sent again."""
+    async def _refuse_unread(self) -> None:
+        """Refuse a request that was not read to its end; it has not run and may be sent again."""
         self._is_discarding = True
         self._buffer.clear()
         self._request_bytes = self._body_bytes = 0
@@ -694,6 +713,7 @@
             b"Content-Length: 0\r\nConnection: close\r\n\r\n" % MEMORY_RETRY_S
         )
         self._transport.write_eof()
+        self._server.order.set_refused(self)
         # If the caller closes the connection first, this task is cancelled.
         await asyncio.sleep(LINGER_S)
 
@@ -725,10 +745,12 @@
             self._accept,
             lambda error: self._observer.accept_failed(self.settings.name, error),
         )
-        self._opening: set[asyncio.Task[None]] = set()
+        self._opening_by_task: dict[asyncio.Task[None], CallerConnection] = {}
+        self._opening: set[CallerConnection] = set()
         self.connections: set[CallerConnection] = set()
+        self._admitted: set[CallerConnection] = set()
         self.order = connectionorder.ConnectionOrder(clock)
-        self.read_buffer = memoryview(bytearray(BODY_PIECE_BYTES))
+        self.read_buffer = memoryview(bytearray(PIECE_BYTES))
         self._is_leaving = False
 
     async def listen(self, host: str, port: int, backlog: int = 512) -> str:
@@ -742,14 +764,32 @@
 
     def opened(self, connection: CallerConnection) -> None:
         """Add a connection."""
+        self._opening.discard(connection)
         self.connections.add(connection)
 
+    def admit(self, connection: CallerConnection) -> bool:
+        """Count a request whose head is complete; return False if there are too many."""
+        limit = self.settings.max_connections
+        if limit is not None and len(self._admitted) >= limit - int(REFUSAL_SHARE * limit):
+            return False
+        self._admitted.add(connection)
+        return True
+
+    def release(self, connection: CallerConnection) -> None:
+        """Record that a connection has no request in progress."""
+        self._admitted.discard(connection)
+
+    def request_refused(self, connection: CallerConnection) -> None:
+        """Record that a request was not admitted."""
+        self._observer.request_refused(self.settings.name, connection.peer, len(self._admitted))
+
     def reading_paused(self) -> None:
         """Record that a connection is not read for now."""
         self._observer.reading_paused(self.settings.name)
 
     def ended(self, connection: CallerConnection) -> None:
         """Remove a connection that has ended."""
+        self.release(connection)
         self.connections.discard(connection)
         self.order.remove(connection)
 
@@ -789,8 +829,13 @@
         connection = CallerConnection(self._handler, self, self._clock, self._memory)
         connection.is_leaving = self._is_leaving
         task = asyncio.get_running_loop().create_task(_open(connection, accepted))
-        self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
+        self._opening.add(connection)
+        self._opening_by_task[task] = connection
+        task.add_done_callback(self._opening_ended)
+
+    def _opening_ended(self, task: asyncio.Task[None]) -> None:
+        """Count a connection that could not be opened no more."""
+        self._opening.discard(self._opening_by_task.pop(task))
 
     @property
     def _is_full(self) -> bool:
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import errno
+import socket
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import acceptor, serverside
+from hornbeamglade.http1 import acceptor, buffermemory, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -36,6 +37,9 @@
     def closed_unused(self, listener, peer, count):
         self.events.append(("closed_unused", listener, count))
 
+    def request_refused(self, listener, peer, count):
+        self.events.append(("request_refused", listener, count))
+
     def reading_paused(self, listener):
         self.events.append(("reading_paused", listener))
 
@@ -43,13 +47,12 @@
         self.events.append(("accept_failed", error and error.errno))
 
 
-def run(scenario):
+def run(scenario, bound_bytes=None, limit=LIMIT):
     async def main():
-        handler, observer = Handler(), Observer()
-        settings = serverside.ListenerSettings("directory", LIMIT)
-        server = serverside.CallersServer(
-            handler, clocks.SystemClock(), settings=settings, observer=observer
-        )
+        handler, observer, clock = Handler(), Observer(), clocks.SystemClock()
+        settings = serverside.ListenerSettings("directory", limit)
+        memory = buffermemory.BufferMemory(clock, bound_bytes)
+        server = serverside.CallersServer(handler, clock, memory, settings, observer)
         address = await server.listen("127.0.0.1", 0)
 
         async def connect():
@@ -100,6 +103,71 @@
     assert events == [("refused", "directory", LIMIT)]
 
 
+def test_request_is_refused_while_connections_are_left_for_refusals():
+    """Callers were reset without a response once each connection had a request in progress."""
+    limit = int(1 / serverside.REFUSAL_SHARE)
+
+    async def scenario(handler, server, connect):
+        in_progress = [await connect() for _ in range(limit - 1)]
+        for client in in_progress:
+            await client.send(GET)
+        await eventloop.until(lambda: handler.handled == limit - 1)
+        refusals = []
+        for _ in range(2):
+            client = await connect()
+            await client.send(GET)
+            status, fields, _ = await client.answer()
+            refusals.append((status, fields["retry-after"]))
+        handler.may_answer.set()
+        statuses = [(await client.answer())[0] for client in in_progress]
+        await in_progress[0].send(GET)
+        return refusals, statuses, (await in_progress[0].answer())[0]
+
+    result, events = run(scenario, limit=limit)
+    assert result == (2 * [(503, "1")], (limit - 1) * [200], 200)
+    refused = ("request_refused", "directory", limit - 1)
+    assert events == [refused, ("closed_unused", "directory", limit - 1), refused]
+
+
+def test_connections_that_arrive_at_once_are_counted_once():
+    """A burst of callers lost connections although the limit was not reached."""
+    count = 3 * acceptor.ACCEPTS_PER_TURN
+
+    async def scenario(handler, server, connect):
+        endpoint = server.listening_socket.getsockname()
+        # Nothing is accepted before all of them wait.
+        clients = [socket.create_connection(endpoint) for _ in range(count)]
+        for _ in range(count):
+            await asyncio.sleep(0)
+        for client in clients:
+            client.close()
+        return len(server.connections)
+
+    assert run(scenario, limit=count) == (count, [])
+
+
+def test_connection_whose_request_was_refused_gives_way_to_a_new_one():
+    """Callers were reset while connections stayed open only for a refusal to be read."""
+
+    async def scenario(handler, server, connect):
+        in_progress = [await connect() for _ in range(LIMIT - 1)]
+        for client in in_progress:
+            await client.send(GET)
+        await eventloop.until(lambda: handler.handled == LIMIT - 1)
+        refused = await connect()
+        await refused.send(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n")
+        refused_status = (await refused.answer())[0]
+        new = await connect()
+        await new.send(GET)
+        handler.may_answer.set()
+        statuses = [(await client.answer())[0] for client in (*in_progress, new)]
+        return refused_status, statuses
+
+    result, events = run(scenario, bound_bytes=100_000)
+    assert result == (503, LIMIT * [200])
+    assert events == [("closed_unused", "directory", LIMIT - 1)]
+
+
 def test_pause_in_reading_is_counted():
     async def scenario(handler, server, connect):
         client = await connect()
