--- a/hornbeamglade/capacity/callermemory.py
+++ b/hornbeamglade/capacity/callermemory.py
@@ -13,6 +13,7 @@
     partquarantine,
     quarantinelist,
 )
+from hornbeamglade.routed import responseroom
 
 MEMORY_MB = 150
 DESCRIPTORS = 4200
@@ -93,7 +94,7 @@
     Examples
     ========
 
-    >>> "| held for callers |" in markdown()
+    >>> "| held for callers, of responses that arrive, and in tunnels |" in markdown()
     True
     """
     instance_settings = settings.Settings(
@@ -114,7 +115,7 @@
     each = connectionshares.CONNECTION_BYTES
     parts = (
         ("the program and its tables", daemon.PROGRAM_BYTES),
-        ("held for callers", held),
+        ("held for callers, of responses that arrive, and in tunnels", held),
         (f"{shares.accepted:,} connections", shares.accepted * each),
         ("their receive buffers", shares.accepted * serverside.RECEIVE_BUFFER_BYTES),
         ("**all**", total),
@@ -130,7 +131,12 @@
             f"{shares.callers} connections of callers, {shares.directory} to the directory, "
             f"{shares.operator} to each of the operators' addresses. A request counts as held "
             f"with its body, its head, {serverside.FIELD_BYTES} bytes a field and "
-            f"{serverside.REQUEST_BYTES:,} more.",
+            f"{serverside.REQUEST_BYTES:,} more. A response counts with what was received of its "
+            "body, whether its length is stated or not: beyond "
+            f"{responseroom.UNCHECKED_BYTES:,} bytes it waits until half of what may be held is "
+            f"free, and is reserved in steps of at most {responseroom.MAX_STEP_BYTES:,} if its "
+            "length is not stated. The same holds for what a stream cannot pass on yet. A tunnel "
+            "counts with what the other instance has not read.",
             "",
             "| part | MB |",
             "| --- | --- |",
