http1: let new connections wait while others are about to give way

Of callers that came at once at the limit of connections, all but a few were reset, and an ordinary caller behind them too: those that had just been accepted and were about to be refused in a response could not be closed yet, and every further connection was accepted only to be reset.

--- a/hornbeamglade/http1/acceptor.py
+++ b/hornbeamglade/http1/acceptor.py
@@ -7,6 +7,9 @@
 ACCEPTS_PER_TURN = 16
 """Connections that are accepted before other tasks get a turn."""
 
+ROOM_PAUSE_S = 0.01
+"""Pause while there is no room for a connection, which then waits in the backlog."""
+
 ERROR_PAUSE_S = 0.1
 """Pause after an error, such as a lack of descriptors, which the next attempt would meet again."""
 
@@ -23,13 +26,16 @@
     :param accepted: called with each accepted connection, which it has to close.
     :param failed: called with an error of ``accept`` that differs from the one before, and with
         None once connections are accepted again.
+    :param may_accept: returns whether another connection may be accepted now.
     """
 
     def __init__(
         self,
         accepted: collections.abc.Callable[[socket.socket], None],
         failed: collections.abc.Callable[[OSError | None], None],
+        may_accept: collections.abc.Callable[[], bool],
     ) -> None:
+        self._may_accept = may_accept
         self._accepted = accepted
         self._failed = failed
         self._errno: int | None = None
@@ -67,17 +73,23 @@
         self._pause = None
         asyncio.get_running_loop().add_reader(self.socket, self._accept)
 
+    def _pause_for(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self.socket)
+        self._pause = loop.call_later(seconds, self._resume)
+
     def _accept(self) -> None:
         for _ in range(ACCEPTS_PER_TURN):
+            if not self._may_accept():
+                self._pause_for(ROOM_PAUSE_S)
+                return
             try:
                 connection, _ = self.socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
                 self._report(error)
-                loop = asyncio.get_running_loop()
-                loop.remove_reader(self.socket)
-                self._pause = loop.call_later(ERROR_PAUSE_S, self._resume)
+                self._pause_for(ERROR_PAUSE_S)
                 return
             self._report(None)
             connection.setblocking(False)
--- a/hornbeamglade/http1/connectionorder.py
+++ b/hornbeamglade/http1/connectionorder.py
@@ -70,16 +70,24 @@
 
     def next_to_close(self) -> Connection | None:
         """Return the connection to close, which is removed, or None."""
+        connection = self._find()
+        if connection is not None:
+            self.remove(connection)
+        return connection
+
+    def has_any_to_close(self) -> bool:
+        """Return whether there is a connection to close."""
+        return self._find() is not None
+
+    def _find(self) -> Connection | None:
         for waiting in (self._refused, self._idle):
             for connection in itertools.islice(waiting, MAX_CHECKED):
                 if not connection.unsent_bytes():
-                    self.remove(connection)
                     return connection
         stalled_since = self._clock.now() - STALLED_S
         for connection, received_at in self._received_at.items():
             if received_at > stalled_since:
                 break
-            self.remove(connection)
             return connection
         # Others get their turn at the next call.
         for connection in tuple(itertools.islice(self._refused, MAX_CHECKED)):
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -75,6 +75,10 @@
 """Share of a listener's connections that have no request in progress. On these, requests beyond
 the limit are refused; without them, their callers would be reset without a response."""
 
+ROOM_TIMEOUT_S = 0.25
+"""How long new connections wait at the limit for others whose requests are about to be read and
+refused; afterwards they are reset until one can be closed."""
+
 EVENTS_PER_TURN = 32
 """Parsed events of a body after which other tasks get a turn; a chunk may have one byte."""
 
@@ -736,7 +740,9 @@
         self._acceptor = acceptor.Acceptor(
             self._accept,
             lambda error: self._observer.accept_failed(self.settings.name, error),
+            self._may_accept,
         )
+        self._full_since: float | None = None
         self._opening_by_task: dict[asyncio.Task[None], CallerConnection] = {}
         self._opening: set[CallerConnection] = set()
         self.connections: set[CallerConnection] = set()
@@ -812,6 +818,16 @@
             if unsent and connection.has_whole_response:
                 self._handler.truncated(connection.peer, unsent)
 
+    def _may_accept(self) -> bool:
+        """Return False while a connection waits for one that is about to give way to it."""
+        count = len(self.connections) + len(self._opening)
+        if not self._is_full or self.order.has_any_to_close() or count == len(self._admitted):
+            self._full_since = None
+            return True
+        if self._full_since is None:
+            self._full_since = self._clock.now()
+        return self._clock.now() - self._full_since > ROOM_TIMEOUT_S
+
     def _accept(self, accepted: socket.socket) -> None:
         if self._is_full and not self._close_unused():
             peer = _peer_name(accepted)
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -129,6 +129,38 @@
     assert events == [refused, ("closed_unused", "directory", limit - 1), refused]
 
 
+def _received(client):
+    """Return the start of a response, or nothing after a reset."""
+    try:
+        return client.recv(12)
+    except OSError:
+        return b""
+
+
+def test_burst_at_the_limit_is_refused_in_responses():
+    """Of callers that came at once at the limit, all but a few were reset without a response."""
+    limit = 2 * int(1 / serverside.REFUSAL_SHARE)
+
+    async def scenario(handler, server, connect):
+        in_progress = [await connect() for _ in range(limit - 2)]
+        for client in in_progress:
+            await client.send(GET)
+        await eventloop.until(lambda: handler.handled == limit - 2)
+        endpoint = server.listening_socket.getsockname()
+        burst = [socket.create_connection(endpoint) for _ in range(limit)]
+        for client in burst:
+            client.sendall(GET)
+            client.settimeout(0.5)
+        responses = await asyncio.to_thread(lambda: [_received(client) for client in burst])
+        for client in burst:
+            client.close()
+        return responses
+
+    result, events = run(scenario, limit=limit)
+    assert result == limit * [b"HTTP/1.1 503"]
+    assert not [event for event in events if event[0] == "refused"]
+
+
 def test_connections_that_arrive_at_once_are_counted_once():
     """A burst of callers lost connections although the limit was not reached."""
     count = 3 * acceptor.ACCEPTS_PER_TURN
