--- a/hornbeamglade/routed/responseroom.py
+++ b/hornbeamglade/routed/responseroom.py
@@ -60,7 +60,7 @@
         if next(iter(self._large)) is not reservation:
             # The oldest one has room to end, however much is held for others.
             return memory.has_room_for_response() and memory.has_room(MAX_RESPONSE_BYTES)
-        if not any(each.has_begun for each in self._large if each is not reservation):
+        if not any(each.is_large for each in self._large if each is not reservation):
             # The bound may be smaller than a response.
             byte_count = -reservation.held_bytes
         return memory.has_room(byte_count)
@@ -79,7 +79,7 @@
         self._reserved_bytes = UNCHECKED_BYTES
 
     @property
-    def has_begun(self) -> bool:
+    def is_large(self) -> bool:
         """Whether more than a short response is reserved."""
         return self._reserved_bytes > UNCHECKED_BYTES
 
@@ -94,7 +94,7 @@
         :param byte_count: bytes that were read.
         :param read_ahead_bytes: bytes that were received and not read.
         """
-        reserved_bytes = self._reserved_bytes if self.has_begun else 0
+        reserved_bytes = self._reserved_bytes if self.is_large else 0
         self._holding.hold(max(reserved_bytes, byte_count + read_ahead_bytes))
 
     async def reserve(self, byte_count: int) -> None:
