standins: the last token of a generation is visible before its end

Cause: the engine's stepping marked a run as finished before it counted the run's last token. A connection reads a run without the lock; one that looked between the two sent an end of 19 tokens, which the node rightly took for complete, as the count matched. The fault is in the stand-in, not in the product.

--- a/hornbeamglade/standins/enginegenerations.py
+++ b/hornbeamglade/standins/enginegenerations.py
@@ -219,17 +219,16 @@
             if not load.running and not load.waiting:
                 return min(_IDLE_TICK_S, self._settings.step_s)
             result = self._model.step()
-            # Record the end of a generation before its connection is woken: otherwise
-            # it could miss the end and sleep until the next keep-alive.
+            for request_id in result.token_count_by_id:
+                self._run_by_id[request_id].produced += 1
+            # Connections read a run without the lock: its end may be visible only after its
+            # last token, and before its connection is woken.
             for request_id in result.finished:
                 run = self._run_by_id[request_id]
-                run.state = RunState.FINISHED
                 run.truncated = request_id in result.truncated
-                run.wake.put(None)
-            for request_id in result.token_count_by_id:
-                run = self._run_by_id[request_id]
-                run.produced += 1
-                run.wake.put(None)
+                run.state = RunState.FINISHED
+            for request_id in (*result.token_count_by_id, *result.finished):
+                self._run_by_id[request_id].wake.put(None)
             return result.duration_s
 
     def _sample(self) -> None:
