http1: a closed connection frees its response without garbage collection

Cause: closing a connection cancels its task, and a task keeps the error that ended it. The error's traceback held the frames of the handler, and some of these refer to the task (asyncio.Timeout, the request in progress, the connection): a reference cycle with the response in it.

Dropping only the connection's reference to its task did not help (196 to 200 MB).

Change: the task takes its cancellation as its end.

--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -506,6 +506,10 @@
                 if self._buffer:
                     await asyncio.sleep(0)
             self._close_when_sent()
+        except asyncio.CancelledError:
+            # A task keeps the error that ends it, and with its frames all that these held: a
+            # reference cycle, as some of them refer to the task.
+            pass
         except ConnectionResetError:
             self._transport.abort()
         except Exception as error:  # noqa: BLE001
--- a/hornbeamglade/standins/crowds.py
+++ b/hornbeamglade/standins/crowds.py
@@ -50,6 +50,9 @@
     reads = False
     """Whether responses are read."""
 
+    reopening_s = 0.0
+    """For how long each connection that the peer has reset is replaced by a new one."""
+
     def __init__(self, key: str = "") -> None:
         self.key = key
 
@@ -120,6 +123,20 @@
         yield self.head("/list/1", number)
 
 
+class LargeResponsesAhead(LargeResponses):
+    """Requests for large responses that are not read, sent again when a connection is reset."""
+
+    connections = 40
+    requests_each = 50
+    field_bytes = 500
+    reopening_s = 10.0
+
+    def pieces(self, number: int) -> collections.abc.Iterator[bytes]:
+        """Yield all requests of a connection, more than is read of it before it is closed."""
+        field = "Padding: " + self.field_bytes * "x"
+        yield self.requests_each * self.head("/list/1", number, field)
+
+
 class ManyFields(Crowd):
     """Requests that wait at a replica, with as many empty header fields as a head may have."""
 
@@ -209,10 +226,7 @@
 
     def __enter__(self) -> typing.Self:
         """Open the connections."""
-        for number in range(self._crowd.connections):
-            connection = _Connection(self._crowd, number, self._endpoint)
-            self._connections.append(connection)
-            self._selector.register(connection.socket, selectors.EVENT_WRITE, connection)
+        self._connections = [self._open(number) for number in range(self._crowd.connections)]
         return self
 
     def __exit__(self, *exception: object) -> None:
@@ -225,14 +239,17 @@
         """Send until everything is sent, or the peer accepts nothing more."""
         now = time.monotonic()
         ends_at = now + MAX_S
-        stalled_at = now + STALLED_S
-        while self._has_more and now < min(ends_at, stalled_at):
+        reopens_until = now + self._crowd.reopening_s
+        stalled_at = max(now + STALLED_S, reopens_until)
+        while (self._has_more or now < reopens_until) and now < min(ends_at, stalled_at):
             progress = [
                 self._progress(key.data) for key, _ in self._selector.select(SELECT_TIMEOUT_S)
             ]
             now = time.monotonic()
             if any(progress):
-                stalled_at = now + STALLED_S
+                stalled_at = max(now + STALLED_S, reopens_until)
+            if now < reopens_until:
+                self._replace_reset()
 
     def stop(self) -> None:
         """Send nothing more; to be called from another thread."""
@@ -244,6 +261,19 @@
         has_more = any(each.has_more for each in self._connections)
         return has_more and received < MAX_RECEIVED_BYTES and not self._is_stopped
 
+    def _open(self, number: int) -> "_Connection":
+        connection = _Connection(self._crowd, number, self._endpoint)
+        self._selector.register(connection.socket, selectors.EVENT_WRITE, connection)
+        return connection
+
+    def _replace_reset(self) -> None:
+        for number, connection in enumerate(self._connections):
+            if connection.is_reset():
+                if connection.events:
+                    self._selector.unregister(connection.socket)
+                connection.socket.close()
+                self._connections[number] = self._open(number)
+
     def _progress(self, connection: "_Connection") -> bool:
         """Send and read what is possible; return whether bytes were sent or received."""
         byte_count = connection.byte_count
@@ -290,6 +320,10 @@
         reading = selectors.EVENT_READ if self._reads and not self._is_closed else 0
         return reading | (selectors.EVENT_WRITE if self.has_more else 0)
 
+    def is_reset(self) -> bool:
+        """Return whether the peer has reset it; data that is not read hides an orderly close."""
+        return self._is_closed or bool(self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def progress(self) -> None:
         """Send and read what is possible now."""
         for step in (self._send, self._receive):
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -208,6 +208,13 @@
         site.check_crowd(crowds.LargeResponses(KEY))
 
 
+def test_crowd_that_sends_requests_for_large_responses_again_is_borne(tmp_path):
+    """Closed connections kept their responses until they were collected as garbage."""
+    with Site(tmp_path, descriptors=MANY_DESCRIPTORS) as site:
+        site.set_services(response_bytes=LARGE_BYTES)
+        site.check_crowd(crowds.LargeResponsesAhead(KEY))
+
+
 @pytest.mark.parametrize("part", ["body", "chunks", "field_value", "interim"])
 def test_callers_of_replicas_that_send_without_end_are_borne(part, tmp_path):
     """Bodies without a stated length were read at the same time, each up to its limit."""
--- a/tests/http1/test_serverside.py
+++ b/tests/http1/test_serverside.py
@@ -1,6 +1,8 @@
 """Connections from callers, tested with raw bytes."""
 
 import asyncio
+import gc
+import weakref
 
 import pytest
 
@@ -182,6 +184,39 @@
     eventloop.run(main())
 
 
+def test_what_a_disconnected_caller_held_is_freed_without_garbage_collection():
+    """The error that ended a task kept the frames of its handler, and with them the response."""
+
+    class Held:
+        pass
+
+    class Holder(Recorder):
+        async def handle(self, exchange):
+            held = Held()
+            self.requests.append(weakref.ref(held))
+            async with asyncio.timeout(3600):
+                await asyncio.sleep(3600)
+
+    async def main():
+        holder = Holder()
+        server, address = await serve(holder)
+        client = await raw.RawClient.connect(address)
+        await client.send(GET)
+        await eventloop.until(lambda: holder.requests)
+        client.close()
+        await eventloop.until(lambda: not server.connections)
+        await asyncio.sleep(0.01)
+        server.stop_listening()
+        return holder.requests
+
+    gc.disable()
+    try:
+        (reference,) = eventloop.run(main())
+        assert reference() is None
+    finally:
+        gc.enable()
+
+
 def test_aborted_response_does_not_look_complete():
     async def main():
         server, address = await serve(Recorder())
