enginecalls: count a copy as freed only if its engine says so

Any response to the order to free a copy counted, also a 503 or a 409: the engine kept the copy's memory until its handle ran out, and the other engine was not asked. Success and 404 (no such copy) count now; after anything else the next engine is asked. Two of the five cases of the test failed before.

--- a/hornbeamglade/engines/control.py
+++ b/hornbeamglade/engines/control.py
@@ -34,7 +34,7 @@
 
     @abc.abstractmethod
     async def drop_copy(self, address: str, name: str) -> bool:
-        """Free a copy that will not be used; return whether the engine responded.
+        """Free a copy that will not be used; return whether the engine says that it is freed.
 
         :param address: ``ip:port`` of the engine that holds the copy.
         :param name: the name of the copy.
--- a/hornbeamglade/platform/enginecalls.py
+++ b/hornbeamglade/platform/enginecalls.py
@@ -121,7 +121,9 @@
         """Free a copy; a copy that no longer exists counts as freed."""
         target = f"/v1/kv-handle/{name}".encode()
         response = await self._call(address, b"DELETE", target, b"", DROP_TIMEOUT_S)
-        return not isinstance(response, clientside.ResponseLost)
+        if isinstance(response, clientside.ResponseLost):
+            return False
+        return 200 <= response.status < 300 or response.status == 404
 
     async def _call(
         self,
--- a/tests/platform/test_enginecalls.py
+++ b/tests/platform/test_enginecalls.py
@@ -194,6 +194,21 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("status", "is_freed"), [(200, True), (204, True), (404, True), (409, False), (503, False)]
+)
+def test_copy_counts_as_freed_only_if_its_engine_says_so(status, is_freed):
+    """An engine that failed to free a copy kept it, as the other one was not asked."""
+
+    async def main():
+        server = raw.ScriptedServer(b"HTTP/1.1 %d Status\r\nContent-Length: 0\r\n\r\n" % status)
+        freed = await calls().drop_copy(await server.start(), "copy-r1")
+        server.stop()
+        return freed
+
+    assert eventloop.run(main()) is is_freed
+
+
 def responses_cut(*responses):
     """Answer orders with each response, cut off at any byte; return what it counts as."""
 
