retrybudget: keep to the bound while processes are replaced

Cause: what was spent in the current window is known only to the process that spent it. Now a process has no part of the slack in its first window, and a part that becomes larger, as an instance has left, is used one window later. Whoever has spent in a window was then counted at its start, so the parts add up to no more than the slack. A change of the window's length, which forgets what was spent, counts as a start.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -243,6 +243,7 @@
         self._loads = replicaload.ReplicaLoads(clock, rng, self.shared_machines)
         self._budgets = retrybudget.RetryBudgets(
             componentsettings.retry_budget(instance_settings),
+            clock.now(),
             lambda service, outcome: self.instruments.routed.retries.add(
                 labels=(service, outcome)
             ),
@@ -435,7 +436,9 @@
         The name and the listening addresses keep their values until the next start.
         """
         self._settings = instance_settings
-        self._budgets.configure(componentsettings.retry_budget(instance_settings))
+        self._budgets.configure(
+            componentsettings.retry_budget(instance_settings), self._clock.now()
+        )
         self._available.set_bound(componentsettings.slow_start_bound(instance_settings))
         self.memory.bound_bytes = componentsettings.buffer_bound(instance_settings)
 
@@ -597,7 +600,7 @@
         self.peering.update_owners()
         # Killed instances return under their names, so their share is not redistributed.
         names = [each.identity.name for each in self.peering.heartbeats.members()]
-        self._budgets.set_node_count(len(names))
+        self._budgets.set_node_count(len(names), self._clock.now())
         self._available.set_position(names.index(self._settings.name), len(names))
 
     def _remove_departed(self) -> None:
--- a/hornbeamglade/routed/retrybudget.py
+++ b/hornbeamglade/routed/retrybudget.py
@@ -8,11 +8,17 @@
 takes an equal part of the slack, so the total bound holds without coordination. The
 alternative, sharing the slack by demand, needs a message before each retry, although the
 cause of the retry is often the network itself.
+
+What a node has spent is not known to the process that replaces it, nor to the nodes that share the
+slack after it has left. So no retry is made on the slack in the first window of a process, and
+a part that becomes larger is used one window later: any two nodes that have spent in a window were
+both counted at its start.
 """
 
 import collections
 import collections.abc
 import dataclasses
+import math
 
 BUCKETS = 10
 
@@ -60,42 +66,56 @@
     """The retry budget of each service at one node.
 
     :param settings: the operator's bound.
+    :param started_at: when the process started, in monotonic seconds.
     :param on_attempt: called for each retry that is made or denied, and for each resumed run.
 
     Examples
     ========
 
-    >>> budgets = RetryBudgets(BudgetSettings(ratio=0.5, slack=2.0, window_s=10.0))
-    >>> budgets.set_node_count(2)
-    >>> [budgets.spend("web", now=1.0) for _ in range(2)]
+    >>> budgets = RetryBudgets(BudgetSettings(ratio=0.5, slack=2.0, window_s=10.0), started_at=0.0)
+    >>> budgets.set_node_count(2, now=0.0)
+    >>> budgets.spend("web", now=1.0)
+    False
+    >>> [budgets.spend("web", now=12.0) for _ in range(2)]
     [True, False]
-    >>> budgets.record_request("web", now=2.0)
-    >>> budgets.record_request("web", now=2.0)
-    >>> budgets.spend("web", now=2.0)
+    >>> budgets.record_request("web", now=13.0)
+    >>> budgets.record_request("web", now=13.0)
+    >>> budgets.spend("web", now=13.0)
     True
     """
 
     def __init__(
         self,
         settings: BudgetSettings,
+        started_at: float,
         on_attempt: AttemptObserver = lambda _service, _outcome: None,
     ) -> None:
         self._on_attempt = on_attempt
         self._settings = settings
-        self._node_count = 1
+        self._unknown_before = started_at
+        # The newest is last; each earlier one is larger and was the number until the time given.
+        self._node_counts: collections.deque[tuple[int, float]] = collections.deque()
+        self._node_counts.append((1, math.inf))
         self._requests_by_service: dict[str, _Window] = {}
         self._retries_by_service: dict[str, _Window] = {}
 
-    def configure(self, settings: BudgetSettings) -> None:
+    def configure(self, settings: BudgetSettings, now: float) -> None:
         """Apply new settings; the counts are kept unless the window length changes."""
         if settings.window_s != self._settings.window_s:
             self._requests_by_service.clear()
             self._retries_by_service.clear()
+            self._unknown_before = now
         self._settings = settings
 
-    def set_node_count(self, node_count: int) -> None:
+    def set_node_count(self, node_count: int, now: float) -> None:
         """Set the number of nodes that share the slack."""
-        self._node_count = max(1, node_count)
+        node_count = max(1, node_count)
+        if node_count == self._node_counts[-1][0]:
+            return
+        self._node_counts[-1] = (self._node_counts[-1][0], now)
+        while self._node_counts and self._node_counts[-1][0] <= node_count:
+            self._node_counts.pop()
+        self._node_counts.append((node_count, math.inf))
 
     def record_request(self, service: str, now: float) -> None:
         """Count the first attempt of a request."""
@@ -106,10 +126,20 @@
         settings = self._settings
         retries = self._window(self._retries_by_service, service)
         requests = self._window(self._requests_by_service, service).total(now, BUCKETS)
-        allowed = settings.ratio * requests + settings.slack / self._node_count
+        allowed = settings.ratio * requests + self._slack(now)
         # One more bucket, since the operator's window may begin anywhere in the oldest one.
         return allowed - retries.total(now, BUCKETS + 1)
 
+    def _slack(self, now: float) -> float:
+        """Return this node's part of the slack."""
+        # The window of the counts may be longer by a bucket.
+        known_s = self._settings.window_s * (1 + 1 / BUCKETS)
+        if now < self._unknown_before + known_s:
+            return 0.0
+        while self._node_counts[0][1] <= now - known_s:
+            self._node_counts.popleft()
+        return self._settings.slack / self._node_counts[0][0]
+
     def spend(self, service: str, now: float) -> bool:
         """Take one retry from the budget; return whether one was left."""
         if self.remaining(service, now) < 1.0:
--- a/hornbeamglade/sweep/sweepsite.py
+++ b/hornbeamglade/sweep/sweepsite.py
@@ -29,7 +29,7 @@
 SLOTS = 64
 """More than the cases that are played at once, so that none of them waits."""
 
-RETRY_SLACK = 10_000
+RETRY_RATIO = 10_000
 TICK_S = 0.02
 READY_TIMEOUT_S = 30.0
 
@@ -83,7 +83,7 @@
             listen=settings.Listen(callers=callers, readiness=callers),
             exchange_ports=(exchange, exchange),
             store=STORE,
-            budget=settings.Budget(ratio=0.2, slack=RETRY_SLACK, window_s=10),
+            budget=settings.Budget(ratio=RETRY_RATIO, slack=0, window_s=10),
             bounds=settings.Bounds(stop_s=8, address_ttl_s=5),
             is_first_start=True,
         )
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -85,6 +85,10 @@
     return json.dumps(fields | more)
 
 
+RETRIES = 50
+"""Retries that each request allows; a process that has just started has no slack yet."""
+
+
 class Node:
     """One instance and the client side of its callers."""
 
@@ -100,7 +104,7 @@
             listen=settings.Listen(callers=callers, readiness=callers),
             exchange_ports=(ports, ports),
             store=STORE,
-            budget=settings.Budget(ratio=0.2, slack=50, window_s=10),
+            budget=settings.Budget(ratio=RETRIES, slack=0, window_s=10),
             bounds=settings.Bounds(stop_s=8, address_ttl_s=5),
             region_by_failure_domain=region_by_failure_domain or {},
             is_first_start=True,
--- a/tests/routed/test_bufferedexchange.py
+++ b/tests/routed/test_bufferedexchange.py
@@ -1,6 +1,7 @@
 """Buffered responses from replicas that respond correctly, incorrectly or not at all."""
 
 import dataclasses
+import math
 import random
 
 import pytest
@@ -63,7 +64,7 @@
             self.clock,
         )
         loads = replicaload.ReplicaLoads(self.clock, random.Random(1))
-        budgets = retrybudget.RetryBudgets(budget)
+        budgets = retrybudget.RetryBudgets(budget, started_at=-math.inf)
         self.available = availability.Availability(
             self.replica_list,
             slowstart.SlowStarts(random.Random(1)),
