http1: a closed connection is freed without garbage collection

Cause: a connection refers to the holding that counts its memory, and the holding to the connection. What a caller had sent ahead, or a part of a head, up to 16 KiB a connection, therefore stayed until garbage was collected, though it was no longer counted.

Change: a closed holding refers to no connection.

The new test fails on the former code (2 of 2 cases).

--- a/hornbeamglade/http1/buffermemory.py
+++ b/hornbeamglade/http1/buffermemory.py
@@ -102,6 +102,8 @@
         """Release everything, at the end of the connection; what is set later does not count."""
         self.is_closed = True
         self._memory.forget(self)
+        # The connection refers to its holding too: a reference cycle, with what it has received.
+        self.reader = None
 
 
 class BufferMemory:
--- a/tests/http1/test_serverside.py
+++ b/tests/http1/test_serverside.py
@@ -217,6 +217,31 @@
         gc.enable()
 
 
+@pytest.mark.parametrize(
+    "head", [b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n", b"GET / HTTP/1.1\r\nA: "]
+)
+def test_disconnected_connection_is_freed_without_garbage_collection(head):
+    """A closed connection kept what its caller had sent ahead, or of a head, and uncounted."""
+
+    async def main():
+        server, address = await serve(Recorder())
+        client = await raw.RawClient.connect(address)
+        await client.send(head + 12_000 * b"x")
+        await eventloop.until(lambda: server.busy_count)
+        (connection,) = map(weakref.ref, server.connections)
+        client.close()
+        await eventloop.until(lambda: not server.connections)
+        await asyncio.sleep(0.01)
+        server.stop_listening()
+        return connection
+
+    gc.disable()
+    try:
+        assert eventloop.run(main())() is None
+    finally:
+        gc.enable()
+
+
 def test_aborted_response_does_not_look_complete():
     async def main():
         server, address = await serve(Recorder())
