http1: a malformed response is freed without garbage collection

Cause: as for requests, the parser's error refers to itself through its traceback, and to the parser with the data that it had been given, which stayed until garbage was collected.

Change: the error is passed on without its traceback.

The new test fails on the former code (3 of 3 cases).

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -426,10 +426,15 @@
 
         :raises RemoteProtocolError: if the data is malformed.
         """
-        event, self._next_event = self._next_event or self._state.next_event(), None
-        while event is h11.NEED_DATA and self._buffer:
-            self._parse_portion()
-            event = self._state.next_event()
+        try:
+            event, self._next_event = self._next_event or self._state.next_event(), None
+            while event is h11.NEED_DATA and self._buffer:
+                self._parse_portion()
+                event = self._state.next_event()
+        except h11.RemoteProtocolError as error:
+            # It refers to itself through the parser's frames: a reference cycle, with the data.
+            error.__traceback__ = None
+            raise
         return event
 
     async def _await_chunk_end(self) -> ResponseLost | None:
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -157,6 +157,18 @@
     assert send_requests(end)[0] == [clientside.ResponseLost(code)]
 
 
+@pytest.mark.parametrize("rest", [b"Bad\r\n\r\n", b"\r\n2\r\nab\r\nzz\r\n", b"\r\n2\r\nabzz"])
+def test_malformed_response_is_freed_without_garbage_collection(rest):
+    """The error of the parser kept what it had been given of the response, and uncounted."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+
+    def send():
+        ((lost,), _) = send_requests(head + rest)
+        assert lost == clientside.ResponseLost("malformed")
+
+    assert raw.uncollected_errors(send) == []
+
+
 def test_response_that_is_too_long_is_lost():
     long = b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"a" * 2000
     assert send_requests(long)[0] == [clientside.ResponseLost("malformed")]
