storeclient: a failed call is freed without garbage collection

Cause: the HTTP library's frames refer to the error that they raise, and the error refers to the frames through its traceback. The request of a failed call, and what was received of its response, of up to 32 MiB, stayed until garbage was collected.

Change: the frames of the error are cleared once its text is known.

The new test fails on the former code (6 of 6 cases).

--- a/hornbeamglade/platform/storeclient.py
+++ b/hornbeamglade/platform/storeclient.py
@@ -21,6 +21,7 @@
 import http
 import socket
 import time
+import traceback
 import typing
 import urllib.parse
 
@@ -301,11 +302,11 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as e:
-            return contract.Unavailable(str(e))
+            return contract.Unavailable(_reason(e))
         except (urllib3.exceptions.HTTPError, OSError) as e:
             # The request may have arrived. Claiming that it had no effect would let a caller
             # repeat a write that succeeded.
-            return contract.Unknown(str(e))
+            return contract.Unknown(_reason(e))
         era = self._era.from_response(response.headers.get(storeera.HEADER), known_at_start)
         if response.status in _REFUSED:
             return contract.Unavailable(f"status {response.status}")
@@ -314,6 +315,12 @@
         return _Response(response.status, response.data, era)
 
 
+def _reason(error: Exception) -> str:
+    # The frames of urllib3 refer to the error: a reference cycle, with request and response.
+    traceback.clear_frames(error.__traceback__)
+    return str(error)
+
+
 def _quoted(key: str) -> str:
     return urllib.parse.quote(key, safe="")
 
--- a/tests/http1/raw.py
+++ b/tests/http1/raw.py
@@ -16,14 +16,14 @@
     _open_writers.clear()
 
 
-def uncollected_errors(run):
-    """Return the errors of the parser that remain after ``run`` without garbage collection."""
+def uncollected_errors(run, kind=h11.RemoteProtocolError):
+    """Return the errors of a kind that remain after ``run`` without garbage collection."""
     gc.collect()
     gc.disable()
     try:
         run()
         # Some weak references do not allow isinstance.
-        return [repr(each) for each in gc.get_objects() if type(each) is h11.RemoteProtocolError]
+        return [repr(each) for each in gc.get_objects() if issubclass(type(each), kind)]
     finally:
         gc.enable()
 
--- a/tests/platform/test_storeclient.py
+++ b/tests/platform/test_storeclient.py
@@ -5,10 +5,11 @@
 import threading
 
 import pytest
+import urllib3
 
 from hornbeamglade.platform import storeclient
 from hornbeamglade.store import contract
-from tests.http1 import oddstatuslines
+from tests.http1 import oddstatuslines, raw
 
 TRICKLED_BYTES = 150
 WRITE = ((contract.Condition("a", 0),), (contract.Put("a", "1"),))
@@ -93,6 +94,20 @@
     assert isinstance(raw_server(raw).client.transact(*WRITE), contract.Unknown)
 
 
+@pytest.mark.parametrize(
+    "answer", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{}", b"HTTP/1.1 200 OK\r\n"]
+)
+@pytest.mark.parametrize("trickle", [False, True])
+def test_failed_call_is_freed_without_garbage_collection(raw_server, answer, trickle):
+    """The error of a call kept its request and what was received of the response."""
+    client = raw_server(answer, trickle).client
+
+    def write():
+        assert isinstance(client.put("a", "1"), contract.Unknown)
+
+    assert raw.uncollected_errors(write, urllib3.exceptions.HTTPError) == []
+
+
 def test_row_of_another_table_is_rejected(raw_server):
     """The response to another call arrives in place of that to a read.
 
