callers: a closed connection frees its response without garbage collection

Cause: the library's connections refer to themselves through cached methods of their own, and keep their writer. What a caller had not read of a response stayed until garbage was collected, and in each thread until its next connection.

Change: a closed connection has no writer.

The new test fails on the former code.

--- a/hornbeamglade/callers/server.py
+++ b/hornbeamglade/callers/server.py
@@ -210,4 +210,12 @@
                 state.change_busy(-1)
                 senders.done(self.socket)
 
+        def close(self) -> None:
+            try:
+                super().close()
+            finally:
+                # The library's connections refer to themselves: what was not sent would be kept
+                # until garbage is collected.
+                self.wfile = None
+
     return Connection
--- a/tests/callers/test_application.py
+++ b/tests/callers/test_application.py
@@ -1,6 +1,8 @@
+import gc
 import io
 import socket
 
+import cheroot.makefile
 import pytest
 
 from hornbeamglade.callers import server, slowsenders
@@ -38,6 +40,23 @@
         assert [caller.answer()[2] for _ in range(3)] == [b"0", b"1", b"2"]
 
 
+def test_a_closed_connection_frees_its_response_without_garbage_collection(node):
+    """A closed connection kept what its caller had not read of the response."""
+
+    def has_writers():
+        return any(type(each) is cheroot.makefile.StreamWriter for each in gc.get_objects())
+
+    gc.collect()
+    gc.disable()
+    try:
+        with node.caller() as caller:
+            assert caller.send_request("POST", ECHO, b"a")[2] == b"a"
+            assert has_writers()
+        callerside.wait_for(lambda: not has_writers())
+    finally:
+        gc.enable()
+
+
 @pytest.mark.parametrize("path", ["/healthz", "/nowhere", ECHO])
 def test_a_response_to_head_has_no_body(node, path):
     """A monitor sends HEAD and then GET on one connection.
