http1: ask the kernel whether a connection opened while the loop was late

tests/tunnels/test_tunnels.py::test_tunnels_are_bounded failed once: one of 128 tunnels in turn was not opened. Its outcome was not kept, so that the cause below is that one's is inferred.

Cause: asyncio.timeout around create_connection ends the attempt by the time at which the event loop runs, not by the time at which the connection opened. If the process does not run for 0.25 s, the loop sees the open connection and the timeout in the same turn, and the timeout wins: the relay closes a connection that the replica had accepted and reports NO_RESPONSE, which counts towards the replica being down. An instance's own connections, bounded by 0.5 s, were opened in the same way. The change of the tunnels' receiving has no part in it: the connection is closed before anything is received.

Change: sockets.open_connection, used by tunnels and by an instance's own connections, reads the outcome from the socket when the time is over: open, refused, or neither, which alone is a timeout. The bounds are as they were.

The new test of tunnels fails on the former code (NO_RESPONSE).

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -490,20 +490,16 @@
 
     :param address: ``ip:port``.
     """
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
-            _, protocol = await loop.create_connection(
-                lambda: ServerConnection(address, clock), host, int(port)
-            )
+        return await sockets.open_connection(
+            lambda: ServerConnection(address, clock), address, timeout_s
+        )
     except ConnectionRefusedError:
         return ResponseLost("not_connected", sent=False, is_refused=True)
     except TimeoutError:
         return ResponseLost("not_connected", sent=False, is_timeout=True)
     except OSError:
         return ResponseLost("not_connected", sent=False)
-    return protocol
 
 
 def _content_length(body: bytes) -> fields.Field:
--- a/hornbeamglade/tunnels/tunnelserver.py
+++ b/hornbeamglade/tunnels/tunnelserver.py
@@ -138,12 +138,10 @@
             return messages.TunnelOutcome.PARTITIONED
         self._tunnels.add(tunnel)
         self._paths.trial_started(address)
-        host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await asyncio.get_running_loop().create_connection(
-                    lambda: _ReplicaSide(tunnel, self.read_buffer), host, int(port)
-                )
+            await sockets.open_connection(
+                lambda: _ReplicaSide(tunnel, self.read_buffer), address, CONNECT_TIMEOUT_S
+            )
         except (OSError, TimeoutError) as error:
             if self._paths.detoured_count:
                 return messages.TunnelOutcome.PARTITIONED
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, messages, transport
@@ -208,6 +209,20 @@
     assert run(test) == (Outcome.BUSY, True)
 
 
+def test_tunnel_opens_while_the_relaying_instance_is_busy(monkeypatch):
+    """Guards against a replica that counts as silent as the relay's event loop was late."""
+
+    async def test(relay):
+        def be_busy(_address):
+            loop = asyncio.get_running_loop()
+            loop.call_soon(time.sleep, 1.2 * tunnelserver.CONNECT_TIMEOUT_S)
+
+        monkeypatch.setattr(relay.paths, "trial_started", be_busy)
+        return type(await relay.open())
+
+    assert run(test) is tunnelclient.TunneledConnection
+
+
 def test_nobody_else_may_use_the_relay():
     """Unauthenticated, replayed and misdirected requests, and other protocols, get nothing."""
     frame = codec.Codec("requester", 1, RING, CLOCK).encode(
