tests of backends: keep the port of a stopped engine

tests/backends/test_generations.py::test_resume_of_a_stream_that_is_gone failed beside other tests with ConnectionResetError instead of a closed port.

Cause: the test. It stops an engine and expects its port to refuse the next connection, but the system may give a freed port to any process at once, such as another worker's server.

Change: the fixture binds each engine's port before the engine and keeps it, without listening, until the test ends. The outcome that is required is as before. test_no_connection_is_not_run, which used a freed port too, uses a port that is bound and does not listen: to its caller both refuse. A new test requires that a stopped engine's port cannot be taken; it fails on the former fixture.

--- a/tests/backends/conftest.py
+++ b/tests/backends/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures that start stand-in backend servers."""
 
+import contextlib
 import json
 import time
 
@@ -7,6 +8,7 @@
 import urllib3
 
 from hornbeamglade.standins import engine, plainservice
+from tests import reservedports
 
 WAIT_S = 10.0
 
@@ -43,17 +45,23 @@
 
 @pytest.fixture
 def start_engine():
-    servers = []
+    """Start engines; the port of one that stops refuses connections until the test ends."""
+    with contextlib.ExitStack() as ports:
+        servers = []
 
-    def _start(**settings):
-        settings = {"threads": 6, "step_s": 0.002, "keep_alive_s": 0.05} | settings
-        servers.append(engine.serve(engine.EngineSettings(**settings)))
-        servers[-1].start()
-        return Backend(servers[-1])
+        def _start(**settings):
+            settings = {"threads": 6, "step_s": 0.002, "keep_alive_s": 0.05} | settings
 
-    yield _start
-    for server in servers:
-        server.stop()
+            def serve(bind):
+                return engine.serve(engine.EngineSettings(bind=bind, **settings))
+
+            servers.append(ports.enter_context(reservedports.kept_port(serve)))
+            servers[-1].start()
+            return Backend(servers[-1])
+
+        yield _start
+        for server in servers:
+            server.stop()
 
 
 @pytest.fixture
--- a/tests/backends/test_generations.py
+++ b/tests/backends/test_generations.py
@@ -1,6 +1,7 @@
 """Outcomes of generations are exact under failures of the engine and of the network."""
 
 import json
+import socket
 import threading
 
 import hypothesis
@@ -9,6 +10,7 @@
 
 from hornbeamglade.backends import eventparser, generations, httpexchange, outcomes
 from hornbeamglade.core import outcomes as core_outcomes
+from tests import reservedports
 from tests.backends import scripted
 from tests.http1 import oddstatuslines
 
@@ -54,9 +56,8 @@
 def test_no_connection_is_not_run():
     # The engine's process has ended. No connection was established, so no byte of the
     # request was sent.
-    with scripted.server(b"") as address:
-        pass
-    outcome = open_stream(address)
+    with reservedports.closed_port() as address:
+        outcome = open_stream(address)
     assert isinstance(outcome, outcomes.NotRun) and not outcome.refused_by_server
 
 
@@ -213,6 +214,15 @@
     assert generations.resume(backend.address, "r1", 3, LONG_TIMEOUTS) == outcomes.PortClosed()
 
 
+def test_port_of_a_stopped_engine_is_given_to_nobody_else(start_engine):
+    """Guards against another test's server that answers at a stopped engine's port."""
+    backend = start_engine()
+    backend.server.stop()
+    host, _, port = backend.address.rpartition(":")
+    with pytest.raises(OSError, match="in use"):
+        socket.create_server((host, int(port)))
+
+
 def test_resume_whose_connection_closes_without_a_response_is_lost():
     # The engine is killed after it accepted the resuming connection and before its port
     # closes. Such a loss was handled as if no connection had been established, so the
