tests: bound an example's processor time instead of its wall-clock time

tests/entry/test_listhistory.py::test_changes_since_any_position_yield_the_same_list failed once beside other load with DeadlineExceeded: 392 ms, and 5 ms when the example was repeated.

Cause: the test. Its deadline is the default of hypothesis, 200 ms of the wall clock without collections, so it also counts time in which the process does not run. ListHistory waits for nothing.

Evidence: with the process stopped for 0.4 s in one example, the former test failed in 5 of 5 runs in the listed way (504 ms, and 0.18 ms when repeated).

Change: each example may take 200 ms of its thread's processor time, without collections. ListHistory neither sleeps nor reads or writes anything, so code that takes too long fails as before: with a busy loop of 0.3 s in one call of changes_since the test failed in 3 of 3 runs.

Result: 5 of 5 runs pass beside the same stop, and 40 of 40 in four copies at once at a load of 12.

--- a/tests/entry/test_listhistory.py
+++ b/tests/entry/test_listhistory.py
@@ -2,10 +2,14 @@
 
 import json
 
-from hypothesis import given, strategies
+import hypothesis
+from hypothesis import strategies
 
 from hornbeamglade.entry import listhistory
 from hornbeamglade.store import contract
+from tests import cputime
+
+EXAMPLE_CPU_S = 0.2
 
 KEYS = strategies.sampled_from("abcd")
 CHANGES = strategies.lists(
@@ -24,19 +28,21 @@
     return kept | {row.key: row for row in change.written_rows}
 
 
-@given(CHANGES, strategies.integers(0, 12))
+@hypothesis.settings(deadline=None)
+@hypothesis.given(CHANGES, strategies.integers(0, 12))
 def test_changes_since_any_position_yield_the_same_list(written_and_deleted, since):
-    history = listhistory.ListHistory()
-    history.reset(10)
-    lists = [{}]
-    for number, (written, deleted) in enumerate(written_and_deleted, 11):
-        change = changes(written, deleted, number)
-        history.add(change)
-        lists.append(apply_changes(lists[-1], change))
-    since = min(since, len(written_and_deleted))
-    delta = listhistory.decode(history.changes_since(10 + since))
-    assert delta.since == 10 + since
-    assert apply_changes(lists[since], delta.changes) == lists[-1]
+    with cputime.bounded(EXAMPLE_CPU_S):
+        history = listhistory.ListHistory()
+        history.reset(10)
+        lists = [{}]
+        for number, (written, deleted) in enumerate(written_and_deleted, 11):
+            change = changes(written, deleted, number)
+            history.add(change)
+            lists.append(apply_changes(lists[-1], change))
+        since = min(since, len(written_and_deleted))
+        delta = listhistory.decode(history.changes_since(10 + since))
+        assert delta.since == 10 + since
+        assert apply_changes(lists[since], delta.changes) == lists[-1]
 
 
 def test_unknown_position_has_no_changes():
