soak: cut connections where they are opened

The partitions of a process of the soak replaced the event loop's way to open a connection by address. As the instance now opens its sockets itself, they would have had no effect on new connections, and failed on the option that the loop is given. They act on sockets.open_connection as well, within its timeout. tests/soak and the crowds at a relayed instance pass.

--- a/hornbeamglade/soak/faultyentry.py
+++ b/hornbeamglade/soak/faultyentry.py
@@ -14,9 +14,12 @@
 import typing
 import weakref
 
+from hornbeamglade.http1 import sockets
 from hornbeamglade.localsite import tcpproxy
 from hornbeamglade.soak import skewedentry
 
+ProtocolFactory = collections.abc.Callable[[], typing.Any]
+
 SUFFIX = ".cut"
 POLL_S = 0.05
 
@@ -45,22 +48,34 @@
             return None
         return tcpproxy.Partition(how) if address in addresses else None
 
-    async def connect(
-        self, original: collections.abc.Callable[..., typing.Any], *args: typing.Any
-    ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
-        """Open a connection as an event loop does, unless its address is cut."""
-        factory, host, port = args
-        address = f"{host}:{port}"
+    async def check(self, address: str) -> None:
+        """Wait for ever if the connections to an address are held back.
+
+        :raises ConnectionRefusedError: if they are cut otherwise.
+        """
         how = self.how(address)
         if how is tcpproxy.Partition.HANG:
             await asyncio.Event().wait()
         if how is not None:
             raise ConnectionRefusedError
-        transport, protocol = await original(factory, host, port)
-        self._open.add(_Link(address, transport, protocol))
-        if self._task is None:
-            self._task = asyncio.ensure_future(self._watch())
-        return transport, protocol
+
+    def watched(self, make_protocol: ProtocolFactory, address: str) -> ProtocolFactory:
+        """Return a factory of protocols whose connections are cut with their address."""
+
+        def make() -> asyncio.BaseProtocol:
+            protocol = make_protocol()
+            original = protocol.connection_made
+
+            def connection_made(transport: asyncio.BaseTransport) -> None:
+                self._open.add(_Link(address, transport, protocol))
+                if self._task is None:
+                    self._task = asyncio.ensure_future(self._watch())
+                original(transport)
+
+            protocol.connection_made = connection_made
+            return protocol
+
+        return make
 
     async def _watch(self) -> None:
         while True:
@@ -103,12 +118,30 @@
 def run() -> None:
     """Run the command line with the faults."""
     partition = Partition(path_for(pathlib.Path(sys.argv[sys.argv.index("--settings") + 1])))
-    original = asyncio.BaseEventLoop.create_connection
-
-    async def create_connection(loop: asyncio.BaseEventLoop, *args: typing.Any) -> typing.Any:
-        return await partition.connect(lambda *each: original(loop, *each), *args)
+    create = asyncio.BaseEventLoop.create_connection
+    open_directly = sockets.open_connection
+
+    async def create_connection(
+        loop: asyncio.BaseEventLoop,
+        make_protocol: ProtocolFactory,
+        *endpoint: typing.Any,
+        **options: typing.Any,
+    ) -> typing.Any:
+        if endpoint:
+            address = ":".join(map(str, endpoint))
+            await partition.check(address)
+            make_protocol = partition.watched(make_protocol, address)
+        return await create(loop, make_protocol, *endpoint, **options)
+
+    async def open_connection(
+        make_protocol: ProtocolFactory, address: str, timeout_s: float
+    ) -> typing.Any:
+        async with asyncio.timeout(timeout_s):
+            await partition.check(address)
+        return await open_directly(partition.watched(make_protocol, address), address, timeout_s)
 
     asyncio.BaseEventLoop.create_connection = create_connection
+    sockets.open_connection = open_connection
     skewedentry.run()
 
 
