http1: requests and their limits have a module of their own

Change: Request and ConnectionLimits move to callerrequests.py, which all users import. Dialects and views no longer import the server.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -8,7 +8,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.entry import startupgate
 from hornbeamglade.grants import grantresponses
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import callerrequests, serverside
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.quarantine import fingerprints, requestquarantine
 from hornbeamglade.routed import (
@@ -71,10 +71,10 @@
     def __init__(self, dependencies: HandlerDependencies) -> None:
         self._dependencies = dependencies
 
-    def limits(self) -> serverside.ConnectionLimits:
+    def limits(self) -> callerrequests.ConnectionLimits:
         """Return the connection limits of the configuration in force."""
         view = self._dependencies.current.routes
-        return serverside.ConnectionLimits() if view is None else view.limits
+        return callerrequests.ConnectionLimits() if view is None else view.limits
 
     def refused(self, status: http.HTTPStatus, reason: str) -> None:
         """Record a request that could not be parsed."""
--- a/hornbeamglade/entry/controlhandler.py
+++ b/hornbeamglade/entry/controlhandler.py
@@ -3,7 +3,7 @@
 import abc
 import http
 
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import callerrequests, serverside
 from hornbeamglade.membership import discovery
 from hornbeamglade.platform import directorycalls
 
@@ -51,9 +51,9 @@
         self._address_ttl_s = address_ttl_s
         self._metrics_fields = ((b"Content-Type", metrics_type.encode()),)
 
-    def limits(self) -> serverside.ConnectionLimits:
+    def limits(self) -> callerrequests.ConnectionLimits:
         """Return connection limits that allow no request body."""
-        return serverside.ConnectionLimits(body_bytes=0)
+        return callerrequests.ConnectionLimits(body_bytes=0)
 
     async def handle(self, exchange: serverside.Exchange) -> None:
         """Handle one request."""
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -32,6 +32,7 @@
 from hornbeamglade.http1 import (
     acceptor,
     buffermemory,
+    callerrequests,
     connectionorder,
     fields,
     sockets,
@@ -86,40 +87,6 @@
 _CLOSE = (b"Connection", b"close")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """Limits on the size and the duration of a caller's request.
-
-    :param head_bytes: maximum size of a request head.
-    :param body_bytes: maximum size of a request body.
-    :param head_s: maximum seconds from the first byte of a head to its last.
-    :param idle_s: maximum seconds without a byte, between requests and within a body.
-    """
-
-    head_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    head_s: float = 3.0
-    idle_s: float = 15.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """One complete request.
-
-    :param method: as sent.
-    :param target: path and query, as sent.
-    :param fields: as sent, including those that concern only the connection.
-    :param body: without its framing.
-    :param arrived_at: monotonic seconds at which its first byte was read.
-    """
-
-    method: bytes
-    target: bytes
-    fields: fields.Fields
-    body: bytes
-    arrived_at: float
-
-
 class Handler(abc.ABC):
     """Answers requests."""
 
@@ -128,7 +95,7 @@
         """Answer one request; cancelled if the caller disconnects."""
 
     @abc.abstractmethod
-    def limits(self) -> ConnectionLimits:
+    def limits(self) -> callerrequests.ConnectionLimits:
         """Return the current limits."""
 
     def refused(self, status: http.HTTPStatus, reason: str) -> None:  # noqa: B027
@@ -231,7 +198,12 @@
     :param request: the request.
     """
 
-    def __init__(self, connection: "CallerConnection", request: Request, state: h11.Connection):
+    def __init__(
+        self,
+        connection: "CallerConnection",
+        request: callerrequests.Request,
+        state: h11.Connection,
+    ):
         self.request = request
         self.is_answered = False
         self._connection = connection
@@ -575,7 +547,7 @@
             self._holding.hold(self._needed_bytes)
         return exchange.keeps_connection
 
-    async def _read_request(self, state: h11.Connection) -> Request | None:
+    async def _read_request(self, state: h11.Connection) -> callerrequests.Request | None:
         limits = self._handler.limits()
         if not await self._await_first_byte(limits):
             return None
@@ -601,7 +573,7 @@
         self._buffer[:0] = state.trailing_data[0]
         # The last piece of the body has become a part of it.
         self._holding.hold(self._needed_bytes)
-        return Request(
+        return callerrequests.Request(
             bytes(started.method),
             bytes(started.target),
             tuple((bytes(name), bytes(value)) for name, value in started.headers.raw_items()),
@@ -609,7 +581,7 @@
             arrived_at,
         )
 
-    async def _await_first_byte(self, limits: ConnectionLimits) -> bool:
+    async def _await_first_byte(self, limits: callerrequests.ConnectionLimits) -> bool:
         # RFC 9112, section 2.2: an empty line before a request is ignored.
         ignored_bytes = 0
         if not self._buffer:
@@ -625,7 +597,7 @@
             if not await self._await_data(limits.idle_s):
                 return False
 
-    async def _read_head(self, limits: ConnectionLimits) -> bytes:
+    async def _read_head(self, limits: callerrequests.ConnectionLimits) -> bytes:
         ends_at = self._clock.now() + limits.head_s
         searched_bytes = 0
         while (end := self._buffer.find(strictness.HEAD_END, searched_bytes)) < 0:
@@ -642,7 +614,7 @@
         return bytes(self._buffer[: end + len(strictness.HEAD_END)])
 
     async def _read_body(
-        self, state: h11.Connection, started: h11.Request, limits: ConnectionLimits
+        self, state: h11.Connection, started: h11.Request, limits: callerrequests.ConnectionLimits
     ) -> bytes:
         length = fields.value(started.headers, b"content-length")
         if length is not None and int(length) > limits.body_bytes:
--- a/hornbeamglade/platform/requestdialect.py
+++ b/hornbeamglade/platform/requestdialect.py
@@ -3,7 +3,7 @@
 import re
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.http1 import clientside, fields, serverside
+from hornbeamglade.http1 import callerrequests, clientside, fields
 from hornbeamglade.replicas import advisories, ratelimits, refusals
 from hornbeamglade.routed import calls, dialect
 
@@ -87,7 +87,7 @@
 class PlatformDialect(dialect.Dialect):
     """The platform's header format."""
 
-    def parse_request(self, request: serverside.Request) -> calls.Call | outcomes.Refusal:
+    def parse_request(self, request: callerrequests.Request) -> calls.Call | outcomes.Refusal:
         """Parse a caller's request."""
         request_ids = fields.values(request.fields, _REQUEST_ID)
         if len(request_ids) != 1 or not request_ids[0]:
--- a/hornbeamglade/routed/dialect.py
+++ b/hornbeamglade/routed/dialect.py
@@ -3,7 +3,7 @@
 import abc
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.http1 import clientside, fields, serverside
+from hornbeamglade.http1 import callerrequests, clientside, fields
 from hornbeamglade.routed import calls
 
 
@@ -11,7 +11,7 @@
     """Parses callers' requests and backend servers' responses, and writes request headers."""
 
     @abc.abstractmethod
-    def parse_request(self, request: serverside.Request) -> calls.Call | outcomes.Refusal:
+    def parse_request(self, request: callerrequests.Request) -> calls.Call | outcomes.Refusal:
         """Parse a caller's request."""
 
     @abc.abstractmethod
--- a/hornbeamglade/routed/views.py
+++ b/hornbeamglade/routed/views.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import callerrequests
 from hornbeamglade.routes import models, routetable, teamkeys
 
 
@@ -18,7 +18,7 @@
         self.table = routetable.RouteTable(configuration.routes)
         self.keys = teamkeys.TeamKeys(configuration.teams)
         limits = configuration.limits
-        self.limits = serverside.ConnectionLimits(
+        self.limits = callerrequests.ConnectionLimits(
             limits.max_head_bytes,
             limits.max_body_bytes,
             limits.head_timeout_s,
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -5,7 +5,7 @@
 import socket
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import acceptor, buffermemory, serverside
+from hornbeamglade.http1 import acceptor, buffermemory, callerrequests, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -19,7 +19,7 @@
         self.handled = 0
 
     def limits(self):
-        return serverside.ConnectionLimits()
+        return callerrequests.ConnectionLimits()
 
     async def handle(self, exchange):
         self.handled += 1
--- a/tests/http1/test_serverside.py
+++ b/tests/http1/test_serverside.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import callerrequests, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -22,7 +22,7 @@
         self.refusals = []
         self.failures = []
         self.cancelled = asyncio.Event()
-        self._limits = limits or serverside.ConnectionLimits()
+        self._limits = limits or callerrequests.ConnectionLimits()
 
     def limits(self):
         return self._limits
@@ -116,7 +116,7 @@
 )
 def test_invalid_request_gets_its_status_and_ends_the_connection(sent, status):
     async def main():
-        recorder = Recorder(serverside.ConnectionLimits(head_bytes=300, body_bytes=10))
+        recorder = Recorder(callerrequests.ConnectionLimits(head_bytes=300, body_bytes=10))
         server, address = await serve(recorder)
         client = await raw.RawClient.connect(address)
         await client.send(sent)
@@ -141,7 +141,7 @@
     """
 
     async def main():
-        recorder = Recorder(serverside.ConnectionLimits(head_s=0.05, idle_s=0.05))
+        recorder = Recorder(callerrequests.ConnectionLimits(head_s=0.05, idle_s=0.05))
         server, address = await serve(recorder)
         client = await raw.RawClient.connect(address)
         await client.send(sent)
@@ -154,7 +154,7 @@
 
 def test_idle_connection_is_closed_without_a_response():
     async def main():
-        server, address = await serve(Recorder(serverside.ConnectionLimits(idle_s=0.05)))
+        server, address = await serve(Recorder(callerrequests.ConnectionLimits(idle_s=0.05)))
         client = await raw.RawClient.connect(address)
         is_closed = await client.is_closed()
         server.stop_listening()
--- a/tests/http1/test_slowreaders.py
+++ b/tests/http1/test_slowreaders.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import buffermemory, serverside
+from hornbeamglade.http1 import buffermemory, callerrequests, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -19,7 +19,7 @@
     """Answers ``/large`` with much data, and anything else once it is allowed to."""
 
     def __init__(self):
-        self.limits_in_force = serverside.ConnectionLimits()
+        self.limits_in_force = callerrequests.ConnectionLimits()
         self.may_answer = asyncio.Event()
         self.may_answer.set()
         self.bodies = []
@@ -227,7 +227,7 @@
     """Each such caller kept its connection, and with enough of them nobody else got one."""
 
     async def scenario(site):
-        site.handler.limits_in_force = serverside.ConnectionLimits(idle_s=0.1)
+        site.handler.limits_in_force = callerrequests.ConnectionLimits(idle_s=0.1)
         site.handler.has_unsent = lambda: any(c.unsent_bytes() for c in site.server.connections)
         with read_nothing(site.address, target):
             await eventloop.until(lambda: site.handler.closed)
@@ -241,7 +241,7 @@
     """A response that takes longer than a connection may idle is still read to its end."""
 
     async def scenario(site):
-        site.handler.limits_in_force = serverside.ConnectionLimits(idle_s=1.0)
+        site.handler.limits_in_force = callerrequests.ConnectionLimits(idle_s=1.0)
         buffer = site.server.listening_socket
         buffer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
         client = await site.call(b"/large")
--- a/tests/http1/test_turns.py
+++ b/tests/http1/test_turns.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import callerrequests, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -20,7 +20,7 @@
         self.targets = []
 
     def limits(self):
-        return serverside.ConnectionLimits(head_bytes=4_000)
+        return callerrequests.ConnectionLimits(head_bytes=4_000)
 
     async def handle(self, exchange):
         self.targets.append(exchange.request.target)
--- a/tests/platform/test_requestdialect.py
+++ b/tests/platform/test_requestdialect.py
@@ -3,7 +3,7 @@
 import pytest
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.http1 import clientside, serverside
+from hornbeamglade.http1 import callerrequests, clientside
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.routed import calls
 
@@ -18,7 +18,7 @@
 
 
 def request(*fields):
-    return serverside.Request(b"POST", b"/x?y=1", (*PLAIN, *fields), b"body", 10.0)
+    return callerrequests.Request(b"POST", b"/x?y=1", (*PLAIN, *fields), b"body", 10.0)
 
 
 def test_request_is_parsed():
@@ -87,7 +87,7 @@
     ],
 )
 def test_malformed_request_is_refused(fields):
-    refusal = DIALECT.parse_request(serverside.Request(b"GET", b"/", fields, b"", 0.0))
+    refusal = DIALECT.parse_request(callerrequests.Request(b"GET", b"/", fields, b"", 0.0))
     assert isinstance(refusal, outcomes.Refusal)
     assert (refusal.http_status, refusal.run) == (400, outcomes.RunStatus.NOT_RUN)
 
--- a/tests/routed/fakes.py
+++ b/tests/routed/fakes.py
@@ -1,7 +1,7 @@
 """Fakes and sample values for tests of routed requests."""
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import callerrequests
 from hornbeamglade.routed import callrouter, calls
 from hornbeamglade.routes import models
 
@@ -55,7 +55,7 @@
 
 def request(request_id="r1", target=b"/r/1", *more):
     fields = ((b"Host", HOST.encode()), (b"Attempt-Id", request_id.encode()), *more)
-    return serverside.Request(b"POST", target, fields, b"body", 0.0)
+    return callerrequests.Request(b"POST", target, fields, b"body", 0.0)
 
 
 def routed_request(
--- a/tests/routed/test_slowcallers.py
+++ b/tests/routed/test_slowcallers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import buffermemory, clientpool, clientside, serverside
+from hornbeamglade.http1 import buffermemory, callerrequests, clientpool, clientside, serverside
 from hornbeamglade.replicas import models
 from hornbeamglade.routed import eventrelay, sending
 from tests import eventloop
@@ -31,7 +31,7 @@
         self.is_finished = False
 
     def limits(self):
-        return serverside.ConnectionLimits()
+        return callerrequests.ConnectionLimits()
 
     async def handle(self, exchange):
         self.connection = await self._pool.acquire(self._address)
