http1: settings and records of a listener have a module of their own

Cause: the logs, the shares of connections and the capacity page imported the whole server for two constants and an interface.

Change: ListenerSettings, ListenerObserver and the sizes of a connection's buffers move from serverside.py to listeners.py. The observer that records nothing keeps its methods and is named SilentObserver. No change of behaviour.

--- a/hornbeamglade/capacity/callermemory.py
+++ b/hornbeamglade/capacity/callermemory.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from hornbeamglade.entry import connectionshares, daemon, settings
-from hornbeamglade.http1 import buffermemory, serverside
+from hornbeamglade.http1 import buffermemory, listeners, serverside
 from hornbeamglade.observability import logs, metricsinstruments
 from hornbeamglade.origins import origintable
 from hornbeamglade.quarantine import (
@@ -117,7 +117,7 @@
         ("the program and its tables", daemon.PROGRAM_BYTES),
         ("held for callers, of responses that arrive, and in tunnels", held),
         (f"{shares.accepted:,} connections", shares.accepted * each),
-        ("their receive buffers", shares.accepted * serverside.RECEIVE_BUFFER_BYTES),
+        ("their receive buffers", shares.accepted * listeners.RECEIVE_BUFFER_BYTES),
         ("**all**", total),
     )
     rows = [f"| {name} | {byte_count / MEGABYTE:.1f} |" for name, byte_count in parts]
--- a/hornbeamglade/entry/connectionlog.py
+++ b/hornbeamglade/entry/connectionlog.py
@@ -2,13 +2,13 @@
 
 import errno
 
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import listeners
 from hornbeamglade.observability import logs, metrics
 
 ACCEPTING = "accepting"
 
 
-class ConnectionLog(serverside.ListenerObserver):
+class ConnectionLog(listeners.ListenerObserver):
     """Counts and logs the events of all listeners of an instance.
 
     :param instruments: the instance's metrics.
--- a/hornbeamglade/entry/connectionshares.py
+++ b/hornbeamglade/entry/connectionshares.py
@@ -4,7 +4,7 @@
 import resource
 
 from hornbeamglade.entry import settings
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import listeners
 from hornbeamglade.tunnels import tunnelserver
 
 MIN_RESERVED = 64
@@ -76,7 +76,7 @@
     free = descriptors - max(MIN_RESERVED, int(RESERVED_SHARE * descriptors))
     callers = int(CALLERS_SHARE * free)
     if instance_settings.memory_mb is not None:
-        each = CONNECTION_BYTES + serverside.RECEIVE_BUFFER_BYTES
+        each = CONNECTION_BYTES + listeners.RECEIVE_BUFFER_BYTES
         callers = min(callers, int(MEMORY_SHARE * instance_settings.memory_mb * 1_000_000 / each))
     directory = min(int(DIRECTORY_SHARE * free), int(DIRECTORY_PER_CALLER * callers))
     operator = max(MIN_OPERATOR_CONNECTIONS, int(OPERATOR_SHARE * free))
@@ -96,5 +96,5 @@
     :param held_bound_bytes: the bound on what is held for callers.
     :param program_bytes: memory of the program itself and its tables.
     """
-    each = CONNECTION_BYTES + serverside.RECEIVE_BUFFER_BYTES
+    each = CONNECTION_BYTES + listeners.RECEIVE_BUFFER_BYTES
     return program_bytes + held_bound_bytes + shares.accepted * each
--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -16,7 +16,7 @@
     registration,
     settings,
 )
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import listeners, serverside
 from hornbeamglade.membership import draining, registry
 from hornbeamglade.observability import libraryoutput, logs, metricsregistry
 from hornbeamglade.platform import storeclient, tables
@@ -88,7 +88,7 @@
             self.instance.callers,
             self._clock,
             self.instance.memory,
-            serverside.ListenerSettings("callers", shares.callers),
+            listeners.ListenerSettings("callers", shares.callers),
             self._connection_log,
         )
         self._followers = tuple(
@@ -182,7 +182,7 @@
             server = serverside.CallersServer(
                 control,
                 self._clock,
-                settings=serverside.ListenerSettings(name, limit, CONTROL_WRITE_BUFFER_BYTES),
+                settings=listeners.ListenerSettings(name, limit, CONTROL_WRITE_BUFFER_BYTES),
                 observer=self._connection_log,
             )
             host, _, port = address.rpartition(":")
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -22,7 +22,6 @@
 import abc
 import asyncio
 import collections.abc
-import dataclasses
 import http
 import socket
 
@@ -35,6 +34,7 @@
     callerrequests,
     connectionorder,
     fields,
+    listeners,
     sockets,
     strictness,
 )
@@ -49,13 +49,6 @@
 UNCOUNTED_BYTES = 2_048
 """So much of a request is not counted until its head is complete; most heads are shorter."""
 
-RECEIVE_BUFFER_BYTES = 32_768
-"""Size of the receive buffer of each connection, which counts as memory of the process."""
-
-WRITE_BUFFER_BYTES = 262_144
-"""Bytes of a response that may be buffered for a slow caller: 256 KiB hold two seconds of the
-densest stream, and a thousand such buffers still do not fill an instance's memory."""
-
 RESPONSE_PIECE_BYTES = 65_536
 MEMORY_RETRY_S = 1
 """Retry delay of a body that was refused for want of memory. After this time, callers that stopped
@@ -128,69 +121,6 @@
         """Record an error that handling a request raised."""
 
 
-class ListenerObserver(abc.ABC):
-    """Records what becomes of connections at the limit of a listener."""
-
-    @abc.abstractmethod
-    def refused(self, listener: str, peer: str, count: int) -> None:
-        """Record a connection that was closed at once, as no other one could be closed.
-
-        :param listener: name of the listener.
-        :param peer: address of the caller.
-        :param count: connections that are open.
-        """
-
-    @abc.abstractmethod
-    def closed_unused(self, listener: str, peer: str, count: int) -> None:
-        """Record a connection without a request in progress that was closed for another one."""
-
-    @abc.abstractmethod
-    def request_refused(self, listener: str, peer: str, count: int) -> None:
-        """Record a request that was refused, as too many connections have one in progress.
-
-        :param count: requests in progress.
-        """
-
-    @abc.abstractmethod
-    def reading_paused(self, listener: str) -> None:
-        """Record a connection that is not read for now, as its caller is too far ahead."""
-
-    @abc.abstractmethod
-    def accept_failed(self, listener: str, error: OSError | None) -> None:
-        """Record that connections cannot be accepted, or with None that they are again."""
-
-
-class _NoObserver(ListenerObserver):
-    def refused(self, listener: str, peer: str, count: int) -> None:
-        """Record nothing."""
-
-    def closed_unused(self, listener: str, peer: str, count: int) -> None:
-        """Record nothing."""
-
-    def request_refused(self, listener: str, peer: str, count: int) -> None:
-        """Record nothing."""
-
-    def reading_paused(self, listener: str) -> None:
-        """Record nothing."""
-
-    def accept_failed(self, listener: str, error: OSError | None) -> None:
-        """Record nothing."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListenerSettings:
-    """Settings of one listener.
-
-    :param name: its name in logs and metrics.
-    :param max_connections: most connections that are open at once, or None for no limit.
-    :param write_buffer_bytes: bytes that may be buffered for one caller.
-    """
-
-    name: str = "callers"
-    max_connections: int | None = None
-    write_buffer_bytes: int = WRITE_BUFFER_BYTES
-
-
 class Exchange:
     """One request and its response.
 
@@ -717,14 +647,14 @@
         handler: Handler,
         clock: clocks.Clock,
         memory: buffermemory.BufferMemory | None = None,
-        settings: ListenerSettings | None = None,
-        observer: ListenerObserver | None = None,
+        settings: listeners.ListenerSettings | None = None,
+        observer: listeners.ListenerObserver | None = None,
     ) -> None:
         self._handler = handler
         self._clock = clock
         self._memory = memory or buffermemory.BufferMemory(clock)
-        self.settings = settings or ListenerSettings()
-        self._observer = observer or _NoObserver()
+        self.settings = settings or listeners.ListenerSettings()
+        self._observer = observer or listeners.SilentObserver()
         self._acceptor = acceptor.Acceptor(
             self._accept,
             lambda error: self._observer.accept_failed(self.settings.name, error),
@@ -741,7 +671,7 @@
 
     async def listen(self, host: str, port: int, backlog: int = 512) -> str:
         """Start accepting connections; return the address as ``ip:port``."""
-        return self._acceptor.listen(host, port, backlog, RECEIVE_BUFFER_BYTES)
+        return self._acceptor.listen(host, port, backlog, listeners.RECEIVE_BUFFER_BYTES)
 
     @property
     def listening_socket(self) -> socket.socket:
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.http1 import clientside, serverside
+from hornbeamglade.http1 import clientside, listeners, serverside
 from hornbeamglade.observability import logs
 from hornbeamglade.origins import origintable, streamorigins, versions
 from hornbeamglade.quarantine import fingerprints, lostruns, partquarantine
@@ -392,7 +392,7 @@
         if relay.has_started:
             return True
         if relay.is_withholding:
-            return relay.withheld_bytes <= serverside.WRITE_BUFFER_BYTES
+            return relay.withheld_bytes <= listeners.WRITE_BUFFER_BYTES
         late_start = dependencies.drain_admission.late_start(
             self._routed, self._log.admitted_at, dependencies.clock.now()
         )
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -5,7 +5,7 @@
 import socket
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import acceptor, buffermemory, callerrequests, serverside
+from hornbeamglade.http1 import acceptor, buffermemory, callerrequests, listeners, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -27,7 +27,7 @@
         await exchange.answer(200)
 
 
-class Observer(serverside.ListenerObserver):
+class Observer(listeners.ListenerObserver):
     def __init__(self):
         self.events = []
 
@@ -50,7 +50,7 @@
 def run(scenario, bound_bytes=None, limit=LIMIT):
     async def main():
         handler, observer, clock = Handler(), Observer(), clocks.SystemClock()
-        settings = serverside.ListenerSettings("directory", limit)
+        settings = listeners.ListenerSettings("directory", limit)
         memory = buffermemory.BufferMemory(clock, bound_bytes)
         server = serverside.CallersServer(handler, clock, memory, settings, observer)
         address = await server.listen("127.0.0.1", 0)
--- a/tests/routed/test_slowcallers.py
+++ b/tests/routed/test_slowcallers.py
@@ -5,7 +5,14 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import buffermemory, callerrequests, clientpool, clientside, serverside
+from hornbeamglade.http1 import (
+    buffermemory,
+    callerrequests,
+    clientpool,
+    clientside,
+    listeners,
+    serverside,
+)
 from hornbeamglade.replicas import models
 from hornbeamglade.routed import eventrelay, sending
 from tests import eventloop
@@ -98,7 +105,7 @@
         return held, body
 
     held, body = relay(scenario, 440, 350)
-    assert 100_000 < held < serverside.WRITE_BUFFER_BYTES
+    assert 100_000 < held < listeners.WRITE_BUFFER_BYTES
     assert body == b"".join(event(number, 350) for number in range(1, 441))
 
 
@@ -113,7 +120,7 @@
     held, read_ahead = relay(scenario, 20_000, 1000)
     assert clientside.READ_AHEAD_BYTES < read_ahead < held
     assert read_ahead <= clientside.READ_AHEAD_BYTES + MAX_READ_BYTES
-    assert held <= read_ahead + serverside.WRITE_BUFFER_BYTES + serverside.REQUEST_BYTES + 2000
+    assert held <= read_ahead + listeners.WRITE_BUFFER_BYTES + serverside.REQUEST_BYTES + 2000
 
 
 @pytest.mark.parametrize("ends_early", [False, True])
