http1: a class of its own writes responses

Cause: the connection of a caller was also its parser and its writer, 430 lines with 20 attributes; what waits for a slow caller was spread over them.

Change: ResponseWriter (responsewriter.py) takes over the write buffer, its backpressure, the memory that is held for the caller, refusals and the ends of a connection. An exchange refers to the writer only, and the writer to neither the connection nor an exchange, so no new cycle holds a response. The same bytes in the same order; one call fewer for a refusal, no further one for a piece of a stream.

--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -35,6 +35,7 @@
     connectionorder,
     fields,
     listeners,
+    responsewriter,
     sockets,
     strictness,
 )
@@ -50,10 +51,6 @@
 """So much of a request is not counted until its head is complete; most heads are shorter."""
 
 RESPONSE_PIECE_BYTES = 65_536
-MEMORY_RETRY_S = 1
-"""Retry delay of a body that was refused for want of memory. After this time, callers that stopped
-reading lose their connections, which frees the memory that they held."""
-
 REQUEST_BYTES = 16_384
 """Memory of a request in progress besides what its caller sent: its task, the parser's state, its
 connection to a replica and its entries in tables."""
@@ -124,25 +121,25 @@
 class Exchange:
     """One request and its response.
 
-    :param connection: the connection for the response.
+    :param writer: writes the response.
     :param request: the request.
     """
 
     def __init__(
         self,
-        connection: "CallerConnection",
+        writer: responsewriter.ResponseWriter,
         request: callerrequests.Request,
         state: h11.Connection,
     ):
         self.request = request
         self.is_answered = False
-        self._connection = connection
+        self._writer = writer
         self._state = state
 
     @property
     def peer(self) -> str:
         """The address of the caller."""
-        return self._connection.peer
+        return self._writer.peer
 
     async def answer(
         self, status: int, answer_fields: fields.Fields = (), body: bytes = b""
@@ -156,43 +153,43 @@
         if len(body) <= RESPONSE_PIECE_BYTES:
             data += self._state.send(h11.Data(data=body)) if body else b""
             data += self._state.send(h11.EndOfMessage())
-            await self._connection.write(data)
+            await self._writer.write(data)
             return
         # Written as a whole, a body that is not read would be held twice.
-        self._connection.begin_whole(len(body))
-        await self._connection.write(data)
+        self._writer.begin_whole(len(body))
+        await self._writer.write(data)
         for offset in range(0, len(body), RESPONSE_PIECE_BYTES):
             piece = body[offset : offset + RESPONSE_PIECE_BYTES]
-            await self._connection.write(self._state.send(h11.Data(data=piece)))
-        await self._connection.write(self._state.send(h11.EndOfMessage()))
+            await self._writer.write(self._state.send(h11.Data(data=piece)))
+        await self._writer.write(self._state.send(h11.EndOfMessage()))
 
     async def begin(self, status: int, answer_fields: fields.Fields) -> None:
         """Send the head of a response of unknown length."""
         self.is_answered = True
-        await self._connection.write(self._head(status, answer_fields))
+        await self._writer.write(self._head(status, answer_fields))
 
     async def send(self, data: bytes) -> None:
         """Send a piece of the body, and wait while the write buffer is full."""
-        await self._connection.write(self._state.send(h11.Data(data=data)))
+        await self._writer.write(self._state.send(h11.Data(data=data)))
 
     def set_read_ahead(self, count: collections.abc.Callable[[], int]) -> None:
         """Count what is read ahead of a slow caller as held for its connection.
 
         :param count: returns the bytes that are held besides those passed to :meth:`send`.
         """
-        self._connection.count_read_ahead = count
+        self._writer.count_read_ahead = count
 
     async def finish(self) -> None:
         """End the response as complete."""
-        await self._connection.write(self._state.send(h11.EndOfMessage()))
+        await self._writer.write(self._state.send(h11.EndOfMessage()))
 
     def abort(self) -> None:
         """Close the connection; the caller sees that a response in progress is incomplete."""
         if self._state.their_http_version == b"1.0":
             # Such a response has no chunks, and an orderly close would be its end.
-            self._connection.reset()
+            self._writer.reset()
         else:
-            self._connection.abort()
+            self._writer.abort()
 
     @property
     def keeps_connection(self) -> bool:
@@ -200,7 +197,7 @@
         return self._state.our_state is h11.DONE and self._state.their_state is h11.DONE
 
     def _head(self, status: int, answer_fields: fields.Fields) -> bytes:
-        if self._connection.is_leaving:
+        if self._writer.announces_close:
             answer_fields = (*answer_fields, _CLOSE)
         return self._state.send(
             h11.Response(status_code=status, headers=list(answer_fields), reason=_reason(status))
@@ -231,7 +228,7 @@
     """A request that would leave too few connections without one in progress."""
 
 
-class CallerConnection(asyncio.BufferedProtocol, buffermemory.Reader, connectionorder.Connection):
+class CallerConnection(asyncio.BufferedProtocol, connectionorder.Connection):
     """One caller's connection.
 
     :param handler: answers its requests.
@@ -254,29 +251,20 @@
         self._handler = handler
         self._clock = clock
         self._memory = memory
-        self._holding = memory.open(self)
+        self._writer = responsewriter.ResponseWriter(memory, handler.limits, handler.closed_unread)
+        self._holding = self._writer.holding
         self._is_discarding = False
-        self.count_read_ahead: collections.abc.Callable[[], int] = _nothing
-        self._is_sending_whole = False
         self._buffer = bytearray()
         self._waiter: asyncio.Future[None] | None = None
-        self._drain_waiter: asyncio.Future[None] | None = None
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._closing: asyncio.TimerHandle | None = None
-        self._is_gone = False
-        self.is_leaving = False
         self.is_busy = False
         self._is_receiving = False
-        self.peer = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start serving."""
         self._transport = transport
-        transport.set_write_buffer_limits(high=self._server.settings.write_buffer_bytes)
-        # A connection that was reset before it was accepted has no peer.
-        host, port = (transport.get_extra_info("peername") or ("-", 0))[:2]
-        self.peer = f"{host}:{port}"
+        self._writer.open(transport, self._server.settings.write_buffer_bytes)
         self._server.opened(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
@@ -311,70 +299,31 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as its caller has disconnected."""
-        self._is_gone = True
-        if self._closing is not None:
-            self._closing.cancel()
-        self._holding.close()
+        self._writer.lost()
         self._server.ended(self)
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
         """Pause writers until the caller has read more."""
-        self._drain_waiter = asyncio.get_running_loop().create_future()
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Resume writers."""
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
-        self._drain_waiter = None
-
-    async def write(self, data: bytes) -> None:
-        """Send bytes, and wait while the write buffer is full."""
-        if self._is_gone:
-            raise ConnectionResetError("the caller has disconnected")
-        self._transport.write(data)
-        self._holding.written(len(data))
-        if self._drain_waiter is not None:
-            await self._await_drain()
-
-    async def _await_drain(self) -> None:
-        """Wait until the caller has read more; close if it reads nothing for the idle time."""
-        while (waiter := self._drain_waiter) is not None:
-            unsent = self.unsent_bytes()
-            await asyncio.wait((waiter,), timeout=self._handler.limits().idle_s)
-            if self._drain_waiter is waiter and self.unsent_bytes() >= unsent:
-                self.close_unread(unsent)
-                # The end of the connection cancels this task, as if the caller had left.
-                await waiter
-
-    def begin_whole(self, byte_count: int) -> None:
-        """Count a complete body as held while it is written in pieces."""
-        self.count_read_ahead = lambda: byte_count
-        self._is_sending_whole = True
+        self._writer.resume()
 
-    def abort(self) -> None:
-        """Close immediately."""
-        self._transport.abort()
-
-    def reset(self) -> None:
-        """Close immediately, so that the caller sees no orderly end."""
-        sockets.reset(self._transport)
+    @property
+    def peer(self) -> str:
+        """The address of the caller."""
+        return self._writer.peer
 
     def unsent_bytes(self) -> int:
         """Return the bytes in the write buffer."""
-        return self._transport.get_write_buffer_size()
-
-    def read_ahead_bytes(self) -> int:
-        """Return the bytes of the response that are held outside of the write buffer."""
-        return self.count_read_ahead()
+        return self._writer.unsent_bytes()
 
-    def close_unread(self, byte_count: int) -> None:
-        """Close immediately, as the caller does not read."""
-        self._handler.closed_unread(self.peer, byte_count, self._memory.held_bytes)
-        self.abort()
+    def abort(self) -> None:
+        """Close immediately."""
+        self._writer.abort()
 
     def close_unused(self) -> None:
         """Close immediately, as no request is in progress and another caller has connected."""
@@ -382,12 +331,12 @@
 
     def leave(self) -> None:
         """Close after the next response; an idle caller may send one more request."""
-        self.is_leaving = True
+        self._writer.announces_close = True
 
     @property
     def has_whole_response(self) -> bool:
         """Whether the response that is being sent is known to its end."""
-        return not self.is_busy or self._is_sending_whole
+        return not self.is_busy or self._writer.is_sending_whole
 
     @property
     def is_in_use(self) -> bool:
@@ -398,7 +347,7 @@
     def close_if_idle(self) -> None:
         """Close unless the connection is in use."""
         if not self.is_in_use:
-            self._transport.close()
+            self._writer.close()
 
     async def _serve(self) -> None:
         try:
@@ -407,34 +356,17 @@
                 # without this, other connections and timers would wait for all that is read ahead.
                 if self._buffer:
                     await asyncio.sleep(0)
-            self._close_when_sent()
+            self._writer.close_when_sent()
         except asyncio.CancelledError:
             # A task keeps the error that ends it, and with its frames all that these held: a
             # reference cycle, as some of them refer to the task.
             pass
         except ConnectionResetError:
-            self._transport.abort()
+            self._writer.abort()
         except Exception as error:  # noqa: BLE001
             # An error in handling one request ends only its connection.
             self._handler.failed(error)
-            self._transport.abort()
-
-    def _close_when_sent(self) -> None:
-        """Close once the caller has read what is buffered, or reads no further."""
-        unsent = self.unsent_bytes()
-        self._transport.close()
-        if unsent:
-            loop = asyncio.get_running_loop()
-            self._closing = loop.call_later(
-                self._handler.limits().idle_s, self._close_if_unread, unsent
-            )
-
-    def _close_if_unread(self, unsent_before: int) -> None:
-        unsent = self.unsent_bytes()
-        if unsent >= unsent_before:
-            self.close_unread(unsent)
-        else:
-            self._close_when_sent()
+            self._writer.abort()
 
     async def _serve_one(self) -> bool:
         """Serve one request; return whether the connection stays open."""
@@ -445,7 +377,7 @@
             request = await self._read_request(state)
         except RefusedError as refused:
             self._handler.refused(refused.status, refused.reason)
-            await self._refuse(refused.status)
+            self._writer.refuse(refused.status)
         except NoMemoryError as error:
             self._handler.body_refused(self.peer, error.byte_count, self._memory.held_bytes)
             has_room = False
@@ -462,7 +394,7 @@
             await self._refuse_unread()
         if request is None:
             return False
-        exchange = Exchange(self, request, state)
+        exchange = Exchange(self._writer, request, state)
         self.is_busy = True
         self._server.order.remove(self)
         self._pause_if_ahead()
@@ -471,8 +403,7 @@
         finally:
             self.is_busy = False
             self._server.release(self)
-            self.count_read_ahead = _nothing
-            self._is_sending_whole = False
+            self._writer.end_response()
             self._request_bytes = self._body_bytes = 0
             self._holding.hold(self._needed_bytes)
         return exchange.keeps_connection
@@ -611,22 +542,13 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    async def _refuse(self, status: http.HTTPStatus) -> None:
-        """Respond to a request that could not be read; its connection is then closed."""
-        head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        self._transport.write(f"{head}Content-Length: 0\r\nConnection: close\r\n\r\n".encode())
-
     async def _refuse_unread(self) -> None:
         """Refuse a request that was not read to its end; it has not run and may be sent again."""
         self._is_discarding = True
         self._buffer.clear()
         self._request_bytes = self._body_bytes = 0
         self._holding.hold(0)
-        self._transport.write(
-            b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\n"
-            b"Content-Length: 0\r\nConnection: close\r\n\r\n" % MEMORY_RETRY_S
-        )
-        self._transport.write_eof()
+        self._writer.refuse_unread()
         self._server.order.set_refused(self)
         # If the caller closes the connection first, this task is cancelled.
         await asyncio.sleep(LINGER_S)
@@ -753,7 +675,8 @@
             self._observer.refused(self.settings.name, peer, len(self.connections))
             return
         connection = CallerConnection(self._handler, self, self._clock, self._memory)
-        connection.is_leaving = self._is_leaving
+        if self._is_leaving:
+            connection.leave()
         task = asyncio.get_running_loop().create_task(_open(connection, accepted))
         self._opening.add(connection)
         self._opening_by_task[task] = connection
@@ -796,10 +719,6 @@
     return f"{host}:{port}"
 
 
-def _nothing() -> int:
-    return 0
-
-
 def _reason(status: int) -> str:
     try:
         return http.HTTPStatus(status).phrase
