http1: requests with their responses have a module of their own

Change: Exchange moves from serverside.py to exchanges.py, with the size of the pieces of a long response. No change of behaviour.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -8,7 +8,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.entry import startupgate
 from hornbeamglade.grants import grantresponses
-from hornbeamglade.http1 import callerrequests, serverside
+from hornbeamglade.http1 import callerrequests, exchanges, serverside
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.quarantine import fingerprints, requestquarantine
 from hornbeamglade.routed import (
@@ -123,7 +123,7 @@
         for request in self._dependencies.in_progress.unanswered():
             request.end(self._dependencies.drain_admission.final_refusal(request.log))
 
-    async def handle(self, exchange: serverside.Exchange) -> None:
+    async def handle(self, exchange: exchanges.Exchange) -> None:
         """Handle one request."""
         dependencies = self._dependencies
         call = dependencies.request_dialect.parse_request(exchange.request)
@@ -142,7 +142,7 @@
         logs.decided("-", "memory", outcome, address=peer, bytes=byte_count, held_bytes=held_bytes)
 
     async def _answer(
-        self, exchange: serverside.Exchange, routed: callrouter.RoutedRequest
+        self, exchange: exchanges.Exchange, routed: callrouter.RoutedRequest
     ) -> None:
         dependencies = self._dependencies
         log = attemptlog.AttemptLog(admitted_at=dependencies.clock.now())
@@ -189,7 +189,7 @@
 
     async def _refuse_routed(
         self,
-        exchange: serverside.Exchange,
+        exchange: exchanges.Exchange,
         routed: callrouter.RoutedRequest,
         log: attemptlog.AttemptLog,
         refusal: outcomes.Refusal,
@@ -204,7 +204,7 @@
 
     def _make_run(
         self,
-        exchange: serverside.Exchange,
+        exchange: exchanges.Exchange,
         routed: callrouter.RoutedRequest,
         log: attemptlog.AttemptLog,
     ) -> streamrun.StreamRun | None:
@@ -214,14 +214,14 @@
         return None
 
     async def _refuse_unrouted(
-        self, exchange: serverside.Exchange, refusal: outcomes.Refusal, request_id: str
+        self, exchange: exchanges.Exchange, refusal: outcomes.Refusal, request_id: str
     ) -> None:
         """Refuse a request that matched no route."""
         logs.decided(request_id, "route", refusal.code, status=refusal.http_status)
         await self._refuse(exchange, refusal, request_id, "")
 
     async def _refuse(
-        self, exchange: serverside.Exchange, refusal: outcomes.Refusal, request_id: str, team: str
+        self, exchange: exchanges.Exchange, refusal: outcomes.Refusal, request_id: str, team: str
     ) -> None:
         self._dependencies.metrics.refusals.add(labels=(refusal.code, team))
         await responses.refuse(exchange, refusal, request_id)
--- a/hornbeamglade/entry/controlhandler.py
+++ b/hornbeamglade/entry/controlhandler.py
@@ -3,7 +3,7 @@
 import abc
 import http
 
-from hornbeamglade.http1 import callerrequests, serverside
+from hornbeamglade.http1 import callerrequests, exchanges, serverside
 from hornbeamglade.membership import discovery
 from hornbeamglade.platform import directorycalls
 
@@ -55,7 +55,7 @@
         """Return connection limits that allow no request body."""
         return callerrequests.ConnectionLimits(body_bytes=0)
 
-    async def handle(self, exchange: serverside.Exchange) -> None:
+    async def handle(self, exchange: exchanges.Exchange) -> None:
         """Handle one request."""
         target = exchange.request.target
         query = directorycalls.parse_query(target)
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -21,7 +21,6 @@
 
 import abc
 import asyncio
-import collections.abc
 import http
 import socket
 
@@ -33,6 +32,7 @@
     buffermemory,
     callerrequests,
     connectionorder,
+    exchanges,
     fields,
     listeners,
     responsewriter,
@@ -50,7 +50,6 @@
 UNCOUNTED_BYTES = 2_048
 """So much of a request is not counted until its head is complete; most heads are shorter."""
 
-RESPONSE_PIECE_BYTES = 65_536
 REQUEST_BYTES = 16_384
 """Memory of a request in progress besides what its caller sent: its task, the parser's state, its
 connection to a replica and its entries in tables."""
@@ -74,14 +73,13 @@
 """Parsed events of a body after which other tasks get a turn; a chunk may have one byte."""
 
 EMPTY_LINE = b"\r\n"
-_CLOSE = (b"Connection", b"close")
 
 
 class Handler(abc.ABC):
     """Answers requests."""
 
     @abc.abstractmethod
-    async def handle(self, exchange: "Exchange") -> None:
+    async def handle(self, exchange: exchanges.Exchange) -> None:
         """Answer one request; cancelled if the caller disconnects."""
 
     @abc.abstractmethod
@@ -118,92 +116,6 @@
         """Record an error that handling a request raised."""
 
 
-class Exchange:
-    """One request and its response.
-
-    :param writer: writes the response.
-    :param request: the request.
-    """
-
-    def __init__(
-        self,
-        writer: responsewriter.ResponseWriter,
-        request: callerrequests.Request,
-        state: h11.Connection,
-    ):
-        self.request = request
-        self.is_answered = False
-        self._writer = writer
-        self._state = state
-
-    @property
-    def peer(self) -> str:
-        """The address of the caller."""
-        return self._writer.peer
-
-    async def answer(
-        self, status: int, answer_fields: fields.Fields = (), body: bytes = b""
-    ) -> None:
-        """Send a complete response."""
-        length = (b"Content-Length", b"%d" % len(body))
-        has_length = fields.value(answer_fields, b"content-length") is not None
-        framed = answer_fields if has_length else (*answer_fields, length)
-        self.is_answered = True
-        data = self._head(status, framed)
-        if len(body) <= RESPONSE_PIECE_BYTES:
-            data += self._state.send(h11.Data(data=body)) if body else b""
-            data += self._state.send(h11.EndOfMessage())
-            await self._writer.write(data)
-            return
-        # Written as a whole, a body that is not read would be held twice.
-        self._writer.begin_whole(len(body))
-        await self._writer.write(data)
-        for offset in range(0, len(body), RESPONSE_PIECE_BYTES):
-            piece = body[offset : offset + RESPONSE_PIECE_BYTES]
-            await self._writer.write(self._state.send(h11.Data(data=piece)))
-        await self._writer.write(self._state.send(h11.EndOfMessage()))
-
-    async def begin(self, status: int, answer_fields: fields.Fields) -> None:
-        """Send the head of a response of unknown length."""
-        self.is_answered = True
-        await self._writer.write(self._head(status, answer_fields))
-
-    async def send(self, data: bytes) -> None:
-        """Send a piece of the body, and wait while the write buffer is full."""
-        await self._writer.write(self._state.send(h11.Data(data=data)))
-
-    def set_read_ahead(self, count: collections.abc.Callable[[], int]) -> None:
-        """Count what is read ahead of a slow caller as held for its connection.
-
-        :param count: returns the bytes that are held besides those passed to :meth:`send`.
-        """
-        self._writer.count_read_ahead = count
-
-    async def finish(self) -> None:
-        """End the response as complete."""
-        await self._writer.write(self._state.send(h11.EndOfMessage()))
-
-    def abort(self) -> None:
-        """Close the connection; the caller sees that a response in progress is incomplete."""
-        if self._state.their_http_version == b"1.0":
-            # Such a response has no chunks, and an orderly close would be its end.
-            self._writer.reset()
-        else:
-            self._writer.abort()
-
-    @property
-    def keeps_connection(self) -> bool:
-        """Whether the connection may carry another request."""
-        return self._state.our_state is h11.DONE and self._state.their_state is h11.DONE
-
-    def _head(self, status: int, answer_fields: fields.Fields) -> bytes:
-        if self._writer.announces_close:
-            answer_fields = (*answer_fields, _CLOSE)
-        return self._state.send(
-            h11.Response(status_code=status, headers=list(answer_fields), reason=_reason(status))
-        )
-
-
 class RefusedError(Exception):
     """A request that cannot be handled, with the status to respond with."""
 
@@ -394,7 +306,7 @@
             await self._refuse_unread()
         if request is None:
             return False
-        exchange = Exchange(self._writer, request, state)
+        exchange = exchanges.Exchange(self._writer, request, state)
         self.is_busy = True
         self._server.order.remove(self)
         self._pause_if_ahead()
@@ -717,10 +629,3 @@
     except OSError:
         return "-"
     return f"{host}:{port}"
-
-
-def _reason(status: int) -> str:
-    try:
-        return http.HTTPStatus(status).phrase
-    except ValueError:
-        return ""
--- a/hornbeamglade/routed/eventrelay.py
+++ b/hornbeamglade/routed/eventrelay.py
@@ -4,7 +4,7 @@
 import re
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import fields, serverside
+from hornbeamglade.http1 import exchanges, fields
 from hornbeamglade.observability import metricsstream
 from hornbeamglade.routed import eventsplit
 from hornbeamglade.speeds import pacemeter
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        exchange: serverside.Exchange,
+        exchange: exchanges.Exchange,
         clock: clocks.Clock,
         last_id: str | None,
         stream_times: metricsstream.StreamTimes | None = None,
--- a/hornbeamglade/routed/responses.py
+++ b/hornbeamglade/routed/responses.py
@@ -4,7 +4,7 @@
 
 from hornbeamglade.callers import problems
 from hornbeamglade.core import outcomes
-from hornbeamglade.http1 import fields, serverside
+from hornbeamglade.http1 import exchanges, fields
 
 RETRY_AFTER = "Retry-After"
 
@@ -23,9 +23,7 @@
     body: bytes
 
 
-async def refuse(
-    exchange: serverside.Exchange, refusal: outcomes.Refusal, request_id: str
-) -> None:
+async def refuse(exchange: exchanges.Exchange, refusal: outcomes.Refusal, request_id: str) -> None:
     """Respond to a request with a refusal."""
     response = problems.render(refusal, request_id)
     await exchange.answer(response.status, _fields(response, refusal), response.body)
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.http1 import clientside, listeners, serverside
+from hornbeamglade.http1 import clientside, exchanges, listeners
 from hornbeamglade.observability import logs
 from hornbeamglade.origins import origintable, streamorigins, versions
 from hornbeamglade.quarantine import fingerprints, lostruns, partquarantine
@@ -83,7 +83,7 @@
     def __init__(
         self,
         routed: callrouter.RoutedRequest,
-        exchange: serverside.Exchange,
+        exchange: exchanges.Exchange,
         log: attemptlog.AttemptLog,
         dependencies: rundependencies.RunDependencies,
     ) -> None:
