http1: the interface of handlers has a module of its own

Change: Handler moves from serverside.py to handlers.py. What answers requests of callers implements it without importing the server that calls it. No change of behaviour.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -8,7 +8,7 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.entry import startupgate
 from hornbeamglade.grants import grantresponses
-from hornbeamglade.http1 import callerrequests, exchanges, serverside
+from hornbeamglade.http1 import callerrequests, exchanges, handlers
 from hornbeamglade.observability import logs, metrics
 from hornbeamglade.quarantine import fingerprints, requestquarantine
 from hornbeamglade.routed import (
@@ -62,7 +62,7 @@
     clock: clocks.Clock
 
 
-class CallersHandler(serverside.Handler):
+class CallersHandler(handlers.Handler):
     """Handles requests of callers.
 
     :param dependencies: the components it works with.
--- a/hornbeamglade/entry/controlhandler.py
+++ b/hornbeamglade/entry/controlhandler.py
@@ -3,7 +3,7 @@
 import abc
 import http
 
-from hornbeamglade.http1 import callerrequests, exchanges, serverside
+from hornbeamglade.http1 import callerrequests, exchanges, handlers
 from hornbeamglade.membership import discovery
 from hornbeamglade.platform import directorycalls
 
@@ -36,7 +36,7 @@
         """Return the status page as JSON."""
 
 
-class ControlHandler(serverside.Handler):
+class ControlHandler(handlers.Handler):
     """Handles everything but routed requests.
 
     :param instance: the instance that the endpoints describe.
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -19,7 +19,6 @@
 counted in :mod:`hornbeamglade.http1.buffermemory` and bounded there.
 """
 
-import abc
 import asyncio
 import http
 import socket
@@ -34,6 +33,7 @@
     connectionorder,
     exchanges,
     fields,
+    handlers,
     listeners,
     responsewriter,
     sockets,
@@ -75,47 +75,6 @@
 EMPTY_LINE = b"\r\n"
 
 
-class Handler(abc.ABC):
-    """Answers requests."""
-
-    @abc.abstractmethod
-    async def handle(self, exchange: exchanges.Exchange) -> None:
-        """Answer one request; cancelled if the caller disconnects."""
-
-    @abc.abstractmethod
-    def limits(self) -> callerrequests.ConnectionLimits:
-        """Return the current limits."""
-
-    def refused(self, status: http.HTTPStatus, reason: str) -> None:  # noqa: B027
-        """Record a request that was refused before it could be handled."""
-
-    def body_refused(self, peer: str, byte_count: int, held_bytes: int) -> None:  # noqa: B027
-        """Record a request that found no memory; it was refused with status 503.
-
-        :param peer: address of the caller.
-        :param byte_count: length of its body, or of the part that has arrived.
-        :param held_bytes: what all connections held.
-        """
-
-    def closed_unread(self, peer: str, byte_count: int, held_bytes: int) -> None:  # noqa: B027
-        """Record a connection that was closed because its caller did not read.
-
-        :param peer: address of the caller.
-        :param byte_count: bytes that were held for the caller.
-        :param held_bytes: what the other connections hold.
-        """
-
-    def truncated(self, peer: str, byte_count: int) -> None:  # noqa: B027
-        """Record a complete response that the end of the process truncates.
-
-        :param peer: address of the caller.
-        :param byte_count: bytes that were not sent.
-        """
-
-    def failed(self, error: Exception) -> None:  # noqa: B027
-        """Record an error that handling a request raised."""
-
-
 class RefusedError(Exception):
     """A request that cannot be handled, with the status to respond with."""
 
@@ -151,7 +110,7 @@
 
     def __init__(
         self,
-        handler: Handler,
+        handler: handlers.Handler,
         server: "CallersServer",
         clock: clocks.Clock,
         memory: buffermemory.BufferMemory,
@@ -478,7 +437,7 @@
 
     def __init__(
         self,
-        handler: Handler,
+        handler: handlers.Handler,
         clock: clocks.Clock,
         memory: buffermemory.BufferMemory | None = None,
         settings: listeners.ListenerSettings | None = None,
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -5,7 +5,14 @@
 import socket
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import acceptor, buffermemory, callerrequests, listeners, serverside
+from hornbeamglade.http1 import (
+    acceptor,
+    buffermemory,
+    callerrequests,
+    handlers,
+    listeners,
+    serverside,
+)
 from tests import eventloop
 from tests.http1 import raw
 
@@ -13,7 +20,7 @@
 LIMIT = 3
 
 
-class Handler(serverside.Handler):
+class Handler(handlers.Handler):
     def __init__(self):
         self.may_answer = asyncio.Event()
         self.handled = 0
--- a/tests/http1/test_serverside.py
+++ b/tests/http1/test_serverside.py
@@ -7,14 +7,14 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import callerrequests, serverside
+from hornbeamglade.http1 import callerrequests, handlers, serverside
 from tests import eventloop
 from tests.http1 import raw
 
 GET = b"GET /a?b=%20c HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
-class Recorder(serverside.Handler):
+class Recorder(handlers.Handler):
     """Echoes bodies; waits, fails or streams depending on the target."""
 
     def __init__(self, limits=None):
--- a/tests/http1/test_slowreaders.py
+++ b/tests/http1/test_slowreaders.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import buffermemory, callerrequests, serverside
+from hornbeamglade.http1 import buffermemory, callerrequests, handlers, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -15,7 +15,7 @@
 """More than the socket buffers of both sides take."""
 
 
-class Handler(serverside.Handler):
+class Handler(handlers.Handler):
     """Answers ``/large`` with much data, and anything else once it is allowed to."""
 
     def __init__(self):
--- a/tests/http1/test_turns.py
+++ b/tests/http1/test_turns.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import callerrequests, serverside
+from hornbeamglade.http1 import callerrequests, handlers, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -13,7 +13,7 @@
 """Requests of one connection that may be served while another one's request is waiting."""
 
 
-class Handler(serverside.Handler):
+class Handler(handlers.Handler):
     """Answers each request without waiting for anything."""
 
     def __init__(self):
--- a/tests/routed/test_slowcallers.py
+++ b/tests/routed/test_slowcallers.py
@@ -10,6 +10,7 @@
     callerrequests,
     clientpool,
     clientside,
+    handlers,
     listeners,
     serverside,
 )
@@ -27,7 +28,7 @@
     return head + b"x" * (size - len(head) - 2) + b"\n\n"
 
 
-class Relayer(serverside.Handler):
+class Relayer(handlers.Handler):
     """Relays the stream of a replica as :class:`streamrun.StreamRun` does."""
 
     def __init__(self, address, clock):
