http1: a class of its own receives and accounts for what callers send

Change: ReceiveBuffer (receivebuffer.py) takes over what a connection has read and not handled yet, its backpressure, and the account of the request's memory. The account is changed by named steps (the head is complete, the body is reserved, the rest is put back, the request is released or discarded) in place of sums that the parser kept. The same bytes are read and counted in the same order; tests look at the same bytes in their new place.

--- a/hornbeamglade/capacity/callermemory.py
+++ b/hornbeamglade/capacity/callermemory.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from hornbeamglade.entry import connectionshares, daemon, settings
-from hornbeamglade.http1 import buffermemory, listeners, serverside
+from hornbeamglade.http1 import buffermemory, listeners, receivebuffer
 from hornbeamglade.observability import logs, metricsinstruments
 from hornbeamglade.origins import origintable
 from hornbeamglade.quarantine import (
@@ -130,9 +130,9 @@
             "by its defaults:",
             f"{shares.callers} connections of callers, {shares.directory} to the directory, "
             f"{shares.operator} to each of the operators' addresses. A request counts as held "
-            f"with its body, its head, {serverside.FIELD_BYTES} bytes a field and "
-            f"{serverside.REQUEST_BYTES:,} more. A response counts with what was received of its "
-            "body, whether its length is stated or not: beyond "
+            f"with its body, its head, {receivebuffer.FIELD_BYTES} bytes a field and "
+            f"{receivebuffer.REQUEST_BYTES:,} more. A response counts with what was received of "
+            "its body, whether its length is stated or not: beyond "
             f"{responseroom.UNCHECKED_BYTES:,} bytes it waits until half of what may be held is "
             f"free, and is reserved in steps of at most {responseroom.MAX_STEP_BYTES:,} if its "
             "length is not stated. The same holds for what a stream cannot pass on yet. A tunnel "
--- a/hornbeamglade/http1/responsewriter.py
+++ b/hornbeamglade/http1/responsewriter.py
@@ -107,6 +107,10 @@
         self.count_read_ahead = _nothing
         self.is_sending_whole = False
 
+    def write_interim(self, data: bytes) -> None:
+        """Send an interim response, which is short, without waiting."""
+        self._transport.write(data)
+
     def refuse(self, status: http.HTTPStatus) -> None:
         """Respond to a request that could not be read; its connection is then closed."""
         head = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -11,10 +11,6 @@
 A request's body is read completely before it is handled: only then may the request be sent
 to a second backend server, and a caller's slow body never occupies a slot of a replica.
 
-Bytes are read in pieces into a buffer that all connections of a server share, and only while a
-connection holds less than it may: a response is written before more of the next requests is read.
-What a caller sends ahead beyond that stays in the socket, whose receive buffer is bounded too.
-
 What the connections hold, requests until they are answered and responses until they are sent, is
 counted in :mod:`hornbeamglade.http1.buffermemory` and bounded there.
 """
@@ -35,28 +31,12 @@
     fields,
     handlers,
     listeners,
+    receivebuffer,
     responsewriter,
     sockets,
     strictness,
 )
 
-READ_AHEAD_BYTES = 16_384
-"""Bytes that are held beyond those that are being handled."""
-
-PIECE_BYTES = 16_384
-"""Most bytes that are read from a connection at once. All connections may have a piece at the same
-time, and the memory of longer ones is not reused for the bodies that they become."""
-
-UNCOUNTED_BYTES = 2_048
-"""So much of a request is not counted until its head is complete; most heads are shorter."""
-
-REQUEST_BYTES = 16_384
-"""Memory of a request in progress besides what its caller sent: its task, the parser's state, its
-connection to a replica and its entries in tables."""
-
-FIELD_BYTES = 240
-"""Memory of a decoded field besides its text, as received and as sent to a replica."""
-
 LINGER_S = 1.0
 """How long the rest of a refused body is read and discarded. If the connection were closed while
 the caller still sends, a reset could remove the refusal before the caller has read it."""
@@ -84,17 +64,6 @@
         self.reason = reason
 
 
-class NoMemoryError(Exception):
-    """A request that would exceed the bound on held memory.
-
-    :param byte_count: length of its body, or of the part that has arrived.
-    """
-
-    def __init__(self, byte_count: int) -> None:
-        super().__init__(byte_count)
-        self.byte_count = byte_count
-
-
 class NoConnectionError(Exception):
     """A request that would leave too few connections without one in progress."""
 
@@ -116,53 +85,35 @@
         memory: buffermemory.BufferMemory,
     ) -> None:
         self._server = server
-        self._read_buffer = server.read_buffer
-        self._request_bytes = 0
-        self._body_bytes = 0
         self._handler = handler
         self._clock = clock
         self._memory = memory
         self._writer = responsewriter.ResponseWriter(memory, handler.limits, handler.closed_unread)
-        self._holding = self._writer.holding
-        self._is_discarding = False
-        self._buffer = bytearray()
-        self._waiter: asyncio.Future[None] | None = None
-        self._transport: asyncio.Transport | None = None
+        self._received = receivebuffer.ReceiveBuffer(
+            server.read_buffer, memory, self._writer.holding, server.reading_paused
+        )
         self._task: asyncio.Task[None] | None = None
         self.is_busy = False
         self._is_receiving = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start serving."""
-        self._transport = transport
+        self._received.open(transport)
         self._writer.open(transport, self._server.settings.write_buffer_bytes)
         self._server.opened(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next piece, as long as what may be held."""
-        if self._waiter is None:
-            return self._read_buffer[: max(1, READ_AHEAD_BYTES - len(self._buffer))]
-        return self._read_buffer
+        return self._received.next_piece()
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle bytes from the caller."""
-        if self._is_discarding:
+        if self._received.is_discarding:
             return
-        self._buffer += self._read_buffer[:nbytes]
         if not self.is_busy:
             self._server.order.set_receiving(self)
-        if len(self._buffer) > UNCOUNTED_BYTES:
-            self._holding.hold(self._needed_bytes)
-        self._pause_if_ahead()
-        self._wake()
-
-    def _pause_if_ahead(self) -> None:
-        """Read no more while the caller is too far ahead of what is being handled."""
-        if self._waiter is None and len(self._buffer) >= READ_AHEAD_BYTES:
-            if self._transport.is_reading():
-                self._server.reading_paused()
-            self._transport.pause_reading()
+        self._received.received(nbytes)
 
     def eof_received(self) -> bool:
         """Close the connection when the caller does."""
@@ -212,7 +163,7 @@
     @property
     def is_in_use(self) -> bool:
         """Whether a request has begun to arrive, is in progress, or its response is not sent."""
-        has_request = self.is_busy or self._is_receiving or bool(self._buffer)
+        has_request = self.is_busy or self._is_receiving or bool(self._received.data)
         return has_request or self.unsent_bytes() > 0
 
     def close_if_idle(self) -> None:
@@ -225,7 +176,7 @@
             while await self._serve_one():
                 # The next request may have arrived too, and serving it need not wait for anything:
                 # without this, other connections and timers would wait for all that is read ahead.
-                if self._buffer:
+                if self._received.data:
                     await asyncio.sleep(0)
             self._writer.close_when_sent()
         except asyncio.CancelledError:
@@ -249,7 +200,7 @@
         except RefusedError as refused:
             self._handler.refused(refused.status, refused.reason)
             self._writer.refuse(refused.status)
-        except NoMemoryError as error:
+        except receivebuffer.NoMemoryError as error:
             self._handler.body_refused(self.peer, error.byte_count, self._memory.held_bytes)
             has_room = False
         except NoConnectionError:
@@ -268,15 +219,14 @@
         exchange = exchanges.Exchange(self._writer, request, state)
         self.is_busy = True
         self._server.order.remove(self)
-        self._pause_if_ahead()
+        self._received.pause_if_ahead()
         try:
             await self._handler.handle(exchange)
         finally:
             self.is_busy = False
             self._server.release(self)
             self._writer.end_response()
-            self._request_bytes = self._body_bytes = 0
-            self._holding.hold(self._needed_bytes)
+            self._received.release()
         return exchange.keeps_connection
 
     async def _read_request(self, state: h11.Connection) -> callerrequests.Request | None:
@@ -291,20 +241,16 @@
             raise RefusedError(http.HTTPStatus.BAD_REQUEST, ambiguity)
         if not self._server.admit(self):
             raise NoConnectionError
-        state.receive_data(bytes(self._buffer))
-        self._buffer.clear()
+        state.receive_data(self._received.take())
         try:
             started = state.next_event()
-            self._request_bytes = REQUEST_BYTES + len(head)
-            self._request_bytes += FIELD_BYTES * len(started.headers)
+            self._received.set_head(len(head), len(started.headers))
             body = await self._read_body(state, started, limits)
         except h11.RemoteProtocolError as error:
             # It refers to itself through the parser's frames: a reference cycle, with the body.
             error.__traceback__ = None
             raise RefusedError(http.HTTPStatus(error.error_status_hint), str(error)) from error
-        self._buffer[:0] = state.trailing_data[0]
-        # The last piece of the body has become a part of it.
-        self._holding.hold(self._needed_bytes)
+        self._received.put_back(state.trailing_data[0])
         return callerrequests.Request(
             bytes(started.method),
             bytes(started.target),
@@ -316,34 +262,33 @@
     async def _await_first_byte(self, limits: callerrequests.ConnectionLimits) -> bool:
         # RFC 9112, section 2.2: an empty line before a request is ignored.
         ignored_bytes = 0
-        if not self._buffer:
+        if not self._received.data:
             self._server.order.set_idle(self)
         while True:
-            while self._buffer.startswith(EMPTY_LINE):
-                del self._buffer[: len(EMPTY_LINE)]
+            while self._received.data.startswith(EMPTY_LINE):
+                del self._received.data[: len(EMPTY_LINE)]
                 ignored_bytes += len(EMPTY_LINE)
             if ignored_bytes > limits.head_bytes:
                 raise RefusedError(http.HTTPStatus.BAD_REQUEST, "too many empty lines")
-            if self._buffer and self._buffer != EMPTY_LINE[:1]:
+            if self._received.data and self._received.data != EMPTY_LINE[:1]:
                 return True
-            if not await self._await_data(limits.idle_s):
+            if not await self._received.await_data(limits.idle_s):
                 return False
 
     async def _read_head(self, limits: callerrequests.ConnectionLimits) -> bytes:
         ends_at = self._clock.now() + limits.head_s
         searched_bytes = 0
-        while (end := self._buffer.find(strictness.HEAD_END, searched_bytes)) < 0:
-            if len(self._buffer) > limits.head_bytes:
+        while (end := self._received.data.find(strictness.HEAD_END, searched_bytes)) < 0:
+            if len(self._received.data) > limits.head_bytes:
                 break
-            searched_bytes = max(0, len(self._buffer) - len(strictness.HEAD_END))
-            if not await self._await_data(ends_at - self._clock.now()):
+            searched_bytes = max(0, len(self._received.data) - len(strictness.HEAD_END))
+            if not await self._received.await_data(ends_at - self._clock.now()):
                 raise RefusedError(http.HTTPStatus.REQUEST_TIMEOUT, "the head took too long")
-            if not self._memory.has_room(0):
-                raise NoMemoryError(len(self._buffer))
+            self._received.require_room()
         if end < 0 or end > limits.head_bytes:
             status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
             raise RefusedError(status, "the head is too long")
-        return bytes(self._buffer[: end + len(strictness.HEAD_END)])
+        return bytes(self._received.data[: end + len(strictness.HEAD_END)])
 
     async def _read_body(
         self, state: h11.Connection, started: h11.Request, limits: callerrequests.ConnectionLimits
@@ -353,9 +298,9 @@
             raise RefusedError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
         # The whole body is counted before it is read, so that it is not refused halfway.
         announced = 0 if length is None else int(length)
-        self._reserve(announced)
+        self._received.reserve(announced)
         if state.they_are_waiting_for_100_continue:
-            self._transport.write(
+            self._writer.write_interim(
                 state.send(h11.InformationalResponse(status_code=100, headers=[]))
             )
         body = bytearray()
@@ -367,58 +312,22 @@
                 events_in_turn = 0
                 await asyncio.sleep(0)
             if event is h11.NEED_DATA:
-                if not self._buffer and not await self._await_data(limits.idle_s):
+                if not self._received.data and not await self._received.await_data(limits.idle_s):
                     raise RefusedError(http.HTTPStatus.REQUEST_TIMEOUT, "the body took too long")
-                state.receive_data(bytes(self._buffer))
-                self._buffer.clear()
+                state.receive_data(self._received.take())
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > limits.body_bytes:
                     status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
                     raise RefusedError(status, "the body is too long")
                 if len(body) > announced:
-                    self._reserve(len(body))
+                    self._received.reserve(len(body))
             else:
                 return bytes(body)
 
-    def _reserve(self, body_bytes: int) -> None:
-        """Set the length of the body that is held.
-
-        :raises NoMemoryError: when there is no room for the request.
-        """
-        self._body_bytes = body_bytes
-        if not self._memory.has_room(self._needed_bytes - self._holding.held_bytes):
-            raise NoMemoryError(body_bytes)
-        self._holding.hold(self._needed_bytes)
-
-    @property
-    def _needed_bytes(self) -> int:
-        """The memory of the request that is received or in progress, and of what follows it."""
-        return self._request_bytes + self._body_bytes + len(self._buffer)
-
-    async def _await_data(self, timeout_s: float) -> bool:
-        """Wait for more bytes from the caller; return whether some arrived in time."""
-        self._transport.resume_reading()
-        self._waiter = asyncio.get_running_loop().create_future()
-        try:
-            async with asyncio.timeout(max(0.0, timeout_s)):
-                await self._waiter
-        except TimeoutError:
-            return False
-        finally:
-            self._waiter = None
-        return True
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
     async def _refuse_unread(self) -> None:
         """Refuse a request that was not read to its end; it has not run and may be sent again."""
-        self._is_discarding = True
-        self._buffer.clear()
-        self._request_bytes = self._body_bytes = 0
-        self._holding.hold(0)
+        self._received.discard()
         self._writer.refuse_unread()
         self._server.order.set_refused(self)
         # If the caller closes the connection first, this task is cancelled.
@@ -459,7 +368,7 @@
         self.connections: set[CallerConnection] = set()
         self._admitted: set[CallerConnection] = set()
         self.order = connectionorder.ConnectionOrder(clock)
-        self.read_buffer = memoryview(bytearray(PIECE_BYTES))
+        self.read_buffer = memoryview(bytearray(receivebuffer.PIECE_BYTES))
         self._is_leaving = False
 
     async def listen(self, host: str, port: int, backlog: int = 512) -> str:
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -11,6 +11,7 @@
     callerrequests,
     handlers,
     listeners,
+    receivebuffer,
     serverside,
 )
 from tests import eventloop
@@ -210,7 +211,7 @@
 def test_pause_in_reading_is_counted():
     async def scenario(handler, server, connect):
         client = await connect()
-        await client.send(GET + 2 * serverside.READ_AHEAD_BYTES * b"x")
+        await client.send(GET + 2 * receivebuffer.READ_AHEAD_BYTES * b"x")
         await eventloop.until(lambda: handler.handled)
         await asyncio.sleep(0.02)
 
--- a/tests/http1/test_slowreaders.py
+++ b/tests/http1/test_slowreaders.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import buffermemory, callerrequests, handlers, serverside
+from hornbeamglade.http1 import buffermemory, callerrequests, handlers, receivebuffer, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -106,7 +106,7 @@
             # The server reads in the same event loop.
             await asyncio.sleep(0)
         (connection,) = site.server.connections
-        kept = len(connection._buffer) + site.memory.held_bytes
+        kept = len(connection._received.data) + site.memory.held_bytes
         client.close()
         await eventloop.until(lambda: not site.server.connections)
         return status, fields["retry-after"], kept, site.handler
@@ -148,7 +148,7 @@
 
     refused, held, answered = run(scenario, 400_000)
     assert (refused, answered) == ([503, 503], [200, 200])
-    assert held >= 360_000 + 2 * serverside.REQUEST_BYTES
+    assert held >= 360_000 + 2 * receivebuffer.REQUEST_BYTES
 
 
 def test_bodies_are_counted_once():
@@ -161,7 +161,7 @@
         return site.memory.held_bytes
 
     head_bytes = sum(len(head(b"/", b"Content-Length: %d" % n)) for n in (300_000, 60_000))
-    each = serverside.REQUEST_BYTES + 2 * serverside.FIELD_BYTES
+    each = receivebuffer.REQUEST_BYTES + 2 * receivebuffer.FIELD_BYTES
     assert run(scenario, None) == 360_000 + head_bytes + 2 * each
 
 
@@ -181,7 +181,7 @@
 
     held, refused, answered = run(scenario, 700_000)
     head_bytes = len(head(b"/", b"\r\n".join(2_000 * [b"a:"])))
-    expected = serverside.REQUEST_BYTES + head_bytes + 2_001 * serverside.FIELD_BYTES
+    expected = receivebuffer.REQUEST_BYTES + head_bytes + 2_001 * receivebuffer.FIELD_BYTES
     assert held == expected
     assert (refused, answered) == (503, 200)
 
--- a/tests/http1/test_turns.py
+++ b/tests/http1/test_turns.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import callerrequests, handlers, serverside
+from hornbeamglade.http1 import callerrequests, handlers, receivebuffer, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -80,7 +80,7 @@
 
     def buffer_updated(connection, count):
         updated(connection, count)
-        held.append(len(connection._buffer))
+        held.append(len(connection._received.data))
 
     monkeypatch.setattr(serverside.CallerConnection, "buffer_updated", buffer_updated)
     chunked = b"POST /chunks HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -94,7 +94,7 @@
         return (await chunks.answer())[0]
 
     assert run(scenario) == 200
-    assert max(held) <= serverside.READ_AHEAD_BYTES + serverside.PIECE_BYTES
+    assert max(held) <= receivebuffer.READ_AHEAD_BYTES + receivebuffer.PIECE_BYTES
 
 
 def test_empty_lines_before_a_request_end():
--- a/tests/routed/test_slowcallers.py
+++ b/tests/routed/test_slowcallers.py
@@ -12,6 +12,7 @@
     clientside,
     handlers,
     listeners,
+    receivebuffer,
     serverside,
 )
 from hornbeamglade.replicas import models
@@ -121,7 +122,7 @@
     held, read_ahead = relay(scenario, 20_000, 1000)
     assert clientside.READ_AHEAD_BYTES < read_ahead < held
     assert read_ahead <= clientside.READ_AHEAD_BYTES + MAX_READ_BYTES
-    assert held <= read_ahead + listeners.WRITE_BUFFER_BYTES + serverside.REQUEST_BYTES + 2000
+    assert held <= read_ahead + listeners.WRITE_BUFFER_BYTES + receivebuffer.REQUEST_BYTES + 2000
 
 
 @pytest.mark.parametrize("ends_early", [False, True])
