http1: a class of its own reads and parses requests

Change: RequestReader (requestreader.py) takes over the head, the body, their limits and their errors. It is told by its connection how a request is admitted, call by call, and does not refer to the connection; the connection records itself that it is idle.

--- a/hornbeamglade/http1/__init__.py
+++ b/hornbeamglade/http1/__init__.py
@@ -14,6 +14,7 @@
 - :mod:`hornbeamglade.http1.callerrequests`: complete requests of callers, and their limits
 - :mod:`hornbeamglade.http1.listeners`: settings and records of a listener
 - :mod:`hornbeamglade.http1.receivebuffer`: what callers have sent and is not handled yet
+- :mod:`hornbeamglade.http1.requestreader`: reads and parses their requests
 - :mod:`hornbeamglade.http1.responsewriter`: responses written as fast as callers read
 - :mod:`hornbeamglade.http1.exchanges`: requests of callers with their responses
 - :mod:`hornbeamglade.http1.handlers`: what answers the requests of callers
--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -8,15 +8,11 @@
 disconnects, the task is cancelled, and with it all work of the handler: no backend
 server may continue to work for a disconnected caller.
 
-A request's body is read completely before it is handled: only then may the request be sent
-to a second backend server, and a caller's slow body never occupies a slot of a replica.
-
 What the connections hold, requests until they are answered and responses until they are sent, is
 counted in :mod:`hornbeamglade.http1.buffermemory` and bounded there.
 """
 
 import asyncio
-import http
 import socket
 
 import h11
@@ -25,16 +21,14 @@
 from hornbeamglade.http1 import (
     acceptor,
     buffermemory,
-    callerrequests,
     connectionorder,
     exchanges,
-    fields,
     handlers,
     listeners,
     receivebuffer,
+    requestreader,
     responsewriter,
     sockets,
-    strictness,
 )
 
 LINGER_S = 1.0
@@ -49,24 +43,6 @@
 """How long new connections wait at the limit for others whose requests are about to be read and
 refused; afterwards they are reset until one can be closed."""
 
-EVENTS_PER_TURN = 32
-"""Parsed events of a body after which other tasks get a turn; a chunk may have one byte."""
-
-EMPTY_LINE = b"\r\n"
-
-
-class RefusedError(Exception):
-    """A request that cannot be handled, with the status to respond with."""
-
-    def __init__(self, status: http.HTTPStatus, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-
-class NoConnectionError(Exception):
-    """A request that would leave too few connections without one in progress."""
-
 
 class CallerConnection(asyncio.BufferedProtocol, connectionorder.Connection):
     """One caller's connection.
@@ -86,7 +62,6 @@
     ) -> None:
         self._server = server
         self._handler = handler
-        self._clock = clock
         self._memory = memory
         self._writer = responsewriter.ResponseWriter(memory, handler.limits, handler.closed_unread)
         self._received = receivebuffer.ReceiveBuffer(
@@ -94,7 +69,9 @@
         )
         self._task: asyncio.Task[None] | None = None
         self.is_busy = False
-        self._is_receiving = False
+        self._reader = requestreader.RequestReader(
+            self._received, self._writer, clock, handler.limits
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start serving."""
@@ -163,7 +140,7 @@
     @property
     def is_in_use(self) -> bool:
         """Whether a request has begun to arrive, is in progress, or its response is not sent."""
-        has_request = self.is_busy or self._is_receiving or bool(self._received.data)
+        has_request = self.is_busy or self._reader.is_receiving or bool(self._received.data)
         return has_request or self.unsent_bytes() > 0
 
     def close_if_idle(self) -> None:
@@ -195,19 +172,19 @@
         state = h11.Connection(h11.SERVER)
         request = None
         has_room = True
+        if not self._received.data:
+            self._server.order.set_idle(self)
         try:
-            request = await self._read_request(state)
-        except RefusedError as refused:
+            request = await self._reader.read(state, self._admit)
+        except requestreader.RefusedError as refused:
             self._handler.refused(refused.status, refused.reason)
             self._writer.refuse(refused.status)
         except receivebuffer.NoMemoryError as error:
             self._handler.body_refused(self.peer, error.byte_count, self._memory.held_bytes)
             has_room = False
-        except NoConnectionError:
+        except requestreader.NoConnectionError:
             self._server.request_refused(self)
             has_room = False
-        finally:
-            self._is_receiving = False
         if request is None:
             self._server.release(self)
         if not has_room:
@@ -229,101 +206,9 @@
             self._received.release()
         return exchange.keeps_connection
 
-    async def _read_request(self, state: h11.Connection) -> callerrequests.Request | None:
-        limits = self._handler.limits()
-        if not await self._await_first_byte(limits):
-            return None
-        self._is_receiving = True
-        arrived_at = self._clock.now()
-        head = await self._read_head(limits)
-        ambiguity = strictness.ambiguity(head)
-        if ambiguity is not None:
-            raise RefusedError(http.HTTPStatus.BAD_REQUEST, ambiguity)
-        if not self._server.admit(self):
-            raise NoConnectionError
-        state.receive_data(self._received.take())
-        try:
-            started = state.next_event()
-            self._received.set_head(len(head), len(started.headers))
-            body = await self._read_body(state, started, limits)
-        except h11.RemoteProtocolError as error:
-            # It refers to itself through the parser's frames: a reference cycle, with the body.
-            error.__traceback__ = None
-            raise RefusedError(http.HTTPStatus(error.error_status_hint), str(error)) from error
-        self._received.put_back(state.trailing_data[0])
-        return callerrequests.Request(
-            bytes(started.method),
-            bytes(started.target),
-            tuple((bytes(name), bytes(value)) for name, value in started.headers.raw_items()),
-            body,
-            arrived_at,
-        )
-
-    async def _await_first_byte(self, limits: callerrequests.ConnectionLimits) -> bool:
-        # RFC 9112, section 2.2: an empty line before a request is ignored.
-        ignored_bytes = 0
-        if not self._received.data:
-            self._server.order.set_idle(self)
-        while True:
-            while self._received.data.startswith(EMPTY_LINE):
-                del self._received.data[: len(EMPTY_LINE)]
-                ignored_bytes += len(EMPTY_LINE)
-            if ignored_bytes > limits.head_bytes:
-                raise RefusedError(http.HTTPStatus.BAD_REQUEST, "too many empty lines")
-            if self._received.data and self._received.data != EMPTY_LINE[:1]:
-                return True
-            if not await self._received.await_data(limits.idle_s):
-                return False
-
-    async def _read_head(self, limits: callerrequests.ConnectionLimits) -> bytes:
-        ends_at = self._clock.now() + limits.head_s
-        searched_bytes = 0
-        while (end := self._received.data.find(strictness.HEAD_END, searched_bytes)) < 0:
-            if len(self._received.data) > limits.head_bytes:
-                break
-            searched_bytes = max(0, len(self._received.data) - len(strictness.HEAD_END))
-            if not await self._received.await_data(ends_at - self._clock.now()):
-                raise RefusedError(http.HTTPStatus.REQUEST_TIMEOUT, "the head took too long")
-            self._received.require_room()
-        if end < 0 or end > limits.head_bytes:
-            status = http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            raise RefusedError(status, "the head is too long")
-        return bytes(self._received.data[: end + len(strictness.HEAD_END)])
-
-    async def _read_body(
-        self, state: h11.Connection, started: h11.Request, limits: callerrequests.ConnectionLimits
-    ) -> bytes:
-        length = fields.value(started.headers, b"content-length")
-        if length is not None and int(length) > limits.body_bytes:
-            raise RefusedError(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
-        # The whole body is counted before it is read, so that it is not refused halfway.
-        announced = 0 if length is None else int(length)
-        self._received.reserve(announced)
-        if state.they_are_waiting_for_100_continue:
-            self._writer.write_interim(
-                state.send(h11.InformationalResponse(status_code=100, headers=[]))
-            )
-        body = bytearray()
-        events_in_turn = 0
-        while True:
-            event = state.next_event()
-            events_in_turn += 1
-            if events_in_turn > EVENTS_PER_TURN:
-                events_in_turn = 0
-                await asyncio.sleep(0)
-            if event is h11.NEED_DATA:
-                if not self._received.data and not await self._received.await_data(limits.idle_s):
-                    raise RefusedError(http.HTTPStatus.REQUEST_TIMEOUT, "the body took too long")
-                state.receive_data(self._received.take())
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.body_bytes:
-                    status = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-                    raise RefusedError(status, "the body is too long")
-                if len(body) > announced:
-                    self._received.reserve(len(body))
-            else:
-                return bytes(body)
+    def _admit(self) -> bool:
+        """Count a request whose head is complete; return False if there are too many."""
+        return self._server.admit(self)
 
     async def _refuse_unread(self) -> None:
         """Refuse a request that was not read to its end; it has not run and may be sent again."""
--- a/tests/http1/test_turns.py
+++ b/tests/http1/test_turns.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import callerrequests, handlers, receivebuffer, serverside
+from hornbeamglade.http1 import callerrequests, handlers, receivebuffer, requestreader, serverside
 from tests import eventloop
 from tests.http1 import raw
 
@@ -70,7 +70,7 @@
         await client.send(REQUESTS * b"1\r\nx\r\n" + b"0\r\n\r\n")
         return await until_handled(handler, b"/body")
 
-    assert run(scenario) >= REQUESTS // serverside.EVENTS_PER_TURN
+    assert run(scenario) >= REQUESTS // requestreader.EVENTS_PER_TURN
 
 
 def test_no_more_is_read_than_what_may_be_held(monkeypatch):
