http1: a class of its own counts connections and admits their requests

Cause: connections and their server referred to each other, and the server's class both accepted connections and counted the requests on them.

Change: OpenConnections (openconnections.py) counts connections and admitted requests, orders those that may be closed, and reports to the observer. The server and its connections refer to it, and no connection refers to the server. The same decisions in the same order.

--- a/hornbeamglade/http1/serverside.py
+++ b/hornbeamglade/http1/serverside.py
@@ -25,6 +25,7 @@
     exchanges,
     handlers,
     listeners,
+    openconnections,
     receivebuffer,
     requestreader,
     responsewriter,
@@ -35,10 +36,6 @@
 """How long the rest of a refused body is read and discarded. If the connection were closed while
 the caller still sends, a reset could remove the refusal before the caller has read it."""
 
-REFUSAL_SHARE = 1 / 16
-"""Share of a listener's connections that have no request in progress. On these, requests beyond
-the limit are refused; without them, their callers would be reset without a response."""
-
 ROOM_TIMEOUT_S = 0.25
 """How long new connections wait at the limit for others whose requests are about to be read and
 refused; afterwards they are reset until one can be closed."""
@@ -48,7 +45,7 @@
     """One caller's connection.
 
     :param handler: answers its requests.
-    :param server: the server that has accepted it.
+    :param connections: the open connections of its listener.
     :param clock: monotonic time.
     :param memory: counts and bounds what the connections hold.
     """
@@ -56,16 +53,19 @@
     def __init__(
         self,
         handler: handlers.Handler,
-        server: "CallersServer",
+        connections: openconnections.OpenConnections,
         clock: clocks.Clock,
         memory: buffermemory.BufferMemory,
     ) -> None:
-        self._server = server
+        self._connections = connections
         self._handler = handler
         self._memory = memory
         self._writer = responsewriter.ResponseWriter(memory, handler.limits, handler.closed_unread)
         self._received = receivebuffer.ReceiveBuffer(
-            server.read_buffer, memory, self._writer.holding, server.reading_paused
+            connections.read_buffer,
+            memory,
+            self._writer.holding,
+            connections.reading_paused,
         )
         self._task: asyncio.Task[None] | None = None
         self.is_busy = False
@@ -76,8 +76,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start serving."""
         self._received.open(transport)
-        self._writer.open(transport, self._server.settings.write_buffer_bytes)
-        self._server.opened(self)
+        self._writer.open(transport, self._connections.settings.write_buffer_bytes)
+        self._connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -89,7 +89,7 @@
         if self._received.is_discarding:
             return
         if not self.is_busy:
-            self._server.order.set_receiving(self)
+            self._connections.order.set_receiving(self)
         self._received.received(nbytes)
 
     def eof_received(self) -> bool:
@@ -99,7 +99,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as its caller has disconnected."""
         self._writer.lost()
-        self._server.ended(self)
+        self._connections.remove(self)
         if self._task is not None:
             self._task.cancel()
 
@@ -173,7 +173,7 @@
         request = None
         has_room = True
         if not self._received.data:
-            self._server.order.set_idle(self)
+            self._connections.order.set_idle(self)
         try:
             request = await self._reader.read(state, self._admit)
         except requestreader.RefusedError as refused:
@@ -183,10 +183,10 @@
             self._handler.body_refused(self.peer, error.byte_count, self._memory.held_bytes)
             has_room = False
         except requestreader.NoConnectionError:
-            self._server.request_refused(self)
+            self._connections.request_refused(self.peer)
             has_room = False
         if request is None:
-            self._server.release(self)
+            self._connections.release(self)
         if not has_room:
             # Outside of the handler of the error, whose frames hold what has been read.
             del state
@@ -195,26 +195,26 @@
             return False
         exchange = exchanges.Exchange(self._writer, request, state)
         self.is_busy = True
-        self._server.order.remove(self)
+        self._connections.order.remove(self)
         self._received.pause_if_ahead()
         try:
             await self._handler.handle(exchange)
         finally:
             self.is_busy = False
-            self._server.release(self)
+            self._connections.release(self)
             self._writer.end_response()
             self._received.release()
         return exchange.keeps_connection
 
     def _admit(self) -> bool:
         """Count a request whose head is complete; return False if there are too many."""
-        return self._server.admit(self)
+        return self._connections.admit(self)
 
     async def _refuse_unread(self) -> None:
         """Refuse a request that was not read to its end; it has not run and may be sent again."""
         self._received.discard()
         self._writer.refuse_unread()
-        self._server.order.set_refused(self)
+        self._connections.order.set_refused(self)
         # If the caller closes the connection first, this task is cancelled.
         await asyncio.sleep(LINGER_S)
 
@@ -240,20 +240,16 @@
         self._handler = handler
         self._clock = clock
         self._memory = memory or buffermemory.BufferMemory(clock)
-        self.settings = settings or listeners.ListenerSettings()
+        self._settings = settings or listeners.ListenerSettings()
         self._observer = observer or listeners.SilentObserver()
         self._acceptor = acceptor.Acceptor(
             self._accept,
-            lambda error: self._observer.accept_failed(self.settings.name, error),
+            lambda error: self._observer.accept_failed(self._settings.name, error),
             self._may_accept,
         )
         self._full_since: float | None = None
         self._opening_by_task: dict[asyncio.Task[None], CallerConnection] = {}
-        self._opening: set[CallerConnection] = set()
-        self.connections: set[CallerConnection] = set()
-        self._admitted: set[CallerConnection] = set()
-        self.order = connectionorder.ConnectionOrder(clock)
-        self.read_buffer = memoryview(bytearray(receivebuffer.PIECE_BYTES))
+        self._open = openconnections.OpenConnections(clock, self._settings, self._observer)
         self._is_leaving = False
 
     async def listen(self, host: str, port: int, backlog: int = 512) -> str:
@@ -265,36 +261,10 @@
         """The listening socket; connections inherit its options."""
         return self._acceptor.socket
 
-    def opened(self, connection: CallerConnection) -> None:
-        """Add a connection."""
-        self._opening.discard(connection)
-        self.connections.add(connection)
-
-    def admit(self, connection: CallerConnection) -> bool:
-        """Count a request whose head is complete; return False if there are too many."""
-        limit = self.settings.max_connections
-        if limit is not None and len(self._admitted) >= limit - int(REFUSAL_SHARE * limit):
-            return False
-        self._admitted.add(connection)
-        return True
-
-    def release(self, connection: CallerConnection) -> None:
-        """Record that a connection has no request in progress."""
-        self._admitted.discard(connection)
-
-    def request_refused(self, connection: CallerConnection) -> None:
-        """Record that a request was not admitted."""
-        self._observer.request_refused(self.settings.name, connection.peer, len(self._admitted))
-
-    def reading_paused(self) -> None:
-        """Record that a connection is not read for now."""
-        self._observer.reading_paused(self.settings.name)
-
-    def ended(self, connection: CallerConnection) -> None:
-        """Remove a connection that has ended."""
-        self.release(connection)
-        self.connections.discard(connection)
-        self.order.remove(connection)
+    @property
+    def connections(self) -> set[CallerConnection]:
+        """The open connections."""
+        return self._open.opened
 
     def leave(self) -> None:
         """Close each connection after its next response."""
@@ -325,8 +295,7 @@
 
     def _may_accept(self) -> bool:
         """Return False while a connection waits for one that is about to give way to it."""
-        count = len(self.connections) + len(self._opening)
-        if not self._is_full or self.order.has_any_to_close() or count == len(self._admitted):
+        if not self._open.is_about_to_have_room:
             self._full_since = None
             return True
         if self._full_since is None:
@@ -334,40 +303,35 @@
         return self._clock.now() - self._full_since > ROOM_TIMEOUT_S
 
     def _accept(self, accepted: socket.socket) -> None:
-        if self._is_full and not self._close_unused():
+        if self._open.is_full and not self._close_unused():
             peer = _peer_name(accepted)
             sockets.reset_socket(accepted)
-            self._observer.refused(self.settings.name, peer, len(self.connections))
+            self._observer.refused(self._settings.name, peer, len(self.connections))
             return
-        connection = CallerConnection(self._handler, self, self._clock, self._memory)
+        connection = CallerConnection(self._handler, self._open, self._clock, self._memory)
         if self._is_leaving:
             connection.leave()
-        task = asyncio.get_running_loop().create_task(_open(connection, accepted))
-        self._opening.add(connection)
+        task = asyncio.get_running_loop().create_task(_serve(connection, accepted))
+        self._open.add_opening(connection)
         self._opening_by_task[task] = connection
         task.add_done_callback(self._opening_ended)
 
     def _opening_ended(self, task: asyncio.Task[None]) -> None:
         """Count a connection that could not be opened no more."""
-        self._opening.discard(self._opening_by_task.pop(task))
-
-    @property
-    def _is_full(self) -> bool:
-        limit = self.settings.max_connections
-        return limit is not None and len(self.connections) + len(self._opening) >= limit
+        self._open.remove_opening(self._opening_by_task.pop(task))
 
     def _close_unused(self) -> bool:
         """Close a connection without a request in progress; return whether there was one."""
-        connection = self.order.next_to_close()
+        connection = self._open.order.next_to_close()
         if connection is None:
             return False
-        self.ended(connection)
+        self._open.remove(connection)
         connection.close_unused()
-        self._observer.closed_unused(self.settings.name, connection.peer, len(self.connections))
+        self._observer.closed_unused(self._settings.name, connection.peer, len(self.connections))
         return True
 
 
-async def _open(connection: CallerConnection, accepted: socket.socket) -> None:
+async def _serve(connection: CallerConnection, accepted: socket.socket) -> None:
     """Let the event loop serve an accepted connection."""
     try:
         await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, accepted)
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -11,6 +11,7 @@
     callerrequests,
     handlers,
     listeners,
+    openconnections,
     receivebuffer,
     serverside,
 )
@@ -113,7 +114,7 @@
 
 def test_request_is_refused_while_connections_are_left_for_refusals():
     """Callers were reset without a response once each connection had a request in progress."""
-    limit = int(1 / serverside.REFUSAL_SHARE)
+    limit = int(1 / openconnections.REFUSAL_SHARE)
 
     async def scenario(handler, server, connect):
         in_progress = [await connect() for _ in range(limit - 1)]
@@ -147,7 +148,7 @@
 
 def test_burst_at_the_limit_is_refused_in_responses():
     """Of callers that came at once at the limit, all but a few were reset without a response."""
-    limit = 2 * int(1 / serverside.REFUSAL_SHARE)
+    limit = 2 * int(1 / openconnections.REFUSAL_SHARE)
 
     async def scenario(handler, server, connect):
         in_progress = [await connect() for _ in range(limit - 2)]
