http1: the connection of a caller has a module of its own

Change: CallerConnection moves from serverside.py to callerconnection.py: it joins the receive buffer, the reader and the writer of one connection, and is the task that serves its requests. No change of behaviour.

--- a/tests/http1/test_turns.py
+++ b/tests/http1/test_turns.py
@@ -3,7 +3,14 @@
 import asyncio
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import callerrequests, handlers, receivebuffer, requestreader, serverside
+from hornbeamglade.http1 import (
+    callerconnection,
+    callerrequests,
+    handlers,
+    receivebuffer,
+    requestreader,
+    serverside,
+)
 from tests import eventloop
 from tests.http1 import raw
 
@@ -76,13 +83,13 @@
 def test_no_more_is_read_than_what_may_be_held(monkeypatch):
     """Each response let in another piece of what had been sent ahead, and memory ran out."""
     held = []
-    updated = serverside.CallerConnection.buffer_updated
+    updated = callerconnection.CallerConnection.buffer_updated
 
     def buffer_updated(connection, count):
         updated(connection, count)
         held.append(len(connection._received.data))
 
-    monkeypatch.setattr(serverside.CallerConnection, "buffer_updated", buffer_updated)
+    monkeypatch.setattr(callerconnection.CallerConnection, "buffer_updated", buffer_updated)
     chunked = b"POST /chunks HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 
     async def scenario(_handler, requests, chunks):
