--- a/hornbeamglade/entry/daemon.py
+++ b/hornbeamglade/entry/daemon.py
@@ -16,7 +16,7 @@
     registration,
     settings,
 )
-from hornbeamglade.http1 import listeners, serverside
+from hornbeamglade.http1 import callersserver, listeners
 from hornbeamglade.membership import draining, registry
 from hornbeamglade.observability import libraryoutput, logs, metricsregistry
 from hornbeamglade.platform import storeclient, tables
@@ -84,7 +84,7 @@
         self.instance.set_connection_counter(lambda: len(self._callers.connections))
         shares = self.instance.connection_shares
         self._connection_log = connectionlog.ConnectionLog(self.instance.instruments)
-        self._callers = serverside.CallersServer(
+        self._callers = callersserver.CallersServer(
             self.instance.callers,
             self._clock,
             self.instance.memory,
@@ -94,7 +94,7 @@
         self._followers = tuple(
             self._make_follower(table) for table in (tables.CONFIGURATION, tables.REPLICAS)
         )
-        self._control_servers: list[serverside.CallersServer] = []
+        self._control_servers: list[callersserver.CallersServer] = []
         self._loop: asyncio.AbstractEventLoop | None = None
         self._stopping: asyncio.Event | None = None
         self._settings_text = text
@@ -179,7 +179,7 @@
             address = getattr(listen, name)
             if address is None:
                 continue
-            server = serverside.CallersServer(
+            server = callersserver.CallersServer(
                 control,
                 self._clock,
                 settings=listeners.ListenerSettings(name, limit, CONTROL_WRITE_BUFFER_BYTES),
--- a/hornbeamglade/http1/__init__.py
+++ b/hornbeamglade/http1/__init__.py
@@ -20,7 +20,7 @@
 - :mod:`hornbeamglade.http1.handlers`: what answers the requests of callers
 - :mod:`hornbeamglade.http1.openconnections`: the connections of a listener and their requests
 - :mod:`hornbeamglade.http1.callerconnection`: one connection from a caller
-- :mod:`hornbeamglade.http1.serverside`: accepts connections from callers
+- :mod:`hornbeamglade.http1.callersserver`: accepts connections from callers
 - :mod:`hornbeamglade.http1.clientside`: one connection to a backend server
 - :mod:`hornbeamglade.http1.clientpool`: pool of connections to backend servers
 """
--- a/hornbeamglade/sweep/sweepsite.py
+++ b/hornbeamglade/sweep/sweepsite.py
@@ -16,7 +16,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import instance, settings
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import callersserver
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.membership import registry
 from hornbeamglade.platform import tables
@@ -88,7 +88,9 @@
             is_first_start=True,
         )
         self.instance = instance.EntryInstance(self._settings, clock)
-        self._server = serverside.CallersServer(self.instance.callers, clock, self.instance.memory)
+        self._server = callersserver.CallersServer(
+            self.instance.callers, clock, self.instance.memory
+        )
         self._ticking: asyncio.Task[None] | None = None
         self.address = ""
 
--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -6,7 +6,7 @@
 
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import instance, settings
-from hornbeamglade.http1 import serverside
+from hornbeamglade.http1 import callersserver
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.membership import registry
 from hornbeamglade.standins import routed
@@ -110,7 +110,9 @@
             is_first_start=True,
         )
         self.instance = instance.EntryInstance(self.settings, clock)
-        self._server = serverside.CallersServer(self.instance.callers, clock, self.instance.memory)
+        self._server = callersserver.CallersServer(
+            self.instance.callers, clock, self.instance.memory
+        )
         self._tasks = []
 
     async def start(self):
--- a/tests/http1/test_serverside.py
+++ b/tests/http1/test_callersserver.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import callerrequests, handlers, serverside
+from hornbeamglade.http1 import callerrequests, callersserver, handlers
 from tests import eventloop
 from tests.http1 import raw
 
@@ -56,7 +56,7 @@
 
 
 async def serve(handler):
-    server = serverside.CallersServer(handler, clocks.SystemClock())
+    server = callersserver.CallersServer(handler, clocks.SystemClock())
     return server, await server.listen("127.0.0.1", 0)
 
 
--- a/tests/http1/test_listeners.py
+++ b/tests/http1/test_listeners.py
@@ -9,11 +9,11 @@
     acceptor,
     buffermemory,
     callerrequests,
+    callersserver,
     handlers,
     listeners,
     openconnections,
     receivebuffer,
-    serverside,
 )
 from tests import eventloop
 from tests.http1 import raw
@@ -61,7 +61,7 @@
         handler, observer, clock = Handler(), Observer(), clocks.SystemClock()
         settings = listeners.ListenerSettings("directory", limit)
         memory = buffermemory.BufferMemory(clock, bound_bytes)
-        server = serverside.CallersServer(handler, clock, memory, settings, observer)
+        server = callersserver.CallersServer(handler, clock, memory, settings, observer)
         address = await server.listen("127.0.0.1", 0)
 
         async def connect():
--- a/tests/http1/test_slowreaders.py
+++ b/tests/http1/test_slowreaders.py
@@ -6,7 +6,13 @@
 import pytest
 
 from hornbeamglade.core import clocks
-from hornbeamglade.http1 import buffermemory, callerrequests, handlers, receivebuffer, serverside
+from hornbeamglade.http1 import (
+    buffermemory,
+    callerrequests,
+    callersserver,
+    handlers,
+    receivebuffer,
+)
 from tests import eventloop
 from tests.http1 import raw
 
@@ -71,7 +77,7 @@
         self.clock = clocks.ManualClock(100.0)
         self.memory = buffermemory.BufferMemory(self.clock, bound)
         self.handler = Handler()
-        self.server = serverside.CallersServer(self.handler, self.clock, self.memory)
+        self.server = callersserver.CallersServer(self.handler, self.clock, self.memory)
 
     async def listen(self):
         self.address = await self.server.listen("127.0.0.1", 0)
--- a/tests/http1/test_turns.py
+++ b/tests/http1/test_turns.py
@@ -6,10 +6,10 @@
 from hornbeamglade.http1 import (
     callerconnection,
     callerrequests,
+    callersserver,
     handlers,
     receivebuffer,
     requestreader,
-    serverside,
 )
 from tests import eventloop
 from tests.http1 import raw
@@ -37,7 +37,7 @@
 def run(scenario):
     async def main():
         handler = Handler()
-        server = serverside.CallersServer(handler, clocks.SystemClock())
+        server = callersserver.CallersServer(handler, clocks.SystemClock())
         address = await server.listen("127.0.0.1", 0)
         clients = [await raw.RawClient.connect(address) for _ in range(2)]
         await eventloop.until(lambda: len(server.connections) == 2)
--- a/tests/routed/test_slowcallers.py
+++ b/tests/routed/test_slowcallers.py
@@ -8,12 +8,12 @@
 from hornbeamglade.http1 import (
     buffermemory,
     callerrequests,
+    callersserver,
     clientpool,
     clientside,
     handlers,
     listeners,
     receivebuffer,
-    serverside,
 )
 from hornbeamglade.replicas import models
 from hornbeamglade.routed import eventrelay, sending
@@ -73,7 +73,7 @@
         memory = buffermemory.BufferMemory(clock, 10_000_000)
         replica = raw.ScriptedServer(stream)
         handler = Relayer(await replica.start(), clock)
-        server = serverside.CallersServer(handler, clock, memory)
+        server = callersserver.CallersServer(handler, clock, memory)
         host, _, port = (await server.listen("127.0.0.1", 0)).rpartition(":")
         # Otherwise the socket buffers would hold the whole response.
         server.listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
