--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,16 @@
-"""Marks the tests listed in KNOWN-RED.txt as expected failures, and prints the list.
+"""Runs coroutine tests; marks the tests listed in KNOWN-RED.txt as expected failures.
 
-An entry begins with a test id, with or without parameters, followed by a colon and a space. An
-entry that matches no test of a collected file is an error.
+The list is printed at the end. An entry begins with a test id, with or without parameters,
+followed by a colon and a space. An entry that matches no test of a collected file is an error.
 """
 
+import inspect
 import pathlib
 
 import pytest
 
+from tests import eventloop
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -32,6 +35,17 @@
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
 
 
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem):
+    """Run a coroutine test on an event loop of its own."""
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    # Names of fixtures that the test uses by a mark only are not arguments.
+    names = pyfuncitem._fixtureinfo.argnames
+    eventloop.run(pyfuncitem.obj(**{name: pyfuncitem.funcargs[name] for name in names}))
+    return True
+
+
 def pytest_terminal_summary(terminalreporter):
     for entry in entries():
         terminalreporter.write_line(f"known red: {entry}")
--- a/tests/entry/test_clusterstate.py
+++ b/tests/entry/test_clusterstate.py
@@ -1,7 +1,6 @@
 """Updates of the configuration, replica list and evacuations, and their log lines."""
 
 import json
-import random
 
 import hypothesis
 import pytest
@@ -10,18 +9,11 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.entry import clusterstate
 from hornbeamglade.exchange import messages
-from hornbeamglade.replicas import (
-    availability,
-    backoffs,
-    evacuations,
-    ratelimits,
-    refusals,
-    replicalist,
-    slowstart,
-)
+from hornbeamglade.replicas import evacuations, replicalist
 from hornbeamglade.routed import views
 from hornbeamglade.store import contract, positions
 from tests.entry import site
+from tests.replicas import availabilities
 
 CONFIGURATION, REPLICAS = messages.Subject.CONFIGURATION, messages.Subject.REPLICAS
 
@@ -48,15 +40,7 @@
         self.configured = 0
         self.views = views.CurrentView()
         self.list = replicalist.ReplicaList()
-        self.available = availability.Availability(
-            self.list,
-            slowstart.SlowStarts(random.Random(1)),
-            ratelimits.RateLimits(clocks.ManualClock()),
-            backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
-            refusals.RefusalGuards(clocks.ManualClock(), random.Random(1)),
-            slowstart.Bound(),
-            {"a": "r", "b": "s"},
-        )
+        self.available = availabilities.make(self.list)
         self.evacuated = []
         self.state = clusterstate.ClusterState(
             self.views,
--- a/tests/replicas/test_availability.py
+++ b/tests/replicas/test_availability.py
@@ -1,20 +1,10 @@
 """Availability of replicas for new requests, and the refusals of unavailable ones."""
 
 import dataclasses
-import random
-
-from hornbeamglade.core import clocks
-from hornbeamglade.replicas import (
-    availability,
-    backoffs,
-    evacuations,
-    models,
-    ratelimits,
-    refusals,
-    replicalist,
-    slowstart,
-)
+
+from hornbeamglade.replicas import availability, evacuations, models, replicalist
 from hornbeamglade.routes import models as routemodels
+from tests.replicas import availabilities
 
 
 def make_availability():
@@ -27,15 +17,7 @@
         ],
         1,
     )
-    return availability.Availability(
-        listed,
-        slowstart.SlowStarts(random.Random(1)),
-        ratelimits.RateLimits(clocks.ManualClock()),
-        backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
-        refusals.RefusalGuards(clocks.ManualClock(), random.Random(1)),
-        slowstart.Bound(),
-        {"a": "r", "b": "s"},
-    )
+    return availabilities.make(listed)
 
 
 def ids(replicas):
--- a/tests/routed/test_bufferedexchange.py
+++ b/tests/routed/test_bufferedexchange.py
@@ -1,5 +1,6 @@
 """Buffered responses from replicas that respond correctly, incorrectly or not at all."""
 
+import contextlib
 import dataclasses
 import math
 import random
@@ -11,15 +12,8 @@
 from hornbeamglade.observability import logs
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.quarantine import crashdetector, requestquarantine
-from hornbeamglade.replicas import (
-    availability,
-    backoffs,
-    ratelimits,
-    refusals,
-    replicalist,
-    slowstart,
-)
 from hornbeamglade.replicas import models as replicamodels
+from hornbeamglade.replicas import replicalist
 from hornbeamglade.routed import (
     attemptlog,
     bufferedexchange,
@@ -30,7 +24,7 @@
 )
 from hornbeamglade.routes import models
 from hornbeamglade.standins import routed, routedfaults
-from tests import eventloop
+from tests.replicas import availabilities
 from tests.routed import fakes
 
 SINGLE = models.RouteKind.SINGLE
@@ -65,15 +59,7 @@
         )
         loads = replicaload.ReplicaLoads(self.clock, random.Random(1))
         budgets = retrybudget.RetryBudgets(budget, started_at=-math.inf)
-        self.available = availability.Availability(
-            self.replica_list,
-            slowstart.SlowStarts(random.Random(1)),
-            ratelimits.RateLimits(clocks.ManualClock()),
-            backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
-            refusals.RefusalGuards(clocks.ManualClock(), random.Random(1)),
-            slowstart.Bound(),
-            {"a": "r", "b": "s"},
-        )
+        self.available = availabilities.make(self.replica_list)
         self.exchange = bufferedexchange.BufferedExchange(
             self.available,
             sender,
@@ -104,6 +90,10 @@
             1,
         )
 
+    async def answer(self, kind=models.RouteKind.IDEMPOTENT, request_id="r1", log=None):
+        call = fakes.routed_request(self.clock, fakes.route(kind), request_id=request_id)
+        return await self.exchange.answer(call, log or attemptlog.AttemptLog())
+
     def run_count(self):
         return sum(len(server.ledger) for server in self.servers)
 
@@ -112,12 +102,19 @@
             await server.stop()
 
 
-def send_request(faults, kind=models.RouteKind.IDEMPOTENT, count=2, budget=BUDGET, **changes):
-    """Send a request whose first replica has faults; return the answer and the site."""
+@contextlib.asynccontextmanager
+async def started(count, budget=BUDGET):
+    site = Site(count, budget)
+    await site.start()
+    try:
+        yield site
+    finally:
+        await site.stop()
+
 
-    async def main():
-        site = Site(count, budget)
-        await site.start()
+async def send_request(faults, kind=models.RouteKind.IDEMPOTENT, budget=BUDGET, **changes):
+    """Send a request whose first replica has faults; return the answer and the site."""
+    async with started(2, budget) as site:
         first = site.exchange._choose(
             fakes.routed_request(site.clock, fakes.route(kind)), site.log
         )
@@ -127,15 +124,11 @@
         # The exchange makes the same choice again, as no requests are outstanding.
         site.exchange._loads._rng = random.Random(1)
         call = fakes.routed_request(site.clock, fakes.route(kind, **changes))
-        answer = await site.exchange.answer(call, site.log)
-        await site.stop()
-        return answer, site
+        return await site.exchange.answer(call, site.log), site
 
-    return eventloop.run(main())
 
-
-def test_response_is_forwarded_whole_and_unchanged():
-    answer, site = send_request({})
+async def test_response_is_forwarded_whole_and_unchanged():
+    answer, site = await send_request({})
     assert answer.status == 200
     assert answer.body.endswith(b":r1")
     assert site.run_count() == 1
@@ -144,37 +137,37 @@
 @pytest.mark.parametrize(
     "fault", ["torn", "reset", "unproved", "fail"], ids=lambda fault: f"{fault}"
 )
-def test_repeatable_request_is_retried_at_another_replica(fault):
-    answer, site = send_request({fault: True})
+async def test_repeatable_request_is_retried_at_another_replica(fault):
+    answer, site = await send_request({fault: True})
     assert (answer.status, site.run_count(), site.log.sent) == (200, 2, 2)
 
 
 @pytest.mark.parametrize("fault", ["torn", "reset", "unproved"])
-def test_single_request_is_never_run_again(fault):
+async def test_single_request_is_never_run_again(fault):
     """A reservation is made, and the response is lost on the way.
 
     A retry at a second replica would make it twice; so would the caller's retry after a
     refusal that states "not run".
     """
-    refusal, site = send_request({fault: True}, SINGLE)
+    refusal, site = await send_request({fault: True}, SINGLE)
     assert isinstance(refusal, outcomes.Refusal)
     assert (refusal.http_status, refusal.run) == (502, outcomes.RunStatus.UNKNOWN)
     assert site.run_count() == 1
 
 
-def test_error_response_to_a_single_request_is_forwarded():
-    answer, site = send_request({"fail": True}, SINGLE)
+async def test_error_response_to_a_single_request_is_forwarded():
+    answer, site = await send_request({"fail": True}, SINGLE)
     assert (answer.status, site.run_count()) == (500, 1)
     assert dict(answer.fields)[b"Response-Seal"]
 
 
-def test_error_response_is_forwarded_when_no_attempt_is_left():
-    answer, site = send_request({"fail": True}, max_attempts=1)
+async def test_error_response_is_forwarded_when_no_attempt_is_left():
+    answer, site = await send_request({"fail": True}, max_attempts=1)
     assert (answer.status, site.run_count()) == (500, 1)
 
 
-def test_single_request_is_retried_after_a_refusal_as_not_run():
-    answer, site = send_request({"refuse": True}, SINGLE)
+async def test_single_request_is_retried_after_a_refusal_as_not_run():
+    answer, site = await send_request({"refuse": True}, SINGLE)
     assert (answer.status, site.run_count(), site.log.sent) == (200, 1, 2)
 
 
@@ -186,174 +179,111 @@
         ("fail", models.RouteKind.IDEMPOTENT, ("may_run_again", "replica_error")),
     ],
 )
-def test_log_tells_what_allows_a_request_to_be_sent_again(monkeypatch, fault, kind, expected):
+async def test_log_tells_what_allows_a_request_to_be_sent_again(
+    monkeypatch, fault, kind, expected
+):
     lines = []
     monkeypatch.setattr(logs.eliot, "log_message", lambda **record: lines.append(record))
-    send_request({fault: True}, kind)
+    await send_request({fault: True}, kind)
     resends = [line for line in lines if line.get("decision") == "resend"]
     assert [(line["outcome"], line["code"]) for line in resends] == [expected]
 
 
-def test_refusal_by_all_replicas_is_reported_as_not_run():
-    async def main():
-        site = Site(2)
-        await site.start()
+async def test_refusal_by_all_replicas_is_reported_as_not_run():
+    async with started(2) as site:
         for server in site.servers:
             server.faults = routedfaults.RoutedFaults(refuse=True)
-        refusal = await site.exchange.answer(
-            fakes.routed_request(site.clock, fakes.route(SINGLE)), site.log
-        )
-        await site.stop()
-        return refusal, site.run_count()
-
-    refusal, ran = eventloop.run(main())
+        refusal = await site.answer(SINGLE)
     assert (refusal.http_status, refusal.run) == (503, outcomes.RunStatus.NOT_RUN)
     assert refusal.retry_after_s
-    assert ran == 0
+    assert site.run_count() == 0
 
 
-def test_response_to_another_request_is_skipped():
+async def test_response_to_another_request_is_skipped():
     """A late response to another request comes first on the connection."""
-    answer, site = send_request({"stray": True}, SINGLE)
+    answer, site = await send_request({"stray": True}, SINGLE)
     assert answer.body.endswith(b":r1")
     assert site.run_count() == 1
 
 
-def test_duplicate_response_does_not_affect_later_requests():
-    async def main():
-        site = Site(1)
-        await site.start()
+async def test_duplicate_response_does_not_affect_later_requests():
+    async with started(1) as site:
         site.servers[0].faults = routedfaults.RoutedFaults(extra=True)
-        bodies = []
-        for name in ("r1", "r2", "r3"):
-            call = fakes.routed_request(site.clock, fakes.route(), request_id=name)
-            answer = await site.exchange.answer(call, attemptlog.AttemptLog())
-            bodies.append(answer.body)
-        await site.stop()
-        return bodies
-
-    assert eventloop.run(main()) == [b"i0:r1", b"i0:r2", b"i0:r3"]
+        answers = [await site.answer(request_id=name) for name in ("r1", "r2", "r3")]
+    assert [answer.body for answer in answers] == [b"i0:r1", b"i0:r2", b"i0:r3"]
 
 
-def test_refusal_at_a_reused_address_is_retried_at_another_replica():
+async def test_refusal_at_a_reused_address_is_retried_at_another_replica():
     """The address of a replica now belongs to another service.
 
     That server reports that it is not the intended one and runs nothing.
     """
-
-    async def main():
-        site = Site(2)
-        await site.start()
+    async with started(2) as site:
         site.servers[0].replica_id = "someone-else"
-        answers = []
-        for name in ("r1", "r2", "r3", "r4"):
-            call = fakes.routed_request(site.clock, fakes.route(SINGLE), request_id=name)
-            answers.append(await site.exchange.answer(call, attemptlog.AttemptLog()))
-        await site.stop()
-        return [answer.body for answer in answers], len(site.servers[0].ledger)
+        answers = [await site.answer(SINGLE, request_id=f"r{n}") for n in (1, 2, 3, 4)]
+    assert [answer.body for answer in answers] == [f"i1:r{n}".encode() for n in (1, 2, 3, 4)]
+    assert not site.servers[0].ledger
 
-    bodies, ran = eventloop.run(main())
-    assert (bodies, ran) == ([f"i1:r{n}".encode() for n in (1, 2, 3, 4)], 0)
 
-
-def test_retries_stay_within_the_budget():
+async def test_retries_stay_within_the_budget():
     """Every replica of a service fails at once.
 
     With a retry at every node, the number of requests would double.
     """
     none_left = retrybudget.BudgetSettings(ratio=0.0, slack=0.0, window_s=10.0)
-    answer, site = send_request({"fail": True}, budget=none_left)
+    answer, site = await send_request({"fail": True}, budget=none_left)
     assert (answer.status, site.run_count()) == (500, 1)
 
 
-def test_leaving_and_unlisted_replicas_get_no_requests():
-    async def main():
-        site = Site(2)
-        await site.start()
+async def test_leaving_and_unlisted_replicas_get_no_requests():
+    async with started(2) as site:
         replicas = list(site.replica_list.by_id.values())
         leaving = replicamodels.Replica("i0", "s", replicas[0].address, "a", 8, True)
         site.replica_list.update([leaving], ["i1"], 2)
-        refusal = await site.exchange.answer(
-            fakes.routed_request(site.clock, fakes.route()), site.log
-        )
-        await site.stop()
-        return refusal, site.run_count()
+        refusal = await site.answer()
+    assert (refusal.code, refusal.http_status, site.run_count()) == ("no_replica", 503, 0)
 
-    refusal, ran = eventloop.run(main())
-    assert (refusal.code, refusal.http_status, ran) == ("no_replica", 503, 0)
 
-
-def test_unreachable_replica_does_not_count_as_an_attempt():
-    async def main():
-        site = Site(2)
-        await site.start()
+async def test_unreachable_replica_does_not_count_as_an_attempt():
+    async with started(2) as site:
         await site.servers[0].stop()
-        answers = [
-            await site.exchange.answer(
-                fakes.routed_request(site.clock, fakes.route(SINGLE), request_id=f"r{n}"),
-                attemptlog.AttemptLog(),
-            )
-            for n in range(4)
-        ]
-        await site.stop()
-        return [answer.status for answer in answers]
+        answers = [await site.answer(SINGLE, request_id=f"r{n}") for n in range(4)]
+    assert [answer.status for answer in answers] == [200] * 4
 
-    assert eventloop.run(main()) == [200] * 4
 
-
-def test_cold_replica_gets_few_requests():
-    async def main():
-        site = Site(2)
-        await site.start()
+async def test_cold_replica_gets_few_requests():
+    async with started(2) as site:
         site.make_cold("i0")
-        routes = [fakes.routed_request(site.clock, fakes.route()) for _ in range(30)]
-        answers = [await site.exchange.answer(each, attemptlog.AttemptLog()) for each in routes]
-        await site.stop()
-        return [each.status for each in answers], [len(each.ledger) for each in site.servers]
-
-    statuses, (cold, warm) = eventloop.run(main())
-    assert statuses == [200] * 30
+        answers = [await site.answer() for _ in range(30)]
+    cold, warm = [len(each.ledger) for each in site.servers]
+    assert [each.status for each in answers] == [200] * 30
     assert cold <= 1
     assert warm >= 29
 
 
-def test_refusal_states_when_a_cold_replica_accepts_requests():
-    async def main():
-        site = Site(1)
-        await site.start()
+async def test_refusal_states_when_a_cold_replica_accepts_requests():
+    async with started(1) as site:
         site.make_cold("i0")
-        refusal = await site.exchange.answer(
-            fakes.routed_request(site.clock, fakes.route()), site.log
-        )
-        await site.stop()
-        return refusal, site.run_count()
-
-    refusal, ran = eventloop.run(main())
-    assert (refusal.code, refusal.http_status, ran) == ("replicas_cold", 503, 0)
+        refusal = await site.answer()
+    assert (refusal.code, refusal.http_status, site.run_count()) == ("replicas_cold", 503, 0)
     assert 0.0 < refusal.retry_after_s <= 60.0
 
 
-def test_attempt_log_tells_kept_connections_from_new_ones():
-    async def main():
-        site = Site(1)
-        await site.start()
+async def test_attempt_log_tells_kept_connections_from_new_ones():
+    async with started(1) as site:
         logs = [attemptlog.AttemptLog() for _ in range(2)]
         for log in logs:
-            await site.exchange.answer(fakes.routed_request(site.clock, fakes.route()), log)
-        await site.stop()
-        return [(log.connection, log.idle_s is None) for log in logs]
-
-    assert eventloop.run(main()) == [("new", True), ("kept", False)]
-
-
-def test_failed_attempt_states_how_the_connection_failed():
-    async def main():
-        site = Site(1)
-        await site.start()
-        await site.stop()
-        codes = []
-        site.exchange._log_failure = lambda *each: codes.append(each[3].code)
-        await site.exchange.answer(fakes.routed_request(site.clock, fakes.route()), site.log)
-        return codes
-
-    assert eventloop.run(main()) == ["connect_refused"]
+            await site.answer(log=log)
+    assert [(log.connection, log.idle_s is None) for log in logs] == [
+        ("new", True),
+        ("kept", False),
+    ]
+
+
+async def test_failed_attempt_states_how_the_connection_failed():
+    async with started(1) as site:
+        pass
+    codes = []
+    site.exchange._log_failure = lambda *each: codes.append(each[3].code)
+    await site.answer()
+    assert codes == ["connect_refused"]
--- a/tests/routed/test_enginecatalog.py
+++ b/tests/routed/test_enginecatalog.py
@@ -1,7 +1,6 @@
 """Routing candidates among a node's own engines and those of other owners."""
 
 import dataclasses
-import random
 
 import pytest
 
@@ -12,18 +11,11 @@
 from hornbeamglade.grants import schedulerset
 from hornbeamglade.lengths import lengthmodel
 from hornbeamglade.node import digestcache
-from hornbeamglade.replicas import (
-    availability,
-    backoffs,
-    models,
-    ratelimits,
-    refusals,
-    replicalist,
-    slowstart,
-)
+from hornbeamglade.replicas import models, replicalist
 from hornbeamglade.routed import enginecatalog
 from hornbeamglade.routing import candidates
 from hornbeamglade.speeds import enginespeeds, pacemeter
+from tests.replicas import availabilities
 
 WORK = outcomes.Work("r1", "draft", "clinic", 1, 500, 100)
 SPEC = schedulerset.SchedulerSpec(
@@ -48,15 +40,7 @@
     for replica, token_us in (("e0", 16_000), ("e1", 6_000)):
         speeds.observe(replica, pacemeter.Measurement(token_us, 0))
     catalog = enginecatalog.EngineCatalog(
-        availability.Availability(
-            replicas,
-            slowstart.SlowStarts(random.Random(1)),
-            ratelimits.RateLimits(clocks.ManualClock()),
-            backoffs.Backoffs(clocks.ManualClock(), random.Random(1)),
-            refusals.RefusalGuards(clocks.ManualClock(), random.Random(1)),
-            slowstart.Bound(),
-            {"a": "r", "b": "s"},
-        ),
+        availabilities.make(replicas),
         schedulers,
         digestcache.DigestCache(clock),
         lambda: owned,
--- a/tests/routed/test_eventrelay.py
+++ b/tests/routed/test_eventrelay.py
@@ -23,88 +23,80 @@
     return exchange, eventrelay.EventRelay(exchange, clocks.ManualClock(), last_id)
 
 
-def relay_pieces(event_relay, *pieces):
-    async def main():
-        return [await event_relay.relay(piece, START) for piece in pieces]
+async def relay_pieces(event_relay, *pieces):
+    return [await event_relay.relay(piece, START) for piece in pieces]
 
-    return eventloop.run(main())
 
-
-def test_events_are_relayed_unchanged():
+async def test_events_are_relayed_unchanged():
     exchange, event_relay = relay()
-    assert relay_pieces(event_relay, event(1) + event(2)[:5], event(2)[5:]) == [True, True]
-    assert (exchange.body, event_relay.last_id, event_relay.event_count) == (
-        event(1) + event(2),
-        "2",
-        2,
-    )
+    assert await relay_pieces(event_relay, event(1) + event(2)[:5], event(2)[5:]) == [True, True]
+    assert exchange.body == event(1) + event(2)
+    assert event_relay.last_id == "2"
+    assert event_relay.event_count == 2
 
 
-def test_response_starts_with_the_first_complete_event():
+async def test_response_starts_with_the_first_complete_event():
     """A replica's stream breaks before its first event.
 
     Until then the caller can still get an error status.
     """
     exchange, event_relay = relay()
-    relay_pieces(event_relay, event(1)[:-1])
+    await relay_pieces(event_relay, event(1)[:-1])
     assert not exchange.is_answered
 
 
-def test_repeated_event_is_dropped():
+async def test_repeated_event_is_dropped():
     """A run resumes elsewhere slightly before the last event that the caller received."""
     exchange, event_relay = relay()
-    relay_pieces(event_relay, event(1) + event(2))
+    await relay_pieces(event_relay, event(1) + event(2))
     event_relay.start_connection()
-    assert relay_pieces(event_relay, event(2) + event(3)) == [True]
+    assert await relay_pieces(event_relay, event(2) + event(3)) == [True]
     assert exchange.body == event(1) + event(2) + event(3)
 
 
-def test_missing_event_aborts_the_stream():
+async def test_missing_event_aborts_the_stream():
     """A run resumes elsewhere after the event that should follow.
 
     If its events were relayed, the joined pieces would look like a complete response.
     """
     exchange, event_relay = relay()
-    relay_pieces(event_relay, event(1))
+    await relay_pieces(event_relay, event(1))
     event_relay.start_connection()
-    assert relay_pieces(event_relay, event(3)) == [False]
+    assert await relay_pieces(event_relay, event(3)) == [False]
     assert exchange.body == event(1)
 
 
-def test_incomplete_event_is_discarded_with_its_connection():
+async def test_incomplete_event_is_discarded_with_its_connection():
     exchange, event_relay = relay()
-    relay_pieces(event_relay, event(1) + event(2)[:7])
+    await relay_pieces(event_relay, event(1) + event(2)[:7])
     event_relay.start_connection()
-    relay_pieces(event_relay, event(2))
+    await relay_pieces(event_relay, event(2))
     assert exchange.body == event(1) + event(2)
 
 
-def test_resuming_caller_gets_the_following_events():
+async def test_resuming_caller_gets_the_following_events():
     exchange, event_relay = relay(last_id="4")
-    assert relay_pieces(event_relay, event(5)) == [True]
+    assert await relay_pieces(event_relay, event(5)) == [True]
     assert exchange.body == event(5)
 
 
 @pytest.mark.parametrize(
     ("rest", "is_complete"), [(b"", True), (b"\n", True), (b"id: 2\nda", False)]
 )
-def test_stream_ending_in_an_incomplete_event_is_not_complete(rest, is_complete):
-    async def main():
-        exchange, event_relay = relay()
-        await event_relay.relay(event(1) + rest, START)
-        return await event_relay.finish(START), exchange.is_finished
-
-    assert eventloop.run(main()) == (is_complete, is_complete)
+async def test_stream_ending_in_an_incomplete_event_is_not_complete(rest, is_complete):
+    exchange, event_relay = relay()
+    await event_relay.relay(event(1) + rest, START)
+    assert (await event_relay.finish(START), exchange.is_finished) == (is_complete, is_complete)
 
 
-def test_pause_between_two_replicas_counts_for_neither():
+async def test_pause_between_two_replicas_counts_for_neither():
     """The pause of a migration would make the destination seem slow."""
     clock = clocks.ManualClock()
     event_relay = eventrelay.EventRelay(fakes.FakeExchange(), clock, None)
     for number in (1, 2):
         meter = pacemeter.PaceMeter(tokens_per_event=4)
         event_relay.start_connection(meter)
-        relay_pieces(event_relay, event(number))
+        await relay_pieces(event_relay, event(number))
         clock.advance(0.5)
         assert meter.take() == pacemeter.Measurement()
     assert event_relay.longest_gap_s == 0.5
@@ -124,26 +116,24 @@
     assert eventloop.run(test()) == b"id: x1\ndata: a\n\n"
 
 
-def test_withheld_response_is_sent_only_once_it_is_complete():
+async def test_withheld_response_is_sent_only_once_it_is_complete():
     """A stream that began just before its instance ended reached its caller without its end."""
     exchange, event_relay = relay()
     event_relay.withhold()
-    relay_pieces(event_relay, event(1), event(2))
-    assert (exchange.is_answered, event_relay.has_started, event_relay.event_count) == (
-        False,
-        False,
-        2,
-    )
-    assert eventloop.run(event_relay.finish(START))
+    await relay_pieces(event_relay, event(1), event(2))
+    assert exchange.is_answered is False
+    assert event_relay.has_started is False
+    assert event_relay.event_count == 2
+    assert await event_relay.finish(START)
     assert (exchange.status, exchange.is_finished) == (200, True)
     assert exchange.body == event(1) + event(2)
 
 
-def test_what_cannot_be_sent_yet_is_held_until_it_is_discarded():
+async def test_what_cannot_be_sent_yet_is_held_until_it_is_discarded():
     """What is withheld during a stop was not counted."""
     _, event_relay = relay()
     event_relay.withhold()
-    relay_pieces(event_relay, event(1) + event(2)[:5])
+    await relay_pieces(event_relay, event(1) + event(2)[:5])
     held = event_relay.held_bytes
     event_relay.discard()
     assert (held, event_relay.held_bytes) == (len(event(1)) + 5, 0)
--- a/tests/routed/test_migration.py
+++ b/tests/routed/test_migration.py
@@ -117,11 +117,8 @@
     def __init__(self, limit_s=30.0, source=SOURCE, orders_by_copy_time=False):
         self.steps = []
         self.engines, self.acquirer = FakeEngines(self.steps), FakeAcquirer(self.steps)
-        self.slots, self.catalog, clock = (
-            FakeSlots(self.steps),
-            FakeCatalog(),
-            clocks.SystemClock(),
-        )
+        self.slots, self.catalog = FakeSlots(self.steps), FakeCatalog()
+        clock = clocks.SystemClock()
         dependencies = migration.MigrationDependencies(
             self.engines,
             self.acquirer,
@@ -137,238 +134,199 @@
     async def run(self):
         await self.migration.run(40)
 
-    async def end_run_during_copy(self):
-        """End the run during its first copy, then let the copy complete."""
+    def respond_after_first_copy(self, *results):
+        """Let the first copy succeed, and the orders after it have these results."""
+        self.engines.copy_results = [models.CopySucceeded("copy-1", 7), *results]
+
+    async def start_until_arrival(self):
+        """Start the run, which waits for a slot at its target; return its task."""
+        self.slots.may_arrive.clear()
+        task = asyncio.ensure_future(self.run())
+        await eventloop.until(lambda: self.slots.arrivals)
+        return task
+
+    async def start_until_copy(self):
+        """Start the run, whose copies wait from the first one on; return its task."""
         self.engines.copied.clear()
         task = asyncio.ensure_future(self.run())
         await eventloop.until(lambda: "copy" in self.steps)
-        self.migration.run_ended(task)
-        await asyncio.sleep(0)
+        return task
+
+    async def complete_copy(self, task):
         self.engines.copied.set()
         await asyncio.wait((task,))
         await asyncio.sleep(0)
 
+    async def end_run_during_copy(self):
+        """End the run during its first copy, then let the copy complete."""
+        task = await self.start_until_copy()
+        self.migration.run_ended(task)
+        await asyncio.sleep(0)
+        await self.complete_copy(task)
 
-def test_target_is_selected_before_the_slot_and_the_slot_covers_only_the_copy():
+    async def end_run_during_final_copy(self):
+        """End the run after its order to stop, then let the final copy complete."""
+        task = await self.start_until_copy()
+        self.engines.copied.set()
+        self.engines.copied.clear()
+        await eventloop.until(lambda: "stop" in self.steps)
+        self.migration.run_ended(task)
+        await self.complete_copy(task)
+
+
+async def test_target_is_selected_before_the_slot_and_the_slot_covers_only_the_copy():
     """Many runs leave one engine before it stops.
 
     Each slot that is held during the search for a target costs another run its migration.
     """
-
-    async def test():
-        setup = MigrationSetup()
-        await setup.run()
-        return setup.steps, setup.migration.outcome, setup.acquirer.held_grants
-
-    assert eventloop.run(test()) == (
+    setup = MigrationSetup()
+    await setup.run()
+    assert (setup.steps, setup.migration.outcome, setup.acquirer.held_grants) == (
         ["granted", "slot requested", "slot acquired", "copy", "stop", "slot released"],
         "moved",
         1,
     )
 
 
-def test_run_that_ends_while_it_waits_for_its_slot_releases_the_grant():
+async def test_run_that_ends_while_it_waits_for_its_slot_releases_the_grant():
     """Otherwise the grant of an ended run is held until the instance stops."""
-
-    async def test():
-        setup = MigrationSetup()
-        setup.slots.may_leave.clear()
-        task = asyncio.ensure_future(setup.run())
-        await eventloop.until(lambda: "slot requested" in setup.steps)
-        task.cancel()
-        await asyncio.wait((task,))
-        return setup.acquirer.held_grants, setup.steps[-1]
-
-    assert eventloop.run(test()) == (0, "slot released")
+    setup = MigrationSetup()
+    setup.slots.may_leave.clear()
+    task = asyncio.ensure_future(setup.run())
+    await eventloop.until(lambda: "slot requested" in setup.steps)
+    task.cancel()
+    await asyncio.wait((task,))
+    assert (setup.acquirer.held_grants, setup.steps[-1]) == (0, "slot released")
 
 
 @pytest.mark.parametrize("state", ["evacuated", "leaving"])
-def test_nothing_is_copied_to_an_engine_evacuated_or_leaving_since_its_grant(state):
+async def test_nothing_is_copied_to_an_engine_evacuated_or_leaving_since_its_grant(state):
     """The run has waited for its slots in the meantime."""
+    setup = MigrationSetup(limit_s=0.3)
+    task = await setup.start_until_arrival()
+    getattr(setup.catalog, state).add(TARGET.id)
+    setup.slots.may_arrive.set()
+    await task
+    assert (setup.steps.count("copy"), setup.acquirer.held_grants) == (0, 0)
 
-    async def test():
-        setup = MigrationSetup(limit_s=0.3)
-        setup.slots.may_arrive.clear()
-        task = asyncio.ensure_future(setup.run())
-        await eventloop.until(lambda: setup.slots.arrivals)
-        getattr(setup.catalog, state).add(TARGET.id)
-        setup.slots.may_arrive.set()
-        await task
-        return setup.steps.count("copy"), setup.acquirer.held_grants
-
-    assert eventloop.run(test()) == (0, 0)
 
-
-def test_nothing_is_copied_to_an_engine_that_receives_another_run():
+async def test_nothing_is_copied_to_an_engine_that_receives_another_run():
     """Five engines stop in the same second, and runs of three of them migrate to one engine.
 
     With concurrent copies, the final copy of a stopped run waits behind the whole KV caches
     of the others; streams paused for up to 0.8 s.
     """
-
-    async def test():
-        setup = MigrationSetup()
-        setup.slots.may_arrive.clear()
-        task = asyncio.ensure_future(setup.run())
-        await eventloop.until(lambda: setup.slots.arrivals)
-        before = list(setup.steps)
-        setup.slots.may_arrive.set()
-        await task
-        return before, setup.steps, setup.slots.arrivals
-
-    before, steps, arrivals = eventloop.run(test())
+    setup = MigrationSetup()
+    task = await setup.start_until_arrival()
+    before = list(setup.steps)
+    setup.slots.may_arrive.set()
+    await task
+    steps, arrivals = setup.steps, setup.slots.arrivals
     assert before == ["granted", "slot requested", "slot acquired"]
     assert steps == ["granted", "slot requested", "slot acquired", "copy", "stop", "slot released"]
     assert arrivals == [("slot requested", "e1"), ("slot acquired", "e1"), ("slot released", "e1")]
 
 
-def test_run_that_ends_while_it_waits_to_arrive_releases_its_slots():
-    async def test():
-        setup = MigrationSetup()
-        setup.slots.may_arrive.clear()
-        task = asyncio.ensure_future(setup.run())
-        await eventloop.until(lambda: setup.slots.arrivals)
-        task.cancel()
-        await asyncio.wait((task,))
-        return setup.slots.arrivals[-1], setup.steps[-1], setup.acquirer.held_grants
-
-    assert eventloop.run(test()) == (("slot released", "e1"), "slot released", 0)
+async def test_run_that_ends_while_it_waits_to_arrive_releases_its_slots():
+    setup = MigrationSetup()
+    task = await setup.start_until_arrival()
+    task.cancel()
+    await asyncio.wait((task,))
+    assert setup.slots.arrivals[-1] == ("slot released", "e1")
+    assert setup.steps[-1] == "slot released"
+    assert setup.acquirer.held_grants == 0
 
 
-def test_copy_refused_for_lack_of_memory_is_retried_at_another_target():
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.copy_results.append(models.CopyFailed("no_room"))
-        await setup.run()
-        return setup.migration.outcome, setup.acquirer.held_grants, setup.steps.count("granted")
-
-    assert eventloop.run(test()) == ("moved", 1, 2)
+async def test_copy_refused_for_lack_of_memory_is_retried_at_another_target():
+    setup = MigrationSetup()
+    setup.engines.copy_results.append(models.CopyFailed("no_room"))
+    await setup.run()
+    assert setup.migration.outcome == "moved"
+    assert setup.acquirer.held_grants == 1
+    assert setup.steps.count("granted") == 2
 
 
 @pytest.mark.parametrize("code", ["no_run", "no_answer"])
-def test_failed_copy_releases_the_grant(code):
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.copy_results.append(models.CopyFailed(code))
-        await setup.run()
-        return setup.migration.outcome, setup.acquirer.held_grants
-
-    assert eventloop.run(test()) == (code, 0)
-
+async def test_failed_copy_releases_the_grant(code):
+    setup = MigrationSetup()
+    setup.engines.copy_results.append(models.CopyFailed(code))
+    await setup.run()
+    assert (setup.migration.outcome, setup.acquirer.held_grants) == (code, 0)
 
-def test_run_without_a_target_requests_no_slot():
-    async def test():
-        setup = MigrationSetup(limit_s=0.05)
-        setup.acquirer.has_capacity = False
-        await setup.run()
-        return setup.migration.outcome, "slot requested" in setup.steps
 
-    assert eventloop.run(test()) == ("no_room", False)
+async def test_run_without_a_target_requests_no_slot():
+    setup = MigrationSetup(limit_s=0.05)
+    setup.acquirer.has_capacity = False
+    await setup.run()
+    assert (setup.migration.outcome, "slot requested" in setup.steps) == ("no_room", False)
 
 
-def test_stopped_run_with_a_failed_final_copy_continues_at_its_source():
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.copy_results += [
-            models.CopySucceeded("copy-1", 7),
-            models.CopyFailed("no_room", "c2"),
-        ]
-        await setup.run()
-        destination = setup.migration.destination
-        return destination.replica.id, destination.copy.name, setup.acquirer.held_grants
+async def test_stopped_run_with_a_failed_final_copy_continues_at_its_source():
+    setup = MigrationSetup()
+    setup.respond_after_first_copy(models.CopyFailed("no_room", "c2"))
+    await setup.run()
+    destination = setup.migration.destination
+    assert destination.replica.id == "e0"
+    assert destination.copy.name == "c2"
+    assert setup.acquirer.held_grants == 0
 
-    assert eventloop.run(test()) == ("e0", "c2", 0)
 
-
-def test_rest_that_is_kept_at_the_source_is_not_freed_with_the_copy_at_the_target():
+async def test_rest_that_is_kept_at_the_source_is_not_freed_with_the_copy_at_the_target():
     """The source may name both alike, and frees at both ends what it is asked to free."""
-
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.copy_results += [
-            models.CopySucceeded("copy-1", 7),
-            models.CopyFailed("no_room", "copy-1"),
-        ]
-        await setup.run()
-        await asyncio.sleep(0)
-        return setup.engines.dropped
-
-    assert eventloop.run(test()) == [(TARGET.address, "copy-1")]
+    setup = MigrationSetup()
+    setup.respond_after_first_copy(models.CopyFailed("no_room", "copy-1"))
+    await setup.run()
+    await asyncio.sleep(0)
+    assert setup.engines.dropped == [(TARGET.address, "copy-1")]
 
 
-def test_copy_of_a_run_that_ended_during_the_copy_is_freed():
+async def test_copy_of_a_run_that_ended_during_the_copy_is_freed():
     """A run ends while its KV cache is copied to another engine, which completes the copy.
 
     A cancelled copy stayed there for ten seconds under a name that no one had received. Two
     such copies held a fifth of an engine's memory, and requests that would have fitted waited.
     """
-
-    async def test():
-        setup = MigrationSetup()
-        await setup.end_run_during_copy()
-        return (
-            setup.engines.dropped,
-            setup.acquirer.held_grants,
-            setup.steps[-1],
-            setup.migration.outcome,
-        )
-
     freed = [(SOURCE.address, "copy-1")]
-    assert eventloop.run(test()) == (freed, 0, "slot released", "run_ended")
-
+    setup = MigrationSetup()
+    await setup.end_run_during_copy()
+    assert setup.engines.dropped == freed
+    assert setup.acquirer.held_grants == 0
+    assert setup.steps[-1] == "slot released"
+    assert setup.migration.outcome == "run_ended"
 
-def test_copy_is_freed_at_the_target_when_the_source_is_down():
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.is_source_down = True
-        await setup.end_run_during_copy()
-        return setup.engines.dropped
 
-    assert eventloop.run(test()) == [(TARGET.address, "copy-1")]
+async def test_copy_is_freed_at_the_target_when_the_source_is_down():
+    setup = MigrationSetup()
+    setup.engines.is_source_down = True
+    await setup.end_run_during_copy()
+    assert setup.engines.dropped == [(TARGET.address, "copy-1")]
 
 
-def test_run_that_ended_during_the_final_copy_leaves_no_copy():
-    async def test():
-        setup = MigrationSetup()
-        task = asyncio.ensure_future(setup.run())
-        await eventloop.until(lambda: "copy" in setup.steps)
-        setup.engines.copied.clear()
-        await eventloop.until(lambda: "stop" in setup.steps)
-        setup.migration.run_ended(task)
-        setup.engines.copied.set()
-        await asyncio.wait((task,))
-        await asyncio.sleep(0)
-        return setup.engines.dropped, setup.acquirer.held_grants
-
-    assert eventloop.run(test()) == ([(SOURCE.address, "copy-1")], 0)
-
+async def test_run_that_ended_during_the_final_copy_leaves_no_copy():
+    setup = MigrationSetup()
+    await setup.end_run_during_final_copy()
+    assert (setup.engines.dropped, setup.acquirer.held_grants) == ([(SOURCE.address, "copy-1")], 0)
 
-def test_failed_copy_of_an_ended_run_is_not_retried():
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.copy_results.append(models.CopyFailed("no_room"))
-        await setup.end_run_during_copy()
-        return setup.steps.count("copy"), setup.acquirer.held_grants
 
-    assert eventloop.run(test()) == (1, 0)
+async def test_failed_copy_of_an_ended_run_is_not_retried():
+    setup = MigrationSetup()
+    setup.engines.copy_results.append(models.CopyFailed("no_room"))
+    await setup.end_run_during_copy()
+    assert (setup.steps.count("copy"), setup.acquirer.held_grants) == (1, 0)
 
 
 @pytest.mark.parametrize(
     ("domain", "orders_by_copy_time", "tokens"),
     [("a", True, 540), ("b", True, 1080), ("b", False, 540)],
 )
-def test_runs_are_ordered_by_the_time_of_their_copies(domain, orders_by_copy_time, tokens):
+async def test_runs_are_ordered_by_the_time_of_their_copies(domain, orders_by_copy_time, tokens):
     """A copy between failure domains took the time in which two others could be completed."""
-
-    async def test():
-        setup = MigrationSetup(
-            source=dataclasses.replace(SOURCE, failure_domain=domain),
-            orders_by_copy_time=orders_by_copy_time,
-        )
-        await setup.run()
-        return setup.slots.leaving_tokens
-
-    assert eventloop.run(test()) == [tokens]
+    setup = MigrationSetup(
+        source=dataclasses.replace(SOURCE, failure_domain=domain),
+        orders_by_copy_time=orders_by_copy_time,
+    )
+    await setup.run()
+    assert setup.slots.leaving_tokens == [tokens]
 
 
 @pytest.mark.parametrize(
@@ -384,48 +342,33 @@
         ([models.CopyFailed("no_answer")], False, False),
     ],
 )
-def test_run_whose_stop_got_no_answer_continues_only_once_it_is_known_to_have_stopped(
+async def test_run_whose_stop_got_no_answer_continues_only_once_it_is_known_to_have_stopped(
     results, is_stopped, is_at_source
 ):
     """The stream breaks off after an order to stop that got no answer."""
+    setup = MigrationSetup()
+    setup.respond_after_first_copy(models.CopyFailed("no_answer"), *results)
+    await setup.run()
+    confirmed = await setup.migration.confirm_stop()
+    assert (confirmed, setup.migration.destination.replica is SOURCE) == (is_stopped, is_at_source)
 
-    async def main():
-        setup = MigrationSetup()
-        setup.engines.copy_results = [
-            models.CopySucceeded("copy-1", 7),
-            models.CopyFailed("no_answer"),
-            *results,
-        ]
-        await setup.run()
-        confirmed = await setup.migration.confirm_stop()
-        return confirmed, setup.migration.destination.replica is SOURCE
 
-    assert eventloop.run(main()) == (is_stopped, is_at_source)
-
-
-def test_confirmed_stop_is_not_ordered_again():
-    async def main():
-        setup = MigrationSetup()
-        await setup.run()
-        steps = tuple(setup.steps)
-        return await setup.migration.confirm_stop(), tuple(setup.steps) == steps
-
-    assert eventloop.run(main()) == (True, True)
+async def test_confirmed_stop_is_not_ordered_again():
+    setup = MigrationSetup()
+    await setup.run()
+    steps = tuple(setup.steps)
+    assert (await setup.migration.confirm_stop(), tuple(setup.steps) == steps) == (True, True)
 
 
 @pytest.mark.parametrize("code", ["no_run", "not_listening"])
-def test_engine_that_still_sends_the_stream_has_not_stopped_the_run(code):
+async def test_engine_that_still_sends_the_stream_has_not_stopped_the_run(code):
     """A server that stops closes its port and completes its runs; a preempted run is unknown."""
-
-    async def main():
-        setup = MigrationSetup()
-        setup.engines.copy_results += [models.CopySucceeded("c1", 7), models.CopyFailed(code)]
-        await setup.run()
-        stopped_before = setup.migration.is_stopped
-        setup.engines.copy_results.append(models.CopyFailed("no_answer"))
-        return stopped_before, await setup.migration.confirm_stop()
-
-    assert eventloop.run(main()) == (False, False)
+    setup = MigrationSetup()
+    setup.engines.copy_results += [models.CopySucceeded("c1", 7), models.CopyFailed(code)]
+    await setup.run()
+    stopped_before = setup.migration.is_stopped
+    setup.engines.copy_results.append(models.CopyFailed("no_answer"))
+    assert (stopped_before, await setup.migration.confirm_stop()) == (False, False)
 
 
 @pytest.mark.parametrize(
@@ -439,58 +382,33 @@
         ([models.CopyFailed("not_listening")], runends.StopOrder.UNANSWERED),
     ],
 )
-def test_only_an_answer_that_cannot_follow_a_stop_shows_that_the_run_was_not_stopped(
+async def test_only_an_answer_that_cannot_follow_a_stop_shows_that_the_run_was_not_stopped(
     results, order
 ):
     """A 503 without the name of the rest counted as a run that goes on."""
-
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.copy_results = [models.CopySucceeded("copy-1", 7), *results]
-        if results and results[0].code == "no_room":
-            setup.engines.copy_results.append(models.CopyFailed("no_answer"))
-        await setup.run()
-        return setup.migration.stop_order
-
-    assert eventloop.run(test()) is order
+    setup = MigrationSetup()
+    setup.respond_after_first_copy(*results)
+    if results and results[0].code == "no_room":
+        setup.engines.copy_results.append(models.CopyFailed("no_answer"))
+    await setup.run()
+    assert setup.migration.stop_order is order
 
 
-def test_answer_to_a_second_order_does_not_show_what_became_of_the_first_one():
+async def test_answer_to_a_second_order_does_not_show_what_became_of_the_first_one():
     """A run that an unanswered order had stopped counted as one that had ended before it."""
+    setup = MigrationSetup()
+    setup.respond_after_first_copy(models.CopyFailed("no_answer"), models.CopyFailed("no_run"))
+    await setup.run()
+    await setup.migration.confirm_stop()
+    assert setup.migration.stop_order is runends.StopOrder.UNANSWERED
 
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.copy_results = [
-            models.CopySucceeded("copy-1", 7),
-            models.CopyFailed("no_answer"),
-            models.CopyFailed("no_run"),
-        ]
-        await setup.run()
-        await setup.migration.confirm_stop()
-        return setup.migration.stop_order
-
-    assert eventloop.run(test()) is runends.StopOrder.UNANSWERED
 
-
-def test_rest_of_a_run_whose_caller_left_is_freed_at_the_source():
+async def test_rest_of_a_run_whose_caller_left_is_freed_at_the_source():
     """It stayed there under a name of its own until it expired."""
-
-    async def test():
-        setup = MigrationSetup()
-        setup.engines.copy_results = [
-            models.CopySucceeded("copy-1", 7),
-            models.CopyFailed("no_room", "rest-1"),
-        ]
-        setup.engines.copied.clear()
-        task = asyncio.ensure_future(setup.run())
-        await eventloop.until(lambda: "copy" in setup.steps)
-        setup.engines.copied.set()
-        setup.engines.copied.clear()
-        await eventloop.until(lambda: "stop" in setup.steps)
-        setup.migration.run_ended(task)
-        setup.engines.copied.set()
-        await asyncio.wait((task,))
-        await asyncio.sleep(0)
-        return sorted(setup.engines.dropped)
-
-    assert eventloop.run(test()) == [(SOURCE.address, "copy-1"), (SOURCE.address, "rest-1")]
+    setup = MigrationSetup()
+    setup.respond_after_first_copy(models.CopyFailed("no_room", "rest-1"))
+    await setup.end_run_during_final_copy()
+    assert sorted(setup.engines.dropped) == [
+        (SOURCE.address, "copy-1"),
+        (SOURCE.address, "rest-1"),
+    ]
--- a/tests/routed/test_ratelimitqueue.py
+++ b/tests/routed/test_ratelimitqueue.py
@@ -5,7 +5,6 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.replicas import models
 from hornbeamglade.routed import ratelimitqueue
-from tests import eventloop
 
 
 class FakeReplicas:
@@ -34,51 +33,47 @@
         self._slots_at.pop(0)
 
 
-def run_queue(slots_at, requests, limited_ids=("s1", "s2")):
+async def run_queue(slots_at, requests, limited_ids=("s1", "s2")):
     """Return the requests that got a send slot, in order, and those that were refused.
 
     :param requests: urgency and longest wait in seconds of each request, by name.
     """
-
-    async def main():
-        clock = clocks.SystemClock()
-        replicas = FakeReplicas(clock, list(slots_at), limited_ids)
-        queue = ratelimitqueue.RateLimitQueue(replicas, clock)
-        served, refused = [], []
-        started_at = clock.now()
-
-        async def send_request(name, urgency, wait_s):
-            if await queue.wait("web", None, (), urgency, started_at + wait_s):
-                replicas.use_slot()
-                served.append(name)
-            else:
-                refused.append((name, clock.now() - started_at < ratelimitqueue.POLL_INTERVAL_S))
-
-        await asyncio.gather(
-            *(send_request(name, *parameters) for name, parameters in requests.items())
-        )
-        return served, refused
-
-    return eventloop.run(main())
-
-
-def test_requests_beyond_the_available_slots_are_refused_at_once():
+    clock = clocks.SystemClock()
+    replicas = FakeReplicas(clock, list(slots_at), limited_ids)
+    queue = ratelimitqueue.RateLimitQueue(replicas, clock)
+    served, refused = [], []
+    started_at = clock.now()
+
+    async def send_request(name, urgency, wait_s):
+        if await queue.wait("web", None, (), urgency, started_at + wait_s):
+            replicas.use_slot()
+            served.append(name)
+        else:
+            refused.append((name, clock.now() - started_at < ratelimitqueue.POLL_INTERVAL_S))
+
+    await asyncio.gather(
+        *(send_request(name, *parameters) for name, parameters in requests.items())
+    )
+    return served, refused
+
+
+async def test_requests_beyond_the_available_slots_are_refused_at_once():
     """Their wait could not end in time."""
     requests = dict.fromkeys(("a", "b", "c", "d"), (1, 0.5))
-    served, refused = run_queue([0.1, 0.2], requests)
+    served, refused = await run_queue([0.1, 0.2], requests)
     assert (served, refused) == (["a", "b"], [("c", True), ("d", True)])
 
 
-def test_more_urgent_requests_go_first():
-    served, refused = run_queue([0.1, 0.2], {"late": (2, 0.5), "soon": (0, 0.5)})
+async def test_more_urgent_requests_go_first():
+    served, refused = await run_queue([0.1, 0.2], {"late": (2, 0.5), "soon": (0, 0.5)})
     assert (served, refused) == (["soon", "late"], [])
 
 
-def test_request_that_cannot_be_on_time_is_refused_at_once():
-    served, refused = run_queue([0.2], {"a": (1, 0.1)})
+async def test_request_that_cannot_be_on_time_is_refused_at_once():
+    served, refused = await run_queue([0.2], {"a": (1, 0.1)})
     assert (served, refused) == ([], [("a", True)])
 
 
-def test_no_request_waits_while_a_replica_has_no_limit():
-    served, refused = run_queue([0.1], {"a": (1, 0.5)}, limited_ids=("s1",))
+async def test_no_request_waits_while_a_replica_has_no_limit():
+    served, refused = await run_queue([0.1], {"a": (1, 0.5)}, limited_ids=("s1",))
     assert (served, refused) == ([], [("a", True)])
--- a/tests/routed/test_requestsinprogress.py
+++ b/tests/routed/test_requestsinprogress.py
@@ -7,7 +7,6 @@
 from hornbeamglade.core import clocks, outcomes
 from hornbeamglade.replicas import models
 from hornbeamglade.routed import attemptlog, requestsinprogress
-from tests import eventloop
 from tests.routed import fakes
 
 REFUSAL = outcomes.Refusal("node_leaving", 503, "-", retry_after_s=1.0)
@@ -121,33 +120,29 @@
     assert requests.in_progress.unanswered() == ()
 
 
-def test_request_that_is_ended_times_out_with_the_first_refusal():
-    async def test():
-        timeout = asyncio.timeout(30.0)
-        routed = fakes.plain_request()
-        request = requestsinprogress.RequestInProgress(routed, attemptlog.AttemptLog(), timeout)
-        with pytest.raises(TimeoutError):
-            async with timeout:
-                request.end(REFUSAL)
-                request.end(outcomes.Refusal("other", 503, "-"))
-                await asyncio.sleep(30.0)
-        return request.refusal
-
-    assert eventloop.run(test()) is REFUSAL
-
-
-def test_request_whose_time_is_over_is_not_ended_again():
-    async def test():
-        timeout = asyncio.timeout(0.0)
-        routed = fakes.plain_request()
-        request = requestsinprogress.RequestInProgress(routed, attemptlog.AttemptLog(), timeout)
-        with pytest.raises(TimeoutError):
-            async with timeout:
-                await asyncio.sleep(30.0)
-        request.end(REFUSAL)
-        return request.refusal
-
-    assert eventloop.run(test()) is None
+def request_with_timeout(seconds):
+    timeout = asyncio.timeout(seconds)
+    log = attemptlog.AttemptLog()
+    return requestsinprogress.RequestInProgress(fakes.plain_request(), log, timeout), timeout
+
+
+async def test_request_that_is_ended_times_out_with_the_first_refusal():
+    request, timeout = request_with_timeout(30.0)
+    with pytest.raises(TimeoutError):
+        async with timeout:
+            request.end(REFUSAL)
+            request.end(outcomes.Refusal("other", 503, "-"))
+            await asyncio.sleep(30.0)
+    assert request.refusal is REFUSAL
+
+
+async def test_request_whose_time_is_over_is_not_ended_again():
+    request, timeout = request_with_timeout(0.0)
+    with pytest.raises(TimeoutError):
+        async with timeout:
+            await asyncio.sleep(30.0)
+    request.end(REFUSAL)
+    assert request.refusal is None
 
 
 def test_request_whose_answer_is_withheld_waits_for_nothing_between_two_replicas():
--- a/tests/routed/test_responseroom.py
+++ b/tests/routed/test_responseroom.py
@@ -1,6 +1,7 @@
 """Responses without a stated length, beside a bound on what an instance holds."""
 
 import asyncio
+import contextlib
 import gc
 import tracemalloc
 
@@ -11,7 +12,6 @@
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.replicas import models
 from hornbeamglade.routed import attemptlog, calls, sending
-from tests import eventloop
 from tests.http1 import raw
 from tests.routed import fakes
 
@@ -70,47 +70,43 @@
     return respond
 
 
-def run(script, scenario, bound_bytes=BOUND_BYTES):
-    """Run a scenario with a memory and a function that gets one response."""
-
-    async def main():
-        clock = clocks.SystemClock()
-        memory = buffermemory.BufferMemory(clock, bound_bytes)
-        pool = clientpool.ClientPool(clock)
-        sender = sending.Sender(
-            pool,
-            requestdialect.PlatformDialect(),
-            lambda _replica_id: True,
-            lambda _replica, _advisory: None,
-            clock,
-            memory=memory,
-        )
-        server = raw.ScriptedServer(*script)
-        address = await server.start()
-
-        async def respond():
-            replica = models.Replica("e", "s", address, "a", 8)
-            request, log = fakes.routed_request(clock, fakes.route()), attemptlog.AttemptLog()
-            log.start(replica, None, clock.now())
-            response = await sender.send(request, replica, calls.Dispatch("e", None, 5.0), log)
-            if isinstance(response, sending.FailedAttempt):
-                return response
-            return await sender.read_body(response)
-
-        try:
-            return await scenario(memory, respond)
-        finally:
-            pool.prune(())
-            server.stop()
-
-    return eventloop.run(main())
+@contextlib.asynccontextmanager
+async def responding(script, bound_bytes=BOUND_BYTES):
+    """Yield a memory and a function that gets one response."""
+    clock = clocks.SystemClock()
+    memory = buffermemory.BufferMemory(clock, bound_bytes)
+    pool = clientpool.ClientPool(clock)
+    sender = sending.Sender(
+        pool,
+        requestdialect.PlatformDialect(),
+        lambda _replica_id: True,
+        lambda _replica, _advisory: None,
+        clock,
+        memory=memory,
+    )
+    server = raw.ScriptedServer(*script)
+    address = await server.start()
+
+    async def respond():
+        replica = models.Replica("e", "s", address, "a", 8)
+        request, log = fakes.routed_request(clock, fakes.route()), attemptlog.AttemptLog()
+        log.start(replica, None, clock.now())
+        response = await sender.send(request, replica, calls.Dispatch("e", None, 5.0), log)
+        if isinstance(response, sending.FailedAttempt):
+            return response
+        return await sender.read_body(response)
+
+    try:
+        yield memory, respond
+    finally:
+        pool.prune(())
+        server.stop()
 
 
 @pytest.mark.parametrize("framing", [CLOSED, CHUNKED], ids=["connection", "chunks"])
-def test_bodies_without_end_are_held_within_the_bound(framing):
+async def test_bodies_without_end_are_held_within_the_bound(framing):
     """Each was read up to the limit of a body, whatever the others held."""
-
-    async def scenario(memory, respond):
+    async with responding([endless(framing)] * ENDLESS) as (memory, respond):
         tasks = [asyncio.ensure_future(respond()) for _ in range(ENDLESS)]
         held = [0]
         while len(set(held[-UNCHANGED_SAMPLES:])) > 1 or len(held) < UNCHANGED_SAMPLES:
@@ -119,9 +115,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.wait(tasks)
-        return max(held), memory.held_bytes
-
-    most, left = run([endless(framing)] * ENDLESS, scenario)
+        most, left = max(held), memory.held_bytes
     assert BOUND_BYTES / 2 < most <= BOUND_BYTES
     assert left == 0
 
@@ -131,10 +125,9 @@
     [endless(CLOSED), endless(CHUNKED), unfinished_head],
     ids=["connection", "chunks", "head"],
 )
-def test_what_was_received_is_freed_when_its_request_ends(step):
+async def test_what_was_received_is_freed_when_its_request_ends(step):
     """It was kept until the next collection of garbage, beside what other requests received."""
-
-    async def scenario(_memory, respond):
+    async with responding([step] * ENDLESS) as (_memory, respond):
         gc.collect()
         gc.disable()
         tracemalloc.start()
@@ -145,12 +138,11 @@
                 task.cancel()
             await asyncio.wait(tasks)
             await asyncio.sleep(RECEIVING_S)
-            return tracemalloc.get_traced_memory()[0]
+            held_bytes = tracemalloc.get_traced_memory()[0]
         finally:
             tracemalloc.stop()
             gc.enable()
-
-    assert run([step] * ENDLESS, scenario) < ENDLESS * FREED_BYTES_EACH
+    assert held_bytes < ENDLESS * FREED_BYTES_EACH
 
 
 @pytest.mark.parametrize(
@@ -161,12 +153,9 @@
     [(1, 16_000_000, BOUND_BYTES), (6, 6_000_000, BOUND_BYTES), (3, 8_000_000, 4_000_000)],
     ids=["large", "at_once", "larger_than_the_bound"],
 )
-def test_large_bodies_are_served(framing, count, byte_count, bound_bytes):
+async def test_large_bodies_are_served(framing, count, byte_count, bound_bytes):
     """Responses that wait for each other's room would all be lost."""
-
-    async def scenario(memory, respond):
-        bodies = await asyncio.gather(*(respond() for _ in range(count)))
-        return {len(body) for body in bodies}, memory.held_bytes
-
     script = [whole(framing, byte_count)] * count
-    assert run(script, scenario, bound_bytes) == ({byte_count}, 0)
+    async with responding(script, bound_bytes) as (memory, respond):
+        bodies = await asyncio.gather(*(respond() for _ in range(count)))
+        assert ({len(body) for body in bodies}, memory.held_bytes) == ({byte_count}, 0)
--- a/tests/routed/test_runevidence.py
+++ b/tests/routed/test_runevidence.py
@@ -7,7 +7,6 @@
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import attemptlog, calls, sending
-from tests import eventloop
 from tests.http1 import raw
 from tests.routed import fakes
 
@@ -22,31 +21,27 @@
     return head.encode() + b"full"
 
 
-def last_run_status(*responses):
+async def last_run_status(*responses):
     """Send requests ``r0``, ``r1``, ... at one replica; return what is known of the last."""
-
-    async def main():
-        server = raw.ScriptedServer(*responses)
-        address = await server.start()
-        clock = clocks.SystemClock()
-        sender = sending.Sender(
-            clientpool.ClientPool(clock),
-            requestdialect.PlatformDialect(),
-            lambda _replica_id: True,
-            lambda _replica, _advisory: None,
-            clock,
-        )
-        replica = replicamodels.Replica("i0", "s", address, "a", 8)
-        for number in range(len(responses)):
-            routed = fakes.routed_request(clock, fakes.route(), request_id=f"r{number}")
-            dispatch = calls.Dispatch("i0", None, 5.0)
-            response = await sender.send(routed, replica, dispatch, attemptlog.AttemptLog())
-            if isinstance(response, sending.StartedResponse):
-                await sender.read_body(response)
-        server.stop()
-        return response.run
-
-    return eventloop.run(main())
+    server = raw.ScriptedServer(*responses)
+    address = await server.start()
+    clock = clocks.SystemClock()
+    sender = sending.Sender(
+        clientpool.ClientPool(clock),
+        requestdialect.PlatformDialect(),
+        lambda _replica_id: True,
+        lambda _replica, _advisory: None,
+        clock,
+    )
+    replica = replicamodels.Replica("i0", "s", address, "a", 8)
+    for number in range(len(responses)):
+        routed = fakes.routed_request(clock, fakes.route(), request_id=f"r{number}")
+        dispatch = calls.Dispatch("i0", None, 5.0)
+        response = await sender.send(routed, replica, dispatch, attemptlog.AttemptLog())
+        if isinstance(response, sending.StartedResponse):
+            await sender.read_body(response)
+    server.stop()
+    return response.run
 
 
 async def broken_off(_reader, writer):
@@ -55,37 +50,37 @@
 
 
 @pytest.mark.parametrize("status", [503, 429, 421])
-def test_refusal_without_an_id_proves_nothing_on_a_connection_that_was_used(status):
-    assert last_run_status(ANSWER, refusal(status)) is UNKNOWN
+async def test_refusal_without_an_id_proves_nothing_on_a_connection_that_was_used(status):
+    assert await last_run_status(ANSWER, refusal(status)) is UNKNOWN
 
 
 @pytest.mark.parametrize("status", [503, 429, 421])
-def test_first_response_on_a_connection_belongs_to_its_request(status):
-    assert last_run_status(refusal(status)) is NOT_RUN
+async def test_first_response_on_a_connection_belongs_to_its_request(status):
+    assert await last_run_status(refusal(status)) is NOT_RUN
 
 
 @pytest.mark.parametrize("status", [503, 429, 421])
-def test_refusal_with_the_id_of_the_request_is_its_own_on_any_connection(status):
-    assert last_run_status(ANSWER, refusal(status, "r1")) is NOT_RUN
+async def test_refusal_with_the_id_of_the_request_is_its_own_on_any_connection(status):
+    assert await last_run_status(ANSWER, refusal(status, "r1")) is NOT_RUN
 
 
-def test_refusal_that_breaks_off_proves_nothing():
-    assert last_run_status(broken_off) is UNKNOWN
+async def test_refusal_that_breaks_off_proves_nothing():
+    assert await last_run_status(broken_off) is UNKNOWN
 
 
-def test_response_of_another_status_is_no_refusal():
+async def test_response_of_another_status_is_no_refusal():
     """A replica marks its answer as not run, though it has run the request."""
-    assert last_run_status(refusal(200, "r0")) is UNKNOWN
-    assert last_run_status(refusal(500, "r0")) is UNKNOWN
+    assert await last_run_status(refusal(200, "r0")) is UNKNOWN
+    assert await last_run_status(refusal(500, "r0")) is UNKNOWN
 
 
 @pytest.mark.parametrize("status", [503, 429, 421])
-def test_refusal_with_the_proof_of_a_response_proves_nothing(status):
+async def test_refusal_with_the_proof_of_a_response_proves_nothing(status):
     """A head with the fields of an answer and of a refusal says both."""
     sealed = refusal(status, "r0").replace(b"\r\n", b"\r\nResponse-Seal: s\r\n", 1)
-    assert last_run_status(sealed) is UNKNOWN
+    assert await last_run_status(sealed) is UNKNOWN
 
 
 @pytest.mark.parametrize("ids", [b"r0\r\nAttempt-Id: r9", b"r9\r\nAttempt-Id: r0"])
-def test_refusal_with_the_ids_of_two_requests_proves_nothing(ids):
-    assert last_run_status(refusal(503, "r0").replace(b"r0", ids)) is UNKNOWN
+async def test_refusal_with_the_ids_of_two_requests_proves_nothing(ids):
+    assert await last_run_status(refusal(503, "r0").replace(b"r0", ids)) is UNKNOWN
