--- a/tests/entry/site.py
+++ b/tests/entry/site.py
@@ -1,6 +1,7 @@
 """Entry instances on one event loop, with stand-in engines and a store in memory."""
 
 import asyncio
+import contextlib
 import json
 import socket
 
@@ -9,7 +10,7 @@
 from hornbeamglade.http1 import callersserver
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.membership import registry
-from hornbeamglade.standins import routed
+from hornbeamglade.standins import routed, routedfaults
 from hornbeamglade.store import contract, memory
 from tests import eventloop
 from tests.http1 import raw
@@ -151,6 +152,10 @@
         await client.send(head.encode() + body)
         return client
 
+    def set_stop_limit(self, stop_s):
+        bounds = settings.Bounds(stop_s=stop_s, address_ttl_s=5)
+        self.instance.apply_settings(self.settings.model_copy(update={"bounds": bounds}))
+
 
 class Feed(contract.Feed):
     """A node's access to the store, which may be lost.
@@ -171,6 +176,11 @@
         return self._store.changes(table, after, wait_s)
 
 
+def set_faults(servers, **faults):
+    for server in servers:
+        server.faults = routedfaults.RoutedFaults(**faults)
+
+
 USAGE = "Model: m\r\nToken-Usage: 100,50\r\n"
 
 
@@ -247,6 +257,18 @@
             linked = self._over_link(node, value) if key.startswith("servers/") else value
             store.transact((), (contract.Put(key, linked),))
 
+    def configure(self, version, **changes):
+        """Let all nodes read a version of the manifest with some changes."""
+        self.put("op/config", json.dumps(manifest(version, **changes)))
+        self.read_store()
+
+    async def request_streams(self, count, path="/draft/1"):
+        """Request streams at the first node; return the clients."""
+        return [
+            await self.nodes[0].request(path, request_id=f"r{number}", more=USAGE)
+            for number in range(count)
+        ]
+
     def _over_link(self, node, value):
         """Return a server's entry with the address of a node's link to it."""
         entry = json.loads(value)
@@ -304,15 +326,22 @@
         return len(known) == len(self.engines) and all(each.room_tokens for each in known)
 
 
+@contextlib.asynccontextmanager
+async def started(**shape):
+    """Start a site, and stop it at the end."""
+    site = Site(**shape)
+    try:
+        await site.start()
+        yield site
+    finally:
+        await site.stop()
+
+
 def run(test, **shape):
     """Run ``test`` against a started site."""
 
     async def main():
-        site = Site(**shape)
-        try:
-            await site.start()
+        async with started(**shape) as site:
             return await test(site)
-        finally:
-            await site.stop()
 
     return eventloop.run(main())
--- a/tests/entry/test_backoffs.py
+++ b/tests/entry/test_backoffs.py
@@ -44,26 +44,22 @@
 
 
 @pytest.mark.parametrize("path", [PLAIN, STREAM])
-def test_server_that_named_a_time_gets_nothing_more_from_the_instance_it_refused(path):
-    async def test(site):
+async def test_server_that_named_a_time_gets_nothing_more_from_the_instance_it_refused(path):
+    async with entrysite.started(services=3, engines=3, events=3) as site:
         refusing, *others = servers_of(site, path)
         refusing.faults = REFUSING
-        for server in others:
-            server.faults = routedfaults.RoutedFaults(delay_s=0.3)
+        entrysite.set_faults(others, delay_s=0.3)
         await until_refused(site.nodes[0], path, refusing)
         known = len(refusing.refusals)
         answers = await send_steadily(site.nodes[0], path, count=100, gap_s=0.01)
-        return {status for status, _, _ in answers}, len(refusing.refusals) - known
-
-    statuses, count = entrysite.run(test, services=3, engines=3, events=3)
+        statuses, count = {status for status, _, _ in answers}, len(refusing.refusals) - known
     assert statuses == {200}
     assert count <= ALLOWED
 
 
-def test_owner_s_grants_to_a_refused_instance_avoid_the_engine():
+async def test_owner_s_grants_to_a_refused_instance_avoid_the_engine():
     """The owner was not refused and sees an idle engine, which the other may not use."""
-
-    async def test(site):
+    async with entrysite.started(nodes=2, engines=4, events=20) as site:
         owner, other = sorted(site.nodes, key=lambda node: -len(node.instance.peering.owned()))
         refusing = next(
             engine
@@ -74,29 +70,23 @@
         await until_refused(other, STREAM, refusing)
         known = len(refusing.refusals)
         answers = await send_steadily(other, STREAM, count=100, gap_s=0.01)
-        return {status for status, _, _ in answers}, len(refusing.refusals) - known
-
-    statuses, count = entrysite.run(test, nodes=2, engines=4, events=20)
+        statuses, count = {status for status, _, _ in answers}, len(refusing.refusals) - known
     assert statuses == {200}
     assert count <= ALLOWED
 
 
 @pytest.mark.parametrize("path", [PLAIN, STREAM])
-def test_refusal_is_immediate_and_names_the_remaining_time_if_all_servers_named_one(path):
+async def test_refusal_is_immediate_and_names_the_remaining_time_if_all_servers_named_one(path):
     """The times end later than the caller's goal allows, so no request waits for them."""
-
-    async def test(site):
+    async with entrysite.started(services=2, engines=2, events=3) as site:
         servers = servers_of(site, path)
-        for server in servers:
-            server.faults = routedfaults.RoutedFaults(retry_after=str(BEYOND_GOAL_S))
+        entrysite.set_faults(servers, retry_after=str(BEYOND_GOAL_S))
         await until_refused(site.nodes[0], path, *servers)
         known = sum(len(server.refusals) for server in servers)
         began_at = time.monotonic()
         answers = [await send(site.nodes[0], path, number) for number in range(10)]
         took_s = time.monotonic() - began_at
-        return answers, took_s, sum(len(server.refusals) for server in servers) - known
-
-    answers, took_s, count = entrysite.run(test, services=2, engines=2, events=3)
+        count = sum(len(server.refusals) for server in servers) - known
     assert {status for status, _, _ in answers} == {503}
     assert min(float(fields["retry-after"]) for _, fields, _ in answers) > 0.5 * BEYOND_GOAL_S
     assert took_s < 0.5 * BEYOND_GOAL_S
@@ -104,33 +94,24 @@
 
 
 @pytest.mark.parametrize("path", [PLAIN, STREAM])
-def test_server_is_used_again_after_its_time(path):
-    async def test(site):
+async def test_server_is_used_again_after_its_time(path):
+    async with entrysite.started(services=2, engines=2, events=3) as site:
         servers = servers_of(site, path)
-        for server in servers:
-            server.faults = routedfaults.RoutedFaults(retry_after="0.4")
+        entrysite.set_faults(servers, retry_after="0.4")
         await until_refused(site.nodes[0], path, *servers)
-        for server in servers:
-            server.faults = routedfaults.RoutedFaults()
+        entrysite.set_faults(servers)
         await asyncio.sleep(0.6)
         answers = await asyncio.gather(
             *(send(site.nodes[0], path, number) for number in range(30))
         )
         await eventloop.until(lambda: all(server.ledger for server in servers))
-        return {status for status, _, _ in answers}
-
-    assert entrysite.run(test, services=2, engines=2, events=3) == {200}
+        assert {status for status, _, _ in answers} == {200}
 
 
-def test_request_waits_for_a_time_that_ends_soon():
+async def test_request_waits_for_a_time_that_ends_soon():
     """Every server refuses for less than the time that the caller's goal leaves."""
-
-    async def test(site):
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults(retry_after="0.5")
+    async with entrysite.started(services=2, engines=0) as site:
+        entrysite.set_faults(site.services, retry_after="0.5")
         await until_refused(site.nodes[0], PLAIN, *site.services)
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults()
-        return (await send(site.nodes[0], PLAIN, "r"))[0]
-
-    assert entrysite.run(test, services=2, engines=0) == 200
+        entrysite.set_faults(site.services)
+        assert (await send(site.nodes[0], PLAIN, "r"))[0] == 200
--- a/tests/entry/test_calls.py
+++ b/tests/entry/test_calls.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from hornbeamglade.standins import routedfaults
 from tests import eventloop
 from tests.entry import site as entrysite
 
@@ -14,25 +13,20 @@
     return [each for server in site.services for each in server.ledger]
 
 
-def request(path="/list/1?q=%20", faults=None, **options):
-    async def test(site):
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults(**(faults or {}))
+async def request(path="/list/1?q=%20", faults=None, **options):
+    async with entrysite.started(engines=0) as site:
+        entrysite.set_faults(site.services, **(faults or {}))
         client = await site.nodes[0].request(path, **options)
         return await client.answer(), dispatched(site)
 
-    return entrysite.run(test, engines=0)
-
 
-def test_request_passes_byte_for_byte():
-    (status, fields, body), ledger = request(body=b"\x00\xff")
+async def test_request_passes_byte_for_byte():
+    (status, fields, body), ledger = await request(body=b"\x00\xff")
     assert (status, body[2:]) == (200, b":r1")
     assert (fields["attempt-id"], "response-seal" in fields) == ("r1", True)
-    assert (ledger[0].target, ledger[0].body, ledger[0].team) == (
-        "/list/1?q=%20",
-        "\x00\xff",
-        "clinic",
-    )
+    assert ledger[0].target == "/list/1?q=%20"
+    assert ledger[0].body == "\x00\xff"
+    assert ledger[0].team == "clinic"
 
 
 @pytest.mark.parametrize(
@@ -44,56 +38,51 @@
         ({"more": "Content-Length: 4\r\n"}, 400),
     ],
 )
-def test_rejected_request_runs_nowhere(options, status):
-    (got, _, body), ledger = request(**options)
+async def test_rejected_request_runs_nowhere(options, status):
+    (got, _, body), ledger = await request(**options)
     assert (got, ledger) == (status, [])
     if got != 400:
         assert json.loads(body)["run"] == "not_run"
 
 
-def test_timeout_response_does_not_claim_that_the_request_was_not_run():
+async def test_timeout_response_does_not_claim_that_the_request_was_not_run():
     """A replica never responds.
 
     The operator limits how long a caller waits. Since the request was sent, the response must
     not claim that it was not run.
     """
-    (status, fields, body), _ = request("/quick/1", faults={"hang": True})
+    (status, fields, body), _ = await request("/quick/1", faults={"hang": True})
     assert (status, json.loads(body)["run"]) == (504, "unknown")
     assert "retry-after" not in fields
 
 
-def test_timeout_before_dispatch_is_reported_as_not_run():
-    async def test(site):
+async def test_timeout_before_dispatch_is_reported_as_not_run():
+    async with entrysite.started(engines=0) as site:
         for server in site.services:
             await server.stop()
         client = await site.nodes[0].request("/hold/1")
-        return await client.answer()
-
-    status, fields, body = entrysite.run(test, engines=0)
+        status, fields, body = await client.answer()
     assert (status, json.loads(body)["run"]) == (503, "not_run")
     assert float(fields["retry-after"]) > 0
 
 
-def test_retry_delay_is_at_most_a_third_of_the_remaining_time():
-    (status, fields, _), _ = request(faults={"refuse": True}, more="Deadline-Ms: 300\r\n")
+async def test_retry_delay_is_at_most_a_third_of_the_remaining_time():
+    (status, fields, _), _ = await request(faults={"refuse": True}, more="Deadline-Ms: 300\r\n")
     assert status == 503
     assert float(fields["retry-after"]) <= 0.1
 
 
-def test_caller_disconnect_cancels_the_request_at_its_replica():
-    async def test(site):
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults(hang=True)
+async def test_caller_disconnect_cancels_the_request_at_its_replica():
+    async with entrysite.started(engines=0) as site:
+        entrysite.set_faults(site.services, hang=True)
         client = await site.nodes[0].request("/list/1")
         await eventloop.until(lambda: dispatched(site))
         client.close()
         await eventloop.until(lambda: not any(server._writers for server in site.services))
 
-    entrysite.run(test, engines=0)
-
 
-def test_revoked_key_is_rejected_and_a_new_one_accepted():
-    async def test(site):
+async def test_revoked_key_is_rejected_and_a_new_one_accepted():
+    async with entrysite.started(engines=0) as site:
         changed = entrysite.manifest(2, tenants=[{"name": "clinic", "api_keys": ["k2"]}])
         site.put("op/config", json.dumps(changed))
         site.read_store()
@@ -101,73 +90,62 @@
         for key in ("k1", "k2"):
             client = await site.nodes[0].request("/list/1", key=key)
             statuses.append((await client.answer())[0])
-        return statuses
+        assert statuses == [401, 200]
 
-    assert entrysite.run(test, engines=0) == [401, 200]
 
-
-def test_configuration_never_goes_back():
+async def test_configuration_never_goes_back():
     """An older configuration arrives late, from an instance that lagged behind.
 
     Applying it would accept a revoked key again.
     """
+    async with entrysite.started(engines=0) as site:
+        site.configure(5, tenants=[])
+        site.configure(4)
+        assert site.nodes[0].instance.cluster_state.versions().configuration == 5
 
-    async def test(site):
-        site.put("op/config", json.dumps(entrysite.manifest(5, tenants=[])))
-        site.read_store()
-        site.put("op/config", json.dumps(entrysite.manifest(4)))
-        site.read_store()
-        return site.nodes[0].instance.cluster_state.versions().configuration
-
-    assert entrysite.run(test, engines=0) == 5
 
-
-def test_unreadable_configuration_leaves_the_last_good_one_in_force():
-    async def test(site):
+async def test_unreadable_configuration_leaves_the_last_good_one_in_force():
+    async with entrysite.started(engines=0) as site:
         site.put("op/config", '{"version": 9}')
         site.read_store()
         client = await site.nodes[0].request("/list/1")
         status = (await client.answer())[0]
         page = json.loads(site.nodes[0].instance.status())
-        return status, page["config_revision"], page["config_problem"]
-
-    assert entrysite.run(test, engines=0) == (200, 1, "config_invalid")
+        assert status == 200
+        assert page["config_revision"] == 1
+        assert page["config_problem"] == "config_invalid"
 
 
-def response_during_startup(store_read_after_s):
+async def response_during_startup(store_read_after_s):
     """Return the response to a request that arrives before the instance knows anything."""
+    site = entrysite.Site(engines=0)
+    try:
+        for server in site.services:
+            await server.start()
+            site.put(f"servers/{server.replica_id}", entrysite.server_row(server, "web"))
+        site.put("op/config", json.dumps(entrysite.manifest()))
+        await site.nodes[0].start()
+        loop = asyncio.get_running_loop()
+        if store_read_after_s is not None:
+            loop.call_later(store_read_after_s, site.read_store)
+        client = await site.nodes[0].request("/list/1")
+        return await client.answer()
+    finally:
+        await site.stop()
+
 
-    async def main():
-        site = entrysite.Site(engines=0)
-        try:
-            for server in site.services:
-                await server.start()
-                site.put(f"servers/{server.replica_id}", entrysite.server_row(server, "web"))
-            site.put("op/config", json.dumps(entrysite.manifest()))
-            await site.nodes[0].start()
-            loop = asyncio.get_running_loop()
-            if store_read_after_s is not None:
-                loop.call_later(store_read_after_s, site.read_store)
-            client = await site.nodes[0].request("/list/1")
-            return await client.answer()
-        finally:
-            await site.stop()
-
-    return eventloop.run(main())
-
-
-def test_request_just_before_the_configuration_arrives_is_served():
+async def test_request_just_before_the_configuration_arrives_is_served():
     """After a full outage, a caller's last retry arrives just after an instance has started.
 
     The instance learns the configuration a moment later. Refusing the request at once would
     fail it for good although the service is available again.
     """
-    status, _, body = response_during_startup(0.1)
+    status, _, body = await response_during_startup(0.1)
     assert (status, body[-2:]) == (200, b"r1")
 
 
-def test_instance_that_learns_nothing_refuses_callers_soon():
+async def test_instance_that_learns_nothing_refuses_callers_soon():
     """A partitioned instance must send its callers to others instead of keeping them waiting."""
-    status, fields, body = response_during_startup(None)
+    status, fields, body = await response_during_startup(None)
     assert (status, json.loads(body)["run"]) == (503, "not_run")
     assert float(fields["retry-after"]) > 0
--- a/tests/entry/test_daemon.py
+++ b/tests/entry/test_daemon.py
@@ -9,7 +9,7 @@
 from tests.entry import test_settings
 
 
-def test_error_in_a_tick_is_logged_and_does_not_end_the_ticks(tmp_path, monkeypatch):
+async def test_error_in_a_tick_is_logged_and_does_not_end_the_ticks(tmp_path, monkeypatch):
     """The instance would send no heartbeats any more and still appear ready."""
     path = tmp_path / "entry.yaml"
     path.write_text(yaml.safe_dump(test_settings.GOOD))
@@ -25,12 +25,9 @@
     monkeypatch.setattr(started, "_update_followers", lambda: None)
     monkeypatch.setattr(daemon.logs, "log_internal_error", lambda *about: logged.append(about[0]))
 
-    async def main():
-        task = asyncio.create_task(started._tick())
-        await eventloop.until(lambda: task.done() or len(ticks) > 6)
-        is_running = not task.done()
-        task.cancel()
-        return is_running
-
-    assert eventloop.run(main())
+    task = asyncio.create_task(started._tick())
+    await eventloop.until(lambda: task.done() or len(ticks) > 6)
+    is_running = not task.done()
+    task.cancel()
+    assert is_running
     assert logged == ["tick"]
--- a/tests/entry/test_evacuations.py
+++ b/tests/entry/test_evacuations.py
@@ -43,37 +43,31 @@
     return [(await client.answer())[0] for client in clients]
 
 
-def test_evacuated_domain_gets_no_requests_until_it_is_restored():
-    async def test(site):
+async def test_evacuated_domain_gets_no_requests_until_it_is_restored():
+    async with entrysite.started(engines=4) as site:
         evacuate(site, "a")
         site.read_store()
         first = await streams(site), runs(engines_in(site, "a"))
         site.delete("op/evacuate/a")
         site.read_store()
         second = await streams(site, prefix="s"), runs(engines_in(site, "a"))
-        return first, second
-
-    first, second = entrysite.run(test, engines=4)
     assert first == ([200] * 6, 0)
     assert second[0] == [200] * 6
     assert second[1] > 0
 
 
-def test_instance_refused_by_the_store_learns_of_an_evacuation_from_peers():
-    async def test(site):
+async def test_instance_refused_by_the_store_learns_of_an_evacuation_from_peers():
+    async with entrysite.started(nodes=3, engines=4) as site:
         evacuate(site, "a")
         site.read_store(site.nodes[0])
         await until_known_everywhere(site, ["a"])
         statuses = await streams(site, node=1)
-        return statuses, runs(engines_in(site, "a"))
-
-    assert entrysite.run(test, nodes=3, engines=4) == ([200] * 6, 0)
+        assert (statuses, runs(engines_in(site, "a"))) == ([200] * 6, 0)
 
 
-def test_instance_that_starts_during_a_store_outage_learns_of_an_evacuation_first():
+async def test_instance_that_starts_during_a_store_outage_learns_of_an_evacuation_first():
     """An instance must not accept callers before it knows the evacuations."""
-
-    async def test(site):
+    async with entrysite.started(nodes=3) as site:
         evacuate(site, "a")
         site.read_store(site.nodes[0], site.nodes[1])
         await site.nodes[2].stop()
@@ -89,15 +83,12 @@
             )
         )
         await eventloop.until(again.instance.is_ready)
-        return evacuated(again)
+        assert evacuated(again) == ["a"]
 
-    assert entrysite.run(test, nodes=3) == ["a"]
 
-
-def test_overlapping_evacuations_are_independent():
+async def test_overlapping_evacuations_are_independent():
     """One failure domain is restored while another one is evacuated."""
-
-    async def test(site):
+    async with entrysite.started(nodes=2) as site:
         seen = []
         for change in (
             lambda: evacuate(site, "a"),
@@ -109,15 +100,12 @@
             site.read_store(site.nodes[0])
             await eventloop.until(lambda: evacuated(site.nodes[1]) == evacuated(site.nodes[0]))
             seen.append(evacuated(site.nodes[1]))
-        return seen
+        assert seen == [["a"], ["a", "b"], ["b"], ["a", "b"]]
 
-    assert entrysite.run(test, nodes=2) == [["a"], ["a", "b"], ["b"], ["a", "b"]]
 
-
-def test_row_deleted_during_an_outage_ends_its_evacuation():
+async def test_row_deleted_during_an_outage_ends_its_evacuation():
     """The row is deleted during a store outage, and the feed restarts with a snapshot."""
-
-    async def test(site):
+    async with entrysite.started(nodes=2) as site:
         evacuate(site, "a")
         site.read_store()
         site.delete("op/evacuate/a")
@@ -126,17 +114,12 @@
         )
         during_outage = evacuated(site.nodes[1])
         site.read_store()
-        return during_outage, evacuated(site.nodes[1])
-
-    assert entrysite.run(test, nodes=2) == (["a"], [])
+        assert (during_outage, evacuated(site.nodes[1])) == (["a"], [])
 
 
-def test_request_queued_at_an_evacuated_engine_goes_to_another_at_once():
-    async def test(site):
-        first = [
-            await site.nodes[0].request("/draft/1", request_id=f"r{n}", more=entrysite.USAGE)
-            for n in range(40)
-        ]
+async def test_request_queued_at_an_evacuated_engine_goes_to_another_at_once():
+    async with entrysite.started(engines=2, events=10) as site:
+        first = await site.request_streams(40)
         await eventloop.until(lambda: runs(site.engines) >= 16)
         evacuate(site, "a")
         site.read_store()
@@ -144,23 +127,16 @@
         await asyncio.sleep(IN_FLIGHT_S)
         before = runs(engines_in(site, "a"))
         answers = [(await client.answer())[0] for client in first]
-        return answers, runs(engines_in(site, "a")) - before, runs(site.engines)
-
-    answers, later, ran = entrysite.run(test, engines=2, events=10)
+        later, ran = runs(engines_in(site, "a")) - before, runs(site.engines)
     assert later == 0
     assert answers.count(200) == ran
 
 
-def test_running_streams_of_an_evacuated_domain_are_completed():
-    async def test(site):
-        clients = [
-            await site.nodes[0].request("/draft/1", request_id=f"r{n}", more=entrysite.USAGE)
-            for n in range(6)
-        ]
+async def test_running_streams_of_an_evacuated_domain_are_completed():
+    async with entrysite.started(engines=4) as site:
+        clients = await site.request_streams(6)
         await eventloop.until(lambda: runs(site.engines) == 6)
         evacuate(site, "a")
         site.read_store()
         statuses = [(await client.answer())[0] for client in clients]
-        return statuses, runs(site.engines)
-
-    assert entrysite.run(test, engines=4) == ([200] * 6, 6)
+        assert (statuses, runs(site.engines)) == ([200] * 6, 6)
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -35,23 +35,19 @@
 
 
 @pytest.mark.parametrize("path", [PLAIN, STREAM])
-def test_no_request_follows_a_response_that_states_leaving(path):
+async def test_no_request_follows_a_response_that_states_leaving(path):
     """The list says that the server is ready, as the store cannot be reached."""
-
-    async def test(site):
+    async with entrysite.started(services=3, engines=3, events=3) as site:
         leaving = servers_of(site, path)[0]
         leaving.is_leaving = True
         await until_stated(site, path)
-        return await count_after(site, path, leaving)
-
-    assert entrysite.run(test, services=3, engines=3, events=3) == ({200}, 0)
+        assert await count_after(site, path, leaving) == ({200}, 0)
 
 
 @pytest.mark.parametrize("is_delisted", [False, True])
-def test_no_list_read_later_takes_back_that_a_server_is_leaving(is_delisted):
+async def test_no_list_read_later_takes_back_that_a_server_is_leaving(is_delisted):
     """The entry is older than the response, or expired and came back after a store outage."""
-
-    async def test(site):
+    async with entrysite.started(services=3, engines=0) as site:
         leaving = site.services[0]
         leaving.is_leaving = True
         await until_stated(site, PLAIN)
@@ -60,13 +56,11 @@
             site.read_store()
         site.put(f"servers/{leaving.replica_id}", entrysite.server_row(leaving, "web", sequence=2))
         site.read_store()
-        return await count_after(site, PLAIN, leaving)
-
-    assert entrysite.run(test, services=3, engines=0) == ({200}, 0)
+        assert await count_after(site, PLAIN, leaving) == ({200}, 0)
 
 
-def test_error_response_states_leaving_as_well():
-    async def test(site):
+async def test_error_response_states_leaving_as_well():
+    async with entrysite.started(services=3, engines=0) as site:
         leaving = site.services[0]
         leaving.is_leaving = True
         leaving.faults = leaving.faults.model_copy(update={"refuse": True})
@@ -74,39 +68,30 @@
             await send(site, PLAIN, len(leaving.ledger))
         known = len(leaving.refusals)
         await asyncio.gather(*(send(site, PLAIN, number) for number in range(30)))
-        return len(leaving.refusals) - known
+        assert (len(leaving.refusals) - known) == 0
 
-    assert entrysite.run(test, services=3, engines=0) == 0
 
-
-def test_requests_are_refused_at_once_if_all_servers_are_leaving():
-    async def test(site):
+async def test_requests_are_refused_at_once_if_all_servers_are_leaving():
+    async with entrysite.started(services=2, engines=0) as site:
         for server in site.services:
             server.is_leaving = True
         statuses = [(await send(site, PLAIN, number))[0] for number in range(20)]
-        return statuses[-5:], sum(len(server.ledger) for server in site.services)
-
-    statuses, runs = entrysite.run(test, services=2, engines=0)
+        statuses, runs = statuses[-5:], sum(len(server.ledger) for server in site.services)
     assert (statuses, runs) == ([503] * 5, 2)
 
 
-def test_stream_migrates_from_an_engine_that_states_leaving_in_the_response():
-    async def test(site):
+async def test_stream_migrates_from_an_engine_that_states_leaving_in_the_response():
+    async with entrysite.started(engines=2, events=30, gap_s=0.03) as site:
         leaving = site.engines[0]
         leaving.is_leaving = True
-        clients = [
-            await site.nodes[0].request("/draft/1", request_id=f"r{n}", more=entrysite.USAGE)
-            for n in range(8)
-        ]
+        clients = await site.request_streams(8)
         statuses = {(await client.answer())[0] for client in clients}
         stopped = [run.is_stopped for run in leaving.run_by_id.values()]
-        return statuses, len(leaving.ledger) > 0, all(stopped)
+        assert (statuses, len(leaving.ledger) > 0, all(stopped)) == ({200}, True, True)
 
-    assert entrysite.run(test, engines=2, events=30, gap_s=0.03) == ({200}, True, True)
 
-
-def test_restarted_server_is_used_though_its_former_incarnation_was_leaving():
-    async def test(site):
+async def test_restarted_server_is_used_though_its_former_incarnation_was_leaving():
+    async with entrysite.started(services=2, engines=0) as site:
         server = site.services[0]
         server.born = 5000
         site.put("servers/s0", entrysite.server_row(server, "web", born=5000))
@@ -116,8 +101,6 @@
         server.born, server.is_leaving = 6000, False
         site.put("servers/s0", entrysite.server_row(server, "web", born=6000))
         site.read_store()
-        return await count_after(site, PLAIN, server, count=60)
-
-    statuses, count = entrysite.run(test, services=2, engines=0)
+        statuses, count = await count_after(site, PLAIN, server, count=60)
     assert statuses == {200}
     assert count > 0
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -16,15 +16,14 @@
         return super().wall() - CLOCK_OFFSET_S
 
 
-def test_instance_restarted_with_its_clock_set_back_is_accepted():
+async def test_instance_restarted_with_its_clock_set_back_is_accepted():
     """The wall clock jumps ahead, an instance starts and is killed, and the clock jumps back.
 
     The restarted instance has a lower incarnation than the others remember. They dropped all
     its messages for a minute and a half: it got no grants from other owners, and considered
     itself the sole owner of its engines.
     """
-
-    async def test(site):
+    async with entrysite.started(nodes=2) as site:
         first, former = site.nodes
         known = former.instance.incarnation
         await former.stop()
@@ -52,6 +51,4 @@
             )
 
         await eventloop.until(is_known)
-        return again.instance.incarnation < known
-
-    assert entrysite.run(test, nodes=2)
+        assert again.instance.incarnation < known
--- a/tests/entry/test_mixedobjectives.py
+++ b/tests/entry/test_mixedobjectives.py
@@ -1,7 +1,6 @@
 """Services whose routes' objectives differ by a factor of 2 or more, as configured."""
 
 import asyncio
-import json
 
 import pytest
 
@@ -21,29 +20,23 @@
 
 
 @pytest.mark.parametrize(("goal_ms", "is_mixed"), [(2900, False), (3000, True)])
-def test_engines_of_a_service_get_the_switch_of_its_routes(goal_ms, is_mixed):
+async def test_engines_of_a_service_get_the_switch_of_its_routes(goal_ms, is_mixed):
     """The objective of another service's route must not change how a service is served."""
-
-    async def test(site):
-        site.put("op/config", json.dumps(entrysite.manifest(2, routes=routes(goal_ms))))
-        site.read_store()
+    async with entrysite.started(engines=2) as site:
+        site.configure(2, routes=routes(goal_ms))
         found = []
         for engine in site.engines:
             site.nodes[0].instance._schedulers.apply(
                 engine.replica_id,
                 lambda scheduler, _now: found.append(scheduler.queue.has_mixed_objectives),
             )
-        return found
-
-    assert entrysite.run(test, engines=2) == [is_mixed] * 2
+        assert found == [is_mixed] * 2
 
 
-def test_a_request_with_slack_starts_when_the_backlog_has_drained():
+async def test_a_request_with_slack_starts_when_the_backlog_has_drained():
     """Without a call at that time, it would wait for the next tick, up to 0.25 s later."""
-
-    async def test(site):
-        site.put("op/config", json.dumps(entrysite.manifest(2, routes=routes(9000))))
-        site.read_store()
+    async with entrysite.started(engines=1) as site:
+        site.configure(2, routes=routes(9000))
         instance, engine = site.nodes[0].instance, site.engines[0].replica_id
         for task in site.nodes[0]._tasks:
             task.cancel()
@@ -54,21 +47,18 @@
         schedulers.apply(engine, lambda scheduler, now: scheduler.prompts.add(2450, now))
         work = outcomes.Work("r1", "draft", "clinic", 0, prompt_tokens=100)
         now = instance._clock.now()
-        answer = schedulers.request_grant(
+        first = schedulers.request_grant(
             engine, work, 1.0, now + 10, scheduled.set_result, now + 8.5
         )
         async with asyncio.timeout(5):
-            return answer, (await scheduled).answer
-
-    first, later = entrysite.run(test, engines=1)
+            later = (await scheduled).answer
     assert isinstance(first, replicascheduler.Queued)
     assert isinstance(later, replicascheduler.Granted)
 
 
-def test_departures_in_the_list_reach_the_schedulers():
+async def test_departures_in_the_list_reach_the_schedulers():
     """Without them, new requests would fill the memory that migrated runs need."""
-
-    async def test(site):
+    async with entrysite.started(engines=8) as site:
         shares = []
 
         def read(scheduler, now):
@@ -78,12 +68,12 @@
             site.leave(number)
             site.read_store()
             site.nodes[0].instance._schedulers.apply(site.engines[3].replica_id, read)
-        return shares
-
-    assert entrysite.run(test, engines=8) == [0.0, 0.25]
+        assert shares == [0.0, 0.25]
 
 
-def test_memory_for_departing_engines_is_shown_and_logged_when_it_begins_and_ends(monkeypatch):
+async def test_memory_for_departing_engines_is_shown_and_logged_when_it_begins_and_ends(
+    monkeypatch,
+):
     """Requests waited at engines with free memory, and nothing told why.
 
     One line per change, and the gauge returns to 0, also when the service has no engine left.
@@ -91,9 +81,8 @@
     lines = []
     monkeypatch.setattr(logs, "state_changed", lambda *states, **fields: lines.append(states))
 
-    async def test(site):
-        site.put("op/config", json.dumps(entrysite.manifest(2, routes=routes(3000))))
-        site.read_store()
+    async with entrysite.started(engines=8) as site:
+        site.configure(2, routes=routes(3000))
         instance = site.nodes[0].instance
         tokens = []
         for number in (None, 0, 1):
@@ -109,9 +98,7 @@
         instance._reserved.update()
         monkeypatch.setattr(instance._reserved, "_owned_engines", list)
         instance.metrics()
-        return [*tokens, gauge.value(("llm", "departing"))]
-
-    tokens = entrysite.run(test, engines=8)
+        tokens = [*tokens, gauge.value(("llm", "departing"))]
     assert [each > 0 for each in tokens] == [False, False, True, False]
     assert [each for each in lines if each[0] == "departing_memory"] == [
         ("departing_memory", "none", "reserved"),
--- a/tests/entry/test_paces.py
+++ b/tests/entry/test_paces.py
@@ -24,29 +24,24 @@
 
 
 @pytest.mark.parametrize("node", [0, 1])
-def test_pace_of_a_relayed_stream_is_known_to_all_instances(monkeypatch, node):
+async def test_pace_of_a_relayed_stream_is_known_to_all_instances(monkeypatch, node):
     """The relaying instance need not own the engine, and others choose without its pace."""
     monkeypatch.setattr(enginespeeds.EngineSpeeds, "is_enabled", lambda self, service: True)
 
-    async def test(site):
+    async with entrysite.started(nodes=2) as site:
         client = await site.nodes[node].request("/draft/1", more=entrysite.USAGE)
         await client.answer()
         used = [engine for engine in site.engines if engine.ledger]
         await eventloop.until(lambda: all(outlooks(site)))
-        return len(used), [len(each) for each in outlooks(site)]
+        assert (len(used), [len(each) for each in outlooks(site)]) == (1, [1, 1])
 
-    assert entrysite.run(test, nodes=2) == (1, [1, 1])
 
-
-def test_paces_are_neither_measured_nor_published_without_shared_machines():
+async def test_paces_are_neither_measured_nor_published_without_shared_machines():
     """Services on dedicated machines are served as before."""
-
-    async def test(site):
+    expected = (test_streams.stream_body("r1"), [{}, {}], [{}, {}])
+    async with entrysite.started(nodes=2) as site:
         client = await site.nodes[0].request("/draft/1", more=entrysite.USAGE)
         _, _, body = await client.answer()
         await asyncio.sleep(0)
         pages = [json.loads(each.instance.status())["slow_factors"] for each in site.nodes]
-        return body, outlooks(site), pages
-
-    expected = (test_streams.stream_body("r1"), [{}, {}], [{}, {}])
-    assert entrysite.run(test, nodes=2) == expected
+        assert (body, outlooks(site), pages) == expected
--- a/tests/entry/test_promptparts.py
+++ b/tests/entry/test_promptparts.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 
-from hornbeamglade.standins import routedfaults
 from hornbeamglade.store import contract
 from tests.entry import site as entrysite
 
@@ -17,8 +16,7 @@
 
 
 def make_fatal(site, part=FATAL):
-    for engine in site.engines:
-        engine.faults = routedfaults.RoutedFaults(crash_on_part=part)
+    entrysite.set_faults(site.engines, crash_on_part=part)
 
 
 async def send(site, request_id, *parts, path="/tag/1", node=0, key=entrysite.KEY):
@@ -41,25 +39,21 @@
     return sum(not engine.is_listening for engine in site.engines)
 
 
-def test_part_that_crashes_engines_is_contained_though_no_two_requests_are_equal():
+async def test_part_that_crashes_engines_is_contained_though_no_two_requests_are_equal():
     """Requests share one part and nothing else that is theirs alone: each crashes two engines."""
-
-    async def test(site):
+    async with entrysite.started(nodes=3, engines=12, events=5) as site:
         make_fatal(site)
         answers = [await send(site, f"fatal{n}", COMMON, FATAL, node=n % 3) for n in range(20)]
         sound = [await send(site, f"sound{n}", COMMON, SOUND, node=n % 3) for n in range(10)]
-        return crashed(site), answers[-1], sound
-
-    count, last, sound = entrysite.run(test, nodes=3, engines=12, events=5)
+        count, last = crashed(site), answers[-1]
     assert count <= MAX_CRASHES
     assert last == (503, "prompt_part_quarantined")
     assert sound == [(200, "")] * 10
 
 
-def test_sound_streams_beside_the_part_go_on_and_are_not_refused():
+async def test_sound_streams_beside_the_part_go_on_and_are_not_refused():
     """Sound requests share the caller and the first part, and run beside those that crash."""
-
-    async def test(site):
+    async with entrysite.started(nodes=3, engines=12, events=5, gap_s=0.03) as site:
         make_fatal(site)
         fatal, sound = [], []
         for n in range(12):
@@ -67,16 +61,14 @@
             fatal.append(await send(site, f"fatal{n}", COMMON, FATAL, node=n % 3))
         await asyncio.gather(*sound)
         later = [await send(site, f"later{n}", COMMON, SOUND, node=n % 3) for n in range(12)]
-        return crashed(site), fatal[-1], later
-
-    count, last, later = entrysite.run(test, nodes=3, engines=12, events=5, gap_s=0.03)
+        count, last = crashed(site), fatal[-1]
     assert count <= MAX_CRASHES
     assert last == (503, "prompt_part_quarantined")
     assert later == [(200, "")] * 12
 
 
-def test_part_stays_refused_after_a_restart_of_all_instances():
-    async def test(site):
+async def test_part_stays_refused_after_a_restart_of_all_instances():
+    async with entrysite.started(nodes=3, engines=12, events=5) as site:
         writes = []
         for node in site.nodes:
             node.instance.quarantine.set_store_writer(writes.append)
@@ -90,16 +82,13 @@
         site.nodes.append(fresh)
         site.read_store(fresh)
         before = crashed(site)
-        return await send(site, "again", COMMON, FATAL, node=3), crashed(site) - before
-
-    answer, count = entrysite.run(test, nodes=3, engines=12, events=5)
+        answer, count = await send(site, "again", COMMON, FATAL, node=3), crashed(site) - before
     assert (answer, count) == ((503, "prompt_part_quarantined"), 0)
 
 
-def test_streams_with_proven_parts_are_no_evidence_when_their_engines_crash():
+async def test_streams_with_proven_parts_are_no_evidence_when_their_engines_crash():
     """Engines crash one after the other under long streams that had gone well."""
-
-    async def test(site):
+    async with entrysite.started(nodes=1, engines=6, events=100, gap_s=0.03) as site:
         for n in range(4):
             clients = [
                 await site.nodes[0].request(
@@ -114,24 +103,19 @@
                     break
             for client in clients:
                 client.close()
-        return await send(site, "sound", COMMON, SOUND)
+        assert await send(site, "sound", COMMON, SOUND) == (200, "")
 
-    assert entrysite.run(test, nodes=1, engines=6, events=100, gap_s=0.03) == (200, "")
 
-
-def test_part_is_contained_on_a_route_whose_answers_are_not_streamed():
-    async def test(site):
+async def test_part_is_contained_on_a_route_whose_answers_are_not_streamed():
+    async with entrysite.started(nodes=3, engines=12, events=5) as site:
         routes = [entrysite.route("whole", "idempotent", "llm")]
-        site.put("op/config", json.dumps(entrysite.manifest(2, routes=routes)))
-        site.read_store()
+        site.configure(2, routes=routes)
         make_fatal(site)
         path = "/whole/1"
         for n in range(12):
             await send(site, f"fatal{n}", COMMON, FATAL, path=path, node=n % 3)
             await asyncio.sleep(0.2)
         sound = [await send(site, f"sound{n}", COMMON, SOUND, path=path) for n in range(6)]
-        return crashed(site), sound
-
-    count, sound = entrysite.run(test, nodes=3, engines=12, events=5)
+        count = crashed(site)
     assert count <= MAX_CRASHES
     assert sound == [(200, "")] * 6
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from hornbeamglade.standins import routedfaults
 from tests import eventloop
 from tests.entry import site as entrysite
 
@@ -24,8 +23,7 @@
 
 
 def crash_on_body(servers):
-    for server in servers:
-        server.faults = routedfaults.RoutedFaults(crash_on=CRASHING_BODY.decode())
+    entrysite.set_faults(servers, crash_on=CRASHING_BODY.decode())
 
 
 def run_count(servers):
@@ -33,35 +31,27 @@
 
 
 @pytest.mark.parametrize("nodes", [1, 3])
-def test_request_that_crashes_engines_is_contained(nodes):
+async def test_request_that_crashes_engines_is_contained(nodes):
     """A request that crashes each engine that runs it returns under new ids each time."""
-
-    async def test(site):
+    async with entrysite.started(nodes=nodes, engines=10) as site:
         crash_on_body(site.engines)
         await send_repeatedly(site, "/draft/1", 9)
-        return run_count(site.engines)
-
-    assert entrysite.run(test, nodes=nodes, engines=10) <= CRASHES_ALLOWED + RETRIES_ALLOWED
+        assert run_count(site.engines) <= CRASHES_ALLOWED + RETRIES_ALLOWED
 
 
-def test_request_that_crashes_plain_servers_is_contained():
+async def test_request_that_crashes_plain_servers_is_contained():
     """Plain servers, which have no owner, need the same protection from such a request."""
-
-    async def test(site):
+    async with entrysite.started(nodes=3, services=10) as site:
         crash_on_body(site.services)
         await send_repeatedly(site, "/hold/1", 9)
-        return run_count(site.services)
+        assert run_count(site.services) <= CRASHES_ALLOWED + RETRIES_ALLOWED
 
-    assert entrysite.run(test, nodes=3, services=10) <= CRASHES_ALLOWED + RETRIES_ALLOWED
 
-
-def test_draft_cut_by_a_crashing_draft_is_served_when_it_is_sent_again():
+async def test_draft_cut_by_a_crashing_draft_is_served_when_it_is_sent_again():
     """Another draft runs beside the crashing one at each of the engines that it crashes."""
-
-    async def test(site):
+    async with entrysite.started(engines=4, events=60) as site:
         for number, engine in enumerate(site.engines[:CRASHES_ALLOWED]):
-            for other in site.engines:
-                other.faults = routedfaults.RoutedFaults(refuse=True)
+            entrysite.set_faults(site.engines, refuse=True)
             crash_on_body([engine])
             beside = f"beside-{number}"
             client = await site.nodes[0].request(
@@ -73,7 +63,5 @@
         crash_on_body(site.engines)
         client = await site.nodes[0].request("/draft/1", more=entrysite.USAGE, body=b"beside-0")
         crashing = await send_repeatedly(site, "/draft/1", 1)
-        return (await client.answer())[0], crashing, run_count(site.engines[:CRASHES_ALLOWED])
-
-    status, crashing, runs = entrysite.run(test, engines=4, events=60)
+        status, runs = (await client.answer())[0], run_count(site.engines[:CRASHES_ALLOWED])
     assert (status, crashing, runs) == (200, [503], 2 * CRASHES_ALLOWED)
--- a/tests/entry/test_ratelimits.py
+++ b/tests/entry/test_ratelimits.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import pytest
+
 from hornbeamglade.standins import routedfaults
 from tests import eventloop
 from tests.entry import site as entrysite
@@ -51,57 +53,40 @@
     return [each for each in server.ledger if each.at > since]
 
 
-def test_limit_of_a_plain_server_holds_and_others_serve_the_rest():
+@pytest.mark.parametrize(
+    ("path", "shape"),
+    [("/list/1", {"services": 3}), ("/tag/1", {"engines": 3, "events": 5})],
+    ids=["plain_server", "engine"],
+)
+async def test_limit_of_a_server_holds_and_others_serve_the_rest(path, shape):
     """Each instance must apply only its share of the limit, not the whole of it."""
-
-    async def test(site):
-        limited = site.services[0]
-        limited.faults = routedfaults.RoutedFaults(limit=str(LIMIT_PER_S))
-        sent = await until_all_know_the_limit(site, "/list/1", [limited])
-        since = time.monotonic()
-        statuses = await send_steadily(site, "/list/1", sent, 60, 0.05)
-        return len(arrivals(limited, since)), set(statuses)
-
-    count, statuses = entrysite.run(test, nodes=3, services=3)
-    assert count <= ALLOWED
-    assert statuses == {200}
-
-
-def test_limit_of_an_engine_holds():
-    async def test(site):
-        limited = site.engines[0]
+    async with entrysite.started(nodes=3, **shape) as site:
+        limited = site.services[0] if "services" in shape else site.engines[0]
         limited.faults = routedfaults.RoutedFaults(limit=str(LIMIT_PER_S))
-        sent = await until_all_know_the_limit(site, "/tag/1", [limited])
+        sent = await until_all_know_the_limit(site, path, [limited])
         since = time.monotonic()
-        statuses = await send_steadily(site, "/tag/1", sent, 60, 0.05)
-        return len(arrivals(limited, since)), set(statuses)
-
-    count, statuses = entrysite.run(test, nodes=3, engines=3, events=5)
+        statuses = await send_steadily(site, path, sent, 60, 0.05)
+        count = len(arrivals(limited, since))
     assert count <= ALLOWED
-    assert statuses == {200}
+    assert set(statuses) == {200}
 
 
-def test_excess_requests_are_refused_at_once_if_all_servers_are_limited():
+async def test_excess_requests_are_refused_at_once_if_all_servers_are_limited():
     """Overloaded servers must not get more, nor callers wait for what cannot come in time."""
-
-    async def test(site):
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults(limit=str(LIMIT_PER_S))
+    async with entrysite.started(nodes=3) as site:
+        entrysite.set_faults(site.services, limit=str(LIMIT_PER_S))
         sent = await until_all_know_the_limit(site, "/list/1", site.services)
         since = time.monotonic()
         statuses = await send_steadily(site, "/list/1", sent, 60, 0.05)
-        return [len(arrivals(each, since)) for each in site.services], statuses
-
-    counts, statuses = entrysite.run(test, nodes=3)
+        counts = [len(arrivals(each, since)) for each in site.services]
     assert max(counts) <= ALLOWED
     assert set(statuses) <= {200, 503}
     assert statuses.count(503) > 30
 
 
-def test_concurrent_requests_share_one_send_slot():
+async def test_concurrent_requests_share_one_send_slot():
     """Concurrent requests that see the same free send slot must not all use it."""
-
-    async def test(site):
+    async with entrysite.started(nodes=3, engines=2, events=5) as site:
         limited = site.engines[0]
         limited.faults = routedfaults.RoutedFaults(limit=str(LIMIT_PER_S))
         sent = await until_all_know_the_limit(site, "/tag/1", [limited])
@@ -110,6 +95,4 @@
         await eventloop.until(lambda: catalog.may_send(limited.replica_id))
         since = time.monotonic()
         await asyncio.gather(*(send_to(node, "/tag/1", sent + each) for each in range(60)))
-        return len(arrivals(limited, since))
-
-    assert entrysite.run(test, nodes=3, engines=2, events=5) <= 2
+        assert len(arrivals(limited, since)) <= 2
--- a/tests/entry/test_regions.py
+++ b/tests/entry/test_regions.py
@@ -18,8 +18,8 @@
     site.read_store()
 
 
-def run_site(test, **shape):
-    return entrysite.run(test, region_by_failure_domain=REGION_BY_DOMAIN, **shape)
+def started_site(**shape):
+    return entrysite.started(region_by_failure_domain=REGION_BY_DOMAIN, **shape)
 
 
 async def statuses(site, path, more="", count=8):
@@ -35,26 +35,23 @@
     return {"ab"[n % 2] for n, engine in enumerate(site.engines) if engine.ledger}
 
 
-def test_streams_stay_in_the_regions_of_their_route():
-    async def test(site):
+async def test_streams_stay_in_the_regions_of_their_route():
+    async with started_site(nodes=2, engines=4) as site:
         restrict(site, route=["south"])
-        return await statuses(site, "/draft/1", entrysite.USAGE), domains_used(site)
+        assert await statuses(site, "/draft/1", entrysite.USAGE) == [200] * 8
+        assert domains_used(site) == {"b"}
 
-    assert run_site(test, nodes=2, engines=4) == ([200] * 8, {"b"})
 
-
-def test_regions_of_route_and_team_both_apply():
-    async def test(site):
+async def test_regions_of_route_and_team_both_apply():
+    async with started_site(nodes=2, engines=4) as site:
         restrict(site, route=["north", "south"], team=["north"])
-        return await statuses(site, "/draft/1", entrysite.USAGE), domains_used(site)
-
-    assert run_site(test, nodes=2, engines=4) == ([200] * 8, {"a"})
+        assert await statuses(site, "/draft/1", entrysite.USAGE) == [200] * 8
+        assert domains_used(site) == {"a"}
 
 
-def test_migrated_run_stays_in_its_regions():
+async def test_migrated_run_stays_in_its_regions():
     """A migrated run must not go to an engine of another region."""
-
-    async def test(site):
+    async with started_site(engines=2, events=40) as site:
         restrict(site, route=["south"])
         client = await site.nodes[0].request("/draft/1", request_id="r1", more=entrysite.USAGE)
         await eventloop.until(
@@ -62,27 +59,23 @@
         )
         site.leave(1)
         status = (await client.answer())[0]
-        return status, domains_used(site)
+        assert (status, domains_used(site)) == (200, {"b"})
 
-    assert run_site(test, engines=2, events=40) == (200, {"b"})
 
-
-def test_request_without_allowed_region_is_refused_at_once():
-    async def test(site):
+async def test_request_without_allowed_region_is_refused_at_once():
+    async with started_site(engines=2) as site:
         restrict(site, route=["north"], team=["south"])
         streams = await statuses(site, "/draft/1", entrysite.USAGE, count=1)
-        return streams + await statuses(site, "/list/1", count=1), domains_used(site)
-
-    assert run_site(test, engines=2) == ([503, 503], set())
+        assert streams + await statuses(site, "/list/1", count=1) == [503, 503]
+        assert domains_used(site) == set()
 
 
-def test_buffered_requests_stay_in_the_regions_of_their_team():
-    async def test(site):
+async def test_buffered_requests_stay_in_the_regions_of_their_team():
+    async with started_site(services=2) as site:
         restrict(site, team=["south"])
         for server in site.services[1:]:
             site.put(f"servers/{server.replica_id}", entrysite.server_row(server, "web", "b"))
         site.read_store()
         found = await statuses(site, "/list/1")
-        return found, [bool(server.ledger) for server in site.services]
-
-    assert run_site(test, services=2) == ([200] * 8, [False, True])
+        assert found == [200] * 8
+        assert [bool(server.ledger) for server in site.services] == [False, True]
--- a/tests/entry/test_sharedmachines.py
+++ b/tests/entry/test_sharedmachines.py
@@ -3,16 +3,14 @@
 import pytest
 
 from hornbeamglade.routed import calls
-from hornbeamglade.standins import routedfaults
 from tests.entry import site as entrysite
 
 
 @pytest.mark.parametrize(("path", "service"), [("/list/1", "web"), ("/draft/1", "llm")])
 @pytest.mark.parametrize("figures", ["1,0,8", "1,0,8,250"])
-def test_load_in_buffered_and_streamed_responses_is_observed(path, service, figures):
+async def test_load_in_buffered_and_streamed_responses_is_observed(path, service, figures):
     """Guards against load headers that only one kind of response is read for."""
-
-    async def test(site):
+    async with entrysite.started() as site:
         for server in (*site.engines, *site.services):
             proof = server._proof_headers
             server._proof_headers = lambda request, proof=proof: (
@@ -22,17 +20,16 @@
         status = (await client.answer())[0]
         shared = site.nodes[0].instance.shared_machines
         site.nodes[0].instance.clean_up()
-        return status, [each for each in ("web", "llm") if shared.shares_machines(each)]
-
-    assert entrysite.run(test) == (200, [service] if figures.endswith("250") else [])
+        assert (status, [each for each in ("web", "llm") if shared.shares_machines(each)]) == (
+            200,
+            [service] if figures.endswith("250") else [],
+        )
 
 
-def test_second_attempt_leaves_the_failure_domain_of_the_first():
+async def test_second_attempt_leaves_the_failure_domain_of_the_first():
     """All replicas of a failure domain fail requests, as their machines are overloaded."""
-
-    async def test(site):
-        for server in site.services[:-1]:
-            server.faults = routedfaults.RoutedFaults(fail=True)
+    async with entrysite.started(engines=0, services=8) as site:
+        entrysite.set_faults(site.services[:-1], fail=True)
         last = site.services[-1]
         site.put(f"servers/{last.replica_id}", entrysite.server_row(last, "web", "b"))
         site.read_store()
@@ -41,6 +38,4 @@
         for number in range(10):
             client = await site.nodes[0].request("/list/1", request_id=f"r{number}")
             statuses.append((await client.answer())[0])
-        return statuses
-
-    assert entrysite.run(test, engines=0, services=8) == [200] * 10
+        assert statuses == [200] * 10
--- a/tests/entry/test_sitefigures.py
+++ b/tests/entry/test_sitefigures.py
@@ -17,14 +17,13 @@
     return content
 
 
-def test_response_to_a_grant_request_tells_the_figures_of_a_coordinated_service():
+async def test_response_to_a_grant_request_tells_the_figures_of_a_coordinated_service():
     """The routes of the engines' service have objectives that differ by a factor of 2.
 
     An instance that owns no engine knows their state after its first request, without a
     heartbeat.
     """
-
-    async def test(site):
+    async with entrysite.started(nodes=2, engines=1) as site:
         site.put("op/config", json.dumps(mixed_manifest()))
         site.read_store()
         replica = site.engines[0].replica_id
@@ -44,17 +43,14 @@
         )
         status, _, _ = await client.answer()
         await eventloop.until(lambda: responses)
-        return status, [each.digest.replica for each in responses[0].digests], replica
-
-    status, known, replica = entrysite.run(test, nodes=2, engines=1)
+        known = [each.digest.replica for each in responses[0].digests]
     assert status == 200
     assert known == [messages.key_hash(replica)]
 
 
-def test_page_and_gauge_show_requests_that_wait_at_another_owner():
+async def test_page_and_gauge_show_requests_that_wait_at_another_owner():
     """The status command shows only the fields that it knows by name."""
-
-    async def test(site):
+    async with entrysite.started(engines=1) as site:
         site.put("op/config", json.dumps(mixed_manifest()))
         site.read_store()
         instance = site.nodes[0].instance
@@ -66,6 +62,4 @@
             instance.metrics()
             page = statuspage.NodeStatus.model_validate_json(instance.status())
             seen.append((gauge.value(("llm", "1")), page.waiting_by_class))
-        return seen
-
-    assert entrysite.run(test, engines=1) == [(3, {"llm": {1: 3}}), (0, {})]
+        assert seen == [(3, {"llm": {1: 3}}), (0, {})]
--- a/tests/entry/test_slowreaders.py
+++ b/tests/entry/test_slowreaders.py
@@ -20,19 +20,17 @@
 
 
 @pytest.mark.parametrize(("bound", "status"), [(80_000, 503), (None, 200)])
-def test_large_body_is_refused_only_at_the_bound(bound, status, monkeypatch):
+async def test_large_body_is_refused_only_at_the_bound(bound, status, monkeypatch):
     lines = []
     monkeypatch.setattr(logs.eliot, "log_message", lambda **record: lines.append(record))
 
-    async def test(site):
+    async with entrysite.started() as site:
         node = site.nodes[0]
         node.instance.memory.bound_bytes = bound
         client = await node.request("/list/1", body=b"x" * 90_000)
         received = (await client.answer())[0]
         metrics = node.instance.metrics().decode().splitlines()
-        return received, metrics, sum(len(each.ledger) for each in site.services)
-
-    received, metrics, ran = entrysite.run(test)
+        ran = sum(len(each.ledger) for each in site.services)
     is_refused = status == 503
     assert (received, ran) == (status, 0 if is_refused else 1)
     assert f"hornbeamglade_held_bytes_bound {float(bound or 0)}" in metrics
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -5,139 +5,106 @@
 
 import pytest
 
-from hornbeamglade.entry import settings
 from hornbeamglade.routed import drainadmission
-from hornbeamglade.standins import routed, routedfaults
+from hornbeamglade.standins import routed
 from tests import eventloop
 from tests.entry import site as entrysite
+from tests.entry import test_streams
 
 FULL_USAGE = f"Model: m\r\nToken-Usage: {routed.MEMORY_TOKENS * 6 // 10},5000\r\n"
 
 
-def queued_count(site):
-    catalogs = (node.instance.catalog for node in site.nodes)
-    known = (each for catalog in catalogs for each in catalog.candidates("llm", frozenset()))
-    return sum(each.queued for each in known if not each.owner)
-
-
-def dispatched(site):
-    return [run.request_id for engine in site.engines for run in engine.ledger]
-
-
 async def code_and_fields(client):
     status, fields, body = await client.answer()
     return status, json.loads(body)["code"], fields
 
 
 @pytest.mark.parametrize("node", [0, 1])
-def test_request_that_waits_for_an_engine_is_refused_at_the_signal(node):
+async def test_request_that_waits_for_an_engine_is_refused_at_the_signal(node):
     """It waited, at its own or another owner, and got no answer when the process ended."""
-
-    async def test(site):
+    async with entrysite.started(nodes=2, engines=1, gap_s=0.3) as site:
         patient = entrysite.route("draft", "streaming", "llm", goal_ms=60000, timeout_ms=90000)
-        site.put("op/config", json.dumps(entrysite.manifest(2, routes=[patient])))
-        site.read_store()
+        site.configure(2, routes=[patient])
         stopped = site.nodes[node]
         first = await site.nodes[1 - node].request("/draft/1", request_id="r1", more=FULL_USAGE)
-        await eventloop.until(lambda: dispatched(site) == ["r1"])
+        await eventloop.until(lambda: test_streams.dispatched(site) == ["r1"])
         second = await stopped.request("/draft/1", request_id="r2", more=FULL_USAGE)
-        await eventloop.until(lambda: queued_count(site) == 1)
+        await eventloop.until(lambda: test_streams.queued_count(site) == 1)
         stopped.instance.leave()
-        answer = await code_and_fields(second)
-        await eventloop.until(lambda: queued_count(site) == 0)
+        status, code, fields = await code_and_fields(second)
+        await eventloop.until(lambda: test_streams.queued_count(site) == 0)
         is_first_alive = site.engines[0].run_by_id["r1"].is_alive
         first.close()
-        return answer, is_first_alive, dispatched(site)
-
-    (status, code, fields), is_first_alive, runs = entrysite.run(
-        test, nodes=2, engines=1, gap_s=0.3
-    )
+        runs = test_streams.dispatched(site)
     assert (status, code) == (503, "node_leaving")
     assert float(fields["retry-after"]) < 0.1
     assert (is_first_alive, runs) == (True, ["r1"])
 
 
 @pytest.mark.parametrize("path", ["/draft/1", "/tag/1", "/list/1", "/hold/1"])
-def test_request_at_a_replica_is_answered_at_the_limit(path):
+async def test_request_at_a_replica_is_answered_at_the_limit(path):
     """The process ended while replicas had not answered, and callers got no answer at all."""
-
-    async def test(site):
+    async with entrysite.started() as site:
         node = site.nodes[0]
-        for server in (*site.engines, *site.services):
-            server.faults = routedfaults.RoutedFaults(hang=True)
+        entrysite.set_faults((*site.engines, *site.services), hang=True)
         client = await node.request(path, more=entrysite.USAGE)
         servers = (*site.engines, *site.services)
         await eventloop.until(lambda: any(server.ledger or server.run_by_id for server in servers))
         node.instance.leave()
         node.instance.callers.refuse_unanswered()
-        answer = await code_and_fields(client)
-        return answer, node.instance.callers.has_unanswered_requests
-
-    (status, code, fields), has_unanswered = entrysite.run(test)
+        status, code, fields = await code_and_fields(client)
+        has_unanswered = node.instance.callers.has_unanswered_requests
     assert (status, code, has_unanswered) == (502, "stopped_before_answer", False)
     assert "retry-after" not in fields
 
 
 @pytest.mark.parametrize("is_resumed", [False, True])
-def test_request_is_refused_while_engines_begin_no_answer(is_resumed):
+async def test_request_is_refused_while_engines_begin_no_answer(is_resumed):
     """Engines queue what they were sent; requests were admitted until shortly before the end."""
-
-    async def test(site):
+    async with entrysite.started(nodes=2) as site:
         node = site.nodes[0]
         tag = entrysite.route(
             "tag", "streaming", "llm", resumable=True, goal_ms=300, timeout_ms=4000
         )
-        site.put("op/config", json.dumps(entrysite.manifest(2, routes=[tag])))
-        site.read_store()
-        for engine in site.engines:
-            engine.faults = routedfaults.RoutedFaults(hang=True)
+        site.configure(2, routes=[tag])
+        entrysite.set_faults(site.engines, hang=True)
         waiting = await node.request("/tag/1", request_id="r1", more=entrysite.USAGE)
         await asyncio.sleep(1.5)
-        bounds = settings.Bounds(stop_s=1.9, address_ttl_s=5)
-        node.instance.apply_settings(node.settings.model_copy(update={"bounds": bounds}))
+        node.set_stop_limit(1.9)
         node.instance.leave()
         more = entrysite.USAGE + ("Last-Event-Id: 1\r\nResumes: r1\r\n" if is_resumed else "")
-        late = await code_and_fields(await node.request("/tag/1", request_id="r2", more=more))
+        late = await node.request("/tag/1", request_id="r2", more=more)
+        status, code, _ = await code_and_fields(late)
         waiting.close()
-        return late, {each for engine in site.engines for each in engine.run_by_id}
-
-    (status, code, _), runs = entrysite.run(test, nodes=2)
+        runs = {each for engine in site.engines for each in engine.run_by_id}
     assert (status, code, runs) == (503, "node_leaving", {"r1"})
 
 
 @pytest.mark.parametrize(("path", "status"), [("/tag/1", 502), ("/draft/1", 200)])
-def test_answer_that_can_be_repeated_is_not_begun_too_late(path, status):
+async def test_answer_that_can_be_repeated_is_not_begun_too_late(path, status):
     """A stream whose first event came just before the end was begun, and truncated at once."""
-
-    async def test(site):
+    async with entrysite.started(nodes=2, gap_s=0.6) as site:
         node = site.nodes[0]
         client = await node.request(path, more=entrysite.USAGE)
         await eventloop.until(lambda: any(engine.run_by_id for engine in site.engines))
-        bounds = settings.Bounds(stop_s=1.2, address_ttl_s=5)
-        node.instance.apply_settings(node.settings.model_copy(update={"bounds": bounds}))
+        node.set_stop_limit(1.2)
         node.instance.leave()
         received, _ = await client.head()
         client.close()
-        return received
-
-    assert entrysite.run(test, nodes=2, gap_s=0.6) == status
+        assert received == status
 
 
 @pytest.mark.parametrize(
     ("is_body_late", "leaves"), [(False, False), (True, False), (False, True)]
 )
-def test_stream_that_is_withheld_at_a_stop_arrives_whole(is_body_late, leaves):
+async def test_stream_that_is_withheld_at_a_stop_arrives_whole(is_body_late, leaves):
     """A late stream was truncated; if withheld it must not lose its events or its head."""
-
-    async def test(site):
+    async with entrysite.started(nodes=2, events=40, gap_s=0.04) as site:
         node = site.nodes[0]
         draft = entrysite.route("draft", "streaming", "llm", goal_ms=100, max_attempts=1)
-        site.put("op/config", json.dumps(entrysite.manifest(2, routes=[draft])))
-        site.read_store()
-        for engine in site.engines:
-            engine.faults = routedfaults.RoutedFaults(delay_s=1.6)
-        bounds = settings.Bounds(stop_s=drainadmission.EARLY_PERIOD_S + 3.0, address_ttl_s=5)
-        node.instance.apply_settings(node.settings.model_copy(update={"bounds": bounds}))
+        site.configure(2, routes=[draft])
+        entrysite.set_faults(site.engines, delay_s=1.6)
+        node.set_stop_limit(drainadmission.EARLY_PERIOD_S + 3.0)
         node.instance.leave()
         late_s = drainadmission.EARLY_PERIOD_S + 0.05
         await asyncio.sleep(0.0 if is_body_late else late_s)
@@ -150,15 +117,11 @@
         await eventloop.until(lambda: run.made > 1)
         is_withheld = node.instance.callers.has_unanswered_requests
         if leaves:
-            for engine in site.engines:
-                engine.faults = routedfaults.RoutedFaults()
+            entrysite.set_faults(site.engines)
             site.leave(first)
         status, fields, body = await client.answer()
         is_first = fields["response-seal"] == f"{site.engines[first].replica_id}.r1"
         events = body.count(b"data: r1.")
         used = sum("r1" in engine.run_by_id for engine in site.engines)
-        return status, events, is_first, is_withheld, used
-
-    *answer, used = entrysite.run(test, nodes=2, events=40, gap_s=0.04)
-    assert answer == [200, 40, True, True]
+    assert (status, events, is_first, is_withheld) == (200, 40, True, True)
     assert used == (2 if leaves else 1)
--- a/tests/entry/test_tolerances.py
+++ b/tests/entry/test_tolerances.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from hornbeamglade.standins import routedfaults
 from tests.entry import site as entrysite
 
 SLOTS = 8
@@ -31,34 +30,26 @@
 
 
 @pytest.mark.parametrize("nodes", [3, 6])
-def test_brittle_servers_do_not_fall_over_in_a_crowd(nodes):
+async def test_brittle_servers_do_not_fall_over_in_a_crowd(nodes):
     """Guards against a refused request that goes on to the next full server."""
-
-    async def test(site):
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults(delay_s=WORK_S, brittle=str(TOLERATED))
+    async with entrysite.started(nodes=nodes, engines=0, services=2) as site:
+        entrysite.set_faults(site.services, delay_s=WORK_S, brittle=str(TOLERATED))
         await crowd(site, per_s=40, seconds=1.0)
         for server in site.services:
             server.faults = server.faults.model_copy(update={"room": SLOTS})
         capacity_per_s = len(site.services) * SLOTS / WORK_S
         statuses = await crowd(site, per_s=1.3 * capacity_per_s, seconds=4.0)
         served = statuses.count(200) / (4.0 * capacity_per_s)
-        return sum(server.falls for server in site.services), set(statuses), served
-
-    falls, statuses, served = entrysite.run(test, nodes=nodes, engines=0, services=2)
+        falls, statuses = sum(server.falls for server in site.services), set(statuses)
     assert falls <= ALLOWED_FALLS
     assert statuses <= {200, 503}
     assert served > 0.4
 
 
-def test_servers_are_used_without_a_bound_once_they_state_none():
-    async def test(site):
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults(delay_s=WORK_S, brittle="3")
+async def test_servers_are_used_without_a_bound_once_they_state_none():
+    async with entrysite.started(nodes=1, engines=0, services=2) as site:
+        entrysite.set_faults(site.services, delay_s=WORK_S, brittle="3")
         await crowd(site, per_s=20, seconds=0.5)
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults(delay_s=WORK_S)
+        entrysite.set_faults(site.services, delay_s=WORK_S)
         await crowd(site, per_s=20, seconds=0.5)
-        return set(await crowd(site, per_s=400, seconds=0.5))
-
-    assert entrysite.run(test, nodes=1, engines=0, services=2) == {200}
+        assert set(await crowd(site, per_s=400, seconds=0.5)) == {200}
--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -76,81 +76,63 @@
     assert not {"response-seal", "retry-after"} & fields.keys()
 
 
+async def assert_may_have_run(site, path, more="", *, status=502, runs=1):
+    """Send a request; check that its response states nothing, and how often it was run."""
+    assert_states_nothing((await send(site, path, more))[1], status)
+    assert run_count(site) == runs
+
+
 @pytest.mark.parametrize("status", [408, 429, 503])
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_unmarked_refusal_of_a_replica_is_not_passed_on(path, status):
+async def test_unmarked_refusal_of_a_replica_is_not_passed_on(path, status):
     """A replica runs the request, and responds 503 as its own server was too slow."""
-
-    async def test(site):
+    async with entrysite.started() as site:
         script(site, with_status(status, **{"Retry-After": "1"}))
-        return (await send(site, path))[1], run_count(site)
-
-    answer, runs = entrysite.run(test)
-    assert_states_nothing(answer)
-    assert runs == 1
+        await assert_may_have_run(site, path)
 
 
 @pytest.mark.parametrize("path", [REPEATABLE, REPEATABLE_STREAM])
-def test_unmarked_refusal_is_retried_only_for_repeatable_requests(path):
-    async def test(site):
+async def test_unmarked_refusal_is_retried_only_for_repeatable_requests(path):
+    async with entrysite.started() as site:
         script(site, with_status(503))
-        return (await send(site, path))[1], run_count(site)
-
-    answer, runs = entrysite.run(test)
-    assert_states_nothing(answer)
-    assert runs == 2
+        await assert_may_have_run(site, path, runs=2)
 
 
 @pytest.mark.parametrize("status", [500, 504])
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_other_failure_of_a_replica_keeps_its_status_and_seal(path, status):
-    async def test(site):
+async def test_other_failure_of_a_replica_keeps_its_status_and_seal(path, status):
+    async with entrysite.started() as site:
         script(site, with_status(status))
-        return (await send(site, path))[1], run_count(site)
-
-    (got, fields, body), runs = entrysite.run(test)
+        (got, fields, body), runs = (await send(site, path))[1], run_count(site)
     assert (got, body, runs) == (status, b"own", 1)
     assert fields["response-seal"]
 
 
 @pytest.mark.parametrize("path", SINGLE_PATHS)
 @pytest.mark.parametrize("respond", [lambda *_: None, stream_head], ids=["nothing", "head"])
-def test_response_that_ends_before_its_first_byte_or_event(path, respond):
-    async def test(site):
+async def test_response_that_ends_before_its_first_byte_or_event(path, respond):
+    async with entrysite.started() as site:
         script(site, respond)
-        return (await send(site, path))[1], run_count(site)
+        await assert_may_have_run(site, path)
 
-    answer, runs = entrysite.run(test)
-    assert_states_nothing(answer)
-    assert runs == 1
 
-
-def test_refusal_without_an_id_after_a_stray_response_proves_nothing():
+async def test_refusal_without_an_id_after_a_stray_response_proves_nothing():
     """A late response and a late refusal of another request come first on the connection."""
 
     def respond(server, request):
         stray = routed._response(request, 200, {"Attempt-Id": "another"}, b"not yours")
         return stray + routed._response(request, 503, {"Not-Executed": "1"}, b"")
 
-    async def test(site):
+    async with entrysite.started() as site:
         script(site, respond)
-        return (await send(site, SINGLE))[1], run_count(site)
-
-    answer, runs = entrysite.run(test)
-    assert_states_nothing(answer)
-    assert runs == 1
+        await assert_may_have_run(site, SINGLE)
 
 
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_deadline_after_dispatch(path):
-    async def test(site):
-        for server in replicas(site):
-            server.faults = routedfaults.RoutedFaults(hang=True)
-        return (await send(site, path, "Deadline-Ms: 300\r\n"))[1], run_count(site)
-
-    answer, runs = entrysite.run(test)
-    assert_states_nothing(answer, 504)
-    assert runs == 1
+async def test_deadline_after_dispatch(path):
+    async with entrysite.started() as site:
+        entrysite.set_faults(replicas(site), hang=True)
+        await assert_may_have_run(site, path, "Deadline-Ms: 300\r\n", status=504)
 
 
 async def assert_cut(client):
@@ -160,21 +142,18 @@
         await client._chunks()
 
 
-def test_deadline_within_a_stream():
-    async def test(site):
+async def test_deadline_within_a_stream():
+    async with entrysite.started(gap_s=0.05) as site:
         client = await site.nodes[0].request(
             SINGLE_STREAM, more=entrysite.USAGE + "Deadline-Ms: 400\r\n"
         )
         await assert_cut(client)
-        return run_count(site)
-
-    assert entrysite.run(test, gap_s=0.05) == 1
+        assert run_count(site) == 1
 
 
-def test_migrated_run_that_its_target_refuses():
+async def test_migrated_run_that_its_target_refuses():
     """The copy of a run's KV cache has expired when the stream continues from it."""
-
-    async def test(site):
+    async with entrysite.started(gap_s=0.03, engines=3) as site:
         client = await site.nodes[0].request(SINGLE_STREAM, more=entrysite.USAGE)
         await eventloop.until(lambda: any(engine.run_by_id for engine in site.engines))
         source = next(engine for engine in site.engines if engine.run_by_id)
@@ -183,35 +162,28 @@
             engine._begin = lambda request: None
         site.leave(site.engines.index(source))
         await assert_cut(client)
-        return source.run_by_id["r1"].is_stopped, run_count(site)
-
-    assert entrysite.run(test, gap_s=0.03, engines=3) == (True, 1)
+        assert (source.run_by_id["r1"].is_stopped, run_count(site)) == (True, 1)
 
 
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_tunnel_that_ends_after_the_request_was_sent(path):
-    async def test(site):
-        for server in replicas(site):
-            server.faults = routedfaults.RoutedFaults(hang=True)
+async def test_tunnel_that_ends_after_the_request_was_sent(path):
+    async with entrysite.started(nodes=3, has_links=True) as site:
+        entrysite.set_faults(replicas(site), hang=True)
         site.partition(site.nodes[0], tcpproxy.Partition.RESET)
         answer = asyncio.ensure_future(send(site, path))
         await eventloop.until(lambda: run_count(site))
         for relay in site.nodes[1:]:
             relay.instance.tunneling.close()
-        return (await answer)[1], run_count(site)
-
-    answer, runs = entrysite.run(test, nodes=3, has_links=True)
+        answer, runs = (await answer)[1], run_count(site)
     assert_states_nothing(answer)
     assert runs == 1
 
 
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_instance_that_ends_while_a_request_runs_sends_no_response(path):
+async def test_instance_that_ends_while_a_request_runs_sends_no_response(path):
     """The end of the process cancels the tasks of all requests in flight."""
-
-    async def test(site):
-        for server in replicas(site):
-            server.faults = routedfaults.RoutedFaults(hang=True)
+    async with entrysite.started() as site:
+        entrysite.set_faults(replicas(site), hang=True)
         node = site.nodes[0]
         client = await node.request(path, more=entrysite.USAGE)
         await eventloop.until(lambda: run_count(site))
@@ -219,16 +191,13 @@
             connection._task.cancel()
         await asyncio.sleep(0)
         await node.stop()
-        return await client.is_closed(), run_count(site)
-
-    assert entrysite.run(test) == (True, 1)
+        assert (await client.is_closed(), run_count(site)) == (True, 1)
 
 
 @pytest.mark.parametrize("path", [REPEATABLE, REPEATABLE_STREAM])
-def test_request_that_is_quarantined_after_it_ran(path):
+async def test_request_that_is_quarantined_after_it_ran(path):
     """A request is quarantined between its first run and the retry."""
-
-    async def test(site):
+    async with entrysite.started() as site:
         quarantine = site.nodes[0].instance.quarantine
         quarantined = outcomes.Refusal("request_quarantined", 503, "-", retry_after_s=9.0)
 
@@ -237,18 +206,13 @@
             return b""
 
         script(site, respond)
-        return (await send(site, path))[1], run_count(site)
-
-    answer, runs = entrysite.run(test)
-    assert_states_nothing(answer)
-    assert runs == 1
+        await assert_may_have_run(site, path)
 
 
 @pytest.mark.parametrize("code", ["no_room_now", "queue_timeout"])
-def test_refusal_by_an_owner_after_the_request_ran(code):
+async def test_refusal_by_an_owner_after_the_request_ran(code):
     """An engine ends a repeatable stream without an event, and no owner grants another run."""
-
-    async def test(site):
+    async with entrysite.started() as site:
         acquirer = site.nodes[0].instance.acquirer
 
         async def refuse(placement):
@@ -259,11 +223,7 @@
             return b""
 
         script(site, respond)
-        return (await send(site, REPEATABLE_STREAM))[1], run_count(site)
-
-    answer, runs = entrysite.run(test)
-    assert_states_nothing(answer)
-    assert runs == 1
+        await assert_may_have_run(site, REPEATABLE_STREAM)
 
 
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
@@ -303,82 +263,69 @@
 
 @pytest.mark.parametrize("replica_count", [1, 3])
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_late_refusal_of_an_earlier_request_does_not_send_a_running_one_again(path, replica_count):
+async def test_late_refusal_of_an_earlier_request_does_not_send_a_running_one_again(
+    path, replica_count
+):
     """A replica sends a second response to an earlier request while it runs the next one."""
-
-    async def test(site):
+    shape = {"engines": replica_count, "services": replica_count, "events": 10, "gap_s": 0.01}
+    async with entrysite.started(**shape) as site:
         for server in replicas(site):
             server.faults = LATE_REFUSAL
-        return await send_in_turn(site, path, until=502)
-
-    shape = {"engines": replica_count, "services": replica_count, "events": 10, "gap_s": 0.01}
-    statuses, runs = entrysite.run(test, **shape)
+        statuses, runs = await send_in_turn(site, path, until=502)
     assert runs == [1] * len(statuses)
     assert not outcomes.NOT_RUN_STATUSES & set(statuses)
     assert 502 in statuses
 
 
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_late_refusal_on_a_relayed_connection_does_not_send_a_running_request_again(path):
+async def test_late_refusal_on_a_relayed_connection_does_not_send_a_running_request_again(path):
     """The same at an instance whose connections to replicas another one relays."""
-
-    async def test(site):
+    shape = {"nodes": 3, "has_links": True, "events": 10, "gap_s": 0.01}
+    async with entrysite.started(**shape) as site:
         site.partition(site.nodes[0], tcpproxy.Partition.RESET)
         for server in replicas(site):
             server.faults = LATE_REFUSAL
-        return await send_in_turn(site, path)
-
-    shape = {"nodes": 3, "has_links": True, "events": 10, "gap_s": 0.01}
-    statuses, runs = entrysite.run(test, **shape)
+        statuses, runs = await send_in_turn(site, path)
     assert runs == [1] * len(statuses)
     assert not outcomes.NOT_RUN_STATUSES & set(statuses)
 
 
 @pytest.mark.parametrize("path", [REPEATABLE, REPEATABLE_STREAM])
-def test_late_refusals_do_not_run_a_repeatable_request_more_often_than_allowed(path):
+async def test_late_refusals_do_not_run_a_repeatable_request_more_often_than_allowed(path):
     """Each late refusal could start one run more."""
-
-    async def test(site):
+    async with entrysite.started(engines=4, services=4, events=10, gap_s=0.01) as site:
         for server in replicas(site):
             server.faults = LATE_REFUSAL
-        return await send_in_turn(site, path)
-
-    _, runs = entrysite.run(test, engines=4, services=4, events=10, gap_s=0.01)
+        _, runs = await send_in_turn(site, path)
     assert max(runs) <= 2
 
 
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_refusals_without_ids_prove_that_requests_have_not_run_on_new_connections(path):
+async def test_refusals_without_ids_prove_that_requests_have_not_run_on_new_connections(path):
     """Replicas whose refusals never carry an id are full, and callers may ask again."""
-
-    async def test(site):
+    async with entrysite.started(events=2) as site:
         unnamed = routedfaults.RoutedFaults(refuse=True, unnamed=True)
         await send_in_turn(site, path)
         for server in replicas(site):
             server.faults = unnamed
         statuses, _ = await send_in_turn(site, path)
-        return statuses
-
-    statuses = entrysite.run(test, events=2)
     assert statuses.count(502) <= 2
     assert set(statuses[2:]) == {503}
 
 
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_second_copy_of_a_refusal_does_not_send_a_request_again_that_its_new_replica_runs(path):
+async def test_second_copy_of_a_refusal_does_not_send_a_request_again_that_its_new_replica_runs(
+    path,
+):
     """A request is refused at an address and sent again there, to a replica that has started."""
-
-    async def test(site):
+    async with entrysite.started(engines=2, services=2, events=5) as site:
         server = site.engines[0] if path == SINGLE_STREAM else site.services[0]
         service = "llm" if path == SINGLE_STREAM else "web"
-        for each in replicas(site):
-            each.faults = routedfaults.RoutedFaults(repeats_refusals=True)
+        entrysite.set_faults(replicas(site), repeats_refusals=True)
         for number in range(2, 5):
             site.put(f"servers/earlier{number}", entrysite.server_row(server, service))
         site.read_store()
-        return await send_in_turn(site, path)
-
-    statuses, runs = entrysite.run(test, engines=2, services=2, events=5)
+        statuses, runs = await send_in_turn(site, path)
     assert max(runs) == 1
     assert not any(
         status in outcomes.NOT_RUN_STATUSES and count
@@ -386,10 +333,9 @@
     )
 
 
-def test_second_copy_of_a_refusal_does_not_count_for_a_server_that_starts_again_under_its_name():
+async def test_second_copy_of_a_refusal_does_not_count_for_a_server_that_starts_again_under_its_name():  # noqa: E501
     """The entry of the new process arrives while the request is sent to it for the former one."""
-
-    async def test(site):
+    async with entrysite.started(services=2) as site:
         server = site.services[0]
 
         def list_again():
@@ -409,27 +355,21 @@
         server.faults = routedfaults.RoutedFaults(repeats_refusals=True)
         server._is_misdirected = is_misdirected
         list_again()
-        return await send_in_turn(site, SINGLE, until=502)
-
-    statuses, runs = entrysite.run(test, services=2)
+        statuses, runs = await send_in_turn(site, SINGLE, until=502)
     assert runs == [1] * len(statuses)
     assert set(statuses) == {200}
 
 
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_second_copy_of_a_refusal_is_no_response_to_a_later_request_with_the_same_id(path):
+async def test_second_copy_of_a_refusal_is_no_response_to_a_later_request_with_the_same_id(path):
     """A caller is refused, and sends its request again under the id that it had."""
-
-    async def test(site):
+    async with entrysite.started(engines=2, services=2, events=5) as site:
         statuses = []
         for is_full in (True, False):
-            for each in replicas(site):
-                each.faults = routedfaults.RoutedFaults(refuse=is_full, repeats_refusals=True)
+            entrysite.set_faults(replicas(site), refuse=is_full, repeats_refusals=True)
             client = await site.nodes[0].request(path, request_id="r0", more=entrysite.USAGE)
             statuses.append((await client.answer())[0])
-        return statuses, run_count(site)
-
-    statuses, runs = entrysite.run(test, engines=2, services=2, events=5)
+        runs = run_count(site)
     assert (statuses, runs) == ([503, 200], 1)
 
 
@@ -442,17 +382,13 @@
 
 @pytest.mark.parametrize("broken_at", [WITHIN_REASON, WITHIN_LOAD, WITHIN_SEAL])
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_head_that_runs_into_a_refusal_does_not_send_a_running_request_again(path, broken_at):
+async def test_head_that_runs_into_a_refusal_does_not_send_a_running_request_again(
+    path, broken_at
+):
     """A replica stops within the head of its answer, and a refusal follows on the connection."""
-
-    async def test(site):
-        for server in replicas(site):
-            server.faults = routedfaults.RoutedFaults(broken_at=broken_at, followed_by="refusal")
-        return (await send(site, path))[1], run_count(site)
-
-    answer, runs = entrysite.run(test, events=5, engines=3, services=3)
-    assert runs == 1
-    assert_states_nothing(answer)
+    async with entrysite.started(events=5, engines=3, services=3) as site:
+        entrysite.set_faults(replicas(site), broken_at=broken_at, followed_by="refusal")
+        await assert_may_have_run(site, path)
 
 
 @pytest.mark.parametrize(
@@ -460,44 +396,31 @@
     [(WITHIN_LOAD, "answer_other"), (WITHIN_SEAL, "misdirected_other")],
 )
 @pytest.mark.parametrize("path", SINGLE_PATHS)
-def test_head_that_runs_into_another_response_is_not_passed_on(path, broken_at, followed_by):
+async def test_head_that_runs_into_another_response_is_not_passed_on(path, broken_at, followed_by):
     """Callers got the body of another request, or none, as the whole answer of a replica."""
-
-    async def test(site):
-        for server in replicas(site):
-            server.faults = routedfaults.RoutedFaults(broken_at=broken_at, followed_by=followed_by)
-        return (await send(site, path))[1], run_count(site)
-
-    answer, runs = entrysite.run(test, events=5)
-    assert runs == 1
-    assert_states_nothing(answer)
+    async with entrysite.started(events=5) as site:
+        entrysite.set_faults(replicas(site), broken_at=broken_at, followed_by=followed_by)
+        await assert_may_have_run(site, path)
 
 
 @pytest.mark.parametrize("followed_by", ["refusal", "answer_other"])
 @pytest.mark.parametrize("path", [SINGLE_STREAM, REPEATABLE_STREAM])
-def test_bytes_of_another_response_within_an_event_are_not_passed_on(path, followed_by):
+async def test_bytes_of_another_response_within_an_event_are_not_passed_on(path, followed_by):
     """An engine stops within an event, and another response fills the rest of its chunk."""
-
-    async def test(site):
+    async with entrysite.started(events=5) as site:
         for server in site.engines:
             server.event_bytes = 300
             server.faults = routedfaults.RoutedFaults(broken_at=250, followed_by=followed_by)
         client = await site.nodes[0].request(path, more=entrysite.USAGE)
-        return await client.reader.read()
-
-    received = entrysite.run(test, events=5)
+        received = await client.reader.read()
     assert b"Stray" not in received
 
 
 @pytest.mark.parametrize("path", [SINGLE, REPEATABLE])
-def test_body_that_runs_into_another_response_is_not_passed_on(path):
+async def test_body_that_runs_into_another_response_is_not_passed_on(path):
     """A replica stops within the body of its answer, and another response fills it."""
-
-    async def test(site):
-        for server in site.services:
-            server.faults = routedfaults.RoutedFaults(
-                response_bytes=300, broken_at=250, followed_by="refusal"
-            )
-        return (await send(site, path))[1]
-
-    assert_states_nothing(entrysite.run(test))
+    async with entrysite.started() as site:
+        entrysite.set_faults(
+            site.services, response_bytes=300, broken_at=250, followed_by="refusal"
+        )
+        assert_states_nothing((await send(site, path))[1])
