--- a/tests/grants/test_asyncgrantacquirer.py
+++ b/tests/grants/test_asyncgrantacquirer.py
@@ -1,6 +1,7 @@
 """Acquiring grants in an event loop: locally, remotely, and from owners that do not respond."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 
@@ -73,6 +74,21 @@
             replica, lambda scheduler, now: scheduler.apply_report(load, False, now)
         )
 
+    async def acquire(self, request_id, *known, **more):
+        return await self.acquirer.acquire(placement(request_id, self, *known, **more))
+
+    async def fill(self, replica, *request_ids):
+        """Acquire grants of an engine, which has room for two; return them."""
+        return [await self.acquire(each, candidate(replica)) for each in request_ids]
+
+    def start_waiting(self, request_id, *known):
+        """Start to acquire a grant; return the task."""
+        return asyncio.ensure_future(self.acquire(request_id, *known))
+
+    def own_both_engines(self):
+        self.report("e0")
+        self.schedulers.set_owned(frozenset(("e0", "e1")))
+
     def owner(self, replica):
         return self.owner_by_replica.get(replica)
 
@@ -103,213 +119,160 @@
     )
 
 
-def run_on_two_nodes(test):
-    async def main():
-        local, remote = Node("n0", ["e0"]), Node("n1", ["e1"])
-        endpoint = transport.Endpoint("127.0.0.1", 0)
-        await local.transport.listen(endpoint)
-        at = await remote.transport.listen(endpoint)
-        local.owner_by_replica["e1"] = transport.Peer("n1", at)
-        try:
-            return await test(local, remote)
-        finally:
-            local.transport.close()
-            remote.transport.close()
-
-    return eventloop.run(main())
+@contextlib.asynccontextmanager
+async def two_nodes():
+    local, remote = Node("n0", ["e0"]), Node("n1", ["e1"])
+    endpoint = transport.Endpoint("127.0.0.1", 0)
+    await local.transport.listen(endpoint)
+    at = await remote.transport.listen(endpoint)
+    local.owner_by_replica["e1"] = transport.Peer("n1", at)
+    try:
+        yield local, remote
+    finally:
+        local.transport.close()
+        remote.transport.close()
 
 
 def running(node, replica):
     return node.schedulers.states()[replica].running
 
 
-def test_local_grant_is_given_and_released():
-    async def test(local, _remote):
-        grant = await local.acquirer.acquire(placement("r1", local, candidate("e0")))
+async def test_local_grant_is_given_and_released():
+    async with two_nodes() as (local, _remote):
+        grant = await local.acquire("r1", candidate("e0"))
         held = running(local, "e0")
         local.acquirer.release(grant)
         local.acquirer.release(grant)
-        return grant.replica, held, running(local, "e0"), local.acquirer.active_count
-
-    assert run_on_two_nodes(test) == ("e0", 1, 0, 0)
+        assert (grant.replica, held) == ("e0", 1)
+        assert (running(local, "e0"), local.acquirer.active_count) == (0, 0)
 
 
-def test_remote_grant_is_given_and_released():
-    async def test(local, remote):
-        grant = await local.acquirer.acquire(placement("r1", local, candidate("e1")))
+async def test_remote_grant_is_given_and_released():
+    async with two_nodes() as (local, remote):
+        grant = await local.acquire("r1", candidate("e1"))
         held = running(remote, "e1")
         local.acquirer.release(grant)
         await eventloop.until(lambda: running(remote, "e1") == 0)
-        return grant.replica, held
+        assert (grant.replica, held) == ("e1", 1)
 
-    assert run_on_two_nodes(test) == ("e1", 1)
 
-
-def test_request_waits_for_headroom_and_gets_a_grant():
-    async def test(local, _remote):
-        first = [
-            await local.acquirer.acquire(placement(f"r{n}", local, candidate("e0")))
-            for n in (1, 2)
-        ]
-        waiting = asyncio.ensure_future(
-            local.acquirer.acquire(placement("r3", local, candidate("e0")))
-        )
+async def test_request_waits_for_headroom_and_gets_a_grant():
+    async with two_nodes() as (local, _remote):
+        first = await local.fill("e0", "r1", "r2")
+        waiting = local.start_waiting("r3", candidate("e0"))
         await eventloop.until(lambda: local.schedulers.states()["e0"].waiting)
         local.acquirer.release(first[0])
-        return (await waiting).replica
+        assert (await waiting).replica == "e0"
 
-    assert run_on_two_nodes(test) == "e0"
 
-
-def test_waiting_request_goes_where_headroom_appears_first():
+async def test_waiting_request_goes_where_headroom_appears_first():
     """A request waits for one engine while another engine gets headroom."""
-
-    async def test(local, remote):
-        for number in (1, 2):
-            await local.acquirer.acquire(placement(f"r{number}", local, candidate("e0")))
-        full = [
-            await remote.acquirer.acquire(placement(f"s{n}", remote, candidate("e1")))
-            for n in (1, 2)
-        ]
+    async with two_nodes() as (local, remote):
+        await local.fill("e0", "r1", "r2")
+        full = await remote.fill("e1", "s1", "s2")
         known = (candidate("e0"), candidate("e1"))
-        waiting = asyncio.ensure_future(local.acquirer.acquire(placement("r3", local, *known)))
+        waiting = local.start_waiting("r3", *known)
         await asyncio.sleep(0.3)
         remote.acquirer.release(full[0])
         grant = await waiting
         await eventloop.until(lambda: not local.schedulers.states()["e0"].waiting)
-        return grant.replica
+        assert grant.replica == "e1"
 
-    assert run_on_two_nodes(test) == "e1"
 
-
-def test_refusal_after_the_wait_has_a_retry_time():
-    async def test(local, _remote):
-        for number in (1, 2):
-            await local.acquirer.acquire(placement(f"r{number}", local, candidate("e0")))
-        return await local.acquirer.acquire(placement("r3", local, candidate("e0"), wait_s=0.2))
-
-    refusal = run_on_two_nodes(test)
+async def test_refusal_after_the_wait_has_a_retry_time():
+    async with two_nodes() as (local, _remote):
+        await local.fill("e0", "r1", "r2")
+        refusal = await local.acquire("r3", candidate("e0"), wait_s=0.2)
     assert isinstance(refusal, outcomes.Refusal)
     assert refusal.retry_after_s > 0
 
 
-def test_owner_without_response_is_skipped():
-    async def test(local, remote):
+async def test_owner_without_response_is_skipped():
+    async with two_nodes() as (local, remote):
         remote.transport.close()
         known = (candidate("e1", headroom=9_500), candidate("e0", headroom=5_000))
-        grant = await local.acquirer.acquire(placement("r1", local, *known))
-        return grant.replica, local.unresponsive
+        grant = await local.acquire("r1", *known)
+        assert (grant.replica, local.unresponsive) == ("e0", ["n1"])
 
-    assert run_on_two_nodes(test) == ("e0", ["n1"])
 
-
-def test_engine_whose_owner_does_not_respond_is_used_without_a_grant():
+async def test_engine_whose_owner_does_not_respond_is_used_without_a_grant():
     """The owner of the only engine crashes.
 
     The engine still serves, so a refusal would be wrong while it has free capacity.
     """
-
-    async def test(local, remote):
+    async with two_nodes() as (local, remote):
         remote.transport.close()
-        grant = await local.acquirer.acquire(placement("r1", local, candidate("e1")))
+        grant = await local.acquire("r1", candidate("e1"))
         local.acquirer.release(grant)
-        return grant.replica, grant.is_granted
+        assert (grant.replica, grant.is_granted) == ("e1", False)
 
-    assert run_on_two_nodes(test) == ("e1", False)
 
-
-def test_engine_whose_owner_has_no_configuration_yet_is_used_without_a_grant():
+async def test_engine_whose_owner_has_no_configuration_yet_is_used_without_a_grant():
     """After a full outage, one instance serves while the engine's owner is still starting.
 
     Its callers were refused while all engines were idle.
     """
-
-    async def test(local, remote):
+    async with two_nodes() as (local, remote):
         for names in (remote.names.replicas, remote.names.services, remote.names.teams):
             names.replace(())
-        grant = await local.acquirer.acquire(placement("r1", local, candidate("e1")))
-        return grant.replica, grant.is_granted
-
-    assert run_on_two_nodes(test) == ("e1", False)
+        grant = await local.acquire("r1", candidate("e1"))
+        assert (grant.replica, grant.is_granted) == ("e1", False)
 
 
-def test_engine_whose_new_owner_is_unaware_of_it_is_used_without_a_grant():
+async def test_engine_whose_new_owner_is_unaware_of_it_is_used_without_a_grant():
     """The owner of the only engine crashes, and another node becomes the owner.
 
     That node has not noticed yet and refuses grant requests. Callers were refused while the
     engine had free capacity.
     """
-
-    async def test(local, remote):
+    async with two_nodes() as (local, remote):
         remote.schedulers.set_owned(frozenset())
         remote.schedulers.configure({})
         remote.schedulers.configure({"e1": SPEC})
-        grant = await local.acquirer.acquire(placement("r1", local, candidate("e1")))
-        return grant.replica, grant.is_granted
-
-    assert run_on_two_nodes(test) == ("e1", False)
-
+        grant = await local.acquire("r1", candidate("e1"))
+        assert (grant.replica, grant.is_granted) == ("e1", False)
 
-def test_no_engine_at_all_is_refused():
-    async def test(local, _remote):
-        return await local.acquirer.acquire(placement("r1", local))
 
-    assert run_on_two_nodes(test).code == "no_replica"
+async def test_no_engine_at_all_is_refused():
+    async with two_nodes() as (local, _remote):
+        assert (await local.acquire("r1")).code == "no_replica"
 
 
-def test_cancelled_wait_leaves_no_request_queued():
-    async def test(local, remote):
-        for number in (1, 2):
-            await remote.acquirer.acquire(placement(f"s{number}", remote, candidate("e1")))
-        waiting = asyncio.ensure_future(
-            local.acquirer.acquire(placement("r1", local, candidate("e1")))
-        )
+async def test_cancelled_wait_leaves_no_request_queued():
+    async with two_nodes() as (local, remote):
+        await remote.fill("e1", "s1", "s2")
+        waiting = local.start_waiting("r1", candidate("e1"))
         await eventloop.until(lambda: remote.schedulers.states()["e1"].waiting)
         waiting.cancel()
         await eventloop.until(lambda: not remote.schedulers.states()["e1"].waiting)
-        return local.acquirer.active_count
-
-    assert run_on_two_nodes(test) == 0
+        assert local.acquirer.active_count == 0
 
 
-def test_release_of_a_grant_survives_that_the_next_waiting_caller_has_just_left():
+async def test_release_of_a_grant_survives_that_the_next_waiting_caller_has_just_left():
     """The end of one request must not fail because of another one, whose wait was cancelled."""
-
-    async def test(local, _):
-        held = [
-            await local.acquirer.acquire(placement(f"r{number}", local, candidate("e0")))
-            for number in range(2)
-        ]
-        waiting = asyncio.ensure_future(
-            local.acquirer.acquire(placement("late", local, candidate("e0")))
-        )
+    async with two_nodes() as (local, _remote):
+        held = await local.fill("e0", "r0", "r1")
+        waiting = local.start_waiting("late", candidate("e0"))
         await eventloop.until(lambda: local.schedulers.has_waiting_requests)
         waiting.cancel()
         await asyncio.sleep(0)
         for grant in held:
             local.acquirer.release(grant)
         await asyncio.wait((waiting,))
-        again = [
-            await local.acquirer.acquire(placement(f"s{number}", local, candidate("e0")))
-            for number in range(2)
-        ]
-        return waiting.cancelled(), [type(each) for each in again]
-
-    grant = asyncgrantacquirer.Grant
-    assert run_on_two_nodes(test) == (True, [grant, grant])
+        again = await local.fill("e0", "s0", "s1")
+        assert waiting.cancelled()
+        assert [type(each) for each in again] == [asyncgrantacquirer.Grant] * 2
 
 
-def test_migrated_run_is_admitted_by_the_memory_that_is_held():
-    async def test(local, remote):
+async def test_migrated_run_is_admitted_by_the_memory_that_is_held():
+    async with two_nodes() as (local, remote):
         near = await local.acquirer.acquire_for_migration(
             placement("r1", local, candidate("e0"), candidate("e1"), produced=300), "a"
         )
         too_large = await local.acquirer.acquire_for_migration(
             placement("r2", local, candidate("e0"), candidate("e1"), produced=9_400), "a"
         )
-        return near is not None, too_large
-
-    assert run_on_two_nodes(test) == (True, None)
+        assert (near is not None, too_large) == (True, None)
 
 
 def test_scheduler_admits_a_migrated_run_once_and_none_while_leaving():
@@ -351,10 +314,9 @@
     ],
     ids=["long", "short", "late"],
 )
-def test_own_slow_engine_is_left_to_short_and_late_requests(changes, expected):
+async def test_own_slow_engine_is_left_to_short_and_late_requests(changes, expected):
     """An instance that owns slow engines placed its own long requests there."""
-
-    async def test(local, remote):
+    async with two_nodes() as (local, remote):
         slow, fast = (
             dataclasses.replace(
                 candidate(replica), local=is_local, outlook=outlook.EngineOutlook(POOL, pace)
@@ -364,58 +326,43 @@
         # The fast engine has just received requests, so it costs more than the slow one.
         fast = dataclasses.replace(fast, expected_wait_s=4.0)
         request = paced(placement("r1", local, slow, fast), **changes)
-        return (await local.acquirer.acquire(request)).replica, running(local, "e0")
-
-    assert run_on_two_nodes(test) == expected
+        assert ((await local.acquirer.acquire(request)).replica, running(local, "e0")) == expected
 
 
-def test_owner_is_asked_despite_an_old_report_of_a_full_engine():
+async def test_owner_is_asked_despite_an_old_report_of_a_full_engine():
     """At 82 nodes, a node receives a report of most engines once in 20 s."""
-
-    async def test(local, remote):
+    async with two_nodes() as (local, remote):
         grant = await local.acquirer.acquire_now(placement("r1", local, stale("e1", headroom=0)))
         fresh = await local.acquirer.acquire_now(
             placement("r2", local, candidate("e1", headroom=0))
         )
-        return grant.replica, fresh, running(remote, "e1")
-
-    assert run_on_two_nodes(test) == ("e1", None, 1)
+        assert (grant.replica, fresh, running(remote, "e1")) == ("e1", None, 1)
 
 
-def test_grant_of_another_engine_that_the_owner_chose_is_used():
-    async def test(local, remote):
-        remote.report("e0")
-        remote.schedulers.set_owned(frozenset(("e0", "e1")))
+async def test_grant_of_another_engine_that_the_owner_chose_is_used():
+    async with two_nodes() as (local, remote):
+        remote.own_both_engines()
         remote.remote_scheduler.set_alternatives(lambda replica, work: ("e0", "e1"))
-        grant = await local.acquirer.acquire(
-            placement("r1", local, stale("e1"), candidate("e0", headroom=0))
-        )
+        grant = await local.acquire("r1", stale("e1"), candidate("e0", headroom=0))
         held = running(remote, "e0")
         local.acquirer.release(grant)
         await eventloop.until(lambda: running(remote, "e0") == 0)
-        return grant.replica, held
+        assert (grant.replica, held) == ("e0", 1)
 
-    assert run_on_two_nodes(test) == ("e0", 1)
 
-
-def test_grant_of_an_unusable_engine_is_released():
+async def test_grant_of_an_unusable_engine_is_released():
     """The engine that the owner chooses has just refused the request."""
-
-    async def test(local, remote):
-        remote.report("e0")
-        remote.schedulers.set_owned(frozenset(("e0", "e1")))
+    async with two_nodes() as (local, remote):
+        remote.own_both_engines()
         remote.remote_scheduler.set_alternatives(lambda replica, work: ("e0",))
         grant = await local.acquirer.acquire_now(placement("r1", local, stale("e1")))
         await eventloop.until(lambda: running(remote, "e0") == 0)
-        return grant
-
-    assert run_on_two_nodes(test) is None
+        assert grant is None
 
 
-def test_each_owner_is_asked_once_in_a_round():
+async def test_each_owner_is_asked_once_in_a_round():
     """Seven full engines of one owner would cost seven requests with the same response."""
-
-    async def test(local, remote):
+    async with two_nodes() as (local, remote):
         requested = []
         remote.remote_scheduler.set_alternatives(
             lambda replica, work: requested.append(replica) or ()
@@ -424,19 +371,16 @@
         await local.acquirer.acquire_now(
             placement("r1", local, stale("e1", headroom=0), stale("e2", headroom=0))
         )
-        return len(requested)
-
-    assert run_on_two_nodes(test) == 1
+        assert len(requested) == 1
 
 
-def test_under_overload_a_full_owner_is_asked_rarely_and_its_headroom_is_still_found():
+async def test_under_overload_a_full_owner_is_asked_rarely_and_its_headroom_is_still_found():
     """Forty requests wait at one node while another node's engine is full.
 
     Each sent ten grant requests a second to that engine's owner, which used up most of the
     owner's CPU time.
     """
-
-    async def test(local, remote):
+    async with two_nodes() as (local, remote):
         requested = []
         decide = remote.remote_scheduler.decide
 
@@ -445,40 +389,30 @@
             return decide(key, message)
 
         remote.remote_scheduler.decide = count
-        for number in range(2):
-            await local.acquirer.acquire(placement(f"a{number}", local, candidate("e0")))
-        held = [
-            await local.acquirer.acquire(placement(f"b{n}", local, candidate("e1")))
-            for n in range(2)
-        ]
+        await local.fill("e0", "a0", "a1")
+        held = await local.fill("e1", "b0", "b1")
         requested.clear()
         known = (candidate("e0", queued=5), candidate("e1"))
-        waiting = [
-            asyncio.ensure_future(local.acquirer.acquire(placement(f"r{n}", local, *known)))
-            for n in range(40)
-        ]
+        waiting = [local.start_waiting(f"r{n}", *known) for n in range(40)]
         await asyncio.sleep(1.0)
         immediate_count = sum(requested)
         local.acquirer.release(held[0])
         done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED, timeout=2.0)
         for each in waiting:
             each.cancel()
-        return immediate_count, [each.result().replica for each in done]
-
-    immediate_count, granted = run_on_two_nodes(test)
+        granted = [each.result().replica for each in done]
     # Each sends one request before the first response arrives; then one is sent each 0.1 s.
     assert immediate_count <= 40 + 10
     assert granted == ["e1"]
 
 
-def test_coordinated_request_does_not_ask_an_owner_that_a_response_showed_to_be_full():
+async def test_coordinated_request_does_not_ask_an_owner_that_a_response_showed_to_be_full():
     """Guards against asking each owner in turn during a surge.
 
     The figures of both owners are old and show room. The first response shows that neither has
     any, so the other owner is not asked.
     """
-
-    async def test(local, _remote):
+    async with two_nodes() as (local, _remote):
         local.owner_by_replica["e0"] = transport.Peer("n2", transport.Endpoint("127.0.0.1", 9))
         known = [
             dataclasses.replace(candidate(replica), report_age_s=5.0) for replica in ("e0", "e1")
@@ -496,15 +430,13 @@
         )
         refused = []
         grant = await local.acquirer.acquire_now(request, refused)
-        return grant, len(asked), [each.code for each in refused]
-
-    assert run_on_two_nodes(test) == (None, 1, ["no_room_now"])
+        assert (grant, len(asked), [each.code for each in refused]) == (None, 1, ["no_room_now"])
 
 
-def test_migrated_run_prefers_an_engine_that_keeps_the_pace_if_it_has_memory():
+async def test_migrated_run_prefers_an_engine_that_keeps_the_pace_if_it_has_memory():
     """A run of a departing fast engine would continue at a slow one that is emptier."""
+    async with two_nodes() as (local, remote):
 
-    async def test(local, remote):
         def known(replica, pace, headroom):
             return dataclasses.replace(
                 candidate(replica, headroom=headroom), outlook=outlook.EngineOutlook(POOL, pace)
@@ -516,19 +448,13 @@
             request = paced(placement(f"r{number}", local, slow, fast, produced=40))
             grant = await local.acquirer.acquire_for_migration(request, "a")
             chosen.append(grant.replica)
-        return chosen
-
-    assert run_on_two_nodes(test) == ["e1", "e0"]
+        assert chosen == ["e1", "e0"]
 
 
-def test_request_granted_in_its_queue_during_a_search_keeps_its_grant():
+async def test_request_granted_in_its_queue_during_a_search_keeps_its_grant():
     """The search took a second grant with the same id there, and the end of one ended both."""
-
-    async def test(local, remote):
-        first = [
-            await local.acquirer.acquire(placement(f"r{n}", local, candidate("e0")))
-            for n in (1, 2)
-        ]
+    async with two_nodes() as (local, remote):
+        first = await local.fill("e0", "r1", "r2")
 
         async def request_grant(owner, message):
             for each in first:
@@ -550,6 +476,5 @@
         await asyncio.sleep(0)
         held = running(local, "e0")
         local.acquirer.release(grant)
-        return grant.replica, held, running(local, "e0"), local.acquirer.active_count
-
-    assert run_on_two_nodes(test) == ("e0", 1, 0, 0)
+        assert (grant.replica, held) == ("e0", 1)
+        assert (running(local, "e0"), local.acquirer.active_count) == (0, 0)
--- a/tests/grants/test_replicascheduler.py
+++ b/tests/grants/test_replicascheduler.py
@@ -48,6 +48,14 @@
     return {each.request_id: each.answer for each in decided}
 
 
+def make_with_a_queue():
+    """Return a scheduler with a huge request that runs, ``r1``, and one that waits, ``r2``."""
+    scheduler = make_scheduler()
+    request(scheduler, "r1", prompt=HUGE)
+    request(scheduler, "r2", prompt=HUGE)
+    return scheduler
+
+
 def test_a_repeated_request_gets_the_same_answer():
     scheduler = make_scheduler()
     for _ in range(2):
@@ -57,9 +65,7 @@
 
 
 def test_the_end_of_a_request_lets_the_next_one_start():
-    scheduler = make_scheduler()
-    request(scheduler, "r1", prompt=HUGE)
-    request(scheduler, "r2", prompt=HUGE)
+    scheduler = make_with_a_queue()
     assert scheduler.process_queue(0.1) == ()
     scheduler.finish("r1", 0.2)
     scheduler.finish("r1", 0.2)
@@ -67,18 +73,14 @@
 
 
 def test_no_new_request_overtakes_the_queued_ones():
-    scheduler = make_scheduler()
-    request(scheduler, "r1", prompt=HUGE)
-    request(scheduler, "r2", prompt=HUGE)
+    scheduler = make_with_a_queue()
     scheduler.finish("r1", 0.1)
     assert isinstance(request(scheduler, "r3", now=0.1), replicascheduler.Queued)
     assert next(iter(answers(scheduler.process_queue(0.1)))) == "r2"
 
 
 def test_a_request_that_gives_up_frees_its_queue_position():
-    scheduler = make_scheduler()
-    request(scheduler, "r1", prompt=HUGE)
-    request(scheduler, "r2", prompt=HUGE)
+    scheduler = make_with_a_queue()
     scheduler.finish("r2", 0.1)
     scheduler.finish("r1", 0.1)
     assert scheduler.process_queue(0.1) == ()
@@ -134,9 +136,7 @@
 
 
 def test_a_leaving_replica_refuses_queued_and_new_requests():
-    scheduler = make_scheduler()
-    request(scheduler, "r1", prompt=HUGE)
-    request(scheduler, "r2", prompt=HUGE)
+    scheduler = make_with_a_queue()
     report(scheduler, 1.0, leaving=True)
     scheduler.finish("r1", 1.0)
     assert scheduler.process_queue(1.0) == ()
@@ -191,9 +191,7 @@
     Every request was sent there first, found a closed port and had one attempt less for the
     live engines. The platform still lists a crashed engine for 3.5 s.
     """
-    scheduler = make_scheduler()
-    request(scheduler, "r1", prompt=HUGE)
-    request(scheduler, "r2", prompt=HUGE)
+    scheduler = make_with_a_queue()
     assert answers(scheduler.mark_unreachable(1.0))["r2"].code == "replica_unreached"
     scheduler.finish("r1", 1.0)
     assert request(scheduler, "r3", now=1.0).code == "replica_unreached"
@@ -256,9 +254,7 @@
 
 
 def test_queued_requests_are_refused_when_the_gate_closes():
-    scheduler = make_scheduler()
-    request(scheduler, "r1", prompt=HUGE)
-    request(scheduler, "r2", prompt=HUGE)
+    scheduler = make_with_a_queue()
     scheduler.gate = LimitedGate(0)
     assert answers(scheduler.process_queue(0.1))["r2"].code == "replica_cold"
     scheduler.finish("r1", 0.2)
--- a/tests/grants/test_surge.py
+++ b/tests/grants/test_surge.py
@@ -118,7 +118,7 @@
 
 
 def play_failure(*steps):
-    """Return the site, and what was passed on before and after the entries expire."""
+    """Check that what was passed on of the failed owner expires; return the site."""
     before, after = collections.Counter(), collections.Counter()
 
     def prepare(site):
@@ -129,15 +129,15 @@
             *((at_s, functools.partial(step, site)) for at_s, step in steps),
         )
 
-    return surgesite.play(seconds=9.0, prepare=prepare), before, after
-
-
-def are_settled(site):
-    """Return whether no request was held beyond the time that it may wait."""
-    return all(
+    site = surgesite.play(seconds=9.0, prepare=prepare)
+    assert before["digests"]
+    assert not +after
+    # No request was held beyond the time that it may wait.
+    assert all(
         (each.started_at or each.refused_at) - each.arrived_at <= each.kind.wait_s + 1.0
         for each in site.records
     )
+    return site
 
 
 def starts_at_failed_domain(site, after_s):
@@ -152,19 +152,13 @@
 def test_figures_of_a_partitioned_owner_expire():
     # Requests would otherwise be refused because of a queue that nobody at the site can use.
     cut = functools.partial(stop_failed, flag="is_cut_off")
-    site, before, after = play_failure((FAILS_AT_S, cut))
-    assert before["digests"]
-    assert not +after
-    assert are_settled(site)
+    play_failure((FAILS_AT_S, cut))
 
 
 def test_frozen_owner_is_used_again_when_it_goes_on():
     # Its messages of the pause arrive late and must not hide that it has room again.
     freeze = functools.partial(stop_failed, flag="is_frozen")
-    site, before, after = play_failure((FAILS_AT_S, freeze), (FAILS_AT_S + 3.0, thaw))
-    assert before["digests"]
-    assert not +after
-    assert are_settled(site)
+    site = play_failure((FAILS_AT_S, freeze), (FAILS_AT_S + 3.0, thaw))
     assert starts_at_failed_domain(site, FAILS_AT_S + 3.0)
 
 
@@ -174,10 +168,7 @@
         site.update()
 
     cut = functools.partial(stop_failed, flag="is_cut_off")
-    site, before, after = play_failure((FAILS_AT_S, cut), (FAILS_AT_S + 2.5, move))
-    assert before["digests"]
-    assert not +after
-    assert are_settled(site)
+    site = play_failure((FAILS_AT_S, cut), (FAILS_AT_S + 2.5, move))
     assert starts_at_failed_domain(site, FAILS_AT_S + 2.5)
 
 
