--- a/tests/failures/test_engines.py
+++ b/tests/failures/test_engines.py
@@ -59,6 +59,17 @@
         assert len(reply.text.split()) == 6
 
 
+def check_stream_is_resumed(site, disturb):
+    """Check that a stream that is disturbed in its middle arrives whole, from one run."""
+    reply = site.caller(0).stream("letter", 60)
+    reply.read_tokens(10)
+    disturb()
+    reply.read_all()
+    assert (len(reply.texts), reply.is_done) == (60, True)
+    accounts.check_tokens(reply.texts)
+    assert len(accounts.runs(site)) == 1
+
+
 def test_stream_is_resumed_after_a_connection_reset(start):
     """The connection between a node and an engine is reset during a stream.
 
@@ -66,13 +77,7 @@
     delivered token: the caller gets every token once, from one generation.
     """
     site, links = start("engine-0", engines=1, services=0, base=QUICK)
-    reply = site.caller(0).stream("letter", 60)
-    reply.read_tokens(10)
-    links["engine-0"].reset_connections()
-    reply.read_all()
-    assert (len(reply.texts), reply.is_done) == (60, True)
-    accounts.check_tokens(reply.texts)
-    assert len(accounts.runs(site)) == 1
+    check_stream_is_resumed(site, links["engine-0"].reset_connections)
 
 
 def test_stalled_connection_is_distinguished_from_a_slow_engine_and_resumed(start):
@@ -82,13 +87,7 @@
     connection and resumes the stream on a new one, with no token lost or duplicated.
     """
     site, links = start("engine-0", engines=1, services=0, base=QUICK)
-    reply = site.caller(0).stream("letter", 60)
-    reply.read_tokens(10)
-    links["engine-0"].stall()
-    reply.read_all()
-    assert (len(reply.texts), reply.is_done) == (60, True)
-    accounts.check_tokens(reply.texts)
-    assert len(accounts.runs(site)) == 1
+    check_stream_is_resumed(site, links["engine-0"].stall)
     metrics = site.caller(0).call("GET", "/metrics").body
     assert b'hornbeamglade_resumes_total{outcome="resumed",service="drafts"} 1.0' in metrics
 
@@ -177,6 +176,15 @@
     assert len(accounts.runs(site)) == 1
 
 
+def wait_until_all_know_to_leave(site, backend):
+    def known_by_all():
+        pages = [site.status(name) for name in site.node_names]
+        states = [{r["name"]: r["state"] for r in page["replicas"]} for page in pages]
+        return all(state[backend] == "leaving" for state in states)
+
+    site.wait_until(known_by_all, "every node to know")
+
+
 def test_leaving_engine_gets_no_new_work(start):
     """An engine is reclaimed and reports that it is leaving.
 
@@ -185,13 +193,7 @@
     """
     site, _ = start(engines=2, services=0, base=QUICK)
     site.faults("engine-0", leaving=True)
-
-    def known_by_all():
-        pages = [site.status(f"entry-{number}") for number in range(3)]
-        states = [{r["name"]: r["state"] for r in page["replicas"]} for page in pages]
-        return all(state["engine-0"] == "leaving" for state in states)
-
-    site.wait_until(known_by_all, "every node to know")
+    wait_until_all_know_to_leave(site, "engine-0")
     before = len(site.ledger("engine-0")["runs"])
     for number in range(9):
         assert site.caller(number % 3).generate(f"letter {number}", 3).status == 200
@@ -205,13 +207,7 @@
     """
     site, _ = start(engines=1, services=2)
     site.faults("counter-0", leaving=True)
-
-    def known_by_all():
-        pages = [site.status(name) for name in site.node_names]
-        states = [{r["name"]: r["state"] for r in page["replicas"]} for page in pages]
-        return all(state["counter-0"] == "leaving" for state in states)
-
-    site.wait_until(known_by_all, "every node to know")
+    wait_until_all_know_to_leave(site, "counter-0")
     before = len(site.ledger("counter-0")["runs"])
     for number in range(9):
         assert site.caller(number % 3).call("GET", "/services/codes/gate").status == 200
--- a/tests/origins/test_streamorigins.py
+++ b/tests/origins/test_streamorigins.py
@@ -30,9 +30,12 @@
         self.isolated = set()
         self.rows = {}
         self.node_by_name = {}
+        self.start_all(domains, is_first_start)
+        self.read_rows()
+
+    def start_all(self, domains=3, is_first_start=False):
         for number, name in enumerate(self.names):
             self.start(name, number % domains, is_first_start)
-        self.read_rows()
 
     def start(self, name, domain, is_first_start=False):
         def send(to, message):
@@ -98,13 +101,19 @@
         return found.version, found.source
 
 
+def network_listing(*versions, **shape):
+    """Return a network whose instances all list these versions."""
+    network = Network(**shape)
+    network.observe(*versions)
+    return network
+
+
 def begin(network, name="n0", version=V1, stream=7):
     network.node_by_name[name].began(stream, version, "llm", KEPT_S)
 
 
 def test_nothing_is_sent_while_one_version_is_listed():
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.sent.clear()
     begin(network)
     network.tick()
@@ -114,20 +123,16 @@
 
 def test_every_instance_finds_the_origin_after_the_one_that_served_is_gone():
     """An instance is killed during a release: nobody knows at which version its streams began."""
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     begin(network, version=V2)
     network.tick()
     network.down.add("n0")
-    assert {name: network.find(name) for name in network.names[1:]} == dict.fromkeys(
-        network.names[1:], V2
-    )
+    assert [network.find(name) for name in network.names[1:]] == [V2] * 5
 
 
 @pytest.mark.parametrize("killed", [{"n1", "n2"}, {"n3", "n4"}, {"n1", "n5"}])
 def test_origin_outlives_two_keepers_besides_the_instance_that_served(killed):
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     begin(network)
     network.tick()
     network.down |= killed | {"n0"}
@@ -136,8 +141,7 @@
 
 
 def test_keepers_are_in_other_failure_domains():
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     begin(network)
     network.tick()
     keepers = {
@@ -149,8 +153,7 @@
 
 def test_streams_that_began_before_the_second_version_are_sent_when_it_is_listed():
     """A release begins: the streams of one version are unknown at other instances."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     begin(network)
     network.tick()
     network.observe("v1", "v2")
@@ -161,8 +164,7 @@
 
 def test_new_keepers_get_the_streams_of_an_instance_whose_keepers_are_gone():
     """Instances are restarted one after the other: in the end no keeper remembers a stream."""
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     begin(network)
     network.tick()
     for name in network.names[1:]:
@@ -177,8 +179,7 @@
 
 
 def test_unknown_stream_has_no_origin_while_versions_differ():
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     network.tick()
     assert network.find("n1", stream=99) is None
     assert network.find("n1", stream=None) is None
@@ -186,30 +187,30 @@
 
 def test_instance_whose_list_may_be_old_infers_nothing():
     """A partitioned instance lists one version while another is served elsewhere."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.is_store_reached = False
     network.down |= set(network.names) - {"n1"}
     assert network.find("n1") is None
 
 
-def test_instance_that_stood_still_does_not_take_its_old_list_for_the_origin():
-    """A release begins while an instance stands still: it continues streams at the old version."""
-    network = Network()
-    network.observe("v1")
+def network_in_which_one_stood_still():
+    """Return a network in which a stream began at a version that ``n0`` does not list yet."""
+    network = network_listing("v1")
     for name in network.names[1:]:
         network.node_by_name[name].observe("llm", ("v1", "v2"))
     begin(network, "n2", version=V2)
+    return network
+
+
+def test_instance_that_stood_still_does_not_take_its_old_list_for_the_origin():
+    """A release begins while an instance stands still: it continues streams at the old version."""
+    network = network_in_which_one_stood_still()
     assert network.find("n0") == V2
 
 
 def test_instance_that_stood_still_infers_nothing_if_the_one_that_served_is_gone():
     """A release begins while an instance stands still, and another one is killed with streams."""
-    network = Network()
-    network.observe("v1")
-    for name in network.names[1:]:
-        network.node_by_name[name].observe("llm", ("v1", "v2"))
-    begin(network, "n2", version=V2)
+    network = network_in_which_one_stood_still()
     network.down.add("n2")
     assert network.find("n0") is None
 
@@ -217,21 +218,17 @@
 @pytest.mark.parametrize("reads", [("v1", "v2"), ("v2",)])
 def test_list_that_only_a_killed_instance_had_read_is_not_ruled_out_without_the_store(reads):
     """One instance reads of a release, the store fails, and the instance is killed."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.is_store_reached = False
     network.node_by_name["n2"].observe("llm", reads)
     begin(network, "n2", version=V2)
     network.down.add("n2")
-    assert {name: network.find(name) for name in network.names if name != "n2"} == dict.fromkeys(
-        (name for name in network.names if name != "n2"), None
-    )
+    assert [network.find(name) for name in network.names if name != "n2"] == [None] * 5
 
 
 def test_instance_that_takes_no_other_for_live_tells_all_of_another_version():
     """It stood still, and has not processed the heartbeats that arrived meanwhile."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.is_store_reached = False
     network.isolated.add("n2")
     network.tick()
@@ -243,8 +240,7 @@
 
 def test_others_agree_on_the_only_version_while_the_store_does_not_answer():
     """An instance is killed during an outage of the store: its streams are all refused."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     begin(network, "n2")
     network.is_store_reached = False
     network.silent = {"n2"}
@@ -252,48 +248,42 @@
 
 
 def test_too_few_answers_agree_on_nothing_while_the_store_does_not_answer():
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.is_store_reached = False
     network.silent = {"n1", "n2", "n3", "n4"}
     assert network.found("n0") == (None, "peers")
 
 
-def test_answers_to_an_earlier_question_count_for_nothing():
+async def test_answers_to_an_earlier_question_count_for_nothing():
     """Answers that waited in the socket while the instance stood still are of before the pause."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.is_store_reached = False
     network.silent = set(network.names) - {"n0"}
     node = network.node_by_name["n0"]
     asked = []
 
-    async def find_twice():
-        first = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
-        await asyncio.sleep(2 * streamorigins.LOOKUP_BATCH_S)
-        asked.extend(
-            message.token
-            for _, _, message in network.sent
-            if isinstance(message, messages.OriginQuery)
+    first = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
+    await asyncio.sleep(2 * streamorigins.LOOKUP_BATCH_S)
+    asked.extend(
+        message.token
+        for _, _, message in network.sent
+        if isinstance(message, messages.OriginQuery)
+    )
+    first.cancel()
+    await asyncio.sleep(0)
+    second = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
+    await asyncio.sleep(2 * streamorigins.LOOKUP_BATCH_S)
+    for name in network.names[1:]:
+        statement = messages.VersionStatement(
+            asked[0], messages.key_hash("llm"), V1, list_version=1
         )
-        first.cancel()
-        await asyncio.sleep(0)
-        second = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
-        await asyncio.sleep(2 * streamorigins.LOOKUP_BATCH_S)
-        for name in network.names[1:]:
-            statement = messages.VersionStatement(
-                asked[0], messages.key_hash("llm"), V1, list_version=1
-            )
-            node.on_statement(name, statement)
-        return await second
-
-    assert eventloop.run(find_twice()).version is None
+        node.on_statement(name, statement)
+    assert (await second).version is None
     assert asked
 
 
 def test_stream_is_not_refused_since_one_answer_was_lost():
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     begin(network, "n2", version=V2)
     node = network.node_by_name["n2"]
     on_query, lost = node.on_query, []
@@ -309,28 +299,23 @@
     assert network.find("n0") == V2
 
 
-def test_stream_goes_on_only_after_a_list_that_others_have_was_read():
+async def test_stream_goes_on_only_after_a_list_that_others_have_was_read():
     """An instance that stood still takes a stream up by its old list of replicas."""
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     begin(network, "n2", version=V2)
     network.list_version_by_node = dict.fromkeys(network.names[1:], 2)
     network.is_store_reached = False
     node = network.node_by_name["n0"]
 
-    async def find():
-        found = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
-        await asyncio.sleep(4 * streamorigins.LOOKUP_BATCH_S)
-        was_early = found.done()
-        network.list_version_by_node["n0"] = 2
-        return was_early, (await found).version
-
-    assert eventloop.run(find()) == (False, V2)
+    found = asyncio.ensure_future(node.find(7, "llm", KEPT_S))
+    await asyncio.sleep(4 * streamorigins.LOOKUP_BATCH_S)
+    was_early = found.done()
+    network.list_version_by_node["n0"] = 2
+    assert (was_early, (await found).version) == (False, V2)
 
 
 def test_origin_that_was_taken_back_is_not_known():
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     begin(network)
     network.tick()
     begin(network, version=origintable.UNCERTAIN)
@@ -339,8 +324,7 @@
 
 
 def test_origin_is_kept_as_long_as_its_stream_may_be_taken_up():
-    network = Network()
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2")
     begin(network)
     network.tick()
     network.tick(KEPT_S - 3.0)
@@ -349,9 +333,8 @@
     assert network.find("n4") is None
 
 
-def test_look_ups_at_the_same_time_share_their_messages():
-    network = Network()
-    network.observe("v1", "v2")
+async def test_look_ups_at_the_same_time_share_their_messages():
+    network = network_listing("v1", "v2")
     for stream in range(20):
         begin(network, stream=stream)
     network.tick()
@@ -359,11 +342,8 @@
     node = network.start("n4", 1)
     node.observe("llm", ("v1", "v2"))
 
-    async def find_all():
-        found = await asyncio.gather(*(node.find(each, "llm", KEPT_S) for each in range(20)))
-        return [each.version for each in found]
-
-    assert eventloop.run(find_all()) == [V1] * 20
+    found = await asyncio.gather(*(node.find(each, "llm", KEPT_S) for each in range(20)))
+    assert [each.version for each in found] == [V1] * 20
     queries = [
         message for _, _, message in network.sent if isinstance(message, messages.OriginQuery)
     ]
@@ -372,14 +352,12 @@
 
 def test_all_instances_are_lost_while_two_versions_are_listed():
     """All instances restart after a release: the streams of before go on at a guessed version."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.read_rows()
     network.observe("v1", "v2")
     network.read_rows()
     network.clock.advance(5.0)
-    for number, name in enumerate(network.names):
-        network.start(name, number % 3)
+    network.start_all()
     network.observe("v2")
     network.read_rows()
     assert network.find("n1") is None
@@ -388,13 +366,11 @@
 
 
 def test_all_instances_are_lost_while_one_version_is_listed():
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.read_rows()
     assert len(network.rows) == 1
     network.clock.advance(5.0)
-    for number, name in enumerate(network.names):
-        network.start(name, number % 3)
+    network.start_all()
     network.observe("v1")
     network.read_rows()
     assert network.find("n1") == V1
@@ -402,12 +378,10 @@
 
 def test_settings_of_the_first_start_do_not_hide_what_instances_have_stored():
     """All instances restart during a release with unchanged settings: old streams were joined."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.read_rows()
     network.clock.advance(5.0)
-    for number, name in enumerate(network.names):
-        network.start(name, number % 3, is_first_start=True)
+    network.start_all(is_first_start=True)
     network.observe("v2")
     assert network.find("n1") is None
     network.read_rows()
@@ -416,15 +390,13 @@
 
 def test_second_version_is_stored_though_the_first_instance_to_write_is_lost():
     """A release begins, all are lost with the only write of it, and its servers are gone."""
-    network = Network()
-    network.observe("v1")
+    network = network_listing("v1")
     network.read_rows()
     first = rendezvous.best("llm", set(network.names), 1)[0]
     network.node_by_name[first].set_store_writer(lambda _put: None)
     network.observe("v1", "v2")
     begin(network, version=V2)
-    for number, name in enumerate(network.names):
-        network.start(name, number % 3)
+    network.start_all()
     network.observe("v1")
     network.read_rows()
     assert network.find("n1") is None
@@ -433,8 +405,7 @@
 @pytest.mark.parametrize("nodes", [30, 360])
 def test_bytes_of_origins_an_instance_do_not_grow_with_the_instances(nodes):
     """19.4 streams a second at an instance, as at 7,000 a second at 360."""
-    network = Network(count=nodes)
-    network.observe("v1", "v2")
+    network = network_listing("v1", "v2", count=nodes)
     node = network.node_by_name["n0"]
     for step in range(200):
         if step % 2:
--- a/tests/quarantine/test_crashdetector.py
+++ b/tests/quarantine/test_crashdetector.py
@@ -6,7 +6,6 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.quarantine import crashdetector
 from hornbeamglade.replicas import models, replicalist
-from tests import eventloop
 
 REPLICA = models.Replica("e1", "llm", "10.0.0.1:80", "a", 8)
 
@@ -41,112 +40,91 @@
         changes = self.list.update(present, gone, self.list.version + 1)
         self.detector.list_changed(changes)
 
-
-async def run_pending_tasks():
-    for _ in range(5):
-        await asyncio.sleep(0)
-
-
-def run_scenario(test, **more):
-    async def main():
-        harness = DetectorHarness(**more)
-        await test(harness)
+    async def lose_two_runs(self):
+        self.detector.run_lost(7, REPLICA, 0.0)
+        self.detector.run_lost(8, REPLICA, 0.0)
         await run_pending_tasks()
-        return harness
 
-    return eventloop.run(main())
+    async def found_crashes(self):
+        await run_pending_tasks()
+        return self.crashes
 
 
-async def lose_two_runs(harness):
-    harness.detector.run_lost(7, REPLICA, 0.0)
-    harness.detector.run_lost(8, REPLICA, 0.0)
+async def run_pending_tasks():
+    for _ in range(5):
+        await asyncio.sleep(0)
 
 
-def test_a_replica_that_refuses_connections_has_crashed_and_is_probed_once():
-    harness = run_scenario(lose_two_runs)
-    assert harness.crashes == [("e1", [7, 8])]
+async def test_a_replica_that_refuses_connections_has_crashed_and_is_probed_once():
+    harness = DetectorHarness()
+    await harness.lose_two_runs()
+    assert await harness.found_crashes() == [("e1", [7, 8])]
     assert harness.probed == [REPLICA.address]
 
 
-def test_a_run_lost_after_the_crash_of_its_replica_was_detected_is_reported_too():
-    async def test(harness):
-        await lose_two_runs(harness)
-        await run_pending_tasks()
-        harness.detector.run_lost(9, REPLICA, 0.0)
-
-    assert run_scenario(test).crashes == [("e1", [7, 8]), ("e1", [9])]
+async def test_a_run_lost_after_the_crash_of_its_replica_was_detected_is_reported_too():
+    harness = DetectorHarness()
+    await harness.lose_two_runs()
+    harness.detector.run_lost(9, REPLICA, 0.0)
+    assert await harness.found_crashes() == [("e1", [7, 8]), ("e1", [9])]
 
 
-def test_a_response_aborted_by_a_live_replica_is_no_crash():
+async def test_a_response_aborted_by_a_live_replica_is_no_crash():
     """Guards requests against false evidence from connection resets and truncated responses."""
-
-    async def test(harness):
-        await lose_two_runs(harness)
-        await run_pending_tasks()
-        harness.update_list(gone=["e1"])
-
-    assert run_scenario(test, listens=True).crashes == []
+    harness = DetectorHarness(listens=True)
+    await harness.lose_two_runs()
+    harness.update_list(gone=["e1"])
+    assert await harness.found_crashes() == []
 
 
-def test_an_unreachable_machine_has_crashed_when_its_entry_expires():
+async def test_an_unreachable_machine_has_crashed_when_its_entry_expires():
     """Guards against missing a crash after which no connection is refused."""
+    harness = DetectorHarness(listens=None)
+    await harness.lose_two_runs()
+    harness.clock.advance(4.0)
+    harness.update_list(gone=["e1"])
+    assert await harness.found_crashes() == [("e1", [7, 8])]
 
-    async def test(harness):
-        await lose_two_runs(harness)
-        await run_pending_tasks()
-        harness.clock.advance(4.0)
-        harness.update_list(gone=["e1"])
-
-    assert run_scenario(test, listens=None).crashes == [("e1", [7, 8])]
-
-
-def test_a_run_without_response_at_a_replica_with_an_expired_entry_was_ended_by_a_crash():
-    async def test(harness):
-        harness.update_list(gone=["e1"])
-        harness.detector.run_unanswered(7, REPLICA, 0.0)
 
-    assert run_scenario(test).crashes == [("e1", [7])]
+async def test_a_run_without_response_at_a_replica_with_an_expired_entry_was_ended_by_a_crash():
+    harness = DetectorHarness()
+    harness.update_list(gone=["e1"])
+    harness.detector.run_unanswered(7, REPLICA, 0.0)
+    assert await harness.found_crashes() == [("e1", [7])]
 
 
-def test_a_replica_that_was_removed_before_its_connections_closed_stopped_as_planned():
-    async def test(harness):
-        harness.update_list(gone=["e1"])
-        harness.detector.run_lost(7, REPLICA, 0.0)
-
-    assert run_scenario(test).crashes == []
+async def test_a_replica_that_was_removed_before_its_connections_closed_stopped_as_planned():
+    harness = DetectorHarness()
+    harness.update_list(gone=["e1"])
+    harness.detector.run_lost(7, REPLICA, 0.0)
+    assert await harness.found_crashes() == []
 
 
 @pytest.mark.parametrize("by_report", [True, False])
-def test_a_reclaimed_engine_is_no_crash(by_report):
+async def test_a_reclaimed_engine_is_no_crash(by_report):
     """Guards requests against false evidence from engines that are reclaimed."""
+    harness = DetectorHarness()
+    if by_report:
+        harness.reported.add("e1")
+    else:
+        harness.update_list(dataclasses.replace(REPLICA, is_leaving=True))
+    await harness.lose_two_runs()
+    harness.update_list(gone=["e1"])
+    harness.detector.run_unanswered(9, REPLICA, 0.0)
+    assert await harness.found_crashes() == []
+
+
+async def test_a_server_that_restarts_with_the_same_name_has_crashed():
+    harness = DetectorHarness()
+    harness.update_list(dataclasses.replace(REPLICA, id="e1@5", name="e1", started_ms=5))
+    harness.detector.run_lost(7, REPLICA, 0.0)
+    assert await harness.found_crashes() == [("e1", [7])]
 
-    async def test(harness):
-        if by_report:
-            harness.reported.add("e1")
-        else:
-            harness.update_list(dataclasses.replace(REPLICA, is_leaving=True))
-        await lose_two_runs(harness)
-        await run_pending_tasks()
-        harness.update_list(gone=["e1"])
-        harness.detector.run_unanswered(9, REPLICA, 0.0)
-
-    assert run_scenario(test).crashes == []
-
-
-def test_a_server_that_restarts_with_the_same_name_has_crashed():
-    async def test(harness):
-        harness.update_list(dataclasses.replace(REPLICA, id="e1@5", name="e1", started_ms=5))
-        harness.detector.run_lost(7, REPLICA, 0.0)
-
-    assert run_scenario(test).crashes == [("e1", [7])]
-
-
-def test_lost_runs_of_a_replica_that_remains_listed_are_forgotten():
-    async def test(harness):
-        await lose_two_runs(harness)
-        await run_pending_tasks()
-        harness.clock.advance(crashdetector.UNLISTED_TIMEOUT_S + 1.0)
-        harness.detector.forget_old()
-        harness.update_list(gone=["e1"])
 
-    assert run_scenario(test, listens=None).crashes == []
+async def test_lost_runs_of_a_replica_that_remains_listed_are_forgotten():
+    harness = DetectorHarness(listens=None)
+    await harness.lose_two_runs()
+    harness.clock.advance(crashdetector.UNLISTED_TIMEOUT_S + 1.0)
+    harness.detector.forget_old()
+    harness.update_list(gone=["e1"])
+    assert await harness.found_crashes() == []
--- a/tests/quarantine/test_requestquarantine.py
+++ b/tests/quarantine/test_requestquarantine.py
@@ -68,6 +68,9 @@
     def partition(self, names):
         self.partitioned, self.partitioned_at = set(names), self.clock.now()
 
+    def connected(self):
+        return [name for name in self.names if name not in self.partitioned]
+
     def _live(self, name):
         is_detected = self.clock.now() - self.partitioned_at > DETECTION_S
         own_side = [
@@ -109,6 +112,12 @@
         runs = [lostruns.LostRun(each, now - RUN_S, now) for each in lost]
         self.quarantine_by_name[name].crashed(replica, runs)
 
+    def crash_in_turn(self, names, lost=(FATAL,)):
+        """Let as many replicas crash, one after the other, as a quarantine takes."""
+        for number in range(crashledger.CRASH_THRESHOLD):
+            self.run(0.3)
+            self.crash(names[number], f"e{number}", lost)
+
     def refusing(self, fingerprint=FATAL):
         return {
             name
@@ -123,12 +132,9 @@
     site = Site(nodes)
     site.partition(site.names[: nodes // 3])
     site.run(2 * DETECTION_S)
-    connected = [name for name in site.names if name not in site.partitioned]
-    for number in range(crashledger.CRASH_THRESHOLD):
-        site.run(0.3)
-        site.crash(connected[number], f"e{number}")
+    site.crash_in_turn(site.connected())
     site.run(REACTION_BOUND_S)
-    assert site.refusing() >= set(connected)
+    assert site.refusing() >= set(site.connected())
 
 
 @pytest.mark.parametrize("trial", range(10))
@@ -136,21 +142,16 @@
     """Guards against reports that are sent only to instances not yet known to be unreachable."""
     site = Site(64)
     site.partition(site.rng.sample(site.names, 21))
-    connected = [name for name in site.names if name not in site.partitioned]
-    for number in range(crashledger.CRASH_THRESHOLD):
-        site.run(0.3)
-        site.crash(connected[number], f"e{number}", (trial,))
+    site.crash_in_turn(site.connected(), lost=(trial,))
     site.run(DETECTION_S + REACTION_BOUND_S)
-    assert site.refusing(trial) >= set(connected)
+    assert site.refusing(trial) >= set(site.connected())
 
 
 @pytest.mark.parametrize("nodes", [6, 64])
 def test_an_instance_refuses_soon_after_a_partition_or_restart(nodes):
     site = Site(nodes)
     site.partition({"n5"})
-    for number in range(crashledger.CRASH_THRESHOLD):
-        site.run(0.3)
-        site.crash("n1", f"e{number}")
+    site.crash_in_turn(["n1"] * crashledger.CRASH_THRESHOLD)
     site.run(10.0)
     assert "n5" not in site.refusing()
     site.partition(())
--- a/tests/standins/test_routed.py
+++ b/tests/standins/test_routed.py
@@ -1,6 +1,7 @@
 """The routed stand-in: load figures, slow machines, unread responses and memory."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -12,18 +13,16 @@
 RESPONSE_BYTES = 4_000_000
 
 
-def _with_server(test, events=0, **traits):
-    async def main():
-        server = routed.RoutedStandin(
-            "i1", events, gap_s=0.001, traits=routedmachine.RoutedTraits(**traits)
-        )
-        await server.start()
-        try:
-            return await test(server)
-        finally:
-            await server.stop()
-
-    return eventloop.run(main())
+@contextlib.asynccontextmanager
+async def _started_server(events=0, **traits):
+    server = routed.RoutedStandin(
+        "i1", events, gap_s=0.001, traits=routedmachine.RoutedTraits(**traits)
+    )
+    await server.start()
+    try:
+        yield server
+    finally:
+        await server.stop()
 
 
 async def _open(server, target="/list/1", request_id="r1", headers=""):
@@ -47,24 +46,25 @@
 
 
 @pytest.mark.parametrize("target", ["/list/1", routed.HEALTH_PATH])
-def test_four_load_figures_are_sent_when_so_configured(target):
-    head = _with_server(lambda server: _head(server, target), shares_machine=True)
+async def test_four_load_figures_are_sent_when_so_configured(target):
+    async with _started_server(shares_machine=True) as server:
+        head = await _head(server, target)
     assert "Replica-Load: " in head
     assert head.partition("Replica-Load: ")[2].split("\r\n")[0].count(",") == 3
 
 
-def test_three_load_figures_are_sent_otherwise():
+async def test_three_load_figures_are_sent_otherwise():
     """Guards against the switch of a deployment being on in all other sites."""
-    assert "Replica-Load: 1,0,8\r\n" in _with_server(lambda server: _head(server, "/list/1"))
-    assert "Replica-Load" not in _with_server(lambda server: _head(server, routed.HEALTH_PATH))
+    async with _started_server() as server:
+        assert "Replica-Load: 1,0,8\r\n" in await _head(server, "/list/1")
+    async with _started_server() as server:
+        assert "Replica-Load" not in await _head(server, routed.HEALTH_PATH)
 
 
-def test_a_health_check_is_not_a_run():
-    async def test(server):
+async def test_a_health_check_is_not_a_run():
+    async with _started_server() as server:
         await _head(server, routed.HEALTH_PATH)
-        return server.ledger
-
-    assert _with_server(test) == []
+        assert server.ledger == []
 
 
 def test_load_figures_state_the_slowdown_of_the_machine_alone():
@@ -81,8 +81,8 @@
     assert machine.load_figures(1, 20.0) == "1,0,6,400"
 
 
-def test_a_response_of_which_nothing_is_read_is_cut_off():
-    async def test(server):
+async def test_a_response_of_which_nothing_is_read_is_cut_off():
+    async with _started_server(unread_s=0.1) as server:
         server.faults = routedfaults.RoutedFaults(response_bytes=RESPONSE_BYTES)
         reader, writer = await _open(server)
         writer.transport.pause_reading()
@@ -92,28 +92,23 @@
             while await reader.read(100_000):
                 pass
 
-    _with_server(test, unread_s=0.1)
 
-
-def test_a_response_that_is_read_slowly_is_not_cut_off():
+async def test_a_response_that_is_read_slowly_is_not_cut_off():
     """Guards against a bound on the whole time of a response instead of on a standstill."""
-
-    async def test(server):
+    async with _started_server(unread_s=0.2) as server:
         server.faults = routedfaults.RoutedFaults(response_bytes=RESPONSE_BYTES)
         result = await asyncio.to_thread(
             lambda: routedcaller.RoutedCaller(pause_s=0.001).send(
                 server.address, "list", "r1", "clinic-0"
             )
         )
-        return result, server.cut_off
-
-    result, cut_off = _with_server(test, unread_s=0.2)
+        cut_off = server.cut_off
     assert (result.is_whole, len(result.body), cut_off) == (True, RESPONSE_BYTES, 0)
     assert result.body.endswith(b".i1:r1")
 
 
-def test_an_engine_crashes_when_its_runs_exceed_its_memory():
-    async def test(server):
+async def test_an_engine_crashes_when_its_runs_exceed_its_memory():
+    async with _started_server(events=5000, memory_tokens=600) as server:
         first, _ = await _open(server, "/draft/1", "r1", "Token-Usage: 300,50\r\n")
         await first.readuntil(b"id: 1")
         is_up_before = not server.crashes
@@ -121,6 +116,4 @@
         rest = await first.read(-1)
         with pytest.raises(ConnectionRefusedError):
             await _open(server)
-        return is_up_before, server.crashes, rest.endswith(b"0\r\n\r\n")
-
-    assert _with_server(test, events=5000, memory_tokens=600) == (True, 1, False)
+        assert (is_up_before, server.crashes, rest.endswith(b"0\r\n\r\n")) == (True, 1, False)
