tests: followers of a table and of the configuration come from fixtures

Five tests of TableFollower built the same store, list of outcomes and follower, and six of the configuration's follower began by reading the first revision. The table's store and its follower share one manual clock now, as in two of the five before.

--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -28,6 +28,14 @@
     return follower.Follower(platform, platform, clock, "krakow", "n1", poll_s)
 
 
+@pytest.fixture
+def node(platform):
+    """Return a follower that has read revision 1."""
+    node = follower_of(platform)
+    node.poll()
+    return node
+
+
 def test_a_version_announcement_triggers_a_poll_at_once(platform):
     node = follower_of(platform)
     adopted = threading.Event()
@@ -42,9 +50,7 @@
     assert node.active().site.node.max_streams == 2
 
 
-def test_the_revision_stays_active_during_an_outage(platform):
-    node = follower_of(platform)
-    node.poll()
+def test_the_revision_stays_active_during_an_outage(platform, node):
     platform.set_faults(memory.Faults(down=True))
     node.poll()
     assert (node.current().number, node.counts.failed_polls) == (1, 1)
@@ -62,10 +68,8 @@
     assert (node.current(), node.problem) == (None, "config_read_late")
 
 
-def test_damaged_content_does_not_stop_the_node(platform):
+def test_damaged_content_does_not_stop_the_node(platform, node):
     # A damaged object in the store must not stop all nodes of a site at once.
-    node = follower_of(platform)
-    node.poll()
     apply_number(platform, 2)
     digest = samples.numbered(2).digest
     platform.put(headrecords.content_key(digest), samples.numbered(3).text)
@@ -74,9 +78,7 @@
     assert (node.current().number, node.problem) == (1, "config_digest_differs")
 
 
-def test_a_node_with_the_previous_revision_reads_only_the_delta(platform):
-    node = follower_of(platform)
-    node.poll()
+def test_a_node_with_the_previous_revision_reads_only_the_delta(platform, node):
     apply_number(platform, 2)
     platform.put(headrecords.content_key(samples.numbered(2).digest), "unread")
     node.poll()
@@ -84,11 +86,9 @@
 
 
 @pytest.mark.parametrize("delta", ["damaged", '{"before":"","settings":[]}', None])
-def test_a_node_reads_the_whole_document_when_the_delta_does_not_apply(platform, delta):
+def test_a_node_reads_the_whole_document_when_the_delta_does_not_apply(platform, node, delta):
     # A node that missed a revision, or reads a damaged delta, must still get the newest
     # revision.
-    node = follower_of(platform)
-    node.poll()
     apply_number(platform, 2)
     if delta is None:
         apply_number(platform, 3)
@@ -98,10 +98,8 @@
     assert node.current().number == (2 if delta else 3)
 
 
-def test_a_delta_to_another_document_is_not_used(platform):
+def test_a_delta_to_another_document_is_not_used(platform, node):
     # With a wrong delta, a node would serve a configuration that was never accepted.
-    node = follower_of(platform)
-    node.poll()
     apply_number(platform, 2)
     other = documentdelta.make(samples.numbered(1).text, samples.numbered(9).text)
     platform.put(headrecords.delta_key(samples.numbered(2).digest), other)
@@ -117,9 +115,7 @@
     assert (node.current(), node.problem) == (None, "config_content_missing")
 
 
-def test_a_damaged_head_does_not_stop_the_node(platform):
-    node = follower_of(platform)
-    node.poll()
+def test_a_damaged_head_does_not_stop_the_node(platform, node):
     platform.transact((), (contract.Put(headrecords.HEAD_KEY, "{}"),))
     node.poll()
     assert (node.current().number, node.problem) == (1, "config_head_malformed")
--- a/tests/store/test_tablefollower.py
+++ b/tests/store/test_tablefollower.py
@@ -9,87 +9,80 @@
 from hornbeamglade.store import contract, memory, tablefollower
 
 
-def follower(platform, outcomes):
-    return tablefollower.TableFollower(
-        platform, "t", outcomes.append, clocks.ManualClock(), random.Random(1)
-    )
+class Followed:
+    """A table in memory, and a follower of it with the outcomes that it reported."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        self.platform = memory.MemoryPlatform(self.clock, shared_version_counter=True)
+        self.outcomes = []
+        self.follower = tablefollower.TableFollower(
+            self.platform, "t", self.outcomes.append, self.clock, random.Random(1)
+        )
+
+
+@pytest.fixture
+def followed(monkeypatch):
+    monkeypatch.setattr(tablefollower, "LONG_POLL_S", 0.0)
+    return Followed()
 
 
 def put(platform, key, value="1"):
     platform.transact((), (contract.Put(key, value),))
 
 
-def test_snapshot_comes_first_and_then_changes(monkeypatch):
-    monkeypatch.setattr(tablefollower, "LONG_POLL_S", 0.0)
-    platform = memory.MemoryPlatform(clocks.ManualClock(), shared_version_counter=True)
-    put(platform, "t/a")
-    outcomes = []
-    table_follower = follower(platform, outcomes)
-    table_follower.step()
-    put(platform, "t/b")
-    table_follower.step()
-    table_follower.step()
-    assert outcomes == [
+def test_snapshot_comes_first_and_then_changes(followed):
+    put(followed.platform, "t/a")
+    followed.follower.step()
+    put(followed.platform, "t/b")
+    followed.follower.step()
+    followed.follower.step()
+    assert followed.outcomes == [
         contract.Snapshot((contract.Row("t/a", "1", 1),), 1),
         contract.Changes((contract.Row("t/b", "1", 2),), (), 2, 2),
         contract.Changes((), (), 2, 0),
     ]
 
 
-def test_lost_history_causes_a_snapshot(monkeypatch):
+def test_lost_history_causes_a_snapshot(followed):
     """The store drops its history while a row is deleted.
 
     Continuing from the old version would never deliver the deletion, and a replica that no
     longer exists would stay in use.
     """
-    monkeypatch.setattr(tablefollower, "LONG_POLL_S", 0.0)
-    platform = memory.MemoryPlatform(clocks.ManualClock(), shared_version_counter=True)
-    put(platform, "t/a")
-    outcomes = []
-    table_follower = follower(platform, outcomes)
-    table_follower.step()
-    platform.transact((), (contract.Delete("t/a"),))
-    platform.forget_history()
-    table_follower.step()
-    table_follower.step()
-    assert outcomes[-1] == contract.Snapshot((), 2)
-
-
-def test_outage_is_reported_and_the_position_kept(monkeypatch):
-    monkeypatch.setattr(tablefollower, "LONG_POLL_S", 0.0)
-    platform = memory.MemoryPlatform(clocks.ManualClock(), shared_version_counter=True)
-    outcomes = []
-    table_follower = follower(platform, outcomes)
-    table_follower.step()
-    platform.set_faults(memory.Faults(down=True))
-    assert not table_follower.step()
-    platform.set_faults(memory.Faults())
-    put(platform, "t/a")
-    table_follower.step()
-    assert isinstance(outcomes[1], contract.Unavailable)
-    assert outcomes[2].written_rows == (contract.Row("t/a", "1", 1),)
-
-
-def test_many_changes_are_read_in_few_calls(monkeypatch):
+    put(followed.platform, "t/a")
+    followed.follower.step()
+    followed.platform.transact((), (contract.Delete("t/a"),))
+    followed.platform.forget_history()
+    followed.follower.step()
+    followed.follower.step()
+    assert followed.outcomes[-1] == contract.Snapshot((), 2)
+
+
+def test_outage_is_reported_and_the_position_kept(followed):
+    followed.follower.step()
+    followed.platform.set_faults(memory.Faults(down=True))
+    assert not followed.follower.step()
+    followed.platform.set_faults(memory.Faults())
+    put(followed.platform, "t/a")
+    followed.follower.step()
+    assert isinstance(followed.outcomes[1], contract.Unavailable)
+    assert followed.outcomes[2].written_rows == (contract.Row("t/a", "1", 1),)
+
+
+def test_many_changes_are_read_in_few_calls(followed):
     """At a large site, replicas are added and removed all the time.
 
     Each change woke every follower, and their calls together exceeded the capacity of the
     store, which then refused calls, among them the operator's own changes.
     """
-    monkeypatch.setattr(tablefollower, "LONG_POLL_S", 0.0)
-    clock = clocks.ManualClock()
-    platform = memory.MemoryPlatform(clock, shared_version_counter=True)
-    outcomes = []
-    table_follower = tablefollower.TableFollower(
-        platform, "t", outcomes.append, clock, random.Random(1)
-    )
-    table_follower.step()
-    started_at = clock.now()
+    followed.follower.step()
+    started_at = followed.clock.now()
     for number in range(10):
-        put(platform, f"t/{number}")
-        table_follower.step()
-    assert clock.now() - started_at == pytest.approx(10 * tablefollower.COALESCE_S)
-    assert [outcome.newest for outcome in outcomes[1:]] == list(range(1, 11))
+        put(followed.platform, f"t/{number}")
+        followed.follower.step()
+    assert followed.clock.now() - started_at == pytest.approx(10 * tablefollower.COALESCE_S)
+    assert [outcome.newest for outcome in followed.outcomes[1:]] == list(range(1, 11))
 
 
 class GatedFeed(contract.Feed):
@@ -132,31 +125,24 @@
     feed.responses.put(contract.Unavailable("over"))
 
 
-def test_restored_table_is_read_twice(monkeypatch):
+def test_restored_table_is_read_twice(followed):
     """After a restore, versions go back and are reused.
 
     Following from the old version would skip changes written between the backup's version and
     the old one.
     """
-    monkeypatch.setattr(tablefollower, "LONG_POLL_S", 0.0)
-    clock = clocks.ManualClock()
-    platform = memory.MemoryPlatform(clock, shared_version_counter=True)
-    put(platform, "t/a")
-    backup = platform.backup()
-    put(platform, "t/lost")
-    outcomes = []
-    table_follower = tablefollower.TableFollower(
-        platform, "t", outcomes.append, clock, random.Random(1)
-    )
-    table_follower.step()
-    platform.restore(backup)
+    put(followed.platform, "t/a")
+    backup = followed.platform.backup()
+    put(followed.platform, "t/lost")
+    followed.follower.step()
+    followed.platform.restore(backup)
     for name in ("b", "c", "d"):
-        put(platform, f"t/{name}")
-    table_follower.step()
-    table_follower.step()
-    assert isinstance(outcomes[-1], contract.Snapshot)
-    assert [each.key for each in outcomes[-1].rows] == ["t/a", "t/b", "t/c", "t/d"]
-    assert outcomes[-1].version > outcomes[0].version
-    clock.advance(tablefollower.REREAD_DELAY_S)
-    table_follower.step()
-    assert [type(each) for each in outcomes] == [contract.Snapshot] * 3
+        put(followed.platform, f"t/{name}")
+    followed.follower.step()
+    followed.follower.step()
+    assert isinstance(followed.outcomes[-1], contract.Snapshot)
+    assert [each.key for each in followed.outcomes[-1].rows] == ["t/a", "t/b", "t/c", "t/d"]
+    assert followed.outcomes[-1].version > followed.outcomes[0].version
+    followed.clock.advance(tablefollower.REREAD_DELAY_S)
+    followed.follower.step()
+    assert [type(each) for each in followed.outcomes] == [contract.Snapshot] * 3
