tunnels: try an own connection again as a path begins to count as detoured

Cause: an instance asks another one 0.1 s after its own attempt to connect. If the server was silent for both and went on between the two attempts, only the later one succeeded, and the path counted as detoured: the status page and the gauge showed a partition, and the instance answered failed relays with "partitioned". Only a new connection for a later request ended this, or 30 s. test_silent_server_is_not_taken_for_crashed_partitioned_or_leaving failed whenever the last request to a server fell into the last 0.1 s of its silence.

Change: as the belief begins, an own connection is tried at once and closed; it takes no request.

Measured: the new test of the site sends one request 0.05 s before the end of the silence.

--- a/hornbeamglade/tunnels/pathconnector.py
+++ b/hornbeamglade/tunnels/pathconnector.py
@@ -111,6 +111,14 @@
         task.add_done_callback(self._direct.discard)
         return task
 
+    def reached_by(self, address: str, relay: Relay) -> None:
+        """Record that an instance reached a replica that this one did not reach."""
+        is_new = not self.paths.is_detoured(address)
+        self.paths.reached_by(address, relay.name)
+        if is_new:
+            # The replica may have been silent for both, and the other's attempt began later.
+            self.connect_directly(address).add_done_callback(_close_opened)
+
     async def _connect_directly(self, address: str) -> Connection:
         connection = await clientside.connect(address, clientpool.CONNECT_TIMEOUT_S, self._clock)
         if isinstance(connection, clientside.ServerConnection):
@@ -226,7 +234,7 @@
             if isinstance(outcome, tunnelclient.TunneledConnection):
                 self._winner = outcome
                 self._connector.relay_succeeded(relay)
-                self._paths.reached_by(self._address, relay.name)
+                self._connector.reached_by(self._address, relay)
                 return True
             del self._relay_by_task[task]
             self._outcome_by_relay[relay] = outcome
@@ -262,9 +270,16 @@
     def _close_unused(self, task: asyncio.Task) -> None:
         if task.cancelled() or task.exception() is not None:
             return
-        connection = task.result()
-        if isinstance(connection, clientside.ServerConnection) and connection is not self._winner:
-            connection.close()
+        if task.result() is not self._winner:
+            _close_opened(task)
+
+
+def _close_opened(task: asyncio.Task) -> None:
+    """Close the connection that an attempt has opened, if any."""
+    if task.cancelled() or task.exception() is not None:
+        return
+    if isinstance(connection := task.result(), clientside.ServerConnection):
+        connection.close()
 
 
 def _spread(relays: collections.abc.Sequence[Relay]) -> list[Relay]:
--- a/hornbeamglade/tunnels/serverpaths.py
+++ b/hornbeamglade/tunnels/serverpaths.py
@@ -7,7 +7,9 @@
 instance is partitioned from it. One instance cannot tell them apart; a connection that another
 instance opens to the same replica can. A path is therefore *detoured* from the moment at which
 another instance reached the replica while this one did not, until a connection of this instance's
-own succeeds. It is tried once a second, together with a tunnel, so no request waits for the trial.
+own succeeds. It is tried at once, since a silent replica may have gone on between the attempts of
+the two instances. After that it is tried once a second, together with a tunnel, so no request
+waits for the trial.
 
 While any path is detoured, idle connections that were last used before that are not reused: a
 partition rarely affects a single replica, and a request that is sent on a dead connection cannot
--- a/tests/entry/test_silence.py
+++ b/tests/entry/test_silence.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hornbeamglade.localsite import tcpproxy
+from hornbeamglade.tunnels import serverpaths
 from tests.entry import site as entrysite
 
 SILENCE_S = 1.2
@@ -77,3 +78,20 @@
     assert statuses == {200}
     assert states == [(0, 0, 2)] * 2
     assert set(runs.values()) == {1}
+
+
+@pytest.mark.parametrize("path", [PLAIN, SINGLE])
+def test_servers_that_are_silent_to_all_until_another_instance_is_asked_are_not_partitioned(path):
+    """Guards against a path that counts as partitioned when no later request tries it again."""
+
+    async def test(site):
+        silent = asyncio.ensure_future(
+            asyncio.gather(*(silence(site, service) for service in site.services))
+        )
+        await asyncio.sleep(SILENCE_S - serverpaths.HEAD_START_S / 2)
+        status, _ = await answer(site.nodes[0], path, 0)
+        await silent
+        await asyncio.sleep(1.0)
+        return status, [node.instance.tunneling.paths.detoured_count for node in site.nodes]
+
+    assert entrysite.run(test, **SHAPE) == (200, [0, 0])
--- a/tests/tunnels/test_pathconnector.py
+++ b/tests/tunnels/test_pathconnector.py
@@ -9,6 +9,7 @@
 from hornbeamglade.core import clocks
 from hornbeamglade.exchange import codec, messages, transport
 from hornbeamglade.http1 import clientpool, clientside
+from hornbeamglade.localsite import tcpproxy
 from hornbeamglade.replicas import models
 from hornbeamglade.tunnels import pathconnector, serverpaths, tunnelclient
 from tests import eventloop
@@ -138,6 +139,37 @@
     assert len(connector.asked) <= pathconnector.MAX_PEERS_ASKED
 
 
+class HealedConnector(Connector):
+    """The replica's partition from all instances ends after the own attempt."""
+
+    def __init__(self, proxy):
+        super().__init__(proxy.address, "b", {})
+        self._proxy = proxy
+
+    async def open_tunnel(self, replica, relay):
+        self._proxy.release()
+        return await super().open_tunnel(replica, relay)
+
+
+@pytest.mark.parametrize("how", [tcpproxy.Partition.HANG, tcpproxy.Partition.REFUSE_NEW])
+def test_replica_that_went_on_between_two_attempts_is_not_partitioned(how):
+    """Guards against a path that counts as partitioned after its replica was silent for all."""
+
+    async def main():
+        server = raw.ScriptedServer()
+        proxy = tcpproxy.TcpProxy(await server.start())
+        proxy.partition(how)
+        connector = HealedConnector(proxy)
+        connection = await connector.connect(proxy.address, clientpool.CONNECT_TIMEOUT_S)
+        has_detour = connector.paths.detoured_count
+        await asyncio.sleep(clientpool.CONNECT_TIMEOUT_S)
+        proxy.close()
+        server.stop()
+        return connection.via, has_detour, connector.paths.detoured_count
+
+    assert eventloop.run(main()) == ("n0", 1, 0)
+
+
 def test_unused_connections_are_closed():
     async def main():
         server = raw.ScriptedServer()
