--- a/tests/configuration/test_head.py
+++ b/tests/configuration/test_head.py
@@ -151,77 +151,74 @@
 )
 
 
-def test_a_lost_response_is_resolved_after_a_later_change():
+@pytest.fixture
+def store():
+    return Store()
+
+
+def test_a_lost_response_is_resolved_after_a_later_change(store):
     # A change is accepted, its response is lost and the command fails. Another change
     # follows, and the first command is repeated. It must not report a conflict.
-    store = Store()
     change = change_of(1, 0)
     assert isinstance(store.send(change, NO_FAULTS, ANSWER_LOST, DOWN, DOWN), head.OutcomeUnknown)
     assert store.rival.apply(change_of(2, 1, "bo")) == head.Applied(2)
     assert store.send(change) == head.Applied(1)
 
 
-def test_a_write_that_may_arrive_late_is_not_reported_as_without_effect():
+def test_a_write_that_may_arrive_late_is_not_reported_as_without_effect(store):
     # A write is delayed in the network, and the platform is unavailable at the next
     # attempt. Reported as without effect, the change would become active later.
-    store = Store()
     outcome = store.send(change_of(1, 0), NO_FAULTS, STALLED, NO_FAULTS, DOWN)
     store.platform.deliver_stalled()
     assert isinstance(outcome, head.OutcomeUnknown)
     assert store.records()[0].change_id == "c1"
 
 
-def test_a_lost_response_without_a_reason_is_still_a_lost_response():
+def test_a_lost_response_without_a_reason_is_still_a_lost_response(store):
     # As above, with an adapter whose error has no text.
-    store = Store()
     outcomes = [contract.Unknown(""), contract.Unavailable("down")]
     with mock.patch.object(store.platform, "transact", side_effect=outcomes):
         assert isinstance(store.send(change_of(1, 0)), head.OutcomeUnknown)
 
 
-def test_writes_that_all_stall_leave_the_outcome_unknown():
+def test_writes_that_all_stall_leave_the_outcome_unknown(store):
     # As above, but all attempts are delayed.
-    store = Store()
     outcome = store.send(change_of(1, 0), NO_FAULTS, *[STALLED] * 8)
     store.platform.deliver_stalled()
     assert isinstance(outcome, head.OutcomeUnknown)
     assert store.send(change_of(1, 0)) == head.Applied(1)
 
 
-def test_a_conflict_that_cannot_be_resolved_is_not_a_lost_race():
+def test_a_conflict_that_cannot_be_resolved_is_not_a_lost_race(store):
     # The first attempt takes effect and its response is lost. The second one conflicts
     # with it, and then the store is down. A lost race would be reported although the
     # change is active.
-    store = Store()
     outcome = store.send(change_of(1, 0), NO_FAULTS, ANSWER_LOST, DOWN, NO_FAULTS, DOWN)
     assert isinstance(outcome, head.OutcomeUnknown)
     assert store.records()[0].change_id == "c1"
 
 
-def test_a_rival_between_read_and_write_wins():
+def test_a_rival_between_read_and_write_wins(store):
     # Two operators read the same head. The later write would silently overwrite the
     # earlier one.
-    store = Store()
     rival = change_of(2, 0, "bo")
     outcome = store.send(change_of(1, 0), NO_FAULTS, lambda: store.rival.apply(rival))
     assert isinstance(outcome, head.LostRace)
     assert [record.change_id for record in store.records()] == ["c2"]
 
 
-def test_an_audit_row_is_never_overwritten():
+def test_an_audit_row_is_never_overwritten(store):
     # The head row was deleted by hand. Numbering would start over and overwrite the audit
     # records of earlier changes.
-    store = Store()
     store.rival.apply(change_of(1, 0))
     store.platform.transact((), (contract.Delete(headrecords.HEAD_KEY),))
     with pytest.raises(codederrors.CodedError, match="config_head_behind_audit"):
         store.send(change_of(2, 0))
 
 
-def test_a_head_row_restored_by_hand_is_reported():
+def test_a_head_row_restored_by_hand_is_reported(store):
     # The head row was restored from a backup without the audit rows. The change would be
     # reported as a lost race against a revision that is not newer than its base.
-    store = Store()
     store.rival.apply(change_of(1, 0))
     first_head = store.platform.read(headrecords.HEAD_KEY).row.value
     store.rival.apply(change_of(2, 1))
@@ -230,9 +227,8 @@
         store.send(change_of(3, 1))
 
 
-def test_a_rival_whose_audit_row_was_deleted_still_wins():
+def test_a_rival_whose_audit_row_was_deleted_still_wins(store):
     # A lost race, where the audit row that shows it was deleted.
-    store = Store()
 
     def rival() -> None:
         store.rival.apply(change_of(2, 0, "bo"))
@@ -241,17 +237,15 @@
     assert isinstance(store.send(change_of(1, 0), NO_FAULTS, rival), head.LostRace)
 
 
-def test_unreadable_content_of_an_earlier_revision_does_not_block_a_change():
+def test_unreadable_content_of_an_earlier_revision_does_not_block_a_change(store):
     # The object of the newest revision is damaged, so the summary of differences cannot be
     # made. Without this rule, every further change would be refused.
-    store = Store()
     store.rival.apply(change_of(1, 0))
     store.platform.put(headrecords.content_key(samples.numbered(1).digest), "damaged")
     assert store.send(change_of(2, 1)) == head.Applied(2)
 
 
-def test_a_lost_race_reports_the_changes_of_the_winner():
-    store = Store()
+def test_a_lost_race_reports_the_changes_of_the_winner(store):
     store.rival.apply(change_of(1, 0))
     store.rival.apply(change_of(2, 1))
     lost = store.send(change_of(3, 1, "bo"))
@@ -259,24 +253,21 @@
     assert [str(found) for found in lost.theirs] == ["overlays.krakow.node.max_streams: 1 -> 2"]
 
 
-def test_a_lost_race_reports_no_differences_when_they_cannot_be_read():
+def test_a_lost_race_reports_no_differences_when_they_cannot_be_read(store):
     # Shown an empty list of differences, the operator would overwrite the winner's change.
-    store = Store()
     store.rival.apply(change_of(1, 0))
     store.rival.apply(change_of(2, 1))
     store.platform.put(headrecords.content_key(samples.numbered(1).digest), "damaged")
     assert store.send(change_of(3, 1, "bo")) == head.LostRace(2, None)
 
 
-def test_content_whose_response_is_lost_is_stored_again():
-    store = Store()
+def test_content_whose_response_is_lost_is_stored_again(store):
     outcomes = [contract.Unknown("lost"), contract.Committed({})]
     with mock.patch.object(store.platform, "put", side_effect=outcomes):
         assert store.send(change_of(1, 0)) == head.Applied(1)
 
 
-def test_the_same_content_again_is_no_change():
-    store = Store()
+def test_the_same_content_again_is_no_change(store):
     store.rival.apply(change_of(1, 0))
     again = dataclasses.replace(change_of(1, 1, "bo"), change_id="c2")
     assert store.send(again) == head.NothingChanged(1)
--- a/tests/entry/test_clusterstate.py
+++ b/tests/entry/test_clusterstate.py
@@ -66,8 +66,12 @@
     return written
 
 
-def test_list_changes_are_applied_and_logged(lines):
-    harness = Harness()
+@pytest.fixture
+def harness():
+    return Harness()
+
+
+def test_list_changes_are_applied_and_logged(harness, lines):
     harness.state.on_replicas(contract.Snapshot((row("a", 1), row("b", 2)), 2))
     harness.state.on_replicas(contract.Changes((row("a", 3, "draining"),), ("servers/b",), 4, 4))
     assert [(each.replica.id, each.kind) for each in harness.list_changes] == [
@@ -84,17 +88,15 @@
     ]
 
 
-def test_undecodable_entry_does_not_affect_others(lines):
-    harness = Harness()
+def test_undecodable_entry_does_not_affect_others(harness, lines):
     broken = contract.Row("servers/x", "{}", 1)
     harness.state.on_replicas(contract.Snapshot((broken, row("a", 2)), 2))
     assert list(harness.list.by_id) == ["a"]
     assert ("replica_entry", "unread", "replica_entry_invalid") in [line[:3] for line in lines]
 
 
-def test_entry_that_becomes_invalid_is_logged_once_and_removes_its_replica(lines):
+def test_entry_that_becomes_invalid_is_logged_once_and_removes_its_replica(harness, lines):
     """Another program repeatedly overwrites a good entry with the same bad one."""
-    harness = Harness()
     harness.state.on_replicas(contract.Snapshot((row("a", 1), row("b", 2)), 2))
     for version in range(3, 8):
         bad = contract.Row("servers/a", "", version, "not UTF-8")
@@ -109,8 +111,7 @@
     ]
 
 
-def test_log_lines_about_bad_entries_are_limited(lines):
-    harness = Harness()
+def test_log_lines_about_bad_entries_are_limited(harness, lines):
     rows = tuple(contract.Row(f"servers/x{n}", "{}", n) for n in range(1, 500))
     harness.state.on_replicas(contract.Snapshot(rows, 500))
     assert (
@@ -128,8 +129,7 @@
     assert behind.state.read_document(REPLICAS) == ahead.state.read_document(REPLICAS)
 
 
-def test_configuration_that_is_not_text_leaves_the_former_in_force(lines):
-    harness = Harness()
+def test_configuration_that_is_not_text_leaves_the_former_in_force(harness, lines):
     harness.state.on_configuration(contract.Snapshot((config(1),), 1))
     bad = contract.Row("op/config", "", 2, "not UTF-8")
     harness.state.on_configuration(contract.Changes((bad,), (), 2, 2))
@@ -161,8 +161,7 @@
             assert each.address == Server.address
 
 
-def test_store_outage_and_recovery_are_logged_once(lines):
-    harness = Harness()
+def test_store_outage_and_recovery_are_logged_once(harness, lines):
     for outcome in (
         contract.Unavailable("status 503"),
         contract.Unavailable("status 503"),
@@ -185,8 +184,7 @@
     assert behind.state.read_document(REPLICAS) == ahead.state.read_document(REPLICAS)
 
 
-def test_outdated_document_from_a_peer_changes_nothing(lines):
-    harness = Harness()
+def test_outdated_document_from_a_peer_changes_nothing(harness, lines):
     harness.state.on_configuration(contract.Snapshot((config(3),), 9))
     harness.state.on_replicas(contract.Changes((row("a", 12),), (), 12, 12))
     harness.state.apply_document(CONFIGURATION, 2, config(2).value.encode())
@@ -195,8 +193,7 @@
     assert list(harness.list.by_id) == ["a"]
 
 
-def test_bad_configuration_is_logged_once_with_its_field(lines):
-    harness = Harness()
+def test_bad_configuration_is_logged_once_with_its_field(harness, lines):
     harness.state.on_configuration(contract.Snapshot((config(1),), 1))
     bad = contract.Row("op/config", json.dumps(site.manifest(2, routes=[{}])), 2)
     for _ in range(2):
@@ -208,8 +205,7 @@
     assert (harness.state.problem, harness.state.versions().configuration) == (None, 3)
 
 
-def test_evacuations_are_read_from_rows_and_logged_once(lines):
-    harness = Harness()
+def test_evacuations_are_read_from_rows_and_logged_once(harness, lines):
     evacuation_row = contract.Row("op/evacuate/a", "", 3)
     harness.state.on_configuration(contract.Snapshot((config(1), evacuation_row), 3))
     harness.state.on_configuration(contract.Snapshot((config(1), evacuation_row), 4))
@@ -222,8 +218,7 @@
     ]
 
 
-def test_evacuation_is_not_ended_by_a_peers_older_state(lines):
-    harness = Harness()
+def test_evacuation_is_not_ended_by_a_peers_older_state(harness, lines):
     evacuation_row = contract.Row("op/evacuate/a", "", 5)
     harness.state.on_configuration(contract.Changes((evacuation_row,), (), 5, 5))
     for state in (evacuations.Evacuations(), evacuations.Evacuations(4)):
@@ -243,9 +238,8 @@
     return {name: replica.is_leaving for name, replica in harness.list.by_id.items()}
 
 
-def test_list_of_a_restored_store_is_merged_with_the_known_state(lines):
+def test_list_of_a_restored_store_is_merged_with_the_known_state(harness, lines):
     """Leaving, departed and new servers are kept although a restored store lacks those writes."""
-    harness = Harness()
     listed = (row("old", 1), row("stops", 2), row("gone", 3))
     harness.state.on_replicas(contract.Snapshot(listed, 3))
     harness.state.on_replicas(
@@ -258,8 +252,7 @@
     assert names(harness) == {"old": False, "stops": False, "new": False}
 
 
-def test_rows_not_rewritten_are_removed_by_the_next_snapshot(lines):
-    harness = Harness()
+def test_rows_not_rewritten_are_removed_by_the_next_snapshot(harness, lines):
     harness.state.on_replicas(contract.Snapshot((row("a", 1), row("b", 2)), 2))
     harness.state.on_replicas(contract.Snapshot((row("a", 1),), in_era(1)))
     assert set(names(harness)) == {"a", "b"}
@@ -267,9 +260,8 @@
     assert set(names(harness)) == {"a"}
 
 
-def test_evacuation_lost_by_a_restored_store_holds_until_rewritten():
+def test_evacuation_lost_by_a_restored_store_holds_until_rewritten(harness):
     """A failure domain stays evacuated although a restored store lacks the evacuation."""
-    harness = Harness()
     evacuation_row = contract.Row("op/evacuate/a", "", 3)
     harness.state.on_configuration(contract.Snapshot((config(1),), 2))
     harness.state.on_configuration(contract.Changes((evacuation_row,), (), 3, 3))
@@ -280,8 +272,7 @@
     assert harness.evacuated == [["a"], []]
 
 
-def test_evacuation_not_rewritten_ends_with_the_next_snapshot():
-    harness = Harness()
+def test_evacuation_not_rewritten_ends_with_the_next_snapshot(harness):
     evacuation_row = contract.Row("op/evacuate/a", "", 3)
     harness.state.on_configuration(contract.Snapshot((config(1), evacuation_row), 3))
     harness.state.on_configuration(contract.Snapshot((config(1),), in_era(2)))
@@ -289,15 +280,13 @@
     assert harness.evacuated == [["a"], []]
 
 
-def test_configuration_of_a_restored_store_changes_nothing():
-    harness = Harness()
+def test_configuration_of_a_restored_store_changes_nothing(harness):
     harness.state.on_configuration(contract.Snapshot((config(4),), 4))
     harness.state.on_configuration(contract.Snapshot((config(2),), in_era(2)))
     assert harness.state.versions().configuration == 4
 
 
-def test_outcome_of_an_earlier_era_changes_nothing():
-    harness = Harness()
+def test_outcome_of_an_earlier_era_changes_nothing(harness):
     harness.state.on_replicas(contract.Snapshot((row("a", 1),), in_era(1)))
     harness.state.on_replicas(contract.Snapshot((row("b", 900),), 900))
     harness.state.on_replicas(contract.Changes((row("c", 901),), (), 901, 901))
--- a/tests/exchange/test_grantserver.py
+++ b/tests/exchange/test_grantserver.py
@@ -41,14 +41,17 @@
         self.server.on_progress(message, origin, SOURCE)
 
 
-def test_a_repeated_request_gets_the_same_response_and_reaches_the_scheduler_once():
-    owner = Owner()
+@pytest.fixture
+def owner():
+    return Owner()
+
+
+def test_a_repeated_request_gets_the_same_response_and_reaches_the_scheduler_once(owner):
     assert owner.request(1) == owner.request(1)
     assert len(owner.scheduler.grant_history) == 1
 
 
-def test_a_refusal_is_repeated_with_its_code():
-    owner = Owner()
+def test_a_refusal_is_repeated_with_its_code(owner):
     owner.scheduler.refuse = True
     assert owner.request(1).code == owner.request(1).code == "queue_full"
 
@@ -64,19 +67,17 @@
     assert owner.request(1).kind is KIND.GRANTED
 
 
-def test_a_request_that_arrives_after_its_release_is_not_granted():
+def test_a_request_that_arrives_after_its_release_is_not_granted(owner):
     # A requester abandoned its request, and the release overtook the request. If granted
     # now, the slot would be reserved but never used.
-    owner = Owner()
     owner.report(1, done=True)
     assert owner.request(1).code == grantserver.RETURNED
     assert not owner.scheduler.grant_history
 
 
-def test_a_release_during_the_decision_frees_what_the_scheduler_grants():
+def test_a_release_during_the_decision_frees_what_the_scheduler_grants(owner):
     # The release arrives on another thread while the scheduler decides. Without the
     # check afterwards the grant remains until it expires.
-    owner = Owner()
     decide = owner.scheduler.decide
 
     def decide_and_interfere(key, message):
@@ -126,22 +127,19 @@
     assert [key.holder for key in owner.scheduler.expired] == ["silent"]
 
 
-def test_grants_of_a_failed_node_expire_immediately():
-    owner = Owner()
+def test_grants_of_a_failed_node_expire_immediately(owner):
     owner.request(1)
     owner.server.expire_holder("a")
     assert not owner.scheduler.granted
 
 
-def test_grants_of_a_restarted_holder_expire_at_its_first_request():
-    owner = Owner()
+def test_grants_of_a_restarted_holder_expire_at_its_first_request(owner):
     owner.request(1, codec.Sender("a", 1))
     owner.request(1, codec.Sender("a", 2))
     assert [key.incarnation for key in owner.scheduler.expired] == [1]
 
 
-def test_a_new_owner_adopts_a_running_request_once():
-    owner = Owner()
+def test_a_new_owner_adopts_a_running_request_once(owner):
     owner.report(1, done=False)
     owner.report(1, done=False)
     assert len(owner.scheduler.adopted) == 1
@@ -150,8 +148,7 @@
     assert not owner.scheduler.granted
 
 
-def test_records_of_ended_requests_are_deleted_after_the_retention_time():
-    owner = Owner()
+def test_records_of_ended_requests_are_deleted_after_the_retention_time(owner):
     owner.request(1)
     owner.report(1, done=True)
     owner.clock.advance(grantserver.RECORD_RETENTION_S + 1)
@@ -281,9 +278,8 @@
     assert [owner.request(1).digests[0].digest for _ in digests] == digests
 
 
-def test_pace_of_a_grant_reaches_the_scheduler_also_with_its_release():
+def test_pace_of_a_grant_reaches_the_scheduler_also_with_its_release(owner):
     """A short response ends before its first progress report."""
-    owner = Owner()
     owner.request(1)
     released = messages.GrantRelease(1, 12, 8_000, 90)
     owner.server.on_progress(messages.Progress((), (released,)), ORIGIN, SOURCE)
--- a/tests/quarantine/test_partevidence.py
+++ b/tests/quarantine/test_partevidence.py
@@ -34,25 +34,27 @@
         return self.found
 
 
-def test_part_in_three_crashes_is_the_culprit_and_not_the_part_before_it():
+@pytest.fixture
+def ledger():
+    return Ledger()
+
+
+def test_part_in_three_crashes_is_the_culprit_and_not_the_part_before_it(ledger):
     """The beginning that all prompts of a route share is refused for a part that follows it."""
-    ledger = Ledger()
     for number in range(3):
         assert ledger.culprits() == {}
         ledger.crash((COMMON, FATAL), (COMMON, 100 + number))
     assert ledger.culprits() == {FATAL: CLINIC}
 
 
-def test_common_part_is_the_culprit_if_no_part_that_follows_explains_the_crashes():
-    ledger = Ledger()
+def test_common_part_is_the_culprit_if_no_part_that_follows_explains_the_crashes(ledger):
     for number in range(3):
         ledger.crash((COMMON, 100 + number))
     assert ledger.culprits() == {COMMON: CLINIC}
 
 
-def test_run_that_went_well_clears_its_parts():
+def test_run_that_went_well_clears_its_parts(ledger):
     """A sound part that many requests contain is in the batch of each crash."""
-    ledger = Ledger()
     for _ in range(10):
         ledger.crash((FATAL,), (OTHER,))
         ledger.evidence.went_well(OTHER, ledger.now + 0.5)
@@ -60,47 +62,41 @@
 
 
 @pytest.mark.parametrize(("crashes", "expected"), [(4, {}), (5, {OTHER: CLINIC})])
-def test_part_that_went_well_shortly_before_needs_more_crashes(crashes, expected):
-    ledger = Ledger()
+def test_part_that_went_well_shortly_before_needs_more_crashes(ledger, crashes, expected):
     for _ in range(crashes):
         ledger.crash((OTHER,))
         ledger.evidence.went_well(OTHER, 95.0)
     assert ledger.culprits() == expected
 
 
-def test_crashes_at_the_same_moment_count_as_one():
+def test_crashes_at_the_same_moment_count_as_one(ledger):
     """A failure domain loses power: a part that ran at each of its replicas is refused."""
-    ledger = Ledger()
     for _ in range(6):
         ledger.crash((FATAL,), gap_s=0.005)
     assert ledger.culprits() == {}
 
 
-def test_part_that_several_teams_sent_is_refused_for_all():
-    ledger = Ledger()
+def test_part_that_several_teams_sent_is_refused_for_all(ledger):
     for team in (CLINIC, CLINIC, COURT):
         ledger.crash((FATAL,), team=team)
     assert ledger.culprits() == {FATAL: partevidence.ALL_TEAMS}
 
 
-def test_part_that_one_team_sent_along_is_refused_for_that_team_only():
+def test_part_that_one_team_sent_along_is_refused_for_that_team_only(ledger):
     """A team sends another team's part along with what crashes replicas."""
-    ledger = Ledger()
     for number in range(3):
         ledger.crash((FATAL + number * 100, OTHER), team=COURT)
     assert ledger.culprits() == {OTHER: COURT}
 
 
-def test_two_culprits_at_a_time_are_both_found():
-    ledger = Ledger()
+def test_two_culprits_at_a_time_are_both_found(ledger):
     for number in range(6):
         ledger.crash((COMMON, (FATAL, OTHER)[number % 2]))
         ledger.culprits()
     assert ledger.culprits() == {FATAL: CLINIC, OTHER: CLINIC}
 
 
-def test_culprit_that_comes_back_after_an_hour_needs_three_crashes_again():
-    ledger = Ledger()
+def test_culprit_that_comes_back_after_an_hour_needs_three_crashes_again(ledger):
     for _ in range(3):
         ledger.crash((FATAL,))
     ledger.crash((FATAL,), gap_s=partevidence.EVIDENCE_TTL_S)
@@ -110,8 +106,7 @@
     assert ledger.culprits() == {FATAL: CLINIC}
 
 
-def test_reports_of_one_crash_from_several_instances_count_once():
-    ledger = Ledger()
+def test_reports_of_one_crash_from_several_instances_count_once(ledger):
     crash = crashledger.Crash(7, 99.8, 100.0)
     for number in range(10):
         late = crashledger.Crash(7, crash.sent_at + number / 1000, crash.at + number / 1000)
@@ -119,8 +114,7 @@
     assert ledger.evidence.count(FATAL) == 1
 
 
-def test_crashes_and_invented_parts_are_bounded():
-    ledger = Ledger()
+def test_crashes_and_invented_parts_are_bounded(ledger):
     for number in range(partevidence.MAX_CRASHES + 10):
         ledger.crash(tuple(range(1000 * number + 1, 1000 * number + 900)))
     assert ledger.evidence.crash_count == partevidence.MAX_CRASHES
@@ -128,9 +122,8 @@
     assert ledger.evidence.suspect_count == bound
 
 
-def test_part_that_was_in_as_many_crashes_waits_for_the_next_one():
+def test_part_that_was_in_as_many_crashes_waits_for_the_next_one(ledger):
     """A sound part is in the batches of the first three crashes, and goes well nowhere."""
-    ledger = Ledger()
     for _ in range(3):
         ledger.crash((COMMON, FATAL), (COMMON, OTHER))
         assert ledger.culprits() == {}
@@ -141,22 +134,19 @@
     assert ledger.culprits() == {FATAL: CLINIC}
 
 
-def test_parts_that_are_always_together_are_both_refused_after_five_crashes():
-    ledger = Ledger()
+def test_parts_that_are_always_together_are_both_refused_after_five_crashes(ledger):
     for _ in range(5):
         ledger.crash((COMMON, FATAL), (COMMON, OTHER))
     assert ledger.culprits() == {FATAL: CLINIC, OTHER: CLINIC}
 
 
-def test_common_part_with_few_that_follow_is_found_after_seven_crashes():
-    ledger = Ledger()
+def test_common_part_with_few_that_follow_is_found_after_seven_crashes(ledger):
     for number in range(7):
         ledger.crash((COMMON, 100 + number % 4))
     assert COMMON in ledger.culprits()
 
 
-def test_part_is_refused_for_all_once_it_crashed_a_replica_of_another_team():
-    ledger = Ledger()
+def test_part_is_refused_for_all_once_it_crashed_a_replica_of_another_team(ledger):
     for _ in range(3):
         ledger.crash((FATAL,))
     assert ledger.culprits() == {FATAL: CLINIC}
@@ -166,9 +156,8 @@
 
 @pytest.mark.parametrize("place", ["first", "in the middle", "next to the last"])
 @pytest.mark.parametrize("sends", [1, 2])
-def test_part_is_found_by_the_fifth_crash_wherever_it_is(place, sends):
+def test_part_is_found_by_the_fifth_crash_wherever_it_is(ledger, place, sends):
     """A request's second crash was taken for evidence against the part of its session."""
-    ledger = Ledger()
     for number in range(5):
         session = 100 + number // sends
         prompt = {
@@ -185,9 +174,8 @@
 
 
 @pytest.mark.parametrize("sends", [1, 2])
-def test_common_part_is_not_refused_for_one_that_follows_it_in_repeated_requests(sends):
+def test_common_part_is_not_refused_for_one_that_follows_it_in_repeated_requests(ledger, sends):
     """All prompts of a route would be refused for a part that some of them contain."""
-    ledger = Ledger()
     for number in range(9):
         request = 1 + number // sends
         ledger.crash((COMMON, FATAL, 100 + request), request=request)
@@ -195,9 +183,8 @@
     assert ledger.culprits() == {FATAL: CLINIC}
 
 
-def test_batches_of_sound_requests_that_are_sent_twice_are_not_refused():
+def test_batches_of_sound_requests_that_are_sent_twice_are_not_refused(ledger):
     """Sound runs are lost with the fatal one, sent again, and lost a second time."""
-    ledger = Ledger()
     for number in range(6):
         batch = number // 2
         ledger.crash((COMMON, FATAL, 100 + batch), request=1 + batch)
--- a/tests/replicas/test_replicalist.py
+++ b/tests/replicas/test_replicalist.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from hornbeamglade.replicas import models, replicalist
@@ -25,8 +26,12 @@
     return [(change.replica.id, change.kind) for change in changes]
 
 
-def test_changes_are_reported_once():
-    known = replicalist.ReplicaList()
+@pytest.fixture
+def known():
+    return replicalist.ReplicaList()
+
+
+def test_changes_are_reported_once(known):
     first = known.replace([replica("a"), replica("b")], 5)
     second = known.update([replica("a", leaving=True)], ["b"], 6)
     third = known.update([replica("a", leaving=True)], ["b"], 7)
@@ -36,12 +41,11 @@
     assert [known.is_usable(name) for name in ("a", "b")] == [False, False]
 
 
-def test_older_lists_and_changes_are_ignored():
+def test_older_lists_and_changes_are_ignored(known):
     """Guards against a list that arrives late from another instance.
 
     It would restore a removed replica, whose address may be in use by another service.
     """
-    known = replicalist.ReplicaList()
     known.replace([replica("a")], 5)
     known.update([], ["a"], 8)
     assert known.replace([replica("a")], 7) == ()
@@ -49,8 +53,7 @@
     assert known.by_id == {}
 
 
-def test_removed_replica_remains_known_as_departed():
-    known = replicalist.ReplicaList()
+def test_removed_replica_remains_known_as_departed(known):
     known.replace([replica("a")], 1)
     known.update([], ["a"], 2)
     assert list(known.departed_by_id) == ["a"]
@@ -58,26 +61,23 @@
     assert known.departed_by_id == {}
 
 
-def test_other_changes_of_an_entry_are_reported_as_changed():
-    known = replicalist.ReplicaList()
+def test_other_changes_of_an_entry_are_reported_as_changed(known):
     known.replace([replica("a")], 1)
     warmer = dataclasses.replace(replica("a"), warm_in_s=0.5)
     assert changed(known.update([warmer], [], 2)) == [("a", "changed")]
 
 
-def test_replicas_are_found_by_service():
-    known = replicalist.ReplicaList()
+def test_replicas_are_found_by_service(known):
     known.replace([replica("b"), replica("a"), replica("c", service="web")], 1)
     assert [each.id for each in known.of_service("llm")] == ["a", "b"]
     assert known.of_service("none") == ()
 
 
-def test_restarted_server_is_another_replica():
+def test_restarted_server_is_another_replica(known):
     """Guards against an engine that is never used again after a restart with the same name.
 
     Instances that knew of its stop took the restarted engine for the leaving one.
     """
-    known = replicalist.ReplicaList()
     known.update([replica("a", started_ms=5, leaving=True)], [], 1)
     changes = known.update([replica("a", started_ms=6)], [], 2)
     assert changed(changes) == [("a@5", "restarted"), ("a@6", "added")]
@@ -85,23 +85,20 @@
     assert known.departed_by_id == {}
 
 
-def test_late_entry_of_a_previous_incarnation_is_ignored():
-    known = replicalist.ReplicaList()
+def test_late_entry_of_a_previous_incarnation_is_ignored(known):
     known.update([replica("a", started_ms=6)], [], 1)
     assert known.update([replica("a", started_ms=5)], [], 2) == ()
     assert known.replace([replica("a", started_ms=5)], 3) == ()
     assert list(known.by_id) == ["a@6"]
 
 
-def test_entry_without_start_time_is_unread_after_an_entry_with_one():
-    known = replicalist.ReplicaList()
+def test_entry_without_start_time_is_unread_after_an_entry_with_one(known):
     known.update([replica("a", started_ms=6)], [], 1)
     assert changed(known.update([replica("a")], [], 2)) == [("a@6", "unread")]
     assert changed(known.update([replica("a", started_ms=6)], [], 3)) == [("a@6", "added")]
 
 
-def test_replica_with_a_malformed_entry_is_unusable_until_the_entry_is_valid():
-    known = replicalist.ReplicaList()
+def test_replica_with_a_malformed_entry_is_unusable_until_the_entry_is_valid(known):
     known.replace([replica("a"), replica("b")], 1)
     assert changed(known.update([], [], 2, ["a"])) == [("a", "unread")]
     assert (known.is_usable("a"), known.is_usable("b")) == (False, True)
@@ -109,8 +106,7 @@
     assert changed(known.replace([replica("a"), replica("b")], 3)) == [("a", "added")]
 
 
-def test_no_entry_takes_back_that_a_replica_has_stated_that_it_is_leaving():
-    known = replicalist.ReplicaList()
+def test_no_entry_takes_back_that_a_replica_has_stated_that_it_is_leaving(known):
     known.replace([replica("a"), replica("b")], 1)
     assert changed(known.record_leaving("a")) == [("a", "leaving")]
     assert known.record_leaving("a") == ()
@@ -121,16 +117,14 @@
     assert [known.is_usable(name) for name in ("a", "b")] == [False, True]
 
 
-def test_leaving_stated_by_a_previous_incarnation_does_not_concern_the_next_one():
-    known = replicalist.ReplicaList()
+def test_leaving_stated_by_a_previous_incarnation_does_not_concern_the_next_one(known):
     known.update([replica("a", started_ms=5)], [], 1)
     known.update([replica("a", started_ms=6)], [], 2)
     assert known.record_leaving("a@5") == ()
     assert known.is_usable("a@6")
 
 
-def test_number_of_unlisted_replicas_known_as_leaving_is_bounded():
-    known = replicalist.ReplicaList()
+def test_number_of_unlisted_replicas_known_as_leaving_is_bounded(known):
     known.replace([replica("a")], 1)
     known.record_leaving("a")
     for number in range(replicalist.MAX_LEAVING_UNLISTED + 1):
