http1: a caller that leaves while it is refused is no internal error

Where a caller reset its connection between the refusal of its request and the end of sending, closing that side failed with an OSError, which was logged as internal_error. The transport reports the reset anyway. The new test failed before.

--- a/hornbeamglade/http1/responsewriter.py
+++ b/hornbeamglade/http1/responsewriter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import http
 
 from hornbeamglade.http1 import buffermemory, callerrequests, sockets
@@ -122,7 +123,9 @@
             b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\n"
             b"Content-Length: 0\r\nConnection: close\r\n\r\n" % MEMORY_RETRY_S
         )
-        self._transport.write_eof()
+        # The caller may have reset the connection in between, which the transport then reports.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
 
     def unsent_bytes(self) -> int:
         """Return the bytes in the write buffer."""
--- a/tests/http1/test_slowreaders.py
+++ b/tests/http1/test_slowreaders.py
@@ -1,6 +1,7 @@
 """The memory that callers' connections hold, and what happens at its bound."""
 
 import asyncio
+import errno
 import socket
 
 import pytest
@@ -122,6 +123,25 @@
     assert (handler.bodies, handler.refused_bodies) == ([], [2_000_000])
 
 
+async def test_caller_that_resets_the_connection_of_a_refusal_is_no_internal_error(monkeypatch):
+    """Guards against an alarm that callers can raise by leaving."""
+
+    def raise_reset(_transport):
+        raise OSError(errno.ENOTCONN, "not connected")
+
+    transport = asyncio.selector_events._SelectorSocketTransport
+    monkeypatch.setattr(transport, "write_eof", raise_reset)
+    site = Site(1_000_000)
+    failures = []
+    site.handler.failed = failures.append
+    await site.listen()
+    client = await site.call(framing=b"Content-Length: 2000000")
+    assert (await client.answer())[0] == 503
+    await asyncio.sleep(0.01)
+    assert failures == []
+    site.server.stop_listening()
+
+
 def test_chunked_body_is_refused_where_it_exceeds_the_bound():
     """A body without a length would otherwise bypass the bound."""
 
