localsite: a partition that hangs does not reset connections that wait to be accepted

Cause: the proxy closed its listener when a partition began, and the kernel reset the connections that its busy thread had not accepted yet. For their client they were open and the request was sent, so a request that may run only once ended with 502, where a silent server resets nothing. The stand-in was at fault. A connection that was being joined to its server at that moment was not stalled at all.

Change: the listener stays open with a full backlog, and its thread stops accepting; after the partition the waiting connections are served. A connection counts as open once it is accepted.

--- a/hornbeamglade/localsite/tcpproxy.py
+++ b/hornbeamglade/localsite/tcpproxy.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import enum
+import select
 import socket
 import struct
 import threading
@@ -48,8 +49,8 @@
         # listen refuses connections.
         self._reservation = _bound_socket(0)
         self._port = self._reservation.getsockname()[1]
-        self._listener = _bound_socket(self._port)
-        self._listener.listen(_BACKLOG)
+        self._listener: socket.socket | None = None
+        self._stop_signal: socket.socket | None = None
         self._fillers: list[socket.socket] = []
         self._is_partitioned = False
         self._is_target_down = False
@@ -64,7 +65,7 @@
         self._lock = threading.Lock()
         self.refuse = False
         self.responses_held = 0
-        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+        self._listen()
 
     @property
     def address(self) -> str:
@@ -73,44 +74,73 @@
 
     def partition(self, how: Partition) -> None:
         """Partition clients from the server until :meth:`release`."""
-        self._is_partitioned = True
-        self._stop_listening()
+        with self._lock:
+            self._is_partitioned = True
+            self._stop_accepting()
+            if how is Partition.HANG:
+                self._fill_backlog()
+            else:
+                self._stop_listening()
         if how is Partition.HANG:
-            self._listen(backlog=0)
-            # Further attempts to connect get no response once the backlog is full.
-            for _ in range(_FILLERS):
-                filler = socket.socket()
-                filler.setblocking(False)
-                filler.connect_ex(("127.0.0.1", self._port))
-                self._fillers.append(filler)
             self.stall()
         elif how is Partition.RESET:
             self.reset_connections()
 
-    def _listen(self, backlog: int) -> None:
-        self._listener = _bound_socket(self._port)
-        self._listener.listen(backlog)
-
-    def _stop_listening(self) -> None:
+    def _fill_backlog(self) -> None:
+        """Let attempts to connect get no response, which they get only while the backlog has room.
+
+        The listener stays open: closing it would reset the connections that wait in its backlog.
+        """
+        if self._listener is None:
+            self._listener = _bound_socket(self._port)
+        self._listener.listen(0)
+        for _ in range(_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self._port))
+            self._fillers.append(filler)
+
+    def _close_fillers(self) -> None:
         for filler in self._fillers:
-            filler.close()
+            _reset(filler)
         self._fillers.clear()
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+
+    def _listen(self) -> None:
+        """Accept connections, also those that wait in the backlog."""
+        self._close_fillers()
+        if self._listener is None:
+            self._listener = _bound_socket(self._port)
+        self._listener.setblocking(False)
+        self._listener.listen(_BACKLOG)
+        stopped, self._stop_signal = socket.socketpair()
+        threading.Thread(
+            target=self._accept, args=(self._listener, stopped, self._stop_signal), daemon=True
+        ).start()
+
+    def _stop_accepting(self) -> None:
+        if self._stop_signal is not None:
+            self._stop_signal.close()
+            self._stop_signal = None
+
+    def _stop_listening(self) -> None:
+        self._stop_accepting()
+        self._close_fillers()
+        if self._listener is not None:
+            # Closing alone has no effect until the thread that waits for connections ends.
+            with contextlib.suppress(OSError):
+                self._listener.shutdown(socket.SHUT_RDWR)
+            self._listener.close()
+            self._listener = None
 
     def _end_partition(self) -> None:
-        if not self._is_partitioned:
-            return
-        self._stop_listening()
         with self._lock:
+            if not self._is_partitioned:
+                return
             self._is_partitioned = False
-            if not self._is_target_down:
-                self._accept_again()
-
-    def _accept_again(self) -> None:
-        self._listen(_BACKLOG)
-        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+            if self._is_target_down:
+                self._stop_listening()
+            else:
+                self._listen()
 
     def _check_target(self) -> None:
         """Refuse connections from now on if nothing listens at the target, as its machine does."""
@@ -130,7 +160,7 @@
         with self._lock:
             self._is_target_down = False
             if not self._is_partitioned and not self._is_closed:
-                self._accept_again()
+                self._listen()
 
     def _is_target_listening(self) -> bool:
         try:
@@ -183,29 +213,54 @@
         self.release()
         with self._lock:
             self._is_closed = True
-        self._stop_listening()
+            self._stop_listening()
         self._reservation.close()
         self.reset_connections()
 
-    def _accept(self, listener: socket.socket) -> None:
-        while True:
-            try:
-                client, _ = listener.accept()
-            except OSError:
-                return
-            if self.refuse:
-                _reset(client)
-                continue
-            try:
-                server = socket.create_connection(self._target)
-            except OSError:
-                self._check_target()
-                _reset(client)
-                continue
-            with self._lock:
-                self._sockets |= {client, server}
-            threading.Thread(target=self._relay, args=(client, server, False), daemon=True).start()
-            threading.Thread(target=self._relay, args=(server, client, True), daemon=True).start()
+    def _accept(
+        self, listener: socket.socket, stopped: socket.socket, stop_signal: socket.socket
+    ) -> None:
+        poller = select.poll()
+        poller.register(listener, select.POLLIN)
+        poller.register(stopped, select.POLLIN)
+        with stopped:
+            while True:
+                poller.poll()
+                with self._lock:
+                    if self._stop_signal is not stop_signal:
+                        return
+                    try:
+                        client, _ = listener.accept()
+                    except BlockingIOError:
+                        continue
+                    except OSError:
+                        return
+                    # From here on a partition affects it, although it has no server yet.
+                    self._sockets.add(client)
+                self._serve(client)
+
+    def _serve(self, client: socket.socket) -> None:
+        if self.refuse or not _is_connected(client):
+            self._forget(client)
+            return
+        try:
+            server = socket.create_connection(self._target)
+        except OSError:
+            self._check_target()
+            self._forget(client)
+            return
+        with self._lock:
+            self._sockets.add(server)
+            if client in self._stalled:
+                self._stalled |= {server}
+        threading.Thread(target=self._relay, args=(client, server, False), daemon=True).start()
+        threading.Thread(target=self._relay, args=(server, client, True), daemon=True).start()
+
+    def _forget(self, client: socket.socket) -> None:
+        """Reset a connection that has no server."""
+        with self._lock:
+            self._sockets.discard(client)
+        _reset(client)
 
     def _relay(self, source: socket.socket, sink: socket.socket, is_response: bool) -> None:
         try:
@@ -275,6 +330,15 @@
     return bound
 
 
+def _is_connected(connection: socket.socket) -> bool:
+    """Return whether a client is still there; fillers, for example, are not."""
+    try:
+        connection.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 def _reset(connection: socket.socket) -> None:
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/tests/localsite/test_tcpproxy.py
+++ b/tests/localsite/test_tcpproxy.py
@@ -1,6 +1,7 @@
-"""The port of a proxy during a partition."""
+"""The port and the connections of a proxy during a partition."""
 
 import socket
+import threading
 
 import pytest
 
@@ -31,3 +32,55 @@
     finally:
         proxy.close()
         server.close()
+
+
+def test_connections_that_wait_to_be_accepted_stall_and_are_not_reset(monkeypatch):
+    """A busy proxy reset a new connection as its server fell silent, and a request was lost."""
+    connect = socket.create_connection
+    is_released = threading.Event()
+
+    def slow_connect(*args):
+        is_released.wait()
+        return connect(*args)
+
+    monkeypatch.setattr(tcpproxy.socket, "create_connection", slow_connect)
+    server = socket.create_server(("127.0.0.1", 0))
+    proxy = tcpproxy.TcpProxy(f"127.0.0.1:{server.getsockname()[1]}")
+    host, _, port = proxy.address.rpartition(":")
+    clients = []
+    try:
+        for _ in range(3):
+            clients.append(connect((host, int(port))))
+            clients[-1].sendall(b"x")
+        proxy.partition(tcpproxy.Partition.HANG)
+        is_released.set()
+        server.settimeout(0.3)
+        accepted = []
+        with pytest.raises(TimeoutError):
+            while True:
+                accepted.append(server.accept()[0])
+                accepted[-1].settimeout(0.1)
+                with pytest.raises(TimeoutError):
+                    accepted[-1].recv(1)
+        for client in clients:
+            client.settimeout(0.1)
+            with pytest.raises(TimeoutError):
+                client.recv(1)
+        with pytest.raises(TimeoutError):
+            connect((host, int(port)), 0.3)
+        proxy.release()
+        server.settimeout(5)
+        accepted += [server.accept()[0] for _ in range(len(clients) - len(accepted))]
+        for each in accepted:
+            each.settimeout(5)
+            assert each.recv(1) == b"x"
+            each.sendall(b"y")
+        for client in clients:
+            client.settimeout(5)
+            assert client.recv(1) == b"y"
+    finally:
+        is_released.set()
+        for client in clients:
+            client.close()
+        proxy.close()
+        server.close()
