--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,9 +40,9 @@
     """Run a coroutine test on an event loop of its own."""
     if not inspect.iscoroutinefunction(pyfuncitem.obj):
         return None
-    # Names of fixtures that the test uses by a mark only are not arguments.
-    names = pyfuncitem._fixtureinfo.argnames
-    eventloop.run(pyfuncitem.obj(**{name: pyfuncitem.funcargs[name] for name in names}))
+    # Fixtures that the test uses by a mark only are no arguments.
+    arguments = {name: pyfuncitem.funcargs[name] for name in pyfuncitem._fixtureinfo.argnames}
+    eventloop.run(pyfuncitem.obj(**arguments))
     return True
 
 
--- a/tests/entry/test_floods.py
+++ b/tests/entry/test_floods.py
@@ -71,10 +71,9 @@
 
 
 @pytest.mark.parametrize("name", ["interim", "chunks", "field_lines", "body"])
-def test_sound_answers_are_not_late_while_an_engine_sends_bytes_without_end(name):
+async def test_sound_answers_are_not_late_while_an_engine_sends_bytes_without_end(name):
     """One caller's broken answer would hold up all answers of its instance."""
-
-    async def test(site):
+    async with entrysite.started(engines=2, services=2) as site:
         node = site.nodes[0]
         before = await time_answers(node)
         for engine in site.engines:
@@ -85,9 +84,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.wait(tasks)
-        return before, meanwhile, sum(len(engine.ledger) for engine in site.engines)
-
-    before, meanwhile, flooded = entrysite.run(test, engines=2, services=2)
+        flooded = sum(len(engine.ledger) for engine in site.engines)
     assert flooded >= FLOODING
     assert percentile(meanwhile, 0.99) <= percentile(before, 0.99) + LATE_S
 
@@ -128,10 +125,9 @@
 
 
 @pytest.mark.parametrize("bound_bytes", [None, 6_000_000])
-def test_events_that_do_not_end_are_counted_and_held_within_the_bound(bound_bytes):
+async def test_events_that_do_not_end_are_counted_and_held_within_the_bound(bound_bytes):
     """Each stream held up to the longest event beside what was counted."""
-
-    async def test(site):
+    async with entrysite.started(engines=2) as site:
         node = site.nodes[0]
         node.instance.memory.bound_bytes = bound_bytes
         for engine in site.engines:
@@ -141,25 +137,19 @@
         for client in clients:
             client.close()
         await eventloop.until(lambda: not node.instance.memory.held_bytes)
-        return most
-
-    most = entrysite.run(test, engines=2)
     received = STREAMS * (EVENT_BYTES if bound_bytes is None else responseroom.UNCHECKED_BYTES)
     assert received < most <= (bound_bytes or most)
 
 
-def test_long_events_that_wait_for_room_arrive_whole():
+async def test_long_events_that_wait_for_room_arrive_whole():
     """Streams that wait for each other's room would all be broken off."""
-
-    async def test(site):
+    async with entrysite.started(engines=2) as site:
         node = site.nodes[0]
         node.instance.memory.bound_bytes = 6_000_000
         for engine in site.engines:
             holding_back(engine, EVENT_BYTES, ends_event=True)
         clients = await begin_streams(node)
-        return [await client.answer() for client in clients]
-
-    answers = entrysite.run(test, engines=2)
+        answers = [await client.answer() for client in clients]
     assert [(status, len(body)) for status, _, body in answers] == STREAMS * [
         (200, EVENT_BYTES + 2)
     ]
--- a/tests/entry/test_partitions.py
+++ b/tests/entry/test_partitions.py
@@ -34,10 +34,9 @@
 
 
 @pytest.mark.parametrize("how", tcpproxy.Partition)
-def test_instance_partitioned_from_all_replicas_serves_every_first_try(how):
+async def test_instance_partitioned_from_all_replicas_serves_every_first_try(how):
     """Guards against own connections as the only path to replicas that others reach."""
-
-    async def test(site):
+    async with entrysite.started(**SHAPE) as site:
         cut = site.nodes[0]
         await send_steadily(cut, 1.0, "before")
         site.partition(cut, how)
@@ -45,24 +44,20 @@
         await asyncio.sleep(CONTACT_S)
         statuses = await send_steadily(cut, 2.0, "after")
         during.cancel()
-        return statuses
-
-    assert set(entrysite.run(test, **SHAPE)) == {200}
+        assert set(statuses) == {200}
 
 
 @pytest.mark.parametrize("how", tcpproxy.Partition)
-def test_idle_instance_notices_a_partition_with_its_first_requests(how):
-    async def test(site):
+async def test_idle_instance_notices_a_partition_with_its_first_requests(how):
+    async with entrysite.started(**SHAPE) as site:
         cut = site.nodes[0]
         site.partition(cut, how)
         await asyncio.sleep(CONTACT_S)
-        return await send_steadily(cut, 1.0, "after")
+        assert set(await send_steadily(cut, 1.0, "after")) == {200}
 
-    assert set(entrysite.run(test, **SHAPE)) == {200}
 
-
-def test_most_instances_of_a_site_may_be_partitioned_at_the_same_time():
-    async def test(site):
+async def test_most_instances_of_a_site_may_be_partitioned_at_the_same_time():
+    async with entrysite.started(**SHAPE) as site:
         for cut in site.nodes[:-1]:
             site.partition(cut, tcpproxy.Partition.HANG)
         during = asyncio.gather(
@@ -73,14 +68,12 @@
             *(send_steadily(cut, 1.0, f"{cut.settings.name}.") for cut in site.nodes[:-1])
         )
         during.cancel()
-        return [status for statuses in answers for status in statuses]
-
-    statuses = entrysite.run(test, **SHAPE)
+        statuses = [status for statuses in answers for status in statuses]
     assert statuses.count(200) >= 0.95 * len(statuses)
 
 
-def test_instance_uses_its_own_connections_again_after_a_partition():
-    async def test(site):
+async def test_instance_uses_its_own_connections_again_after_a_partition():
+    async with entrysite.started(**SHAPE) as site:
         cut = site.nodes[0]
         site.partition(cut, tcpproxy.Partition.HANG)
         await send_steadily(cut, CONTACT_S, "during")
@@ -88,44 +81,35 @@
         await send_steadily(cut, 2.0, "healing")
         for other in site.nodes[1:]:
             await other.stop()
-        return await send_steadily(cut, 0.4, "after", paths=(PLAIN, SINGLE))
+        assert set(await send_steadily(cut, 0.4, "after", paths=(PLAIN, SINGLE))) == {200}
 
-    assert set(entrysite.run(test, **SHAPE)) == {200}
 
-
-def test_dead_server_is_told_from_a_partition():
+async def test_dead_server_is_told_from_a_partition():
     """A server that nobody reaches is down; the others serve without delay."""
-
-    async def test(site):
+    async with entrysite.started(**SHAPE) as site:
         await site.services[0].stop()
         began_at = asyncio.get_running_loop().time()
         statuses = [await send(site.nodes[0], PLAIN, f"r{number}") for number in range(20)]
-        return statuses, asyncio.get_running_loop().time() - began_at
-
-    statuses, took_s = entrysite.run(test, **SHAPE)
+        took_s = asyncio.get_running_loop().time() - began_at
     assert set(statuses) == {200}
     assert took_s < 1.0
 
 
-def test_partition_does_not_count_as_a_crash_of_the_replicas():
+async def test_partition_does_not_count_as_a_crash_of_the_replicas():
     """Requests whose connections are refused by a partition are not blamed for crashes."""
-
-    async def test(site):
+    async with entrysite.started(**SHAPE) as site:
         cut = site.nodes[0]
         for number in range(6):
             site.partition(cut, tcpproxy.Partition.RESET)
             await send_steadily(cut, 0.4, f"same{number}", paths=(PLAIN,))
             site.heal(cut)
             await send_steadily(cut, 0.2, f"heal{number}", paths=(PLAIN,))
-        return [node.instance.quarantine.quarantined_count for node in site.nodes]
-
-    assert entrysite.run(test, **SHAPE) == [0] * 4
+        assert [node.instance.quarantine.quarantined_count for node in site.nodes] == [0] * 4
 
 
-def test_silence_on_one_kept_connection_saves_the_requests_on_the_others():
+async def test_silence_on_one_kept_connection_saves_the_requests_on_the_others():
     """Guards against requests on one dead connection after the other."""
-
-    async def test(site):
+    async with entrysite.started(**(SHAPE | {"services": 1})) as site:
         cut = site.nodes[0]
         site.services[0].faults = routedfaults.RoutedFaults(delay_s=0.1)
         await asyncio.gather(*(send(cut, SINGLE, f"keep{number}") for number in range(4)))
@@ -134,17 +118,15 @@
         await asyncio.sleep(0.8)
         statuses = [await send(cut, SINGLE, f"r{number}") for number in range(3)]
         lost.cancel()
-        return statuses
-
-    assert entrysite.run(test, **(SHAPE | {"services": 1})) == [200] * 3
+        assert statuses == [200] * 3
 
 
 def relayed_count(node):
     return node.instance.tunneling.relayed_count
 
 
-def test_leaving_instance_completes_relayed_streams_and_relays_no_further_ones():
-    async def test(site):
+async def test_leaving_instance_completes_relayed_streams_and_relays_no_further_ones():
+    async with entrysite.started(**(SHAPE | {"events": 30, "gap_s": 0.1})) as site:
         cut, *others = site.nodes
         site.partition(cut, tcpproxy.Partition.RESET)
         client = await cut.request(SINGLE_STREAM, more=entrysite.USAGE)
@@ -156,22 +138,20 @@
         statuses = await asyncio.gather(*(send(cut, PLAIN, f"r{number}") for number in range(8)))
         relayed = relayed_count(relay)
         events = await client.reader.readuntil(b"0\r\n\r\n")
-        return set(statuses), relayed, events.count(b"data:")
-
-    statuses, relayed, events = entrysite.run(test, **(SHAPE | {"events": 30, "gap_s": 0.1}))
+        statuses = set(statuses)
+        events = events.count(b"data:")
     assert statuses == {200}
     assert relayed == 1
     assert events == 30
 
 
-def test_caller_s_disconnect_ends_the_run_behind_a_tunnel():
-    async def test(site):
+async def test_caller_s_disconnect_ends_the_run_behind_a_tunnel():
+    async with entrysite.started(**(SHAPE | {"events": 200})) as site:
         cut = site.nodes[0]
         site.partition(cut, tcpproxy.Partition.RESET)
         client = await cut.request(SINGLE_STREAM, more=entrysite.USAGE)
         await client.head()
         client.close()
         await asyncio.sleep(0.5)
-        return [run.is_alive for engine in site.engines for run in engine.run_by_id.values()]
-
-    assert entrysite.run(test, **(SHAPE | {"events": 200})) == [False]
+        (run,) = (run for engine in site.engines for run in engine.run_by_id.values())
+        assert not run.is_alive
--- a/tests/entry/test_silence.py
+++ b/tests/entry/test_silence.py
@@ -36,23 +36,22 @@
 
 
 @pytest.mark.parametrize("path", [STREAM, SINGLE_STREAM])
-def test_streams_at_a_silent_engine_are_complete_and_run_once(path):
-    async def test(site):
+async def test_streams_at_a_silent_engine_are_complete_and_run_once(path):
+    async with entrysite.started(**SHAPE) as site:
         tasks = [
             asyncio.ensure_future(answer(site.nodes[number % 2], path, number))
             for number in range(8)
         ]
         await asyncio.sleep(0.5)
         await silence(site, site.engines[0])
-        return await asyncio.gather(*tasks), runs_by_id(site.engines)
-
-    answers, runs = entrysite.run(test, **SHAPE)
+        answers = await asyncio.gather(*tasks)
+        runs = runs_by_id(site.engines)
     assert answers == [(200, 40)] * 8
     assert set(runs.values()) == {1}
 
 
-def test_silent_server_is_not_taken_for_crashed_partitioned_or_leaving():
-    async def test(site):
+async def test_silent_server_is_not_taken_for_crashed_partitioned_or_leaving():
+    async with entrysite.started(**SHAPE) as site:
         tasks = []
         silent = asyncio.ensure_future(
             asyncio.gather(silence(site, site.services[0]), silence(site, site.engines[0]))
@@ -72,19 +71,18 @@
             )
             for node in site.nodes
         ]
-        return statuses, states, runs_by_id((*site.engines, *site.services))
-
-    statuses, states, runs = entrysite.run(test, **SHAPE)
+        runs = runs_by_id((*site.engines, *site.services))
     assert statuses == {200}
     assert states == [(0, 0, 2)] * 2
     assert set(runs.values()) == {1}
 
 
 @pytest.mark.parametrize("path", [PLAIN, SINGLE])
-def test_servers_that_are_silent_to_all_until_another_instance_is_asked_are_not_partitioned(path):
+async def test_servers_that_are_silent_to_all_until_another_instance_is_asked_are_not_partitioned(
+    path,
+):
     """Guards against a path that counts as partitioned when no later request tries it again."""
-
-    async def test(site):
+    async with entrysite.started(**SHAPE) as site:
         silent = asyncio.ensure_future(
             asyncio.gather(*(silence(site, service) for service in site.services))
         )
@@ -92,6 +90,5 @@
         status, _ = await answer(site.nodes[0], path, 0)
         await silent
         await asyncio.sleep(1.0)
-        return status, [node.instance.tunneling.paths.detoured_count for node in site.nodes]
-
-    assert entrysite.run(test, **SHAPE) == (200, [0, 0])
+        detoured = [node.instance.tunneling.paths.detoured_count for node in site.nodes]
+    assert (status, detoured) == (200, [0, 0])
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -68,33 +68,27 @@
     return True
 
 
-def test_lost_stream_goes_on_only_at_an_engine_of_its_version():
+async def test_lost_stream_goes_on_only_at_an_engine_of_its_version():
     """An engine crashes: its streams go on at an engine of another software version."""
-
-    async def test(site):
+    async with entrysite.started(engines=4, events=EVENTS) as site:
         list_versions(site, ("v1", "v2", "v2", "v1"))
         clients = await begin(site)
         await site.engines[0].stop()
         are_whole = [await read_to_end(client) for client in clients]
-        return are_whole, [runs_of(site, f"r{n}") for n in range(COUNT)]
-
-    are_whole, runs = entrysite.run(test, engines=4, events=EVENTS)
+        runs = [runs_of(site, f"r{n}") for n in range(COUNT)]
     assert {tuple(each) for each in runs if each[0] == 0} == {(0, 3)}
     assert are_whole == [True] * COUNT
 
 
-def test_lost_stream_is_broken_off_if_no_engine_of_its_version_is_left():
+async def test_lost_stream_is_broken_off_if_no_engine_of_its_version_is_left():
     """The last engine of a version crashes: its streams go on at another version."""
-
-    async def test(site):
+    async with entrysite.started(events=EVENTS) as site:
         list_versions(site, ("v1", "v2"))
         clients = await begin(site)
         began = [runs_of(site, f"r{n}")[0] for n in range(COUNT)]
         await site.engines[0].stop()
         are_whole = [await read_to_end(client) for client in clients]
-        return began, are_whole, [runs_of(site, f"r{n}") for n in range(COUNT)]
-
-    began, are_whole, runs = entrysite.run(test, events=EVENTS)
+        runs = [runs_of(site, f"r{n}") for n in range(COUNT)]
     assert runs == [[engine] for engine in began]
     assert are_whole == [engine == 1 for engine in began]
 
@@ -124,8 +118,8 @@
     assert are_whole == [True] * COUNT
 
 
-def test_run_stays_at_a_leaving_engine_if_its_version_has_no_other():
-    async def test(site):
+async def test_run_stays_at_a_leaving_engine_if_its_version_has_no_other():
+    async with entrysite.started(events=EVENTS) as site:
         list_versions(site, ("v1", "v2"))
         clients = await begin(site, path="/draft/1")
         began = [runs_of(site, f"r{n}")[0] for n in range(COUNT)]
@@ -134,9 +128,6 @@
         site.read_store()
         are_whole = [await read_to_end(client) for client in clients]
         moved = [n for n in range(COUNT) if f"r{n}" in site.engines[1].run_by_id]
-        return began, moved, are_whole
-
-    began, moved, are_whole = entrysite.run(test, events=EVENTS)
     assert moved == [n for n in range(COUNT) if began[n] == 1]
     assert are_whole == [True] * COUNT
 
@@ -147,10 +138,9 @@
     await asyncio.sleep(0.1)
 
 
-def test_caller_takes_a_stream_up_only_at_the_version_that_began_it():
+async def test_caller_takes_a_stream_up_only_at_the_version_that_began_it():
     """A caller takes its stream up at other instances, twice: it goes on at another version."""
-
-    async def test(site):
+    async with entrysite.started(nodes=3, engines=4, events=EVENTS) as site:
         list_versions(site, ("v1", "v2", "v1", "v2"))
         await cut(await begin(site))
         statuses = []
@@ -158,17 +148,13 @@
             statuses.append((await take_up(site, f"r{n}", 20, f"second{n}", node=1))[0])
             statuses.append((await take_up(site, f"r{n}", 40, f"third{n}", node=2))[0])
         runs = [runs_of(site, f"r{n}", f"second{n}", f"third{n}") for n in range(COUNT)]
-        return statuses, runs
-
-    statuses, runs = entrysite.run(test, nodes=3, engines=4, events=EVENTS)
     assert statuses == [200] * 2 * COUNT
     assert all(len({engine % 2 for engine in each}) == 1 for each in runs), runs
 
 
-def test_stream_is_taken_up_though_the_instance_that_began_it_is_gone():
+async def test_stream_is_taken_up_though_the_instance_that_began_it_is_gone():
     """An instance is killed: its callers' streams go on at another version at the others."""
-
-    async def test(site):
+    async with entrysite.started(nodes=4, engines=4, events=EVENTS) as site:
         list_versions(site, ("v1", "v2", "v1", "v2"))
         await begin(site)
         await asyncio.sleep(0.4)
@@ -177,37 +163,30 @@
             (await take_up(site, f"r{n}", 20, f"second{n}", node=1 + n % 3))[0]
             for n in range(COUNT)
         ]
-        return statuses, [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
-
-    statuses, runs = entrysite.run(test, nodes=4, engines=4, events=EVENTS)
+        runs = [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
     assert statuses == [200] * COUNT
     assert all(len({engine % 2 for engine in each}) == 1 for each in runs), runs
 
 
-def test_stream_of_unknown_beginning_is_refused_while_versions_differ():
+async def test_stream_of_unknown_beginning_is_refused_while_versions_differ():
     """A stream that no instance knows is taken up: it goes on at a version that was guessed."""
-
-    async def test(site):
+    async with entrysite.started() as site:
         list_versions(site, ("v1", "v2"))
         answers = [await take_up(site, f"nobody{n}", 20, f"r{n}") for n in range(COUNT)]
-        return answers, [runs_of(site, f"r{n}") for n in range(COUNT)]
-
-    answers, runs = entrysite.run(test)
+        runs = [runs_of(site, f"r{n}") for n in range(COUNT)]
     assert [status for status, _ in answers] == [503] * COUNT
     assert {json.loads(body)["code"] for _, body in answers} == {"stream_origin_unknown"}
     assert runs == [[]] * COUNT
 
 
-def test_stream_whose_version_is_gone_is_refused_at_once():
-    async def test(site):
+async def test_stream_whose_version_is_gone_is_refused_at_once():
+    async with entrysite.started(events=EVENTS) as site:
         list_versions(site, ("v1", "v2"))
         await cut(await begin(site))
         version = {n: runs_of(site, f"r{n}")[0] for n in range(COUNT)}
         site.delete("servers/e0")
         site.read_store()
-        return version, {n: await take_up(site, f"r{n}", 20, f"second{n}") for n in range(COUNT)}
-
-    version, answers = entrysite.run(test, events=EVENTS)
+        answers = {n: await take_up(site, f"r{n}", 20, f"second{n}") for n in range(COUNT)}
     assert {n for n, (status, _) in answers.items() if status == 200} == {
         n for n, engine in version.items() if engine == 1
     }
@@ -216,66 +195,56 @@
     assert {json.loads(body)["code"] for body in refused} == {"version_unavailable"}
 
 
-def test_only_version_that_was_ever_listed_began_a_stream_whose_attempt_is_not_named():
-    async def test(site):
+async def test_only_version_that_was_ever_listed_began_a_stream_whose_attempt_is_not_named():
+    async with entrysite.started(nodes=2) as site:
         more = entrysite.USAGE + "Last-Event-Id: 12\r\n"
         client = await site.nodes[1].request("/tag/1", more=more)
         status, _, body = await client.answer()
-        return status, body.count(b"id: ")
-
-    assert entrysite.run(test, nodes=2) == (200, 18)
+        assert (status, body.count(b"id: ")) == (200, 18)
 
 
 @pytest.mark.parametrize("named", ["Resumes: a\r\nResumes: a\r\n", "Resumes:\r\n"])
-def test_attempt_that_is_not_named_once_is_refused_as_invalid(named):
-    async def test(site):
+async def test_attempt_that_is_not_named_once_is_refused_as_invalid(named):
+    async with entrysite.started() as site:
         more = entrysite.USAGE + "Last-Event-Id: 12\r\n" + named
         client = await site.nodes[0].request("/tag/1", more=more)
         status, _, body = await client.answer()
-        return status, json.loads(body)["code"], runs_of(site, "r1")
-
-    assert entrysite.run(test) == (400, "request_invalid", [])
+        assert (status, json.loads(body)["code"]) == (400, "request_invalid")
+        assert runs_of(site, "r1") == []
 
 
-def test_caller_without_events_may_begin_at_any_version():
+async def test_caller_without_events_may_begin_at_any_version():
     """It names an attempt that brought it nothing."""
-
-    async def test(site):
+    async with entrysite.started() as site:
         list_versions(site, ("v1", "v2"))
         more = entrysite.USAGE + "Resumes: nobody\r\n"
         client = await site.nodes[0].request("/tag/1", more=more)
-        return (await client.answer())[0]
-
-    assert entrysite.run(test) == 200
+        assert (await client.answer())[0] == 200
 
 
-def test_stream_of_another_service_or_team_is_unknown():
-    async def test(site):
+async def test_stream_of_another_service_or_team_is_unknown():
+    async with entrysite.started(events=EVENTS) as site:
         list_versions(site, ("v1", "v2"))
         await cut(await begin(site, count=1))
         keys = {"clinic": [entrysite.KEY], "court": ["k2"]}
         tenants = [{"name": name, "api_keys": each} for name, each in keys.items()]
         site.put("op/config", json.dumps(entrysite.manifest(2, tenants=tenants)))
         site.read_store()
-        return [
+        assert [
             (await take_up(site, "r0", 20, f"second{key}", key=key))[0]
             for key in ("k2", entrysite.KEY)
-        ]
-
-    assert entrysite.run(test, events=EVENTS) == [503, 200]
+        ] == [503, 200]
 
 
-def test_resumed_attempt_reaches_the_replica_as_named():
-    async def test(site):
+async def test_resumed_attempt_reaches_the_replica_as_named():
+    async with entrysite.started() as site:
         await take_up(site, "x" * 900, 20, "r1")
-        return [run.names for engine in site.engines for run in engine.ledger]
-
-    (names,) = entrysite.run(test)
+        (names,) = [run.names for engine in site.engines for run in engine.ledger]
     assert "resumes" in names
 
 
-def test_instance_that_has_just_started_asks_the_others():
-    async def test(site):
+async def test_instance_that_has_just_started_asks_the_others():
+    async with entrysite.started(nodes=3, engines=4, events=EVENTS) as site:
         list_versions(site, ("v1", "v2", "v1", "v2"))
         await cut(await begin(site))
         await asyncio.sleep(0.4)
@@ -300,20 +269,17 @@
         statuses = [
             (await take_up(site, f"r{n}", 20, f"second{n}", node=2))[0] for n in range(COUNT)
         ]
-        return statuses, [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
-
-    statuses, runs = entrysite.run(test, nodes=3, engines=4, events=EVENTS)
+        runs = [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
     assert statuses == [200] * COUNT
     assert all(len({engine % 2 for engine in each}) == 1 for each in runs), runs
 
 
-def test_stream_of_a_server_that_restarted_with_another_version_does_not_go_on():
+async def test_stream_of_a_server_that_restarted_with_another_version_does_not_go_on():
     """The list is old: a server has restarted under its id with a version that is not listed yet.
 
     The request is accepted by the new incarnation, and the stream goes on at the listed version.
     """
-
-    async def test(site):
+    async with entrysite.started(engines=3, events=EVENTS) as site:
         (client,) = await begin(site, count=1)
         (number,) = runs_of(site, "r0")
         engine = site.engines[number]
@@ -321,16 +287,14 @@
         site.put(f"servers/{engine.replica_id}", row)
         site.read_store()
         is_whole = await read_to_end(client)
-        return is_whole, runs_of(site, "r0") == [number], await take_up(site, "r0", 20, "second")
-
-    is_whole, ran_once, (status, _) = entrysite.run(test, engines=3, events=EVENTS)
+        ran_once = runs_of(site, "r0") == [number]
+        status, _ = await take_up(site, "r0", 20, "second")
     assert (is_whole, ran_once, status) == (False, True, 503)
 
 
-def test_resumed_streams_begin_as_often_as_new_ones_in_a_crowd():
+async def test_resumed_streams_begin_as_often_as_new_ones_in_a_crowd():
     """Streams that are taken up starve behind new ones, which may begin at any version."""
-
-    async def test(site):
+    async with entrysite.started(nodes=3, engines=4, events=EVENTS, gap_s=0.02) as site:
         list_versions(site, ("v1", "v2", "v1", "v2"))
         await cut(await begin(site, count=24))
         new, resumed = [], []
@@ -348,9 +312,8 @@
                 tasks.append(asyncio.ensure_future(request))
             await asyncio.sleep(0.05)
         await asyncio.gather(*tasks)
-        return sum(new) / len(new), sum(resumed) / len(resumed)
-
-    new_share, resumed_share = entrysite.run(test, nodes=3, engines=4, events=EVENTS, gap_s=0.02)
+        new_share = sum(new) / len(new)
+        resumed_share = sum(resumed) / len(resumed)
     assert resumed_share >= new_share / 2
 
 
@@ -374,17 +337,14 @@
 
 
 @pytest.mark.parametrize("is_store_reached", [True, False])
-def test_stream_taken_up_at_an_instance_out_of_step_goes_on_at_its_version(is_store_reached):
+async def test_stream_taken_up_at_an_instance_out_of_step_goes_on_at_its_version(is_store_reached):
     """An instance stands still while a release begins: it joins streams of two versions."""
-
-    async def test(site):
+    async with entrysite.started(nodes=3, engines=4, events=EVENTS) as site:
         site.nodes[2].feed.is_reached = is_store_reached
         release_unseen_by(site, 2)
         await cut(await begin(site))
         answers = [await take_up(site, f"r{n}", 20, f"second{n}", node=2) for n in range(COUNT)]
-        return answers, [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
-
-    answers, runs = entrysite.run(test, nodes=3, engines=4, events=EVENTS)
+        runs = [runs_of(site, f"r{n}", f"second{n}") for n in range(COUNT)]
     assert {each[0] // 2 for each in runs} == {0, 1}
     assert all(len({engine // 2 for engine in each}) == 1 for each in runs), runs
     assert [status for status, _ in answers] == [200] * COUNT, answers
--- a/tests/http1/test_callersserver.py
+++ b/tests/http1/test_callersserver.py
@@ -114,18 +114,15 @@
         (b"nonsense\r\n\r\n", 400),
     ],
 )
-def test_invalid_request_gets_its_status_and_ends_the_connection(sent, status):
-    async def main():
-        recorder = Recorder(callerrequests.ConnectionLimits(head_bytes=300, body_bytes=10))
-        server, address = await serve(recorder)
-        client = await raw.RawClient.connect(address)
-        await client.send(sent)
-        received = await client.answer()
-        is_closed = await client.is_closed()
-        server.stop_listening()
-        return recorder, received[0], is_closed
-
-    recorder, received, is_closed = eventloop.run(main())
+async def test_invalid_request_gets_its_status_and_ends_the_connection(sent, status):
+    recorder = Recorder(callerrequests.ConnectionLimits(head_bytes=300, body_bytes=10))
+    server, address = await serve(recorder)
+    client = await raw.RawClient.connect(address)
+    await client.send(sent)
+    received = await client.answer()
+    is_closed = await client.is_closed()
+    server.stop_listening()
+    recorder, received, is_closed = recorder, received[0], is_closed
     assert (received, is_closed, recorder.requests) == (status, True, [])
     assert recorder.refusals == [status]
 
@@ -133,55 +130,44 @@
 @pytest.mark.parametrize(
     "sent", [b"GET / HT", b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab"]
 )
-def test_slow_request_gets_a_timeout_status(sent):
+async def test_slow_request_gets_a_timeout_status(sent):
     """A caller begins a request and never completes it.
 
     Its connection would occupy memory and a descriptor permanently, and a thousand such
     callers would exhaust them.
     """
+    recorder = Recorder(callerrequests.ConnectionLimits(head_s=0.05, idle_s=0.05))
+    server, address = await serve(recorder)
+    client = await raw.RawClient.connect(address)
+    await client.send(sent)
+    received = await client.answer()
+    server.stop_listening()
+    assert (received[0], await client.is_closed()) == (408, True)
 
-    async def main():
-        recorder = Recorder(callerrequests.ConnectionLimits(head_s=0.05, idle_s=0.05))
-        server, address = await serve(recorder)
-        client = await raw.RawClient.connect(address)
-        await client.send(sent)
-        received = await client.answer()
-        server.stop_listening()
-        return received[0], await client.is_closed()
-
-    assert eventloop.run(main()) == (408, True)
 
+async def test_idle_connection_is_closed_without_a_response():
+    server, address = await serve(Recorder(callerrequests.ConnectionLimits(idle_s=0.05)))
+    client = await raw.RawClient.connect(address)
+    is_closed = await client.is_closed()
+    server.stop_listening()
+    assert is_closed
 
-def test_idle_connection_is_closed_without_a_response():
-    async def main():
-        server, address = await serve(Recorder(callerrequests.ConnectionLimits(idle_s=0.05)))
-        client = await raw.RawClient.connect(address)
-        is_closed = await client.is_closed()
-        server.stop_listening()
-        return is_closed
 
-    assert eventloop.run(main())
-
-
-def test_request_of_a_disconnected_caller_is_cancelled():
+async def test_request_of_a_disconnected_caller_is_cancelled():
     """A caller disconnects while its response is being produced.
 
     The node waits for a replica: unless the wait is cancelled, the replica continues
     although no caller waits for the response.
     """
-
-    async def main():
-        recorder = Recorder()
-        server, address = await serve(recorder)
-        client = await raw.RawClient.connect(address)
-        await client.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
-        await eventloop.until(lambda: recorder.requests)
-        client.close()
-        await recorder.cancelled.wait()
-        await eventloop.until(lambda: not server.connections)
-        server.stop_listening()
-
-    eventloop.run(main())
+    recorder = Recorder()
+    server, address = await serve(recorder)
+    client = await raw.RawClient.connect(address)
+    await client.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+    await eventloop.until(lambda: recorder.requests)
+    client.close()
+    await recorder.cancelled.wait()
+    await eventloop.until(lambda: not server.connections)
+    server.stop_listening()
 
 
 def test_what_a_disconnected_caller_held_is_freed_without_garbage_collection():
@@ -278,85 +264,79 @@
     assert not eventloop.run(main()).endswith(b"0\r\n\r\n")
 
 
-def test_error_of_the_handler_ends_one_connection_only():
-    async def main():
-        recorder = Recorder()
-        server, address = await serve(recorder)
-        failed = await raw.RawClient.connect(address)
-        await failed.send(b"GET /fault HTTP/1.1\r\nHost: x\r\n\r\n")
-        is_closed = await failed.is_closed()
-        other = await raw.RawClient.connect(address)
-        await other.send(GET)
-        received = await other.answer()
-        server.stop_listening()
-        return recorder, is_closed, received[0]
-
-    recorder, is_closed, status = eventloop.run(main())
+async def test_error_of_the_handler_ends_one_connection_only():
+    recorder = Recorder()
+    server, address = await serve(recorder)
+    failed = await raw.RawClient.connect(address)
+    await failed.send(b"GET /fault HTTP/1.1\r\nHost: x\r\n\r\n")
+    is_closed = await failed.is_closed()
+    other = await raw.RawClient.connect(address)
+    await other.send(GET)
+    received = await other.answer()
+    server.stop_listening()
+    recorder, is_closed, status = recorder, is_closed, received[0]
     assert (is_closed, status, len(recorder.failures)) == (True, 200, 1)
 
 
-def test_leaving_server_announces_that_it_closes_and_still_serves():
+async def test_leaving_server_announces_that_it_closes_and_still_serves():
     """An instance is stopped while a caller keeps its connection open.
 
     If the connection were closed while a request is in transit, the caller would get no
     response; if the close is announced with the next response, it connects elsewhere.
     """
-
-    async def main():
-        server, address = await serve(Recorder())
-        client = await raw.RawClient.connect(address)
-        await client.send(GET)
-        first = await client.answer()
-        server.leave()
-        await client.send(GET)
-        second = await client.answer()
-        is_closed = await client.is_closed()
-        late = await raw.RawClient.connect(address)
-        await late.send(GET)
-        third = await late.answer()
-        server.stop_listening()
-        return [received[1].get("connection") for received in (first, second, third)], is_closed
-
-    assert eventloop.run(main()) == ([None, "close", "close"], True)
-
-
-def test_only_idle_connections_are_closed_at_the_end():
-    async def main():
-        recorder = Recorder()
-        server, address = await serve(recorder)
-        idle = await raw.RawClient.connect(address)
-        incomplete = await raw.RawClient.connect(address)
-        await incomplete.send(b"GET /a HTTP/1.1\r\n")
-        busy = await raw.RawClient.connect(address)
-        await busy.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
-        await eventloop.until(lambda: server.busy_count == 2 and len(server.connections) == 3)
-        await asyncio.sleep(0.02)
-        server.close_idle()
-        is_closed = await idle.is_closed()
-        await incomplete.send(b"Host: x\r\n\r\n")
-        received = await incomplete.answer()
-        server.stop_listening()
-        return is_closed, received[0], server.busy_count
-
-    assert eventloop.run(main()) == (True, 200, 1)
-
-
-def test_request_whose_body_arrives_at_the_end_is_answered():
+    server, address = await serve(Recorder())
+    client = await raw.RawClient.connect(address)
+    await client.send(GET)
+    first = await client.answer()
+    server.leave()
+    await client.send(GET)
+    second = await client.answer()
+    is_closed = await client.is_closed()
+    late = await raw.RawClient.connect(address)
+    await late.send(GET)
+    third = await late.answer()
+    server.stop_listening()
+    assert ([received[1].get("connection") for received in (first, second, third)], is_closed) == (
+        [None, "close", "close"],
+        True,
+    )
+
+
+async def test_only_idle_connections_are_closed_at_the_end():
+    recorder = Recorder()
+    server, address = await serve(recorder)
+    idle = await raw.RawClient.connect(address)
+    incomplete = await raw.RawClient.connect(address)
+    await incomplete.send(b"GET /a HTTP/1.1\r\n")
+    busy = await raw.RawClient.connect(address)
+    await busy.send(b"GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+    await eventloop.until(lambda: server.busy_count == 2 and len(server.connections) == 3)
+    await asyncio.sleep(0.02)
+    server.close_idle()
+    is_closed = await idle.is_closed()
+    await incomplete.send(b"Host: x\r\n\r\n")
+    received = await incomplete.answer()
+    server.stop_listening()
+    assert (is_closed, received[0], server.busy_count) == (True, 200, 1)
+
+
+async def test_request_whose_body_arrives_at_the_end_is_answered():
     """A planned stop closed the connection of a request between its head and its body."""
-
-    async def main():
-        server, address = await serve(Recorder())
-        client = await raw.RawClient.connect(address)
-        await client.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo")
-        await eventloop.until(lambda: server.connections)
-        await asyncio.sleep(0.02)
-        counts = [server.busy_count]
-        server.leave()
-        server.close_idle()
-        await client.send(b"dy")
-        status, fields, body = await client.answer()
-        await eventloop.until(lambda: not server.connections)
-        server.stop_listening()
-        return [*counts, server.busy_count], status, fields["connection"], body
-
-    assert eventloop.run(main()) == ([1, 0], 200, "close", b"body")
+    server, address = await serve(Recorder())
+    client = await raw.RawClient.connect(address)
+    await client.send(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo")
+    await eventloop.until(lambda: server.connections)
+    await asyncio.sleep(0.02)
+    counts = [server.busy_count]
+    server.leave()
+    server.close_idle()
+    await client.send(b"dy")
+    status, fields, body = await client.answer()
+    await eventloop.until(lambda: not server.connections)
+    server.stop_listening()
+    assert ([*counts, server.busy_count], status, fields["connection"], body) == (
+        [1, 0],
+        200,
+        "close",
+        b"body",
+    )
--- a/tests/http1/test_clientside.py
+++ b/tests/http1/test_clientside.py
@@ -178,24 +178,20 @@
     assert send_requests(b"HTTP/1.1 102 Processing\r\n\r\n" + COMPLETE)[0] == [b"ok"]
 
 
-def test_response_to_an_earlier_request_can_be_skipped():
+async def test_response_to_an_earlier_request_can_be_skipped():
     """A late response to an earlier request arrives before the response to this request."""
-
-    async def main():
-        late_response = b"HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold"
-        server = raw.ScriptedServer(late_response + COMPLETE)
-        address = await server.start()
-        connection = await clientside.connect(address, 5.0, clocks.SystemClock())
-        connection.send(b"POST", b"/", ((b"Host", b"x"),), b"abc")
-        first = await connection.head()
-        old = await connection.body(MAX)
-        skipped = connection.skip_response()
-        await connection.head()
-        content = await connection.body(MAX)
-        server.stop()
-        return first.fields[0], old, skipped, content, connection.may_be_reused
-
-    received = eventloop.run(main())
+    late_response = b"HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold"
+    server = raw.ScriptedServer(late_response + COMPLETE)
+    address = await server.start()
+    connection = await clientside.connect(address, 5.0, clocks.SystemClock())
+    connection.send(b"POST", b"/", ((b"Host", b"x"),), b"abc")
+    first = await connection.head()
+    old = await connection.body(MAX)
+    skipped = connection.skip_response()
+    await connection.head()
+    content = await connection.body(MAX)
+    server.stop()
+    received = first.fields[0], old, skipped, content, connection.may_be_reused
     assert received == ((b"X-Id", b"old"), b"old", True, b"ok", False)
 
 
@@ -224,37 +220,30 @@
     assert eventloop.run(main()) == (lost, 0)
 
 
-def test_idle_connection_is_reused_for_part_of_the_stated_timeout():
-    async def main():
-        clock = clocks.ManualClock(100.0)
-        server = raw.ScriptedServer(COMPLETE, COMPLETE, COMPLETE)
-        address = await server.start()
-        pool = clientpool.ClientPool(clock)
-        counts = []
-        for pause_s in (0.0, 6.9, 7.1):
-            clock.advance(pause_s)
-            await send_one(pool, address)
-            counts.append(server.connections)
-        server.stop()
-        return counts
-
-    assert eventloop.run(main()) == [1, 1, 2]
+async def test_idle_connection_is_reused_for_part_of_the_stated_timeout():
+    clock = clocks.ManualClock(100.0)
+    server = raw.ScriptedServer(COMPLETE, COMPLETE, COMPLETE)
+    address = await server.start()
+    pool = clientpool.ClientPool(clock)
+    counts = []
+    for pause_s in (0.0, 6.9, 7.1):
+        clock.advance(pause_s)
+        await send_one(pool, address)
+        counts.append(server.connections)
+    server.stop()
+    assert counts == [1, 1, 2]
 
 
-def test_silence_of_a_server_ends_no_connection():
+async def test_silence_of_a_server_ends_no_connection():
     """With keep-alive probes, the user timeout would also end connections of silent servers."""
-
-    async def main():
-        server = raw.ScriptedServer(COMPLETE)
-        connection = await clientside.connect(await server.start(), 5.0, clocks.SystemClock())
-        options = connection._transport.get_extra_info("socket")
-        probes = options.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
-        timeout_ms = options.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
-        connection.close()
-        server.stop()
-        return probes, timeout_ms
-
-    assert eventloop.run(main()) == (0, sockets.USER_TIMEOUT_MS)
+    server = raw.ScriptedServer(COMPLETE)
+    connection = await clientside.connect(await server.start(), 5.0, clocks.SystemClock())
+    options = connection._transport.get_extra_info("socket")
+    probes = options.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    timeout_ms = options.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    connection.close()
+    server.stop()
+    assert (probes, timeout_ms) == (0, sockets.USER_TIMEOUT_MS)
 
 
 REFUSAL = b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -327,23 +316,19 @@
     assert read == [b"a" * 101, b"a" * 154, clientside.BodyEnd(is_stated=True)]
 
 
-def test_connections_beyond_the_limit_are_not_opened():
+async def test_connections_beyond_the_limit_are_not_opened():
     """Requests in progress took the last descriptors, and nothing else could be opened."""
-
-    async def main():
-        server = raw.ScriptedServer(answer_early)
-        address = await server.start()
-        pool = clientpool.ClientPool(clocks.SystemClock(), max_connections=2)
-        first, second = [await pool.acquire(address) for _ in range(2)]
-        refused = await pool.acquire(address)
-        pool.release(first, None)
-        third = await pool.acquire(address)
-        for connection in (second, third):
-            pool.release(connection, None)
-        server.stop()
-        return refused, type(third), pool.open_count(address)
-
-    refused, kind, open_count = eventloop.run(main())
+    server = raw.ScriptedServer(answer_early)
+    address = await server.start()
+    pool = clientpool.ClientPool(clocks.SystemClock(), max_connections=2)
+    first, second = [await pool.acquire(address) for _ in range(2)]
+    refused = await pool.acquire(address)
+    pool.release(first, None)
+    third = await pool.acquire(address)
+    for connection in (second, third):
+        pool.release(connection, None)
+    server.stop()
+    refused, kind, open_count = refused, type(third), pool.open_count(address)
     assert (refused.code, refused.sent) == (clientpool.AT_LIMIT, False)
     assert (kind, open_count) == (clientside.ServerConnection, 0)
 
--- a/tests/http1/test_slowreaders.py
+++ b/tests/http1/test_slowreaders.py
@@ -1,6 +1,7 @@
 """The memory that callers' connections hold, and what happens at its bound."""
 
 import asyncio
+import contextlib
 import errno
 import socket
 
@@ -90,21 +91,17 @@
         return client
 
 
-def run(scenario, bound):
-    async def main():
-        site = Site(bound)
-        await site.listen()
-        result = await scenario(site)
-        site.server.stop_listening()
-        return result
-
-    return eventloop.run(main())
+@contextlib.asynccontextmanager
+async def started(bound):
+    site = Site(bound)
+    await site.listen()
+    yield site
+    site.server.stop_listening()
 
 
-def test_large_body_beyond_the_bound_is_refused_before_it_is_read():
+async def test_large_body_beyond_the_bound_is_refused_before_it_is_read():
     """The request has not run, and a reset while its caller still sends would hide the refusal."""
-
-    async def scenario(site):
+    async with started(1_000_000) as site:
         client = await site.call(framing=b"Content-Length: 2000000")
         status, fields, _ = await client.answer()
         assert await client.is_closed()
@@ -116,11 +113,8 @@
         kept = len(connection._received.data) + site.memory.held_bytes
         client.close()
         await eventloop.until(lambda: not site.server.connections)
-        return status, fields["retry-after"], kept, site.handler
-
-    status, retry_after, kept, handler = run(scenario, 1_000_000)
-    assert (status, retry_after, kept) == (503, "1", 0)
-    assert (handler.bodies, handler.refused_bodies) == ([], [2_000_000])
+    assert (status, fields["retry-after"], kept) == (503, "1", 0)
+    assert (site.handler.bodies, site.handler.refused_bodies) == ([], [2_000_000])
 
 
 async def test_caller_that_resets_the_connection_of_a_refusal_is_no_internal_error(monkeypatch):
@@ -131,32 +125,26 @@
 
     transport = asyncio.selector_events._SelectorSocketTransport
     monkeypatch.setattr(transport, "write_eof", raise_reset)
-    site = Site(1_000_000)
     failures = []
-    site.handler.failed = failures.append
-    await site.listen()
-    client = await site.call(framing=b"Content-Length: 2000000")
-    assert (await client.answer())[0] == 503
-    await asyncio.sleep(0.01)
+    async with started(1_000_000) as site:
+        site.handler.failed = failures.append
+        client = await site.call(framing=b"Content-Length: 2000000")
+        assert (await client.answer())[0] == 503
+        await asyncio.sleep(0.01)
     assert failures == []
-    site.server.stop_listening()
 
 
-def test_chunked_body_is_refused_where_it_exceeds_the_bound():
+async def test_chunked_body_is_refused_where_it_exceeds_the_bound():
     """A body without a length would otherwise bypass the bound."""
-
-    async def scenario(site):
+    async with started(100_000) as site:
         chunks = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
         client = await site.call(body=chunks * 2, framing=b"Transfer-Encoding: chunked")
-        return (await client.answer())[0], site.handler.bodies
-
-    assert run(scenario, 100_000) == (503, [])
+        assert ((await client.answer())[0], site.handler.bodies) == (503, [])
 
 
-def test_requests_are_counted_until_they_are_answered():
+async def test_requests_are_counted_until_they_are_answered():
     """Requests that wait fill the memory, small ones too; what is answered makes room again."""
-
-    async def scenario(site):
+    async with started(400_000) as site:
         site.handler.may_answer.clear()
         first = await site.call(body=b"x" * 300_000)
         await eventloop.until(lambda: site.handler.bodies)
@@ -170,31 +158,25 @@
         site.handler.may_answer.set()
         statuses = [(await each.answer())[0] for each in (first, small)]
         await eventloop.until(lambda: not site.memory.held_bytes)
-        return [refused_status, also_refused_status], held, statuses
-
-    refused, held, answered = run(scenario, 400_000)
-    assert (refused, answered) == ([503, 503], [200, 200])
+    assert (refused_status, also_refused_status, *statuses) == (503, 503, 200, 200)
     assert held >= 360_000 + 2 * receivebuffer.REQUEST_BYTES
 
 
-def test_bodies_are_counted_once():
+async def test_bodies_are_counted_once():
     """A sum that counts more than is held refuses requests for which there is room."""
-
-    async def scenario(site):
+    async with started(None) as site:
         site.handler.may_answer.clear()
         clients = [await site.call(body=count * b"x") for count in (300_000, 60_000)]
         await eventloop.until(lambda: len(site.handler.bodies) == len(clients))
-        return site.memory.held_bytes
-
+        held = site.memory.held_bytes
     head_bytes = sum(len(head(b"/", b"Content-Length: %d" % n)) for n in (300_000, 60_000))
     each = receivebuffer.REQUEST_BYTES + 2 * receivebuffer.FIELD_BYTES
-    assert run(scenario, None) == 360_000 + head_bytes + 2 * each
+    assert held == 360_000 + head_bytes + 2 * each
 
 
-def test_fields_are_counted_at_what_they_take_in_memory():
+async def test_fields_are_counted_at_what_they_take_in_memory():
     """A head of empty fields takes dozens of times its length, which filled the memory."""
-
-    async def scenario(site):
+    async with started(700_000) as site:
         site.handler.may_answer.clear()
         fields = b"\r\n".join(2_000 * [b"a:"])
         waiting = await site.call(framing=fields)
@@ -203,13 +185,11 @@
         refused = await site.call(framing=fields)
         status = (await refused.answer())[0]
         site.handler.may_answer.set()
-        return held, status, (await waiting.answer())[0]
-
-    held, refused, answered = run(scenario, 700_000)
+        answered = (await waiting.answer())[0]
     head_bytes = len(head(b"/", b"\r\n".join(2_000 * [b"a:"])))
     expected = receivebuffer.REQUEST_BYTES + head_bytes + 2_001 * receivebuffer.FIELD_BYTES
     assert held == expected
-    assert (refused, answered) == (503, 200)
+    assert (status, answered) == (503, 200)
 
 
 def read_nothing(address, target=b"/large"):
@@ -222,10 +202,9 @@
     return caller
 
 
-def stalled_and_reading_caller(bound):
+async def stalled_and_reading_caller(bound):
     """Return the peers closed after 2 s, the stalled one's, and the other caller's status."""
-
-    async def scenario(site):
+    async with started(bound) as site:
         with read_nothing(site.address) as stalled:
             await eventloop.until(lambda: site.memory.held_bytes > RESPONSE_BYTES / 4)
             site.clock.advance(2.0)
@@ -234,39 +213,33 @@
             peer = "{}:{}".format(*stalled.getsockname())
             return [closed for closed, _ in site.handler.closed], peer, status
 
-    return run(scenario, bound)
-
 
-def test_stalled_caller_is_closed_and_others_are_served():
-    closed, peer, status = stalled_and_reading_caller(bound=1_000_000)
+async def test_stalled_caller_is_closed_and_others_are_served():
+    closed, peer, status = await stalled_and_reading_caller(bound=1_000_000)
     assert (closed, status) == ([peer], 200)
 
 
-def test_without_a_bound_a_stalled_caller_keeps_its_connection():
+async def test_without_a_bound_a_stalled_caller_keeps_its_connection():
     """Existing instances have no such setting and behave as before."""
-    closed, _, status = stalled_and_reading_caller(bound=None)
+    closed, _, status = await stalled_and_reading_caller(bound=None)
     assert (closed, status) == ([], 200)
 
 
 @pytest.mark.parametrize("target", [b"/large", b"/until-unsent"])
-def test_caller_that_never_reads_loses_its_connection(target):
+async def test_caller_that_never_reads_loses_its_connection(target):
     """Each such caller kept its connection, and with enough of them nobody else got one."""
-
-    async def scenario(site):
+    async with started(None) as site:
         site.handler.limits_in_force = callerrequests.ConnectionLimits(idle_s=0.1)
         site.handler.has_unsent = lambda: any(c.unsent_bytes() for c in site.server.connections)
         with read_nothing(site.address, target):
             await eventloop.until(lambda: site.handler.closed)
             await eventloop.until(lambda: not site.server.connections)
-        return site.memory.held_bytes
-
-    assert run(scenario, None) == 0
+        assert site.memory.held_bytes == 0
 
 
-def test_caller_that_reads_slowly_keeps_its_connection():
+async def test_caller_that_reads_slowly_keeps_its_connection():
     """A response that takes longer than a connection may idle is still read to its end."""
-
-    async def scenario(site):
+    async with started(None) as site:
         site.handler.limits_in_force = callerrequests.ConnectionLimits(idle_s=1.0)
         buffer = site.server.listening_socket
         buffer.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
@@ -277,15 +250,12 @@
             received += len(await client.reader.read(PIECE_BYTES))
             await asyncio.sleep(0.05)
         received += len(await client.reader.readexactly(RESPONSE_BYTES - received))
-        return received, site.handler.closed
+        assert (received, site.handler.closed) == (RESPONSE_BYTES, [])
 
-    assert run(scenario, None) == (RESPONSE_BYTES, [])
 
-
-def test_connection_is_in_use_until_its_response_is_sent():
+async def test_connection_is_in_use_until_its_response_is_sent():
     """A planned stop discarded what a slow reader had not been sent of a complete response."""
-
-    async def scenario(site):
+    async with started(None) as site:
         site.handler.has_unsent = lambda: any(c.unsent_bytes() for c in site.server.connections)
         client = await site.call(b"/until-unsent")
         site.server.leave()
@@ -297,6 +267,5 @@
         await eventloop.until(lambda: not site.server.connections)
         site.server.report_unsent()
         is_whole = len(body) == site.handler.answered * PIECE_BYTES
-        return [*busy_counts, site.server.busy_count], is_whole, len(site.handler.truncations)
-
-    assert run(scenario, None) == ([1, 0], True, 1)
+    assert is_whole
+    assert ([*busy_counts, site.server.busy_count], len(site.handler.truncations)) == ([1, 0], 1)
--- a/tests/http1/test_sockets.py
+++ b/tests/http1/test_sockets.py
@@ -20,17 +20,13 @@
     return await sockets.open_connection(asyncio.Protocol, address, TIMEOUT_S)
 
 
-def test_connection_that_opens_while_the_event_loop_is_busy_is_used():
+async def test_connection_that_opens_while_the_event_loop_is_busy_is_used():
     """Guards against a server that counts as silent since this process was busy."""
-
-    async def main():
-        server = raw.ScriptedServer()
-        protocol = await open_while_busy(await server.start())
-        await eventloop.until(lambda: server.connections)
-        server.stop()
-        return type(protocol)
-
-    assert eventloop.run(main()) is asyncio.Protocol
+    server = raw.ScriptedServer()
+    protocol = await open_while_busy(await server.start())
+    await eventloop.until(lambda: server.connections)
+    server.stop()
+    assert type(protocol) is asyncio.Protocol
 
 
 def test_refusal_while_the_event_loop_is_busy_is_a_refusal():
--- a/tests/tunnels/test_pathconnector.py
+++ b/tests/tunnels/test_pathconnector.py
@@ -152,36 +152,28 @@
 
 
 @pytest.mark.parametrize("how", [tcpproxy.Partition.HANG, tcpproxy.Partition.REFUSE_NEW])
-def test_replica_that_went_on_between_two_attempts_is_not_partitioned(how):
+async def test_replica_that_went_on_between_two_attempts_is_not_partitioned(how):
     """Guards against a path that counts as partitioned after its replica was silent for all."""
-
-    async def main():
-        server = raw.ScriptedServer()
-        proxy = tcpproxy.TcpProxy(await server.start())
-        proxy.partition(how)
-        connector = HealedConnector(proxy)
-        connection = await connector.connect(proxy.address, clientpool.CONNECT_TIMEOUT_S)
-        has_detour = connector.paths.detoured_count
-        await asyncio.sleep(clientpool.CONNECT_TIMEOUT_S)
-        proxy.close()
-        server.stop()
-        return connection.via, has_detour, connector.paths.detoured_count
-
-    assert eventloop.run(main()) == ("n0", 1, 0)
+    server = raw.ScriptedServer()
+    proxy = tcpproxy.TcpProxy(await server.start())
+    proxy.partition(how)
+    connector = HealedConnector(proxy)
+    connection = await connector.connect(proxy.address, clientpool.CONNECT_TIMEOUT_S)
+    has_detour = connector.paths.detoured_count
+    await asyncio.sleep(clientpool.CONNECT_TIMEOUT_S)
+    proxy.close()
+    server.stop()
+    assert (connection.via, has_detour, connector.paths.detoured_count) == ("n0", 1, 0)
 
 
-def test_unused_connections_are_closed():
-    async def main():
-        server = raw.ScriptedServer()
-        address = await server.start()
-        connector = Connector(address, "b", {})
-        connector.paths.reached_by(address, "n0")
-        won = [await connector.connect(address, 0.5) for _ in range(3)]
-        await asyncio.sleep(0.05)
-        server.stop()
-        return won, connector
-
-    won, connector = eventloop.run(main())
+async def test_unused_connections_are_closed():
+    server = raw.ScriptedServer()
+    address = await server.start()
+    connector = Connector(address, "b", {})
+    connector.paths.reached_by(address, "n0")
+    won = [await connector.connect(address, 0.5) for _ in range(3)]
+    await asyncio.sleep(0.05)
+    server.stop()
     assert [connection.via for connection in won][:1] == ["n0"]
     assert connector.paths.detoured_count == 0
 
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -60,39 +60,31 @@
         return connection, await connection.head()
 
 
-def run(test, *script):
-    async def main():
-        async with Relay(*script) as relay:
-            return await test(relay)
-
-    return eventloop.run(main())
-
-
-async def body_of_request(relay):
-    connection, _ = await relay.request()
-    return await connection.body(LONG)
+async def body_of_request(*script):
+    async with Relay(*script) as relay:
+        connection, _ = await relay.request()
+        return await connection.body(LONG)
 
 
-def test_request_and_response_pass_unchanged():
-    async def test(relay):
+async def test_request_and_response_pass_unchanged():
+    async with Relay(test_clientside.COMPLETE) as relay:
         connection, head = await relay.request()
         body = await connection.body(LONG)
-        return head.status, body, connection.may_be_reused, relay.replica.requests
-
-    status, body, may_be_reused, requests = run(test, test_clientside.COMPLETE)
-    assert (status, body, may_be_reused) == (200, b"ok", False)
-    assert requests == [b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"]
+    assert (head.status, body, connection.may_be_reused) == (200, b"ok", False)
+    assert relay.replica.requests == [
+        b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+    ]
 
 
-def test_response_without_length_is_complete_if_the_replica_closed_in_order():
-    assert run(body_of_request, test_clientside.close) == b"until the end"
+async def test_response_without_length_is_complete_if_the_replica_closed_in_order():
+    assert await body_of_request(test_clientside.close) == b"until the end"
 
 
-def test_response_that_the_replica_reset_is_not_complete():
-    assert run(body_of_request, test_clientside.reset) == clientside.ResponseLost("reset")
+async def test_response_that_the_replica_reset_is_not_complete():
+    assert await body_of_request(test_clientside.reset) == clientside.ResponseLost("reset")
 
 
-def test_response_is_not_complete_if_the_relaying_instance_ends():
+async def test_response_is_not_complete_if_the_relaying_instance_ends():
     """A killed process's connections are closed in order by the system."""
 
     async def answer_and_wait(_reader, writer):
@@ -100,21 +92,19 @@
         await writer.drain()
         await asyncio.sleep(3600)
 
-    async def test(relay):
+    async with Relay(answer_and_wait) as relay:
         connection, _ = await relay.request()
         first = await connection.piece()
         for tunnel in tuple(relay.server._tunnels):
             tunnel.finish()
-        return first, await connection.piece()
+        assert (first, await connection.piece()) == (b"until", clientside.ResponseLost("reset"))
 
-    assert run(test, answer_and_wait) == (b"until", clientside.ResponseLost("reset"))
 
-
-def test_replica_s_connection_ends_with_the_request():
+async def test_replica_s_connection_ends_with_the_request():
     async def wait(reader, _writer):
         assert await reader.read(1) == b""
 
-    async def test(relay):
+    async with Relay(wait) as relay:
         connection = await relay.open()
         connection.send(b"POST", b"/x", ((b"Host", b"x"),), b"")
         await eventloop.until(lambda: relay.replica.requests)
@@ -123,10 +113,8 @@
             await relay.replica.closed.wait()
         await eventloop.until(lambda: not relay.server.active_count)
 
-    run(test, wait)
-
 
-def test_what_unread_tunnels_hold_is_bounded_and_counted():
+async def test_what_unread_tunnels_hold_is_bounded_and_counted():
     """Each held several times its write buffer, beside what was counted for callers."""
 
     async def flood(_reader, writer):
@@ -136,7 +124,7 @@
                 writer.write(bytes(1_000_000))
                 await writer.drain()
 
-    async def test(relay):
+    async with Relay(*TUNNELS * (flood,)) as relay:
         connections = [(await relay.request())[0] for _ in range(TUNNELS)]
         for connection in connections:
             connection.pause_reading()
@@ -146,15 +134,13 @@
         for connection in connections:
             connection.close()
         await eventloop.until(lambda: not relay.server.active_count)
-        return held, counted, relay.server.memory.held_bytes
-
-    held, counted, left = run(test, *TUNNELS * (flood,))
+    left = relay.server.memory.held_bytes
     assert len(held) == TUNNELS
     assert WRITE_LIMIT_BYTES < sum(held) <= TUNNELS * MAX_HELD_BYTES
     assert (counted, left) == (sum(held), 0)
 
 
-def test_slow_reader_slows_the_replica_down():
+async def test_slow_reader_slows_the_replica_down():
     written = []
 
     async def flood(_reader, writer):
@@ -164,19 +150,17 @@
             await writer.drain()
             written.append(10_000)
 
-    async def test(relay):
+    async with Relay(flood) as relay:
         connection, _ = await relay.request()
         await asyncio.sleep(0.3)
         before = sum(written)
-        return before, len(await connection.body(LONG))
-
-    before, received = run(test, flood)
+        received = len(await connection.body(LONG))
     assert before < LONG / 2
     assert received == LONG
 
 
-def test_outcome_tells_why_there_is_no_tunnel():
-    async def test(relay):
+async def test_outcome_tells_why_there_is_no_tunnel():
+    async with Relay() as relay:
         outcomes = [await relay.open(replica=0)]
         relay.replica.stop()
         outcomes.append(await relay.open())
@@ -185,45 +169,39 @@
         relay.server.leave()
         outcomes.append(await relay.open())
         relay.server.close()
-        return [*outcomes, await relay.open()]
-
-    assert run(test) == [
-        Outcome.UNKNOWN_REPLICA,
-        Outcome.REFUSED,
-        Outcome.PARTITIONED,
-        Outcome.LEAVING,
-        None,
-    ]
+        assert [*outcomes, await relay.open()] == [
+            Outcome.UNKNOWN_REPLICA,
+            Outcome.REFUSED,
+            Outcome.PARTITIONED,
+            Outcome.LEAVING,
+            None,
+        ]
 
 
-def test_tunnels_are_bounded():
-    async def test(relay):
+async def test_tunnels_are_bounded():
+    async with Relay() as relay:
         tunnels = [await relay.open() for _ in range(tunnelserver.MAX_TUNNELS)]
         beyond = await relay.open()
         for tunnel in tunnels:
             tunnel.close()
         await eventloop.until(lambda: not relay.server.active_count)
         again = await relay.open()
-        return beyond, isinstance(again, tunnelclient.TunneledConnection)
-
-    assert run(test) == (Outcome.BUSY, True)
+        assert (beyond, isinstance(again, tunnelclient.TunneledConnection)) == (Outcome.BUSY, True)
 
 
-def test_tunnel_opens_while_the_relaying_instance_is_busy(monkeypatch):
+async def test_tunnel_opens_while_the_relaying_instance_is_busy(monkeypatch):
     """Guards against a replica that counts as silent as the relay's event loop was late."""
+    async with Relay() as relay:
 
-    async def test(relay):
         def be_busy(_address):
             loop = asyncio.get_running_loop()
             loop.call_soon(time.sleep, 1.2 * tunnelserver.CONNECT_TIMEOUT_S)
 
         monkeypatch.setattr(relay.paths, "trial_started", be_busy)
-        return type(await relay.open())
+        assert type(await relay.open()) is tunnelclient.TunneledConnection
 
-    assert run(test) is tunnelclient.TunneledConnection
 
-
-def test_nobody_else_may_use_the_relay():
+async def test_nobody_else_may_use_the_relay():
     """Unauthenticated, replayed and misdirected requests, and other protocols, get nothing."""
     frame = codec.Codec("requester", 1, RING, CLOCK).encode(
         "relay", messages.TunnelRequest(REPLICA)
@@ -236,24 +214,16 @@
         frames.pack(frame) + b"before the response",
     )
 
-    async def test(relay):
+    async with Relay() as relay:
         for attack in attacks:
             client = await raw.RawClient.connect(str(relay.endpoint))
             await client.send(attack)
             assert await client.is_closed()
-        return relay.replica.requests, relay.server.active_count
-
-    assert run(test) == ([], 0)
+        assert (relay.replica.requests, relay.server.active_count) == ([], 0)
 
 
-def test_request_that_is_not_sent_is_not_awaited(monkeypatch):
+async def test_request_that_is_not_sent_is_not_awaited(monkeypatch):
     monkeypatch.setattr(tunnelserver, "REQUEST_TIMEOUT_S", 0.05)
-
-    async def test(relay):
+    async with Relay() as relay, asyncio.timeout(1.0):
         client = await raw.RawClient.connect(str(relay.endpoint))
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(1.0):
-                return await client.is_closed()
-        return False
-
-    assert run(test)
+        assert await client.is_closed()
