tests of crowds: let the instances know each other before one is cut off

Cause: the test. It cut the instance off as soon as it was ready, 0.1 to 0.2 s before it had heard of the other one; in the run whose log was read, the crowd and both ordinary requests were over 0.35 s after the start, and the instance knew no member but itself. Its refusals were right, and the crowd met nothing.

Change: the test waits until an ordinary request is served through the other instance, so that the crowd always meets the relayed replicas. Check, bounds and crowd are as they were.

--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -103,11 +103,15 @@
             self.site.faults(place, **faults)
 
     def partition(self):
-        """Cut the first instance off from all backend servers."""
+        """Cut the first instance off from all backend servers, which others reach for it."""
         servers = self.site.server_by_place.values()
         lines = [tcpproxy.Partition.RESET.value, *(server.address for server in servers)]
         path = faultyentry.path_for(self.folder / "entry-0.yaml")
         path.write_text("\n".join(lines), encoding="ascii")
+        # The instances may not know each other yet, and nobody relays until they do.
+        loadprocesses.wait_until(
+            lambda: self.ordinary().status == 200, "another instance to relay", (), EXIT_S
+        )
 
     def ordinary(self, route="list"):
         """Send one ordinary request on a new connection."""
