--- a/hornbeamglade/sweep/sweepcaller.py
+++ b/hornbeamglade/standins/recordingcaller.py
@@ -7,8 +7,7 @@
 
 import h11
 
-from hornbeamglade.standins import operatordocuments
-from hornbeamglade.sweep import sweepsite
+from hornbeamglade.standins import operatordocuments, routedcaller
 
 READ_BYTES = 65_536
 PROMPT = "100,50"
@@ -44,21 +43,31 @@
         return tuple((int(n), text.decode("latin-1")) for n, text in _EVENT.findall(self.body))
 
 
-class SweepCaller:
+class RecordingCaller:
     """One connection to an instance.
 
     :param address: the address on which it accepts callers.
+    :param key: the caller's API key.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, key: str) -> None:
         self._address = address
+        self._key = key
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
     async def send(
-        self, route: str, request_id: str, deadline_s: float, more: dict[str, str] | None = None
+        self,
+        route: str,
+        request_id: str,
+        deadline_s: float,
+        resumption: routedcaller.Resumption | None = None,
     ) -> Received:
-        """Send a request and read its response, on the connection if it is still open."""
+        """Send a request and read its response, on the connection if it is still open.
+
+        :param deadline_s: the caller's time budget, in seconds.
+        :param resumption: the stream that it takes up, or None.
+        """
         if self._writer is None or self._reader.at_eof():
             host, _, port = self._address.rpartition(":")
             self._reader, self._writer = await asyncio.open_connection(host, int(port))
@@ -69,14 +78,13 @@
             "Host": operatordocuments.HOST,
             "Attempt-Id": request_id,
             "Deadline-Ms": str(int(deadline_s * 1000)),
-            "Authorization": f"Bearer {sweepsite.KEY}",
+            "Authorization": f"Bearer {self._key}",
             "Content-Length": str(len(body)),
             "Model": "m",
             "Token-Usage": PROMPT,
         }
-        request = h11.Request(
-            method="POST", target=f"/{route}/1", headers=list((headers | (more or {})).items())
-        )
+        headers |= routedcaller.resumption_fields(resumption)
+        request = h11.Request(method="POST", target=f"/{route}/1", headers=list(headers.items()))
         data = state.send(request) + state.send(h11.Data(data=body))
         received = Received()
         try:
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -41,6 +41,7 @@
 NOTICE_S = 1.5
 FINISH_POLL_S = 0.02
 HEALTH_PATH = "/h"
+_COPY_PATH = "/v1/kv-move"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +84,18 @@
     fell: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyOrder:
+    """An order to copy a run to another engine.
+
+    :param request_id: the request that the run serves.
+    :param is_last: whether the run is stopped before the copy.
+    """
+
+    request_id: str
+    is_last: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A request as received.
@@ -111,6 +124,19 @@
         listed = self.value_by_name.get("prompt-prefix", "").split(",")
         return tuple(each.strip().partition(":")[0] for each in listed[:-1])
 
+    @property
+    def is_continuation(self) -> bool:
+        """Whether it continues a run from a copy."""
+        return "kv-from" in self.value_by_name
+
+    @property
+    def copy_order(self) -> CopyOrder | None:
+        """The order to copy a run that it is, or None."""
+        if self.target != _COPY_PATH:
+            return None
+        order = json.loads(self.body)
+        return CopyOrder(order["id"], order["last"])
+
 
 WriterWrapper = collections.abc.Callable[[Request, asyncio.StreamWriter], asyncio.StreamWriter]
 
@@ -356,7 +382,7 @@
 
     def _is_misdirected(self, request: Request) -> bool:
         if self.faults.misdirected:
-            if "kv-from" in request.value_by_name:
+            if request.is_continuation:
                 return False
             self._arrivals_by_id[request.request_id] += 1
             return self._arrivals_by_id[request.request_id] <= self.faults.misdirected
@@ -396,7 +422,7 @@
             return 200, {}
         if path == "/v1/report":
             return 200, self._report()
-        if path == "/v1/kv-move":
+        if path == _COPY_PATH:
             return await self._move(json.loads(request.body))
         if path.startswith("/v1/kv-handle/"):
             return await self._drop_copy(path.rpartition("/")[2])
--- a/hornbeamglade/standins/routedcaller.py
+++ b/hornbeamglade/standins/routedcaller.py
@@ -159,9 +159,7 @@
             request_id, route, key, address, sent_at, sent_at, resumption=resumption
         )
         headers = self._headers(request_id, route, key, part)
-        if resumption is not None:
-            headers["Resumes"] = resumption.first_id
-            headers["Last-Event-Id"] = str(resumption.last_event)
+        headers |= resumption_fields(resumption)
         try:
             response = self._http.request(
                 "POST",
@@ -213,6 +211,13 @@
         return headers
 
 
+def resumption_fields(resumption: Resumption | None) -> dict[str, str]:
+    """Return the header fields that name the stream that a request takes up, if any."""
+    if resumption is None:
+        return {}
+    return {"Resumes": resumption.first_id, "Last-Event-Id": str(resumption.last_event)}
+
+
 def _finished(result: CallerResult, **changes: typing.Any) -> CallerResult:
     return dataclasses.replace(result, ended_at=time.monotonic(), **changes)
 
--- a/hornbeamglade/sweep/__init__.py
+++ b/hornbeamglade/sweep/__init__.py
@@ -6,7 +6,6 @@
 - :mod:`hornbeamglade.sweep.cases`: the cases, and what must hold in each
 - :mod:`hornbeamglade.sweep.kinds`: the kinds of exchange, and the cases of each
 - :mod:`hornbeamglade.sweep.sweepsite`: an instance and its servers in one process
-- :mod:`hornbeamglade.sweep.sweepcaller`: a caller that records what it received
 - :mod:`hornbeamglade.sweep.waves`: cases that are played at once
 - :mod:`hornbeamglade.sweep.running`: a whole sweep, and its table
 """
--- a/hornbeamglade/sweep/cases.py
+++ b/hornbeamglade/sweep/cases.py
@@ -4,8 +4,7 @@
 import dataclasses
 
 from hornbeamglade.core import outcomes
-from hornbeamglade.standins import disturbances, operatordocuments
-from hornbeamglade.sweep import sweepcaller
+from hornbeamglade.standins import disturbances, operatordocuments, recordingcaller
 
 LATE_S = 0.5
 """How long after its deadline a request may be answered at the latest."""
@@ -49,8 +48,8 @@
     """
 
     request_id: str
-    received: sweepcaller.Received
-    next_received: sweepcaller.Received
+    received: recordingcaller.Received
+    next_received: recordingcaller.Received
     ran_at: tuple[str, ...]
     overlap_s: float
 
@@ -114,7 +113,7 @@
 
 
 def _broken_stream(
-    received: sweepcaller.Received, request_id: str, expected: Expected
+    received: recordingcaller.Received, request_id: str, expected: Expected
 ) -> collections.abc.Iterator[str]:
     numbers = [number for number, _ in received.events]
     first = expected.first_event
--- a/hornbeamglade/sweep/kinds.py
+++ b/hornbeamglade/sweep/kinds.py
@@ -3,13 +3,11 @@
 import collections.abc
 import dataclasses
 import itertools
-import json
 import re
 
-from hornbeamglade.standins import disturbances, operatordocuments, routed
+from hornbeamglade.standins import disturbances, operatordocuments, routed, routedcaller
 from hornbeamglade.sweep import cases
 
-MOVE_PATH = "/v1/kv-move"
 HEAD_END = b"\r\n\r\n"
 
 INSERTED_EVERYWHERE = (disturbances.Stray.ANSWER_OTHER, disturbances.Stray.REFUSAL)
@@ -108,19 +106,19 @@
         return dict.fromkeys(SERVERS, 1) | ({SERVERS[1]: 2} if self.moves_runs else {})
 
     @property
-    def headers(self) -> dict[str, str]:
-        """Further headers of its requests."""
+    def resumption(self) -> routedcaller.Resumption | None:
+        """The stream that its requests take up, or None."""
         if not self.resumed_after:
-            return {}
-        return {"Resumes": "1" * 16, "Last-Event-Id": str(self.resumed_after)}
+            return None
+        return routedcaller.Resumption("1" * 16, self.resumed_after)
 
     def target_id(self, request: routed.Request) -> str:
         """Return the id of the request whose exchange is disturbed if its response is; or ""."""
-        if request.target == MOVE_PATH:
-            order = json.loads(request.body)
-            return order["id"] if self.target == ("stop" if order["last"] else "copy") else ""
-        is_continuation = "kv-from" in request.value_by_name
-        wanted = "continuation" if is_continuation else "answer"
+        order = request.copy_order
+        if order is not None:
+            wanted = "stop" if order.is_last else "copy"
+            return order.request_id if self.target == wanted else ""
+        wanted = "continuation" if request.is_continuation else "answer"
         return request.request_id if self.target == wanted else ""
 
     def cases(self, good: bytes) -> collections.abc.Iterator[cases.Case]:
--- a/hornbeamglade/sweep/waves.py
+++ b/hornbeamglade/sweep/waves.py
@@ -8,8 +8,8 @@
 import time
 import typing
 
-from hornbeamglade.standins import disturbances, disturbedwriter, routed
-from hornbeamglade.sweep import cases, kinds, sweepcaller, sweepsite
+from hornbeamglade.standins import disturbances, disturbedwriter, recordingcaller, routed
+from hornbeamglade.sweep import cases, kinds, sweepsite
 
 GAP_S = 0.01
 PAUSE_S = 0.6
@@ -57,7 +57,7 @@
         self._lock = threading.Lock()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._is_paused = False
-        self._caller_by_id: dict[str, sweepcaller.SweepCaller] = {}
+        self._caller_by_id: dict[str, recordingcaller.RecordingCaller] = {}
         self._was_first_by_id: dict[str, bool] = {}
         self._overlap_by_id: collections.Counter[str] = collections.Counter()
         self._refused_on_by_place: collections.defaultdict[
@@ -87,7 +87,8 @@
             if not next(iter(self._case_by_id.values())).is_first_use:
                 await self._warm(site)
             self._caller_by_id = {
-                each: sweepcaller.SweepCaller(site.address) for each in self._case_by_id
+                each: recordingcaller.RecordingCaller(site.address, sweepsite.KEY)
+                for each in self._case_by_id
             }
             received_by_id = await self._send_all(site)
             return [self._played(site, each, *received_by_id[each]) for each in self._case_by_id]
@@ -99,7 +100,7 @@
         count = WARM_FACTOR * len(self._case_by_id)
         await asyncio.gather(
             *(
-                sweepcaller.SweepCaller(site.address).send(
+                recordingcaller.RecordingCaller(site.address, sweepsite.KEY).send(
                     self._kind.route, f"warm{number:012d}", WARM_DEADLINE_S
                 )
                 for number in range(count)
@@ -108,7 +109,7 @@
 
     async def _send_all(
         self, site: sweepsite.SweepSite
-    ) -> dict[str, tuple[sweepcaller.Received, sweepcaller.Received]]:
+    ) -> dict[str, tuple[recordingcaller.Received, recordingcaller.Received]]:
         leaving = asyncio.ensure_future(self._leave(site)) if self._kind.moves_runs else None
         sampling = asyncio.ensure_future(self._sample_overlaps(site))
         try:
@@ -120,10 +121,12 @@
                 leaving.cancel()
         return dict(zip(self._case_by_id, received, strict=True))
 
-    async def _send(self, request_id: str) -> tuple[sweepcaller.Received, sweepcaller.Received]:
+    async def _send(
+        self, request_id: str
+    ) -> tuple[recordingcaller.Received, recordingcaller.Received]:
         caller, expected = self._caller_by_id[request_id], self._kind.expected
         received = await caller.send(
-            self._kind.route, request_id, expected.deadline_s, self._kind.headers
+            self._kind.route, request_id, expected.deadline_s, self._kind.resumption
         )
         await asyncio.sleep(SETTLE_S)
         following = await caller.send(FOLLOWING_ROUTE, f"next{request_id[4:]}", WARM_DEADLINE_S)
@@ -194,8 +197,8 @@
         self,
         site: sweepsite.SweepSite,
         request_id: str,
-        received: sweepcaller.Received,
-        next_received: sweepcaller.Received,
+        received: recordingcaller.Received,
+        next_received: recordingcaller.Received,
     ) -> Played:
         case = self._case_by_id[request_id]
         ran_at = tuple(
--- a/tests/sweep/test_cases.py
+++ b/tests/sweep/test_cases.py
@@ -4,15 +4,15 @@
 
 import pytest
 
-from hornbeamglade.standins import disturbances, operatordocuments
-from hornbeamglade.sweep import cases, sweepcaller
+from hornbeamglade.standins import disturbances, operatordocuments, recordingcaller
+from hornbeamglade.sweep import cases
 
 CASE = cases.Case(disturbances.Disturbance(disturbances.Action.CLOSE, 7), is_first_use=True)
-ANSWER = sweepcaller.Received(200, "s0.r1", b"s0:r1", is_whole=True)
-STREAM = sweepcaller.Received(
+ANSWER = recordingcaller.Received(200, "s0.r1", b"s0:r1", is_whole=True)
+STREAM = recordingcaller.Received(
     200, "s0.r1", b"id: 1\ndata: r1.1..\n\nid: 2\ndata: r1.2..\n\n", is_whole=True
 )
-NEXT = sweepcaller.Received(200, is_whole=True)
+NEXT = recordingcaller.Received(200, is_whole=True)
 
 
 def broken(received, ran_at=("s0",), route="hold", overlap_s=0.0, following=NEXT, case=CASE):
@@ -31,7 +31,7 @@
 
 
 def test_failure_that_promises_nothing_breaks_nothing():
-    assert broken(sweepcaller.Received(502, body=b"{}", is_whole=True)) == []
+    assert broken(recordingcaller.Received(502, body=b"{}", is_whole=True)) == []
 
 
 @pytest.mark.parametrize(
@@ -39,7 +39,7 @@
     [
         ("ran_again", ANSWER, {"ran_at": ("s0", "s1")}),
         ("two_engines", STREAM, {"route": "draft", "overlap_s": 0.42}),
-        ("refused_though_run", sweepcaller.Received(503, is_whole=True), {}),
+        ("refused_though_run", recordingcaller.Received(503, is_whole=True), {}),
         ("unproved", changed(ANSWER, seal="s0.r"), {}),
         ("part_as_whole", changed(ANSWER, body=b"s0:"), {}),
         ("foreign_bytes", changed(ANSWER, body=b"s0:xx"), {}),
@@ -55,9 +55,9 @@
             changed(STREAM, body=STREAM.body + b"id: 3\ndHTTP/1.1 503\r\n\r\n"),
             {"route": "draft"},
         ),
-        ("unanswered", sweepcaller.Received(), {}),
+        ("unanswered", recordingcaller.Received(), {}),
         ("late", changed(ANSWER, seconds=0.95), {}),
-        ("next_unserved", ANSWER, {"following": sweepcaller.Received(503, is_whole=True)}),
+        ("next_unserved", ANSWER, {"following": recordingcaller.Received(503, is_whole=True)}),
     ],
 )
 def test_each_rule_is_seen_to_break(name, received, more):
@@ -71,7 +71,7 @@
 
 def test_caller_that_left_need_not_be_answered():
     left = disturbances.Disturbance(disturbances.Action.CALLER_LEAVES, 7)
-    assert broken(sweepcaller.Received(), case=cases.Case(left, is_first_use=True)) == []
+    assert broken(recordingcaller.Received(), case=cases.Case(left, is_first_use=True)) == []
 
 
 def test_statement_of_the_replica_itself_is_no_case():
