--- a/tests/http1/test_callersserver.py
+++ b/tests/http1/test_callersserver.py
@@ -131,11 +131,7 @@
     "sent", [b"GET / HT", b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab"]
 )
 async def test_slow_request_gets_a_timeout_status(sent):
-    """A caller begins a request and never completes it.
-
-    Its connection would occupy memory and a descriptor permanently, and a thousand such
-    callers would exhaust them.
-    """
+    """Callers that never complete a request would occupy memory and descriptors permanently."""
     recorder = Recorder(callerrequests.ConnectionLimits(head_s=0.05, idle_s=0.05))
     server, address = await serve(recorder)
     client = await raw.RawClient.connect(address)
@@ -154,11 +150,7 @@
 
 
 async def test_request_of_a_disconnected_caller_is_cancelled():
-    """A caller disconnects while its response is being produced.
-
-    The node waits for a replica: unless the wait is cancelled, the replica continues
-    although no caller waits for the response.
-    """
+    """A replica would continue although no caller waits for the response."""
     recorder = Recorder()
     server, address = await serve(recorder)
     client = await raw.RawClient.connect(address)
@@ -279,11 +271,7 @@
 
 
 async def test_leaving_server_announces_that_it_closes_and_still_serves():
-    """An instance is stopped while a caller keeps its connection open.
-
-    If the connection were closed while a request is in transit, the caller would get no
-    response; if the close is announced with the next response, it connects elsewhere.
-    """
+    """A connection that closes while a request is in transit leaves it without a response."""
     server, address = await serve(Recorder())
     client = await raw.RawClient.connect(address)
     await client.send(GET)
