--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -293,7 +293,7 @@
                 if on_growth is not None:
                     await on_growth(byte_count)
         finally:
-            # The traceback of a cancelled request keeps this frame until garbage is collected.
+            # The traceback of an error may keep this frame for longer than the response.
             segments.clear()
             segment.clear()
 
