--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -96,6 +96,8 @@
         self.runs: dict[str, Run] = {}
         self.copies: dict[str, Run] = {}
         self.draining_at: float | None = None
+        self.breaks_off_after: int | None = None
+        self.works_until: dict[str, float] = {}
         self.arrivals: list[tuple[str, float]] = []
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -169,6 +171,15 @@
             return await self._stream(request, reader, writer)
         return True
 
+    async def _work_on(self, run: Run) -> None:
+        """Complete a run whose connection has ended; not every replica drops it."""
+        while run.made < run.events and not run.is_stopped:
+            await asyncio.sleep(EVENT_S)
+            run.made += 1
+            self.works_until[run.request_id] = time.monotonic()
+        run.is_alive = False
+        self.farm.record.line(f"{self.name} ends its work on {run.request_id}")
+
     def _report(self) -> bytes:
         alive = [run for run in self.runs.values() if run.is_alive]
         used = sum(run.tokens for run in (*alive, *self.copies.values()))
@@ -219,7 +230,10 @@
         request_id = request.fields["attempt-id"]
         self.arrivals.append((request_id, time.monotonic()))
         source = request.fields.get("kv-from")
-        self.farm.record.line(f"{self.name} gets {request_id} kv-from={source or '-'}")
+        last = request.fields.get("last-event-id", "-")
+        self.farm.record.line(
+            f"{self.name} gets {request_id}, kv-from {source or '-'}, last-event-id {last}"
+        )
         prompt_tokens = int(request.fields["token-usage"].partition(",")[0])
         if source is not None:
             copy = self.copies.pop(source.rpartition("/")[2], None)
@@ -230,6 +244,8 @@
         else:
             run = Run(request_id, prompt_tokens, self.events)
             await asyncio.sleep(prompt_tokens / PROMPT_TOKENS_PER_S)
+        sent = int(request.fields.get("last-event-id", "0"))
+        run.made = max(run.made, sent)
         self.runs[request_id] = run
         fields = [
             "HTTP/1.1 200 OK",
@@ -242,7 +258,6 @@
         ]
         writer.write("\r\n".join(fields).encode())
         left = asyncio.ensure_future(reader.read(1))
-        sent = int(request.fields.get("last-event-id", "0"))
         try:
             while run.is_alive and not run.is_stopped and not left.done():
                 if sent < run.made or run.made < run.events:
@@ -253,6 +268,13 @@
                         run.made += 1
                     sent += 1
                     event = f"id: {sent}\ndata: {request_id}/{sent}\n\n".encode()
+                    if sent == self.breaks_off_after:
+                        self.breaks_off_after = None
+                        self.farm.record.line(f"{self.name} breaks off its answer to {request_id}")
+                        writer.write(b"%x\r\n%s" % (len(event), event[:-4]))
+                        asyncio.ensure_future(self._work_on(run))
+                        run = dataclasses.replace(run)
+                        return False
                     writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                     await writer.drain()
                     continue
@@ -306,7 +328,6 @@
     prompt_tokens: int,
     max_tokens: int,
     answer: Answer,
-    key: str = site2.KEY,
 ) -> None:
     """Send one request for a stream and read its answer."""
     reader, writer = await asyncio.open_connection(*front)
@@ -318,7 +339,7 @@
         f"Token-Usage: {prompt_tokens},{max_tokens}",
         f"Prompt-Prefix: 5c1e07a2:79,{request_id}:{prompt_tokens - 79}",
         "Deadline-Ms: 39000",
-        f"Authorization: Bearer {key}",
+        f"Authorization: Bearer {site2.KEY}",
         "Content-Length: 4",
         "",
         "text",
--- a/review/standins-2/site2.py
+++ b/review/standins-2/site2.py
@@ -4,6 +4,7 @@
 import base64
 import collections.abc
 import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -81,6 +82,16 @@
         }
         self._start(name, list(ENTRY), environment)
 
+    def start_server(self, name: str, body_bytes: int, work_s: float) -> int:
+        """Start a plain server that answers without a length; return its port."""
+        port = free_port()
+        program = str(pathlib.Path(__file__).with_name("plainserver.py"))
+        self._start(
+            name, [program, name, str(port), str(body_bytes), str(work_s)], dict(os.environ)
+        )
+        self._await_port(port)
+        return port
+
     def await_ready(self, name: str, seconds: float = 20.0) -> None:
         """Wait until an instance says that it is ready."""
         url = f"http://{self.settings[name]['listen']['readiness']}/v1/readyz"
@@ -173,7 +184,7 @@
             with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port), 1):
                 return
             time.sleep(0.05)
-        raise NotRunError("the store does not listen")
+        raise NotRunError(f"nothing listens at {port}")
 
     def _new_settings(self, name: str) -> dict:
         ports = {key: free_port() for key in ("callers", "readiness", "directory", "control")}
@@ -212,6 +223,52 @@
     } | fields
 
 
+@dataclasses.dataclass
+class Answer:
+    """What a consumer got."""
+
+    status: int | None = None
+    fields: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+
+
+async def post(
+    front: tuple[str, int], name: str, request_id: str, *, deadline_ms: int = 1_500
+) -> Answer:
+    """Send one request and read its answer."""
+    answer = Answer()
+    try:
+        reader, writer = await asyncio.open_connection(*front)
+    except OSError:
+        return answer
+    try:
+        lines = [
+            f"POST /{name}/1 HTTP/1.1",
+            f"Host: {HOST}",
+            f"Attempt-Id: {request_id}",
+            f"Deadline-Ms: {deadline_ms}",
+            f"Authorization: Bearer {KEY}",
+            "Content-Length: 4",
+            "",
+            "text",
+        ]
+        writer.write("\r\n".join(lines).encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *rest = head.split("\r\n")
+        answer.status = int(first.split(" ")[1])
+        answer.fields = {
+            field.partition(":")[0].lower(): field.partition(":")[2].strip() for field in rest
+        }
+        answer.body = await reader.readexactly(int(answer.fields["content-length"]))
+        answer.is_whole = True
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        answer.body = getattr(error, "partial", b"")
+    finally:
+        writer.close()
+    return answer
+
+
 def run(
     case: collections.abc.Callable[[Site, bool], collections.abc.Awaitable[bool]],
     folder: pathlib.Path,
