--- a/review/standins-2/site2.py
+++ b/review/standins-2/site2.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -27,11 +28,26 @@
     """The case could not be run."""
 
 
-def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Return a port of loopback that is free now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+_taken: set[int] = set()
+
+
+def free_port() -> int:
+    """Return a port of loopback that is free now, for TCP and UDP.
+
+    Below those that the system gives to outgoing connections, which could take it meanwhile.
+    """
+    while True:
+        port = random.randrange(20_000, 30_000)
+        if port in _taken:
+            continue
+        _taken.add(port)
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagram.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Record:
@@ -188,7 +204,7 @@
 
     def _new_settings(self, name: str) -> dict:
         ports = {key: free_port() for key in ("callers", "readiness", "directory", "control")}
-        exchange = free_port(socket.SOCK_DGRAM)
+        exchange = free_port()
         return {
             "name": name,
             "host": "127.0.0.1",
