--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -97,6 +97,7 @@
         self.copies: dict[str, Run] = {}
         self.draining_at: float | None = None
         self.breaks_off_after: int | None = None
+        self.preempted_s: dict[str, float] = {}
         self.works_until: dict[str, float] = {}
         self.arrivals: list[tuple[str, float]] = []
         self._server: asyncio.Server | None = None
@@ -234,7 +235,7 @@
         self.farm.record.line(
             f"{self.name} gets {request_id}, kv-from {source or '-'}, last-event-id {last}"
         )
-        prompt_tokens = int(request.fields["token-usage"].partition(",")[0])
+        prompt_tokens, max_tokens = map(int, request.fields["token-usage"].split(","))
         if source is not None:
             copy = self.copies.pop(source.rpartition("/")[2], None)
             if copy is None:
@@ -242,7 +243,8 @@
                 return True
             run = copy
         else:
-            run = Run(request_id, prompt_tokens, self.events)
+            events = min(self.events, max_tokens // TOKENS_PER_EVENT)
+            run = Run(request_id, prompt_tokens, events)
             await asyncio.sleep(prompt_tokens / PROMPT_TOKENS_PER_S)
         sent = int(request.fields.get("last-event-id", "0"))
         run.made = max(run.made, sent)
@@ -268,6 +270,14 @@
                         run.made += 1
                     sent += 1
                     event = f"id: {sent}\ndata: {request_id}/{sent}\n\n".encode()
+                    if sent > 1 and request_id in self.preempted_s:
+                        pause_s = self.preempted_s.pop(request_id)
+                        self.farm.record.line(f"{self.name} preempts {request_id}")
+                        await asyncio.wait((left,), timeout=pause_s)
+                        if left.done():
+                            self.farm.record.line(f"{self.name}: {request_id} is closed")
+                            return False
+                        self.farm.record.line(f"{self.name} goes on with {request_id}")
                     if sent == self.breaks_off_after:
                         self.breaks_off_after = None
                         self.farm.record.line(f"{self.name} breaks off its answer to {request_id}")
