--- a/review/standins-2/site2.py
+++ b/review/standins-2/site2.py
@@ -34,10 +34,10 @@
 def free_port() -> int:
     """Return a port of loopback that is free now, for TCP and UDP.
 
-    Below those that the system gives to outgoing connections, which could take it meanwhile.
+    Below those that the system gives to outgoing connections, and apart from those of the tests.
     """
     while True:
-        port = random.randrange(20_000, 30_000)
+        port = random.randrange(12_000, 19_000)
         if port in _taken:
             continue
         _taken.add(port)
