--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -319,6 +319,17 @@
         """Return the engine at an address."""
         return next((each for each in self.engines if each.address == address), None)
 
+    def engine_of(self, request_id: str) -> Engine | None:
+        """Return the first engine that got a request, or None."""
+        return next(
+            (
+                engine
+                for engine in self.engines
+                if any(each == request_id for each, _ in engine.arrivals)
+            ),
+            None,
+        )
+
     def on_move(self, source: Engine, target: Engine) -> None:
         """Notice that a copy begins; a case may replace this."""
 
