--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A stream that came late in a planned stop is preempted after its first event."""
+"""A stream that came late in a planned stop is cut when its replica runs out of memory."""
 
 import asyncio
 import pathlib
@@ -12,10 +12,11 @@
 
 PROMPT_TOKENS = 2_550
 MAX_EVENTS = 400
-MAX_TOKENS = 16
+MAX_TOKENS = 80
 LONG_TOKENS = 1_200
 SENT_AFTER_S = 3.4
-PREEMPTED_S = 4.5
+OTHERS = 9
+OTHER_TOKENS = 2_835
 GRACE_S = 8.0
 INSTANCES = ("entry-1", "entry-2", "entry-3")
 
@@ -32,8 +33,7 @@
         ],
         [engines.SERVICE],
     )
-    for number in range(2):
-        await farm.add(f"i-{number}", "krk-a", MAX_EVENTS)
+    await farm.add("i-0", "krk-a", MAX_EVENTS)
     for name in INSTANCES:
         site.start_entry(name)
     for name in INSTANCES:
@@ -44,9 +44,18 @@
         await engines.draft(site.front("entry-1"), f"w{number}", PROMPT_TOKENS, MAX_TOKENS, warm)
         if not warm.is_whole:
             raise site2.NotRunError("a stream isn't whole before the stop")
-    if has_trouble:
-        for engine in farm.engines:
-            engine.preempted_s["a1"] = PREEMPTED_S
+    others = [
+        asyncio.ensure_future(
+            engines.draft(
+                site.front(f"entry-{2 + number % 2}"),
+                f"o{number}",
+                OTHER_TOKENS,
+                LONG_TOKENS,
+                engines.Answer(),
+            )
+        )
+        for number in range(OTHERS if has_trouble else 0)
+    ]
     # Keeps the instance up during its grace: an idle one ends after two seconds.
     long = asyncio.ensure_future(
         engines.draft(site.front("entry-1"), "long", PROMPT_TOKENS, LONG_TOKENS, engines.Answer())
@@ -61,7 +70,7 @@
         engines.draft(site.front("entry-1"), "a1", PROMPT_TOKENS, MAX_TOKENS, answer)
     )
     await asyncio.wait((request,), timeout=GRACE_S + 1)
-    await asyncio.wait((long,), timeout=1)
+    await asyncio.wait((long, *others), timeout=1)
     events = len(answer.events)
     site.record.line(f"consumer: {answer.status}, {events} events, whole={answer.is_whole}")
     is_passed_on = any(each[0] == "a1" for engine in farm.engines for each in engine.arrivals)
--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -100,7 +100,6 @@
         self.breaks_off_after: int | None = None
         self.strays: dict[tuple[str, int], bytes] = {}
         self.length_first_s: float | None = None
-        self.preempted_s: dict[str, float] = {}
         self.works_until: dict[str, float] = {}
         self.arrivals: list[tuple[str, float]] = []
         self._server: asyncio.Server | None = None
@@ -184,6 +183,15 @@
         run.is_alive = False
         self.farm.record.line(f"{self.name} ends its work on {run.request_id}")
 
+    def _used_tokens(self) -> int:
+        """Return the tokens of all runs, preempted ones included."""
+        return sum(run.tokens for run in self.runs.values() if run.is_alive)
+
+    def _is_preempted(self, run: Run) -> bool:
+        """Return whether memory has run out and a run is the newest."""
+        newest = [each for each in self.runs.values() if each.is_alive][-1]
+        return newest is run and self._used_tokens() > CAPACITY_TOKENS
+
     def _report(self) -> bytes:
         alive = [run for run in self.runs.values() if run.is_alive]
         used = sum(run.tokens for run in (*alive, *self.copies.values()))
@@ -273,13 +281,16 @@
                         run.made += 1
                     sent += 1
                     event = f"id: {sent}\ndata: {request_id}/{sent}\n\n".encode()
-                    if sent > 1 and request_id in self.preempted_s:
-                        pause_s = self.preempted_s.pop(request_id)
-                        self.farm.record.line(f"{self.name} preempts {request_id}")
-                        await asyncio.wait((left,), timeout=pause_s)
+                    if self._is_preempted(run):
+                        self.farm.record.line(
+                            f"{self.name} is out of memory: preempts {request_id}"
+                        )
+                        while not left.done() and self._used_tokens() > CAPACITY_TOKENS:
+                            await asyncio.wait((left,), timeout=EVENT_S)
                         if left.done():
                             self.farm.record.line(f"{self.name}: {request_id} is closed")
                             return False
+                        await asyncio.sleep(run.tokens / PROMPT_TOKENS_PER_S)
                         self.farm.record.line(f"{self.name} goes on with {request_id}")
                     if sent == self.breaks_off_after:
                         self.breaks_off_after = None
