observability: log how a request fares in a planned stop

The log could not tell a wrong estimate from a late signal, a withheld answer sent in part, a stream that is too long, or another close.

A request admitted during a stop has a line drain_admission, an answer that begins then a line answer_start, both with the time since the signal and until the limit; a stream that is cut has the time since its last event in pause_s.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -152,6 +152,7 @@
         if refusal is not None:
             await self._refuse_routed(exchange, routed, log, refusal)
             return
+        self._log_admitted_during_stop(routed, log.admitted_at)
         dependencies.budgets.record_request(routed.service.name, dependencies.clock.now())
         run = self._make_run(exchange, routed, log)
         timeout = asyncio.timeout(max(0.0, routed.ends_at - dependencies.clock.now()))
@@ -187,6 +188,23 @@
             self._log_outcome(routed, log, "answered", answer.status)
             await exchange.answer(answer.status, answer.fields, answer.body)
 
+    def _log_admitted_during_stop(
+        self, routed: callrouter.RoutedRequest, admitted_at: float
+    ) -> None:
+        """Log a request that is admitted although the instance is stopping."""
+        stop = self._dependencies.drain_admission.stop_state(admitted_at)
+        if stop is not None:
+            logs.decided(
+                routed.call.request_id,
+                "drain_admission",
+                "admitted",
+                since_stop_s=round(stop.since_s, 3),
+                remaining_s=round(stop.remaining_s, 3),
+                is_other_ready=stop.is_other_ready,
+                budget_s=round(routed.ends_at - admitted_at, 3),
+                is_repeatable=routed.route.is_repeatable,
+            )
+
     async def _refuse_routed(
         self,
         exchange: exchanges.Exchange,
@@ -287,10 +305,16 @@
         # When draining reaches its time limit, in-flight requests are cancelled just as if
         # the caller had closed the connection. Logging that as the caller's doing would
         # mislead the operator who looks for the cause.
-        is_over = self._dependencies.drain_admission.is_over(self._dependencies.clock.now())
-        events = None if run is None else run.result(is_complete=False).events
+        now = self._dependencies.clock.now()
+        is_over = self._dependencies.drain_admission.is_over(now)
+        pause_s = None if run is None else run.pause_s(now)
         self._log_outcome(
-            routed, log, "cut_by_stop" if is_over else "caller_left", 0, events=events
+            routed,
+            log,
+            "cut_by_stop" if is_over else "caller_left",
+            0,
+            events=None if run is None else run.result(is_complete=False).events,
+            pause_s=None if pause_s is None else round(pause_s, 3),
         )
 
     def _log_stream(
--- a/hornbeamglade/routed/drainadmission.py
+++ b/hornbeamglade/routed/drainadmission.py
@@ -74,6 +74,21 @@
 PACE_RESERVE = 3.0
 """An engine with a full batch on a busy machine takes this many times as long per token."""
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopState:
+    """What is known of a planned stop when it is decided on a request, for logs.
+
+    :param since_s: seconds since the stop signal.
+    :param remaining_s: seconds until the process ends.
+    :param is_other_ready: whether another instance accepts requests.
+    """
+
+    since_s: float
+    remaining_s: float
+    is_other_ready: bool
+
+
 LengthExceedance = collections.abc.Callable[[str, str, float], float]
 """Returns the probability that an answer of a route and team exceeds a number of tokens."""
 
@@ -126,6 +141,12 @@
         self.stop_requested_at = now
         self.ends_at = now + limit_s
 
+    def stop_state(self, now: float) -> StopState | None:
+        """Return what is known of the planned stop, or None while the instance is serving."""
+        if self.ends_at is None:
+            return None
+        return StopState(now - self.stop_requested_at, self.ends_at - now, self.is_other_ready())
+
     def is_over(self, now: float) -> bool:
         """Return whether the process is ending, which truncates all requests in flight."""
         return self.ends_at is not None and now >= self.ends_at
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -151,6 +151,10 @@
             self._end,
         )
 
+    def pause_s(self, now: float) -> float | None:
+        """Return the seconds since the newest event, or None before the first one."""
+        return None if self._relay.last_at is None else now - self._relay.last_at
+
     def on_replica_leaving(self) -> None:
         """Start a migration to another engine, if the engine supports it."""
         assignment = self._assignment
@@ -393,18 +397,23 @@
             return True
         if relay.is_withholding:
             return relay.withheld_bytes <= listeners.WRITE_BUFFER_BYTES
+        now = dependencies.clock.now()
         late_start = dependencies.drain_admission.late_start(
-            self._routed, self._log.admitted_at, dependencies.clock.now()
+            self._routed, self._log.admitted_at, now
         )
-        if late_start is drainadmission.LateStart.WITHHELD:
-            relay.withhold()
-            self._log.record_answer_withheld()
+        stop = dependencies.drain_admission.stop_state(now)
+        if stop is not None:
             logs.decided(
                 self._routed.call.request_id,
                 "answer_start",
                 late_start.value,
                 replica=self._assignment.replica.id,
+                since_stop_s=round(stop.since_s, 3),
+                remaining_s=round(stop.remaining_s, 3),
             )
+        if late_start is drainadmission.LateStart.WITHHELD:
+            relay.withhold()
+            self._log.record_answer_withheld()
         return late_start is not drainadmission.LateStart.DROPPED
 
     def _prove(self, last_at: float) -> None:
