drainadmission: rest no promise of a planned stop on an estimate

Cause: a late request was admitted, and its answer begun, by an estimate of what the engine would do: one pause of a second and three times the usual time per token.

Now a late request whose own time outlasts the process is refused before it is sent while another instance is ready; without one its answer is withheld until it is whole. The promise holds whatever engines do; the estimate only decides what is worth trying. Late means sent to a replica late, so a request that has waited for a grant is judged again. A request whose own time ends first is served as usual: the stop cannot truncate it.

Tests changed with the rule: those of estimates in the late period play an instance without another one, where estimates still decide, with the same bounds; a stream sent 3.1 s after the signal is withheld, not begun, which is stricter; requests arrive at the time of the stop instead of 100 s before, as their own time counts now. The stand-in can preempt a run.

--- a/hornbeamglade/routed/drainadmission.py
+++ b/hornbeamglade/routed/drainadmission.py
@@ -4,33 +4,37 @@
 ===========
 
 The operator ends the process some seconds after the stop signal, and callers keep sending
-requests for as long as they cache an old response of the directory. A stream that takes ten
-seconds but starts three seconds before the end is truncated, and its caller cannot have it
-run again. If it is refused before it is sent, it completes at another instance.
-
-While all instances are stopping, no other instance can take the request. Shortly after the
-signal it is then admitted if it has a fair chance of completing in time; otherwise the caller
-is asked to retry when the first instance has restarted. Later only requests that are almost
-certain to complete are admitted, whether or not another instance is ready: when two rounds of
-stops overlap, every instance of a site is leaving for seconds, and most streams admitted with
-a chance of two in five are truncated.
-
-Whether an answer completes in time depends on when it begins. Under load that is seconds after
-the request was sent, as it waits in the engine's own queue, of which a grant tells nothing. The
-estimate is therefore made from the times that recent answers of the service took to begin, or
-have taken so far if they have not begun. A request that waits for a grant is judged again when
-it gets one, and refused as soon as it could no longer complete.
-
-An answer that can be repeated and begins too late to complete is not begun. One that cannot be
-repeated is begun, since its caller can get no other. If its request was whole only long after the
-signal, and it might not complete should its engine stall or slow down, its events are withheld
-until it is complete. It then arrives whole, or an error takes its place. At the limit of the stop,
-each request without an answer gets one. It says "not run" only if the request was sent to no
-replica.
-
-Two alternatives were rejected. Admitting every request until the end truncated two to four
-streams per instance at a stop of 8 s. Refusing every request from the signal on makes callers
-retry short requests that would have completed in time.
+requests for as long as they cache an old response of the directory. A stream that is still being
+relayed when the process ends is truncated, and its caller may not be able to have it run again.
+What an engine does in the seconds that are left cannot be known: it may queue a request, preempt
+its run, slow down or move it. So no promise rests on an estimate. For a request that is sent to a
+replica long after the signal:
+
+* One whose own time is over before the process ends is served as usual, since the stop cannot
+  truncate it.
+* Any other is refused while another instance is ready, before it is sent to a replica. Its caller
+  gets the whole answer from that instance.
+* While all instances are leaving, it is admitted if it is almost certain to complete, and its
+  answer is withheld until it is complete. It then arrives whole, or an error takes its place.
+
+Shortly after the signal, callers cannot know of the stop yet, and operators accept that the limit
+truncates answers. A request is then admitted if it has a fair chance of completing in time.
+
+Chances are estimated from the times that recent answers of the service took to begin, or have
+taken so far if they have not begun, and from the lengths of answers. Under load an answer begins
+seconds after its request was sent, as it waits in the engine's own queue, of which a grant tells
+nothing. A request that waits for a grant is judged again at each tick and when it gets the grant.
+
+An answer that can be repeated and begins too late to complete is not begun. At the limit of the
+stop, each request without an answer gets one. It says "not run" only if the request was sent to
+no replica.
+
+Alternatives were rejected. Admitting every request until the end truncated two to four streams
+per instance at a stop of 8 s. Refusing every request from the signal on makes callers retry short
+requests that would have completed in time. Beginning late answers that should complete in time
+truncated those whose engine preempted them, and withholding them while another instance is ready
+replaced them by errors, after their runs. Relaying a late request to a ready instance changes
+nothing, as its answer still passes through the process that ends.
 """
 
 import collections.abc
@@ -68,12 +72,6 @@
 
 LATE_MAX_TRUNCATION_PROBABILITY = 0.01
 
-STALL_S = 1.0
-"""How long a stream may pause when its engine preempts it and reads its prompt again."""
-
-PACE_RESERVE = 3.0
-"""An engine with a full batch on a busy machine takes this many times as long per token."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopState:
@@ -158,9 +156,11 @@
 
         :param has_waited: whether it could be sent to a replica now, or has just arrived.
         """
-        if self.ends_at is None:
+        if not self._may_be_truncated(routed):
             return None
         has_other_instance = self.is_other_ready()
+        if has_other_instance and self._is_late(now):
+            return self._not_run_refusal(has_other_instance)
         max_probability = self._max_probability(now, has_other_instance)
         remaining_s = self.ends_at - now
         if self._truncation_probability(routed, remaining_s, has_waited) <= max_probability:
@@ -168,28 +168,28 @@
         return self._not_run_refusal(has_other_instance)
 
     def late_start(
-        self, routed: callrouter.RoutedRequest, admitted_at: float, now: float
+        self, routed: callrouter.RoutedRequest, sent_at: float, now: float
     ) -> LateStart:
         """Return what is done with an answer that begins now, as it may be truncated.
 
         An answer that cannot be repeated is not dropped, since its caller can get no other.
 
-        :param admitted_at: monotonic time at which the request was admitted.
+        :param sent_at: monotonic time at which the request was sent to its replica.
         """
-        if self.ends_at is None:
+        if not self._may_be_truncated(routed):
             return LateStart.IN_TIME
-        remaining_s = self.ends_at - now
         max_probability = self._max_probability(now, self.is_other_ready())
-        if routed.route.is_repeatable and self._exceedance(routed, remaining_s) > max_probability:
+        exceedance = self._exceedance(routed, self.ends_at - now)
+        if routed.route.is_repeatable and exceedance > max_probability:
             return LateStart.DROPPED
-        steady_s = (remaining_s - STALL_S) / PACE_RESERVE
-        is_late_request = self._is_late(admitted_at + SIGNAL_DELAY_S)
-        if is_late_request and self._exceedance(routed, steady_s) > max_probability:
-            return LateStart.WITHHELD
-        return LateStart.IN_TIME
+        return LateStart.WITHHELD if self._is_late(sent_at) else LateStart.IN_TIME
+
+    def _may_be_truncated(self, routed: callrouter.RoutedRequest) -> bool:
+        """Return whether the process may end before the request's own time is over."""
+        return self.ends_at is not None and routed.ends_at > self.ends_at
 
     def _is_late(self, at: float) -> bool:
-        return at - self.stop_requested_at > EARLY_PERIOD_S
+        return at + SIGNAL_DELAY_S - self.stop_requested_at > EARLY_PERIOD_S
 
     def _max_probability(self, now: float, has_other_instance: bool) -> float:
         if self._is_late(now):
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -398,9 +398,7 @@
         if relay.is_withholding:
             return relay.withheld_bytes <= listeners.WRITE_BUFFER_BYTES
         now = dependencies.clock.now()
-        late_start = dependencies.drain_admission.late_start(
-            self._routed, self._log.admitted_at, now
-        )
+        late_start = dependencies.drain_admission.late_start(self._routed, self._log.sent_at, now)
         stop = dependencies.drain_admission.stop_state(now)
         if stop is not None:
             logs.decided(
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -511,6 +511,8 @@
         try:
             while run.made < run.events and not run.is_stopped and not caller_left.done():
                 await asyncio.sleep(self._gap_s * self.machine.factor(time.monotonic()))
+                if run.made == self.faults.preempted_after_events:
+                    await asyncio.wait((caller_left,), timeout=self.faults.preempted_s)
                 if run.is_stopped or caller_left.done():
                     break
                 run.made += 1
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -40,6 +40,8 @@
     :param reset: responses are truncated by a connection reset.
     :param early: a response is sent before the request's body is read.
     :param die_after_events: a stream is cut off after this many events.
+    :param preempted_after_events: a stream pauses once, after this many events, for
+        ``preempted_s``, as if its engine preempted its run; None for never.
     :param no_room: KV cache copies from and to other engines are refused.
     :param limit: limit in requests per second that responses announce for the server.
     :param room: requests that it runs at once; further ones are refused as not run, or None.
@@ -94,6 +96,8 @@
     reset: bool = False
     early: bool = False
     die_after_events: int | None = None
+    preempted_after_events: int | None = None
+    preempted_s: float = pydantic.Field(default=0.0, ge=0)
     no_room: bool = False
     limit: str = ""
     room: int | None = None
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hornbeamglade.http1 import listeners
 from hornbeamglade.routed import drainadmission
 from hornbeamglade.standins import routed
 from tests import eventloop
@@ -99,7 +100,7 @@
 )
 async def test_stream_that_is_withheld_at_a_stop_arrives_whole(is_body_late, leaves):
     """A late stream was truncated; if withheld it must not lose its events or its head."""
-    async with entrysite.started(nodes=2, events=40, gap_s=0.04) as site:
+    async with entrysite.started(events=40, gap_s=0.04) as site:
         node = site.nodes[0]
         draft = entrysite.route("draft", "streaming", "llm", goal_ms=100, max_attempts=1)
         site.configure(2, routes=[draft])
@@ -125,3 +126,109 @@
         used = sum("r1" in engine.run_by_id for engine in site.engines)
     assert (status, events, is_first, is_withheld) == (200, 40, True, True)
     assert used == (2 if leaves else 1)
+
+
+@pytest.fixture
+def early_period(monkeypatch):
+    """Shorten the early period of a stop, for tests of what comes after it."""
+    monkeypatch.setattr(drainadmission, "EARLY_PERIOD_S", 0.4)
+    return drainadmission.EARLY_PERIOD_S
+
+
+RESUMED = "Last-Event-Id: 1\r\nResumes: r0\r\n"
+
+
+@pytest.mark.parametrize(
+    ("path", "more", "body_delay_s"),
+    [
+        ("/draft/1", "", 0.0),
+        ("/draft/1", "", 0.5),
+        ("/draft/1", "Deadline-Ms: 9000\r\n", 0.0),
+        ("/tag/1", "", 0.0),
+        ("/tag/1", RESUMED, 0.0),
+        ("/hold/1", "", 0.0),
+        ("/list/1", "", 0.0),
+    ],
+)
+async def test_late_request_is_sent_nowhere_while_another_instance_is_ready(
+    early_period, path, more, body_delay_s
+):
+    """An engine preempted a stream that came late in a stop, and the limit truncated it."""
+    async with entrysite.started(nodes=2) as site:
+        first, second = site.nodes
+        first.instance.leave()
+        site.configure(2)
+        first.set_stop_limit(20.0)
+        await asyncio.sleep(0.0 if body_delay_s else early_period)
+        more = entrysite.USAGE + more
+        late = await first.request(path, more=more, body_delay_s=body_delay_s)
+        status, code, fields = await code_and_fields(late)
+        runs = [run for server in (*site.engines, *site.services) for run in server.ledger]
+        again = await second.request(path, request_id="r2", more=more)
+        assert (await again.answer())[0] == 200
+    assert (status, code, runs) == (503, "node_leaving", [])
+    assert float(fields["retry-after"]) < 0.1
+
+
+@pytest.mark.parametrize("path", ["/hold/1", "/draft/1"])
+async def test_late_request_whose_own_time_ends_first_is_served(early_period, path):
+    """Its caller was sent to another instance although the stop could not truncate its answer."""
+    async with entrysite.started(nodes=2) as site:
+        site.nodes[0].instance.leave()
+        await asyncio.sleep(early_period)
+        more = f"{entrysite.USAGE}Deadline-Ms: 3000\r\n"
+        late = await site.nodes[0].request(path, more=more)
+        assert (await late.answer())[0] == 200
+
+
+async def test_request_that_waits_into_the_late_period_is_sent_nowhere(early_period):
+    """It was admitted as an early one, got its grant late, and was begun."""
+    async with entrysite.started(nodes=2, engines=1, gap_s=0.05) as site:
+        running = await site.request_streams(8)
+        await eventloop.until(lambda: len(test_streams.dispatched(site)) == len(running))
+        node = site.nodes[1]
+        waiting = await node.request("/draft/1", request_id="late", more=entrysite.USAGE)
+        await eventloop.until(lambda: test_streams.queued_count(site) == 1)
+        node.instance.leave()
+        answer = await code_and_fields(waiting)
+        assert answer[:2] == (503, "node_leaving")
+        assert "late" not in test_streams.dispatched(site)
+
+
+@pytest.mark.parametrize(
+    ("path", "preempted_s", "expected"),
+    [("/draft/1", 0.3, 200), ("/draft/1", 9.0, 502), ("/tag/1", 9.0, 502)],
+)
+async def test_late_stream_of_a_preempted_run_is_whole_or_not_begun(
+    early_period, path, preempted_s, expected
+):
+    """While all instances left, a late stream was begun, preempted, and truncated at the limit."""
+    async with entrysite.started(events=8, gap_s=0.02) as site:
+        node = site.nodes[0]
+        faults = {"preempted_after_events": 3, "preempted_s": preempted_s}
+        entrysite.set_faults(site.engines, **faults)
+        node.instance.leave()
+        await asyncio.sleep(early_period)
+        client = await node.request(path, more="Model: m\r\nToken-Usage: 100,8\r\n")
+        await eventloop.until(
+            lambda: any(run.made >= 3 for each in site.engines for run in each.run_by_id.values())
+        )
+        await asyncio.sleep(0.05)
+        is_begun = not node.instance.callers.has_unanswered_requests
+        if expected == 502:
+            node.instance.callers.refuse_unanswered()
+        status, _, body = await client.answer()
+    assert (status, is_begun) == (expected, False)
+    assert body.count(b"data: r1.") == (8 if expected == 200 else 0)
+
+
+async def test_late_answer_that_outgrows_what_may_be_withheld_is_not_begun(early_period):
+    """It would be begun before it is whole, and the limit could truncate it."""
+    async with entrysite.started(events=40) as site:
+        for engine in site.engines:
+            engine.event_bytes = listeners.WRITE_BUFFER_BYTES // 20
+        site.nodes[0].instance.leave()
+        await asyncio.sleep(early_period)
+        late = await site.nodes[0].request("/draft/1", more=entrysite.USAGE)
+        status, code, _ = await code_and_fields(late)
+    assert (status, code) == (502, "stopped_before_answer")
--- a/tests/failures/test_entry.py
+++ b/tests/failures/test_entry.py
@@ -98,10 +98,10 @@
         except urllib3.exceptions.HTTPError:
             return False
 
-    def ask(self, address, path="/list/1", request_id="r1", **options):
+    def ask(self, address, path="/list/1", request_id="r1", events=50, **options):
         headers = HEADERS | {"Attempt-Id": request_id, "Deadline-Ms": "20000"}
         if path.startswith(("/draft", "/tag")):
-            headers |= {"Model": "m", "Token-Usage": "100,50"}
+            headers |= {"Model": "m", "Token-Usage": f"100,{events}"}
         url = f"http://{address}{path}"
         return self.http.request("POST", url, headers=headers, body=b"body", **options)
 
@@ -203,6 +203,37 @@
     assert process.wait(TIMEOUT_S) == 0
 
 
+@pytest.mark.parametrize("is_other_ready", [False, True])
+def test_late_stream_of_a_preempted_run_is_not_truncated(processes, is_other_ready):
+    """An engine preempted a stream that came late in a stop, and the limit truncated it."""
+    routes = [
+        entrysite.route("draft", "streaming", "llm", goal_ms=100, max_attempts=1),
+        entrysite.route("hold", "non_idempotent", "web", max_attempts=1),
+    ]
+    processes.put("op/config", json.dumps(entrysite.manifest(2, routes=routes)))
+    process, _, addresses = processes.entry(bounds={"stop_s": 6.0, "address_ttl_s": 1})
+    others = [processes.entry(1)[2]] if is_other_ready else []
+    web, engine = (
+        f"http://{server}/standin/faults" for server in (processes.web, processes.engine_address)
+    )
+    faults = {"preempted_after_events": 5, "preempted_s": 8.0}
+    processes.http.request("PUT", web, body=b'{"hang": true}')
+    processes.http.request("PUT", engine, body=json.dumps(faults))
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        # The instance ends sooner if nothing is in progress.
+        pool.submit(processes.ask, addresses[0], "/hold/1", "r0")
+        until(lambda: processes.run_count() == 1)
+        process.send_signal(signal.SIGTERM)
+        time.sleep(drainadmission.EARLY_PERIOD_S + 0.1)
+        answer = processes.ask(addresses[0], "/draft/1", "r1", events=10)
+    expected = (503, "node_leaving") if is_other_ready else (502, "stopped_before_answer")
+    assert (answer.status, answer.json()["code"]) == expected
+    assert process.wait(TIMEOUT_S) == 0
+    processes.http.request("PUT", engine, body=b"{}")
+    for each in others:
+        assert processes.ask(each[0], "/draft/1", "r2").data.count(b"data: r2.") == 60
+
+
 def test_answer_lines_say_when_a_request_was_sent(processes):
     """Waiting for an engine and waiting at one looked alike in the log."""
     _, _, addresses = processes.entry()
--- a/tests/routed/fakes.py
+++ b/tests/routed/fakes.py
@@ -78,14 +78,15 @@
     return callrouter.RoutedRequest(call, matched_route, service, None, 1)
 
 
-def plain_request(**changes):
+def plain_request(arrived_at=0.0, **changes):
     """Return a request to a plain service, which needs no grant."""
-    return routed_request(clocks.ManualClock(), route(**changes))
+    return routed_request(clocks.ManualClock(arrived_at), route(**changes))
 
 
-def streaming_request(max_tokens=4000):
+def streaming_request(max_tokens=4000, arrived_at=0.0, **changes):
     """Return a streaming request of the route ``draft``."""
     service = models.Service("s", "/healthz", 100, ENGINE)
-    matched_route = route(models.RouteKind.STREAM, name="draft", goal_s=1.0)
+    matched_route = route(models.RouteKind.STREAM, name="draft", goal_s=1.0, **changes)
     generation = calls.Generation("m", 3000, max_tokens)
-    return routed_request(clocks.ManualClock(), matched_route, service, generation=generation)
+    clock = clocks.ManualClock(arrived_at)
+    return routed_request(clock, matched_route, service, generation=generation)
