membership: pass over leaving owners that leave grant requests unanswered

While all instances of a site are leaving, the leaving ones own the engines, and idle ones among them exit after two seconds. A request at the last one waited three times for the owner of its engine, 0.3 to 0.4 s, before it was sent without a grant or refused as too late (owner_silent lines).

Such an owner has probably exited. The other leaving instances now take its engines over as soon as it leaves a grant request unanswered, until a heartbeat of it arrives. With live instances nothing changes.

The test failed before.

--- a/hornbeamglade/entry/peering.py
+++ b/hornbeamglade/entry/peering.py
@@ -191,6 +191,8 @@
     def record_no_response(self, owner: str) -> None:
         """Record that an owner left a grant request unanswered."""
         self.heartbeats.record_no_reply(owner)
+        if not self.heartbeats.live():
+            self.update_owners()
 
     @property
     def is_idle(self) -> bool:
--- a/hornbeamglade/membership/heartbeats.py
+++ b/hornbeamglade/membership/heartbeats.py
@@ -115,7 +115,8 @@
     def record_no_reply(self, name: str) -> None:
         """Record that a node did not respond to a grant request."""
         with self._lock:
-            self._view.expect_reply(name, self._clock.now())
+            self._view.miss_grant(name, self._clock.now())
+            self._members = self._view.members(self._clock.now())
 
     def raise_incarnation(self, incarnation: int) -> None:
         """Continue with another incarnation, and announce it to all nodes."""
--- a/hornbeamglade/membership/liveness.py
+++ b/hornbeamglade/membership/liveness.py
@@ -33,6 +33,7 @@
     :param last_seen_at: monotonic seconds of the last heartbeat received, or None.
     :param unanswered_since: monotonic seconds since which it counts as silent, or None.
     :param owes_reply: whether a request of this node is unanswered.
+    :param missed_grant: whether a grant request of this node was left unanswered.
 
     Examples
     ========
@@ -54,6 +55,7 @@
     last_seen_at: float | None = None
     unanswered_since: float | None = None
     owes_reply: bool = False
+    missed_grant: bool = False
 
     def state(self, now: float) -> messages.NodeState:
         """Return the state of the node."""
@@ -108,7 +110,7 @@
             self.mark_leaving()
         self.last_seen_at = now
         self.unanswered_since = None
-        self.owes_reply = False
+        self.owes_reply = self.missed_grant = False
         self.refutation = max(self.refutation, refutation)
         if beat < self.beat:
             return False
@@ -147,7 +149,7 @@
         self.refutation = 0
         self.leaving_incarnation = None
         self.unanswered_since = None
-        self.owes_reply = False
+        self.owes_reply = self.missed_grant = False
 
     def _apply_refutation(self, update: messages.MembershipUpdate) -> None:
         if update.refutation <= self.refutation:
--- a/hornbeamglade/membership/view.py
+++ b/hornbeamglade/membership/view.py
@@ -77,6 +77,7 @@
     :param heartbeat: its newest heartbeat, or None.
     :param demands: the team demands in its newest heartbeat that contained any.
     :param owes_reply: whether it has not replied to a request of this node.
+    :param missed_grant: whether it left a grant request of this node unanswered.
     """
 
     identity: Identity
@@ -88,6 +89,7 @@
     heartbeat: messages.Heartbeat | None
     demands: tuple[messages.TeamDemand, ...] = ()
     owes_reply: bool = False
+    missed_grant: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -220,14 +222,21 @@
         Explanation
         ===========
 
-        This is called for each heartbeat that asks for one in return, and when a grant
-        request got no response. Only the first request since the last heartbeat counts.
+        This is called for each heartbeat that asks for one in return. Only the first request
+        since the last heartbeat counts.
         """
         record = self._record_by_name.get(name)
         if record is not None and record is not self._own:
             self._stale_names.add(name)
             record.liveness.expect_reply(now)
 
+    def miss_grant(self, name: str, now: float) -> None:
+        """Record that a node left a grant request unanswered."""
+        self.expect_reply(name, now)
+        record = self._record_by_name.get(name)
+        if record is not None and record is not self._own:
+            record.liveness.missed_grant = True
+
     def leave(self) -> None:
         """Mark this node itself as leaving."""
         self._stale_names.add(self.own.name)
@@ -345,10 +354,12 @@
     ===========
 
     These are the live nodes or, if every node is leaving, the leaving ones, since the last
-    of them still serves callers with a cached address list.
+    of them still serves callers with a cached address list. A leaving node that leaves grant
+    requests unanswered has probably exited.
     """
     leaving = tuple(member for member in members if member.state is State.LEAVING)
-    return live(members) or leaving
+    responding = tuple(member for member in leaving if not member.missed_grant)
+    return live(members) or responding or leaving
 
 
 def _member(record: _Record, now: float) -> Member:
@@ -363,6 +374,7 @@
         record.heartbeat,
         record.demands,
         liveness.owes_reply,
+        liveness.missed_grant,
     )
 
 
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -232,3 +232,18 @@
         late = await site.nodes[0].request("/draft/1", more=entrysite.USAGE)
         status, code, _ = await code_and_fields(late)
     assert (status, code) == (502, "stopped_before_answer")
+
+
+async def test_engine_of_an_instance_that_has_exited_changes_owner_while_all_leave():
+    """Each request at the last instance waited for owners that had exited, and most were lost."""
+    async with entrysite.started(nodes=2, engines=1) as site:
+        engine = site.engines[0].replica_id
+        owner = next(each for each in site.nodes if each.instance.peering.owner(engine) is None)
+        last = next(each for each in site.nodes if each is not owner)
+        for node in site.nodes:
+            node.instance.leave()
+        await eventloop.until(lambda: not last.instance.peering.heartbeats.live())
+        await owner.stop()
+        client = await last.request("/draft/1", more=entrysite.USAGE)
+        assert (await client.answer())[0] == 200
+        assert last.instance.peering.owner(engine) is None
