http1: check every chunk whole, also if its length line arrived first

Cause: h11 sets chunk_start only on content that it gets together with the length line. Without it the body counted as one without chunks, whose pieces are passed on as they arrive, before the line end behind the chunk is checked.

Whether a body has chunks is now known from the head. The line end behind a chunk is looked at itself: by the parser's next event a whole chunk was passed on or not, as what followed it arrived apart or together.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -40,7 +40,7 @@
 MAX_FRAMING_PER_CONTENT = 16
 """Bytes of chunk framing for each byte of content; chunks of one byte need five."""
 
-CHUNK_END_BYTES = 2
+CHUNK_END = b"\r\n"
 PORTION_BYTES = 16_384
 SEGMENT_BYTES = 65_536
 EVENTS_PER_TURN = 32
@@ -126,10 +126,10 @@
         self._events_in_turn = 0
         self._waiter: asyncio.Future[None] | None = None
         self._state: h11.Connection | None = None
+        self._is_chunked = False
         self._is_in_chunk = False
         self._is_after_chunk = False
         self._is_end_parsed = False
-        self._next_event: h11.Event | None = None
         self._request: h11.Request | None = None
         self._is_reset = False
         self._has_ended = False
@@ -182,8 +182,7 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._parsing_bytes = self._parsed_bytes = self._content_bytes = 0
         self._interim_count = 0
-        self._is_in_chunk = self._is_end_parsed = False
-        self._next_event = None
+        self._is_chunked = self._is_in_chunk = self._is_end_parsed = False
         data = self._state.send(self._request)
         data += self._state.send(h11.Data(data=body)) if body else b""
         data += self._state.send(h11.EndOfMessage())
@@ -213,12 +212,13 @@
             if strictness.is_joined(event.reason, head_fields):
                 return self._lost("malformed")
             self._interim_count += is_interim
-            head_bytes = self._parsed_bytes - len(self._state.trailing_data[0])
+            head_bytes = self._parsed_bytes - len(self._unparsed())
             has_excessive_interim = self._interim_count > statuslines.MAX_INTERIM_RESPONSES
             if head_bytes > MAX_HEAD_BYTES or has_excessive_interim:
                 return self._lost("excessive")
             if not is_interim:
                 self._parsed_bytes = 0
+                self._is_chunked = fields.value(head_fields, b"transfer-encoding") is not None
                 return ResponseHead(event.status_code, head_fields)
 
     async def piece(self) -> bytes | BodyEnd | ResponseLost:
@@ -227,7 +227,8 @@
         if isinstance(event, h11.Data):
             self._content_bytes += len(event.data)
             self._is_after_chunk = event.chunk_end
-            self._is_in_chunk = not event.chunk_end and (self._is_in_chunk or event.chunk_start)
+            # The parser reports no start of a chunk whose length line it got without content.
+            self._is_in_chunk = self._is_chunked and not event.chunk_end
             if self._has_excessive_framing():
                 return self._lost("excessive")
             return bytes(event.data)
@@ -277,7 +278,7 @@
                 piece = await self.piece()
                 if isinstance(piece, BodyEnd):
                     content = b"".join((*segments, segment))
-                    rest = self._state.trailing_data[0] + bytes(self._buffer)
+                    rest = self._unparsed() + bytes(self._buffer)
                     is_joined = strictness.is_body_joined(content, rest)
                     return self._lost("malformed") if is_joined else content
                 if isinstance(piece, ResponseLost):
@@ -316,7 +317,7 @@
         """
         if self._state.their_state is not h11.DONE:
             return False
-        rest = self._state.trailing_data[0]
+        rest = self._unparsed()
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._state.send(self._request)
         self._state.send(h11.Data(data=b""))
@@ -340,7 +341,7 @@
             state is not None
             and state.our_state is h11.DONE
             and state.their_state is h11.DONE
-            and not state.trailing_data[0]
+            and not self._unparsed()
             and not self._buffer
             and not self._has_ended
             and not self._is_unusable
@@ -392,7 +393,7 @@
         self.close()
         # Objects of a connection refer to each other and are kept until garbage is collected.
         self._buffer.clear()
-        self._state = self._next_event = self._request = None
+        self._state = self._request = None
 
     async def _event(self) -> h11.Event | ResponseLost:
         self._events_in_turn += 1
@@ -427,7 +428,7 @@
         :raises RemoteProtocolError: if the data is malformed.
         """
         try:
-            event, self._next_event = self._next_event or self._state.next_event(), None
+            event = self._state.next_event()
             while event is h11.NEED_DATA and self._buffer:
                 self._parse_portion()
                 event = self._state.next_event()
@@ -439,23 +440,18 @@
 
     async def _await_chunk_end(self) -> ResponseLost | None:
         """Wait for the line end that follows the content of a chunk."""
-        before = self._consumed_bytes()
-        while True:
-            try:
-                event = self._parse_event()
-            except h11.RemoteProtocolError:
-                return self._lost("malformed")
-            if event is not h11.NEED_DATA:
-                self._next_event = event
-                return None
-            if self._consumed_bytes() - before >= CHUNK_END_BYTES:
-                return None
-            if self._has_ended:
+        while len(following := self._unparsed()) < len(CHUNK_END):
+            if self._buffer:
+                self._parse_portion()
+            elif self._has_ended:
                 return self._lost("reset" if self._is_reset else "closed")
-            await self._await_data()
+            else:
+                await self._await_data()
+        return None if following.startswith(CHUNK_END) else self._lost("malformed")
 
-    def _consumed_bytes(self) -> int:
-        return self._parsed_bytes - len(self._state.trailing_data[0])
+    def _unparsed(self) -> bytes:
+        """Return the bytes that the parser has got and not used."""
+        return self._state.trailing_data[0]
 
     def _parse_portion(self) -> None:
         portion = bytes(self._buffer[:PORTION_BYTES])
