http1: recognise a response within a body also if its rest arrives later

A replica that stops within a body of stated length and sends another response fills the body with its start. That was recognised by the rest of the response behind the body, but only if it had arrived together with it; otherwise the body was passed on as complete.

A body that ends within something like a status line now waits up to 20 ms for what follows. Other bodies wait for nothing.

Two cases of tests/http1/test_splits.py failed before.

--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -23,6 +23,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 
 import h11
@@ -41,6 +42,9 @@
 """Bytes of chunk framing for each byte of content; chunks of one byte need five."""
 
 CHUNK_END = b"\r\n"
+JOINED_WAIT_S = 0.02
+"""How long the rest of another response may take that begins within a body."""
+
 PORTION_BYTES = 16_384
 SEGMENT_BYTES = 65_536
 EVENTS_PER_TURN = 32
@@ -278,8 +282,7 @@
                 piece = await self.piece()
                 if isinstance(piece, BodyEnd):
                     content = b"".join((*segments, segment))
-                    rest = self._unparsed() + bytes(self._buffer)
-                    is_joined = strictness.is_body_joined(content, rest)
+                    is_joined = await self._is_joined(content)
                     return self._lost("malformed") if is_joined else content
                 if isinstance(piece, ResponseLost):
                     return piece
@@ -449,6 +452,19 @@
                 await self._await_data()
         return None if following.startswith(CHUNK_END) else self._lost("malformed")
 
+    async def _is_joined(self, body: bytes) -> bool:
+        """Return whether a body ends within another response, whose rest follows it."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(JOINED_WAIT_S):
+                while strictness.may_be_joined(body, self._unparsed()):
+                    if self._buffer:
+                        self._parse_portion()
+                    elif self._has_ended:
+                        break
+                    else:
+                        await self._await_data()
+        return strictness.is_body_joined(body, self._unparsed() + bytes(self._buffer))
+
     def _unparsed(self) -> bytes:
         """Return the bytes that the parser has got and not used."""
         return self._state.trailing_data[0]
--- a/hornbeamglade/http1/strictness.py
+++ b/hornbeamglade/http1/strictness.py
@@ -35,6 +35,9 @@
 _HOST = re.compile(rb"\nhost:", re.IGNORECASE)
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 _STATUS_LINE_BYTES = 12
+_STATUS_LINE_START = re.compile(
+    rb"H(?:T(?:T(?:P(?:/(?:[0-9](?:\.(?:[0-9](?: [0-9]{0,2})?)?)?)?)?)?)?)?\Z"
+)
 _RESPONSE_START = b"HTTP/1."
 _MAX_JOINED_BYTES = 65_536
 """Bytes at the end of a body that are searched for the start of another response."""
@@ -104,3 +107,24 @@
         return False
     found = _STATUS_LINE.search(body[-_MAX_JOINED_BYTES:] + rest[:_STATUS_LINE_BYTES])
     return found is not None and found.start() < min(len(body), _MAX_JOINED_BYTES)
+
+
+def may_be_joined(body: bytes, rest: bytes) -> bool:
+    """Return whether more bytes decide if a body ends within another response.
+
+    :param body: as for :func:`is_body_joined`.
+    :param rest: the bytes that follow it so far.
+
+    Examples
+    ========
+
+    >>> may_be_joined(b"aHTTP/1.1 503 No", b""), may_be_joined(b"aH", b"TTP/1.")
+    (True, True)
+    >>> may_be_joined(b"aH", b"TTP "), may_be_joined(b"HTTP ", b"")
+    (False, False)
+    """
+    end = body[-_MAX_JOINED_BYTES:]
+    if not rest and _STATUS_LINE.search(end) is not None:
+        return True
+    found = _STATUS_LINE_START.search(end + rest[:_STATUS_LINE_BYTES])
+    return found is not None and found.start() < len(end)
--- a/tests/http1/test_splits.py
+++ b/tests/http1/test_splits.py
@@ -40,6 +40,8 @@
 RESPONSES = {
     "plain": with_length(b"s0:r1"),
     "plain, followed by another": with_length(b"s0:r1") + OTHER,
+    "plain, within it another": with_length(b"s0:" + OTHER[:40], 43) + OTHER[40:],
+    "plain, within it the first byte of another": with_length(b"s0:H", 4) + OTHER[1:],
     "plain, broken off": with_length(b"s0:r1", 9),
     "report": HEAD + b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}",
     "after an interim response": b"HTTP/1.1 103 Early\r\nX: y\r\n\r\n" + with_length(b"s0:r1"),
