migration: check the target again before the run is stopped and sent there

Cause: the target was checked once, before the copy, and the check at the send was skipped for requests that continue from a copy.

The target is checked again once the copy is complete; if it leaves, its copy is freed and another one is tried while the run goes on. When it is sent, a request that continues from a copy passes the check that others pass, but for a target that was known to accept runs within the last second, whose notice cannot have run out: the run is stopped and has nowhere else to go.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -239,6 +239,9 @@
                 labels=(service, code)
             ),
             ends,
+            lambda replica, accepted_at: self._available.may_continue(
+                replica, accepted_at, clock.now()
+            ),
         )
         self._loads = replicaload.ReplicaLoads(clock, rng, self.shared_machines)
         self._budgets = retrybudget.RetryBudgets(
--- a/hornbeamglade/replicas/availability.py
+++ b/hornbeamglade/replicas/availability.py
@@ -35,6 +35,9 @@
 MAX_WAITING_FOR_TRIAL = 1000
 """Requests that wait for the outcome of a trial, which takes half a second at most."""
 
+MAX_NOTICE_AGE_S = 1.0
+"""Replicas serve for two seconds or more after their notice, of which the list may tell late."""
+
 ADDED = "added"
 CHANGED = "changed"
 
@@ -185,6 +188,19 @@
             return False
         return not self._backoffs.is_active(replica_id) and not self._guards.is_paused(replica_id)
 
+    def may_continue(self, replica_id: str, accepted_at: float, now: float) -> bool:
+        """Return whether a stopped run may still continue at a replica that was chosen for it.
+
+        Limits and pauses do not matter: the run would be lost while it waits. A replica that has
+        begun to leave since takes requests for some time yet.
+
+        :param accepted_at: monotonic time at which it was last known to accept runs.
+        """
+        replica = self.replicas.by_id.get(replica_id)
+        if replica is not None and self.accepts(replica):
+            return True
+        return now - accepted_at <= MAX_NOTICE_AGE_S
+
     def retry_s(self, replica_id: str) -> float:
         """Return the seconds until a caller's retry may be sent to a restricted replica.
 
--- a/hornbeamglade/routed/calls.py
+++ b/hornbeamglade/routed/calls.py
@@ -102,6 +102,8 @@
     :param urgency: rank at the engine, 0 is the most urgent; None for a plain service.
     :param last_event_id: event after which the run continues, or None for a new run.
     :param copy: KV cache copy from which the run continues, or None.
+    :param accepted_at: monotonic time at which the replica was last known to accept the run that
+        continues there, or None if only this replica can continue it.
     """
 
     replica_name: str
@@ -110,6 +112,7 @@
     urgency: int | None = None
     last_event_id: str | None = None
     copy: KvCopy | None = None
+    accepted_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hornbeamglade/routed/migration.py
+++ b/hornbeamglade/routed/migration.py
@@ -24,6 +24,10 @@
 that does not listen may be completing its runs before it exits, and one that knows no such run may
 have preempted it.
 
+A target that accepted runs when it was selected may begin to leave, or be evacuated, during the
+first copy. It is checked again before the run is stopped, which can still be copied elsewhere, and
+once more when the request is sent there.
+
 A run may end, or its caller may disconnect, while it is copied. An engine continues a copy
 whose request was cancelled and keeps it for some ten seconds under a name that no one
 received. A copy that was started is therefore awaited and then freed.
@@ -69,11 +73,14 @@
     :param replica: the engine.
     :param copy: the copy of the run's KV cache.
     :param grant: the grant to run there, or None for the engine that the run was stopped at.
+    :param accepted_at: monotonic time at which the engine was last known to accept runs, or None
+        for the engine that the run was stopped at.
     """
 
     replica: replicamodels.Replica
     copy: calls.KvCopy
     grant: asyncgrantacquirer.Grant | None
+    accepted_at: float | None = None
 
 
 _Target = tuple[asyncgrantacquirer.Grant, replicamodels.Replica]
@@ -259,11 +266,8 @@
         self, grant: asyncgrantacquirer.Grant, replica: replicamodels.Replica
     ) -> bool:
         """Copy the run to one engine and stop it; return whether the migration has ended."""
-        if not self._dependencies.catalog.may_continue_at(replica.id):
-            # The run may have waited for its slots for seconds since the grant was given.
-            self._release()
-            is_evacuated = self._dependencies.catalog.is_evacuated(replica)
-            self.outcome = "evacuated" if is_evacuated else "target_withheld"
+        # The run may have waited for its slots for seconds since the grant was given.
+        if not self._may_continue_at(replica):
             return self._has_ended
         if self._copy_started_at is None:
             self._copy_started_at = self._dependencies.clock.now()
@@ -277,10 +281,23 @@
             self._free_copy(result.name, replica)
             self.outcome = "run_ended"
             return True
+        if not self._may_continue_at(replica):
+            self._free_copy(result.name, replica)
+            return False
         copy = calls.KvCopy(self._source.address, result.name)
-        self.destination, self._grant = Destination(replica, copy, grant), None
+        accepted_at = self._dependencies.clock.now()
+        self.destination, self._grant = Destination(replica, copy, grant, accepted_at), None
         return await self._stop_and_copy_rest(replica)
 
+    def _may_continue_at(self, replica: replicamodels.Replica) -> bool:
+        """Return whether a target still accepts runs; its grant is released otherwise."""
+        if self._dependencies.catalog.may_continue_at(replica.id):
+            return True
+        self._release()
+        is_evacuated = self._dependencies.catalog.is_evacuated(replica)
+        self.outcome = "evacuated" if is_evacuated else "target_withheld"
+        return False
+
     async def _stop_and_copy_rest(self, replica: replicamodels.Replica) -> bool:
         """Stop the run and copy the rest; return whether the migration has ended."""
         result = await self._order_stop(replica)
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -95,6 +95,8 @@
     :param memory: counts what is held of responses, and bounds it; None for no bound.
     :param on_failed: called with the service and the code of each failed attempt.
     :param ends: decides whether responses without a stated end are complete; None if all are.
+    :param may_continue: whether a stopped run may still continue at a replica, by its id, which
+        was last known to accept runs at a monotonic time.
     :ivar room: the room of responses that are received.
     """
 
@@ -109,6 +111,7 @@
         memory: buffermemory.BufferMemory | None = None,
         on_failed: FailureCallback = lambda _service, _code: None,
         ends: endinquiry.EndInquiry | None = None,
+        may_continue: collections.abc.Callable[[str, float], bool] = lambda _replica, _at: True,
     ) -> None:
         self._ends = ends
         self._on_failed = on_failed
@@ -116,6 +119,7 @@
         self._pool = pool
         self._dialect = request_dialect
         self._still_accepts = still_accepts
+        self._may_continue = may_continue
         self._on_advisory = on_advisory
         self._clock = clock
         self._on_load = on_load
@@ -157,7 +161,7 @@
             code = _connect_failure_code(connection)
             return FailedAttempt(code, outcomes.RunStatus.NOT_RUN, was_sent=False)
         log.record_connection(connection.via, connection.idle_s)
-        if dispatch.copy is None and not self._still_accepts(replica.id):
+        if not self._may_send(replica.id, dispatch):
             self._pool.release(connection, None)
             return FailedAttempt(WITHHELD, outcomes.RunStatus.NOT_RUN, was_sent=False)
         log.sent_addresses.add(replica.address)
@@ -172,6 +176,14 @@
             return await self._read_refusal(response, request_id)
         return response
 
+    def _may_send(self, replica_id: str, dispatch: calls.Dispatch) -> bool:
+        """Return whether a replica may still be sent a request that it was chosen for."""
+        if dispatch.copy is None:
+            return self._still_accepts(replica_id)
+        if dispatch.accepted_at is None:
+            return True
+        return self._may_continue(replica_id, dispatch.accepted_at)
+
     async def _read_refusal(self, response: StartedResponse, request_id: str) -> FailedAttempt:
         connection, head = response.connection, response.head
         is_first_response = connection.idle_s is None
--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -199,9 +199,12 @@
                 return answer
 
     async def _send(
-        self, copy: calls.KvCopy | None
+        self, copy: calls.KvCopy | None, accepted_at: float | None = None
     ) -> sending.StartedResponse | sending.FailedAttempt:
-        """Send the request to the assigned engine."""
+        """Send the request to the assigned engine.
+
+        :param accepted_at: see :class:`Dispatch <hornbeamglade.routed.calls.Dispatch>`.
+        """
         assignment, routed = self._assignment, self._routed
         self._writing_since = None
         self._is_proven = False
@@ -212,6 +215,7 @@
             urgency=min(routed.urgency, 9),
             last_event_id=self._relay.last_id,
             copy=copy,
+            accepted_at=accepted_at,
         )
         catalog = self._dependencies.catalog
         assignment.sent_at = self._dependencies.clock.now()
@@ -566,7 +570,7 @@
         self._dependencies.budgets.record_resumed(
             self._routed.service.name, self._dependencies.clock.now()
         )
-        response = await self._send(destination.copy)
+        response = await self._send(destination.copy, destination.accepted_at)
         is_resumed = isinstance(response, sending.StartedResponse) and _is_stream(response)
         logs.decided(
             self._routed.call.request_id,
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -189,6 +189,7 @@
         self.run_by_id: dict[str, routedruns.StandinRun] = {}
         self.copy_by_name: dict[str, routedruns.StandinCopy] = {}
         self._sent_to_by_copy: dict[str, str] = {}
+        self.on_copy: collections.abc.Callable[[str], None] = lambda _to: None
         self.connections = 0
         self._events = events
         self._gap_s = gap_s
@@ -636,6 +637,7 @@
             await asyncio.Event().wait()
         if order["last"]:
             run.is_stopped = True
+        self.on_copy(order["to"])
         await asyncio.sleep(COPY_S)
         name = f"copy-{run.request_id}"
         body = {"name": name, "id": run.request_id, "made": run.made}
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -75,6 +75,24 @@
     assert (status, body, runs) == (200, stream_body("r1"), ["r1"])
 
 
+async def test_run_is_sent_to_no_engine_that_began_to_leave_during_its_copy(monkeypatch):
+    """It was stopped, and sent to an engine whose notice had run out, beside an empty one."""
+    monkeypatch.setattr(routed, "COPY_S", 0.3)
+    async with entrysite.started(engines=3, events=60, gap_s=0.03) as site:
+        client, source = await start_run(site)
+        orders = []
+        for engine in site.engines:
+            engine.on_copy = orders.append
+        site.leave(site.engines.index(source))
+        await eventloop.until(lambda: orders)
+        target = next(each for each in site.engines if each.address == orders[0])
+        site.leave(site.engines.index(target))
+        status, _, body = await client.answer()
+        other = next(each for each in site.engines if each not in (source, target))
+        continued = [("r1" in engine.run_by_id) for engine in (target, other)]
+    assert (status, body.count(b"data: r1."), continued) == (200, 60, [False, True])
+
+
 async def test_run_of_an_engine_that_has_closed_its_port_is_completed_there():
     """A server that stops in order accepts no orders any more, and completes its runs."""
     async with entrysite.started() as site:
--- a/tests/replicas/test_availability.py
+++ b/tests/replicas/test_availability.py
@@ -42,6 +42,16 @@
     assert ids(available.usable("llm")) == ["e1"]
 
 
+def test_stopped_run_continues_at_no_replica_whose_notice_may_have_run_out():
+    """A run that continued from a copy was sent without the check that all others have."""
+    available = make_availability()
+    may_continue = [
+        [available.may_continue(name, 100.0 - age_s, 100.0) for name in ("e0", "e2", "gone")]
+        for age_s in (0.3, 1.5)
+    ]
+    assert may_continue == [[True, True, True], [True, False, False]]
+
+
 def test_two_domains_may_be_evacuated_at_once():
     available = make_availability()
     available.apply_evacuations(evacuations.Evacuations(5, frozenset("ab")), 0.0)
--- a/tests/routed/test_migration.py
+++ b/tests/routed/test_migration.py
@@ -14,6 +14,7 @@
 
 SOURCE = replicamodels.Replica("e0", "llm", "10.0.0.1:1", "a", 8)
 TARGET = replicamodels.Replica("e1", "llm", "10.0.0.2:1", "a", 8)
+OTHER_TARGET = replicamodels.Replica("e2", "llm", "10.0.0.3:1", "a", 8)
 
 
 class FakeEngines(control.EngineControl):
@@ -50,6 +51,7 @@
     def __init__(self, steps):
         self._steps = steps
         self.has_capacity = True
+        self.target = TARGET
         self.held_grants = 0
 
     async def acquire_for_migration(self, placement, failure_domain):
@@ -57,7 +59,9 @@
         if not self.has_capacity:
             return None
         self.held_grants += 1
-        return asyncgrantacquirer.Grant(TARGET.id, f"{placement.admission_id}@{TARGET.id}")
+        return asyncgrantacquirer.Grant(
+            self.target.id, f"{placement.admission_id}@{self.target.id}"
+        )
 
     def release(self, grant):
         self.held_grants -= 1
@@ -108,7 +112,7 @@
         return replica_id not in self.evacuated | self.leaving
 
     def replica(self, replica_id):
-        return {each.id: each for each in (SOURCE, TARGET)}.get(replica_id)
+        return {each.id: each for each in (SOURCE, TARGET, OTHER_TARGET)}.get(replica_id)
 
 
 class MigrationSetup:
@@ -227,6 +231,30 @@
     assert arrivals == [("slot requested", "e1"), ("slot acquired", "e1"), ("slot released", "e1")]
 
 
+@pytest.mark.parametrize("state", ["evacuated", "leaving"])
+async def test_run_is_not_stopped_for_an_engine_evacuated_or_leaving_since_its_copy_began(state):
+    """It was stopped and sent to an engine that had announced its stop seconds before."""
+    setup = MigrationSetup()
+    task = await setup.start_until_copy()
+    getattr(setup.catalog, state).add(TARGET.id)
+    setup.acquirer.has_capacity = False
+    await setup.complete_copy(task)
+    assert "stop" not in setup.steps
+    assert (setup.migration.destination, setup.acquirer.held_grants) == (None, 0)
+    assert setup.engines.dropped == [(SOURCE.address, "copy-1")]
+
+
+async def test_run_is_copied_to_another_target_if_the_first_begins_to_leave_meanwhile():
+    """A stream was broken off beside empty engines, as its run was not sent to another one."""
+    setup = MigrationSetup()
+    task = await setup.start_until_copy()
+    setup.catalog.leaving.add(TARGET.id)
+    setup.acquirer.target = OTHER_TARGET
+    await setup.complete_copy(task)
+    assert setup.steps[-4:] == ["granted", "copy", "stop", "slot released"]
+    assert setup.migration.destination.replica is OTHER_TARGET
+
+
 async def test_run_that_ends_while_it_waits_to_arrive_releases_its_slots():
     setup = MigrationSetup()
     task = await setup.start_until_arrival()
