routed: stop a run whose stream broke off before it continues elsewhere

Cause: the end of a run's connection counted as the end of the run, as most engines stop one whose connection is closed.

--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -8,6 +8,7 @@
 from hornbeamglade.observability import logs
 from hornbeamglade.origins import origintable, streamorigins, versions
 from hornbeamglade.quarantine import fingerprints, lostruns, partquarantine
+from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
     attemptlog,
     callrouter,
@@ -16,6 +17,7 @@
     engineselector,
     enginework,
     eventrelay,
+    formerrun,
     migration,
     responseroom,
     responses,
@@ -106,6 +108,7 @@
         self._writing_since: float | None = None
         self._is_proven = False
         self._late_refusal: outcomes.Refusal | None = None
+        self._former: replicamodels.Replica | None = None
         self._end = "-"
         call = routed.call
         first_id = call.resumed_id if call.resumes_stream else call.request_id
@@ -191,13 +194,30 @@
             if isinstance(assignment, outcomes.Refusal):
                 return assignment
             self._assignment = assignment
-            response = await self._send(None)
+            accepted_at = self._dependencies.clock.now()
+            response = await self._send(await self._stop_former_run(), accepted_at)
             if isinstance(response, sending.StartedResponse) and _is_stream(response):
                 return response
             answer = await self._handle_unstreamed(response)
             if answer is not None:
                 return answer
 
+    async def _stop_former_run(self) -> calls.KvCopy | None:
+        """Stop the run at the engine whose stream broke off; return its copy, if there is one."""
+        former, self._former = self._former, None
+        engine = self._routed.service.engine
+        if former is None or engine is None or not engine.can_migrate:
+            return None
+        dependencies = self._dependencies.migration_dependencies
+        run = formerrun.FormerRun(former, self._routed.call.request_id, dependencies)
+        next_engine = self._assignment.replica
+        copy = await run.stop(next_engine)
+        if copy is not None and self._relay.last_id is None:
+            # A run continues from its copy after an event, and the caller has none.
+            dependencies.free_copy(copy.name, (former.address, next_engine.address))
+            return None
+        return copy
+
     async def _send(
         self, copy: calls.KvCopy | None, accepted_at: float | None = None
     ) -> sending.StartedResponse | sending.FailedAttempt:
@@ -255,6 +275,7 @@
         if isinstance(response, sending.FailedAttempt):
             if response.is_lost:
                 self._report_lost_run(assignment)
+                self._former = assignment.replica
             self._release_assignment()
             if not self._selector.may_retry():
                 return self._selector.failure_refusal()
@@ -518,11 +539,13 @@
         if destination is None:
             self._report_lost_run(self._assignment)
         self._end_migration()
+        former = self._assignment.replica
         self._release_assignment()
         if destination is not None:
             return await self._resume(destination)
         if not self._selector.may_retry():
             return False
+        self._former = former
         await self._await_evidence()
         return isinstance(await self._start_stream(), sending.StartedResponse)
 
@@ -586,6 +609,8 @@
         if isinstance(response, sending.StartedResponse):
             self._dependencies.sender.abandon(response)
             self._assignment.response = None
+        elif response.is_lost:
+            self._former = destination.replica
         self._release_assignment()
         return self._selector.may_retry() and isinstance(
             await self._start_stream(), sending.StartedResponse
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -392,6 +392,32 @@
         assert answer == expected
 
 
+@pytest.mark.parametrize("ignores_stops", [False, True])
+@pytest.mark.parametrize("lost_after_events", [0, 7])
+async def test_run_whose_stream_broke_off_is_stopped_before_it_continues_elsewhere(
+    lost_after_events, ignores_stops
+):
+    """Its former engine worked on it for seconds beside the next one."""
+    async with entrysite.started(events=100, gap_s=0.02) as site:
+        node = site.nodes[0]
+        faults = {"reset_after_events": lost_after_events} if lost_after_events else {"hang": True}
+        entrysite.set_faults(site.engines, keeps_runs=True, ignores_stops=ignores_stops, **faults)
+        client = await node.request("/tag/1", more=entrysite.USAGE)
+        await eventloop.until(lambda: any(engine.run_by_id for engine in site.engines))
+        former = next(engine for engine in site.engines if engine.run_by_id)
+        other = next(engine for engine in site.engines if engine is not former)
+        entrysite.set_faults([other])
+        if not lost_after_events:
+            for writer in tuple(former._writers):
+                writer.transport.abort()
+        await eventloop.until(lambda: "r1" in other.run_by_id)
+        is_stopped = former.run_by_id["r1"].is_stopped
+        status, _, body = await client.answer()
+        copies = [engine.copy_by_name for engine in site.engines]
+    whole = b"".join(routedruns.event("r1", number) for number in range(1, 101))
+    assert (status, body, is_stopped, copies) == (200, whole, not ignores_stops, [{}, {}])
+
+
 async def test_run_does_not_continue_elsewhere_while_its_engine_works_on():
     """An engine that leaves ignores the order to stop a run, and resets its connection."""
     async with entrysite.started(nodes=1, events=200, gap_s=0.02) as site:
