routed: tell a server that was killed from the end of its response

Cause: the system of a killed process closes its connections in order, and an end without a known cause counted as that of the response.

After such an end another connection is opened, and kept for the next request. If it is refused, or reset within a millisecond and the next one refused, the response is incomplete.

The test by which nothing was asked of such a server now holds that it is asked this one thing, and failed before.

--- a/hornbeamglade/entry/instance.py
+++ b/hornbeamglade/entry/instance.py
@@ -223,6 +223,7 @@
         ends = endinquiry.EndInquiry(
             self._available,
             engine_calls,
+            self._pool.accepts_another,
             self._pool.stays_open,
             lambda: self.cluster_state.replica_list_staleness().age_s,
             clock,
--- a/hornbeamglade/http1/clientpool.py
+++ b/hornbeamglade/http1/clientpool.py
@@ -17,6 +17,9 @@
 
 CHECK_INTERVAL_S = 2.0
 
+ACCEPTED_S = 0.001
+"""How long a new connection may stay open at a server that is being killed: its system may close
+the others before the listening socket."""
 
 AT_LIMIT = "connection_limit"
 """Code of a connection that was not opened because no further one may be open."""
@@ -106,6 +109,26 @@
         connection.close()
         return True
 
+    async def accepts_another(self, address: str, timeout_s: float) -> bool | None:
+        """Return whether a server accepts another connection, and keep that for a request.
+
+        None if it does not respond, or if no further connection may be open.
+        """
+        if self._is_full:
+            return None
+        self._opened(address)
+        connection = await self._connector.connect(address, timeout_s)
+        if isinstance(connection, clientside.ResponseLost):
+            return False if connection.is_refused else None
+        await asyncio.sleep(ACCEPTED_S)
+        if not connection.is_open:
+            # A server that has too many connections closes it as well, and still listens.
+            return await self.is_listening(address, timeout_s=timeout_s)
+        connection.keep_unused()
+        self._idle_count += 1
+        self._idle_by_address.setdefault(address, []).append(connection)
+        return True
+
     async def stays_open(
         self, address: str, seconds: float, *, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> bool | None:
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -367,6 +367,11 @@
         self._idle_since = self._clock.now()
         self._fresh_until = self._idle_since + _idle_lifetime_s(head.fields)
 
+    def keep_unused(self) -> None:
+        """Keep a connection that has carried no request for the next one."""
+        self._idle_since = self._clock.now()
+        self._fresh_until = self._idle_since + DEFAULT_IDLE_LIFETIME_S
+
     def is_fresh(self) -> bool:
         """Return whether an idle connection may still be used for another request."""
         return (
--- a/hornbeamglade/routed/endinquiry.py
+++ b/hornbeamglade/routed/endinquiry.py
@@ -19,12 +19,17 @@
     Explanation
     ===========
 
-    A server is asked only after a response without a stated end, and only if something gave the
-    server a cause to close the connection. A report takes a few milliseconds, a connection is held
-    for :data:`EXIT_S <hornbeamglade.routed.runends.EXIT_S>`; both have a timeout.
+    A server is asked only after a response without a stated end. If nothing gave it a cause to
+    close the connection, it may still have been killed: its system then closes its connections in
+    order, the listening socket among the first. A connection that is refused shows this; one that
+    is accepted is kept for another request, as the one that ended would have been. Otherwise a
+    report takes a few milliseconds, and a connection is held for
+    :data:`EXIT_S <hornbeamglade.routed.runends.EXIT_S>`; all have a timeout.
 
     :param available: the list of replicas.
     :param engines: reads the reports of engines.
+    :param accepts_another: returns whether a server accepts another connection in a time; None if
+        it does not respond.
     :param stays_open: returns whether a new connection to an address is still open after a time.
     :param list_age_s: returns the seconds since the list was last confirmed, or None.
     :param clock: monotonic time.
@@ -34,12 +39,14 @@
         self,
         available: availability.Availability,
         engines: control.EngineControl,
+        accepts_another: ConnectionCheck,
         stays_open: ConnectionCheck,
         list_age_s: ListAge,
         clock: clocks.Clock,
     ) -> None:
         self._available = available
         self._engines = engines
+        self._accepts_another = accepts_another
         self._stays_open = stays_open
         self._list_age_s = list_age_s
         self._clock = clock
@@ -63,7 +70,10 @@
         )
         known = runends.causes(state, routed.ends_at - self._clock.now(), order)
         if not known:
-            return True
+            accepts = await self._accepts_another(replica.address, runends.ACCEPT_TIMEOUT_S)
+            if accepts is not False:
+                return True
+            known = (runends.Cause.KILLED,)
         inquiry = await self._inquire(routed, replica) if runends.may_be_excluded(known) else None
         is_complete = runends.is_complete(known, inquiry)
         logs.decided(
--- a/hornbeamglade/routed/runends.py
+++ b/hornbeamglade/routed/runends.py
@@ -15,6 +15,9 @@
 its notice has not run out by keeping a new connection open for longer than it takes a server to
 exit. That it accepts one proves nothing: connections may be closed before the port.
 
+A server that is killed had no cause that is known before. Its system closes its connections in
+order as well, but nothing listens at its address then.
+
 What a server cannot show is not assumed: such a response counts as incomplete, although it may be
 whole.
 """
@@ -34,6 +37,9 @@
 EXIT_S = 0.3
 """Longest time from a server's first closed connection to its last one, when it exits."""
 
+ACCEPT_TIMEOUT_S = 0.05
+"""A server within a region accepts a connection in a few milliseconds."""
+
 MAX_LIST_AGE_S = 3.0
 """Age from which the list of replicas may lack a notice that has run out. While the store answers,
 it is confirmed every second or two."""
@@ -52,6 +58,7 @@
     LEAVING = "leaving"
     EVACUATED = "evacuated"
     LIST_STALE = "list_stale"
+    KILLED = "killed"
     REPLACED = "replaced"
     TIME_OVER = "time_over"
 
--- a/tests/routed/test_endinquiry.py
+++ b/tests/routed/test_endinquiry.py
@@ -48,21 +48,27 @@
 class Setup:
     """An inquiry with fake surroundings, in which nothing gives the server cause to close."""
 
-    def __init__(self, service=None, leaves_in_s=None, stays_open=True):
+    def __init__(self, service=None, leaves_in_s=None, stays_open=True, accepts=True):
         self.calls = []
         self.clock = clocks.ManualClock()
         self.available = FakeAvailability()
         self.list_age_s = 0.5
         self._stays_open_answer = stays_open
+        self._accepts = accepts
         self.routed = fakes.routed_request(self.clock, fakes.route(), service)
         self.inquiry = endinquiry.EndInquiry(
             self.available,
             FakeEngines(self.calls, leaves_in_s),
+            self._accepts_another,
             self._stays_open,
             lambda: self.list_age_s,
             self.clock,
         )
 
+    async def _accepts_another(self, address, timeout_s):
+        self.calls.append(("accept", address, timeout_s))
+        return self._accepts
+
     async def _stays_open(self, address, seconds):
         self.calls.append(("connect", address, seconds))
         return self._stays_open_answer
@@ -71,9 +77,12 @@
         return eventloop.run(self.inquiry.is_complete(self.routed, SERVER, order))
 
 
-def test_nothing_is_asked_of_a_server_without_cause_to_close():
-    setup = Setup(ENGINES)
-    assert (setup.is_complete(), setup.calls) == (True, [])
+@pytest.mark.parametrize(("accepts", "expected"), [(True, True), (None, True), (False, False)])
+def test_server_without_cause_to_close_is_asked_only_whether_it_listens(accepts, expected):
+    """A server that is killed closes its connections in order, and a part looked whole."""
+    setup = Setup(ENGINES, accepts=accepts)
+    assert setup.is_complete() is expected
+    assert setup.calls == [("accept", SERVER.address, runends.ACCEPT_TIMEOUT_S)]
 
 
 def leave(setup):
