routed: continue from a copy only the stream of a response that has begun

If an attempt is lost before its head, the next engine's head begins the response. Such a copy is freed now, and the request sent anew.

--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -212,8 +212,8 @@
         run = formerrun.FormerRun(former, self._routed.call.request_id, dependencies)
         next_engine = self._assignment.replica
         copy = await run.stop(next_engine)
-        if copy is not None and self._relay.last_id is None:
-            # A run continues from its copy after an event, and the caller has none.
+        if copy is not None and not self._relay.event_count:
+            # Without a head of the former engine, the response is that of a run of its own.
             dependencies.free_copy(copy.name, (former.address, next_engine.address))
             return None
         return copy
