--- a/hornbeamglade/standins/disturbances.py
+++ b/hornbeamglade/standins/disturbances.py
@@ -22,6 +22,9 @@
     INSERT = "insert"
     """A response that belongs to no request, or an interim one, is sent in between."""
 
+    INSERT_APART = "insert_apart"
+    """The same, once the bytes before have arrived on their own; so does the rest."""
+
     CALLER_LEAVES = "caller_leaves"
     """The caller closes its connection."""
 
@@ -29,6 +32,9 @@
     """The process of the instance stands still while the rest arrives."""
 
 
+INSERTIONS = frozenset((Action.INSERT, Action.INSERT_APART))
+
+
 class Stray(enum.Enum):
     """A response that a server sends beside the one that is due."""
 
@@ -70,7 +76,8 @@
         >>> Disturbance(Action.INSERT, 7, Stray.INTERIM).name
         'insert interim'
         """
-        return self.action.value if self.stray is None else f"insert {self.stray.value}"
+        action = self.action.value
+        return action if self.stray is None else f"{action} {self.stray.value}"
 
 
 def stray_bytes(stray: Stray, request_id: str) -> bytes:
--- a/hornbeamglade/standins/disturbedwriter.py
+++ b/hornbeamglade/standins/disturbedwriter.py
@@ -7,6 +7,9 @@
 from hornbeamglade.http1 import sockets
 from hornbeamglade.standins import disturbances
 
+APART_S = 0.005
+"""Time for the bytes before a response that is inserted apart to be read, and for the response."""
+
 SIGNAL_DELAY_S = 0.02
 """Time for what an action starts elsewhere before the rest of the response is sent."""
 
@@ -79,9 +82,15 @@
 
     def _act(self) -> None:
         action = self._disturbance.action
-        if action is disturbances.Action.INSERT:
+        if action in disturbances.INSERTIONS:
             stray = disturbances.stray_bytes(self._disturbance.stray, self._request_id)
-            self._pass_on(stray)
+            if action is disturbances.Action.INSERT:
+                self._pass_on(stray)
+                return
+            self._held = bytearray()
+            loop = asyncio.get_running_loop()
+            loop.call_later(APART_S, self._writer.write, stray)
+            loop.call_later(2 * APART_S, self._go_on)
         elif action is disturbances.Action.CLOSE:
             self._has_ended = True
             self._writer.close()
--- a/hornbeamglade/sweep/kinds.py
+++ b/hornbeamglade/sweep/kinds.py
@@ -194,7 +194,7 @@
     head_bytes: int, positions: collections.abc.Sequence[int]
 ) -> collections.abc.Iterator[disturbances.Disturbance]:
     actions = disturbances.Action
-    for action in (each for each in actions if each is not actions.INSERT):
+    for action in (each for each in actions if each not in disturbances.INSERTIONS):
         for at in positions[:-1]:
             yield disturbances.Disturbance(action, at)
     for stray in disturbances.Stray:
@@ -202,3 +202,5 @@
         for at in positions:
             if is_everywhere or at < head_bytes or at == positions[-1]:
                 yield disturbances.Disturbance(actions.INSERT, at, stray)
+            if is_everywhere:
+                yield disturbances.Disturbance(actions.INSERT_APART, at, stray)
--- a/tests/sweep/test_running.py
+++ b/tests/sweep/test_running.py
@@ -8,7 +8,7 @@
 from hornbeamglade.sweep import kinds, running
 
 KIND_BY_NAME = {kind.name: kind for kind in kinds.KINDS}
-EVERYWHERE = {"close", "insert refusal", "insert misdirected_other"}
+EVERYWHERE = {"close", "insert refusal", "insert_apart refusal", "insert misdirected_other"}
 SHARE_BY_NAME = {"unstopped": 0.25} | {
     name: 0.34 for name, kind in KIND_BY_NAME.items() if kind.is_sent_again
 }
