soak: start an instance once when overlapping faults end it

A fault restarts only the process that it has ended.

The soaks of the suite are rows of one table, with the same seeds, faults and seconds as before, and one more row would be one more group.

--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -77,11 +77,12 @@
 
     def begin(self, soak_site: soaksite.SoakSite) -> None:
         """Kill it."""
-        soak_site.site.child_by_name[self.component].send(signal.SIGKILL)
+        self._former = soak_site.site.child_by_name[self.component]
+        self._former.send(signal.SIGKILL)
 
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Restart it."""
-        soak_site.site.start_instance(self.component)
+        soak_site.restart(self.component, self._former)
 
 
 class InstanceStopped(Fault):
@@ -89,15 +90,15 @@
 
     def begin(self, soak_site: soaksite.SoakSite) -> None:
         """Send SIGTERM."""
-        soak_site.site.child_by_name[self.component].send(signal.SIGTERM)
+        self._former = soak_site.site.child_by_name[self.component]
+        self._former.send(signal.SIGTERM)
 
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Wait for its end, as the platform does, and restart it."""
-        child = soak_site.site.child_by_name[self.component]
         until = time.monotonic() + EXIT_S
-        while not child.ended() and time.monotonic() < until:
+        while not self._former.ended() and time.monotonic() < until:
             time.sleep(POLL_S)
-        soak_site.site.start_instance(self.component)
+        soak_site.restart(self.component, self._former)
 
 
 class InstancePaused(Fault):
@@ -120,14 +121,15 @@
 
     def begin(self, soak_site: soaksite.SoakSite) -> None:
         """Kill them."""
+        self._former_by_name = dict(soak_site.site.child_by_name)
         for name in soak_site.site.instance_names:
             soak_site.begin(InstanceKilled.__name__, name)
-            soak_site.site.child_by_name[name].send(signal.SIGKILL)
+            self._former_by_name[name].send(signal.SIGKILL)
 
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Restart them."""
         for name in soak_site.site.instance_names:
-            soak_site.site.start_instance(name)
+            soak_site.restart(name, self._former_by_name[name])
             soak_site.end(InstanceKilled.__name__, name)
 
 
--- a/hornbeamglade/soak/soaksite.py
+++ b/hornbeamglade/soak/soaksite.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from hornbeamglade.bench import loadprocesses
 from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.standins import platform as platformstandin
 from hornbeamglade.standins import routedcaller
@@ -78,6 +79,7 @@
         self.seed = seed
         self._lock = threading.Lock()
         self._manifest_lock = threading.Lock()
+        self._start_lock = threading.Lock()
         names = ("store", *(f"engine-{n}" for n in range(3)), *(f"service-{n}" for n in range(2)))
         self.links = tcpproxy.TcpProxies(*names)
         shape = routedsite.Shape(
@@ -116,6 +118,15 @@
                 for each in self._fault_records
             ]
 
+    def restart(self, name: str, former: loadprocesses.Child) -> None:
+        """Start an instance again, unless a fault that overlaps has done so.
+
+        :param former: the process that has ended.
+        """
+        with self._start_lock:
+            if self.site.child_by_name[name] is former:
+                self.site.start_instance(name)
+
     def next_pool_number(self) -> int:
         """Return a number that no other pool of callers has: request ids must be unique."""
         with self._lock:
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -1,11 +1,105 @@
 """Short soaks of real processes, with fixed seeds."""
 
+import dataclasses
+import types
+
 import pytest
 
-from hornbeamglade.soak import plan, running, seeds
+from hornbeamglade.soak import faults, plan, running, seeds, soaksite
 from hornbeamglade.standins import routedfaults
 
 SECONDS = 4.0
+LOAD_SECONDS = 12.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Soak:
+    """One group of faults; ``guards_against`` is the failure that shows without it."""
+
+    seeds: tuple[int, ...]
+    kinds: tuple[plan.FaultFactory, ...]
+    guards_against: str
+    draws: frozenset[str]
+    seconds: float = LOAD_SECONDS
+
+
+SOAK_BY_NAME = {
+    "statements": Soak(
+        seeds.STATEMENT_SEEDS,
+        plan.KINDS,
+        "requests to servers that state that they leave, or refuse",
+        frozenset(("ServerStatesLeaving", "ServerRefuses")),
+        15.0,
+    ),
+    "reachability": Soak(
+        seeds.REACHABILITY_SEEDS,
+        plan.REACHABILITY_KINDS,
+        "instances that serve nothing while their own links are cut",
+        frozenset(("InstancePartitioned", "ServersTolerateFew")),
+    ),
+    "load": Soak(
+        seeds.LOAD_SEEDS,
+        plan.LOAD_KINDS,
+        "starved kinds and teams, and urgent requests served after others",
+        frozenset(
+            ("MachineBusy", "MemoryShrinks", "CallersSurge", "CallersReadSlowly", "ServerLeaves")
+        ),
+    ),
+    "refusals": Soak(
+        seeds.REFUSAL_SEEDS,
+        plan.REFUSAL_KINDS,
+        "refusals that deny a run, such as a server's own 503 that is passed on",
+        frozenset(("StatusAfterRun", "InstancePartitioned")),
+    ),
+    "versions": Soak(
+        seeds.VERSION_SEEDS,
+        plan.VERSION_KINDS,
+        "streams that go on at another software version",
+        frozenset(("ServerReplaced", "ServerKilled", "InstanceKilled")),
+    ),
+    "parts": Soak(
+        seeds.PART_SEEDS,
+        plan.PART_KINDS,
+        "requests of which no two are equal that end engine after engine",
+        frozenset(("PartCrashesEngines", "CallersSurge")),
+    ),
+    "strays": Soak(
+        seeds.STRAY_SEEDS,
+        plan.STRAY_KINDS,
+        "second runs of requests whose refusal or stop was never stated",
+        frozenset(("ServerRefusesLate", "ServerSendsWithoutEnd", "EngineIgnoresStops")),
+    ),
+    "broken": Soak(
+        seeds.BROKEN_SEEDS,
+        plan.BROKEN_KINDS,
+        "a head or body that runs into another response on the connection",
+        frozenset(("ResponsesBreakOff", "ServerRefusesLate")),
+    ),
+    "outages": Soak(
+        seeds.OUTAGE_SEEDS,
+        plan.OUTAGE_KINDS,
+        "streams of two versions after the loss of all that was known of them",
+        frozenset(("AllInstancesKilled", "ServerReplaced")),
+    ),
+    "takeovers": Soak(
+        seeds.TAKEOVER_SEEDS,
+        plan.TAKEOVER_KINDS,
+        "a second copy of a refusal that counts for the attempt after it",
+        frozenset(("AddressTakenOver", "InstancePaused")),
+    ),
+    "crowds": Soak(
+        seeds.CROWD_SEEDS,
+        plan.CROWD_KINDS,
+        "instances that misbehaving callers end, hold up or keep from others",
+        frozenset(("CrowdPresses", "InstanceStopped", "StoreFails")),
+    ),
+    "ends": Soak(
+        seeds.ENDS_SEEDS,
+        plan.ENDS_KINDS,
+        "streams that a move or a notice ended and that look whole",
+        frozenset(("EngineClosesStreams", "InstanceStopped")),
+    ),
+}
 
 
 def test_short_soak_violates_no_guarantee(tmp_path):
@@ -15,109 +109,22 @@
     assert verdict.violations == ()
 
 
-STATEMENT_SECONDS = 15.0
-
-
-@pytest.mark.parametrize("seed", seeds.STATEMENT_SEEDS)
-def test_soak_with_statements_of_servers_violates_no_guarantee(seed, tmp_path):
-    verdict = running.run(seed, STATEMENT_SECONDS, tmp_path, plan.KINDS)
-    assert verdict.violations == ()
-
-
-def test_each_seed_of_statements_draws_both_faults():
-    for seed in seeds.STATEMENT_SEEDS:
-        names = {each.fault.name for each in plan.make(seed, STATEMENT_SECONDS, plan.KINDS)}
-        assert {"ServerStatesLeaving", "ServerRefuses"} <= names
-
-
-REACHABILITY_SECONDS = 12.0
-
-
-@pytest.mark.parametrize("seed", seeds.REACHABILITY_SEEDS)
-def test_soak_with_partitioned_instances_violates_no_guarantee(seed, tmp_path):
-    """Guards against instances that serve nothing while their own links are cut."""
-    verdict = running.run(seed, REACHABILITY_SECONDS, tmp_path, plan.REACHABILITY_KINDS)
-    assert verdict.violations == ()
-
-
-def test_each_seed_of_reachability_draws_both_faults():
-    for seed in seeds.REACHABILITY_SEEDS:
-        planned = plan.make(seed, REACHABILITY_SECONDS, plan.REACHABILITY_KINDS)
-        names = {each.fault.name for each in planned}
-        assert {"InstancePartitioned", "ServersTolerateFew"} <= names
-
-
-LOAD_SECONDS = 12.0
-
-
-@pytest.mark.parametrize("seed", seeds.LOAD_SEEDS)
-def test_soak_with_scarce_capacity_violates_no_guarantee(seed, tmp_path):
-    """Guards against starved kinds and teams, and urgent requests served after others."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.LOAD_KINDS)
-    assert verdict.violations == ()
-
-
-@pytest.mark.parametrize("seed", seeds.REFUSAL_SEEDS)
-def test_soak_with_refusals_on_all_paths_violates_no_guarantee(seed, tmp_path):
-    """Guards against refusals that deny a run, such as a server's own 503 that is passed on."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.REFUSAL_KINDS)
-    assert verdict.violations == ()
-
-
-@pytest.mark.parametrize("seed", seeds.VERSION_SEEDS)
-def test_soak_with_several_software_versions_violates_no_guarantee(seed, tmp_path):
-    """Guards against streams that go on at another software version."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.VERSION_KINDS)
-    assert verdict.violations == ()
-
-
-@pytest.mark.parametrize("seed", seeds.PART_SEEDS)
-def test_soak_with_parts_that_crash_engines_violates_no_guarantee(seed, tmp_path):
-    """Guards against requests of which no two are equal that end engine after engine."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.PART_KINDS)
-    assert verdict.violations == ()
-
-
-@pytest.mark.parametrize("seed", seeds.STRAY_SEEDS)
-def test_soak_with_bytes_that_belong_to_no_request_violates_no_guarantee(seed, tmp_path):
-    """Guards against second runs of requests whose refusal or stop was never stated."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.STRAY_KINDS)
-    assert verdict.violations == ()
-
-
-@pytest.mark.parametrize("seed", seeds.BROKEN_SEEDS)
-def test_soak_with_responses_that_break_off_violates_no_guarantee(seed, tmp_path):
-    """Guards against a head or body that runs into another response on the connection."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.BROKEN_KINDS)
-    assert verdict.violations == ()
-
-
-@pytest.mark.parametrize("seed", seeds.OUTAGE_SEEDS)
-def test_soak_with_outages_of_all_instances_violates_no_guarantee(seed, tmp_path):
-    """Guards against streams of two versions after the loss of all that was known of them."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.OUTAGE_KINDS)
-    assert verdict.violations == ()
+@pytest.mark.parametrize(
+    ("name", "seed"), [(name, seed) for name, soak in SOAK_BY_NAME.items() for seed in soak.seeds]
+)
+def test_soak_violates_no_guarantee(name, seed, tmp_path):
+    """Guards against what the group states."""
+    soak = SOAK_BY_NAME[name]
+    verdict = running.run(seed, soak.seconds, tmp_path, soak.kinds)
+    assert verdict.violations == (), soak.guards_against
 
 
-@pytest.mark.parametrize("seed", seeds.TAKEOVER_SEEDS)
-def test_soak_with_servers_that_take_over_an_address_violates_no_guarantee(seed, tmp_path):
-    """Guards against a second copy of a refusal that counts for the attempt after it."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.TAKEOVER_KINDS)
-    assert verdict.violations == ()
-
-
-@pytest.mark.parametrize("seed", seeds.CROWD_SEEDS)
-def test_soak_with_crowds_violates_no_guarantee(seed, tmp_path):
-    """Guards against instances that misbehaving callers end, hold up or keep from others."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.CROWD_KINDS)
-    assert verdict.violations == ()
-
-
-@pytest.mark.parametrize("seed", seeds.ENDS_SEEDS)
-def test_soak_with_streams_that_only_connections_end_violates_no_guarantee(seed, tmp_path):
-    """Guards against streams that a move or a notice ended and that look whole."""
-    verdict = running.run(seed, LOAD_SECONDS, tmp_path, plan.ENDS_KINDS)
-    assert verdict.violations == ()
+@pytest.mark.parametrize("name", SOAK_BY_NAME)
+def test_each_seed_draws_the_faults_of_its_group(name):
+    soak = SOAK_BY_NAME[name]
+    for seed in soak.seeds:
+        planned = plan.make(seed, soak.seconds, soak.kinds)
+        assert soak.draws <= {each.fault.name for each in planned}
 
 
 def test_seeds_of_ends_draw_each_way_to_close_streams():
@@ -130,28 +137,20 @@
     assert drawn == {None, *routedfaults.StopReply}
 
 
-def test_each_seed_of_load_and_refusals_draws_their_faults():
-    load = {"MachineBusy", "MemoryShrinks", "CallersSurge", "CallersReadSlowly", "ServerLeaves"}
-    for drawn, kinds, names in (
-        (seeds.LOAD_SEEDS, plan.LOAD_KINDS, load),
-        (
-            seeds.VERSION_SEEDS,
-            plan.VERSION_KINDS,
-            {"ServerReplaced", "ServerKilled", "InstanceKilled"},
-        ),
-        (
-            seeds.STRAY_SEEDS,
-            plan.STRAY_KINDS,
-            {"ServerRefusesLate", "ServerSendsWithoutEnd", "EngineIgnoresStops"},
-        ),
-        (seeds.BROKEN_SEEDS, plan.BROKEN_KINDS, {"ResponsesBreakOff", "ServerRefusesLate"}),
-        (seeds.OUTAGE_SEEDS, plan.OUTAGE_KINDS, {"AllInstancesKilled", "ServerReplaced"}),
-        (seeds.TAKEOVER_SEEDS, plan.TAKEOVER_KINDS, {"AddressTakenOver", "InstancePaused"}),
-        (seeds.CROWD_SEEDS, plan.CROWD_KINDS, {"CrowdPresses", "InstanceStopped", "StoreFails"}),
-        (seeds.ENDS_SEEDS, plan.ENDS_KINDS, {"EngineClosesStreams", "InstanceStopped"}),
-        (seeds.PART_SEEDS, plan.PART_KINDS, {"PartCrashesEngines", "CallersSurge"}),
-        (seeds.REFUSAL_SEEDS, plan.REFUSAL_KINDS, {"StatusAfterRun", "InstancePartitioned"}),
-    ):
-        for seed in drawn:
-            planned = plan.make(seed, LOAD_SECONDS, kinds)
-            assert names <= {each.fault.name for each in planned}
+def test_instance_that_two_faults_end_is_started_once(monkeypatch, tmp_path):
+    """A second process found its port in use, and counted as one that did not stay up."""
+    soak_site, started = soaksite.SoakSite(1, tmp_path), []
+    child_by_name = soak_site.site.child_by_name
+
+    def start(name):
+        started.append(name)
+        child_by_name[name] = object()
+
+    monkeypatch.setattr(soak_site.site, "start_instance", start)
+    child_by_name["entry-0"] = types.SimpleNamespace(send=lambda _signal: None, ended=lambda: True)
+    overlapping = [faults.InstanceKilled("entry-0"), faults.InstanceStopped("entry-0")]
+    for fault in overlapping:
+        fault.begin(soak_site)
+    for fault in overlapping:
+        fault.end(soak_site)
+    assert started == ["entry-0"]
