http1, routed: bound large requests and large responses together

Causes: bodies could fill the bound, and the oldest large response went beyond it; a body was copied twice when it was sent, a response once when it was complete, none of it counted; two responses could each wait for the room of the other until their time was over.

Bodies over 64 KiB leave a share of the bound to the oldest large response, which has it beside all that waits for it, so it ends. Bodies are sent in pieces as the transport takes them, responses stay in segments up to the caller. The bound is 0.3 of the memory.

Tests of bodies join the segments that they compare; nothing else in them changed.

--- a/hornbeamglade/entry/callershandler.py
+++ b/hornbeamglade/entry/callershandler.py
@@ -186,7 +186,7 @@
             await self._refuse_routed(exchange, routed, log, answer)
         else:
             self._log_outcome(routed, log, "answered", answer.status)
-            await exchange.answer(answer.status, answer.fields, answer.body)
+            await exchange.answer_in_segments(answer.status, answer.fields, answer.body)
 
     def _log_admitted_during_stop(
         self, routed: callrouter.RoutedRequest, admitted_at: float
--- a/hornbeamglade/http1/buffermemory.py
+++ b/hornbeamglade/http1/buffermemory.py
@@ -17,10 +17,11 @@
 """
 
 import abc
+import collections.abc
 
 from hornbeamglade.core import clocks
 
-SHARE = 1 / 3
+SHARE = 0.3
 """Share of an instance's memory that may be held. The rest is for the program itself, its tables,
 and copies made while data is passed on."""
 
@@ -111,6 +112,8 @@
 
     :param clock: monotonic time.
     :param bound_bytes: the bound, or None for no bound.
+    :ivar unused_reserve_bytes: returns what is left of the room that large requests leave to a
+        response.
 
     Examples
     ========
@@ -125,6 +128,7 @@
         self._clock = clock
         self.bound_bytes = bound_bytes
         self.held_bytes = 0
+        self.unused_reserve_bytes: collections.abc.Callable[[], int] = lambda: 0
         # Both are ordered: the first has waited longest for progress or in its class.
         self._recent: dict[Holding, None] = {}
         self._stalled_by_class: dict[int, dict[Holding, None]] = {}
@@ -145,6 +149,13 @@
             self._reclaim(byte_count)
         return self.held_bytes + byte_count <= self.bound_bytes
 
+    def has_room_for_body(self, byte_count: int) -> bool:
+        """Return whether a large request is within the bound beside what a response may need.
+
+        Its own response could otherwise wait for the room that it takes itself.
+        """
+        return self.has_room(byte_count + self.unused_reserve_bytes())
+
     def has_room_for_response(self) -> bool:
         """Return whether a large response may be read: half of the bound has to be free.
 
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -138,6 +138,8 @@
         self._is_reset = False
         self._has_ended = False
         self._is_unusable = False
+        self._unsent_body = memoryview(b"")
+        self._is_write_paused = False
         self._idle_since = 0.0
         self._fresh_until = 0.0
         self._refused_hashes: set[int] = set()
@@ -188,9 +190,31 @@
         self._interim_count = 0
         self._is_chunked = self._is_in_chunk = self._is_end_parsed = False
         data = self._state.send(self._request)
-        data += self._state.send(h11.Data(data=body)) if body else b""
-        data += self._state.send(h11.EndOfMessage())
+        is_short = len(body) <= PORTION_BYTES
+        if body:
+            pieces = self._state.send_with_data_passthrough(h11.Data(data=body))
+            data += b"".join(pieces) if is_short else b""
+        self._state.send(h11.EndOfMessage())
         self._transport.write(data)
+        if not is_short:
+            self._unsent_body = memoryview(body)
+            self._send_body()
+
+    def pause_writing(self) -> None:
+        """Send no more of the request for now."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Continue to send the request."""
+        self._is_write_paused = False
+        self._send_body()
+
+    def _send_body(self) -> None:
+        """Send what is left of the body piece by piece: the transport copies what it buffers."""
+        while self._unsent_body and not self._is_write_paused:
+            piece = self._unsent_body[:PORTION_BYTES]
+            self._unsent_body = self._unsent_body[PORTION_BYTES:]
+            self._transport.write(piece)
 
     async def head(self) -> ResponseHead | ResponseLost:
         """Wait for the response head."""
@@ -262,18 +286,28 @@
         finally:
             held.clear()
 
-    async def body(
+    async def body(self, limit: int) -> bytes | ResponseLost:
+        """Wait for the complete body.
+
+        :param limit: a longer body is treated as malformed.
+        """
+        segments = await self.segments(limit)
+        return segments if isinstance(segments, ResponseLost) else b"".join(segments)
+
+    async def segments(
         self,
         limit: int,
         on_growth: collections.abc.Callable[[int], collections.abc.Awaitable[None]] | None = None,
-    ) -> bytes | ResponseLost:
-        """Wait for the complete body.
+    ) -> tuple[bytes, ...] | ResponseLost:
+        """Wait for the complete body, which is returned in segments.
 
-        :param limit: a longer body is treated as malformed.
+        A long body would be held twice while it is joined, and one growing array would be moved
+        again and again, which leaves the heap fragmented.
+
+        :param limit: as for :meth:`body`.
         :param on_growth: called with the bytes read so far, or None. More is parsed once it has
             returned.
         """
-        # One growing array would be moved again and again, which leaves the heap fragmented.
         segments: list[bytes] = []
         segment = bytearray()
         byte_count = 0
@@ -281,9 +315,9 @@
             while True:
                 piece = await self.piece()
                 if isinstance(piece, BodyEnd):
-                    content = b"".join((*segments, segment))
-                    is_joined = await self._is_joined(content)
-                    return self._lost("malformed") if is_joined else content
+                    segments.append(bytes(segment))
+                    is_joined = await self._is_joined(b"".join(segments[-2:]))
+                    return self._lost("malformed") if is_joined else tuple(segments)
                 if isinstance(piece, ResponseLost):
                     return piece
                 byte_count += len(piece)
@@ -348,6 +382,7 @@
             and not self._buffer
             and not self._has_ended
             and not self._is_unusable
+            and not self._unsent_body
             and not self._transport.get_write_buffer_size()
             and len(self._refused_hashes) < MAX_REFUSALS
         )
@@ -401,6 +436,7 @@
         self.close()
         # Objects of a connection refer to each other and are kept until garbage is collected.
         self._buffer.clear()
+        self._unsent_body = memoryview(b"")
         self._state = self._request = None
 
     async def _event(self) -> h11.Event | ResponseLost:
@@ -458,7 +494,10 @@
         return None if following.startswith(CHUNK_END) else self._lost("malformed")
 
     async def _is_joined(self, body: bytes) -> bool:
-        """Return whether a body ends within another response, whose rest follows it."""
+        """Return whether a body ends within another response, whose rest follows it.
+
+        :param body: the body or its end.
+        """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(JOINED_WAIT_S):
                 while strictness.may_be_joined(body, self._unparsed()):
--- a/hornbeamglade/http1/exchanges.py
+++ b/hornbeamglade/http1/exchanges.py
@@ -39,22 +39,30 @@
         self, status: int, answer_fields: fields.Fields = (), body: bytes = b""
     ) -> None:
         """Send a complete response."""
-        length = (b"Content-Length", b"%d" % len(body))
+        await self.answer_in_segments(status, answer_fields, (body,))
+
+    async def answer_in_segments(
+        self, status: int, answer_fields: fields.Fields, body: tuple[bytes, ...]
+    ) -> None:
+        """Send a complete response whose body was received in segments."""
+        byte_count = sum(map(len, body))
+        length = (b"Content-Length", b"%d" % byte_count)
         has_length = fields.value(answer_fields, b"content-length") is not None
         framed = answer_fields if has_length else (*answer_fields, length)
         self.is_answered = True
         data = self._head(status, framed)
-        if len(body) <= RESPONSE_PIECE_BYTES:
-            data += self._state.send(h11.Data(data=body)) if body else b""
+        if byte_count <= RESPONSE_PIECE_BYTES:
+            data += self._state.send(h11.Data(data=b"".join(body))) if byte_count else b""
             data += self._state.send(h11.EndOfMessage())
             await self._writer.write(data)
             return
         # Written as a whole, a body that is not read would be held twice.
-        self._writer.begin_whole(len(body))
+        self._writer.begin_whole(byte_count)
         await self._writer.write(data)
-        for offset in range(0, len(body), RESPONSE_PIECE_BYTES):
-            piece = body[offset : offset + RESPONSE_PIECE_BYTES]
-            await self._writer.write(self._state.send(h11.Data(data=piece)))
+        for segment in body:
+            for offset in range(0, len(segment), RESPONSE_PIECE_BYTES):
+                piece = segment[offset : offset + RESPONSE_PIECE_BYTES]
+                await self._writer.write(self._state.send(h11.Data(data=piece)))
         await self._writer.write(self._state.send(h11.EndOfMessage()))
 
     async def begin(self, status: int, answer_fields: fields.Fields) -> None:
--- a/hornbeamglade/http1/receivebuffer.py
+++ b/hornbeamglade/http1/receivebuffer.py
@@ -12,6 +12,8 @@
 """Most bytes that are read from a connection at once. All connections may have a piece at the same
 time, and the memory of longer ones is not reused for the bodies that they become."""
 
+LARGE_BODY_BYTES = 65_536
+
 UNCOUNTED_BYTES = 2_048
 """So much of a request is not counted until its head is complete; most heads are shorter."""
 
@@ -132,7 +134,9 @@
         :raises NoMemoryError: when there is no room for the request.
         """
         self._body_bytes = body_bytes
-        if not self._memory.has_room(self._needed_bytes - self._holding.held_bytes):
+        is_large = body_bytes > LARGE_BODY_BYTES
+        has_room = self._memory.has_room_for_body if is_large else self._memory.has_room
+        if not has_room(self._needed_bytes - self._holding.held_bytes):
             raise NoMemoryError(body_bytes)
         self._holding.hold(self._needed_bytes)
 
--- a/hornbeamglade/localsite/routedsite.py
+++ b/hornbeamglade/localsite/routedsite.py
@@ -69,6 +69,7 @@
     :param entry_module: the module that runs an instance, after ``python -m``.
     :param page_rows: most rows in one response of the store to a read.
     :param memory_mb: the memory of an instance, or None for no bound.
+    :param max_body_bytes: longest body of a request.
     """
 
     instances: int = 3
@@ -80,6 +81,7 @@
     entry_module: tuple[str, ...] = ("hornbeamglade",)
     page_rows: int = platformstandin.MAX_ROWS
     memory_mb: int | None = None
+    max_body_bytes: int = operatordocuments.MAX_BODY_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,7 +280,9 @@
     ) -> bool:
         """Write the next version of the manifest; return whether the store accepted it."""
         self._version += 1
-        document = operatordocuments.manifest(self._version, keys_by_team)
+        document = operatordocuments.manifest(
+            self._version, keys_by_team, max_body_bytes=self.shape.max_body_bytes
+        )
         return self.write((contract.Put(tables.CONFIGURATION_KEY, document),))
 
     def write(self, writes: tuple[contract.Put | contract.Delete, ...]) -> bool:
--- a/hornbeamglade/routed/responseroom.py
+++ b/hornbeamglade/routed/responseroom.py
@@ -9,7 +9,8 @@
 read. Short responses need no room, as most are short and soon sent. A step beyond that waits until
 half of the bound is free. The other half is left to requests, to what arrives of responses that
 wait, and to the oldest of the large responses, which may use it to its end: each could otherwise
-hold what another one waits for.
+hold what another one waits for. Large requests leave a share of the bound to that response, so it
+ends although all of them wait for their own.
 
 A response that waits is not read, so that its connection pauses the replica. Waiting ends with the
 time of its request.
@@ -24,9 +25,15 @@
 UNCHECKED_BYTES = 65_536
 """What is read of a response although there may be no room."""
 
+WAITING_BYTES = 2 * UNCHECKED_BYTES
+"""Most bytes of a response that waits: those that are read, and as many read ahead."""
+
 MAX_STEP_BYTES = 1_048_576
 """Most bytes that are reserved ahead for a response of unknown length."""
 
+RESERVE_SHARE = 0.375
+"""Share of the bound that large requests leave to the oldest of the large responses."""
+
 ROOM_POLL_S = 0.05
 
 
@@ -40,6 +47,7 @@
         self._memory = memory
         # Ordered: the first has been large for the longest time.
         self._large: dict[Reservation, None] = {}
+        memory.unused_reserve_bytes = self._unused_reserve_bytes
 
     def open(self) -> "Reservation":
         """Return the reservation of a response of which nothing is held yet."""
@@ -55,11 +63,28 @@
         """Let others use the room of a response that grows no further."""
         self._large.pop(reservation, None)
 
+    @property
+    def _reserve_bytes(self) -> int:
+        bound_bytes = self._memory.bound_bytes or 0
+        return min(MAX_RESPONSE_BYTES, int(bound_bytes * RESERVE_SHARE))
+
+    def _unused_reserve_bytes(self) -> int:
+        """Return what the oldest of the large responses has left of the reserve."""
+        oldest = next(iter(self._large), None)
+        return max(0, self._reserve_bytes - (0 if oldest is None else oldest.held_bytes))
+
     def _may_hold(self, reservation: "Reservation", byte_count: int) -> bool:
         memory = self._memory
         if next(iter(self._large)) is not reservation:
-            # The oldest one has room to end, however much is held for others.
             return memory.has_room_for_response() and memory.has_room(MAX_RESPONSE_BYTES)
+        # The oldest one has room to end: what waits for that holds a little each meanwhile.
+        wanted_bytes = min(MAX_RESPONSE_BYTES, reservation.held_bytes + byte_count)
+        waiting_bytes = sum(
+            min(each.held_bytes, WAITING_BYTES) for each in self._large if each is not reservation
+        )
+        unused_bytes = self._reserve_bytes - reservation.held_bytes
+        if wanted_bytes <= self._reserve_bytes and memory.has_room(unused_bytes - waiting_bytes):
+            return True
         if not any(each.is_large for each in self._large if each is not reservation):
             # The bound may be smaller than a response.
             byte_count = -reservation.held_bytes
--- a/hornbeamglade/routed/responses.py
+++ b/hornbeamglade/routed/responses.py
@@ -15,12 +15,12 @@
 
     :param status: HTTP status.
     :param fields: header fields to forward.
-    :param body: the whole body.
+    :param body: the whole body, in segments.
     """
 
     status: int
     fields: fields.Fields
-    body: bytes
+    body: tuple[bytes, ...]
 
 
 async def refuse(exchange: exchanges.Exchange, refusal: outcomes.Refusal, request_id: str) -> None:
--- a/hornbeamglade/routed/sending.py
+++ b/hornbeamglade/routed/sending.py
@@ -17,6 +17,9 @@
     runevidence,
 )
 
+Body = tuple[bytes, ...]
+"""The whole body of a response, in segments."""
+
 AdvisoryCallback = collections.abc.Callable[[models.Replica, advisories.Advisory], None]
 FailureCallback = collections.abc.Callable[[str, str], None]
 LoadCallback = collections.abc.Callable[[models.Replica, calls.Load | None, str | None], None]
@@ -218,12 +221,12 @@
         }
         self._unnamed_refusal_at_by_address[address] = self._clock.now()
 
-    async def read_body(self, response: StartedResponse) -> bytes | FailedAttempt:
+    async def read_body(self, response: StartedResponse) -> Body | FailedAttempt:
         """Read the whole body and return the connection to the pool."""
         reservation = self.room.open()
         try:
             body = await self._read_body(response, reservation)
-            if isinstance(body, bytes) and not await self._is_complete(response):
+            if isinstance(body, tuple) and not await self._is_complete(response):
                 body = FailedAttempt(runends.END_UNPROVED, outcomes.RunStatus.UNKNOWN)
         finally:
             reservation.close()
@@ -239,13 +242,13 @@
 
     async def _read_body(
         self, response: StartedResponse, reservation: responseroom.Reservation
-    ) -> bytes | FailedAttempt:
+    ) -> Body | FailedAttempt:
         body = None
         try:
             body = await self._receive_body(response, reservation)
         finally:
-            is_complete = isinstance(body, bytes)
-            reservation.end(len(body) if is_complete else 0)
+            is_complete = isinstance(body, tuple)
+            reservation.end(sum(map(len, body)) if is_complete else 0)
             self._pool.release(response.connection, response.raw_head if is_complete else None)
         if isinstance(body, clientside.ResponseLost):
             return FailedAttempt(body.code, outcomes.RunStatus.UNKNOWN)
@@ -253,7 +256,7 @@
 
     async def _receive_body(
         self, response: StartedResponse, reservation: responseroom.Reservation
-    ) -> bytes | clientside.ResponseLost:
+    ) -> Body | clientside.ResponseLost:
         """Receive a body, and wait meanwhile for room; the request has a timeout."""
         connection = response.connection
         stated = fields.value(response.raw_head.fields, b"content-length") or b"0"
@@ -262,7 +265,7 @@
             connection.pause_reading()
             reservation.hold(0, connection.read_ahead_bytes())
             await reservation.reserve(body_bytes)
-        return await connection.body(
+        return await connection.segments(
             responseroom.MAX_RESPONSE_BYTES, self._growth(connection, reservation)
         )
 
--- a/hornbeamglade/standins/crowds.py
+++ b/hornbeamglade/standins/crowds.py
@@ -123,6 +123,18 @@
         yield self.head("/list/1", number)
 
 
+class LargeBodies(LargeResponses):
+    """A long body on each connection, whose response is not read."""
+
+    connections = 14
+    body_bytes = 3_460_000
+
+    def pieces(self, number: int) -> collections.abc.Iterator[bytes]:
+        """Yield one request."""
+        length = f"Content-Length: {self.body_bytes}"
+        yield self.head("/list/1", number, length, method="POST") + b"x" * self.body_bytes
+
+
 class LargeResponsesAhead(LargeResponses):
     """Requests for large responses that are not read, sent again when a connection is reset."""
 
--- a/hornbeamglade/standins/operatordocuments.py
+++ b/hornbeamglade/standins/operatordocuments.py
@@ -35,6 +35,7 @@
     priority: int = 1
 
 
+MAX_BODY_BYTES = 100_000
 SETTINGS_BY_ROUTE = {
     "draft": RouteSettings("streaming", ENGINE_SERVICE, max_attempts=1),
     "tag": RouteSettings("streaming", ENGINE_SERVICE, is_resumable=True),
@@ -48,12 +49,14 @@
     version: int,
     keys_by_team: collections.abc.Mapping[str, collections.abc.Sequence[str]],
     settings_by_route: collections.abc.Mapping[str, RouteSettings] = SETTINGS_BY_ROUTE,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> str:
     """Return a manifest as JSON.
 
     :param version: must be larger than those of earlier manifests.
     :param keys_by_team: the API keys of each team.
     :param settings_by_route: settings of the routes by name; a route's prefix is its name.
+    :param max_body_bytes: longest body of a request.
     """
     engine = {
         "slots": ENGINE_SLOTS,
@@ -74,7 +77,7 @@
         ],
         "limits": {
             "max_header_bytes": 4000,
-            "max_body_bytes": 100_000,
+            "max_body_bytes": max_body_bytes,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15_000,
         },
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -67,7 +67,7 @@
 class Site:
     """A small site whose first instance meets the crowd."""
 
-    def __init__(self, folder, instances=1, descriptors=DESCRIPTORS):
+    def __init__(self, folder, instances=1, descriptors=DESCRIPTORS, memory_mb=MEMORY_MB, **more):
         self.descriptors = descriptors
         shape = routedsite.Shape(
             instances=instances,
@@ -75,7 +75,8 @@
             services=2,
             events=5,
             entry_module=("hornbeamglade.soak.faultyentry",),
-            memory_mb=MEMORY_MB,
+            memory_mb=memory_mb,
+            **more,
         )
         self.site = routedsite.RoutedSite(shape, folder)
         self.folder = folder
@@ -219,6 +220,15 @@
         site.check_crowd(crowds.LargeResponsesAhead(KEY))
 
 
+@pytest.mark.parametrize("is_unframed", [False, True])
+def test_crowd_with_large_bodies_and_large_responses_is_borne(is_unframed, tmp_path):
+    """Bodies took the room that their own responses need, and both together the memory."""
+    large = {"memory_mb": 150, "max_body_bytes": 4_000_000, "descriptors": MANY_DESCRIPTORS}
+    with Site(tmp_path, **large) as site:
+        site.set_services(response_bytes=16_700_000, unframed=is_unframed)
+        site.check_crowd(crowds.LargeBodies(KEY))
+
+
 @pytest.mark.parametrize("part", ["body", "chunks", "field_value", "interim"])
 def test_callers_of_replicas_that_send_without_end_are_borne(part, tmp_path):
     """Bodies without a stated length were read at the same time, each up to its limit."""
--- a/tests/routed/test_bufferedexchange.py
+++ b/tests/routed/test_bufferedexchange.py
@@ -130,7 +130,7 @@
 async def test_response_is_forwarded_whole_and_unchanged():
     answer, site = await send_request({})
     assert answer.status == 200
-    assert answer.body.endswith(b":r1")
+    assert b"".join(answer.body).endswith(b":r1")
     assert site.run_count() == 1
 
 
@@ -202,7 +202,7 @@
 async def test_response_to_another_request_is_skipped():
     """A late response to another request comes first on the connection."""
     answer, site = await send_request({"stray": True}, SINGLE)
-    assert answer.body.endswith(b":r1")
+    assert b"".join(answer.body).endswith(b":r1")
     assert site.run_count() == 1
 
 
@@ -210,7 +210,7 @@
     async with started(1) as site:
         site.servers[0].faults = routedfaults.RoutedFaults(extra=True)
         answers = [await site.answer(request_id=name) for name in ("r1", "r2", "r3")]
-    assert [answer.body for answer in answers] == [b"i0:r1", b"i0:r2", b"i0:r3"]
+    assert [b"".join(answer.body) for answer in answers] == [b"i0:r1", b"i0:r2", b"i0:r3"]
 
 
 async def test_refusal_at_a_reused_address_is_retried_at_another_replica():
@@ -221,7 +221,9 @@
     async with started(2) as site:
         site.servers[0].replica_id = "someone-else"
         answers = [await site.answer(SINGLE, request_id=f"r{n}") for n in (1, 2, 3, 4)]
-    assert [answer.body for answer in answers] == [f"i1:r{n}".encode() for n in (1, 2, 3, 4)]
+    assert [b"".join(answer.body) for answer in answers] == [
+        f"i1:r{n}".encode() for n in (1, 2, 3, 4)
+    ]
     assert not site.servers[0].ledger
 
 
--- a/tests/routed/test_responseroom.py
+++ b/tests/routed/test_responseroom.py
@@ -11,7 +11,7 @@
 from hornbeamglade.http1 import buffermemory, clientpool
 from hornbeamglade.platform import requestdialect
 from hornbeamglade.replicas import models
-from hornbeamglade.routed import attemptlog, calls, sending
+from hornbeamglade.routed import attemptlog, calls, responseroom, sending
 from tests.http1 import raw
 from tests.routed import fakes
 
@@ -158,4 +158,23 @@
     script = [whole(framing, byte_count)] * count
     async with responding(script, bound_bytes) as (memory, respond):
         bodies = await asyncio.gather(*(respond() for _ in range(count)))
-        assert ({len(body) for body in bodies}, memory.held_bytes) == ({byte_count}, 0)
+        assert ({sum(map(len, body)) for body in bodies}, memory.held_bytes) == ({byte_count}, 0)
+
+
+async def test_oldest_response_ends_while_all_requests_with_long_bodies_wait_for_theirs():
+    """Bodies filled the memory, no response had room, and all requests ran out of time."""
+    memory = buffermemory.BufferMemory(clocks.ManualClock(), BOUND_BYTES)
+    room = responseroom.ResponseRoom(memory)
+    body_bytes, responses = BOUND_BYTES // 10, []
+    while memory.has_room_for_body(body_bytes):
+        memory.open().hold(body_bytes)
+        responses.append(room.open())
+    share = memory.held_bytes / BOUND_BYTES
+    whole_bytes = int(responseroom.RESERVE_SHARE * BOUND_BYTES)
+    for response in responses:
+        for byte_count in range(body_bytes, whole_bytes, body_bytes):
+            async with asyncio.timeout(1.0):
+                await response.reserve(byte_count)
+        assert memory.held_bytes <= BOUND_BYTES
+        response.close()
+    assert 0.5 < share <= 1.0 - responseroom.RESERVE_SHARE
