--- a/hornbeamglade/cli/main.py
+++ b/hornbeamglade/cli/main.py
@@ -13,6 +13,7 @@
     "demo": "demo",
     "entry": "entry",
     "explain": "explain",
+    "faultmodel": "faultmodel",
     "losses": "losses",
     "node": "node",
     "soak": "soak",
--- a/hornbeamglade/cli/soak.py
+++ b/hornbeamglade/cli/soak.py
@@ -24,6 +24,7 @@
     "takeovers": plan.TAKEOVER_KINDS,
     "crowds": plan.CROWD_KINDS,
     "ends": plan.ENDS_KINDS,
+    "crossings": plan.CROSSING_KINDS,
 }
 
 
@@ -98,6 +99,12 @@
     flag_value="ends",
     help="Draw only streams that end with their connections, leaving servers, lost instances.",
 )
+@click.option(
+    "--crossings",
+    "kind_set",
+    flag_value="crossings",
+    help="Draw only what servers do in planned stops, moves of runs and outages of the store.",
+)
 @click.option("--instances", default=3, show_default=True, type=click.IntRange(3, 60))
 @click.option("--kept", is_flag=True, help="Also run the seeds that have failed before.")
 @click.option(
--- a/hornbeamglade/soak/checks.py
+++ b/hornbeamglade/soak/checks.py
@@ -188,9 +188,14 @@
 
 def _check_engines_of_runs(evidence: Evidence) -> collections.abc.Iterator[Violation]:
     """Return the runs that continued at an engine while the one before still worked on them."""
-    unread = [each for each in evidence.continuations if "unread_until" in each]
+    # The last record of a run at an engine tells when it ended there.
+    unread = {
+        (each["request_id"], each["replica_id"]): each
+        for each in evidence.continuations
+        if "unread_until" in each
+    }
     for continued in evidence.continuations:
-        for before in unread:
+        for before in unread.values():
             if (
                 "continued_at" in continued
                 and before["request_id"] == continued["request_id"]
--- a/hornbeamglade/soak/enginefaults.py
+++ b/hornbeamglade/soak/enginefaults.py
@@ -7,7 +7,7 @@
 import time
 
 from hornbeamglade.core import codederrors
-from hornbeamglade.localsite import routedsite
+from hornbeamglade.localsite import routedsite, tcpproxy
 from hornbeamglade.soak import faults, soaksite
 from hornbeamglade.standins import routedcaller, routedfaults
 
@@ -23,6 +23,17 @@
 UNFRAMED_S = 1.0
 """Most streams that run at its end have begun since."""
 
+PREEMPTED_AFTER_EVENTS = 12
+PREEMPTED_S = 5.0
+"""Longer than what is left of a stop when its early period is over."""
+
+SECOND_NOTICE_S = 0.1
+COPY_S = 0.4
+"""Time of a copy, in which another engine announces its stop."""
+
+PIECES_S = 0.4
+PIECES_BYTES = 800
+
 
 class EngineIgnoresStops(faults.Fault):
     """An engine leaves, ignores orders to stop runs, and keeps runs whose streams it resets."""
@@ -160,3 +171,86 @@
     def end(self, soak_site: soaksite.SoakSite) -> None:
         """Start a replacement."""
         faults.replace(soak_site, self.component)
+
+
+class EnginePreempts(faults.Fault):
+    """An engine preempts each of its runs once, in the middle of the stream."""
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let its streams pause."""
+        soak_site.site.faults(
+            self.component, preempted_after_events=PREEMPTED_AFTER_EVENTS, preempted_s=PREEMPTED_S
+        )
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Let further streams go on without a pause."""
+        soak_site.site.faults(self.component)
+
+
+class EngineWorksOn(faults.Fault):
+    """An engine resets its streams and goes on with their runs, until it is told to stop them."""
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it do so."""
+        soak_site.site.faults(
+            self.component, reset_after_events=RESET_AFTER_EVENTS, keeps_runs=True
+        )
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it respond normally again."""
+        soak_site.site.faults(self.component)
+
+
+@dataclasses.dataclass
+class EnginesLeaveInTurn(faults.Fault):
+    """An engine leaves, and a second one while runs of the first are copied to it.
+
+    :param component: ``engines``, which stands for all of them.
+    :param first: the engine that leaves first.
+    :param second: the one that leaves after it.
+    """
+
+    component: str
+    first: str
+    second: str
+    begin_duration_s = SECOND_NOTICE_S + faults.NOTICE_S
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let copies take long, announce both stops, and kill both at the end of their notices."""
+        site = soak_site.site
+        soak_site.site.faults(self.first, copy_s=COPY_S)
+        for place in (self.first, self.second):
+            site.put_json(place, "/standin/leave", {})
+            site.list_server(site.server_by_place[place], is_leaving=True)
+            time.sleep(SECOND_NOTICE_S)
+        time.sleep(faults.NOTICE_S - SECOND_NOTICE_S)
+        for place in (self.first, self.second):
+            site.child_by_name[place].send(signal.SIGKILL)
+            site.unlist_server(site.server_by_place[place])
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Start replacements."""
+        for place in (self.first, self.second):
+            faults.replace(soak_site, place)
+
+
+class ServerKilledWithinResponse(faults.Fault):
+    """A service sends responses without a length in pieces, and is killed between two of them."""
+
+    begin_duration_s = UNFRAMED_S
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Let it do so, and kill it."""
+        soak_site.site.faults(
+            self.component, unframed=True, pieces_s=PIECES_S, response_bytes=PIECES_BYTES
+        )
+        time.sleep(UNFRAMED_S)
+        # A proxy would accept another connection for a server that listens no more.
+        soak_site.links[self.component].partition(tcpproxy.Partition.REFUSE_NEW)
+        soak_site.site.child_by_name[self.component].send(signal.SIGKILL)
+        soak_site.site.unlist_server(soak_site.site.server_by_place[self.component])
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Start a replacement."""
+        soak_site.links[self.component].release()
+        faults.replace(soak_site, self.component)
--- a/hornbeamglade/soak/faults.py
+++ b/hornbeamglade/soak/faults.py
@@ -133,6 +133,26 @@
             soak_site.end(InstanceKilled.__name__, name)
 
 
+class AllInstancesStopped(Fault):
+    """All instances get SIGTERM at the same moment, and are restarted once they have ended.
+
+    :param component: ``instances``, which stands for all of them.
+    """
+
+    def begin(self, soak_site: soaksite.SoakSite) -> None:
+        """Send SIGTERM to all."""
+        self._stops = [InstanceStopped(name) for name in soak_site.site.instance_names]
+        for stop in self._stops:
+            soak_site.begin(stop.name, stop.component)
+            stop.begin(soak_site)
+
+    def end(self, soak_site: soaksite.SoakSite) -> None:
+        """Wait for their ends, and restart them."""
+        for stop in self._stops:
+            stop.end(soak_site)
+            soak_site.end(stop.name, stop.component)
+
+
 class InstanceReloaded(Fault):
     """An instance's settings file changes, and it gets SIGHUP."""
 
--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -241,6 +241,28 @@
 )
 """Streams that only the ends of connections end, of engines that leave."""
 
+
+def _leave_in_turn(rng: random.Random) -> faults.Fault:
+    return enginefaults.EnginesLeaveInTurn(ALL_ENGINES, *rng.sample(ENGINES, 2))
+
+
+CROSSING_KINDS: tuple[FaultFactory, ...] = (
+    *2 * (_choose(enginefaults.EnginePreempts, ENGINES),),
+    *2 * (_choose(enginefaults.EngineWorksOn, ENGINES),),
+    _leave_in_turn,
+    *2 * (_choose(enginefaults.ServerKilledWithinResponse, SERVICES),),
+    _choose(enginefaults.EngineIgnoresStops, ENGINES),
+    _closed_streams,
+    _broken_off,
+    *3 * (_choose(faults.InstanceStopped, INSTANCES),),
+    _choose(faults.AllInstancesStopped, (ALL_INSTANCES,)),
+    _choose(faults.InstancePaused, INSTANCES),
+    _partition,
+    *2 * (lambda rng: faults.StoreFails("store", "down", True),),
+)
+"""What servers do in the moments that have cost most: a planned stop of one or all instances, a
+move of the run, an instance out of step, and an outage of the store."""
+
 ALL_KINDS: tuple[FaultFactory, ...] = (
     *KINDS,
     *2 * (_partition,),
--- a/hornbeamglade/soak/seeds.py
+++ b/hornbeamglade/soak/seeds.py
@@ -48,6 +48,10 @@
 """Seeds of :data:`plan.ENDS_KINDS <hornbeamglade.soak.plan.ENDS_KINDS>` that together draw all
 ways in which an engine closes streams, beside instances that are stopped and paused."""
 
+CROSSING_SEEDS = (21, 40)
+"""Seeds of :data:`plan.CROSSING_KINDS <hornbeamglade.soak.plan.CROSSING_KINDS>` that draw stops of
+one and of all instances, outages of the store, and each fault of engines and services there."""
+
 REFUSAL_SEEDS = (6, 10)
 """Seeds of :data:`plan.REFUSAL_KINDS <hornbeamglade.soak.plan.REFUSAL_KINDS>` in whose plans
 servers respond to requests that they ran with a status that says that they did not."""
--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -35,9 +35,9 @@
 )
 
 READ_BYTES = 65_536
+PIECES = 8
 MEMORY_TOKENS = 30_000
 PROMPT_TOKENS = 100
-COPY_S = 0.02
 NOTICE_S = 1.5
 FINISH_POLL_S = 0.02
 HEALTH_PATH = "/h"
@@ -463,13 +463,19 @@
             if faults.reset:
                 sockets.reset(writer.transport)
             return False
-        writer.write(data)
+        await self._write_in_pieces(writer, data)
         if not await self._drain(writer):
             return False
         if faults.extra:
             writer.write(_response(request, 200, self._proof_headers(request), b"once more"))
         return not faults.unframed
 
+    async def _write_in_pieces(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        piece_bytes = max(1, len(data) // PIECES) if self.faults.pieces_s else len(data)
+        for offset in range(0, len(data), piece_bytes):
+            writer.write(data[offset : offset + piece_bytes])
+            await asyncio.sleep(self.faults.pieces_s / PIECES)
+
     async def _stream(
         self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
@@ -544,18 +550,22 @@
 
     async def _run_unread(self, run: routedruns.StandinRun) -> None:
         """Continue a run whose connection is lost."""
-        ends_at = time.monotonic() + (run.events - run.made) * self._gap_s
+        self._record_unread(run, time.monotonic() + (run.events - run.made) * self._gap_s)
+        while run.made < run.events and not run.is_stopped:
+            await asyncio.sleep(self._gap_s)
+            run.made += 1
+        run.is_alive = False
+        self._record_unread(run, time.monotonic())
+
+    def _record_unread(self, run: routedruns.StandinRun, until: float) -> None:
+        """Record until when an unread run continues; an earlier end is recorded when it comes."""
         self._append_to_ledger(
             {
                 "request_id": run.request_id,
-                "unread_until": ends_at,
+                "unread_until": until,
                 "replica_id": self.replica_id,
             }
         )
-        while run.made < run.events and not run.is_stopped:
-            await asyncio.sleep(self._gap_s)
-            run.made += 1
-        run.is_alive = False
 
     async def _drain(self, writer: asyncio.StreamWriter) -> bool:
         """Wait until a response was sent; cut it off if nothing of it is read for too long."""
@@ -638,7 +648,7 @@
         if order["last"]:
             run.is_stopped = True
         self.on_copy(order["to"])
-        await asyncio.sleep(COPY_S)
+        await asyncio.sleep(self.faults.copy_s)
         name = f"copy-{run.request_id}"
         body = {"name": name, "id": run.request_id, "made": run.made}
         reply = self.faults.stop_reply if order["last"] else routedfaults.StopReply.SOON
--- a/hornbeamglade/standins/routedfaults.py
+++ b/hornbeamglade/standins/routedfaults.py
@@ -5,6 +5,7 @@
 import pydantic
 
 LATE_REPLY_S = 0.35
+COPY_S = 0.02
 
 
 class StopReply(enum.StrEnum):
@@ -53,6 +54,8 @@
     :param slowdown: work on its machine takes that many times as long, which its load figures
         state; 0 for the machine's own state.
     :param response_bytes: least size of plain responses.
+    :param pieces_s: seconds in which a plain response is sent in several pieces.
+    :param copy_s: seconds that a copy of a KV cache takes.
     :param unread_s: a response of which nothing is read for this long is cut off, or None.
     :param memory_tokens: an engine that holds more tokens crashes, or None.
     :param unnamed: refusals do not carry the id of the request.
@@ -106,6 +109,8 @@
     crash_on_part: str = ""
     slowdown: float = pydantic.Field(default=0.0, ge=0)
     response_bytes: int = pydantic.Field(default=0, ge=0)
+    pieces_s: float = pydantic.Field(default=0.0, ge=0)
+    copy_s: float = pydantic.Field(default=COPY_S, ge=0)
     unread_s: float | None = None
     memory_tokens: int | None = None
     unnamed: bool = False
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -75,10 +75,10 @@
     assert (status, body, runs) == (200, stream_body("r1"), ["r1"])
 
 
-async def test_run_is_sent_to_no_engine_that_began_to_leave_during_its_copy(monkeypatch):
+async def test_run_is_sent_to_no_engine_that_began_to_leave_during_its_copy():
     """It was stopped, and sent to an engine whose notice had run out, beside an empty one."""
-    monkeypatch.setattr(routed, "COPY_S", 0.3)
     async with entrysite.started(engines=3, events=60, gap_s=0.03) as site:
+        entrysite.set_faults(site.engines, copy_s=0.3)
         client, source = await start_run(site)
         orders = []
         for engine in site.engines:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -372,13 +372,19 @@
 
 @pytest.mark.parametrize(
     ("unread_until", "replica_id", "expected"),
-    [(12.0, "engine-1.1", ["one_engine_at_a_time"]), (10.3, "engine-1.1", []), (12.0, "e", [])],
+    [
+        ((12.0,), "engine-1.1", ["one_engine_at_a_time"]),
+        ((12.0, 11.0), "engine-1.1", ["one_engine_at_a_time"]),
+        ((12.0, 10.1), "engine-1.1", []),
+        ((10.3,), "engine-1.1", []),
+        ((12.0,), "e", []),
+    ],
 )
 def test_run_that_continues_while_another_engine_works_on_it_is_detected(
     unread_until, replica_id, expected
 ):
     continuations = (
-        {"request_id": "r1", "unread_until": unread_until, "replica_id": "e"},
+        *({"request_id": "r1", "unread_until": at, "replica_id": "e"} for at in unread_until),
         {"request_id": "r1", "continued_at": 10.0, "replica_id": replica_id},
     )
     evidence = checks.Evidence((), (), (), (), {}, {}, (), (), {}, EVENTS, continuations)
--- a/tests/soak/test_running.py
+++ b/tests/soak/test_running.py
@@ -99,6 +99,22 @@
         "streams that a move or a notice ended and that look whole",
         frozenset(("EngineClosesStreams", "InstanceStopped")),
     ),
+    "crossings": Soak(
+        seeds.CROSSING_SEEDS,
+        plan.CROSSING_KINDS,
+        "what servers do in a planned stop, a move of a run, and an outage of the store",
+        frozenset(
+            (
+                "EnginePreempts",
+                "EngineWorksOn",
+                "EnginesLeaveInTurn",
+                "ServerKilledWithinResponse",
+                "InstanceStopped",
+                "AllInstancesStopped",
+                "StoreFails",
+            )
+        ),
+    ),
 }
 
 
