--- a/tests/entry/test_slowreaders.py
+++ b/tests/entry/test_slowreaders.py
@@ -8,7 +8,7 @@
 from tests.http1 import test_buffermemory
 
 
-@pytest.mark.parametrize(("memory_mb", "bound"), [(None, None), (129, 43_000_000)])
+@pytest.mark.parametrize(("memory_mb", "bound"), [(None, None), (129, 38_700_000)])
 def test_bound_follows_the_setting(memory_mb, bound):
     """Without the setting an instance has no bound, as before it existed."""
     node = entrysite.Node(0)
