--- a/hornbeamglade/standins/routed.py
+++ b/hornbeamglade/standins/routed.py
@@ -29,8 +29,11 @@
     disturbances,
     disturbedwriter,
     endlessresponses,
+    routedcopies,
     routedfaults,
+    routedledger,
     routedmachine,
+    routedrequests,
     routedruns,
 )
 
@@ -41,104 +44,11 @@
 NOTICE_S = 1.5
 FINISH_POLL_S = 0.02
 HEALTH_PATH = "/h"
-_COPY_PATH = "/v1/kv-move"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunRecord:
-    """A request that was run.
-
-    :param request_id: the request's id, as given by the caller.
-    :param target: path and query.
-    :param team: the team in its header, or an empty text.
-    :param names: names of all its headers, in lower case.
-    :param body: its body.
-    :param at: arrival time, in seconds of the machine's monotonic clock.
-    :param replica_id: the server that ran it.
-    """
-
-    request_id: str
-    target: str
-    team: str
-    names: tuple[str, ...]
-    body: str
-    at: float
-    replica_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RefusalRecord:
-    """A request that was refused as not run.
-
-    :param request_id: the request's id, as given by the caller.
-    :param at: time of the response, in seconds of the machine's monotonic clock.
-    :param replica_id: the server that refused it.
-    :param retry_after: the time that the response asked for, as sent; empty for none.
-    :param fell: whether the server crashed instead, as there were too many refusals.
-    """
-
-    request_id: str
-    at: float
-    replica_id: str
-    retry_after: str
-    fell: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CopyOrder:
-    """An order to copy a run to another engine.
-
-    :param request_id: the request that the run serves.
-    :param is_last: whether the run is stopped before the copy.
-    """
-
-    request_id: str
-    is_last: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """A request as received.
-
-    :param method: the method.
-    :param target: path and query.
-    :param value_by_name: its headers, by names in lower case.
-    :param body: its body.
-    :param is_first: whether it is the first one on its connection.
-    """
-
-    method: str
-    target: str
-    value_by_name: dict[str, str]
-    body: bytes
-    is_first: bool = True
-
-    @property
-    def request_id(self) -> str:
-        """The id that its caller gave it."""
-        return self.value_by_name.get("attempt-id", "")
-
-    @property
-    def shared_parts(self) -> tuple[str, ...]:
-        """The ids of the parts of its prompt, without the last one."""
-        listed = self.value_by_name.get("prompt-prefix", "").split(",")
-        return tuple(each.strip().partition(":")[0] for each in listed[:-1])
-
-    @property
-    def is_continuation(self) -> bool:
-        """Whether it continues a run from a copy."""
-        return "kv-from" in self.value_by_name
-
-    @property
-    def copy_order(self) -> CopyOrder | None:
-        """The order to copy a run that it is, or None."""
-        if self.target != _COPY_PATH:
-            return None
-        order = json.loads(self.body)
-        return CopyOrder(order["id"], order["last"])
-
-
-WriterWrapper = collections.abc.Callable[[Request, asyncio.StreamWriter], asyncio.StreamWriter]
+WriterWrapper = collections.abc.Callable[
+    [routedrequests.Request, asyncio.StreamWriter], asyncio.StreamWriter
+]
 
 
 class RoutedStandin:
@@ -177,9 +87,7 @@
         self.cut_off = 0
         self.crashes = 0
         self._crash_on = crash_on
-        self._ledger_path = ledger_path
-        self.ledger: list[RunRecord] = []
-        self.refusals: list[RefusalRecord] = []
+        self._ledger = routedledger.RoutedLedger(replica_id, ledger_path)
         self.turned_away_at: list[float] = []
         self.falls = 0
         self._running = 0
@@ -187,9 +95,7 @@
         self.born = 0
         self.address = ""
         self.run_by_id: dict[str, routedruns.StandinRun] = {}
-        self.copy_by_name: dict[str, routedruns.StandinCopy] = {}
-        self._sent_to_by_copy: dict[str, str] = {}
-        self.on_copy: collections.abc.Callable[[str], None] = lambda _to: None
+        self.copies = routedcopies.RoutedCopies(self.machine, self.run_by_id)
         self.connections = 0
         self._events = events
         self._gap_s = gap_s
@@ -199,6 +105,21 @@
         self._arrivals_by_id: collections.Counter[str] = collections.Counter()
         self._unread_runs: set[asyncio.Task[None]] = set()
 
+    @property
+    def ledger(self) -> list[routedledger.RunRecord]:
+        """The requests that it ran."""
+        return self._ledger.runs
+
+    @property
+    def refusals(self) -> list[routedledger.RefusalRecord]:
+        """The requests that it refused as not run."""
+        return self._ledger.refusals
+
+    @property
+    def copy_by_name(self) -> dict[str, routedruns.StandinCopy]:
+        """The copies of KV caches that it stores."""
+        return self.copies.by_name
+
     @property
     def faults(self) -> routedfaults.RoutedFaults:
         """Its current faults."""
@@ -283,7 +204,7 @@
                 if not is_open:
                     break
                 if self.faults.late_refusal_s is not None and request.request_id:
-                    refusal = _response(request, 503, {"Not-Executed": "1"}, b"")
+                    refusal = routedrequests.response(request, 503, {"Not-Executed": "1"}, b"")
                     loop = asyncio.get_running_loop()
                     loop.call_later(self.faults.late_refusal_s, writer.write, refusal)
         except (ConnectionError, asyncio.CancelledError, h11.RemoteProtocolError):
@@ -292,7 +213,9 @@
             self._writers.discard(writer)
             writer.close()
 
-    def _wrapped(self, request: Request, writer: asyncio.StreamWriter) -> asyncio.StreamWriter:
+    def _wrapped(
+        self, request: routedrequests.Request, writer: asyncio.StreamWriter
+    ) -> asyncio.StreamWriter:
         """Return the writer for the response to a request."""
         if self.wrap_writer is not None:
             return self.wrap_writer(request, writer)
@@ -308,7 +231,7 @@
 
     async def _read(
         self, reader: asyncio.StreamReader, buffered: bytes, writer: asyncio.StreamWriter
-    ) -> tuple[Request | None, bytes]:
+    ) -> tuple[routedrequests.Request | None, bytes]:
         state = h11.Connection(h11.SERVER)
         if buffered:
             state.receive_data(buffered)
@@ -324,27 +247,34 @@
             elif isinstance(event, h11.Request):
                 head = event
                 if self.faults.early:
-                    request = _parse_request(head, b"")
+                    request = routedrequests.parse_request(head, b"")
                     writer.write(
-                        _response(request, 413, self._proof_headers(request), b"too long")
+                        routedrequests.response(
+                            request, 413, self._proof_headers(request), b"too long"
+                        )
                     )
                     await writer.drain()
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return _parse_request(head, body), state.trailing_data[0]
+                return routedrequests.parse_request(head, body), state.trailing_data[0]
             else:
                 return None, b""
 
     async def _respond(
-        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        request: routedrequests.Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         """Respond to one request; return whether the connection stays open."""
         control_response = await self._control_call(request)
         if control_response is not None:
             status, body = control_response
             headers = self._state_headers()
-            writer.write(_response(request, status, headers, json.dumps(body).encode()))
+            writer.write(
+                routedrequests.response(request, status, headers, json.dumps(body).encode())
+            )
             return True
         if self.faults.early:
             return True
@@ -354,7 +284,7 @@
             return True
         if self.faults.refuse or self.faults.retry_after:
             self._refuse(request, 503, self._refusal_headers(request), writer)
-            self._record_refusal(request)
+            self._ledger.record_refusal(request, self.faults.retry_after)
             return True
         if self.faults.room is not None and self._running >= self.faults.room:
             return self._turn_away(request, writer)
@@ -366,22 +296,22 @@
         finally:
             self._running -= 1
 
-    def _turn_away(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+    def _turn_away(self, request: routedrequests.Request, writer: asyncio.StreamWriter) -> bool:
         """Refuse a request for want of room, and crash if there were too many in a second."""
         now = time.monotonic()
         self.turned_away_at = [at for at in self.turned_away_at if now - at < 1.0] + [now]
         if self.faults.brittle and len(self.turned_away_at) > float(self.faults.brittle):
             self.falls += 1
             self.turned_away_at = []
-            self._record_refusal(request, fell=True)
+            self._ledger.record_refusal(request, self.faults.retry_after, fell=True)
             for each in tuple(self._writers):
                 sockets.reset(each.transport)
             return False
-        self._record_refusal(request)
+        self._ledger.record_refusal(request, self.faults.retry_after)
         self._refuse(request, 503, self._refusal_headers(request), writer)
         return True
 
-    def _is_misdirected(self, request: Request) -> bool:
+    def _is_misdirected(self, request: routedrequests.Request) -> bool:
         if self.faults.misdirected:
             if request.is_continuation:
                 return False
@@ -391,17 +321,17 @@
 
     def _refuse(
         self,
-        request: Request,
+        request: routedrequests.Request,
         status: int,
         headers: dict[str, str],
         writer: asyncio.StreamWriter,
     ) -> None:
-        refusal = _response(request, status, headers, b"")
+        refusal = routedrequests.response(request, status, headers, b"")
         writer.write(refusal)
         if self.faults.repeats_refusals:
             self._refusal_by_writer[writer] = refusal
 
-    async def _control_call(self, request: Request) -> tuple[int, object] | None:
+    async def _control_call(self, request: routedrequests.Request) -> tuple[int, object] | None:
         """Respond to control calls of the stand-in; return None for a caller's request."""
         path = request.target.partition("?")[0]
         if path == HEALTH_PATH:
@@ -417,23 +347,26 @@
         if path == "/standin/copies":
             return 200, sorted(self.copy_by_name)
         if path == "/standin/copy":
-            return self._take_copy(json.loads(request.body))
+            return self.copies.take(json.loads(request.body))
         if path == "/standin/drop":
             self.copy_by_name.pop(json.loads(request.body)["name"], None)
             return 200, {}
         if path == "/v1/report":
             return 200, self._report()
-        if path == _COPY_PATH:
-            return await self._move(json.loads(request.body))
+        if path == routedrequests.COPY_PATH:
+            return await self.copies.move(json.loads(request.body), self._gap_s)
         if path.startswith("/v1/kv-handle/"):
-            return await self._drop_copy(path.rpartition("/")[2])
+            return await self.copies.drop(path.rpartition("/")[2])
         return None
 
     async def _plain(
-        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        request: routedrequests.Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         faults = self.faults
-        self._record_run(request)
+        self._ledger.record_run(request)
         if self._is_fatal(request):
             await self.stop()
             return False
@@ -453,8 +386,10 @@
         body = f"{self.replica_id}:{request.request_id}".encode()
         body = body.rjust(faults.response_bytes, b".")
         if faults.stray:
-            writer.write(_response(request, 200, {"Attempt-Id": "another"}, b"not yours"))
-        data = _response(
+            writer.write(
+                routedrequests.response(request, 200, {"Attempt-Id": "another"}, b"not yours")
+            )
+        data = routedrequests.response(
             request, status, self._proof_headers(request), body, framed=not faults.unframed
         )
         if faults.torn or faults.reset:
@@ -467,7 +402,9 @@
         if not await self._drain(writer):
             return False
         if faults.extra:
-            writer.write(_response(request, 200, self._proof_headers(request), b"once more"))
+            writer.write(
+                routedrequests.response(request, 200, self._proof_headers(request), b"once more")
+            )
         return not faults.unframed
 
     async def _write_in_pieces(self, writer: asyncio.StreamWriter, data: bytes) -> None:
@@ -477,7 +414,10 @@
             await asyncio.sleep(self.faults.pieces_s / PIECES)
 
     async def _stream(
-        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        request: routedrequests.Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         run = self._begin(request)
         if run is None:
@@ -492,7 +432,7 @@
             run.is_alive = False
             body = f"{self.replica_id}:{request.request_id}".encode()
             proof = self._proof_headers(request)
-            writer.write(_response(request, self.faults.status, proof, body))
+            writer.write(routedrequests.response(request, self.faults.status, proof, body))
             return True
         if self.faults.hang:
             await reader.read(1)
@@ -506,8 +446,8 @@
         proof = self._proof_headers(request) | {"Content-Type": "text/event-stream"}
         is_framed = not self.faults.unframed
         framing = {"Transfer-Encoding": "chunked"} if is_framed else {"Connection": "close"}
-        encode = _chunk if is_framed else bytes
-        writer.write(_response_head(request, 200, proof | framing))
+        encode = routedrequests.chunk if is_framed else bytes
+        writer.write(routedrequests.response_head(request, 200, proof | framing))
         if self.faults.crash_on_part in request.shared_parts:
             writer.write(encode(run.event(run.made + 1)))
             await self.stop()
@@ -550,22 +490,14 @@
 
     async def _run_unread(self, run: routedruns.StandinRun) -> None:
         """Continue a run whose connection is lost."""
-        self._record_unread(run, time.monotonic() + (run.events - run.made) * self._gap_s)
+        self._ledger.record_unread(
+            run.request_id, time.monotonic() + (run.events - run.made) * self._gap_s
+        )
         while run.made < run.events and not run.is_stopped:
             await asyncio.sleep(self._gap_s)
             run.made += 1
         run.is_alive = False
-        self._record_unread(run, time.monotonic())
-
-    def _record_unread(self, run: routedruns.StandinRun, until: float) -> None:
-        """Record until when an unread run continues; an earlier end is recorded when it comes."""
-        self._append_to_ledger(
-            {
-                "request_id": run.request_id,
-                "unread_until": until,
-                "replica_id": self.replica_id,
-            }
-        )
+        self._ledger.record_unread(run.request_id, time.monotonic())
 
     async def _drain(self, writer: asyncio.StreamWriter) -> bool:
         """Wait until a response was sent; cut it off if nothing of it is read for too long."""
@@ -597,12 +529,12 @@
         await self.stop()
         return True
 
-    def _is_fatal(self, request: Request) -> bool:
+    def _is_fatal(self, request: routedrequests.Request) -> bool:
         """Return whether a request crashes the server."""
         text = self.faults.crash_on or self._crash_on
         return bool(text) and text in request.body.decode("latin-1")
 
-    def _begin(self, request: Request) -> routedruns.StandinRun | None:
+    def _begin(self, request: routedrequests.Request) -> routedruns.StandinRun | None:
         """Begin a run or continue one from a copy; None when there is no such copy."""
         usage = request.value_by_name.get("token-usage", str(PROMPT_TOKENS))
         prompt_tokens = int(usage.partition(",")[0])
@@ -615,71 +547,16 @@
         )
         source = request.value_by_name.get("kv-from")
         if source is None:
-            self._record_run(request)
+            self._ledger.record_run(request)
         else:
             copy = self.copy_by_name.pop(source.rpartition("/")[2], None)
             if copy is None or copy.request_id != request.request_id:
                 return None
-            self._append_to_ledger(
-                {
-                    "request_id": request.request_id,
-                    "continued_at": time.monotonic(),
-                    "replica_id": self.replica_id,
-                }
-            )
+            self._ledger.record_continuation(request.request_id)
         run.made = int(request.value_by_name.get("last-event-id", "0"))
         self.run_by_id[request.request_id] = run
         return run
 
-    async def _move(self, order: dict) -> tuple[int, object]:
-        run = self.run_by_id.get(order["id"])
-        if order["last"] and self.faults.stop_reply is routedfaults.StopReply.NEVER:
-            run.is_stopped = True
-            raise ConnectionAbortedError("the answer is lost")
-        is_late = order["last"] and self.faults.stop_reply is routedfaults.StopReply.AFTER_END
-        while is_late and run is not None and run.is_alive:
-            await asyncio.sleep(self._gap_s)
-        if run is None or not run.is_alive:
-            return 404, {}
-        if self.faults.no_room:
-            return 503, {}
-        if order["last"] and self.faults.ignores_stops:
-            await asyncio.Event().wait()
-        if order["last"]:
-            run.is_stopped = True
-        self.on_copy(order["to"])
-        await asyncio.sleep(self.faults.copy_s)
-        name = f"copy-{run.request_id}"
-        body = {"name": name, "id": run.request_id, "made": run.made}
-        reply = self.faults.stop_reply if order["last"] else routedfaults.StopReply.SOON
-        is_kept = reply is routedfaults.StopReply.KEPT
-        if is_kept or not await _post(order["to"], "/standin/copy", body):
-            if order["last"]:
-                self.copy_by_name[name] = routedruns.StandinCopy(name, run.request_id, run.made)
-                return 503, {"handle": name}
-            return 503, {}
-        self._sent_to_by_copy[name] = order["to"]
-        if reply is routedfaults.StopReply.LATE:
-            await asyncio.sleep(routedfaults.LATE_REPLY_S)
-        elif reply is routedfaults.StopReply.LOST:
-            raise ConnectionAbortedError("the answer is lost")
-        return 200, {"handle": name, "created": run.made}
-
-    def _take_copy(self, copy: dict) -> tuple[int, object]:
-        if self.faults.no_room:
-            return 503, {}
-        name = copy["name"]
-        self.copy_by_name[name] = routedruns.StandinCopy(name, copy["id"], copy["made"])
-        return 200, {}
-
-    async def _drop_copy(self, name: str) -> tuple[int, object]:
-        """Free a copy here and at the engine that it was sent to."""
-        self.copy_by_name.pop(name, None)
-        sent_to = self._sent_to_by_copy.pop(name, None)
-        if sent_to is not None:
-            await _post(sent_to, "/standin/drop", {"name": name})
-        return 200, {}
-
     def _report(self) -> dict[str, object]:
         runs = [
             [run.request_id, run.prompt_tokens + run.made, run.made, 5]
@@ -700,32 +577,7 @@
             report["leaves_ms"] = max(0.0, left_s) * 1000.0
         return report
 
-    def _record_run(self, request: Request) -> None:
-        record = RunRecord(
-            request.request_id,
-            request.target,
-            request.value_by_name.get("tenant", ""),
-            tuple(request.value_by_name),
-            request.body.decode("latin-1"),
-            time.monotonic(),
-            self.replica_id,
-        )
-        self.ledger.append(record)
-        self._append_to_ledger(dataclasses.asdict(record))
-
-    def _record_refusal(self, request: Request, *, fell: bool = False) -> None:
-        record = RefusalRecord(
-            request.request_id, time.monotonic(), self.replica_id, self.faults.retry_after, fell
-        )
-        self.refusals.append(record)
-        self._append_to_ledger(dataclasses.asdict(record))
-
-    def _append_to_ledger(self, record: dict[str, object]) -> None:
-        if self._ledger_path is not None:
-            with self._ledger_path.open("a", encoding="utf-8") as ledger:
-                ledger.write(json.dumps(record) + "\n")
-
-    def _proof_headers(self, request: Request) -> dict[str, str]:
+    def _proof_headers(self, request: routedrequests.Request) -> dict[str, str]:
         headers = {"Attempt-Id": request.request_id, "Replica-Load": self._load_figures()}
         headers |= self._state_headers()
         if not self.faults.unproved:
@@ -734,10 +586,10 @@
             headers["Server-Limit"] = self.faults.limit
         return headers
 
-    def _id_headers(self, request: Request) -> dict[str, str]:
+    def _id_headers(self, request: routedrequests.Request) -> dict[str, str]:
         return {} if self.faults.unnamed else {"Attempt-Id": request.request_id}
 
-    def _refusal_headers(self, request: Request) -> dict[str, str]:
+    def _refusal_headers(self, request: routedrequests.Request) -> dict[str, str]:
         headers = {"Not-Executed": "1"} | self._id_headers(request) | self._state_headers()
         if self.faults.retry_after:
             headers["Retry-After"] = self.faults.retry_after
@@ -754,42 +606,6 @@
         return self.machine.load_figures(self._running, time.monotonic())
 
 
-def _parse_request(head: h11.Request, body: bytes) -> Request:
-    values = {name.decode().lower(): value.decode("latin-1") for name, value in head.headers}
-    return Request(head.method.decode(), head.target.decode(), values, body)
-
-
-def _response_head(request: Request, status: int, headers: dict[str, str]) -> bytes:
-    lines = [f"HTTP/1.1 {status} Status", *(f"{name}: {value}" for name, value in headers.items())]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-
-def _response(
-    request: Request, status: int, headers: dict[str, str], body: bytes, *, framed: bool = True
-) -> bytes:
-    length = {"Content-Length": str(len(body))} if framed else {"Connection": "close"}
-    return _response_head(request, status, headers | length) + body
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-async def _post(address: str, path: str, body: dict) -> bool:
-    """Send a POST request to another stand-in; return whether it was accepted."""
-    host, _, port = address.rpartition(":")
-    try:
-        reader, writer = await asyncio.open_connection(host, int(port))
-    except OSError:
-        return False
-    data = json.dumps(body).encode()
-    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(data)}\r\n\r\n"
-    writer.write(head.encode() + data)
-    line = await reader.readline()
-    writer.close()
-    return b" 200 " in line
-
-
 async def _run(standin: RoutedStandin, bind: str) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/hornbeamglade/sweep/kinds.py
+++ b/hornbeamglade/sweep/kinds.py
@@ -5,7 +5,12 @@
 import itertools
 import re
 
-from hornbeamglade.standins import disturbances, operatordocuments, routed, routedcaller
+from hornbeamglade.standins import (
+    disturbances,
+    operatordocuments,
+    routedcaller,
+    routedrequests,
+)
 from hornbeamglade.sweep import cases
 
 HEAD_END = b"\r\n\r\n"
@@ -112,7 +117,7 @@
             return None
         return routedcaller.Resumption("1" * 16, self.resumed_after)
 
-    def target_id(self, request: routed.Request) -> str:
+    def target_id(self, request: routedrequests.Request) -> str:
         """Return the id of the request whose exchange is disturbed if its response is; or ""."""
         order = request.copy_order
         if order is not None:
--- a/hornbeamglade/sweep/waves.py
+++ b/hornbeamglade/sweep/waves.py
@@ -8,7 +8,12 @@
 import time
 import typing
 
-from hornbeamglade.standins import disturbances, disturbedwriter, recordingcaller, routed
+from hornbeamglade.standins import (
+    disturbances,
+    disturbedwriter,
+    recordingcaller,
+    routedrequests,
+)
 from hornbeamglade.sweep import cases, kinds, sweepsite
 
 GAP_S = 0.01
@@ -160,7 +165,7 @@
             await asyncio.sleep(SAMPLE_S)
 
     def _wrap(
-        self, request: routed.Request, writer: asyncio.StreamWriter
+        self, request: routedrequests.Request, writer: asyncio.StreamWriter
     ) -> asyncio.StreamWriter | disturbedwriter.DisturbedWriter:
         """Return the writer for the response to a request."""
         request_id = self._kind.target_id(request)
--- a/tests/entry/test_floods.py
+++ b/tests/entry/test_floods.py
@@ -31,7 +31,7 @@
     """Let a stand-in begin each answer as its own and go on without end."""
 
     async def run(request, reader, writer):
-        server._record_run(request)
+        server._ledger.record_run(request)
         proof = server._proof_headers(request)
         await endlessresponses.send(writer, name, fields=proof)
         return False
@@ -93,7 +93,7 @@
     """Let a stand-in begin each stream with a part of an event, and go on without end or stop."""
 
     async def run(request, reader, writer):
-        server._record_run(request)
+        server._ledger.record_run(request)
         fields = server._proof_headers(request) | {"Content-Type": "text/event-stream"}
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         writer.write(b"HTTP/1.1 200 OK\r\n%s\r\n" % lines.encode())
--- a/tests/entry/test_streams.py
+++ b/tests/entry/test_streams.py
@@ -82,7 +82,7 @@
         client, source = await start_run(site)
         orders = []
         for engine in site.engines:
-            engine.on_copy = orders.append
+            engine.copies.on_copy = orders.append
         site.leave(site.engines.index(source))
         await eventloop.until(lambda: orders)
         target = next(each for each in site.engines if each.address == orders[0])
--- a/tests/entry/test_truthfulness.py
+++ b/tests/entry/test_truthfulness.py
@@ -14,7 +14,7 @@
 from hornbeamglade.entry import callershandler
 from hornbeamglade.localsite import tcpproxy
 from hornbeamglade.routed import attemptlog
-from hornbeamglade.standins import routed, routedfaults
+from hornbeamglade.standins import routedfaults, routedrequests
 from tests import eventloop
 from tests.entry import site as entrysite
 from tests.routed import fakes
@@ -39,7 +39,7 @@
 
     def scripted(server):
         async def run(request, _reader, writer):
-            server._record_run(request)
+            server._ledger.record_run(request)
             response = respond(server, request)
             writer.write(response or b"")
             return b"Content-Length" in (response or b"")
@@ -52,14 +52,14 @@
 
 def with_status(status, **headers):
     """Return a response function: a sealed response with a status of the replica's own."""
-    return lambda server, request: routed._response(
+    return lambda server, request: routedrequests.response(
         request, status, server._proof_headers(request) | headers, b"own"
     )
 
 
 def stream_head(server, request):
     """Return the head of a stream that ends before its first event."""
-    return routed._response_head(
+    return routedrequests.response_head(
         request, 200, server._proof_headers(request) | {"Transfer-Encoding": "chunked"}
     )
 
@@ -120,8 +120,8 @@
     """A late response and a late refusal of another request come first on the connection."""
 
     def respond(server, request):
-        stray = routed._response(request, 200, {"Attempt-Id": "another"}, b"not yours")
-        return stray + routed._response(request, 503, {"Not-Executed": "1"}, b"")
+        stray = routedrequests.response(request, 200, {"Attempt-Id": "another"}, b"not yours")
+        return stray + routedrequests.response(request, 503, {"Not-Executed": "1"}, b"")
 
     async with entrysite.started() as site:
         script(site, respond)
