--- a/hornbeamglade/routed/streamrun.py
+++ b/hornbeamglade/routed/streamrun.py
@@ -6,7 +6,7 @@
 from hornbeamglade.core import outcomes
 from hornbeamglade.http1 import clientside, exchanges, listeners
 from hornbeamglade.observability import logs
-from hornbeamglade.origins import origintable, streamorigins, versions
+from hornbeamglade.origins import versions
 from hornbeamglade.quarantine import fingerprints, lostruns, partquarantine
 from hornbeamglade.replicas import models as replicamodels
 from hornbeamglade.routed import (
@@ -25,12 +25,9 @@
     runends,
     runregistry,
     sending,
+    streamorigin,
 )
 
-ORIGIN_UNKNOWN = "stream_origin_unknown"
-ORIGIN_RETRY_S = 0.5
-"""An instance that is partitioned or has just started may know more after this time."""
-
 MAX_EVENT_DIGITS = 6
 """Bounds the number of events that a caller states to have."""
 
@@ -103,16 +100,12 @@
         self._assignment: engineselector.Assignment | None = None
         self._response_start: eventrelay.ResponseStart | None = None
         self._first_event = asyncio.Event()
-        self._origin: int | None = None
-        self._is_origin_certain = True
         self._writing_since: float | None = None
         self._is_proven = False
         self._late_refusal: outcomes.Refusal | None = None
         self._former: replicamodels.Replica | None = None
         self._end = "-"
-        call = routed.call
-        first_id = call.resumed_id if call.resumes_stream else call.request_id
-        self._stream = None if first_id is None else _stream_key(routed, first_id)
+        self._origin = streamorigin.StreamOrigin(routed, dependencies.origins, dependencies.clock)
         self._migration: migration.Migration | None = None
         self._migration_task: asyncio.Task[None] | None = None
         self._migration_count = 0
@@ -125,8 +118,11 @@
         """
         is_complete = False
         try:
-            if self._routed.call.resumes_stream and not await self._find_origin():
-                return self._origin_refusal()
+            if self._routed.call.resumes_stream:
+                refusal = await self._origin.find()
+                if refusal is not None:
+                    return refusal
+                self._require_origin()
             answer = await self._start_stream()
             if not isinstance(answer, sending.StartedResponse):
                 return answer
@@ -180,9 +176,7 @@
             assignment.replica.name, version
         ):
             # The request may have been sent to the new incarnation, before it was listed.
-            self._is_origin_certain = False
-            self._origin = None
-            self._record_origin(origintable.UNCERTAIN)
+            self._origin.lose()
         assignment.response.connection.close()
 
     async def _start_stream(
@@ -351,7 +345,7 @@
             self._record_end(self._assignment, outcomes.RunStatus.RAN, True, lost.code)
             self._note_origin()
             self._require_origin()
-            if self._relay.event_count and not self._is_origin_certain:
+            if self._relay.event_count and not self._origin.is_certain:
                 return False
             if not await self._continue_stream():
                 return False
@@ -475,49 +469,15 @@
         if has_events and self._log.answer_at is None:
             self._log.record_answer_started(self._relay.first_at)
 
-    async def _find_origin(self) -> bool:
-        """Find the version that began the stream that the caller takes up, if it is known."""
-        routed = self._routed
-        window_s = streamorigins.retention_s(routed.route.timeout_s)
-        started_at = self._dependencies.clock.now()
-        found = await self._dependencies.origins.find(self._stream, routed.service.name, window_s)
-        self._origin = found.version
-        logs.decided(
-            routed.call.request_id,
-            "origin",
-            "unknown" if self._origin is None else "known",
-            service=routed.service.name,
-            resumes=routed.call.resumed_id,
-            version=self._dependencies.origins.version_name(self._origin),
-            source=found.source,
-            age_s=_rounded(found.sole_for_s),
-            seconds=round(self._dependencies.clock.now() - started_at, 4),
-        )
-        self._require_origin()
-        return self._origin is not None
-
-    def _origin_refusal(self) -> outcomes.Refusal:
-        detail = "it is not known which software version of the service began the stream"
-        return outcomes.Refusal(ORIGIN_UNKNOWN, 503, detail, retry_after_s=ORIGIN_RETRY_S)
-
     def _note_origin(self) -> None:
         """Record the software version of the first event that was relayed."""
-        if not self._relay.event_count or not self._is_origin_certain:
-            return
-        if self._origin is None:
-            self._origin = versions.version_key(self._assignment.replica.version)
-        self._record_origin(self._origin)
-
-    def _record_origin(self, version: int) -> None:
-        routed = self._routed
-        if self._stream is not None:
-            kept_s = streamorigins.retention_s(routed.route.timeout_s)
-            self._dependencies.origins.began(self._stream, version, routed.service.name, kept_s)
+        if self._relay.event_count:
+            self._origin.note(self._assignment.replica.version)
 
     def _require_origin(self) -> None:
         """Restrict the engines to the version that began the stream, if the caller has events."""
-        if self._origin is not None:
-            self._selector.continue_stream(self._origin, self._continued_tokens())
+        if self._origin.version is not None:
+            self._selector.continue_stream(self._origin.version, self._continued_tokens())
 
     def _continued_tokens(self) -> int:
         """Return the tokens that a replica reads again before it continues the stream."""
@@ -714,11 +674,6 @@
         )
 
 
-def _stream_key(routed: callrouter.RoutedRequest, first_id: str) -> int:
-    team = "" if routed.team is None else routed.team.name
-    return versions.stream_key(first_id, routed.service.name, team)
-
-
 def _is_stream(response: sending.StartedResponse) -> bool:
     head = response.head
     return head.status == 200 and head.is_sealed and not head.is_encoded
