http1: close a connection whose check is cancelled; set a timeout only where one waits

Found by reading: a caller that left while its server was asked for another connection left that connection open, and each response body paid for a timeout that only bodies which end within something like a status line need.

--- a/hornbeamglade/http1/clientpool.py
+++ b/hornbeamglade/http1/clientpool.py
@@ -120,7 +120,11 @@
         connection = await self._connector.connect(address, timeout_s)
         if isinstance(connection, clientside.ResponseLost):
             return False
-        await asyncio.sleep(ACCEPTED_S)
+        try:
+            await asyncio.sleep(ACCEPTED_S)
+        except asyncio.CancelledError:
+            connection.close()
+            raise
         if not connection.is_open:
             # A server that has too many connections closes it as well, and still listens.
             return await self.is_listening(address, timeout_s=timeout_s) is True
--- a/hornbeamglade/http1/clientside.py
+++ b/hornbeamglade/http1/clientside.py
@@ -498,17 +498,21 @@
 
         :param body: the body or its end.
         """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(JOINED_WAIT_S):
-                while strictness.may_be_joined(body, self._unparsed()):
-                    if self._buffer:
-                        self._parse_portion()
-                    elif self._has_ended:
-                        break
-                    else:
-                        await self._await_data()
+        if strictness.may_be_joined(body, self._unparsed()):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(JOINED_WAIT_S):
+                    await self._await_rest_of_joined(body)
         return strictness.is_body_joined(body, self._unparsed() + bytes(self._buffer))
 
+    async def _await_rest_of_joined(self, body: bytes) -> None:
+        while strictness.may_be_joined(body, self._unparsed()):
+            if self._buffer:
+                self._parse_portion()
+            elif self._has_ended:
+                return
+            else:
+                await self._await_data()
+
     def _unparsed(self) -> bytes:
         """Return the bytes that the parser has got and not used."""
         return self._state.trailing_data[0]
