--- a/hornbeamglade/soak/plan.py
+++ b/hornbeamglade/soak/plan.py
@@ -280,6 +280,11 @@
     _taken_over,
     _crowd,
     _closed_streams,
+    _choose(enginefaults.EnginePreempts, ENGINES),
+    _choose(enginefaults.EngineWorksOn, ENGINES),
+    _leave_in_turn,
+    _choose(enginefaults.ServerKilledWithinResponse, SERVICES),
+    _choose(faults.AllInstancesStopped, (ALL_INSTANCES,)),
 )
 """The kinds that are drawn by default. :data:`KINDS` keeps the plans of former seeds."""
 
